Set down the crates, the core types and the shape

Cause: an empty repository. Every part needs the same names, time, event and store types before parts can be built side by side.

Ruled out: one crate with modules (areas could reach into one another); names as plain strings (a host could stand where a group belongs); futures in decision code (a fault case could not be a plain table test).

--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,20 @@
+//! Names, time and the event interfaces shared by every crate.
+//!
+//! Nothing here knows a socket, a codec or the system clock: time reaches the
+//! decision code as a [`ClockTime`] argument, and whatever a decision wants
+//! done leaves it as a value.
+
+mod clock;
+mod event;
+mod name;
+mod number;
+
+pub mod prelude;
+
+pub use clock::{ClockSource, ClockTime, ManualClock};
+pub use event::{EffectCarrier, EventHandler};
+pub use name::{
+    CallerName, DeploymentName, DomainName, FabricName, GroupName, HostName, ModelName, NameError,
+    NodeName, RequestKey, SectionName, ServiceName, WorkspaceName,
+};
+pub use number::{CallId, FencingToken, GroupEpoch, HostIncarnation, ObjectVersion, WriteNonce};
--- /dev/null
+++ b/crates/base/src/name.rs
@@ -0,0 +1,131 @@
+//! Names as shared immutable strings, one type for each kind.
+//!
+//! A clone copies a pointer, so state, events and effects can all carry names
+//! without copying text. Constructors check length and characters once; code
+//! that holds a name never checks it again.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Longest name in bytes.
+const NAME_LIMIT: usize = 128;
+
+/// Why a text is not a name.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NameError {
+    /// The text has no characters.
+    #[error("a name is empty: give it at least one character")]
+    Empty,
+    /// The text is longer than a name may be.
+    #[error("the name is {length} bytes long: shorten it to {NAME_LIMIT} or fewer")]
+    Long {
+        /// Length in bytes.
+        length: usize,
+    },
+    /// A character is not allowed.
+    #[error("the name has {found:?} in it: use letters, digits, '.', '_', ':' and '-' only")]
+    Character {
+        /// First character that is not allowed.
+        found: char,
+    },
+}
+
+fn check_name(text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if text.len() > NAME_LIMIT {
+        return Err(NameError::Long { length: text.len() });
+    }
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | ':' | '-');
+    match text.chars().find(|&c| !allowed(c)) {
+        Some(found) => Err(NameError::Character { found }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Checked name.
+            pub fn new(text: &str) -> Result<Self, NameError> {
+                check_name(text)?;
+                Ok(Self(Arc::from(text)))
+            }
+
+            /// Text of the name.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}({})", stringify!($name), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, NameError> {
+                Self::new(text)
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                Self::new(&text)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0.as_ref().to_owned()
+            }
+        }
+    )*};
+}
+
+names! {
+    /// Machine that runs a model engine or a plain service.
+    HostName;
+    /// Set of hosts joined by one fast network.
+    FabricName;
+    /// Failure domain.
+    DomainName;
+    /// Entry host of the system itself.
+    NodeName;
+    /// Replica group.
+    GroupName;
+    /// Model, adapter and version that an engine loads.
+    ModelName;
+    /// Replica groups of one model that are managed together.
+    DeploymentName;
+    /// Name under which callers reach a deployment or plain servers.
+    ServiceName;
+    /// Tenant.
+    WorkspaceName;
+    /// Holder of an API key within a workspace.
+    CallerName;
+    /// Section of the shared configuration document.
+    SectionName;
+    /// Idempotency key that a caller gives a request.
+    RequestKey;
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurement commands: policies, overload, ledger and capacity slopes.
--- /dev/null
+++ b/crates/bronzerun/src/lib.rs
@@ -0,0 +1,1 @@
+//! Facade of the library and the daemons' entry points.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,1 @@
+//! Owns fabric domains, orders hosts into groups and writes status.
--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, engines and plain services, and a load tool.
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! Answers callers: authentication, admission, routing and streaming.
--- /dev/null
+++ b/crates/groups/src/model.rs
@@ -0,0 +1,125 @@
+//! Groups, members and the owner lease of one fabric domain.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+
+/// Everything decided about one fabric domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FabricRecord {
+    /// Fabric domain it is about.
+    pub fabric: FabricName,
+    /// Present owner, if any.
+    pub lease: Option<OwnerLease>,
+    /// Token of the newest lease; grows at every change of owner.
+    pub token: FencingToken,
+    /// Its replica groups.
+    pub groups: Vec<GroupRecord>,
+    /// Writer's mark of the update that made this record.
+    pub nonce: WriteNonce,
+}
+
+impl FabricRecord {
+    /// Record of a fabric domain that nobody has owned yet.
+    pub fn new(fabric: FabricName) -> Self {
+        Self {
+            fabric,
+            lease: None,
+            token: FencingToken::default(),
+            groups: Vec::new(),
+            nonce: WriteNonce::default(),
+        }
+    }
+}
+
+/// Right of one node to give orders in a fabric domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnerLease {
+    /// Node that holds it.
+    pub holder: NodeName,
+    /// Run of that node's process.
+    pub process: u64,
+    /// Renewals so far; others time the lease from the last change they saw.
+    pub renewals: u64,
+}
+
+/// One replica group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GroupRecord {
+    /// Name of the group.
+    pub group: GroupName,
+    /// Deployment it belongs to.
+    pub deployment: DeploymentName,
+    /// Generation of its membership.
+    pub epoch: GroupEpoch,
+    /// Whether it may serve.
+    pub phase: GroupPhase,
+    /// Members by rank; the first one takes the calls.
+    pub members: Vec<MemberRecord>,
+}
+
+/// Whether a group may serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GroupPhase {
+    /// May serve once every member is ready.
+    Active,
+    /// Finishes its calls and takes no new ones.
+    Draining,
+}
+
+/// Host in a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberRecord {
+    /// Its host.
+    pub host: HostName,
+    /// Where its engine listens.
+    pub address: SocketAddr,
+    /// Run of the engine that was put into the group.
+    pub incarnation: HostIncarnation,
+}
+
+/// What a host says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostReport {
+    /// Host that reports.
+    pub host: HostName,
+    /// Run of its engine.
+    pub incarnation: HostIncarnation,
+    /// Group it was last ordered into.
+    pub assignment: Option<HostAssignment>,
+    /// How far it is.
+    pub phase: MemberPhase,
+    /// Its load, which may be some time old.
+    pub load: LoadReport,
+}
+
+/// Place of a host in a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostAssignment {
+    /// Its group.
+    pub group: GroupName,
+    /// Generation of the group.
+    pub epoch: GroupEpoch,
+    /// Rank within the group.
+    pub rank: usize,
+}
+
+/// How far a host is with its order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberPhase {
+    /// In no group.
+    Idle,
+    /// Loading weights.
+    Loading,
+    /// Ready to serve.
+    Ready,
+}
+
+/// Load of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Streams running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+}
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Start marks and recorded outcomes of non-idempotent calls.
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, fair shares between workspaces, and retry budgets.
--- /dev/null
+++ b/crates/members/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, configuration and load digests between nodes.
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,1 @@
+//! Runtime, HTTP, frames, logs, metrics and signals on one thread.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform: object API and list of hosts.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Chooses the replica group or server that runs a call.
