Add the measurement command's frame

Cause: each policy is to be measured by a subcommand of its own, written side by side; without a frame every part would add its own binary.

Change: crates/bench with one file a subcommand, none measured yet. Conclusion: the subcommands can be filled in independently.

--- a/crates/bench/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Measurement commands: policies, overload, ledger and capacity slopes.
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,40 @@
+//! Measurements of the decision code.
+//!
+//! Every subcommand prints its seeds and one table, and drives the same code
+//! that the daemons run from tables and small fakes.
+
+mod ledger;
+mod overload;
+mod peers;
+mod placement;
+
+use clap::{Parser, Subcommand};
+
+/// Measures bronzerun's decisions.
+#[derive(Parser)]
+#[command(name = "bronzerun-bench", version)]
+struct BenchOptions {
+    #[command(subcommand)]
+    measurement: Measurement,
+}
+
+#[derive(Subcommand)]
+enum Measurement {
+    /// Group downtime and stranded accelerators under recorded faults.
+    Placement(placement::PlacementOptions),
+    /// Goodput, first-token time and refusals under overload.
+    Overload(overload::OverloadOptions),
+    /// Non-idempotent calls against writes to the store.
+    Ledger(ledger::LedgerOptions),
+    /// Messages, time and memory of a node's control traffic.
+    Peers(peers::PeersOptions),
+}
+
+fn main() {
+    match BenchOptions::parse().measurement {
+        Measurement::Placement(options) => placement::run(&options),
+        Measurement::Overload(options) => overload::run(&options),
+        Measurement::Ledger(options) => ledger::run(&options),
+        Measurement::Peers(options) => peers::run(&options),
+    }
+}
