Add the peer layer's state, commands, queries and wire forms

Ruled out: one lease or poll a node (1,500 calls/s), a full mesh of heartbeats (144 KB/s a node), taking a version on one peer's word, and suspicion across regions (an hour's cut would declare half the nodes dead). Change: PeerState with links, watchers and subsets derived from hashes of the names; announcements, fetches, digests by buckets; proof by store, watcher or two peers; ages counted from before the question.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -15,6 +15,6 @@
 pub use event::{EffectCarrier, EventHandler};
 pub use name::{
     CallerName, DeploymentName, DomainName, FabricName, GroupName, HostName, ModelName, NameError,
-    NodeName, RequestKey, SectionName, ServiceName, WorkspaceName,
+    NodeName, RegionName, RequestKey, SectionName, ServiceName, WorkspaceName,
 };
 pub use number::{CallId, FencingToken, GroupEpoch, HostIncarnation, ObjectVersion, WriteNonce};
--- a/crates/base/src/name.rs
+++ b/crates/base/src/name.rs
@@ -110,6 +110,8 @@
     FabricName;
     /// Failure domain.
     DomainName;
+    /// Region, a set of failure domains.
+    RegionName;
     /// Entry host of the system itself.
     NodeName;
     /// Replica group.
--- a/crates/base/src/prelude.rs
+++ b/crates/base/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use crate::{
     CallId, CallerName, ClockSource, ClockTime, DeploymentName, DomainName, EffectCarrier,
     EventHandler, FabricName, FencingToken, GroupEpoch, GroupName, HostIncarnation, HostName,
-    ModelName, NameError, NodeName, ObjectVersion, RequestKey, SectionName, ServiceName,
+    ModelName, NameError, NodeName, ObjectVersion, RegionName, RequestKey, SectionName, ServiceName,
     WorkspaceName, WriteNonce,
 };
 pub use std::sync::Arc;
--- /dev/null
+++ b/crates/members/src/catalog.rs
@@ -0,0 +1,183 @@
+//! Items in force, versions in quarantine and bodies still wanted.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+
+use crate::overlay::{hash_text, mix_hashes};
+use crate::summary::{SetSummary, bucket_of};
+use crate::{Item, ItemDigest, ItemEntry, ItemKey};
+
+/// Most versions in quarantine.
+const QUARANTINE_SIZE: usize = 1_024;
+
+/// Item in force; its version is the floor of its key.
+#[derive(Clone, Debug)]
+pub struct HeldItem {
+    pub version: ObjectVersion,
+    pub digest: ItemDigest,
+    pub body: Option<Arc<str>>,
+}
+
+/// Version that too few have vouched for.
+#[derive(Clone, Debug)]
+pub struct QuarantinedVersion {
+    pub entry: ItemEntry,
+    pub witnesses: Vec<NodeName>,
+    pub confirm_at: ClockTime,
+    pub expires_at: ClockTime,
+    pub attempts: u32,
+}
+
+/// Proven version whose body isn't here yet.
+#[derive(Clone, Debug)]
+pub struct WantedItem {
+    pub entry: ItemEntry,
+    pub holders: Vec<NodeName>,
+    pub retry_at: ClockTime,
+    pub attempts: usize,
+}
+
+/// How a version stands to the one in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionOrder {
+    Newer,
+    Same,
+    Older,
+    OtherDigest,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct ItemCatalog {
+    held: BTreeMap<ItemKey, HeldItem>,
+    summary: SetSummary,
+    pub quarantine: Vec<QuarantinedVersion>,
+    pub wanted: BTreeMap<ItemKey, WantedItem>,
+    pub settle_at: ClockTime,
+}
+
+impl ItemCatalog {
+    pub fn get(&self, key: &ItemKey) -> Option<&HeldItem> {
+        self.held.get(key)
+    }
+
+    pub fn entry(&self, key: &ItemKey) -> Option<ItemEntry> {
+        let held = self.held.get(key)?;
+        Some(ItemEntry {
+            key: key.clone(),
+            version: held.version,
+            digest: held.digest,
+        })
+    }
+
+    pub fn entries(&self) -> impl Iterator<Item = ItemEntry> {
+        self.held.keys().filter_map(|key| self.entry(key))
+    }
+
+    pub fn entries_in(&self, buckets: &[usize]) -> Vec<ItemEntry> {
+        self.entries()
+            .filter(|entry| buckets.contains(&bucket_of(hash_key(&entry.key))))
+            .collect()
+    }
+
+    pub fn summary(&self) -> &SetSummary {
+        &self.summary
+    }
+
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    pub fn compare(&self, entry: &ItemEntry) -> VersionOrder {
+        let Some(held) = self.held.get(&entry.key) else {
+            return VersionOrder::Newer;
+        };
+        if entry.version > held.version {
+            VersionOrder::Newer
+        } else if entry.version < held.version {
+            VersionOrder::Older
+        } else if entry.digest == held.digest {
+            VersionOrder::Same
+        } else {
+            VersionOrder::OtherDigest
+        }
+    }
+
+    /// Puts a version into force unless the floor forbids it.
+    pub fn install(&mut self, item: &Item, settle_at: ClockTime) -> bool {
+        let entry = item.entry();
+        if self.compare(&entry) != VersionOrder::Newer {
+            return false;
+        }
+        if let Some(old) = self.entry(&entry.key) {
+            self.summary.toggle(hash_key(&old.key), hash_entry(&old));
+        }
+        self.summary
+            .toggle(hash_key(&entry.key), hash_entry(&entry));
+        let held = HeldItem {
+            version: entry.version,
+            digest: entry.digest,
+            body: item.body.clone(),
+        };
+        self.held.insert(entry.key.clone(), held);
+        self.settle_at = settle_at;
+        self.forget_until(&entry);
+        true
+    }
+
+    fn forget_until(&mut self, entry: &ItemEntry) {
+        self.quarantine.retain(|quarantined| {
+            quarantined.entry.key != entry.key || quarantined.entry.version > entry.version
+        });
+        if let Some(wanted) = self.wanted.get(&entry.key)
+            && wanted.entry.version <= entry.version
+        {
+            self.wanted.remove(&entry.key);
+        }
+    }
+
+    /// Notes that a peer vouches for a version; returns all who do.
+    pub fn add_witness(
+        &mut self,
+        entry: &ItemEntry,
+        witness: &NodeName,
+        confirm_at: ClockTime,
+        expires_at: ClockTime,
+    ) -> Vec<NodeName> {
+        let known = self
+            .quarantine
+            .iter_mut()
+            .find(|known| known.entry == *entry);
+        if let Some(quarantined) = known {
+            if !quarantined.witnesses.contains(witness) {
+                quarantined.witnesses.push(witness.clone());
+            }
+            return quarantined.witnesses.clone();
+        }
+        if self.quarantine.len() >= QUARANTINE_SIZE {
+            self.quarantine.remove(0);
+        }
+        let witnesses = vec![witness.clone()];
+        self.quarantine.push(QuarantinedVersion {
+            entry: entry.clone(),
+            witnesses: witnesses.clone(),
+            confirm_at,
+            expires_at,
+            attempts: 0,
+        });
+        witnesses
+    }
+}
+
+/// Hash of a key.
+pub fn hash_key(key: &ItemKey) -> u64 {
+    match key {
+        ItemKey::Section(section) => mix_hashes(hash_text(section.as_str()), 1),
+        ItemKey::Fabric(fabric) => mix_hashes(hash_text(fabric.as_str()), 2),
+    }
+}
+
+fn hash_entry(entry: &ItemEntry) -> u64 {
+    let versioned = mix_hashes(hash_key(&entry.key), entry.version.0);
+    mix_hashes(versioned, entry.digest.head())
+}
--- /dev/null
+++ b/crates/members/src/commands/observe.rs
@@ -0,0 +1,192 @@
+//! Observations of groups, and their way from node to node.
+
+use base::prelude::*;
+use rand::seq::IndexedRandom;
+
+use crate::overlay::{hash_text, subset_of};
+use crate::state::OpenQuestion;
+use crate::{
+    FrameRefusal, GroupObservation, GroupVerdict, ObservationReport, PeerEffect, PeerMessage,
+    PeerState,
+};
+
+/// Peers asked in each period.
+const ASKED_PEERS: usize = 3;
+
+impl PeerState {
+    /// Takes in what this node saw itself.
+    pub fn observe(&mut self, observation: GroupObservation, now: ClockTime) -> Vec<PeerEffect> {
+        let group = observation.group.clone();
+        if self.observations.merge(observation) {
+            return self.alert_peers(&group, None, now);
+        }
+        Vec::new()
+    }
+
+    /// Asks some peers of this node's subsets for observations.
+    pub(crate) fn ask_due(&mut self, now: ClockTime) -> Vec<PeerEffect> {
+        self.questions
+            .retain(|_, question| question.expires_at > now);
+        if self.timers.ask_at > now {
+            return Vec::new();
+        }
+        self.timers.ask_at = now + self.settings.ask_period;
+        self.prune_observations(now);
+        let peers: Vec<_> = self
+            .subset_peers
+            .sample(&mut self.random, ASKED_PEERS)
+            .cloned()
+            .collect();
+        let questions = peers
+            .into_iter()
+            .filter_map(|peer| self.ask_peer(peer, now));
+        questions.collect()
+    }
+
+    fn prune_observations(&mut self, now: ClockTime) {
+        let remembered = self.settings.observation_limit * 10;
+        let micros = u64::try_from(remembered.as_micros()).unwrap_or(u64::MAX);
+        if let Some(since) = now.0.checked_sub(micros) {
+            self.observations.prune(ClockTime(since));
+        }
+    }
+
+    fn ask_peer(&mut self, peer: NodeName, now: ClockTime) -> Option<PeerEffect> {
+        self.next_question = self.next_question.wrapping_add(1);
+        let number = self.next_question;
+        let effect = self.send_to(&peer, PeerMessage::Ask(number));
+        let question = OpenQuestion {
+            peer,
+            asked_at: now,
+            expires_at: now + self.settings.observation_limit,
+        };
+        self.questions.insert(number, question);
+        effect
+    }
+
+    /// Answers with the observations that the asker's subsets need.
+    pub(crate) fn answer_question(
+        &self,
+        from: &NodeName,
+        question: u64,
+        now: ClockTime,
+    ) -> Vec<PeerEffect> {
+        let count = self.settings.subset_count;
+        let subsets = subsets_of(from, count);
+        let limit = self.settings.observation_limit;
+        let views = self.observations.iter();
+        let reports = views
+            .filter(|(group, _)| subsets.contains(&subset_of(hash_text(group.as_str()), count)))
+            .filter_map(|(group, _)| self.report_group(group, now))
+            .filter(|report| report.age < limit)
+            .collect();
+        let answer = PeerMessage::Answer { question, reports };
+        self.send_to(from, answer).into_iter().collect()
+    }
+
+    fn report_group(&self, group: &GroupName, now: ClockTime) -> Option<ObservationReport> {
+        let view = self.observations.get(group)?;
+        let (verdict, at) = view.verdict()?;
+        Some(ObservationReport {
+            group: group.clone(),
+            epoch: view.epoch,
+            verdict,
+            load: view.load,
+            age: now.since(at),
+        })
+    }
+
+    /// Takes observations in; their ages count from before the question.
+    pub(crate) fn take_answer(
+        &mut self,
+        from: &NodeName,
+        question: u64,
+        reports: Vec<ObservationReport>,
+        now: ClockTime,
+    ) -> Vec<PeerEffect> {
+        let asked = self.questions.get(&question);
+        let Some(asked_at) = asked
+            .filter(|asked| asked.peer == *from)
+            .map(|asked| asked.asked_at)
+        else {
+            return vec![PeerEffect::Refused {
+                from: from.clone(),
+                reason: FrameRefusal::UnknownQuestion,
+            }];
+        };
+        self.questions.remove(&question);
+        let mut effects = Vec::new();
+        for report in reports {
+            let counted_from = match report.verdict {
+                GroupVerdict::Complete => asked_at,
+                GroupVerdict::Incomplete => now,
+            };
+            effects.extend(self.take_report(from, report, counted_from, now));
+        }
+        effects
+    }
+
+    /// Takes in bad news, as fresh as it can be.
+    pub(crate) fn take_alert(
+        &mut self,
+        from: &NodeName,
+        reports: Vec<ObservationReport>,
+        now: ClockTime,
+    ) -> Vec<PeerEffect> {
+        let mut effects = Vec::new();
+        for report in reports {
+            if report.verdict == GroupVerdict::Incomplete {
+                effects.extend(self.take_report(from, report, now, now));
+            }
+        }
+        effects
+    }
+
+    fn take_report(
+        &mut self,
+        from: &NodeName,
+        report: ObservationReport,
+        counted_from: ClockTime,
+        now: ClockTime,
+    ) -> Vec<PeerEffect> {
+        let micros = u64::try_from(report.age.as_micros()).unwrap_or(u64::MAX);
+        let Some(at) = counted_from.0.checked_sub(micros) else {
+            return Vec::new();
+        };
+        let group = report.group.clone();
+        let observation = GroupObservation {
+            group: report.group,
+            epoch: report.epoch,
+            verdict: report.verdict,
+            load: report.load,
+            asked_at: ClockTime(at),
+        };
+        if self.observations.merge(observation) {
+            return self.alert_peers(&group, Some(from), now);
+        }
+        Vec::new()
+    }
+
+    /// Pushes bad news to the subset's peers at once.
+    fn alert_peers(
+        &self,
+        group: &GroupName,
+        teller: Option<&NodeName>,
+        now: ClockTime,
+    ) -> Vec<PeerEffect> {
+        let reports: Vec<_> = self.report_group(group, now).into_iter().collect();
+        let peers = self
+            .subset_peers
+            .iter()
+            .filter(|peer| Some(*peer) != teller);
+        peers
+            .filter_map(|peer| self.send_to(peer, PeerMessage::Alert(reports.clone())))
+            .collect()
+    }
+}
+
+/// The two routing subsets of a node.
+pub(crate) fn subsets_of(node: &NodeName, subset_count: u32) -> [u32; 2] {
+    let first = subset_of(hash_text(node.as_str()), subset_count);
+    [first, (first + 1) % subset_count.max(1)]
+}
--- /dev/null
+++ b/crates/members/src/queries/mod.rs
@@ -0,0 +1,7 @@
+//! Questions about a [`PeerState`](crate::PeerState); none changes it.
+
+mod nodes;
+mod serving;
+mod versions;
+
+pub use versions::ReadinessProof;
