--- a/crates/members/src/commands/announce.rs
+++ b/crates/members/src/commands/announce.rs
@@ -132,10 +132,11 @@
         }
         self.synced.clear();
         let mut effects = vec![PeerEffect::Deliver(item)];
+        let is_ready = self.readiness.is_some();
         let lacking = self
             .links
             .iter()
-            .filter(|(peer, _)| !holders.contains(peer));
+            .filter(|(peer, _)| is_ready && !holders.contains(peer));
         for (_, link) in lacking {
             let message = PeerMessage::Announce(vec![entry.clone()]);
             effects.push(self.send(link.address, message));
@@ -159,6 +160,11 @@
             let read_first = self.store.is_watcher && wanted.holders.is_empty();
             let read_turn = if read_first { 0 } else { PEER_ATTEMPTS };
             let is_read_turn = wanted.attempts % (PEER_ATTEMPTS + 1) == read_turn;
+            let reads_store = is_read_turn || holder.is_none();
+            if reads_store && self.store.read_at > now {
+                wanted.retry_at = self.store.read_at;
+                continue;
+            }
             match holder.filter(|_| !is_read_turn) {
                 Some(holder) => fetches.entry(holder.clone()).or_default().push(key.clone()),
                 None => reads.push(key.clone()),
--- /dev/null
+++ b/crates/members/src/fake/network.rs
@@ -0,0 +1,462 @@
+//! Model time, frames under way and faults.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use base::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::meter::{NodeMeter, Stopwatch};
+use super::store::FakeStore;
+use crate::wire::{decode_frame, encode_frame};
+use crate::{
+    Item, ItemKey, NodeIncarnation, NodePhase, NodeRecord, PeerEffect, PeerFrame, PeerSettings,
+    PeerState,
+};
+
+/// Time after which a watch answers although nothing changed.
+const WATCH_LIMIT: Duration = Duration::from_secs(30);
+/// Time after which a call to a store that is down fails.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
+/// One-way delays of frames and the store's answering time.
+#[derive(Clone, Copy, Debug)]
+pub struct NetworkLatency {
+    /// Within a region.
+    pub region: Duration,
+    /// Between regions.
+    pub between: Duration,
+    /// Of a call to the store.
+    pub store: Duration,
+}
+
+impl Default for NetworkLatency {
+    fn default() -> Self {
+        Self {
+            region: Duration::from_micros(700),
+            between: Duration::from_millis(40),
+            store: Duration::from_millis(4),
+        }
+    }
+}
+
+/// What is broken at present.
+#[derive(Clone, Debug, Default)]
+pub struct NetworkFaults {
+    /// Share of frames lost, from 0 to 1.
+    pub loss: f64,
+    /// Failure domains that neither send nor receive.
+    pub dark: BTreeSet<DomainName>,
+    /// Nodes that neither send nor receive.
+    pub cut: BTreeSet<NodeName>,
+    /// Whether regions are cut from each other.
+    pub is_region_cut: bool,
+    /// Regions that can't reach the store.
+    pub storeless: BTreeSet<RegionName>,
+    /// Whether the store is down for all.
+    pub is_store_down: bool,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Happening {
+    Wake,
+    Frame(Vec<u8>),
+    /// End of the watch with this number.
+    WatchEnd(u64),
+    Items(Vec<ItemKey>),
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct QueuedEvent {
+    at: ClockTime,
+    order: u64,
+    node: usize,
+    run: u64,
+    happening: Happening,
+}
+
+#[derive(Clone, Copy)]
+struct WaitingWatch {
+    number: u64,
+    after: ObjectVersion,
+}
+
+struct FakeNode {
+    record: NodeRecord,
+    state: Option<PeerState>,
+    run: u64,
+    wake_at: Option<ClockTime>,
+    watching: Option<WaitingWatch>,
+    delivered: BTreeMap<ItemKey, ObjectVersion>,
+    meter: NodeMeter,
+}
+
+/// Many nodes joined by queues of frames.
+pub struct FakeNetwork {
+    /// Present instant.
+    pub now: ClockTime,
+    /// What is broken.
+    pub faults: NetworkFaults,
+    /// The store of all nodes.
+    pub store: FakeStore,
+    settings: PeerSettings,
+    latency: NetworkLatency,
+    nodes: Vec<FakeNode>,
+    addresses: BTreeMap<SocketAddr, usize>,
+    queue: BinaryHeap<Reverse<QueuedEvent>>,
+    order: u64,
+    random: StdRng,
+    stopwatch: Option<Stopwatch>,
+}
+
+impl FakeNetwork {
+    /// Network without nodes.
+    pub fn new(settings: PeerSettings, latency: NetworkLatency, seed: u64) -> Self {
+        Self {
+            now: ClockTime::from_millis(1_000_000),
+            faults: NetworkFaults::default(),
+            store: FakeStore::default(),
+            settings,
+            latency,
+            nodes: Vec::new(),
+            addresses: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            order: 0,
+            random: StdRng::seed_from_u64(seed),
+            stopwatch: None,
+        }
+    }
+
+    /// Measures the time that nodes spend.
+    pub fn set_stopwatch(&mut self, stopwatch: Stopwatch) {
+        self.stopwatch = Some(stopwatch);
+    }
+
+    /// Adds nodes, spread evenly over regions and three failure domains each.
+    pub fn add_nodes(&mut self, count: usize, region_count: usize) {
+        for _ in 0..count {
+            let index = self.nodes.len();
+            let domain_index = index % (3 * region_count);
+            let region_index = domain_index / 3;
+            let record = NodeRecord {
+                node: NodeName::new(&format!("node-{index:04}")).expect("a valid name"),
+                region: RegionName::new(&format!("region-{region_index}")).expect("a valid name"),
+                domain: DomainName::new(&format!("domain-{domain_index}")).expect("a valid name"),
+                address: address_of(index),
+                incarnation: NodeIncarnation(0),
+                refutations: 0,
+                phase: NodePhase::Alive,
+            };
+            self.addresses.insert(record.address, index);
+            self.nodes.push(FakeNode {
+                record,
+                state: None,
+                run: 0,
+                wake_at: None,
+                watching: None,
+                delivered: BTreeMap::new(),
+                meter: NodeMeter::default(),
+            });
+        }
+    }
+
+    /// Number of nodes, running or not.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Whether there are no nodes.
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
+    /// Starts a node, or replaces its run by a new one that knows nothing.
+    pub fn start(&mut self, index: usize) {
+        let seeds = (0..3).map(|seed| address_of(seed * self.nodes.len() / 3));
+        let seeds = seeds.collect();
+        let seed = self.random.random();
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        node.run += 1;
+        node.record.incarnation = NodeIncarnation(node.run);
+        node.delivered.clear();
+        node.watching = None;
+        node.wake_at = None;
+        let mut state = PeerState::new(self.settings.clone(), node.record.clone(), seed);
+        let effects = state.join(seeds, Vec::new(), now);
+        node.state = Some(state);
+        self.carry_effects(index, effects);
+    }
+
+    /// Stops a node without a word.
+    pub fn stop(&mut self, index: usize) {
+        self.nodes[index].state = None;
+        self.nodes[index].run += 1;
+    }
+
+    /// State of a node; none while it is stopped.
+    pub fn state(&self, index: usize) -> Option<&PeerState> {
+        self.nodes[index].state.as_ref()
+    }
+
+    /// States of all running nodes.
+    pub fn states(&self) -> impl Iterator<Item = &PeerState> {
+        self.nodes.iter().filter_map(|node| node.state.as_ref())
+    }
+
+    /// Counters of a node.
+    pub fn meter(&self, index: usize) -> &NodeMeter {
+        &self.nodes[index].meter
+    }
+
+    /// Sets all counters of nodes to zero.
+    pub fn reset_meters(&mut self) {
+        for node in &mut self.nodes {
+            node.meter = NodeMeter::default();
+        }
+    }
+
+    /// Runs a command of a node and carries out its effects.
+    pub fn command(
+        &mut self,
+        index: usize,
+        run: impl FnOnce(&mut PeerState, ClockTime) -> Vec<PeerEffect>,
+    ) {
+        let now = self.now;
+        if let Some(state) = self.nodes[index].state.as_mut() {
+            let effects = run(state, now);
+            self.carry_effects(index, effects);
+        }
+    }
+
+    /// Puts a frame on its way to a node as if a peer had sent it.
+    pub fn inject(&mut self, index: usize, frame: PeerFrame) {
+        let bytes = encode_frame(frame);
+        self.push(index, self.now, Happening::Frame(bytes));
+    }
+
+    /// Writes an item to the store and wakes its watches.
+    pub fn write(&mut self, key: ItemKey, body: Option<Arc<str>>) -> ObjectVersion {
+        let version = self.store.write(key, body);
+        for index in 0..self.nodes.len() {
+            let waiting = self.nodes[index].watching;
+            if let Some(watch) = waiting.filter(|watch| watch.after < version)
+                && self.reaches_store(index)
+            {
+                let at = self.now + self.latency.store;
+                self.push(index, at, Happening::WatchEnd(watch.number));
+            }
+        }
+        version
+    }
+
+    /// Lets time pass.
+    pub fn run_for(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.step(end) {}
+        self.now = end;
+    }
+
+    /// Lets time pass until a condition holds or a span is over; true if it holds.
+    pub fn run_until(&mut self, span: Duration, holds: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + span;
+        while !holds(self) {
+            let pause = self.now + Duration::from_millis(5);
+            while self.step(pause.min(end)) {}
+            self.now = pause.min(end);
+            if self.now >= end {
+                return holds(self);
+            }
+        }
+        true
+    }
+
+    /// Whether every running node that isn't cut off holds this version or a
+    /// newer one.
+    pub fn is_in_force(&self, key: &ItemKey, version: ObjectVersion) -> bool {
+        let mut up = (0..self.nodes.len()).filter(|&index| self.is_up(index));
+        up.all(|index| {
+            let state = self.state(index);
+            state.is_none_or(|state| state.version(key) >= Some(version))
+        })
+    }
+
+    fn step(&mut self, end: ClockTime) -> bool {
+        let is_due = self
+            .queue
+            .peek()
+            .is_some_and(|Reverse(event)| event.at <= end);
+        if !is_due {
+            return false;
+        }
+        let Some(Reverse(event)) = self.queue.pop() else {
+            return false;
+        };
+        self.now = self.now.max(event.at);
+        let node = &self.nodes[event.node];
+        let is_frame = matches!(event.happening, Happening::Frame(_));
+        if node.state.is_some() && (is_frame || node.run == event.run) {
+            self.happen(event.node, event.happening);
+        }
+        true
+    }
+
+    fn happen(&mut self, index: usize, happening: Happening) {
+        let now = self.now;
+        let reaches_store = self.reaches_store(index);
+        let before = self.stopwatch.map(|watch| watch());
+        let node = &mut self.nodes[index];
+        let Some(state) = node.state.as_mut() else {
+            return;
+        };
+        let effects = match happening {
+            Happening::Wake if node.wake_at != Some(now) => return,
+            Happening::Wake => {
+                node.wake_at = None;
+                state.tick(now)
+            }
+            Happening::Frame(bytes) => match decode_frame(&bytes) {
+                Ok(frame) => state.receive(frame, now),
+                Err(_) => {
+                    node.meter.refusals += 1;
+                    Vec::new()
+                }
+            },
+            Happening::WatchEnd(number) => {
+                let is_waiting = node.watching.is_some_and(|watch| watch.number == number);
+                if !is_waiting {
+                    return;
+                }
+                node.watching = None;
+                if reaches_store {
+                    state.learn_listing(self.store.listing(), now)
+                } else {
+                    state.fail_listing(now)
+                }
+            }
+            Happening::Items(keys) => {
+                let items: Vec<Item> = keys
+                    .iter()
+                    .filter_map(|key| self.store.item(key).cloned())
+                    .collect();
+                items
+                    .into_iter()
+                    .flat_map(|item| state.learn_item(item, now))
+                    .collect()
+            }
+        };
+        self.carry_effects(index, effects);
+        if let (Some(before), Some(watch)) = (before, self.stopwatch) {
+            self.nodes[index].meter.spent += watch().saturating_sub(before);
+        }
+    }
+
+    fn carry_effects(&mut self, index: usize, effects: Vec<PeerEffect>) {
+        for effect in effects {
+            self.carry_effect(index, effect);
+        }
+        let due = self.nodes[index]
+            .state
+            .as_ref()
+            .and_then(PeerState::next_deadline);
+        if let Some(at) = due.map(|at| at.max(self.now + Duration::from_micros(1))) {
+            let is_sooner = self.nodes[index].wake_at.is_none_or(|known| at < known);
+            if is_sooner {
+                self.nodes[index].wake_at = Some(at);
+                self.push(index, at, Happening::Wake);
+            }
+        }
+    }
+
+    fn carry_effect(&mut self, index: usize, effect: PeerEffect) {
+        match effect {
+            PeerEffect::Send { to, frame } => self.transmit(index, to, frame),
+            PeerEffect::Deliver(item) => {
+                let node = &mut self.nodes[index];
+                let former = node.delivered.insert(item.key, item.version);
+                if former >= Some(item.version) {
+                    node.meter.reversions += 1;
+                }
+            }
+            PeerEffect::WatchListing { after } => self.watch(index, after),
+            PeerEffect::ReadItems(keys) => {
+                self.store.count_call(self.now);
+                if self.reaches_store(index) {
+                    self.push(index, self.now + self.latency.store, Happening::Items(keys));
+                }
+            }
+            PeerEffect::Refused { .. } => self.nodes[index].meter.refusals += 1,
+            PeerEffect::Close { .. } | PeerEffect::Ready | PeerEffect::StoreBehind(_) => {}
+        }
+    }
+
+    fn watch(&mut self, index: usize, after: ObjectVersion) {
+        self.store.count_call(self.now);
+        let number = self.order;
+        self.nodes[index].watching = Some(WaitingWatch { number, after });
+        let wait = if !self.reaches_store(index) {
+            CALL_LIMIT
+        } else if self.store.version() > after || after == ObjectVersion(0) {
+            self.latency.store
+        } else {
+            WATCH_LIMIT
+        };
+        self.push(index, self.now + wait, Happening::WatchEnd(number));
+    }
+
+    fn transmit(&mut self, index: usize, to: SocketAddr, frame: PeerFrame) {
+        let message = frame.message.clone();
+        let bytes = encode_frame(frame);
+        self.nodes[index].meter.count_frame(&message, bytes.len());
+        let Some(&target) = self.addresses.get(&to) else {
+            return;
+        };
+        let is_lost = self.faults.loss > 0.0 && self.random.random_bool(self.faults.loss);
+        if is_lost || !self.reaches(index, target) {
+            return;
+        }
+        let same_region = self.nodes[index].record.region == self.nodes[target].record.region;
+        let delay = if same_region {
+            self.latency.region
+        } else {
+            self.latency.between
+        };
+        let share: f64 = self.random.random();
+        let at = self.now + delay + delay.mul_f64(share / 2.0);
+        self.push(target, at, Happening::Frame(bytes));
+    }
+
+    fn is_up(&self, index: usize) -> bool {
+        let record = &self.nodes[index].record;
+        !self.faults.dark.contains(&record.domain) && !self.faults.cut.contains(&record.node)
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let same_region = self.nodes[from].record.region == self.nodes[to].record.region;
+        self.is_up(from) && self.is_up(to) && (same_region || !self.faults.is_region_cut)
+    }
+
+    fn reaches_store(&self, index: usize) -> bool {
+        let region = &self.nodes[index].record.region;
+        !self.faults.is_store_down && self.is_up(index) && !self.faults.storeless.contains(region)
+    }
+
+    fn push(&mut self, node: usize, at: ClockTime, happening: Happening) {
+        self.order += 1;
+        self.queue.push(Reverse(QueuedEvent {
+            at,
+            order: self.order,
+            node,
+            run: self.nodes[node].run,
+            happening,
+        }));
+    }
+}
+
+fn address_of(index: usize) -> SocketAddr {
+    let low = u8::try_from(index % 250).unwrap_or(0);
+    let high = u8::try_from(index / 250).unwrap_or(0);
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 1, high, low + 1)), 7_400)
+}
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -67,6 +67,7 @@
 mod summary;
 
 pub mod commands;
+pub mod fake;
 pub mod queries;
 pub mod wire;
 
