Prove versions, nodes, observations and healing of the peer layer

Cause: the promises of the peer layer had no proofs, and the first random schedules found three faults: a deadline left in the past while the known nodes were in flux (a node woke without end), readiness by peers that was never looked at again once all peers matched before the patience was over, and a passed deadline kept after a suspect died. Change: table tests on one node with ten peers, tests on 12 to 60 nodes, and 24 random schedules of 5 to 40 faults on 20 nodes (seed printed) that end in healing; the fake network counts versions set back and deadlines left past.

--- a/crates/bench/src/peers.rs
+++ b/crates/bench/src/peers.rs
@@ -82,7 +82,7 @@
                 .write(section_key(index), Some(section_body(0)));
         }
         let group_count = (count * DESIGN_GROUPS).div_ceil(DESIGN_NODES);
-        let groups = (0..group_count).map(|index| group_name(index)).collect();
+        let groups = (0..group_count).map(group_name).collect();
         let random = StdRng::seed_from_u64(options.seed);
         Self {
             network,
--- a/crates/members/src/catalog.rs
+++ b/crates/members/src/catalog.rs
@@ -8,8 +8,8 @@
 use crate::summary::{SetSummary, bucket_of};
 use crate::{Item, ItemDigest, ItemEntry, ItemKey};
 
-/// Most versions in quarantine.
-const QUARANTINE_SIZE: usize = 1_024;
+/// Most versions in quarantine that one peer was the first to speak of.
+const QUARANTINE_SHARE: usize = 1_024;
 
 /// Item in force; its version is the floor of its key.
 #[derive(Clone, Debug)]
@@ -51,7 +51,9 @@
 pub struct ItemCatalog {
     held: BTreeMap<ItemKey, HeldItem>,
     summary: SetSummary,
-    pub quarantine: Vec<QuarantinedVersion>,
+    quarantine: BTreeMap<ItemKey, Vec<QuarantinedVersion>>,
+    /// Versions that each peer was the first to speak of.
+    first_told: BTreeMap<NodeName, usize>,
     pub wanted: BTreeMap<ItemKey, WantedItem>,
     pub settle_at: ClockTime,
 }
@@ -126,9 +128,7 @@
     }
 
     fn forget_until(&mut self, entry: &ItemEntry) {
-        self.quarantine.retain(|quarantined| {
-            quarantined.entry.key != entry.key || quarantined.entry.version > entry.version
-        });
+        self.retain_quarantined(&entry.key, |known| known.entry.version > entry.version);
         if let Some(wanted) = self.wanted.get(&entry.key)
             && wanted.entry.version <= entry.version
         {
@@ -136,7 +136,49 @@
         }
     }
 
+    fn retain_quarantined(&mut self, key: &ItemKey, keep: impl Fn(&QuarantinedVersion) -> bool) {
+        let Some(versions) = self.quarantine.remove(key) else {
+            return;
+        };
+        let (kept, dropped): (Vec<_>, Vec<_>) = versions.into_iter().partition(keep);
+        for version in dropped {
+            self.count_first(&version.witnesses[0], usize::saturating_sub);
+        }
+        if !kept.is_empty() {
+            self.quarantine.insert(key.clone(), kept);
+        }
+    }
+
+    fn count_first(&mut self, witness: &NodeName, change: fn(usize, usize) -> usize) {
+        let told = self.first_told.entry(witness.clone()).or_default();
+        *told = change(*told, 1);
+        if *told == 0 {
+            self.first_told.remove(witness);
+        }
+    }
+
+    /// Versions in quarantine.
+    pub fn quarantined(&self) -> impl Iterator<Item = &QuarantinedVersion> {
+        self.quarantine.values().flatten()
+    }
+
+    /// Versions in quarantine, to be changed.
+    pub fn quarantined_mut(&mut self) -> impl Iterator<Item = &mut QuarantinedVersion> {
+        self.quarantine.values_mut().flatten()
+    }
+
+    /// Forgets versions that nobody confirmed in time.
+    pub fn expire_quarantine(&mut self, now: ClockTime) {
+        let due = self.quarantined().filter(|known| known.expires_at <= now);
+        let keys: Vec<_> = due.map(|known| known.entry.key.clone()).collect();
+        for key in keys {
+            self.retain_quarantined(&key, |known| known.expires_at > now);
+        }
+    }
+
     /// Notes that a peer vouches for a version; returns all who do.
+    ///
+    /// A peer that has spoken of too many gets no further room.
     pub fn add_witness(
         &mut self,
         entry: &ItemEntry,
@@ -144,27 +186,29 @@
         confirm_at: ClockTime,
         expires_at: ClockTime,
     ) -> Vec<NodeName> {
-        let known = self
-            .quarantine
-            .iter_mut()
-            .find(|known| known.entry == *entry);
-        if let Some(quarantined) = known {
-            if !quarantined.witnesses.contains(witness) {
-                quarantined.witnesses.push(witness.clone());
+        let versions = self.quarantine.get_mut(&entry.key).into_iter().flatten();
+        if let Some(known) = versions.into_iter().find(|known| known.entry == *entry) {
+            if !known.witnesses.contains(witness) {
+                known.witnesses.push(witness.clone());
             }
-            return quarantined.witnesses.clone();
-        }
-        if self.quarantine.len() >= QUARANTINE_SIZE {
-            self.quarantine.remove(0);
+            return known.witnesses.clone();
         }
         let witnesses = vec![witness.clone()];
-        self.quarantine.push(QuarantinedVersion {
-            entry: entry.clone(),
-            witnesses: witnesses.clone(),
-            confirm_at,
-            expires_at,
-            attempts: 0,
-        });
+        let told = self.first_told.get(witness).copied().unwrap_or(0);
+        if told < QUARANTINE_SHARE {
+            self.count_first(witness, usize::saturating_add);
+            let version = QuarantinedVersion {
+                entry: entry.clone(),
+                witnesses: witnesses.clone(),
+                confirm_at,
+                expires_at,
+                attempts: 0,
+            };
+            self.quarantine
+                .entry(entry.key.clone())
+                .or_default()
+                .push(version);
+        }
         witnesses
     }
 }
--- a/crates/members/src/commands/announce.rs
+++ b/crates/members/src/commands/announce.rs
@@ -290,13 +290,11 @@
 
     /// Puts versions in quarantine to a watcher, and in the end to the store.
     pub(crate) fn confirm_due(&mut self, now: ClockTime) -> Vec<PeerEffect> {
-        self.catalog
-            .quarantine
-            .retain(|quarantined| quarantined.expires_at > now);
+        self.catalog.expire_quarantine(now);
         let confirm_at = self.jitter_from(now, self.settings.confirm_retry);
         let mut asked = Vec::new();
         let mut unanswered = Vec::new();
-        for quarantined in &mut self.catalog.quarantine {
+        for quarantined in self.catalog.quarantined_mut() {
             if quarantined.confirm_at > now {
                 continue;
             }
--- a/crates/members/src/commands/compare.rs
+++ b/crates/members/src/commands/compare.rs
@@ -9,19 +9,24 @@
 
 impl PeerState {
     /// Starts a comparison if the hashes differ and nothing is on its way.
+    ///
+    /// Of two ready peers the one with the lower name starts; a node that isn't
+    /// ready starts with ready ones, and nobody compares items with it.
     pub(crate) fn compare_summaries(
         &self,
         from: &NodeName,
         summary: PeerSummary,
         now: ClockTime,
     ) -> Option<PeerEffect> {
+        let is_ready = self.readiness.is_some();
         let is_other_end = self.links.contains_key(from) && self.own.node > *from;
-        if is_other_end {
+        if is_ready && is_other_end {
             return None;
         }
         let items = self.catalog.summary();
         let nodes = self.directory.summary();
-        let items_differ = items.total() != summary.items && self.catalog.settle_at <= now;
+        let is_settled = self.catalog.settle_at <= now && self.catalog.wanted.is_empty();
+        let items_differ = items.total() != summary.items && summary.is_ready && is_settled;
         let nodes_differ = nodes.total() != summary.nodes && self.directory.settle_at <= now;
         if !items_differ && !nodes_differ {
             return None;
--- a/crates/members/src/commands/observe.rs
+++ b/crates/members/src/commands/observe.rs
@@ -11,7 +11,7 @@
 };
 
 /// Peers asked in each period.
-const ASKED_PEERS: usize = 3;
+const ASKED_PEERS: usize = 4;
 
 impl PeerState {
     /// Takes in what this node saw itself.
--- a/crates/members/src/commands/receive.rs
+++ b/crates/members/src/commands/receive.rs
@@ -85,8 +85,10 @@
         }
         let mut effects = Vec::new();
         let same_items = summary.items == self.catalog.summary().total();
-        if same_items && summary.is_ready && !self.synced.contains(from) {
-            self.synced.push(from.clone());
+        if same_items && summary.is_ready {
+            if !self.synced.contains(from) {
+                self.synced.push(from.clone());
+            }
             effects.extend(self.check_readiness(now));
         }
         effects.extend(self.compare_summaries(from, summary, now));
--- a/crates/members/src/commands/tick.rs
+++ b/crates/members/src/commands/tick.rs
@@ -115,7 +115,7 @@
     fn call_store(&mut self, now: ClockTime) -> Option<PeerEffect> {
         let is_needed = self.store.is_watcher || self.readiness.is_none();
         let is_due = self.store.call_at.is_some_and(|due| due <= now);
-        if !is_needed || !is_due || self.store.is_waiting || self.timers.refresh_at.is_some() {
+        if !is_needed || !is_due || self.store.is_waiting {
             return None;
         }
         self.store.is_waiting = true;
--- a/crates/members/src/directory.rs
+++ b/crates/members/src/directory.rs
@@ -95,7 +95,8 @@
             .retain(|_, entry| entry.record.phase != NodePhase::Dead || !due(entry));
         let suspects = self.entries().filter(|entry| due(entry));
         let suspects = suspects.map(|entry| entry.record.clone()).collect();
-        self.next_deadline = self.entries().filter_map(|entry| entry.deadline).min();
+        let deadlines = self.entries().filter_map(|entry| entry.deadline);
+        self.next_deadline = deadlines.filter(|&deadline| deadline > now).min();
         suspects
     }
 
--- a/crates/members/src/fake/meter.rs
+++ b/crates/members/src/fake/meter.rs
@@ -22,6 +22,8 @@
     pub spent: Duration,
     /// Versions that were put into force after a newer or equal one.
     pub reversions: u64,
+    /// Wake-ups after which the next one was due at once.
+    pub stalls: u64,
     /// Frames and entries refused.
     pub refusals: u64,
     /// Frames and bytes by kind of message.
--- a/crates/members/src/queries/nodes.rs
+++ b/crates/members/src/queries/nodes.rs
@@ -57,7 +57,7 @@
         let maybe = [timers.join_at, timers.rumor_at, timers.refresh_at, call_at];
         let links = self.links.values().map(|link| link.silent_at);
         let wanted = self.catalog.wanted.values().map(|wanted| wanted.retry_at);
-        let quarantined = self.catalog.quarantine.iter();
+        let quarantined = self.catalog.quarantined();
         let confirms = quarantined.map(|quarantined| quarantined.confirm_at);
         always
             .into_iter()
--- a/crates/members/src/queries/versions.rs
+++ b/crates/members/src/queries/versions.rs
@@ -42,8 +42,7 @@
     /// Versions that peers speak of and nothing proves.
     pub fn quarantined(&self) -> impl Iterator<Item = &ItemEntry> {
         self.catalog
-            .quarantine
-            .iter()
+            .quarantined()
             .map(|quarantined| &quarantined.entry)
     }
 
--- /dev/null
+++ b/crates/members/tests/network.rs
@@ -0,0 +1,324 @@
+//! Many nodes: changes, faults and healing.
+
+use std::collections::BTreeSet;
+
+use base::prelude::*;
+use members::fake::{FakeNetwork, NetworkLatency};
+use members::{
+    ItemKey, NodePhase, PeerFrame, PeerMessage, PeerSettings, PeerState, ReadinessProof,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const SEED: u64 = 23;
+const SCHEDULE_SEED: [u8; 32] = [23; 32];
+const CHANGE_LIMIT: Duration = Duration::from_secs(3);
+const HEAL_LIMIT: Duration = Duration::from_secs(120);
+
+fn key(index: usize) -> ItemKey {
+    ItemKey::Section(SectionName::new(&format!("section-{index}")).unwrap())
+}
+
+fn body(text: &str) -> Option<Arc<str>> {
+    Some(Arc::from(text))
+}
+
+fn all_ready(network: &FakeNetwork) -> bool {
+    network.states().all(|state| state.readiness().is_some())
+}
+
+fn is_uniform(network: &FakeNetwork) -> bool {
+    let mut items = network.store.items();
+    items.all(|item| network.is_in_force(&item.key, item.version))
+}
+
+fn all_alive(network: &FakeNetwork) -> bool {
+    let count = network.states().count();
+    network.states().all(|state| {
+        let alive = state
+            .live_nodes()
+            .filter(|record| record.phase == NodePhase::Alive);
+        alive.count() == count
+    })
+}
+
+fn reversions(network: &FakeNetwork) -> u64 {
+    (0..network.len())
+        .map(|index| network.meter(index).reversions)
+        .sum()
+}
+
+fn stalls(network: &FakeNetwork) -> u64 {
+    (0..network.len())
+        .map(|index| network.meter(index).stalls)
+        .sum()
+}
+
+/// Running network of nodes in two regions with six failure domains.
+fn started(count: usize, seed: u64) -> FakeNetwork {
+    println!("seed {seed}");
+    let mut network = FakeNetwork::new(PeerSettings::default(), NetworkLatency::default(), seed);
+    network.add_nodes(count, 2);
+    for index in 0..8 {
+        network.store.write(key(index), body("first"));
+    }
+    for index in 0..count {
+        network.start(index);
+    }
+    assert!(network.run_until(HEAL_LIMIT, |network| all_ready(network)
+        && all_alive(network)));
+    network.run_for(Duration::from_secs(5));
+    network
+}
+
+fn watchers(network: &FakeNetwork) -> Vec<usize> {
+    let watches = |index: &usize| network.state(*index).is_some_and(PeerState::watches_store);
+    (0..network.len()).filter(watches).collect()
+}
+
+fn name(index: usize) -> NodeName {
+    NodeName::new(&format!("node-{index:04}")).unwrap()
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_within_the_limit() {
+    let mut network = started(60, SEED);
+    for loss in [0.0, 0.01, 0.05] {
+        network.faults.loss = loss;
+        for round in 0..10 {
+            let version = network.write(key(round % 8), body(&format!("{loss} {round}")));
+            let is_in_force = network.run_until(CHANGE_LIMIT, |network| {
+                network.is_in_force(&key(round % 8), version)
+            });
+            assert!(is_in_force, "loss {loss}, round {round}");
+        }
+    }
+    assert_eq!(reversions(&network), 0);
+}
+
+#[test]
+fn few_nodes_of_each_failure_domain_watch() {
+    let network = started(60, SEED);
+    assert_eq!(watchers(&network).len(), 18);
+}
+
+#[test]
+fn others_watch_when_watchers_die() {
+    let mut network = started(60, SEED);
+    let former = watchers(&network);
+    for &index in &former {
+        network.stop(index);
+    }
+    let has_successors = |network: &FakeNetwork| watchers(network).len() == 18;
+    assert!(network.run_until(Duration::from_secs(20), has_successors));
+    network.run_for(Duration::from_secs(2));
+    let version = network.write(key(1), body("second"));
+    let in_force = |network: &FakeNetwork| network.is_in_force(&key(1), version);
+    assert!(network.run_until(CHANGE_LIMIT, in_force));
+}
+
+#[test]
+fn a_node_that_was_cut_off_catches_up() {
+    let mut network = started(30, SEED);
+    network.faults.cut.insert(name(4));
+    let version = network.write(key(1), body("second"));
+    network.run_for(Duration::from_secs(60));
+    assert!(network.state(4).unwrap().version(&key(1)) < Some(version));
+    network.faults.cut.clear();
+    let in_force = |network: &FakeNetwork| network.is_in_force(&key(1), version);
+    assert!(network.run_until(Duration::from_secs(30), in_force));
+    assert!(network.run_until(HEAL_LIMIT, all_alive));
+}
+
+#[test]
+fn a_node_restarted_during_an_outage_learns_from_peers() {
+    let mut network = started(30, SEED);
+    let version = network.write(key(1), body("second"));
+    network.run_for(Duration::from_secs(5));
+    network.faults.is_store_down = true;
+    network.start(4);
+    let is_ready = |network: &FakeNetwork| network.state(4).unwrap().readiness().is_some();
+    assert!(network.run_until(HEAL_LIMIT, is_ready));
+    let state = network.state(4).unwrap();
+    assert_eq!(state.readiness(), Some(ReadinessProof::Peers));
+    assert_eq!(state.version(&key(1)), Some(version));
+}
+
+#[test]
+fn nodes_that_all_start_during_an_outage_prove_nothing_to_each_other() {
+    let mut network = started(12, SEED);
+    network.faults.is_store_down = true;
+    for index in 0..12 {
+        network.stop(index);
+    }
+    for index in 0..12 {
+        network.start(index);
+    }
+    network.run_for(Duration::from_secs(120));
+    assert!(network.states().all(|state| state.readiness().is_none()));
+    network.faults.is_store_down = false;
+    assert!(network.run_until(HEAL_LIMIT, all_ready));
+}
+
+#[test]
+fn a_cut_between_regions_declares_nobody_dead_and_heals_without_a_storm() {
+    let mut network = started(60, SEED);
+    network.faults.is_region_cut = true;
+    network
+        .faults
+        .storeless
+        .insert(RegionName::new("region-1").unwrap());
+    network.run_for(Duration::from_secs(60));
+    network.write(key(1), body("second"));
+    network.run_for(Duration::from_secs(120));
+    assert!(all_alive(&network));
+    network.faults.is_region_cut = false;
+    network.faults.storeless.clear();
+    let healed_at = network.now;
+    assert!(network.run_until(CHANGE_LIMIT, is_uniform));
+    network.run_for(Duration::from_secs(30));
+    assert!(network.store.busiest_second(healed_at) <= 36);
+}
+
+#[test]
+fn a_dark_failure_domain_comes_back() {
+    let mut network = started(60, SEED);
+    network
+        .faults
+        .dark
+        .insert(DomainName::new("domain-0").unwrap());
+    let version = network.write(key(1), body("second"));
+    let in_force = |network: &FakeNetwork| network.is_in_force(&key(1), version);
+    assert!(network.run_until(CHANGE_LIMIT, in_force));
+    network.run_for(Duration::from_secs(600));
+    network.faults.dark.clear();
+    assert!(network.run_until(HEAL_LIMIT, |network| is_uniform(network)
+        && all_alive(network)));
+}
+
+#[test]
+fn a_replayed_frame_changes_nothing() {
+    let mut network = started(30, SEED);
+    let former = network.store.item(&key(1)).unwrap().clone();
+    network.write(key(1), body("second"));
+    network.run_for(Duration::from_secs(3));
+    for index in 0..network.len() {
+        let probe = network.state(index).unwrap();
+        let from = probe.linked_peers().next().unwrap().clone();
+        for message in [
+            PeerMessage::Announce(vec![former.entry()]),
+            PeerMessage::Items(vec![former.clone()]),
+        ] {
+            let incarnation = probe_incarnation(&network, &from);
+            let cluster = network.cluster();
+            let frame = PeerFrame {
+                cluster,
+                from: from.clone(),
+                incarnation,
+                message,
+            };
+            network.inject(index, frame);
+        }
+    }
+    network.run_for(Duration::from_secs(3));
+    assert!(is_uniform(&network));
+    assert_eq!(reversions(&network), 0);
+}
+
+fn probe_incarnation(network: &FakeNetwork, node: &NodeName) -> members::NodeIncarnation {
+    let mut states = network.states();
+    states
+        .find(|state| state.own().node == *node)
+        .unwrap()
+        .own()
+        .incarnation
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Write(usize),
+    Cut(usize),
+    Restart(usize),
+    Dark(usize),
+    Light,
+    CutRegions,
+    JoinRegions,
+    StoreDown,
+    StoreUp,
+    Lose(u8),
+    Wait(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (0..8_usize).prop_map(Step::Write),
+        2 => (0..20_usize).prop_map(Step::Cut),
+        3 => (0..20_usize).prop_map(Step::Restart),
+        1 => (0..6_usize).prop_map(Step::Dark),
+        2 => Just(Step::Light),
+        1 => Just(Step::CutRegions),
+        1 => Just(Step::JoinRegions),
+        1 => Just(Step::StoreDown),
+        2 => Just(Step::StoreUp),
+        1 => (0..30_u8).prop_map(Step::Lose),
+        5 => (10..15_000_u64).prop_map(Step::Wait),
+    ];
+    prop::collection::vec(step, 5..40)
+}
+
+fn apply(network: &mut FakeNetwork, step: &Step, number: usize) {
+    match step {
+        Step::Write(index) if !network.faults.is_store_down => {
+            network.write(key(*index), body(&format!("change {number}")));
+        }
+        Step::Write(_) => {}
+        Step::Cut(index) => {
+            network.faults.cut.insert(name(*index));
+        }
+        Step::Restart(index) => network.start(*index),
+        Step::Dark(index) => {
+            let domain = DomainName::new(&format!("domain-{index}")).unwrap();
+            network.faults.dark.insert(domain);
+        }
+        Step::Light => {
+            network.faults.dark.clear();
+            network.faults.cut.clear();
+        }
+        Step::CutRegions => network.faults.is_region_cut = true,
+        Step::JoinRegions => network.faults.is_region_cut = false,
+        Step::StoreDown => network.faults.is_store_down = true,
+        Step::StoreUp => network.faults.is_store_down = false,
+        Step::Lose(percent) => network.faults.loss = f64::from(*percent) / 100.0,
+        Step::Wait(millis) => network.run_for(Duration::from_millis(*millis)),
+    }
+}
+
+#[test]
+fn no_schedule_of_faults_sets_a_node_back_and_all_converge() {
+    println!("seed {SCHEDULE_SEED:?}");
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &SCHEDULE_SEED);
+    let config = Config {
+        failure_persistence: None,
+        ..Config::with_cases(24)
+    };
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let outcome = runner.run(&(steps(), any::<u64>()), |(steps, seed)| {
+        let mut network = started(20, seed);
+        for (number, step) in steps.iter().enumerate() {
+            apply(&mut network, step, number);
+        }
+        network.faults.loss = 0.0;
+        network.faults.is_region_cut = false;
+        network.faults.is_store_down = false;
+        network.faults.dark = BTreeSet::new();
+        network.faults.cut = BTreeSet::new();
+        let is_whole = network.run_until(HEAL_LIMIT, |network| {
+            all_ready(network) && is_uniform(network) && all_alive(network)
+        });
+        prop_assert_eq!(reversions(&network), 0, "a version in force fell");
+        prop_assert_eq!(stalls(&network), 0, "a deadline stayed in the past");
+        prop_assert!(is_whole, "not all nodes converged");
+        Ok(())
+    });
+    outcome.unwrap();
+}
--- /dev/null
+++ b/crates/members/tests/observations.rs
@@ -0,0 +1,164 @@
+//! Observations of groups: ages never shrink, bad news wins.
+
+mod common;
+
+use base::prelude::*;
+use common::{START, after, frame, ready, sent};
+use members::{
+    FrameRefusal, GroupLoad, GroupObservation, GroupVerdict, ObservationReport, PeerEffect,
+    PeerMessage, PeerState,
+};
+
+const EPOCH: GroupEpoch = GroupEpoch(3);
+
+fn group() -> GroupName {
+    GroupName::new("llm-1").unwrap()
+}
+
+fn report(verdict: GroupVerdict, epoch: GroupEpoch, age: u64) -> ObservationReport {
+    ObservationReport {
+        group: group(),
+        epoch,
+        verdict,
+        load: GroupLoad::default(),
+        age: Duration::from_millis(age),
+    }
+}
+
+/// Peer that was asked, and the number of its question.
+fn ask(state: &mut PeerState, at: u64) -> (String, u64) {
+    let effects = state.tick(after(at));
+    let questions = effects.iter().find_map(|effect| match effect {
+        PeerEffect::Send { to, frame } => match frame.message {
+            PeerMessage::Ask(question) => Some((*to, question)),
+            _ => None,
+        },
+        _ => None,
+    });
+    let (to, question) = questions.expect("a question was due");
+    let peer = state
+        .live_nodes()
+        .find(|record| record.address == to)
+        .unwrap();
+    (peer.node.to_string(), question)
+}
+
+fn answer(state: &mut PeerState, from: &str, question: u64, age: u64, at: u64) -> Vec<PeerEffect> {
+    let reports = vec![report(GroupVerdict::Complete, EPOCH, age)];
+    let message = PeerMessage::Answer { question, reports };
+    state.receive(frame(from, message), after(at))
+}
+
+fn age(state: &PeerState, at: u64) -> Option<u128> {
+    let age = state.complete_age(&group(), EPOCH, after(at));
+    age.map(|age| age.as_millis())
+}
+
+#[test]
+fn an_answer_counts_from_before_its_question() {
+    let cases = [
+        ("at once", 500, 2_001, Some(501)),
+        ("late frame", 500, 5_000, Some(3_500)),
+        ("process paused meanwhile", 500, 12_000, None),
+        ("old at the teller", 7_000, 2_001, None),
+        ("older than this clock", 200_000_000, 2_001, None),
+    ];
+    for (name, told, at, expected) in cases {
+        let mut state = ready();
+        let (peer, question) = ask(&mut state, 2_000);
+        answer(&mut state, &peer, question, told, at);
+        assert_eq!(age(&state, at), expected, "{name}");
+    }
+}
+
+#[test]
+fn an_answer_counts_once_and_only_from_the_one_asked() {
+    let mut state = ready();
+    let (peer, question) = ask(&mut state, 2_000);
+    let refused = |effects: Vec<PeerEffect>| {
+        let is_refusal = |effect: &PeerEffect| {
+            matches!(
+                effect,
+                PeerEffect::Refused {
+                    reason: FrameRefusal::UnknownQuestion,
+                    ..
+                }
+            )
+        };
+        effects.iter().any(is_refusal)
+    };
+    let other = if peer == "peer-0" { "peer-1" } else { "peer-0" };
+    assert!(refused(answer(&mut state, other, question, 0, 2_001)));
+    assert!(!refused(answer(&mut state, &peer, question, 0, 2_002)));
+    assert!(refused(answer(&mut state, &peer, question, 0, 2_003)));
+    assert!(refused(answer(&mut state, &peer, question + 99, 0, 2_004)));
+}
+
+#[test]
+fn bad_news_wins_until_newer_good_news() {
+    let mut state = ready();
+    let (peer, question) = ask(&mut state, 2_000);
+    answer(&mut state, &peer, question, 0, 2_100);
+    assert!(age(&state, 2_100).is_some());
+    let bad = PeerMessage::Alert(vec![report(GroupVerdict::Incomplete, EPOCH, 50)]);
+    let effects = state.receive(frame(&peer, bad.clone()), after(2_500));
+    assert!(
+        sent(&effects)
+            .iter()
+            .any(|message| matches!(message, PeerMessage::Alert(_)))
+    );
+    assert_eq!(age(&state, 2_500), None);
+    let repeated = state.receive(frame(&peer, bad), after(2_510));
+    assert_eq!(sent(&repeated), [], "known bad news is not passed on again");
+    let (peer, question) = ask(&mut state, 3_200);
+    answer(&mut state, &peer, question, 2_000, 3_210);
+    assert_eq!(age(&state, 3_210), None, "seen before the bad news");
+    let (peer, question) = ask(&mut state, 4_300);
+    answer(&mut state, &peer, question, 100, 4_310);
+    assert_eq!(age(&state, 4_310), Some(110));
+}
+
+#[test]
+fn an_observation_is_of_one_generation() {
+    let mut state = ready();
+    for (epoch, expected) in [(EPOCH, true), (EPOCH.next(), false)] {
+        let observation = GroupObservation {
+            group: group(),
+            epoch,
+            verdict: GroupVerdict::Complete,
+            load: GroupLoad::default(),
+            asked_at: START,
+        };
+        state.observe(observation, after(10));
+        assert_eq!(age(&state, 10).is_some(), expected);
+    }
+    let bad = PeerMessage::Alert(vec![report(GroupVerdict::Incomplete, EPOCH, 0)]);
+    state.receive(frame("peer-0", bad), after(20));
+    let age = state.complete_age(&group(), EPOCH.next(), after(20));
+    assert!(age.is_some(), "bad news of an earlier generation");
+}
+
+#[test]
+fn good_news_is_not_taken_unasked() {
+    let mut state = ready();
+    let good = PeerMessage::Alert(vec![report(GroupVerdict::Complete, EPOCH, 0)]);
+    state.receive(frame("peer-0", good), after(20));
+    assert_eq!(age(&state, 20), None);
+}
+
+#[test]
+fn a_holder_adds_the_time_it_held() {
+    let mut state = ready();
+    let observation = GroupObservation {
+        group: group(),
+        epoch: EPOCH,
+        verdict: GroupVerdict::Complete,
+        load: GroupLoad::default(),
+        asked_at: after(1_000),
+    };
+    state.observe(observation, after(1_400));
+    let effects = state.receive(frame("peer-0", PeerMessage::Ask(9)), after(3_000));
+    let reports = vec![report(GroupVerdict::Complete, EPOCH, 2_000)];
+    let question = 9;
+    assert_eq!(sent(&effects), [PeerMessage::Answer { question, reports }]);
+}
--- /dev/null
+++ b/crates/members/tests/versions.rs
@@ -0,0 +1,247 @@
+//! Which versions a node takes over, and from whom.
+
+mod common;
+
+use base::prelude::*;
+use common::{after, delivered, frame, item, joined, key, linked, ready, sent};
+use members::{FrameRefusal, Item, ItemDigest, PeerEffect, PeerMessage, PeerState, StoreListing};
+
+fn announce(state: &mut PeerState, from: &str, item: &Item, now: ClockTime) -> Vec<PeerEffect> {
+    let message = PeerMessage::Announce(vec![item.entry()]);
+    state.receive(frame(from, message), now)
+}
+
+fn hand_over(state: &mut PeerState, from: &str, item: &Item, now: ClockTime) -> Vec<PeerEffect> {
+    state.receive(frame(from, PeerMessage::Items(vec![item.clone()])), now)
+}
+
+fn refusals(effects: &[PeerEffect]) -> Vec<FrameRefusal> {
+    let reasons = effects.iter().filter_map(|effect| match effect {
+        PeerEffect::Refused { reason, .. } => Some(*reason),
+        _ => None,
+    });
+    reasons.collect()
+}
+
+#[test]
+fn versions_at_or_below_the_one_in_force_are_refused() {
+    let cases = [
+        ("older", item(4, "four"), Some(FrameRefusal::OldVersion)),
+        ("same", item(5, "five"), None),
+        (
+            "same, other text",
+            item(5, "forged"),
+            Some(FrameRefusal::OtherDigest),
+        ),
+    ];
+    for (name, replayed, reason) in cases {
+        let mut state = ready();
+        let watcher = linked(&state, true).remove(0);
+        let effects = announce(&mut state, &watcher, &replayed, after(10));
+        assert_eq!(refusals(&effects).first().copied(), reason, "{name}");
+        let effects = hand_over(&mut state, &watcher, &replayed, after(20));
+        assert_eq!(delivered(&effects), [0_u64; 0], "{name}");
+        assert_eq!(state.item(&key("pricing")), Some(item(5, "five")), "{name}");
+    }
+}
+
+#[test]
+fn a_peer_that_is_behind_is_told_the_newer_version() {
+    let mut state = ready();
+    let peer = linked(&state, false).remove(0);
+    let effects = announce(&mut state, &peer, &item(4, "four"), after(10));
+    let expected = PeerMessage::Announce(vec![item(5, "five").entry()]);
+    assert!(sent(&effects).contains(&expected));
+}
+
+#[test]
+fn duplicated_and_reordered_bodies_are_put_into_force_once() {
+    let mut state = ready();
+    let watcher = linked(&state, true).remove(0);
+    announce(&mut state, &watcher, &item(6, "six"), after(10));
+    announce(&mut state, &watcher, &item(7, "seven"), after(11));
+    let orders = [(7, "seven"), (6, "six"), (7, "seven"), (6, "six")];
+    let versions: Vec<u64> = orders
+        .iter()
+        .flat_map(|(version, body)| {
+            delivered(&hand_over(
+                &mut state,
+                &watcher,
+                &item(*version, body),
+                after(20),
+            ))
+        })
+        .collect();
+    assert_eq!(versions, [7]);
+}
+
+#[test]
+fn one_peer_does_not_prove_a_version() {
+    let mut state = ready();
+    let peers = linked(&state, false);
+    let invented = item(1 << 60, "invented");
+    announce(&mut state, &peers[0], &invented, after(10));
+    let effects = hand_over(&mut state, &peers[0], &invented, after(20));
+    assert_eq!(delivered(&effects), [0_u64; 0]);
+    announce(&mut state, &peers[0], &invented, after(30));
+    assert_eq!(state.quarantined().count(), 1);
+    assert_eq!(state.version(&key("pricing")), Some(ObjectVersion(5)));
+}
+
+#[test]
+fn an_invented_version_does_not_keep_out_a_true_one() {
+    let mut state = ready();
+    let peers = linked(&state, false);
+    let watcher = linked(&state, true).remove(0);
+    announce(&mut state, &peers[0], &item(1 << 60, "invented"), after(10));
+    announce(&mut state, &watcher, &item(6, "six"), after(20));
+    let effects = hand_over(&mut state, &watcher, &item(6, "six"), after(30));
+    assert_eq!(delivered(&effects), [6]);
+}
+
+#[test]
+fn two_peers_or_one_watcher_prove_a_version() {
+    let state = ready();
+    let plain = linked(&state, false);
+    let watcher = linked(&state, true).remove(0);
+    for witnesses in [vec![plain[0].clone(), plain[1].clone()], vec![watcher]] {
+        let mut state = ready();
+        for witness in &witnesses {
+            announce(&mut state, witness, &item(6, "six"), after(10));
+        }
+        let effects = hand_over(&mut state, &witnesses[0], &item(6, "six"), after(20));
+        assert_eq!(delivered(&effects), [6], "{witnesses:?}");
+    }
+}
+
+#[test]
+fn a_version_in_quarantine_is_put_to_a_watcher_and_then_to_the_store() {
+    let mut state = ready();
+    let peer = linked(&state, false).remove(0);
+    announce(&mut state, &peer, &item(6, "six"), after(10));
+    let mut has_asked = false;
+    let mut has_read = false;
+    for step in 0..200 {
+        let effects = state.tick(after(100 + step * 50));
+        has_asked |= sent(&effects)
+            .iter()
+            .any(|message| matches!(message, PeerMessage::Confirm(_)));
+        has_read |= effects.contains(&PeerEffect::ReadItems(vec![key("pricing")]));
+        assert!(
+            has_asked || !has_read,
+            "the store was read before a watcher was asked"
+        );
+    }
+    assert!(has_asked && has_read);
+    state.tick(after(70_000));
+    assert_eq!(state.quarantined().count(), 0);
+}
+
+#[test]
+fn a_flood_of_invented_versions_is_bounded() {
+    let mut state = ready();
+    let peer = linked(&state, false).remove(0);
+    for index in 0..5_000 {
+        let invented = Item {
+            key: key(&format!("invented-{index}")),
+            ..item(9, "x")
+        };
+        announce(&mut state, &peer, &invented, after(10));
+    }
+    assert!(state.quarantined().count() <= 1_024);
+}
+
+#[test]
+fn a_body_that_does_not_match_its_proof_is_refused() {
+    let mut state = ready();
+    let watcher = linked(&state, true).remove(0);
+    announce(&mut state, &watcher, &item(6, "six"), after(10));
+    let effects = hand_over(&mut state, &watcher, &item(6, "forged"), after(20));
+    assert_eq!(refusals(&effects), [FrameRefusal::WrongBody]);
+    assert_eq!(delivered(&effects), [0_u64; 0]);
+    let effects = hand_over(&mut state, &watcher, &item(6, "six"), after(30));
+    assert_eq!(delivered(&effects), [6]);
+}
+
+#[test]
+fn a_removed_item_keeps_its_floor() {
+    let mut state = ready();
+    let removed = Item {
+        body: None,
+        ..item(6, "")
+    };
+    assert_eq!(removed.entry().digest, ItemDigest::REMOVED);
+    let watcher = linked(&state, true).remove(0);
+    let effects = announce(&mut state, &watcher, &removed, after(10));
+    assert_eq!(delivered(&effects), [6]);
+    let effects = hand_over(&mut state, &watcher, &item(5, "five"), after(20));
+    assert_eq!(refusals(&effects), [FrameRefusal::OldVersion]);
+}
+
+#[test]
+fn a_store_that_went_back_is_reported_and_not_followed() {
+    let mut state = ready();
+    let effects = state.learn_item(item(3, "three"), after(10));
+    assert_eq!(effects, [PeerEffect::StoreBehind(key("pricing"))]);
+    let listing = StoreListing {
+        version: ObjectVersion(9),
+        entries: vec![item(3, "three").entry()],
+    };
+    let effects = state.learn_listing(listing, after(20));
+    assert!(effects.contains(&PeerEffect::StoreBehind(key("pricing"))));
+    assert_eq!(state.version(&key("pricing")), Some(ObjectVersion(5)));
+}
+
+#[test]
+fn a_listing_that_is_older_than_the_last_one_proves_nothing() {
+    let mut state = ready();
+    let listing = StoreListing {
+        version: ObjectVersion(4),
+        entries: vec![item(8, "eight").entry()],
+    };
+    state.learn_listing(listing, after(10));
+    let effects = hand_over(&mut state, "peer-0", &item(8, "eight"), after(20));
+    assert_eq!(delivered(&effects), [0_u64; 0]);
+}
+
+#[test]
+fn frames_of_strangers_and_earlier_runs_are_refused() {
+    let message = || PeerMessage::Announce(vec![item(6, "six").entry()]);
+    let good = frame("peer-0", message());
+    let cases = [
+        (
+            FrameRefusal::OtherCluster,
+            members::PeerFrame {
+                cluster: 1,
+                ..good.clone()
+            },
+        ),
+        (FrameRefusal::OwnName, frame("own-1", message())),
+        (FrameRefusal::UnknownSender, frame("stranger", message())),
+        (
+            FrameRefusal::EarlierRun,
+            members::PeerFrame {
+                incarnation: members::NodeIncarnation(4),
+                ..good
+            },
+        ),
+    ];
+    for (reason, frame) in cases {
+        let effects = ready().receive(frame, after(10));
+        assert_eq!(refusals(&effects), [reason]);
+        assert_eq!(effects.len(), 1);
+    }
+}
+
+#[test]
+fn a_node_is_not_ready_before_it_holds_what_the_store_lists() {
+    let mut state = joined();
+    let listing = StoreListing {
+        version: ObjectVersion(6),
+        entries: vec![item(6, "six").entry()],
+    };
+    state.learn_listing(listing, after(10));
+    assert!(state.readiness().is_none());
+    let effects = state.learn_item(item(6, "six"), after(20));
+    assert!(effects.contains(&PeerEffect::Ready));
+}
