Decide on replica groups: lease, plan, orders and serving query

A node needs one state for each fabric domain that turns reads, reports, deadlines and write results into writes and orders. FabricState holds it; its commands return effects, its queries answer which groups serve, why the others do not, which hosts are stranded and how many groups each fabric domain forms. Ruled out: a separate lease object, as two objects cannot be changed by one conditional update. Records gain the model of a group, standbys and replaced stragglers; reports gain the loaded model and the decoding step's time.

--- /dev/null
+++ b/crates/groups/src/commands/observe.rs
@@ -0,0 +1,85 @@
+//! Taking in what others say: the object, the list of hosts and reports.
+
+use base::prelude::*;
+
+use crate::{FabricRecord, FabricState, FabricTarget, HostEntry, HostReport, TimedReport};
+
+/// What became of an observed record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordOutcome {
+    /// It is newer and was taken.
+    Taken,
+    /// It is the one already known.
+    Same,
+    /// It is older than the one known and was refused.
+    Stale,
+}
+
+impl FabricState {
+    /// Takes in the object as read or watched; `None` where it does not exist.
+    pub fn observe_record(
+        &mut self,
+        read: Option<(FabricRecord, ObjectVersion)>,
+        now: ClockTime,
+    ) -> RecordOutcome {
+        let fabric = self.record.fabric.clone();
+        let (record, version) =
+            read.unwrap_or_else(|| (FabricRecord::new(fabric), ObjectVersion::default()));
+        let known = self.version;
+        if known.is_some_and(|known| version < known) {
+            return RecordOutcome::Stale;
+        }
+        self.read_at = None;
+        if known == Some(version) {
+            return RecordOutcome::Same;
+        }
+        self.adopt(record, version, now);
+        RecordOutcome::Taken
+    }
+
+    /// Takes in the platform's list of this fabric domain's hosts.
+    pub fn observe_hosts(&mut self, entries: impl IntoIterator<Item = HostEntry>) {
+        self.hosts = entries
+            .into_iter()
+            .map(|entry| (entry.host.clone(), entry))
+            .collect();
+    }
+
+    /// Takes in a host's answer to a question asked at `asked_at`.
+    pub fn observe_report(&mut self, report: HostReport, asked_at: ClockTime, now: ClockTime) {
+        let known = self.reports.get(&report.host);
+        if known.is_some_and(|known| asked_at < known.asked_at) {
+            return;
+        }
+        let stays_idle = known.is_some_and(|known| {
+            now < known.valid_until
+                && known.report.incarnation == report.incarnation
+                && known.report.assignment.is_none()
+        });
+        self.note_idle(&report, stays_idle, now);
+        let timed = TimedReport {
+            asked_at,
+            valid_until: asked_at + self.settings.report_validity,
+            report,
+        };
+        self.reports.insert(timed.report.host.clone(), timed);
+    }
+
+    /// Sets the groups that this fabric domain shall form.
+    pub fn set_deployments(&mut self, targets: impl IntoIterator<Item = FabricTarget>) {
+        self.targets = targets
+            .into_iter()
+            .map(|target| (target.deployment.clone(), target))
+            .collect();
+    }
+
+    /// An idle host is free only once no older answer of it can still be valid.
+    fn note_idle(&mut self, report: &HostReport, stays_idle: bool, now: ClockTime) {
+        let free_at = &mut self.timers.free_at;
+        if report.assignment.is_some() {
+            free_at.remove(&report.host);
+        } else if !stays_idle || !free_at.contains_key(&report.host) {
+            free_at.insert(report.host.clone(), now + self.settings.report_validity);
+        }
+    }
+}
--- /dev/null
+++ b/crates/groups/src/commands/tick.rs
@@ -0,0 +1,70 @@
+//! Acting on deadlines.
+
+use base::prelude::*;
+
+use crate::queries::plan::plan_fabric;
+use crate::{FabricEffect, FabricRecord, FabricState};
+
+impl FabricState {
+    /// Acts on everything that is due.
+    pub fn tick(&mut self, now: ClockTime) -> Vec<FabricEffect> {
+        self.ticked_at = now;
+        self.note_silent_writes(now);
+        self.note_timers(now);
+        let mut effects = Vec::new();
+        effects.extend(self.due_read(now));
+        effects.extend(self.due_write(now));
+        if !self.stopping {
+            effects.extend(self.due_orders(now));
+        }
+        effects
+    }
+
+    fn due_read(&mut self, now: ClockTime) -> Option<FabricEffect> {
+        self.read_at.filter(|&read_at| read_at <= now)?;
+        self.read_at = Some(now + self.settings.store_retry + self.draw_jitter());
+        let fabric = self.record.fabric.clone();
+        Some(FabricEffect::Read { fabric })
+    }
+
+    fn due_write(&mut self, now: ClockTime) -> Option<FabricEffect> {
+        if self.is_writing() || now < self.write_at {
+            return None;
+        }
+        let record = self.wanted_record(now)?;
+        Some(self.send_write(record, now))
+    }
+
+    fn wanted_record(&self, now: ClockTime) -> Option<FabricRecord> {
+        if self.stopping {
+            return self.released_record(now);
+        }
+        if self.is_blind(now) {
+            return None;
+        }
+        if self.may_acquire(now) {
+            return Some(self.acquired_record());
+        }
+        let own = self.own.as_ref().filter(|own| now < own.valid_until)?;
+        let mut record = self.record.clone();
+        if self.orders_open(now) {
+            record = plan_fabric(&self.plan_view(now), &self.record);
+        }
+        if record == self.record && now < own.renew_at {
+            return None;
+        }
+        if let Some(lease) = record.lease.as_mut() {
+            lease.renewals += 1;
+        }
+        Some(record)
+    }
+
+    fn released_record(&self, now: ClockTime) -> Option<FabricRecord> {
+        if !self.holds_lease(now) {
+            return None;
+        }
+        let mut record = self.record.clone();
+        record.lease = None;
+        Some(record)
+    }
+}
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -2,14 +2,28 @@
 //!
 //! One object in the store holds a fabric domain: its owner lease, its groups
 //! and their members. Because a host is moved by one conditional update of that
-//! object, it cannot belong to two groups. `commands` change a
-//! [`FabricRecord`], `queries` read it; [`FabricWire`] is its stored form.
+//! object, it cannot belong to two groups. `commands` change a [`FabricState`]
+//! and return [`FabricEffect`]s, `queries` only read; [`FabricWire`] is the
+//! stored form of a [`FabricRecord`].
 
+mod commands;
 mod model;
+mod order;
+mod queries;
+mod settings;
+mod state;
 mod wire;
 
+pub use commands::RecordOutcome;
 pub use model::{
     FabricRecord, GroupPhase, GroupRecord, HostAssignment, HostReport, LoadReport, MemberPhase,
-    MemberRecord, OwnerLease,
+    MemberRecord, OwnerLease, StandbyRecord, StragglerRecord,
 };
+pub use order::{FabricEffect, GroupOrder, HostOrder};
+pub use queries::{
+    FabricShape, GroupFault, GroupHealth, GroupSpread, GroupVerdict, MemberFault, ReportTable,
+    explain_group, serving_groups, spread_groups, stranded_hosts,
+};
+pub use settings::GroupSettings;
+pub use state::{FabricState, FabricTarget, HostEntry, HostStanding, TimedReport};
 pub use wire::FabricWire;
--- a/crates/groups/src/model.rs
+++ b/crates/groups/src/model.rs
@@ -15,6 +15,12 @@
     pub token: FencingToken,
     /// Its replica groups.
     pub groups: Vec<GroupRecord>,
+    /// Groups formed so far; numbers the next one.
+    pub formed: u64,
+    /// Hosts that load a model ahead of need.
+    pub standbys: Vec<StandbyRecord>,
+    /// Hosts taken out of a group because they were slow.
+    pub stragglers: Vec<StragglerRecord>,
     /// Writer's mark of the update that made this record.
     pub nonce: WriteNonce,
 }
@@ -27,6 +33,9 @@
             lease: None,
             token: FencingToken::default(),
             groups: Vec::new(),
+            formed: 0,
+            standbys: Vec::new(),
+            stragglers: Vec::new(),
             nonce: WriteNonce::default(),
         }
     }
@@ -50,6 +59,8 @@
     pub group: GroupName,
     /// Deployment it belongs to.
     pub deployment: DeploymentName,
+    /// Model that every member loads.
+    pub model: ModelName,
     /// Generation of its membership.
     pub epoch: GroupEpoch,
     /// Whether it may serve.
@@ -78,6 +89,24 @@
     pub incarnation: HostIncarnation,
 }
 
+/// Host outside the groups that loads a deployment's model ahead of need.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StandbyRecord {
+    /// Its place, as in a group.
+    pub member: MemberRecord,
+    /// Deployment whose model it loads.
+    pub deployment: DeploymentName,
+}
+
+/// Host that was replaced because it was slow.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StragglerRecord {
+    /// The slow host.
+    pub host: HostName,
+    /// Run of its engine that was slow.
+    pub incarnation: HostIncarnation,
+}
+
 /// What a host says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostReport {
@@ -89,6 +118,8 @@
     pub assignment: Option<HostAssignment>,
     /// How far it is.
     pub phase: MemberPhase,
+    /// Model that it has loaded or is loading.
+    pub model: Option<ModelName>,
     /// Its load, which may be some time old.
     pub load: LoadReport,
 }
@@ -122,4 +153,6 @@
     pub running: u32,
     /// Requests waiting.
     pub waiting: u32,
+    /// Time of one decoding step in microseconds; zero while none has run.
+    pub step_micros: u32,
 }
--- /dev/null
+++ b/crates/groups/src/queries/plan/close.rs
@@ -0,0 +1,70 @@
+//! Ending drained groups: they are re-formed or removed.
+
+use std::collections::BTreeSet;
+
+use base::prelude::*;
+
+use super::planned::is_planned;
+use super::{HostPool, PlanView};
+use crate::{FabricRecord, GroupPhase, GroupRecord, MemberRecord, StragglerRecord};
+
+/// Re-forms every drained group that is still wanted and removes the others.
+pub(crate) fn close_groups(
+    view: &PlanView,
+    plan: &mut FabricRecord,
+    pool: &mut HostPool,
+    surplus: &BTreeSet<GroupName>,
+) {
+    let groups = std::mem::take(&mut plan.groups);
+    for group in groups {
+        let keeps_draining = group.phase == GroupPhase::Draining && !view.is_drained(&group);
+        if group.phase == GroupPhase::Active || keeps_draining {
+            plan.groups.push(group);
+        } else if !surplus.contains(&group.group) {
+            let stragglers = &mut plan.stragglers;
+            plan.groups.extend(reform(view, group, pool, stragglers));
+        }
+    }
+}
+
+/// The group with its planned exchanges made; `None` if it has to go.
+fn reform(
+    view: &PlanView,
+    mut group: GroupRecord,
+    pool: &mut HostPool,
+    stragglers: &mut Vec<StragglerRecord>,
+) -> Option<GroupRecord> {
+    let target = view.targets.get(&group.deployment)?;
+    group.model = target.spec.model.clone();
+    for member in &mut group.members {
+        if !is_planned(view, member) {
+            continue;
+        }
+        match pool.take_loaded(&group.model) {
+            Some(free) => exchange(view, member, free, stragglers),
+            None if view.is_leaving(&member.host) => {
+                *member = pool.take(&group.model)?;
+            }
+            None => {}
+        }
+    }
+    group.epoch = group.epoch.next();
+    group.phase = GroupPhase::Active;
+    Some(group)
+}
+
+fn exchange(
+    view: &PlanView,
+    member: &mut MemberRecord,
+    free: MemberRecord,
+    stragglers: &mut Vec<StragglerRecord>,
+) {
+    if view.is_straggler(&member.host) {
+        stragglers.retain(|known| known.host != member.host);
+        stragglers.push(StragglerRecord {
+            host: member.host.clone(),
+            incarnation: member.incarnation,
+        });
+    }
+    *member = free;
+}
--- /dev/null
+++ b/crates/groups/src/queries/plan/dissolve.rs
@@ -0,0 +1,72 @@
+//! Breaking up groups that cannot be repaired, where that helps others.
+//!
+//! Two broken groups of one deployment are better as one whole group on both
+//! measures, as their members have the model loaded. Whether a broken group
+//! also gives its members to another deployment depends on its weight: where
+//! downtime weighs more it keeps them, so that it is back as soon as the
+//! missing host is.
+
+use base::prelude::*;
+
+use super::repair::lost_count;
+use super::{HostPool, PlanView};
+use crate::{FabricRecord, GroupPhase, GroupRecord};
+
+/// Removes at most one group that is worth more as spares.
+pub(crate) fn dissolve_groups(view: &PlanView, plan: &mut FabricRecord, pool: &HostPool) {
+    let donor = merge_donor(view, plan).or_else(|| gift_donor(view, plan, pool));
+    if let Some(donor) = donor {
+        plan.groups.retain(|group| group.group != donor);
+    }
+}
+
+fn lost_groups<'a>(view: &PlanView, plan: &'a FabricRecord) -> Vec<(usize, &'a GroupRecord)> {
+    let groups = plan.groups.iter();
+    let mut lost: Vec<_> = groups
+        .filter(|group| group.phase == GroupPhase::Active)
+        .map(|group| (lost_count(view, group), group))
+        .filter(|(count, _)| *count > 0)
+        .collect();
+    lost.sort_by_key(|(count, group)| (*count, group.group.clone()));
+    lost
+}
+
+/// Broken group whose members can make another broken one whole.
+fn merge_donor(view: &PlanView, plan: &FabricRecord) -> Option<GroupName> {
+    let lost = lost_groups(view, plan);
+    lost.iter()
+        .enumerate()
+        .rev()
+        .find_map(|(index, (count, donor))| {
+            let healthy = donor.members.len() - count;
+            let fits = |(needed, other): &(usize, &GroupRecord)| {
+                other.deployment == donor.deployment && *needed <= healthy
+            };
+            let helps = lost[..index].iter().any(fits);
+            helps.then(|| donor.group.clone())
+        })
+}
+
+/// Broken group whose members can complete a group of another deployment.
+fn gift_donor(view: &PlanView, plan: &FabricRecord, pool: &HostPool) -> Option<GroupName> {
+    let lost = lost_groups(view, plan);
+    lost.iter().rev().find_map(|(count, donor)| {
+        let gives = view.weight(&donor.deployment) < view.settings.dissolve_weight;
+        let free = pool.len() + donor.members.len() - count;
+        let fits = view.targets.values().any(|target| {
+            let standing = count_groups(plan, &target.deployment);
+            target.deployment != donor.deployment
+                && standing < target.groups
+                && target.spec.group_size <= free
+        });
+        (gives && fits).then(|| donor.group.clone())
+    })
+}
+
+/// Groups of a deployment in the plan.
+pub(crate) fn count_groups(plan: &FabricRecord, deployment: &DeploymentName) -> usize {
+    let groups = plan.groups.iter();
+    groups
+        .filter(|group| group.deployment == *deployment)
+        .count()
+}
--- /dev/null
+++ b/crates/groups/src/queries/plan/pool.rs
@@ -0,0 +1,109 @@
+//! Hosts that are free to be put into a group.
+
+use base::prelude::*;
+
+use super::PlanView;
+use crate::{FabricRecord, HostEntry, MemberPhase, MemberRecord};
+
+/// Free hosts that a plan has not used yet.
+pub(crate) struct HostPool {
+    hosts: Vec<FreeHost>,
+}
+
+/// Live host that answers, belongs to no group and has been idle long enough
+/// that no older answer of it can still be valid anywhere.
+pub(crate) struct FreeHost {
+    pub member: MemberRecord,
+    /// Whether it was replaced as a straggler and not yet forgiven.
+    pub straggler: bool,
+    model: Option<ModelName>,
+    ready: bool,
+}
+
+impl FreeHost {
+    /// Whether it has loaded this model.
+    pub fn has_loaded(&self, model: &ModelName) -> bool {
+        self.ready && self.model.as_ref() == Some(model)
+    }
+}
+
+impl HostPool {
+    /// Every host that is free under this record.
+    pub fn collect(view: &PlanView, record: &FabricRecord) -> Self {
+        let is_member = |host: &HostName| {
+            let mut members = record.groups.iter().flat_map(|group| &group.members);
+            members.any(|member| member.host == *host)
+        };
+        let hosts = view
+            .hosts
+            .values()
+            .filter(|entry| view.is_live(&entry.host) && !is_member(&entry.host))
+            .filter_map(|entry| free_host(view, record, entry))
+            .collect();
+        Self { hosts }
+    }
+
+    pub fn hosts(&self) -> &[FreeHost] {
+        &self.hosts
+    }
+
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Takes the host that is quickest to serve this model.
+    pub fn take(&mut self, model: &ModelName) -> Option<MemberRecord> {
+        self.take_where(model, |_| true)
+    }
+
+    /// Takes a loaded host that is no straggler.
+    pub fn take_loaded(&mut self, model: &ModelName) -> Option<MemberRecord> {
+        self.take_where(model, |host| !host.straggler && host.has_loaded(model))
+    }
+
+    /// Hosts that are loaded and no stragglers.
+    pub fn count_loaded(&self, model: &ModelName) -> usize {
+        let hosts = self.hosts.iter();
+        hosts
+            .filter(|host| !host.straggler && host.has_loaded(model))
+            .count()
+    }
+
+    fn take_where(
+        &mut self,
+        model: &ModelName,
+        allowed: impl Fn(&FreeHost) -> bool,
+    ) -> Option<MemberRecord> {
+        let index = (0..self.hosts.len())
+            .filter(|&index| allowed(&self.hosts[index]))
+            .min_by_key(|&index| {
+                let host = &self.hosts[index];
+                (
+                    host.straggler,
+                    !host.has_loaded(model),
+                    host.model.as_ref() != Some(model),
+                    host.model.is_some(),
+                )
+            })?;
+        Some(self.hosts.remove(index).member)
+    }
+}
+
+fn free_host(view: &PlanView, record: &FabricRecord, entry: &HostEntry) -> Option<FreeHost> {
+    let report = view.report(&entry.host)?;
+    let free = report.assignment.is_none() && view.is_due(view.timers.free_at.get(&entry.host));
+    let straggler = record
+        .stragglers
+        .iter()
+        .any(|known| known.host == entry.host && known.incarnation == report.incarnation);
+    free.then(|| FreeHost {
+        member: MemberRecord {
+            host: entry.host.clone(),
+            address: entry.address,
+            incarnation: report.incarnation,
+        },
+        straggler,
+        model: report.model.clone(),
+        ready: report.phase != MemberPhase::Loading,
+    })
+}
--- /dev/null
+++ b/crates/groups/src/queries/plan/repair.rs
@@ -0,0 +1,65 @@
+//! Filling the places of members that are missing or have restarted.
+
+use super::view::MemberPresence;
+use super::{HostPool, PlanView};
+use crate::{FabricRecord, GroupPhase, GroupRecord, MemberRecord};
+
+/// Repairs every group that is not draining, the weightiest first.
+pub(crate) fn repair_groups(view: &PlanView, plan: &mut FabricRecord, pool: &mut HostPool) {
+    let mut groups: Vec<&mut GroupRecord> = plan
+        .groups
+        .iter_mut()
+        .filter(|group| group.phase == GroupPhase::Active && view.is_broken(group))
+        .collect();
+    groups.sort_by(|a, b| {
+        let weights = view
+            .weight(&b.deployment)
+            .total_cmp(&view.weight(&a.deployment));
+        weights.then(lost_count(view, a).cmp(&lost_count(view, b)))
+    });
+    for group in groups {
+        repair_group(view, group, pool);
+    }
+}
+
+/// Members whose places may be given away.
+pub(crate) fn lost_count(view: &PlanView, group: &GroupRecord) -> usize {
+    let members = group.members.iter();
+    members
+        .filter(|member| view.presence(member) == MemberPresence::Missing)
+        .count()
+}
+
+fn repair_group(view: &PlanView, group: &mut GroupRecord, pool: &mut HostPool) {
+    let model = group.model.clone();
+    let mut changed = false;
+    for member in &mut group.members {
+        let filled = match view.presence(member) {
+            MemberPresence::Present if view.is_leaving(&member.host) => pool.take(&model),
+            MemberPresence::Present | MemberPresence::Silent => None,
+            MemberPresence::Missing => pool.take(&model),
+            MemberPresence::Restarted(incarnation) => {
+                let put_back = MemberRecord {
+                    incarnation,
+                    ..member.clone()
+                };
+                let loads = view
+                    .report(&member.host)
+                    .is_some_and(|r| r.model.as_ref() != Some(&model));
+                let spare = if loads {
+                    pool.take_loaded(&model)
+                } else {
+                    None
+                };
+                spare.or(Some(put_back))
+            }
+        };
+        if let Some(filled) = filled {
+            *member = filled;
+            changed = true;
+        }
+    }
+    if changed {
+        group.epoch = group.epoch.next();
+    }
+}
--- /dev/null
+++ b/crates/groups/src/queries/slow.rs
@@ -0,0 +1,49 @@
+//! Members that are slower than the others of their deployment.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+
+use super::health::ReportTable;
+use crate::FabricRecord;
+
+/// Fewest members from which a median says anything.
+const MEDIAN_MINIMUM: usize = 3;
+
+/// Members whose step time is well over their deployment's median here.
+pub(crate) fn slow_members(
+    record: &FabricRecord,
+    reports: &ReportTable,
+    factor: f64,
+    now: ClockTime,
+) -> Vec<HostName> {
+    let mut steps: BTreeMap<&DeploymentName, Vec<(u32, &HostName)>> = BTreeMap::new();
+    for group in &record.groups {
+        for member in &group.members {
+            let timed = reports.get(&member.host);
+            let fresh = timed.filter(|timed| now < timed.valid_until);
+            let step = fresh.map_or(0, |timed| timed.report.load.step_micros);
+            if step > 0 {
+                let steps = steps.entry(&group.deployment).or_default();
+                steps.push((step, &member.host));
+            }
+        }
+    }
+    steps
+        .into_values()
+        .flat_map(|steps| over_median(steps, factor))
+        .collect()
+}
+
+fn over_median(mut steps: Vec<(u32, &HostName)>, factor: f64) -> Vec<HostName> {
+    if steps.len() < MEDIAN_MINIMUM {
+        return Vec::new();
+    }
+    steps.sort();
+    let median = f64::from(steps[(steps.len() - 1) / 2].0);
+    steps
+        .into_iter()
+        .filter(|(step, _)| f64::from(*step) > median * factor)
+        .map(|(_, host)| host.clone())
+        .collect()
+}
--- /dev/null
+++ b/crates/groups/src/queries/spread.rs
@@ -0,0 +1,140 @@
+//! How many groups of each deployment every fabric domain forms.
+//!
+//! The answer depends only on shared data: the document, the platform's list of
+//! hosts and the fabric records. Owners of different fabric domains therefore
+//! reach the same answer without talking to one another. While their copies of
+//! that data differ, one group too many or too few may be formed for a while;
+//! it stays within one fabric domain's object, so no host is shared, and the
+//! next answer drains it. Groups that stand keep their place before new ones
+//! are spread, so that one lost host does not move groups elsewhere.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use document::DeploymentSpec;
+
+use super::reserve::grows;
+use crate::GroupSettings;
+
+/// Size of one fabric domain and the groups that stand in it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FabricShape {
+    /// Its name.
+    pub fabric: FabricName,
+    /// Failure domain it lies in.
+    pub domain: DomainName,
+    /// Live hosts.
+    pub hosts: usize,
+    /// Groups recorded, by deployment.
+    pub standing: BTreeMap<DeploymentName, usize>,
+}
+
+/// Groups for each fabric domain, by deployment.
+pub type GroupSpread = BTreeMap<FabricName, BTreeMap<DeploymentName, usize>>;
+
+/// Spreads the groups wanted over fabric domains and failure domains.
+pub fn spread_groups(
+    specs: &BTreeMap<DeploymentName, DeploymentSpec>,
+    shapes: &[FabricShape],
+    settings: &GroupSettings,
+) -> GroupSpread {
+    let mut spreader = Spreader::new(shapes);
+    for (deployment, spec) in specs {
+        spreader.keep_standing(deployment, spec);
+    }
+    for (deployment, spec) in specs {
+        spreader.grow(deployment, spec, settings);
+    }
+    spreader.finish()
+}
+
+struct Spreader<'a> {
+    shapes: Vec<&'a FabricShape>,
+    rooms: Vec<usize>,
+    counts: Vec<BTreeMap<DeploymentName, usize>>,
+}
+
+impl<'a> Spreader<'a> {
+    fn new(shapes: &'a [FabricShape]) -> Self {
+        let mut shapes: Vec<_> = shapes.iter().collect();
+        shapes.sort_by(|a, b| a.fabric.cmp(&b.fabric));
+        Self {
+            rooms: shapes.iter().map(|shape| shape.hosts).collect(),
+            counts: vec![BTreeMap::new(); shapes.len()],
+            shapes,
+        }
+    }
+
+    fn count(&self, index: usize, deployment: &DeploymentName) -> usize {
+        self.counts[index].get(deployment).copied().unwrap_or(0)
+    }
+
+    fn domain_count(&self, domain: &DomainName, deployment: &DeploymentName) -> usize {
+        (0..self.shapes.len())
+            .filter(|&index| self.shapes[index].domain == *domain)
+            .map(|index| self.count(index, deployment))
+            .sum()
+    }
+
+    fn total(&self, deployment: &DeploymentName) -> usize {
+        (0..self.shapes.len())
+            .map(|index| self.count(index, deployment))
+            .sum()
+    }
+
+    fn add(&mut self, index: usize, deployment: &DeploymentName, size: usize) {
+        *self.counts[index].entry(deployment.clone()).or_default() += 1;
+        self.rooms[index] = self.rooms[index].saturating_sub(size);
+    }
+
+    fn pick(&self, deployment: &DeploymentName, allowed: impl Fn(usize) -> bool) -> Option<usize> {
+        (0..self.shapes.len())
+            .filter(|&index| allowed(index))
+            .min_by_key(|&index| {
+                (
+                    self.domain_count(&self.shapes[index].domain, deployment),
+                    self.count(index, deployment),
+                    Reverse(self.rooms[index]),
+                )
+            })
+    }
+
+    fn keep_standing(&mut self, deployment: &DeploymentName, spec: &DeploymentSpec) {
+        while self.total(deployment) < spec.group_count {
+            let stands = |index: usize| {
+                let standing = self.shapes[index].standing.get(deployment);
+                standing.is_some_and(|&standing| self.count(index, deployment) < standing)
+            };
+            let Some(index) = self.pick(deployment, stands) else {
+                return;
+            };
+            self.add(index, deployment, spec.group_size);
+        }
+    }
+
+    fn grow(
+        &mut self,
+        deployment: &DeploymentName,
+        spec: &DeploymentSpec,
+        settings: &GroupSettings,
+    ) {
+        while self.total(deployment) < spec.group_count {
+            let allowed = |index: usize| {
+                let first = self.counts[index].is_empty();
+                let room = self.rooms[index];
+                let hosts = self.shapes[index].hosts;
+                room >= spec.group_size && (first || grows(spec, hosts, room, settings))
+            };
+            let Some(index) = self.pick(deployment, allowed) else {
+                return;
+            };
+            self.add(index, deployment, spec.group_size);
+        }
+    }
+
+    fn finish(self) -> GroupSpread {
+        let names = self.shapes.iter().map(|shape| shape.fabric.clone());
+        names.zip(self.counts).collect()
+    }
+}
--- /dev/null
+++ b/crates/groups/src/settings.rs
@@ -0,0 +1,69 @@
+//! Settings of the decisions on groups.
+
+use base::prelude::*;
+
+/// Spans and costs that the decisions use.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GroupSettings {
+    /// Length of an owner lease, counted from before its renewal is sent.
+    pub lease_span: Duration,
+    /// Time after sending a renewal at which the next one is due.
+    pub renew_after: Duration,
+    /// Extra time that others grant a lease, for clocks that run unevenly.
+    pub clock_margin: Duration,
+    /// Random extra wait before a free lease is taken.
+    pub acquire_jitter: Duration,
+    /// Longest time that an order can be under way.
+    pub order_limit: Duration,
+    /// Wait before an order without effect is given again.
+    pub order_retry: Duration,
+    /// Life of a report, counted from when it was asked for.
+    pub report_validity: Duration,
+    /// Wait before a failed store call is tried again.
+    pub store_retry: Duration,
+    /// Longest wait for the end of an update.
+    pub store_limit: Duration,
+    /// Silence after which a member is replaced.
+    pub missing_patience: Duration,
+    /// Time that a drain takes to be seen by every gateway.
+    pub drain_notice: Duration,
+    /// Hosts of one fabric domain that may load weights at once.
+    pub load_limit: usize,
+    /// Step time over the median from which a member counts as slow.
+    pub slow_factor: f64,
+    /// Time that a member must stay slow before it is replaced.
+    pub slow_patience: Duration,
+    /// Time after which a replaced straggler may replace others again.
+    pub straggler_rest: Duration,
+    /// Share of hosts expected to be missing at any time.
+    pub missing_share: f64,
+    /// Stranded hosts that weigh as much as one group down, at even weights.
+    pub downtime_cost: f64,
+    /// Weight under which a broken group gives its members to others.
+    pub dissolve_weight: f64,
+}
+
+impl Default for GroupSettings {
+    fn default() -> Self {
+        Self {
+            lease_span: Duration::from_secs(15),
+            renew_after: Duration::from_secs(5),
+            clock_margin: Duration::from_millis(500),
+            acquire_jitter: Duration::from_secs(1),
+            order_limit: Duration::from_secs(5),
+            order_retry: Duration::from_secs(2),
+            report_validity: Duration::from_secs(3),
+            store_retry: Duration::from_secs(1),
+            store_limit: Duration::from_secs(4),
+            missing_patience: Duration::from_secs(6),
+            drain_notice: Duration::from_secs(3),
+            load_limit: 4,
+            slow_factor: 1.5,
+            slow_patience: Duration::from_secs(60),
+            straggler_rest: Duration::from_secs(3600),
+            missing_share: 0.01,
+            downtime_cost: 16.0,
+            dissolve_weight: 0.5,
+        }
+    }
+}
--- a/crates/groups/src/wire.rs
+++ b/crates/groups/src/wire.rs
@@ -5,7 +5,9 @@
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{FabricRecord, GroupPhase, GroupRecord, MemberRecord, OwnerLease};
+use crate::{
+    FabricRecord, GroupPhase, GroupRecord, MemberRecord, OwnerLease, StandbyRecord, StragglerRecord,
+};
 
 /// JSON form of a [`FabricRecord`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -14,6 +16,12 @@
     lease: Option<LeaseWire>,
     token: FencingToken,
     groups: Vec<GroupWire>,
+    #[serde(default)]
+    formed: u64,
+    #[serde(default)]
+    standbys: Vec<StandbyWire>,
+    #[serde(default)]
+    stragglers: Vec<StragglerWire>,
     nonce: WriteNonce,
 }
 
@@ -28,6 +36,7 @@
 struct GroupWire {
     group: GroupName,
     deployment: DeploymentName,
+    model: ModelName,
     epoch: GroupEpoch,
     draining: bool,
     members: Vec<MemberWire>,
@@ -40,6 +49,18 @@
     incarnation: HostIncarnation,
 }
 
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct StandbyWire {
+    member: MemberWire,
+    deployment: DeploymentName,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct StragglerWire {
+    host: HostName,
+    incarnation: HostIncarnation,
+}
+
 impl From<FabricRecord> for FabricWire {
     fn from(record: FabricRecord) -> Self {
         Self {
@@ -47,6 +68,13 @@
             lease: record.lease.map(LeaseWire::from),
             token: record.token,
             groups: record.groups.into_iter().map(GroupWire::from).collect(),
+            formed: record.formed,
+            standbys: record.standbys.into_iter().map(StandbyWire::from).collect(),
+            stragglers: record
+                .stragglers
+                .into_iter()
+                .map(StragglerWire::from)
+                .collect(),
             nonce: record.nonce,
         }
     }
@@ -59,6 +87,13 @@
             lease: wire.lease.map(OwnerLease::from),
             token: wire.token,
             groups: wire.groups.into_iter().map(GroupRecord::from).collect(),
+            formed: wire.formed,
+            standbys: wire.standbys.into_iter().map(StandbyRecord::from).collect(),
+            stragglers: wire
+                .stragglers
+                .into_iter()
+                .map(StragglerRecord::from)
+                .collect(),
             nonce: wire.nonce,
         }
     }
@@ -89,6 +124,7 @@
         Self {
             group: group.group,
             deployment: group.deployment,
+            model: group.model,
             epoch: group.epoch,
             draining: group.phase == GroupPhase::Draining,
             members: group.members.into_iter().map(MemberWire::from).collect(),
@@ -106,6 +142,7 @@
         Self {
             group: wire.group,
             deployment: wire.deployment,
+            model: wire.model,
             epoch: wire.epoch,
             phase,
             members: wire.members.into_iter().map(MemberRecord::from).collect(),
@@ -132,3 +169,39 @@
         }
     }
 }
+
+impl From<StandbyRecord> for StandbyWire {
+    fn from(standby: StandbyRecord) -> Self {
+        Self {
+            member: standby.member.into(),
+            deployment: standby.deployment,
+        }
+    }
+}
+
+impl From<StandbyWire> for StandbyRecord {
+    fn from(wire: StandbyWire) -> Self {
+        Self {
+            member: wire.member.into(),
+            deployment: wire.deployment,
+        }
+    }
+}
+
+impl From<StragglerRecord> for StragglerWire {
+    fn from(straggler: StragglerRecord) -> Self {
+        Self {
+            host: straggler.host,
+            incarnation: straggler.incarnation,
+        }
+    }
+}
+
+impl From<StragglerWire> for StragglerRecord {
+    fn from(wire: StragglerWire) -> Self {
+        Self {
+            host: wire.host,
+            incarnation: wire.incarnation,
+        }
+    }
+}
