Add the network plumbing and the platform's clients

Cause: every daemon needs the one loop, HTTP on both sides, frames, logs, metrics and signals on one thread, and the platform behind trait objects.

Ruled out: monoio's default driver (it picks io_uring where the kernel has it, which the hosts don't allow); its `signal` feature and cadence's queuing sinks (each starts a thread); its listener's default SO_REUSEPORT (a second process could bind the same port unseen).

Change: `net` with run_loop, an HTTP server and client over hyper on monoio's epoll driver, length-delimited frames, JSON logs, StatsD metrics, histograms and SIGTERM by a socket pair; `platform` with ObjectStore, HostDirectory and EnginePort over HTTP. The client keeps a connection only after its answer was read to the end, and tells "not sent" from "lost".

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,1 +1,27 @@
-//! Runtime, HTTP, frames, logs, metrics and signals on one thread.
+//! Everything that touches sockets, the system clock and the process.
+//!
+//! One process is one loop on one thread: [`run_loop`] hands events to the
+//! decision code and its effects to a carrier, and [`block_on`] runs that loop
+//! and all input and output tasks on the calling thread. No part of this crate
+//! starts a thread, and nothing spins while it waits.
+
+mod clock;
+mod drain;
+mod frame;
+mod histogram;
+mod logs;
+mod metrics;
+mod random;
+mod runtime;
+mod signal;
+pub mod web;
+
+pub use clock::SystemClock;
+pub use drain::{DrainSwitch, DrainWatch, drain_pair};
+pub use frame::{FRAME_LIMIT, FrameStream};
+pub use histogram::{HistogramKey, HistogramSet, HistogramSummary};
+pub use logs::{LogError, start_logs};
+pub use metrics::{MetricSink, NullMetrics, StatsdMetrics};
+pub use random::seed_from_system;
+pub use runtime::{block_on, run_loop, sleep_until, with_deadline};
+pub use signal::{StopSignal, watch_stop};
--- /dev/null
+++ b/crates/net/src/logs.rs
@@ -0,0 +1,30 @@
+//! Logs as JSON lines on standard error.
+
+use log::LevelFilter;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::json::JsonEncoder;
+
+/// Why logging could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum LogError {
+    /// The logger's parts don't fit together.
+    #[error("the logger could not be set up: {0}")]
+    Config(#[from] log4rs::config::runtime::ConfigErrors),
+    /// The process has a logger already.
+    #[error("the process has a logger already: start logs only once: {0}")]
+    Started(#[from] log::SetLoggerError),
+}
+
+/// Sends every record of a level or above to standard error.
+pub fn start_logs(level: LevelFilter) -> Result<(), LogError> {
+    let console = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(Box::new(JsonEncoder::new()))
+        .build();
+    let appender = Appender::builder().build("console", Box::new(console));
+    let root = Root::builder().appender("console").build(level);
+    let config = Config::builder().appender(appender).build(root)?;
+    log4rs::init_config(config)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/net/src/metrics.rs
@@ -0,0 +1,67 @@
+//! Counters and timings for the operators' metrics service.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+use cadence::prelude::*;
+use cadence::{BufferedUdpMetricSink, StatsdClient};
+
+/// Receiver of metrics.
+pub trait MetricSink {
+    /// Adds to a counter.
+    fn count(&self, name: &str, tags: &[(&str, &str)], amount: i64);
+
+    /// Reports a span of time.
+    fn time(&self, name: &str, tags: &[(&str, &str)], span: Duration);
+
+    /// Sends whatever is buffered.
+    fn flush(&self);
+}
+
+/// Sink that drops everything.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NullMetrics;
+
+impl MetricSink for NullMetrics {
+    fn count(&self, _name: &str, _tags: &[(&str, &str)], _amount: i64) {}
+
+    fn time(&self, _name: &str, _tags: &[(&str, &str)], _span: Duration) {}
+
+    fn flush(&self) {}
+}
+
+/// Sink that sends StatsD datagrams from this thread.
+#[derive(Debug)]
+pub struct StatsdMetrics(StatsdClient);
+
+impl StatsdMetrics {
+    /// Sink for a StatsD server.
+    pub fn new(server: SocketAddr, prefix: &str) -> io::Result<Self> {
+        let socket = UdpSocket::bind("0.0.0.0:0")?;
+        socket.set_nonblocking(true)?;
+        let sink = BufferedUdpMetricSink::from(server, socket).map_err(io::Error::other)?;
+        Ok(Self(StatsdClient::from_sink(prefix, sink)))
+    }
+}
+
+impl MetricSink for StatsdMetrics {
+    fn count(&self, name: &str, tags: &[(&str, &str)], amount: i64) {
+        let metric = self.0.count_with_tags(name, amount);
+        tags.iter()
+            .fold(metric, |metric, (key, value)| metric.with_tag(key, value))
+            .send();
+    }
+
+    fn time(&self, name: &str, tags: &[(&str, &str)], span: Duration) {
+        let metric = self.0.time_with_tags(name, span);
+        tags.iter()
+            .fold(metric, |metric, (key, value)| metric.with_tag(key, value))
+            .send();
+    }
+
+    fn flush(&self) {
+        // A lost datagram is no reason to stop: metrics are best effort.
+        let _ = self.0.flush();
+    }
+}
--- /dev/null
+++ b/crates/net/src/web/body.rs
@@ -0,0 +1,65 @@
+//! Bodies, whole or streamed.
+
+use bytes::Bytes;
+use futures_channel::mpsc;
+use futures_util::{SinkExt, StreamExt};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+
+/// Chunks that a slow reader may leave waiting.
+const CHUNK_BACKLOG: usize = 64;
+
+/// Reason why a streamed body ends before its end.
+///
+/// The server closes the connection without the final chunk, so that no client
+/// can take what it has for the whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the body was cut before its end")]
+pub struct BodyError;
+
+/// Body of a request or an answer.
+pub type WebBody = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Writer's end of a streamed body.
+#[derive(Debug)]
+pub struct BodySender(mpsc::Sender<Result<Bytes, BodyError>>);
+
+/// Streamed body and its writer.
+pub fn body_channel() -> (BodySender, WebBody) {
+    let (sender, receiver) = mpsc::channel(CHUNK_BACKLOG);
+    let frames = receiver.map(|chunk: Result<Bytes, BodyError>| chunk.map(Frame::data));
+    (BodySender(sender), StreamBody::new(frames).boxed_unsync())
+}
+
+/// Body that is known whole.
+pub fn full_body(bytes: impl Into<Bytes>) -> WebBody {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// Body without bytes.
+pub fn empty_body() -> WebBody {
+    full_body(Bytes::new())
+}
+
+impl BodySender {
+    /// Sends one chunk; waits while the reader is behind.
+    ///
+    /// Fails once the reader is gone.
+    pub async fn send(&mut self, chunk: Bytes) -> Result<(), BodyError> {
+        self.0.send(Ok(chunk)).await.map_err(|_| BodyError)
+    }
+
+    /// Cuts the body so that the reader knows that it is not whole.
+    pub async fn abort(mut self) {
+        // A reader that is gone needs no telling.
+        let _ = self.0.send(Err(BodyError)).await;
+    }
+
+    /// Whether the reader is gone.
+    pub fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/objects.rs
@@ -0,0 +1,196 @@
+//! The platform's object API over HTTP.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use http::{Method, StatusCode};
+use net::web::{CollectOutcome, WebClient, WebRequest, empty_body, full_body};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use store::{
+    ListOutcome, ObjectChange, ObjectKey, ObjectStore, ReadOutcome, RemoveOutcome, StoredObject,
+    UpdateOutcome,
+};
+
+use crate::wire::{ChangeWire, ObjectWire, ObjectsWire, VersionWire};
+
+/// Largest answer in bytes.
+const ANSWER_LIMIT: usize = 16_000_000;
+/// Time in which a call must be answered.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time that a watch's answer may take after the watch's own deadline.
+const WATCH_GRACE: Duration = Duration::from_secs(1);
+
+/// Object store over HTTP.
+#[derive(Clone)]
+pub struct HttpObjectStore {
+    client: WebClient,
+    clock: Rc<dyn ClockSource>,
+    server: SocketAddr,
+}
+
+/// Answer to a call, or why there is none.
+enum Reply {
+    Answered(StatusCode, Bytes),
+    NotSent,
+    Lost,
+}
+
+impl HttpObjectStore {
+    /// Store at the platform's address.
+    pub fn new(client: WebClient, clock: Rc<dyn ClockSource>, server: SocketAddr) -> Self {
+        Self {
+            client,
+            clock,
+            server,
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Bytes>,
+        deadline: ClockTime,
+    ) -> Reply {
+        let Some(request) = build_request(method, path, body) else {
+            return Reply::NotSent;
+        };
+        let outcome = self
+            .client
+            .collect(self.server, request, ANSWER_LIMIT, deadline)
+            .await;
+        match outcome {
+            CollectOutcome::Answered(parts, body) => Reply::Answered(parts.status, body),
+            CollectOutcome::NotSent => Reply::NotSent,
+            CollectOutcome::Lost => Reply::Lost,
+        }
+    }
+
+    async fn fetch(&self, path: &str, deadline: ClockTime) -> ReadOutcome {
+        match self.call(Method::GET, path, None, deadline).await {
+            Reply::Answered(StatusCode::OK, body) => match decode::<ObjectWire>(&body) {
+                Some(wire) => ReadOutcome::Found(StoredObject::from(wire)),
+                None => ReadOutcome::Unavailable,
+            },
+            Reply::Answered(StatusCode::NOT_FOUND, _) => ReadOutcome::Missing,
+            _ => ReadOutcome::Unavailable,
+        }
+    }
+
+    async fn fetch_list(&self, prefix: &str) -> ListOutcome {
+        let path = format!("/v1/objects?prefix={prefix}");
+        let deadline = self.clock.now() + CALL_TIMEOUT;
+        match self.call(Method::GET, &path, None, deadline).await {
+            Reply::Answered(StatusCode::OK, body) => match decode::<ObjectsWire>(&body) {
+                Some(wire) => {
+                    ListOutcome::Found(wire.objects.into_iter().map(StoredObject::from).collect())
+                }
+                None => ListOutcome::Unavailable,
+            },
+            _ => ListOutcome::Unavailable,
+        }
+    }
+
+    async fn put(&self, change: ObjectChange) -> UpdateOutcome {
+        let path = object_path(&change.key);
+        let body = encode(&ChangeWire {
+            expected: change.expected,
+            value: change.value.as_ref().to_owned(),
+        });
+        let deadline = self.clock.now() + CALL_TIMEOUT;
+        match self.call(Method::PUT, &path, Some(body), deadline).await {
+            Reply::Answered(StatusCode::OK, body) => match decode::<VersionWire>(&body) {
+                Some(wire) => UpdateOutcome::Applied(wire.version),
+                None => UpdateOutcome::Unknown,
+            },
+            Reply::Answered(StatusCode::CONFLICT, _) => UpdateOutcome::Conflict,
+            Reply::Answered(StatusCode::PAYLOAD_TOO_LARGE, _) => UpdateOutcome::TooLarge,
+            Reply::NotSent => UpdateOutcome::Unavailable,
+            Reply::Answered(..) | Reply::Lost => UpdateOutcome::Unknown,
+        }
+    }
+
+    async fn delete(&self, key: &ObjectKey, expected: ObjectVersion) -> RemoveOutcome {
+        let path = format!("{}?expected={expected}", object_path(key));
+        let deadline = self.clock.now() + CALL_TIMEOUT;
+        match self.call(Method::DELETE, &path, None, deadline).await {
+            Reply::Answered(StatusCode::NO_CONTENT, _) => RemoveOutcome::Removed,
+            Reply::Answered(StatusCode::CONFLICT, _) => RemoveOutcome::Conflict,
+            Reply::NotSent => RemoveOutcome::Unavailable,
+            Reply::Answered(..) | Reply::Lost => RemoveOutcome::Unknown,
+        }
+    }
+}
+
+fn object_path(key: &ObjectKey) -> String {
+    format!("/v1/objects/{key}")
+}
+
+fn build_request(method: Method, path: &str, body: Option<Bytes>) -> Option<WebRequest> {
+    let body = body.map_or_else(empty_body, full_body);
+    http::Request::builder()
+        .method(method)
+        .uri(path)
+        .body(body)
+        .ok()
+}
+
+fn encode(value: &impl Serialize) -> Bytes {
+    let bytes = serde_json::to_vec(value).expect("wire types have a JSON form");
+    Bytes::from(bytes)
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+    serde_json::from_slice(body).ok()
+}
+
+impl ObjectStore for HttpObjectStore {
+    fn read(&self, key: &ObjectKey) -> LocalBoxFuture<'static, ReadOutcome> {
+        let this = self.clone();
+        let path = object_path(key);
+        Box::pin(async move {
+            let deadline = this.clock.now() + CALL_TIMEOUT;
+            this.fetch(&path, deadline).await
+        })
+    }
+
+    fn list(&self, prefix: &str) -> LocalBoxFuture<'static, ListOutcome> {
+        let this = self.clone();
+        let prefix = prefix.to_owned();
+        Box::pin(async move { this.fetch_list(&prefix).await })
+    }
+
+    fn update(&self, change: ObjectChange) -> LocalBoxFuture<'static, UpdateOutcome> {
+        let this = self.clone();
+        Box::pin(async move { this.put(change).await })
+    }
+
+    fn remove(
+        &self,
+        key: &ObjectKey,
+        expected: ObjectVersion,
+    ) -> LocalBoxFuture<'static, RemoveOutcome> {
+        let this = self.clone();
+        let key = key.clone();
+        Box::pin(async move { this.delete(&key, expected).await })
+    }
+
+    fn watch(
+        &self,
+        key: &ObjectKey,
+        after: ObjectVersion,
+        deadline: ClockTime,
+    ) -> LocalBoxFuture<'static, ReadOutcome> {
+        let this = self.clone();
+        let path = object_path(key);
+        Box::pin(async move {
+            let wait = deadline.since(this.clock.now()).as_millis();
+            let path = format!("{path}?after={after}&wait_ms={wait}");
+            this.fetch(&path, deadline + WATCH_GRACE).await
+        })
+    }
+}
