Add stand-ins for the platform, engines and plain services

Cause: the path from a caller's request to a streamed answer needs the systems on both ends, and tests need them to fail on demand.

Ruled out: answers from a random generator (a stream that moves to another engine must go on with the same text, and a test must know the whole).

Change: `emulator` with a platform (objects, versions, long-poll watches, list of hosts, faults), engines (orders with fencing tokens checked or ignored, loading time, streams with resume and cancel) and plain services that remember each call they ran; alone or as a fleet in one process.

--- /dev/null
+++ b/crates/emulator/src/engine/service.rs
@@ -0,0 +1,227 @@
+//! HTTP interface of an engine.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use base::prelude::*;
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use net::web::{BodySender, WebReply, WebService, body_channel, json_reply, text_reply};
+use platform::GroupOrder;
+use platform::wire::{OrderWire, PhaseWire, ReportWire};
+
+use super::chat::{AnswerFrame, AnswerKind, PromptWire};
+use super::tokens::answer_tokens;
+use super::{EngineState, OrderVerdict};
+use crate::web::{read_json, unknown_path};
+
+/// Header with the group that the caller means.
+const GROUP_HEADER: &str = "x-bronzerun-group";
+/// Header with the generation of that group.
+const EPOCH_HEADER: &str = "x-bronzerun-epoch";
+/// Header with the tokens that the caller has already.
+const RESUME_HEADER: &str = "x-bronzerun-resume";
+/// Header that names a request in both directions.
+const REQUEST_HEADER: &str = "x-request-id";
+
+/// How an engine behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineOptions {
+    /// Whether it refuses orders with an old fencing token.
+    pub checks_fencing: bool,
+    /// Time to load a model.
+    pub load_time: Duration,
+    /// Time before the first token.
+    pub prefill_time: Duration,
+    /// Time between tokens.
+    pub token_time: Duration,
+}
+
+/// Stand-in for a model engine.
+#[derive(Clone)]
+pub struct EngineService {
+    state: Rc<RefCell<EngineState>>,
+    options: EngineOptions,
+    clock: Rc<dyn ClockSource>,
+}
+
+impl EngineService {
+    /// Engine that has just started.
+    pub fn new(state: EngineState, options: EngineOptions, clock: Rc<dyn ClockSource>) -> Self {
+        Self {
+            state: Rc::new(RefCell::new(state)),
+            options,
+            clock,
+        }
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> WebReply {
+        match request.uri().path() {
+            "/status" => self.report(),
+            "/orders" => self.take_order(request.into_body()).await,
+            "/v1/chat/completions" => self.generate(AnswerKind::Chat, request).await,
+            "/v1/completions" => self.generate(AnswerKind::Text, request).await,
+            _ => unknown_path(),
+        }
+    }
+
+    fn report(&self) -> WebReply {
+        let report = self.state.borrow().report(self.clock.now());
+        let wire = ReportWire {
+            host: report.host,
+            incarnation: report.incarnation,
+            assignment: report.assignment.map(Into::into),
+            phase: match report.phase {
+                groups::MemberPhase::Idle => PhaseWire::Idle,
+                groups::MemberPhase::Loading => PhaseWire::Loading,
+                groups::MemberPhase::Ready => PhaseWire::Ready,
+            },
+            running: report.load.running,
+            waiting: report.load.waiting,
+        };
+        json_reply(StatusCode::OK, &wire)
+    }
+
+    async fn take_order(&self, body: Incoming) -> WebReply {
+        let wire: OrderWire = match read_json(body).await {
+            Ok(wire) => wire,
+            Err(reply) => return reply,
+        };
+        let order = GroupOrder {
+            assignment: wire.assignment.map(Into::into),
+            model: wire.model,
+            members: wire.members,
+            token: wire.token,
+        };
+        let loaded_at = self.clock.now() + self.options.load_time;
+        match self.state.borrow_mut().take_order(order, loaded_at) {
+            OrderVerdict::Taken => self.report(),
+            OrderVerdict::Fenced => text_reply(StatusCode::CONFLICT, "the fencing token is old"),
+        }
+    }
+
+    async fn generate(&self, kind: AnswerKind, request: Request<Incoming>) -> WebReply {
+        let (parts, body) = request.into_parts();
+        if !self.is_meant(&parts.headers) {
+            return text_reply(StatusCode::MISDIRECTED_REQUEST, "not in that group");
+        }
+        let prompt: PromptWire = match read_json(body).await {
+            Ok(prompt) => prompt,
+            Err(reply) => return reply,
+        };
+        let id = header_text(&parts.headers, REQUEST_HEADER).to_owned();
+        let frame = AnswerFrame {
+            id: format!("cmpl-{id}"),
+            model: prompt.model.clone(),
+            created: unix_seconds(),
+            kind,
+        };
+        let mut reply = if prompt.stream {
+            self.stream(frame, prompt, resume_point(&parts.headers))
+        } else {
+            self.whole(frame, prompt).await
+        };
+        if let Ok(id) = HeaderValue::from_str(&id) {
+            reply.headers_mut().insert(REQUEST_HEADER, id);
+        }
+        reply
+    }
+
+    fn is_meant(&self, headers: &HeaderMap) -> bool {
+        let group = header_text(headers, GROUP_HEADER);
+        let epoch = header_text(headers, EPOCH_HEADER);
+        group.is_empty()
+            || self
+                .state
+                .borrow()
+                .is_member(group, epoch, self.clock.now())
+    }
+
+    async fn whole(&self, frame: AnswerFrame, prompt: PromptWire) -> WebReply {
+        let _stream = RunningStream::new(self.state.clone());
+        let count = prompt.token_count();
+        let steps = u32::try_from(count).unwrap_or(u32::MAX);
+        monoio::time::sleep(self.options.prefill_time + self.options.token_time * steps).await;
+        let text: String = answer_tokens(&prompt.text(), count).collect();
+        json_reply(StatusCode::OK, &frame.whole(&text, count))
+    }
+
+    fn stream(&self, frame: AnswerFrame, prompt: PromptWire, skip: usize) -> WebReply {
+        let (sender, body) = body_channel();
+        let stream = RunningStream::new(self.state.clone());
+        let options = self.options;
+        monoio::spawn(async move {
+            send_tokens(sender, frame, prompt, skip, options).await;
+            drop(stream);
+        });
+        let mut reply = Response::new(body);
+        reply
+            .headers_mut()
+            .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        reply
+    }
+}
+
+/// Sends tokens at the engine's pace; stops when the reader is gone.
+async fn send_tokens(
+    mut sender: BodySender,
+    frame: AnswerFrame,
+    prompt: PromptWire,
+    skip: usize,
+    options: EngineOptions,
+) {
+    monoio::time::sleep(options.prefill_time).await;
+    for token in answer_tokens(&prompt.text(), prompt.token_count()).skip(skip) {
+        let event = Bytes::from(frame.token_event(&token));
+        if sender.send(event).await.is_err() {
+            return;
+        }
+        monoio::time::sleep(options.token_time).await;
+    }
+    // The reader may have left during the last token.
+    let _ = sender.send(Bytes::from(frame.closing_events())).await;
+}
+
+/// Count of one running stream, given back when it ends.
+struct RunningStream(Rc<RefCell<EngineState>>);
+
+impl RunningStream {
+    fn new(state: Rc<RefCell<EngineState>>) -> Self {
+        state.borrow_mut().start_stream();
+        Self(state)
+    }
+}
+
+impl Drop for RunningStream {
+    fn drop(&mut self) {
+        self.0.borrow_mut().end_stream();
+    }
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("")
+}
+
+fn resume_point(headers: &HeaderMap) -> usize {
+    header_text(headers, RESUME_HEADER).parse().unwrap_or(0)
+}
+
+fn unix_seconds() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |span| span.as_secs())
+}
+
+impl WebService for EngineService {
+    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebReply> {
+        let this = self.clone();
+        Box::pin(async move { this.route(request).await })
+    }
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,1 +1,16 @@
-//! Stand-ins for the platform, engines and plain services, and a load tool.
+//! Stand-ins for the systems that bronzerun serves, and a load tool.
+//!
+//! [`platform`] keeps objects and the list of hosts, [`engine`] takes orders
+//! and streams tokens, [`plain`] answers calls and remembers each one it ran.
+//! Every stand-in can be told to fail, so that tests can cause what they are
+//! about.
+
+pub mod engine;
+mod fleet;
+pub mod plain;
+pub mod platform;
+mod web;
+
+pub use fleet::{
+    FleetError, FleetHost, FleetPlan, run_engine, run_plain, run_platform, start_fleet,
+};
--- /dev/null
+++ b/crates/emulator/src/platform/objects.rs
@@ -0,0 +1,82 @@
+//! Objects with versions, conditional updates and waiting watches.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use futures_channel::oneshot;
+use store::{ObjectChange, ObjectKey, StoredObject, UpdateOutcome, VALUE_LIMIT};
+
+/// Objects and those who wait for them to change.
+#[derive(Debug, Default)]
+pub struct ObjectTable {
+    objects: BTreeMap<ObjectKey, StoredObject>,
+    watches: BTreeMap<ObjectKey, Vec<oneshot::Sender<()>>>,
+    last_version: ObjectVersion,
+}
+
+impl ObjectTable {
+    /// One object.
+    pub fn get(&self, key: &ObjectKey) -> Option<&StoredObject> {
+        self.objects.get(key)
+    }
+
+    /// Objects whose keys begin with a prefix.
+    pub fn list(&self, prefix: &str) -> Vec<StoredObject> {
+        self.objects
+            .values()
+            .filter(|object| object.key.as_str().starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
+    /// Applies a conditional update.
+    pub fn update(&mut self, change: ObjectChange) -> UpdateOutcome {
+        if change.value.len() > VALUE_LIMIT {
+            return UpdateOutcome::TooLarge;
+        }
+        if self.version_of(&change.key) != change.expected {
+            return UpdateOutcome::Conflict;
+        }
+        self.last_version = self.last_version.next();
+        let object = StoredObject {
+            key: change.key.clone(),
+            version: self.last_version,
+            value: change.value,
+        };
+        self.objects.insert(change.key.clone(), object);
+        self.wake(&change.key);
+        UpdateOutcome::Applied(self.last_version)
+    }
+
+    /// Removes an object if its version is the expected one.
+    pub fn remove(&mut self, key: &ObjectKey, expected: ObjectVersion) -> bool {
+        let matches = self.objects.contains_key(key) && self.version_of(key) == expected;
+        if matches {
+            self.objects.remove(key);
+            self.wake(key);
+        }
+        matches
+    }
+
+    /// Receiver that ends at the object's next change.
+    pub fn watch(&mut self, key: &ObjectKey) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        let watches = self.watches.entry(key.clone()).or_default();
+        watches.retain(|watch| !watch.is_canceled());
+        watches.push(sender);
+        receiver
+    }
+
+    /// Version of an object; zero if there is none.
+    pub fn version_of(&self, key: &ObjectKey) -> ObjectVersion {
+        self.get(key)
+            .map_or(ObjectVersion(0), |object| object.version)
+    }
+
+    fn wake(&mut self, key: &ObjectKey) {
+        for watch in self.watches.remove(key).unwrap_or_default() {
+            // A watcher that has left needs no telling.
+            let _ = watch.send(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/platform/service.rs
@@ -0,0 +1,225 @@
+//! HTTP interface of the platform.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use base::prelude::*;
+use futures_util::future::LocalBoxFuture;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use net::web::{WebReply, WebService, body_channel, empty_body, json_reply, text_reply};
+use platform::wire::{ChangeWire, HostWire, HostsWire, ObjectWire, ObjectsWire, VersionWire};
+use store::{ObjectChange, ObjectKey, UpdateOutcome};
+
+use super::{ObjectTable, PlatformFaults};
+use crate::web::{query_number, query_value, read_json, unknown_path};
+
+const OBJECT_PATH: &str = "/v1/objects/";
+const HOST_PATH: &str = "/emulator/hosts/";
+
+/// Stand-in for the platform.
+#[derive(Clone, Default)]
+pub struct PlatformService(Rc<PlatformState>);
+
+#[derive(Default)]
+struct PlatformState {
+    objects: RefCell<ObjectTable>,
+    hosts: RefCell<BTreeMap<HostName, HostWire>>,
+    frozen: RefCell<Option<HostsWire>>,
+    faults: Cell<PlatformFaults>,
+    calls: Cell<u64>,
+}
+
+impl PlatformService {
+    /// Puts a host on the list, or changes it.
+    pub fn list_host(&self, host: HostWire) {
+        self.0.hosts.borrow_mut().insert(host.host.clone(), host);
+    }
+
+    /// Writes an object whatever its version.
+    pub fn put_object(&self, key: &ObjectKey, value: &str) {
+        let mut objects = self.0.objects.borrow_mut();
+        let expected = objects.version_of(key);
+        objects.update(ObjectChange {
+            key: key.clone(),
+            expected,
+            value: Arc::from(value),
+        });
+    }
+
+    fn list_hosts(&self) -> HostsWire {
+        if let Some(frozen) = self.0.frozen.borrow().as_ref() {
+            return frozen.clone();
+        }
+        HostsWire {
+            hosts: self.0.hosts.borrow().values().cloned().collect(),
+        }
+    }
+
+    fn set_faults(&self, faults: PlatformFaults) {
+        let frozen = faults.freeze_hosts.then(|| self.list_hosts());
+        self.0.frozen.replace(frozen);
+        self.0.faults.set(faults);
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> WebReply {
+        let path = request.uri().path().to_owned();
+        if path.starts_with("/emulator/") {
+            return self.control(&path, request).await;
+        }
+        self.0.calls.set(self.0.calls.get() + 1);
+        let faults = self.0.faults.get();
+        if faults.down {
+            return cut_reply().await;
+        }
+        monoio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        match (request.method().clone(), path.as_str()) {
+            (Method::GET, "/v1/hosts") => json_reply(StatusCode::OK, &self.list_hosts()),
+            (Method::GET, "/v1/objects") => self.list_objects(&request),
+            (method, path) => match path.strip_prefix(OBJECT_PATH) {
+                Some(key) => self.object(method, ObjectKey::new(key), request).await,
+                None => unknown_path(),
+            },
+        }
+    }
+
+    async fn control(&self, path: &str, request: Request<Incoming>) -> WebReply {
+        if path == "/emulator/calls" {
+            return text_reply(StatusCode::OK, &self.0.calls.get().to_string());
+        }
+        if path == "/emulator/faults" {
+            return match read_json(request.into_body()).await {
+                Ok(faults) => {
+                    self.set_faults(faults);
+                    no_content()
+                }
+                Err(reply) => reply,
+            };
+        }
+        let Some(host) = path.strip_prefix(HOST_PATH) else {
+            return unknown_path();
+        };
+        self.control_host(host.to_owned(), request).await
+    }
+
+    async fn control_host(&self, host: String, request: Request<Incoming>) -> WebReply {
+        let Ok(host) = HostName::new(&host) else {
+            return unknown_path();
+        };
+        if request.method() == Method::DELETE {
+            self.0.hosts.borrow_mut().remove(&host);
+            return no_content();
+        }
+        match read_json(request.into_body()).await {
+            Ok(entry) => {
+                self.list_host(entry);
+                no_content()
+            }
+            Err(reply) => reply,
+        }
+    }
+
+    fn list_objects(&self, request: &Request<Incoming>) -> WebReply {
+        let prefix = query_value(request, "prefix").unwrap_or("");
+        let objects = self.0.objects.borrow().list(prefix);
+        let objects = objects.into_iter().map(ObjectWire::from).collect();
+        json_reply(StatusCode::OK, &ObjectsWire { objects })
+    }
+
+    async fn object(&self, method: Method, key: ObjectKey, request: Request<Incoming>) -> WebReply {
+        match method {
+            Method::GET => self.get_object(&key, &request).await,
+            Method::PUT => self.put(key, request).await,
+            Method::DELETE => self.delete(&key, &request),
+            _ => text_reply(StatusCode::METHOD_NOT_ALLOWED, "use GET, PUT or DELETE"),
+        }
+    }
+
+    async fn get_object(&self, key: &ObjectKey, request: &Request<Incoming>) -> WebReply {
+        let after = query_number(request, "after").map(ObjectVersion);
+        let wait = Duration::from_millis(query_number(request, "wait_ms").unwrap_or(0));
+        if let Some(after) = after {
+            self.wait_for_change(key, after, wait).await;
+        }
+        match self.0.objects.borrow().get(key) {
+            Some(object) => json_reply(StatusCode::OK, &ObjectWire::from(object.clone())),
+            None => text_reply(StatusCode::NOT_FOUND, "no such object"),
+        }
+    }
+
+    async fn wait_for_change(&self, key: &ObjectKey, after: ObjectVersion, wait: Duration) {
+        let watch = {
+            let mut objects = self.0.objects.borrow_mut();
+            if objects.version_of(key) != after {
+                return;
+            }
+            objects.watch(key)
+        };
+        // Time out or change, the object is sent as it then stands.
+        let _ = monoio::time::timeout(wait, watch).await;
+    }
+
+    async fn put(&self, key: ObjectKey, request: Request<Incoming>) -> WebReply {
+        let change: ChangeWire = match read_json(request.into_body()).await {
+            Ok(change) => change,
+            Err(reply) => return reply,
+        };
+        if self.take_fault(|faults| &mut faults.lose_requests) {
+            return cut_reply().await;
+        }
+        let outcome = self.0.objects.borrow_mut().update(ObjectChange {
+            key,
+            expected: change.expected,
+            value: Arc::from(change.value),
+        });
+        if self.take_fault(|faults| &mut faults.lose_replies) {
+            return cut_reply().await;
+        }
+        match outcome {
+            UpdateOutcome::Applied(version) => json_reply(StatusCode::OK, &VersionWire { version }),
+            UpdateOutcome::TooLarge => {
+                text_reply(StatusCode::PAYLOAD_TOO_LARGE, "the value is too large")
+            }
+            _ => text_reply(StatusCode::CONFLICT, "the object has another version"),
+        }
+    }
+
+    fn delete(&self, key: &ObjectKey, request: &Request<Incoming>) -> WebReply {
+        let expected = ObjectVersion(query_number(request, "expected").unwrap_or(0));
+        if self.0.objects.borrow_mut().remove(key, expected) {
+            no_content()
+        } else {
+            text_reply(StatusCode::CONFLICT, "the object has another version")
+        }
+    }
+
+    fn take_fault(&self, field: impl Fn(&mut PlatformFaults) -> &mut u32) -> bool {
+        let mut faults = self.0.faults.get();
+        let left = field(&mut faults);
+        let strikes = *left > 0;
+        *left = left.saturating_sub(1);
+        self.0.faults.set(faults);
+        strikes
+    }
+}
+
+fn no_content() -> WebReply {
+    let mut reply = Response::new(empty_body());
+    *reply.status_mut() = StatusCode::NO_CONTENT;
+    reply
+}
+
+/// Answer whose body breaks, so that the connection closes before its end.
+async fn cut_reply() -> WebReply {
+    let (sender, body) = body_channel();
+    sender.abort().await;
+    Response::new(body)
+}
+
+impl WebService for PlatformService {
+    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebReply> {
+        let this = self.clone();
+        Box::pin(async move { this.route(request).await })
+    }
+}
