Give every fault in a section its line and column

The parser's message named a place only for syntax; a bad digest or a service of no kind came without one. Names, references and numbers are now read with their places (Spanned), and all faults of a section are told at once.

Interfaces: parse_section ends in SectionFault (place and DocumentError) instead of DocumentError. DeploymentSpec gains queue_limit and accelerators_per_host, ServiceSpec gains timeout. base gains TeamName and SectionRevision.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -15,6 +15,8 @@
 pub use event::{EffectCarrier, EventHandler};
 pub use name::{
     CallerName, DeploymentName, DomainName, FabricName, GroupName, HostName, ModelName, NameError,
-    NodeName, RequestKey, SectionName, ServiceName, WorkspaceName,
+    NodeName, RequestKey, SectionName, ServiceName, TeamName, WorkspaceName,
+};
+pub use number::{
+    CallId, FencingToken, GroupEpoch, HostIncarnation, ObjectVersion, SectionRevision, WriteNonce,
 };
-pub use number::{CallId, FencingToken, GroupEpoch, HostIncarnation, ObjectVersion, WriteNonce};
--- a/crates/base/src/name.rs
+++ b/crates/base/src/name.rs
@@ -126,6 +126,8 @@
     CallerName;
     /// Section of the shared configuration document.
     SectionName;
+    /// Team that owns a section.
+    TeamName;
     /// Idempotency key that a caller gives a request.
     RequestKey;
 }
--- a/crates/base/src/number.rs
+++ b/crates/base/src/number.rs
@@ -39,6 +39,8 @@
     HostIncarnation;
     /// Call under way in one process.
     CallId;
+    /// Edits of one section so far; zero where it does not exist.
+    SectionRevision;
     /// Random mark of one conditional update, to recognise it when read back.
     WriteNonce;
 }
--- a/crates/base/src/prelude.rs
+++ b/crates/base/src/prelude.rs
@@ -3,8 +3,8 @@
 pub use crate::{
     CallId, CallerName, ClockSource, ClockTime, DeploymentName, DomainName, EffectCarrier,
     EventHandler, FabricName, FencingToken, GroupEpoch, GroupName, HostIncarnation, HostName,
-    ModelName, NameError, NodeName, ObjectVersion, RequestKey, SectionName, ServiceName,
-    WorkspaceName, WriteNonce,
+    ModelName, NameError, NodeName, ObjectVersion, RequestKey, SectionName, SectionRevision,
+    ServiceName, TeamName, WorkspaceName, WriteNonce,
 };
 pub use std::sync::Arc;
 pub use std::time::Duration;
--- a/crates/document/src/model.rs
+++ b/crates/document/src/model.rs
@@ -1,27 +1,10 @@
 //! The configuration that the sections of a document add up to.
 
 use std::collections::BTreeMap;
-use std::fmt;
 
 use base::prelude::*;
-use sha2::{Digest, Sha256};
 
-/// SHA-256 of an API key; the key itself is never kept.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct KeyDigest(pub [u8; 32]);
-
-impl KeyDigest {
-    /// Digest of an API key.
-    pub fn of_key(key: &str) -> Self {
-        Self(Sha256::digest(key.as_bytes()).into())
-    }
-}
-
-impl fmt::Debug for KeyDigest {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("KeyDigest(..)")
-    }
-}
+use crate::KeyDigest;
 
 /// Everything that operators have asked for.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -49,6 +32,10 @@
     pub checks_fencing: bool,
     /// Streams that one group runs at once.
     pub stream_limit: usize,
+    /// Requests that may wait for the deployment on one node.
+    pub queue_limit: usize,
+    /// Accelerators on each of its hosts.
+    pub accelerators_per_host: usize,
 }
 
 /// Service that callers address.
@@ -56,6 +43,8 @@
 pub struct ServiceSpec {
     /// What answers its calls.
     pub kind: ServiceKind,
+    /// Time a call may take where its caller sets no deadline.
+    pub timeout: Duration,
 }
 
 /// What answers the calls of a service.
@@ -106,25 +95,3 @@
     /// Digest of its key.
     pub digest: KeyDigest,
 }
-
-impl Configuration {
-    /// Workspace and caller that a key belongs to.
-    pub fn find_caller(&self, digest: KeyDigest) -> Option<(&WorkspaceName, &CallerName)> {
-        self.workspaces.iter().find_map(|(workspace, spec)| {
-            let entry = spec.callers.iter().find(|entry| entry.digest == digest)?;
-            Some((workspace, &entry.caller))
-        })
-    }
-
-    /// Whether a call to a plain service may not be repeated.
-    pub fn is_non_idempotent(&self, service: &ServiceName, method: &str, path: &str) -> bool {
-        let Some(ServiceKind::Plain(plain)) = self.services.get(service).map(|spec| &spec.kind)
-        else {
-            return false;
-        };
-        plain
-            .non_idempotent
-            .iter()
-            .any(|call| call.method.as_ref() == method && path.starts_with(call.path.as_ref()))
-    }
-}
--- a/crates/document/src/parse.rs
+++ b/crates/document/src/parse.rs
@@ -1,13 +1,47 @@
-//! From the text of a section to a configuration.
+//! From the text of a section to its parsed form.
 
+use base::prelude::*;
+
+use crate::convert::SectionReader;
 use crate::wire::SectionWire;
-use crate::{Configuration, DocumentError};
-
-/// Parses the YAML text of one section.
-pub fn parse_section(text: &str) -> Result<Configuration, DocumentError> {
-    let wire: SectionWire =
-        serde_saphyr::from_str(text).map_err(|fault| DocumentError::Syntax {
-            message: fault.to_string(),
-        })?;
-    wire.try_into()
+use crate::{Configuration, DocumentError, ParsedSection, SectionDigest, SectionFault, TextPlace};
+
+/// Parses the YAML text of one section; the first fault is the error.
+pub fn parse_section(text: &str) -> Result<Configuration, SectionFault> {
+    match read_section(&Arc::from(text)) {
+        Ok(parsed) => Ok(parsed.configuration),
+        Err(mut faults) => Err(faults.swap_remove(0)),
+    }
+}
+
+/// Parses a section and checks it on its own; there is at least one fault in an error.
+pub fn read_section(text: &Arc<str>) -> Result<ParsedSection, Vec<SectionFault>> {
+    let wire = read_yaml(text).map_err(|fault| vec![fault])?;
+    let mut reader = SectionReader::default();
+    reader.read(wire);
+    if !reader.faults.is_empty() {
+        reader.faults.sort_by_key(|fault| fault.place);
+        return Err(reader.faults);
+    }
+    Ok(ParsedSection {
+        digest: SectionDigest::of_text(text),
+        text: Arc::clone(text),
+        configuration: reader.configuration,
+        outline: reader.outline,
+    })
+}
+
+fn read_yaml(text: &str) -> Result<SectionWire, SectionFault> {
+    match serde_saphyr::from_str::<Option<SectionWire>>(text) {
+        Ok(wire) => Ok(wire.unwrap_or_default()),
+        Err(error) => Err(syntax_fault(&error)),
+    }
+}
+
+fn syntax_fault(error: &serde_saphyr::Error) -> SectionFault {
+    let place = error.location().map_or(TextPlace::START, TextPlace::from);
+    let message = error.without_snippet().to_string();
+    let suffix = format!(" at {place}");
+    let message = message.strip_suffix(&suffix).unwrap_or(&message).to_owned();
+    SectionFault::new(place, DocumentError::Syntax { message })
 }
