Admit, queue and refuse calls in fair shares

The gateway needs one decision for every call before it touches an endpoint: run now, wait, or an honest refusal. Slots by service, bounded queues by workspace and priority that hold deadlines, start-time fair queueing between workspaces, early refusal by estimated wait, retry budget and decorrelated backoff.

Ruled out: one FIFO queue a service (one workspace's backlog delays all), and fixed queue lengths without deadlines (calls start that nobody waits for).

Not yet measured: the settings' defaults.

--- /dev/null
+++ b/crates/limits/src/commands/cancel.rs
@@ -0,0 +1,16 @@
+//! A caller that gave up.
+
+use base::prelude::*;
+
+use super::expire::expire;
+use super::refuse::take_queued;
+use super::release::free_slot;
+use crate::{AdmissionState, QueueChange};
+
+/// Forgets a call, waiting or running, whose caller is gone.
+pub fn cancel(state: &mut AdmissionState, call: CallId, now: ClockTime) -> QueueChange {
+    if take_queued(state, call).is_none() {
+        free_slot(state, call);
+    }
+    expire(state, now)
+}
--- /dev/null
+++ b/crates/limits/src/commands/expire.rs
@@ -0,0 +1,20 @@
+//! Deadlines of waiting calls.
+
+use base::prelude::*;
+
+use super::refuse::drop_queued;
+use super::start::start_queued;
+use crate::{AdmissionState, QueueChange, RefusalReason};
+
+/// Refuses waiting calls whose deadline has passed and starts those that may.
+pub fn expire(state: &mut AdmissionState, now: ClockTime) -> QueueChange {
+    let mut refused = Vec::new();
+    while let Some(&(deadline, call)) = state.deadlines.first() {
+        if deadline >= now {
+            break;
+        }
+        refused.extend(drop_queued(state, call, RefusalReason::Deadline, now));
+    }
+    let admitted = start_queued(state, now);
+    QueueChange { admitted, refused }
+}
--- /dev/null
+++ b/crates/limits/src/commands/start.rs
@@ -0,0 +1,76 @@
+//! Starts of calls in fair order.
+
+use base::prelude::*;
+
+use super::refuse::take_queued;
+use crate::state::{CallPhase, CallRecord, ServiceQueue};
+use crate::{AdmissionState, CallTicket};
+
+/// Whether a workspace may take one more slot of a service.
+pub(super) fn can_start(
+    state: &AdmissionState,
+    service: &ServiceName,
+    workspace: &WorkspaceName,
+) -> bool {
+    let Some(limit) = state.workspaces.get(workspace) else {
+        return false;
+    };
+    let queue = &state.services[service];
+    let free = queue.slots.saturating_sub(queue.running);
+    if free == 0 || state.running(workspace) >= limit.call_limit {
+        return false;
+    }
+    let running = queue.workspaces.get(workspace).map_or(0, |own| own.running);
+    let share = f64::from(limit.share) / f64::from(state.total_share());
+    let within = (running as f64) < queue.slots as f64 * share;
+    let reserve = (queue.slots as f64 * state.settings.reserve_share) as usize;
+    within || free > reserve
+}
+
+/// Starts a call that isn't waiting.
+pub(super) fn start(state: &mut AdmissionState, ticket: CallTicket, now: ClockTime) {
+    let weight = f64::from(state.weight(&ticket.workspace));
+    let service = state.services.get_mut(&ticket.service);
+    let service = service.expect("the service has a free slot");
+    service.running += 1;
+    let queue = service
+        .workspaces
+        .entry(ticket.workspace.clone())
+        .or_default();
+    queue.running += 1;
+    let start_tag = queue.finish_tag.max(service.virtual_time);
+    queue.finish_tag = start_tag + f64::from(ticket.cost.max(1)) / weight;
+    service.virtual_time = start_tag;
+    let phase = CallPhase::Running { started: now };
+    state
+        .calls
+        .insert(ticket.call, CallRecord { ticket, phase });
+}
+
+/// Starts waiting calls while slots are free; returns them in order.
+pub(super) fn start_queued(state: &mut AdmissionState, now: ClockTime) -> Vec<CallId> {
+    let services: Vec<ServiceName> = state.services.keys().cloned().collect();
+    let mut started = Vec::new();
+    for service in services {
+        while let Some(call) = find_next(state, &service) {
+            let ticket = take_queued(state, call).expect("the call waits");
+            start(state, ticket, now);
+            started.push(call);
+        }
+    }
+    started
+}
+
+/// Waiting call of the workspace with the smallest tag.
+fn find_next(state: &AdmissionState, service: &ServiceName) -> Option<CallId> {
+    let queue: &ServiceQueue = &state.services[service];
+    if queue.running >= queue.slots {
+        return None;
+    }
+    let ready = queue.workspaces.iter().filter_map(|(workspace, own)| {
+        let call = own.front()?;
+        can_start(state, service, workspace).then_some((own.finish_tag, call))
+    });
+    let first = ready.min_by(|left, right| left.0.total_cmp(&right.0));
+    first.map(|(_, call)| call)
+}
--- /dev/null
+++ b/crates/limits/src/queries/mod.rs
@@ -0,0 +1,9 @@
+//! Readings of admission state.
+
+mod deadline;
+mod depth;
+mod wait;
+
+pub use deadline::next_deadline;
+pub use depth::{QueueDepth, count_running, queue_bound, queue_depths};
+pub use wait::estimate_wait;
--- /dev/null
+++ b/crates/limits/src/settings.rs
@@ -0,0 +1,78 @@
+//! Settings of admission and retries.
+
+use base::prelude::*;
+
+/// Settings of admission.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitSettings {
+    /// Calls that may wait for one service, split between workspaces by share.
+    pub queue_limit: usize,
+    /// Share of the slots kept for workspaces that use less than their share.
+    pub reserve_share: f64,
+    /// Assumed length of a call before any has ended.
+    pub initial_hold: Duration,
+    /// Weight of the newest call in the mean length of calls.
+    pub hold_weight: f64,
+    /// Shortest time after which a refused caller may return.
+    pub retry_min: Duration,
+    /// Longest time after which a refused caller may return.
+    pub retry_max: Duration,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            queue_limit: 1_024,
+            reserve_share: 0.05,
+            initial_hold: Duration::from_secs(2),
+            hold_weight: 0.05,
+            retry_min: Duration::from_secs(1),
+            retry_max: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Settings of a retry budget.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BudgetSettings {
+    /// Retries for each request of the window.
+    pub retry_share: f64,
+    /// Retries that a window allows however few its requests.
+    pub retry_floor: u32,
+    /// Length of one of the window's buckets.
+    pub bucket_span: Duration,
+    /// Buckets in the window.
+    pub bucket_count: usize,
+}
+
+impl Default for BudgetSettings {
+    fn default() -> Self {
+        Self {
+            retry_share: 0.1,
+            retry_floor: 3,
+            bucket_span: Duration::from_secs(1),
+            bucket_count: 10,
+        }
+    }
+}
+
+/// Settings of the delays between retries.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BackoffSettings {
+    /// Shortest delay.
+    pub delay_min: Duration,
+    /// Longest delay.
+    pub delay_max: Duration,
+    /// Growth of the longest next delay.
+    pub growth: u32,
+}
+
+impl Default for BackoffSettings {
+    fn default() -> Self {
+        Self {
+            delay_min: Duration::from_millis(50),
+            delay_max: Duration::from_secs(5),
+            growth: 3,
+        }
+    }
+}
--- /dev/null
+++ b/crates/limits/tests/admission.rs
@@ -0,0 +1,142 @@
+//! Fault cases of admission, one by one.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use limits::commands::{cancel, expire, offer, release, set_capacity, set_shares};
+use limits::queries::{next_deadline, queue_depths};
+use limits::{AdmissionOutcome, CallPriority, CallTicket, LimitSettings, RefusalReason};
+use support::{at, service, share_of, state, ticket, workspace};
+
+fn reason(outcome: &AdmissionOutcome) -> Option<RefusalReason> {
+    match outcome {
+        AdmissionOutcome::Refused(refusal) => Some(refusal.reason),
+        _ => None,
+    }
+}
+
+fn small_queue(queue_limit: usize) -> LimitSettings {
+    LimitSettings {
+        queue_limit,
+        initial_hold: Duration::from_millis(100),
+        ..LimitSettings::default()
+    }
+}
+
+#[test]
+fn obstacles_refuse_at_once() {
+    let cases = [
+        (
+            "unknown workspace",
+            1,
+            ticket(1, "nobody", 1_000),
+            RefusalReason::UnknownWorkspace,
+        ),
+        (
+            "no slots",
+            0,
+            ticket(1, "a", 1_000),
+            RefusalReason::NoCapacity,
+        ),
+        (
+            "late on arrival",
+            1,
+            ticket(1, "a", 9),
+            RefusalReason::Deadline,
+        ),
+    ];
+    for (name, slots, ticket, wanted) in cases {
+        let mut state = state(slots, &[("a", 1)], LimitSettings::default());
+        let outcome = offer(&mut state, ticket, at(10));
+        assert_eq!(reason(&outcome), Some(wanted), "{name}");
+    }
+}
+
+#[test]
+fn a_wait_past_the_deadline_is_refused_early() {
+    let mut state = state(1, &[("a", 1)], small_queue(100));
+    offer(&mut state, ticket(1, "a", 1_000), at(0));
+    let outcome = offer(&mut state, ticket(2, "a", 50), at(0));
+    assert_eq!(reason(&outcome), Some(RefusalReason::Deadline));
+    let AdmissionOutcome::Refused(refusal) = outcome else {
+        panic!("refused above");
+    };
+    assert!(refusal.retry_at >= at(1_000));
+}
+
+#[test]
+fn a_full_queue_gives_way_to_a_higher_priority_only() {
+    let mut state = state(1, &[("a", 1)], small_queue(2));
+    for call in 1..=3 {
+        offer(&mut state, ticket(call, "a", 10_000), at(0));
+    }
+    let same = offer(&mut state, ticket(4, "a", 10_000), at(0));
+    assert_eq!(reason(&same), Some(RefusalReason::QueueFull));
+    let high = CallTicket {
+        priority: CallPriority::High,
+        ..ticket(5, "a", 10_000)
+    };
+    let AdmissionOutcome::Queued { displaced } = offer(&mut state, high, at(0)) else {
+        panic!("a higher priority finds a place");
+    };
+    assert_eq!(displaced.map(|refusal| refusal.call), Some(CallId(3)));
+    assert_eq!(release(&mut state, CallId(1), at(1)).admitted, [CallId(5)]);
+}
+
+#[test]
+fn a_waiting_call_expires_after_its_deadline() {
+    let mut state = state(1, &[("a", 1)], small_queue(10));
+    offer(&mut state, ticket(1, "a", 10_000), at(0));
+    offer(&mut state, ticket(2, "a", 200), at(0));
+    let due = next_deadline(&state).expect("a call waits");
+    assert!(due > at(200));
+    assert!(expire(&mut state, at(200)).refused.is_empty());
+    let change = expire(&mut state, due);
+    assert_eq!(change.refused[0].call, CallId(2));
+    assert!(release(&mut state, CallId(1), due).admitted.is_empty());
+}
+
+#[test]
+fn a_cancelled_call_frees_its_place() {
+    let mut state = state(1, &[("a", 1)], small_queue(10));
+    for call in 1..=3 {
+        offer(&mut state, ticket(call, "a", 10_000), at(0));
+    }
+    assert!(cancel(&mut state, CallId(2), at(1)).admitted.is_empty());
+    assert_eq!(cancel(&mut state, CallId(1), at(2)).admitted, [CallId(3)]);
+}
+
+#[test]
+fn a_removed_workspace_loses_its_waiting_calls() {
+    let mut state = state(1, &[("a", 1), ("b", 1)], small_queue(10));
+    offer(&mut state, ticket(1, "a", 10_000), at(0));
+    offer(&mut state, ticket(2, "b", 10_000), at(0));
+    let shares = BTreeMap::from([(workspace("a"), share_of(1, 10))]);
+    let change = set_shares(&mut state, shares, at(1));
+    assert_eq!(change.refused[0].reason, RefusalReason::UnknownWorkspace);
+}
+
+#[test]
+fn more_capacity_starts_waiting_calls() {
+    let mut state = state(1, &[("a", 1)], small_queue(10));
+    for call in 1..=3 {
+        offer(&mut state, ticket(call, "a", 10_000), at(0));
+    }
+    let change = set_capacity(&mut state, &service(), 3, at(1));
+    assert_eq!(change.admitted, [CallId(2), CallId(3)]);
+}
+
+#[test]
+fn a_workspace_stays_within_its_call_limit() {
+    let mut state = state(10, &[], small_queue(10));
+    let shares = BTreeMap::from([(workspace("a"), share_of(1, 2))]);
+    set_shares(&mut state, shares, at(0));
+    for call in 1..=3 {
+        offer(&mut state, ticket(call, "a", 10_000), at(0));
+    }
+    let depths = queue_depths(&state);
+    assert_eq!((depths[0].running, depths[0].waiting), (2, 1));
+    assert_eq!(release(&mut state, CallId(1), at(1)).admitted, [CallId(3)]);
+}
