Choose targets by prefix, own calls and faded reports

A call weighs a few candidates only: two drawn at random, those its prompt's prefix hashes to by rendezvous hashing, and the best known to hold the prefix. Reports fade towards the average of all targets, so that a silent target looks neither idle nor full. A gap in cache events makes a picture unknown: blocks stored since count, all others may be there.

Ruled out: the best of all targets for every call, since nodes that hear the same late reports would all take the same one. Not yet measured.

--- /dev/null
+++ b/crates/routing/src/queries/choose.rs
@@ -0,0 +1,114 @@
+//! Choice of a target for one call.
+
+use base::prelude::*;
+use twox_hash::XxHash64;
+
+use super::score::{LoadAverage, count_missing, score_target};
+use crate::state::TargetState;
+use crate::{BlockHash, RoutingState, TargetId};
+
+/// Call that looks for a target.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteQuery<'a> {
+    /// Call it is about; decides the random candidates.
+    pub call: CallId,
+    /// Hashes of the prompt's blocks.
+    pub prefix: &'a [BlockHash],
+    /// Targets that must not be chosen, such as those that failed this call.
+    pub excluded: &'a [TargetId],
+}
+
+/// Target chosen for a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteChoice {
+    /// Target to send it to.
+    pub target: TargetId,
+    /// Leading blocks of the prompt that are known to be cached there.
+    pub cached_blocks: usize,
+}
+
+/// Best of a few candidates; none if no target may take the call.
+pub fn choose(state: &RoutingState, now: ClockTime, query: &RouteQuery) -> Option<RouteChoice> {
+    let open = list_open(state, query);
+    let average = LoadAverage::of(state, now);
+    let affine = pick_affine(state, query, &open);
+    let candidates = pick_candidates(state, query, &open, &affine);
+    let scored = candidates.into_iter().map(|index| {
+        let target = open[index];
+        let blocks = count_missing(state, target, query.prefix, affine.contains(&index));
+        (score_target(state, target, blocks, &average, now), target)
+    });
+    let best = scored.min_by(|left, right| left.0.total_cmp(&right.0));
+    best.map(|(_, target)| RouteChoice {
+        target: target.spec.target.clone(),
+        cached_blocks: target.cache.count_known(query.prefix),
+    })
+}
+
+/// Targets that may take the call.
+fn list_open<'a>(state: &'a RoutingState, query: &RouteQuery) -> Vec<&'a TargetState> {
+    let open = state.targets.values().filter(|target| {
+        target.own < target.spec.slots
+            && !state.is_leaving(&target.spec)
+            && !query.excluded.contains(&target.spec.target)
+    });
+    open.collect()
+}
+
+/// Different candidates; among equals the first one wins.
+fn pick_candidates(
+    state: &RoutingState,
+    query: &RouteQuery,
+    open: &[&TargetState],
+    affine: &[usize],
+) -> Vec<usize> {
+    let mut picked = affine.to_vec();
+    let others = pick_random(state, query, open.len()).into_iter();
+    for index in others.chain(pick_cached(query, open)) {
+        if !picked.contains(&index) {
+            picked.push(index);
+        }
+    }
+    picked
+}
+
+/// Different targets drawn by the call's number and the node's salt.
+fn pick_random(state: &RoutingState, query: &RouteQuery, count: usize) -> Vec<usize> {
+    let wanted = state.settings.random_choices.min(count);
+    let mut picked = Vec::with_capacity(wanted);
+    let mut draw = state.salt;
+    while picked.len() < wanted {
+        draw = XxHash64::oneshot(draw, &query.call.0.to_le_bytes());
+        let index = (draw % count as u64) as usize;
+        if !picked.contains(&index) {
+            picked.push(index);
+        }
+    }
+    picked
+}
+
+/// Targets that all nodes find alike for a prefix, by rendezvous hashing.
+fn pick_affine(state: &RoutingState, query: &RouteQuery, open: &[&TargetState]) -> Vec<usize> {
+    let depth = query.prefix.len().min(state.settings.affinity_blocks);
+    let Some(key) = query.prefix[..depth].last() else {
+        return Vec::new();
+    };
+    let ranked = open.iter().enumerate().map(|(index, target)| {
+        let name = target.spec.target.as_str();
+        (XxHash64::oneshot(key.0, name.as_bytes()), index)
+    });
+    let mut ranked: Vec<(u64, usize)> = ranked.collect();
+    ranked.sort_unstable();
+    ranked.truncate(state.settings.affinity_choices);
+    ranked.into_iter().map(|(_, index)| index).collect()
+}
+
+/// Target known to hold most of the prefix.
+fn pick_cached(query: &RouteQuery, open: &[&TargetState]) -> Option<usize> {
+    let known = open
+        .iter()
+        .enumerate()
+        .map(|(index, target)| (target.cache.count_known(query.prefix), index));
+    let best = known.max_by_key(|&(known, _)| known)?;
+    (best.0 > 0).then_some(best.1)
+}
--- /dev/null
+++ b/crates/routing/tests/choice.rs
@@ -0,0 +1,154 @@
+//! Fault cases of routing, one by one.
+
+use base::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use routing::commands::{begin, finish, mark_leaving, observe_cache, observe_load, set_targets};
+use routing::queries::{RouteQuery, choose, count_own};
+use routing::{
+    BlockHash, CacheChange, CacheEvent, LoadSample, RouteSettings, RoutingState, TargetId,
+    TargetSpec, hash_prefix,
+};
+
+fn target(name: &str) -> TargetId {
+    TargetId::Group(GroupName::new(name).expect("a good name"))
+}
+
+fn spec(name: &str, run: u64) -> TargetSpec {
+    TargetSpec {
+        target: target(name),
+        run,
+        slots: 8,
+    }
+}
+
+fn state(names: &[&str]) -> RoutingState {
+    let mut state = RoutingState::new(RouteSettings::default(), StdRng::seed_from_u64(1));
+    let specs = names.iter().map(|name| spec(name, 1)).collect();
+    set_targets(&mut state, specs, ClockTime(0));
+    state
+}
+
+fn choose_for(state: &RoutingState, call: u64, prefix: &[BlockHash]) -> Option<TargetId> {
+    let query = RouteQuery {
+        call: CallId(call),
+        prefix,
+        excluded: &[],
+    };
+    choose(state, ClockTime(0), &query).map(|choice| choice.target)
+}
+
+fn stored(sequence: u64, prefix: &[BlockHash]) -> CacheEvent {
+    CacheEvent {
+        sequence,
+        change: CacheChange::Stored(prefix.to_vec()),
+    }
+}
+
+#[test]
+fn no_target_gives_no_choice() {
+    assert_eq!(choose_for(&state(&[]), 1, &[]), None);
+}
+
+#[test]
+fn excluded_targets_are_passed_over() {
+    let state = state(&["g1", "g2"]);
+    for call in 0..50 {
+        let query = RouteQuery {
+            call: CallId(call),
+            prefix: &[],
+            excluded: &[target("g1")],
+        };
+        let choice = choose(&state, ClockTime(0), &query).expect("one is left");
+        assert_eq!(choice.target, target("g2"));
+    }
+}
+
+#[test]
+fn a_leaving_target_gets_nothing_until_it_restarts() {
+    let mut state = state(&["g1"]);
+    mark_leaving(&mut state, &target("g1"), ClockTime(0));
+    assert_eq!(choose_for(&state, 1, &[]), None);
+    set_targets(&mut state, vec![], ClockTime(1));
+    set_targets(&mut state, vec![spec("g1", 1)], ClockTime(2));
+    assert_eq!(
+        choose_for(&state, 2, &[]),
+        None,
+        "the lagging list names it"
+    );
+    set_targets(&mut state, vec![spec("g1", 2)], ClockTime(3));
+    assert_eq!(choose_for(&state, 3, &[]), Some(target("g1")));
+}
+
+#[test]
+fn reported_load_and_own_calls_repel() {
+    let mut state = state(&["g1", "g2"]);
+    let busy = LoadSample {
+        running: 8,
+        waiting: 4,
+    };
+    observe_load(&mut state, &target("g1"), busy, ClockTime(0));
+    observe_load(
+        &mut state,
+        &target("g2"),
+        LoadSample::default(),
+        ClockTime(0),
+    );
+    assert_eq!(choose_for(&state, 1, &[]), Some(target("g2")));
+    observe_load(
+        &mut state,
+        &target("g1"),
+        LoadSample::default(),
+        ClockTime(1),
+    );
+    begin(&mut state, CallId(7), &target("g2"));
+    assert_eq!(choose_for(&state, 1, &[]), Some(target("g1")));
+    finish(&mut state, CallId(7));
+    assert_eq!(count_own(&state, &target("g2")), 0);
+}
+
+#[test]
+fn a_cached_prefix_attracts_until_the_picture_has_a_gap() {
+    let prefix = hash_prefix(&[7; 4_096], 64);
+    let names = ["g1", "g2", "g3", "g4", "g5", "g6"];
+    for name in names {
+        let mut state = state(&names);
+        observe_cache(&mut state, &target(name), stored(1, &prefix));
+        let query = RouteQuery {
+            call: CallId(1),
+            prefix: &prefix,
+            excluded: &[],
+        };
+        let choice = choose(&state, ClockTime(0), &query).expect("targets are open");
+        assert_eq!(choice.target, target(name));
+        assert_eq!(choice.cached_blocks, prefix.len());
+        observe_cache(&mut state, &target(name), stored(3, &[]));
+        let choice = choose(&state, ClockTime(0), &query).expect("targets are open");
+        assert_eq!(choice.cached_blocks, 0, "event 2 may have removed it");
+    }
+}
+
+#[test]
+fn an_unknown_cache_is_not_an_empty_one() {
+    let prefix = hash_prefix(&[7; 4_096], 64);
+    let mut state = state(&["g1", "g2"]);
+    let cleared = CacheEvent {
+        sequence: 1,
+        change: CacheChange::Cleared,
+    };
+    observe_cache(&mut state, &target("g1"), cleared.clone());
+    assert_eq!(choose_for(&state, 1, &prefix), Some(target("g2")));
+    observe_cache(&mut state, &target("g2"), cleared);
+    observe_cache(&mut state, &target("g1"), stored(3, &[]));
+    assert_eq!(choose_for(&state, 1, &prefix), Some(target("g1")));
+}
+
+#[test]
+fn prompts_share_hashes_as_far_as_they_agree() {
+    let left = hash_prefix(b"aaaabbbbccccd", 4);
+    let right = hash_prefix(b"aaaaxxxxcccc", 4);
+    assert_eq!(left.len(), 3);
+    assert_eq!(left[0], right[0]);
+    assert_ne!(left[1], right[1]);
+    assert_ne!(left[2], right[2]);
+}
