Decide at-most-once calls by start marks in hashed shards

Cause: a deposit charge or embossing order must run at most once, whichever device, node or process run asks for it, and replies of the store may be lost.

Change: LedgerState takes calls (begin, finish, withdraw), outcomes of the store (conclude_read, conclude_write) and time (expire), and returns reads, conditional writes and verdicts as values. One update of a shard carries all marks and ends that waited. An update that ended unknown keeps its calls in doubt until a version newer than the one it expected is seen; a shard at the expected version settles nothing, the next write on it does.

Ruled out: reading the mark's absence as 'not applied' (a delayed update can still arrive); timing another's mark by a shard clock or wall clock (a writer whose clock lags would make its own fresh marks look old), so a process counts the run limit from when it first saw the mark running.

--- /dev/null
+++ b/crates/ledger/src/commands/begin.rs
@@ -0,0 +1,64 @@
+//! A call asks to be sent.
+
+use base::prelude::*;
+
+use crate::state::{CallPhase, CallState, Effects};
+use crate::{CallVerdict, LedgerEffect, LedgerState, MarkRequest, NotRunReason, ShardId};
+
+impl LedgerState {
+    /// Takes in a non-idempotent call.
+    ///
+    /// Its number must be new in this process. The verdict may come at once or
+    /// by a later command.
+    pub fn begin(&mut self, request: MarkRequest, now: ClockTime) -> Vec<LedgerEffect> {
+        let shard = ShardId::of_key(&request.key, self.settings.shard_count);
+        let call = request.call;
+        let mut effects = Effects::new();
+        self.add_call(request, shard, now);
+        self.settle_call(call, now, &mut effects);
+        if self.refuses_at_once(call, shard, now) {
+            self.tell_last(
+                call,
+                CallVerdict::NotRun(NotRunReason::StoreDown),
+                &mut effects,
+            );
+        }
+        self.pump_shard(shard, now, &mut effects);
+        effects
+    }
+
+    fn add_call(&mut self, request: MarkRequest, shard: ShardId, now: ClockTime) {
+        let gather = self.settings.gather;
+        let trusted = self.is_trusted(shard, now);
+        let state = self.shards.entry(shard).or_default();
+        if trusted && state.flight.is_none() && state.calls.is_empty() {
+            state.not_before = state.not_before.max(now + gather);
+        }
+        state.poll_at = now;
+        state.polls = 0;
+        state.calls.insert(request.call);
+        let call = CallState {
+            attempt: self.attempt(request.call),
+            shard,
+            begun: now,
+            phase: CallPhase::Wanting,
+            doubt: None,
+            marked_at: now,
+            reply_deadline: request.deadline,
+            told: false,
+            request,
+        };
+        let earlier = self.calls.insert(call.request.call, call);
+        assert!(earlier.is_none(), "a call number is used once in a process");
+    }
+
+    /// Between two failed calls to the store, new calls needn't wait for it.
+    fn refuses_at_once(&self, call: CallId, shard: ShardId, now: ClockTime) -> bool {
+        let wanting = self
+            .calls
+            .get(&call)
+            .is_some_and(|call| call.phase == CallPhase::Wanting);
+        let state = self.shards.get(&shard);
+        wanting && state.is_some_and(|state| state.down && now < state.not_before)
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/commands/write.rs
@@ -0,0 +1,121 @@
+//! The next contents of a shard.
+
+use std::collections::BTreeSet;
+
+use base::prelude::*;
+
+use crate::state::{CallPhase, CallState};
+use crate::{
+    FinishedCall, LedgerSettings, MarkEpoch, MarkPhase, MarkRecord, RecordedAnswer, ShardRecord,
+};
+
+/// Contents that the next update of a shard would write.
+pub(super) struct ShardDraft {
+    pub record: ShardRecord,
+    /// Whether the update is needed.
+    pub changed: bool,
+    /// Calls whose start marks it makes.
+    pub marked: BTreeSet<CallId>,
+    /// Calls that there is no room for.
+    pub refused: Vec<CallId>,
+    epoch: MarkEpoch,
+    size: usize,
+}
+
+impl ShardDraft {
+    pub fn new(base: &ShardRecord, epoch: MarkEpoch) -> Self {
+        Self {
+            record: base.clone(),
+            changed: false,
+            marked: BTreeSet::new(),
+            refused: Vec::new(),
+            epoch,
+            size: base.size_bound(),
+        }
+    }
+
+    /// Adds what a call wants written.
+    pub fn add(&mut self, call: &CallState, settings: &LedgerSettings, now: ClockTime) {
+        match &call.phase {
+            CallPhase::Wanting if now < call.reply_deadline => self.add_mark(call, settings),
+            CallPhase::Finishing(finished) => self.add_finish(call, finished, settings),
+            CallPhase::Withdrawing(_) => self.remove_mark(call),
+            _ => {}
+        }
+    }
+
+    fn add_mark(&mut self, call: &CallState, settings: &LedgerSettings) {
+        let key = &call.request.key;
+        if self.record.marks.contains_key(key) {
+            return;
+        }
+        let mark = self.mark_of(call, MarkPhase::Running);
+        let size = mark.size_bound(key);
+        if self.size + size > settings.mark_limit {
+            self.refuse(call);
+            return;
+        }
+        self.size += size;
+        self.record.marks.insert(key.clone(), mark);
+        self.marked.insert(call.request.call);
+        self.changed = true;
+    }
+
+    fn refuse(&mut self, call: &CallState) {
+        if call.doubt.is_none() {
+            self.refused.push(call.request.call);
+        }
+    }
+
+    fn add_finish(&mut self, call: &CallState, finished: &FinishedCall, settings: &LedgerSettings) {
+        let foreign = |mark: &MarkRecord| mark.attempt != call.attempt;
+        if self
+            .record
+            .marks
+            .get(&call.request.key)
+            .is_some_and(foreign)
+        {
+            return;
+        }
+        let phase = match finished {
+            FinishedCall::Unknown => MarkPhase::Unknown,
+            FinishedCall::Answered(answer) => MarkPhase::Answered(self.fit(answer, settings)),
+        };
+        let mark = self.mark_of(call, phase);
+        self.size += mark.size_bound(&call.request.key);
+        self.record.marks.insert(call.request.key.clone(), mark);
+        self.changed = true;
+    }
+
+    /// The answer as far as there is room for it.
+    fn fit(&self, answer: &RecordedAnswer, settings: &LedgerSettings) -> RecordedAnswer {
+        let too_long = answer.body.kept_len() > settings.body_limit;
+        if !too_long && self.size + answer.size_bound() <= settings.shard_limit {
+            return answer.clone();
+        }
+        RecordedAnswer {
+            body: answer.body.omit(),
+            ..answer.clone()
+        }
+    }
+
+    fn remove_mark(&mut self, call: &CallState) {
+        let key = &call.request.key;
+        let own = |mark: &MarkRecord| mark.attempt == call.attempt;
+        if self.record.marks.get(key).is_some_and(own) {
+            self.record.marks.remove(key);
+            self.changed = true;
+        }
+        // An update in doubt may still arrive: any write on its version stops it.
+        self.changed |= call.doubt.is_some();
+    }
+
+    fn mark_of(&self, call: &CallState, phase: MarkPhase) -> MarkRecord {
+        MarkRecord {
+            attempt: call.attempt.clone(),
+            digest: call.request.digest,
+            epoch: self.epoch,
+            phase,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/effect.rs
@@ -0,0 +1,126 @@
+//! What goes into the ledger and what comes out of it.
+
+use std::fmt;
+
+use base::prelude::*;
+
+use crate::{MarkKey, RecordedAnswer, RequestDigest, ShardId, ShardRecord};
+
+/// Non-idempotent call that wants to be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MarkRequest {
+    /// Call of this process.
+    pub call: CallId,
+    /// Its identity on every device.
+    pub key: MarkKey,
+    /// Digest of its method, path and body.
+    pub digest: RequestDigest,
+    /// Instant by which its caller must hear something.
+    pub deadline: ClockTime,
+}
+
+/// End of a call at its endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FinishedCall {
+    /// The endpoint answered whole.
+    Answered(RecordedAnswer),
+    /// Bytes went out, but no whole answer came back.
+    Unknown,
+}
+
+/// What the ledger wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LedgerEffect {
+    /// Read a shard; the end goes to `conclude_read`.
+    ReadShard {
+        /// Shard to read.
+        shard: ShardId,
+    },
+    /// Write a shard conditionally; the end goes to `conclude_write`.
+    WriteShard {
+        /// Shard to write.
+        shard: ShardId,
+        /// Version it must still have.
+        expected: ObjectVersion,
+        /// Its new contents.
+        record: Arc<ShardRecord>,
+    },
+    /// Tell a call how it stands.
+    Verdict {
+        /// The call.
+        call: CallId,
+        /// How it stands.
+        verdict: CallVerdict,
+    },
+}
+
+/// How a call stands.
+///
+/// [`CallVerdict::Send`] is followed by one of the others; each of those is
+/// final for the call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallVerdict {
+    /// This attempt's mark is made: send it now, once.
+    Send,
+    /// This attempt sent nothing and never will.
+    NotRun(NotRunReason),
+    /// What the endpoint answered.
+    Answer(RecordedAnswer),
+    /// An attempt was sent and may still be running.
+    StillRunning,
+    /// Whether the call ran can't be known.
+    OutcomeUnknown,
+}
+
+/// Why a call wasn't run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotRunReason {
+    /// The store gave no answer, so no mark could be made.
+    StoreDown,
+    /// The key belongs to another request.
+    KeyReused,
+    /// The shard has no room for another mark.
+    ShardFull,
+    /// The deadline passed before a mark was made.
+    DeadlinePassed,
+    /// The mark was withdrawn before anything was sent.
+    Withdrawn,
+}
+
+impl fmt::Display for NotRunReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::StoreDown => {
+                "not run: the platform's store gives no answer; repeat it with the same key later"
+            }
+            Self::KeyReused => {
+                "not run: its key was already used for another request; give it a key of its own"
+            }
+            Self::ShardFull => {
+                "not run: the ledger has no room for its key; repeat it with the same key later"
+            }
+            Self::DeadlinePassed => {
+                "not run: its deadline passed before it could be sent; repeat it with the same key"
+            }
+            Self::Withdrawn => {
+                "not run: no endpoint could take it; repeat it with the same key later"
+            }
+        })
+    }
+}
+
+/// End of a shard's read, decoded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ShardRead {
+    /// The shard as it stands.
+    Found {
+        /// Its version.
+        version: ObjectVersion,
+        /// Its contents.
+        record: Arc<ShardRecord>,
+    },
+    /// No such shard yet.
+    Missing,
+    /// No answer, or one that can't be read.
+    Unavailable,
+}
