Put sections together, hold back the bad ones and keep the version floor

A document is one object of named sections {owner, revision, text, edits}. commands::edit_section writes one section on top of the revision its writer saw; it refuses a text that has faults alone or together with the others, and leaves the rest as it is, bad sections of others included. Each section remembers the marks of its latest edits, so a lost reply is settled by reading back (queries::find_edit).

queries::effective holds a bad section back to its last good version. A fault between sections is put down to the section whose change brought it about, so taking out a deployment in use never takes down the section that uses it. Holding back the referring section instead was ruled out: its owner did nothing.

commands::accept refuses what is older than the floor, commands::raise_floor takes in versions heard of. Processes that saw different good versions before a section went bad agree again by commands::learn_good; GoodSections has a stored form for it (object config/accepted), since hosts keep nothing.

InForce carries a hashed index of callers (in_force.callers.find).

--- /dev/null
+++ b/crates/document/src/commands/mod.rs
@@ -0,0 +1,11 @@
+//! Changes of a document and of a process's configuration.
+
+mod accept;
+mod edit_section;
+mod learn_good;
+mod raise_floor;
+
+pub use accept::{AcceptOutcome, accept};
+pub use edit_section::{EditOutcome, SectionEdit, edit_section};
+pub use learn_good::learn_good;
+pub use raise_floor::raise_floor;
--- a/crates/document/src/document.rs
+++ b/crates/document/src/document.rs
@@ -14,6 +14,17 @@
 pub struct Document {
     /// Sections by name.
     pub sections: BTreeMap<SectionName, Section>,
+    /// Entries that are no sections; kept so that edits of others don't lose them.
+    pub unreadable: BTreeMap<SectionName, UnreadableSection>,
+}
+
+/// Entry of the document that is no section.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableSection {
+    /// Encoded entry as it was found.
+    pub encoded: Arc<str>,
+    /// Why it is no section.
+    pub reason: Arc<str>,
 }
 
 /// Text that one team maintains.
--- a/crates/document/src/error.rs
+++ b/crates/document/src/error.rs
@@ -13,6 +13,12 @@
         /// What the parser found.
         message: String,
     },
+    /// The document's entry for a section has the wrong form.
+    #[error("the entry is no section: {reason}: put the section again")]
+    Unreadable {
+        /// What the decoder found.
+        reason: Arc<str>,
+    },
     /// A service names neither or both kinds.
     #[error("service '{service}' must have either 'deployment' or 'plain', and not both")]
     ServiceKind {
@@ -75,3 +81,11 @@
         place: TextPlace,
     },
 }
+
+/// The document as a whole is not of its form.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the document can't be decoded: {reason}: write it by 'bronzerun section put' only")]
+pub struct DecodeError {
+    /// What the decoder found.
+    pub reason: String,
+}
--- /dev/null
+++ b/crates/document/src/good_wire.rs
@@ -0,0 +1,63 @@
+//! Stored form of the last good sections.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::{DecodeError, GoodSection, GoodSections, read_section};
+
+/// JSON form of [`GoodSections`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GoodSectionsWire {
+    sections: BTreeMap<SectionName, GoodSectionWire>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct GoodSectionWire {
+    revision: SectionRevision,
+    text: Arc<str>,
+}
+
+impl GoodSections {
+    /// Decodes stored sections; one that this program finds bad is left out.
+    pub fn decode(value: &str) -> Result<Self, DecodeError> {
+        let wire: GoodSectionsWire = serde_json::from_str(value).map_err(|error| DecodeError {
+            reason: error.to_string(),
+        })?;
+        Ok(wire.into())
+    }
+
+    /// Encodes the sections for the store.
+    pub fn encode(&self) -> Arc<str> {
+        let wire = GoodSectionsWire::from(self);
+        let value = serde_json::to_string(&wire).expect("names, numbers and texts are plain JSON");
+        Arc::from(value)
+    }
+}
+
+impl From<GoodSectionsWire> for GoodSections {
+    fn from(wire: GoodSectionsWire) -> Self {
+        let sections = wire.sections.into_iter().filter_map(|(name, section)| {
+            let parsed = Arc::new(read_section(&section.text).ok()?);
+            let revision = section.revision;
+            Some((name, GoodSection { revision, parsed }))
+        });
+        Self(sections.collect())
+    }
+}
+
+impl From<&GoodSections> for GoodSectionsWire {
+    fn from(good: &GoodSections) -> Self {
+        let sections = good.0.iter().map(|(name, section)| {
+            let wire = GoodSectionWire {
+                revision: section.revision,
+                text: Arc::clone(&section.parsed.text),
+            };
+            (name.clone(), wire)
+        });
+        Self {
+            sections: sections.collect(),
+        }
+    }
+}
--- a/crates/document/src/parse.rs
+++ b/crates/document/src/parse.rs
@@ -1,6 +1,7 @@
 //! From the text of a section to its parsed form.
 
 use base::prelude::*;
+use serde_saphyr::UserMessageFormatter;
 
 use crate::convert::SectionReader;
 use crate::wire::SectionWire;
@@ -40,7 +41,9 @@
 
 fn syntax_fault(error: &serde_saphyr::Error) -> SectionFault {
     let place = error.location().map_or(TextPlace::START, TextPlace::from);
-    let message = error.without_snippet().to_string();
+    let message = error
+        .without_snippet()
+        .render_with_formatter(&UserMessageFormatter);
     let suffix = format!(" at {place}");
     let message = message.strip_suffix(&suffix).unwrap_or(&message).to_owned();
     SectionFault::new(place, DocumentError::Syntax { message })
--- a/crates/document/src/queries/mod.rs
+++ b/crates/document/src/queries/mod.rs
@@ -1,4 +1,17 @@
 //! Reads of a document and of the configuration in force.
 
+mod blame;
 mod callers;
 mod calls;
+mod candidate;
+mod cross_faults;
+mod effective;
+mod find_edit;
+mod in_force;
+mod section_digests;
+
+pub use cross_faults::{CrossFault, SectionOutlines, SectionPlace, cross_faults};
+pub use effective::effective;
+pub use find_edit::{EditTrace, find_edit};
+pub use in_force::{in_force, is_newest};
+pub use section_digests::section_digests;
--- /dev/null
+++ b/crates/document/src/queries/section_digests.rs
@@ -0,0 +1,14 @@
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+
+use crate::{Document, SectionDigest};
+
+/// Digest of each section's text.
+pub fn section_digests(document: &Document) -> BTreeMap<SectionName, SectionDigest> {
+    let digests = document
+        .sections
+        .iter()
+        .map(|(name, section)| (name.clone(), section.digest()));
+    digests.collect()
+}
--- /dev/null
+++ b/crates/document/tests/effective.rs
@@ -0,0 +1,189 @@
+//! A bad section leaves its last good version in force; the rest takes effect.
+
+mod common;
+
+use base::prelude::*;
+use common::{FRONT, MODELS, make_document, write_text};
+use document::queries::effective;
+use document::{Document, Effective, GoodSections};
+
+/// Section of a third team, which changes in every case.
+const HOSPITAL: &str = "workspaces:\n  hospital: {services: [], share: 1}\n";
+const HOSPITAL_LATER: &str = "workspaces:\n  hospital: {services: [], share: 7}\n";
+
+struct Case {
+    name: &'static str,
+    writes: &'static [(&'static str, &'static str)],
+    removed: Option<&'static str>,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "bad syntax",
+        writes: &[("front", "services: [")],
+        removed: None,
+    },
+    Case {
+        name: "faulty number",
+        writes: &[(
+            "models",
+            "deployments:\n  quotes: {model: m, group_size: 0, groups: 2}",
+        )],
+        removed: None,
+    },
+    Case {
+        name: "unknown deployment",
+        writes: &[("front", "services:\n  fogas-llm: {deployment: qoutes}")],
+        removed: None,
+    },
+    Case {
+        name: "definition taken out while in use",
+        writes: &[("models", "deployments: {}")],
+        removed: None,
+    },
+    Case {
+        name: "section removed while in use",
+        writes: &[],
+        removed: Some("models"),
+    },
+    Case {
+        name: "definition and use taken out together",
+        writes: &[("models", "deployments: {}"), ("front", "services: {}")],
+        removed: None,
+    },
+    Case {
+        name: "second definition in a section earlier by name",
+        writes: &[(
+            "chat",
+            "deployments:\n  quotes: {model: m, group_size: 1, groups: 1}",
+        )],
+        removed: None,
+    },
+    Case {
+        name: "second definition in a section later by name",
+        writes: &[(
+            "quotes",
+            "deployments:\n  quotes: {model: m, group_size: 1, groups: 1}",
+        )],
+        removed: None,
+    },
+    Case {
+        name: "new section uses a rejected one",
+        writes: &[
+            ("chat", "services:\n  chat: {deployment: new}"),
+            (
+                "models",
+                "deployments:\n  new: {model: m, group_size: 0, groups: 2}",
+            ),
+        ],
+        removed: None,
+    },
+];
+
+fn describe(effective: &Effective) -> String {
+    let mut text = String::new();
+    for rejected in &effective.rejected {
+        let in_force = match rejected.in_force {
+            Some(revision) => format!("revision {revision} in force"),
+            None => "left out".to_owned(),
+        };
+        text.push_str(&format!(
+            "  {} revision {}: {in_force}\n",
+            rejected.section, rejected.revision
+        ));
+        for fault in &rejected.faults {
+            text.push_str(&format!("    {fault}\n"));
+        }
+    }
+    let configuration = &effective.configuration;
+    text.push_str(&format!(
+        "  deployments {:?} services {:?} shares {:?}\n",
+        configuration
+            .deployments
+            .keys()
+            .map(ToString::to_string)
+            .collect::<Vec<_>>(),
+        configuration
+            .services
+            .keys()
+            .map(ToString::to_string)
+            .collect::<Vec<_>>(),
+        configuration
+            .workspaces
+            .values()
+            .map(|spec| spec.share)
+            .collect::<Vec<_>>(),
+    ));
+    text
+}
+
+fn first_document() -> Document {
+    make_document(&[("front", FRONT), ("hospital", HOSPITAL), ("models", MODELS)])
+}
+
+#[test]
+fn bad_sections_are_held_back() {
+    let first = first_document();
+    let good = effective(&first, &GoodSections::default());
+    assert_eq!(good.rejected, []);
+    let mut report = String::new();
+    for case in CASES {
+        let mut document = first.clone();
+        write_text(&mut document, "hospital", HOSPITAL_LATER);
+        for (section, text) in case.writes {
+            write_text(&mut document, section, text);
+        }
+        if let Some(section) = case.removed {
+            document
+                .sections
+                .remove(&SectionName::new(section).unwrap());
+        }
+        let next = effective(&document, &good.good);
+        report.push_str(&format!("{}\n{}", case.name, describe(&next)));
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn without_last_good_the_section_is_left_out() {
+    let document = make_document(&[("front", "services: ["), ("models", MODELS)]);
+    let found = effective(&document, &GoodSections::default());
+    insta::assert_snapshot!(describe(&found));
+}
+
+#[test]
+fn shared_keys_are_refused() {
+    let digest = document::KeyDigest::of_key("desk").to_hex();
+    let text = |workspace: &str, caller: &str| {
+        format!(
+            "workspaces:\n  {workspace}:\n    services: []\n    callers:\n      {caller}: {{key_sha256: {digest}}}\n"
+        )
+    };
+    let first = make_document(&[("b", &text("theatre", "desk"))]);
+    let good = effective(&first, &GoodSections::default());
+    let mut document = first;
+    write_text(&mut document, "a", &text("clinic", "tablet"));
+    let next = effective(&document, &good.good);
+    insta::assert_snapshot!(describe(&next));
+    let owner = next
+        .configuration
+        .find_caller(document::KeyDigest::of_key("desk"));
+    assert_eq!(owner.unwrap().0.as_str(), "theatre");
+}
+
+#[test]
+fn unreadable_entries_spare_the_others() {
+    let mut value = first_document().encode().to_string();
+    value = value.replacen("\"revision\":1", "\"revision\":\"one\"", 1);
+    let document = Document::decode(&value).unwrap();
+    assert_eq!(document.unreadable.len(), 1);
+    assert_eq!(document.encode().as_ref(), value);
+    let good = effective(&first_document(), &GoodSections::default());
+    insta::assert_snapshot!(describe(&effective(&document, &good.good)));
+}
+
+#[test]
+fn good_sections_survive_the_store() {
+    let good = effective(&first_document(), &GoodSections::default()).good;
+    assert_eq!(GoodSections::decode(&good.encode()), Ok(good));
+}
--- /dev/null
+++ b/crates/document/tests/faults.rs
@@ -0,0 +1,72 @@
+//! Every fault of a section names its line and column.
+
+use document::parse_section;
+use document::read_section;
+
+const CASES: &[(&str, &str)] = &[
+    ("no YAML", "services:\n  a: ["),
+    ("tab", "services:\n\ta: 1"),
+    ("unknown field", "services:\n  a: {deploymnt: b}"),
+    ("missing field", "deployments:\n  a: {model: m, groups: 1}"),
+    ("bad name", "services:\n  'a b': {deployment: c}"),
+    (
+        "defined twice",
+        "services:\n  a: {deployment: c}\n  a: {deployment: d}",
+    ),
+    ("no kind", "services:\n  a: {}"),
+    ("both kinds", "services:\n  a: {deployment: b, plain: {}}"),
+    (
+        "no group",
+        "deployments:\n  a: {model: m, group_size: 0, groups: 1}",
+    ),
+    (
+        "negative",
+        "deployments:\n  a: {model: m, group_size: -1, groups: 1}",
+    ),
+    (
+        "weight",
+        "deployments:\n  a:\n    {model: m, group_size: 1, groups: 1,\n     downtime_weight: 1.5}",
+    ),
+    (
+        "weight no number",
+        "deployments:\n  a: {model: m, group_size: 1, groups: 1, downtime_weight: .nan}",
+    ),
+    (
+        "call",
+        "services:\n  a:\n    plain:\n      non_idempotent:\n        - POST charges",
+    ),
+    (
+        "method",
+        "services:\n  a: {plain: {non_idempotent: ['post /charges']}}",
+    ),
+    (
+        "digest",
+        "workspaces:\n  a:\n    services: []\n    callers:\n      desk: {key_sha256: 12ab}",
+    ),
+    ("share", "workspaces:\n  a: {services: [], share: 0}"),
+    ("timeout", "services:\n  a: {deployment: b, timeout_ms: 0}"),
+    (
+        "two faults",
+        "workspaces:\n  a: {services: [], share: 0}\ndeployments:\n  a: {model: m, group_size: 0, groups: 1}",
+    ),
+];
+
+#[test]
+fn faults_name_their_places() {
+    let mut report = String::new();
+    for (name, text) in CASES {
+        report.push_str(&format!("{name}\n"));
+        let faults = read_section(&std::sync::Arc::from(*text)).expect_err(name);
+        for fault in faults {
+            report.push_str(&format!("  {fault}\n"));
+        }
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn empty_text_is_an_empty_section() {
+    for text in ["", "# nothing yet\n", "services: {}\n"] {
+        assert_eq!(parse_section(text), Ok(Default::default()), "{text:?}");
+    }
+}
--- /dev/null
+++ b/crates/document/tests/floor.rs
@@ -0,0 +1,137 @@
+//! The version in force never falls.
+
+mod common;
+
+use base::prelude::*;
+use common::{FRONT, MODELS, make_document, write_text};
+use document::commands::{AcceptOutcome, accept, learn_good, raise_floor};
+use document::queries::{in_force, is_newest, section_digests};
+use document::{ConfigState, Document, KeyDigest, SectionDigest};
+use proptest::prelude::*;
+
+const WIDER: &str = "deployments:\n  quotes: {model: fogas-7b, group_size: 8, groups: 2}\n";
+
+fn first() -> Arc<Document> {
+    Arc::new(make_document(&[("front", FRONT), ("models", MODELS)]))
+}
+
+fn group_size(state: &ConfigState) -> usize {
+    let deployment = DeploymentName::new("quotes").unwrap();
+    in_force(state).configuration.deployments[&deployment].group_size
+}
+
+#[test]
+fn old_documents_are_refused() {
+    let mut state = ConfigState::default();
+    assert!(!is_newest(&state));
+    let mut wider = Document::clone(&first());
+    write_text(&mut wider, "models", WIDER);
+    let wider = Arc::new(wider);
+    let older = |floor| AcceptOutcome::Older {
+        floor: ObjectVersion(floor),
+    };
+    let steps = [
+        ("first", 5, first(), AcceptOutcome::InForce),
+        ("replayed at once", 5, first(), AcceptOutcome::Unchanged),
+        ("newer", 9, wider, AcceptOutcome::InForce),
+        ("older replayed", 5, first(), older(9)),
+        ("document lost", 0, Arc::default(), older(9)),
+    ];
+    for (name, version, document, expected) in steps {
+        let outcome = accept(&mut state, ObjectVersion(version), document);
+        assert_eq!(outcome, expected, "{name}");
+    }
+    assert_eq!(group_size(&state), 8);
+    assert!(is_newest(&state));
+}
+
+#[test]
+fn a_floor_heard_of_counts() {
+    let mut state = ConfigState::default();
+    accept(&mut state, ObjectVersion(5), first());
+    assert!(raise_floor(&mut state, ObjectVersion(8)));
+    assert!(!is_newest(&state));
+    let floor = ObjectVersion(8);
+    let outcome = accept(&mut state, ObjectVersion(7), first());
+    assert_eq!(outcome, AcceptOutcome::Older { floor });
+    assert_eq!(in_force(&state).version, ObjectVersion(5));
+    assert_eq!(accept(&mut state, floor, first()), AcceptOutcome::InForce);
+    assert!(!raise_floor(&mut state, ObjectVersion(3)));
+}
+
+#[test]
+fn processes_agree_on_the_last_good_section() {
+    let mut bad = Document::clone(&first());
+    write_text(&mut bad, "models", WIDER);
+    let wider = Arc::new(bad.clone());
+    write_text(&mut bad, "models", "deployments: [");
+    let bad = Arc::new(bad);
+    let mut early = ConfigState::default();
+    accept(&mut early, ObjectVersion(1), first());
+    accept(&mut early, ObjectVersion(3), Arc::clone(&bad));
+    let mut late = ConfigState::default();
+    accept(&mut late, ObjectVersion(2), wider);
+    accept(&mut late, ObjectVersion(3), Arc::clone(&bad));
+    let mut fresh = ConfigState::default();
+    accept(&mut fresh, ObjectVersion(3), bad);
+    assert_eq!((group_size(&early), group_size(&late)), (4, 8));
+    assert!(in_force(&fresh).configuration.deployments.is_empty());
+
+    assert!(learn_good(&mut early, &late.good));
+    assert!(learn_good(&mut fresh, &late.good));
+    assert!(!learn_good(&mut late, &early.good));
+    assert_eq!(early.in_force.configuration, late.in_force.configuration);
+    assert_eq!(fresh.in_force.configuration, late.in_force.configuration);
+    assert_eq!(early.in_force.rejected, late.in_force.rejected);
+}
+
+#[test]
+fn callers_are_found_by_key() {
+    let digest = KeyDigest::of_key("desk key");
+    let text = format!(
+        "workspaces:\n  theatre:\n    services: []\n    callers:\n      desk: {{key_sha256: {}}}\n",
+        digest.to_hex()
+    );
+    let mut state = ConfigState::default();
+    let document = make_document(&[("theatre", &text)]);
+    accept(&mut state, ObjectVersion(1), Arc::new(document));
+    let in_force = in_force(&state);
+    let (workspace, caller) = in_force.callers.find(digest).unwrap();
+    assert_eq!((workspace.as_str(), caller.as_str()), ("theatre", "desk"));
+    assert_eq!(in_force.callers.find(KeyDigest::of_key("other")), None);
+}
+
+#[test]
+fn digests_follow_the_texts() {
+    let digests = section_digests(&first());
+    let models = SectionName::new("models").unwrap();
+    assert_eq!(digests[&models], SectionDigest::of_text(MODELS));
+    assert_eq!(digests.len(), 2);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(12),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Documents and versions heard of arrive in any order.
+    #[test]
+    fn the_version_in_force_never_falls(steps in prop::collection::vec((0..20u64, any::<bool>()), 1..80)) {
+        let mut state = ConfigState::default();
+        let mut newest = ObjectVersion(0);
+        for (version, is_document) in steps {
+            let before = state.in_force.version;
+            let version = ObjectVersion(version);
+            if is_document {
+                accept(&mut state, version, Arc::default());
+            } else {
+                raise_floor(&mut state, version);
+            }
+            newest = newest.max(version);
+            prop_assert!(state.in_force.version >= before);
+            prop_assert_eq!(state.floor, newest);
+        }
+    }
+}
