Add the wire types that daemons and operators share

platform::status holds what a daemon tells on GET /admin/status: version in force and floor, sections held back, groups as it sees them, limits and histograms. platform::NodeEntry (nodes/<node>/<role>, one object a daemon, so that a host's two daemons never race for one) says where to ask; NodePort asks. platform::DrainList is config/drains, platform::keys names every object; the last good sections are config/good.

--- /dev/null
+++ b/crates/platform/src/drains.rs
@@ -0,0 +1,47 @@
+//! Hosts that operators are taking out of service.
+
+use std::collections::BTreeSet;
+
+use base::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Hosts whose endpoints get no new work.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DrainList {
+    /// The hosts.
+    pub hosts: BTreeSet<HostName>,
+}
+
+/// JSON form of a [`DrainList`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DrainsWire {
+    hosts: BTreeSet<HostName>,
+}
+
+impl DrainList {
+    /// Decodes a stored list; `None` if it is not of this form.
+    pub fn decode(value: &str) -> Option<Self> {
+        let wire: DrainsWire = serde_json::from_str(value).ok()?;
+        Some(wire.into())
+    }
+
+    /// Encodes the list for the store.
+    pub fn encode(&self) -> Arc<str> {
+        let wire = DrainsWire::from(self.clone());
+        let value = serde_json::to_string(&wire).expect("names are plain JSON");
+        Arc::from(value)
+    }
+}
+
+impl From<DrainsWire> for DrainList {
+    fn from(wire: DrainsWire) -> Self {
+        Self { hosts: wire.hosts }
+    }
+}
+
+impl From<DrainList> for DrainsWire {
+    fn from(list: DrainList) -> Self {
+        Self { hosts: list.hosts }
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,14 +1,22 @@
 //! Clients of what surrounds the system: the platform's object API and list of
-//! hosts, and the orders that endpoints take.
+//! hosts, the orders that endpoints take, and the status pages of the daemons.
 //!
 //! Each is met through its HTTP interface and a trait object, so that the
 //! decision code and its tests never see HTTP.
 
+mod drains;
 mod engine;
 mod hosts;
+pub mod keys;
+mod nodes;
 mod objects;
+pub mod status;
 pub mod wire;
 
+pub use drains::{DrainList, DrainsWire};
 pub use engine::{EnginePort, GroupOrder, HttpEngines, OrderOutcome, ReportOutcome};
 pub use hosts::{HostDirectory, HostEntry, HostsOutcome, HttpHostDirectory, Presence};
+pub use nodes::{
+    HttpNodes, NodeEntry, NodePort, NodeRole, NodeWire, RoleWire, STATUS_PATH, StatusOutcome,
+};
 pub use objects::HttpObjectStore;
--- /dev/null
+++ b/crates/platform/src/nodes.rs
@@ -0,0 +1,183 @@
+//! The system's own daemons: where they are and how they say they are.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use futures_util::future::LocalBoxFuture;
+use net::web::{CollectOutcome, WebClient, empty_body};
+use serde::{Deserialize, Serialize};
+
+use crate::status::StatusWire;
+
+/// Path of a daemon's status on its admin address.
+pub const STATUS_PATH: &str = "/admin/status";
+/// Largest status in bytes.
+const STATUS_LIMIT: usize = 4_000_000;
+
+/// Which daemon of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum NodeRole {
+    /// Takes callers' requests.
+    Gateway,
+    /// Looks after replica groups.
+    Controller,
+}
+
+impl fmt::Display for NodeRole {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Gateway => "gateway",
+            Self::Controller => "controller",
+        })
+    }
+}
+
+/// Daemon as it enters itself in the store, once when it starts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeEntry {
+    /// Its node.
+    pub node: NodeName,
+    /// Which daemon it is.
+    pub role: NodeRole,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where it tells its status.
+    pub admin: SocketAddr,
+}
+
+/// JSON form of a [`NodeRole`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum RoleWire {
+    /// Gateway.
+    Gateway,
+    /// Controller.
+    Controller,
+}
+
+/// JSON form of a [`NodeEntry`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NodeWire {
+    node: NodeName,
+    role: RoleWire,
+    failure_domain: DomainName,
+    admin: SocketAddr,
+}
+
+impl NodeEntry {
+    /// Decodes a stored entry; `None` if it is not of this form.
+    pub fn decode(value: &str) -> Option<Self> {
+        let wire: NodeWire = serde_json::from_str(value).ok()?;
+        Some(wire.into())
+    }
+
+    /// Encodes the entry for the store.
+    pub fn encode(&self) -> Arc<str> {
+        let wire = NodeWire::from(self.clone());
+        let value = serde_json::to_string(&wire).expect("names and addresses are plain JSON");
+        Arc::from(value)
+    }
+}
+
+impl From<NodeWire> for NodeEntry {
+    fn from(wire: NodeWire) -> Self {
+        Self {
+            node: wire.node,
+            role: wire.role.into(),
+            domain: wire.failure_domain,
+            admin: wire.admin,
+        }
+    }
+}
+
+impl From<NodeEntry> for NodeWire {
+    fn from(entry: NodeEntry) -> Self {
+        Self {
+            node: entry.node,
+            role: entry.role.into(),
+            failure_domain: entry.domain,
+            admin: entry.admin,
+        }
+    }
+}
+
+impl From<RoleWire> for NodeRole {
+    fn from(wire: RoleWire) -> Self {
+        match wire {
+            RoleWire::Gateway => Self::Gateway,
+            RoleWire::Controller => Self::Controller,
+        }
+    }
+}
+
+impl From<NodeRole> for RoleWire {
+    fn from(role: NodeRole) -> Self {
+        match role {
+            NodeRole::Gateway => Self::Gateway,
+            NodeRole::Controller => Self::Controller,
+        }
+    }
+}
+
+/// End of a call for a daemon's status.
+#[derive(Clone, Debug)]
+pub enum StatusOutcome {
+    /// What it says of itself.
+    Reported(Box<StatusWire>),
+    /// It gave no answer.
+    Silent,
+}
+
+/// Status pages of the daemons.
+pub trait NodePort {
+    /// Asks a daemon for its status.
+    fn status(
+        &self,
+        admin: SocketAddr,
+        deadline: ClockTime,
+    ) -> LocalBoxFuture<'static, StatusOutcome>;
+}
+
+/// Status pages over HTTP.
+#[derive(Clone)]
+pub struct HttpNodes {
+    client: WebClient,
+}
+
+impl HttpNodes {
+    /// Port that uses a client's connections.
+    pub fn new(client: WebClient) -> Self {
+        Self { client }
+    }
+
+    async fn fetch(self, admin: SocketAddr, deadline: ClockTime) -> Option<StatusWire> {
+        let request = http::Request::get(STATUS_PATH).body(empty_body()).ok()?;
+        let outcome = self
+            .client
+            .collect(admin, request, STATUS_LIMIT, deadline)
+            .await;
+        match outcome {
+            CollectOutcome::Answered(parts, body) if parts.status.is_success() => {
+                serde_json::from_slice(&body).ok()
+            }
+            _ => None,
+        }
+    }
+}
+
+impl NodePort for HttpNodes {
+    fn status(
+        &self,
+        admin: SocketAddr,
+        deadline: ClockTime,
+    ) -> LocalBoxFuture<'static, StatusOutcome> {
+        let this = self.clone();
+        Box::pin(async move {
+            match this.fetch(admin, deadline).await {
+                Some(status) => StatusOutcome::Reported(Box::new(status)),
+                None => StatusOutcome::Silent,
+            }
+        })
+    }
+}
