Check the store's contract and strike single calls with faults

Cause: everything that is agreed or kept rests on the store's conditional updates and watches, and only lost replies, conflicts and outages of updates could be caused in tests.

MemoryStore now has waiting watches, slow calls, updates that arrive after their reply was lost, stale reads, objects that go back to an earlier version, and watches that miss an update, fail or go silent; its clock moves only by advance.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,11 +5,12 @@
 //! [`UpdateOutcome::Unknown`], and only reading the object back tells whether it
 //! took effect.
 
+pub mod contract;
 mod memory;
 mod object;
 mod outcome;
 
-pub use memory::{MemoryStore, UpdateFault};
+pub use memory::{MemoryStore, ReadFault, UpdateFault, WatchFault};
 pub use object::{ObjectChange, ObjectKey, StoredObject, VALUE_LIMIT};
 pub use outcome::{ListOutcome, ReadOutcome, RemoveOutcome, UpdateOutcome};
 
--- /dev/null
+++ b/crates/store/src/memory/call.rs
@@ -0,0 +1,73 @@
+//! Calls that wait for time or for an update.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use base::ManualClock;
+use base::prelude::*;
+
+use super::fault::WatchFault;
+use super::state::MemoryState;
+use crate::{ObjectKey, ReadOutcome};
+
+/// What a slow call does once its time has come.
+type SlowEnd<T> = Box<dyn Fn(&mut MemoryState) -> T>;
+
+/// Call that takes effect and is answered at an instant.
+pub(super) struct SlowCall<T> {
+    pub state: Rc<RefCell<MemoryState>>,
+    pub clock: Rc<ManualClock>,
+    pub due: ClockTime,
+    pub end: SlowEnd<T>,
+}
+
+impl<T> Future for SlowCall<T> {
+    type Output = T;
+
+    fn poll(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<T> {
+        let mut state = self.state.borrow_mut();
+        if self.clock.now() >= self.due {
+            return Poll::Ready((self.end)(&mut state));
+        }
+        state.wakers.push(context.waker().clone());
+        Poll::Pending
+    }
+}
+
+/// Watch of one object.
+pub(super) struct WatchCall {
+    pub state: Rc<RefCell<MemoryState>>,
+    pub clock: Rc<ManualClock>,
+    pub key: ObjectKey,
+    pub after: ObjectVersion,
+    pub deadline: ClockTime,
+    pub fault: Option<WatchFault>,
+}
+
+impl Future for WatchCall {
+    type Output = ReadOutcome;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<ReadOutcome> {
+        let state = self.state.clone();
+        let mut state = state.borrow_mut();
+        let version = state.version_of(&self.key);
+        let expired = self.clock.now() >= self.deadline;
+        match self.fault {
+            Some(WatchFault::Unavailable) => return Poll::Ready(ReadOutcome::Unavailable),
+            Some(WatchFault::Silent) => return Poll::Pending,
+            Some(WatchFault::MissesUpdate) if version > self.after => {
+                self.fault = None;
+                self.after = version;
+            }
+            _ if state.down || expired || version > self.after => {
+                return Poll::Ready(state.find(&self.key));
+            }
+            _ => {}
+        }
+        state.wakers.push(context.waker().clone());
+        Poll::Pending
+    }
+}
