Age marks by epochs that only a whole seen period can raise

Cause: keys can't be remembered for ever in shards of a megabyte, and a mark dropped too early would let its call run twice.

Ruled out: wall clocks (one wrong clock drops fresh marks); an age kept in each shard (writers that have just read it lag, so their fresh marks look old, or the age all but stands still on a shard that many nodes write).

Change: one object holds an epoch. A process raises it only after it saw the present one stand for a whole period on its monotonic clock, so epochs are at least a period apart. A mark is stamped with an epoch read within one period and dropped only two epochs past its retention, the most by which a stamp can lag. No epoch, no mark: a call is then refused as not run.

--- a/crates/ledger/src/commands/begin.rs
+++ b/crates/ledger/src/commands/begin.rs
@@ -23,6 +23,7 @@
                 &mut effects,
             );
         }
+        self.pump_epoch(now, &mut effects);
         self.pump_shard(shard, now, &mut effects);
         effects
     }
@@ -59,6 +60,10 @@
             .get(&call)
             .is_some_and(|call| call.phase == CallPhase::Wanting);
         let state = self.shards.get(&shard);
-        wanting && state.is_some_and(|state| state.down && now < state.not_before)
+        let shard_down = state.is_some_and(|state| state.down && now < state.not_before);
+        let epoch_down = self.stamp_epoch(now).is_none()
+            && self.epoch.failures > 0
+            && now < self.epoch.not_before;
+        wanting && (shard_down || epoch_down)
     }
 }
--- a/crates/ledger/src/commands/conclude.rs
+++ b/crates/ledger/src/commands/conclude.rs
@@ -101,6 +101,10 @@
         now: ClockTime,
     ) {
         let state = self.shards.entry(shard).or_default();
+        state.sightings.retain(|key, sighting| {
+            let mark = record.marks.get(key);
+            mark.is_some_and(|mark| mark.attempt == sighting.attempt)
+        });
         state.floor = version;
         state.record = Some(record);
         state.asked_at = asked_at;
@@ -196,7 +200,11 @@
     pub(crate) fn jittered_pause(&mut self, failures: u32) -> Duration {
         let factor = 1 << failures.min(PAUSE_DOUBLINGS);
         let whole = self.settings.shortest_pause.saturating_mul(factor);
-        let whole = whole.min(self.settings.longest_pause);
+        self.jittered(whole.min(self.settings.longest_pause))
+    }
+
+    /// Between half of a span and the whole.
+    pub(crate) fn jittered(&mut self, whole: Duration) -> Duration {
         whole.mul_f64(self.random.random_range(0.5..=1.0))
     }
 }
--- a/crates/ledger/src/commands/pump.rs
+++ b/crates/ledger/src/commands/pump.rs
@@ -19,14 +19,16 @@
             return;
         }
         let poll_due = now >= state.poll_at;
+        let stamped = self.stamp_epoch(now).is_some();
         let calls = || state.calls.iter().filter_map(|call| self.calls.get(call));
-        let writing = calls().any(|call| wants_write(call, now));
         let polling = CallPhase::Joining { local: false };
+        let wanting = calls().any(|call| wants_mark(call, now));
+        let ending = calls().any(wants_end);
         let joining = calls().any(|call| call.phase == polling);
-        if writing && self.is_trusted(shard, now) {
-            self.write_shard(shard, now, effects);
-        } else if writing {
+        if (wanting || ending) && !self.is_trusted(shard, now) {
             self.read_shard(shard, now, effects);
+        } else if ending || (wanting && stamped) {
+            self.write_shard(shard, now, effects);
         } else if joining && poll_due {
             self.poll_shard(shard, now, effects);
         }
@@ -74,6 +76,15 @@
             self.send_write(shard, draft.record, draft.marked, now, effects);
         } else {
             self.settle_shard(shard, now, effects);
+            self.rest_shard(shard, now);
+        }
+    }
+
+    /// Nothing can be written for now, so nothing is tried for a while.
+    fn rest_shard(&mut self, shard: ShardId, now: ClockTime) {
+        let pause = self.jittered_pause(0);
+        if let Some(state) = self.shards.get_mut(&shard) {
+            state.not_before = now + pause;
         }
     }
 
@@ -88,7 +99,8 @@
     }
 
     fn draft_shard(&self, shard: ShardId, base: &ShardRecord, now: ClockTime) -> ShardDraft {
-        let mut draft = ShardDraft::new(base, self.epoch);
+        let mut draft = ShardDraft::new(base, self.stamp_epoch(now));
+        draft.drop_old(self.epoch.known, self.settings.retention_epochs);
         for id in self.shard_calls(shard) {
             if let Some(call) = self.calls.get(&id) {
                 draft.add(call, &self.settings, now);
@@ -123,10 +135,13 @@
     }
 }
 
-fn wants_write(call: &CallState, now: ClockTime) -> bool {
-    match call.phase {
-        CallPhase::Wanting => now < call.reply_deadline,
-        CallPhase::Finishing(_) | CallPhase::Withdrawing(_) => true,
-        CallPhase::Joining { .. } | CallPhase::Sent { .. } => false,
-    }
+fn wants_mark(call: &CallState, now: ClockTime) -> bool {
+    call.phase == CallPhase::Wanting && now < call.reply_deadline
+}
+
+fn wants_end(call: &CallState) -> bool {
+    matches!(
+        call.phase,
+        CallPhase::Finishing(_) | CallPhase::Withdrawing(_)
+    )
 }
--- a/crates/ledger/src/commands/settle.rs
+++ b/crates/ledger/src/commands/settle.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 
-use crate::state::{CallPhase, Effects, MarkSighting};
+use crate::state::{CallPhase, Effects, MarkSighting, STAMP_MARGIN};
 use crate::{
     CallVerdict, FinishedCall, LedgerEffect, LedgerState, MarkPhase, MarkRecord, NotRunReason,
     ShardId,
@@ -117,6 +117,7 @@
     /// Notes a running mark and says whether its call can no longer be under way.
     fn sight_mark(&mut self, call: CallId, mark: &MarkRecord, now: ClockTime) -> bool {
         let run_deadline = now + self.settings.run_limit;
+        let known = self.epoch.known;
         let Some(state) = self.calls.get(&call) else {
             return false;
         };
@@ -128,6 +129,11 @@
             shard.sightings.remove(key);
             return false;
         }
+        // Epochs are at least a run limit apart, and a mark's epoch may have
+        // been two further by the end of the epoch it was made in.
+        if known.is_some_and(|known| known.0 > mark.epoch.0 + STAMP_MARGIN) {
+            return true;
+        }
         match shard.sightings.get(key) {
             Some(sighting) if sighting.attempt == mark.attempt => now >= sighting.run_deadline,
             _ => {
--- a/crates/ledger/src/commands/write.rs
+++ b/crates/ledger/src/commands/write.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 
-use crate::state::{CallPhase, CallState};
+use crate::state::{CallPhase, CallState, STAMP_MARGIN};
 use crate::{
     FinishedCall, LedgerSettings, MarkEpoch, MarkPhase, MarkRecord, RecordedAnswer, ShardRecord,
 };
@@ -18,12 +18,12 @@
     pub marked: BTreeSet<CallId>,
     /// Calls that there is no room for.
     pub refused: Vec<CallId>,
-    epoch: MarkEpoch,
+    epoch: Option<MarkEpoch>,
     size: usize,
 }
 
 impl ShardDraft {
-    pub fn new(base: &ShardRecord, epoch: MarkEpoch) -> Self {
+    pub fn new(base: &ShardRecord, epoch: Option<MarkEpoch>) -> Self {
         Self {
             record: base.clone(),
             changed: false,
@@ -34,6 +34,19 @@
         }
     }
 
+    /// Drops marks that are older than a key is remembered.
+    ///
+    /// A mark's true epoch may be one further than it says, and that epoch may
+    /// have been about to end.
+    pub fn drop_old(&mut self, known: Option<MarkEpoch>, retention: u64) {
+        let Some(known) = known else {
+            return;
+        };
+        let kept = |mark: &MarkRecord| known.0 < mark.epoch.0 + retention + STAMP_MARGIN;
+        self.record.marks.retain(|_, mark| kept(mark));
+        self.size = self.record.size_bound();
+    }
+
     /// Adds what a call wants written.
     pub fn add(&mut self, call: &CallState, settings: &LedgerSettings, now: ClockTime) {
         match &call.phase {
@@ -49,7 +62,9 @@
         if self.record.marks.contains_key(key) {
             return;
         }
-        let mark = self.mark_of(call, MarkPhase::Running);
+        let Some(mark) = self.mark_of(call, MarkPhase::Running) else {
+            return;
+        };
         let size = mark.size_bound(key);
         if self.size + size > settings.mark_limit {
             self.refuse(call);
@@ -81,7 +96,9 @@
             FinishedCall::Unknown => MarkPhase::Unknown,
             FinishedCall::Answered(answer) => MarkPhase::Answered(self.fit(answer, settings)),
         };
-        let mark = self.mark_of(call, phase);
+        let Some(mark) = self.mark_of(call, phase) else {
+            return;
+        };
         self.size += mark.size_bound(&call.request.key);
         self.record.marks.insert(call.request.key.clone(), mark);
         self.changed = true;
@@ -110,12 +127,15 @@
         self.changed |= call.doubt.is_some();
     }
 
-    fn mark_of(&self, call: &CallState, phase: MarkPhase) -> MarkRecord {
-        MarkRecord {
+    /// The mark of a call; none while there is no epoch to stamp it with.
+    fn mark_of(&self, call: &CallState, phase: MarkPhase) -> Option<MarkRecord> {
+        let earlier = self.record.marks.get(&call.request.key);
+        let epoch = earlier.map(|mark| mark.epoch).or(self.epoch)?;
+        Some(MarkRecord {
             attempt: call.attempt.clone(),
             digest: call.request.digest,
-            epoch: self.epoch,
+            epoch,
             phase,
-        }
+        })
     }
 }
--- a/crates/ledger/src/effect.rs
+++ b/crates/ledger/src/effect.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 
-use crate::{MarkKey, RecordedAnswer, RequestDigest, ShardId, ShardRecord};
+use crate::{MarkEpoch, MarkKey, RecordedAnswer, RequestDigest, ShardId, ShardRecord};
 
 /// Non-idempotent call that wants to be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,6 +45,15 @@
         /// Its new contents.
         record: Arc<ShardRecord>,
     },
+    /// Read the epoch; the end goes to `conclude_epoch_read`.
+    ReadEpoch,
+    /// Write the epoch conditionally; the end goes to `conclude_epoch_write`.
+    WriteEpoch {
+        /// Version it must still have.
+        expected: ObjectVersion,
+        /// The new epoch.
+        epoch: MarkEpoch,
+    },
     /// Tell a call how it stands.
     Verdict {
         /// The call.
@@ -124,3 +133,19 @@
     /// No answer, or one that can't be read.
     Unavailable,
 }
+
+/// End of the epoch's read, decoded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EpochRead {
+    /// The epoch as it stands.
+    Found {
+        /// Version of its object.
+        version: ObjectVersion,
+        /// The epoch.
+        epoch: MarkEpoch,
+    },
+    /// No epoch has been written yet.
+    Missing,
+    /// No answer, or one that can't be read.
+    Unavailable,
+}
--- a/crates/ledger/src/key.rs
+++ b/crates/ledger/src/key.rs
@@ -82,5 +82,16 @@
 }
 
 /// Count of long periods by which marks age.
+///
+/// The epoch is kept in one object. A process may raise it only after it has
+/// seen the present epoch stand for a whole period on its own monotonic clock,
+/// so two epochs are at least a period apart whatever any wall clock says.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MarkEpoch(pub u64);
+
+impl MarkEpoch {
+    /// Where the epoch is kept.
+    pub fn object_key() -> ObjectKey {
+        ObjectKey::new("ledger/epoch")
+    }
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -12,7 +12,8 @@
 //! write on that version does.
 //!
 //! A process that finds another's mark still running times it on its own
-//! monotonic clock from when it first saw it; nobody's wall clock is trusted.
+//! monotonic clock from when it first saw it; nobody's wall clock is trusted. How
+//! long a key is remembered is counted in epochs, see [`MarkEpoch`].
 
 mod commands;
 mod effect;
@@ -24,10 +25,12 @@
 mod state;
 mod wire;
 
-pub use effect::{CallVerdict, FinishedCall, LedgerEffect, MarkRequest, NotRunReason, ShardRead};
+pub use effect::{
+    CallVerdict, EpochRead, FinishedCall, LedgerEffect, MarkRequest, NotRunReason, ShardRead,
+};
 pub use error::LedgerError;
 pub use key::{AttemptId, MarkEpoch, MarkKey, RequestDigest, ShardId};
 pub use record::{AnswerBody, MarkPhase, MarkRecord, RecordedAnswer, RecordedHeader, ShardRecord};
 pub use settings::LedgerSettings;
 pub use state::LedgerState;
-pub use wire::{decode_shard, encode_shard};
+pub use wire::{decode_epoch, decode_shard, encode_epoch, encode_shard};
--- a/crates/ledger/src/queries/deadline.rs
+++ b/crates/ledger/src/queries/deadline.rs
@@ -9,11 +9,18 @@
     /// Instant at which [`LedgerState::expire`] is next due.
     pub fn next_deadline(&self) -> Option<ClockTime> {
         let replies = self.calls.values().filter_map(call_deadline);
-        let shards = self
-            .shards
-            .values()
-            .filter_map(|shard| self.shard_deadline(shard));
-        replies.chain(shards).min()
+        let shards = self.shards.values();
+        let shards = shards.filter_map(|shard| self.shard_deadline(shard));
+        replies.chain(shards).chain(self.epoch_due()).min()
+    }
+
+    /// Instant of the epoch's next reading.
+    ///
+    /// A process that has had no call yet leaves the epoch alone. One whose
+    /// epoch has grown too old for new marks reads it once a call wants one.
+    pub(crate) fn epoch_due(&self) -> Option<ClockTime> {
+        let needed = self.epoch.known.is_some() || self.has_wanting();
+        (needed && self.epoch.flight.is_none()).then_some(self.epoch.not_before)
     }
 
     fn shard_deadline(&self, shard: &ShardState) -> Option<ClockTime> {
@@ -21,12 +28,22 @@
             return None;
         }
         let calls = shard.calls.iter().filter_map(|call| self.calls.get(call));
-        let due = calls.filter_map(|call| match call.phase {
+        calls
+            .filter_map(|call| self.write_deadline(call, shard))
+            .min()
+    }
+
+    /// Instant at which a call next wants the store, as far as it depends on
+    /// time alone.
+    fn write_deadline(&self, call: &CallState, shard: &ShardState) -> Option<ClockTime> {
+        match call.phase {
             CallPhase::Sent { .. } | CallPhase::Joining { local: true } => None,
             CallPhase::Joining { local: false } => Some(shard.poll_at.max(shard.not_before)),
-            _ => Some(shard.not_before),
-        });
-        due.min()
+            CallPhase::Wanting if self.stamp_epoch(shard.not_before).is_none() => None,
+            CallPhase::Wanting | CallPhase::Finishing(_) | CallPhase::Withdrawing(_) => {
+                Some(shard.not_before)
+            }
+        }
     }
 }
 
--- a/crates/ledger/src/settings.rs
+++ b/crates/ledger/src/settings.rs
@@ -19,8 +19,10 @@
     pub run_limit: Duration,
     /// Longest wait for an answer to be recorded before its caller gets it.
     pub record_patience: Duration,
-    /// Time for which a key is remembered.
-    pub retention: Duration,
+    /// Shortest time between two epochs; at least the run limit.
+    pub epoch_length: Duration,
+    /// Whole epochs for which a key is remembered.
+    pub retention_epochs: u64,
     /// Largest body kept with an answer in bytes.
     pub body_limit: usize,
     /// Largest shard that takes new marks in bytes.
@@ -39,7 +41,8 @@
             cache_trust: Duration::from_secs(1),
             run_limit: Duration::from_secs(60),
             record_patience: Duration::from_secs(2),
-            retention: Duration::from_secs(24 * 60 * 60),
+            epoch_length: Duration::from_secs(60 * 60),
+            retention_epochs: 24,
             body_limit: 16_384,
             mark_limit: 700_000,
             shard_limit: 900_000,
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -11,6 +11,9 @@
     ShardId, ShardRecord,
 };
 
+/// Epochs by which a mark may seem older than it is.
+pub(crate) const STAMP_MARGIN: u64 = 2;
+
 /// Effects that a command gathers.
 pub(crate) type Effects = Vec<crate::LedgerEffect>;
 
@@ -22,7 +25,7 @@
     pub(crate) process: u64,
     pub(crate) calls: BTreeMap<CallId, CallState>,
     pub(crate) shards: BTreeMap<ShardId, ShardState>,
-    pub(crate) epoch: MarkEpoch,
+    pub(crate) epoch: EpochState,
     pub(crate) random: StdRng,
 }
 
@@ -38,7 +41,7 @@
             process,
             calls: BTreeMap::new(),
             shards: BTreeMap::new(),
-            epoch: MarkEpoch::default(),
+            epoch: EpochState::default(),
             random: StdRng::seed_from_u64(seed),
         }
     }
@@ -52,6 +55,37 @@
     }
 }
 
+/// What is known of the epoch object.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EpochState {
+    /// Newest version seen; anything older is refused.
+    pub floor: ObjectVersion,
+    /// Newest epoch seen.
+    pub known: Option<MarkEpoch>,
+    /// When that epoch was first seen.
+    pub seen_at: ClockTime,
+    /// When the newest answer about it was asked for.
+    pub asked_at: ClockTime,
+    /// When the call to the store that is under way was sent.
+    pub flight: Option<EpochFlight>,
+    /// Earliest instant of the next call to the store.
+    pub not_before: ClockTime,
+    /// Calls to the store that failed one after another.
+    pub failures: u32,
+}
+
+/// Call to the store about the epoch that is under way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum EpochFlight {
+    Read {
+        sent_at: ClockTime,
+    },
+    Write {
+        sent_at: ClockTime,
+        epoch: MarkEpoch,
+    },
+}
+
 /// A call and how far it is.
 #[derive(Clone, Debug)]
 pub(crate) struct CallState {
--- a/crates/ledger/src/wire.rs
+++ b/crates/ledger/src/wire.rs
@@ -5,8 +5,8 @@
 use store::ReadOutcome;
 
 use crate::{
-    AnswerBody, AttemptId, LedgerError, MarkEpoch, MarkKey, MarkPhase, MarkRecord, RecordedAnswer,
-    RecordedHeader, RequestDigest, ShardRead, ShardRecord,
+    AnswerBody, AttemptId, EpochRead, LedgerError, MarkEpoch, MarkKey, MarkPhase, MarkRecord,
+    RecordedAnswer, RecordedHeader, RequestDigest, ShardRead, ShardRecord,
 };
 
 /// Value of a shard's object.
@@ -33,6 +33,35 @@
     })
 }
 
+/// Value of the epoch's object.
+pub fn encode_epoch(epoch: MarkEpoch) -> Arc<str> {
+    let wire = EpochWire { epoch: epoch.0 };
+    let text = serde_json::to_string(&wire).expect("an epoch has only JSON types in it");
+    Arc::from(text)
+}
+
+/// Epoch from the end of a read.
+pub fn decode_epoch(outcome: ReadOutcome) -> Result<EpochRead, LedgerError> {
+    let object = match outcome {
+        ReadOutcome::Found(object) => object,
+        ReadOutcome::Missing => return Ok(EpochRead::Missing),
+        ReadOutcome::Unavailable => return Ok(EpochRead::Unavailable),
+    };
+    let wire: EpochWire =
+        serde_json::from_str(&object.value).map_err(|fault| LedgerError::Syntax {
+            message: fault.to_string(),
+        })?;
+    Ok(EpochRead::Found {
+        version: object.version,
+        epoch: MarkEpoch(wire.epoch),
+    })
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct EpochWire {
+    epoch: u64,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct ShardWire {
     marks: Vec<MarkWire>,
--- a/crates/ledger/tests/basic.rs
+++ b/crates/ledger/tests/basic.rs
@@ -38,10 +38,14 @@
     let mut state = LedgerState::new(LedgerSettings::default(), node, 7, 1);
     let now = ClockTime::from_millis;
     let effects = state.begin(request(1), now(1));
-    let [LedgerEffect::ReadShard { shard }] = effects[..] else {
+    let [LedgerEffect::ReadEpoch, LedgerEffect::ReadShard { shard }] = effects[..] else {
         panic!("{effects:?}");
     };
-    let effects = state.conclude_read(shard, ShardRead::Missing, now(2));
+    assert_eq!(
+        state.conclude_read(shard, ShardRead::Missing, now(2)),
+        vec![]
+    );
+    let effects = state.conclude_epoch_read(EpochRead::Missing, now(2));
     let [LedgerEffect::WriteShard { expected, .. }] = effects[..] else {
         panic!("{effects:?}");
     };
@@ -50,10 +54,8 @@
     let effects = state.conclude_write(shard, applied, now(3));
     assert_eq!(verdict(&effects), Some(&CallVerdict::Send));
     assert!(state.may_send(CallId(1), now(3)));
-    assert_eq!(
-        state.finish(CallId(1), FinishedCall::Answered(answer()), now(4)),
-        vec![]
-    );
+    let finished = FinishedCall::Answered(answer());
+    assert_eq!(state.finish(CallId(1), finished, now(4)), vec![]);
     let due = state.next_deadline().unwrap();
     let effects = state.expire(due);
     assert!(matches!(effects[..], [LedgerEffect::WriteShard { .. }]));
