--- a/crates/ledger/src/commands/epoch.rs
+++ b/crates/ledger/src/commands/epoch.rs
@@ -57,7 +57,12 @@
     /// Within one period of its reading, the true epoch is at most one further.
     pub(crate) fn stamp_epoch(&self, now: ClockTime) -> Option<MarkEpoch> {
         let usable = now < self.epoch.asked_at + self.settings.epoch_length;
-        self.epoch.known.filter(|_| usable)
+        self.epoch.stamp.filter(|_| usable)
+    }
+
+    /// Forgets a stamp that has become too old.
+    pub(crate) fn drop_stamp(&mut self, now: ClockTime) {
+        self.epoch.stamp = self.stamp_epoch(now);
     }
 
     /// Reads the epoch if a call waits for it or a reading is due.
@@ -80,7 +85,9 @@
             self.epoch.seen_at = now;
         }
         self.epoch.floor = version;
+        self.epoch.stamp = Some(epoch);
         self.epoch.asked_at = asked_at;
+        self.drop_stamp(now);
         self.epoch.failures = 0;
         let pause = self.settings.epoch_length / READS_PER_EPOCH;
         self.epoch.not_before = now + self.jittered(pause);
--- a/crates/ledger/src/commands/expire.rs
+++ b/crates/ledger/src/commands/expire.rs
@@ -16,6 +16,7 @@
             self.expire_run(call, now);
             self.expire_reply(call, now, &mut effects);
         }
+        self.drop_stamp(now);
         self.pump_epoch(now, &mut effects);
         let shards: Vec<ShardId> = self.shards.keys().copied().collect();
         for shard in shards {
--- a/crates/ledger/src/queries/deadline.rs
+++ b/crates/ledger/src/queries/deadline.rs
@@ -39,7 +39,7 @@
         match call.phase {
             CallPhase::Sent { .. } | CallPhase::Joining { local: true } => None,
             CallPhase::Joining { local: false } => Some(shard.poll_at.max(shard.not_before)),
-            CallPhase::Wanting if self.stamp_epoch(shard.not_before).is_none() => None,
+            CallPhase::Wanting if self.epoch.stamp.is_none() => None,
             CallPhase::Wanting | CallPhase::Finishing(_) | CallPhase::Withdrawing(_) => {
                 Some(shard.not_before)
             }
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -62,6 +62,8 @@
     pub floor: ObjectVersion,
     /// Newest epoch seen.
     pub known: Option<MarkEpoch>,
+    /// Epoch to stamp marks with; none once it may be too old.
+    pub stamp: Option<MarkEpoch>,
     /// When that epoch was first seen.
     pub seen_at: ClockTime,
     /// When the newest answer about it was asked for.
