Add the gateway and the controller

Cause: the thin path needs both daemons, in the shape that everything keeps: one loop on one thread, commands and queries apart, ports behind trait objects.

Ruled out: calls decided inside their HTTP tasks (retry, admission and the ledger could not be tested as tables); a reply sent by the task on its own verdict (an attempt that was lost and then found no other target would be told "not run" though it may have run: `may_have_run` keeps that apart).

Change: `gateway` with authorisation, admission, routing, retries, the ledger and streams that resume elsewhere; `controller` feeding the groups decisions; reads of the system's objects and the desk for questions shared between both; engine orders carry the run they mean.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -8,6 +8,7 @@
 mod event;
 mod name;
 mod number;
+mod timer;
 
 pub mod prelude;
 
@@ -20,3 +21,4 @@
 pub use number::{
     CallId, FencingToken, GroupEpoch, HostIncarnation, ObjectVersion, SectionRevision, WriteNonce,
 };
+pub use timer::DueTimer;
--- a/crates/base/src/prelude.rs
+++ b/crates/base/src/prelude.rs
@@ -1,10 +1,10 @@
 //! The types that almost every module uses.
 
 pub use crate::{
-    CallId, CallerName, ClockSource, ClockTime, DeploymentName, DomainName, EffectCarrier,
-    EventHandler, FabricName, FencingToken, GroupEpoch, GroupName, HostIncarnation, HostName,
-    ModelName, NameError, NodeName, ObjectVersion, RequestKey, SectionName, SectionRevision,
-    ServiceName, TeamName, WorkspaceName, WriteNonce,
+    CallId, CallerName, ClockSource, ClockTime, DeploymentName, DomainName, DueTimer,
+    EffectCarrier, EventHandler, FabricName, FencingToken, GroupEpoch, GroupName, HostIncarnation,
+    HostName, ModelName, NameError, NodeName, ObjectVersion, RequestKey, SectionName,
+    SectionRevision, ServiceName, TeamName, WorkspaceName, WriteNonce,
 };
 pub use std::sync::Arc;
 pub use std::time::Duration;
--- /dev/null
+++ b/crates/controller/src/border/mod.rs
@@ -0,0 +1,125 @@
+//! Border of the controller: sockets on one side, events and effects on the other.
+
+mod admin;
+mod carrier;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::prelude::*;
+use futures_channel::mpsc::{UnboundedSender, unbounded};
+use groups::GroupSettings;
+use monoio::net::TcpListener;
+use net::web::{WebClient, WebLimits, bind, serve};
+use net::{QuestionDesk, SystemClock, drain_pair, run_loop, seed_from_system, watch_stop};
+use platform::{HttpEngines, HttpHostDirectory, HttpObjectStore, NodeEntry, NodeRole};
+use settings::HostSettings;
+
+use crate::{
+    ControllerError, ControllerEvent, ControllerLoop, ControllerState, ControllerStatus,
+    ControllerTimes,
+};
+use admin::AdminService;
+use carrier::{ControllerBorder, ControllerPorts};
+
+/// Interval between two reads of the same list.
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest wait of a watch.
+const WATCH_SPAN: Duration = Duration::from_secs(30);
+/// Longest time that a stop waits for leases to be given back.
+const RELEASE_LIMIT: Duration = Duration::from_secs(10);
+/// Connections of operators.
+const ADMIN_CONNECTIONS: usize = 64;
+
+/// Questions to the controller's loop.
+type ControllerDesk = QuestionDesk<ControllerEvent, (), Box<ControllerStatus>>;
+
+/// Runs a controller until it was told to stop and has given its leases back.
+///
+/// `listening` hears the address of operators once it is bound.
+pub async fn run(
+    settings: HostSettings,
+    listening: impl FnOnce(SocketAddr),
+) -> Result<(), ControllerError> {
+    let address = settings.controller.admin;
+    let fault = |source| ControllerError::Bind { address, source };
+    let listener = bind(address).map_err(fault)?;
+    let admin = listener.local_addr().map_err(fault)?;
+    let (events, inbox) = unbounded();
+    watch_signals(events.clone())?;
+    listening(admin);
+    let clock = Rc::new(SystemClock::default());
+    let ports = connect_ports(&settings, &clock);
+    let entry = NodeEntry {
+        node: settings.node.clone(),
+        role: NodeRole::Controller,
+        domain: settings.domain.clone(),
+        admin,
+    };
+    platform::announce(ports.store.clone(), clock.clone(), entry);
+    let desk = ControllerDesk::new(events.clone(), |ask, ()| ControllerEvent::StatusAsked {
+        ask,
+    });
+    serve_operators(listener, desk.clone());
+    let border = ControllerBorder::new(ports, clock.clone(), events, desk);
+    let mut handler = ControllerLoop(new_state(&settings));
+    run_loop(&mut handler, inbox, clock.as_ref(), &border).await;
+    Ok(())
+}
+
+fn watch_signals(events: UnboundedSender<ControllerEvent>) -> Result<(), ControllerError> {
+    let mut signal = watch_stop()?;
+    monoio::spawn(async move {
+        loop {
+            signal.wait().await;
+            let stop = ControllerEvent::StopRequested;
+            if events.unbounded_send(stop).is_err() {
+                return;
+            }
+        }
+    });
+    Ok(())
+}
+
+fn serve_operators(listener: TcpListener, desk: ControllerDesk) {
+    let limits = WebLimits {
+        connections: ADMIN_CONNECTIONS,
+        ..WebLimits::default()
+    };
+    // Operators may ask until the very end, so their drain never starts.
+    let (switch, drain) = drain_pair();
+    monoio::spawn(async move {
+        serve(listener, Rc::new(AdminService::new(desk)), limits, drain).await;
+        drop(switch);
+    });
+}
+
+fn connect_ports(settings: &HostSettings, clock: &Rc<SystemClock>) -> ControllerPorts {
+    let client = WebClient::new(clock.clone());
+    let server = settings.platform;
+    let store = HttpObjectStore::new(client.clone(), clock.clone(), server);
+    let directory = HttpHostDirectory::new(client.clone(), clock.clone(), server);
+    let engines = HttpEngines::new(client, clock.clone());
+    ControllerPorts {
+        store: Rc::new(store),
+        directory: Rc::new(directory),
+        engines: Rc::new(engines),
+    }
+}
+
+fn new_state(settings: &HostSettings) -> ControllerState {
+    let times = ControllerTimes {
+        poll_interval: settings.controller.poll_interval,
+        read_interval: READ_INTERVAL,
+        watch_span: WATCH_SPAN,
+        release_limit: RELEASE_LIMIT,
+    };
+    ControllerState::new(
+        settings.node.clone(),
+        settings.domain.clone(),
+        times,
+        GroupSettings::default(),
+        seed_from_system(),
+        seed_from_system(),
+    )
+}
--- /dev/null
+++ b/crates/controller/src/commands/fabrics.rs
@@ -0,0 +1,113 @@
+//! Feeds the decisions on fabric domains and passes their effects on.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use groups::{FabricTarget, HostEntry, HostReport, HostStanding};
+use platform::{FabricRead, Presence};
+use store::UpdateOutcome;
+
+use crate::{ControllerEffect, ControllerState, queries};
+
+/// Takes in one fabric domain as read on its own.
+pub fn observe_read(
+    state: &mut ControllerState,
+    fabric: &FabricName,
+    read: Option<FabricRead>,
+    now: ClockTime,
+) {
+    if let Some(read) = read {
+        state.fabric_of(fabric).observe_record(read, now);
+    }
+}
+
+/// Takes in the end of a write.
+pub fn conclude_write(
+    state: &mut ControllerState,
+    fabric: &FabricName,
+    nonce: WriteNonce,
+    outcome: UpdateOutcome,
+    now: ClockTime,
+) -> Vec<ControllerEffect> {
+    let effects = state.fabric_of(fabric).conclude_write(nonce, outcome, now);
+    effects.into_iter().map(ControllerEffect::Fabric).collect()
+}
+
+/// Takes in a host's answer.
+pub fn observe_report(
+    state: &mut ControllerState,
+    host: &HostName,
+    asked_at: ClockTime,
+    report: Option<HostReport>,
+    now: ClockTime,
+) {
+    let Some(report) = report.filter(|report| report.host == *host) else {
+        return;
+    };
+    let fabric = state.hosts.get(host).and_then(|entry| entry.fabric.clone());
+    if let Some(fabric) = fabric {
+        state
+            .fabric_of(&fabric)
+            .observe_report(report, asked_at, now);
+    }
+}
+
+/// Hands each fabric domain its hosts.
+pub fn set_hosts(state: &mut ControllerState) {
+    let mut entries: BTreeMap<FabricName, Vec<HostEntry>> = BTreeMap::new();
+    for fabric in state.fabrics.keys() {
+        entries.insert(fabric.clone(), Vec::new());
+    }
+    for entry in state.hosts.values() {
+        let Some(fabric) = entry.fabric.clone() else {
+            continue;
+        };
+        let drained = state.drains.hosts.contains(&entry.host);
+        let standing = if drained || entry.presence == Presence::Leaving {
+            HostStanding::Leaving
+        } else {
+            HostStanding::Live
+        };
+        entries.entry(fabric).or_default().push(HostEntry {
+            host: entry.host.clone(),
+            address: entry.address,
+            standing,
+        });
+    }
+    for (fabric, entries) in entries {
+        state.fabric_of(&fabric).observe_hosts(entries);
+    }
+}
+
+/// Hands each fabric domain the groups that it shall form.
+pub fn set_targets(state: &mut ControllerState) {
+    let spread = queries::spread(state);
+    let deployments = state.config.in_force.configuration.deployments.clone();
+    for (fabric, counts) in spread {
+        let targets = counts.into_iter().filter_map(|(deployment, groups)| {
+            let spec = deployments.get(&deployment)?.clone();
+            Some(FabricTarget {
+                deployment,
+                spec,
+                groups,
+            })
+        });
+        let targets: Vec<FabricTarget> = targets.collect();
+        state.fabric_of(&fabric).set_deployments(targets);
+    }
+}
+
+/// Lets every fabric domain act on what is known and due.
+///
+/// Nothing is decided before the document, so that no group is dissolved for
+/// want of it.
+pub fn tick(state: &mut ControllerState, now: ClockTime) -> Vec<ControllerEffect> {
+    if state.config.in_force.version == ObjectVersion(0) {
+        return Vec::new();
+    }
+    let effects = state
+        .fabrics
+        .values_mut()
+        .flat_map(|fabric| fabric.tick(now));
+    effects.map(ControllerEffect::Fabric).collect()
+}
--- /dev/null
+++ b/crates/controller/src/commands/mod.rs
@@ -0,0 +1,6 @@
+//! Commands: each changes the state and returns what it wants done.
+
+pub mod fabrics;
+pub mod poll;
+pub mod stop;
+pub mod watch;
--- /dev/null
+++ b/crates/controller/src/queries/hosts.rs
@@ -0,0 +1,31 @@
+//! Hosts of the fabric domains that this node owns.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+
+use crate::ControllerState;
+
+/// Hosts whose reports this node needs, with the addresses of their engines.
+pub(crate) fn owned_hosts(
+    state: &ControllerState,
+    now: ClockTime,
+) -> BTreeMap<HostName, SocketAddr> {
+    let owned = state
+        .fabrics
+        .values()
+        .filter(|fabric| fabric.holds_lease(now));
+    let hosts = owned.flat_map(|fabric| fabric.hosts().values());
+    hosts
+        .map(|entry| (entry.host.clone(), entry.address))
+        .collect()
+}
+
+/// Whether no lease is held any more.
+pub(crate) fn has_released(state: &ControllerState, now: ClockTime) -> bool {
+    state
+        .fabrics
+        .values()
+        .all(|fabric| fabric.has_released(now))
+}
--- /dev/null
+++ b/crates/controller/src/queries/mod.rs
@@ -0,0 +1,11 @@
+//! Queries: each only reads the state.
+
+mod deadline;
+mod hosts;
+mod spread;
+mod status;
+
+pub use deadline::next_deadline;
+pub(crate) use hosts::{has_released, owned_hosts};
+pub(crate) use spread::spread;
+pub use status::{ControllerStatus, FabricStatus, describe};
--- a/crates/emulator/src/engine/mod.rs
+++ b/crates/emulator/src/engine/mod.rs
@@ -10,4 +10,4 @@
 pub mod tokens;
 
 pub use service::{EngineOptions, EngineService};
-pub use state::{EngineState, OrderVerdict};
+pub use state::{EngineOrder, EngineState, OrderVerdict};
--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -11,12 +11,11 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use net::web::{BodySender, WebReply, WebService, body_channel, json_reply, text_reply};
-use platform::GroupOrder;
-use platform::wire::{OrderWire, PhaseWire, ReportWire};
+use platform::wire::{OrderWire, ReportWire};
 
 use super::chat::{AnswerFrame, AnswerKind, PromptWire};
 use super::tokens::answer_tokens;
-use super::{EngineState, OrderVerdict};
+use super::{EngineOrder, EngineState, OrderVerdict};
 use crate::web::{read_json, unknown_path};
 
 /// Header with the group that the caller means.
@@ -71,19 +70,7 @@
 
     fn report(&self) -> WebReply {
         let report = self.state.borrow().report(self.clock.now());
-        let wire = ReportWire {
-            host: report.host,
-            incarnation: report.incarnation,
-            assignment: report.assignment.map(Into::into),
-            phase: match report.phase {
-                groups::MemberPhase::Idle => PhaseWire::Idle,
-                groups::MemberPhase::Loading => PhaseWire::Loading,
-                groups::MemberPhase::Ready => PhaseWire::Ready,
-            },
-            running: report.load.running,
-            waiting: report.load.waiting,
-        };
-        json_reply(StatusCode::OK, &wire)
+        json_reply(StatusCode::OK, &ReportWire::from(report))
     }
 
     async fn take_order(&self, body: Incoming) -> WebReply {
@@ -91,16 +78,19 @@
             Ok(wire) => wire,
             Err(reply) => return reply,
         };
-        let order = GroupOrder {
+        let order = EngineOrder {
             assignment: wire.assignment.map(Into::into),
             model: wire.model,
-            members: wire.members,
+            incarnation: wire.incarnation,
             token: wire.token,
         };
         let loaded_at = self.clock.now() + self.options.load_time;
         match self.state.borrow_mut().take_order(order, loaded_at) {
             OrderVerdict::Taken => self.report(),
             OrderVerdict::Fenced => text_reply(StatusCode::CONFLICT, "the fencing token is old"),
+            OrderVerdict::Restarted => {
+                text_reply(StatusCode::PRECONDITION_FAILED, "another run was meant")
+            }
         }
     }
 
--- a/crates/emulator/src/engine/state.rs
+++ b/crates/emulator/src/engine/state.rs
@@ -2,7 +2,19 @@
 
 use base::prelude::*;
 use groups::{HostAssignment, HostReport, LoadReport, MemberPhase};
-use platform::GroupOrder;
+
+/// Order as the engine reads it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineOrder {
+    /// Group to join; without one the engine belongs to none.
+    pub assignment: Option<HostAssignment>,
+    /// Model to load; without one the engine keeps what it has.
+    pub model: Option<ModelName>,
+    /// Run of the engine that is meant.
+    pub incarnation: HostIncarnation,
+    /// Fencing token of the orderer's lease.
+    pub token: FencingToken,
+}
 
 /// Whether an engine took an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -11,6 +23,8 @@
     Taken,
     /// It has seen a newer fencing token.
     Fenced,
+    /// Another run of the engine was meant.
+    Restarted,
 }
 
 /// State of one engine.
@@ -24,6 +38,7 @@
     model: Option<ModelName>,
     ready_at: ClockTime,
     running: u32,
+    step_micros: u32,
 }
 
 impl EngineState {
@@ -38,11 +53,15 @@
             model: None,
             ready_at: ClockTime::default(),
             running: 0,
+            step_micros: 0,
         }
     }
 
     /// Takes or refuses an order; a new model loads until `loaded_at`.
-    pub fn take_order(&mut self, order: GroupOrder, loaded_at: ClockTime) -> OrderVerdict {
+    pub fn take_order(&mut self, order: EngineOrder, loaded_at: ClockTime) -> OrderVerdict {
+        if order.incarnation != self.incarnation {
+            return OrderVerdict::Restarted;
+        }
         if self.checks_fencing && order.token < self.newest_token {
             return OrderVerdict::Fenced;
         }
@@ -81,17 +100,24 @@
             incarnation: self.incarnation,
             assignment: self.assignment.clone(),
             phase: self.phase(now),
+            model: self.model.clone(),
             load: LoadReport {
                 running: self.running,
                 waiting: 0,
+                step_micros: self.step_micros,
             },
         }
     }
 
+    /// Sets the time of a decoding step that it reports.
+    pub fn set_step(&mut self, step: Duration) {
+        self.step_micros = u32::try_from(step.as_micros()).unwrap_or(u32::MAX);
+    }
+
     fn phase(&self, now: ClockTime) -> MemberPhase {
         match &self.assignment {
+            _ if now < self.ready_at => MemberPhase::Loading,
             None => MemberPhase::Idle,
-            Some(_) if now < self.ready_at => MemberPhase::Loading,
             Some(_) => MemberPhase::Ready,
         }
     }
--- /dev/null
+++ b/crates/gateway/src/border/admin.rs
@@ -0,0 +1,97 @@
+//! Status, health and readiness for operators and the balancer.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use futures_util::future::LocalBoxFuture;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use net::HistogramSet;
+use net::web::{WebReply, WebService, json_reply, text_reply};
+use platform::status::{
+    ConfigStatusWire, GroupStatusWire, HistogramWire, LimitStatusWire, StatusWire,
+};
+use platform::{RoleWire, STATUS_PATH};
+
+use super::GatewayDesk;
+use crate::{GatewayAnswer, GatewayQuestion, GatewayStatus};
+
+/// Service of the admin address.
+#[derive(Clone)]
+pub struct AdminService {
+    desk: GatewayDesk,
+    histograms: Rc<RefCell<HistogramSet>>,
+}
+
+impl AdminService {
+    /// Service that asks through a desk.
+    pub fn new(desk: GatewayDesk, histograms: Rc<RefCell<HistogramSet>>) -> Self {
+        Self { desk, histograms }
+    }
+
+    async fn route(&self, path: &str) -> WebReply {
+        match path {
+            "/healthz" => text_reply(StatusCode::OK, "alive"),
+            "/readyz" => ready_reply(&self.desk).await,
+            STATUS_PATH => self.status().await,
+            _ => text_reply(StatusCode::NOT_FOUND, "no such page"),
+        }
+    }
+
+    async fn status(&self) -> WebReply {
+        match self.desk.ask(GatewayQuestion::Status).await {
+            Some(GatewayAnswer::Status(status)) => {
+                json_reply(StatusCode::OK, &self.status_wire(&status))
+            }
+            _ => text_reply(StatusCode::SERVICE_UNAVAILABLE, "the gateway has stopped"),
+        }
+    }
+
+    fn status_wire(&self, status: &GatewayStatus) -> StatusWire {
+        let histograms = self.histograms.borrow();
+        StatusWire {
+            node: status.node.clone(),
+            role: RoleWire::Gateway,
+            ready: status.ready,
+            configuration: ConfigStatusWire::from(&status.config),
+            groups: group_wires(status),
+            limits: limit_wires(status),
+            histograms: histograms.summaries().map(HistogramWire::from).collect(),
+        }
+    }
+}
+
+/// Whether the balancer may send callers here.
+pub async fn ready_reply(desk: &GatewayDesk) -> WebReply {
+    match desk.ask(GatewayQuestion::Ready).await {
+        Some(GatewayAnswer::Ready(true)) => text_reply(StatusCode::OK, "ready"),
+        _ => text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+    }
+}
+
+fn group_wires(status: &GatewayStatus) -> Vec<GroupStatusWire> {
+    let groups = status.groups.iter();
+    groups
+        .map(|(group, status)| GroupStatusWire::new(group, status.epoch, &status.verdict))
+        .collect()
+}
+
+fn limit_wires(status: &GatewayStatus) -> Vec<LimitStatusWire> {
+    let depths = status.queues.iter();
+    depths
+        .map(|depth| LimitStatusWire {
+            workspace: depth.workspace.clone(),
+            service: depth.service.clone(),
+            running: depth.running,
+            waiting: depth.waiting,
+            refused: 0,
+        })
+        .collect()
+}
+
+impl WebService for AdminService {
+    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebReply> {
+        let this = self.clone();
+        Box::pin(async move { this.route(request.uri().path()).await })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/border/carrier.rs
@@ -0,0 +1,223 @@
+//! Carries the loop's effects out.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::prelude::*;
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use ledger::{ShardId, ShardRead, ShardRecord, decode_shard, encode_shard};
+use net::{DrainSwitch, HistogramKey, HistogramSet, MetricSink};
+use platform::{
+    EnginePort, HostDirectory, HostsOutcome, ReportOutcome, read_drains, read_fabrics,
+    watch_document,
+};
+use store::{ObjectChange, ObjectStore};
+
+use super::GatewayDesk;
+use crate::{CallMeasure, CallStep, GatewayEffect, GatewayEvent};
+
+/// What surrounds the gateway, each behind a trait object.
+pub struct GatewayPorts {
+    /// The platform's objects.
+    pub store: Rc<dyn ObjectStore>,
+    /// The platform's list of hosts.
+    pub directory: Rc<dyn HostDirectory>,
+    /// The engines' control interface.
+    pub engines: Rc<dyn EnginePort>,
+}
+
+/// Carrier of the gateway's effects.
+pub struct GatewayBorder {
+    ports: GatewayPorts,
+    clock: Rc<dyn ClockSource>,
+    events: UnboundedSender<GatewayEvent>,
+    desk: GatewayDesk,
+    tasks: RefCell<HashMap<CallId, UnboundedSender<CallStep>>>,
+    histograms: Rc<RefCell<HistogramSet>>,
+    metrics: Rc<dyn MetricSink>,
+    switch: RefCell<Option<DrainSwitch>>,
+}
+
+impl GatewayBorder {
+    /// Border around the given ports.
+    pub fn new(
+        ports: GatewayPorts,
+        clock: Rc<dyn ClockSource>,
+        events: UnboundedSender<GatewayEvent>,
+        desk: GatewayDesk,
+        metrics: Rc<dyn MetricSink>,
+        switch: DrainSwitch,
+    ) -> Self {
+        Self {
+            ports,
+            clock,
+            events,
+            desk,
+            tasks: RefCell::default(),
+            histograms: Rc::default(),
+            metrics,
+            switch: RefCell::new(Some(switch)),
+        }
+    }
+
+    /// Histograms of this process.
+    pub fn histograms(&self) -> Rc<RefCell<HistogramSet>> {
+        self.histograms.clone()
+    }
+
+    /// Takes a call's task in; its steps come out of the receiver.
+    pub fn enlist(&self, call: CallId) -> UnboundedReceiver<CallStep> {
+        let (sender, receiver) = unbounded();
+        self.tasks.borrow_mut().insert(call, sender);
+        receiver
+    }
+
+    /// Forgets a call's task.
+    pub fn dismiss(&self, call: CallId) {
+        self.tasks.borrow_mut().remove(&call);
+    }
+
+    fn step(&self, call: CallId, step: CallStep) {
+        if let Some(task) = self.tasks.borrow().get(&call) {
+            // The task may have ended, and then needs no step.
+            let _ = task.unbounded_send(step);
+        }
+    }
+
+    /// Runs a call outside the loop and hands its end to the loop.
+    fn spawn(&self, call: impl Future<Output = GatewayEvent> + 'static) {
+        let events = self.events.clone();
+        monoio::spawn(async move {
+            let event = call.await;
+            // The loop may have ended meanwhile.
+            let _ = events.unbounded_send(event);
+        });
+    }
+
+    fn read_document(&self, after: ObjectVersion, deadline: ClockTime) {
+        let store = self.ports.store.clone();
+        self.spawn(async move {
+            let read = watch_document(store.as_ref(), after, deadline).await;
+            GatewayEvent::DocumentRead(read)
+        });
+    }
+
+    fn read_fabrics(&self) {
+        let store = self.ports.store.clone();
+        self.spawn(async move { GatewayEvent::FabricsRead(read_fabrics(store.as_ref()).await) });
+    }
+
+    fn read_drains(&self) {
+        let store = self.ports.store.clone();
+        self.spawn(async move { GatewayEvent::DrainsRead(read_drains(store.as_ref()).await) });
+    }
+
+    fn read_hosts(&self) {
+        let list = self.ports.directory.hosts();
+        self.spawn(async move {
+            GatewayEvent::HostsRead(match list.await {
+                HostsOutcome::Listed(entries) => Some(entries),
+                HostsOutcome::Unavailable => None,
+            })
+        });
+    }
+
+    fn ask_host(&self, host: HostName, address: SocketAddr, deadline: ClockTime) {
+        let asked_at = self.clock.now();
+        let report = self.ports.engines.report(address, deadline);
+        self.spawn(async move {
+            let report = match report.await {
+                ReportOutcome::Reported(report) => Some(report),
+                ReportOutcome::Silent => None,
+            };
+            GatewayEvent::HostReported {
+                host,
+                asked_at,
+                report,
+            }
+        });
+    }
+
+    fn read_shard(&self, shard: ShardId) {
+        let read = self.ports.store.read(&shard.object_key());
+        self.spawn(async move {
+            let read = decode_shard(read.await).unwrap_or_else(|fault| {
+                log::error!(shard = shard.0; "{fault}");
+                ShardRead::Unavailable
+            });
+            GatewayEvent::ShardRead { shard, read }
+        });
+    }
+
+    fn write_shard(&self, shard: ShardId, expected: ObjectVersion, record: &ShardRecord) {
+        let write = self.ports.store.update(ObjectChange {
+            key: shard.object_key(),
+            expected,
+            value: encode_shard(record),
+        });
+        self.spawn(async move {
+            let outcome = write.await;
+            GatewayEvent::ShardWritten { shard, outcome }
+        });
+    }
+
+    fn measure(&self, measure: CallMeasure) {
+        let CallMeasure {
+            workspace,
+            service,
+            measure,
+            span,
+        } = measure;
+        let tags = [
+            ("workspace", workspace.as_str()),
+            ("service", service.as_str()),
+        ];
+        self.metrics.time(measure, &tags, span);
+        let key = HistogramKey {
+            class: Arc::from(service.as_str()),
+            workspace,
+            measure,
+        };
+        self.histograms.borrow_mut().record(key, span);
+    }
+
+    fn stop_accepting(&self) {
+        if let Some(switch) = self.switch.borrow_mut().take() {
+            switch.start();
+        }
+    }
+
+    fn finish(&self) {
+        self.metrics.flush();
+        self.events.close_channel();
+    }
+}
+
+impl EffectCarrier<GatewayEffect> for GatewayBorder {
+    fn carry(&self, effect: GatewayEffect) {
+        match effect {
+            GatewayEffect::Step { call, step } => self.step(call, step),
+            GatewayEffect::ReadDocument { after, deadline } => self.read_document(after, deadline),
+            GatewayEffect::ReadFabrics => self.read_fabrics(),
+            GatewayEffect::ReadDrains => self.read_drains(),
+            GatewayEffect::ReadHosts => self.read_hosts(),
+            GatewayEffect::AskHost {
+                host,
+                address,
+                deadline,
+            } => self.ask_host(host, address, deadline),
+            GatewayEffect::ReadShard { shard } => self.read_shard(shard),
+            GatewayEffect::WriteShard {
+                shard,
+                expected,
+                record,
+            } => self.write_shard(shard, expected, &record),
+            GatewayEffect::Tell { ask, answer } => self.desk.tell(ask, answer),
+            GatewayEffect::Measure(measure) => self.measure(measure),
+            GatewayEffect::StopAccepting => self.stop_accepting(),
+            GatewayEffect::Finish => self.finish(),
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,1 +1,26 @@
-//! Answers callers: authentication, admission, routing and streaming.
+//! Gateway: callers on one side, endpoints on the other.
+//!
+//! [`GatewayState`] decides. `commands` take in events and return
+//! [`GatewayEffect`]s, `queries` only read, and [`GatewayLoop`] is the handler
+//! that the process's loop runs. `border` holds the tasks that turn bytes into
+//! events and carry effects out; nothing else here knows HTTP.
+
+mod border;
+mod call;
+mod commands;
+mod error;
+mod event;
+mod handler;
+pub mod queries;
+mod state;
+
+pub use border::run;
+pub use call::{
+    AttemptEnd, AttemptPlace, CallArrival, CallKind, CallRefusal, CallStep, RefusalCause, RunState,
+    SendOrder,
+};
+pub use error::GatewayError;
+pub use event::{CallMeasure, GatewayAnswer, GatewayEffect, GatewayEvent, GatewayQuestion};
+pub use handler::GatewayLoop;
+pub use queries::{GatewayStatus, GroupStatus};
+pub use state::{GatewayState, GatewayTimes};
--- /dev/null
+++ b/crates/gateway/src/queries/answer.rs
@@ -0,0 +1,40 @@
+//! Answers to questions about the gateway.
+
+use base::prelude::*;
+use document::{KeyDigest, ServiceKind};
+
+use super::status::describe;
+use crate::state::StopPhase;
+use crate::{GatewayAnswer, GatewayQuestion, GatewayState};
+
+/// Answers one question.
+pub fn answer_question(
+    state: &GatewayState,
+    question: GatewayQuestion,
+    now: ClockTime,
+) -> GatewayAnswer {
+    match question {
+        GatewayQuestion::Ready => GatewayAnswer::Ready(is_ready(state)),
+        GatewayQuestion::Services(digest) => GatewayAnswer::Services(list_services(state, digest)),
+        GatewayQuestion::Status => GatewayAnswer::Status(Box::new(describe(state, now))),
+    }
+}
+
+/// Ready once the document and the hosts are known, and until a stop begins.
+pub(super) fn is_ready(state: &GatewayState) -> bool {
+    let knows_document = state.config.in_force.version > ObjectVersion(0);
+    let knows_hosts = !state.hosts.is_empty();
+    knows_document && knows_hosts && state.stop == StopPhase::Running
+}
+
+fn list_services(state: &GatewayState, digest: KeyDigest) -> Option<Vec<ServiceName>> {
+    let in_force = &state.config.in_force;
+    let (workspace, _) = in_force.callers.find(digest)?;
+    let configuration = &in_force.configuration;
+    let allowed = configuration.workspaces[workspace].services.iter();
+    let is_model = |service: &&ServiceName| {
+        let spec = configuration.services.get(*service);
+        spec.is_some_and(|spec| matches!(spec.kind, ServiceKind::Model(_)))
+    };
+    Some(allowed.filter(is_model).cloned().collect())
+}
--- /dev/null
+++ b/crates/gateway/src/queries/authorize.rs
@@ -0,0 +1,85 @@
+//! What the holder of a key may do.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use document::{Configuration, ServiceKind};
+use limits::{CallRepeat, WorkspaceShare};
+
+use crate::{CallArrival, CallKind, GatewayState, RefusalCause};
+
+/// Right to make one call.
+#[derive(Clone, Debug)]
+pub(crate) struct Entitlement {
+    pub workspace: WorkspaceName,
+    pub repeat: CallRepeat,
+    pub timeout: Duration,
+}
+
+/// Whether a call may be made.
+///
+/// A service of another workspace and one that doesn't exist look the same, so
+/// that nobody can find out others' services by guessing.
+pub(crate) fn authorize(
+    state: &GatewayState,
+    arrival: &CallArrival,
+) -> Result<Entitlement, RefusalCause> {
+    let in_force = &state.config.in_force;
+    let (workspace, _) = in_force
+        .callers
+        .find(arrival.digest)
+        .ok_or(RefusalCause::UnknownKey)?;
+    let configuration = &in_force.configuration;
+    let allowed = &configuration.workspaces[workspace].services;
+    if !allowed.contains(&arrival.service) {
+        return Err(RefusalCause::UnknownService);
+    }
+    let service = configuration
+        .services
+        .get(&arrival.service)
+        .ok_or(RefusalCause::UnknownService)?;
+    let repeat = match (&service.kind, &arrival.kind) {
+        (ServiceKind::Model(_), CallKind::Model { .. }) => CallRepeat::Idempotent,
+        (ServiceKind::Plain(_), CallKind::Plain { method, path, .. }) => {
+            plain_repeat(configuration, &arrival.service, method, path)
+        }
+        _ => return Err(RefusalCause::WrongKind),
+    };
+    if repeat == CallRepeat::NonIdempotent && arrival.key.is_none() {
+        return Err(RefusalCause::KeyMissing);
+    }
+    Ok(Entitlement {
+        workspace: workspace.clone(),
+        repeat,
+        timeout: service.timeout,
+    })
+}
+
+fn plain_repeat(
+    configuration: &Configuration,
+    service: &ServiceName,
+    method: &str,
+    path: &str,
+) -> CallRepeat {
+    if configuration.is_non_idempotent(service, method, path) {
+        CallRepeat::NonIdempotent
+    } else {
+        CallRepeat::Idempotent
+    }
+}
+
+/// Shares of the workspaces in force.
+pub(crate) fn workspace_shares(
+    configuration: &Configuration,
+) -> BTreeMap<WorkspaceName, WorkspaceShare> {
+    let workspaces = configuration.workspaces.iter();
+    workspaces
+        .map(|(workspace, spec)| {
+            let share = WorkspaceShare {
+                share: spec.share,
+                call_limit: spec.call_limit,
+            };
+            (workspace.clone(), share)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/gateway/src/queries/places.rs
@@ -0,0 +1,105 @@
+//! Which targets a service has, and which groups may go on with their calls.
+
+use std::collections::BTreeSet;
+
+use base::prelude::*;
+use document::{PlainSpec, ServiceKind};
+use groups::{GroupFault, GroupRecord, GroupVerdict, explain_group};
+use platform::Presence;
+use routing::{TargetId, TargetSpec};
+
+use super::hosts::recorded_groups;
+use crate::{AttemptPlace, GatewayState};
+
+/// Group and generation whose members are all there.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RunningPlace {
+    group: GroupName,
+    epoch: GroupEpoch,
+}
+
+impl From<&AttemptPlace> for RunningPlace {
+    fn from(place: &AttemptPlace) -> Self {
+        Self {
+            group: place.group.clone(),
+            epoch: place.epoch,
+        }
+    }
+}
+
+/// Groups that may go on with the calls they have; draining ones among them.
+pub(crate) fn running_places(state: &GatewayState, now: ClockTime) -> BTreeSet<RunningPlace> {
+    let complete = |group: &&GroupRecord| match explain_group(group, &state.reports, now) {
+        GroupVerdict::Serving { .. } => true,
+        GroupVerdict::NotServing(faults) => faults.as_slice() == [GroupFault::Draining],
+    };
+    let groups = recorded_groups(state).filter(complete);
+    groups
+        .map(|group| RunningPlace {
+            group: group.group.clone(),
+            epoch: group.epoch,
+        })
+        .collect()
+}
+
+/// Targets that may take new calls of a service.
+pub(crate) fn service_targets(
+    state: &GatewayState,
+    service: &ServiceName,
+    kind: &ServiceKind,
+    now: ClockTime,
+) -> Vec<TargetSpec> {
+    match kind {
+        ServiceKind::Model(deployment) => group_targets(state, deployment, now),
+        ServiceKind::Plain(spec) => host_targets(state, service, spec),
+    }
+}
+
+fn group_targets(
+    state: &GatewayState,
+    deployment: &DeploymentName,
+    now: ClockTime,
+) -> Vec<TargetSpec> {
+    let deployments = &state.config.in_force.configuration.deployments;
+    let Some(spec) = deployments.get(deployment) else {
+        return Vec::new();
+    };
+    let serves = |group: &&GroupRecord| {
+        let verdict = explain_group(group, &state.reports, now);
+        group.deployment == *deployment
+            && matches!(verdict, GroupVerdict::Serving { .. })
+            && !is_leaving(state, group)
+    };
+    recorded_groups(state)
+        .filter(serves)
+        .map(|group| TargetSpec {
+            target: TargetId::Group(group.group.clone()),
+            run: group.epoch.0,
+            slots: spec.stream_limit,
+        })
+        .collect()
+}
+
+/// A group with a member that leaves gets no new calls, even before its
+/// fabric domain's owner has drained it.
+fn is_leaving(state: &GatewayState, group: &GroupRecord) -> bool {
+    let listed = |host: &HostName| state.hosts.get(host).map(|entry| entry.presence);
+    group.members.iter().any(|member| {
+        listed(&member.host) == Some(Presence::Leaving) || state.drains.hosts.contains(&member.host)
+    })
+}
+
+fn host_targets(state: &GatewayState, service: &ServiceName, spec: &PlainSpec) -> Vec<TargetSpec> {
+    state
+        .hosts
+        .values()
+        .filter(|entry| entry.service.as_ref() == Some(service))
+        .filter(|entry| entry.presence == Presence::Live)
+        .filter(|entry| !state.drains.hosts.contains(&entry.host))
+        .map(|entry| TargetSpec {
+            target: TargetId::Host(entry.host.clone()),
+            run: 0,
+            slots: spec.call_limit,
+        })
+        .collect()
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 //! starts a thread, and nothing spins while it waits.
 
 mod clock;
+mod desk;
 mod drain;
 mod frame;
 mod histogram;
@@ -17,11 +18,12 @@
 pub mod web;
 
 pub use clock::SystemClock;
+pub use desk::{AskId, QuestionDesk};
 pub use drain::{DrainSwitch, DrainWatch, drain_pair};
 pub use frame::{FRAME_LIMIT, FrameStream};
 pub use histogram::{HistogramKey, HistogramSet, HistogramSummary};
 pub use logs::{LogError, start_logs};
-pub use metrics::{MetricSink, NullMetrics, StatsdMetrics};
+pub use metrics::{MetricSink, NullMetrics, StatsdMetrics, metrics_for};
 pub use random::seed_from_system;
 pub use runtime::{block_on, run_loop, sleep_until, with_deadline};
 pub use signal::{StopSignal, watch_stop};
--- a/crates/net/src/metrics.rs
+++ b/crates/net/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
 use std::time::Duration;
 
 use cadence::prelude::*;
@@ -65,3 +66,17 @@
         let _ = self.0.flush();
     }
 }
+
+/// Sink for a StatsD server, or one that drops everything where there is none.
+pub fn metrics_for(server: Option<SocketAddr>, prefix: &str) -> Rc<dyn MetricSink> {
+    let Some(server) = server else {
+        return Rc::new(NullMetrics);
+    };
+    match StatsdMetrics::new(server, prefix) {
+        Ok(metrics) => Rc::new(metrics),
+        Err(fault) => {
+            log::warn!("metrics are not sent to {server}: {fault}");
+            Rc::new(NullMetrics)
+        }
+    }
+}
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -5,7 +5,7 @@
 
 use base::prelude::*;
 use futures_util::future::LocalBoxFuture;
-use groups::{HostAssignment, HostReport};
+use groups::{HostOrder, HostReport};
 use http::StatusCode;
 use net::web::{CollectOutcome, WebClient, empty_body, full_body};
 
@@ -14,19 +14,6 @@
 /// Largest report in bytes.
 const REPORT_LIMIT: usize = 64 * 1_024;
 
-/// Order to join a group or to leave one.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct GroupOrder {
-    /// Group to join; none leaves the present one.
-    pub assignment: Option<HostAssignment>,
-    /// Model to load.
-    pub model: Option<ModelName>,
-    /// Members by rank.
-    pub members: Vec<SocketAddr>,
-    /// Fencing token of the orderer's lease.
-    pub token: FencingToken,
-}
-
 /// End of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderOutcome {
@@ -60,7 +47,7 @@
     fn order(
         &self,
         engine: SocketAddr,
-        order: GroupOrder,
+        order: HostOrder,
         deadline: ClockTime,
     ) -> LocalBoxFuture<'static, OrderOutcome>;
 }
@@ -96,7 +83,7 @@
     async fn send_order(
         &self,
         engine: SocketAddr,
-        order: GroupOrder,
+        order: HostOrder,
         deadline: ClockTime,
     ) -> OrderOutcome {
         if self.clock.now() >= deadline {
@@ -139,7 +126,7 @@
     fn order(
         &self,
         engine: SocketAddr,
-        order: GroupOrder,
+        order: HostOrder,
         deadline: ClockTime,
     ) -> LocalBoxFuture<'static, OrderOutcome> {
         let this = self.clone();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,19 +4,23 @@
 //! Each is met through its HTTP interface and a trait object, so that the
 //! decision code and its tests never see HTTP.
 
+mod announce;
 mod drains;
 mod engine;
 mod hosts;
 pub mod keys;
 mod nodes;
 mod objects;
+mod reads;
 pub mod status;
 pub mod wire;
 
+pub use announce::announce;
 pub use drains::{DrainList, DrainsWire};
-pub use engine::{EnginePort, GroupOrder, HttpEngines, OrderOutcome, ReportOutcome};
+pub use engine::{EnginePort, HttpEngines, OrderOutcome, ReportOutcome};
 pub use hosts::{HostDirectory, HostEntry, HostsOutcome, HttpHostDirectory, Presence};
 pub use nodes::{
     HttpNodes, NodeEntry, NodePort, NodeRole, NodeWire, RoleWire, STATUS_PATH, StatusOutcome,
 };
 pub use objects::HttpObjectStore;
+pub use reads::{FabricRead, read_drains, read_fabric, read_fabrics, watch_document};
--- /dev/null
+++ b/crates/platform/src/reads.rs
@@ -0,0 +1,66 @@
+//! Reads of the system's own objects, decoded.
+
+use base::prelude::*;
+use document::Document;
+use groups::{FabricRecord, FabricWire};
+use store::{ListOutcome, ObjectStore, ReadOutcome, StoredObject};
+
+use crate::DrainList;
+use crate::keys::{FABRIC_PREFIX, document_key, drains_key, fabric_key};
+
+/// Fabric domain's record with its version; none where it has never been written.
+pub type FabricRead = Option<(FabricRecord, ObjectVersion)>;
+
+/// Waits for a document newer than a version; `None` without a readable one.
+pub async fn watch_document(
+    store: &dyn ObjectStore,
+    after: ObjectVersion,
+    deadline: ClockTime,
+) -> Option<(ObjectVersion, Arc<Document>)> {
+    let ReadOutcome::Found(object) = store.watch(&document_key(), after, deadline).await else {
+        return None;
+    };
+    match Document::decode(&object.value) {
+        Ok(document) => Some((object.version, Arc::new(document))),
+        Err(fault) => {
+            log::error!(version = object.version.0; "{fault}");
+            None
+        }
+    }
+}
+
+/// Reads every fabric domain; `None` if the store gives no answer.
+pub async fn read_fabrics(store: &dyn ObjectStore) -> Option<Vec<(FabricRecord, ObjectVersion)>> {
+    match store.list(FABRIC_PREFIX).await {
+        ListOutcome::Found(objects) => Some(objects.iter().filter_map(decode_fabric).collect()),
+        ListOutcome::Unavailable => None,
+    }
+}
+
+/// Reads one fabric domain; `None` if there is no answer or it cannot be read.
+pub async fn read_fabric(store: &dyn ObjectStore, fabric: &FabricName) -> Option<FabricRead> {
+    match store.read(&fabric_key(fabric)).await {
+        ReadOutcome::Found(object) => decode_fabric(&object).map(Some),
+        ReadOutcome::Missing => Some(None),
+        ReadOutcome::Unavailable => None,
+    }
+}
+
+/// Reads the hosts that operators are draining; `None` if there is no answer.
+pub async fn read_drains(store: &dyn ObjectStore) -> Option<DrainList> {
+    match store.read(&drains_key()).await {
+        ReadOutcome::Found(object) => DrainList::decode(&object.value),
+        ReadOutcome::Missing => Some(DrainList::default()),
+        ReadOutcome::Unavailable => None,
+    }
+}
+
+fn decode_fabric(object: &StoredObject) -> Option<(FabricRecord, ObjectVersion)> {
+    match serde_json::from_str::<FabricWire>(&object.value) {
+        Ok(wire) => Some((wire.into(), object.version)),
+        Err(fault) => {
+            log::error!(key = object.key.as_str(); "the fabric record cannot be read: {fault}");
+            None
+        }
+    }
+}
--- a/crates/platform/src/status.rs
+++ b/crates/platform/src/status.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use document::{ConfigState, RejectedSection, SectionFault};
+use groups::{GroupFault, GroupVerdict, MemberFault};
 use net::{HistogramKey, HistogramSummary};
 use serde::{Deserialize, Serialize};
 
@@ -136,6 +137,40 @@
     }
 }
 
+impl GroupStatusWire {
+    /// Status of a group as its verdict has it.
+    pub fn new(group: &GroupName, epoch: GroupEpoch, verdict: &GroupVerdict) -> Self {
+        let faults: &[GroupFault] = match verdict {
+            GroupVerdict::Serving { .. } => &[],
+            GroupVerdict::NotServing(faults) => faults,
+        };
+        Self {
+            group: group.clone(),
+            epoch,
+            serving: faults.is_empty(),
+            missing: faults.iter().filter_map(MissingWire::new).collect(),
+        }
+    }
+}
+
+impl MissingWire {
+    fn new(fault: &GroupFault) -> Option<Self> {
+        let GroupFault::Member { host, fault } = fault else {
+            return None;
+        };
+        let reason = match fault {
+            MemberFault::Silent => "silent",
+            MemberFault::Restarted { .. } => "restarted",
+            MemberFault::Misassigned { .. } => "in no group or another one",
+            MemberFault::NotReady => "loading",
+        };
+        Some(Self {
+            host: host.clone(),
+            reason: Arc::from(reason),
+        })
+    }
+}
+
 impl From<&RejectedSection> for RejectedWire {
     fn from(rejected: &RejectedSection) -> Self {
         Self {
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use groups::{HostAssignment, HostReport, LoadReport, MemberPhase};
+use groups::{HostAssignment, HostOrder, HostReport, LoadReport, MemberPhase};
 use serde::{Deserialize, Serialize};
 use store::{ObjectKey, StoredObject};
 
-use crate::{GroupOrder, HostEntry, Presence};
+use crate::{HostEntry, Presence};
 
 /// Object as the platform sends it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -109,26 +109,57 @@
     }
 }
 
-/// Order to join a group.
+/// Order to an engine.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct OrderWire {
-    /// Group to join; none leaves the present one.
+    /// Group to join; without one the engine belongs to none.
     pub assignment: Option<AssignmentWire>,
-    /// Model to load.
+    /// Model to load; without one the engine keeps what it has.
     pub model: Option<ModelName>,
-    /// Members by rank.
+    /// Engines of all members by rank.
     pub members: Vec<SocketAddr>,
+    /// Run of the engine that is meant.
+    pub incarnation: HostIncarnation,
     /// Fencing token of the orderer's lease.
     pub token: FencingToken,
 }
 
-impl From<GroupOrder> for OrderWire {
-    fn from(order: GroupOrder) -> Self {
+impl From<HostOrder> for OrderWire {
+    fn from(order: HostOrder) -> Self {
+        match order {
+            HostOrder::Join(order) => Self {
+                assignment: Some(AssignmentWire {
+                    group: order.group,
+                    epoch: order.epoch,
+                    rank: order.rank,
+                }),
+                model: Some(order.model),
+                members: order.members.iter().map(|member| member.address).collect(),
+                incarnation: order.incarnation,
+                token: order.token,
+            },
+            HostOrder::Standby {
+                model,
+                incarnation,
+                token,
+            } => Self::outside(Some(model), incarnation, token),
+            HostOrder::Idle { incarnation, token } => Self::outside(None, incarnation, token),
+        }
+    }
+}
+
+impl OrderWire {
+    fn outside(
+        model: Option<ModelName>,
+        incarnation: HostIncarnation,
+        token: FencingToken,
+    ) -> Self {
         Self {
-            assignment: order.assignment.map(AssignmentWire::from),
-            model: order.model,
-            members: order.members,
-            token: order.token,
+            assignment: None,
+            model,
+            members: Vec::new(),
+            incarnation,
+            token,
         }
     }
 }
@@ -175,10 +206,15 @@
     pub assignment: Option<AssignmentWire>,
     /// How far it is.
     pub phase: PhaseWire,
+    /// Model that it has loaded or is loading.
+    pub model: Option<ModelName>,
     /// Streams running.
     pub running: u32,
     /// Requests waiting.
     pub waiting: u32,
+    /// Time of one decoding step in microseconds; zero while none has run.
+    #[serde(default)]
+    pub step_micros: u32,
 }
 
 /// How far an engine is with its order.
@@ -193,21 +229,54 @@
     Ready,
 }
 
+impl From<PhaseWire> for MemberPhase {
+    fn from(wire: PhaseWire) -> Self {
+        match wire {
+            PhaseWire::Idle => Self::Idle,
+            PhaseWire::Loading => Self::Loading,
+            PhaseWire::Ready => Self::Ready,
+        }
+    }
+}
+
+impl From<MemberPhase> for PhaseWire {
+    fn from(phase: MemberPhase) -> Self {
+        match phase {
+            MemberPhase::Idle => Self::Idle,
+            MemberPhase::Loading => Self::Loading,
+            MemberPhase::Ready => Self::Ready,
+        }
+    }
+}
+
 impl From<ReportWire> for HostReport {
     fn from(wire: ReportWire) -> Self {
         Self {
             host: wire.host,
             incarnation: wire.incarnation,
             assignment: wire.assignment.map(HostAssignment::from),
-            phase: match wire.phase {
-                PhaseWire::Idle => MemberPhase::Idle,
-                PhaseWire::Loading => MemberPhase::Loading,
-                PhaseWire::Ready => MemberPhase::Ready,
-            },
+            phase: wire.phase.into(),
+            model: wire.model,
             load: LoadReport {
                 running: wire.running,
                 waiting: wire.waiting,
+                step_micros: wire.step_micros,
             },
         }
     }
 }
+
+impl From<HostReport> for ReportWire {
+    fn from(report: HostReport) -> Self {
+        Self {
+            host: report.host,
+            incarnation: report.incarnation,
+            assignment: report.assignment.map(AssignmentWire::from),
+            phase: report.phase.into(),
+            model: report.model,
+            running: report.load.running,
+            waiting: report.load.waiting,
+            step_micros: report.load.step_micros,
+        }
+    }
+}
