Report the loaded model, the step's time and leaving

A standby loads a model without belonging to a group, a straggler shows by its step's time, and a host may say itself that it goes before the list does. Reports carry these; old engines may omit them. A leaving member's group drains at once, and an idle host is used only after every older order and answer of it has ended.

--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -79,9 +79,12 @@
                 groups::MemberPhase::Idle => PhaseWire::Idle,
                 groups::MemberPhase::Loading => PhaseWire::Loading,
                 groups::MemberPhase::Ready => PhaseWire::Ready,
+                groups::MemberPhase::Leaving => PhaseWire::Leaving,
             },
+            model: report.model,
             running: report.load.running,
             waiting: report.load.waiting,
+            step_micros: report.load.step_micros,
         };
         json_reply(StatusCode::OK, &wire)
     }
--- a/crates/emulator/src/engine/state.rs
+++ b/crates/emulator/src/engine/state.rs
@@ -81,15 +81,17 @@
             incarnation: self.incarnation,
             assignment: self.assignment.clone(),
             phase: self.phase(now),
+            model: self.model.clone(),
             load: LoadReport {
                 running: self.running,
                 waiting: 0,
+                step_micros: 0,
             },
         }
     }
 
     fn phase(&self, now: ClockTime) -> MemberPhase {
-        match &self.assignment {
+        match &self.model {
             None => MemberPhase::Idle,
             Some(_) if now < self.ready_at => MemberPhase::Loading,
             Some(_) => MemberPhase::Ready,
--- a/crates/groups/src/commands/observe.rs
+++ b/crates/groups/src/commands/observe.rs
@@ -73,13 +73,15 @@
             .collect();
     }
 
-    /// An idle host is free only once no older answer of it can still be valid.
+    /// An idle host is free only once no older answer of it can still be valid
+    /// and no older order to it can still be under way.
     fn note_idle(&mut self, report: &HostReport, stays_idle: bool, now: ClockTime) {
         let free_at = &mut self.timers.free_at;
         if report.assignment.is_some() {
             free_at.remove(&report.host);
         } else if !stays_idle || !free_at.contains_key(&report.host) {
-            free_at.insert(report.host.clone(), now + self.settings.report_validity);
+            let wait = self.settings.report_validity.max(self.settings.order_limit);
+            free_at.insert(report.host.clone(), now + wait);
         }
     }
 }
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -22,7 +22,7 @@
 pub use order::{FabricEffect, GroupOrder, HostOrder};
 pub use queries::{
     FabricShape, GroupFault, GroupHealth, GroupSpread, GroupVerdict, MemberFault, ReportTable,
-    explain_group, serving_groups, spread_groups, stranded_hosts,
+    explain_group, leaving_members, serving_groups, spread_groups, stranded_hosts,
 };
 pub use settings::GroupSettings;
 pub use state::{FabricState, FabricTarget, HostEntry, HostStanding, TimedReport};
--- a/crates/groups/src/model.rs
+++ b/crates/groups/src/model.rs
@@ -144,6 +144,8 @@
     Loading,
     /// Ready to serve.
     Ready,
+    /// Finishes its calls and goes.
+    Leaving,
 }
 
 /// Load of an engine.
--- a/crates/groups/src/queries/health.rs
+++ b/crates/groups/src/queries/health.rs
@@ -9,7 +9,8 @@
 use base::prelude::*;
 
 use crate::{
-    FabricRecord, GroupPhase, GroupRecord, HostAssignment, MemberPhase, MemberRecord, TimedReport,
+    FabricRecord, GroupPhase, GroupRecord, HostAssignment, HostEntry, HostStanding, MemberPhase,
+    MemberRecord, TimedReport,
 };
 
 /// Reports by host, with the deadlines of their validity.
@@ -69,6 +70,8 @@
     },
     /// It is still loading.
     NotReady,
+    /// It says that it is about to go.
+    Leaving,
 }
 
 /// Health of every group in the records, in their order.
@@ -136,10 +139,26 @@
         let found = report.assignment.clone();
         return Err(MemberFault::Misassigned { found });
     }
-    if report.phase != MemberPhase::Ready {
-        return Err(MemberFault::NotReady);
+    match report.phase {
+        MemberPhase::Ready => Ok(timed.valid_until),
+        MemberPhase::Leaving => Err(MemberFault::Leaving),
+        MemberPhase::Idle | MemberPhase::Loading => Err(MemberFault::NotReady),
     }
-    Ok(timed.valid_until)
+}
+
+/// Members that the platform lists as leaving.
+///
+/// A gateway gives such a group no new work, whatever the record says.
+pub fn leaving_members(
+    group: &GroupRecord,
+    hosts: &BTreeMap<HostName, HostEntry>,
+) -> Vec<HostName> {
+    let leaving = |host: &HostName| {
+        let entry = hosts.get(host);
+        entry.is_some_and(|entry| entry.standing == HostStanding::Leaving)
+    };
+    let members = group.members.iter().map(|member| &member.host);
+    members.filter(|host| leaving(host)).cloned().collect()
 }
 
 /// Assignment that the member of this rank should report.
--- a/crates/groups/src/queries/mod.rs
+++ b/crates/groups/src/queries/mod.rs
@@ -10,7 +10,8 @@
 pub(crate) mod wanted;
 
 pub use health::{
-    GroupFault, GroupHealth, GroupVerdict, MemberFault, ReportTable, explain_group, serving_groups,
+    GroupFault, GroupHealth, GroupVerdict, MemberFault, ReportTable, explain_group,
+    leaving_members, serving_groups,
 };
 pub use spread::{FabricShape, GroupSpread, spread_groups};
 pub use stranded::stranded_hosts;
--- a/crates/groups/src/queries/plan/planned.rs
+++ b/crates/groups/src/queries/plan/planned.rs
@@ -1,6 +1,6 @@
 //! Exchanges that can wait until a group has finished its calls.
 //!
-//! A replacement is loaded before the group drains. A straggler is replaced
+//! A straggler is replaced
 //! only by a host that was not itself replaced as one lately, so that two slow
 //! hosts do not trade places for ever.
 
@@ -37,21 +37,23 @@
     }
 }
 
-/// Takes the replacements out of the pool, so that no other group counts on them.
+/// Whether a planned exchange may begin.
+///
+/// A leaving host gets no new work, so its group drains at once while the
+/// replacement loads. A straggler's group drains only once loaded replacements
+/// are there; they are taken out of the pool, so that no other group counts on
+/// them.
 fn exchange_is_ready(view: &PlanView, group: &GroupRecord, pool: &mut HostPool) -> bool {
     let members = group.members.iter();
-    let planned: Vec<_> = members.filter(|member| is_planned(view, member)).collect();
-    if planned.is_empty() || !view.targets.contains_key(&group.deployment) {
-        return false;
-    }
-    if planned.len() <= pool.count_loaded(&group.model) {
+    let planned: Vec<_> = members.filter(|m| is_planned(view, m)).collect();
+    let enough = planned.len() <= pool.count_loaded(&group.model);
+    let ready = !planned.is_empty() && enough;
+    if ready {
         for _ in &planned {
             pool.take_loaded(&group.model);
         }
-        return true;
     }
-    let leaving = planned.iter().any(|member| view.is_leaving(&member.host));
-    leaving && pool.len() < planned.len()
+    ready || planned.iter().any(|m| view.is_leaving(&m.host))
 }
 
 /// Whether the group loads an old model and no other group of its deployment
--- a/crates/groups/src/queries/plan/pool.rs
+++ b/crates/groups/src/queries/plan/pool.rs
@@ -37,7 +37,7 @@
         let hosts = view
             .hosts
             .values()
-            .filter(|entry| view.is_live(&entry.host) && !is_member(&entry.host))
+            .filter(|entry| is_usable(view, &entry.host) && !is_member(&entry.host))
             .filter_map(|entry| free_host(view, record, entry))
             .collect();
         Self { hosts }
@@ -107,3 +107,7 @@
         ready: report.phase != MemberPhase::Loading,
     })
 }
+
+fn is_usable(view: &PlanView, host: &HostName) -> bool {
+    view.is_live(host) && !view.is_leaving(host)
+}
--- a/crates/groups/src/queries/plan/view.rs
+++ b/crates/groups/src/queries/plan/view.rs
@@ -8,7 +8,7 @@
 use crate::state::GroupTimers;
 use crate::{
     FabricState, FabricTarget, GroupPhase, GroupRecord, GroupSettings, HostEntry, HostReport,
-    HostStanding, MemberRecord,
+    HostStanding, MemberPhase, MemberRecord,
 };
 
 /// Facts at one instant.
@@ -98,8 +98,11 @@
         self.has_standing(host, HostStanding::Live)
     }
 
+    /// Whether the platform or the host itself says that it goes.
     pub fn is_leaving(&self, host: &HostName) -> bool {
+        let report = self.report(host);
         self.has_standing(host, HostStanding::Leaving)
+            || report.is_some_and(|report| report.phase == MemberPhase::Leaving)
     }
 
     fn has_standing(&self, host: &HostName, standing: HostStanding) -> bool {
--- a/crates/groups/src/queries/spread.rs
+++ b/crates/groups/src/queries/spread.rs
@@ -15,7 +15,7 @@
 use document::DeploymentSpec;
 
 use super::reserve::grows;
-use crate::GroupSettings;
+use crate::{FabricState, GroupSettings, HostEntry, HostStanding};
 
 /// Size of one fabric domain and the groups that stand in it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,6 +30,23 @@
     pub standing: BTreeMap<DeploymentName, usize>,
 }
 
+impl FabricState {
+    /// Shape of the fabric domain as listed and recorded.
+    pub fn shape(&self, domain: DomainName) -> FabricShape {
+        let live = |entry: &&HostEntry| entry.standing == HostStanding::Live;
+        let mut standing = BTreeMap::new();
+        for group in &self.record.groups {
+            *standing.entry(group.deployment.clone()).or_default() += 1;
+        }
+        FabricShape {
+            fabric: self.record.fabric.clone(),
+            domain,
+            hosts: self.hosts.values().filter(live).count(),
+            standing,
+        }
+    }
+}
+
 /// Groups for each fabric domain, by deployment.
 pub type GroupSpread = BTreeMap<FabricName, BTreeMap<DeploymentName, usize>>;
 
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -175,10 +175,16 @@
     pub assignment: Option<AssignmentWire>,
     /// How far it is.
     pub phase: PhaseWire,
+    /// Model that it has loaded or is loading.
+    #[serde(default)]
+    pub model: Option<ModelName>,
     /// Streams running.
     pub running: u32,
     /// Requests waiting.
     pub waiting: u32,
+    /// Time of one decoding step in microseconds; zero while none has run.
+    #[serde(default)]
+    pub step_micros: u32,
 }
 
 /// How far an engine is with its order.
@@ -191,6 +197,8 @@
     Loading,
     /// Ready to serve.
     Ready,
+    /// Finishes its calls and goes.
+    Leaving,
 }
 
 impl From<ReportWire> for HostReport {
@@ -203,10 +211,13 @@
                 PhaseWire::Idle => MemberPhase::Idle,
                 PhaseWire::Loading => MemberPhase::Loading,
                 PhaseWire::Ready => MemberPhase::Ready,
+                PhaseWire::Leaving => MemberPhase::Leaving,
             },
+            model: wire.model,
             load: LoadReport {
                 running: wire.running,
                 waiting: wire.waiting,
+                step_micros: wire.step_micros,
             },
         }
     }
