Test groups and the lease by tables of faults

Tables over members, hosts, partitions, pauses, stops and every end of an update, run against the memory store and fake engines; after every step they check that no host is recorded or serving twice, no group serves on a member that was missing, no two nodes may give orders and no token goes back.

Fault found by an_outage_at_any_step_only_delays: two nodes held the lease. Cause: a holder whose lease lapsed in an outage took it again with the same holder, process and count of renewals, so another node took it for the lease seen before and did not start its wait anew. Every newer version now starts the wait anew, since only the holder writes. Ruled out: comparing the token as well, as any newer version proves the same.

--- a/crates/groups/src/commands/lease.rs
+++ b/crates/groups/src/commands/lease.rs
@@ -7,7 +7,7 @@
 use base::prelude::*;
 use rand::Rng;
 
-use crate::state::{ObservedLease, OwnLease};
+use crate::state::OwnLease;
 use crate::{FabricEffect, FabricRecord, FabricState, OwnerLease};
 
 impl FabricState {
@@ -28,7 +28,7 @@
     }
 
     fn settle_own(&mut self, sent_at: ClockTime) {
-        self.observed = None;
+        self.free_at = None;
         if self.record.lease.is_none() {
             self.own = None;
             return;
@@ -48,18 +48,12 @@
         });
     }
 
+    /// Any newer version was written by the holder, so the wait starts anew.
     fn settle_other(&mut self, now: ClockTime) {
         self.own = None;
-        let known = self.observed.as_ref().map(|observed| &observed.lease);
-        if known.is_some() && known == self.record.lease.as_ref() {
-            return;
-        }
         let jitter = self.draw_jitter();
         let wait = self.settings.lease_span + self.settings.clock_margin + jitter;
-        self.observed = self.record.lease.clone().map(|lease| ObservedLease {
-            lease,
-            free_at: now + wait,
-        });
+        self.free_at = self.record.lease.as_ref().map(|_| now + wait);
     }
 
     pub(crate) fn draw_jitter(&mut self) -> Duration {
@@ -72,9 +66,7 @@
         if self.version.is_none() || self.holds_lease(now) {
             return false;
         }
-        self.observed
-            .as_ref()
-            .is_none_or(|observed| observed.free_at <= now)
+        self.free_at.is_none_or(|free_at| free_at <= now)
     }
 
     /// Record in which this node takes the lease under a new token.
--- a/crates/groups/src/queries/deadline.rs
+++ b/crates/groups/src/queries/deadline.rs
@@ -9,7 +9,6 @@
     pub fn next_deadline(&self) -> Option<ClockTime> {
         let own = self.own.iter().map(|own| own.renew_at);
         let open = self.own.iter().map(|own| own.orders_open_at);
-        let observed = self.observed.iter().map(|observed| observed.free_at);
         let silent = self.writes.iter().filter(|write| !write.unresolved);
         let silent = silent.map(|write| write.sent_at + self.settings.store_limit);
         let reports = self.reports.values().map(|report| report.valid_until);
@@ -19,7 +18,7 @@
             .chain([self.write_at])
             .chain(own)
             .chain(open)
-            .chain(observed)
+            .chain(self.free_at)
             .chain(silent)
             .chain(reports)
             .chain(orders)
--- a/crates/groups/src/state.rs
+++ b/crates/groups/src/state.rs
@@ -8,7 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use crate::{FabricRecord, GroupSettings, HostReport, OwnerLease};
+use crate::{FabricRecord, GroupSettings, HostReport};
 
 /// Decision state of one node about one fabric domain.
 #[derive(Debug)]
@@ -21,7 +21,8 @@
     /// Version of the record; none until the object was read.
     pub(crate) version: Option<ObjectVersion>,
     pub(crate) own: Option<OwnLease>,
-    pub(crate) observed: Option<ObservedLease>,
+    /// When another node's lease may be taken, from its last change seen here.
+    pub(crate) free_at: Option<ClockTime>,
     /// Writes whose end is not known yet, all with the same expected version.
     pub(crate) writes: Vec<SentWrite>,
     pub(crate) read_at: Option<ClockTime>,
@@ -54,7 +55,7 @@
             record: FabricRecord::new(fabric),
             version: None,
             own: None,
-            observed: None,
+            free_at: None,
             writes: Vec::new(),
             read_at: Some(ClockTime::default()),
             write_at: ClockTime::default(),
@@ -110,15 +111,6 @@
     pub orders_open_at: ClockTime,
 }
 
-/// Lease of another node, timed from its last change seen here.
-#[derive(Clone, Debug)]
-pub(crate) struct ObservedLease {
-    /// The lease as last seen.
-    pub lease: OwnerLease,
-    /// Instant from which it may be taken.
-    pub free_at: ClockTime,
-}
-
 /// Update that was sent and not yet answered, or answered without a verdict.
 #[derive(Clone, Debug)]
 pub(crate) struct SentWrite {
--- /dev/null
+++ b/crates/groups/tests/updates.rs
@@ -0,0 +1,55 @@
+//! Every update of the object may end in every way.
+
+mod world;
+
+use std::time::Duration;
+
+use store::UpdateFault;
+use world::{World, target};
+
+const UPDATES: usize = 8;
+
+#[test]
+fn any_update_may_fail_in_any_way() {
+    let faults = [
+        UpdateFault::ReplyLost,
+        UpdateFault::RequestLost,
+        UpdateFault::Conflict,
+    ];
+    for fault in faults {
+        for repeats in [1, 3] {
+            for index in 0..UPDATES {
+                check_faults(fault, index, repeats);
+            }
+        }
+    }
+}
+
+fn check_faults(fault: UpdateFault, index: usize, repeats: usize) {
+    let mut world = World::new(2, 5, target(4, 1, false));
+    let struck = |i: usize| i >= index && i < index + repeats;
+    world
+        .store
+        .plan_faults((0..index + repeats).map(|i| struck(i).then_some(fault)));
+    world.run_until("the group forms", |world| world.serving(1).len() == 1);
+    world.engine(0).up = false;
+    world.run(Duration::from_secs(40));
+    assert_eq!(
+        world.serving(0).len(),
+        1,
+        "{fault:?} at update {index}, {repeats} times"
+    );
+    assert_eq!(world.members().len(), 1);
+}
+
+#[test]
+fn an_outage_at_any_step_only_delays() {
+    for index in 0..30 {
+        let mut world = World::new(2, 5, target(4, 1, true));
+        world.run(world::STEP * index);
+        world.store.set_down(true);
+        world.run(Duration::from_secs(40));
+        world.store.set_down(false);
+        world.run_until("the group serves", |world| world.serving(0).len() == 1);
+    }
+}
--- a/crates/groups/tests/world/engine.rs
+++ b/crates/groups/tests/world/engine.rs
@@ -14,6 +14,8 @@
     pub load: LoadReport,
     /// Whether it answers and takes orders.
     pub up: bool,
+    /// Whether it says that it goes.
+    pub leaving: bool,
     pub checks_fencing: bool,
     pub refused: usize,
     token: FencingToken,
@@ -30,6 +32,7 @@
             ready_at: ClockTime::default(),
             load: LoadReport::default(),
             up: true,
+            leaving: false,
             checks_fencing,
             refused: 0,
             token: FencingToken::default(),
@@ -48,6 +51,7 @@
 
     pub fn report(&self, now: ClockTime) -> HostReport {
         let phase = match (&self.model, self.ready_at <= now) {
+            _ if self.leaving => MemberPhase::Leaving,
             (None, _) => MemberPhase::Idle,
             (Some(_), false) => MemberPhase::Loading,
             (Some(_), true) => MemberPhase::Ready,
--- a/crates/groups/tests/world/mod.rs
+++ b/crates/groups/tests/world/mod.rs
@@ -1,6 +1,7 @@
 //! Nodes, engines and a store that share one clock.
 #![allow(dead_code)]
 
+mod check;
 pub mod engine;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -11,7 +12,7 @@
 use futures_util::FutureExt;
 use groups::{
     FabricEffect, FabricRecord, FabricState, FabricTarget, FabricWire, GroupHealth, GroupSettings,
-    GroupVerdict, HostEntry, HostOrder, HostStanding, serving_groups,
+    GroupVerdict, HostEntry, HostOrder, HostReport, HostStanding, serving_groups,
 };
 use store::{MemoryStore, ObjectChange, ObjectKey, ObjectStore, ReadOutcome, UpdateOutcome};
 
@@ -26,8 +27,13 @@
     pub deaf: bool,
     /// Stopped; its effects and input wait.
     pub paused: bool,
+    /// Stops at its next turn between deciding and acting.
+    pub halts: bool,
+    /// Time from asking a host to its answer's arrival.
+    pub lag: Duration,
     pub effects: VecDeque<FabricEffect>,
     pub orders_sent: usize,
+    answers: VecDeque<(ClockTime, HostReport)>,
 }
 
 pub struct World {
@@ -41,6 +47,9 @@
     pub flying: Vec<(ClockTime, HostName, HostOrder)>,
     /// Time that an order is under way.
     pub delay: Duration,
+    /// What every engine truly was, step by step.
+    history: VecDeque<(ClockTime, Vec<HostReport>)>,
+    newest_token: FencingToken,
 }
 
 pub fn fabric() -> FabricName {
@@ -91,6 +100,8 @@
             target,
             flying: Vec::new(),
             delay: Duration::from_millis(10),
+            history: VecDeque::new(),
+            newest_token: FencingToken::default(),
         };
         for index in 0..nodes {
             world.add_node(index as u64 + 1);
@@ -106,8 +117,11 @@
             storeless: false,
             deaf: false,
             paused: false,
+            halts: false,
+            lag: Duration::ZERO,
             effects: VecDeque::new(),
             orders_sent: 0,
+            answers: VecDeque::new(),
         });
     }
 
@@ -142,10 +156,12 @@
     pub fn step(&mut self) {
         self.now = self.now + STEP;
         self.land_orders();
+        self.note_history();
         for index in 0..self.nodes.len() {
             self.feed(index);
             self.act(index);
         }
+        self.check();
     }
 
     fn land_orders(&mut self) {
@@ -177,9 +193,16 @@
             }
         }
         if !node.deaf {
-            for engine in self.engines.values().filter(|engine| engine.up) {
-                node.state.observe_report(engine.report(now), now, now);
+            let up = self.engines.values().filter(|engine| engine.up);
+            let answers = up.map(|engine| (now, engine.report(now)));
+            node.answers.extend(answers);
+        }
+        while let Some((asked_at, report)) = node.answers.pop_front() {
+            if now < asked_at + node.lag {
+                node.answers.push_front((asked_at, report));
+                break;
             }
+            node.state.observe_report(report, asked_at, now);
         }
     }
 
@@ -189,10 +212,30 @@
             return;
         }
         let effects = self.nodes[index].state.tick(self.now);
-        self.nodes[index].effects.extend(effects);
+        let node = &mut self.nodes[index];
+        node.effects.extend(effects);
+        if node.halts {
+            node.halts = false;
+            node.paused = true;
+            return;
+        }
         self.carry(index);
     }
 
+    /// Lets a paused node go on where it stopped.
+    pub fn resume(&mut self, index: usize) {
+        if std::mem::take(&mut self.nodes[index].paused) {
+            self.carry(index);
+        }
+    }
+
+    /// Starts a node's process afresh.
+    pub fn restart_node(&mut self, index: usize, process: u64) {
+        self.add_node(process);
+        let node = self.nodes.pop().unwrap();
+        self.nodes[index] = node;
+    }
+
     /// Carries out the effects that wait at a node's border.
     pub fn carry(&mut self, index: usize) {
         while let Some(effect) = self.nodes[index].effects.pop_front() {
