--- a/crates/emulator/src/engine/state.rs
+++ b/crates/emulator/src/engine/state.rs
@@ -39,6 +39,7 @@
     ready_at: ClockTime,
     running: u32,
     step_micros: u32,
+    leaving: bool,
 }
 
 impl EngineState {
@@ -54,6 +55,7 @@
             ready_at: ClockTime::default(),
             running: 0,
             step_micros: 0,
+            leaving: false,
         }
     }
 
@@ -114,10 +116,16 @@
         self.step_micros = u32::try_from(step.as_micros()).unwrap_or(u32::MAX);
     }
 
+    /// Makes it finish its calls and take no new work.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
     fn phase(&self, now: ClockTime) -> MemberPhase {
-        match &self.assignment {
-            _ if now < self.ready_at => MemberPhase::Loading,
+        match &self.model {
+            _ if self.leaving => MemberPhase::Leaving,
             None => MemberPhase::Idle,
+            Some(_) if now < self.ready_at => MemberPhase::Loading,
             Some(_) => MemberPhase::Ready,
         }
     }
--- a/crates/gateway/src/border/carrier.rs
+++ b/crates/gateway/src/border/carrier.rs
@@ -7,7 +7,10 @@
 
 use base::prelude::*;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
-use ledger::{ShardId, ShardRead, ShardRecord, decode_shard, encode_shard};
+use ledger::{
+    EpochRead, LedgerEffect, MarkEpoch, ShardId, ShardRead, ShardRecord, decode_epoch,
+    decode_shard, encode_epoch, encode_shard,
+};
 use net::{DrainSwitch, HistogramKey, HistogramSet, MetricSink};
 use platform::{
     EnginePort, HostDirectory, HostsOutcome, ReportOutcome, read_drains, read_fabrics,
@@ -140,6 +143,20 @@
         });
     }
 
+    fn call_ledger(&self, call: LedgerEffect) {
+        match call {
+            LedgerEffect::ReadShard { shard } => self.read_shard(shard),
+            LedgerEffect::WriteShard {
+                shard,
+                expected,
+                record,
+            } => self.write_shard(shard, expected, &record),
+            LedgerEffect::ReadEpoch => self.read_epoch(),
+            LedgerEffect::WriteEpoch { expected, epoch } => self.write_epoch(expected, epoch),
+            LedgerEffect::Verdict { .. } => unreachable!("the loop keeps verdicts to itself"),
+        }
+    }
+
     fn read_shard(&self, shard: ShardId) {
         let read = self.ports.store.read(&shard.object_key());
         self.spawn(async move {
@@ -163,6 +180,26 @@
         });
     }
 
+    fn read_epoch(&self) {
+        let read = self.ports.store.read(&MarkEpoch::object_key());
+        self.spawn(async move {
+            let read = decode_epoch(read.await).unwrap_or_else(|fault| {
+                log::error!("{fault}");
+                EpochRead::Unavailable
+            });
+            GatewayEvent::EpochRead(read)
+        });
+    }
+
+    fn write_epoch(&self, expected: ObjectVersion, epoch: MarkEpoch) {
+        let write = self.ports.store.update(ObjectChange {
+            key: MarkEpoch::object_key(),
+            expected,
+            value: encode_epoch(epoch),
+        });
+        self.spawn(async move { GatewayEvent::EpochWritten(write.await) });
+    }
+
     fn measure(&self, measure: CallMeasure) {
         let CallMeasure {
             workspace,
@@ -208,12 +245,7 @@
                 address,
                 deadline,
             } => self.ask_host(host, address, deadline),
-            GatewayEffect::ReadShard { shard } => self.read_shard(shard),
-            GatewayEffect::WriteShard {
-                shard,
-                expected,
-                record,
-            } => self.write_shard(shard, expected, &record),
+            GatewayEffect::Ledger(call) => self.call_ledger(call),
             GatewayEffect::Tell { ask, answer } => self.desk.tell(ask, answer),
             GatewayEffect::Measure(measure) => self.measure(measure),
             GatewayEffect::StopAccepting => self.stop_accepting(),
--- a/crates/gateway/src/commands/calls.rs
+++ b/crates/gateway/src/commands/calls.rs
@@ -98,19 +98,10 @@
     let mut effects = Vec::new();
     for effect in wanted {
         match effect {
-            LedgerEffect::ReadShard { shard } => effects.push(GatewayEffect::ReadShard { shard }),
-            LedgerEffect::WriteShard {
-                shard,
-                expected,
-                record,
-            } => effects.push(GatewayEffect::WriteShard {
-                shard,
-                expected,
-                record,
-            }),
             LedgerEffect::Verdict { call, verdict } => {
                 effects.extend(apply_verdict(state, call, verdict, now));
             }
+            call => effects.push(GatewayEffect::Ledger(call)),
         }
     }
     effects
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use document::{Document, KeyDigest};
 use groups::{FabricRecord, HostReport};
-use ledger::{ShardId, ShardRead, ShardRecord};
+use ledger::{EpochRead, LedgerEffect, ShardId, ShardRead};
 use net::AskId;
 use platform::{DrainList, HostEntry};
 use store::UpdateOutcome;
@@ -60,6 +60,10 @@
         /// How it ended.
         outcome: UpdateOutcome,
     },
+    /// A read of the ledger's epoch ended.
+    EpochRead(EpochRead),
+    /// A write of the ledger's epoch ended.
+    EpochWritten(UpdateOutcome),
     /// Somebody asks how the gateway is.
     Asked {
         /// Number of the question.
@@ -105,20 +109,8 @@
         /// Instant by which it must answer.
         deadline: ClockTime,
     },
-    /// Read a ledger shard.
-    ReadShard {
-        /// The shard.
-        shard: ShardId,
-    },
-    /// Write a ledger shard.
-    WriteShard {
-        /// The shard.
-        shard: ShardId,
-        /// Version that it must still have.
-        expected: ObjectVersion,
-        /// Its contents.
-        record: Arc<ShardRecord>,
-    },
+    /// Make the ledger's call to the store.
+    Ledger(LedgerEffect),
     /// Answer a question.
     Tell {
         /// Number of the question.
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -37,6 +37,14 @@
                 let effects = state.ledger.conclude_write(shard, outcome, now);
                 calls::apply_ledger(state, effects, now)
             }
+            GatewayEvent::EpochRead(read) => {
+                let effects = state.ledger.conclude_epoch_read(read, now);
+                calls::apply_ledger(state, effects, now)
+            }
+            GatewayEvent::EpochWritten(outcome) => {
+                let effects = state.ledger.conclude_epoch_write(outcome, now);
+                calls::apply_ledger(state, effects, now)
+            }
             GatewayEvent::Asked { ask, question } => {
                 let answer = answer_question(state, question, now);
                 vec![GatewayEffect::Tell { ask, answer }]
--- a/crates/gateway/src/queries/places.rs
+++ b/crates/gateway/src/queries/places.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use document::{PlainSpec, ServiceKind};
-use groups::{GroupFault, GroupRecord, GroupVerdict, explain_group};
+use groups::{GroupFault, GroupRecord, GroupVerdict, MemberFault, explain_group};
 use platform::Presence;
 use routing::{TargetId, TargetSpec};
 
@@ -31,7 +31,7 @@
 pub(crate) fn running_places(state: &GatewayState, now: ClockTime) -> BTreeSet<RunningPlace> {
     let complete = |group: &&GroupRecord| match explain_group(group, &state.reports, now) {
         GroupVerdict::Serving { .. } => true,
-        GroupVerdict::NotServing(faults) => faults.as_slice() == [GroupFault::Draining],
+        GroupVerdict::NotServing(faults) => faults.iter().all(is_planned),
     };
     let groups = recorded_groups(state).filter(complete);
     groups
@@ -42,6 +42,15 @@
         .collect()
 }
 
+/// Whether a fault is a planned one that leaves every member in its place.
+fn is_planned(fault: &GroupFault) -> bool {
+    match fault {
+        GroupFault::Draining => true,
+        GroupFault::Member { fault, .. } => *fault == MemberFault::Leaving,
+        GroupFault::Empty => false,
+    }
+}
+
 /// Targets that may take new calls of a service.
 pub(crate) fn service_targets(
     state: &GatewayState,
--- a/crates/platform/src/status.rs
+++ b/crates/platform/src/status.rs
@@ -163,6 +163,7 @@
             MemberFault::Restarted { .. } => "restarted",
             MemberFault::Misassigned { .. } => "in no group or another one",
             MemberFault::NotReady => "loading",
+            MemberFault::Leaving => "leaving",
         };
         Some(Self {
             host: host.clone(),
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -227,6 +227,8 @@
     Loading,
     /// Ready to serve.
     Ready,
+    /// Finishes its calls and goes.
+    Leaving,
 }
 
 impl From<PhaseWire> for MemberPhase {
@@ -235,6 +237,7 @@
             PhaseWire::Idle => Self::Idle,
             PhaseWire::Loading => Self::Loading,
             PhaseWire::Ready => Self::Ready,
+            PhaseWire::Leaving => Self::Leaving,
         }
     }
 }
@@ -245,6 +248,7 @@
             MemberPhase::Idle => Self::Idle,
             MemberPhase::Loading => Self::Loading,
             MemberPhase::Ready => Self::Ready,
+            MemberPhase::Leaving => Self::Leaving,
         }
     }
 }
