Add the operators' command line

One file a command or query, each a function of a Session (platform's objects, list of hosts, status pages, clock and waiting, all trait objects) that ends in an Answer: a report and an exit status. Two printers, table and JSON.

--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,5 @@
+//! Changes: each is one conditional update, tried again while others get in between.
+
+pub mod drain;
+pub mod new_key;
+pub mod put_section;
--- /dev/null
+++ b/crates/cli/src/commands/new_key.rs
@@ -0,0 +1,40 @@
+//! Makes API keys.
+
+use document::KeyDigest;
+use net::seed_from_system;
+use serde_json::{Value, json};
+
+use crate::{Answer, Report, ReportBody};
+
+const KEY_START: &str = "br-";
+const KEY_WORDS: usize = 4;
+
+/// New key and its digest.
+pub struct KeyReport {
+    key: String,
+}
+
+impl KeyReport {
+    fn digest(&self) -> String {
+        KeyDigest::of_key(&self.key).to_hex()
+    }
+}
+
+impl Report for KeyReport {
+    fn to_json(&self) -> Value {
+        json!({"key": self.key, "key_sha256": self.digest()})
+    }
+
+    fn to_body(&self) -> ReportBody {
+        let key = format!("key         {}", self.key);
+        let digest = format!("key_sha256  {}", self.digest());
+        ReportBody::Text(format!("{key}\n{digest}\n"))
+    }
+}
+
+/// Makes a key of 256 random bits.
+pub fn new_key() -> Answer {
+    let words = (0..KEY_WORDS).map(|_| format!("{:016x}", seed_from_system()));
+    let key = format!("{KEY_START}{}", words.collect::<String>());
+    Answer::done(KeyReport { key })
+}
--- /dev/null
+++ b/crates/cli/src/objects.rs
@@ -0,0 +1,76 @@
+//! Objects of the system as the command line reads them.
+
+use base::prelude::*;
+use document::Document;
+use groups::{FabricRecord, FabricWire};
+use platform::keys::{FABRIC_PREFIX, NODE_PREFIX, document_key, drains_key};
+use platform::{DrainList, HostEntry, HostsOutcome, NodeEntry};
+use store::{ListOutcome, ReadOutcome, StoredObject};
+
+use crate::{CliError, Session};
+
+/// Reads the document and its version; an empty one if there is none.
+pub async fn read_document(session: &Session) -> Result<(ObjectVersion, Document), CliError> {
+    match session.store.read(&document_key()).await {
+        ReadOutcome::Found(object) => Ok((object.version, Document::decode(&object.value)?)),
+        ReadOutcome::Missing => Ok((ObjectVersion(0), Document::default())),
+        ReadOutcome::Unavailable => Err(CliError::Unavailable),
+    }
+}
+
+/// Reads the hosts that operators drain, and the version of that list.
+pub async fn read_drains(session: &Session) -> Result<(ObjectVersion, DrainList), CliError> {
+    match session.store.read(&drains_key()).await {
+        ReadOutcome::Found(object) => match DrainList::decode(&object.value) {
+            Some(list) => Ok((object.version, list)),
+            None => Err(undecodable(&object, "it is no list of hosts")),
+        },
+        ReadOutcome::Missing => Ok((ObjectVersion(0), DrainList::default())),
+        ReadOutcome::Unavailable => Err(CliError::Unavailable),
+    }
+}
+
+/// Reads the record of every fabric domain.
+pub async fn read_fabrics(session: &Session) -> Result<Vec<FabricRecord>, CliError> {
+    let objects = list_objects(session, FABRIC_PREFIX).await?;
+    let records = objects.iter().map(|object| {
+        let wire = serde_json::from_str::<FabricWire>(&object.value);
+        let wire = wire.map_err(|error| undecodable(object, &error.to_string()))?;
+        Ok(FabricRecord::from(wire))
+    });
+    records.collect()
+}
+
+/// Reads the entry of every daemon.
+pub async fn read_nodes(session: &Session) -> Result<Vec<NodeEntry>, CliError> {
+    let objects = list_objects(session, NODE_PREFIX).await?;
+    let entries = objects.iter().map(|object| {
+        NodeEntry::decode(&object.value).ok_or_else(|| undecodable(object, "it is no node's entry"))
+    });
+    entries.collect()
+}
+
+/// Reads the platform's list of hosts.
+pub async fn read_hosts(session: &Session) -> Result<Vec<HostEntry>, CliError> {
+    match session.hosts.hosts().await {
+        HostsOutcome::Listed(mut hosts) => {
+            hosts.sort_by(|one, other| one.host.cmp(&other.host));
+            Ok(hosts)
+        }
+        HostsOutcome::Unavailable => Err(CliError::Unavailable),
+    }
+}
+
+async fn list_objects(session: &Session, prefix: &str) -> Result<Vec<StoredObject>, CliError> {
+    match session.store.list(prefix).await {
+        ListOutcome::Found(objects) => Ok(objects),
+        ListOutcome::Unavailable => Err(CliError::Unavailable),
+    }
+}
+
+fn undecodable(object: &StoredObject, reason: &str) -> CliError {
+    CliError::Undecodable {
+        key: object.key.to_string(),
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/queries/groups.rs
@@ -0,0 +1,179 @@
+//! Replica groups.
+
+use base::prelude::*;
+use groups::{FabricRecord, GroupPhase, GroupRecord};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use super::limits::silent_note;
+use crate::daemons::{DaemonStatus, GroupSight, ask_daemons, count_silent, gather_sight};
+use crate::objects::{read_fabrics, read_nodes};
+use crate::output::{ListReport, ReportRow};
+use crate::{Answer, CliError, Report, ReportBody, Session};
+
+/// Group in a list.
+#[derive(Clone, Debug, Serialize)]
+pub struct GroupRow {
+    group: GroupName,
+    deployment: DeploymentName,
+    fabric: FabricName,
+    epoch: GroupEpoch,
+    members: usize,
+    state: &'static str,
+    reasons: Vec<String>,
+}
+
+impl ReportRow for GroupRow {
+    const COLUMNS: &'static [&'static str] = &[
+        "group",
+        "deployment",
+        "fabric",
+        "epoch",
+        "members",
+        "state",
+        "reasons",
+    ];
+    const NONE: &'static str = "there are no groups";
+
+    fn cells(&self) -> Vec<String> {
+        vec![
+            self.group.to_string(),
+            self.deployment.to_string(),
+            self.fabric.to_string(),
+            self.epoch.to_string(),
+            self.members.to_string(),
+            self.state.to_owned(),
+            self.reasons.join("; "),
+        ]
+    }
+}
+
+/// State of a group by its record and by what the daemons see.
+pub fn state_of(group: &GroupRecord, sight: &GroupSight) -> &'static str {
+    match (group.phase, sight.serving, sight.missing) {
+        (GroupPhase::Draining, _, _) => "draining",
+        (GroupPhase::Active, 0, 0) => "not seen",
+        (GroupPhase::Active, 0, _) => "not serving",
+        (GroupPhase::Active, _, _) => "serving",
+    }
+}
+
+/// Lists the groups.
+pub async fn list_groups(session: &Session) -> Result<Answer, CliError> {
+    let records = read_fabrics(session).await?;
+    let daemons = ask_daemons(session, read_nodes(session).await?).await;
+    let mut rows = Vec::new();
+    for record in &records {
+        rows.extend(
+            record
+                .groups
+                .iter()
+                .map(|group| make_row(record, group, &daemons)),
+        );
+    }
+    rows.sort_by(|one, other| one.group.cmp(&other.group));
+    let mut report = ListReport::new(rows);
+    report.notes.extend(silent_note(count_silent(&daemons)));
+    Ok(Answer::done(report))
+}
+
+fn make_row(record: &FabricRecord, group: &GroupRecord, daemons: &[DaemonStatus]) -> GroupRow {
+    let sight = gather_sight(daemons, &group.group, group.epoch);
+    GroupRow {
+        group: group.group.clone(),
+        deployment: group.deployment.clone(),
+        fabric: record.fabric.clone(),
+        epoch: group.epoch,
+        members: group.members.len(),
+        state: state_of(group, &sight),
+        reasons: sight.reasons,
+    }
+}
+
+/// One group and why it serves or not.
+pub struct GroupReport {
+    fabric: FabricName,
+    holder: Option<NodeName>,
+    group: GroupRecord,
+    sight: GroupSight,
+    silent: usize,
+}
+
+impl Report for GroupReport {
+    fn to_json(&self) -> Value {
+        let members = self.group.members.iter().map(|member| {
+            json!({
+                "host": member.host,
+                "address": member.address,
+                "incarnation": member.incarnation,
+            })
+        });
+        json!({
+            "group": self.group.group,
+            "deployment": self.group.deployment,
+            "fabric": self.fabric,
+            "owner": self.holder,
+            "epoch": self.group.epoch,
+            "state": state_of(&self.group, &self.sight),
+            "members": members.collect::<Vec<_>>(),
+            "seen_serving": self.sight.serving,
+            "seen_not_serving": self.sight.missing,
+            "reasons": self.sight.reasons,
+            "silent_daemons": self.silent,
+        })
+    }
+
+    fn to_body(&self) -> ReportBody {
+        let owner = self.holder.as_ref().map_or("nobody", NodeName::as_str);
+        let mut lines = vec![
+            format!("group {} is {}", self.group.group, self.state_text()),
+            format!("deployment {}", self.group.deployment),
+            format!("fabric domain {}, owned by {owner}", self.fabric),
+            format!("epoch {}", self.group.epoch),
+        ];
+        for (rank, member) in self.group.members.iter().enumerate() {
+            let place = format!("{} at {}", member.host, member.address);
+            lines.push(format!("member {rank}: {place}"));
+        }
+        lines.extend(self.sight.reasons.iter().cloned());
+        lines.extend(silent_note(self.silent));
+        ReportBody::Text(lines.join("\n"))
+    }
+}
+
+impl GroupReport {
+    fn state_text(&self) -> String {
+        let sight = &self.sight;
+        let seen = sight.serving + sight.missing;
+        let state = state_of(&self.group, sight);
+        format!("{state} ({} of {seen} daemons see it serve)", sight.serving)
+    }
+}
+
+/// Says why a group serves or not.
+pub async fn explain_group(session: &Session, name: GroupName) -> Result<Answer, CliError> {
+    let records = read_fabrics(session).await?;
+    let daemons = ask_daemons(session, read_nodes(session).await?).await;
+    let found = records.into_iter().find_map(|record| {
+        let group = record
+            .groups
+            .into_iter()
+            .find(|group| group.group == name)?;
+        Some((record.fabric, record.lease.map(|lease| lease.holder), group))
+    });
+    let Some((fabric, holder, group)) = found else {
+        return Err(CliError::Missing {
+            kind: "group",
+            name: name.to_string(),
+            list: "groups list",
+        });
+    };
+    let sight = gather_sight(&daemons, &group.group, group.epoch);
+    Ok(Answer::done(GroupReport {
+        fabric,
+        holder,
+        group,
+        sight,
+        silent: count_silent(&daemons),
+    }))
+}
--- /dev/null
+++ b/crates/cli/src/queries/hosts.rs
@@ -0,0 +1,185 @@
+//! Hosts of engines and plain services.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::prelude::*;
+use groups::FabricRecord;
+use platform::{HostEntry, Presence};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::objects::{read_drains, read_fabrics, read_hosts};
+use crate::output::{ListReport, ReportRow};
+use crate::{Answer, CliError, Report, ReportBody, Session};
+
+/// Host in a list.
+#[derive(Clone, Debug, Serialize)]
+pub struct HostRow {
+    host: HostName,
+    failure_domain: DomainName,
+    fabric: Option<FabricName>,
+    service: Option<ServiceName>,
+    accelerators: u32,
+    state: &'static str,
+    group: Option<GroupName>,
+}
+
+impl ReportRow for HostRow {
+    const COLUMNS: &'static [&'static str] = &[
+        "host",
+        "failure domain",
+        "fabric",
+        "service",
+        "accelerators",
+        "state",
+        "group",
+    ];
+    const NONE: &'static str = "the platform lists no hosts";
+
+    fn cells(&self) -> Vec<String> {
+        let fabric = self.fabric.as_ref().map_or("-", FabricName::as_str);
+        let service = self.service.as_ref().map_or("-", ServiceName::as_str);
+        let group = self.group.as_ref().map_or("-", GroupName::as_str);
+        vec![
+            self.host.to_string(),
+            self.failure_domain.to_string(),
+            fabric.to_owned(),
+            service.to_owned(),
+            self.accelerators.to_string(),
+            self.state.to_owned(),
+            group.to_owned(),
+        ]
+    }
+}
+
+/// Group of every host that is in one.
+pub fn place_hosts(records: &[FabricRecord]) -> BTreeMap<&HostName, &GroupName> {
+    let groups = records.iter().flat_map(|record| &record.groups);
+    let members = groups.flat_map(|group| {
+        let members = group.members.iter();
+        members.map(move |member| (&member.host, &group.group))
+    });
+    members.collect()
+}
+
+fn state_of(entry: &HostEntry, drains: &BTreeSet<HostName>) -> &'static str {
+    match entry.presence {
+        Presence::Leaving => "leaving",
+        Presence::Live if drains.contains(&entry.host) => "draining",
+        Presence::Live => "live",
+    }
+}
+
+/// Lists the hosts that the platform lists.
+pub async fn list_hosts(session: &Session) -> Result<Answer, CliError> {
+    let hosts = read_hosts(session).await?;
+    let records = read_fabrics(session).await?;
+    let (_, drains) = read_drains(session).await?;
+    let places = place_hosts(&records);
+    let rows = hosts.into_iter().map(|entry| HostRow {
+        state: state_of(&entry, &drains.hosts),
+        group: places.get(&entry.host).map(|group| (*group).clone()),
+        host: entry.host,
+        failure_domain: entry.domain,
+        fabric: entry.fabric,
+        service: entry.service,
+        accelerators: entry.accelerators,
+    });
+    Ok(Answer::done(ListReport::new(rows.collect())))
+}
+
+/// One host, what it does and why.
+pub struct HostReport {
+    host: HostName,
+    entry: Option<HostEntry>,
+    group: Option<GroupName>,
+    draining: bool,
+}
+
+impl HostReport {
+    fn reasons(&self) -> Vec<String> {
+        let mut reasons = Vec::new();
+        match &self.entry {
+            None => reasons.push("the platform doesn't list it, so it gets no work".to_owned()),
+            Some(entry) if entry.presence == Presence::Leaving => {
+                reasons.push("the platform says that it leaves, so it gets no new work".to_owned());
+            }
+            Some(_) => {}
+        }
+        if self.draining {
+            let undrain = format!("bronzerun endpoint undrain {}", self.host);
+            reasons.push(format!(
+                "an operator drains it, so it gets no new work: '{undrain}' ends that"
+            ));
+        }
+        reasons.push(self.place());
+        reasons
+    }
+
+    fn place(&self) -> String {
+        let service = self.entry.as_ref().and_then(|entry| entry.service.as_ref());
+        match (&self.group, service) {
+            (Some(group), _) => {
+                format!("it is in group {group}: see 'bronzerun groups explain {group}'")
+            }
+            (None, Some(service)) => format!("it runs the plain service {service}"),
+            (None, None) => "it is in no group, so its accelerators are stranded".to_owned(),
+        }
+    }
+}
+
+impl Report for HostReport {
+    fn to_json(&self) -> Value {
+        json!({
+            "host": self.host,
+            "listed": self.entry.is_some(),
+            "leaving": self.entry.as_ref().map(|entry| entry.presence == Presence::Leaving),
+            "draining": self.draining,
+            "failure_domain": self.entry.as_ref().map(|entry| &entry.domain),
+            "fabric": self.entry.as_ref().and_then(|entry| entry.fabric.as_ref()),
+            "address": self.entry.as_ref().map(|entry| entry.address),
+            "group": self.group,
+            "reasons": self.reasons(),
+        })
+    }
+
+    fn to_body(&self) -> ReportBody {
+        let mut lines = vec![format!("host {}", self.host)];
+        if let Some(entry) = &self.entry {
+            let fabric = entry.fabric.as_ref().map_or("none", FabricName::as_str);
+            lines.push(format!("address {}", entry.address));
+            lines.push(format!(
+                "failure domain {}, fabric domain {fabric}",
+                entry.domain
+            ));
+            lines.push(format!("accelerators {}", entry.accelerators));
+        }
+        lines.extend(self.reasons());
+        ReportBody::Text(lines.join("\n"))
+    }
+}
+
+/// Says what a host does and why.
+pub async fn explain_host(session: &Session, host: HostName) -> Result<Answer, CliError> {
+    let hosts = read_hosts(session).await?;
+    let records = read_fabrics(session).await?;
+    let (_, drains) = read_drains(session).await?;
+    let group = place_hosts(&records)
+        .get(&host)
+        .map(|group| (*group).clone());
+    let entry = hosts.into_iter().find(|entry| entry.host == host);
+    let draining = drains.hosts.contains(&host);
+    if entry.is_none() && group.is_none() && !draining {
+        return Err(CliError::Missing {
+            kind: "host",
+            name: host.to_string(),
+            list: "hosts list",
+        });
+    }
+    Ok(Answer::done(HostReport {
+        host,
+        entry,
+        group,
+        draining,
+    }))
+}
--- /dev/null
+++ b/crates/cli/src/queries/mod.rs
@@ -0,0 +1,12 @@
+//! Reads: each asks the platform and the daemons and changes nothing.
+
+pub mod check;
+pub mod groups;
+pub mod histograms;
+pub mod hosts;
+pub mod leases;
+pub mod limits;
+pub mod nodes;
+pub mod sections;
+pub mod stranded;
+pub mod watch;
--- /dev/null
+++ b/crates/cli/src/queries/sections.rs
@@ -0,0 +1,141 @@
+//! Sections of the document.
+
+use base::prelude::*;
+use document::queries::effective;
+use document::{Document, GoodSections, RejectedSection, Section};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::objects::read_document;
+use crate::output::{ListReport, ReportRow};
+use crate::section_text::{TextOrigin, add_header};
+use crate::{Answer, CliError, Report, ReportBody, Session};
+
+/// Section in a list.
+#[derive(Clone, Debug, Serialize)]
+pub struct SectionRow {
+    section: SectionName,
+    owner: Option<TeamName>,
+    revision: SectionRevision,
+    bytes: usize,
+    faults: Vec<String>,
+}
+
+impl ReportRow for SectionRow {
+    const COLUMNS: &'static [&'static str] = &["section", "owner", "revision", "bytes", "faults"];
+    const NONE: &'static str = "the document has no sections";
+
+    fn cells(&self) -> Vec<String> {
+        let owner = self.owner.as_ref().map_or("-", TeamName::as_str);
+        vec![
+            self.section.to_string(),
+            owner.to_owned(),
+            self.revision.to_string(),
+            self.bytes.to_string(),
+            self.faults.join("; "),
+        ]
+    }
+}
+
+/// Lists the sections and what is wrong with them.
+pub async fn list_sections(session: &Session) -> Result<Answer, CliError> {
+    let (_, document) = read_document(session).await?;
+    let rejected = effective(&document, &GoodSections::default()).rejected;
+    let read = document.sections.iter().map(|(name, section)| SectionRow {
+        section: name.clone(),
+        owner: Some(section.owner.clone()),
+        revision: section.revision,
+        bytes: section.text.len(),
+        faults: faults_of(&rejected, name),
+    });
+    let unreadable = document.unreadable.iter().map(|(name, entry)| SectionRow {
+        section: name.clone(),
+        owner: None,
+        revision: SectionRevision::default(),
+        bytes: entry.encoded.len(),
+        faults: faults_of(&rejected, name),
+    });
+    let mut rows: Vec<_> = read.chain(unreadable).collect();
+    rows.sort_by(|one, other| one.section.cmp(&other.section));
+    Ok(Answer::done(ListReport::new(rows)))
+}
+
+fn faults_of(rejected: &[RejectedSection], section: &SectionName) -> Vec<String> {
+    let own = rejected.iter().filter(|entry| entry.section == *section);
+    let faults = own.flat_map(|entry| &entry.faults);
+    faults.map(ToString::to_string).collect()
+}
+
+/// Text of one section.
+pub struct SectionReport {
+    version: ObjectVersion,
+    name: SectionName,
+    section: Section,
+}
+
+impl Report for SectionReport {
+    fn to_json(&self) -> Value {
+        json!({
+            "section": self.name,
+            "owner": self.section.owner,
+            "revision": self.section.revision,
+            "version": self.version,
+            "text": self.section.text,
+        })
+    }
+
+    fn to_body(&self) -> ReportBody {
+        let origin = TextOrigin {
+            section: self.name.clone(),
+            revision: self.section.revision,
+        };
+        ReportBody::Text(add_header(&origin, &self.section.text))
+    }
+}
+
+/// Shows one section.
+pub async fn show_section(session: &Session, name: SectionName) -> Result<Answer, CliError> {
+    let (version, mut document) = read_document(session).await?;
+    let section = take_section(&mut document, &name)?;
+    Ok(Answer::done(SectionReport {
+        version,
+        name,
+        section,
+    }))
+}
+
+/// Edit in a history.
+#[derive(Clone, Debug, Serialize)]
+pub struct EditRow {
+    revision: SectionRevision,
+    nonce: String,
+}
+
+impl ReportRow for EditRow {
+    const COLUMNS: &'static [&'static str] = &["revision", "mark"];
+    const NONE: &'static str = "the section remembers no edits";
+
+    fn cells(&self) -> Vec<String> {
+        vec![self.revision.to_string(), self.nonce.clone()]
+    }
+}
+
+/// Lists the latest edits of a section, the newest first.
+pub async fn list_edits(session: &Session, name: SectionName) -> Result<Answer, CliError> {
+    let (_, mut document) = read_document(session).await?;
+    let section = take_section(&mut document, &name)?;
+    let rows = section.edits.iter().rev().map(|edit| EditRow {
+        revision: edit.revision,
+        nonce: format!("{:016x}", edit.nonce.0),
+    });
+    Ok(Answer::done(ListReport::new(rows.collect())))
+}
+
+fn take_section(document: &mut Document, name: &SectionName) -> Result<Section, CliError> {
+    let section = document.sections.remove(name);
+    section.ok_or_else(|| CliError::Missing {
+        kind: "section",
+        name: name.to_string(),
+        list: "section list",
+    })
+}
--- /dev/null
+++ b/crates/cli/src/run.rs
@@ -0,0 +1,170 @@
+//! From arguments to an answer.
+
+use std::io::{Read, Write};
+use std::path::Path;
+use std::process::ExitCode;
+
+use base::prelude::*;
+use clap::{CommandFactory, Parser};
+use serde_json::{Value, json};
+
+use crate::args::{
+    CheckArgs, Command, EndpointCommand, GroupsCommand, HistogramArgs, HostsCommand, PutArgs,
+    SectionCommand, WatchArgs,
+};
+use crate::commands::drain::{DrainGoal, set_drain};
+use crate::commands::new_key::new_key;
+use crate::commands::put_section::{PutOrder, put_section};
+use crate::output::printer_for;
+use crate::queries::check::{CheckedFile, check_files};
+use crate::queries::histograms::{HistogramFilter, list_histograms};
+use crate::queries::watch::{WatchOrder, watch_version};
+use crate::queries::{groups, hosts, leases, limits, nodes, sections, stranded};
+use crate::{Answer, Arguments, CliError, ExitStatus, Report, ReportBody, Session};
+
+/// Runs the command line of this process.
+pub fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    match run_and_print(arguments) {
+        Ok(status) => status.into(),
+        Err(error) => {
+            eprintln!("bronzerun: {error}");
+            error.status().into()
+        }
+    }
+}
+
+fn run_and_print(arguments: Arguments) -> Result<ExitStatus, CliError> {
+    let printer = printer_for(arguments.output);
+    let answer = start(arguments)?;
+    let text = printer.print(answer.report.as_ref());
+    std::io::stdout().write_all(text.as_bytes())?;
+    Ok(answer.status)
+}
+
+fn start(arguments: Arguments) -> Result<Answer, CliError> {
+    match arguments.command {
+        Command::Check(order) => check(&order),
+        Command::Key(_) => Ok(new_key()),
+        Command::Completions { shell } => Ok(Answer::done(CompletionReport::new(shell))),
+        command => {
+            let platform = arguments.platform.ok_or(CliError::NoPlatform)?;
+            net::block_on(async {
+                let session = Session::connect(platform);
+                run(&session, command).await
+            })?
+        }
+    }
+}
+
+/// Runs one command or query in a session.
+pub async fn run(session: &Session, command: Command) -> Result<Answer, CliError> {
+    match command {
+        Command::Check(order) => check(&order),
+        Command::Key(_) => Ok(new_key()),
+        Command::Completions { shell } => Ok(Answer::done(CompletionReport::new(shell))),
+        Command::Section(SectionCommand::List) => sections::list_sections(session).await,
+        Command::Section(SectionCommand::Show { section }) => {
+            sections::show_section(session, section).await
+        }
+        Command::Section(SectionCommand::History { section }) => {
+            sections::list_edits(session, section).await
+        }
+        Command::Section(SectionCommand::Put(order)) => {
+            put_section(session, &read_put(order)?).await
+        }
+        Command::Watch(order) => watch_version(session, &WatchOrder::from(order)).await,
+        Command::Groups(GroupsCommand::List) => groups::list_groups(session).await,
+        Command::Groups(GroupsCommand::Explain { group }) => {
+            groups::explain_group(session, group).await
+        }
+        Command::Hosts(HostsCommand::List) => hosts::list_hosts(session).await,
+        Command::Hosts(HostsCommand::Explain { host }) => hosts::explain_host(session, host).await,
+        Command::Leases(_) => leases::list_leases(session).await,
+        Command::Limits(_) => limits::list_limits(session).await,
+        Command::Stranded(_) => stranded::list_stranded(session).await,
+        Command::Nodes(_) => nodes::list_nodes(session).await,
+        Command::Endpoint(EndpointCommand::Drain { host }) => {
+            set_drain(session, host, DrainGoal::Drained).await
+        }
+        Command::Endpoint(EndpointCommand::Undrain { host }) => {
+            set_drain(session, host, DrainGoal::InService).await
+        }
+        Command::Histograms(order) => list_histograms(session, &HistogramFilter::from(order)).await,
+    }
+}
+
+fn check(order: &CheckArgs) -> Result<Answer, CliError> {
+    let files = order.files.iter().map(|path| {
+        Ok(CheckedFile {
+            file: path.display().to_string(),
+            text: read_text(path)?,
+        })
+    });
+    let files: Vec<_> = files.collect::<Result<_, CliError>>()?;
+    Ok(check_files(&files, order.complete))
+}
+
+fn read_put(order: PutArgs) -> Result<PutOrder, CliError> {
+    Ok(PutOrder {
+        text: read_text(&order.file)?,
+        section: order.section,
+        owner: order.owner,
+        revision: order.revision.map(SectionRevision),
+    })
+}
+
+fn read_text(path: &Path) -> Result<Arc<str>, CliError> {
+    let text = if path == Path::new("-") {
+        let mut text = String::new();
+        let read = std::io::stdin().read_to_string(&mut text);
+        read.map(|_| text)
+    } else {
+        std::fs::read_to_string(path)
+    };
+    let text = text.map_err(|source| CliError::ReadFile {
+        path: path.display().to_string(),
+        source,
+    })?;
+    Ok(Arc::from(text))
+}
+
+impl From<WatchArgs> for WatchOrder {
+    fn from(order: WatchArgs) -> Self {
+        Self {
+            version: order.version.map(ObjectVersion),
+            section: order.section,
+            timeout: Duration::from_secs(order.timeout),
+        }
+    }
+}
+
+impl From<HistogramArgs> for HistogramFilter {
+    fn from(order: HistogramArgs) -> Self {
+        Self {
+            workspace: order.workspace,
+            node: order.node,
+        }
+    }
+}
+
+/// Script that completes the command line in a shell.
+struct CompletionReport(String);
+
+impl CompletionReport {
+    fn new(shell: clap_complete::Shell) -> Self {
+        let mut script = Vec::new();
+        clap_complete::generate(shell, &mut Arguments::command(), "bronzerun", &mut script);
+        Self(String::from_utf8_lossy(&script).into_owned())
+    }
+}
+
+impl Report for CompletionReport {
+    fn to_json(&self) -> Value {
+        json!({"script": self.0})
+    }
+
+    fn to_body(&self) -> ReportBody {
+        ReportBody::Text(self.0.clone())
+    }
+}
