--- a/crates/cli/src/queries/hosts.rs
+++ b/crates/cli/src/queries/hosts.rs
@@ -62,6 +62,25 @@
     members.collect()
 }
 
+/// Why a fabric domain's record keeps a host out of its groups, if it says so.
+pub fn find_reserve(records: &[FabricRecord], host: &HostName) -> Option<String> {
+    records.iter().find_map(|record| {
+        let mut standbys = record.standbys.iter();
+        let standby = standbys.find(|standby| standby.member.host == *host);
+        let mut stragglers = record.stragglers.iter();
+        let straggler = stragglers.find(|straggler| straggler.host == *host);
+        match (standby, straggler) {
+            (Some(standby), _) => Some(format!("a spare of {}", standby.deployment)),
+            (None, Some(_)) => Some("taken out of its group because it was slow".to_owned()),
+            (None, None) => None,
+        }
+    })
+}
+
+fn is_leaving(entry: &HostEntry) -> bool {
+    entry.presence == Presence::Leaving
+}
+
 fn state_of(entry: &HostEntry, drains: &BTreeSet<HostName>) -> &'static str {
     match entry.presence {
         Presence::Leaving => "leaving",
@@ -93,6 +112,7 @@
     host: HostName,
     entry: Option<HostEntry>,
     group: Option<GroupName>,
+    reserve: Option<String>,
     draining: bool,
 }
 
@@ -101,7 +121,7 @@
         let mut reasons = Vec::new();
         match &self.entry {
             None => reasons.push("the platform doesn't list it, so it gets no work".to_owned()),
-            Some(entry) if entry.presence == Presence::Leaving => {
+            Some(entry) if is_leaving(entry) => {
                 reasons.push("the platform says that it leaves, so it gets no new work".to_owned());
             }
             Some(_) => {}
@@ -123,7 +143,13 @@
                 format!("it is in group {group}: see 'bronzerun groups explain {group}'")
             }
             (None, Some(service)) => format!("it runs the plain service {service}"),
-            (None, None) => "it is in no group, so its accelerators are stranded".to_owned(),
+            (None, None) => match &self.reserve {
+                Some(reserve) => format!("it is in no group: {reserve}"),
+                None if self.entry.as_ref().is_none_or(is_leaving) => {
+                    "it is in no group".to_owned()
+                }
+                None => "it is in no group, so its accelerators are stranded".to_owned(),
+            },
         }
     }
 }
@@ -133,7 +159,7 @@
         json!({
             "host": self.host,
             "listed": self.entry.is_some(),
-            "leaving": self.entry.as_ref().map(|entry| entry.presence == Presence::Leaving),
+            "leaving": self.entry.as_ref().map(is_leaving),
             "draining": self.draining,
             "failure_domain": self.entry.as_ref().map(|entry| &entry.domain),
             "fabric": self.entry.as_ref().and_then(|entry| entry.fabric.as_ref()),
@@ -167,6 +193,7 @@
     let group = place_hosts(&records)
         .get(&host)
         .map(|group| (*group).clone());
+    let reserve = find_reserve(&records, &host);
     let entry = hosts.into_iter().find(|entry| entry.host == host);
     let draining = drains.hosts.contains(&host);
     if entry.is_none() && group.is_none() && !draining {
@@ -180,6 +207,7 @@
         host,
         entry,
         group,
+        reserve,
         draining,
     }))
 }
--- a/crates/cli/src/queries/limits.rs
+++ b/crates/cli/src/queries/limits.rs
@@ -62,5 +62,5 @@
 
 /// Line that says how many daemons are left out.
 pub fn silent_note(silent: usize) -> Option<String> {
-    (silent > 0).then(|| format!("{silent} daemons gave no answer and are left out"))
+    (silent > 0).then(|| format!("daemons that gave no answer and are left out: {silent}"))
 }
--- a/crates/cli/src/queries/nodes.rs
+++ b/crates/cli/src/queries/nodes.rs
@@ -34,7 +34,7 @@
         "floor",
         "held back",
     ];
-    const NONE: &'static str = "no node has entered itself";
+    const NONE: &'static str = "no daemon has entered itself: start the daemons first";
 
     fn cells(&self) -> Vec<String> {
         let number = |version: Option<ObjectVersion>| {
--- a/crates/cli/src/queries/stranded.rs
+++ b/crates/cli/src/queries/stranded.rs
@@ -7,6 +7,7 @@
 use platform::{HostEntry, Presence};
 use serde::Serialize;
 
+use super::hosts::find_reserve;
 use super::limits::silent_note;
 use crate::daemons::{DaemonStatus, ask_daemons, count_silent, gather_sight};
 use crate::objects::{read_fabrics, read_hosts, read_nodes};
@@ -50,7 +51,7 @@
         let Some(fabric) = entry.fabric.clone() else {
             continue;
         };
-        if let Some(reason) = find_reason(&entry, &places, &daemons) {
+        if let Some(reason) = find_reason(&entry, &records, &places, &daemons) {
             rows.push(StrandedRow {
                 host: entry.host,
                 fabric,
@@ -81,6 +82,7 @@
 
 fn find_reason(
     entry: &HostEntry,
+    records: &[FabricRecord],
     places: &BTreeMap<&HostName, &GroupRecord>,
     daemons: &[DaemonStatus],
 ) -> Option<String> {
@@ -88,7 +90,8 @@
         return None;
     }
     let Some(group) = places.get(&entry.host) else {
-        return Some("in no group".to_owned());
+        let reserve = find_reserve(records, &entry.host);
+        return Some(reserve.unwrap_or_else(|| "in no group".to_owned()));
     };
     let sight = gather_sight(daemons, &group.group, group.epoch);
     let itself = format!("host {}:", entry.host);
--- a/crates/cli/src/queries/watch.rs
+++ b/crates/cli/src/queries/watch.rs
@@ -38,7 +38,7 @@
 
 impl ReportRow for WatchRow {
     const COLUMNS: &'static [&'static str] = &["node", "role", "version", "state", "detail"];
-    const NONE: &'static str = "nothing is held back";
+    const NONE: &'static str = "no daemon lags and no section is held back";
 
     fn cells(&self) -> Vec<String> {
         let version = self
@@ -147,12 +147,15 @@
     };
     let mut rows: Vec<_> = lagging.iter().map(lagging_row).collect();
     for (mut row, daemons) in rejected.into_values() {
-        row.detail = format!("{} (on {daemons} daemons)", row.detail);
+        row.detail = format!("{} (daemons: {daemons})", row.detail);
         rows.push(row);
     }
     let reached = count - lagging.len();
     let summary = format!("version {version} is in force on {reached} of {count} daemons");
-    let notes = vec![summary];
+    let mut notes = vec![summary];
+    if count == 0 {
+        notes.push("no daemon has entered itself: start the daemons first".to_owned());
+    }
     Answer::ending(ListReport { rows, notes }, status)
 }
 
--- /dev/null
+++ b/crates/cli/tests/suite/main.rs
@@ -0,0 +1,6 @@
+//! Commands and queries in a world of fakes.
+
+mod common;
+mod drain;
+mod put;
+mod reads;
