--- /dev/null
+++ b/crates/bronzerun/tests/cli.rs
@@ -0,0 +1,175 @@
+//! The command line as an operator uses it: the binary, files and a platform.
+
+mod support;
+
+use base::prelude::*;
+use document::KeyDigest;
+use platform::keys::{document_key, node_key};
+use platform::{NodeEntry, NodeRole};
+use serde_json::{Value, json};
+use support::{Operator, StandIn};
+
+const MODELS: &str = "deployments:\n  quotes: {model: m, group_size: 4, groups: 2}\n";
+const FRONT: &str = "services:\n  fogas-llm: {deployment: quotes}\n";
+
+#[test]
+fn checks_end_with_a_status() {
+    let operator = Operator::offline("check");
+    operator.write("models.yaml", MODELS);
+    operator.write("front.yaml", FRONT);
+    operator.write("bad.yaml", "services:\n  a: {}\n");
+    let cases: &[&[&str]] = &[
+        &["check", "models.yaml"],
+        &["check", "front.yaml"],
+        &["check", "--complete", "front.yaml"],
+        &["check", "--complete", "front.yaml", "models.yaml"],
+        &["check", "models.yaml", "bad.yaml"],
+        &["check", "--output", "json", "bad.yaml"],
+        &["check", "models.yaml", "models.yaml"],
+        &["check", "absent.yaml"],
+        &["check"],
+        &["hosts", "list"],
+        &["hosts", "list", "--platform", "nowhere"],
+        &["section", "show", "a b"],
+        &["watch"],
+    ];
+    let mut report = String::new();
+    for line in cases {
+        report.push_str(&operator.describe(line));
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn help_names_the_exit_statuses() {
+    let operator = Operator::offline("help");
+    let lines: &[&[&str]] = &[
+        &["--help"],
+        &["check", "--help"],
+        &["section", "put", "--help"],
+    ];
+    let mut report = String::new();
+    for line in lines {
+        report.push_str(&operator.describe(line));
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn completions_and_keys_need_no_platform() {
+    let operator = Operator::offline("keys");
+    for shell in ["bash", "zsh", "fish"] {
+        let (status, script) = operator.run(&["completions", shell]);
+        assert_eq!(status, 0);
+        assert!(script.contains("undrain"), "{shell}");
+    }
+    let make_key = || {
+        let (status, text) = operator.run(&["key", "new", "--output", "json"]);
+        assert_eq!(status, 0);
+        serde_json::from_str::<Value>(&text).unwrap()
+    };
+    let (first, second) = (make_key(), make_key());
+    assert_ne!(first["key"], second["key"]);
+    let digest = KeyDigest::of_key(first["key"].as_str().unwrap()).to_hex();
+    assert_eq!(first["key_sha256"], digest);
+}
+
+#[test]
+fn sections_travel_through_the_platform() {
+    let platform = StandIn::start();
+    let operator = Operator::online("sections", platform.address);
+    operator.write("models.yaml", MODELS);
+    operator.write("front.yaml", FRONT);
+    operator.write("bad.yaml", "deployments: {}\n");
+    let put = |section, file, owner, revision| {
+        operator.describe(&[
+            "section",
+            "put",
+            section,
+            file,
+            "--owner",
+            owner,
+            "--revision",
+            revision,
+        ])
+    };
+    let mut report = put("front", "front.yaml", "desk", "0");
+    report.push_str(&put("models", "models.yaml", "ml", "0"));
+    report.push_str(&put("front", "front.yaml", "desk", "0"));
+    report.push_str(&put("models", "bad.yaml", "ml", "1"));
+    report.push_str(&put("models", "bad.yaml", "ml", "0"));
+    report.push_str(&put("models", "bad.yaml", "desk", "1"));
+    report.push_str(&operator.describe(&["section", "list"]));
+    report.push_str(&operator.describe(&["section", "show", "front"]));
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn a_lost_reply_is_found_again() {
+    let platform = StandIn::start();
+    let operator = Operator::online("lost", platform.address);
+    operator.write("models.yaml", MODELS);
+    platform.set_faults(&json!({"lose_replies": 1}));
+    let put = ["section", "put", "models", "models.yaml", "--owner", "ml"];
+    let (status, said) = operator.run(&put);
+    assert_eq!(status, 0, "{said}");
+    assert!(said.contains("revision 1"), "{said}");
+    assert_eq!(platform.version_of(&document_key()), 1);
+}
+
+#[test]
+fn an_outage_has_a_status_of_its_own() {
+    let platform = StandIn::start();
+    let operator = Operator::online("outage", platform.address);
+    platform.set_faults(&json!({"down": true}));
+    let lines: &[&[&str]] = &[
+        &["section", "list"],
+        &["hosts", "list"],
+        &["groups", "list"],
+        &["endpoint", "drain", "h1"],
+    ];
+    for line in lines {
+        let (status, said) = operator.run(line);
+        assert_eq!(status, 5, "{line:?}: {said}");
+    }
+    platform.set_faults(&json!({}));
+    assert_eq!(operator.run(&["section", "list"]).0, 0);
+}
+
+#[test]
+fn endpoints_are_drained_and_undrained() {
+    let platform = StandIn::start();
+    let operator = Operator::online("drain", platform.address);
+    platform.list_host(&json!({
+        "host": "h1",
+        "address": "127.0.0.1:9",
+        "failure_domain": "kozep-a",
+        "fabric": "kozep-a-1",
+        "accelerators": 8,
+    }));
+    let mut report = operator.describe(&["hosts", "list"]);
+    report.push_str(&operator.describe(&["endpoint", "drain", "h1"]));
+    report.push_str(&operator.describe(&["hosts", "list"]));
+    report.push_str(&operator.describe(&["endpoint", "undrain", "h1"]));
+    report.push_str(&operator.describe(&["hosts", "explain", "h1"]));
+    report.push_str(&operator.describe(&["stranded", "list", "--output", "json"]));
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn a_watch_meets_a_silent_daemon() {
+    let platform = StandIn::start();
+    let operator = Operator::online("watch", platform.address);
+    let (status, _) = operator.run(&["watch", "--latest", "--timeout", "0"]);
+    assert_eq!(status, 3, "no daemon is there to have it in force");
+    let entry = NodeEntry {
+        node: NodeName::new("entry-1").unwrap(),
+        role: NodeRole::Gateway,
+        domain: DomainName::new("kozep-a").unwrap(),
+        admin: support::closed_address(),
+    };
+    platform.write(&node_key(&entry.node, entry.role), &entry.encode());
+    let (status, said) = operator.run(&["watch", "1", "--timeout", "0"]);
+    assert_eq!(status, 3);
+    assert!(said.contains("silent"), "{said}");
+}
