Run the whole path from a caller's request to a streamed answer

Cause: until now nothing ran end to end.

Found by running it: the stand-in engine answered an order while its state was still borrowed; dropping the runtime at the end of a process panicked, because left-over tasks wake one another without a context; in the demonstration the stand-in platform stopped before the controller had given its leases back.

--- /dev/null
+++ b/crates/bronzerun/src/bin/bronzerun-controller.rs
@@ -0,0 +1,7 @@
+//! Runs the controller of an entry host.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bronzerun::run_controller()
+}
--- /dev/null
+++ b/crates/bronzerun/src/bin/bronzerun-demo.rs
@@ -0,0 +1,7 @@
+//! Runs the whole system in one process.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bronzerun::run_demo()
+}
--- /dev/null
+++ b/crates/bronzerun/src/daemon.rs
@@ -0,0 +1,70 @@
+//! Entry points of the two daemons of an entry host.
+
+use std::error::Error;
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use serde_json::json;
+use settings::{HostSettings, parse_settings};
+
+/// Options of a daemon.
+#[derive(Parser)]
+#[command(version)]
+struct DaemonOptions {
+    /// Settings of this entry host, in YAML
+    #[arg(long, value_name = "FILE", default_value = "bronzerun.yaml")]
+    settings: PathBuf,
+    /// Check the settings and exit
+    #[arg(long)]
+    check: bool,
+}
+
+/// Runs the gateway until it is told to stop.
+pub fn run_gateway() -> ExitCode {
+    run_daemon(|settings| {
+        let gateway = gateway::run(settings, |callers, admin| {
+            announce(&json!({"callers": callers, "admin": admin}));
+        });
+        Ok(net::block_on(gateway)??)
+    })
+}
+
+/// Runs the controller until it is told to stop.
+pub fn run_controller() -> ExitCode {
+    run_daemon(|settings| {
+        let controller = controller::run(settings, |admin| announce(&json!({"admin": admin})));
+        Ok(net::block_on(controller)??)
+    })
+}
+
+fn run_daemon(run: impl FnOnce(HostSettings) -> Result<(), Box<dyn Error>>) -> ExitCode {
+    match start_daemon(run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start_daemon(
+    run: impl FnOnce(HostSettings) -> Result<(), Box<dyn Error>>,
+) -> Result<(), Box<dyn Error>> {
+    let options = DaemonOptions::parse();
+    let path = options.settings.display();
+    let text = fs::read_to_string(&options.settings).map_err(|fault| format!("{path}: {fault}"))?;
+    let settings = parse_settings(&text).map_err(|fault| format!("{path}: {fault}"))?;
+    if options.check {
+        println!("{path}: the settings are good");
+        return Ok(());
+    }
+    net::start_logs(settings.log_level)?;
+    run(settings)
+}
+
+/// Prints where a daemon listens, for whoever started it on ports of the kernel's choice.
+pub(crate) fn announce(addresses: &serde_json::Value) {
+    println!("{addresses}");
+}
--- /dev/null
+++ b/crates/bronzerun/src/demo.rs
@@ -0,0 +1,187 @@
+//! The whole system in one process on the loopback, with stand-ins around it.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use base::{DomainName, FabricName, HostName, NameError, ServiceName, TeamName, WriteNonce};
+use clap::Parser;
+use document::commands::{EditOutcome, SectionEdit, edit_section};
+use document::{Document, KeyDigest};
+use emulator::engine::EngineOptions;
+use emulator::plain::PlainOptions;
+use emulator::{FleetHost, FleetPlan, start_fleet};
+use futures_util::future::join;
+use log::LevelFilter;
+use net::drain_pair;
+use platform::keys::document_key;
+use settings::{HostSettings, parse_settings};
+
+use crate::daemon::announce;
+
+/// API key of the demonstration's only caller.
+const DEMO_KEY: &str = "demo-key";
+/// Hosts with engines in each fabric domain.
+const ENGINES: usize = 5;
+/// Hosts of the plain service.
+const SERVERS: usize = 3;
+
+/// Runs the whole system in one process, for a first look.
+#[derive(Parser)]
+#[command(name = "bronzerun-demo", version)]
+struct DemoOptions {
+    /// Address that callers connect to
+    #[arg(long, default_value = "127.0.0.1:8080")]
+    listen: SocketAddr,
+    /// Address that operators connect to
+    #[arg(long, default_value = "127.0.0.1:8081")]
+    admin: SocketAddr,
+    /// Address of the platform's stand-in
+    #[arg(long, default_value = "127.0.0.1:8079")]
+    platform: SocketAddr,
+    /// Least level of the records that are logged
+    #[arg(long, default_value = "warn")]
+    log_level: LevelFilter,
+}
+
+/// Runs the demonstration until it is told to stop.
+pub fn run_demo() -> ExitCode {
+    let options = DemoOptions::parse();
+    match start(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(options: &DemoOptions) -> Result<(), Box<dyn Error>> {
+    net::start_logs(options.log_level)?;
+    net::block_on(run(options))?
+}
+
+async fn run(options: &DemoOptions) -> Result<(), Box<dyn Error>> {
+    // The stand-ins stop last, so that the daemons can still give leases back.
+    let (switch, drain) = drain_pair();
+    let (platform, standin) = start_fleet(options.platform, &demo_plan()?, &drain)?;
+    standin.put_object(&document_key(), &demo_document()?.encode());
+    let settings = demo_settings(options, platform)?;
+    let gateway = gateway::run(settings.clone(), |callers, admin| {
+        let addresses = serde_json::json!({
+            "callers": callers, "admin": admin, "platform": platform, "key": DEMO_KEY,
+        });
+        announce(&addresses);
+    });
+    let controller = controller::run(settings, |_| {});
+    let (gateway, controller) = join(gateway, controller).await;
+    switch.start();
+    gateway?;
+    controller?;
+    Ok(())
+}
+
+fn demo_settings(
+    options: &DemoOptions,
+    platform: SocketAddr,
+) -> Result<HostSettings, Box<dyn Error>> {
+    let text = format!(
+        "node: entry-1\n\
+         failure_domain: kozep-a\n\
+         platform: {platform}\n\
+         gateway:\n\
+         \x20 listen: {}\n\
+         \x20 admin: {}\n\
+         \x20 balancer_notice_ms: 100\n\
+         controller:\n\
+         \x20 admin: 127.0.0.1:0\n",
+        options.listen, options.admin,
+    );
+    Ok(parse_settings(&text)?)
+}
+
+fn demo_plan() -> Result<FleetPlan, NameError> {
+    let mut hosts = Vec::new();
+    for domain in ["kozep-a", "kozep-b"] {
+        for index in 1..=ENGINES {
+            hosts.push(FleetHost {
+                host: HostName::new(&format!("{domain}-{index}"))?,
+                domain: DomainName::new(domain)?,
+                fabric: Some(FabricName::new(&format!("{domain}-fabric"))?),
+                service: None,
+                accelerators: 8,
+            });
+        }
+    }
+    for index in 1..=SERVERS {
+        hosts.push(FleetHost {
+            host: HostName::new(&format!("foglalas-{index}"))?,
+            domain: DomainName::new("kozep-a")?,
+            fabric: None,
+            service: Some(ServiceName::new("foglalas")?),
+            accelerators: 0,
+        });
+    }
+    Ok(FleetPlan {
+        hosts,
+        engine: EngineOptions {
+            checks_fencing: true,
+            load_time: Duration::from_millis(300),
+            prefill_time: Duration::from_millis(80),
+            token_time: Duration::from_millis(30),
+        },
+        plain: PlainOptions {
+            call_time: Duration::from_millis(5),
+        },
+    })
+}
+
+fn demo_document() -> Result<Document, Box<dyn Error>> {
+    let digest = KeyDigest::of_key(DEMO_KEY).to_hex();
+    let models = "\
+        deployments:\n\
+        \x20 fogas-llm:\n\
+        \x20   model: fogas-quotes-1\n\
+        \x20   group_size: 4\n\
+        \x20   groups: 2\n\
+        \x20   checks_fencing: true\n\
+        services:\n\
+        \x20 chat:\n\
+        \x20   deployment: fogas-llm\n\
+        \x20 foglalas:\n\
+        \x20   plain:\n\
+        \x20     non_idempotent:\n\
+        \x20       - POST /charges\n";
+    let weddings = format!(
+        "workspaces:\n\
+         \x20 weddings:\n\
+         \x20   services: [chat, foglalas]\n\
+         \x20   callers:\n\
+         \x20     desk:\n\
+         \x20       key_sha256: {digest}\n",
+    );
+    let mut document = Document::default();
+    add_section(&mut document, "models", "llm-team", models)?;
+    add_section(&mut document, "weddings", "booking-team", &weddings)?;
+    Ok(document)
+}
+
+fn add_section(
+    document: &mut Document,
+    section: &str,
+    owner: &str,
+    text: &str,
+) -> Result<(), Box<dyn Error>> {
+    let edit = SectionEdit {
+        section: base::SectionName::new(section)?,
+        owner: TeamName::new(owner)?,
+        expected: base::SectionRevision::default(),
+        text: text.into(),
+        nonce: WriteNonce::default(),
+    };
+    match edit_section(document, &edit) {
+        EditOutcome::Edited(_) => Ok(()),
+        outcome => Err(format!("section '{section}' cannot be written: {outcome:?}").into()),
+    }
+}
--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -85,7 +85,8 @@
             token: wire.token,
         };
         let loaded_at = self.clock.now() + self.options.load_time;
-        match self.state.borrow_mut().take_order(order, loaded_at) {
+        let verdict = self.state.borrow_mut().take_order(order, loaded_at);
+        match verdict {
             OrderVerdict::Taken => self.report(),
             OrderVerdict::Fenced => text_reply(StatusCode::CONFLICT, "the fencing token is old"),
             OrderVerdict::Restarted => {
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -1,6 +1,7 @@
 //! The one loop on one thread.
 
 use std::future::Future;
+use std::mem::ManuallyDrop;
 use std::pin::pin;
 
 use base::prelude::*;
@@ -14,9 +15,13 @@
 /// The epoll driver is named outright because the default one would pick
 /// io_uring where the kernel has it.
 pub fn block_on<F: Future>(future: F) -> std::io::Result<F::Output> {
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+    let runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()?;
+    // Tasks that are left over wake one another as they are dropped, which the
+    // library takes for a wake from another thread and answers with a panic. A
+    // process runs one runtime until its end, so the runtime is never dropped.
+    let mut runtime = ManuallyDrop::new(runtime);
     Ok(runtime.block_on(future))
 }
 
