End a process without waking tasks that are left

Every run of the command line with two calls on a kept connection panicked at its end ('waker can only be sent across threads'), and a daemon would have ended so too: net::block_on dropped the runtime, its queue dropped woken tasks, and those woke others while no runtime was current, which monoio takes for another thread. monoio's 'sync' feature was ruled out (it brings a thread pool), and so was polling until the queue is empty (parked tasks wake one another as well). The runtime is now left to the end of the process.

'check' names the other file, not a made-up section, for a second definition.

--- a/crates/cli/src/queries/check.rs
+++ b/crates/cli/src/queries/check.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use document::queries::{CrossFault, SectionOutlines, cross_faults};
-use document::{DocumentError, ParsedSection, SectionFault, read_section};
+use document::{DocumentError, ParsedSection, SectionFault, TextPlace, read_section};
 use serde::Serialize;
 
 use crate::output::{ListReport, ReportRow};
@@ -38,6 +38,23 @@
     }
 }
 
+/// Fault in the file of an index.
+struct FileFault {
+    index: usize,
+    place: TextPlace,
+    message: String,
+}
+
+impl FileFault {
+    fn new(index: usize, fault: &SectionFault) -> Self {
+        Self {
+            index,
+            place: fault.place,
+            message: fault.error.to_string(),
+        }
+    }
+}
+
 /// Checks files, each a section, by themselves and against one another.
 ///
 /// Unless the files are a complete document, a name that none of them defines
@@ -50,92 +67,90 @@
             Ok(section) => {
                 parsed.insert(section_name(index), section);
             }
-            Err(found) => faults.extend(found.into_iter().map(|fault| (index, fault))),
+            Err(found) => faults.extend(found.iter().map(|fault| FileFault::new(index, fault))),
         }
     }
     let mut notes = Vec::new();
-    for (index, fault) in find_cross_faults(&parsed) {
-        let undefined = matches!(fault.error, DocumentError::Undefined { .. });
-        if undefined && !complete {
-            notes.push(note(&files[index], &fault));
+    for fault in find_cross_faults(&parsed) {
+        let is_undefined = matches!(fault, CrossFault::Undefined { .. });
+        let fault = place_fault(fault, files);
+        if is_undefined && !complete {
+            notes.push(format!("not checked: {}", describe(files, &fault)));
         } else {
-            faults.push((index, fault));
+            faults.push(fault);
         }
     }
-    faults.sort_by_key(|(index, fault)| (*index, fault.place));
-    report_faults(files, &faults, notes)
+    faults.sort_by_key(|fault| (fault.index, fault.place));
+    report_faults(files, faults, notes)
 }
 
-fn report_faults(
-    files: &[CheckedFile],
-    faults: &[(usize, SectionFault)],
-    notes: Vec<String>,
-) -> Answer {
+fn report_faults(files: &[CheckedFile], faults: Vec<FileFault>, notes: Vec<String>) -> Answer {
     let status = if faults.is_empty() {
         ExitStatus::Done
     } else {
         ExitStatus::Faulty
     };
-    let rows = faults.iter().map(|(index, fault)| FaultRow {
-        file: files[*index].file.clone(),
+    let rows = faults.into_iter().map(|fault| FaultRow {
+        file: files[fault.index].file.clone(),
         line: fault.place.line,
         column: fault.place.column,
-        message: fault.error.to_string(),
+        message: fault.message,
     });
     let rows = rows.collect();
     Answer::ending(ListReport { rows, notes }, status)
 }
 
+fn describe(files: &[CheckedFile], fault: &FileFault) -> String {
+    let file = &files[fault.index].file;
+    let TextPlace { line, column } = fault.place;
+    format!("{file}:{line}:{column}: {}", fault.message)
+}
+
 /// Name that keeps the order of the files.
 fn section_name(index: usize) -> SectionName {
-    SectionName::new(&format!("file-{index:06}")).expect("digits make a name")
+    SectionName::new(&format!("{index:06}")).expect("digits make a name")
 }
 
 fn file_index(section: &SectionName) -> usize {
-    let digits = section.as_str().trim_start_matches("file-");
+    let digits = section.as_str();
     digits.parse().expect("the name was made from an index")
 }
 
-fn find_cross_faults(parsed: &BTreeMap<SectionName, ParsedSection>) -> Vec<(usize, SectionFault)> {
+fn find_cross_faults(parsed: &BTreeMap<SectionName, ParsedSection>) -> Vec<CrossFault> {
     let outlines: SectionOutlines<'_> = parsed
         .iter()
         .map(|(name, section)| (name, &section.outline))
         .collect();
-    let faults = cross_faults(&outlines);
-    faults.into_iter().map(place_fault).collect()
+    cross_faults(&outlines)
 }
 
-fn place_fault(fault: CrossFault) -> (usize, SectionFault) {
-    let (section, place, error) = match fault {
-        CrossFault::Undefined { name, usage } => (
-            usage.section,
-            usage.place,
-            DocumentError::Undefined { name },
-        ),
+/// Puts a fault between files down to the later one.
+fn place_fault(fault: CrossFault, files: &[CheckedFile]) -> FileFault {
+    let (section, place, message) = match fault {
+        CrossFault::Undefined { name, usage } => {
+            let error = DocumentError::Undefined { name };
+            (usage.section, usage.place, error.to_string())
+        }
         CrossFault::Redefined {
             name,
             first,
             second,
         } => {
-            let section = first.section;
-            let error = DocumentError::Redefined { name, section };
-            (second.section, second.place, error)
+            let file = &files[file_index(&first.section)].file;
+            let message = format!("{name} is already defined in '{file}': choose another name");
+            (second.section, second.place, message)
         }
         CrossFault::KeyShared { first, second } => {
             let error = DocumentError::KeyShared {
                 workspace: first.1.workspace,
                 caller: first.1.caller,
             };
-            (second.0, second.1.place, error)
+            (second.0, second.1.place, error.to_string())
         }
     };
-    (file_index(&section), SectionFault { place, error })
-}
-
-fn note(file: &CheckedFile, fault: &SectionFault) -> String {
-    let place = fault.place;
-    format!(
-        "not checked: {}:{}:{}: {}",
-        file.file, place.line, place.column, fault.error
-    )
+    FileFault {
+        index: file_index(&section),
+        place,
+        message,
+    }
 }
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -1,6 +1,7 @@
 //! The one loop on one thread.
 
 use std::future::Future;
+use std::mem::ManuallyDrop;
 use std::pin::pin;
 
 use base::prelude::*;
@@ -12,11 +13,15 @@
 /// Runs a future and every task it spawns on this thread.
 ///
 /// The epoll driver is named outright because the default one would pick
-/// io_uring where the kernel has it.
+/// io_uring where the kernel has it. What the tasks hold when the future ends,
+/// such as open connections, stays open until the process ends.
 pub fn block_on<F: Future>(future: F) -> std::io::Result<F::Output> {
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+    let runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()?;
+    // Tasks that are left wake one another when they are dropped, which monoio
+    // bears only while the runtime runs. The end of the process frees them.
+    let mut runtime = ManuallyDrop::new(runtime);
     Ok(runtime.block_on(future))
 }
 
