Keep the last good sections where hosts that start later find them

Hosts keep nothing, so one that started after a section went bad knew no last good version of it and left it out, while its neighbours kept it in force. The command line now writes the good sections of each document it puts to config/good (platform::read_good_sections); a daemon reads them only while it holds a section back, so that this costs no steady calls. Letting daemons write the object was ruled out: 1,500 of them would race at each change.

commands::edit_section takes the last good sections: a bad section of another team counts as its last good version and stands in nobody's way. 'section list' shows which revision a daemon that starts now would have in force. Configuration::find_caller is gone; CallerIndex (in_force.callers) has replaced it.

--- a/crates/cli/src/commands/put_section.rs
+++ b/crates/cli/src/commands/put_section.rs
@@ -3,12 +3,13 @@
 use base::prelude::*;
 use document::commands::{EditOutcome, SectionEdit, edit_section};
 use document::queries::{EditTrace, find_edit};
-use document::{Document, SectionFault};
+use document::{Document, GoodSections, SectionFault};
 use platform::keys::document_key;
 use serde_json::{Value, json};
 use store::{ObjectChange, UpdateOutcome};
 
-use crate::objects::read_document;
+use super::keep_good::keep_good;
+use crate::objects::{read_document, read_good};
 use crate::section_text::split_header;
 use crate::{Answer, CliError, Report, ReportBody, Session};
 
@@ -67,7 +68,7 @@
 
 /// How one attempt ended.
 enum Attempt {
-    Done(PutReport),
+    Done(PutReport, Document),
     Again,
     InDoubt,
 }
@@ -75,10 +76,14 @@
 /// Writes a section; edits of other sections in between don't hinder it.
 pub async fn put_section(session: &Session, order: &PutOrder) -> Result<Answer, CliError> {
     let (edit, header_lines) = make_edit(session, order)?;
+    let (_, good) = read_good(session).await?;
     let mut in_doubt = false;
     for attempt in 0..ATTEMPT_LIMIT {
-        match try_edit(session, &edit, in_doubt).await {
-            Ok(Attempt::Done(report)) => return Ok(Answer::done(report)),
+        match try_edit(session, &good, &edit, in_doubt).await {
+            Ok(Attempt::Done(report, document)) => {
+                keep_good(session, &document).await;
+                return Ok(Answer::done(report));
+            }
             Ok(Attempt::Again) => {}
             Ok(Attempt::InDoubt) => in_doubt = true,
             Err(CliError::Unavailable) if in_doubt => return Err(doubt(&edit)),
@@ -117,17 +122,19 @@
 
 async fn try_edit(
     session: &Session,
+    good: &GoodSections,
     edit: &SectionEdit,
     in_doubt: bool,
 ) -> Result<Attempt, CliError> {
     let (version, mut document) = read_document(session).await?;
     if in_doubt && let Some(report) = find_report(&document, version, edit)? {
-        return Ok(Attempt::Done(report));
+        return Ok(Attempt::Done(report, document));
     }
-    let revision = match edit_section(&mut document, edit) {
+    let revision = match edit_section(&mut document, good, edit) {
         EditOutcome::Edited(revision) => revision,
         EditOutcome::Unchanged(revision) => {
-            return Ok(Attempt::Done(report_put(edit, revision, version, false)));
+            let report = report_put(edit, revision, version, false);
+            return Ok(Attempt::Done(report, document));
         }
         refused => return Err(refusal(edit, refused)),
     };
@@ -138,7 +145,8 @@
     };
     match session.store.update(change).await {
         UpdateOutcome::Applied(version) => {
-            Ok(Attempt::Done(report_put(edit, revision, version, true)))
+            let report = report_put(edit, revision, version, true);
+            Ok(Attempt::Done(report, document))
         }
         UpdateOutcome::Conflict => Ok(Attempt::Again),
         UpdateOutcome::Unknown => Ok(Attempt::InDoubt),
--- a/crates/cli/src/objects.rs
+++ b/crates/cli/src/objects.rs
@@ -1,10 +1,10 @@
 //! Objects of the system as the command line reads them.
 
 use base::prelude::*;
-use document::Document;
+use document::{Document, GoodSections};
 use groups::{FabricRecord, FabricWire};
 use platform::keys::{FABRIC_PREFIX, NODE_PREFIX, document_key, drains_key};
-use platform::{DrainList, HostEntry, HostsOutcome, NodeEntry};
+use platform::{DrainList, HostEntry, HostsOutcome, NodeEntry, read_good_sections};
 use store::{ListOutcome, ReadOutcome, StoredObject};
 
 use crate::{CliError, Session};
@@ -18,6 +18,12 @@
     }
 }
 
+/// Reads the last good sections and the version of that object.
+pub async fn read_good(session: &Session) -> Result<(ObjectVersion, GoodSections), CliError> {
+    let read = read_good_sections(session.store.as_ref()).await;
+    read.ok_or(CliError::Unavailable)
+}
+
 /// Reads the hosts that operators drain, and the version of that list.
 pub async fn read_drains(session: &Session) -> Result<(ObjectVersion, DrainList), CliError> {
     match session.store.read(&drains_key()).await {
--- a/crates/cli/src/queries/sections.rs
+++ b/crates/cli/src/queries/sections.rs
@@ -2,11 +2,11 @@
 
 use base::prelude::*;
 use document::queries::effective;
-use document::{Document, GoodSections, RejectedSection, Section};
+use document::{Document, RejectedSection, Section};
 use serde::Serialize;
 use serde_json::{Value, json};
 
-use crate::objects::read_document;
+use crate::objects::{read_document, read_good};
 use crate::output::{ListReport, ReportRow};
 use crate::section_text::{TextOrigin, add_header};
 use crate::{Answer, CliError, Report, ReportBody, Session};
@@ -17,20 +17,27 @@
     section: SectionName,
     owner: Option<TeamName>,
     revision: SectionRevision,
+    in_force: Option<SectionRevision>,
     bytes: usize,
     faults: Vec<String>,
 }
 
 impl ReportRow for SectionRow {
-    const COLUMNS: &'static [&'static str] = &["section", "owner", "revision", "bytes", "faults"];
+    const COLUMNS: &'static [&'static str] = &[
+        "section", "owner", "revision", "in force", "bytes", "faults",
+    ];
     const NONE: &'static str = "the document has no sections";
 
     fn cells(&self) -> Vec<String> {
         let owner = self.owner.as_ref().map_or("-", TeamName::as_str);
+        let in_force = self
+            .in_force
+            .map_or("-".to_owned(), |revision| revision.to_string());
         vec![
             self.section.to_string(),
             owner.to_owned(),
             self.revision.to_string(),
+            in_force,
             self.bytes.to_string(),
             self.faults.join("; "),
         ]
@@ -40,11 +47,13 @@
 /// Lists the sections and what is wrong with them.
 pub async fn list_sections(session: &Session) -> Result<Answer, CliError> {
     let (_, document) = read_document(session).await?;
-    let rejected = effective(&document, &GoodSections::default()).rejected;
+    let (_, good) = read_good(session).await?;
+    let rejected = effective(&document, &good).rejected;
     let read = document.sections.iter().map(|(name, section)| SectionRow {
         section: name.clone(),
         owner: Some(section.owner.clone()),
         revision: section.revision,
+        in_force: in_force_of(&rejected, name, section.revision),
         bytes: section.text.len(),
         faults: faults_of(&rejected, name),
     });
@@ -52,6 +61,7 @@
         section: name.clone(),
         owner: None,
         revision: SectionRevision::default(),
+        in_force: in_force_of(&rejected, name, SectionRevision::default()),
         bytes: entry.encoded.len(),
         faults: faults_of(&rejected, name),
     });
@@ -60,6 +70,15 @@
     Ok(Answer::done(ListReport::new(rows)))
 }
 
+fn in_force_of(
+    rejected: &[RejectedSection],
+    section: &SectionName,
+    revision: SectionRevision,
+) -> Option<SectionRevision> {
+    let own = rejected.iter().find(|entry| entry.section == *section);
+    own.map_or(Some(revision), |entry| entry.in_force)
+}
+
 fn faults_of(rejected: &[RejectedSection], section: &SectionName) -> Vec<String> {
     let own = rejected.iter().filter(|entry| entry.section == *section);
     let faults = own.flat_map(|entry| &entry.faults);
--- a/crates/cli/tests/suite/put.rs
+++ b/crates/cli/tests/suite/put.rs
@@ -6,9 +6,9 @@
 use base::prelude::*;
 use cli::ExitStatus;
 use cli::commands::put_section::{PutOrder, put_section};
-use document::Document;
-use document::commands::{EditOutcome, SectionEdit, edit_section};
-use platform::keys::document_key;
+use document::commands::{EditOutcome, SectionEdit, accept, edit_section, learn_good};
+use document::{ConfigState, Document, GoodSections};
+use platform::keys::{document_key, good_sections_key};
 use store::UpdateFault;
 
 const MODELS: &str = "deployments:\n  quotes: {model: m, group_size: 4, groups: 2}\n";
@@ -34,7 +34,7 @@
         text: Arc::from(text),
         nonce: WriteNonce(1_000 + expected),
     };
-    let outcome = edit_section(&mut document, &edit);
+    let outcome = edit_section(&mut document, &GoodSections::default(), &edit);
     assert_eq!(outcome, EditOutcome::Edited(SectionRevision(expected + 1)));
     world.write(&document_key(), document.encode());
 }
@@ -257,6 +257,28 @@
     assert!(again.contains("[Conflict]"), "{again}");
 }
 
+#[test]
+fn a_put_keeps_the_good_sections() {
+    let world = start();
+    assert_eq!(put(&world, "models", Some(1), WIDER).0, ExitStatus::Done);
+    let value = world
+        .read(&document_key())
+        .replace("deployments:", "deployments: [");
+    world.write(&document_key(), Arc::from(value));
+    let listed = world.describe(&["section", "list"]);
+    assert!(listed.contains("models   models  2         2 "), "{listed}");
+
+    let mut fresh = ConfigState::default();
+    let document = Document::decode(&world.read(&document_key())).unwrap();
+    accept(&mut fresh, ObjectVersion(9), Arc::new(document));
+    assert!(fresh.in_force.configuration.deployments.is_empty());
+    let kept = GoodSections::decode(&world.read(&good_sections_key())).unwrap();
+    assert!(learn_good(&mut fresh, &kept));
+    let deployment = DeploymentName::new("quotes").unwrap();
+    let spec = &fresh.in_force.configuration.deployments[&deployment];
+    assert_eq!(spec.group_size, 8);
+}
+
 #[test]
 fn sections_are_listed_with_their_faults() {
     let world = start();
--- a/crates/document/src/commands/edit_section.rs
+++ b/crates/document/src/commands/edit_section.rs
@@ -40,11 +40,18 @@
 }
 
 /// Edits one section and leaves the others as they are.
-pub fn edit_section(document: &mut Document, edit: &SectionEdit) -> EditOutcome {
+///
+/// A bad section of another team counts as its last good version, so that it
+/// stands in nobody's way.
+pub fn edit_section(
+    document: &mut Document,
+    last_good: &GoodSections,
+    edit: &SectionEdit,
+) -> EditOutcome {
     if let Err(outcome) = check_edit(document, edit) {
         return outcome;
     }
-    let before = effective(document, &GoodSections::default()).good;
+    let before = effective(document, last_good).good;
     let mut edited = document.clone();
     let revision = write_section(&mut edited, edit);
     let after = effective(&edited, &before);
--- /dev/null
+++ b/crates/document/src/commands/merge_good.rs
@@ -0,0 +1,14 @@
+use crate::GoodSections;
+
+/// Takes in whatever is newer; returns whether anything was.
+pub fn merge_good(known: &mut GoodSections, offered: &GoodSections) -> bool {
+    let mut changed = false;
+    for (name, section) in &offered.0 {
+        let present = known.0.get(name);
+        if present.is_none_or(|present| present.revision < section.revision) {
+            known.0.insert(name.clone(), section.clone());
+            changed = true;
+        }
+    }
+    changed
+}
--- a/crates/document/src/queries/mod.rs
+++ b/crates/document/src/queries/mod.rs
@@ -1,7 +1,6 @@
 //! Reads of a document and of the configuration in force.
 
 mod blame;
-mod callers;
 mod calls;
 mod candidate;
 mod cross_faults;
--- a/crates/document/tests/edits.rs
+++ b/crates/document/tests/edits.rs
@@ -5,8 +5,8 @@
 use base::prelude::*;
 use common::{FRONT, MODELS, make_document, revision_of, write_text};
 use document::commands::{EditOutcome, SectionEdit, edit_section};
-use document::queries::{EditTrace, find_edit};
-use document::{Document, EDIT_LIMIT};
+use document::queries::{EditTrace, effective, find_edit};
+use document::{Document, EDIT_LIMIT, GoodSections};
 use proptest::prelude::*;
 
 const LARGER: &str = "deployments:\n  quotes: {model: fogas-7b, group_size: 8, groups: 2}\n";
@@ -75,7 +75,11 @@
     ];
     for (name, edit, expected) in cases {
         let mut document = start();
-        assert_eq!(edit_section(&mut document, &edit), expected, "{name}");
+        assert_eq!(
+            edit_section(&mut document, &GoodSections::default(), &edit),
+            expected,
+            "{name}"
+        );
         if !matches!(expected, EditOutcome::Edited(_)) {
             assert_eq!(document, start(), "{name}");
         }
@@ -96,7 +100,9 @@
     let mut report = String::new();
     for (name, edit) in cases {
         let mut document = start();
-        let EditOutcome::Faulty(faults) = edit_section(&mut document, &edit) else {
+        let EditOutcome::Faulty(faults) =
+            edit_section(&mut document, &GoodSections::default(), &edit)
+        else {
             panic!("{name} must be refused");
         };
         assert_eq!(document, start());
@@ -111,12 +117,28 @@
 fn others_bad_section_blocks_no_edit() {
     let mut document = start();
     write_text(&mut document, "front", "services: [");
-    let outcome = edit_section(&mut document, &make_edit("models", 1, LARGER, 7));
+    let outcome = edit_section(
+        &mut document,
+        &GoodSections::default(),
+        &make_edit("models", 1, LARGER, 7),
+    );
     assert_eq!(outcome, EditOutcome::Edited(SectionRevision(2)));
     let front = &document.sections[&SectionName::new("front").unwrap()];
     assert_eq!(front.text.as_ref(), "services: [");
 }
 
+#[test]
+fn others_bad_section_counts_as_its_last_good_version() {
+    let first = start();
+    let good = effective(&first, &GoodSections::default()).good;
+    let mut document = first;
+    write_text(&mut document, "models", "deployments: [");
+    let longer = format!("{FRONT}# edited\n");
+    let edit = make_edit("front", 1, &longer, 7);
+    let outcome = edit_section(&mut document, &good, &edit);
+    assert_eq!(outcome, EditOutcome::Edited(SectionRevision(2)));
+}
+
 #[test]
 fn lost_replies_are_told_apart() {
     let section = SectionName::new("models").unwrap();
@@ -125,13 +147,18 @@
     };
     let mut document = start();
     assert_eq!(trace(&document, 7), EditTrace::NotMade);
-    edit_section(&mut document, &make_edit("models", 1, LARGER, 7));
+    edit_section(
+        &mut document,
+        &GoodSections::default(),
+        &make_edit("models", 1, LARGER, 7),
+    );
     assert_eq!(trace(&document, 7), EditTrace::Made(SectionRevision(2)));
     assert_eq!(trace(&document, 8), EditTrace::NotMade);
     for round in 0..EDIT_LIMIT as u64 {
         let text = if round % 2 == 0 { SMALLER } else { LARGER };
         edit_section(
             &mut document,
+            &GoodSections::default(),
             &make_edit("models", 2 + round, text, 100 + round),
         );
     }
@@ -163,7 +190,7 @@
             let before = document.sections[&SectionName::new(other).unwrap()].clone();
             let text = format!("# edit {nonce}\n");
             let edit = make_edit(name, seen[editor].0, &text, nonce as u64);
-            let outcome = edit_section(&mut document, &edit);
+            let outcome = edit_section(&mut document, &GoodSections::default(), &edit);
             let is_newest = seen[editor].0 == made[target];
             prop_assert_eq!(matches!(outcome, EditOutcome::Edited(_)), is_newest);
             made[target] += u64::from(is_newest);
--- a/crates/document/tests/effective.rs
+++ b/crates/document/tests/effective.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use common::{FRONT, MODELS, make_document, write_text};
 use document::queries::effective;
-use document::{Document, Effective, GoodSections};
+use document::{CallerIndex, Document, Effective, GoodSections, KeyDigest};
 
 /// Section of a third team, which changes in every case.
 const HOSPITAL: &str = "workspaces:\n  hospital: {services: [], share: 1}\n";
@@ -153,7 +153,7 @@
 
 #[test]
 fn shared_keys_are_refused() {
-    let digest = document::KeyDigest::of_key("desk").to_hex();
+    let digest = KeyDigest::of_key("desk").to_hex();
     let text = |workspace: &str, caller: &str| {
         format!(
             "workspaces:\n  {workspace}:\n    services: []\n    callers:\n      {caller}: {{key_sha256: {digest}}}\n"
@@ -165,9 +165,8 @@
     write_text(&mut document, "a", &text("clinic", "tablet"));
     let next = effective(&document, &good.good);
     insta::assert_snapshot!(describe(&next));
-    let owner = next
-        .configuration
-        .find_caller(document::KeyDigest::of_key("desk"));
+    let callers = CallerIndex::new(&next.configuration);
+    let owner = callers.find(KeyDigest::of_key("desk"));
     assert_eq!(owner.unwrap().0.as_str(), "theatre");
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -23,4 +23,6 @@
     HttpNodes, NodeEntry, NodePort, NodeRole, NodeWire, RoleWire, STATUS_PATH, StatusOutcome,
 };
 pub use objects::HttpObjectStore;
-pub use reads::{FabricRead, read_drains, read_fabric, read_fabrics, watch_document};
+pub use reads::{
+    FabricRead, read_drains, read_fabric, read_fabrics, read_good_sections, watch_document,
+};
--- a/crates/platform/src/reads.rs
+++ b/crates/platform/src/reads.rs
@@ -1,12 +1,12 @@
 //! Reads of the system's own objects, decoded.
 
 use base::prelude::*;
-use document::Document;
+use document::{Document, GoodSections};
 use groups::{FabricRecord, FabricWire};
 use store::{ListOutcome, ObjectStore, ReadOutcome, StoredObject};
 
 use crate::DrainList;
-use crate::keys::{FABRIC_PREFIX, document_key, drains_key, fabric_key};
+use crate::keys::{FABRIC_PREFIX, document_key, drains_key, fabric_key, good_sections_key};
 
 /// Fabric domain's record with its version; none where it has never been written.
 pub type FabricRead = Option<(FabricRecord, ObjectVersion)>;
@@ -29,6 +29,21 @@
     }
 }
 
+/// Reads the last good sections; `None` if there is no answer.
+///
+/// They matter only to a process that holds a section back. A list that cannot
+/// be decoded counts as empty, since the next edit of any section mends it.
+pub async fn read_good_sections(store: &dyn ObjectStore) -> Option<(ObjectVersion, GoodSections)> {
+    match store.read(&good_sections_key()).await {
+        ReadOutcome::Found(object) => {
+            let sections = GoodSections::decode(&object.value);
+            Some((object.version, sections.unwrap_or_default()))
+        }
+        ReadOutcome::Missing => Some((ObjectVersion(0), GoodSections::default())),
+        ReadOutcome::Unavailable => None,
+    }
+}
+
 /// Reads every fabric domain; `None` if the store gives no answer.
 pub async fn read_fabrics(store: &dyn ObjectStore) -> Option<Vec<(FabricRecord, ObjectVersion)>> {
     match store.list(FABRIC_PREFIX).await {
