Take two settings back that nothing reads

queue_limit and accelerators_per_host of a deployment were parsed and checked but had no effect: queues are bounded by the share of the workspace, and the platform lists the accelerators of each host. A setting without effect misleads operators.

--- a/crates/document/src/convert.rs
+++ b/crates/document/src/convert.rs
@@ -12,8 +12,6 @@
 
 const DEFAULT_DOWNTIME_WEIGHT: f64 = 0.5;
 const DEFAULT_STREAM_LIMIT: usize = 32;
-const DEFAULT_QUEUE_LIMIT: usize = 256;
-const DEFAULT_ACCELERATORS: usize = 8;
 const DEFAULT_TIMEOUT_MS: usize = 60_000;
 const DEFAULT_CALL_LIMIT: usize = 64;
 const DEFAULT_SHARE: usize = 1;
@@ -21,8 +19,6 @@
 const GROUP_SIZE: CheckedRange = CheckedRange::new("group_size", 1, 64);
 const GROUP_COUNT: CheckedRange = CheckedRange::new("groups", 0, 10_000);
 const STREAM_LIMIT: CheckedRange = CheckedRange::new("stream_limit", 1, 100_000);
-const QUEUE_LIMIT: CheckedRange = CheckedRange::new("queue_limit", 0, 100_000);
-const ACCELERATORS: CheckedRange = CheckedRange::new("accelerators_per_host", 1, 64);
 const TIMEOUT_MS: CheckedRange = CheckedRange::new("timeout_ms", 1, 3_600_000);
 const CALL_LIMIT: CheckedRange = CheckedRange::new("call_limit", 1, 100_000);
 const SHARE: CheckedRange = CheckedRange::new("share", 1, 1_000_000);
@@ -94,12 +90,6 @@
             downtime_weight: self.read_weight(wire.downtime_weight),
             checks_fencing: wire.checks_fencing,
             stream_limit: self.check_or(STREAM_LIMIT, wire.stream_limit, DEFAULT_STREAM_LIMIT),
-            queue_limit: self.check_or(QUEUE_LIMIT, wire.queue_limit, DEFAULT_QUEUE_LIMIT),
-            accelerators_per_host: self.check_or(
-                ACCELERATORS,
-                wire.accelerators_per_host,
-                DEFAULT_ACCELERATORS,
-            ),
         }
     }
 
--- a/crates/document/src/model.rs
+++ b/crates/document/src/model.rs
@@ -32,10 +32,6 @@
     pub checks_fencing: bool,
     /// Streams that one group runs at once.
     pub stream_limit: usize,
-    /// Requests that may wait for the deployment on one node.
-    pub queue_limit: usize,
-    /// Accelerators on each of its hosts.
-    pub accelerators_per_host: usize,
 }
 
 /// Service that callers address.
--- a/crates/document/src/wire.rs
+++ b/crates/document/src/wire.rs
@@ -25,8 +25,6 @@
     #[serde(default)]
     pub checks_fencing: bool,
     pub stream_limit: Option<Spanned<usize>>,
-    pub queue_limit: Option<Spanned<usize>>,
-    pub accelerators_per_host: Option<Spanned<usize>>,
 }
 
 #[derive(Debug, Deserialize)]
--- a/crates/groups/tests/world/mod.rs
+++ b/crates/groups/tests/world/mod.rs
@@ -78,8 +78,6 @@
             downtime_weight: 0.8,
             checks_fencing,
             stream_limit: 8,
-            accelerators_per_host: 8,
-            queue_limit: 16,
         },
         groups,
     }
