--- a/crates/bronzerun/tests/cli.rs
+++ b/crates/bronzerun/tests/cli.rs
@@ -40,6 +40,21 @@
     insta::assert_snapshot!(report);
 }
 
+/// Text between the first YAML fence of the operators' page and its end.
+fn page_example() -> &'static str {
+    let page = include_str!("../../../docs/OPERATORS.md");
+    let (_, rest) = page.split_once("```yaml\n").unwrap();
+    rest.split_once("```").unwrap().0
+}
+
+#[test]
+fn the_page_shows_a_faultless_document() {
+    let operator = Operator::offline("page");
+    operator.write("page.yaml", page_example());
+    let (status, said) = operator.run(&["check", "--complete", "page.yaml"]);
+    assert_eq!((status, said.as_str()), (0, "no faults\n"));
+}
+
 #[test]
 fn help_names_the_exit_statuses() {
     let operator = Operator::offline("help");
--- a/crates/cli/src/queries/limits.rs
+++ b/crates/cli/src/queries/limits.rs
@@ -17,12 +17,10 @@
     service: ServiceName,
     running: usize,
     waiting: usize,
-    refused: u64,
 }
 
 impl ReportRow for LimitRow {
-    const COLUMNS: &'static [&'static str] =
-        &["workspace", "service", "running", "waiting", "refused"];
+    const COLUMNS: &'static [&'static str] = &["workspace", "service", "running", "waiting"];
     const NONE: &'static str = "no calls since the gateways started";
 
     fn cells(&self) -> Vec<String> {
@@ -31,7 +29,6 @@
             self.service.to_string(),
             self.running.to_string(),
             self.waiting.to_string(),
-            self.refused.to_string(),
         ]
     }
 }
@@ -49,11 +46,9 @@
             service: limit.service.clone(),
             running: 0,
             waiting: 0,
-            refused: 0,
         });
         row.running += limit.running;
         row.waiting += limit.waiting;
-        row.refused += limit.refused;
     }
     let mut report = ListReport::new(rows.into_values().collect());
     report.notes.extend(silent_note(count_silent(&daemons)));
--- a/crates/gateway/src/border/admin.rs
+++ b/crates/gateway/src/border/admin.rs
@@ -84,7 +84,6 @@
             service: depth.service.clone(),
             running: depth.running,
             waiting: depth.waiting,
-            refused: 0,
         })
         .collect()
 }
--- a/crates/platform/src/status.rs
+++ b/crates/platform/src/status.rs
@@ -100,9 +100,6 @@
     pub running: usize,
     /// Calls waiting.
     pub waiting: usize,
-    /// Calls refused as "not run" since the daemon started.
-    #[serde(default)]
-    pub refused: u64,
 }
 
 /// Percentiles of one histogram.
