Take last good sections into daemons before they act or serve

A daemon that starts while a section is bad left the section out. A gateway refused that section's callers; a controller that took over a fabric domain saw its groups as surplus and would have drained them. Both now read config/good while they hold a section back, the controller decides nothing until the configuration is settled (document::queries::is_settled), and a gateway is not ready until it was settled once. Later it stays ready: a store that is down must not take a serving gateway out of the balancer.

A store that has an older document (restored from a copy) answered each watch at once, and both daemons asked again at once, without end. They now pause.

--- a/crates/controller/src/border/carrier.rs
+++ b/crates/controller/src/border/carrier.rs
@@ -9,7 +9,7 @@
 use platform::keys::fabric_key;
 use platform::{
     EnginePort, HostDirectory, HostsOutcome, OrderOutcome, ReportOutcome, read_drains, read_fabric,
-    read_fabrics, watch_document,
+    read_fabrics, read_good_sections, watch_document,
 };
 use store::{ObjectChange, ObjectStore};
 
@@ -68,6 +68,14 @@
         });
     }
 
+    fn read_good_sections(&self) {
+        let store = self.ports.store.clone();
+        self.spawn(async move {
+            let read = read_good_sections(store.as_ref()).await;
+            ControllerEvent::GoodSectionsRead(read.map(|(_, sections)| sections))
+        });
+    }
+
     fn read_fabrics(&self) {
         let store = self.ports.store.clone();
         self.spawn(async move { ControllerEvent::FabricsRead(read_fabrics(store.as_ref()).await) });
@@ -163,6 +171,7 @@
             ControllerEffect::ReadDocument { after, deadline } => {
                 self.read_document(after, deadline);
             }
+            ControllerEffect::ReadGoodSections => self.read_good_sections(),
             ControllerEffect::ReadFabrics => self.read_fabrics(),
             ControllerEffect::ReadHosts => self.read_hosts(),
             ControllerEffect::ReadDrains => self.read_drains(),
--- a/crates/controller/src/commands/fabrics.rs
+++ b/crates/controller/src/commands/fabrics.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use base::prelude::*;
+use document::queries::is_settled;
 use groups::{FabricTarget, HostEntry, HostReport, HostStanding};
 use platform::{FabricRead, Presence};
 use store::UpdateOutcome;
@@ -99,10 +100,10 @@
 
 /// Lets every fabric domain act on what is known and due.
 ///
-/// Nothing is decided before the document, so that no group is dissolved for
-/// want of it.
+/// Nothing is decided before the configuration is settled, so that no group is
+/// dissolved for want of the document or of a section's last good version.
 pub fn tick(state: &mut ControllerState, now: ClockTime) -> Vec<ControllerEffect> {
-    if state.config.in_force.version == ObjectVersion(0) {
+    if !is_settled(&state.config) {
         return Vec::new();
     }
     let effects = state
--- a/crates/controller/src/commands/poll.rs
+++ b/crates/controller/src/commands/poll.rs
@@ -16,6 +16,9 @@
             deadline: now + state.times.watch_span,
         });
     }
+    if state.polls.good_sections.take(now) {
+        effects.push(ControllerEffect::ReadGoodSections);
+    }
     if state.polls.fabrics.take(now) {
         effects.push(ControllerEffect::ReadFabrics);
     }
--- a/crates/controller/src/commands/watch.rs
+++ b/crates/controller/src/commands/watch.rs
@@ -1,8 +1,8 @@
 //! Takes in what was read from the platform.
 
 use base::prelude::*;
-use document::Document;
-use document::commands::accept;
+use document::commands::{AcceptOutcome, accept, learn_good};
+use document::{Document, GoodSections};
 use groups::FabricRecord;
 use platform::{DrainList, HostEntry};
 
@@ -22,11 +22,38 @@
         state.polls.document.set(now + RETRY_PAUSE);
         return;
     };
-    state.polls.document.set(now);
-    accept(&mut state.config, version, document);
+    let outcome = accept(&mut state.config, version, document);
+    state.polls.document.set(next_watch(outcome, now));
+    if !state.config.in_force.rejected.is_empty() {
+        state.polls.good_sections.set(now);
+    }
     fabrics::set_targets(state);
 }
 
+/// A store that has an older document would answer every watch at once.
+fn next_watch(outcome: AcceptOutcome, now: ClockTime) -> ClockTime {
+    match outcome {
+        AcceptOutcome::InForce | AcceptOutcome::Unchanged => now,
+        AcceptOutcome::Older { .. } => now + RETRY_PAUSE,
+    }
+}
+
+/// Takes in the last good sections, in place of those that are held back.
+pub fn observe_good_sections(
+    state: &mut ControllerState,
+    read: Option<GoodSections>,
+    now: ClockTime,
+) {
+    match read {
+        None => state.polls.good_sections.set(now + RETRY_PAUSE),
+        Some(sections) => {
+            if learn_good(&mut state.config, &sections) {
+                fabrics::set_targets(state);
+            }
+        }
+    }
+}
+
 /// Takes in all fabric domains.
 pub fn observe_fabrics(
     state: &mut ControllerState,
--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use document::Document;
+use document::{Document, GoodSections};
 use groups::{FabricEffect, FabricRecord, HostReport};
 use net::AskId;
 use platform::{DrainList, FabricRead, HostEntry};
@@ -36,6 +36,8 @@
     },
     /// The list of hosts was read.
     HostsRead(Option<Vec<HostEntry>>),
+    /// The last good sections were read.
+    GoodSectionsRead(Option<GoodSections>),
     /// The hosts that operators are draining were read.
     DrainsRead(Option<DrainList>),
     /// A host answered, or did not.
@@ -70,6 +72,8 @@
     ReadFabrics,
     /// Read the list of hosts.
     ReadHosts,
+    /// Read the last good sections.
+    ReadGoodSections,
     /// Read the hosts that operators are draining.
     ReadDrains,
     /// Ask a host for its report.
--- a/crates/controller/src/handler.rs
+++ b/crates/controller/src/handler.rs
@@ -19,6 +19,9 @@
         let mut effects = Vec::new();
         match event {
             ControllerEvent::DocumentRead(read) => watch::observe_document(state, read, now),
+            ControllerEvent::GoodSectionsRead(read) => {
+                watch::observe_good_sections(state, read, now);
+            }
             ControllerEvent::FabricsRead(read) => watch::observe_fabrics(state, read, now),
             ControllerEvent::FabricRead { fabric, read } => {
                 fabrics::observe_read(state, &fabric, read, now);
--- a/crates/controller/src/queries/status.rs
+++ b/crates/controller/src/queries/status.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use document::ConfigState;
+use document::queries::is_settled;
 use groups::{GroupHealth, serving_groups, stranded_hosts};
 
 use crate::ControllerState;
@@ -47,7 +48,7 @@
     ControllerStatus {
         node: state.node.clone(),
         domain: state.domain.clone(),
-        ready: state.config.in_force.version > ObjectVersion(0) && state.stop == StopPhase::Running,
+        ready: is_settled(&state.config) && state.stop == StopPhase::Running,
         config: state.config.clone(),
         fabrics: fabrics.collect(),
     }
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -41,6 +41,7 @@
 #[derive(Debug)]
 pub(crate) struct PollTimers {
     pub document: DueTimer,
+    pub good_sections: DueTimer,
     pub fabrics: DueTimer,
     pub hosts: DueTimer,
     pub drains: DueTimer,
@@ -84,6 +85,7 @@
             fabrics: BTreeMap::new(),
             polls: PollTimers {
                 document: start,
+                good_sections: DueTimer::default(),
                 fabrics: start,
                 hosts: start,
                 drains: start,
--- a/crates/document/src/commands/accept.rs
+++ b/crates/document/src/commands/accept.rs
@@ -1,7 +1,7 @@
 use base::prelude::*;
 
 use crate::queries::effective;
-use crate::{CallerIndex, ConfigState, Document, Effective, InForce};
+use crate::{CallerIndex, ConfigState, Document, Effective, InForce, RejectedSection};
 
 /// End of taking in a document.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,10 +32,18 @@
     state.floor = version;
     let effective = effective(&document, &state.good);
     state.document = document;
+    if !effective.rejected.iter().any(is_left_out) {
+        state.settled = version;
+    }
     bring_into_force(state, version, effective);
     AcceptOutcome::InForce
 }
 
+/// Whether a good version may exist that this process has never seen.
+fn is_left_out(rejected: &RejectedSection) -> bool {
+    rejected.in_force.is_none()
+}
+
 pub(super) fn bring_into_force(
     state: &mut ConfigState,
     version: ObjectVersion,
--- a/crates/document/src/queries/in_force.rs
+++ b/crates/document/src/queries/in_force.rs
@@ -11,3 +11,17 @@
 pub fn is_newest(state: &ConfigState) -> bool {
     state.in_force.version >= state.floor && state.in_force.version > ObjectVersion(0)
 }
+
+/// Whether the configuration in force misses no good section.
+///
+/// A process that has a section left out may never have seen its good version.
+/// Until the stored good sections were looked at, it must not take a name for
+/// gone.
+pub fn is_settled(state: &ConfigState) -> bool {
+    has_settled(state) && state.settled == state.in_force.version
+}
+
+/// Whether the configuration was settled at least once.
+pub fn has_settled(state: &ConfigState) -> bool {
+    state.settled > ObjectVersion(0)
+}
--- a/crates/document/src/queries/mod.rs
+++ b/crates/document/src/queries/mod.rs
@@ -12,5 +12,5 @@
 pub use cross_faults::{CrossFault, SectionOutlines, SectionPlace, cross_faults};
 pub use effective::effective;
 pub use find_edit::{EditTrace, find_edit};
-pub use in_force::{in_force, is_newest};
+pub use in_force::{has_settled, in_force, is_newest, is_settled};
 pub use section_digests::section_digests;
--- a/crates/document/src/state.rs
+++ b/crates/document/src/state.rs
@@ -11,6 +11,8 @@
     pub floor: ObjectVersion,
     /// Document in force.
     pub document: Arc<Document>,
+    /// Latest version for which it is known that no good section is missing.
+    pub settled: ObjectVersion,
     /// Section versions in force.
     pub good: GoodSections,
     /// Configuration in force, shared with whoever reads it.
--- a/crates/gateway/src/border/carrier.rs
+++ b/crates/gateway/src/border/carrier.rs
@@ -14,7 +14,7 @@
 use net::{DrainSwitch, HistogramKey, HistogramSet, MetricSink};
 use platform::{
     EnginePort, HostDirectory, HostsOutcome, ReportOutcome, read_drains, read_fabrics,
-    watch_document,
+    read_good_sections, watch_document,
 };
 use store::{ObjectChange, ObjectStore};
 
@@ -107,6 +107,14 @@
         });
     }
 
+    fn read_good_sections(&self) {
+        let store = self.ports.store.clone();
+        self.spawn(async move {
+            let read = read_good_sections(store.as_ref()).await;
+            GatewayEvent::GoodSectionsRead(read.map(|(_, sections)| sections))
+        });
+    }
+
     fn read_fabrics(&self) {
         let store = self.ports.store.clone();
         self.spawn(async move { GatewayEvent::FabricsRead(read_fabrics(store.as_ref()).await) });
@@ -237,6 +245,7 @@
         match effect {
             GatewayEffect::Step { call, step } => self.step(call, step),
             GatewayEffect::ReadDocument { after, deadline } => self.read_document(after, deadline),
+            GatewayEffect::ReadGoodSections => self.read_good_sections(),
             GatewayEffect::ReadFabrics => self.read_fabrics(),
             GatewayEffect::ReadDrains => self.read_drains(),
             GatewayEffect::ReadHosts => self.read_hosts(),
--- a/crates/gateway/src/commands/poll.rs
+++ b/crates/gateway/src/commands/poll.rs
@@ -17,6 +17,9 @@
             deadline: now + state.times.watch_span,
         });
     }
+    if state.polls.good_sections.take(now) {
+        effects.push(GatewayEffect::ReadGoodSections);
+    }
     if state.polls.fabrics.take(now) {
         effects.push(GatewayEffect::ReadFabrics);
     }
--- a/crates/gateway/src/commands/watch.rs
+++ b/crates/gateway/src/commands/watch.rs
@@ -1,8 +1,8 @@
 //! Takes in what was read from the platform and from hosts.
 
 use base::prelude::*;
-use document::Document;
-use document::commands::accept;
+use document::commands::{AcceptOutcome, accept, learn_good};
+use document::{Document, GoodSections};
 use groups::{FabricRecord, HostReport, TimedReport};
 use platform::{DrainList, HostEntry};
 
@@ -23,8 +23,41 @@
         state.polls.document.set(now + RETRY_PAUSE);
         return Vec::new();
     };
-    state.polls.document.set(now);
-    accept(&mut state.config, version, document);
+    let outcome = accept(&mut state.config, version, document);
+    state.polls.document.set(next_watch(outcome, now));
+    if !state.config.in_force.rejected.is_empty() {
+        state.polls.good_sections.set(now);
+    }
+    apply_configuration(state, now)
+}
+
+/// A store that has an older document would answer every watch at once.
+fn next_watch(outcome: AcceptOutcome, now: ClockTime) -> ClockTime {
+    match outcome {
+        AcceptOutcome::InForce | AcceptOutcome::Unchanged => now,
+        AcceptOutcome::Older { .. } => now + RETRY_PAUSE,
+    }
+}
+
+/// Takes in the last good sections, in place of those that are held back.
+pub fn observe_good_sections(
+    state: &mut GatewayState,
+    read: Option<GoodSections>,
+    now: ClockTime,
+) -> Vec<GatewayEffect> {
+    match read {
+        None => {
+            state.polls.good_sections.set(now + RETRY_PAUSE);
+            Vec::new()
+        }
+        Some(sections) if learn_good(&mut state.config, &sections) => {
+            apply_configuration(state, now)
+        }
+        Some(_) => Vec::new(),
+    }
+}
+
+fn apply_configuration(state: &mut GatewayState, now: ClockTime) -> Vec<GatewayEffect> {
     let shares = queries::workspace_shares(&state.config.in_force.configuration);
     let change = limits::commands::set_shares(&mut state.admission, shares, now);
     let mut effects = calls::apply_change(state, change, now);
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use document::{Document, KeyDigest};
+use document::{Document, GoodSections, KeyDigest};
 use groups::{FabricRecord, HostReport};
 use ledger::{EpochRead, LedgerEffect, ShardId, ShardRead};
 use net::AskId;
@@ -33,6 +33,8 @@
     DocumentRead(Option<(ObjectVersion, Arc<Document>)>),
     /// The fabric domains were read.
     FabricsRead(Option<Vec<(FabricRecord, ObjectVersion)>>),
+    /// The last good sections were read.
+    GoodSectionsRead(Option<GoodSections>),
     /// The hosts that operators are draining were read.
     DrainsRead(Option<DrainList>),
     /// The list of hosts was read.
@@ -98,6 +100,8 @@
     ReadFabrics,
     /// Read the list of hosts.
     ReadHosts,
+    /// Read the last good sections.
+    ReadGoodSections,
     /// Read the hosts that operators are draining.
     ReadDrains,
     /// Ask a host for its report.
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -21,6 +21,7 @@
             GatewayEvent::AnswerBegan { call } => calls::note_begin(state, call, now),
             GatewayEvent::AttemptEnded { call, end } => calls::conclude(state, call, end, now),
             GatewayEvent::DocumentRead(read) => watch::observe_document(state, read, now),
+            GatewayEvent::GoodSectionsRead(read) => watch::observe_good_sections(state, read, now),
             GatewayEvent::FabricsRead(read) => watch::observe_fabrics(state, read, now),
             GatewayEvent::DrainsRead(read) => watch::observe_drains(state, read, now),
             GatewayEvent::HostsRead(read) => watch::observe_hosts(state, read, now),
--- a/crates/gateway/src/queries/answer.rs
+++ b/crates/gateway/src/queries/answer.rs
@@ -1,6 +1,7 @@
 //! Answers to questions about the gateway.
 
 use base::prelude::*;
+use document::queries::has_settled;
 use document::{KeyDigest, ServiceKind};
 
 use super::status::describe;
@@ -20,11 +21,10 @@
     }
 }
 
-/// Ready once the document and the hosts are known, and until a stop begins.
+/// Ready once a whole configuration and the hosts are known, and until a stop begins.
 pub(super) fn is_ready(state: &GatewayState) -> bool {
-    let knows_document = state.config.in_force.version > ObjectVersion(0);
     let knows_hosts = !state.hosts.is_empty();
-    knows_document && knows_hosts && state.stop == StopPhase::Running
+    has_settled(&state.config) && knows_hosts && state.stop == StopPhase::Running
 }
 
 fn list_services(state: &GatewayState, digest: KeyDigest) -> Option<Vec<ServiceName>> {
--- a/crates/gateway/src/queries/deadline.rs
+++ b/crates/gateway/src/queries/deadline.rs
@@ -8,7 +8,13 @@
 /// Earliest deadline of the state.
 pub fn next_deadline(state: &GatewayState) -> Option<ClockTime> {
     let polls = &state.polls;
-    let reads = [polls.document, polls.fabrics, polls.hosts, polls.drains];
+    let reads = [
+        polls.document,
+        polls.good_sections,
+        polls.fabrics,
+        polls.hosts,
+        polls.drains,
+    ];
     let questions = polls.reports.values().copied().map(Some);
     let answers = state.reports.values().map(|timed| Some(timed.valid_until));
     let stop = match state.stop {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -63,6 +63,7 @@
 #[derive(Debug)]
 pub(crate) struct PollTimers {
     pub document: DueTimer,
+    pub good_sections: DueTimer,
     pub fabrics: DueTimer,
     pub hosts: DueTimer,
     pub drains: DueTimer,
@@ -107,6 +108,7 @@
             reports: ReportTable::new(),
             polls: PollTimers {
                 document: start,
+                good_sections: DueTimer::default(),
                 fabrics: start,
                 hosts: start,
                 drains: start,
--- /dev/null
+++ b/crates/gateway/tests/configuration.rs
@@ -0,0 +1,140 @@
+//! Documents that are old or bad, as the gateway's loop meets them.
+
+use base::prelude::*;
+use document::{Document, GoodSections, Section};
+use gateway::{
+    GatewayAnswer, GatewayEffect, GatewayEvent, GatewayLoop, GatewayQuestion, GatewayState,
+    GatewayStatus, GatewayTimes,
+};
+use platform::{HostEntry, Presence};
+
+const NOW: ClockTime = ClockTime::from_millis(50_000);
+const GOOD: &str = "workspaces:\n  debrecen: {services: []}\n";
+
+fn start_loop() -> GatewayLoop {
+    let times = GatewayTimes {
+        poll_interval: Duration::from_millis(500),
+        report_validity: Duration::from_secs(2),
+        read_interval: Duration::from_secs(1),
+        watch_span: Duration::from_secs(20),
+        balancer_notice: Duration::from_secs(5),
+        drain_limit: Duration::from_secs(60),
+    };
+    let node = NodeName::new("entry-1").unwrap();
+    let domain = DomainName::new("kozep-a").unwrap();
+    let mut gateway = GatewayLoop(GatewayState::new(node, domain, times, 1, 17));
+    gateway.wake(NOW);
+    gateway
+}
+
+fn document_with(revision: u64, text: &str) -> Arc<Document> {
+    let section = Section {
+        owner: TeamName::new("desk").unwrap(),
+        revision: SectionRevision(revision),
+        text: Arc::from(text),
+        edits: Default::default(),
+    };
+    let mut document = Document::default();
+    let name = SectionName::new("front").unwrap();
+    document.sections.insert(name, section);
+    Arc::new(document)
+}
+
+fn read(gateway: &mut GatewayLoop, version: u64, document: Arc<Document>) -> Vec<GatewayEffect> {
+    let read = Some((ObjectVersion(version), document));
+    gateway.handle(GatewayEvent::DocumentRead(read), NOW)
+}
+
+fn status(gateway: &mut GatewayLoop) -> Box<GatewayStatus> {
+    let question = GatewayQuestion::Status;
+    let effects = gateway.handle(GatewayEvent::Asked { ask: 1, question }, NOW);
+    let answer = effects.into_iter().find_map(|effect| match effect {
+        GatewayEffect::Tell {
+            answer: GatewayAnswer::Status(status),
+            ..
+        } => Some(status),
+        _ => None,
+    });
+    answer.unwrap()
+}
+
+fn list_host(gateway: &mut GatewayLoop) {
+    let host = HostEntry {
+        host: HostName::new("h1").unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: DomainName::new("kozep-a").unwrap(),
+        fabric: None,
+        service: Some(ServiceName::new("foglalas").unwrap()),
+        accelerators: 0,
+        presence: Presence::Live,
+    };
+    gateway.handle(GatewayEvent::HostsRead(Some(vec![host])), NOW);
+}
+
+fn good_sections(revision: u64, text: &str) -> GoodSections {
+    let document = document_with(revision, text);
+    document::queries::effective(&document, &GoodSections::default()).good
+}
+
+fn watches(effects: &[GatewayEffect]) -> bool {
+    let is_watch = |effect: &GatewayEffect| matches!(effect, GatewayEffect::ReadDocument { .. });
+    effects.iter().any(is_watch)
+}
+
+fn asks_for_good(effects: &[GatewayEffect]) -> bool {
+    let is_read = |effect: &GatewayEffect| matches!(effect, GatewayEffect::ReadGoodSections);
+    effects.iter().any(is_read)
+}
+
+#[test]
+fn an_older_document_is_refused_and_not_read_again_at_once() {
+    let mut gateway = start_loop();
+    assert!(watches(&read(&mut gateway, 9, document_with(2, GOOD))));
+    let effects = read(&mut gateway, 4, document_with(1, ""));
+    assert!(
+        !watches(&effects),
+        "an older document must not make it spin"
+    );
+    assert_eq!(
+        status(&mut gateway).config.in_force.version,
+        ObjectVersion(9)
+    );
+    let later = NOW + Duration::from_secs(1);
+    assert!(watches(&gateway.wake(later)));
+}
+
+#[test]
+fn a_gateway_that_starts_late_takes_the_last_good_section() {
+    let mut gateway = start_loop();
+    let effects = read(&mut gateway, 9, document_with(3, "workspaces: ["));
+    assert!(asks_for_good(&effects));
+    assert_eq!(
+        status(&mut gateway).config.in_force.configuration,
+        Default::default()
+    );
+
+    list_host(&mut gateway);
+    assert!(!status(&mut gateway).ready);
+
+    let lost = gateway.handle(GatewayEvent::GoodSectionsRead(None), NOW);
+    assert!(!asks_for_good(&lost));
+    assert!(asks_for_good(&gateway.wake(NOW + Duration::from_secs(1))));
+
+    let good = good_sections(2, GOOD);
+    let effects = gateway.handle(GatewayEvent::GoodSectionsRead(Some(good)), NOW);
+    assert!(!asks_for_good(&effects));
+    let config = status(&mut gateway).config;
+    assert_eq!(config.in_force.configuration.workspaces.len(), 1);
+    assert_eq!(
+        config.in_force.rejected[0].in_force,
+        Some(SectionRevision(2))
+    );
+    assert!(status(&mut gateway).ready);
+}
+
+#[test]
+fn a_good_document_costs_no_further_read() {
+    let mut gateway = start_loop();
+    let effects = read(&mut gateway, 9, document_with(3, GOOD));
+    assert!(!asks_for_good(&effects));
+}
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -13,14 +13,14 @@
 /// Runs a future and every task it spawns on this thread.
 ///
 /// The epoll driver is named outright because the default one would pick
-/// io_uring where the kernel has it. What the tasks hold when the future ends,
-/// such as open connections, stays open until the process ends.
+/// io_uring where the kernel has it.
 pub fn block_on<F: Future>(future: F) -> std::io::Result<F::Output> {
     let runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()?;
-    // Tasks that are left wake one another when they are dropped, which monoio
-    // bears only while the runtime runs. The end of the process frees them.
+    // Tasks that are left over wake one another as they are dropped, which the
+    // library takes for a wake from another thread and answers with a panic. A
+    // process runs one runtime until its end, so the runtime is never dropped.
     let mut runtime = ManuallyDrop::new(runtime);
     Ok(runtime.block_on(future))
 }
