--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 //! Every subcommand prints its seeds and one table, and drives the same code
 //! that the daemons run from tables and small fakes.
 
+mod document;
 mod ledger;
 mod overload;
 mod peers;
@@ -26,6 +27,8 @@
     Overload(overload::OverloadOptions),
     /// Non-idempotent calls against writes to the store.
     Ledger(ledger::LedgerOptions),
+    /// What a change of one section costs a daemon.
+    Document(document::DocumentOptions),
     /// Messages, time and memory of a node's control traffic.
     Peers(peers::PeersOptions),
 }
@@ -35,6 +38,7 @@
         Measurement::Placement(options) => placement::run(&options),
         Measurement::Overload(options) => overload::run(&options),
         Measurement::Ledger(options) => ledger::run(&options),
+        Measurement::Document(options) => document::run(&options),
         Measurement::Peers(options) => peers::run(&options),
     }
 }
