--- a/crates/cli/src/queries/stranded.rs
+++ b/crates/cli/src/queries/stranded.rs
@@ -10,7 +10,7 @@
 use super::hosts::find_reserve;
 use super::limits::silent_note;
 use crate::daemons::{DaemonStatus, ask_daemons, count_silent, gather_sight};
-use crate::objects::{read_fabrics, read_hosts, read_nodes};
+use crate::objects::{read_drains, read_fabrics, read_hosts, read_nodes};
 use crate::output::{ListReport, ReportRow};
 use crate::{Answer, CliError, Session};
 
@@ -39,15 +39,19 @@
 
 /// Lists the hosts whose accelerators are stranded.
 ///
-/// A host that keeps its group from serving is not healthy, so only the other
-/// members of that group count.
+/// Hosts that leave or are drained are idle on purpose and don't count. Nor does
+/// a host that keeps its group from serving, since it is not healthy; the other
+/// members of that group do.
 pub async fn list_stranded(session: &Session) -> Result<Answer, CliError> {
     let hosts = read_hosts(session).await?;
     let records = read_fabrics(session).await?;
+    let (_, drains) = read_drains(session).await?;
     let daemons = ask_daemons(session, read_nodes(session).await?).await;
     let places = place_groups(&records);
     let mut rows = Vec::new();
-    for entry in hosts {
+    let working =
+        |entry: &HostEntry| entry.presence == Presence::Live && !drains.hosts.contains(&entry.host);
+    for entry in hosts.into_iter().filter(working) {
         let Some(fabric) = entry.fabric.clone() else {
             continue;
         };
@@ -86,9 +90,6 @@
     places: &BTreeMap<&HostName, &GroupRecord>,
     daemons: &[DaemonStatus],
 ) -> Option<String> {
-    if entry.presence == Presence::Leaving {
-        return None;
-    }
     let Some(group) = places.get(&entry.host) else {
         let reserve = find_reserve(records, &entry.host);
         return Some(reserve.unwrap_or_else(|| "in no group".to_owned()));
--- a/crates/cli/tests/suite/reads.rs
+++ b/crates/cli/tests/suite/reads.rs
@@ -190,6 +190,19 @@
     insta::assert_snapshot!(report);
 }
 
+#[test]
+fn a_drained_host_is_not_stranded() {
+    let world = fleet();
+    let lists = |host: &str| {
+        let report = world.describe(&["stranded", "list"]);
+        report.lines().any(|line| line.starts_with(host))
+    };
+    assert!(lists("h6"));
+    world.describe(&["endpoint", "drain", "h6"]);
+    assert!(!lists("h6"));
+    assert!(lists("h5"));
+}
+
 #[test]
 fn queries_print_json() {
     let world = fleet();
