Watch real daemons from the command line in tests

The binary puts a section and watches it come into force on a gateway and a controller; daemons that start while a section is bad by other means report its last good version in force.

--- a/crates/bronzerun/tests/cli.rs
+++ b/crates/bronzerun/tests/cli.rs
@@ -129,7 +129,8 @@
     let (status, said) = operator.run(&put);
     assert_eq!(status, 0, "{said}");
     assert!(said.contains("revision 1"), "{said}");
-    assert_eq!(platform.version_of(&document_key()), 1);
+    let written = platform.read(&document_key()).unwrap();
+    assert_eq!(written.version.0, 1);
 }
 
 #[test]
@@ -188,3 +189,39 @@
     assert_eq!(status, 3);
     assert!(said.contains("silent"), "{said}");
 }
+
+#[test]
+fn a_change_comes_into_force_on_every_node() {
+    let platform = StandIn::start();
+    let operator = Operator::online("force", platform.address);
+    operator.write("models.yaml", MODELS);
+    platform.start_node("entry-1");
+    operator.run_until(&["watch", "0"], "in force on 2 of 2 daemons");
+    let put = ["section", "put", "models", "models.yaml", "--owner", "ml"];
+    assert_eq!(operator.run(&put).0, 0);
+    let (status, said) = operator.run(&["watch", "--latest", "--section", "models"]);
+    assert_eq!(status, 0, "{said}");
+    assert!(said.contains("in force on 2 of 2 daemons"), "{said}");
+}
+
+#[test]
+fn a_node_that_starts_late_keeps_the_last_good_section() {
+    let platform = StandIn::start();
+    let operator = Operator::online("late", platform.address);
+    operator.write("models.yaml", MODELS);
+    let put = ["section", "put", "models", "models.yaml", "--owner", "ml"];
+    assert_eq!(operator.run(&put).0, 0);
+    let document = platform.read(&document_key()).unwrap().value;
+    let bad = document.replace("group_size: 4", "group_size: 0");
+    platform.write(
+        &document_key(),
+        &bad.replace("\"revision\":1", "\"revision\":2"),
+    );
+
+    platform.start_node("entry-1");
+    let line = ["watch", "--latest", "--section", "models"];
+    let held_back = "revision 2: revision 1 stays in force: line 2, column 34: \
+                     'group_size' is 0: write a number from 1 to 64 (daemons: 2)";
+    operator.run_until(&line, held_back);
+    assert_eq!(operator.run(&line).0, 2);
+}
--- a/crates/bronzerun/tests/support/mod.rs
+++ b/crates/bronzerun/tests/support/mod.rs
@@ -5,15 +5,17 @@
 use std::process::Command;
 use std::rc::Rc;
 use std::sync::mpsc;
+use std::time::Instant;
 
 use base::prelude::*;
 use net::web::{CollectOutcome, WebClient, full_body};
 use net::{SystemClock, block_on, drain_pair};
 use platform::HttpObjectStore;
 use serde_json::Value;
-use store::{ObjectChange, ObjectKey, ObjectStore, ReadOutcome, UpdateOutcome};
+use store::{ObjectChange, ObjectKey, ObjectStore, ReadOutcome, StoredObject, UpdateOutcome};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
+const CONDITION_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Platform on a thread of its own, which ends with the test's process.
 pub struct StandIn {
@@ -69,24 +71,42 @@
         HttpObjectStore::new(WebClient::new(clock.clone()), clock, self.address)
     }
 
-    /// Writes a new object.
+    /// Writes an object whatever its version.
     pub fn write(&self, key: &ObjectKey, value: &str) {
+        let present = self.read(key);
         let change = ObjectChange {
             key: key.clone(),
-            expected: ObjectVersion(0),
+            expected: present.map_or(ObjectVersion(0), |object| object.version),
             value: Arc::from(value),
         };
         let outcome = block_on(async { self.store().update(change).await }).unwrap();
         assert!(matches!(outcome, UpdateOutcome::Applied(_)), "{outcome:?}");
     }
 
-    /// Version of an object.
-    pub fn version_of(&self, key: &ObjectKey) -> u64 {
+    /// Object as it stands.
+    pub fn read(&self, key: &ObjectKey) -> Option<StoredObject> {
         match block_on(async { self.store().read(key).await }).unwrap() {
-            ReadOutcome::Found(object) => object.version.0,
-            outcome => panic!("{outcome:?}"),
+            ReadOutcome::Found(object) => Some(object),
+            ReadOutcome::Missing => None,
+            ReadOutcome::Unavailable => panic!("the stand-in did not answer"),
         }
     }
+
+    /// Starts the daemons of one node, each on a thread of its own.
+    pub fn start_node(&self, node: &str) {
+        let text = format!(
+            "node: {node}\n\
+             failure_domain: kozep-a\n\
+             platform: {}\n\
+             gateway: {{listen: '127.0.0.1:0', admin: '127.0.0.1:0'}}\n\
+             controller: {{admin: '127.0.0.1:0'}}\n",
+            self.address
+        );
+        let settings = settings::parse_settings(&text).unwrap();
+        let own = settings.clone();
+        std::thread::spawn(|| block_on(gateway::run(own, |_, _| ())));
+        std::thread::spawn(|| block_on(controller::run(settings, |_| ())));
+    }
 }
 
 /// Person with a folder of files.
@@ -135,6 +155,18 @@
         (output.status.code().unwrap(), text)
     }
 
+    /// Runs the binary until it prints a text; for a minute at most.
+    pub fn run_until(&self, line: &[&str], wanted: &str) {
+        let deadline = Instant::now() + CONDITION_TIMEOUT;
+        loop {
+            let (_, text) = self.run(line);
+            if text.contains(wanted) {
+                return;
+            }
+            assert!(Instant::now() < deadline, "{line:?}: {text}");
+        }
+    }
+
     /// Command line, what it printed and its exit status.
     pub fn describe(&self, line: &[&str]) -> String {
         let (status, text) = self.run(line);
