--- a/crates/groups/tests/forming.rs
+++ b/crates/groups/tests/forming.rs
@@ -2,8 +2,8 @@
 
 mod world;
 
-use std::time::Duration;
-
+use base::prelude::*;
+use groups::{GroupSettings, MemberPhase};
 use world::{World, target};
 
 #[test]
@@ -18,3 +18,40 @@
     assert_eq!(record.token.0, 1, "one owner throughout");
     assert_eq!(record.standbys.len(), 1);
 }
+
+#[test]
+fn loads_are_queued_and_bring_back_whole_groups() {
+    let mut world = World::new(1, 13, target(6, 2, true));
+    let limit = GroupSettings::default().load_limit;
+    let mut served_at = Vec::new();
+    for step in 0..160 {
+        world.step();
+        let reports = world.engines.values().map(|e| e.report(world.now));
+        let loading = reports.filter(|r| r.phase == MemberPhase::Loading).count();
+        assert!(loading <= limit, "{loading} loads at once");
+        if world.serving(0).len() > served_at.len() {
+            served_at.push(step);
+        }
+    }
+    assert_eq!(served_at.len(), 2);
+    assert!(served_at[0] < served_at[1], "both groups load by halves");
+    let loaded = world.engines.values().filter(|e| e.model.is_some());
+    assert_eq!(loaded.count(), 13, "the spare is loaded last");
+}
+
+#[test]
+fn a_light_deployment_gives_its_broken_group_to_others() {
+    for (weight, expected) in [(0.2, "light"), (0.8, "llm")] {
+        let mut world = World::new(1, 6, target(6, 1, true));
+        world.target.spec.downtime_weight = weight;
+        world.run_until("the group serves", |world| world.serving(0).len() == 1);
+        let mut other = target(4, 1, true);
+        other.deployment = DeploymentName::new("light").unwrap();
+        world.others.push(other);
+        world.engine(0).up = false;
+        world.run(Duration::from_secs(60));
+        let (record, _) = world.stored().unwrap();
+        assert_eq!(record.groups.len(), 1);
+        assert_eq!(record.groups[0].deployment.as_str(), expected);
+    }
+}
