--- a/crates/groups/tests/forming.rs
+++ b/crates/groups/tests/forming.rs
@@ -55,3 +55,18 @@
         assert_eq!(record.groups[0].deployment.as_str(), expected);
     }
 }
+
+#[test]
+fn the_group_that_needs_the_fewest_loads_is_back_first() {
+    let mut world = World::new(1, 12, target(6, 2, true));
+    world.run_until("both groups serve", |world| world.serving(0).len() == 2);
+    let (record, _) = world.stored().unwrap();
+    let first = record.groups[0].members.iter().take(5);
+    let second = record.groups[1].members.iter().take(1);
+    for member in first.chain(second) {
+        world.engines.get_mut(&member.host).unwrap().restart();
+    }
+    world.run_until("neither serves", |world| world.serving(0).is_empty());
+    world.run_until("one serves", |world| world.serving(0).len() == 1);
+    assert_eq!(world.serving(0)[0].group.group, record.groups[1].group);
+}
