--- a/crates/bench/src/placement.rs
+++ b/crates/bench/src/placement.rs
@@ -1,16 +1,326 @@
-//! The `placement` measurement.
+//! The `placement` measurement: group downtime and stranded accelerators.
+//!
+//! Every policy meets the same recorded faults. Downtime counts how far the
+//! complete groups fall short of those that the policy promised at full health,
+//! so that a policy gains nothing by giving a group up. The decisions are those
+//! of the `groups` crate; engines, list and store are tables. Steps are skipped
+//! while no fault has struck a fabric domain and nothing is left to do in it.
 
+mod fabric;
+mod faults;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use base::prelude::*;
 use clap::Args;
+use document::DeploymentSpec;
+use groups::{
+    DissolveRule, FabricTarget, GroupSettings, HostEntry, HostStanding, SpareRule, spread_groups,
+};
+
+use fabric::FabricRun;
+use faults::{FaultTable, FleetLayout, record_faults};
+
+/// Time between two steps.
+const STEP: Duration = Duration::from_secs(5);
+/// Steps for which a fabric domain runs before a fault strikes it.
+const WARM_STEPS: u64 = 3;
+/// Instant at which the measurement begins.
+const START: ClockTime = ClockTime::from_millis(3 * 3_600_000);
+/// Accelerators of one host.
+const ACCELERATORS: f64 = 8.0;
 
 /// Options of the measurement.
 #[derive(Args)]
 pub struct PlacementOptions {
-    /// Seed of the random numbers.
+    /// Seeds of the fault tables.
+    #[arg(long, value_delimiter = ',', default_value = "1,2,3")]
+    seed: Vec<u64>,
+    /// Days of faults for 60 servers.
+    #[arg(long, default_value_t = 60)]
+    days: u32,
+    /// Days of faults for 4,700 servers; 0 leaves them out.
     #[arg(long, default_value_t = 1)]
-    seed: u64,
+    fleet_days: u32,
 }
 
 /// Runs it and prints its table.
 pub fn run(options: &PlacementOptions) {
-    println!("seed {}: not measured yet", options.seed);
+    let today = FleetLayout {
+        fabrics: 3,
+        fabric_hosts: 20,
+        domains: 3,
+    };
+    let fleet = FleetLayout {
+        fabrics: 47,
+        fabric_hosts: 100,
+        domains: 6,
+    };
+    run_layout(today, &[("llm", 4, 15)], options.days, &options.seed);
+    if options.fleet_days > 0 {
+        let deployments = [("large", 16, 282), ("small", 2, 94)];
+        run_layout(fleet, &deployments, options.fleet_days, &options.seed);
+    }
+}
+
+/// Name, hosts in each group and groups wanted.
+type DeploymentShape = (&'static str, usize, usize);
+
+fn run_layout(layout: FleetLayout, shapes: &[DeploymentShape], days: u32, seeds: &[u64]) {
+    for &seed in seeds {
+        let table = record_faults(layout, START, days, seed);
+        let [failures, restarts, racks, domains] = table.counts;
+        println!(
+            "\n{} hosts, {days} days, seed {seed}: {failures} failures, {restarts} restarts, \
+             {racks} racks, {domains} failure domains",
+            layout.hosts()
+        );
+        println!(
+            "{:<28} {:>8} {:>22} {:>12} {:>28}",
+            "policy",
+            "promised",
+            "downtime group-hours",
+            "of promised",
+            "stranded accelerator-hours"
+        );
+        for policy in policies() {
+            let figures = PlacementRun::new(layout, shapes, &policy).measure(&table, days);
+            println!(
+                "{:<28} {:>8} {:>22.2} {:>11.4}% {:>28.0}",
+                policy.name,
+                figures.promised,
+                figures.downtime_hours,
+                figures.downtime_share * 100.0,
+                figures.stranded_hours * ACCELERATORS
+            );
+        }
+    }
+}
+
+struct PlacementPolicy {
+    name: &'static str,
+    weight: f64,
+    settings: GroupSettings,
+}
+
+fn policies() -> Vec<PlacementPolicy> {
+    let settings = GroupSettings {
+        lease_span: Duration::from_secs(60),
+        renew_after: Duration::from_secs(20),
+        report_validity: Duration::from_secs(10),
+        missing_patience: Duration::from_secs(10),
+        drain_notice: Duration::from_secs(5),
+        ..GroupSettings::default()
+    };
+    let simple = |name, spares, dissolve_rule, loads_spares| PlacementPolicy {
+        name,
+        weight: 0.5,
+        settings: GroupSettings {
+            spare_rule: SpareRule::Fixed(spares),
+            dissolve_rule,
+            loads_spares,
+            ..settings.clone()
+        },
+    };
+    let by_weight = |name, weight| PlacementPolicy {
+        name,
+        weight,
+        settings: settings.clone(),
+    };
+    vec![
+        by_weight("by weight 0.9 (Fogas)", 0.9),
+        by_weight("by weight 0.1 (Kalinga)", 0.1),
+        simple("no spares, first fit", 0, DissolveRule::Never, false),
+        simple("2 spares, unloaded", 2, DissolveRule::Never, false),
+        simple("2 spares, loaded", 2, DissolveRule::Never, true),
+        simple("always dissolve", 0, DissolveRule::Always, false),
+    ]
+}
+
+struct PlacementFigures {
+    promised: usize,
+    downtime_hours: f64,
+    downtime_share: f64,
+    stranded_hours: f64,
+}
+
+struct PlacementRun {
+    layout: FleetLayout,
+    settings: GroupSettings,
+    specs: BTreeMap<DeploymentName, DeploymentSpec>,
+    fabrics: Vec<FabricRun>,
+    targets: Vec<Vec<FabricTarget>>,
+    promised: BTreeMap<DeploymentName, usize>,
+    now: ClockTime,
+    downtime: f64,
+    stranded: f64,
+}
+
+impl PlacementRun {
+    fn new(layout: FleetLayout, shapes: &[DeploymentShape], policy: &PlacementPolicy) -> Self {
+        let specs = shapes.iter().map(|shape| spec(shape, policy.weight));
+        let fabrics = (0..layout.fabrics).map(|fabric| {
+            let hosts = (0..layout.fabric_hosts).map(|host| entry(fabric, host));
+            FabricRun::new(
+                fabric_name(fabric),
+                hosts.collect(),
+                policy.settings.clone(),
+            )
+        });
+        Self {
+            layout,
+            settings: policy.settings.clone(),
+            specs: specs.collect(),
+            fabrics: fabrics.collect(),
+            targets: vec![Vec::new(); layout.fabrics],
+            promised: BTreeMap::new(),
+            now: ClockTime::default(),
+            downtime: 0.0,
+            stranded: 0.0,
+        }
+    }
+
+    fn measure(mut self, table: &FaultTable, days: u32) -> PlacementFigures {
+        self.step_active();
+        self.spread();
+        for targets in self.targets.concat() {
+            *self.promised.entry(targets.deployment).or_default() += targets.groups;
+        }
+        self.run_until(START);
+        self.downtime = 0.0;
+        self.stranded = 0.0;
+        let mut events = table.events.iter().peekable();
+        let end = START + Duration::from_secs(86_400) * days;
+        while let Some(first) = events.peek().filter(|event| event.at < end) {
+            let at = first.at;
+            self.run_until(at);
+            let due = std::iter::from_fn(|| events.next_if(|event| event.at == at));
+            let due: Vec<_> = due.collect();
+            for event in due {
+                self.warm(event.host / self.layout.fabric_hosts);
+                let (fabric, host) = self.place(event.host);
+                self.fabrics[fabric].strike(host, event.fault);
+                self.fabrics[fabric].activate();
+            }
+            self.step_active();
+            self.spread();
+        }
+        self.run_until(end);
+        let promised = self.promised.values().sum();
+        PlacementFigures {
+            promised,
+            downtime_hours: self.downtime / 3_600.0,
+            downtime_share: self.downtime / (promised as f64 * end.since(START).as_secs_f64()),
+            stranded_hours: self.stranded / 3_600.0,
+        }
+    }
+
+    fn place(&self, host: usize) -> (usize, usize) {
+        let size = self.layout.fabric_hosts;
+        (host / size, host % size)
+    }
+
+    /// Wakes a fabric domain that was left alone, as if it had always run.
+    fn warm(&mut self, fabric: usize) {
+        if self.fabrics[fabric].is_active() {
+            return;
+        }
+        let before = self
+            .now
+            .0
+            .saturating_sub(WARM_STEPS * STEP.as_micros() as u64);
+        for step in 0..WARM_STEPS as u32 {
+            self.fabrics[fabric].step(ClockTime(before) + STEP * step);
+        }
+    }
+
+    fn run_until(&mut self, end: ClockTime) {
+        while self.now < end {
+            let active = self.fabrics.iter().any(FabricRun::is_active);
+            let next = if active { self.now + STEP } else { end };
+            self.pass(next.min(end));
+            self.step_active();
+        }
+    }
+
+    /// Lets time pass and counts what was missing meanwhile.
+    fn pass(&mut self, until: ClockTime) {
+        let span = until.since(self.now).as_secs_f64();
+        for (deployment, &promised) in &self.promised {
+            let counts = self.fabrics.iter();
+            let counts = counts.map(|run| run.whole.get(deployment).copied().unwrap_or(0));
+            let whole: usize = counts.sum();
+            self.downtime += promised.saturating_sub(whole) as f64 * span;
+        }
+        let stranded: usize = self.fabrics.iter().map(|run| run.stranded).sum();
+        self.stranded += stranded as f64 * span;
+        self.now = until;
+    }
+
+    fn step_active(&mut self) {
+        for run in self.fabrics.iter_mut().filter(|run| run.is_active()) {
+            run.step(self.now);
+        }
+    }
+
+    fn spread(&mut self) {
+        let domains = self.layout;
+        let shapes: Vec<_> = self
+            .fabrics
+            .iter()
+            .enumerate()
+            .map(|(index, run)| run.state.shape(domain_name(domains.domain_of(index))))
+            .collect();
+        let spread = spread_groups(&self.specs, &shapes, &self.settings);
+        for (index, run) in self.fabrics.iter_mut().enumerate() {
+            let counts = &spread[&fabric_name(index)];
+            let targets: Vec<_> = self
+                .specs
+                .iter()
+                .map(|(deployment, spec)| FabricTarget {
+                    deployment: deployment.clone(),
+                    spec: spec.clone(),
+                    groups: counts.get(deployment).copied().unwrap_or(0),
+                })
+                .collect();
+            if targets != self.targets[index] {
+                run.set_targets(targets.clone());
+                run.activate();
+                self.targets[index] = targets;
+            }
+        }
+    }
+}
+
+fn spec(shape: &DeploymentShape, weight: f64) -> (DeploymentName, DeploymentSpec) {
+    let &(name, group_size, group_count) = shape;
+    let spec = DeploymentSpec {
+        model: ModelName::new(name).expect("the name is valid"),
+        group_size,
+        group_count,
+        downtime_weight: weight,
+        checks_fencing: true,
+        stream_limit: 8,
+        queue_limit: 16,
+        accelerators_per_host: ACCELERATORS as usize,
+    };
+    let deployment = DeploymentName::new(name).expect("the name is valid");
+    (deployment, spec)
+}
+
+fn fabric_name(index: usize) -> FabricName {
+    FabricName::new(&format!("f{index:02}")).expect("the name is valid")
+}
+
+fn domain_name(index: usize) -> DomainName {
+    DomainName::new(&format!("d{index}")).expect("the name is valid")
+}
+
+fn entry(fabric: usize, host: usize) -> HostEntry {
+    HostEntry {
+        host: HostName::new(&format!("h{fabric:02}-{host:02}")).expect("the name is valid"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        standing: HostStanding::Live,
+    }
 }
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -24,6 +24,6 @@
     FabricShape, GroupFault, GroupHealth, GroupSpread, GroupVerdict, MemberFault, ReportTable,
     explain_group, leaving_members, serving_groups, spread_groups, stranded_hosts,
 };
-pub use settings::GroupSettings;
+pub use settings::{DissolveRule, GroupSettings, SpareRule};
 pub use state::{FabricState, FabricTarget, HostEntry, HostStanding, TimedReport};
 pub use wire::FabricWire;
--- a/crates/groups/src/queries/plan/dissolve.rs
+++ b/crates/groups/src/queries/plan/dissolve.rs
@@ -10,11 +10,18 @@
 
 use super::repair::lost_count;
 use super::{HostPool, PlanView};
-use crate::{FabricRecord, GroupPhase, GroupRecord};
+use crate::{DissolveRule, FabricRecord, GroupPhase, GroupRecord};
 
 /// Removes at most one group that is worth more as spares.
 pub(crate) fn dissolve_groups(view: &PlanView, plan: &mut FabricRecord, pool: &HostPool) {
-    let donor = merge_donor(view, plan).or_else(|| gift_donor(view, plan, pool));
+    let donor = match view.settings.dissolve_rule {
+        DissolveRule::ByWeight => merge_donor(view, plan).or_else(|| gift_donor(view, plan, pool)),
+        DissolveRule::Always => {
+            let last = lost_groups(view, plan).pop();
+            last.map(|(_, group)| group.group.clone())
+        }
+        DissolveRule::Never => None,
+    };
     if let Some(donor) = donor {
         plan.groups.retain(|group| group.group != donor);
     }
--- a/crates/groups/src/queries/plan/repair.rs
+++ b/crates/groups/src/queries/plan/repair.rs
@@ -2,7 +2,7 @@
 
 use super::view::MemberPresence;
 use super::{HostPool, PlanView};
-use crate::{FabricRecord, GroupPhase, GroupRecord, MemberRecord};
+use crate::{DissolveRule, FabricRecord, GroupPhase, GroupRecord, MemberRecord};
 
 /// Repairs every group that is not draining, the weightiest first.
 pub(crate) fn repair_groups(view: &PlanView, plan: &mut FabricRecord, pool: &mut HostPool) {
@@ -32,11 +32,13 @@
 
 fn repair_group(view: &PlanView, group: &mut GroupRecord, pool: &mut HostPool) {
     let model = group.model.clone();
+    let dissolves = view.settings.dissolve_rule == DissolveRule::Always;
     let mut changed = false;
     for member in &mut group.members {
         let filled = match view.presence(member) {
             MemberPresence::Present if view.is_leaving(&member.host) => pool.take(&model),
             MemberPresence::Present | MemberPresence::Silent => None,
+            MemberPresence::Missing if dissolves => None,
             MemberPresence::Missing => pool.take(&model),
             MemberPresence::Restarted(incarnation) => {
                 let put_back = MemberRecord {
--- a/crates/groups/src/queries/plan/standby.rs
+++ b/crates/groups/src/queries/plan/standby.rs
@@ -21,6 +21,9 @@
         .cloned()
         .collect();
     plan.standbys = kept;
+    if !view.settings.loads_spares {
+        return;
+    }
     for free in pool.hosts() {
         let host = &free.member.host;
         if plan.standbys.iter().any(|s| s.member.host == *host) {
--- a/crates/groups/src/queries/reserve.rs
+++ b/crates/groups/src/queries/reserve.rs
@@ -6,7 +6,7 @@
 
 use document::DeploymentSpec;
 
-use crate::GroupSettings;
+use crate::{GroupSettings, SpareRule};
 
 /// Whether forming one more group out of the free hosts costs less than
 /// keeping them as spares.
@@ -19,6 +19,9 @@
     let Some(left) = free.checked_sub(spec.group_size) else {
         return false;
     };
+    if let SpareRule::Fixed(spares) = settings.spare_rule {
+        return left >= spares;
+    }
     let mean = hosts as f64 * settings.missing_share;
     let extra_down = expected_shortage(mean, left) - expected_shortage(mean, free);
     let downtime = spec.downtime_weight * settings.downtime_cost * extra_down;
--- a/crates/groups/src/settings.rs
+++ b/crates/groups/src/settings.rs
@@ -41,6 +41,32 @@
     pub downtime_cost: f64,
     /// Weight under which a broken group gives its members to others.
     pub dissolve_weight: f64,
+    /// How many hosts are kept out of groups.
+    pub spare_rule: SpareRule,
+    /// Which broken groups are broken up.
+    pub dissolve_rule: DissolveRule,
+    /// Whether spares load a model ahead of need.
+    pub loads_spares: bool,
+}
+
+/// How many hosts of a fabric domain are kept out of groups.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SpareRule {
+    /// As many as the deployment's weight makes worth it.
+    ByWeight,
+    /// At least so many.
+    Fixed(usize),
+}
+
+/// Which broken groups are broken up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DissolveRule {
+    /// Those whose members help others, by the deployment's weight.
+    ByWeight,
+    /// None.
+    Never,
+    /// Every one, as soon as a member is given up.
+    Always,
 }
 
 impl Default for GroupSettings {
@@ -64,6 +90,9 @@
             missing_share: 0.01,
             downtime_cost: 16.0,
             dissolve_weight: 0.5,
+            spare_rule: SpareRule::ByWeight,
+            dissolve_rule: DissolveRule::ByWeight,
+            loads_spares: true,
         }
     }
 }
