Name and prove the guarding lines of at-most-once calls

Each proof was seen to fail with its guarding line changed or removed: - learn: 'version > expected' (also >=), doubt_calls in conclude_write, and call.doubt in may_be_marked: late_mark_of_a_lapsed_call_is_not_called_unmade - flying in may_be_marked, may_be_marked in is_unmarked, is_unmarked in expire_reply: promises_hold_in_every_order - version >= floor in conclude_read: stale_read_does_not_pass_for_a_withdrawal; Missing at a floor: removed_shard_sends_nothing_again_from_a_node_that_saw_it - deadline in grant: mark_that_is_seen_after_its_deadline_is_withdrawn - run deadline in may_send: process_paused_before_its_first_byte_... - doubt in remove_mark: late_mark_... (key free before the late mark arrives) - attempt comparison in settle_call, digest in joined_verdict: reused_key_is_refused - asked_at in is_fresh: key_of_a_withdrawn_call_is_not_taken_as_used - foreign in add_finish: answer_is_not_recorded_over_another_attempt - seen_at in raise_epoch, STAMP_MARGIN, drop_old: key_is_forgotten_only_after_..., promises_hold_in_every_order; stamp_epoch: node_that_slept_for_epochs_...; floor in conclude_epoch_read: older_epoch_is_refused - patience in finish: process_dies_at_every_step; mark_limit: full_shard_...; refuses_at_once: calls_during_an_outage_...; local: three_devices_on_one_node_...

Not guarded by a test: rest_shard (no case found in which a draft stays unchanged and its call unsettled) and contains_key in add_mark (two calls of one process in one draft; whichever mark is written, one is sent). Removing marks.remove from remove_mark makes the harness loop instead of fail.

New calls now gather like ends do, also on a shard with calls under way.

--- a/crates/ledger/src/commands/begin.rs
+++ b/crates/ledger/src/commands/begin.rs
@@ -29,12 +29,8 @@
     }
 
     fn add_call(&mut self, request: MarkRequest, shard: ShardId, now: ClockTime) {
-        let gather = self.settings.gather;
-        let trusted = self.is_trusted(shard, now);
+        self.gather_shard(shard, now);
         let state = self.shards.entry(shard).or_default();
-        if trusted && state.flight.is_none() && state.calls.is_empty() {
-            state.not_before = state.not_before.max(now + gather);
-        }
         state.poll_at = now;
         state.polls = 0;
         state.calls.insert(request.call);
--- a/crates/ledger/tests/basic.rs
+++ b/crates/ledger/tests/basic.rs
@@ -1,4 +1,4 @@
-//! One call from its request to its recorded answer.
+//! One state alone, fed by hand.
 
 use base::prelude::*;
 use ledger::*;
@@ -66,3 +66,78 @@
     assert_eq!(effects.len(), 1);
     assert_eq!(verdict(&effects), Some(&CallVerdict::Answer(answer())));
 }
+
+fn found(version: u64, marks: Vec<MarkRecord>) -> ShardRead {
+    let marks = marks.into_iter().map(|mark| (request(0).key, mark));
+    ShardRead::Found {
+        version: ObjectVersion(version),
+        record: Arc::new(ShardRecord {
+            marks: marks.collect(),
+        }),
+    }
+}
+
+fn epoch(version: u64, epoch: u64) -> EpochRead {
+    EpochRead::Found {
+        version: ObjectVersion(version),
+        epoch: MarkEpoch(epoch),
+    }
+}
+
+fn written(effects: &[LedgerEffect]) -> Option<&ShardRecord> {
+    effects.iter().find_map(|effect| match effect {
+        LedgerEffect::WriteShard { record, .. } => Some(record.as_ref()),
+        _ => None,
+    })
+}
+
+#[test]
+fn older_epoch_is_refused() {
+    let node = NodeName::new("entry-1").unwrap();
+    let mut state = LedgerState::new(LedgerSettings::default(), node, 7, 1);
+    let start = ClockTime::from_millis(1);
+    state.begin(request(1), start);
+    state.conclude_epoch_read(epoch(5, 9), start);
+    state.withdraw(CallId(1), start);
+    let due = state.next_deadline().unwrap();
+    assert_eq!(state.expire(due), vec![LedgerEffect::ReadEpoch]);
+    state.conclude_epoch_read(epoch(4, 2), due);
+    let mut second = request(2);
+    second.deadline = due + Duration::from_secs(1);
+    state.begin(second, due);
+    let effects = state.conclude_read(ShardId::of_key(&request(2).key, 256), found(1, vec![]), due);
+    let record = written(&effects).unwrap();
+    assert_eq!(record.marks[&request(2).key].epoch, MarkEpoch(9));
+}
+
+#[test]
+fn answer_is_not_recorded_over_another_attempt() {
+    let settings = LedgerSettings {
+        shard_count: 1,
+        ..LedgerSettings::default()
+    };
+    let node = NodeName::new("entry-1").unwrap();
+    let mut state = LedgerState::new(settings, node, 7, 1);
+    let now = ClockTime::from_millis(1);
+    state.begin(request(1), now);
+    state.conclude_epoch_read(epoch(5, 9), now);
+    let effects = state.conclude_read(ShardId(0), found(1, vec![]), now);
+    let mut mark = written(&effects).unwrap().marks[&request(1).key].clone();
+    let applied = UpdateOutcome::Applied(ObjectVersion(2));
+    state.conclude_write(ShardId(0), applied, now);
+    mark.attempt.process = 8;
+    let mut other = request(2);
+    other.key.request = RequestKey::new("charge-2").unwrap();
+    state.begin(other, now);
+    let due = state.next_deadline().unwrap();
+    state.expire(due);
+    state.conclude_write(ShardId(0), UpdateOutcome::Conflict, due);
+    state.conclude_read(ShardId(0), found(3, vec![mark.clone()]), due);
+    let applied = UpdateOutcome::Applied(ObjectVersion(4));
+    state.conclude_write(ShardId(0), applied, due);
+    state.finish(CallId(1), FinishedCall::Answered(answer()), due);
+    let due = state.next_deadline().unwrap();
+    let effects = state.expire(due);
+    assert_eq!(verdict(&effects), Some(&CallVerdict::Answer(answer())));
+    assert_eq!(written(&effects), None);
+}
--- a/crates/ledger/tests/faults.rs
+++ b/crates/ledger/tests/faults.rs
@@ -4,8 +4,9 @@
 
 use base::prelude::*;
 use common::*;
+use futures_util::FutureExt;
 use ledger::*;
-use store::UpdateFault;
+use store::{ObjectStore, ReadFault, RemoveOutcome, UpdateFault};
 
 const PATIENT: Duration = Duration::from_secs(5);
 const RUN_LIMIT: Duration = Duration::from_secs(2);
@@ -125,6 +126,12 @@
         Some(&CallVerdict::OutcomeUnknown)
     );
     world.store.set_down(false);
+    world.settle(Duration::from_secs(2));
+    assert_eq!(
+        world.nodes[0].state.known_calls(),
+        0,
+        "settled before it arrives"
+    );
     world.settle(late);
     // The key was freed by a write on the version that the late mark expected.
     let again = world.ask(1, "order-1", "a", PATIENT);
@@ -369,3 +376,94 @@
     assert_eq!(world.runs.len() + refused, 20);
     assert!(refused > 0 && refused < 20, "{refused} refused");
 }
+
+#[test]
+fn stale_read_does_not_pass_for_a_withdrawal() {
+    let settings = LedgerSettings {
+        cache_trust: Duration::from_millis(100),
+        ..settings()
+    };
+    let mut world = World::with_settings(2, settings);
+    world.ask(0, "order-0", "a", PATIENT);
+    world.settle(Duration::from_millis(100));
+    world.serve();
+    world.settle(Duration::from_millis(100));
+    let first = world.ask(0, "order-1", "a", PATIENT);
+    world.settle(Duration::from_millis(300));
+    world.withdraw_at(0);
+    world.arrive_at(0, None, Some(ReadFault::Stale));
+    world.reply();
+    assert_eq!(world.last_verdict(first), Some(&CallVerdict::Send));
+    world.settle(Duration::from_millis(500));
+    let expected = CallVerdict::NotRun(NotRunReason::Withdrawn);
+    assert_eq!(world.last_verdict(first), Some(&expected));
+    let second = world.ask(1, "order-1", "a", PATIENT);
+    world.settle(Duration::from_millis(200));
+    assert_eq!(world.last_verdict(second), Some(&CallVerdict::Send));
+}
+
+#[test]
+fn removed_shard_sends_nothing_again_from_a_node_that_saw_it() {
+    let mut world = World::new(1);
+    bring_to(&mut world, 7);
+    world.settle(Duration::from_millis(1_500));
+    let key = ShardId(0).object_key();
+    let removed = world.store.remove(&key, ObjectVersion(2)).now_or_never();
+    assert_eq!(removed, Some(RemoveOutcome::Removed));
+    world.ask(0, "order-1", "a", PATIENT);
+    world.settle(PATIENT);
+    assert!(world.sends.is_empty());
+}
+
+#[test]
+fn mark_that_is_seen_after_its_deadline_is_withdrawn() {
+    let mut world = World::new(1);
+    bring_to(&mut world, 2);
+    world.nodes[0].paused = true;
+    world.pass(2 * PATIENT);
+    world.nodes[0].paused = false;
+    world.reply();
+    assert!(world.sends.is_empty());
+    let again = world.ask(0, "order-1", "a", PATIENT);
+    world.settle(Duration::from_millis(200));
+    assert_eq!(world.last_verdict(again), Some(&CallVerdict::Send));
+}
+
+#[test]
+fn call_that_waited_long_for_its_mark_may_still_be_sent() {
+    let mut world = World::new(1);
+    bring_to(&mut world, 1);
+    world.pass(Duration::from_millis(1_500));
+    world.arrive(Some(UpdateFault::Conflict));
+    world.settle(Duration::from_millis(200));
+    world.serve();
+    assert_eq!(world.runs_of("order-1"), 1);
+}
+
+#[test]
+fn key_of_a_withdrawn_call_is_not_taken_as_used() {
+    let mut world = World::new(2);
+    bring_to(&mut world, 3);
+    world.ask(1, "order-2", "a", PATIENT);
+    world.settle(Duration::from_millis(100));
+    world.withdraw_at(0);
+    world.settle(Duration::from_millis(100));
+    let other = world.ask(1, "order-1", "b", PATIENT);
+    world.settle(Duration::from_millis(200));
+    assert_eq!(world.last_verdict(other), Some(&CallVerdict::Send));
+}
+
+#[test]
+fn node_that_slept_for_epochs_stamps_no_old_mark() {
+    let mut world = World::new(1);
+    world.ask(0, "warm", "a", PATIENT);
+    world.settle(Duration::from_millis(100));
+    world.nodes[0].paused = true;
+    world.pass(Duration::from_secs(20));
+    world.nodes[0].paused = false;
+    world.ask(0, "order-1", "a", PATIENT);
+    // Of the two reads, the shard's is answered first.
+    world.arrive_at(1, None, None);
+    world.reply();
+    assert_eq!(world.requests.len(), 1, "no mark without a recent epoch");
+}
