Split slots between nodes and prove the limits

Nodes split a service's slots from what targets report and from how many nodes are live: an even part, mixed with what the node uses plus its part of the free slots. No coordinator and no message; without reports the even part stands alone.

A second check of free slots in find_next could be removed without a failing test, because can_start makes it already; it is gone.

--- a/crates/limits/src/commands/configure.rs
+++ b/crates/limits/src/commands/configure.rs
@@ -6,8 +6,9 @@
 
 use super::expire::expire;
 use super::refuse::drop_queued;
+use crate::queries::split_slots;
 use crate::state::{CallPhase, ServiceQueue};
-use crate::{AdmissionState, CallRefusal, QueueChange, RefusalReason, WorkspaceShare};
+use crate::{AdmissionState, CallRefusal, QueueChange, RefusalReason, SlotView, WorkspaceShare};
 
 /// Puts the workspaces in force; calls waiting for one that is gone are refused.
 pub fn set_shares(
@@ -35,6 +36,25 @@
     expire(state, now)
 }
 
+/// Sets this node's part of a service's slots from what targets report.
+///
+/// A part is at least one slot, so that no node refuses all calls. Its fraction
+/// is rounded up on as many nodes as the fraction says.
+pub fn share_capacity(
+    state: &mut AdmissionState,
+    service: &ServiceName,
+    view: SlotView,
+    now: ClockTime,
+) -> QueueChange {
+    let slots = if view.slots == 0 {
+        0
+    } else {
+        let part = split_slots(&state.settings, view) + state.rounding;
+        (part.floor() as usize).max(1)
+    };
+    set_capacity(state, service, slots, now)
+}
+
 fn drop_unknown(state: &mut AdmissionState, now: ClockTime) -> Vec<CallRefusal> {
     let unknown = state.calls.values().filter(|record| {
         record.phase == CallPhase::Queued
--- a/crates/limits/src/commands/start.rs
+++ b/crates/limits/src/commands/start.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 
 use super::refuse::take_queued;
-use crate::state::{CallPhase, CallRecord, ServiceQueue};
+use crate::state::{CallPhase, CallRecord};
 use crate::{AdmissionState, CallTicket};
 
 /// Whether a workspace may take one more slot of a service.
@@ -63,14 +63,13 @@
 
 /// Waiting call of the workspace with the smallest tag.
 fn find_next(state: &AdmissionState, service: &ServiceName) -> Option<CallId> {
-    let queue: &ServiceQueue = &state.services[service];
-    if queue.running >= queue.slots {
-        return None;
-    }
-    let ready = queue.workspaces.iter().filter_map(|(workspace, own)| {
-        let call = own.front()?;
-        can_start(state, service, workspace).then_some((own.finish_tag, call))
-    });
+    let ready = state.services[service]
+        .workspaces
+        .iter()
+        .filter_map(|(workspace, own)| {
+            let call = own.front()?;
+            can_start(state, service, workspace).then_some((own.finish_tag, call))
+        });
     let first = ready.min_by(|left, right| left.0.total_cmp(&right.0));
     first.map(|(_, call)| call)
 }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -18,6 +18,7 @@
 mod budget;
 mod outcome;
 mod settings;
+mod slots;
 mod state;
 mod ticket;
 
@@ -28,5 +29,6 @@
 pub use budget::{CallRepeat, IdempotentCall, RetryBudget, RetryOutcome};
 pub use outcome::{AdmissionOutcome, CallRefusal, QueueChange, RefusalReason};
 pub use settings::{BackoffSettings, BudgetSettings, LimitSettings};
+pub use slots::SlotView;
 pub use state::{AdmissionState, WorkspaceShare};
 pub use ticket::{CallPriority, CallTicket};
--- a/crates/limits/src/queries/mod.rs
+++ b/crates/limits/src/queries/mod.rs
@@ -2,8 +2,10 @@
 
 mod deadline;
 mod depth;
+mod slots;
 mod wait;
 
 pub use deadline::next_deadline;
 pub use depth::{QueueDepth, count_running, queue_bound, queue_depths};
+pub use slots::split_slots;
 pub use wait::estimate_wait;
--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -9,6 +9,10 @@
     pub queue_limit: usize,
     /// Share of the slots kept for workspaces that use less than their share.
     pub reserve_share: f64,
+    /// Weight of a node's even part of the slots against what it uses.
+    pub even_weight: f64,
+    /// Parts of the reported free slots that a node may take at once.
+    pub burst_factor: f64,
     /// Assumed length of a call before any has ended.
     pub initial_hold: Duration,
     /// Weight of the newest call in the mean length of calls.
@@ -24,6 +28,8 @@
         Self {
             queue_limit: 1_024,
             reserve_share: 0.05,
+            even_weight: 0.5,
+            burst_factor: 2.0,
             initial_hold: Duration::from_secs(2),
             hold_weight: 0.05,
             retry_min: Duration::from_secs(1),
--- a/crates/limits/src/state.rs
+++ b/crates/limits/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use base::prelude::*;
+use rand::RngExt;
 use rand::rngs::StdRng;
 
 use crate::{CallPriority, CallTicket, LimitSettings};
@@ -21,6 +22,7 @@
 pub struct AdmissionState {
     pub(crate) settings: LimitSettings,
     pub(crate) rng: StdRng,
+    pub(crate) rounding: f64,
     pub(crate) workspaces: BTreeMap<WorkspaceName, WorkspaceShare>,
     pub(crate) services: BTreeMap<ServiceName, ServiceQueue>,
     pub(crate) calls: HashMap<CallId, CallRecord>,
@@ -57,9 +59,10 @@
 
 impl AdmissionState {
     /// State without services, workspaces or calls.
-    pub fn new(settings: LimitSettings, rng: StdRng) -> Self {
+    pub fn new(settings: LimitSettings, mut rng: StdRng) -> Self {
         Self {
             settings,
+            rounding: rng.random_range(0.0..1.0),
             rng,
             workspaces: BTreeMap::new(),
             services: BTreeMap::new(),
--- /dev/null
+++ b/crates/limits/tests/interleaving.rs
@@ -0,0 +1,283 @@
+//! Random interleavings of admission's commands.
+
+mod support;
+
+use std::collections::{BTreeMap, HashMap};
+
+use base::prelude::*;
+use limits::commands::{cancel, expire, offer, release, set_capacity};
+use limits::queries::{count_running, next_deadline, queue_bound, queue_depths};
+use limits::{
+    AdmissionOutcome, AdmissionState, CallPriority, CallTicket, LimitSettings, QueueChange,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use support::{at, service, state, ticket, workspace};
+
+const SEED: u64 = 20_261_204;
+const OWNERS: [(&str, u32); 3] = [("a", 1), ("b", 2), ("c", 5)];
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer {
+        owner: usize,
+        priority: CallPriority,
+        patience: u64,
+        cost: u32,
+    },
+    Release(usize),
+    Cancel(usize),
+    Pass(u64),
+    Resize(usize),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    Waiting,
+    Running,
+    Ended,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let priority = prop_oneof![
+        Just(CallPriority::Low),
+        Just(CallPriority::Normal),
+        Just(CallPriority::High)
+    ];
+    let offer = (0..OWNERS.len(), priority, 0..800_u64, 1..9_u32).prop_map(
+        |(owner, priority, patience, cost)| Step::Offer {
+            owner,
+            priority,
+            patience,
+            cost,
+        },
+    );
+    let step = prop_oneof![
+        6 => offer,
+        3 => any::<usize>().prop_map(Step::Release),
+        1 => any::<usize>().prop_map(Step::Cancel),
+        2 => (0..300_u64).prop_map(Step::Pass),
+        1 => (0..6_usize).prop_map(Step::Resize),
+    ];
+    prop::collection::vec(step, 1..200)
+}
+
+/// Admission beside a plain record of what it said of each call.
+struct Trial {
+    state: AdmissionState,
+    now: ClockTime,
+    slots: usize,
+    calls: BTreeMap<CallId, (CallTicket, Place)>,
+}
+
+impl Trial {
+    fn new(settings: LimitSettings) -> Self {
+        Self {
+            state: state(4, &OWNERS, settings),
+            now: at(0),
+            slots: 4,
+            calls: BTreeMap::new(),
+        }
+    }
+
+    fn run(&mut self, step: &Step) {
+        match *step {
+            Step::Offer {
+                owner,
+                priority,
+                patience,
+                cost,
+            } => self.offer(owner, priority, patience, cost),
+            Step::Release(pick) => {
+                if let Some(call) = self.pick(pick, Place::Running) {
+                    self.end(call, Place::Running);
+                    let change = release(&mut self.state, call, self.now);
+                    self.take(change);
+                }
+            }
+            Step::Cancel(pick) => {
+                let place = [Place::Waiting, Place::Running][pick % 2];
+                if let Some(call) = self.pick(pick, place) {
+                    self.end(call, place);
+                    let change = cancel(&mut self.state, call, self.now);
+                    self.take(change);
+                }
+            }
+            Step::Pass(millis) => {
+                self.now = self.now + Duration::from_millis(millis);
+                let change = expire(&mut self.state, self.now);
+                self.take(change);
+            }
+            Step::Resize(slots) => {
+                self.slots = slots;
+                let change = set_capacity(&mut self.state, &service(), slots, self.now);
+                self.take(change);
+            }
+        }
+        self.check();
+    }
+
+    fn offer(&mut self, owner: usize, priority: CallPriority, patience: u64, cost: u32) {
+        let call = CallId(self.calls.len() as u64);
+        let deadline = self.now + Duration::from_millis(patience);
+        let ticket = CallTicket {
+            priority,
+            deadline,
+            cost,
+            ..ticket(call.0, OWNERS[owner].0, 0)
+        };
+        let outcome = offer(&mut self.state, ticket.clone(), self.now);
+        self.calls.insert(call, (ticket, Place::Waiting));
+        match outcome {
+            AdmissionOutcome::Admitted => self.admit(call),
+            AdmissionOutcome::Refused(refusal) => {
+                assert_eq!(refusal.call, call);
+                assert!(refusal.retry_at > self.now);
+                self.end(call, Place::Waiting);
+            }
+            AdmissionOutcome::Queued { displaced } => {
+                if let Some(displaced) = displaced {
+                    assert!(self.calls[&displaced.call].0.priority < priority);
+                    self.end(displaced.call, Place::Waiting);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, change: QueueChange) {
+        for refusal in change.refused {
+            self.end(refusal.call, Place::Waiting);
+        }
+        for call in change.admitted {
+            self.admit(call);
+        }
+    }
+
+    fn admit(&mut self, call: CallId) {
+        let entry = self.calls.get_mut(&call).expect("it was offered");
+        assert_eq!(entry.1, Place::Waiting, "{call} has one end only");
+        assert!(entry.0.deadline >= self.now, "{call} is late");
+        entry.1 = Place::Running;
+        assert!(self.count(Place::Running) <= self.slots, "no slot is free");
+    }
+
+    fn end(&mut self, call: CallId, from: Place) {
+        let entry = self.calls.get_mut(&call).expect("it was offered");
+        assert_eq!(entry.1, from, "{call} has one end only");
+        entry.1 = Place::Ended;
+    }
+
+    fn pick(&self, pick: usize, place: Place) -> Option<CallId> {
+        let calls: Vec<CallId> = self.list(place).collect();
+        (!calls.is_empty()).then(|| calls[pick % calls.len()])
+    }
+
+    fn list(&self, place: Place) -> impl Iterator<Item = CallId> + '_ {
+        let calls = self.calls.iter().filter(move |(_, entry)| entry.1 == place);
+        calls.map(|(&call, _)| call)
+    }
+
+    fn count(&self, place: Place) -> usize {
+        self.list(place).count()
+    }
+
+    fn check(&self) {
+        let depths = queue_depths(&self.state);
+        let waiting: usize = depths.iter().map(|depth| depth.waiting).sum();
+        assert_eq!(waiting, self.count(Place::Waiting));
+        assert_eq!(
+            count_running(&self.state, &service()),
+            self.count(Place::Running)
+        );
+        for depth in &depths {
+            assert!(depth.waiting <= queue_bound(&self.state, &depth.workspace));
+        }
+        assert_eq!(next_deadline(&self.state).is_some(), waiting > 0);
+        let whole = self.count(Place::Running) >= self.slots;
+        assert!(waiting == 0 || whole, "a call waits beside a free slot");
+    }
+}
+
+fn runner(cases: u32) -> TestRunner {
+    println!("seed {SEED}");
+    TestRunner::new(Config {
+        cases,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    })
+}
+
+#[test]
+fn every_call_has_one_end_within_all_bounds() {
+    let settings = LimitSettings {
+        queue_limit: 16,
+        reserve_share: 0.0,
+        initial_hold: Duration::from_millis(50),
+        ..LimitSettings::default()
+    };
+    let verdict = runner(300).run(&steps(), |steps| {
+        let mut trial = Trial::new(settings.clone());
+        for step in &steps {
+            trial.run(step);
+        }
+        Ok(())
+    });
+    verdict.expect("every interleaving keeps the bounds");
+}
+
+/// Start-time fair queueing bounds the lead of one backlogged workspace over
+/// another by the largest cost of each over its share.
+#[test]
+fn backlogged_workspaces_get_their_shares() {
+    let costs = prop::collection::vec(1..20_u32, 240);
+    let settings = LimitSettings {
+        reserve_share: 0.0,
+        initial_hold: Duration::from_millis(1),
+        ..LimitSettings::default()
+    };
+    let verdict = runner(100).run(&(costs, 1..6_usize), |(costs, slots)| {
+        let mut state = state(slots, &OWNERS, settings.clone());
+        let mut running = Vec::new();
+        for (call, &cost) in costs.iter().enumerate() {
+            let ticket = CallTicket {
+                cost,
+                ..ticket(call as u64, OWNERS[call % 3].0, 1_000_000)
+            };
+            if offer(&mut state, ticket, at(0)) == AdmissionOutcome::Admitted {
+                running.push(CallId(call as u64));
+            }
+        }
+        let mut served: HashMap<usize, f64> = HashMap::new();
+        while !running.is_empty() {
+            let ended = running.remove(0);
+            let backlogged = OWNERS.iter().all(|(owner, _)| {
+                let depths = queue_depths(&state);
+                let mut own = depths
+                    .iter()
+                    .filter(|depth| depth.workspace == workspace(owner));
+                own.any(|depth| depth.waiting > 0)
+            });
+            if !backlogged {
+                break;
+            }
+            for call in release(&mut state, ended, at(1)).admitted {
+                let index = call.0 as usize;
+                *served.entry(index % 3).or_default() += f64::from(costs[index]);
+                running.push(call);
+            }
+        }
+        for (left, (_, left_share)) in OWNERS.iter().enumerate() {
+            for (right, (_, right_share)) in OWNERS.iter().enumerate() {
+                let left_share = f64::from(*left_share);
+                let right_share = f64::from(*right_share);
+                let lead = served.get(&left).unwrap_or(&0.0) / left_share
+                    - served.get(&right).unwrap_or(&0.0) / right_share;
+                let bound = 19.0 / left_share + 19.0 / right_share;
+                prop_assert!(lead <= bound, "lead {lead} above {bound}");
+            }
+        }
+        Ok(())
+    });
+    verdict.expect("no workspace gets ahead of its share");
+}
