--- a/crates/bronzerun/src/demo.rs
+++ b/crates/bronzerun/src/demo.rs
@@ -8,7 +8,7 @@
 use base::{DomainName, FabricName, HostName, NameError, ServiceName, TeamName, WriteNonce};
 use clap::Parser;
 use document::commands::{EditOutcome, SectionEdit, edit_section};
-use document::{Document, KeyDigest};
+use document::{Document, GoodSections, KeyDigest};
 use emulator::engine::EngineOptions;
 use emulator::plain::PlainOptions;
 use emulator::{FleetHost, FleetPlan, start_fleet};
@@ -180,7 +180,7 @@
         text: text.into(),
         nonce: WriteNonce::default(),
     };
-    match edit_section(document, &edit) {
+    match edit_section(document, &GoodSections::default(), &edit) {
         EditOutcome::Edited(_) => Ok(()),
         outcome => Err(format!("section '{section}' cannot be written: {outcome:?}").into()),
     }
--- a/crates/groups/tests/spread.rs
+++ b/crates/groups/tests/spread.rs
@@ -18,8 +18,6 @@
         downtime_weight,
         checks_fencing: true,
         stream_limit: 8,
-        accelerators_per_host: 8,
-        queue_limit: 16,
     }
 }
 
