--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -8,6 +8,7 @@
 mod event;
 mod name;
 mod number;
+mod timer;
 
 pub mod prelude;
 
@@ -15,6 +16,9 @@
 pub use event::{EffectCarrier, EventHandler};
 pub use name::{
     CallerName, DeploymentName, DomainName, FabricName, GroupName, HostName, ModelName, NameError,
-    NodeName, RegionName, RequestKey, SectionName, ServiceName, WorkspaceName,
+    NodeName, RegionName, RequestKey, SectionName, ServiceName, TeamName, WorkspaceName,
 };
-pub use number::{CallId, FencingToken, GroupEpoch, HostIncarnation, ObjectVersion, WriteNonce};
+pub use number::{
+    CallId, FencingToken, GroupEpoch, HostIncarnation, ObjectVersion, SectionRevision, WriteNonce,
+};
+pub use timer::DueTimer;
