Let watchers believe the store alone, and hear of a lost store

Cause: where a failure domain has three nodes or fewer all of them watch, so one watcher's word raised a version on every node of today's clusters; and a proven version whose body never came kept true ones out. Bodies and confirmations are modules of their own. The first call to the store is spread over 6 ms a known node, because 1,500 nodes that start within 2 s made 1,305 calls in the busiest second.

--- a/crates/members/src/commands/join.rs
+++ b/crates/members/src/commands/join.rs
@@ -7,7 +7,7 @@
 use crate::{NodePhase, NodeRecord, PeerEffect, PeerMessage, PeerState};
 
 /// Most records in one frame.
-const RECORDS_PER_FRAME: usize = 256;
+const RECORDS_PER_FRAME: usize = 2_048;
 
 impl PeerState {
     /// Starts the node: asks the seeds for all nodes, and later the store.
--- a/crates/members/src/commands/learn.rs
+++ b/crates/members/src/commands/learn.rs
@@ -8,12 +8,18 @@
 impl PeerState {
     /// Takes an item read from the store into force.
     pub fn learn_item(&mut self, item: Item, now: ClockTime) -> Vec<PeerEffect> {
+        self.store.failures = 0;
         if self.catalog.compare(&item.entry()) == VersionOrder::Older {
             return vec![PeerEffect::StoreBehind(item.key)];
         }
         self.install_item(item, &[], now)
     }
 
+    /// Notes that the store gave no answer to a read of items.
+    pub fn fail_items(&mut self) {
+        self.store.failures += 1;
+    }
+
     /// Puts an item into force that this node has just written to the store.
     pub fn publish(&mut self, item: Item, now: ClockTime) -> Vec<PeerEffect> {
         self.learn_item(item, now)
--- a/crates/members/src/commands/mod.rs
+++ b/crates/members/src/commands/mod.rs
@@ -6,7 +6,9 @@
 //! modules each carry out one kind of message.
 
 mod announce;
+mod bodies;
 mod compare;
+mod confirm;
 mod join;
 mod learn;
 mod observe;
--- a/crates/members/src/effect.rs
+++ b/crates/members/src/effect.rs
@@ -25,7 +25,8 @@
         /// Version already known; zero to read at once.
         after: ObjectVersion,
     },
-    /// Read items from the store. Each ends in `learn_item` or not at all.
+    /// Read items from the store. Each ends in `learn_item`, or all in
+    /// `fail_items` if the store gives no answer within a second.
     ReadItems(Vec<ItemKey>),
     /// Close the connection: nothing was heard by the deadline.
     Close {
--- a/crates/members/src/fake/network.rs
+++ b/crates/members/src/fake/network.rs
@@ -67,6 +67,7 @@
     /// End of the watch with this number.
     WatchEnd(u64),
     Items(Vec<ItemKey>),
+    ItemsFailed,
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -345,6 +346,10 @@
                     state.fail_listing(now)
                 }
             }
+            Happening::ItemsFailed => {
+                state.fail_items();
+                Vec::new()
+            }
             Happening::Items(keys) => {
                 let items: Vec<Item> = keys
                     .iter()
@@ -394,6 +399,8 @@
                 self.store.count_call(self.now);
                 if self.reaches_store(index) {
                     self.push(index, self.now + self.latency.store, Happening::Items(keys));
+                } else {
+                    self.push(index, self.now + CALL_LIMIT, Happening::ItemsFailed);
                 }
             }
             PeerEffect::Refused { .. } => self.nodes[index].meter.refusals += 1,
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -21,7 +21,8 @@
 //!
 //! A node takes a newer version into force when it read it from the store
 //! itself, when a watcher announces it on its own link, or when two peers
-//! announce the same version with the same digest. Until then the version is in
+//! announce the same version with the same digest. A watcher that reaches the
+//! store believes nobody but the store. Until then the version is in
 //! quarantine: not in force, not passed on, and after a short wait put to a
 //! watcher or, at a bounded rate, to the store. Versions at or below the one in
 //! force are refused whoever sends them.
@@ -30,7 +31,9 @@
 //! another cluster or of an earlier run of a node, and one faulty peer that
 //! invents versions. Not defended: two linked peers that invent the same version, a
 //! watcher that invents one, and anyone who can send under another node's name;
-//! frames carry no signature, and every node could write to the store anyway. A
+//! frames carry no signature, and every node could write to the store anyway.
+//! Where a failure domain has three nodes or fewer, all of them watch, and no
+//! peer can raise a version by itself. A
 //! store that is set back to older versions is refused and reported, not
 //! followed.
 //!
--- a/crates/members/src/settings.rs
+++ b/crates/members/src/settings.rs
@@ -67,7 +67,7 @@
             witness_count: 2,
             proof_count: 3,
             store_patience: Duration::from_secs(5),
-            spread_per_node: Duration::from_micros(3_300),
+            spread_per_node: Duration::from_millis(6),
             store_backoff: Duration::from_millis(500),
             store_backoff_limit: Duration::from_secs(20),
             subset_count: 1,
--- a/crates/members/tests/network.rs
+++ b/crates/members/tests/network.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use members::fake::{FakeNetwork, NetworkLatency};
 use members::{
-    ItemKey, NodePhase, PeerFrame, PeerMessage, PeerSettings, PeerState, ReadinessProof,
+    Item, ItemKey, NodePhase, PeerFrame, PeerMessage, PeerSettings, PeerState, ReadinessProof,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -180,6 +180,49 @@
     assert!(network.store.busiest_second(healed_at) <= 36);
 }
 
+#[test]
+fn a_region_that_lost_the_store_hears_from_the_other() {
+    let mut network = started(60, SEED);
+    let region = RegionName::new("region-1").unwrap();
+    network.faults.storeless.insert(region);
+    let version = network.write(key(1), body("second"));
+    let in_force = |network: &FakeNetwork| network.is_in_force(&key(1), version);
+    assert!(network.run_until(CHANGE_LIMIT, in_force));
+}
+
+#[test]
+fn where_all_watch_no_peer_can_raise_a_version() {
+    let mut network = started(12, SEED);
+    let invented = Item {
+        key: key(1),
+        version: ObjectVersion(1 << 60),
+        body: body("invented"),
+    };
+    for index in 0..network.len() {
+        let state = network.state(index).unwrap();
+        let peers: Vec<_> = state.linked_peers().cloned().collect();
+        for from in peers {
+            let told = PeerMessage::Announce(vec![invented.entry()]);
+            let handed = PeerMessage::Items(vec![invented.clone()]);
+            for message in [told, handed] {
+                let frame = PeerFrame {
+                    cluster: network.cluster(),
+                    incarnation: probe_incarnation(&network, &from),
+                    from: from.clone(),
+                    message,
+                };
+                network.inject(index, frame);
+            }
+        }
+    }
+    network.run_for(Duration::from_secs(70));
+    let is_refused = |state: &PeerState| state.version(&key(1)) < Some(invented.version);
+    assert!(network.states().all(is_refused));
+    let version = network.write(key(1), body("second"));
+    let in_force = |network: &FakeNetwork| network.is_in_force(&key(1), version);
+    assert!(network.run_until(CHANGE_LIMIT, in_force));
+}
+
 #[test]
 fn a_dark_failure_domain_comes_back() {
     let mut network = started(60, SEED);
--- a/crates/members/tests/versions.rs
+++ b/crates/members/tests/versions.rs
@@ -178,6 +178,13 @@
     assert_eq!(refusals(&effects), [FrameRefusal::OldVersion]);
 }
 
+#[test]
+fn an_item_that_is_read_again_is_not_put_into_force_again() {
+    let mut state = ready();
+    let effects = state.learn_item(item(5, "five"), after(10));
+    assert_eq!(effects, []);
+}
+
 #[test]
 fn a_store_that_went_back_is_reported_and_not_followed() {
     let mut state = ready();
