Measure overload and gate targets by the node's own part

The reserve was kept from every workspace above its share, which also hit a steady one in its bursts. It is now kept only from the one that uses most for its share.

--- a/crates/limits/src/commands/start.rs
+++ b/crates/limits/src/commands/start.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 
 use super::refuse::take_queued;
-use crate::state::{CallPhase, CallRecord};
+use crate::state::{CallPhase, CallRecord, ServiceQueue, WorkspaceQueue};
 use crate::{AdmissionState, CallTicket};
 
 /// Whether a workspace may take one more slot of a service.
@@ -20,11 +20,21 @@
     if free == 0 || state.running(workspace) >= limit.call_limit {
         return false;
     }
-    let running = queue.workspaces.get(workspace).map_or(0, |own| own.running);
-    let share = f64::from(limit.share) / f64::from(state.total_share());
-    let within = (running as f64) < queue.slots as f64 * share;
-    let reserve = (queue.slots as f64 * state.settings.reserve_share) as usize;
-    within || free > reserve
+    let reserve = queue.slots as f64 * state.settings.reserve_share;
+    free > reserve.round() as usize || !is_heaviest(state, queue, workspace)
+}
+
+/// Whether a workspace has most calls for its share, and more than its share.
+fn is_heaviest(state: &AdmissionState, queue: &ServiceQueue, workspace: &WorkspaceName) -> bool {
+    let ratio = |name, own: &WorkspaceQueue| own.running as f64 / f64::from(state.weight(name));
+    let own = queue.workspaces.get(workspace);
+    let own = own.map_or(0.0, |own| ratio(workspace, own));
+    let even = queue.slots as f64 / f64::from(state.total_share());
+    let others = queue
+        .workspaces
+        .iter()
+        .map(|(name, other)| ratio(name, other));
+    own >= even && others.fold(0.0, f64::max) <= own
 }
 
 /// Starts a call that isn't waiting.
--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -7,7 +7,7 @@
 pub struct LimitSettings {
     /// Calls that may wait for one service, split between workspaces by share.
     pub queue_limit: usize,
-    /// Share of the slots kept for workspaces that use less than their share.
+    /// Share of the slots kept from the workspace that uses most for its share.
     pub reserve_share: f64,
     /// Weight of a node's even part of the slots against what it uses.
     pub even_weight: f64,
@@ -27,9 +27,9 @@
     fn default() -> Self {
         Self {
             queue_limit: 1_024,
-            reserve_share: 0.05,
+            reserve_share: 0.15,
             even_weight: 0.5,
-            burst_factor: 2.0,
+            burst_factor: 1.0,
             initial_hold: Duration::from_secs(2),
             hold_weight: 0.05,
             retry_min: Duration::from_secs(1),
--- a/crates/routing/src/commands/target.rs
+++ b/crates/routing/src/commands/target.rs
@@ -24,6 +24,11 @@
     forget_left(state, now);
 }
 
+/// Sets how many live nodes share the targets, this one included.
+pub fn set_nodes(state: &mut RoutingState, nodes: usize) {
+    state.nodes = nodes;
+}
+
 /// Gives a target's present run no new calls.
 pub fn mark_leaving(state: &mut RoutingState, target: &TargetId, now: ClockTime) {
     let Some(known) = state.targets.get(target) else {
--- a/crates/routing/src/queries/choose.rs
+++ b/crates/routing/src/queries/choose.rs
@@ -29,14 +29,15 @@
 
 /// Best of a few candidates; none if no target may take the call.
 pub fn choose(state: &RoutingState, now: ClockTime, query: &RouteQuery) -> Option<RouteChoice> {
-    let open = list_open(state, query);
+    let open = prefer_parts(state, list_open(state, query));
     let average = LoadAverage::of(state, now);
     let affine = pick_affine(state, query, &open);
     let candidates = pick_candidates(state, query, &open, &affine);
     let scored = candidates.into_iter().map(|index| {
         let target = open[index];
         let blocks = count_missing(state, target, query.prefix, affine.contains(&index));
-        (score_target(state, target, blocks, &average, now), target)
+        let score = score_target(state, target, blocks, &average, now);
+        (score + spread(state, query.call, index), target)
     });
     let best = scored.min_by(|left, right| left.0.total_cmp(&right.0));
     best.map(|(_, target)| RouteChoice {
@@ -45,6 +46,14 @@
     })
 }
 
+/// Random cost by Gumbel's law, which makes the choice a soft minimum: close
+/// scores share the calls, and clear differences decide.
+fn spread(state: &RoutingState, call: CallId, index: usize) -> f64 {
+    let draw = XxHash64::oneshot(state.salt ^ call.0, &index.to_le_bytes());
+    let unit = (draw as f64 + 0.5) / 2.0_f64.powi(64);
+    state.settings.spread_cost.as_secs_f64() * (-unit.ln()).ln()
+}
+
 /// Targets that may take the call.
 fn list_open<'a>(state: &'a RoutingState, query: &RouteQuery) -> Vec<&'a TargetState> {
     let open = state.targets.values().filter(|target| {
@@ -55,6 +64,14 @@
     open.collect()
 }
 
+/// Targets where this node is below its part, or all if there is none.
+fn prefer_parts<'a>(state: &RoutingState, open: Vec<&'a TargetState>) -> Vec<&'a TargetState> {
+    let below = open.iter().copied();
+    let below = below.filter(|target| target.own < state.part(&target.spec));
+    let below: Vec<&TargetState> = below.collect();
+    if below.is_empty() { open } else { below }
+}
+
 /// Different candidates; among equals the first one wins.
 fn pick_candidates(
     state: &RoutingState,
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use rand::RngExt;
 use rand::rngs::StdRng;
+use twox_hash::XxHash64;
 
 use crate::cache::CacheView;
 use crate::{LoadSample, RouteSettings, TargetId, TargetSpec};
@@ -14,6 +15,7 @@
 pub struct RoutingState {
     pub(crate) settings: RouteSettings,
     pub(crate) salt: u64,
+    pub(crate) nodes: usize,
     pub(crate) targets: BTreeMap<TargetId, TargetState>,
     pub(crate) leaving: BTreeMap<TargetId, LeavingMark>,
     pub(crate) calls: HashMap<CallId, TargetId>,
@@ -48,12 +50,23 @@
         Self {
             settings,
             salt: rng.random(),
+            nodes: 1,
             targets: BTreeMap::new(),
             leaving: BTreeMap::new(),
             calls: HashMap::new(),
         }
     }
 
+    /// Calls that this node may have at a target before others come first.
+    ///
+    /// The fraction is rounded up on as many nodes as it says.
+    pub(crate) fn part(&self, spec: &TargetSpec) -> usize {
+        let even = spec.slots as f64 / self.nodes.max(1) as f64;
+        let draw = XxHash64::oneshot(self.salt, spec.target.as_str().as_bytes());
+        let rounding = draw as f64 / 2.0_f64.powi(64);
+        ((even + rounding) as usize).max(1)
+    }
+
     /// Whether a target takes no new calls.
     pub(crate) fn is_leaving(&self, spec: &TargetSpec) -> bool {
         let mark = self.leaving.get(&spec.target);
