Keep slots from a flooding workspace and nodes from choosing alike

Cause: a workspace whose calls fill all slots makes the others wait for a call to end, however fair the order. A reserve kept from every workspace above its share hurt steady ones in their bursts; one kept from the heaviest cost goodput with nobody waiting. Kept now from a workspace that runs 1.5 times its share or has the longest queue, and sized by the square root of the others' calls, so a lone one loses nothing.

Arrivals have a generator of their own, so that both policies meet the same.

--- a/crates/bench/src/overload/model.rs
+++ b/crates/bench/src/overload/model.rs
@@ -53,6 +53,7 @@
 /// One run under way.
 pub struct Model {
     setup: Setup,
+    arrivals_rng: StdRng,
     rng: StdRng,
     now: ClockTime,
     queue: BinaryHeap<Reverse<(ClockTime, u64)>>,
@@ -83,7 +84,8 @@
         };
         let endpoint = |_| FakeEndpoint::new(setup.slots);
         Self {
-            rng: StdRng::seed_from_u64(setup.seed),
+            arrivals_rng: StdRng::seed_from_u64(setup.seed),
+            rng: StdRng::seed_from_u64(!setup.seed),
             now: ClockTime(0),
             queue: BinaryHeap::new(),
             events: HashMap::new(),
@@ -149,9 +151,13 @@
 
     fn draw(&mut self, workspace: usize) {
         let capacity = self.setup.capacity();
-        let gap = draw_gap(&self.setup.arrivals[workspace], capacity, &mut self.rng);
+        let gap = draw_gap(
+            &self.setup.arrivals[workspace],
+            capacity,
+            &mut self.arrivals_rng,
+        );
         self.schedule(self.now + gap, ModelEvent::Draw(workspace));
-        let model = ModelCall::draw(workspace, &mut self.rng);
+        let model = ModelCall::draw(workspace, &mut self.arrivals_rng);
         self.tally.offered += u64::from(self.tally.counts(self.now));
         self.ask(model);
     }
--- a/crates/bench/src/overload/table.rs
+++ b/crates/bench/src/overload/table.rs
@@ -10,6 +10,8 @@
     (PolicyKind::Managed, "bronzerun"),
     (PolicyKind::Plain, "plain"),
 ];
+/// Runs that one row of the flood's table sums up.
+const FLOOD_SEEDS: u64 = 5;
 const LOADS: [f64; 6] = [0.5, 0.8, 1.0, 1.5, 2.0, 3.0];
 
 fn print_head(first: &str) {
@@ -59,30 +61,56 @@
     }
 }
 
-/// One workspace floods while another stays within its share.
+/// One workspace floods while the others stay within their shares.
 pub fn print_flood(seed: u64) {
-    println!("\nOne workspace floods; first token of 'theatre' in ms");
     println!(
-        "{:<22} {:<10} {:>7} {:>7} {:>8}",
-        "flood's load", "policy", "p50", "p95", "goodput"
+        "\nOne workspace floods; first-token p95 of the others in ms, seeds {seed} to {}",
+        seed + FLOOD_SEEDS - 1
+    );
+    println!(
+        "{:<22} {:<10} {:>11} {:>11} {:>8}",
+        "flood's load", "policy", "theatre 0.1", "venue 0.2", "goodput"
     );
     for (policy, name) in POLICIES {
-        for flood in [0.2, 1.0, 3.0] {
-            let tally = run_setup(flood_setup(policy, seed, flood));
-            let theatre = &tally.first_tokens[0];
+        for flood in [0.2, 0.5, 1.0, 3.0] {
+            let row = run_flood(seed, |seed| flood_setup(policy, seed, flood));
             println!(
-                "{flood:<22} {name:<10} {:>7} {:>7} {:>8.1}",
-                theatre.value_at_quantile(0.5),
-                theatre.value_at_quantile(0.95),
-                tally.good as f64 / tally.span(),
+                "{flood:<22} {name:<10} {:>11} {:>11} {:>8.1}",
+                row.theatre, row.venue, row.goodput
             );
         }
     }
 }
 
+/// Figures of one flood over several seeds.
+struct FloodRow {
+    theatre: u64,
+    venue: u64,
+    goodput: f64,
+}
+
+fn run_flood(seed: u64, make: impl Fn(u64) -> Setup) -> FloodRow {
+    let seeds = seed..seed + FLOOD_SEEDS;
+    let tallies: Vec<RunTally> = seeds.map(|seed| run_setup(make(seed))).collect();
+    let p95 = |workspace: usize| {
+        let mut sum = tallies[0].first_tokens[workspace].clone();
+        for tally in &tallies[1..] {
+            let other = &tally.first_tokens[workspace];
+            sum.add(other).expect("both have the same digits");
+        }
+        sum.value_at_quantile(0.95)
+    };
+    let goodput = tallies.iter().map(|tally| tally.good as f64 / tally.span());
+    FloodRow {
+        theatre: p95(0),
+        venue: p95(1),
+        goodput: goodput.sum::<f64>() / FLOOD_SEEDS as f64,
+    }
+}
+
 fn flood_setup(policy: PolicyKind, seed: u64, flood: f64) -> Setup {
     let arrivals = [
-        ("theatre", 0.2),
+        ("theatre", 0.1),
         ("venue", 0.2),
         ("clinic", 0.2),
         ("flood", flood),
@@ -150,30 +178,35 @@
 
 /// Many nodes that don't see one another's calls.
 pub fn print_fleet(seed: u64) {
-    println!("\nNodes that share the endpoints, at 0.9 of the capacity");
-    print_head("nodes x random choices");
-    for nodes in [6, 1_500] {
-        for choices in [1, 2, 4, 60] {
-            let mut setup = fleet_setup(PolicyKind::Managed, seed, nodes);
-            setup.routes.random_choices = choices;
-            print_row(
-                &format!("{nodes} x {choices}"),
-                "bronzerun",
-                &run_setup(setup),
-            );
-        }
-        let tally = run_setup(fleet_setup(PolicyKind::Plain, seed, nodes));
-        print_row(&format!("{nodes}"), "plain", &tally);
+    println!("\n1500 nodes before 60 endpoints of 200 slots, at 0.9 of the capacity");
+    print_head("routing");
+    for (name, change) in FLEET_ROUTES {
+        let mut setup = fleet_setup(PolicyKind::Managed, seed, 1_500);
+        change(&mut setup);
+        print_row(name, "bronzerun", &run_setup(setup));
     }
+    let tally = run_setup(fleet_setup(PolicyKind::Plain, seed, 1_500));
+    print_row("round robin", "plain", &tally);
 }
 
+const FLEET_ROUTES: [(&str, SetupChange); 3] = [
+    ("defaults", |_| {}),
+    ("no random cost", |setup| {
+        setup.routes.spread_cost = Duration::ZERO
+    }),
+    ("best of all", |setup| {
+        setup.routes.spread_cost = Duration::ZERO;
+        setup.routes.random_choices = 60;
+    }),
+];
+
 fn fleet_setup(policy: PolicyKind, seed: u64, nodes: usize) -> Setup {
     Setup {
         nodes,
         endpoints: 60,
         slots: 200,
-        warm: ClockTime::from_millis(10_000),
-        end: ClockTime::from_millis(20_000),
+        warm: ClockTime::from_millis(8_000),
+        end: ClockTime::from_millis(16_000),
         ..Setup::new(policy, seed, 0.9)
     }
 }
@@ -182,43 +215,50 @@
 pub fn print_variants(seed: u64) {
     println!("\nVariants; goodput a second and first-token p95 in ms");
     println!(
-        "{:<22} {:>17} {:>17} {:>17} {:>17} {:>5} {:>6}",
-        "variant", "load 0.8", "load 1.5", "flood 0.2", "flood 3", "peak", "cached"
+        "{:<18} {:>22} {:>22} {:>23} {:>23} {:>23}",
+        "variant", "load 0.8, peak", "load 1.5, peak", "flood 0.2", "flood 0.5", "flood 3"
     );
     for (name, change) in VARIANTS {
-        let run = |mut setup: Setup| {
+        let adapt = |mut setup: Setup| {
             change(&mut setup);
-            run_setup(setup)
+            setup
         };
         let kind = PolicyKind::Managed;
-        let loads = [0.8, 1.5].map(|load| run(Setup::new(kind, seed, load)));
-        let floods = [0.2, 3.0].map(|flood| run(flood_setup(kind, seed, flood)));
-        print!("{name:<22}");
-        for tally in &loads {
-            print_cell(tally, tally.first_token(0.95));
+        print!("{name:<18}");
+        for load in [0.8, 1.5] {
+            let tally = run_setup(adapt(Setup::new(kind, seed, load)));
+            let goodput = tally.good as f64 / tally.span();
+            print!(
+                " {goodput:>8.1} {:>6} {:>6.2}",
+                tally.first_token(0.95),
+                tally.peak
+            );
         }
-        for tally in &floods {
-            print_cell(tally, tally.first_tokens[0].value_at_quantile(0.95));
+        for flood in [0.2, 0.5, 3.0] {
+            let row = run_flood(seed, |seed| adapt(flood_setup(kind, seed, flood)));
+            print!(" {:>9.1} {:>6} {:>6}", row.goodput, row.theatre, row.venue);
         }
-        println!(
-            " {:>5.2} {:>5.2}",
-            loads[1].peak,
-            loads[0].cached as f64 / loads[0].started as f64
-        );
+        println!();
     }
 }
 
-fn print_cell(tally: &RunTally, p95: u64) {
-    print!(" {:>9.1} {p95:>7}", tally.good as f64 / tally.span());
-}
-
 type SetupChange = fn(&mut Setup);
 
-const VARIANTS: [(&str, SetupChange); 6] = [
+const VARIANTS: [(&str, SetupChange); 10] = [
     ("defaults", |_| {}),
-    ("reserve 0.1", |setup| setup.limits.reserve_share = 0.1),
-    ("reserve 0.2", |setup| setup.limits.reserve_share = 0.2),
+    ("no reserve", |setup| setup.limits.reserve_burst = 0.0),
+    ("reserve burst 1.5", |setup| {
+        setup.limits.reserve_burst = 1.5
+    }),
+    ("flood factor 1.2", |setup| setup.limits.flood_factor = 1.2),
+    ("flood factor 9", |setup| setup.limits.flood_factor = 9.0),
     ("even weight 1", |setup| setup.limits.even_weight = 1.0),
-    ("burst 0.5", |setup| setup.limits.burst_factor = 0.5),
-    ("random 4", |setup| setup.routes.random_choices = 4),
+    ("burst factor 2", |setup| setup.limits.burst_factor = 2.0),
+    ("no random cost", |setup| {
+        setup.routes.spread_cost = Duration::ZERO
+    }),
+    ("load cost 0.2 s", |setup| {
+        setup.routes.load_cost = Duration::from_millis(200)
+    }),
+    ("no affinity", |setup| setup.routes.affinity_choices = 0),
 ];
--- a/crates/limits/src/commands/start.rs
+++ b/crates/limits/src/commands/start.rs
@@ -20,21 +20,34 @@
     if free == 0 || state.running(workspace) >= limit.call_limit {
         return false;
     }
-    let reserve = queue.slots as f64 * state.settings.reserve_share;
-    free > reserve.round() as usize || !is_heaviest(state, queue, workspace)
+    free > count_reserve(state, queue, workspace) || !is_flooding(state, queue, workspace)
 }
 
-/// Whether a workspace has most calls for its share, and more than its share.
-fn is_heaviest(state: &AdmissionState, queue: &ServiceQueue, workspace: &WorkspaceName) -> bool {
-    let ratio = |name, own: &WorkspaceQueue| own.running as f64 / f64::from(state.weight(name));
-    let own = queue.workspaces.get(workspace);
-    let own = own.map_or(0.0, |own| ratio(workspace, own));
-    let even = queue.slots as f64 / f64::from(state.total_share());
-    let others = queue
+/// Slots kept free for the bursts of the other workspaces that have calls.
+fn count_reserve(state: &AdmissionState, queue: &ServiceQueue, workspace: &WorkspaceName) -> usize {
+    let own = queue.workspaces.get(workspace).map_or(0, |own| own.running);
+    let others = queue.running.saturating_sub(own) as f64;
+    let burst = state.settings.reserve_burst * others.sqrt();
+    let most = state.settings.reserve_share * queue.slots as f64;
+    burst.min(most).round() as usize
+}
+
+/// Whether a workspace runs far beyond its share or has the longest queue for it.
+fn is_flooding(state: &AdmissionState, queue: &ServiceQueue, workspace: &WorkspaceName) -> bool {
+    let Some(own) = queue.workspaces.get(workspace) else {
+        return false;
+    };
+    let weight = f64::from(state.weight(workspace));
+    let even = queue.slots as f64 * weight / f64::from(state.total_share());
+    if own.running as f64 >= state.settings.flood_factor * even {
+        return true;
+    }
+    let length = |name, own: &WorkspaceQueue| own.depth() as f64 / f64::from(state.weight(name));
+    let lengths = queue
         .workspaces
         .iter()
-        .map(|(name, other)| ratio(name, other));
-    own >= even && others.fold(0.0, f64::max) <= own
+        .map(|(name, other)| length(name, other));
+    own.depth() > 0 && lengths.fold(0.0, f64::max) <= length(workspace, own)
 }
 
 /// Starts a call that isn't waiting.
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -8,7 +8,9 @@
 //! bounded queues, one for each workspace and service. Start-time fair queueing
 //! picks the workspace that goes next: each start moves a workspace's tag by the
 //! call's cost over its share, and the smallest tag is served first. Within a
-//! workspace the higher priority goes first. A call whose estimated wait passes
+//! workspace the higher priority goes first. Calls can't be taken back once they
+//! run, so fair order alone leaves the others of a flooding workspace waiting
+//! for its calls to end: a few slots are kept from it for their bursts. A call whose estimated wait passes
 //! its deadline is refused at once.
 //!
 //! Retries are for idempotent calls only, which [`IdempotentCall`] proves, and
--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -7,8 +7,13 @@
 pub struct LimitSettings {
     /// Calls that may wait for one service, split between workspaces by share.
     pub queue_limit: usize,
-    /// Share of the slots kept from the workspace that uses most for its share.
+    /// Slots kept from a flooding workspace, for each square root of the
+    /// others' running calls.
+    pub reserve_burst: f64,
+    /// Largest share of the slots that is kept so.
     pub reserve_share: f64,
+    /// Times its share from which a workspace that runs so many calls floods.
+    pub flood_factor: f64,
     /// Weight of a node's even part of the slots against what it uses.
     pub even_weight: f64,
     /// Parts of the reported free slots that a node may take at once.
@@ -27,7 +32,9 @@
     fn default() -> Self {
         Self {
             queue_limit: 1_024,
-            reserve_share: 0.15,
+            reserve_burst: 2.0,
+            reserve_share: 0.2,
+            flood_factor: 1.5,
             even_weight: 0.5,
             burst_factor: 1.0,
             initial_hold: Duration::from_secs(2),
--- a/crates/limits/tests/admission.rs
+++ b/crates/limits/tests/admission.rs
@@ -6,8 +6,8 @@
 
 use base::prelude::*;
 use limits::commands::{cancel, expire, offer, release, set_capacity, set_shares};
-use limits::queries::{next_deadline, queue_depths};
-use limits::{AdmissionOutcome, CallPriority, CallTicket, LimitSettings, RefusalReason};
+use limits::queries::{next_deadline, queue_depths, split_slots};
+use limits::{AdmissionOutcome, CallPriority, CallTicket, LimitSettings, RefusalReason, SlotView};
 use support::{at, service, share_of, state, ticket, workspace};
 
 fn reason(outcome: &AdmissionOutcome) -> Option<RefusalReason> {
@@ -140,3 +140,63 @@
     assert_eq!((depths[0].running, depths[0].waiting), (2, 1));
     assert_eq!(release(&mut state, CallId(1), at(1)).admitted, [CallId(3)]);
 }
+
+#[test]
+fn a_flooding_workspace_leaves_slots_for_the_others() {
+    let mut state = state(16, &[("flood", 1), ("b", 1)], small_queue(100));
+    for call in 1..=4 {
+        offer(&mut state, ticket(call, "b", 10_000), at(0));
+    }
+    for call in 5..=40 {
+        offer(&mut state, ticket(call, "flood", 10_000), at(0));
+    }
+    let depths = queue_depths(&state);
+    let flood = depths
+        .iter()
+        .find(|depth| depth.workspace == workspace("flood"));
+    let flood = flood.expect("it has calls");
+    assert!(flood.running < 12 && flood.waiting > 0, "{flood:?}");
+    let burst = offer(&mut state, ticket(50, "b", 10_000), at(1));
+    assert_eq!(burst, AdmissionOutcome::Admitted);
+}
+
+#[test]
+fn a_lone_workspace_gets_every_slot() {
+    let mut state = state(16, &[("a", 1), ("b", 1)], small_queue(100));
+    for call in 1..=20 {
+        offer(&mut state, ticket(call, "a", 10_000), at(0));
+    }
+    assert_eq!(queue_depths(&state)[0].running, 16);
+}
+
+#[test]
+fn nodes_split_all_slots_between_them() {
+    let settings = LimitSettings::default();
+    let view = |reported_calls, own| SlotView {
+        slots: 120,
+        reported_slots: 120,
+        reported_calls,
+        own,
+        nodes: 6,
+    };
+    let silent = SlotView {
+        reported_slots: 0,
+        ..view(0, 0)
+    };
+    assert!((split_slots(&settings, silent) - 20.0).abs() < 1e-9);
+    let cases = [
+        [0; 6],
+        [20; 6],
+        [0, 0, 0, 0, 0, 60],
+        [40, 16, 16, 16, 16, 16],
+        [30; 6],
+    ];
+    for own in cases {
+        let used = own.iter().sum();
+        let parts = own
+            .iter()
+            .map(|&own| split_slots(&settings, view(used, own)));
+        let sum: f64 = parts.sum();
+        assert!((sum - 120.0).abs() < 1e-9, "{own:?} split {sum} slots");
+    }
+}
--- a/crates/routing/src/queries/choose.rs
+++ b/crates/routing/src/queries/choose.rs
@@ -5,7 +5,7 @@
 
 use super::score::{LoadAverage, count_missing, score_target};
 use crate::state::TargetState;
-use crate::{BlockHash, RoutingState, TargetId};
+use crate::{BlockHash, RoutingState, TargetId, TargetSpec};
 
 /// Call that looks for a target.
 #[derive(Clone, Copy, Debug)]
@@ -37,7 +37,7 @@
         let target = open[index];
         let blocks = count_missing(state, target, query.prefix, affine.contains(&index));
         let score = score_target(state, target, blocks, &average, now);
-        (score + spread(state, query.call, index), target)
+        (score + spread(state, query.call, &target.spec), target)
     });
     let best = scored.min_by(|left, right| left.0.total_cmp(&right.0));
     best.map(|(_, target)| RouteChoice {
@@ -47,11 +47,15 @@
 }
 
 /// Random cost by Gumbel's law, which makes the choice a soft minimum: close
-/// scores share the calls, and clear differences decide.
-fn spread(state: &RoutingState, call: CallId, index: usize) -> f64 {
-    let draw = XxHash64::oneshot(state.salt ^ call.0, &index.to_le_bytes());
+/// scores share the calls, and clear differences decide. The more nodes share
+/// a target's slots, the less a node's own calls tell, and the more it takes to
+/// keep the nodes from choosing alike.
+fn spread(state: &RoutingState, call: CallId, target: &TargetSpec) -> f64 {
+    let name = target.target.as_str();
+    let draw = XxHash64::oneshot(state.salt ^ call.0, name.as_bytes());
     let unit = (draw as f64 + 0.5) / 2.0_f64.powi(64);
-    state.settings.spread_cost.as_secs_f64() * (-unit.ln()).ln()
+    let scale = state.settings.spread_cost.as_secs_f64() / state.even_part(target).max(1.0);
+    scale * (-unit.ln()).ln()
 }
 
 /// Targets that may take the call.
--- a/crates/routing/src/queries/score.rs
+++ b/crates/routing/src/queries/score.rs
@@ -59,7 +59,7 @@
     let settings = &state.settings;
     let slots = target.spec.slots.max(1) as f64;
     let calls = estimate_calls(state, target, average, now) + 1.0;
-    let waiting = (calls - settings.full_share * slots).max(0.0);
+    let waiting = (calls - slots).max(0.0);
     settings.load_cost.as_secs_f64() * calls / slots
         + settings.wait_cost.as_secs_f64() * waiting / slots
         + settings.block_cost.as_secs_f64() * missing
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -15,11 +15,10 @@
     pub load_fade: Duration,
     /// Cost of a fully used target against an idle one.
     pub load_cost: Duration,
-    /// Share of its slots above which a target's calls count as waiting.
-    pub full_share: f64,
     /// Cost of each call that must wait, over the target's slots.
     pub wait_cost: Duration,
-    /// Scale of the random cost that keeps nodes from choosing alike.
+    /// Scale of the random cost that keeps nodes from choosing alike, where a
+    /// node has one slot of a target or less; smaller where it has more.
     pub spread_cost: Duration,
     /// Cost of each block of the prompt that is not cached.
     pub block_cost: Duration,
@@ -40,10 +39,9 @@
             affinity_choices: 2,
             affinity_blocks: 4,
             load_fade: Duration::from_secs(5),
-            load_cost: Duration::from_millis(200),
-            full_share: 1.0,
+            load_cost: Duration::from_millis(500),
             wait_cost: Duration::from_secs(2),
-            spread_cost: Duration::from_millis(0),
+            spread_cost: Duration::from_millis(30),
             block_cost: Duration::from_millis(2),
             unknown_share: 0.1,
             affinity_share: 0.5,
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -57,14 +57,18 @@
         }
     }
 
+    /// Slots of a target over the nodes that share it.
+    pub(crate) fn even_part(&self, spec: &TargetSpec) -> f64 {
+        spec.slots as f64 / self.nodes.max(1) as f64
+    }
+
     /// Calls that this node may have at a target before others come first.
     ///
     /// The fraction is rounded up on as many nodes as it says.
     pub(crate) fn part(&self, spec: &TargetSpec) -> usize {
-        let even = spec.slots as f64 / self.nodes.max(1) as f64;
         let draw = XxHash64::oneshot(self.salt, spec.target.as_str().as_bytes());
         let rounding = draw as f64 / 2.0_f64.powi(64);
-        ((even + rounding) as usize).max(1)
+        ((self.even_part(spec) + rounding) as usize).max(1)
     }
 
     /// Whether a target takes no new calls.
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -3,7 +3,9 @@
 use base::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use routing::commands::{begin, finish, mark_leaving, observe_cache, observe_load, set_targets};
+use routing::commands::{
+    begin, finish, mark_leaving, observe_cache, observe_load, set_nodes, set_targets,
+};
 use routing::queries::{RouteQuery, choose, count_own};
 use routing::{
     BlockHash, CacheChange, CacheEvent, LoadSample, RouteSettings, RoutingState, TargetId,
@@ -152,3 +154,20 @@
     assert_ne!(left[1], right[1]);
     assert_ne!(left[2], right[2]);
 }
+
+#[test]
+fn a_node_first_fills_its_part_of_every_target() {
+    let mut state = state(&["g1", "g2", "g3", "g4"]);
+    set_nodes(&mut state, 4);
+    for call in 0..8 {
+        let chosen = choose_for(&state, call, &[]).expect("slots are free");
+        begin(&mut state, CallId(call), &chosen);
+    }
+    for name in ["g1", "g2", "g3", "g4"] {
+        assert_eq!(count_own(&state, &target(name)), 2);
+    }
+    assert!(
+        choose_for(&state, 8, &[]).is_some(),
+        "beyond its part if it must"
+    );
+}
