--- a/crates/bench/src/overload/table.rs
+++ b/crates/bench/src/overload/table.rs
@@ -147,9 +147,21 @@
             let tally = run_setup(outage_setup(policy, seed, load));
             print_outage(&format!("{load}"), name, &tally);
         }
+        for (name, change) in OUTAGE_VARIANTS {
+            let mut setup = outage_setup(PolicyKind::Managed, seed, load);
+            change(&mut setup);
+            print_outage(&format!("{load} {name}"), "bronzerun", &run_setup(setup));
+        }
     }
 }
 
+const OUTAGE_VARIANTS: [(&str, SetupChange); 2] = [
+    ("hint not heeded", |setup| setup.heeds_hint = false),
+    ("even delays", |setup| {
+        setup.backoff.delay_max = setup.backoff.delay_min;
+    }),
+];
+
 fn outage_setup(policy: PolicyKind, seed: u64, load: f64) -> Setup {
     let outage = (
         ClockTime::from_millis(40_000),
