--- a/crates/controller/src/border/mod.rs
+++ b/crates/controller/src/border/mod.rs
@@ -7,20 +7,21 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use futures_channel::mpsc::{UnboundedSender, unbounded};
+use futures_channel::mpsc::unbounded;
 use groups::GroupSettings;
 use monoio::net::TcpListener;
-use net::web::{WebClient, WebLimits, bind, serve};
-use net::{QuestionDesk, SystemClock, drain_pair, run_loop, seed_from_system, watch_stop};
+use net::web::{WebClient, WebLimits, serve};
+use net::{
+    DaemonError, QuestionDesk, SystemClock, drain_pair, forward_stops, listen, run_loop,
+    seed_from_system,
+};
 use platform::{HttpEngines, HttpHostDirectory, HttpObjectStore, NodeEntry, NodeRole};
 use settings::HostSettings;
+use watch::{WatchPorts, WatchTimes};
 
-use crate::{
-    ControllerError, ControllerEvent, ControllerLoop, ControllerState, ControllerStatus,
-    ControllerTimes,
-};
+use crate::{ControllerEvent, ControllerLoop, ControllerState, ControllerStatus, ControllerTimes};
 use admin::AdminService;
-use carrier::{ControllerBorder, ControllerPorts};
+use carrier::ControllerBorder;
 
 /// Interval between two reads of the same list.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
@@ -40,13 +41,10 @@
 pub async fn run(
     settings: HostSettings,
     listening: impl FnOnce(SocketAddr),
-) -> Result<(), ControllerError> {
-    let address = settings.controller.admin;
-    let fault = |source| ControllerError::Bind { address, source };
-    let listener = bind(address).map_err(fault)?;
-    let admin = listener.local_addr().map_err(fault)?;
+) -> Result<(), DaemonError> {
+    let (listener, admin) = listen(settings.controller.admin)?;
     let (events, inbox) = unbounded();
-    watch_signals(events.clone())?;
+    forward_stops(events.clone(), || ControllerEvent::StopRequested)?;
     listening(admin);
     let clock = Rc::new(SystemClock::default());
     let ports = connect_ports(&settings, &clock);
@@ -67,20 +65,6 @@
     Ok(())
 }
 
-fn watch_signals(events: UnboundedSender<ControllerEvent>) -> Result<(), ControllerError> {
-    let mut signal = watch_stop()?;
-    monoio::spawn(async move {
-        loop {
-            signal.wait().await;
-            let stop = ControllerEvent::StopRequested;
-            if events.unbounded_send(stop).is_err() {
-                return;
-            }
-        }
-    });
-    Ok(())
-}
-
 fn serve_operators(listener: TcpListener, desk: ControllerDesk) {
     let limits = WebLimits {
         connections: ADMIN_CONNECTIONS,
@@ -94,13 +78,13 @@
     });
 }
 
-fn connect_ports(settings: &HostSettings, clock: &Rc<SystemClock>) -> ControllerPorts {
+fn connect_ports(settings: &HostSettings, clock: &Rc<SystemClock>) -> WatchPorts {
     let client = WebClient::new(clock.clone());
     let server = settings.platform;
     let store = HttpObjectStore::new(client.clone(), clock.clone(), server);
     let directory = HttpHostDirectory::new(client.clone(), clock.clone(), server);
     let engines = HttpEngines::new(client, clock.clone());
-    ControllerPorts {
+    WatchPorts {
         store: Rc::new(store),
         directory: Rc::new(directory),
         engines: Rc::new(engines),
@@ -109,9 +93,11 @@
 
 fn new_state(settings: &HostSettings) -> ControllerState {
     let times = ControllerTimes {
-        poll_interval: settings.controller.poll_interval,
-        read_interval: READ_INTERVAL,
-        watch_span: WATCH_SPAN,
+        watch: WatchTimes {
+            poll_interval: settings.controller.poll_interval,
+            read_interval: READ_INTERVAL,
+            watch_span: WATCH_SPAN,
+        },
         release_limit: RELEASE_LIMIT,
     };
     ControllerState::new(
--- a/crates/controller/src/commands/fabrics.rs
+++ b/crates/controller/src/commands/fabrics.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use document::queries::is_settled;
 use groups::{FabricTarget, HostEntry, HostReport, HostStanding};
-use platform::{FabricRead, Presence};
+use platform::FabricRead;
 use store::UpdateOutcome;
 
 use crate::{ControllerEffect, ControllerState, queries};
@@ -34,22 +34,17 @@
     effects.into_iter().map(ControllerEffect::Fabric).collect()
 }
 
-/// Takes in a host's answer.
+/// Takes in a host's report.
 pub fn observe_report(
     state: &mut ControllerState,
-    host: &HostName,
+    report: HostReport,
     asked_at: ClockTime,
-    report: Option<HostReport>,
     now: ClockTime,
 ) {
-    let Some(report) = report.filter(|report| report.host == *host) else {
-        return;
-    };
-    let fabric = state.hosts.get(host).and_then(|entry| entry.fabric.clone());
-    if let Some(fabric) = fabric {
-        state
-            .fabric_of(&fabric)
-            .observe_report(report, asked_at, now);
+    let entry = state.watch.hosts.get(&report.host);
+    if let Some(fabric) = entry.and_then(|entry| entry.fabric.clone()) {
+        let known = state.fabric_of(&fabric);
+        known.observe_report(report, asked_at, now);
     }
 }
 
@@ -59,12 +54,11 @@
     for fabric in state.fabrics.keys() {
         entries.insert(fabric.clone(), Vec::new());
     }
-    for entry in state.hosts.values() {
+    for entry in state.watch.hosts.values() {
         let Some(fabric) = entry.fabric.clone() else {
             continue;
         };
-        let drained = state.drains.hosts.contains(&entry.host);
-        let standing = if drained || entry.presence == Presence::Leaving {
+        let standing = if state.watch.is_leaving(&entry.host) {
             HostStanding::Leaving
         } else {
             HostStanding::Live
@@ -83,7 +77,13 @@
 /// Hands each fabric domain the groups that it shall form.
 pub fn set_targets(state: &mut ControllerState) {
     let spread = queries::spread(state);
-    let deployments = state.config.in_force.configuration.deployments.clone();
+    let deployments = state
+        .watch
+        .config
+        .in_force
+        .configuration
+        .deployments
+        .clone();
     for (fabric, counts) in spread {
         let targets = counts.into_iter().filter_map(|(deployment, groups)| {
             let spec = deployments.get(&deployment)?.clone();
@@ -103,7 +103,7 @@
 /// Nothing is decided before the configuration is settled, so that no group is
 /// dissolved for want of the document or of a section's last good version.
 pub fn tick(state: &mut ControllerState, now: ClockTime) -> Vec<ControllerEffect> {
-    if !is_settled(&state.config) {
+    if !is_settled(&state.watch.config) {
         return Vec::new();
     }
     let effects = state
--- a/crates/controller/src/commands/mod.rs
+++ b/crates/controller/src/commands/mod.rs
@@ -1,6 +1,5 @@
 //! Commands: each changes the state and returns what it wants done.
 
 pub mod fabrics;
-pub mod poll;
 pub mod stop;
 pub mod watch;
--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -1,23 +1,19 @@
 //! What the controller hears and what it wants done.
 
-use std::net::SocketAddr;
-
 use base::prelude::*;
-use document::{Document, GoodSections};
-use groups::{FabricEffect, FabricRecord, HostReport};
+use groups::FabricEffect;
 use net::AskId;
-use platform::{DrainList, FabricRead, HostEntry};
+use platform::FabricRead;
 use store::UpdateOutcome;
+use watch::{WatchEffect, WatchEvent};
 
 use crate::ControllerStatus;
 
 /// What the controller hears.
 #[derive(Debug)]
 pub enum ControllerEvent {
-    /// The document was read.
-    DocumentRead(Option<(ObjectVersion, Arc<Document>)>),
-    /// All fabric domains were read.
-    FabricsRead(Option<Vec<(FabricRecord, ObjectVersion)>>),
+    /// Something was read of the platform or of a host.
+    Watch(WatchEvent),
     /// One fabric domain was read.
     FabricRead {
         /// The fabric domain.
@@ -34,21 +30,6 @@
         /// How the write ended.
         outcome: UpdateOutcome,
     },
-    /// The list of hosts was read.
-    HostsRead(Option<Vec<HostEntry>>),
-    /// The last good sections were read.
-    GoodSectionsRead(Option<GoodSections>),
-    /// The hosts that operators are draining were read.
-    DrainsRead(Option<DrainList>),
-    /// A host answered, or did not.
-    HostReported {
-        /// The host.
-        host: HostName,
-        /// When it was asked.
-        asked_at: ClockTime,
-        /// What it said.
-        report: Option<HostReport>,
-    },
     /// Somebody asks how the controller is.
     StatusAsked {
         /// Number of the question.
@@ -58,33 +39,17 @@
     StopRequested,
 }
 
+impl From<WatchEvent> for ControllerEvent {
+    fn from(event: WatchEvent) -> Self {
+        Self::Watch(event)
+    }
+}
+
 /// What the controller wants done.
 #[derive(Debug)]
 pub enum ControllerEffect {
-    /// Read the document, waiting for one newer than a version.
-    ReadDocument {
-        /// Version in force.
-        after: ObjectVersion,
-        /// Instant at which the wait ends.
-        deadline: ClockTime,
-    },
-    /// Read all fabric domains.
-    ReadFabrics,
-    /// Read the list of hosts.
-    ReadHosts,
-    /// Read the last good sections.
-    ReadGoodSections,
-    /// Read the hosts that operators are draining.
-    ReadDrains,
-    /// Ask a host for its report.
-    AskHost {
-        /// The host.
-        host: HostName,
-        /// Where its endpoint listens.
-        address: SocketAddr,
-        /// Instant by which it must answer.
-        deadline: ClockTime,
-    },
+    /// Read something of the platform or of a host.
+    Watch(WatchEffect),
     /// Do what the decisions on a fabric domain want.
     Fabric(FabricEffect),
     /// Answer a question.
--- a/crates/controller/src/handler.rs
+++ b/crates/controller/src/handler.rs
@@ -1,8 +1,9 @@
 //! The handler that the process's loop runs.
 
+use ::watch::commands::start_due;
 use base::prelude::*;
 
-use crate::commands::{fabrics, poll, stop, watch};
+use crate::commands::{fabrics, stop, watch};
 use crate::queries::{describe, next_deadline};
 use crate::{ControllerEffect, ControllerEvent, ControllerState};
 
@@ -18,11 +19,7 @@
         let state = &mut self.0;
         let mut effects = Vec::new();
         match event {
-            ControllerEvent::DocumentRead(read) => watch::observe_document(state, read, now),
-            ControllerEvent::GoodSectionsRead(read) => {
-                watch::observe_good_sections(state, read, now);
-            }
-            ControllerEvent::FabricsRead(read) => watch::observe_fabrics(state, read, now),
+            ControllerEvent::Watch(event) => watch::take(state, event, now),
             ControllerEvent::FabricRead { fabric, read } => {
                 fabrics::observe_read(state, &fabric, read, now);
             }
@@ -31,13 +28,6 @@
                 nonce,
                 outcome,
             } => effects = fabrics::conclude_write(state, &fabric, nonce, outcome, now),
-            ControllerEvent::HostsRead(read) => watch::observe_hosts(state, read, now),
-            ControllerEvent::DrainsRead(read) => watch::observe_drains(state, read, now),
-            ControllerEvent::HostReported {
-                host,
-                asked_at,
-                report,
-            } => fabrics::observe_report(state, &host, asked_at, report, now),
             ControllerEvent::StatusAsked { ask } => {
                 let status = Box::new(describe(state, now));
                 effects.push(ControllerEffect::Tell { ask, status });
@@ -50,8 +40,10 @@
 
     fn wake(&mut self, now: ClockTime) -> Vec<ControllerEffect> {
         let state = &mut self.0;
-        let mut effects = poll::start_due(state, now);
-        effects.extend(fabrics::tick(state, now));
+        let mut effects = fabrics::tick(state, now);
+        watch::ask_owned(state, now);
+        let reads = start_due(&mut state.watch, now);
+        effects.extend(reads.into_iter().map(ControllerEffect::Watch));
         effects.extend(stop::advance(state, now));
         effects
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -7,14 +7,12 @@
 
 mod border;
 mod commands;
-mod error;
 mod event;
 mod handler;
 pub mod queries;
 mod state;
 
 pub use border::run;
-pub use error::ControllerError;
 pub use event::{ControllerEffect, ControllerEvent};
 pub use handler::ControllerLoop;
 pub use queries::{ControllerStatus, FabricStatus};
--- a/crates/controller/src/queries/spread.rs
+++ b/crates/controller/src/queries/spread.rs
@@ -4,14 +4,14 @@
 
 use base::prelude::*;
 use groups::{FabricShape, GroupSpread, spread_groups};
-use platform::{HostEntry, Presence};
 
 use crate::ControllerState;
 
 /// Groups of each deployment for each fabric domain.
 pub(crate) fn spread(state: &ControllerState) -> GroupSpread {
     let mut shapes: BTreeMap<&FabricName, FabricShape> = BTreeMap::new();
-    for entry in state.hosts.values().filter(|entry| stays(state, entry)) {
+    let hosts = state.watch.hosts.values();
+    for entry in hosts.filter(|entry| !state.watch.is_leaving(&entry.host)) {
         let Some(fabric) = &entry.fabric else {
             continue;
         };
@@ -21,14 +21,10 @@
         shape.hosts += 1;
     }
     let shapes: Vec<FabricShape> = shapes.into_values().collect();
-    let deployments = &state.config.in_force.configuration.deployments;
+    let deployments = &state.watch.config.in_force.configuration.deployments;
     spread_groups(deployments, &shapes, &state.settings)
 }
 
-fn stays(state: &ControllerState, entry: &HostEntry) -> bool {
-    entry.presence == Presence::Live && !state.drains.hosts.contains(&entry.host)
-}
-
 fn new_shape(state: &ControllerState, fabric: &FabricName, domain: &DomainName) -> FabricShape {
     let mut standing = BTreeMap::new();
     let record = state.fabrics.get(fabric).map(|known| known.record());
--- a/crates/controller/src/queries/status.rs
+++ b/crates/controller/src/queries/status.rs
@@ -48,8 +48,8 @@
     ControllerStatus {
         node: state.node.clone(),
         domain: state.domain.clone(),
-        ready: is_settled(&state.config) && state.stop == StopPhase::Running,
-        config: state.config.clone(),
+        ready: is_settled(&state.watch.config) && state.stop == StopPhase::Running,
+        config: state.watch.config.clone(),
         fabrics: fabrics.collect(),
     }
 }
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -3,19 +3,14 @@
 use std::collections::BTreeMap;
 
 use base::prelude::*;
-use document::ConfigState;
 use groups::{FabricState, GroupSettings};
-use platform::{DrainList, HostEntry};
+use watch::{WatchState, WatchTimes};
 
 /// Spans that the controller goes by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ControllerTimes {
-    /// Interval between two questions to the same host.
-    pub poll_interval: Duration,
-    /// Interval between two reads of the same list.
-    pub read_interval: Duration,
-    /// Longest wait of a watch.
-    pub watch_span: Duration,
+    /// Spans between reads.
+    pub watch: WatchTimes,
     /// Longest time that a stop waits for leases to be given back.
     pub release_limit: Duration,
 }
@@ -29,25 +24,11 @@
     pub(crate) seed: u64,
     pub(crate) times: ControllerTimes,
     pub(crate) settings: GroupSettings,
-    pub(crate) config: ConfigState,
-    pub(crate) hosts: BTreeMap<HostName, HostEntry>,
-    pub(crate) drains: DrainList,
+    pub(crate) watch: WatchState,
     pub(crate) fabrics: BTreeMap<FabricName, FabricState>,
-    pub(crate) polls: PollTimers,
     pub(crate) stop: StopPhase,
 }
 
-/// When something is next read.
-#[derive(Debug)]
-pub(crate) struct PollTimers {
-    pub document: DueTimer,
-    pub good_sections: DueTimer,
-    pub fabrics: DueTimer,
-    pub hosts: DueTimer,
-    pub drains: DueTimer,
-    pub reports: BTreeMap<HostName, ClockTime>,
-}
-
 /// How far a planned stop is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StopPhase {
@@ -71,7 +52,6 @@
         process: u64,
         seed: u64,
     ) -> Self {
-        let start = DueTimer::at(ClockTime::default());
         Self {
             node,
             domain,
@@ -79,18 +59,8 @@
             seed,
             times,
             settings,
-            config: ConfigState::default(),
-            hosts: BTreeMap::new(),
-            drains: DrainList::default(),
+            watch: WatchState::new(times.watch),
             fabrics: BTreeMap::new(),
-            polls: PollTimers {
-                document: start,
-                good_sections: DueTimer::default(),
-                fabrics: start,
-                hosts: start,
-                drains: start,
-                reports: BTreeMap::new(),
-            },
             stop: StopPhase::Running,
         }
     }
--- a/crates/controller/tests/configuration.rs
+++ b/crates/controller/tests/configuration.rs
@@ -7,15 +7,18 @@
 use document::{Document, GoodSections, Section};
 use groups::GroupSettings;
 use platform::{HostEntry, Presence};
+use watch::{WatchEffect, WatchEvent, WatchTimes};
 
 const NOW: ClockTime = ClockTime::from_millis(50_000);
 const GOOD: &str = "deployments:\n  quotes: {model: m, group_size: 1, groups: 1}\n";
 
 fn start_loop() -> ControllerLoop {
     let times = ControllerTimes {
-        poll_interval: Duration::from_millis(500),
-        read_interval: Duration::from_secs(1),
-        watch_span: Duration::from_secs(20),
+        watch: WatchTimes {
+            poll_interval: Duration::from_millis(500),
+            read_interval: Duration::from_secs(1),
+            watch_span: Duration::from_secs(20),
+        },
         release_limit: Duration::from_secs(5),
     };
     let node = NodeName::new("entry-1").unwrap();
@@ -33,8 +36,14 @@
         accelerators: 8,
         presence: Presence::Live,
     };
-    controller.handle(ControllerEvent::HostsRead(Some(vec![host])), NOW);
-    controller.handle(ControllerEvent::FabricsRead(Some(Vec::new())), NOW);
+    controller.handle(
+        ControllerEvent::Watch(WatchEvent::HostsRead(Some(vec![host]))),
+        NOW,
+    );
+    controller.handle(
+        ControllerEvent::Watch(WatchEvent::FabricsRead(Some(Vec::new()))),
+        NOW,
+    );
     controller
 }
 
@@ -57,7 +66,7 @@
     document: Arc<Document>,
 ) -> Vec<ControllerEffect> {
     let read = Some((ObjectVersion(version), document));
-    controller.handle(ControllerEvent::DocumentRead(read), NOW)
+    controller.handle(ControllerEvent::Watch(WatchEvent::DocumentRead(read)), NOW)
 }
 
 /// Whether anything is decided on a fabric domain in the next minute.
@@ -70,8 +79,12 @@
 #[test]
 fn an_older_document_is_not_read_again_at_once() {
     let mut controller = start_loop();
-    let is_watch =
-        |effect: &ControllerEffect| matches!(effect, ControllerEffect::ReadDocument { .. });
+    let is_watch = |effect: &ControllerEffect| {
+        matches!(
+            effect,
+            ControllerEffect::Watch(WatchEffect::ReadDocument { .. })
+        )
+    };
     let newer = read(&mut controller, 9, document_with(2, GOOD));
     assert!(newer.iter().any(is_watch));
     let older = read(&mut controller, 4, document_with(1, ""));
@@ -82,12 +95,20 @@
 fn nothing_is_decided_while_a_good_section_may_be_missing() {
     let mut controller = start_loop();
     let effects = read(&mut controller, 9, document_with(3, "deployments: ["));
-    let is_read = |effect: &ControllerEffect| matches!(effect, ControllerEffect::ReadGoodSections);
+    let is_read = |effect: &ControllerEffect| {
+        matches!(
+            effect,
+            ControllerEffect::Watch(WatchEffect::ReadGoodSections)
+        )
+    };
     assert!(effects.iter().any(is_read));
     assert!(!decides(&mut controller));
 
     let document = document_with(2, GOOD);
     let good = document::queries::effective(&document, &GoodSections::default()).good;
-    controller.handle(ControllerEvent::GoodSectionsRead(Some(good)), NOW);
+    controller.handle(
+        ControllerEvent::Watch(WatchEvent::GoodSectionsRead(Some(good))),
+        NOW,
+    );
     assert!(decides(&mut controller));
 }
--- a/crates/gateway/src/border/carrier.rs
+++ b/crates/gateway/src/border/carrier.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use base::prelude::*;
@@ -12,29 +11,16 @@
     decode_shard, encode_epoch, encode_shard,
 };
 use net::{DrainSwitch, HistogramKey, HistogramSet, MetricSink};
-use platform::{
-    EnginePort, HostDirectory, HostsOutcome, ReportOutcome, read_drains, read_fabrics,
-    read_good_sections, watch_document,
-};
 use store::{ObjectChange, ObjectStore};
+use watch::{WatchBorder, WatchPorts};
 
 use super::GatewayDesk;
 use crate::{CallMeasure, CallStep, GatewayEffect, GatewayEvent};
 
-/// What surrounds the gateway, each behind a trait object.
-pub struct GatewayPorts {
-    /// The platform's objects.
-    pub store: Rc<dyn ObjectStore>,
-    /// The platform's list of hosts.
-    pub directory: Rc<dyn HostDirectory>,
-    /// The engines' control interface.
-    pub engines: Rc<dyn EnginePort>,
-}
-
 /// Carrier of the gateway's effects.
 pub struct GatewayBorder {
-    ports: GatewayPorts,
-    clock: Rc<dyn ClockSource>,
+    store: Rc<dyn ObjectStore>,
+    watch: WatchBorder<GatewayEvent>,
     events: UnboundedSender<GatewayEvent>,
     desk: GatewayDesk,
     tasks: RefCell<HashMap<CallId, UnboundedSender<CallStep>>>,
@@ -46,7 +32,7 @@
 impl GatewayBorder {
     /// Border around the given ports.
     pub fn new(
-        ports: GatewayPorts,
+        ports: WatchPorts,
         clock: Rc<dyn ClockSource>,
         events: UnboundedSender<GatewayEvent>,
         desk: GatewayDesk,
@@ -54,8 +40,8 @@
         switch: DrainSwitch,
     ) -> Self {
         Self {
-            ports,
-            clock,
+            store: ports.store.clone(),
+            watch: WatchBorder::new(ports, clock, events.clone()),
             events,
             desk,
             tasks: RefCell::default(),
@@ -89,68 +75,6 @@
         }
     }
 
-    /// Runs a call outside the loop and hands its end to the loop.
-    fn spawn(&self, call: impl Future<Output = GatewayEvent> + 'static) {
-        let events = self.events.clone();
-        monoio::spawn(async move {
-            let event = call.await;
-            // The loop may have ended meanwhile.
-            let _ = events.unbounded_send(event);
-        });
-    }
-
-    fn read_document(&self, after: ObjectVersion, deadline: ClockTime) {
-        let store = self.ports.store.clone();
-        self.spawn(async move {
-            let read = watch_document(store.as_ref(), after, deadline).await;
-            GatewayEvent::DocumentRead(read)
-        });
-    }
-
-    fn read_good_sections(&self) {
-        let store = self.ports.store.clone();
-        self.spawn(async move {
-            let read = read_good_sections(store.as_ref()).await;
-            GatewayEvent::GoodSectionsRead(read.map(|(_, sections)| sections))
-        });
-    }
-
-    fn read_fabrics(&self) {
-        let store = self.ports.store.clone();
-        self.spawn(async move { GatewayEvent::FabricsRead(read_fabrics(store.as_ref()).await) });
-    }
-
-    fn read_drains(&self) {
-        let store = self.ports.store.clone();
-        self.spawn(async move { GatewayEvent::DrainsRead(read_drains(store.as_ref()).await) });
-    }
-
-    fn read_hosts(&self) {
-        let list = self.ports.directory.hosts();
-        self.spawn(async move {
-            GatewayEvent::HostsRead(match list.await {
-                HostsOutcome::Listed(entries) => Some(entries),
-                HostsOutcome::Unavailable => None,
-            })
-        });
-    }
-
-    fn ask_host(&self, host: HostName, address: SocketAddr, deadline: ClockTime) {
-        let asked_at = self.clock.now();
-        let report = self.ports.engines.report(address, deadline);
-        self.spawn(async move {
-            let report = match report.await {
-                ReportOutcome::Reported(report) => Some(report),
-                ReportOutcome::Silent => None,
-            };
-            GatewayEvent::HostReported {
-                host,
-                asked_at,
-                report,
-            }
-        });
-    }
-
     fn call_ledger(&self, call: LedgerEffect) {
         match call {
             LedgerEffect::ReadShard { shard } => self.read_shard(shard),
@@ -166,8 +90,8 @@
     }
 
     fn read_shard(&self, shard: ShardId) {
-        let read = self.ports.store.read(&shard.object_key());
-        self.spawn(async move {
+        let read = self.store.read(&shard.object_key());
+        self.watch.spawn(async move {
             let read = decode_shard(read.await).unwrap_or_else(|fault| {
                 log::error!(shard = shard.0; "{fault}");
                 ShardRead::Unavailable
@@ -177,20 +101,20 @@
     }
 
     fn write_shard(&self, shard: ShardId, expected: ObjectVersion, record: &ShardRecord) {
-        let write = self.ports.store.update(ObjectChange {
+        let write = self.store.update(ObjectChange {
             key: shard.object_key(),
             expected,
             value: encode_shard(record),
         });
-        self.spawn(async move {
+        self.watch.spawn(async move {
             let outcome = write.await;
             GatewayEvent::ShardWritten { shard, outcome }
         });
     }
 
     fn read_epoch(&self) {
-        let read = self.ports.store.read(&MarkEpoch::object_key());
-        self.spawn(async move {
+        let read = self.store.read(&MarkEpoch::object_key());
+        self.watch.spawn(async move {
             let read = decode_epoch(read.await).unwrap_or_else(|fault| {
                 log::error!("{fault}");
                 EpochRead::Unavailable
@@ -200,12 +124,13 @@
     }
 
     fn write_epoch(&self, expected: ObjectVersion, epoch: MarkEpoch) {
-        let write = self.ports.store.update(ObjectChange {
+        let write = self.store.update(ObjectChange {
             key: MarkEpoch::object_key(),
             expected,
             value: encode_epoch(epoch),
         });
-        self.spawn(async move { GatewayEvent::EpochWritten(write.await) });
+        self.watch
+            .spawn(async move { GatewayEvent::EpochWritten(write.await) });
     }
 
     fn measure(&self, measure: CallMeasure) {
@@ -244,16 +169,7 @@
     fn carry(&self, effect: GatewayEffect) {
         match effect {
             GatewayEffect::Step { call, step } => self.step(call, step),
-            GatewayEffect::ReadDocument { after, deadline } => self.read_document(after, deadline),
-            GatewayEffect::ReadGoodSections => self.read_good_sections(),
-            GatewayEffect::ReadFabrics => self.read_fabrics(),
-            GatewayEffect::ReadDrains => self.read_drains(),
-            GatewayEffect::ReadHosts => self.read_hosts(),
-            GatewayEffect::AskHost {
-                host,
-                address,
-                deadline,
-            } => self.ask_host(host, address, deadline),
+            GatewayEffect::Watch(read) => self.watch.carry(read),
             GatewayEffect::Ledger(call) => self.call_ledger(call),
             GatewayEffect::Tell { ask, answer } => self.desk.tell(ask, answer),
             GatewayEffect::Measure(measure) => self.measure(measure),
--- a/crates/gateway/src/border/mod.rs
+++ b/crates/gateway/src/border/mod.rs
@@ -18,19 +18,20 @@
 use base::prelude::*;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use monoio::net::TcpListener;
-use net::web::{WebClient, WebLimits, bind, serve};
+use net::web::{WebClient, WebLimits, serve};
 use net::{
-    DrainWatch, QuestionDesk, SystemClock, drain_pair, run_loop, seed_from_system, watch_stop,
+    DaemonError, DrainWatch, QuestionDesk, SystemClock, drain_pair, forward_stops, listen,
+    run_loop, seed_from_system,
 };
 use platform::{HttpEngines, HttpHostDirectory, HttpObjectStore, NodeEntry, NodeRole};
 use settings::{GatewaySettings, HostSettings};
+use watch::{WatchPorts, WatchTimes};
 
 use crate::{
-    GatewayAnswer, GatewayError, GatewayEvent, GatewayLoop, GatewayQuestion, GatewayState,
-    GatewayTimes,
+    GatewayAnswer, GatewayEvent, GatewayLoop, GatewayQuestion, GatewayState, GatewayTimes,
 };
 use admin::AdminService;
-use carrier::{GatewayBorder, GatewayPorts};
+use carrier::GatewayBorder;
 use front::{CallerFront, FrontOptions};
 
 /// Interval between two reads of the fabric domains, or of the hosts.
@@ -49,11 +50,11 @@
 pub async fn run(
     settings: HostSettings,
     listening: impl FnOnce(SocketAddr, SocketAddr),
-) -> Result<(), GatewayError> {
-    let (callers, callers_at) = open(settings.gateway.listen)?;
-    let (operators, operators_at) = open(settings.gateway.admin)?;
+) -> Result<(), DaemonError> {
+    let (callers, callers_at) = listen(settings.gateway.listen)?;
+    let (operators, operators_at) = listen(settings.gateway.admin)?;
     let (events, inbox) = unbounded();
-    watch_signals(events.clone())?;
+    forward_stops(events.clone(), || GatewayEvent::StopRequested)?;
     listening(callers_at, operators_at);
     let gateway = Gateway::new(&settings, operators_at, events);
     gateway.serve_operators(operators);
@@ -62,26 +63,6 @@
     Ok(())
 }
 
-fn open(address: SocketAddr) -> Result<(TcpListener, SocketAddr), GatewayError> {
-    let fault = |source| GatewayError::Bind { address, source };
-    let listener = bind(address).map_err(fault)?;
-    let bound = listener.local_addr().map_err(fault)?;
-    Ok((listener, bound))
-}
-
-fn watch_signals(events: UnboundedSender<GatewayEvent>) -> Result<(), GatewayError> {
-    let mut signal = watch_stop()?;
-    monoio::spawn(async move {
-        loop {
-            signal.wait().await;
-            if events.unbounded_send(GatewayEvent::StopRequested).is_err() {
-                return;
-            }
-        }
-    });
-    Ok(())
-}
-
 /// Parts of one running gateway.
 struct Gateway {
     clock: Rc<SystemClock>,
@@ -191,12 +172,12 @@
     settings: &HostSettings,
     client: &WebClient,
     clock: &Rc<SystemClock>,
-) -> GatewayPorts {
+) -> WatchPorts {
     let server = settings.platform;
     let store = HttpObjectStore::new(client.clone(), clock.clone(), server);
     let directory = HttpHostDirectory::new(client.clone(), clock.clone(), server);
     let engines = HttpEngines::new(client.clone(), clock.clone());
-    GatewayPorts {
+    WatchPorts {
         store: Rc::new(store),
         directory: Rc::new(directory),
         engines: Rc::new(engines),
@@ -206,10 +187,12 @@
 fn new_state(settings: &HostSettings) -> GatewayState {
     let gateway = &settings.gateway;
     let times = GatewayTimes {
-        poll_interval: gateway.poll_interval,
+        watch: WatchTimes {
+            poll_interval: gateway.poll_interval,
+            read_interval: READ_INTERVAL,
+            watch_span: WATCH_SPAN,
+        },
         report_validity: gateway.report_validity,
-        read_interval: READ_INTERVAL,
-        watch_span: WATCH_SPAN,
         balancer_notice: gateway.balancer_notice,
         drain_limit: gateway.drain_limit,
     };
--- a/crates/gateway/src/commands/calls.rs
+++ b/crates/gateway/src/commands/calls.rs
@@ -1,21 +1,18 @@
-//! Calls from their arrival to their end.
+//! Calls from their arrival to the order to send them.
 
 use base::prelude::*;
-use ledger::{CallVerdict, FinishedCall, LedgerEffect, MarkKey, MarkRequest, NotRunReason};
-use limits::commands::claim_retry;
-use limits::{
-    AdmissionOutcome, CallRepeat, CallTicket, IdempotentCall, QueueChange, RefusalReason,
-    RetryOutcome,
-};
+use ledger::{MarkKey, MarkRequest};
+use limits::{AdmissionOutcome, CallRepeat, CallTicket};
 use routing::TargetId;
 use routing::queries::{RouteQuery, choose};
 
+use super::queue::drop_refused;
+use super::{ledger as marks, queue};
 use crate::call::{CallPhase, CallState};
 use crate::queries::{self, Entitlement};
 use crate::state::GatewayState;
 use crate::{
-    AttemptEnd, CallArrival, CallKind, CallMeasure, CallRefusal, CallStep, GatewayEffect,
-    RefusalCause, RunState, SendOrder,
+    CallArrival, CallKind, CallRefusal, CallStep, GatewayEffect, RefusalCause, RunState, SendOrder,
 };
 
 /// Takes in a new call.
@@ -73,75 +70,8 @@
     }
 }
 
-/// Starts the calls that a change of the queues admitted and refuses others.
-pub fn apply_change(
-    state: &mut GatewayState,
-    change: QueueChange,
-    now: ClockTime,
-) -> Vec<GatewayEffect> {
-    let mut effects = Vec::new();
-    for refusal in change.refused {
-        effects.extend(drop_refused(state, refusal));
-    }
-    for call in change.admitted {
-        effects.extend(start(state, call, now));
-    }
-    effects
-}
-
-/// Carries out what the ledger wants.
-pub fn apply_ledger(
-    state: &mut GatewayState,
-    wanted: Vec<LedgerEffect>,
-    now: ClockTime,
-) -> Vec<GatewayEffect> {
-    let mut effects = Vec::new();
-    for effect in wanted {
-        match effect {
-            LedgerEffect::Verdict { call, verdict } => {
-                effects.extend(apply_verdict(state, call, verdict, now));
-            }
-            call => effects.push(GatewayEffect::Ledger(call)),
-        }
-    }
-    effects
-}
-
-fn apply_verdict(
-    state: &mut GatewayState,
-    call: CallId,
-    verdict: CallVerdict,
-    now: ClockTime,
-) -> Vec<GatewayEffect> {
-    let step = match verdict {
-        CallVerdict::Send => return dispatch(state, call, now),
-        CallVerdict::Answer(answer) => CallStep::Answer(answer),
-        CallVerdict::NotRun(reason) => {
-            CallStep::Refuse(refusal(not_run_cause(reason), RunState::NotRun, None))
-        }
-        CallVerdict::StillRunning => {
-            CallStep::Refuse(refusal(RefusalCause::StillRunning, RunState::Running, None))
-        }
-        CallVerdict::OutcomeUnknown => {
-            CallStep::Refuse(refusal(RefusalCause::EndpointLost, RunState::Unknown, None))
-        }
-    };
-    let mut effects = vec![GatewayEffect::Step { call, step }];
-    effects.extend(end(state, call, now));
-    effects
-}
-
-fn not_run_cause(reason: NotRunReason) -> RefusalCause {
-    match reason {
-        NotRunReason::StoreDown | NotRunReason::ShardFull => RefusalCause::StoreDown,
-        NotRunReason::KeyReused => RefusalCause::KeyReused,
-        NotRunReason::DeadlinePassed => RefusalCause::Deadline,
-        NotRunReason::Withdrawn => RefusalCause::NoEndpoint,
-    }
-}
-
 /// Starts an admitted call: a non-idempotent one needs its start mark first.
-fn start(state: &mut GatewayState, call: CallId, now: ClockTime) -> Vec<GatewayEffect> {
+pub(super) fn start(state: &mut GatewayState, call: CallId, now: ClockTime) -> Vec<GatewayEffect> {
     let Some(known) = state.calls.get_mut(&call) else {
         return Vec::new();
     };
@@ -150,7 +80,7 @@
     };
     known.phase = CallPhase::Marking;
     let effects = state.ledger.begin(request, now);
-    apply_ledger(state, effects, now)
+    marks::apply(state, effects, now)
 }
 
 fn mark_request(call: &CallState) -> Option<MarkRequest> {
@@ -173,7 +103,11 @@
 }
 
 /// Sends a call to the best target that has not failed it.
-fn dispatch(state: &mut GatewayState, call: CallId, now: ClockTime) -> Vec<GatewayEffect> {
+pub(super) fn dispatch(
+    state: &mut GatewayState,
+    call: CallId,
+    now: ClockTime,
+) -> Vec<GatewayEffect> {
     let Some(known) = state.calls.get(&call) else {
         return Vec::new();
     };
@@ -217,13 +151,17 @@
 }
 
 /// No target is left: nothing was sent by this attempt.
-fn give_up(state: &mut GatewayState, call: CallId, now: ClockTime) -> Vec<GatewayEffect> {
+pub(super) fn give_up(
+    state: &mut GatewayState,
+    call: CallId,
+    now: ClockTime,
+) -> Vec<GatewayEffect> {
     let Some(known) = state.calls.get(&call) else {
         return Vec::new();
     };
     if known.repeat == CallRepeat::NonIdempotent && known.phase == CallPhase::Marking {
         let effects = state.ledger.withdraw(call, now);
-        return apply_ledger(state, effects, now);
+        return marks::apply(state, effects, now);
     }
     let run = if known.may_have_run {
         RunState::Unknown
@@ -235,129 +173,8 @@
     effects
 }
 
-/// Notes that an answer began, for the histograms and for later refusals.
-pub fn note_begin(state: &mut GatewayState, call: CallId, now: ClockTime) -> Vec<GatewayEffect> {
-    let Some(known) = state.calls.get_mut(&call) else {
-        return Vec::new();
-    };
-    if known.began {
-        return Vec::new();
-    }
-    known.began = true;
-    known.may_have_run = true;
-    vec![measure(known, "first_byte", now)]
-}
-
-/// Takes in the end of an attempt.
-pub fn conclude(
-    state: &mut GatewayState,
-    call: CallId,
-    attempt: AttemptEnd,
-    now: ClockTime,
-) -> Vec<GatewayEffect> {
-    let Some(known) = state.calls.get(&call) else {
-        return Vec::new();
-    };
-    let marked = known.repeat == CallRepeat::NonIdempotent;
-    match attempt {
-        AttemptEnd::Answered => {
-            let mut effects = vec![measure(known, "whole", now)];
-            effects.extend(end(state, call, now));
-            effects
-        }
-        AttemptEnd::CallerGone if !marked => {
-            let step = CallStep::Forget;
-            let mut effects = vec![GatewayEffect::Step { call, step }];
-            effects.extend(end(state, call, now));
-            effects
-        }
-        // A marked call goes on, so that the other devices learn its outcome.
-        AttemptEnd::CallerGone => Vec::new(),
-        AttemptEnd::Recorded(answer) => {
-            finish_marked(state, call, FinishedCall::Answered(answer), now)
-        }
-        AttemptEnd::NotSent => try_elsewhere(state, call, now),
-        AttemptEnd::Lost if marked => finish_marked(state, call, FinishedCall::Unknown, now),
-        AttemptEnd::Lost => retry(state, call, now),
-    }
-}
-
-fn finish_marked(
-    state: &mut GatewayState,
-    call: CallId,
-    finished: FinishedCall,
-    now: ClockTime,
-) -> Vec<GatewayEffect> {
-    release_target(state, call);
-    if let Some(known) = state.calls.get_mut(&call) {
-        known.phase = CallPhase::Recording;
-    }
-    let effects = state.ledger.finish(call, finished, now);
-    apply_ledger(state, effects, now)
-}
-
-/// Nothing ran, so even a non-idempotent call may go to another target.
-fn try_elsewhere(state: &mut GatewayState, call: CallId, now: ClockTime) -> Vec<GatewayEffect> {
-    release_target(state, call);
-    if let Some(known) = state.calls.get_mut(&call) {
-        known.phase = CallPhase::Marking;
-        if now >= known.deadline {
-            return give_up(state, call, now);
-        }
-    }
-    dispatch(state, call, now)
-}
-
-/// The answer was lost: an idempotent call may be run again, within the budget.
-fn retry(state: &mut GatewayState, call: CallId, now: ClockTime) -> Vec<GatewayEffect> {
-    release_target(state, call);
-    let Some(known) = state.calls.get_mut(&call) else {
-        return Vec::new();
-    };
-    known.may_have_run = true;
-    let service = known.arrival.service.clone();
-    let claim = IdempotentCall::new(call, known.repeat);
-    let in_time = now < known.deadline || known.began;
-    let granted = claim.filter(|_| in_time).is_some_and(|claim| {
-        let outcome = claim_retry(&mut state.budget, &service, claim, now);
-        matches!(outcome, RetryOutcome::Granted(_))
-    });
-    if granted {
-        return dispatch(state, call, now);
-    }
-    let run = RunState::Unknown;
-    let mut effects = vec![refuse(call, RefusalCause::EndpointLost, run, None)];
-    effects.extend(end(state, call, now));
-    effects
-}
-
-/// Ends waiting calls whose deadline has come.
-pub fn expire(state: &mut GatewayState, now: ClockTime) -> Vec<GatewayEffect> {
-    let mut effects = Vec::new();
-    if limits::queries::next_deadline(&state.admission).is_some_and(|at| at <= now) {
-        let change = limits::commands::expire(&mut state.admission, now);
-        effects.extend(apply_change(state, change, now));
-    }
-    if state.ledger.next_deadline().is_some_and(|at| at <= now) {
-        let wanted = state.ledger.expire(now);
-        effects.extend(apply_ledger(state, wanted, now));
-    }
-    effects
-}
-
-fn release_target(state: &mut GatewayState, call: CallId) {
-    let Some(known) = state.calls.get_mut(&call) else {
-        return;
-    };
-    if let CallPhase::Trying { target, .. } = &known.phase {
-        known.failed.push(target.clone());
-    }
-    let service = known.arrival.service.clone();
-    routing::commands::finish(state.route_of(&service), call);
-}
-
 /// Forgets a call and gives its slot to the next one.
-fn end(state: &mut GatewayState, call: CallId, now: ClockTime) -> Vec<GatewayEffect> {
+pub(super) fn end(state: &mut GatewayState, call: CallId, now: ClockTime) -> Vec<GatewayEffect> {
     let Some(known) = state.calls.remove(&call) else {
         return Vec::new();
     };
@@ -366,44 +183,19 @@
         CallPhase::Waiting => limits::commands::cancel(&mut state.admission, call, now),
         _ => limits::commands::release(&mut state.admission, call, now),
     };
-    apply_change(state, change, now)
-}
-
-fn drop_refused(state: &mut GatewayState, refused: limits::CallRefusal) -> Vec<GatewayEffect> {
-    state.calls.remove(&refused.call);
-    let cause = match refused.reason {
-        RefusalReason::UnknownWorkspace => RefusalCause::UnknownKey,
-        RefusalReason::NoCapacity => RefusalCause::NoEndpoint,
-        RefusalReason::QueueFull => RefusalCause::Overloaded,
-        RefusalReason::Deadline => RefusalCause::Deadline,
-    };
-    let retry_at = Some(refused.retry_at);
-    vec![refuse(refused.call, cause, RunState::NotRun, retry_at)]
-}
-
-fn refusal(cause: RefusalCause, run: RunState, retry_at: Option<ClockTime>) -> CallRefusal {
-    CallRefusal {
-        cause,
-        run,
-        retry_at,
-    }
+    queue::apply_change(state, change, now)
 }
 
-fn refuse(
+pub(super) fn refuse(
     call: CallId,
     cause: RefusalCause,
     run: RunState,
     retry_at: Option<ClockTime>,
 ) -> GatewayEffect {
-    let step = CallStep::Refuse(refusal(cause, run, retry_at));
+    let step = CallStep::Refuse(CallRefusal {
+        cause,
+        run,
+        retry_at,
+    });
     GatewayEffect::Step { call, step }
 }
-
-fn measure(call: &CallState, measure: &'static str, now: ClockTime) -> GatewayEffect {
-    GatewayEffect::Measure(CallMeasure {
-        workspace: call.workspace.clone(),
-        service: call.arrival.service.clone(),
-        measure,
-        span: now.since(call.arrived_at),
-    })
-}
--- a/crates/gateway/src/commands/targets.rs
+++ b/crates/gateway/src/commands/targets.rs
@@ -4,7 +4,7 @@
 use document::ServiceKind;
 use routing::{LoadSample, TargetId, TargetSpec};
 
-use super::calls;
+use super::queue;
 use crate::call::{CallPhase, CallState};
 use crate::queries::{self, RunningPlace};
 use crate::{CallStep, GatewayEffect, GatewayState};
@@ -12,7 +12,7 @@
 /// Works out anew which targets each service has and breaks off attempts
 /// whose group has lost a member.
 pub fn refresh(state: &mut GatewayState, now: ClockTime) -> Vec<GatewayEffect> {
-    let configuration = &state.config.in_force.configuration;
+    let configuration = &state.watch.config.in_force.configuration;
     let services: Vec<(ServiceName, ServiceKind)> = configuration
         .services
         .iter()
@@ -65,7 +65,7 @@
     let slots = specs.iter().map(|spec| spec.slots).sum();
     routing::commands::set_targets(state.route_of(service), specs, now);
     let change = limits::commands::set_capacity(&mut state.admission, service, slots, now);
-    calls::apply_change(state, change, now)
+    queue::apply_change(state, change, now)
 }
 
 fn stop_broken(state: &GatewayState, now: ClockTime) -> Vec<GatewayEffect> {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -1,14 +1,11 @@
 //! What the gateway hears and what it wants done.
 
-use std::net::SocketAddr;
-
 use base::prelude::*;
-use document::{Document, GoodSections, KeyDigest};
-use groups::{FabricRecord, HostReport};
+use document::KeyDigest;
 use ledger::{EpochRead, LedgerEffect, ShardId, ShardRead};
 use net::AskId;
-use platform::{DrainList, HostEntry};
 use store::UpdateOutcome;
+use watch::{WatchEffect, WatchEvent};
 
 use crate::{AttemptEnd, CallArrival, CallStep, GatewayStatus};
 
@@ -29,25 +26,8 @@
         /// How it ended.
         end: AttemptEnd,
     },
-    /// The document was read.
-    DocumentRead(Option<(ObjectVersion, Arc<Document>)>),
-    /// The fabric domains were read.
-    FabricsRead(Option<Vec<(FabricRecord, ObjectVersion)>>),
-    /// The last good sections were read.
-    GoodSectionsRead(Option<GoodSections>),
-    /// The hosts that operators are draining were read.
-    DrainsRead(Option<DrainList>),
-    /// The list of hosts was read.
-    HostsRead(Option<Vec<HostEntry>>),
-    /// A host answered, or did not.
-    HostReported {
-        /// The host.
-        host: HostName,
-        /// When it was asked.
-        asked_at: ClockTime,
-        /// What it said.
-        report: Option<HostReport>,
-    },
+    /// Something was read of the platform or of a host.
+    Watch(WatchEvent),
     /// A read of a ledger shard ended.
     ShardRead {
         /// The shard.
@@ -79,6 +59,12 @@
     CallersGone,
 }
 
+impl From<WatchEvent> for GatewayEvent {
+    fn from(event: WatchEvent) -> Self {
+        Self::Watch(event)
+    }
+}
+
 /// What the gateway wants done.
 #[derive(Debug)]
 pub enum GatewayEffect {
@@ -89,30 +75,8 @@
         /// The step.
         step: CallStep,
     },
-    /// Read the document, waiting for one newer than a version.
-    ReadDocument {
-        /// Version in force.
-        after: ObjectVersion,
-        /// Instant at which the wait ends.
-        deadline: ClockTime,
-    },
-    /// Read all fabric domains.
-    ReadFabrics,
-    /// Read the list of hosts.
-    ReadHosts,
-    /// Read the last good sections.
-    ReadGoodSections,
-    /// Read the hosts that operators are draining.
-    ReadDrains,
-    /// Ask a host for its report.
-    AskHost {
-        /// The host.
-        host: HostName,
-        /// Where its endpoint listens.
-        address: SocketAddr,
-        /// Instant by which it must answer.
-        deadline: ClockTime,
-    },
+    /// Read something of the platform or of a host.
+    Watch(WatchEffect),
     /// Make the ledger's call to the store.
     Ledger(LedgerEffect),
     /// Answer a question.
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -1,8 +1,9 @@
 //! The handler that the process's loop runs.
 
+use ::watch::commands::start_due;
 use base::prelude::*;
 
-use crate::commands::{calls, poll, stop, targets, watch};
+use crate::commands::{attempts, calls, ledger, queue, stop, targets, watch};
 use crate::queries::{answer_question, next_deadline};
 use crate::{GatewayEffect, GatewayEvent, GatewayState};
 
@@ -18,33 +19,24 @@
         let state = &mut self.0;
         let mut effects = match event {
             GatewayEvent::CallArrived(arrival) => calls::arrive(state, arrival, now),
-            GatewayEvent::AnswerBegan { call } => calls::note_begin(state, call, now),
-            GatewayEvent::AttemptEnded { call, end } => calls::conclude(state, call, end, now),
-            GatewayEvent::DocumentRead(read) => watch::observe_document(state, read, now),
-            GatewayEvent::GoodSectionsRead(read) => watch::observe_good_sections(state, read, now),
-            GatewayEvent::FabricsRead(read) => watch::observe_fabrics(state, read, now),
-            GatewayEvent::DrainsRead(read) => watch::observe_drains(state, read, now),
-            GatewayEvent::HostsRead(read) => watch::observe_hosts(state, read, now),
-            GatewayEvent::HostReported {
-                host,
-                asked_at,
-                report,
-            } => watch::observe_report(state, &host, asked_at, report, now),
+            GatewayEvent::AnswerBegan { call } => attempts::note_begin(state, call, now),
+            GatewayEvent::AttemptEnded { call, end } => attempts::conclude(state, call, end, now),
+            GatewayEvent::Watch(event) => watch::take(state, event, now),
             GatewayEvent::ShardRead { shard, read } => {
                 let effects = state.ledger.conclude_read(shard, read, now);
-                calls::apply_ledger(state, effects, now)
+                ledger::apply(state, effects, now)
             }
             GatewayEvent::ShardWritten { shard, outcome } => {
                 let effects = state.ledger.conclude_write(shard, outcome, now);
-                calls::apply_ledger(state, effects, now)
+                ledger::apply(state, effects, now)
             }
             GatewayEvent::EpochRead(read) => {
                 let effects = state.ledger.conclude_epoch_read(read, now);
-                calls::apply_ledger(state, effects, now)
+                ledger::apply(state, effects, now)
             }
             GatewayEvent::EpochWritten(outcome) => {
                 let effects = state.ledger.conclude_epoch_write(outcome, now);
-                calls::apply_ledger(state, effects, now)
+                ledger::apply(state, effects, now)
             }
             GatewayEvent::Asked { ask, question } => {
                 let answer = answer_question(state, question, now);
@@ -59,9 +51,10 @@
 
     fn wake(&mut self, now: ClockTime) -> Vec<GatewayEffect> {
         let state = &mut self.0;
-        let mut effects = poll::start_due(state, now);
+        let reads = start_due(&mut state.watch, now);
+        let mut effects: Vec<_> = reads.into_iter().map(GatewayEffect::Watch).collect();
         effects.extend(targets::drop_expired(state, now));
-        effects.extend(calls::expire(state, now));
+        effects.extend(queue::expire(state, now));
         effects.extend(stop::advance(state, now));
         effects
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,6 @@
 mod border;
 mod call;
 mod commands;
-mod error;
 mod event;
 mod handler;
 pub mod queries;
@@ -19,7 +18,6 @@
     AttemptEnd, AttemptPlace, CallArrival, CallKind, CallRefusal, CallStep, RefusalCause, RunState,
     SendOrder,
 };
-pub use error::GatewayError;
 pub use event::{CallMeasure, GatewayAnswer, GatewayEffect, GatewayEvent, GatewayQuestion};
 pub use handler::GatewayLoop;
 pub use queries::{GatewayStatus, GroupStatus};
--- a/crates/gateway/src/queries/answer.rs
+++ b/crates/gateway/src/queries/answer.rs
@@ -23,12 +23,12 @@
 
 /// Ready once a whole configuration and the hosts are known, and until a stop begins.
 pub(super) fn is_ready(state: &GatewayState) -> bool {
-    let knows_hosts = !state.hosts.is_empty();
-    has_settled(&state.config) && knows_hosts && state.stop == StopPhase::Running
+    let knows_hosts = !state.watch.hosts.is_empty();
+    has_settled(&state.watch.config) && knows_hosts && state.stop == StopPhase::Running
 }
 
 fn list_services(state: &GatewayState, digest: KeyDigest) -> Option<Vec<ServiceName>> {
-    let in_force = &state.config.in_force;
+    let in_force = &state.watch.config.in_force;
     let (workspace, _) = in_force.callers.find(digest)?;
     let configuration = &in_force.configuration;
     let allowed = configuration.workspaces[workspace].services.iter();
--- a/crates/gateway/src/queries/authorize.rs
+++ b/crates/gateway/src/queries/authorize.rs
@@ -24,7 +24,7 @@
     state: &GatewayState,
     arrival: &CallArrival,
 ) -> Result<Entitlement, RefusalCause> {
-    let in_force = &state.config.in_force;
+    let in_force = &state.watch.config.in_force;
     let (workspace, _) = in_force
         .callers
         .find(arrival.digest)
--- a/crates/gateway/src/queries/hosts.rs
+++ b/crates/gateway/src/queries/hosts.rs
@@ -23,7 +23,7 @@
     target: &TargetId,
 ) -> Option<(SocketAddr, Option<AttemptPlace>)> {
     match target {
-        TargetId::Host(host) => Some((state.hosts.get(host)?.address, None)),
+        TargetId::Host(host) => Some((state.watch.hosts.get(host)?.address, None)),
         TargetId::Group(name) => {
             let group = recorded_groups(state).find(|group| group.group == *name)?;
             let place = AttemptPlace {
--- a/crates/gateway/src/queries/places.rs
+++ b/crates/gateway/src/queries/places.rs
@@ -5,7 +5,6 @@
 use base::prelude::*;
 use document::{PlainSpec, ServiceKind};
 use groups::{GroupFault, GroupRecord, GroupVerdict, MemberFault, explain_group};
-use platform::Presence;
 use routing::{TargetId, TargetSpec};
 
 use super::hosts::recorded_groups;
@@ -69,7 +68,7 @@
     deployment: &DeploymentName,
     now: ClockTime,
 ) -> Vec<TargetSpec> {
-    let deployments = &state.config.in_force.configuration.deployments;
+    let deployments = &state.watch.config.in_force.configuration.deployments;
     let Some(spec) = deployments.get(deployment) else {
         return Vec::new();
     };
@@ -92,19 +91,17 @@
 /// A group with a member that leaves gets no new calls, even before its
 /// fabric domain's owner has drained it.
 fn is_leaving(state: &GatewayState, group: &GroupRecord) -> bool {
-    let listed = |host: &HostName| state.hosts.get(host).map(|entry| entry.presence);
-    group.members.iter().any(|member| {
-        listed(&member.host) == Some(Presence::Leaving) || state.drains.hosts.contains(&member.host)
-    })
+    let mut members = group.members.iter();
+    members.any(|member| state.watch.is_leaving(&member.host))
 }
 
 fn host_targets(state: &GatewayState, service: &ServiceName, spec: &PlainSpec) -> Vec<TargetSpec> {
     state
+        .watch
         .hosts
         .values()
         .filter(|entry| entry.service.as_ref() == Some(service))
-        .filter(|entry| entry.presence == Presence::Live)
-        .filter(|entry| !state.drains.hosts.contains(&entry.host))
+        .filter(|entry| !state.watch.is_leaving(&entry.host))
         .map(|entry| TargetSpec {
             target: TargetId::Host(entry.host.clone()),
             run: 0,
--- a/crates/gateway/src/queries/status.rs
+++ b/crates/gateway/src/queries/status.rs
@@ -54,7 +54,7 @@
         node: state.node.clone(),
         domain: state.domain.clone(),
         ready: is_ready(state),
-        config: state.config.clone(),
+        config: state.watch.config.clone(),
         calls: state.calls.len(),
         queues: limits::queries::queue_depths(&state.admission),
         groups: groups.collect(),
--- a/crates/gateway/tests/configuration.rs
+++ b/crates/gateway/tests/configuration.rs
@@ -7,16 +7,19 @@
     GatewayStatus, GatewayTimes,
 };
 use platform::{HostEntry, Presence};
+use watch::{WatchEffect, WatchEvent, WatchTimes};
 
 const NOW: ClockTime = ClockTime::from_millis(50_000);
 const GOOD: &str = "workspaces:\n  debrecen: {services: []}\n";
 
 fn start_loop() -> GatewayLoop {
     let times = GatewayTimes {
-        poll_interval: Duration::from_millis(500),
+        watch: WatchTimes {
+            poll_interval: Duration::from_millis(500),
+            read_interval: Duration::from_secs(1),
+            watch_span: Duration::from_secs(20),
+        },
         report_validity: Duration::from_secs(2),
-        read_interval: Duration::from_secs(1),
-        watch_span: Duration::from_secs(20),
         balancer_notice: Duration::from_secs(5),
         drain_limit: Duration::from_secs(60),
     };
@@ -42,7 +45,7 @@
 
 fn read(gateway: &mut GatewayLoop, version: u64, document: Arc<Document>) -> Vec<GatewayEffect> {
     let read = Some((ObjectVersion(version), document));
-    gateway.handle(GatewayEvent::DocumentRead(read), NOW)
+    gateway.handle(GatewayEvent::Watch(WatchEvent::DocumentRead(read)), NOW)
 }
 
 fn status(gateway: &mut GatewayLoop) -> Box<GatewayStatus> {
@@ -68,7 +71,10 @@
         accelerators: 0,
         presence: Presence::Live,
     };
-    gateway.handle(GatewayEvent::HostsRead(Some(vec![host])), NOW);
+    gateway.handle(
+        GatewayEvent::Watch(WatchEvent::HostsRead(Some(vec![host]))),
+        NOW,
+    );
 }
 
 fn good_sections(revision: u64, text: &str) -> GoodSections {
@@ -77,12 +83,19 @@
 }
 
 fn watches(effects: &[GatewayEffect]) -> bool {
-    let is_watch = |effect: &GatewayEffect| matches!(effect, GatewayEffect::ReadDocument { .. });
+    let is_watch = |effect: &GatewayEffect| {
+        matches!(
+            effect,
+            GatewayEffect::Watch(WatchEffect::ReadDocument { .. })
+        )
+    };
     effects.iter().any(is_watch)
 }
 
 fn asks_for_good(effects: &[GatewayEffect]) -> bool {
-    let is_read = |effect: &GatewayEffect| matches!(effect, GatewayEffect::ReadGoodSections);
+    let is_read = |effect: &GatewayEffect| {
+        matches!(effect, GatewayEffect::Watch(WatchEffect::ReadGoodSections))
+    };
     effects.iter().any(is_read)
 }
 
@@ -116,12 +129,15 @@
     list_host(&mut gateway);
     assert!(!status(&mut gateway).ready);
 
-    let lost = gateway.handle(GatewayEvent::GoodSectionsRead(None), NOW);
+    let lost = gateway.handle(GatewayEvent::Watch(WatchEvent::GoodSectionsRead(None)), NOW);
     assert!(!asks_for_good(&lost));
     assert!(asks_for_good(&gateway.wake(NOW + Duration::from_secs(1))));
 
     let good = good_sections(2, GOOD);
-    let effects = gateway.handle(GatewayEvent::GoodSectionsRead(Some(good)), NOW);
+    let effects = gateway.handle(
+        GatewayEvent::Watch(WatchEvent::GoodSectionsRead(Some(good))),
+        NOW,
+    );
     assert!(!asks_for_good(&effects));
     let config = status(&mut gateway).config;
     assert_eq!(config.in_force.configuration.workspaces.len(), 1);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 //! starts a thread, and nothing spins while it waits.
 
 mod clock;
+mod daemon;
 mod desk;
 mod drain;
 mod frame;
@@ -18,6 +19,7 @@
 pub mod web;
 
 pub use clock::SystemClock;
+pub use daemon::{DaemonError, forward_stops, listen};
 pub use desk::{AskId, QuestionDesk};
 pub use drain::{DrainSwitch, DrainWatch, drain_pair};
 pub use frame::{FRAME_LIMIT, FrameStream};
--- /dev/null
+++ b/crates/watch/src/state.rs
@@ -0,0 +1,70 @@
+//! What has been read, and when the next reads are due.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use document::ConfigState;
+use platform::{DrainList, HostEntry, Presence};
+
+/// Spans between reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchTimes {
+    /// Interval between two questions to the same host.
+    pub poll_interval: Duration,
+    /// Interval between two reads of the same list.
+    pub read_interval: Duration,
+    /// Longest wait of a watch.
+    pub watch_span: Duration,
+}
+
+/// What one daemon has read of the platform.
+#[derive(Debug)]
+pub struct WatchState {
+    /// Configuration in force.
+    pub config: ConfigState,
+    /// Hosts as last listed.
+    pub hosts: BTreeMap<HostName, HostEntry>,
+    /// Hosts that operators are draining.
+    pub drains: DrainList,
+    pub(crate) times: WatchTimes,
+    pub(crate) document: DueTimer,
+    pub(crate) good_sections: DueTimer,
+    pub(crate) fabrics: DueTimer,
+    pub(crate) listed: DueTimer,
+    pub(crate) drained: DueTimer,
+    pub(crate) questions: BTreeMap<HostName, HostQuestion>,
+}
+
+/// Question that a host is asked again and again.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HostQuestion {
+    pub address: SocketAddr,
+    pub ask_at: ClockTime,
+}
+
+impl WatchState {
+    /// State of a daemon that has read nothing yet.
+    pub fn new(times: WatchTimes) -> Self {
+        let start = DueTimer::at(ClockTime::default());
+        Self {
+            config: ConfigState::default(),
+            hosts: BTreeMap::new(),
+            drains: DrainList::default(),
+            times,
+            document: start,
+            good_sections: DueTimer::default(),
+            fabrics: start,
+            listed: start,
+            drained: start,
+            questions: BTreeMap::new(),
+        }
+    }
+
+    /// Whether a host is about to go, by the list or by an operator's word.
+    pub fn is_leaving(&self, host: &HostName) -> bool {
+        let entry = self.hosts.get(host);
+        let listed = entry.is_some_and(|entry| entry.presence == Presence::Leaving);
+        listed || self.drains.hosts.contains(host)
+    }
+}
