Measure what the gateway adds to the times of tokens

Cause: the added latency of the gateway beside a direct call to the same stand-in in one run was not known.

Ruled out: measuring inside one process (load, engine and gateway would share one thread and measure each other).

Change: a load tool in the emulator, also as 'bronzerun-emulator load', and 'bronzerun-bench latency', which starts stand-ins and daemons as processes and streams the same calls both ways in turns.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 //! that the daemons run from tables and small fakes.
 
 mod document;
+mod latency;
 mod ledger;
 mod overload;
 mod peers;
@@ -29,6 +30,8 @@
     Ledger(ledger::LedgerOptions),
     /// What a change of one section costs a daemon.
     Document(document::DocumentOptions),
+    /// What the gateway adds to the first token and between tokens.
+    Latency(latency::LatencyOptions),
     /// Messages, time and memory of a node's control traffic.
     Peers(peers::PeersOptions),
 }
@@ -39,6 +42,7 @@
         Measurement::Overload(options) => overload::run(&options),
         Measurement::Ledger(options) => ledger::run(&options),
         Measurement::Document(options) => document::run(&options),
+        Measurement::Latency(options) => latency::run(&options),
         Measurement::Peers(options) => peers::run(&options),
     }
 }
--- a/crates/bronzerun/src/standin.rs
+++ b/crates/bronzerun/src/standin.rs
@@ -3,14 +3,15 @@
 use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 
 use base::{DomainName, FabricName, HostName, ServiceName};
 use clap::{Args, Parser, Subcommand};
 use emulator::engine::EngineOptions;
 use emulator::plain::PlainOptions;
-use emulator::{FleetError, FleetHost};
-use net::{DrainWatch, drain_pair, watch_stop};
+use emulator::{FleetError, FleetHost, LoadPlan, LoadReport};
+use net::{DrainWatch, SystemClock, drain_pair, watch_stop};
 use serde_json::json;
 
 use crate::daemon::announce;
@@ -34,6 +35,8 @@
     Engine(EngineArgs),
     /// Plain service of one host
     Plain(PlainArgs),
+    /// Stream chat calls at a target and print the times of their tokens
+    Load(LoadArgs),
 }
 
 #[derive(Args)]
@@ -82,6 +85,28 @@
     call_ms: u64,
 }
 
+#[derive(Args)]
+struct LoadArgs {
+    /// Where calls go
+    #[arg(long)]
+    target: SocketAddr,
+    /// API key
+    #[arg(long)]
+    key: Option<String>,
+    /// Model, or service, that is called
+    #[arg(long, default_value = "chat")]
+    model: String,
+    /// Streams open at once
+    #[arg(long, default_value_t = 16)]
+    streams: usize,
+    /// Calls that each stream makes
+    #[arg(long, default_value_t = 10)]
+    calls: usize,
+    /// Tokens of each answer
+    #[arg(long, default_value_t = 32)]
+    tokens: usize,
+}
+
 /// Runs one stand-in until it is told to stop.
 pub fn run_emulator() -> ExitCode {
     let options = EmulatorOptions::parse();
@@ -114,6 +139,12 @@
             let host = args.into_host();
             emulator::run_engine(listen, platform, host, engine, drain, listening).await
         }
+        Standin::Load(args) => {
+            print_report(
+                &emulator::run_load(&args.into_plan(), Rc::new(SystemClock::default())).await,
+            );
+            Ok(())
+        }
         Standin::Plain(args) => {
             let plain = PlainOptions {
                 call_time: Duration::from_millis(args.call_ms),
@@ -146,6 +177,38 @@
     }
 }
 
+impl LoadArgs {
+    fn into_plan(self) -> LoadPlan {
+        LoadPlan {
+            target: self.target,
+            key: self.key,
+            model: self.model,
+            streams: self.streams,
+            calls: self.calls,
+            tokens: self.tokens,
+        }
+    }
+}
+
+fn print_report(report: &LoadReport) {
+    let LoadReport {
+        whole,
+        refused,
+        cut,
+        first_token,
+        token_gap,
+    } = report;
+    println!("whole {whole}, refused {refused}, cut {cut}");
+    for (name, histogram) in [("first token", first_token), ("between tokens", token_gap)] {
+        println!(
+            "{name}: p50 {} us, p95 {} us, p99 {} us",
+            histogram.value_at_quantile(0.50),
+            histogram.value_at_quantile(0.95),
+            histogram.value_at_quantile(0.99),
+        );
+    }
+}
+
 impl PlainArgs {
     fn into_host(self) -> FleetHost {
         FleetHost {
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod engine;
 mod fleet;
+mod load;
 pub mod plain;
 pub mod platform;
 mod web;
@@ -14,3 +15,4 @@
 pub use fleet::{
     FleetError, FleetHost, FleetPlan, run_engine, run_plain, run_platform, start_fleet,
 };
+pub use load::{LoadPlan, LoadReport, run_load};
