--- a/crates/base/src/prelude.rs
+++ b/crates/base/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use crate::{
     CallId, CallerName, ClockSource, ClockTime, DeploymentName, DomainName, DueTimer,
     EffectCarrier, EventHandler, FabricName, FencingToken, GroupEpoch, GroupName, HostIncarnation,
-    HostName, ModelName, NameError, NodeName, ObjectVersion, RequestKey, SectionName,
+    HostName, ModelName, NameError, NodeName, ObjectVersion, RegionName, RequestKey, SectionName,
     SectionRevision, ServiceName, TeamName, WorkspaceName, WriteNonce,
 };
 pub use std::sync::Arc;
--- a/crates/bench/src/placement.rs
+++ b/crates/bench/src/placement.rs
@@ -302,8 +302,6 @@
         downtime_weight: weight,
         checks_fencing: true,
         stream_limit: 8,
-        queue_limit: 16,
-        accelerators_per_host: ACCELERATORS as usize,
     };
     let deployment = DeploymentName::new(name).expect("the name is valid");
     (deployment, spec)
