Measure what non-idempotent calls cost the store, and spread them wider

Cause: the store takes several hundred writes a second; it was not known what a call costs it, nor what group commit brings when several nodes share a shard.

Ruled out: few shards so that group commit gathers more; without sending a shard's calls to one node, nodes conflict and calls are lost at a slow store.

Change: 4096 shards by default instead of 256. The bound on a mark's size is 256 bytes and names instead of 384.

--- /dev/null
+++ b/crates/bench/src/ledger/mod.rs
@@ -0,0 +1,124 @@
+//! The `ledger` measurement.
+//!
+//! The first table runs several ledgers before one store in model time and
+//! counts what non-idempotent calls cost the store; a shard for each call stands
+//! for doing without group commit. The second takes the processor time and the
+//! size of one write against the marks in its shard.
+
+mod model;
+mod write;
+
+use std::time::Duration;
+
+use clap::Args;
+use ledger::LedgerSettings;
+
+use model::{ModelCase, ModelReport, run_model};
+
+/// Shards enough that no two calls share one.
+const SHARD_PER_CALL: u32 = 1 << 30;
+
+/// Entry hosts, and calls a second over all of them.
+const LOADS: [(usize, f64); 3] = [(6, 20.0), (6, 200.0), (100, 200.0)];
+
+/// Shards, and whether all calls of a shard go to one node.
+const SHARDS: [(u32, bool); 5] = [
+    (SHARD_PER_CALL, false),
+    (4_096, false),
+    (256, false),
+    (32, false),
+    (32, true),
+];
+
+/// Options of the measurement.
+#[derive(Args)]
+pub struct LedgerOptions {
+    /// Seed of the random numbers.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Seconds of model time during which calls come in.
+    #[arg(long, default_value_t = 10)]
+    seconds: u64,
+}
+
+/// Runs it and prints its tables.
+pub fn run(options: &LedgerOptions) {
+    println!("seed {}, {} s of model time", options.seed, options.seconds);
+    println!(
+        "{:>5} {:>7} {:>8} {:>6} {:>8} | {:>7} {:>7} {:>8} {:>9} | {:>8} {:>8} {:>8} | {:>7} {:>7}",
+        "nodes",
+        "calls/s",
+        "latency",
+        "shards",
+        "affinity",
+        "writes/",
+        "reads/",
+        "writes/s",
+        "conflicts",
+        "mark p50",
+        "mark p99",
+        "answer",
+        "not run",
+        "unclear"
+    );
+    println!(
+        "{:>5} {:>7} {:>8} {:>6} {:>8} | {:>7} {:>7} {:>8} {:>9} | {:>8} {:>8} {:>8} |",
+        "", "", "ms", "", "", "call", "call", "", "%", "ms", "ms", "p99 ms"
+    );
+    for case in cases(options) {
+        print_case(&case, &run_model(&case));
+    }
+    write::run();
+}
+
+fn cases(options: &LedgerOptions) -> Vec<ModelCase> {
+    let mut cases = Vec::new();
+    for latency in [5, 50, 2_000] {
+        for (nodes, rate) in LOADS {
+            for (shard_count, affinity) in SHARDS {
+                cases.push(ModelCase {
+                    nodes,
+                    rate,
+                    latency: Duration::from_millis(latency),
+                    settings: LedgerSettings {
+                        shard_count,
+                        ..LedgerSettings::default()
+                    },
+                    affinity,
+                    span: Duration::from_secs(options.seconds),
+                    seed: options.seed,
+                });
+            }
+        }
+    }
+    cases
+}
+
+fn print_case(case: &ModelCase, report: &ModelReport) {
+    let calls = report.calls as f64;
+    let shards = match case.settings.shard_count {
+        SHARD_PER_CALL => "call".to_owned(),
+        count => count.to_string(),
+    };
+    println!(
+        "{:>5} {:>7} {:>8} {:>6} {:>8} | {:>7.2} {:>7.2} {:>8.0} {:>9.1} | {:>8.0} {:>8.0} {:>8.0} | {:>7} {:>7}",
+        case.nodes,
+        case.rate,
+        case.latency.as_millis(),
+        shards,
+        if case.affinity { "yes" } else { "no" },
+        report.writes as f64 / calls,
+        report.reads as f64 / calls,
+        report.writes as f64 / case.span.as_secs_f64(),
+        100.0 * report.conflicts as f64 / report.writes.max(1) as f64,
+        millis(report.mark_waits.value_at_quantile(0.5)),
+        millis(report.mark_waits.value_at_quantile(0.99)),
+        millis(report.answer_waits.value_at_quantile(0.99)),
+        report.not_run,
+        report.unclear,
+    );
+}
+
+fn millis(micros: u64) -> f64 {
+    micros as f64 / 1_000.0
+}
--- a/crates/ledger/src/commands/begin.rs
+++ b/crates/ledger/src/commands/begin.rs
@@ -30,6 +30,7 @@
 
     fn add_call(&mut self, request: MarkRequest, shard: ShardId, now: ClockTime) {
         self.gather_shard(shard, now);
+        self.active.insert(shard);
         let state = self.shards.entry(shard).or_default();
         state.poll_at = now;
         state.polls = 0;
--- a/crates/ledger/src/commands/epoch.rs
+++ b/crates/ledger/src/commands/epoch.rs
@@ -4,7 +4,7 @@
 use store::UpdateOutcome;
 
 use crate::state::{CallPhase, Effects, EpochFlight};
-use crate::{CallVerdict, EpochRead, LedgerEffect, LedgerState, MarkEpoch, NotRunReason, ShardId};
+use crate::{CallVerdict, EpochRead, LedgerEffect, LedgerState, MarkEpoch, NotRunReason};
 
 /// Reads of the epoch in each of its periods.
 const READS_PER_EPOCH: u32 = 4;
@@ -131,9 +131,8 @@
         }
     }
 
-    fn pump_all(&mut self, now: ClockTime, effects: &mut Effects) {
-        let shards: Vec<ShardId> = self.shards.keys().copied().collect();
-        for shard in shards {
+    pub(crate) fn pump_all(&mut self, now: ClockTime, effects: &mut Effects) {
+        for shard in self.active.clone() {
             self.pump_shard(shard, now, effects);
         }
     }
--- a/crates/ledger/src/commands/expire.rs
+++ b/crates/ledger/src/commands/expire.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 
 use crate::state::{CallPhase, Effects};
-use crate::{CallVerdict, FinishedCall, LedgerEffect, LedgerState, NotRunReason, ShardId};
+use crate::{CallVerdict, FinishedCall, LedgerEffect, LedgerState, NotRunReason};
 
 use super::settle::final_verdict;
 
@@ -18,11 +18,8 @@
         }
         self.drop_stamp(now);
         self.pump_epoch(now, &mut effects);
-        let shards: Vec<ShardId> = self.shards.keys().copied().collect();
-        for shard in shards {
-            self.pump_shard(shard, now, &mut effects);
-            self.drop_idle(shard, now);
-        }
+        self.pump_all(now, &mut effects);
+        self.sweep_shards(now);
         effects
     }
 
@@ -64,15 +61,18 @@
         }
     }
 
-    /// Frees the contents of a shard that no call needs.
-    fn drop_idle(&mut self, shard: ShardId, now: ClockTime) {
-        let trusted = self.is_trusted(shard, now);
-        if let Some(state) = self.shards.get_mut(&shard)
-            && state.calls.is_empty()
-            && state.flight.is_none()
-            && !trusted
-        {
-            state.record = None;
+    /// Frees contents that no call needs and that are too old to write on.
+    fn sweep_shards(&mut self, now: ClockTime) {
+        if now < self.sweep_at {
+            return;
+        }
+        let trust = self.settings.cache_trust;
+        self.sweep_at = now + trust;
+        for state in self.shards.values_mut() {
+            let idle = state.calls.is_empty() && state.flight.is_none();
+            if idle && now.since(state.seen_at) > trust {
+                state.record = None;
+            }
         }
     }
 }
--- a/crates/ledger/src/commands/settle.rs
+++ b/crates/ledger/src/commands/settle.rs
@@ -160,6 +160,9 @@
             && let Some(shard) = self.shards.get_mut(&state.shard)
         {
             shard.calls.remove(&call);
+            if shard.calls.is_empty() {
+                self.active.remove(&state.shard);
+            }
         }
     }
 
--- a/crates/ledger/src/queries/deadline.rs
+++ b/crates/ledger/src/queries/deadline.rs
@@ -9,7 +9,7 @@
     /// Instant at which [`LedgerState::expire`] is next due.
     pub fn next_deadline(&self) -> Option<ClockTime> {
         let replies = self.calls.values().filter_map(call_deadline);
-        let shards = self.shards.values();
+        let shards = self.active.iter().filter_map(|id| self.shards.get(id));
         let shards = shards.filter_map(|shard| self.shard_deadline(shard));
         replies.chain(shards).chain(self.epoch_due()).min()
     }
--- a/crates/ledger/src/queries/size.rs
+++ b/crates/ledger/src/queries/size.rs
@@ -5,7 +5,7 @@
 /// JSON of an empty shard, in bytes at most.
 const SHARD_BYTES: usize = 64;
 /// JSON of a running mark without its names, in bytes at most.
-const MARK_BYTES: usize = 384;
+const MARK_BYTES: usize = 256;
 /// JSON of an answer without headers and body, in bytes at most.
 const ANSWER_BYTES: usize = 96;
 /// JSON around a header, in bytes.
--- a/crates/ledger/src/settings.rs
+++ b/crates/ledger/src/settings.rs
@@ -34,7 +34,7 @@
 impl Default for LedgerSettings {
     fn default() -> Self {
         Self {
-            shard_count: 256,
+            shard_count: 4_096,
             gather: Duration::from_millis(2),
             shortest_pause: Duration::from_millis(25),
             longest_pause: Duration::from_secs(1),
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -25,6 +25,10 @@
     pub(crate) process: u64,
     pub(crate) calls: BTreeMap<CallId, CallState>,
     pub(crate) shards: BTreeMap<ShardId, ShardState>,
+    /// Shards that have calls.
+    pub(crate) active: BTreeSet<ShardId>,
+    /// Instant after which contents that no call needs are freed.
+    pub(crate) sweep_at: ClockTime,
     pub(crate) epoch: EpochState,
     pub(crate) random: StdRng,
 }
@@ -41,6 +45,8 @@
             process,
             calls: BTreeMap::new(),
             shards: BTreeMap::new(),
+            active: BTreeSet::new(),
+            sweep_at: ClockTime::default(),
             epoch: EpochState::default(),
             random: StdRng::seed_from_u64(seed),
         }
