--- a/crates/ledger/src/settings.rs
+++ b/crates/ledger/src/settings.rs
@@ -2,7 +2,10 @@
 
 use base::prelude::*;
 
-/// Settings of the ledger; the shard count must be the same on every node.
+/// Settings of the ledger.
+///
+/// The shard count must be the same on every node and must not change while keys
+/// are remembered: nodes would look for one mark in different places.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LedgerSettings {
     /// Number of shards.
