--- a/crates/bench/src/peers.rs
+++ b/crates/bench/src/peers.rs
@@ -259,9 +259,22 @@
             "change, {label}: in force {}, {late} never; {rate:.0} bytes/s a node, {calls} store calls in the busiest second",
             show_spans(&spans)
         );
+        println!(
+            "  {:.0} bytes a change and node",
+            self.change_bytes() / to_float(options.changes.max(1))
+        );
         self.print_reversions();
     }
 
+    /// Bytes a node spent on versions and bodies.
+    fn change_bytes(&self) -> f64 {
+        let kinds = ["announce", "fetch", "items", "confirm", "buckets"];
+        let meters = (0..self.network.len()).map(|index| self.network.meter(index));
+        let sums =
+            meters.flat_map(|meter| kinds.map(|kind| meter.kinds.get(kind).map_or(0, |sum| sum.1)));
+        to_float(sums.sum::<u64>()) / to_float(self.network.len())
+    }
+
     /// Writes a section and waits until it is in force; the time it took.
     fn change_section(&mut self, options: &PeersOptions, change: usize) -> Option<Duration> {
         let key = section_key(self.random.random_range(0..options.sections));
