Prove that a failure domain that was split off finds the others again

Cause: without 'if !dead.is_empty()' in tick.rs (the try of a dead node) no test failed: a dark failure domain hears the others again by itself, and with two regions the links between them mend a split. Change: the fake network can split a failure domain off; a test in one region. It fails without that line.

--- a/crates/members/src/fake/network.rs
+++ b/crates/members/src/fake/network.rs
@@ -50,6 +50,8 @@
     pub loss: f64,
     /// Failure domains that neither send nor receive.
     pub dark: BTreeSet<DomainName>,
+    /// Failure domains whose nodes reach only each other and the store.
+    pub split: BTreeSet<DomainName>,
     /// Nodes that neither send nor receive.
     pub cut: BTreeSet<NodeName>,
     /// Whether regions are cut from each other.
@@ -451,7 +453,15 @@
 
     fn reaches(&self, from: usize, to: usize) -> bool {
         let same_region = self.nodes[from].record.region == self.nodes[to].record.region;
-        self.is_up(from) && self.is_up(to) && (same_region || !self.faults.is_region_cut)
+        let domains = [from, to].map(|index| &self.nodes[index].record.domain);
+        let is_split = domains[0] != domains[1]
+            && domains
+                .iter()
+                .any(|domain| self.faults.split.contains(*domain));
+        self.is_up(from)
+            && self.is_up(to)
+            && !is_split
+            && (same_region || !self.faults.is_region_cut)
     }
 
     fn reaches_store(&self, index: usize) -> bool {
--- a/crates/members/tests/network.rs
+++ b/crates/members/tests/network.rs
@@ -56,9 +56,13 @@
 
 /// Running network of nodes in two regions with six failure domains.
 fn started(count: usize, seed: u64) -> FakeNetwork {
+    started_in(2, count, seed)
+}
+
+fn started_in(region_count: usize, count: usize, seed: u64) -> FakeNetwork {
     println!("seed {seed}");
     let mut network = FakeNetwork::new(PeerSettings::default(), NetworkLatency::default(), seed);
-    network.add_nodes(count, 2);
+    network.add_nodes(count, region_count);
     for index in 0..8 {
         network.store.write(key(index), body("first"));
     }
@@ -239,6 +243,19 @@
         && all_alive(network)));
 }
 
+#[test]
+fn a_failure_domain_that_was_split_off_finds_the_others_again() {
+    let mut network = started_in(1, 30, SEED);
+    network
+        .faults
+        .split
+        .insert(DomainName::new("domain-0").unwrap());
+    network.run_for(Duration::from_secs(300));
+    assert!(!all_alive(&network));
+    network.faults.split.clear();
+    assert!(network.run_until(HEAL_LIMIT, all_alive));
+}
+
 #[test]
 fn a_replayed_frame_changes_nothing() {
     let mut network = started(30, SEED);
