--- a/crates/bench/src/overload/mod.rs
+++ b/crates/bench/src/overload/mod.rs
@@ -6,6 +6,7 @@
 //! retries without a budget and fixed delays.
 
 mod caller;
+mod cost;
 mod endpoint;
 mod managed;
 mod model;
@@ -38,4 +39,5 @@
     table::print_flood(options.seed);
     table::print_failure(options.seed);
     table::print_fleet(options.seed);
+    cost::print_costs(options.seed);
 }
--- a/crates/routing/src/cache.rs
+++ b/crates/routing/src/cache.rs
@@ -78,11 +78,14 @@
         !self.whole
     }
 
+    /// Whether a block is known to be cached.
+    pub(crate) fn knows(&self, block: &BlockHash) -> bool {
+        self.blocks.contains(block)
+    }
+
     /// Leading blocks of a prompt that are known to be cached.
     pub(crate) fn count_known(&self, prefix: &[BlockHash]) -> usize {
-        let known = prefix
-            .iter()
-            .take_while(|block| self.blocks.contains(block));
+        let known = prefix.iter().take_while(|block| self.knows(block));
         known.count()
     }
 }
--- a/crates/routing/src/queries/choose.rs
+++ b/crates/routing/src/queries/choose.rs
@@ -126,10 +126,21 @@
 
 /// Target known to hold most of the prefix.
 fn pick_cached(query: &RouteQuery, open: &[&TargetState]) -> Option<usize> {
-    let known = open
-        .iter()
-        .enumerate()
-        .map(|(index, target)| (target.cache.count_known(query.prefix), index));
-    let best = known.max_by_key(|&(known, _)| known)?;
-    (best.0 > 0).then_some(best.1)
+    let mut best = None;
+    let mut most = 0;
+    for (index, target) in open.iter().enumerate() {
+        // Only a target that knows the next block can have more of them.
+        let Some(next) = query.prefix.get(most) else {
+            break;
+        };
+        if !target.cache.knows(next) {
+            continue;
+        }
+        let known = target.cache.count_known(query.prefix);
+        if known > most {
+            most = known;
+            best = Some(index);
+        }
+    }
+    best
 }
