Let a controller hear the members of a domain whose lease is free

Cause: a controller asked only the hosts of fabric domains that it owned, and takes no lease while most members are silent to it (is_blind). So nobody ever took over from a killed owner: after 90 s the record still named it (seen in another_controller_takes_over_from_a_killed_one). Ruled out: a lease that was not seen to run out (free_at had passed), and the record not being read. Change: hosts are asked by whoever holds the lease or may take it. It fails without '|| self.may_acquire(now)' in needs_reports.

--- a/crates/controller/src/commands/watch.rs
+++ b/crates/controller/src/commands/watch.rs
@@ -26,8 +26,8 @@
 
 /// Asks the hosts of exactly the fabric domains that this node owns.
 pub fn ask_owned(state: &mut ControllerState, now: ClockTime) {
-    let owned = queries::owned_hosts(state, now);
-    set_asked(&mut state.watch, owned);
+    let asked = queries::asked_hosts(state, now);
+    set_asked(&mut state.watch, asked);
 }
 
 fn observe_fabrics(
--- a/crates/controller/src/queries/hosts.rs
+++ b/crates/controller/src/queries/hosts.rs
@@ -1,4 +1,4 @@
-//! Hosts of the fabric domains that this node owns.
+//! Hosts of the fabric domains that this node owns or may take.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -8,15 +8,15 @@
 use crate::ControllerState;
 
 /// Hosts whose reports this node needs, with the addresses of their engines.
-pub(crate) fn owned_hosts(
+pub(crate) fn asked_hosts(
     state: &ControllerState,
     now: ClockTime,
 ) -> BTreeMap<HostName, SocketAddr> {
-    let owned = state
+    let asked = state
         .fabrics
         .values()
-        .filter(|fabric| fabric.holds_lease(now));
-    let hosts = owned.flat_map(|fabric| fabric.hosts().values());
+        .filter(|fabric| fabric.needs_reports(now));
+    let hosts = asked.flat_map(|fabric| fabric.hosts().values());
     hosts
         .map(|entry| (entry.host.clone(), entry.address))
         .collect()
--- a/crates/controller/src/queries/mod.rs
+++ b/crates/controller/src/queries/mod.rs
@@ -6,6 +6,6 @@
 mod status;
 
 pub use deadline::next_deadline;
-pub(crate) use hosts::{has_released, owned_hosts};
+pub(crate) use hosts::{asked_hosts, has_released};
 pub(crate) use spread::spread;
 pub use status::{ControllerStatus, FabricStatus, describe};
--- a/crates/groups/src/state.rs
+++ b/crates/groups/src/state.rs
@@ -94,6 +94,14 @@
         self.own.as_ref().is_some_and(|own| now < own.valid_until)
     }
 
+    /// Whether this node decides by what the hosts answer.
+    ///
+    /// Besides the holder that is whoever may take a free lease: it takes none
+    /// before it has heard the members.
+    pub fn needs_reports(&self, now: ClockTime) -> bool {
+        !self.stopping && (self.holds_lease(now) || self.may_acquire(now))
+    }
+
     /// Whether a graceful stop has given the lease back or never held it.
     pub fn has_released(&self, now: ClockTime) -> bool {
         self.stopping && !self.holds_lease(now)
