Recognise an own write by its whole record

Two nodes with the same seed draw the same nonces, and one took the other's claim for its own: both held the lease. The record that was sent, holder and process included, must now match. Fails when only the nonces are compared (nodes_with_the_same_seed_do_not_take_each_other_for_themselves).

--- a/crates/groups/src/commands/lease.rs
+++ b/crates/groups/src/commands/lease.rs
@@ -16,7 +16,7 @@
         let sent_at = self
             .writes
             .iter()
-            .find(|write| write.record.nonce == record.nonce)
+            .find(|write| write.record == record)
             .map(|write| write.sent_at);
         self.writes.retain(|write| write.expected >= version);
         self.version = Some(version);
--- a/crates/groups/tests/lease.rs
+++ b/crates/groups/tests/lease.rs
@@ -297,3 +297,25 @@
     assert!(world.serving(0).is_empty(), "answers older than they count");
     assert!(world.members()[0].contains(&host(0)));
 }
+
+#[test]
+fn nodes_with_the_same_seed_do_not_take_each_other_for_themselves() {
+    let now = ClockTime::from_millis(1_000);
+    let state = |name: &str| {
+        let node = NodeName::new(name).unwrap();
+        FabricState::new(fabric(), node, 1, GroupSettings::default(), 5)
+    };
+    let mut nodes = [state("n1"), state("n2")];
+    let claims = nodes.each_mut().map(|node| {
+        node.observe_record(None, now);
+        node.tick(now)
+    });
+    let [FabricEffect::Write { record, .. }] = claims[0].as_slice() else {
+        panic!("no claim: {claims:?}");
+    };
+    for node in &mut nodes {
+        node.observe_record(Some((record.clone(), ObjectVersion(1))), now);
+    }
+    assert!(nodes[0].holds_lease(now));
+    assert!(!nodes[1].holds_lease(now));
+}
