Keep the once-only keys of a workspace's callers apart

Cause: a start mark was found by workspace, service and key, so two callers of one workspace that chose the same key for the same body would share one answer: "never another caller's" did not hold.

Ruled out: the caller in the request digest (the second caller would be refused for reusing a key that it never used).

Change: the caller is part of the key, its stored form, the shard's hash and the size bound. Devices of one caller still share outcomes.

--- a/crates/bench/src/ledger/model.rs
+++ b/crates/bench/src/ledger/model.rs
@@ -332,6 +332,7 @@
     let request = format!("3f1c9a52-{:08x}-{:016x}", call.0, call.0);
     MarkKey {
         workspace: WorkspaceName::new("fogas-budapest").expect("the name is short"),
+        caller: CallerName::new("desk").expect("the name is short"),
         service: ServiceName::new("foglalas").expect("the name is short"),
         request: RequestKey::new(&request).expect("the key is short"),
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -154,6 +154,7 @@
 pub(crate) struct CallState {
     pub arrival: CallArrival,
     pub workspace: WorkspaceName,
+    pub caller: CallerName,
     pub repeat: limits::CallRepeat,
     pub deadline: ClockTime,
     pub arrived_at: ClockTime,
--- a/crates/gateway/src/commands/calls.rs
+++ b/crates/gateway/src/commands/calls.rs
@@ -28,13 +28,17 @@
     };
     let ticket = make_ticket(&arrival, &entitlement, now);
     let Entitlement {
-        workspace, repeat, ..
+        workspace,
+        caller,
+        repeat,
+        ..
     } = entitlement;
     limits::commands::record_request(&mut state.budget, &arrival.service, now);
     state.calls.insert(
         call,
         CallState {
             workspace,
+            caller,
             repeat,
             deadline: ticket.deadline,
             arrived_at: now,
@@ -94,6 +98,7 @@
         call: call.arrival.call,
         key: MarkKey {
             workspace: call.workspace.clone(),
+            caller: call.caller.clone(),
             service: call.arrival.service.clone(),
             request: call.arrival.key.clone()?,
         },
--- a/crates/gateway/src/queries/authorize.rs
+++ b/crates/gateway/src/queries/authorize.rs
@@ -12,6 +12,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Entitlement {
     pub workspace: WorkspaceName,
+    pub caller: CallerName,
     pub repeat: CallRepeat,
     pub timeout: Duration,
 }
@@ -25,7 +26,7 @@
     arrival: &CallArrival,
 ) -> Result<Entitlement, RefusalCause> {
     let in_force = &state.watch.config.in_force;
-    let (workspace, _) = in_force
+    let (workspace, caller) = in_force
         .callers
         .find(arrival.digest)
         .ok_or(RefusalCause::UnknownKey)?;
@@ -50,6 +51,7 @@
     }
     Ok(Entitlement {
         workspace: workspace.clone(),
+        caller: caller.clone(),
         repeat,
         timeout: service.timeout,
     })
--- a/crates/ledger/src/key.rs
+++ b/crates/ledger/src/key.rs
@@ -13,6 +13,8 @@
 pub struct MarkKey {
     /// Workspace of the caller.
     pub workspace: WorkspaceName,
+    /// Caller; another caller's key of the same text is another call's.
+    pub caller: CallerName,
     /// Service that is called.
     pub service: ServiceName,
     /// Idempotency key of the request.
@@ -65,6 +67,7 @@
         let mut hasher = XxHash64::with_seed(0);
         for part in [
             key.workspace.as_str(),
+            key.caller.as_str(),
             key.service.as_str(),
             key.request.as_str(),
         ] {
--- a/crates/ledger/src/queries/size.rs
+++ b/crates/ledger/src/queries/size.rs
@@ -26,6 +26,7 @@
     pub fn size_bound(&self, key: &MarkKey) -> usize {
         let names = [
             key.workspace.as_str(),
+            key.caller.as_str(),
             key.service.as_str(),
             key.request.as_str(),
             self.attempt.node.as_str(),
--- a/crates/ledger/src/wire.rs
+++ b/crates/ledger/src/wire.rs
@@ -70,6 +70,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct MarkWire {
     workspace: WorkspaceName,
+    caller: CallerName,
     service: ServiceName,
     request: RequestKey,
     node: NodeName,
@@ -127,6 +128,7 @@
     fn from((key, mark): (&MarkKey, &MarkRecord)) -> Self {
         Self {
             workspace: key.workspace.clone(),
+            caller: key.caller.clone(),
             service: key.service.clone(),
             request: key.request.clone(),
             node: mark.attempt.node.clone(),
@@ -143,6 +145,7 @@
     fn into_entry(self) -> Result<(MarkKey, MarkRecord), LedgerError> {
         let key = MarkKey {
             workspace: self.workspace,
+            caller: self.caller,
             service: self.service,
             request: self.request,
         };
--- a/crates/ledger/tests/basic.rs
+++ b/crates/ledger/tests/basic.rs
@@ -9,6 +9,7 @@
         call: CallId(call),
         key: MarkKey {
             workspace: WorkspaceName::new("fogas").unwrap(),
+            caller: CallerName::new("desk").unwrap(),
             service: ServiceName::new("foglalas").unwrap(),
             request: RequestKey::new("charge-1").unwrap(),
         },
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -73,6 +73,7 @@
 pub fn key(name: &str) -> MarkKey {
     MarkKey {
         workspace: WorkspaceName::new("kalinga").unwrap(),
+        caller: CallerName::new("desk").unwrap(),
         service: ServiceName::new("orders-app").unwrap(),
         request: RequestKey::new(name).unwrap(),
     }
--- a/crates/ledger/tests/wire.rs
+++ b/crates/ledger/tests/wire.rs
@@ -27,6 +27,7 @@
 fn shard(mark: MarkRecord) -> ShardRecord {
     let key = MarkKey {
         workspace: WorkspaceName::new("w").unwrap(),
+        caller: CallerName::new("desk").unwrap(),
         service: ServiceName::new("s").unwrap(),
         request: RequestKey::new("r").unwrap(),
     };
@@ -68,6 +69,7 @@
     running.phase = MarkPhase::Running;
     let keys = (0..100).map(|call| MarkKey {
         workspace: WorkspaceName::new("w").unwrap(),
+        caller: CallerName::new("desk").unwrap(),
         service: ServiceName::new("s").unwrap(),
         request: RequestKey::new(&format!("r{call}")).unwrap(),
     });
