--- a/crates/controller/src/commands/watch.rs
+++ b/crates/controller/src/commands/watch.rs
@@ -24,8 +24,8 @@
     }
 }
 
-/// Asks the hosts of exactly the fabric domains that this node owns.
-pub fn ask_owned(state: &mut ControllerState, now: ClockTime) {
+/// Asks the hosts of exactly the fabric domains that this node owns or may take.
+pub fn ask_hosts(state: &mut ControllerState, now: ClockTime) {
     let asked = queries::asked_hosts(state, now);
     set_asked(&mut state.watch, asked);
 }
--- a/crates/controller/src/handler.rs
+++ b/crates/controller/src/handler.rs
@@ -41,7 +41,7 @@
     fn wake(&mut self, now: ClockTime) -> Vec<ControllerEffect> {
         let state = &mut self.0;
         let mut effects = fabrics::tick(state, now);
-        watch::ask_owned(state, now);
+        watch::ask_hosts(state, now);
         let reads = start_due(&mut state.watch, now);
         effects.extend(reads.into_iter().map(ControllerEffect::Watch));
         effects.extend(stop::advance(state, now));
--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -61,6 +61,7 @@
     async fn route(&self, request: Request<Incoming>) -> WebReply {
         match request.uri().path() {
             "/status" => self.report(),
+            "/emulator/leaving" => self.leave(),
             "/orders" => self.take_order(request.into_body()).await,
             "/v1/chat/completions" => self.generate(AnswerKind::Chat, request).await,
             "/v1/completions" => self.generate(AnswerKind::Text, request).await,
@@ -73,6 +74,11 @@
         json_reply(StatusCode::OK, &ReportWire::from(report))
     }
 
+    fn leave(&self) -> WebReply {
+        self.state.borrow_mut().leave();
+        self.report()
+    }
+
     async fn take_order(&self, body: Incoming) -> WebReply {
         let wire: OrderWire = match read_json(body).await {
             Ok(wire) => wire,
