--- a/crates/ledger/tests/basic.rs
+++ b/crates/ledger/tests/basic.rs
@@ -9,6 +9,7 @@
         call: CallId(call),
         key: MarkKey {
             workspace: WorkspaceName::new("fogas").unwrap(),
+            caller: CallerName::new("desk").unwrap(),
             service: ServiceName::new("foglalas").unwrap(),
             request: RequestKey::new("charge-1").unwrap(),
         },
@@ -105,7 +106,11 @@
     let mut second = request(2);
     second.deadline = due + Duration::from_secs(1);
     state.begin(second, due);
-    let effects = state.conclude_read(ShardId::of_key(&request(2).key, 256), found(1, vec![]), due);
+    let effects = state.conclude_read(
+        ShardId::of_key(&request(2).key, LedgerSettings::default().shard_count),
+        found(1, vec![]),
+        due,
+    );
     let record = written(&effects).unwrap();
     assert_eq!(record.marks[&request(2).key].epoch, MarkEpoch(9));
 }
