Prove late, foreign and cut answers by processes

A server that the test holds answers after the caller's time or with another request's identifier; relays before the engines cut a stream inside a token.

--- a/crates/bronzerun/tests/processes/main.rs
+++ b/crates/bronzerun/tests/processes/main.rs
@@ -3,6 +3,7 @@
 //! Each test starts a fleet of its own on ports that the kernel chooses and
 //! keeps its logs under the build folder's `tmp`.
 
+mod answers;
 mod calls;
 mod configuration;
 mod groups;
--- a/crates/bronzerun/tests/processes/support/fleet.rs
+++ b/crates/bronzerun/tests/processes/support/fleet.rs
@@ -7,7 +7,7 @@
 use document::KeyDigest;
 use serde_json::{Value, json};
 
-use super::{Caller, Process, Web, wait_for, wait_until};
+use super::{Caller, Process, Relay, Web, wait_for, wait_until};
 
 /// API key of the fleet's caller.
 pub const API_KEY: &str = "fleet-key";
@@ -35,6 +35,8 @@
     pub token_ms: u64,
     /// Time of a plain call in milliseconds.
     pub call_ms: u64,
+    /// Whether the engines are reached through relays.
+    pub relayed: bool,
 }
 
 impl Default for FleetShape {
@@ -48,6 +50,7 @@
             controllers: 1,
             token_ms: 20,
             call_ms: 5,
+            relayed: false,
         }
     }
 }
@@ -101,6 +104,8 @@
     pub gateways: Vec<Node>,
     /// Controllers.
     pub controllers: Vec<Node>,
+    /// Relays before the engines, if there are any.
+    pub relays: Vec<Relay>,
 }
 
 impl Fleet {
@@ -118,10 +123,14 @@
             servers: Vec::new(),
             gateways: Vec::new(),
             controllers: Vec::new(),
+            relays: Vec::new(),
         };
         fleet.put_section("models", &models_text(shape.groups), 0);
         fleet.put_section("weddings", &weddings_text("chat, foglalas"), 0);
         fleet.start_hosts(shape);
+        if shape.relayed {
+            fleet.relay_engines();
+        }
         for index in 1..=shape.controllers {
             fleet.start_controller(&format!("entry-{index}"));
         }
@@ -129,6 +138,9 @@
         for index in 1..=shape.gateways {
             fleet.start_gateway(&format!("entry-{index}"), &platform);
         }
+        if shape.fabrics + shape.servers == 0 {
+            return fleet;
+        }
         for index in 0..fleet.gateways.len() {
             fleet.wait_ready(index);
             fleet.wait_serving(index, shape.groups);
@@ -158,6 +170,16 @@
         }
     }
 
+    fn relay_engines(&mut self) {
+        for index in 0..self.engines.len() {
+            let relay = Relay::start(&self.engines[index].process.address("listen"));
+            let mut entry = self.listed(&self.engines[index].name);
+            entry["address"] = json!(relay.address);
+            self.list_host(&entry);
+            self.relays.push(relay);
+        }
+    }
+
     fn start_host(&self, host: &str, domain: &str, line: &[&str]) -> Node {
         let platform = self.platform.address("listen");
         let named = ["--host", host, "--domain", domain, "--platform", &platform];
@@ -225,14 +247,24 @@
 
     /// Puts a listed host on the list as leaving.
     pub fn list_leaving(&self, host: &str) {
+        let mut entry = self.listed(host);
+        entry["leaving"] = json!(true);
+        self.list_host(&entry);
+    }
+
+    /// Puts a host on the platform's list.
+    pub fn list_host(&self, entry: &Value) {
+        let platform = self.platform.address("listen");
+        let path = format!("/emulator/hosts/{}", entry["host"].as_str().unwrap());
+        self.web.put_json(&platform, &path, entry);
+    }
+
+    fn listed(&self, host: &str) -> Value {
         let platform = self.platform.address("listen");
         let list = self.web.get_json(&platform, "/v1/hosts");
         let hosts = list["hosts"].as_array().unwrap();
         let found = hosts.iter().find(|entry| entry["host"] == host);
-        let mut entry = found.unwrap().clone();
-        entry["leaving"] = json!(true);
-        let path = format!("/emulator/hosts/{host}");
-        self.web.put_json(&platform, &path, &entry);
+        found.unwrap().clone()
     }
 
     /// Caller of a gateway.
--- a/crates/bronzerun/tests/processes/support/mod.rs
+++ b/crates/bronzerun/tests/processes/support/mod.rs
@@ -1,11 +1,13 @@
 //! A fleet of processes, callers, and what can go wrong between them.
 
 mod caller;
+mod endpoint;
 mod fleet;
 mod process;
 mod relay;
 
 pub use caller::{Caller, Reply, RunningStream, Web, expected_text};
+pub use endpoint::Endpoint;
 pub use fleet::{API_KEY, Fleet, FleetShape, GroupView, weddings_text};
 pub use process::Process;
 pub use relay::Relay;
