Split a target's slots between gateways, and take entries back

Entries of daemons that stopped stayed in the store, and `bronzerun watch` waited for them.

Ruled out: the count of nodes in the settings (each replacement of hosts would need an edit on all others).

Change: each gateway counts the entries of gateways every 10 s and works out its part at each report; a daemon that stops takes its entry back. An entry that a killed node leaves makes the others leave its part unused.

--- a/crates/controller/src/border/carrier.rs
+++ b/crates/controller/src/border/carrier.rs
@@ -7,7 +7,7 @@
 use futures_channel::mpsc::UnboundedSender;
 use groups::{FabricEffect, FabricRecord, FabricWire, HostOrder};
 use platform::keys::fabric_key;
-use platform::{OrderOutcome, read_fabric};
+use platform::{NodeEntry, OrderOutcome, read_fabric};
 use store::ObjectChange;
 use watch::{WatchBorder, WatchPorts};
 
@@ -20,6 +20,7 @@
     watch: WatchBorder<ControllerEvent>,
     events: UnboundedSender<ControllerEvent>,
     desk: ControllerDesk,
+    entry: NodeEntry,
 }
 
 impl ControllerBorder {
@@ -29,12 +30,14 @@
         clock: Rc<dyn ClockSource>,
         events: UnboundedSender<ControllerEvent>,
         desk: ControllerDesk,
+        entry: NodeEntry,
     ) -> Self {
         Self {
             watch: WatchBorder::new(ports.clone(), clock, events.clone()),
             ports,
             events,
             desk,
+            entry,
         }
     }
 
@@ -97,6 +100,9 @@
             ControllerEffect::Watch(read) => self.watch.carry(read),
             ControllerEffect::Fabric(effect) => self.act(effect),
             ControllerEffect::Tell { ask, status } => self.desk.tell(ask, status),
+            ControllerEffect::Withdraw => {
+                platform::withdraw(self.ports.store.clone(), self.entry.clone());
+            }
             ControllerEffect::Finish => self.events.close_channel(),
         }
     }
--- a/crates/controller/src/border/mod.rs
+++ b/crates/controller/src/border/mod.rs
@@ -54,12 +54,12 @@
         domain: settings.domain.clone(),
         admin,
     };
-    platform::announce(ports.store.clone(), clock.clone(), entry);
+    platform::announce(ports.store.clone(), clock.clone(), entry.clone());
     let desk = ControllerDesk::new(events.clone(), |ask, ()| ControllerEvent::StatusAsked {
         ask,
     });
     serve_operators(listener, desk.clone());
-    let border = ControllerBorder::new(ports, clock.clone(), events, desk);
+    let border = ControllerBorder::new(ports, clock.clone(), events, desk, entry);
     let mut handler = ControllerLoop(new_state(&settings));
     run_loop(&mut handler, inbox, clock.as_ref(), &border).await;
     Ok(())
--- a/crates/controller/src/commands/stop.rs
+++ b/crates/controller/src/commands/stop.rs
@@ -14,7 +14,8 @@
     state.stop = StopPhase::Releasing { finish_by };
     let fabrics = state.fabrics.values_mut();
     let effects = fabrics.flat_map(|fabric| fabric.release(now));
-    effects.map(ControllerEffect::Fabric).collect()
+    let effects = effects.map(ControllerEffect::Fabric);
+    effects.chain([ControllerEffect::Withdraw]).collect()
 }
 
 /// Ends the process once every lease is given back or has run out.
--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -59,6 +59,8 @@
         /// The answer.
         status: Box<ControllerStatus>,
     },
+    /// Take this daemon's entry in the store back.
+    Withdraw,
     /// End the process.
     Finish,
 }
--- a/crates/gateway/src/border/carrier.rs
+++ b/crates/gateway/src/border/carrier.rs
@@ -11,6 +11,7 @@
     decode_shard, encode_epoch, encode_shard,
 };
 use net::{DrainSwitch, HistogramKey, HistogramSet, MetricSink};
+use platform::NodeEntry;
 use store::{ObjectChange, ObjectStore};
 use watch::{WatchBorder, WatchPorts};
 
@@ -27,6 +28,7 @@
     histograms: Rc<RefCell<HistogramSet>>,
     metrics: Rc<dyn MetricSink>,
     switch: RefCell<Option<DrainSwitch>>,
+    entry: NodeEntry,
 }
 
 impl GatewayBorder {
@@ -38,6 +40,7 @@
         desk: GatewayDesk,
         metrics: Rc<dyn MetricSink>,
         switch: DrainSwitch,
+        entry: NodeEntry,
     ) -> Self {
         Self {
             store: ports.store.clone(),
@@ -48,6 +51,7 @@
             histograms: Rc::default(),
             metrics,
             switch: RefCell::new(Some(switch)),
+            entry,
         }
     }
 
@@ -154,6 +158,7 @@
     }
 
     fn stop_accepting(&self) {
+        platform::withdraw(self.store.clone(), self.entry.clone());
         if let Some(switch) = self.switch.borrow_mut().take() {
             switch.start();
         }
--- a/crates/gateway/src/border/mod.rs
+++ b/crates/gateway/src/border/mod.rs
@@ -91,7 +91,7 @@
             domain: settings.domain.clone(),
             admin,
         };
-        platform::announce(ports.store.clone(), clock.clone(), entry);
+        platform::announce(ports.store.clone(), clock.clone(), entry.clone());
         let desk = QuestionDesk::new(events.clone(), |ask, question| GatewayEvent::Asked {
             ask,
             question,
@@ -104,6 +104,7 @@
             desk.clone(),
             metrics,
             switch,
+            entry,
         );
         Self {
             state: new_state(settings),
--- a/crates/gateway/src/commands/targets.rs
+++ b/crates/gateway/src/commands/targets.rs
@@ -2,6 +2,8 @@
 
 use base::prelude::*;
 use document::ServiceKind;
+use limits::SlotView;
+use routing::queries::sum_load;
 use routing::{LoadSample, TargetId, TargetSpec};
 
 use super::queue;
@@ -62,9 +64,37 @@
     specs: Vec<TargetSpec>,
     now: ClockTime,
 ) -> Vec<GatewayEffect> {
-    let slots = specs.iter().map(|spec| spec.slots).sum();
-    routing::commands::set_targets(state.route_of(service), specs, now);
-    let change = limits::commands::set_capacity(&mut state.admission, service, slots, now);
+    let nodes = state.watch.nodes;
+    let route = state.route_of(service);
+    routing::commands::set_nodes(route, nodes);
+    routing::commands::set_targets(route, specs, now);
+    share_slots(state, service, now)
+}
+
+/// Works out anew which part of every service's slots is this node's.
+pub fn share_all(state: &mut GatewayState, now: ClockTime) -> Vec<GatewayEffect> {
+    let services: Vec<ServiceName> = state.routes.keys().cloned().collect();
+    let shares = services.iter();
+    shares
+        .flat_map(|service| share_slots(state, service, now))
+        .collect()
+}
+
+fn share_slots(
+    state: &mut GatewayState,
+    service: &ServiceName,
+    now: ClockTime,
+) -> Vec<GatewayEffect> {
+    let nodes = state.watch.nodes;
+    let load = sum_load(state.route_of(service));
+    let view = SlotView {
+        slots: load.slots,
+        reported_slots: load.reported_slots,
+        reported_calls: load.reported_calls,
+        own: load.own,
+        nodes,
+    };
+    let change = limits::commands::share_capacity(&mut state.admission, service, view, now);
     queue::apply_change(state, change, now)
 }
 
--- a/crates/gateway/src/commands/watch.rs
+++ b/crates/gateway/src/commands/watch.rs
@@ -15,7 +15,7 @@
         WatchChange::Nothing => Vec::new(),
         WatchChange::Configuration => apply_configuration(state, now),
         WatchChange::Fabrics(records) => observe_fabrics(state, records, now),
-        WatchChange::Hosts => targets::refresh(state, now),
+        WatchChange::Hosts | WatchChange::Nodes => targets::refresh(state, now),
         WatchChange::Report { report, asked_at } => observe_report(state, report, asked_at, now),
     }
 }
@@ -80,6 +80,6 @@
     if changed {
         targets::refresh(state, now)
     } else {
-        Vec::new()
+        targets::share_all(state, now)
     }
 }
--- a/crates/platform/src/announce.rs
+++ b/crates/platform/src/announce.rs
@@ -20,6 +20,21 @@
     });
 }
 
+/// Takes a daemon's entry back, once and in the background.
+///
+/// An entry that stays because the store gives no answer makes the other
+/// gateways leave its part of the slots unused, and nothing worse.
+pub fn withdraw(store: Rc<dyn ObjectStore>, entry: NodeEntry) {
+    monoio::spawn(async move {
+        let key = node_key(&entry.node, entry.role);
+        if let ReadOutcome::Found(object) = store.read(&key).await
+            && object.value == entry.encode()
+        {
+            store.remove(&key, object.version).await;
+        }
+    });
+}
+
 async fn enter(store: &dyn ObjectStore, entry: &NodeEntry) -> bool {
     let key = node_key(&entry.node, entry.role);
     let value = entry.encode();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod status;
 pub mod wire;
 
-pub use announce::announce;
+pub use announce::{announce, withdraw};
 pub use drains::{DrainList, DrainsWire};
 pub use engine::{EnginePort, HttpEngines, OrderOutcome, ReportOutcome};
 pub use hosts::{HostDirectory, HostEntry, HostsOutcome, HttpHostDirectory, Presence};
@@ -24,5 +24,6 @@
 };
 pub use objects::HttpObjectStore;
 pub use reads::{
-    FabricRead, read_drains, read_fabric, read_fabrics, read_good_sections, watch_document,
+    FabricRead, count_gateways, read_drains, read_fabric, read_fabrics, read_good_sections,
+    watch_document,
 };
--- a/crates/platform/src/reads.rs
+++ b/crates/platform/src/reads.rs
@@ -5,8 +5,10 @@
 use groups::{FabricRecord, FabricWire};
 use store::{ListOutcome, ObjectStore, ReadOutcome, StoredObject};
 
-use crate::DrainList;
-use crate::keys::{FABRIC_PREFIX, document_key, drains_key, fabric_key, good_sections_key};
+use crate::keys::{
+    FABRIC_PREFIX, NODE_PREFIX, document_key, drains_key, fabric_key, good_sections_key,
+};
+use crate::{DrainList, NodeEntry, NodeRole};
 
 /// Fabric domain's record with its version; none where it has never been written.
 pub type FabricRead = Option<(FabricRecord, ObjectVersion)>;
@@ -70,6 +72,18 @@
     }
 }
 
+/// Counts the nodes that entered a gateway; `None` if there is no answer.
+pub async fn count_gateways(store: &dyn ObjectStore) -> Option<usize> {
+    let ListOutcome::Found(objects) = store.list(NODE_PREFIX).await else {
+        return None;
+    };
+    let entries = objects
+        .iter()
+        .filter_map(|object| NodeEntry::decode(&object.value));
+    let gateways = entries.filter(|entry| entry.role == NodeRole::Gateway);
+    Some(gateways.count())
+}
+
 fn decode_fabric(object: &StoredObject) -> Option<(FabricRecord, ObjectVersion)> {
     match serde_json::from_str::<FabricWire>(&object.value) {
         Ok(wire) => Some((wire.into(), object.version)),
--- a/crates/watch/src/border.rs
+++ b/crates/watch/src/border.rs
@@ -6,8 +6,8 @@
 use base::prelude::*;
 use futures_channel::mpsc::UnboundedSender;
 use platform::{
-    EnginePort, HostDirectory, HostsOutcome, ReportOutcome, read_drains, read_fabrics,
-    read_good_sections, watch_document,
+    EnginePort, HostDirectory, HostsOutcome, ReportOutcome, count_gateways, read_drains,
+    read_fabrics, read_good_sections, watch_document,
 };
 use store::ObjectStore;
 
@@ -74,6 +74,11 @@
             WatchEffect::ReadDrains => {
                 self.read(async move { WatchEvent::DrainsRead(read_drains(store.as_ref()).await) });
             }
+            WatchEffect::ReadNodes => {
+                self.read(
+                    async move { WatchEvent::NodesRead(count_gateways(store.as_ref()).await) },
+                );
+            }
             WatchEffect::ReadHosts => self.read_hosts(),
             WatchEffect::AskHost {
                 host,
--- a/crates/watch/src/commands/observe.rs
+++ b/crates/watch/src/commands/observe.rs
@@ -11,6 +11,9 @@
 /// Pause after a failed read of the document.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Interval between two counts of the nodes.
+const COUNT_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Takes in the end of a read and makes the next one due.
 pub fn observe(state: &mut WatchState, event: WatchEvent, now: ClockTime) -> WatchChange {
     let next = now + state.times.read_interval;
@@ -29,6 +32,10 @@
             state.drained.set(next);
             observe_drains(state, read)
         }
+        WatchEvent::NodesRead(read) => {
+            state.counted.set(now + COUNT_INTERVAL);
+            observe_nodes(state, read)
+        }
         WatchEvent::HostReported {
             host,
             asked_at,
@@ -101,6 +108,15 @@
     }
 }
 
+fn observe_nodes(state: &mut WatchState, read: Option<usize>) -> WatchChange {
+    let nodes = read.map_or(state.nodes, |nodes| nodes.max(1));
+    if nodes == state.nodes {
+        return WatchChange::Nothing;
+    }
+    state.nodes = nodes;
+    WatchChange::Nodes
+}
+
 /// An answer in another host's name is nobody's.
 fn observe_report(host: &HostName, asked_at: ClockTime, report: Option<HostReport>) -> WatchChange {
     match report {
--- a/crates/watch/src/commands/start.rs
+++ b/crates/watch/src/commands/start.rs
@@ -36,6 +36,7 @@
         (&mut state.fabrics, WatchEffect::ReadFabrics),
         (&mut state.listed, WatchEffect::ReadHosts),
         (&mut state.drained, WatchEffect::ReadDrains),
+        (&mut state.counted, WatchEffect::ReadNodes),
     ];
     for (timer, effect) in lists {
         if timer.take(now) {
--- a/crates/watch/src/event.rs
+++ b/crates/watch/src/event.rs
@@ -20,6 +20,8 @@
     HostsRead(Option<Vec<HostEntry>>),
     /// The hosts that operators are draining were read.
     DrainsRead(Option<DrainList>),
+    /// The nodes that run a gateway were counted.
+    NodesRead(Option<usize>),
     /// A host answered, or did not.
     HostReported {
         /// The host.
@@ -49,6 +51,8 @@
     ReadHosts,
     /// Read the hosts that operators are draining.
     ReadDrains,
+    /// Count the nodes that run a gateway.
+    ReadNodes,
     /// Ask a host for its report.
     AskHost {
         /// The host.
@@ -71,6 +75,8 @@
     Fabrics(Vec<(FabricRecord, ObjectVersion)>),
     /// The list of hosts, or which of them are drained.
     Hosts,
+    /// How many nodes run a gateway.
+    Nodes,
     /// A host's report.
     Report {
         /// What it said.
--- a/crates/watch/src/queries/deadline.rs
+++ b/crates/watch/src/queries/deadline.rs
@@ -12,6 +12,7 @@
         state.fabrics,
         state.listed,
         state.drained,
+        state.counted,
     ];
     let reads = timers.iter().filter_map(DueTimer::due);
     let questions = state.questions.values().map(|question| question.ask_at);
--- a/crates/watch/src/state.rs
+++ b/crates/watch/src/state.rs
@@ -27,12 +27,15 @@
     pub hosts: BTreeMap<HostName, HostEntry>,
     /// Hosts that operators are draining.
     pub drains: DrainList,
+    /// Nodes that run a gateway, as far as is known; at least one.
+    pub nodes: usize,
     pub(crate) times: WatchTimes,
     pub(crate) document: DueTimer,
     pub(crate) good_sections: DueTimer,
     pub(crate) fabrics: DueTimer,
     pub(crate) listed: DueTimer,
     pub(crate) drained: DueTimer,
+    pub(crate) counted: DueTimer,
     pub(crate) questions: BTreeMap<HostName, HostQuestion>,
 }
 
@@ -51,12 +54,14 @@
             config: ConfigState::default(),
             hosts: BTreeMap::new(),
             drains: DrainList::default(),
+            nodes: 1,
             times,
             document: start,
             good_sections: DueTimer::default(),
             fabrics: start,
             listed: start,
             drained: start,
+            counted: start,
             questions: BTreeMap::new(),
         }
     }
