--- a/crates/bronzerun/tests/cli.rs
+++ b/crates/bronzerun/tests/cli.rs
@@ -40,11 +40,12 @@
     insta::assert_snapshot!(report);
 }
 
-/// Text between the first YAML fence of the operators' page and its end.
+/// Document of the operators' page.
 fn page_example() -> &'static str {
     let page = include_str!("../../../docs/OPERATORS.md");
-    let (_, rest) = page.split_once("```yaml\n").unwrap();
-    rest.split_once("```").unwrap().0
+    let mut samples = page.split("```yaml\n").skip(1);
+    let sample = samples.find(|sample| sample.starts_with("deployments:"));
+    sample.and_then(|rest| rest.split_once("```")).unwrap().0
 }
 
 #[test]
