Cover non-idempotent methods in small letters too

HTTP methods are case-sensitive, but a lenient server runs 'post /charges' as a charge. The gateway compared methods exactly, so such a call went out without a start mark and could be repeated. Paths that a server may read in two ways were covered already; methods now are too.

--- a/crates/document/src/queries/calls.rs
+++ b/crates/document/src/queries/calls.rs
@@ -18,9 +18,10 @@
     }
 }
 
-/// A path that a server may read in two ways counts as covered.
+/// A method or path that a server may read in two ways counts as covered.
 fn covers(call: &MethodPath, method: &str, path: &str) -> bool {
-    call.method.as_ref() == method && (path.starts_with(call.path.as_ref()) || is_ambiguous(path))
+    call.method.eq_ignore_ascii_case(method)
+        && (path.starts_with(call.path.as_ref()) || is_ambiguous(path))
 }
 
 fn is_ambiguous(path: &str) -> bool {
