--- a/crates/gateway/src/commands/attempts.rs
+++ b/crates/gateway/src/commands/attempts.rs
@@ -32,7 +32,7 @@
     now: ClockTime,
 ) -> Vec<GatewayEffect> {
     let Some(known) = state.calls.get(&call) else {
-        return Vec::new();
+        return conclude_late(state, call, attempt, now);
     };
     let marked = known.repeat == CallRepeat::NonIdempotent;
     match attempt {
@@ -58,6 +58,25 @@
     }
 }
 
+/// The caller was told at its deadline, but the ledger still wants the end.
+fn conclude_late(
+    state: &mut GatewayState,
+    call: CallId,
+    attempt: AttemptEnd,
+    now: ClockTime,
+) -> Vec<GatewayEffect> {
+    let effects = match attempt {
+        AttemptEnd::Recorded(answer) => {
+            let finished = FinishedCall::Answered(answer);
+            state.ledger.finish(call, finished, now)
+        }
+        AttemptEnd::Lost => state.ledger.finish(call, FinishedCall::Unknown, now),
+        AttemptEnd::NotSent => state.ledger.withdraw(call, now),
+        AttemptEnd::Answered | AttemptEnd::CallerGone => Vec::new(),
+    };
+    marks::apply(state, effects, now)
+}
+
 fn finish_marked(
     state: &mut GatewayState,
     call: CallId,
--- a/crates/gateway/src/commands/stop.rs
+++ b/crates/gateway/src/commands/stop.rs
@@ -19,16 +19,33 @@
     match state.stop {
         StopPhase::Noticing { accept_until } if accept_until <= now => {
             let finish_by = now + state.times.drain_limit;
-            state.stop = StopPhase::Draining { finish_by };
+            state.stop = StopPhase::Draining {
+                finish_by,
+                callers_gone: false,
+            };
             vec![GatewayEffect::StopAccepting]
         }
-        StopPhase::Draining { finish_by } if finish_by <= now => finish(state),
+        StopPhase::Draining { finish_by, .. } if finish_by <= now => finish(state),
+        StopPhase::Draining { callers_gone, .. } if callers_gone && is_idle(state) => finish(state),
         _ => Vec::new(),
     }
 }
 
-/// Ends the process; the callers are gone.
-pub fn finish(state: &mut GatewayState) -> Vec<GatewayEffect> {
+/// Notes that every caller's connection is closed.
+///
+/// A non-idempotent call may go on without its caller, until its end is recorded.
+pub fn note_callers_gone(state: &mut GatewayState) -> Vec<GatewayEffect> {
+    if let StopPhase::Draining { callers_gone, .. } = &mut state.stop {
+        *callers_gone = true;
+    }
+    Vec::new()
+}
+
+fn is_idle(state: &GatewayState) -> bool {
+    state.calls.is_empty() && state.ledger.unsettled_calls() == 0
+}
+
+fn finish(state: &mut GatewayState) -> Vec<GatewayEffect> {
     state.stop = StopPhase::Finished;
     vec![GatewayEffect::Finish]
 }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -16,8 +16,9 @@
     type Effect = GatewayEffect;
 
     fn handle(&mut self, event: GatewayEvent, now: ClockTime) -> Vec<GatewayEffect> {
+        let mut effects = self.expire(now);
         let state = &mut self.0;
-        let mut effects = match event {
+        let following = match event {
             GatewayEvent::CallArrived(arrival) => calls::arrive(state, arrival, now),
             GatewayEvent::AnswerBegan { call } => attempts::note_begin(state, call, now),
             GatewayEvent::AttemptEnded { call, end } => attempts::conclude(state, call, end, now),
@@ -43,8 +44,9 @@
                 vec![GatewayEffect::Tell { ask, answer }]
             }
             GatewayEvent::StopRequested => stop::request(state, now),
-            GatewayEvent::CallersGone => stop::finish(state),
+            GatewayEvent::CallersGone => stop::note_callers_gone(state),
         };
+        effects.extend(following);
         effects.extend(self.wake(now));
         effects
     }
@@ -53,9 +55,8 @@
         let state = &mut self.0;
         let reads = start_due(&mut state.watch, now);
         let mut effects: Vec<_> = reads.into_iter().map(GatewayEffect::Watch).collect();
-        effects.extend(targets::drop_expired(state, now));
-        effects.extend(queue::expire(state, now));
-        effects.extend(stop::advance(state, now));
+        effects.extend(self.expire(now));
+        effects.extend(stop::advance(&mut self.0, now));
         effects
     }
 
@@ -63,3 +64,15 @@
         next_deadline(&self.0)
     }
 }
+
+impl GatewayLoop {
+    /// Drops what is no longer true.
+    ///
+    /// An event may find a process that was paused, so this comes before it.
+    fn expire(&mut self, now: ClockTime) -> Vec<GatewayEffect> {
+        let state = &mut self.0;
+        let mut effects = targets::drop_expired(state, now);
+        effects.extend(queue::expire(state, now));
+        effects
+    }
+}
--- a/crates/gateway/src/queries/deadline.rs
+++ b/crates/gateway/src/queries/deadline.rs
@@ -11,7 +11,7 @@
     let answers = state.reports.values().map(|timed| timed.valid_until).min();
     let stop = match state.stop {
         StopPhase::Noticing { accept_until } => Some(accept_until),
-        StopPhase::Draining { finish_by } => Some(finish_by),
+        StopPhase::Draining { finish_by, .. } => Some(finish_by),
         StopPhase::Running | StopPhase::Finished => None,
     };
     let queues = limits::queries::next_deadline(&state.admission);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -59,7 +59,10 @@
     /// Unready, but still accepting.
     Noticing { accept_until: ClockTime },
     /// No longer accepting.
-    Draining { finish_by: ClockTime },
+    Draining {
+        finish_by: ClockTime,
+        callers_gone: bool,
+    },
     /// Nothing is left to do.
     Finished,
 }
--- /dev/null
+++ b/crates/gateway/tests/suite/fleet.rs
@@ -0,0 +1,147 @@
+//! Hosts, group and document around the gateways under test.
+
+use base::prelude::*;
+use document::{Document, KeyDigest, Section};
+use groups::{
+    FabricRecord, GroupPhase, GroupRecord, HostAssignment, HostReport, LoadReport, MemberPhase,
+    MemberRecord,
+};
+use platform::{HostEntry, Presence};
+
+/// Engines of the one group.
+pub const ENGINES: [&str; 2] = ["engine-1", "engine-2"];
+/// Hosts of the plain service.
+pub const SERVERS: [&str; 2] = ["server-1", "server-2"];
+/// API key of the desk of Debrecen.
+pub const DESK: &str = "debrecen-desk-key";
+/// API key of the tablet of Debrecen.
+pub const TABLET: &str = "debrecen-tablet-key";
+/// API key of the clinic of Cebu.
+pub const CLINIC: &str = "cebu-clinic-key";
+/// Model service.
+pub const LLM: &str = "fogas-llm";
+/// Plain service with non-idempotent calls.
+pub const BOOKING: &str = "foglalas";
+/// Service of another workspace.
+pub const ORDERS: &str = "orders-app";
+
+/// What the platform and the hosts would say.
+#[derive(Clone)]
+pub struct Fleet {
+    pub hosts: Vec<HostEntry>,
+    pub record: FabricRecord,
+    pub version: ObjectVersion,
+    pub reports: Vec<HostReport>,
+}
+
+impl Fleet {
+    /// Fleet in which everything serves.
+    pub fn healthy() -> Self {
+        let engines = ENGINES.iter().enumerate();
+        let engines = engines.map(|(index, host)| list_host(host, index, None));
+        let servers = SERVERS.iter().enumerate();
+        let servers = servers.map(|(index, host)| list_host(host, 10 + index, Some(BOOKING)));
+        let mut record = FabricRecord::new(FabricName::new("kozep-a-1").unwrap());
+        record.groups.push(make_group());
+        Self {
+            hosts: engines.chain(servers).collect(),
+            record,
+            version: ObjectVersion(1),
+            reports: (0..ENGINES.len()).map(report_of).collect(),
+        }
+    }
+
+    /// The one group, to be changed; the record gets a newer version.
+    pub fn edit_group(&mut self) -> &mut GroupRecord {
+        self.version = self.version.next();
+        &mut self.record.groups[0]
+    }
+
+    /// A host's entry in the list.
+    pub fn entry(&mut self, host: &str) -> &mut HostEntry {
+        let mut hosts = self.hosts.iter_mut();
+        hosts.find(|entry| entry.host.as_str() == host).unwrap()
+    }
+}
+
+fn list_host(host: &str, index: usize, service: Option<&str>) -> HostEntry {
+    HostEntry {
+        host: HostName::new(host).unwrap(),
+        address: format!("127.0.0.1:{}", 9_000 + index).parse().unwrap(),
+        domain: DomainName::new("kozep-a").unwrap(),
+        fabric: service
+            .is_none()
+            .then(|| FabricName::new("kozep-a-1").unwrap()),
+        service: service.map(|service| ServiceName::new(service).unwrap()),
+        accelerators: 8,
+        presence: Presence::Live,
+    }
+}
+
+fn make_group() -> GroupRecord {
+    let members = ENGINES
+        .iter()
+        .enumerate()
+        .map(|(index, host)| MemberRecord {
+            host: HostName::new(host).unwrap(),
+            address: format!("127.0.0.1:{}", 9_000 + index).parse().unwrap(),
+            incarnation: HostIncarnation(1),
+        });
+    GroupRecord {
+        group: GroupName::new("quotes-1").unwrap(),
+        deployment: DeploymentName::new("quotes").unwrap(),
+        model: ModelName::new("fogas-7b").unwrap(),
+        epoch: GroupEpoch(1),
+        phase: GroupPhase::Active,
+        members: members.collect(),
+    }
+}
+
+/// Report of an engine that takes its place.
+pub fn report_of(index: usize) -> HostReport {
+    HostReport {
+        host: HostName::new(ENGINES[index]).unwrap(),
+        incarnation: HostIncarnation(1),
+        assignment: Some(HostAssignment {
+            group: GroupName::new("quotes-1").unwrap(),
+            epoch: GroupEpoch(1),
+            rank: index,
+        }),
+        phase: MemberPhase::Ready,
+        model: Some(ModelName::new("fogas-7b").unwrap()),
+        load: LoadReport::default(),
+    }
+}
+
+/// Document with both workspaces.
+pub fn document() -> Arc<Document> {
+    let digest = |key| KeyDigest::of_key(key).to_hex();
+    let text = format!(
+        "deployments:\n  \
+           quotes: {{model: fogas-7b, group_size: 2, groups: 1, stream_limit: 2}}\n\
+         services:\n  \
+           {LLM}: {{deployment: quotes, timeout_ms: 30000}}\n  \
+           {BOOKING}: {{timeout_ms: 30000, plain: {{non_idempotent: ['POST /charges'], call_limit: 4}}}}\n  \
+           {ORDERS}: {{plain: {{}}}}\n\
+         workspaces:\n  \
+           debrecen:\n    \
+             services: [{LLM}, {BOOKING}]\n    \
+             callers: {{desk: {{key_sha256: {}}}, tablet: {{key_sha256: {}}}}}\n  \
+           cebu:\n    \
+             services: [{ORDERS}]\n    \
+             callers: {{clinic: {{key_sha256: {}}}}}\n",
+        digest(DESK),
+        digest(TABLET),
+        digest(CLINIC),
+    );
+    let section = Section {
+        owner: TeamName::new("platform").unwrap(),
+        revision: SectionRevision(1),
+        text: Arc::from(text),
+        edits: Default::default(),
+    };
+    let mut document = Document::default();
+    let name = SectionName::new("all").unwrap();
+    document.sections.insert(name, section);
+    Arc::new(document)
+}
--- /dev/null
+++ b/crates/gateway/tests/suite/main.rs
@@ -0,0 +1,11 @@
+//! Decisions of the gateway's loop, event by event.
+
+mod attempts;
+mod authorization;
+mod fleet;
+mod groups;
+mod harness;
+mod leaving;
+mod marks;
+mod queues;
+mod stops;
