--- a/crates/gateway/tests/suite/harness.rs
+++ b/crates/gateway/tests/suite/harness.rs
@@ -17,7 +17,7 @@
 };
 use limits::CallPriority;
 use store::{MemoryStore, ObjectChange, ObjectStore};
-use watch::{WatchEvent, WatchTimes};
+use watch::{WatchEffect, WatchEvent, WatchTimes};
 
 use crate::fleet::{DESK, Fleet, LLM, document};
 
@@ -38,6 +38,8 @@
     pub steps: Vec<(CallId, CallStep)>,
     /// Calls to the store that have not arrived there.
     pub requests: VecDeque<LedgerEffect>,
+    /// Reads that were started.
+    pub reads: Vec<WatchEffect>,
     pub stopped_accepting: bool,
     pub finished: bool,
     next_call: CallId,
@@ -120,6 +122,7 @@
             store,
             steps: Vec::new(),
             requests: VecDeque::new(),
+            reads: Vec::new(),
             stopped_accepting: false,
             finished: false,
             next_call: CallId(0),
@@ -146,9 +149,8 @@
                 GatewayEffect::Ledger(request) => self.requests.push_back(request),
                 GatewayEffect::StopAccepting => self.stopped_accepting = true,
                 GatewayEffect::Finish => self.finished = true,
-                GatewayEffect::Watch(_)
-                | GatewayEffect::Tell { .. }
-                | GatewayEffect::Measure(_) => {}
+                GatewayEffect::Watch(read) => self.reads.push(read),
+                GatewayEffect::Tell { .. } | GatewayEffect::Measure(_) => {}
             }
         }
     }
@@ -197,9 +199,14 @@
         self.handle(GatewayEvent::Watch(event));
     }
 
+    /// Number of the call that comes in next.
+    pub fn next_call(&self) -> CallId {
+        self.next_call.next()
+    }
+
     /// A call comes in.
     pub fn call(&mut self, arrival: CallArrival) -> CallId {
-        let call = self.next_call.next();
+        let call = self.next_call();
         self.next_call = call;
         self.handle(GatewayEvent::CallArrived(CallArrival { call, ..arrival }));
         call
--- a/crates/gateway/tests/suite/marks.rs
+++ b/crates/gateway/tests/suite/marks.rs
@@ -82,6 +82,7 @@
     let call = harness.call(charge("k1"));
     harness.settle(MOMENT);
     harness.end(call, AttemptEnd::CallerGone);
+    assert!(matches!(harness.last_step(call), Some(CallStep::Send(_))));
     harness.end(call, AttemptEnd::Recorded(recorded("charged")));
     harness.settle(MOMENT);
     let again = harness.call(charge("k1"));
