Prove the callers' interface with a published client library

async-openai 0.43 asks a gateway among separate processes for models, a whole answer, a streamed one and with an unknown key; only its base address and key are set. The test stands beside the others that start processes and shares their fleet, so one binary links it rather than two.

--- a/crates/bronzerun/tests/processes/main.rs
+++ b/crates/bronzerun/tests/processes/main.rs
@@ -4,6 +4,7 @@
 //! keeps its logs under the build folder's `tmp`.
 
 mod calls;
+mod client;
 mod configuration;
 mod groups;
 mod leaving;
