--- a/crates/bronzerun/tests/processes/answers.rs
+++ b/crates/bronzerun/tests/processes/answers.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 
-use crate::support::{Endpoint, Fleet, FleetShape, wait_until};
+use crate::support::{API_KEY, Endpoint, Fleet, FleetShape, wait_until};
 
 /// Time that a call gives its endpoint, in milliseconds.
 const SHORT_MS: &str = "300";
@@ -66,6 +66,19 @@
     assert_eq!(reply.run(), "unknown");
 }
 
+#[test]
+fn an_endpoint_sees_no_key_and_no_header_of_the_gateways_own() {
+    let (fleet, endpoint) = start_held("own-headers");
+    let headers = [("x-bronzerun-group", "forged"), ("x-passed", "on")];
+    let caller = fleet.caller(0);
+    let reply = caller.call("GET", "/services/foglalas/x", &headers, "");
+    assert_eq!(reply.status, 200, "{reply:?}");
+    let seen = endpoint.headers();
+    assert!(seen.iter().any(|line| line == "x-passed: on"), "{seen:?}");
+    let hidden = |line: &String| !line.contains(API_KEY) && !line.contains("forged");
+    assert!(seen.iter().all(hidden), "{seen:?}");
+}
+
 #[test]
 fn a_stream_cut_inside_a_token_goes_on_whole() {
     let shape = FleetShape {
--- a/crates/bronzerun/tests/processes/groups.rs
+++ b/crates/bronzerun/tests/processes/groups.rs
@@ -6,7 +6,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::support::{Fleet, FleetShape, GroupView, RunningStream, Web, wait_for, wait_until};
 
@@ -111,6 +111,26 @@
     fleet.wait_serving(0, 2);
 }
 
+#[test]
+fn a_member_lost_during_an_outage_of_the_store_cuts_no_answer() {
+    let mut fleet = Fleet::start("member-killed-store-down", FleetShape::default());
+    let (streams, group) = start_streams(&mut fleet, 4);
+    fleet.set_faults(&json!({"down": true}));
+    fleet.engine(&group.hosts[1]).kill();
+    wait_until("the group no longer serves", || {
+        !fleet.serving(0).contains(&group.name)
+    });
+    expect_whole(streams);
+    let caller = fleet.caller(0);
+    caller.stream("chat", "during", 9).expect_whole("during", 9);
+    fleet.set_faults(&json!({}));
+    wait_until("the controller repairs the group", || {
+        let groups = fleet.groups();
+        groups.len() == 2 && !groups.contains(&group)
+    });
+    fleet.wait_serving(0, 2);
+}
+
 #[test]
 fn all_streams_of_a_full_group_go_on_elsewhere() {
     let mut fleet = Fleet::start("many-streams", FleetShape::default());
--- a/crates/bronzerun/tests/processes/once.rs
+++ b/crates/bronzerun/tests/processes/once.rs
@@ -1,10 +1,12 @@
 //! Calls that may run only once, and what their callers are told.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 
 use serde_json::json;
 
-use crate::support::{Caller, Fleet, FleetShape, Reply, wait_for, wait_until};
+use crate::support::{API_KEY, Caller, Fleet, FleetShape, Reply, wait_for, wait_until};
 
 const CHARGE: &str = "/services/foglalas/charges";
 /// Times that another gateway is asked for an outcome.
@@ -107,6 +109,23 @@
     assert_eq!(runs, json!([]), "the other server ran it too");
 }
 
+#[test]
+fn a_caller_that_left_finds_the_answer_later() {
+    let fleet = Fleet::start("caller-left", FleetShape::plain(2, 2, 1_000));
+    let gateway = fleet.gateways[0].process.address("callers");
+    let mut connection = TcpStream::connect(gateway).unwrap();
+    let request = format!(
+        "POST {CHARGE} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {API_KEY}\r\n\
+         idempotency-key: k\r\ncontent-length: 1\r\n\r\nk"
+    );
+    connection.write_all(request.as_bytes()).unwrap();
+    wait_until("the charge runs", || fleet.run_count("k") == 1);
+    drop(connection);
+    let reply = charge_until_settled(&fleet.caller(1), "k");
+    assert_eq!(reply.status, 200, "{reply:?}");
+    assert_eq!(fleet.run_count("k"), 1);
+}
+
 #[test]
 fn nothing_runs_once_the_store_is_down() {
     let fleet = Fleet::start("store-down", FleetShape::plain(2, 2, 5));
--- a/crates/bronzerun/tests/processes/support/endpoint.rs
+++ b/crates/bronzerun/tests/processes/support/endpoint.rs
@@ -18,6 +18,7 @@
     delay: Duration,
     identifier: Option<&'static str>,
     answers: usize,
+    headers: Vec<String>,
 }
 
 impl Endpoint {
@@ -46,6 +47,11 @@
         self.state.lock().unwrap().identifier = Some(identifier);
     }
 
+    /// Header lines that came.
+    pub fn headers(&self) -> Vec<String> {
+        self.state.lock().unwrap().headers.clone()
+    }
+
     /// Answers sent.
     pub fn answers(&self) -> usize {
         self.state.lock().unwrap().answers
@@ -61,7 +67,8 @@
             .iter()
             .find_map(|line| line.strip_prefix("x-request-id: "));
         let (delay, identifier) = {
-            let state = state.lock().unwrap();
+            let mut state = state.lock().unwrap();
+            state.headers.extend_from_slice(&headers);
             (state.delay, state.identifier)
         };
         thread::sleep(delay);
