--- a/crates/bronzerun/tests/processes/main.rs
+++ b/crates/bronzerun/tests/processes/main.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod calls;
+mod client;
 mod configuration;
 mod groups;
 mod leaving;
