Give the processes of the tests a shorter drain limit

Since a gateway waits for the record of a charge before it ends, one stopped while the store is down ends at its drain limit, 120 s by default, and the test waits for 90 s (seen: 'waited in vain: the end of a process', once in the full run after the merge and again alone). The limit is 30 s in the tests; what they check is the same. The five tests of stops pass in 37.5 s.

--- a/crates/bronzerun/tests/processes/support/fleet.rs
+++ b/crates/bronzerun/tests/processes/support/fleet.rs
@@ -421,6 +421,7 @@
          \x20 report_validity_ms: 1500\n\
          \x20 silence_limit_ms: 3000\n\
          \x20 balancer_notice_ms: 1000\n\
+         \x20 drain_limit_ms: 30000\n\
          \x20 client_timeout_ms: 5000\n\
          \x20 body_limit_bytes: 65536\n\
          controller:\n\
