Run the peer layer in the gateways

A gateway that could not reach the platform's store heard of nothing, and one restarted in an outage stayed unready, although the others held the document and the fabric domains' records.

Reads of their own for the peer layer were ruled out: each gateway watches the document and reads the fabric domains anyway, so the layer learns what these say and costs the store no call. Settings take an optional gateway.peers; without it nothing changes. An item's body is encoded anew from the model so that all nodes come to the same digest; proven items pass the same floors as the store's.

--- a/crates/bronzerun/src/daemon.rs
+++ b/crates/bronzerun/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use gateway::GatewayAddresses;
 use serde_json::json;
 use settings::{HostSettings, parse_settings};
 
@@ -24,9 +25,7 @@
 /// Runs the gateway until it is told to stop.
 pub fn run_gateway() -> ExitCode {
     run_daemon(|settings| {
-        let gateway = gateway::run(settings, |callers, admin| {
-            announce(&json!({"callers": callers, "admin": admin}));
-        });
+        let gateway = gateway::run(settings, announce_gateway);
         Ok(net::block_on(gateway)??)
     })
 }
@@ -64,6 +63,19 @@
     run(settings)
 }
 
+fn announce_gateway(addresses: GatewayAddresses) {
+    let GatewayAddresses {
+        callers,
+        admin,
+        peers,
+    } = addresses;
+    let mut line = json!({"callers": callers, "admin": admin});
+    if let Some(peers) = peers {
+        line["peers"] = json!(peers);
+    }
+    announce(&line);
+}
+
 /// Prints where a daemon listens, for whoever started it on ports of the kernel's choice.
 pub(crate) fn announce(addresses: &serde_json::Value) {
     println!("{addresses}");
--- a/crates/bronzerun/src/demo.rs
+++ b/crates/bronzerun/src/demo.rs
@@ -68,9 +68,10 @@
     let (platform, standin) = start_fleet(options.platform, &demo_plan()?, &drain)?;
     standin.put_object(&document_key(), &demo_document()?.encode());
     let settings = demo_settings(options, platform)?;
-    let gateway = gateway::run(settings.clone(), |callers, admin| {
+    let gateway = gateway::run(settings.clone(), |addresses| {
         let addresses = serde_json::json!({
-            "callers": callers, "admin": admin, "platform": platform, "key": DEMO_KEY,
+            "callers": addresses.callers, "admin": addresses.admin,
+            "platform": platform, "key": DEMO_KEY,
         });
         announce(&addresses);
     });
--- a/crates/bronzerun/tests/processes/main.rs
+++ b/crates/bronzerun/tests/processes/main.rs
@@ -9,6 +9,7 @@
 mod groups;
 mod leaving;
 mod once;
+mod peers;
 mod process;
 mod stops;
 mod support;
--- a/crates/bronzerun/tests/processes/support/fleet.rs
+++ b/crates/bronzerun/tests/processes/support/fleet.rs
@@ -214,9 +214,25 @@
         self.gateways.push(process);
     }
 
+    /// Starts a gateway that asks other gateways first.
+    pub fn start_peer(&self, node: &str, seeds: &[String]) -> Node {
+        let platform = self.platform.address("listen");
+        let peers = format!(
+            "\x20 peers: {{listen: 127.0.0.1:0, seeds: [{}], region: region-1}}\ncontroller:\n",
+            seeds.join(", "),
+        );
+        let text = settings_text(node, &platform).replace("controller:\n", &peers);
+        let program = env!("CARGO_BIN_EXE_bronzerun-gateway");
+        self.start_with(program, &format!("{node}-gateway"), node, &text)
+    }
+
     fn start_daemon(&self, program: &str, name: &str, node: &str, platform: &str) -> Node {
+        self.start_with(program, name, node, &settings_text(node, platform))
+    }
+
+    fn start_with(&self, program: &str, name: &str, node: &str, text: &str) -> Node {
         let settings = self.folder.join(format!("{name}.yaml"));
-        fs::write(&settings, settings_text(node, platform)).unwrap();
+        fs::write(&settings, text).unwrap();
         let line = ["--settings", settings.to_str().unwrap()];
         Node {
             name: node.to_owned(),
--- a/crates/bronzerun/tests/support/mod.rs
+++ b/crates/bronzerun/tests/support/mod.rs
@@ -104,7 +104,7 @@
         );
         let settings = settings::parse_settings(&text).unwrap();
         let own = settings.clone();
-        std::thread::spawn(|| block_on(gateway::run(own, |_, _| ())));
+        std::thread::spawn(|| block_on(gateway::run(own, |_| ())));
         std::thread::spawn(|| block_on(controller::run(settings, |_| ())));
     }
 }
--- a/crates/gateway/src/border/carrier.rs
+++ b/crates/gateway/src/border/carrier.rs
@@ -16,6 +16,7 @@
 use watch::{WatchBorder, WatchPorts};
 
 use super::GatewayDesk;
+use super::peers::PeerBorder;
 use crate::{CallMeasure, CallStep, GatewayEffect, GatewayEvent};
 
 /// Carrier of the gateway's effects.
@@ -29,6 +30,7 @@
     metrics: Rc<dyn MetricSink>,
     switch: RefCell<Option<DrainSwitch>>,
     entry: NodeEntry,
+    peers: PeerBorder,
 }
 
 impl GatewayBorder {
@@ -44,6 +46,7 @@
     ) -> Self {
         Self {
             store: ports.store.clone(),
+            peers: PeerBorder::new(clock.clone()),
             watch: WatchBorder::new(ports, clock, events.clone()),
             events,
             desk,
@@ -176,6 +179,7 @@
             GatewayEffect::Step { call, step } => self.step(call, step),
             GatewayEffect::Watch(read) => self.watch.carry(read),
             GatewayEffect::Ledger(call) => self.call_ledger(call),
+            GatewayEffect::Peer(effect) => self.peers.carry(effect),
             GatewayEffect::Tell { ask, answer } => self.desk.tell(ask, answer),
             GatewayEffect::Measure(measure) => self.measure(measure),
             GatewayEffect::StopAccepting => self.stop_accepting(),
--- a/crates/gateway/src/border/mod.rs
+++ b/crates/gateway/src/border/mod.rs
@@ -1,7 +1,8 @@
 //! Border of the gateway: sockets on one side, events and effects on the other.
 //!
 //! [`front`] turns callers' requests into calls, one task for each; [`admin`]
-//! answers operators and the balancer; [`carrier`] carries effects out.
+//! answers operators and the balancer; [`peers`] holds the links to other
+//! gateways; [`carrier`] carries effects out.
 
 mod admin;
 mod carrier;
@@ -9,6 +10,7 @@
 mod exchange;
 mod front;
 mod parse;
+mod peers;
 mod reply;
 mod task;
 
@@ -33,6 +35,7 @@
 use admin::AdminService;
 use carrier::GatewayBorder;
 use front::{CallerFront, FrontOptions};
+use peers::{new_peers, receive_links};
 
 /// Interval between two reads of the fabric domains, or of the hosts.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
@@ -44,21 +47,42 @@
 /// Questions to the gateway's loop.
 type GatewayDesk = QuestionDesk<GatewayEvent, GatewayQuestion, GatewayAnswer>;
 
+/// Where a gateway listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GatewayAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+    /// For other gateways.
+    pub peers: Option<SocketAddr>,
+}
+
 /// Runs a gateway until it was told to stop and has finished its calls.
 ///
-/// `listening` hears the addresses of callers and operators once both are bound.
+/// `listening` hears the addresses once all are bound.
 pub async fn run(
     settings: HostSettings,
-    listening: impl FnOnce(SocketAddr, SocketAddr),
+    listening: impl FnOnce(GatewayAddresses),
 ) -> Result<(), DaemonError> {
     let (callers, callers_at) = listen(settings.gateway.listen)?;
     let (operators, operators_at) = listen(settings.gateway.admin)?;
+    let peers = settings.gateway.peers.as_ref();
+    let peers = peers.map(|peers| listen(peers.listen)).transpose()?;
+    let addresses = GatewayAddresses {
+        callers: callers_at,
+        admin: operators_at,
+        peers: peers.as_ref().map(|(_, address)| *address),
+    };
     let (events, inbox) = unbounded();
     forward_stops(events.clone(), || GatewayEvent::StopRequested)?;
-    listening(callers_at, operators_at);
-    let gateway = Gateway::new(&settings, operators_at, events);
+    listening(addresses);
+    let gateway = Gateway::new(&settings, addresses, events);
     gateway.serve_operators(operators);
     gateway.serve_callers(callers);
+    if let Some((listener, _)) = peers {
+        gateway.serve_peers(listener);
+    }
     gateway.run(inbox).await;
     Ok(())
 }
@@ -78,7 +102,7 @@
 impl Gateway {
     fn new(
         settings: &HostSettings,
-        admin: SocketAddr,
+        addresses: GatewayAddresses,
         events: UnboundedSender<GatewayEvent>,
     ) -> Self {
         let clock = Rc::new(SystemClock::default());
@@ -89,7 +113,7 @@
             node: settings.node.clone(),
             role: NodeRole::Gateway,
             domain: settings.domain.clone(),
-            admin,
+            admin: addresses.admin,
         };
         platform::announce(ports.store.clone(), clock.clone(), entry.clone());
         let desk = QuestionDesk::new(events.clone(), |ask, question| GatewayEvent::Asked {
@@ -107,7 +131,7 @@
             entry,
         );
         Self {
-            state: new_state(settings),
+            state: new_state(settings, addresses.peers),
             settings: settings.gateway.clone(),
             border: Rc::new(border),
             clock,
@@ -162,6 +186,11 @@
         });
     }
 
+    fn serve_peers(&self, listener: TcpListener) {
+        let links = receive_links(listener, self.clock.clone(), self.events.clone());
+        monoio::spawn(links);
+    }
+
     async fn run(self, inbox: UnboundedReceiver<GatewayEvent>) {
         let mut handler = GatewayLoop(self.state);
         let clock = self.clock.as_ref();
@@ -185,7 +214,7 @@
     }
 }
 
-fn new_state(settings: &HostSettings) -> GatewayState {
+fn new_state(settings: &HostSettings, peers_at: Option<SocketAddr>) -> GatewayState {
     let gateway = &settings.gateway;
     let times = GatewayTimes {
         watch: WatchTimes {
@@ -197,11 +226,18 @@
         balancer_notice: gateway.balancer_notice,
         drain_limit: gateway.drain_limit,
     };
-    GatewayState::new(
+    let state = GatewayState::new(
         settings.node.clone(),
         settings.domain.clone(),
         times,
         seed_from_system(),
         seed_from_system(),
-    )
+    );
+    match gateway.peers.as_ref().zip(peers_at) {
+        Some((peers, address)) => {
+            let layer = new_peers(settings, peers.region.clone(), address);
+            state.with_peers(layer, peers.seeds.clone())
+        }
+        None => state,
+    }
 }
--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -6,6 +6,7 @@
 pub mod attempts;
 pub mod calls;
 pub mod ledger;
+pub mod peers;
 pub mod queue;
 pub mod stop;
 pub mod targets;
--- a/crates/gateway/src/commands/stop.rs
+++ b/crates/gateway/src/commands/stop.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 
+use super::peers;
 use crate::GatewayEffect;
 use crate::state::{GatewayState, StopPhase};
 
@@ -20,7 +21,9 @@
         StopPhase::Noticing { accept_until } if accept_until <= now => {
             let finish_by = now + state.times.drain_limit;
             state.stop = StopPhase::Draining { finish_by };
-            vec![GatewayEffect::StopAccepting]
+            let mut effects = peers::leave(state, now);
+            effects.push(GatewayEffect::StopAccepting);
+            effects
         }
         StopPhase::Draining { finish_by } if finish_by <= now => finish(state),
         _ => Vec::new(),
--- a/crates/gateway/src/commands/watch.rs
+++ b/crates/gateway/src/commands/watch.rs
@@ -11,7 +11,13 @@
 
 /// Takes in the end of a read.
 pub fn take(state: &mut GatewayState, event: WatchEvent, now: ClockTime) -> Vec<GatewayEffect> {
-    match observe(&mut state.watch, event, now) {
+    let change = observe(&mut state.watch, event, now);
+    apply(state, change, now)
+}
+
+/// Follows a change of what is known.
+pub fn apply(state: &mut GatewayState, change: WatchChange, now: ClockTime) -> Vec<GatewayEffect> {
+    match change {
         WatchChange::Nothing => Vec::new(),
         WatchChange::Configuration => apply_configuration(state, now),
         WatchChange::Fabrics(records) => observe_fabrics(state, records, now),
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -3,11 +3,12 @@
 use base::prelude::*;
 use document::KeyDigest;
 use ledger::{EpochRead, LedgerEffect, ShardId, ShardRead};
+use members::PeerEffect;
 use net::AskId;
 use store::UpdateOutcome;
 use watch::{WatchEffect, WatchEvent};
 
-use crate::{AttemptEnd, CallArrival, CallStep, GatewayStatus};
+use crate::{AttemptEnd, CallArrival, CallStep, GatewayStatus, PeerEvent};
 
 /// What the gateway hears.
 #[derive(Debug)]
@@ -46,6 +47,8 @@
     EpochRead(EpochRead),
     /// A write of the ledger's epoch ended.
     EpochWritten(UpdateOutcome),
+    /// Something came from another gateway.
+    Peer(PeerEvent),
     /// Somebody asks how the gateway is.
     Asked {
         /// Number of the question.
@@ -79,6 +82,8 @@
     Watch(WatchEffect),
     /// Make the ledger's call to the store.
     Ledger(LedgerEffect),
+    /// Carry out what the peer layer wants.
+    Peer(PeerEffect),
     /// Answer a question.
     Tell {
         /// Number of the question.
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -3,7 +3,7 @@
 use ::watch::commands::start_due;
 use base::prelude::*;
 
-use crate::commands::{attempts, calls, ledger, queue, stop, targets, watch};
+use crate::commands::{attempts, calls, ledger, peers, queue, stop, targets, watch};
 use crate::queries::{answer_question, next_deadline};
 use crate::{GatewayEffect, GatewayEvent, GatewayState};
 
@@ -21,7 +21,12 @@
             GatewayEvent::CallArrived(arrival) => calls::arrive(state, arrival, now),
             GatewayEvent::AnswerBegan { call } => attempts::note_begin(state, call, now),
             GatewayEvent::AttemptEnded { call, end } => attempts::conclude(state, call, end, now),
-            GatewayEvent::Watch(event) => watch::take(state, event, now),
+            GatewayEvent::Watch(event) => {
+                let mut effects = peers::share_read(state, &event, now);
+                effects.extend(watch::take(state, event, now));
+                effects
+            }
+            GatewayEvent::Peer(event) => peers::take(state, event, now),
             GatewayEvent::ShardRead { shard, read } => {
                 let effects = state.ledger.conclude_read(shard, read, now);
                 ledger::apply(state, effects, now)
@@ -56,6 +61,7 @@
         effects.extend(targets::drop_expired(state, now));
         effects.extend(queue::expire(state, now));
         effects.extend(stop::advance(state, now));
+        effects.extend(peers::advance(state, now));
         effects
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,15 +10,18 @@
 mod commands;
 mod event;
 mod handler;
+mod items;
+mod peers;
 pub mod queries;
 mod state;
 
-pub use border::run;
+pub use border::{GatewayAddresses, run};
 pub use call::{
     AttemptEnd, AttemptPlace, CallArrival, CallKind, CallRefusal, CallStep, RefusalCause, RunState,
     SendOrder,
 };
 pub use event::{CallMeasure, GatewayAnswer, GatewayEffect, GatewayEvent, GatewayQuestion};
 pub use handler::GatewayLoop;
+pub use peers::PeerEvent;
 pub use queries::{GatewayStatus, GroupStatus};
 pub use state::{GatewayState, GatewayTimes};
--- a/crates/gateway/src/queries/answer.rs
+++ b/crates/gateway/src/queries/answer.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use document::queries::has_settled;
 use document::{KeyDigest, ServiceKind};
+use members::ReadinessProof;
 
 use super::status::describe;
 use crate::state::StopPhase;
@@ -23,8 +24,20 @@
 
 /// Ready once a whole configuration and the hosts are known, and until a stop begins.
 pub(super) fn is_ready(state: &GatewayState) -> bool {
+    has_settled(&state.watch.config) && is_proven(state) && state.stop == StopPhase::Running
+}
+
+/// The list of hosts is the platform's; only an outage excuses its absence.
+fn is_proven(state: &GatewayState) -> bool {
     let knows_hosts = !state.watch.hosts.is_empty();
-    has_settled(&state.watch.config) && knows_hosts && state.stop == StopPhase::Running
+    let Some(layer) = &state.peers else {
+        return knows_hosts;
+    };
+    match layer.peers.readiness() {
+        None => false,
+        Some(ReadinessProof::Store) => knows_hosts,
+        Some(ReadinessProof::Peers) => true,
+    }
 }
 
 fn list_services(state: &GatewayState, digest: KeyDigest) -> Option<Vec<ServiceName>> {
--- a/crates/gateway/src/queries/deadline.rs
+++ b/crates/gateway/src/queries/deadline.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 
 use crate::GatewayState;
+use crate::peers::PeerLayer;
 use crate::state::StopPhase;
 
 /// Earliest deadline of the state.
@@ -16,6 +17,7 @@
     };
     let queues = limits::queries::next_deadline(&state.admission);
     let ledger = state.ledger.next_deadline();
-    let deadlines = [reads, answers, stop, queues, ledger];
+    let peers = state.peers.as_ref().and_then(PeerLayer::next_deadline);
+    let deadlines = [reads, answers, stop, queues, ledger, peers];
     deadlines.into_iter().flatten().min()
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,17 +1,20 @@
 //! What one gateway knows.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 
 use base::prelude::*;
 use groups::{FabricRecord, ReportTable};
 use ledger::{LedgerSettings, LedgerState};
 use limits::{AdmissionState, BudgetSettings, LimitSettings, RetryBudget};
+use members::PeerState;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use routing::{RouteSettings, RoutingState};
 use watch::{WatchState, WatchTimes};
 
 use crate::call::CallState;
+use crate::peers::PeerLayer;
 
 /// Spans that the gateway goes by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +45,7 @@
     pub(crate) ledger: LedgerState,
     pub(crate) calls: HashMap<CallId, CallState>,
     pub(crate) stop: StopPhase,
+    pub(crate) peers: Option<PeerLayer>,
 }
 
 /// Fabric domain as last read.
@@ -89,6 +93,15 @@
             budget: RetryBudget::new(BudgetSettings::default()),
             calls: HashMap::new(),
             stop: StopPhase::Running,
+            peers: None,
+        }
+    }
+
+    /// Gateway that shares what it reads with others; it asks the seeds first.
+    pub fn with_peers(self, peers: PeerState, seeds: Vec<SocketAddr>) -> Self {
+        Self {
+            peers: Some(PeerLayer::new(peers, seeds)),
+            ..self
         }
     }
 
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -9,8 +9,10 @@
 use log::LevelFilter;
 use serde_saphyr::{Location, Spanned};
 
-use crate::wire::{ControllerWire, GatewayWire, HostWire};
-use crate::{ControllerSettings, GatewaySettings, HostSettings, SettingFault, SettingsError};
+use crate::wire::{ControllerWire, GatewayWire, HostWire, PeerWire};
+use crate::{
+    ControllerSettings, GatewaySettings, HostSettings, PeerSettings, SettingFault, SettingsError,
+};
 
 const MILLIS: RangeInclusive<u64> = 1..=600_000;
 const CONNECTIONS: RangeInclusive<u64> = 1..=100_000;
@@ -94,11 +96,30 @@
                 BODY_BYTES,
             ),
             client_timeout: self.millis(wire.client_timeout_ms.as_ref(), DEFAULT_CLIENT_MS),
+            peers: wire.peers.as_ref().map(|peers| self.peers(peers)),
         };
         self.check_validity(wire, &settings);
         settings
     }
 
+    fn peers(&mut self, wire: &PeerWire) -> PeerSettings {
+        let seeds = wire.seeds.iter();
+        let settings = PeerSettings {
+            listen: self.address(&wire.listen, "listen"),
+            seeds: seeds.map(|seed| self.address(seed, "seeds")).collect(),
+            region: self.name(&wire.region, RegionName::new),
+        };
+        if settings.listen.ip().is_unspecified() {
+            let message = format!(
+                "'{}' is no address that other nodes can connect to: \
+                 give the one by which they reach this host",
+                settings.listen,
+            );
+            self.push(wire.listen.referenced, message);
+        }
+        settings
+    }
+
     fn controller(&mut self, wire: &ControllerWire) -> ControllerSettings {
         ControllerSettings {
             admin: self.address(&wire.admin, "admin"),
@@ -129,11 +150,13 @@
         controller: &ControllerWire,
         settings: &HostSettings,
     ) {
-        let places = [
+        let mut places = vec![
             (settings.gateway.listen, &gateway.listen),
             (settings.gateway.admin, &gateway.admin),
             (settings.controller.admin, &controller.admin),
         ];
+        let peers = settings.gateway.peers.iter().zip(&gateway.peers);
+        places.extend(peers.map(|(peers, wire)| (peers.listen, &wire.listen)));
         for (index, (address, place)) in places.iter().enumerate() {
             let before = &places[..index];
             if address.port() != 0 && before.iter().any(|(other, _)| other == address) {
@@ -241,3 +264,9 @@
         Self::new("domain").expect("the text is a name")
     }
 }
+
+impl Placeholder for RegionName {
+    fn placeholder() -> Self {
+        Self::new("region").expect("the text is a name")
+    }
+}
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -47,6 +47,8 @@
     pub body_limit: usize,
     /// Time in which a client must send its headers, and then its body.
     pub client_timeout: Duration,
+    /// Links to the other gateways, if there are any.
+    pub peers: Option<PeerSettings>,
 }
 
 /// Settings of the controller.
@@ -65,4 +67,6 @@
     pub listen: SocketAddr,
     /// Nodes to ask first.
     pub seeds: Vec<SocketAddr>,
+    /// Region of this node.
+    pub region: RegionName,
 }
--- a/crates/settings/src/wire.rs
+++ b/crates/settings/src/wire.rs
@@ -30,6 +30,17 @@
     pub connection_limit: Option<Spanned<u64>>,
     pub body_limit_bytes: Option<Spanned<u64>>,
     pub client_timeout_ms: Option<Spanned<u64>>,
+    pub peers: Option<PeerWire>,
+}
+
+/// Links to the other gateways.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerWire {
+    pub listen: Spanned<String>,
+    #[serde(default)]
+    pub seeds: Vec<Spanned<String>>,
+    pub region: Spanned<String>,
 }
 
 /// Section of the controller.
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -44,6 +44,21 @@
             "127.0.0.1:8080",
             "line 6, column 10: '127.0.0.1:8080' is used twice",
         ),
+        (
+            "controller:",
+            "  peers: {listen: 0.0.0.0:7800, region: kozep}\ncontroller:",
+            "line 7, column 19: '0.0.0.0:7800' is no address that other nodes can connect to",
+        ),
+        (
+            "controller:",
+            "  peers: {listen: 127.0.0.1:8081, region: kozep}\ncontroller:",
+            "line 7, column 19: '127.0.0.1:8081' is used twice",
+        ),
+        (
+            "controller:",
+            "  peers: {listen: 127.0.0.1:7800, seeds: [entry-2], region: kozep}\ncontroller:",
+            "line 7, column 43: 'entry-2' is not an address",
+        ),
         (
             "controller:",
             "log_level: loud\ncontroller:",
--- a/crates/watch/src/commands/mod.rs
+++ b/crates/watch/src/commands/mod.rs
@@ -3,5 +3,5 @@
 mod observe;
 mod start;
 
-pub use observe::observe;
+pub use observe::{adopt_document, observe};
 pub use start::{set_asked, start_due};
--- a/crates/watch/src/commands/observe.rs
+++ b/crates/watch/src/commands/observe.rs
@@ -64,6 +64,23 @@
     }
 }
 
+/// Takes in a document that was not read from the store, whose watch goes on.
+pub fn adopt_document(
+    state: &mut WatchState,
+    version: ObjectVersion,
+    document: Arc<Document>,
+    now: ClockTime,
+) -> WatchChange {
+    let outcome = accept(&mut state.config, version, document);
+    if !state.config.in_force.rejected.is_empty() {
+        state.good_sections.set(now);
+    }
+    match outcome {
+        AcceptOutcome::InForce => WatchChange::Configuration,
+        AcceptOutcome::Unchanged | AcceptOutcome::Older { .. } => WatchChange::Nothing,
+    }
+}
+
 /// A store that has an older document would answer every watch at once.
 fn next_watch(outcome: AcceptOutcome, now: ClockTime) -> ClockTime {
     match outcome {
