Prove the gateways' peer layer, and start it before its first answer

A frame that came before the layer's own start was answered without the node itself; its sender then knew nobody until the next probe, 15 s later. The layer now starts before it takes a frame in. Seen by the decision test, which fails without that start.

Each test was seen to fail: 'a name from another address' without the check of the source; 'an older document' with the catalog's older versions taken for newer; 'ready with what a ready peer holds' with hosts required for the proof by peers as well. The process test of the restart waits in vain (90 s) when the restarted gateway has no peers.

--- a/crates/bronzerun/tests/processes/support/fleet.rs
+++ b/crates/bronzerun/tests/processes/support/fleet.rs
@@ -214,16 +214,20 @@
         self.gateways.push(process);
     }
 
-    /// Starts a gateway that asks other gateways first.
-    pub fn start_peer(&self, node: &str, seeds: &[String]) -> Node {
-        let platform = self.platform.address("listen");
+    /// Starts a gateway with those already there as its seeds.
+    pub fn start_peer(&mut self, node: &str, platform: &str) {
+        let gateways = self.gateways.iter();
+        let seeds: Vec<_> = gateways
+            .map(|gateway| gateway.process.address("peers"))
+            .collect();
         let peers = format!(
             "\x20 peers: {{listen: 127.0.0.1:0, seeds: [{}], region: region-1}}\ncontroller:\n",
             seeds.join(", "),
         );
-        let text = settings_text(node, &platform).replace("controller:\n", &peers);
+        let text = settings_text(node, platform).replace("controller:\n", &peers);
         let program = env!("CARGO_BIN_EXE_bronzerun-gateway");
-        self.start_with(program, &format!("{node}-gateway"), node, &text)
+        let process = self.start_with(program, &format!("{node}-gateway"), node, &text);
+        self.gateways.push(process);
     }
 
     fn start_daemon(&self, program: &str, name: &str, node: &str, platform: &str) -> Node {
--- a/crates/gateway/src/commands/peers.rs
+++ b/crates/gateway/src/commands/peers.rs
@@ -22,10 +22,18 @@
     if !comes_from(layer, source, &frame) {
         return Vec::new();
     }
-    let effects = layer.peers.receive(frame, now);
+    // A layer that answered before its own start would leave itself out.
+    let mut effects = start(layer, now);
+    effects.extend(layer.peers.receive(frame, now));
     apply(state, effects, now)
 }
 
+/// Asks the seeds, once.
+fn start(layer: &mut PeerLayer, now: ClockTime) -> Vec<PeerEffect> {
+    let seeds = layer.seeds.take();
+    seeds.map_or_else(Vec::new, |seeds| layer.peers.join(seeds, Vec::new(), now))
+}
+
 /// Whether a frame comes from the address that its sender is known by.
 fn comes_from(layer: &PeerLayer, source: IpAddr, frame: &PeerFrame) -> bool {
     let known = match &frame.message {
@@ -40,10 +48,8 @@
     let Some(layer) = &mut state.peers else {
         return Vec::new();
     };
-    let effects = match layer.seeds.take() {
-        Some(seeds) => layer.peers.join(seeds, Vec::new(), now),
-        None => layer.peers.tick(now),
-    };
+    let mut effects = start(layer, now);
+    effects.extend(layer.peers.tick(now));
     apply(state, effects, now)
 }
 
