--- a/crates/gateway/src/commands/stop.rs
+++ b/crates/gateway/src/commands/stop.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 
+use super::peers;
 use crate::GatewayEffect;
 use crate::state::{GatewayState, StopPhase};
 
@@ -23,7 +24,9 @@
                 finish_by,
                 callers_gone: false,
             };
-            vec![GatewayEffect::StopAccepting]
+            let mut effects = peers::leave(state, now);
+            effects.push(GatewayEffect::StopAccepting);
+            effects
         }
         StopPhase::Draining { finish_by, .. } if finish_by <= now => finish(state),
         StopPhase::Draining { callers_gone, .. } if callers_gone && is_idle(state) => finish(state),
--- a/crates/gateway/tests/suite/harness.rs
+++ b/crates/gateway/tests/suite/harness.rs
@@ -150,7 +150,8 @@
                 GatewayEffect::StopAccepting => self.stopped_accepting = true,
                 GatewayEffect::Finish => self.finished = true,
                 GatewayEffect::Watch(read) => self.reads.push(read),
-                GatewayEffect::Tell { .. } | GatewayEffect::Measure(_) => {}
+                GatewayEffect::Tell { .. } | GatewayEffect::Measure(_) | GatewayEffect::Peer(_) => {
+                }
             }
         }
     }
