Measure what the daemons cost as processes, by size

`bronzerun-bench slopes` starts fleets of processes of growing size and reads the kernel's account of each daemon (schedstat, status) and the calls that the platform's stand-in counts, then fits a line to each. The latency measurement and this one start their processes through one module.

Processor time comes from schedstat in place of the ticks of stat: an idle daemon uses a tenth of a tick in a hundred milliseconds. A single fabric domain of 32 engines does not put all of them into groups, since the policy keeps spares there, so the fleets that only split otherwise begin at two.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,11 +4,13 @@
 //! that the daemons run from tables and small fakes.
 
 mod document;
+mod fleet;
 mod latency;
 mod ledger;
 mod overload;
 mod peers;
 mod placement;
+mod slopes;
 
 use clap::{Parser, Subcommand};
 
@@ -34,6 +36,8 @@
     Latency(latency::LatencyOptions),
     /// Messages, time and memory of a node's control traffic.
     Peers(peers::PeersOptions),
+    /// What the daemons cost as processes, by size.
+    Slopes(slopes::SlopesOptions),
 }
 
 fn main() {
@@ -44,5 +48,6 @@
         Measurement::Document(options) => document::run(&options),
         Measurement::Latency(options) => latency::run(&options),
         Measurement::Peers(options) => peers::run(&options),
+        Measurement::Slopes(options) => slopes::run(&options),
     }
 }
