--- a/crates/controller/src/commands/watch.rs
+++ b/crates/controller/src/commands/watch.rs
@@ -11,7 +11,7 @@
 /// Takes in the end of a read.
 pub fn take(state: &mut ControllerState, event: WatchEvent, now: ClockTime) {
     match observe(&mut state.watch, event, now) {
-        WatchChange::Nothing => {}
+        WatchChange::Nothing | WatchChange::Nodes => {}
         WatchChange::Configuration => fabrics::set_targets(state),
         WatchChange::Fabrics(records) => observe_fabrics(state, records, now),
         WatchChange::Hosts => {
@@ -24,8 +24,8 @@
     }
 }
 
-/// Asks the hosts of exactly the fabric domains that this node owns.
-pub fn ask_owned(state: &mut ControllerState, now: ClockTime) {
+/// Asks the hosts of exactly the fabric domains that this node owns or may take.
+pub fn ask_hosts(state: &mut ControllerState, now: ClockTime) {
     let asked = queries::asked_hosts(state, now);
     set_asked(&mut state.watch, asked);
 }
