Tell the two daemons' calls apart by the one without leases

The controller alone was looked at in a window shorter than its renewals, so these were put down to the gateway. A gateway has no leases: now it stays.

--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -118,7 +118,8 @@
     let records = fleet
         .page(fleet.platform, "/v1/objects?prefix=fabrics/")
         .await;
-    fleet.gateway.end();
+    // A gateway renews no leases, so one window tells its calls.
+    fleet.controller.end();
     let alone = IdleWindow::measure(&fleet, options, false).await?;
     let both = mean(
         &windows
@@ -131,8 +132,8 @@
         fabrics: fabrics as f64,
         gateway_cpu: windows.iter().map(|window| window.gateway).collect(),
         controller_cpu: windows.iter().map(|window| window.controller).collect(),
-        gateway_calls: both - alone.calls,
-        controller_calls: alone.calls,
+        gateway_calls: alone.calls,
+        controller_calls: both - alone.calls,
         forming_millis,
         hosts_bytes: hosts.map_or(0.0, |text| text.len() as f64),
         records_bytes: records.map_or(0.0, |text| text.len() as f64),
@@ -163,17 +164,17 @@
     async fn measure(
         fleet: &ProcessFleet,
         options: &SlopesOptions,
-        gateway: bool,
+        controller: bool,
     ) -> Result<Self, String> {
-        let read_gateway = || match gateway {
-            true => cpu_micros(fleet.gateway.id()),
+        let read_controller = || match controller {
+            true => cpu_micros(fleet.controller.id()),
             false => Ok(0.0),
         };
         let start = fleet.clock.now();
         let calls = fleet.platform_calls().await?;
-        let before = (read_gateway()?, cpu_micros(fleet.controller.id())?);
+        let before = (cpu_micros(fleet.gateway.id())?, read_controller()?);
         monoio::time::sleep(Duration::from_millis(options.window_ms)).await;
-        let after = (read_gateway()?, cpu_micros(fleet.controller.id())?);
+        let after = (cpu_micros(fleet.gateway.id())?, read_controller()?);
         let calls = fleet.platform_calls().await? - calls;
         let seconds = fleet.clock.now().since(start).as_secs_f64();
         Ok(Self {
