Let a call's last step break its attempt off

While an attempt was under way, the call's task passed over every step but a stop. The ledger's verdict at the run limit or the deadline was lost that way when it came before the attempt's own end, and the task then waited for ever for a step that had been told already: the caller got no answer.

Any step that comes during an attempt now ends it, and the last one is carried out. The end still goes to the loop, which hands it to the ledger.

The process test of a charge that is never answered holds before and after, since deadline and attempt usually end in the other order; no test here shows the fault by itself (the run limit of a minute would).

--- a/crates/gateway/src/border/task.rs
+++ b/crates/gateway/src/border/task.rs
@@ -43,22 +43,31 @@
         while let Some(step) = self.next_step().await {
             match step {
                 CallStep::Send(order) => {
-                    let end = self.attempt(&order).await;
+                    let (end, verdict) = self.attempt(&order).await;
                     let last = end == AttemptEnd::Answered;
                     self.report(end);
                     if last {
                         return;
                     }
+                    if let Some(verdict) = verdict {
+                        return self.conclude(verdict).await;
+                    }
                 }
-                CallStep::Refuse(refusal) => return self.exchange.refuse(&refusal).await,
-                CallStep::Answer(answer) => return self.exchange.answer(&answer),
                 // The attempt that it is about has ended meanwhile.
                 CallStep::Stop => {}
-                CallStep::Forget => return,
+                verdict => return self.conclude(verdict).await,
             }
         }
     }
 
+    async fn conclude(&mut self, verdict: CallStep) {
+        match verdict {
+            CallStep::Refuse(refusal) => self.exchange.refuse(&refusal).await,
+            CallStep::Answer(answer) => self.exchange.answer(&answer),
+            CallStep::Forget | CallStep::Stop | CallStep::Send(_) => {}
+        }
+    }
+
     async fn next_step(&mut self) -> Option<CallStep> {
         loop {
             match self.wait_step().await {
@@ -78,13 +87,17 @@
         }
     }
 
-    /// Makes an attempt, unless the loop breaks it off.
-    async fn attempt(&mut self, order: &SendOrder) -> AttemptEnd {
+    /// Makes an attempt, unless the loop breaks it off: by a stop, or by the
+    /// call's last step, which is returned.
+    async fn attempt(&mut self, order: &SendOrder) -> (AttemptEnd, Option<CallStep>) {
         let attempt = pin!(self.exchange.attempt(order));
-        let stopped = pin!(wait_for_stop(&mut self.steps));
-        match select(attempt, stopped).await {
-            Either::Left((end, _)) => end,
-            Either::Right(_) => AttemptEnd::Lost,
+        let broken = self.steps.next();
+        match select(attempt, broken).await {
+            Either::Left((end, _)) => (end, None),
+            Either::Right((step, _)) => {
+                let verdict = step.filter(|step| *step != CallStep::Stop);
+                (AttemptEnd::Lost, verdict)
+            }
         }
     }
 
@@ -97,14 +110,6 @@
     }
 }
 
-async fn wait_for_stop(steps: &mut UnboundedReceiver<CallStep>) {
-    while let Some(step) = steps.next().await {
-        if step == CallStep::Stop {
-            return;
-        }
-    }
-}
-
 impl Drop for CallTask {
     fn drop(&mut self) {
         self.border.dismiss(self.call);
