--- a/crates/controller/tests/world/mod.rs
+++ b/crates/controller/tests/world/mod.rs
@@ -121,7 +121,7 @@
                 ControllerEffect::Watch(read) => self.read(node, read),
                 ControllerEffect::Fabric(effect) => self.act(node, effect),
                 ControllerEffect::Finish => self.nodes[node].finished = true,
-                ControllerEffect::Tell { .. } => {}
+                ControllerEffect::Tell { .. } | ControllerEffect::Withdraw => {}
             }
         }
     }
@@ -148,6 +148,7 @@
                 WatchEvent::FabricsRead(read.filter(|_| !self.store_cut.contains(&node)))
             }
             WatchEffect::ReadHosts => WatchEvent::HostsRead(Some(self.entries.clone())),
+            WatchEffect::ReadNodes => WatchEvent::NodesRead(None),
             WatchEffect::ReadDrains => WatchEvent::DrainsRead(Some(DrainList::default())),
             WatchEffect::AskHost { host, .. } => {
                 let engine = self.engine(&host);
--- a/crates/gateway/tests/suite/world/mod.rs
+++ b/crates/gateway/tests/suite/world/mod.rs
@@ -209,6 +209,7 @@
                 WatchEvent::FabricsRead(Some(records))
             }
             WatchEffect::ReadHosts => WatchEvent::HostsRead(Some(self.fleet.hosts.clone())),
+            WatchEffect::ReadNodes => WatchEvent::NodesRead(Some(self.nodes.len())),
             WatchEffect::ReadDrains => WatchEvent::DrainsRead(Some(self.drains.clone())),
             WatchEffect::AskHost { host, .. } => {
                 let index = ENGINES.iter().position(|engine| *engine == host.as_str());
