--- a/crates/bronzerun/tests/processes/main.rs
+++ b/crates/bronzerun/tests/processes/main.rs
@@ -12,5 +12,6 @@
 mod once;
 mod peers;
 mod process;
+mod security;
 mod stops;
 mod support;
--- a/crates/bronzerun/tests/processes/support/fleet.rs
+++ b/crates/bronzerun/tests/processes/support/fleet.rs
@@ -35,6 +35,8 @@
     pub token_ms: u64,
     /// Time of a plain call in milliseconds.
     pub call_ms: u64,
+    /// Least level of what the daemons log.
+    pub log_level: &'static str,
     /// Whether the engines are reached through relays.
     pub relayed: bool,
 }
@@ -50,6 +52,7 @@
             controllers: 1,
             token_ms: 20,
             call_ms: 5,
+            log_level: "info",
             relayed: false,
         }
     }
@@ -92,6 +95,7 @@
 /// Running fleet.
 pub struct Fleet {
     folder: PathBuf,
+    log_level: &'static str,
     /// Client for questions.
     pub web: Web,
     /// The platform.
@@ -119,6 +123,7 @@
             web: Web::new(),
             platform: start_platform(&folder, "platform"),
             folder,
+            log_level: shape.log_level,
             engines: Vec::new(),
             servers: Vec::new(),
             gateways: Vec::new(),
@@ -224,14 +229,15 @@
             "\x20 peers: {{listen: 127.0.0.1:0, seeds: [{}], region: region-1}}\ncontroller:\n",
             seeds.join(", "),
         );
-        let text = settings_text(node, platform).replace("controller:\n", &peers);
+        let text = settings_text(node, platform, self.log_level).replace("controller:\n", &peers);
         let program = env!("CARGO_BIN_EXE_bronzerun-gateway");
         let process = self.start_with(program, &format!("{node}-gateway"), node, &text);
         self.gateways.push(process);
     }
 
     fn start_daemon(&self, program: &str, name: &str, node: &str, platform: &str) -> Node {
-        self.start_with(program, name, node, &settings_text(node, platform))
+        let text = settings_text(node, platform, self.log_level);
+        self.start_with(program, name, node, &text)
     }
 
     fn start_with(&self, program: &str, name: &str, node: &str, text: &str) -> Node {
@@ -265,6 +271,14 @@
         self.web.put_json(&platform, "/emulator/faults", faults);
     }
 
+    /// Puts a server of the plain service on the list.
+    pub fn list_server(&self, host: &str, address: &str) {
+        self.list_host(&json!({
+            "host": host, "address": address, "failure_domain": "domain-1",
+            "service": PLAIN_SERVICE, "accelerators": 0, "leaving": false,
+        }));
+    }
+
     /// Puts a listed host on the list as leaving.
     pub fn list_leaving(&self, host: &str) {
         let mut entry = self.listed(host);
@@ -429,11 +443,12 @@
     )
 }
 
-fn settings_text(node: &str, platform: &str) -> String {
+fn settings_text(node: &str, platform: &str, log_level: &str) -> String {
     format!(
         "node: {node}\n\
          failure_domain: domain-1\n\
          platform: {platform}\n\
+         log_level: {log_level}\n\
          gateway:\n\
          \x20 listen: 127.0.0.1:0\n\
          \x20 admin: 127.0.0.1:0\n\
--- a/crates/bronzerun/tests/processes/support/mod.rs
+++ b/crates/bronzerun/tests/processes/support/mod.rs
@@ -4,12 +4,14 @@
 mod endpoint;
 mod fleet;
 mod process;
+mod raw;
 mod relay;
 
 pub use caller::{Caller, Reply, RunningStream, Web, expected_text};
 pub use endpoint::Endpoint;
 pub use fleet::{API_KEY, Fleet, FleetShape, GroupView, weddings_text};
 pub use process::Process;
+pub use raw::{Recorder, exchange};
 pub use relay::Relay;
 
 use std::thread;
