--- a/crates/gateway/tests/suite/world/mod.rs
+++ b/crates/gateway/tests/suite/world/mod.rs
@@ -211,7 +211,6 @@
             WatchEffect::ReadHosts => WatchEvent::HostsRead(Some(self.fleet.hosts.clone())),
             WatchEffect::ReadNodes => WatchEvent::NodesRead(Some(self.nodes.len())),
             WatchEffect::ReadDrains => WatchEvent::DrainsRead(Some(self.drains.clone())),
-            WatchEffect::ReadNodes => WatchEvent::NodesRead(Some(self.nodes.len())),
             WatchEffect::AskHost { host, .. } => {
                 let index = ENGINES.iter().position(|engine| *engine == host.as_str());
                 let index = index.expect("only engines are asked");
