Bring changes into force within 3 s past a silent watch

Cause: a watch whose connection went silent was noticed after 30 s and a grace, and the next try could take a kept connection that had gone silent too: 31.5 s until a change was in force, against the 3 s asked.

Ruled out: short watches alone (a first try with 1.5 s took 4.99 s, because the second try used a silent kept connection, and each would have carried the whole document); TCP keepalive (it probes for minutes).

Change: a call that passes its deadline drops every idle connection to that server; watches wait 1.5 s and end 'unchanged' without the object (WatchOutcome, 304 over HTTP); the store's contract says so and is now checked over HTTP against the stand-in.

--- a/crates/controller/src/border/mod.rs
+++ b/crates/controller/src/border/mod.rs
@@ -23,10 +23,6 @@
 use admin::AdminService;
 use carrier::ControllerBorder;
 
-/// Interval between two reads of the same list.
-const READ_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest wait of a watch.
-const WATCH_SPAN: Duration = Duration::from_secs(30);
 /// Longest time that a stop waits for leases to be given back.
 const RELEASE_LIMIT: Duration = Duration::from_secs(10);
 /// Connections of operators.
@@ -93,11 +89,7 @@
 
 fn new_state(settings: &HostSettings) -> ControllerState {
     let times = ControllerTimes {
-        watch: WatchTimes {
-            poll_interval: settings.controller.poll_interval,
-            read_interval: READ_INTERVAL,
-            watch_span: WATCH_SPAN,
-        },
+        watch: WatchTimes::new(settings.controller.poll_interval),
         release_limit: RELEASE_LIMIT,
     };
     ControllerState::new(
--- a/crates/emulator/src/platform/service.rs
+++ b/crates/emulator/src/platform/service.rs
@@ -141,6 +141,9 @@
         let wait = Duration::from_millis(query_number(request, "wait_ms").unwrap_or(0));
         if let Some(after) = after {
             self.wait_for_change(key, after, wait).await;
+            if after != ObjectVersion(0) && self.0.objects.borrow().version_of(key) == after {
+                return status_reply(StatusCode::NOT_MODIFIED);
+            }
         }
         match self.0.objects.borrow().get(key) {
             Some(object) => json_reply(StatusCode::OK, &ObjectWire::from(object.clone())),
@@ -156,7 +159,7 @@
             }
             objects.watch(key)
         };
-        // Time out or change, the object is sent as it then stands.
+        // Whether it changed is looked up afterwards.
         let _ = monoio::time::timeout(wait, watch).await;
     }
 
@@ -205,8 +208,12 @@
 }
 
 fn no_content() -> WebReply {
+    status_reply(StatusCode::NO_CONTENT)
+}
+
+fn status_reply(status: StatusCode) -> WebReply {
     let mut reply = Response::new(empty_body());
-    *reply.status_mut() = StatusCode::NO_CONTENT;
+    *reply.status_mut() = status;
     reply
 }
 
--- a/crates/gateway/src/border/mod.rs
+++ b/crates/gateway/src/border/mod.rs
@@ -17,7 +17,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use base::prelude::*;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use monoio::net::TcpListener;
 use net::web::{WebClient, WebLimits, serve};
@@ -37,10 +36,6 @@
 use front::{CallerFront, FrontOptions};
 use peers::{new_peers, receive_links};
 
-/// Interval between two reads of the fabric domains, or of the hosts.
-const READ_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest wait of a watch.
-const WATCH_SPAN: Duration = Duration::from_secs(30);
 /// Connections of operators and the balancer.
 const ADMIN_CONNECTIONS: usize = 256;
 
@@ -217,11 +212,7 @@
 fn new_state(settings: &HostSettings, peers_at: Option<SocketAddr>) -> GatewayState {
     let gateway = &settings.gateway;
     let times = GatewayTimes {
-        watch: WatchTimes {
-            poll_interval: gateway.poll_interval,
-            read_interval: READ_INTERVAL,
-            watch_span: WATCH_SPAN,
-        },
+        watch: WatchTimes::new(gateway.poll_interval),
         report_validity: gateway.report_validity,
         balancer_notice: gateway.balancer_notice,
         drain_limit: gateway.drain_limit,
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -149,7 +149,10 @@
     ) -> SendOutcome {
         let sent = connection.try_send_request(request);
         match with_deadline(self.clock.as_ref(), deadline, sent).await {
-            None => SendOutcome::Lost,
+            None => {
+                self.forget(server);
+                SendOutcome::Lost
+            }
             Some(Ok(response)) => {
                 let (parts, body) = response.into_parts();
                 SendOutcome::Answered(Box::new(WebAnswer {
@@ -167,6 +170,14 @@
         }
     }
 
+    /// Drops the idle connections to a server that gave no answer in time.
+    ///
+    /// Whatever made one connection go silent may have done so to all that
+    /// were open, while new ones work.
+    fn forget(&self, server: SocketAddr) {
+        self.idle.borrow_mut().remove(&server);
+    }
+
     fn keep(&self, server: SocketAddr, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(server).or_default();
@@ -231,7 +242,11 @@
                     Ok(chunk) => ChunkOutcome::Chunk(chunk),
                     Err(_trailers) => continue,
                 },
-                None | Some(Some(Err(_))) => ChunkOutcome::Lost,
+                Some(Some(Err(_))) => ChunkOutcome::Lost,
+                None => {
+                    self.client.forget(self.server);
+                    ChunkOutcome::Lost
+                }
             };
         }
     }
@@ -262,7 +277,11 @@
                 self.finish();
                 CollectOutcome::Answered(parts, bytes)
             }
-            _ => CollectOutcome::Lost,
+            Some(Err(_)) => CollectOutcome::Lost,
+            None => {
+                self.client.forget(self.server);
+                CollectOutcome::Lost
+            }
         }
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -24,6 +24,6 @@
 };
 pub use objects::HttpObjectStore;
 pub use reads::{
-    FabricRead, count_gateways, read_drains, read_fabric, read_fabrics, read_good_sections,
-    watch_document,
+    DocumentWatch, FabricRead, count_gateways, read_drains, read_fabric, read_fabrics,
+    read_good_sections, watch_document,
 };
--- a/crates/platform/src/objects.rs
+++ b/crates/platform/src/objects.rs
@@ -12,7 +12,7 @@
 use serde::de::DeserializeOwned;
 use store::{
     ListOutcome, ObjectChange, ObjectKey, ObjectStore, ReadOutcome, RemoveOutcome, StoredObject,
-    UpdateOutcome,
+    UpdateOutcome, WatchOutcome,
 };
 
 use crate::wire::{ChangeWire, ObjectWire, ObjectsWire, VersionWire};
@@ -22,7 +22,7 @@
 /// Time in which a call must be answered.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time that a watch's answer may take after the watch's own deadline.
-const WATCH_GRACE: Duration = Duration::from_secs(1);
+const WATCH_GRACE: Duration = Duration::from_millis(500);
 
 /// Object store over HTTP.
 #[derive(Clone)]
@@ -81,6 +81,18 @@
         }
     }
 
+    async fn fetch_change(&self, path: &str, deadline: ClockTime) -> WatchOutcome {
+        match self.call(Method::GET, path, None, deadline).await {
+            Reply::Answered(StatusCode::OK, body) => match decode::<ObjectWire>(&body) {
+                Some(wire) => WatchOutcome::Changed(StoredObject::from(wire)),
+                None => WatchOutcome::Unavailable,
+            },
+            Reply::Answered(StatusCode::NOT_MODIFIED, _) => WatchOutcome::Unchanged,
+            Reply::Answered(StatusCode::NOT_FOUND, _) => WatchOutcome::Missing,
+            _ => WatchOutcome::Unavailable,
+        }
+    }
+
     async fn fetch_list(&self, prefix: &str) -> ListOutcome {
         let path = format!("/v1/objects?prefix={prefix}");
         let deadline = self.clock.now() + CALL_TIMEOUT;
@@ -184,13 +196,13 @@
         key: &ObjectKey,
         after: ObjectVersion,
         deadline: ClockTime,
-    ) -> LocalBoxFuture<'static, ReadOutcome> {
+    ) -> LocalBoxFuture<'static, WatchOutcome> {
         let this = self.clone();
         let path = object_path(key);
         Box::pin(async move {
             let wait = deadline.since(this.clock.now()).as_millis();
             let path = format!("{path}?after={after}&wait_ms={wait}");
-            this.fetch(&path, deadline + WATCH_GRACE).await
+            this.fetch_change(&path, deadline + WATCH_GRACE).await
         })
     }
 }
--- a/crates/platform/src/reads.rs
+++ b/crates/platform/src/reads.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use document::{Document, GoodSections};
 use groups::{FabricRecord, FabricWire};
-use store::{ListOutcome, ObjectStore, ReadOutcome, StoredObject};
+use store::{ListOutcome, ObjectStore, ReadOutcome, StoredObject, WatchOutcome};
 
 use crate::keys::{
     FABRIC_PREFIX, NODE_PREFIX, document_key, drains_key, fabric_key, good_sections_key,
@@ -13,20 +13,33 @@
 /// Fabric domain's record with its version; none where it has never been written.
 pub type FabricRead = Option<(FabricRecord, ObjectVersion)>;
 
-/// Waits for a document newer than a version; `None` without a readable one.
+/// End of a watch of the document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DocumentWatch {
+    /// A document of another version.
+    Changed(ObjectVersion, Arc<Document>),
+    /// The store still has the version that was watched from.
+    Unchanged,
+    /// No answer, or no readable document.
+    Failed,
+}
+
+/// Waits for a document newer than a version.
 pub async fn watch_document(
     store: &dyn ObjectStore,
     after: ObjectVersion,
     deadline: ClockTime,
-) -> Option<(ObjectVersion, Arc<Document>)> {
-    let ReadOutcome::Found(object) = store.watch(&document_key(), after, deadline).await else {
-        return None;
+) -> DocumentWatch {
+    let object = match store.watch(&document_key(), after, deadline).await {
+        WatchOutcome::Changed(object) => object,
+        WatchOutcome::Unchanged => return DocumentWatch::Unchanged,
+        WatchOutcome::Missing | WatchOutcome::Unavailable => return DocumentWatch::Failed,
     };
     match Document::decode(&object.value) {
-        Ok(document) => Some((object.version, Arc::new(document))),
+        Ok(document) => DocumentWatch::Changed(object.version, Arc::new(document)),
         Err(fault) => {
             log::error!(version = object.version.0; "{fault}");
-            None
+            DocumentWatch::Failed
         }
     }
 }
--- a/crates/store/src/contract.rs
+++ b/crates/store/src/contract.rs
@@ -9,8 +9,8 @@
 use futures_util::future::join;
 
 use crate::{
-    ListOutcome, ObjectChange, ObjectKey, ObjectStore, ReadOutcome, RemoveOutcome, StoredObject,
-    UpdateOutcome, VALUE_LIMIT,
+    ListOutcome, ObjectChange, ObjectKey, ObjectStore, ReadOutcome, RemoveOutcome, UpdateOutcome,
+    VALUE_LIMIT, WatchOutcome,
 };
 
 /// Rule that a store broke.
@@ -220,7 +220,7 @@
     async fn finished_watch(&mut self, past: ClockTime) {
         let key = self.key("finished");
         let missing = self.store.watch(&key, ObjectVersion::default(), past).await;
-        let kept = missing == ReadOutcome::Missing;
+        let kept = missing == WatchOutcome::Missing;
         self.expect(
             "a watch of a missing object ends at its deadline",
             kept,
@@ -228,9 +228,9 @@
         );
         let version = self.create(&key, "one").await;
         let unchanged = self.store.watch(&key, version, past).await;
-        let kept = is_at(&unchanged, version);
+        let kept = unchanged == WatchOutcome::Unchanged;
         self.expect(
-            "a watch past its deadline gives the object as it stands",
+            "a watch past its deadline says that nothing changed",
             kept,
             &unchanged,
         );
@@ -242,7 +242,7 @@
         let (created, first) = join(watch, self.write(&key, ObjectVersion::default(), "one")).await;
         self.expect(
             "a watch ends when its object is made",
-            is_from(&created, &first),
+            shows(&created, &first),
             &created,
         );
         let UpdateOutcome::Applied(version) = first else {
@@ -252,7 +252,7 @@
         let (updated, second) = join(watch, self.write(&key, version, "two")).await;
         self.expect(
             "a watch ends when its object is updated",
-            is_from(&updated, &second),
+            shows(&updated, &second),
             &updated,
         );
     }
@@ -264,16 +264,17 @@
         let seen = self.store.watch(&key, first, future).await;
         self.expect(
             "a watch of an old version ends at once",
-            is_from(&seen, &second),
+            shows(&seen, &second),
             &seen,
         );
     }
 }
 
-fn is_at(read: &ReadOutcome, version: ObjectVersion) -> bool {
-    matches!(read, ReadOutcome::Found(StoredObject { version: found, .. }) if *found == version)
-}
-
-fn is_from(read: &ReadOutcome, outcome: &UpdateOutcome) -> bool {
-    matches!(outcome, UpdateOutcome::Applied(version) if is_at(read, *version))
+fn shows(watch: &WatchOutcome, outcome: &UpdateOutcome) -> bool {
+    match (watch, outcome) {
+        (WatchOutcome::Changed(object), UpdateOutcome::Applied(version)) => {
+            object.version == *version
+        }
+        _ => false,
+    }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use memory::{MemoryStore, ReadFault, UpdateFault, WatchFault};
 pub use object::{ObjectChange, ObjectKey, StoredObject, VALUE_LIMIT};
-pub use outcome::{ListOutcome, ReadOutcome, RemoveOutcome, UpdateOutcome};
+pub use outcome::{ListOutcome, ReadOutcome, RemoveOutcome, UpdateOutcome, WatchOutcome};
 
 use base::prelude::*;
 use futures_util::future::LocalBoxFuture;
@@ -37,11 +37,12 @@
 
     /// Waits until the object is newer than a version or the deadline passes.
     ///
-    /// A watch that times out answers with the object as it stands.
+    /// A watch that times out answers without the object, so that waiting costs
+    /// few bytes however large the object is.
     fn watch(
         &self,
         key: &ObjectKey,
         after: ObjectVersion,
         deadline: ClockTime,
-    ) -> LocalBoxFuture<'static, ReadOutcome>;
+    ) -> LocalBoxFuture<'static, WatchOutcome>;
 }
--- a/crates/store/src/memory/call.rs
+++ b/crates/store/src/memory/call.rs
@@ -11,7 +11,7 @@
 
 use super::fault::WatchFault;
 use super::state::MemoryState;
-use crate::{ObjectKey, ReadOutcome};
+use crate::{ObjectKey, ReadOutcome, WatchOutcome};
 
 /// What a slow call does once its time has come.
 type SlowEnd<T> = Box<dyn Fn(&mut MemoryState) -> T>;
@@ -48,22 +48,23 @@
 }
 
 impl Future for WatchCall {
-    type Output = ReadOutcome;
+    type Output = WatchOutcome;
 
-    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<ReadOutcome> {
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<WatchOutcome> {
         let state = self.state.clone();
         let mut state = state.borrow_mut();
         let version = state.version_of(&self.key);
         let expired = self.clock.now() >= self.deadline;
         match self.fault {
-            Some(WatchFault::Unavailable) => return Poll::Ready(ReadOutcome::Unavailable),
+            Some(WatchFault::Unavailable) => return Poll::Ready(WatchOutcome::Unavailable),
             Some(WatchFault::Silent) => return Poll::Pending,
             Some(WatchFault::MissesUpdate) if version > self.after => {
                 self.fault = None;
                 self.after = version;
             }
             _ if state.down || expired || version > self.after => {
-                return Poll::Ready(state.find(&self.key));
+                let found = state.find(&self.key);
+                return Poll::Ready(end_watch(found, self.after));
             }
             _ => {}
         }
@@ -71,3 +72,12 @@
         Poll::Pending
     }
 }
+
+fn end_watch(found: ReadOutcome, after: ObjectVersion) -> WatchOutcome {
+    match found {
+        ReadOutcome::Found(object) if object.version == after => WatchOutcome::Unchanged,
+        ReadOutcome::Found(object) => WatchOutcome::Changed(object),
+        ReadOutcome::Missing => WatchOutcome::Missing,
+        ReadOutcome::Unavailable => WatchOutcome::Unavailable,
+    }
+}
--- a/crates/store/src/memory/mod.rs
+++ b/crates/store/src/memory/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     ListOutcome, ObjectChange, ObjectKey, ObjectStore, ReadOutcome, RemoveOutcome, UpdateOutcome,
+    WatchOutcome,
 };
 use call::{SlowCall, WatchCall};
 use state::MemoryState;
@@ -160,7 +161,7 @@
         key: &ObjectKey,
         after: ObjectVersion,
         deadline: ClockTime,
-    ) -> LocalBoxFuture<'static, ReadOutcome> {
+    ) -> LocalBoxFuture<'static, WatchOutcome> {
         self.count_call();
         let fault = self.state.borrow_mut().watch_faults.next();
         Box::pin(WatchCall {
--- a/crates/store/src/outcome.rs
+++ b/crates/store/src/outcome.rs
@@ -4,7 +4,7 @@
 
 use crate::StoredObject;
 
-/// End of a read or a watch.
+/// End of a read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReadOutcome {
     /// The object as it stands.
@@ -15,6 +15,19 @@
     Unavailable,
 }
 
+/// End of a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WatchOutcome {
+    /// The object with another version than the one watched from.
+    Changed(StoredObject),
+    /// The deadline passed and the object still has that version.
+    Unchanged,
+    /// No such object.
+    Missing,
+    /// The store gave no answer.
+    Unavailable,
+}
+
 /// End of a list call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ListOutcome {
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -67,9 +67,9 @@
         key: &ObjectKey,
         after: ObjectVersion,
         deadline: ClockTime,
-    ) -> LocalBoxFuture<'static, ReadOutcome> {
+    ) -> LocalBoxFuture<'static, WatchOutcome> {
         match self.breaks {
-            BrokenRule::Watch => self.inner.read(key),
+            BrokenRule::Watch => Box::pin(async { WatchOutcome::Unavailable }),
             _ => self.inner.watch(key, after, deadline),
         }
     }
--- a/crates/store/tests/faults.rs
+++ b/crates/store/tests/faults.rs
@@ -103,7 +103,7 @@
     let mut ends = || watches.each_mut().map(|watch| watch.now_or_never());
     store.update(change(0, "one")).now_or_never();
     let [missed, failed, silent] = ends();
-    assert_eq!((missed, failed), (None, Some(ReadOutcome::Unavailable)));
+    assert_eq!((missed, failed), (None, Some(WatchOutcome::Unavailable)));
     assert_eq!(silent, None);
 }
 
@@ -117,7 +117,9 @@
     assert_eq!((&mut watch).now_or_never(), None);
     store.update(change(1, "two")).now_or_never();
     let end = watch.now_or_never();
-    assert!(matches!(end, Some(ReadOutcome::Found(object)) if object.version == ObjectVersion(2)));
+    assert!(
+        matches!(end, Some(WatchOutcome::Changed(object)) if object.version == ObjectVersion(2))
+    );
 }
 
 #[test]
@@ -127,7 +129,7 @@
     let mut watch = store.watch(&key(), ObjectVersion(0), deadline);
     assert_eq!((&mut watch).now_or_never(), None);
     store.set_down(true);
-    assert_eq!(watch.now_or_never(), Some(ReadOutcome::Unavailable));
+    assert_eq!(watch.now_or_never(), Some(WatchOutcome::Unavailable));
     let update = store.update(change(0, "one")).now_or_never();
     assert_eq!(update, Some(UpdateOutcome::Unavailable));
     assert_eq!(store.calls(), 2);
--- a/crates/watch/src/border.rs
+++ b/crates/watch/src/border.rs
@@ -6,8 +6,8 @@
 use base::prelude::*;
 use futures_channel::mpsc::UnboundedSender;
 use platform::{
-    EnginePort, HostDirectory, HostsOutcome, ReportOutcome, count_gateways, read_drains,
-    read_fabrics, read_good_sections, watch_document,
+    DocumentWatch, EnginePort, HostDirectory, HostsOutcome, ReportOutcome, count_gateways,
+    read_drains, read_fabrics, read_good_sections, watch_document,
 };
 use store::ObjectStore;
 
@@ -60,7 +60,13 @@
         let store = self.ports.store.clone();
         match effect {
             WatchEffect::ReadDocument { after, deadline } => self.read(async move {
-                WatchEvent::DocumentRead(watch_document(store.as_ref(), after, deadline).await)
+                match watch_document(store.as_ref(), after, deadline).await {
+                    DocumentWatch::Changed(version, document) => {
+                        WatchEvent::DocumentRead(Some((version, document)))
+                    }
+                    DocumentWatch::Unchanged => WatchEvent::DocumentUnchanged,
+                    DocumentWatch::Failed => WatchEvent::DocumentRead(None),
+                }
             }),
             WatchEffect::ReadGoodSections => self.read(async move {
                 let read = read_good_sections(store.as_ref()).await;
--- a/crates/watch/src/commands/observe.rs
+++ b/crates/watch/src/commands/observe.rs
@@ -19,6 +19,10 @@
     let next = now + state.times.read_interval;
     match event {
         WatchEvent::DocumentRead(read) => observe_document(state, read, now),
+        WatchEvent::DocumentUnchanged => {
+            state.document.set(now);
+            WatchChange::Nothing
+        }
         WatchEvent::GoodSectionsRead(read) => observe_good_sections(state, read, now),
         WatchEvent::FabricsRead(read) => {
             state.fabrics.set(next);
--- a/crates/watch/src/event.rs
+++ b/crates/watch/src/event.rs
@@ -12,6 +12,8 @@
 pub enum WatchEvent {
     /// The document was read.
     DocumentRead(Option<(ObjectVersion, Arc<Document>)>),
+    /// The document still has the version in force.
+    DocumentUnchanged,
     /// The last good sections were read.
     GoodSectionsRead(Option<GoodSections>),
     /// All fabric domains were read.
--- a/crates/watch/src/state.rs
+++ b/crates/watch/src/state.rs
@@ -18,6 +18,23 @@
     pub watch_span: Duration,
 }
 
+/// Interval between two reads of the same list.
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest wait of a watch; a connection that went silent costs no more, so that
+/// a change is in force within three seconds all the same.
+const WATCH_SPAN: Duration = Duration::from_millis(1_500);
+
+impl WatchTimes {
+    /// Spans of a daemon that asks hosts at an interval.
+    pub fn new(poll_interval: Duration) -> Self {
+        Self {
+            poll_interval,
+            read_interval: READ_INTERVAL,
+            watch_span: WATCH_SPAN,
+        }
+    }
+}
+
 /// What one daemon has read of the platform.
 #[derive(Debug)]
 pub struct WatchState {
