Measure calls that run once, and say which key to repeat

Cause: a charge never came into the histograms, because its end goes through the ledger; and a refusal with the store down said 'not run' without saying that this is about this attempt, which must be repeated with the same key.

Change: an answer from the ledger is measured like any whole answer; the refusal's sentence.

--- a/crates/gateway/src/border/reply.rs
+++ b/crates/gateway/src/border/reply.rs
@@ -199,7 +199,8 @@
         RefusalCause::StoreDown => (
             StatusCode::SERVICE_UNAVAILABLE,
             "store_unavailable",
-            "calls that may run only once cannot be accepted at present: send it again later",
+            "this attempt was not run, because calls that may run only once cannot be accepted at \
+             present: send it again later with the same key",
         ),
         RefusalCause::EndpointLost => (
             StatusCode::BAD_GATEWAY,
--- a/crates/gateway/src/commands/attempts.rs
+++ b/crates/gateway/src/commands/attempts.rs
@@ -144,7 +144,7 @@
     routing::commands::finish(state.route_of(&service), call);
 }
 
-fn measure(call: &CallState, measure: &'static str, now: ClockTime) -> GatewayEffect {
+pub(super) fn measure(call: &CallState, measure: &'static str, now: ClockTime) -> GatewayEffect {
     GatewayEffect::Measure(CallMeasure {
         workspace: call.workspace.clone(),
         service: call.arrival.service.clone(),
--- a/crates/gateway/src/commands/ledger.rs
+++ b/crates/gateway/src/commands/ledger.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use ledger::{CallVerdict, LedgerEffect, NotRunReason};
 
+use super::attempts::measure;
 use super::calls::{dispatch, end, refuse};
 use crate::state::GatewayState;
 use crate::{CallStep, GatewayEffect, RefusalCause, RunState};
@@ -45,7 +46,16 @@
             refuse(call, RefusalCause::EndpointLost, RunState::Unknown, None)
         }
     };
+    let answered = matches!(
+        &told,
+        GatewayEffect::Step {
+            step: CallStep::Answer(_),
+            ..
+        }
+    );
     let mut effects = vec![told];
+    let known = state.calls.get(&call).filter(|_| answered);
+    effects.extend(known.map(|known| measure(known, "whole", now)));
     effects.extend(end(state, call, now));
     effects
 }
--- a/crates/gateway/tests/suite/harness.rs
+++ b/crates/gateway/tests/suite/harness.rs
@@ -40,6 +40,8 @@
     pub requests: VecDeque<LedgerEffect>,
     /// Reads that were started.
     pub reads: Vec<WatchEffect>,
+    /// Names of what was measured.
+    pub measures: Vec<&'static str>,
     pub stopped_accepting: bool,
     pub finished: bool,
     next_call: CallId,
@@ -123,6 +125,7 @@
             steps: Vec::new(),
             requests: VecDeque::new(),
             reads: Vec::new(),
+            measures: Vec::new(),
             stopped_accepting: false,
             finished: false,
             next_call: CallId(0),
@@ -150,8 +153,8 @@
                 GatewayEffect::StopAccepting => self.stopped_accepting = true,
                 GatewayEffect::Finish => self.finished = true,
                 GatewayEffect::Watch(read) => self.reads.push(read),
-                GatewayEffect::Tell { .. } | GatewayEffect::Measure(_) | GatewayEffect::Peer(_) => {
-                }
+                GatewayEffect::Measure(measure) => self.measures.push(measure.measure),
+                GatewayEffect::Tell { .. } | GatewayEffect::Peer(_) => {}
             }
         }
     }
--- a/crates/gateway/tests/suite/marks.rs
+++ b/crates/gateway/tests/suite/marks.rs
@@ -28,6 +28,7 @@
     let answer = CallStep::Answer(recorded("charged"));
     assert_eq!(harness.last_step(call), Some(&answer));
     assert_eq!(harness.status().calls, 0);
+    assert_eq!(harness.measures, ["whole"], "its time is in the histograms");
 }
 
 #[test]
