Log refused calls and failed attempts with their request

Cause: the logs had nothing of a single call, so an operator could not follow one by the identifier that its caller was given. The test that no key is in the logs read only standard output, where no log goes.

Change: a refusal at level info and a failed attempt at level warn, each with the request's identifier; the test of the keys reads both outputs, and a new one finds a refusal by its request.

--- a/crates/bronzerun/tests/processes/process.rs
+++ b/crates/bronzerun/tests/processes/process.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 
-use crate::support::{Fleet, FleetShape, Process};
+use crate::support::{Fleet, FleetShape, Process, wait_until};
 
 fn expect_one_thread(process: &Process) {
     let folder = format!("/proc/{}", process.id());
@@ -34,8 +34,17 @@
     caller.stream("chat", "hello", 5).expect_whole("hello", 5);
     let digest = document::KeyDigest::of_key(crate::support::API_KEY).to_hex();
     for node in fleet.gateways.iter().chain(&fleet.controllers) {
-        let printed = node.process.output();
+        let printed = node.process.output() + &node.process.logs();
         assert!(!printed.contains(crate::support::API_KEY), "{}", node.name);
         assert!(!printed.contains(&digest), "{}", node.name);
     }
 }
+
+#[test]
+fn a_refused_call_is_in_the_log_with_its_request() {
+    let fleet = Fleet::start("logged-refusal", FleetShape::default());
+    let reply = fleet.caller(0).chat("nowhere", "hello", 1);
+    let request = reply.headers["x-request-id"].to_str().unwrap();
+    let log = &fleet.gateways[0].process;
+    wait_until("the refusal is logged", || log.logs().contains(request));
+}
--- a/crates/gateway/src/border/exchange.rs
+++ b/crates/gateway/src/border/exchange.rs
@@ -141,6 +141,10 @@
 
     /// Answers the caller with a refusal, in whatever way is still open.
     pub async fn refuse(&mut self, refusal: &CallRefusal) {
+        log::info!(
+            request:? = self.request.id, cause:? = refusal.cause, run:? = refusal.run;
+            "a call was refused"
+        );
         if let Some(mut stream) = self.stream.take() {
             // The caller may be gone; the cut tells it that the answer is not whole.
             let _ = stream.send(refusal_event(refusal)).await;
@@ -160,6 +164,16 @@
         self.send_reply(reply);
     }
 
+    /// Logs an attempt that brought the caller no whole answer.
+    pub fn log_failure(&self, order: &SendOrder, end: &AttemptEnd) {
+        if matches!(end, AttemptEnd::Lost | AttemptEnd::NotSent) {
+            log::warn!(
+                request:? = self.request.id, endpoint:% = order.address, end:? = end;
+                "an attempt failed"
+            );
+        }
+    }
+
     /// A stream that was begun must go on within the silence limit.
     fn begin_by(&self, order: &SendOrder) -> ClockTime {
         match self.stream {
--- a/crates/gateway/src/border/task.rs
+++ b/crates/gateway/src/border/task.rs
@@ -90,6 +90,12 @@
     /// Makes an attempt, unless the loop breaks it off: by a stop, or by the
     /// call's last step, which is returned.
     async fn attempt(&mut self, order: &SendOrder) -> (AttemptEnd, Option<CallStep>) {
+        let (end, verdict) = self.race_attempt(order).await;
+        self.exchange.log_failure(order, &end);
+        (end, verdict)
+    }
+
+    async fn race_attempt(&mut self, order: &SendOrder) -> (AttemptEnd, Option<CallStep>) {
         let attempt = pin!(self.exchange.attempt(order));
         let broken = self.steps.next();
         match select(attempt, broken).await {
