Remove a second type for a group's place, and code nobody calls

Cause: a read of the whole change found RunningPlace, a copy of AttemptPlace that differed only in being ordered, and four pieces without a caller: DrainWatch::is_started, BodySender::is_closed, EngineState::set_step and the field that only it could set.

Change: AttemptPlace is ordered and used for both; the rest is gone. The stand-in engine reports a step time of zero, as it always did.

--- a/crates/emulator/src/engine/state.rs
+++ b/crates/emulator/src/engine/state.rs
@@ -38,7 +38,6 @@
     model: Option<ModelName>,
     ready_at: ClockTime,
     running: u32,
-    step_micros: u32,
     leaving: bool,
 }
 
@@ -54,7 +53,6 @@
             model: None,
             ready_at: ClockTime::default(),
             running: 0,
-            step_micros: 0,
             leaving: false,
         }
     }
@@ -106,16 +104,11 @@
             load: LoadReport {
                 running: self.running,
                 waiting: 0,
-                step_micros: self.step_micros,
+                step_micros: 0,
             },
         }
     }
 
-    /// Sets the time of a decoding step that it reports.
-    pub fn set_step(&mut self, step: Duration) {
-        self.step_micros = u32::try_from(step.as_micros()).unwrap_or(u32::MAX);
-    }
-
     /// Makes it finish its calls and take no new work.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -126,7 +126,7 @@
 }
 
 /// Group and generation that an attempt is meant for.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct AttemptPlace {
     /// The group.
     pub group: GroupName,
--- a/crates/gateway/src/commands/targets.rs
+++ b/crates/gateway/src/commands/targets.rs
@@ -8,7 +8,7 @@
 
 use super::queue;
 use crate::call::{CallPhase, CallState};
-use crate::queries::{self, RunningPlace};
+use crate::queries;
 use crate::{CallStep, GatewayEffect, GatewayState};
 
 /// Works out anew which targets each service has and breaks off attempts
@@ -103,7 +103,7 @@
     let is_broken = |call: &CallState| match &call.phase {
         CallPhase::Trying {
             place: Some(place), ..
-        } => !places.contains(&RunningPlace::from(place)),
+        } => !places.contains(place),
         _ => false,
     };
     let broken = state.calls.iter().filter(|(_, call)| is_broken(call));
--- a/crates/gateway/src/queries/places.rs
+++ b/crates/gateway/src/queries/places.rs
@@ -10,31 +10,15 @@
 use super::hosts::recorded_groups;
 use crate::{AttemptPlace, GatewayState};
 
-/// Group and generation whose members are all there.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct RunningPlace {
-    group: GroupName,
-    epoch: GroupEpoch,
-}
-
-impl From<&AttemptPlace> for RunningPlace {
-    fn from(place: &AttemptPlace) -> Self {
-        Self {
-            group: place.group.clone(),
-            epoch: place.epoch,
-        }
-    }
-}
-
 /// Groups that may go on with the calls they have; draining ones among them.
-pub(crate) fn running_places(state: &GatewayState, now: ClockTime) -> BTreeSet<RunningPlace> {
+pub(crate) fn running_places(state: &GatewayState, now: ClockTime) -> BTreeSet<AttemptPlace> {
     let complete = |group: &&GroupRecord| match explain_group(group, &state.reports, now) {
         GroupVerdict::Serving { .. } => true,
         GroupVerdict::NotServing(faults) => faults.iter().all(is_planned),
     };
     let groups = recorded_groups(state).filter(complete);
     groups
-        .map(|group| RunningPlace {
+        .map(|group| AttemptPlace {
             group: group.group.clone(),
             epoch: group.epoch,
         })
--- a/crates/net/src/drain.rs
+++ b/crates/net/src/drain.rs
@@ -32,9 +32,4 @@
         // An error means that the switch was dropped, which also starts it.
         let _ = self.0.clone().await;
     }
-
-    /// Whether the drain has started.
-    pub fn is_started(&self) -> bool {
-        self.0.clone().now_or_never().is_some()
-    }
 }
--- a/crates/net/src/web/body.rs
+++ b/crates/net/src/web/body.rs
@@ -83,9 +83,4 @@
         // A reader that is gone needs no telling.
         let _ = self.0.send(Err(BodyError)).await;
     }
-
-    /// Whether the reader is gone.
-    pub fn is_closed(&self) -> bool {
-        self.0.is_closed()
-    }
 }
