--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -12,8 +12,8 @@
 use document::{Document, GoodSections, KeyDigest};
 use net::SystemClock;
 use net::web::{CollectOutcome, WebClient, empty_body};
-use platform::HttpObjectStore;
-use platform::keys::document_key;
+use interface::HttpObjectStore;
+use interface::keys::document_key;
 use serde_json::Value;
 use store::{ObjectChange, ObjectStore, UpdateOutcome};
 
--- a/crates/bronzerun/src/daemon.rs
+++ b/crates/bronzerun/src/daemon.rs
@@ -4,12 +4,21 @@
 use std::fs;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::rc::Rc;
 
+use base::prelude::*;
 use clap::Parser;
+use edge::border::EdgeParts;
 use gateway::GatewayAddresses;
+use net::SystemClock;
+use net::web::WebClient;
+use platform::{HeaderDialect, HttpEndpoints, HttpPlatformStore};
 use serde_json::json;
 use settings::{HostSettings, parse_settings};
 
+/// Time in which a connection to the store or to an endpoint must be made.
+const PLATFORM_CONNECT_SPAN: Duration = Duration::from_millis(300);
+
 /// Options of a daemon.
 #[derive(Parser)]
 #[command(version)]
@@ -38,6 +47,34 @@
     })
 }
 
+/// Runs the node of the users' platform until it is told to stop.
+pub fn run_edge() -> ExitCode {
+    match start_edge() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("{error}");
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start_edge() -> Result<(), Box<dyn Error>> {
+    net::start_line_logs(log::LevelFilter::Info)?;
+    let settings = platform::load_settings()?;
+    let clock: Rc<dyn ClockSource> = Rc::new(SystemClock::default());
+    let client = WebClient::new(clock.clone()).with_connect_span(PLATFORM_CONNECT_SPAN);
+    let store = HttpPlatformStore::new(client.clone(), clock.clone(), settings.store);
+    edge::border::run_edge(EdgeParts {
+        settings,
+        clock,
+        store: Rc::new(store),
+        endpoints: Rc::new(HttpEndpoints::new(client)),
+        dialect: Rc::new(HeaderDialect),
+    })?;
+    Ok(())
+}
+
 fn run_daemon(run: impl FnOnce(HostSettings) -> Result<(), Box<dyn Error>>) -> ExitCode {
     match start_daemon(run) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/bronzerun/src/demo.rs
+++ b/crates/bronzerun/src/demo.rs
@@ -15,7 +15,7 @@
 use futures_util::future::join;
 use log::LevelFilter;
 use net::drain_pair;
-use platform::keys::document_key;
+use interface::keys::document_key;
 use settings::{HostSettings, parse_settings};
 
 use crate::daemon::announce;
--- a/crates/bronzerun/src/lib.rs
+++ b/crates/bronzerun/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! The crates of the workspace under one name, and the entry points of the
 //! daemons. Decisions are in [`groups`], [`limits`], [`routing`], [`ledger`],
-//! [`members`] and [`document`]; [`gateway`] and [`controller`] run them.
+//! [`members`] and [`document`]; [`gateway`] and [`controller`] run them. On the
+//! users' machines [`edge`] runs instead, which meets them through [`platform`].
 
 mod daemon;
 mod demo;
@@ -11,8 +12,10 @@
 pub use base;
 pub use controller;
 pub use document;
+pub use edge;
 pub use gateway;
 pub use groups;
+pub use interface;
 pub use ledger;
 pub use limits;
 pub use members;
@@ -22,6 +25,6 @@
 pub use settings;
 pub use store;
 
-pub use daemon::{run_controller, run_gateway};
+pub use daemon::{run_controller, run_edge, run_gateway};
 pub use demo::run_demo;
 pub use standin::run_emulator;
--- a/crates/bronzerun/tests/cli.rs
+++ b/crates/bronzerun/tests/cli.rs
@@ -4,8 +4,8 @@
 
 use base::prelude::*;
 use document::KeyDigest;
-use platform::keys::{document_key, node_key};
-use platform::{NodeEntry, NodeRole};
+use interface::keys::{document_key, node_key};
+use interface::{NodeEntry, NodeRole};
 use serde_json::{Value, json};
 use support::{Operator, StandIn};
 
--- a/crates/bronzerun/tests/support/mod.rs
+++ b/crates/bronzerun/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use base::prelude::*;
 use net::web::{CollectOutcome, WebClient, full_body};
 use net::{SystemClock, block_on, drain_pair};
-use platform::HttpObjectStore;
+use interface::HttpObjectStore;
 use serde_json::Value;
 use store::{ObjectChange, ObjectKey, ObjectStore, ReadOutcome, StoredObject, UpdateOutcome};
 
--- a/crates/cli/src/commands/drain.rs
+++ b/crates/cli/src/commands/drain.rs
@@ -1,8 +1,8 @@
 //! Takes endpoints out of service and back.
 
 use base::prelude::*;
-use platform::DrainList;
-use platform::keys::drains_key;
+use interface::DrainList;
+use interface::keys::drains_key;
 use serde_json::{Value, json};
 use store::{ObjectChange, UpdateOutcome};
 
--- a/crates/cli/src/commands/keep_good.rs
+++ b/crates/cli/src/commands/keep_good.rs
@@ -4,7 +4,7 @@
 use document::commands::merge_good;
 use document::queries::effective;
 use document::{Document, GoodSections};
-use platform::keys::good_sections_key;
+use interface::keys::good_sections_key;
 use store::{ObjectChange, UpdateOutcome};
 
 use crate::Session;
--- a/crates/cli/src/commands/put_section.rs
+++ b/crates/cli/src/commands/put_section.rs
@@ -4,7 +4,7 @@
 use document::commands::{EditOutcome, SectionEdit, edit_section};
 use document::queries::{EditTrace, find_edit};
 use document::{Document, GoodSections, SectionFault};
-use platform::keys::document_key;
+use interface::keys::document_key;
 use serde_json::{Value, json};
 use store::{ObjectChange, UpdateOutcome};
 
--- a/crates/cli/src/daemons.rs
+++ b/crates/cli/src/daemons.rs
@@ -2,8 +2,8 @@
 
 use base::prelude::*;
 use futures_util::stream::{self, StreamExt};
-use platform::status::{GroupStatusWire, StatusWire};
-use platform::{NodeEntry, StatusOutcome};
+use interface::status::{GroupStatusWire, StatusWire};
+use interface::{NodeEntry, StatusOutcome};
 
 use crate::Session;
 
--- a/crates/cli/src/objects.rs
+++ b/crates/cli/src/objects.rs
@@ -3,8 +3,8 @@
 use base::prelude::*;
 use document::{Document, GoodSections};
 use groups::{FabricRecord, FabricWire};
-use platform::keys::{FABRIC_PREFIX, NODE_PREFIX, document_key, drains_key};
-use platform::{DrainList, HostEntry, HostsOutcome, NodeEntry, read_good_sections};
+use interface::keys::{FABRIC_PREFIX, NODE_PREFIX, document_key, drains_key};
+use interface::{DrainList, HostEntry, HostsOutcome, NodeEntry, read_good_sections};
 use store::{ListOutcome, ReadOutcome, StoredObject};
 
 use crate::{CliError, Session};
--- a/crates/cli/src/queries/histograms.rs
+++ b/crates/cli/src/queries/histograms.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use base::prelude::*;
-use platform::status::HistogramWire;
+use interface::status::HistogramWire;
 use serde::Serialize;
 
 use super::limits::silent_note;
--- a/crates/cli/src/queries/hosts.rs
+++ b/crates/cli/src/queries/hosts.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use groups::FabricRecord;
-use platform::{HostEntry, Presence};
+use interface::{HostEntry, Presence};
 use serde::Serialize;
 use serde_json::{Value, json};
 
--- a/crates/cli/src/queries/stranded.rs
+++ b/crates/cli/src/queries/stranded.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use groups::{FabricRecord, GroupRecord};
-use platform::{HostEntry, Presence};
+use interface::{HostEntry, Presence};
 use serde::Serialize;
 
 use super::hosts::find_reserve;
--- a/crates/cli/src/queries/watch.rs
+++ b/crates/cli/src/queries/watch.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use base::prelude::*;
-use platform::NodeEntry;
-use platform::status::RejectedWire;
+use interface::NodeEntry;
+use interface::status::RejectedWire;
 use serde::Serialize;
 
 use crate::daemons::{DaemonStatus, ask_daemons};
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -8,7 +8,7 @@
 use futures_util::future::LocalBoxFuture;
 use net::web::WebClient;
 use net::{SystemClock, seed_from_system, sleep_until};
-use platform::{HostDirectory, HttpHostDirectory, HttpNodes, HttpObjectStore, NodePort};
+use interface::{HostDirectory, HttpHostDirectory, HttpNodes, HttpObjectStore, NodePort};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use store::ObjectStore;
--- a/crates/cli/tests/suite/common.rs
+++ b/crates/cli/tests/suite/common.rs
@@ -12,8 +12,8 @@
 use cli::{Answer, Arguments, CliError, OutputFormat, Session, Waiter, run};
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, ready};
-use platform::status::StatusWire;
-use platform::{HostDirectory, HostEntry, HostsOutcome, NodePort, StatusOutcome};
+use interface::status::StatusWire;
+use interface::{HostDirectory, HostEntry, HostsOutcome, NodePort, StatusOutcome};
 use store::{MemoryStore, ObjectChange, ObjectKey, ObjectStore, ReadOutcome, UpdateOutcome};
 
 /// Hosts that the platform lists; none is an outage.
--- a/crates/cli/tests/suite/drain.rs
+++ b/crates/cli/tests/suite/drain.rs
@@ -4,8 +4,8 @@
 use base::prelude::*;
 use cli::ExitStatus;
 use cli::commands::drain::{DrainGoal, set_drain};
-use platform::DrainList;
-use platform::keys::drains_key;
+use interface::DrainList;
+use interface::keys::drains_key;
 use store::UpdateFault;
 
 fn drains(world: &World) -> Vec<String> {
--- a/crates/cli/tests/suite/put.rs
+++ b/crates/cli/tests/suite/put.rs
@@ -8,7 +8,7 @@
 use cli::commands::put_section::{PutOrder, put_section};
 use document::commands::{EditOutcome, SectionEdit, accept, edit_section, learn_good};
 use document::{ConfigState, Document, GoodSections};
-use platform::keys::{document_key, good_sections_key};
+use interface::keys::{document_key, good_sections_key};
 use store::UpdateFault;
 
 const MODELS: &str = "deployments:\n  quotes: {model: m, group_size: 4, groups: 2}\n";
--- a/crates/cli/tests/suite/reads.rs
+++ b/crates/cli/tests/suite/reads.rs
@@ -7,12 +7,12 @@
 use groups::{
     FabricRecord, FabricWire, GroupPhase, GroupRecord, MemberRecord, OwnerLease, StandbyRecord,
 };
-use platform::keys::{fabric_key, node_key};
-use platform::status::{
+use interface::keys::{fabric_key, node_key};
+use interface::status::{
     ConfigStatusWire, FaultWire, GroupStatusWire, HistogramWire, LimitStatusWire, MissingWire,
     RejectedWire, StatusWire,
 };
-use platform::{HostEntry, NodeEntry, NodeRole, Presence};
+use interface::{HostEntry, NodeEntry, NodeRole, Presence};
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], port))
--- a/crates/controller/src/border/admin.rs
+++ b/crates/controller/src/border/admin.rs
@@ -5,8 +5,8 @@
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use net::web::{WebReply, WebService, json_reply, text_reply};
-use platform::status::{ConfigStatusWire, GroupStatusWire, StatusWire};
-use platform::{RoleWire, STATUS_PATH};
+use interface::status::{ConfigStatusWire, GroupStatusWire, StatusWire};
+use interface::{RoleWire, STATUS_PATH};
 
 use super::ControllerDesk;
 use crate::ControllerStatus;
--- a/crates/controller/src/border/carrier.rs
+++ b/crates/controller/src/border/carrier.rs
@@ -6,8 +6,8 @@
 use base::prelude::*;
 use futures_channel::mpsc::UnboundedSender;
 use groups::{FabricEffect, FabricRecord, FabricWire, HostOrder};
-use platform::keys::fabric_key;
-use platform::{NodeEntry, OrderOutcome, read_fabric};
+use interface::keys::fabric_key;
+use interface::{NodeEntry, OrderOutcome, read_fabric};
 use store::ObjectChange;
 use watch::{WatchBorder, WatchPorts};
 
@@ -101,7 +101,7 @@
             ControllerEffect::Fabric(effect) => self.act(effect),
             ControllerEffect::Tell { ask, status } => self.desk.tell(ask, status),
             ControllerEffect::Withdraw => {
-                platform::withdraw(self.ports.store.clone(), self.entry.clone());
+                interface::withdraw(self.ports.store.clone(), self.entry.clone());
             }
             ControllerEffect::Finish => self.events.close_channel(),
         }
--- a/crates/controller/src/border/mod.rs
+++ b/crates/controller/src/border/mod.rs
@@ -15,7 +15,7 @@
     DaemonError, QuestionDesk, SystemClock, drain_pair, forward_stops, listen, run_loop,
     seed_from_system,
 };
-use platform::{HttpEngines, HttpHostDirectory, HttpObjectStore, NodeEntry, NodeRole};
+use interface::{HttpEngines, HttpHostDirectory, HttpObjectStore, NodeEntry, NodeRole};
 use settings::HostSettings;
 use watch::{WatchPorts, WatchTimes};
 
@@ -50,7 +50,7 @@
         domain: settings.domain.clone(),
         admin,
     };
-    platform::announce(ports.store.clone(), clock.clone(), entry.clone());
+    interface::announce(ports.store.clone(), clock.clone(), entry.clone());
     let desk = ControllerDesk::new(events.clone(), |ask, ()| ControllerEvent::StatusAsked {
         ask,
     });
--- a/crates/controller/src/commands/fabrics.rs
+++ b/crates/controller/src/commands/fabrics.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use document::queries::is_settled;
 use groups::{FabricTarget, HostEntry, HostReport, HostStanding};
-use platform::FabricRead;
+use interface::FabricRead;
 use store::UpdateOutcome;
 
 use crate::{ControllerEffect, ControllerState, queries};
--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use groups::FabricEffect;
 use net::AskId;
-use platform::FabricRead;
+use interface::FabricRead;
 use store::UpdateOutcome;
 use watch::{WatchEffect, WatchEvent};
 
--- a/crates/controller/tests/configuration.rs
+++ b/crates/controller/tests/configuration.rs
@@ -6,7 +6,7 @@
 };
 use document::{Document, GoodSections, Section};
 use groups::GroupSettings;
-use platform::{HostEntry, Presence};
+use interface::{HostEntry, Presence};
 use watch::{WatchEffect, WatchEvent, WatchTimes};
 
 const NOW: ClockTime = ClockTime::from_millis(50_000);
--- a/crates/controller/tests/interleaving.rs
+++ b/crates/controller/tests/interleaving.rs
@@ -9,7 +9,7 @@
 use std::cell::Cell;
 
 use base::prelude::*;
-use platform::Presence;
+use interface::Presence;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use store::UpdateFault;
--- a/crates/controller/tests/world/mod.rs
+++ b/crates/controller/tests/world/mod.rs
@@ -13,8 +13,8 @@
 use engine::FakeEngine;
 use futures_util::FutureExt;
 use groups::{FabricEffect, FabricRecord, FabricWire, GroupSettings, HostOrder};
-use platform::keys::fabric_key;
-use platform::{DrainList, HostEntry, Presence, read_fabric, read_fabrics};
+use interface::keys::fabric_key;
+use interface::{DrainList, HostEntry, Presence, read_fabric, read_fabrics};
 use store::{MemoryStore, ObjectChange, ObjectStore, UpdateFault, UpdateOutcome};
 use watch::{WatchEffect, WatchEvent, WatchTimes};
 
--- /dev/null
+++ b/crates/edge/src/border/carrier.rs
@@ -0,0 +1,77 @@
+//! Carries the loop's effects out.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use futures_channel::mpsc::UnboundedSender;
+use net::DrainSwitch;
+
+use super::EdgeDesk;
+use super::links::PeerLinks;
+use super::ports::{EndpointPort, PlatformStore};
+use super::wire::encode_message;
+use crate::{EdgeEffect, EdgeEvent};
+
+/// Time in which an endpoint must answer an order or a question.
+const ANSWER_SPAN: Duration = Duration::from_millis(300);
+
+/// Carrier of the loop's effects.
+pub(super) struct EdgeBorder {
+    pub clock: Rc<dyn ClockSource>,
+    pub store: Rc<dyn PlatformStore>,
+    pub endpoints: Rc<dyn EndpointPort>,
+    pub desk: EdgeDesk,
+    pub events: UnboundedSender<EdgeEvent>,
+    pub links: PeerLinks,
+    pub drain: RefCell<Option<DrainSwitch>>,
+    pub is_closing: Rc<Cell<bool>>,
+}
+
+impl EdgeBorder {
+    /// Sends an event back to the loop.
+    fn post(events: &UnboundedSender<EdgeEvent>, event: EdgeEvent) {
+        // The loop is gone only when the process is about to end.
+        let _ = events.unbounded_send(event);
+    }
+}
+
+impl EffectCarrier<EdgeEffect> for EdgeBorder {
+    fn carry(&self, effect: EdgeEffect) {
+        let events = self.events.clone();
+        let deadline = self.clock.now() + ANSWER_SPAN;
+        match effect {
+            EdgeEffect::Answer(ask, answer) => self.desk.tell(ask, answer),
+            EdgeEffect::Update(change) => {
+                let update = self.store.update(change.clone());
+                monoio::spawn(async move {
+                    let outcome = update.await;
+                    Self::post(&events, EdgeEvent::Updated(change, outcome));
+                });
+            }
+            EdgeEffect::Order { to, address, order } => {
+                let given = self.endpoints.order(address, &to, &order, deadline);
+                monoio::spawn(async move {
+                    let outcome = given.await;
+                    Self::post(&events, EdgeEvent::Ordered(to, order, outcome));
+                });
+            }
+            EdgeEffect::Probe { of, address } => {
+                let asked = self.endpoints.report(address, &of, deadline);
+                monoio::spawn(async move {
+                    let outcome = asked.await;
+                    Self::post(&events, EdgeEvent::Reported(of, outcome));
+                });
+            }
+            EdgeEffect::Send { to, message } => {
+                self.links.send(to, Bytes::from(encode_message(&message)));
+            }
+            EdgeEffect::Close => self.is_closing.set(true),
+            EdgeEffect::Drain => {
+                self.drain.borrow_mut().take().map(DrainSwitch::start);
+            }
+            EdgeEffect::Exit => std::process::exit(0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/border/exchange.rs
@@ -0,0 +1,155 @@
+//! One attempt of a request at one server.
+
+use std::pin::pin;
+use std::rc::Rc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode, Uri};
+use net::web::{CallOutcome, WebAnswer, WebClient, WebRequest, full_body};
+use net::with_deadline;
+use relay::{AttemptEnd, SendOrder, StallStep};
+
+use super::EdgeDesk;
+use super::ports::{AnswerMarks, ForwardMarks, RequestDialect};
+use crate::{EdgeAnswer, EdgeQuestion};
+
+/// Request as its client sent it, to be sent as often as need be.
+#[derive(Debug)]
+pub(super) struct ClientRequest {
+    pub call: CallId,
+    pub id: Arc<str>,
+    pub method: Method,
+    /// Path and query, as the client wrote them.
+    pub target: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub workspace: Option<WorkspaceName>,
+    /// Whether servers rank it in their queue.
+    pub is_ranked: bool,
+}
+
+/// How an attempt went.
+pub(super) enum AttemptOutcome {
+    /// The headers of a usable answer are here.
+    Answered(Box<WebAnswer>),
+    /// No usable answer came.
+    Ended(AttemptEnd),
+    /// The time is up.
+    Late,
+}
+
+/// What an exchange needs.
+#[derive(Clone)]
+pub(super) struct ExchangeTools {
+    pub client: WebClient,
+    pub clock: Rc<dyn ClockSource>,
+    pub desk: EdgeDesk,
+    pub dialect: Rc<dyn RequestDialect>,
+}
+
+impl ExchangeTools {
+    /// Sends a request and waits for the headers of its answer.
+    pub async fn attempt(
+        &self,
+        request: &ClientRequest,
+        order: &SendOrder,
+        last_event: Option<u64>,
+    ) -> AttemptOutcome {
+        let Some(message) = self.build(request, order, last_event) else {
+            return AttemptOutcome::Ended(AttemptEnd::NotSent);
+        };
+        let call = self.client.call(order.address, message, order.deadline);
+        let mut call = pin!(call);
+        let mut check_at = order.check_at;
+        loop {
+            let until = check_at.min(order.deadline);
+            let outcome = with_deadline(self.clock.as_ref(), until, call.as_mut()).await;
+            match outcome {
+                Some(CallOutcome::Answered(answer)) => return self.examine(request, *answer).await,
+                Some(CallOutcome::NotSent) => return AttemptOutcome::Ended(AttemptEnd::NotSent),
+                Some(CallOutcome::Lost) if self.clock.now() >= order.deadline => {
+                    return AttemptOutcome::Late;
+                }
+                Some(CallOutcome::Lost) => return AttemptOutcome::Ended(AttemptEnd::Lost),
+                None if self.clock.now() >= order.deadline => return AttemptOutcome::Late,
+                None => match self.ask_stall(request.call).await {
+                    StallStep::Wait { until } => check_at = until,
+                    StallStep::Move => return AttemptOutcome::Ended(AttemptEnd::Stalled),
+                },
+            }
+        }
+    }
+
+    /// Asks the loop about a server that says nothing.
+    pub async fn ask_stall(&self, call: CallId) -> StallStep {
+        match self.desk.ask(EdgeQuestion::Check(call)).await {
+            Some(EdgeAnswer::Stall(step)) => step,
+            _ => StallStep::Move,
+        }
+    }
+
+    fn build(
+        &self,
+        request: &ClientRequest,
+        order: &SendOrder,
+        last_event: Option<u64>,
+    ) -> Option<WebRequest> {
+        let marks = ForwardMarks {
+            place: order.place.clone(),
+            time_left: order.deadline.since(self.clock.now()),
+            workspace: request.workspace.clone(),
+            rank: request.is_ranked.then_some(order.rank),
+            last_event,
+        };
+        let mut message = WebRequest::new(full_body(request.body.clone()));
+        *message.method_mut() = request.method.clone();
+        *message.uri_mut() = request.target.clone();
+        *message.headers_mut() = self.dialect.forward_headers(&request.headers, &marks);
+        Some(message)
+    }
+
+    /// Checks that an answer is the server's own answer to this request.
+    async fn examine(&self, request: &ClientRequest, answer: WebAnswer) -> AttemptOutcome {
+        let marks = self.dialect.read_answer(answer.parts.status, &answer.parts.headers);
+        if let Some(fault) = find_fault(request, answer.parts.status, &marks) {
+            log::warn!(id:% = request.id, status = answer.parts.status.as_u16(); "an answer was thrown away: {fault}");
+            answer.give_up();
+            return AttemptOutcome::Ended(AttemptEnd::Lost);
+        }
+        if marks.is_unrun {
+            log::info!(id:% = request.id, status = answer.parts.status.as_u16(), culprit:? = marks.culprit.as_ref().map(HostName::as_str); "a server did not run a request");
+            keep_connection(answer, self.clock.as_ref());
+            return AttemptOutcome::Ended(AttemptEnd::NotRun);
+        }
+        AttemptOutcome::Answered(Box::new(answer))
+    }
+}
+
+/// What is wrong with an answer.
+fn find_fault(request: &ClientRequest, status: StatusCode, marks: &AnswerMarks) -> Option<&'static str> {
+    if marks.id.as_ref().is_some_and(|id| *id != request.id) {
+        return Some("it answers another request");
+    }
+    if status.is_success() && !marks.is_sealed {
+        return Some("it bears no proof of its server");
+    }
+    if status.is_success() && marks.is_encoded {
+        return Some("its body was encoded on the way");
+    }
+    None
+}
+
+/// Time that the rest of an unused answer may take.
+const REST_SPAN: Duration = Duration::from_millis(200);
+/// Largest unused answer that is read for the sake of its connection.
+const REST_LIMIT: usize = 64 * 1_024;
+
+/// Reads the rest of an answer so that its connection can be used again.
+pub(super) fn keep_connection(answer: WebAnswer, clock: &dyn ClockSource) {
+    let deadline = clock.now() + REST_SPAN;
+    monoio::spawn(async move {
+        // What comes is not used, and a failure costs only the connection.
+        let _ = answer.collect(REST_LIMIT, deadline).await;
+    });
+}
--- /dev/null
+++ b/crates/edge/src/border/mod.rs
@@ -0,0 +1,25 @@
+//! Everything that talks to clients, servers, the store and the other nodes.
+
+mod carrier;
+mod events;
+mod exchange;
+mod feeds;
+mod front;
+mod links;
+mod page;
+mod relayed;
+mod reply;
+mod run;
+mod wire;
+
+pub mod ports;
+
+pub use run::{EdgeParts, run_edge};
+pub use wire::{MessageError, decode_message, encode_message};
+
+use net::QuestionDesk;
+
+use crate::{EdgeAnswer, EdgeEvent, EdgeQuestion};
+
+/// Desk of this daemon's loop.
+pub(crate) type EdgeDesk = QuestionDesk<EdgeEvent, EdgeQuestion, EdgeAnswer>;
--- /dev/null
+++ b/crates/edge/src/border/run.rs
@@ -0,0 +1,104 @@
+//! Starts the daemon.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use base::prelude::*;
+use futures_channel::mpsc::unbounded;
+use net::web::{WebClient, WebLimits, serve};
+use net::{DaemonError, block_on, drain_pair, forward_stops, listen, run_loop, seed_from_system};
+
+use super::EdgeDesk;
+use super::carrier::EdgeBorder;
+use super::exchange::ExchangeTools;
+use super::feeds::follow_feed;
+use super::front::ClientFront;
+use super::links::{PeerLinks, receive_links};
+use super::page::ReadyPage;
+use super::ports::{EndpointPort, Feed, PlatformStore, RequestDialect};
+use crate::{EdgeEvent, EdgeSettings, EdgeState, EdgeTimes};
+
+/// Time in which a new connection to a server must be made.
+const CONNECT_SPAN: Duration = Duration::from_millis(250);
+
+/// What the daemon is made of.
+pub struct EdgeParts {
+    /// Settings.
+    pub settings: EdgeSettings,
+    /// Clock.
+    pub clock: Rc<dyn ClockSource>,
+    /// The platform's store.
+    pub store: Rc<dyn PlatformStore>,
+    /// Orders and questions to endpoints.
+    pub endpoints: Rc<dyn EndpointPort>,
+    /// Headers of requests and answers.
+    pub dialect: Rc<dyn RequestDialect>,
+}
+
+/// Runs the daemon until it is stopped.
+pub fn run_edge(parts: EdgeParts) -> Result<(), DaemonError> {
+    block_on(run(parts))?
+}
+
+async fn run(parts: EdgeParts) -> Result<(), DaemonError> {
+    let EdgeParts {
+        settings,
+        clock,
+        store,
+        endpoints,
+        dialect,
+    } = parts;
+    let (ready, _) = listen(settings.ready)?;
+    let (front, _) = listen(settings.front)?;
+    let (peers, _) = listen(settings.peers)?;
+    log::info!(node:% = settings.node, front:% = settings.front; "started");
+    let (events, receiver) = unbounded();
+    forward_stops(events.clone(), || EdgeEvent::Stop)?;
+    let desk = EdgeDesk::new(events.clone(), EdgeEvent::Asked);
+    let (switch, watch) = drain_pair();
+    let is_closing = Rc::new(Cell::new(false));
+
+    for feed in Feed::ALL {
+        monoio::spawn(follow_feed(feed, store.clone(), clock.clone(), events.clone()));
+    }
+    monoio::spawn(receive_links(peers, store.clone(), clock.clone(), events.clone()));
+    let page = Rc::new(ReadyPage { desk: desk.clone() });
+    // The readiness page is served until the process ends.
+    let (page_switch, page_watch) = drain_pair();
+    std::mem::forget(page_switch);
+    monoio::spawn(serve(ready, page, WebLimits::default(), page_watch));
+
+    let client = WebClient::new(clock.clone()).with_connect_span(CONNECT_SPAN);
+    let limits = WebLimits::default();
+    let service = Rc::new(ClientFront {
+        tools: ExchangeTools {
+            client,
+            clock: clock.clone(),
+            desk: desk.clone(),
+            dialect,
+        },
+        events: events.clone(),
+        limits,
+        is_closing: is_closing.clone(),
+        next: Rc::default(),
+    });
+    monoio::spawn(async move {
+        serve(front, service, limits, watch).await;
+        log::info!("stopped: every connection is closed");
+        std::process::exit(0);
+    });
+
+    let border = EdgeBorder {
+        clock: clock.clone(),
+        store,
+        endpoints,
+        desk,
+        events,
+        links: PeerLinks::new(clock.clone()),
+        drain: RefCell::new(Some(switch)),
+        is_closing,
+    };
+    let mut state = EdgeState::new(settings, EdgeTimes::default(), seed_from_system(), clock.now());
+    run_loop(&mut state, receiver, clock.as_ref(), &border).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/edge/src/border/wire.rs
@@ -0,0 +1,146 @@
+//! Messages between nodes as bytes.
+
+use base::prelude::*;
+use prost::Message;
+use replicas::{GroupRecord, RecordWire};
+
+use crate::peer::{Digest, PeerMessage};
+
+/// Why bytes are no message.
+#[derive(Debug, thiserror::Error)]
+pub enum MessageError {
+    /// They don't decode.
+    #[error("the message can't be decoded: {0}")]
+    Decode(#[from] prost::DecodeError),
+    /// A name in it is none.
+    #[error("the message has a bad name: {0}")]
+    Name(#[from] NameError),
+    /// The record in it can't be read.
+    #[error("the message has a bad record: {0}")]
+    Record(String),
+    /// The configuration in it can't be read.
+    #[error("the message has a bad configuration: {0}")]
+    Intent(String),
+    /// It is empty.
+    #[error("the message is empty")]
+    Empty,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct MessageWire {
+    #[prost(oneof = "BodyWire", tags = "1, 2, 3")]
+    body: Option<BodyWire>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum BodyWire {
+    #[prost(message, tag = "1")]
+    Digest(DigestWire),
+    /// Text of a configuration.
+    #[prost(string, tag = "2")]
+    Intent(String),
+    #[prost(message, tag = "3")]
+    Record(RecordBodyWire),
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct DigestWire {
+    #[prost(string, tag = "1")]
+    from: String,
+    #[prost(uint64, tag = "2")]
+    intent_version: u64,
+    #[prost(uint64, tag = "3")]
+    record_version: u64,
+    #[prost(bool, tag = "4")]
+    can_own: bool,
+    #[prost(message, repeated, tag = "5")]
+    counts: Vec<CountWire>,
+    #[prost(string, repeated, tag = "6")]
+    silent: Vec<String>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct CountWire {
+    #[prost(string, tag = "1")]
+    place: String,
+    #[prost(uint32, tag = "2")]
+    count: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RecordBodyWire {
+    #[prost(uint64, tag = "1")]
+    version: u64,
+    #[prost(string, tag = "2")]
+    text: String,
+}
+
+/// Bytes of a message.
+pub fn encode_message(message: &PeerMessage) -> Vec<u8> {
+    let body = match message {
+        PeerMessage::Digest(digest) => BodyWire::Digest(DigestWire::from(digest.as_ref())),
+        PeerMessage::Intent(_, text) => BodyWire::Intent(text.as_ref().to_owned()),
+        PeerMessage::Record(record, version) => BodyWire::Record(RecordBodyWire {
+            version: version.0,
+            text: serde_json::to_string(&RecordWire::from(record.as_ref()))
+                .expect("records have a JSON form"),
+        }),
+    };
+    MessageWire { body: Some(body) }.encode_to_vec()
+}
+
+/// Message of bytes; `read_intent` reads a configuration's text.
+pub fn decode_message(
+    bytes: &[u8],
+    read_intent: &dyn Fn(&str) -> Result<intent::Intent, String>,
+) -> Result<PeerMessage, MessageError> {
+    match MessageWire::decode(bytes)?.body.ok_or(MessageError::Empty)? {
+        BodyWire::Digest(wire) => Ok(PeerMessage::Digest(Box::new(Digest::try_from(wire)?))),
+        BodyWire::Intent(text) => {
+            let intent = read_intent(&text).map_err(MessageError::Intent)?;
+            Ok(PeerMessage::Intent(Arc::new(intent), text.into()))
+        }
+        BodyWire::Record(wire) => {
+            let fault = |fault: String| MessageError::Record(fault);
+            let record: RecordWire =
+                serde_json::from_str(&wire.text).map_err(|error| fault(error.to_string()))?;
+            let record = GroupRecord::try_from(record).map_err(|error| fault(error.to_string()))?;
+            Ok(PeerMessage::Record(Arc::new(record), ObjectVersion(wire.version)))
+        }
+    }
+}
+
+impl From<&Digest> for DigestWire {
+    fn from(digest: &Digest) -> Self {
+        let counts = digest.counts.iter().map(|(place, count)| CountWire {
+            place: place.as_str().to_owned(),
+            count: *count,
+        });
+        Self {
+            from: digest.from.as_str().to_owned(),
+            intent_version: digest.intent_version,
+            record_version: digest.record_version.0,
+            can_own: digest.can_own,
+            counts: counts.collect(),
+            silent: digest.silent.iter().map(|head| head.as_str().to_owned()).collect(),
+        }
+    }
+}
+
+impl TryFrom<DigestWire> for Digest {
+    type Error = NameError;
+
+    fn try_from(wire: DigestWire) -> Result<Self, NameError> {
+        let counts = wire.counts.into_iter();
+        let counts = counts.map(|wire| Ok((HostName::new(&wire.place)?, wire.count)));
+        let silent = wire.silent.iter().map(|head| HostName::new(head));
+        Ok(Self {
+            from: NodeName::new(&wire.from)?,
+            intent_version: wire.intent_version,
+            record_version: ObjectVersion(wire.record_version),
+            can_own: wire.can_own,
+            counts: counts.collect::<Result<_, NameError>>()?,
+            silent: silent.collect::<Result<_, _>>()?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/edge/src/commands/peers.rs
@@ -0,0 +1,107 @@
+//! What nodes tell one another.
+
+use base::prelude::*;
+use replicas::commands::{note_record, suspect};
+
+use super::feeds::adopt;
+use super::refresh_places;
+use crate::peer::{Digest, PeerMessage};
+use crate::queries::can_own;
+use crate::{EdgeEffect, EdgeState};
+
+/// Pause before a node is sent the same thing again.
+const RESEND_PAUSE: Duration = Duration::from_millis(500);
+
+/// Sends a digest to every other node, if it is time.
+pub(crate) fn tell_peers(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
+    if state.digest_due > now {
+        return Vec::new();
+    }
+    state.digest_due = now + state.times.digest_period;
+    let digest = Digest {
+        from: state.settings.node.clone(),
+        intent_version: state.intent.version().unwrap_or(0),
+        record_version: state.planner.version().unwrap_or_default(),
+        can_own: can_own(state, now),
+        counts: relay::queries::own_counts(&state.relay),
+        silent: std::mem::take(&mut state.silent).into_iter().collect(),
+    };
+    let peers = state.peers.values();
+    peers
+        .map(|peer| EdgeEffect::digest(peer.address, digest.clone()))
+        .collect()
+}
+
+/// Sends the record to every node at once.
+pub(crate) fn push_record(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
+    let Some(version) = state.planner.version() else {
+        return Vec::new();
+    };
+    let record = state.planner.record().clone();
+    let peers = state.peers.values_mut();
+    peers
+        .map(|peer| {
+            peer.record_sent = Some(now);
+            EdgeEffect::record(peer.address, record.clone(), version)
+        })
+        .collect()
+}
+
+/// Takes in a message of another node.
+pub(crate) fn take_message(
+    state: &mut EdgeState,
+    message: PeerMessage,
+    now: ClockTime,
+) -> Vec<EdgeEffect> {
+    match message {
+        PeerMessage::Digest(digest) => take_digest(state, *digest, now),
+        PeerMessage::Intent(intent, text) => {
+            if adopt(state, intent, text, "node") {
+                refresh_places(state);
+            }
+            Vec::new()
+        }
+        PeerMessage::Record(record, version) => {
+            if note_record(&mut state.planner, record, version) {
+                refresh_places(state);
+                state.plan_due = state.plan_due.min(now);
+            }
+            Vec::new()
+        }
+    }
+}
+
+fn take_digest(state: &mut EdgeState, digest: Digest, now: ClockTime) -> Vec<EdgeEffect> {
+    relay::commands::note_remote(&mut state.relay, &digest.from, &digest.counts, now);
+    if state.is_owner {
+        for head in &digest.silent {
+            suspect(&mut state.planner, head, now);
+            state.plan_due = now;
+        }
+    }
+    let intent_version = state.intent.version().unwrap_or(0);
+    let record_version = state.planner.version().unwrap_or_default();
+    let Some(peer) = state.peers.get_mut(&digest.from) else {
+        // Its entry in the store will say where it is.
+        return Vec::new();
+    };
+    let mut effects = Vec::new();
+    let may_send = |sent: Option<ClockTime>| sent.is_none_or(|at| now.since(at) >= RESEND_PAUSE);
+    if digest.intent_version < intent_version && may_send(peer.intent_sent) {
+        if let (Some(intent), Some(text)) = (state.intent.get(), &state.intent_text) {
+            peer.intent_sent = Some(now);
+            effects.push(EdgeEffect::Send {
+                to: peer.address,
+                message: PeerMessage::Intent(intent.clone(), text.clone()),
+            });
+        }
+    }
+    if digest.record_version < record_version && may_send(peer.record_sent) {
+        peer.record_sent = Some(now);
+        let record = state.planner.record().clone();
+        effects.push(EdgeEffect::record(peer.address, record, record_version));
+    }
+    peer.heard_at = Some(now);
+    peer.digest = Some(digest);
+    effects
+}
--- /dev/null
+++ b/crates/edge/src/commands/plan.rs
@@ -0,0 +1,103 @@
+//! The owner's work on the groups.
+
+use base::prelude::*;
+use replicas::commands::{note_order, note_report, tick};
+use replicas::{MemberOrder, OrderOutcome, PlanEffect, ReportOutcome};
+
+use super::refresh_places;
+use super::shared::record_change;
+use crate::queries::owner;
+use crate::{EdgeEffect, EdgeState};
+
+/// Looks at the groups if this node owns them and it is time.
+pub(crate) fn plan_if_due(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
+    let is_owner = owner(state, now).as_ref() == Some(&state.settings.node);
+    if is_owner != state.is_owner {
+        state.is_owner = is_owner;
+        log::info!(is_owner, record = state.planner.version().unwrap_or_default().0; "the owner of the groups has changed");
+    }
+    if !is_owner || state.plan_due > now {
+        return Vec::new();
+    }
+    state.plan_due = now + state.times.plan_period;
+    let Some(intent) = state.intent.get().cloned() else {
+        return Vec::new();
+    };
+    let effects = tick(&mut state.planner, &intent, now);
+    refresh_places(state);
+    effects.into_iter().filter_map(|effect| carry(state, effect)).collect()
+}
+
+/// Effect of the planner as one of the loop.
+fn carry(state: &EdgeState, effect: PlanEffect) -> Option<EdgeEffect> {
+    match effect {
+        PlanEffect::Order { to, order } => {
+            let address = state.planner.endpoints().get(&to)?.endpoint.address;
+            Some(EdgeEffect::Order { to, address, order })
+        }
+        PlanEffect::Probe(of) => {
+            let address = state.planner.endpoints().get(&of)?.endpoint.address;
+            Some(EdgeEffect::Probe { of, address })
+        }
+        PlanEffect::Write { record, expected } => {
+            log_groups(state, &record);
+            record_change(&record, expected).map(EdgeEffect::Update)
+        }
+    }
+}
+
+/// Logs what a new record changes about the groups.
+fn log_groups(state: &EdgeState, record: &replicas::GroupRecord) {
+    let before = &state.planner.record().groups;
+    for group in before {
+        if !record.groups.iter().any(|kept| kept.epoch == group.epoch) {
+            log::info!(group:% = group.name, epoch = group.epoch.0, model:% = group.model; "a group ends");
+        }
+    }
+    for group in &record.groups {
+        let old = before.iter().find(|old| old.epoch == group.epoch);
+        if old.is_none_or(|old| old.phase != group.phase) {
+            let members: Vec<_> = group.members.iter().map(|member| member.id.as_str()).collect();
+            log::info!(group:% = group.name, epoch = group.epoch.0, model:% = group.model, phase:? = group.phase, members = members.join(","); "a group changes");
+        }
+    }
+}
+
+/// Takes in how an order ended.
+pub(crate) fn take_order(
+    state: &mut EdgeState,
+    to: &HostName,
+    order: &MemberOrder,
+    outcome: OrderOutcome,
+    now: ClockTime,
+) -> Vec<EdgeEffect> {
+    log::info!(endpoint:% = to, order:? = order, outcome:? = outcome; "an order ended");
+    let intent = state.intent.get().cloned();
+    let view = state.planner.endpoints().get(to);
+    let service = view.map(|view| view.endpoint.service.clone());
+    let engine = intent.as_ref().and_then(|intent| {
+        let service = intent.services.get(&service?)?;
+        service.engine.as_ref()
+    });
+    note_order(&mut state.planner, to, order, outcome, engine, now);
+    state.plan_due = now;
+    plan_if_due(state, now)
+}
+
+/// Takes in an endpoint's report.
+pub(crate) fn take_report(
+    state: &mut EdgeState,
+    of: &HostName,
+    outcome: ReportOutcome,
+    now: ClockTime,
+) -> Vec<EdgeEffect> {
+    let was_lost = state.planner.endpoints().get(of).is_some_and(|view| view.is_lost());
+    note_report(&mut state.planner, of, outcome, now);
+    let is_lost = state.planner.endpoints().get(of).is_some_and(|view| view.is_lost());
+    if was_lost != is_lost {
+        log::info!(endpoint:% = of, is_lost; "an endpoint's silence changed");
+        state.plan_due = now;
+        return plan_if_due(state, now);
+    }
+    Vec::new()
+}
--- /dev/null
+++ b/crates/edge/src/handler.rs
@@ -0,0 +1,61 @@
+//! The loop's side of the daemon.
+
+use base::prelude::*;
+
+use crate::commands;
+use crate::queries;
+use crate::{EdgeAnswer, EdgeEffect, EdgeEvent, EdgeQuestion, EdgeState};
+
+impl EventHandler for EdgeState {
+    type Event = EdgeEvent;
+    type Effect = EdgeEffect;
+
+    fn handle(&mut self, event: EdgeEvent, now: ClockTime) -> Vec<EdgeEffect> {
+        match event {
+            EdgeEvent::Asked(ask, question) => {
+                vec![EdgeEffect::Answer(ask, answer(self, question, now))]
+            }
+            EdgeEvent::Progress(call) => {
+                commands::progress(self, call, now);
+                Vec::new()
+            }
+            EdgeEvent::Finished(call) => {
+                relay::commands::finish(&mut self.relay, call);
+                Vec::new()
+            }
+            EdgeEvent::Fed(feed, news) => commands::take_feed(self, feed, news, now),
+            EdgeEvent::Updated(change, outcome) => {
+                commands::take_update(self, &change, outcome, now)
+            }
+            EdgeEvent::Ordered(to, order, outcome) => {
+                commands::take_order(self, &to, &order, outcome, now)
+            }
+            EdgeEvent::Reported(of, outcome) => commands::take_report(self, &of, outcome, now),
+            EdgeEvent::Peer(message) => commands::take_message(self, message, now),
+            EdgeEvent::Stop => commands::stop(self, now),
+        }
+    }
+
+    fn wake(&mut self, now: ClockTime) -> Vec<EdgeEffect> {
+        let mut effects = commands::announce(self, now);
+        effects.extend(commands::tell_peers(self, now));
+        effects.extend(commands::plan_if_due(self, now));
+        effects.extend(commands::advance_stop(self, now));
+        effects
+    }
+
+    fn next_deadline(&self) -> Option<ClockTime> {
+        queries::next_deadline(self)
+    }
+}
+
+fn answer(state: &mut EdgeState, question: EdgeQuestion, now: ClockTime) -> EdgeAnswer {
+    match question {
+        EdgeQuestion::Arrive(arrival) => {
+            EdgeAnswer::Arrival(Box::new(commands::arrive(state, *arrival, now)))
+        }
+        EdgeQuestion::Ended(call, end) => EdgeAnswer::Step(commands::end_attempt(state, call, end, now)),
+        EdgeQuestion::Check(call) => EdgeAnswer::Stall(commands::check(state, call, now)),
+        EdgeQuestion::Status => EdgeAnswer::Status(queries::status(state, now)),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/peer.rs
@@ -0,0 +1,43 @@
+//! What nodes tell one another.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use replicas::GroupRecord;
+
+/// Node and where it takes messages.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerAddress {
+    /// Node.
+    pub node: NodeName,
+    /// Address.
+    pub address: SocketAddr,
+}
+
+/// What a node says of itself again and again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Digest {
+    /// Node.
+    pub from: NodeName,
+    /// Version of the configuration that it has in force; zero for none.
+    pub intent_version: u64,
+    /// Version of the record that it knows; zero for none.
+    pub record_version: ObjectVersion,
+    /// Whether it could form the groups: it reaches the store and is not ending.
+    pub can_own: bool,
+    /// Requests that it has at each place.
+    pub counts: Vec<(HostName, u32)>,
+    /// Heads that give it no bytes.
+    pub silent: Vec<HostName>,
+}
+
+/// Message from one node to another.
+#[derive(Clone, Debug)]
+pub enum PeerMessage {
+    /// How the sender is.
+    Digest(Box<Digest>),
+    /// Text of a configuration that the receiver doesn't have.
+    Intent(Arc<intent::Intent>, Arc<str>),
+    /// Record that the receiver doesn't have.
+    Record(Arc<GroupRecord>, ObjectVersion),
+}
--- /dev/null
+++ b/crates/edge/src/state.rs
@@ -0,0 +1,179 @@
+//! What the loop knows.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use intent::IntentSlot;
+use limits::BudgetSettings;
+use relay::{RelaySettings, RelayState};
+use replicas::{PlannerSettings, PlannerState};
+
+use crate::peer::Digest;
+use crate::{EdgeSettings, border::ports::Feed};
+
+/// Buckets in a retry window.
+const RETRY_BUCKETS: u32 = 10;
+/// Nodes among which the extra sends that don't depend on traffic are split.
+const SLACK_PARTS: f64 = 16.0;
+/// Part of the allowed extra sends that is used; windows of nodes don't line up.
+const RETRY_PART: f64 = 0.8;
+/// Time after the start in which groups are formed of endpoints without weights.
+const COLD_SPAN: Duration = Duration::from_millis(9_000);
+
+/// Times of the node's own work.
+#[derive(Clone, Debug)]
+pub struct EdgeTimes {
+    /// Pause between two digests.
+    pub digest_period: Duration,
+    /// Silence after which another node counts as gone.
+    pub peer_silence: Duration,
+    /// Silence of the store after which this node can't own the groups.
+    pub store_silence: Duration,
+    /// Pause between two looks at the groups by their owner.
+    pub plan_period: Duration,
+    /// Time after SIGTERM in which the platform notices that the node isn't ready.
+    pub unready_span: Duration,
+    /// Time before the end of the grace period at which the process exits.
+    pub exit_margin: Duration,
+    /// Time after the store's return in which missing endpoints may come back.
+    pub relist_span: Duration,
+    /// Time after the start in which the owner waits for other nodes and endpoints.
+    pub settle_span: Duration,
+}
+
+impl Default for EdgeTimes {
+    fn default() -> Self {
+        Self {
+            // Five a second keep counts of running requests useful.
+            digest_period: Duration::from_millis(200),
+            // Three digests may be late on a busy machine.
+            peer_silence: Duration::from_millis(800),
+            // A watch answers at least every second.
+            store_silence: Duration::from_millis(2_000),
+            // Twice as fast as the quickest step of a group.
+            plan_period: Duration::from_millis(100),
+            // The platform asks every second and needs two misses.
+            unready_span: Duration::from_millis(2_600),
+            // Time to write out the last answers.
+            exit_margin: Duration::from_millis(500),
+            // The platform lists endpoints again within two seconds.
+            relist_span: Duration::from_millis(2_200),
+            // One digest period, so that one node begins and not all.
+            settle_span: Duration::from_millis(300),
+        }
+    }
+}
+
+/// What is known of a feed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FeedState {
+    /// Last answer of the store.
+    pub heard_at: Option<ClockTime>,
+    /// Whether the whole feed was read once.
+    pub is_listed: bool,
+    /// Whether the store gave no answer last.
+    pub is_lost: bool,
+    /// Last return of the store after an outage.
+    pub back_at: Option<ClockTime>,
+}
+
+/// Another node.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerState {
+    pub address: SocketAddr,
+    pub heard_at: Option<ClockTime>,
+    pub digest: Option<Digest>,
+    /// Last instants at which it was sent a configuration or a record.
+    pub intent_sent: Option<ClockTime>,
+    pub record_sent: Option<ClockTime>,
+}
+
+impl PeerState {
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            heard_at: None,
+            digest: None,
+            intent_sent: None,
+            record_sent: None,
+        }
+    }
+}
+
+/// Steps of the end.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StopState {
+    pub since: ClockTime,
+    pub is_draining: bool,
+}
+
+/// What the loop knows.
+pub struct EdgeState {
+    pub(crate) settings: EdgeSettings,
+    pub(crate) times: EdgeTimes,
+    pub(crate) started_at: ClockTime,
+    pub(crate) intent: IntentSlot,
+    /// Text of the configuration in force, for other nodes.
+    pub(crate) intent_text: Option<Arc<str>>,
+    pub(crate) planner: PlannerState,
+    pub(crate) relay: RelayState,
+    pub(crate) feeds: BTreeMap<Feed, FeedState>,
+    pub(crate) peers: BTreeMap<NodeName, PeerState>,
+    pub(crate) digest_due: ClockTime,
+    pub(crate) plan_due: ClockTime,
+    pub(crate) is_owner: bool,
+    /// Version of this node's own entry in the shared feed.
+    pub(crate) entry_version: ObjectVersion,
+    pub(crate) is_announcing: bool,
+    pub(crate) announce_due: ClockTime,
+    pub(crate) is_announced: bool,
+    /// Heads that give this node no bytes, and since when it says so.
+    pub(crate) silent: BTreeSet<HostName>,
+    pub(crate) stopping: Option<StopState>,
+    pub(crate) has_served: bool,
+    pub(crate) draws: u64,
+}
+
+impl EdgeState {
+    /// State of a node that starts now.
+    pub fn new(settings: EdgeSettings, times: EdgeTimes, seed: u64, now: ClockTime) -> Self {
+        let bounds = &settings.bounds;
+        let budget = BudgetSettings {
+            retry_share: bounds.retry_share * RETRY_PART,
+            retry_floor: (bounds.retry_slack / SLACK_PARTS) as u32,
+            bucket_span: bounds.retry_window / RETRY_BUCKETS,
+            bucket_count: RETRY_BUCKETS as usize,
+        };
+        let mut planner_settings = PlannerSettings::default();
+        if settings.is_first_start {
+            planner_settings.cold_until = now + COLD_SPAN;
+        }
+        Self {
+            planner: PlannerState::new(planner_settings, settings.node.clone()),
+            relay: RelayState::new(RelaySettings::default(), budget, settings.zone.clone()),
+            settings,
+            times,
+            started_at: now,
+            intent: IntentSlot::default(),
+            intent_text: None,
+            feeds: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            digest_due: now,
+            plan_due: now,
+            is_owner: false,
+            entry_version: ObjectVersion::default(),
+            is_announcing: false,
+            announce_due: now,
+            is_announced: false,
+            silent: BTreeSet::new(),
+            stopping: None,
+            has_served: false,
+            draws: seed,
+        }
+    }
+
+    pub(crate) fn feed(&self, feed: Feed) -> Option<&FeedState> {
+        self.feeds.get(&feed)
+    }
+}
--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use net::web::{BodySender, WebReply, WebService, body_channel, json_reply, text_reply};
-use platform::wire::{OrderWire, ReportWire};
+use interface::wire::{OrderWire, ReportWire};
 
 use super::chat::{AnswerFrame, AnswerKind, PromptWire};
 use super::tokens::answer_tokens;
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -6,7 +6,7 @@
 use base::prelude::*;
 use net::web::{CollectOutcome, WebClient, WebLimits, WebService, bind, full_body, serve};
 use net::{DrainWatch, SystemClock, seed_from_system};
-use platform::wire::HostWire;
+use interface::wire::HostWire;
 
 use crate::engine::{EngineOptions, EngineService, EngineState};
 use crate::plain::{PlainOptions, PlainService};
--- a/crates/emulator/tests/contract.rs
+++ b/crates/emulator/tests/contract.rs
@@ -10,7 +10,7 @@
 use emulator::{FleetPlan, start_fleet};
 use net::web::WebClient;
 use net::{SystemClock, drain_pair};
-use platform::HttpObjectStore;
+use interface::HttpObjectStore;
 use store::contract::check_contract;
 
 /// Time that no watch of the check needs to the full.
--- a/crates/gateway/src/border/admin.rs
+++ b/crates/gateway/src/border/admin.rs
@@ -8,10 +8,10 @@
 use hyper::body::Incoming;
 use net::HistogramSet;
 use net::web::{WebReply, WebService, json_reply, text_reply};
-use platform::status::{
+use interface::status::{
     ConfigStatusWire, GroupStatusWire, HistogramWire, LimitStatusWire, StatusWire,
 };
-use platform::{RoleWire, STATUS_PATH};
+use interface::{RoleWire, STATUS_PATH};
 
 use super::GatewayDesk;
 use crate::{GatewayAnswer, GatewayQuestion, GatewayStatus};
--- a/crates/gateway/src/border/carrier.rs
+++ b/crates/gateway/src/border/carrier.rs
@@ -11,7 +11,7 @@
     decode_shard, encode_epoch, encode_shard,
 };
 use net::{DrainSwitch, HistogramKey, HistogramSet, MetricSink};
-use platform::NodeEntry;
+use interface::NodeEntry;
 use store::{ObjectChange, ObjectStore};
 use watch::{WatchBorder, WatchPorts};
 
@@ -161,7 +161,7 @@
     }
 
     fn stop_accepting(&self) {
-        platform::withdraw(self.store.clone(), self.entry.clone());
+        interface::withdraw(self.store.clone(), self.entry.clone());
         if let Some(switch) = self.switch.borrow_mut().take() {
             switch.start();
         }
--- a/crates/gateway/src/border/mod.rs
+++ b/crates/gateway/src/border/mod.rs
@@ -24,7 +24,7 @@
     DaemonError, DrainWatch, QuestionDesk, SystemClock, drain_pair, forward_stops, listen,
     run_loop, seed_from_system,
 };
-use platform::{HttpEngines, HttpHostDirectory, HttpObjectStore, NodeEntry, NodeRole};
+use interface::{HttpEngines, HttpHostDirectory, HttpObjectStore, NodeEntry, NodeRole};
 use settings::{GatewaySettings, HostSettings};
 use watch::{WatchPorts, WatchTimes};
 
@@ -110,7 +110,7 @@
             domain: settings.domain.clone(),
             admin: addresses.admin,
         };
-        platform::announce(ports.store.clone(), clock.clone(), entry.clone());
+        interface::announce(ports.store.clone(), clock.clone(), entry.clone());
         let desk = QuestionDesk::new(events.clone(), |ask, question| GatewayEvent::Asked {
             ask,
             question,
--- a/crates/gateway/tests/configuration.rs
+++ b/crates/gateway/tests/configuration.rs
@@ -6,7 +6,7 @@
     GatewayAnswer, GatewayEffect, GatewayEvent, GatewayLoop, GatewayQuestion, GatewayState,
     GatewayStatus, GatewayTimes,
 };
-use platform::{HostEntry, Presence};
+use interface::{HostEntry, Presence};
 use watch::{WatchEffect, WatchEvent, WatchTimes};
 
 const NOW: ClockTime = ClockTime::from_millis(50_000);
--- a/crates/gateway/tests/suite/fleet.rs
+++ b/crates/gateway/tests/suite/fleet.rs
@@ -6,7 +6,7 @@
     FabricRecord, GroupPhase, GroupRecord, HostAssignment, HostReport, LoadReport, MemberPhase,
     MemberRecord,
 };
-use platform::{HostEntry, Presence};
+use interface::{HostEntry, Presence};
 
 /// Engines of the one group.
 pub const ENGINES: [&str; 2] = ["engine-1", "engine-2"];
--- a/crates/gateway/tests/suite/interleaving.rs
+++ b/crates/gateway/tests/suite/interleaving.rs
@@ -5,7 +5,7 @@
 //! faults of one test's cases last more than an hour of the model's time.
 
 use base::prelude::*;
-use platform::Presence;
+use interface::Presence;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use store::{ReadFault, UpdateFault};
--- a/crates/gateway/tests/suite/leaving.rs
+++ b/crates/gateway/tests/suite/leaving.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use gateway::{AttemptEnd, CallStep};
 use groups::MemberPhase;
-use platform::{DrainList, Presence};
+use interface::{DrainList, Presence};
 use watch::WatchEvent;
 
 use crate::fleet::{BOOKING, DESK, ENGINES, Fleet, SERVERS};
--- a/crates/gateway/tests/suite/world/faults.rs
+++ b/crates/gateway/tests/suite/world/faults.rs
@@ -2,7 +2,7 @@
 
 use gateway::GatewayEvent;
 use groups::MemberPhase;
-use platform::Presence;
+use interface::Presence;
 use store::{ReadFault, UpdateFault};
 
 use super::World;
--- a/crates/gateway/tests/suite/world/mod.rs
+++ b/crates/gateway/tests/suite/world/mod.rs
@@ -10,7 +10,7 @@
 
 use base::prelude::*;
 use gateway::{AttemptEnd, CallArrival, CallStep, GatewayEvent, RunState, SendOrder};
-use platform::{DrainList, Presence};
+use interface::{DrainList, Presence};
 use store::MemoryStore;
 use watch::{WatchEffect, WatchEvent};
 
--- /dev/null
+++ b/crates/intent/src/engine.rs
@@ -0,0 +1,56 @@
+//! How the model engines of a service work.
+
+use base::prelude::*;
+
+/// Model that a group of servers runs together.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelProfile {
+    /// Name.
+    pub name: ModelName,
+    /// Servers of one group.
+    pub size: usize,
+    /// Share of the service's work at the start.
+    pub share: f64,
+    /// Factor on all of the group's times.
+    pub pace: f64,
+    /// Time to load the weights from the weight store.
+    pub load: Duration,
+    /// Time to load the weights from the host.
+    pub warm: Duration,
+}
+
+/// Times and limits of a service's engines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineProfile {
+    /// Requests that a group runs at once.
+    pub slots: usize,
+    /// Models it may run.
+    pub models: Vec<ModelProfile>,
+    /// Time of one token step without requests, in milliseconds.
+    pub step_millis: f64,
+    /// Time that each running request adds to a step, in milliseconds.
+    pub step_millis_per_request: f64,
+    /// Prompt tokens read in a second.
+    pub prompt_tokens_per_second: f64,
+    /// Steps between two looks at the queue.
+    pub steps_per_pass: u32,
+    /// Mean tokens of a prompt.
+    pub usual_prompt: f64,
+    /// Mean tokens of an answer.
+    pub usual_answer: f64,
+    /// Loads from the weight store that may start in a second.
+    pub loads_per_second: f64,
+    /// Loads that run at once before each slows the others.
+    pub loads_at_once: usize,
+    /// Models that a host keeps.
+    pub kept_models: usize,
+    /// Time from the order to serve until the head serves.
+    pub open_delay: Duration,
+}
+
+impl EngineProfile {
+    /// Profile of a model.
+    pub fn model(&self, name: &ModelName) -> Option<&ModelProfile> {
+        self.models.iter().find(|model| model.name == *name)
+    }
+}
--- /dev/null
+++ b/crates/intent/src/queries/mod.rs
@@ -0,0 +1,7 @@
+//! Looks at an intent.
+
+mod access;
+mod route;
+
+pub use access::{AccessOutcome, check_access};
+pub use route::{find_route, pick_service};
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -1,28 +1,29 @@
 //! The system's monotonic clock.
 
-use std::time::Instant;
-
 use base::prelude::*;
+use rustix::time::{ClockId, Timespec, clock_gettime};
 
-/// Monotonic clock of this process.
+/// Monotonic clock of this process that also counts time in which the machine was suspended.
+///
+/// Leases and beliefs age while a machine sleeps, so its sleep must count.
 #[derive(Debug)]
-pub struct SystemClock(Instant);
+pub struct SystemClock(Duration);
 
 impl Default for SystemClock {
     fn default() -> Self {
-        Self(Instant::now())
-    }
-}
-
-impl SystemClock {
-    /// System instant at which a clock time falls.
-    pub fn instant_of(&self, time: ClockTime) -> Instant {
-        self.0 + Duration::from_micros(time.0)
+        Self(read_clock())
     }
 }
 
 impl ClockSource for SystemClock {
     fn now(&self) -> ClockTime {
-        ClockTime(0) + self.0.elapsed()
+        ClockTime(0) + read_clock().saturating_sub(self.0)
     }
 }
+
+fn read_clock() -> Duration {
+    let Timespec { tv_sec, tv_nsec } = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(tv_nsec).unwrap_or(0);
+    Duration::new(seconds, nanos)
+}
--- a/crates/net/src/web/body.rs
+++ b/crates/net/src/web/body.rs
@@ -5,7 +5,7 @@
 use std::task::Poll;
 
 use bytes::Bytes;
-use futures_channel::mpsc;
+use futures_channel::{mpsc, oneshot};
 use futures_util::{SinkExt, StreamExt};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -27,13 +27,22 @@
 
 /// Writer's end of a streamed body.
 #[derive(Debug)]
-pub struct BodySender(mpsc::Sender<Result<Bytes, BodyError>>);
+pub struct BodySender {
+    chunks: mpsc::Sender<Result<Bytes, BodyError>>,
+    reader: oneshot::Receiver<()>,
+}
 
 /// Streamed body and its writer.
 pub fn body_channel() -> (BodySender, WebBody) {
-    let (sender, receiver) = mpsc::channel(CHUNK_BACKLOG);
-    let frames = receiver.then(frame_of);
-    (BodySender(sender), StreamBody::new(frames).boxed_unsync())
+    let (chunks, receiver) = mpsc::channel(CHUNK_BACKLOG);
+    let (guard, reader) = oneshot::channel::<()>();
+    let frames = receiver.then(move |chunk| {
+        // The guard lives as long as the body and tells when it is dropped.
+        let _guard = &guard;
+        frame_of(chunk)
+    });
+    let sender = BodySender { chunks, reader };
+    (sender, StreamBody::new(frames).boxed_unsync())
 }
 
 /// Frame of one chunk.
@@ -75,12 +84,18 @@
     ///
     /// Fails once the reader is gone.
     pub async fn send(&mut self, chunk: Bytes) -> Result<(), BodyError> {
-        self.0.send(Ok(chunk)).await.map_err(|_| BodyError)
+        self.chunks.send(Ok(chunk)).await.map_err(|_| BodyError)
+    }
+
+    /// Waits until the reader is gone.
+    pub async fn reader_gone(&mut self) {
+        // The guard is never sent through, so only its end shows.
+        let _ = (&mut self.reader).await;
     }
 
     /// Cuts the body so that the reader knows that it is not whole.
     pub async fn abort(mut self) {
         // A reader that is gone needs no telling.
-        let _ = self.0.send(Err(BodyError)).await;
+        let _ = self.chunks.send(Err(BodyError)).await;
     }
 }
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -57,6 +57,7 @@
 pub struct WebClient {
     clock: Rc<dyn ClockSource>,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>,
+    connect_span: Option<Duration>,
 }
 
 impl WebClient {
@@ -65,9 +66,16 @@
         Self {
             clock,
             idle: Rc::default(),
+            connect_span: None,
         }
     }
 
+    /// Client that gives up a new connection after a span, however late the call's deadline is.
+    pub fn with_connect_span(mut self, span: Duration) -> Self {
+        self.connect_span = Some(span);
+        self
+    }
+
     /// Sends a request and waits for the headers of its answer.
     ///
     /// A call that passes its deadline takes its connection with it.
@@ -124,6 +132,8 @@
 
     async fn connect(&self, server: SocketAddr, deadline: ClockTime) -> Option<Connection> {
         let clock = self.clock.as_ref();
+        let latest = self.connect_span.map(|span| clock.now() + span);
+        let deadline = latest.map_or(deadline, |latest| latest.min(deadline));
         let stream = with_deadline(clock, deadline, TcpStream::connect(server)).await?;
         let stream = stream.ok()?;
         stream.set_nodelay(true).ok()?;
@@ -197,7 +207,7 @@
 fn with_host(server: SocketAddr, mut request: WebRequest) -> WebRequest {
     let host = HeaderValue::from_str(&server.to_string())
         .expect("a socket address has only characters that a header takes");
-    request.headers_mut().insert(HOST, host);
+    request.headers_mut().entry(HOST).or_insert(host);
     request
 }
 
@@ -233,24 +243,36 @@
 impl WebAnswer {
     /// Waits for the next bytes until a deadline.
     pub async fn next_chunk(&mut self, deadline: ClockTime) -> ChunkOutcome {
+        match self.poll_chunk(deadline).await {
+            Some(outcome) => outcome,
+            None => {
+                self.client.forget(self.server);
+                ChunkOutcome::Lost
+            }
+        }
+    }
+
+    /// Waits for the next bytes until an instant; `None` if they are still to come.
+    pub async fn poll_chunk(&mut self, until: ClockTime) -> Option<ChunkOutcome> {
         loop {
             let clock = self.client.clock.clone();
-            let frame = with_deadline(clock.as_ref(), deadline, self.body.frame()).await;
-            return match frame {
-                Some(None) => ChunkOutcome::End,
-                Some(Some(Ok(frame))) => match frame.into_data() {
+            let frame = with_deadline(clock.as_ref(), until, self.body.frame()).await?;
+            return Some(match frame {
+                None => ChunkOutcome::End,
+                Some(Ok(frame)) => match frame.into_data() {
                     Ok(chunk) => ChunkOutcome::Chunk(chunk),
                     Err(_trailers) => continue,
                 },
-                Some(Some(Err(_))) => ChunkOutcome::Lost,
-                None => {
-                    self.client.forget(self.server);
-                    ChunkOutcome::Lost
-                }
-            };
+                Some(Err(_)) => ChunkOutcome::Lost,
+            });
         }
     }
 
+    /// Drops the answer, and the idle connections to its server with it.
+    pub fn give_up(self) {
+        self.client.forget(self.server);
+    }
+
     /// Gives the connection back after the end of the answer.
     pub fn finish(self) {
         let Self {
--- /dev/null
+++ b/crates/relay/src/call.rs
@@ -0,0 +1,133 @@
+//! Requests, their attempts and what becomes of them.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use intent::Route;
+
+/// Request that has passed the checks.
+#[derive(Clone, Debug)]
+pub struct CallArrival {
+    /// Number within this process.
+    pub call: CallId,
+    /// Route it takes.
+    pub route: Arc<Route>,
+    /// Service chosen among the route's targets.
+    pub service: ServiceName,
+    /// Model it asks for, where the service runs models.
+    pub model: Option<ModelName>,
+    /// Tokens it may read and write, weighed as reading time.
+    pub weight: f64,
+    /// Rank among the requests of its service; zero is the most urgent.
+    pub priority: u8,
+    /// Instant at which its client or its route gives up.
+    pub deadline: ClockTime,
+}
+
+/// How one attempt ended without a whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// No byte could be sent.
+    NotSent,
+    /// The server said that it did not run the request.
+    NotRun,
+    /// The request may have run, and no usable answer came.
+    Lost,
+    /// The server went silent.
+    Stalled,
+    /// The stream broke off after some events.
+    Cut,
+    /// The server answered with a failure of its own.
+    Failed,
+}
+
+impl AttemptEnd {
+    /// Whether the server can't have run the request.
+    pub fn is_unrun(self) -> bool {
+        matches!(self, Self::NotSent | Self::NotRun)
+    }
+
+    /// Word for logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::NotSent => "not-sent",
+            Self::NotRun => "not-run",
+            Self::Lost => "lost",
+            Self::Stalled => "stalled",
+            Self::Cut => "cut",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+/// One attempt to make.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SendOrder {
+    /// Server.
+    pub place: HostName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Instant by which the answer must be whole.
+    pub deadline: ClockTime,
+    /// Instant at which silence is looked at.
+    pub check_at: ClockTime,
+    /// Rank in the server's queue, 0 to 9.
+    pub rank: u8,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// Nothing takes requests of this kind now.
+    NoPlace,
+    /// Every place is full.
+    Overload,
+    /// The attempts or the budget for more are used up.
+    Exhausted,
+    /// Its time is up.
+    Late,
+}
+
+impl RefusalReason {
+    /// Word for logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::NoPlace => "no-place",
+            Self::Overload => "overload",
+            Self::Exhausted => "exhausted",
+            Self::Late => "late",
+        }
+    }
+}
+
+/// Final answer of the gateway's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Reason.
+    pub reason: RefusalReason,
+    /// Whether a server may have run it.
+    pub may_have_run: bool,
+    /// When to come back, where it has not run.
+    pub retry_after: Option<Duration>,
+}
+
+/// What to do with a request next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallStep {
+    /// Send it.
+    Send(SendOrder),
+    /// Give up.
+    Refuse(Refusal),
+}
+
+/// What to do about a silent server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StallStep {
+    /// Go on waiting and look again.
+    Wait {
+        /// Instant of the next look.
+        until: ClockTime,
+    },
+    /// Drop the attempt; it ends as stalled.
+    Move,
+}
--- /dev/null
+++ b/crates/relay/src/commands/calls.rs
@@ -0,0 +1,32 @@
+//! Requests that come and go.
+
+use base::prelude::*;
+use limits::commands::record_request;
+
+use super::attempts::send_on;
+use super::places::vacate;
+use crate::state::CallState;
+use crate::{CallArrival, CallStep, RelayState};
+
+/// Takes in a request and decides where it goes.
+pub fn arrive(state: &mut RelayState, arrival: CallArrival, now: ClockTime) -> CallStep {
+    record_request(&mut state.budget, &arrival.service, now);
+    let call = arrival.call;
+    let known = CallState {
+        arrival,
+        place: None,
+        epoch: GroupEpoch::default(),
+        sent_at: now,
+        tried: Vec::new(),
+        runs: 0,
+        rejections: 0,
+    };
+    state.calls.insert(call, known);
+    send_on(state, call, now)
+}
+
+/// Forgets a request that was answered, or whose client left.
+pub fn finish(state: &mut RelayState, call: CallId) {
+    vacate(state, call);
+    state.calls.remove(&call);
+}
--- /dev/null
+++ b/crates/relay/src/commands/mod.rs
@@ -0,0 +1,11 @@
+//! Changes of the relay's state.
+
+mod attempts;
+mod calls;
+mod places;
+mod stalls;
+
+pub use attempts::end_attempt;
+pub use calls::{arrive, finish};
+pub use places::{note_progress, note_remote, set_places};
+pub use stalls::{check_stall, is_silent};
--- /dev/null
+++ b/crates/relay/src/commands/places.rs
@@ -0,0 +1,65 @@
+//! Takes in the places and what runs there.
+
+use base::prelude::*;
+
+use crate::{Place, RelayState};
+
+/// Replaces the places; loads of places that stay are kept.
+pub fn set_places(state: &mut RelayState, places: Vec<Place>) {
+    for place in &places {
+        let epoch = state.places.get(&place.id).map(|known| known.epoch);
+        if epoch != Some(place.epoch) {
+            // A new group starts without the failures of the one before.
+            let load = state.loads.entry(place.id.clone()).or_default();
+            load.failures = 0;
+            load.avoid_until = ClockTime::default();
+            load.heard_at = None;
+        }
+    }
+    state.places = places.into_iter().map(|place| (place.id.clone(), place)).collect();
+    let (places, loads) = (&state.places, &mut state.loads);
+    loads.retain(|id, load| load.own > 0 || places.contains_key(id));
+}
+
+/// Takes in what another node has running.
+pub fn note_remote(
+    state: &mut RelayState,
+    node: &NodeName,
+    counts: &[(HostName, u32)],
+    now: ClockTime,
+) {
+    for load in state.loads.values_mut() {
+        load.remote.remove(node);
+    }
+    let expires = now + state.settings.remote_span;
+    for (id, count) in counts {
+        if let Some(load) = state.loads.get_mut(id) {
+            load.remote.insert(node.clone(), (*count, expires));
+        }
+    }
+}
+
+/// Notes that bytes of a request's answer came.
+pub fn note_progress(state: &mut RelayState, call: CallId, now: ClockTime) {
+    let Some(known) = state.calls.get(&call) else {
+        return;
+    };
+    if let Some(load) = known.place.as_ref().and_then(|id| state.loads.get_mut(id)) {
+        load.heard_at = Some(now);
+        load.failures = 0;
+    }
+}
+
+/// Counts an attempt's start at a place.
+pub(super) fn occupy(state: &mut RelayState, id: &HostName) {
+    state.loads.entry(id.clone()).or_default().own += 1;
+}
+
+/// Counts an attempt's end at its place.
+pub(super) fn vacate(state: &mut RelayState, call: CallId) -> Option<HostName> {
+    let id = state.calls.get_mut(&call)?.place.take()?;
+    if let Some(load) = state.loads.get_mut(&id) {
+        load.own = load.own.saturating_sub(1);
+    }
+    Some(id)
+}
--- /dev/null
+++ b/crates/relay/src/commands/stalls.rs
@@ -0,0 +1,58 @@
+//! Servers that have gone silent.
+
+use base::prelude::*;
+
+use crate::{RelayState, StallStep};
+
+/// Decides whether a request waits on for a server that says nothing.
+///
+/// A server that still sends on other requests is only busy. One whose group
+/// has ended is left at once.
+pub fn check_stall(state: &RelayState, call: CallId, now: ClockTime) -> StallStep {
+    let settings = &state.settings;
+    let wait = StallStep::Wait {
+        until: now + settings.check_period,
+    };
+    let Some(known) = state.calls.get(&call) else {
+        return wait;
+    };
+    let Some(id) = &known.place else {
+        return wait;
+    };
+    let route = &known.arrival.route;
+    if !route.kind.is_repeatable() || known.runs + 1 >= route.attempts {
+        return wait;
+    }
+    let group_stands = state.places.get(id).is_some_and(|place| place.epoch == known.epoch);
+    if !group_stands {
+        return StallStep::Move;
+    }
+    let limit = if route.kind.is_stream() {
+        settings.stream_silence
+    } else {
+        route.objective.mul_f64(settings.plain_silence_part)
+    };
+    let heard = state.loads.get(id).and_then(|load| load.heard_at);
+    let since = match heard {
+        Some(heard) if route.kind.is_stream() => heard.max(known.sent_at),
+        _ => known.sent_at,
+    };
+    if now.since(since) >= limit {
+        StallStep::Move
+    } else {
+        let until = (since + limit).max(now + Duration::from_millis(1));
+        StallStep::Wait {
+            until: until.min(now + settings.check_period),
+        }
+    }
+}
+
+/// Whether a request's server has been silent long enough to be looked at.
+pub fn is_silent(state: &RelayState, call: CallId, now: ClockTime) -> Option<HostName> {
+    let known = state.calls.get(&call)?;
+    let id = known.place.as_ref()?;
+    let heard = state.loads.get(id)?.heard_at.unwrap_or(known.sent_at);
+    let silence = now.since(heard.max(known.sent_at));
+    (known.arrival.route.kind.is_stream() && silence >= state.settings.stream_silence / 2)
+        .then(|| id.clone())
+}
--- /dev/null
+++ b/crates/relay/src/queries/mod.rs
@@ -0,0 +1,7 @@
+//! Looks at the relay's state.
+
+mod choose;
+mod counts;
+
+pub(crate) use choose::choose_place;
+pub use counts::own_counts;
--- /dev/null
+++ b/crates/relay/src/settings.rs
@@ -0,0 +1,82 @@
+//! Times and limits of forwarding.
+
+use base::prelude::*;
+
+/// Silence of a streaming server after which its streams move; the slowest
+/// usual pass of an engine takes about 300 ms.
+const STREAM_SILENCE: Duration = Duration::from_millis(500);
+/// Part of a plain route's objective after which a silent server is left.
+const PLAIN_SILENCE_PART: f64 = 0.7;
+/// Pause between two looks at a request that waits.
+const CHECK_PERIOD: Duration = Duration::from_millis(200);
+/// First span for which a place that failed is avoided; it doubles with each failure.
+const AVOID_SPAN: Duration = Duration::from_millis(500);
+/// Longest span for which a place is avoided.
+const AVOID_LIMIT: Duration = Duration::from_secs(4);
+/// Span for which a place that was full is avoided.
+const FULL_SPAN: Duration = Duration::from_millis(100);
+/// Span for which another node's counts hold.
+const REMOTE_SPAN: Duration = Duration::from_millis(1_000);
+/// Sends that servers may reject unrun before the request is refused.
+const REJECTION_LIMIT: u32 = 3;
+/// Time that must be left for an attempt to be worth making.
+const LEAST_TIME: Duration = Duration::from_millis(20);
+/// Requests at an engine, in parts of its slots, above which new ones are refused.
+const ENGINE_FILL_LIMIT: f64 = 2.5;
+/// The same for a plain server.
+const PLAIN_FILL_LIMIT: f64 = 4.0;
+/// Extra load, in parts of the slots, that a place of another failure domain counts as.
+const FAR_PENALTY: f64 = 0.06;
+/// Time after which a refused client may come back.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Times and limits of forwarding.
+#[derive(Clone, Debug)]
+pub struct RelaySettings {
+    /// Silence of a streaming server after which its streams move.
+    pub stream_silence: Duration,
+    /// Part of a plain route's objective after which a silent server is left.
+    pub plain_silence_part: f64,
+    /// Pause between two looks at a request that waits.
+    pub check_period: Duration,
+    /// First span for which a failed place is avoided.
+    pub avoid_span: Duration,
+    /// Longest such span.
+    pub avoid_limit: Duration,
+    /// Span for which a full place is avoided.
+    pub full_span: Duration,
+    /// Span for which another node's counts hold.
+    pub remote_span: Duration,
+    /// Rejected sends after which a request is refused.
+    pub rejection_limit: u32,
+    /// Least time for an attempt.
+    pub least_time: Duration,
+    /// Fill above which an engine takes no new request.
+    pub engine_fill_limit: f64,
+    /// Fill above which a plain server takes no new request.
+    pub plain_fill_limit: f64,
+    /// Penalty of another failure domain.
+    pub far_penalty: f64,
+    /// Time after which a refused client may come back.
+    pub retry_after: Duration,
+}
+
+impl Default for RelaySettings {
+    fn default() -> Self {
+        Self {
+            stream_silence: STREAM_SILENCE,
+            plain_silence_part: PLAIN_SILENCE_PART,
+            check_period: CHECK_PERIOD,
+            avoid_span: AVOID_SPAN,
+            avoid_limit: AVOID_LIMIT,
+            full_span: FULL_SPAN,
+            remote_span: REMOTE_SPAN,
+            rejection_limit: REJECTION_LIMIT,
+            least_time: LEAST_TIME,
+            engine_fill_limit: ENGINE_FILL_LIMIT,
+            plain_fill_limit: PLAIN_FILL_LIMIT,
+            far_penalty: FAR_PENALTY,
+            retry_after: RETRY_AFTER,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/state.rs
@@ -0,0 +1,63 @@
+//! Places and requests of one node.
+
+use std::collections::{BTreeMap, HashMap};
+
+use base::prelude::*;
+use limits::{BudgetSettings, RetryBudget};
+
+use crate::{CallArrival, Place, PlaceLoad, RelaySettings};
+
+/// Request under way.
+#[derive(Clone, Debug)]
+pub(crate) struct CallState {
+    pub arrival: CallArrival,
+    /// Server of the present attempt.
+    pub place: Option<HostName>,
+    /// Generation of the group that it was sent to.
+    pub epoch: GroupEpoch,
+    pub sent_at: ClockTime,
+    /// Servers that it was sent to.
+    pub tried: Vec<HostName>,
+    /// Attempts that may have run.
+    pub runs: u32,
+    /// Attempts that did not run.
+    pub rejections: u32,
+}
+
+/// Places and requests of one node.
+#[derive(Clone, Debug)]
+pub struct RelayState {
+    pub(crate) settings: RelaySettings,
+    pub(crate) zone: DomainName,
+    pub(crate) places: BTreeMap<HostName, Place>,
+    pub(crate) loads: HashMap<HostName, PlaceLoad>,
+    pub(crate) calls: HashMap<CallId, CallState>,
+    pub(crate) budget: RetryBudget,
+    /// Turns ties between places about.
+    pub(crate) turn: u64,
+}
+
+impl RelayState {
+    /// State without places.
+    pub fn new(settings: RelaySettings, budget: BudgetSettings, zone: DomainName) -> Self {
+        Self {
+            settings,
+            zone,
+            places: BTreeMap::new(),
+            loads: HashMap::new(),
+            calls: HashMap::new(),
+            budget: RetryBudget::new(budget),
+            turn: 0,
+        }
+    }
+
+    /// Requests under way.
+    pub fn call_count(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Places that take requests.
+    pub fn places(&self) -> impl Iterator<Item = &Place> {
+        self.places.values()
+    }
+}
--- /dev/null
+++ b/crates/replicas/src/commands/mod.rs
@@ -0,0 +1,13 @@
+//! Changes of the planner's state.
+
+mod list;
+mod orders;
+mod plan;
+mod probes;
+mod record;
+
+pub use list::{ListChange, change_list, replace_list};
+pub use orders::note_order;
+pub use plan::tick;
+pub use probes::{note_report, suspect};
+pub use record::{WriteOutcome, note_no_record, note_record, note_write};
--- /dev/null
+++ b/crates/replicas/src/commands/plan.rs
@@ -0,0 +1,292 @@
+//! One look at everything: what the owner writes and orders next.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use intent::{EngineProfile, Intent};
+
+use super::list::drop_gone;
+use super::orders::give;
+use super::probes::ask_due;
+use crate::queries::{
+    Verdict, is_usable, pick_group, plan_staging, verdict,
+};
+use crate::state::{is_park, park_name};
+use crate::{
+    CloseMode, GroupEntry, GroupPhase, GroupRecord, MemberOrder, MemberPhase, PlanEffect,
+    PlannerState,
+};
+
+/// Decides what the owner does next.
+pub fn tick(state: &mut PlannerState, intent: &Intent, now: ClockTime) -> Vec<PlanEffect> {
+    drop_gone(state, now);
+    let Some(version) = state.version else {
+        return Vec::new();
+    };
+    let mut draft = GroupRecord::clone(&state.record);
+    let mut effects = Vec::new();
+    if state.writing.is_none() && state.write_at <= now {
+        end_groups(state, &mut draft, now);
+        mark_serving(state, &mut draft);
+        if state.epochs.is_empty() {
+            take_epochs(state, &mut draft);
+        } else {
+            form_groups(state, &mut draft, intent, now);
+        }
+        if draft != *state.record {
+            draft.owner = Some(state.node.clone());
+            let record = Arc::new(draft.clone());
+            state.writing = Some(record.clone());
+            effects.push(PlanEffect::Write {
+                record,
+                expected: version,
+            });
+        }
+    }
+    effects.extend(order_groups(state, &draft, intent, now));
+    effects.extend(order_spares(state, &draft, intent, now));
+    effects.extend(ask_due(state, now));
+    effects
+}
+
+/// Takes the next block of epochs.
+fn take_epochs(state: &mut PlannerState, draft: &mut GroupRecord) {
+    let start = draft.next_epoch.0.max(1);
+    let end = start + state.settings.epoch_block;
+    draft.next_epoch = GroupEpoch(end);
+    state.epochs_asked = start..end;
+}
+
+/// Ends groups that have lost a member, and closes those that one is leaving.
+fn end_groups(state: &mut PlannerState, draft: &mut GroupRecord, now: ClockTime) {
+    let mut closing = BTreeMap::new();
+    let known = &state.endpoints;
+    let span = state.settings.close_span;
+    draft.groups.retain_mut(|group| match verdict(known, group) {
+        Verdict::Whole => true,
+        Verdict::Lost => false,
+        Verdict::Leaving if group.phase == GroupPhase::Forming => false,
+        Verdict::Leaving => {
+            let since = *state.closing.get(&group.epoch).unwrap_or(&now);
+            closing.insert(group.epoch, since);
+            let was_closing = group.phase == GroupPhase::Closing;
+            group.phase = GroupPhase::Closing;
+            let is_done = was_closing && has_closed(known, group);
+            !is_done && now < since + span
+        }
+    });
+    state.closing = closing;
+}
+
+/// Whether the head has finished what it had.
+fn has_closed(known: &BTreeMap<HostName, crate::EndpointView>, group: &GroupEntry) -> bool {
+    let Some(view) = known.get(&group.head().id) else {
+        return true;
+    };
+    view.endpoint.membership.as_ref().is_none_or(|membership| {
+        membership.epoch == group.epoch && membership.phase == MemberPhase::Ready
+    })
+}
+
+/// Marks the groups whose head serves.
+fn mark_serving(state: &PlannerState, draft: &mut GroupRecord) {
+    for group in &mut draft.groups {
+        if group.phase == GroupPhase::Forming
+            && phase_in(state, group, &group.head().id) == Some(MemberPhase::Open)
+            && has_joined(state, group)
+        {
+            group.phase = GroupPhase::Serving;
+        }
+    }
+}
+
+fn phase_in(state: &PlannerState, group: &GroupEntry, id: &HostName) -> Option<MemberPhase> {
+    let membership = state.endpoints.get(id)?.endpoint.membership.as_ref()?;
+    let is_there = membership.group == group.name && membership.epoch == group.epoch;
+    is_there.then_some(membership.phase)
+}
+
+/// Whether every member was seen ready under this name and epoch.
+fn has_joined(state: &PlannerState, group: &GroupEntry) -> bool {
+    group.members.iter().all(|member| {
+        phase_in(state, group, &member.id).is_some_and(MemberPhase::has_joined)
+    })
+}
+
+/// Forms as many groups out of free endpoints as the targets ask for.
+fn form_groups(state: &mut PlannerState, draft: &mut GroupRecord, intent: &Intent, now: ClockTime) {
+    for service in intent.services.values() {
+        let Some(engine) = &service.engine else {
+            continue;
+        };
+        let allow_cold = now < state.settings.cold_until;
+        while let Some(epoch) = state.epochs.next() {
+            let picked = pick_group(state, draft, service, engine, allow_cold, now);
+            let Some(group) = picked.and_then(|pick| pick.into_entry(GroupEpoch(epoch), draft))
+            else {
+                state.epochs.start = epoch;
+                break;
+            };
+            draft.groups.push(group);
+        }
+    }
+}
+
+/// Orders that bring the groups of the record about.
+fn order_groups(
+    state: &mut PlannerState,
+    draft: &GroupRecord,
+    intent: &Intent,
+    now: ClockTime,
+) -> Vec<PlanEffect> {
+    let record = state.record.clone();
+    let mut effects = Vec::new();
+    for group in &record.groups {
+        // A group that the next version ends gets no more orders.
+        if !draft.groups.iter().any(|kept| kept.epoch == group.epoch) {
+            continue;
+        }
+        let Some(engine) = engine_of(intent, &group.service) else {
+            continue;
+        };
+        match group.phase {
+            GroupPhase::Forming => {
+                effects.extend(order_members(state, group, engine, now));
+            }
+            GroupPhase::Closing => {
+                let head = group.head().id.clone();
+                if phase_in(state, group, &head) == Some(MemberPhase::Open) {
+                    let order = MemberOrder::Close {
+                        group: group.name.clone(),
+                        epoch: group.epoch,
+                        mode: CloseMode::Finish,
+                    };
+                    effects.extend(give(state, &head, order, engine, now));
+                }
+            }
+            GroupPhase::Serving => {}
+        }
+    }
+    effects
+}
+
+fn engine_of<'a>(intent: &'a Intent, service: &ServiceName) -> Option<&'a EngineProfile> {
+    intent.services.get(service)?.engine.as_ref()
+}
+
+/// Joins, and the order to serve once all have joined.
+fn order_members(
+    state: &mut PlannerState,
+    group: &GroupEntry,
+    engine: &EngineProfile,
+    now: ClockTime,
+) -> Vec<PlanEffect> {
+    let mut effects = Vec::new();
+    if has_joined(state, group) {
+        let head = group.head().id.clone();
+        if phase_in(state, group, &head) == Some(MemberPhase::Ready) {
+            let order = MemberOrder::Open {
+                group: group.name.clone(),
+                epoch: group.epoch,
+            };
+            effects.extend(give(state, &head, order, engine, now));
+        }
+        return effects;
+    }
+    let members: Vec<_> = group.members.iter().map(|member| member.id.clone()).collect();
+    for id in &members {
+        if phase_in(state, group, id).is_some_and(MemberPhase::has_joined) {
+            continue;
+        }
+        let Some(view) = state.endpoints.get(id) else {
+            continue;
+        };
+        let held = view.endpoint.membership.as_ref();
+        let other = held.filter(|held| held.group != group.name && !is_park(&held.group));
+        let order = match other {
+            Some(held) => MemberOrder::Leave {
+                group: held.group.clone(),
+                epoch: held.epoch,
+            },
+            None => MemberOrder::Join {
+                group: group.name.clone(),
+                epoch: group.epoch,
+                model: group.model.clone(),
+                members: members.clone(),
+            },
+        };
+        effects.extend(give(state, id, order, engine, now));
+    }
+    effects
+}
+
+/// Orders for endpoints in no group: leave what is over, load what is needed.
+fn order_spares(
+    state: &mut PlannerState,
+    draft: &GroupRecord,
+    intent: &Intent,
+    now: ClockTime,
+) -> Vec<PlanEffect> {
+    let mut effects = Vec::new();
+    for service in intent.services.values() {
+        let Some(engine) = &service.engine else {
+            continue;
+        };
+        let spares: Vec<_> = state
+            .endpoints
+            .iter()
+            .filter(|(id, view)| {
+                view.endpoint.service == service.name
+                    && is_usable(view)
+                    && draft.group_of(id).is_none()
+                    && state.record.group_of(id).is_none()
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        let wishes = plan_staging(state, draft, service, engine, &spares, now);
+        for id in spares {
+            let order = spare_order(state, &id, wishes.get(&id));
+            if let Some(order) = order {
+                effects.extend(give(state, &id, order, engine, now));
+            }
+        }
+    }
+    effects
+}
+
+/// Next order for a spare endpoint.
+fn spare_order(
+    state: &mut PlannerState,
+    id: &HostName,
+    wish: Option<&ModelName>,
+) -> Option<MemberOrder> {
+    let view = state.endpoints.get(id)?;
+    let held = view.endpoint.membership.as_ref();
+    if let Some(held) = held.filter(|held| !is_park(&held.group)) {
+        return Some(MemberOrder::Leave {
+            group: held.group.clone(),
+            epoch: held.epoch,
+        });
+    }
+    if let Some(model) = wish {
+        return Some(MemberOrder::Stage {
+            model: model.clone(),
+        });
+    }
+    let model = view.endpoint.staged.first()?.clone();
+    if view.last_model.as_ref() == Some(&model) || held.is_some_and(|held| !held.phase.has_joined()) {
+        return None;
+    }
+    let is_parking = |order: &MemberOrder| matches!(order, MemberOrder::Join { model: asked, .. } if *asked == model);
+    let pending = view.pending.as_ref().map(|pending| &pending.order);
+    if let Some(order) = pending.filter(|order| is_parking(order)) {
+        return Some(order.clone());
+    }
+    let epoch = state.epochs.next()?;
+    Some(MemberOrder::Join {
+        group: park_name(id)?,
+        epoch: GroupEpoch(epoch),
+        model,
+        members: vec![id.clone()],
+    })
+}
--- /dev/null
+++ b/crates/replicas/src/commands/probes.rs
@@ -0,0 +1,88 @@
+//! Reports asked of endpoints, and what their silence means.
+
+use base::prelude::*;
+
+use super::list::learn_model;
+use crate::{GroupPhase, PlanEffect, PlannerState, ReportOutcome};
+
+/// Takes in how a question ended.
+pub fn note_report(state: &mut PlannerState, id: &HostName, outcome: ReportOutcome, now: ClockTime) {
+    let settings = state.settings.clone();
+    let Some(view) = state.endpoints.get_mut(id) else {
+        return;
+    };
+    view.probe.is_asked = false;
+    match outcome {
+        ReportOutcome::Silent => {
+            view.probe.misses += 1;
+            if view.probe.misses >= settings.miss_limit {
+                view.is_lost = true;
+                view.probe.due = now + settings.silent_probe_period;
+            } else {
+                view.probe.due = now;
+            }
+        }
+        ReportOutcome::Unreadable => {
+            view.probe.misses = 0;
+            view.is_lost = false;
+            view.probe.due = now + settings.probe_period;
+        }
+        ReportOutcome::Told(report) => {
+            view.probe.misses = 0;
+            view.is_lost = false;
+            view.probe.due = now + settings.probe_period;
+            view.pace = report.pace;
+            if report.run == view.endpoint.run {
+                view.endpoint.membership = report.membership;
+                view.endpoint.staged = report.staged;
+                learn_model(state, id);
+            } else {
+                // It started again; the list will say so, and until then it has no group.
+                view.endpoint.run = report.run;
+                view.endpoint.membership = report.membership;
+                view.endpoint.staged = report.staged;
+                view.last_model = None;
+                view.pending = None;
+            }
+        }
+    }
+}
+
+/// Asks the members of a head's group at once, because the head went silent.
+pub fn suspect(state: &mut PlannerState, head: &HostName, now: ClockTime) {
+    let Some(group) = state.record.groups.iter().find(|group| group.head().id == *head) else {
+        return;
+    };
+    for member in &group.members {
+        if let Some(view) = state.endpoints.get_mut(&member.id) {
+            if !view.is_lost {
+                view.probe.due = view.probe.due.min(now);
+            }
+        }
+    }
+}
+
+/// Asks every endpoint whose time has come.
+pub(super) fn ask_due(state: &mut PlannerState, now: ClockTime) -> Vec<PlanEffect> {
+    let mut forming = std::collections::BTreeSet::new();
+    for group in &state.record.groups {
+        if group.phase == GroupPhase::Forming {
+            forming.extend(group.members.iter().map(|member| member.id.clone()));
+        }
+    }
+    let period = state.settings.forming_probe_period;
+    let mut effects = Vec::new();
+    for (id, view) in &mut state.endpoints {
+        if view.endpoint.fabric.is_none() || view.probe.is_asked {
+            continue;
+        }
+        if forming.contains(id) && !view.is_lost {
+            view.probe.due = view.probe.due.min(now + period);
+        }
+        if view.probe.due <= now {
+            view.probe.is_asked = true;
+            effects.push(PlanEffect::Probe(id.clone()));
+        }
+    }
+    effects
+}
--- /dev/null
+++ b/crates/replicas/src/order.rs
@@ -0,0 +1,122 @@
+//! Orders to endpoints, and what the planner wants done.
+
+use base::prelude::*;
+
+use crate::{EndpointReport, GroupRecord};
+
+/// What becomes of a head's running requests when it closes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseMode {
+    /// They finish.
+    Finish,
+    /// They are cut.
+    Cut,
+}
+
+/// Order to one endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemberOrder {
+    /// Load a model's weights onto the host.
+    Stage {
+        /// Model.
+        model: ModelName,
+    },
+    /// Become a member of a group.
+    Join {
+        /// Group.
+        group: GroupName,
+        /// Generation.
+        epoch: GroupEpoch,
+        /// Model to run.
+        model: ModelName,
+        /// All members, the head first.
+        members: Vec<HostName>,
+    },
+    /// Begin to serve, as head.
+    Open {
+        /// Group.
+        group: GroupName,
+        /// Generation.
+        epoch: GroupEpoch,
+    },
+    /// Stop to serve, as head.
+    Close {
+        /// Group.
+        group: GroupName,
+        /// Generation.
+        epoch: GroupEpoch,
+        /// What becomes of running requests.
+        mode: CloseMode,
+    },
+    /// Be a member no more.
+    Leave {
+        /// Group.
+        group: GroupName,
+        /// Generation.
+        epoch: GroupEpoch,
+    },
+}
+
+impl MemberOrder {
+    /// Word for the order in logs.
+    pub fn verb(&self) -> &'static str {
+        match self {
+            Self::Stage { .. } => "stage",
+            Self::Join { .. } => "join",
+            Self::Open { .. } => "open",
+            Self::Close { .. } => "close",
+            Self::Leave { .. } => "leave",
+        }
+    }
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It has begun.
+    Begun,
+    /// The state already holds.
+    Holds,
+    /// It doesn't fit the endpoint's state.
+    Unfit,
+    /// The endpoint has seen a newer epoch.
+    Outdated,
+    /// Another endpoint has the address.
+    Misdirected,
+    /// It was never sent.
+    NotSent,
+    /// No answer: it may be carried out now, later or never.
+    Unknown,
+}
+
+/// How a question to an endpoint ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ReportOutcome {
+    /// Its answer.
+    Told(EndpointReport),
+    /// An answer that can't be read, or a refusal: it lives.
+    Unreadable,
+    /// No answer in time.
+    Silent,
+}
+
+/// What the planner wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PlanEffect {
+    /// Give an order.
+    Order {
+        /// Endpoint.
+        to: HostName,
+        /// Order.
+        order: MemberOrder,
+    },
+    /// Ask an endpoint for its report.
+    Probe(HostName),
+    /// Write the record if it still has a version.
+    Write {
+        /// New record.
+        record: Arc<GroupRecord>,
+        /// Version that the store must still have.
+        expected: ObjectVersion,
+    },
+}
--- /dev/null
+++ b/crates/replicas/src/queries/mod.rs
@@ -0,0 +1,15 @@
+//! Looks at the planner's state.
+
+mod deadline;
+mod pool;
+mod serving;
+mod staging;
+mod target;
+mod verdict;
+
+pub use deadline::next_deadline;
+pub use pool::{GroupPick, pick_group};
+pub use serving::{ServingGroup, serving_groups};
+pub use staging::plan_staging;
+pub use target::{Shortage, compose};
+pub use verdict::{Verdict, is_usable, verdict};
--- /dev/null
+++ b/crates/replicas/src/queries/pool.rs
@@ -0,0 +1,148 @@
+//! Which free endpoints form the next group.
+
+use std::cmp::Reverse;
+
+use base::prelude::*;
+use intent::{EngineProfile, ModelProfile, Service};
+
+use super::target::{count_usable, fabrics_of, share_out};
+use super::verdict::is_usable;
+use crate::state::is_park;
+use crate::{EndpointView, GroupEntry, GroupPhase, GroupRecord, MemberRef, PlannerState};
+
+/// Members for a new group.
+#[derive(Clone, Debug)]
+pub struct GroupPick {
+    service: ServiceName,
+    model: ModelName,
+    members: Vec<(MemberRef, std::net::SocketAddr)>,
+    /// Name that all members which are in a group already share.
+    reused: Option<GroupName>,
+}
+
+impl GroupPick {
+    /// Entry under an epoch.
+    pub fn into_entry(self, epoch: GroupEpoch, draft: &GroupRecord) -> Option<GroupEntry> {
+        let is_free = |name: &GroupName| draft.groups.iter().all(|group| group.name != *name);
+        let fresh = || GroupName::new(&format!("g{epoch}")).ok();
+        let name = self.reused.filter(is_free).or_else(fresh)?;
+        let head_address = self.members.first()?.1;
+        Some(GroupEntry {
+            name,
+            service: self.service,
+            model: self.model,
+            epoch,
+            members: self.members.into_iter().map(|(member, _)| member).collect(),
+            head_address,
+            phase: GroupPhase::Forming,
+        })
+    }
+}
+
+/// Picks the group that is missed most among those that can be formed.
+pub fn pick_group(
+    state: &PlannerState,
+    draft: &GroupRecord,
+    service: &Service,
+    engine: &EngineProfile,
+    allow_cold: bool,
+    now: ClockTime,
+) -> Option<GroupPick> {
+    let mut best: Option<(f64, GroupPick)> = None;
+    for fabric in fabrics_of(state, service) {
+        let usable = count_usable(state, service, &fabric);
+        let targets = share_out(usable, &engine.models);
+        for (model, target) in engine.models.iter().zip(targets) {
+            let present = count_present(state, draft, &fabric, &model.name);
+            if present >= target {
+                continue;
+            }
+            let missed = (target - present) as f64 / target as f64;
+            if best.as_ref().is_some_and(|(most, _)| *most >= missed) {
+                continue;
+            }
+            let free = free_endpoints(state, draft, service, &fabric, model, allow_cold, now);
+            if let Some(pick) = choose_members(service, model, free) {
+                best = Some((missed, pick));
+            }
+        }
+    }
+    best.map(|(_, pick)| pick)
+}
+
+fn count_present(
+    state: &PlannerState,
+    draft: &GroupRecord,
+    fabric: &FabricName,
+    model: &ModelName,
+) -> usize {
+    let groups = draft.groups.iter().filter(|group| group.model == *model);
+    groups
+        .filter(|group| {
+            let head = state.endpoints.get(&group.head().id);
+            head.and_then(|view| view.endpoint.fabric.as_ref()) == Some(fabric)
+        })
+        .count()
+}
+
+/// Endpoints that could join a group of a model now.
+fn free_endpoints<'a>(
+    state: &'a PlannerState,
+    draft: &GroupRecord,
+    service: &Service,
+    fabric: &FabricName,
+    model: &ModelProfile,
+    allow_cold: bool,
+    now: ClockTime,
+) -> Vec<&'a EndpointView> {
+    let views = state.endpoints.values();
+    views
+        .filter(|view| {
+            let endpoint = &view.endpoint;
+            let is_warm = endpoint.staged.contains(&model.name);
+            let is_cold = endpoint.staged.is_empty()
+                && allow_cold
+                && !state.loads.is_loading(&endpoint.id, now);
+            endpoint.service == service.name
+                && endpoint.fabric.as_ref() == Some(fabric)
+                && is_usable(view)
+                && (is_warm || is_cold)
+                && draft.group_of(&endpoint.id).is_none()
+        })
+        .collect()
+}
+
+/// Those that are ready soonest, the quickest as head.
+fn choose_members(
+    service: &Service,
+    model: &ModelProfile,
+    mut free: Vec<&EndpointView>,
+) -> Option<GroupPick> {
+    if free.len() < model.size {
+        return None;
+    }
+    let in_memory = |view: &EndpointView| view.last_model.as_ref() == Some(&model.name);
+    let on_host = |view: &EndpointView| view.endpoint.staged.contains(&model.name);
+    free.sort_by_key(|view| {
+        let pace = (view.pace * 10.0) as u64;
+        (Reverse(in_memory(view)), Reverse(on_host(view)), pace)
+    });
+    free.truncate(model.size);
+    let held = free.iter().filter_map(|view| view.endpoint.membership.as_ref());
+    let mut names = held.map(|held| &held.group).filter(|name| !is_park(name));
+    let reused = names.next().filter(|first| names.all(|name| name == *first)).cloned();
+    let members = free.iter().map(|view| {
+        let endpoint = &view.endpoint;
+        let member = MemberRef {
+            id: endpoint.id.clone(),
+            run: endpoint.run,
+        };
+        (member, endpoint.address)
+    });
+    Some(GroupPick {
+        service: service.name.clone(),
+        model: model.name.clone(),
+        members: members.collect(),
+        reused,
+    })
+}
--- a/crates/watch/src/border.rs
+++ b/crates/watch/src/border.rs
@@ -5,7 +5,7 @@
 
 use base::prelude::*;
 use futures_channel::mpsc::UnboundedSender;
-use platform::{
+use interface::{
     DocumentWatch, EnginePort, HostDirectory, HostsOutcome, ReportOutcome, count_gateways,
     read_drains, read_fabrics, read_good_sections, watch_document,
 };
--- a/crates/watch/src/commands/observe.rs
+++ b/crates/watch/src/commands/observe.rs
@@ -4,7 +4,7 @@
 use document::commands::{AcceptOutcome, accept, learn_good};
 use document::{Document, GoodSections};
 use groups::HostReport;
-use platform::{DrainList, HostEntry};
+use interface::{DrainList, HostEntry};
 
 use crate::{WatchChange, WatchEvent, WatchState};
 
--- a/crates/watch/src/event.rs
+++ b/crates/watch/src/event.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use document::{Document, GoodSections};
 use groups::{FabricRecord, HostReport};
-use platform::{DrainList, HostEntry};
+use interface::{DrainList, HostEntry};
 
 /// End of a read; `None` where there was no answer.
 #[derive(Debug)]
--- a/crates/watch/src/state.rs
+++ b/crates/watch/src/state.rs
@@ -5,7 +5,7 @@
 
 use base::prelude::*;
 use document::ConfigState;
-use platform::{DrainList, HostEntry, Presence};
+use interface::{DrainList, HostEntry, Presence};
 
 /// Spans between reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
