Load weights without a limit before traffic, and leave queued requests alone

Cause: with seven loads at once before traffic a third of the groups came up 10 to 26 s late; requests that only waited in a queue were moved after 500 ms, which read their prompts again on servers that were full already. Change: no limit on loads until traffic starts; 1.5 s of patience for requests that have not begun; an order for a spare no longer races a record on its way.

--- a/crates/edge/src/border/page.rs
+++ b/crates/edge/src/border/page.rs
@@ -1,6 +1,5 @@
 //! The page that tells the platform whether this node is ready.
 
-use base::prelude::*;
 use futures_util::future::LocalBoxFuture;
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -99,6 +99,7 @@
         known.place = Some(place.id.clone());
         known.epoch = place.epoch;
         known.sent_at = now;
+        known.has_begun = false;
         known.tried.push(place.id.clone());
     }
     CallStep::Send(SendOrder {
--- a/crates/relay/src/commands/calls.rs
+++ b/crates/relay/src/commands/calls.rs
@@ -17,6 +17,7 @@
         place: None,
         epoch: GroupEpoch::default(),
         sent_at: now,
+        has_begun: false,
         tried: Vec::new(),
         runs: 0,
         rejections: 0,
--- a/crates/relay/src/commands/places.rs
+++ b/crates/relay/src/commands/places.rs
@@ -41,9 +41,10 @@
 
 /// Notes that bytes of a request's answer came.
 pub fn note_progress(state: &mut RelayState, call: CallId, now: ClockTime) {
-    let Some(known) = state.calls.get(&call) else {
+    let Some(known) = state.calls.get_mut(&call) else {
         return;
     };
+    known.has_begun = true;
     if let Some(load) = known.place.as_ref().and_then(|id| state.loads.get_mut(id)) {
         load.heard_at = Some(now);
         load.failures = 0;
--- a/crates/relay/src/commands/stalls.rs
+++ b/crates/relay/src/commands/stalls.rs
@@ -27,10 +27,10 @@
     if !group_stands {
         return StallStep::Move;
     }
-    let limit = if route.kind.is_stream() {
-        settings.stream_silence
-    } else {
-        route.objective.mul_f64(settings.plain_silence_part)
+    let limit = match (route.kind.is_stream(), known.has_begun) {
+        (true, true) => settings.stream_silence,
+        (true, false) => settings.queue_silence,
+        (false, _) => route.objective.mul_f64(settings.plain_silence_part),
     };
     let heard = state.loads.get(id).and_then(|load| load.heard_at);
     let since = match heard {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -5,6 +5,8 @@
 /// Silence of a streaming server after which its streams move; the slowest
 /// usual pass of an engine takes about 300 ms.
 const STREAM_SILENCE: Duration = Duration::from_millis(500);
+/// The same for a request that has not begun, which may only be queued.
+const QUEUE_SILENCE: Duration = Duration::from_millis(1_500);
 /// Part of a plain route's objective after which a silent server is left.
 const PLAIN_SILENCE_PART: f64 = 0.7;
 /// Pause between two looks at a request that waits.
@@ -35,6 +37,8 @@
 pub struct RelaySettings {
     /// Silence of a streaming server after which its streams move.
     pub stream_silence: Duration,
+    /// The same for a request that has not begun.
+    pub queue_silence: Duration,
     /// Part of a plain route's objective after which a silent server is left.
     pub plain_silence_part: f64,
     /// Pause between two looks at a request that waits.
@@ -65,6 +69,7 @@
     fn default() -> Self {
         Self {
             stream_silence: STREAM_SILENCE,
+            queue_silence: QUEUE_SILENCE,
             plain_silence_part: PLAIN_SILENCE_PART,
             check_period: CHECK_PERIOD,
             avoid_span: AVOID_SPAN,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -16,6 +16,8 @@
     /// Generation of the group that it was sent to.
     pub epoch: GroupEpoch,
     pub sent_at: ClockTime,
+    /// Whether bytes of the present attempt's answer came.
+    pub has_begun: bool,
     /// Servers that it was sent to.
     pub tried: Vec<HostName>,
     /// Attempts that may have run.
--- a/crates/replicas/src/commands/orders.rs
+++ b/crates/replicas/src/commands/orders.rs
@@ -32,7 +32,7 @@
         let is_early = now < state.settings.cold_until;
         let limits = LoadLimits {
             per_second: (!is_early).then_some(engine.loads_per_second),
-            at_once: engine.loads_at_once,
+            at_once: if is_early { usize::MAX } else { engine.loads_at_once },
         };
         if !state.loads.is_loading(to, now) {
             if !state.loads.allows(now, limits) {
--- a/crates/replicas/src/commands/plan.rs
+++ b/crates/replicas/src/commands/plan.rs
@@ -23,7 +23,8 @@
     let Some(version) = state.version else {
         return Vec::new();
     };
-    let mut draft = GroupRecord::clone(&state.record);
+    // While a write is on its way, what it says counts as good as written.
+    let mut draft = GroupRecord::clone(state.writing.as_ref().unwrap_or(&state.record));
     let mut effects = Vec::new();
     if state.writing.is_none() && state.write_at <= now {
         end_groups(state, &mut draft, now);
@@ -243,7 +244,7 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
-        let wishes = plan_staging(state, draft, service, engine, &spares, now);
+        let wishes = plan_staging(state, draft, service, engine, &spares);
         for id in spares {
             let order = spare_order(state, &id, wishes.get(&id));
             if let Some(order) = order {
--- a/crates/replicas/src/queries/staging.rs
+++ b/crates/replicas/src/queries/staging.rs
@@ -19,7 +19,6 @@
     service: &Service,
     engine: &EngineProfile,
     spares: &[HostName],
-    now: ClockTime,
 ) -> BTreeMap<HostName, ModelName> {
     let mut wishes = BTreeMap::new();
     for fabric in fabrics_of(state, service) {
@@ -54,7 +53,7 @@
         }
         let mut idle = Vec::new();
         for id in spares.iter().filter(|id| in_fabric(id)) {
-            let held = model_of(state, id, now);
+            let held = model_of(state, id);
             match held.and_then(|held| lacks.iter_mut().find(|lack| lack.model == held)) {
                 Some(lack) if lack.held < lack.needed + lack.spare => lack.held += 1,
                 Some(lack) => idle.push((id, Some(lack.model.clone()))),
@@ -94,10 +93,10 @@
 }
 
 /// Model that an endpoint has on its host or is loading.
-fn model_of(state: &PlannerState, id: &HostName, now: ClockTime) -> Option<ModelName> {
+fn model_of(state: &PlannerState, id: &HostName) -> Option<ModelName> {
     let view = state.endpoints.get(id)?;
     let loading = view.pending.as_ref().and_then(|pending| match &pending.order {
-        MemberOrder::Stage { model } if state.loads.is_loading(id, now) => Some(model.clone()),
+        MemberOrder::Stage { model } => Some(model.clone()),
         _ => None,
     });
     loading.or_else(|| view.endpoint.staged.first().cloned())
