Run one model in each fabric domain, with as many groups as fit

A line a second now sums up groups and spares. Change: a domain has a home model by its share; all its endpoints hold it.

--- a/crates/edge/src/commands/plan.rs
+++ b/crates/edge/src/commands/plan.rs
@@ -9,6 +9,9 @@
 use crate::queries::owner;
 use crate::{EdgeEffect, EdgeState};
 
+/// Pause between two lines that sum up the groups.
+const STOCK_PERIOD: Duration = Duration::from_secs(1);
+
 /// Looks at the groups if this node owns them and it is time.
 pub(crate) fn plan_if_due(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
     let is_owner = owner(state, now).as_ref() == Some(&state.settings.node);
@@ -25,9 +28,30 @@
     };
     let effects = tick(&mut state.planner, &intent, now);
     refresh_places(state);
+    if state.stock_due <= now {
+        state.stock_due = now + STOCK_PERIOD;
+        log_stock(state, &intent);
+    }
     effects.into_iter().filter_map(|effect| carry(state, effect)).collect()
 }
 
+/// Logs what each fabric domain has and should have.
+fn log_stock(state: &EdgeState, intent: &intent::Intent) {
+    for service in intent.services.values() {
+        let Some(engine) = &service.engine else {
+            continue;
+        };
+        let stocks = replicas::queries::stock(&state.planner, service, engine);
+        let lines = stocks.iter().map(|stock| {
+            let (fabric, model) = (&stock.fabric, &stock.model);
+            let (usable, groups, spares) = (stock.usable, stock.groups, stock.spares);
+            format!("{fabric}/{model}: {usable} usable, {groups} groups, {spares} spare")
+        });
+        let stock = lines.collect::<Vec<_>>().join("; ");
+        log::info!(service:% = service.name, stock; "groups and spare endpoints");
+    }
+}
+
 /// Effect of the planner as one of the loop.
 fn carry(state: &EdgeState, effect: PlanEffect) -> Option<EdgeEffect> {
     match effect {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -122,6 +122,7 @@
     pub(crate) peers: BTreeMap<NodeName, PeerState>,
     pub(crate) digest_due: ClockTime,
     pub(crate) plan_due: ClockTime,
+    pub(crate) stock_due: ClockTime,
     pub(crate) is_owner: bool,
     /// Version of this node's own entry in the shared feed.
     pub(crate) entry_version: ObjectVersion,
@@ -161,6 +162,7 @@
             peers: BTreeMap::new(),
             digest_due: now,
             plan_due: now,
+            stock_due: now,
             is_owner: false,
             entry_version: ObjectVersion::default(),
             is_announcing: false,
--- a/crates/replicas/src/commands/plan.rs
+++ b/crates/replicas/src/commands/plan.rs
@@ -9,7 +9,7 @@
 use super::orders::give;
 use super::probes::ask_due;
 use crate::queries::{
-    Verdict, is_usable, pick_group, plan_staging, verdict,
+    Verdict, home_models, is_usable, pick_group, plan_staging, verdict,
 };
 use crate::state::{is_park, park_name};
 use crate::{
@@ -121,8 +121,10 @@
             continue;
         };
         let allow_cold = now < state.settings.cold_until;
+        let homes = home_models(state, draft, service, engine, allow_cold);
+        state.homes.extend(homes.clone());
         while let Some(epoch) = state.epochs.next() {
-            let picked = pick_group(state, draft, service, engine, allow_cold, now);
+            let picked = pick_group(state, draft, service, engine, &homes, allow_cold);
             let Some(group) = picked.and_then(|pick| pick.into_entry(GroupEpoch(epoch), draft))
             else {
                 state.epochs.start = epoch;
@@ -244,7 +246,8 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
-        let wishes = plan_staging(state, draft, service, engine, &spares);
+        let homes = home_models(state, draft, service, engine, now < state.settings.cold_until);
+        let wishes = plan_staging(state, &homes, &spares);
         for id in spares {
             let order = spare_order(state, &id, wishes.get(&id));
             if let Some(order) = order {
--- a/crates/replicas/src/queries/mod.rs
+++ b/crates/replicas/src/queries/mod.rs
@@ -11,5 +11,5 @@
 pub use pool::{GroupPick, pick_group};
 pub use serving::{ServingGroup, serving_groups};
 pub use staging::plan_staging;
-pub use target::{Shortage, compose};
+pub use target::{DomainStock, HomeTable, home_models, stock};
 pub use verdict::{Verdict, is_usable, verdict};
--- a/crates/replicas/src/queries/pool.rs
+++ b/crates/replicas/src/queries/pool.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use intent::{EngineProfile, ModelProfile, Service};
 
-use super::target::{count_usable, fabrics_of, share_out};
+use super::target::HomeTable;
 use super::verdict::is_usable;
 use crate::state::is_park;
 use crate::{EndpointView, GroupEntry, GroupPhase, GroupRecord, MemberRef, PlannerState};
@@ -39,48 +39,34 @@
     }
 }
 
-/// Picks the group that is missed most among those that can be formed.
+/// Picks a group that can be formed, in the domain with the fewest groups.
 pub fn pick_group(
     state: &PlannerState,
     draft: &GroupRecord,
     service: &Service,
     engine: &EngineProfile,
+    homes: &HomeTable,
     allow_cold: bool,
-    now: ClockTime,
 ) -> Option<GroupPick> {
-    let mut best: Option<(f64, GroupPick)> = None;
-    for fabric in fabrics_of(state, service) {
-        let usable = count_usable(state, service, &fabric);
-        let targets = share_out(usable, &engine.models);
-        for (model, target) in engine.models.iter().zip(targets) {
-            let present = count_present(state, draft, &fabric, &model.name);
-            if present >= target {
-                continue;
-            }
-            let missed = (target - present) as f64 / target as f64;
-            if best.as_ref().is_some_and(|(most, _)| *most >= missed) {
-                continue;
-            }
-            let free = free_endpoints(state, draft, service, &fabric, model, allow_cold, now);
-            if let Some(pick) = choose_members(service, model, free) {
-                best = Some((missed, pick));
-            }
+    let mut picks = Vec::new();
+    for (fabric, home) in homes {
+        let Some(model) = engine.model(home) else {
+            continue;
+        };
+        let free = free_endpoints(state, draft, service, fabric, model, allow_cold);
+        if let Some(pick) = choose_members(service, model, free) {
+            picks.push((count_groups(state, draft, fabric), pick));
         }
     }
-    best.map(|(_, pick)| pick)
+    picks.into_iter().min_by_key(|(present, _)| *present).map(|(_, pick)| pick)
 }
 
-fn count_present(
-    state: &PlannerState,
-    draft: &GroupRecord,
-    fabric: &FabricName,
-    model: &ModelName,
-) -> usize {
-    let groups = draft.groups.iter().filter(|group| group.model == *model);
-    groups
-        .filter(|group| {
-            let head = state.endpoints.get(&group.head().id);
-            head.and_then(|view| view.endpoint.fabric.as_ref()) == Some(fabric)
+fn count_groups(state: &PlannerState, draft: &GroupRecord, fabric: &FabricName) -> usize {
+    let heads = draft.groups.iter().map(|group| &group.head().id);
+    heads
+        .filter(|head| {
+            let view = state.endpoints.get(head);
+            view.is_some_and(|view| view.endpoint.fabric.as_ref() == Some(fabric))
         })
         .count()
 }
@@ -93,16 +79,13 @@
     fabric: &FabricName,
     model: &ModelProfile,
     allow_cold: bool,
-    now: ClockTime,
 ) -> Vec<&'a EndpointView> {
     let views = state.endpoints.values();
     views
         .filter(|view| {
             let endpoint = &view.endpoint;
             let is_warm = endpoint.staged.contains(&model.name);
-            let is_cold = endpoint.staged.is_empty()
-                && allow_cold
-                && !state.loads.is_loading(&endpoint.id, now);
+            let is_cold = endpoint.staged.is_empty() && allow_cold;
             endpoint.service == service.name
                 && endpoint.fabric.as_ref() == Some(fabric)
                 && is_usable(view)
--- a/crates/replicas/src/queries/target.rs
+++ b/crates/replicas/src/queries/target.rs
@@ -1,4 +1,8 @@
-//! How many groups of each model a fabric domain should have.
+//! Which model a fabric domain runs, and how many groups of it.
+//!
+//! A fabric domain runs one model, its home model. So every spare endpoint of
+//! the domain can replace every lost member, and an empty one is loaded with a
+//! model that is sure to be needed there.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -6,45 +10,10 @@
 use intent::{EngineProfile, ModelProfile, Service};
 
 use super::verdict::is_usable;
-use crate::PlannerState;
+use crate::{GroupRecord, PlannerState};
 
-/// Endpoints of a fabric domain for each that is kept spare.
-const ENDPOINTS_PER_SPARE: usize = 5;
-
-/// Groups of one model in one fabric domain.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Shortage {
-    /// Fabric domain.
-    pub fabric: FabricName,
-    /// Model.
-    pub model: ModelName,
-    /// Groups that there should be.
-    pub target: usize,
-    /// Groups that there are.
-    pub present: usize,
-}
-
-/// Counts of groups for a number of endpoints, in the order of the models.
-///
-/// Groups are added one at a time for the model that is furthest below its
-/// share of the endpoints; a fifth of the endpoints stays spare.
-pub fn share_out(endpoints: usize, models: &[ModelProfile]) -> Vec<usize> {
-    let mut counts = vec![0_usize; models.len()];
-    let mut left = endpoints - endpoints / ENDPOINTS_PER_SPARE;
-    loop {
-        let fits = (0..models.len()).filter(|&i| models[i].size <= left && models[i].share > 0.0);
-        let filled = |i: usize| (counts[i] * models[i].size) as f64 / models[i].share;
-        let next = fits.min_by(|&a, &b| {
-            let by_share = filled(a).total_cmp(&filled(b));
-            by_share.then(models[b].size.cmp(&models[a].size))
-        });
-        let Some(next) = next else {
-            return counts;
-        };
-        counts[next] += 1;
-        left -= models[next].size;
-    }
-}
+/// Home models by fabric domain.
+pub type HomeTable = BTreeMap<FabricName, ModelName>;
 
 /// Fabric domains of a service.
 pub(super) fn fabrics_of(state: &PlannerState, service: &Service) -> BTreeSet<FabricName> {
@@ -64,28 +33,103 @@
     in_domain.filter(|view| is_usable(view)).count()
 }
 
-/// Groups by fabric domain and model, as the record has them.
-pub fn compose(state: &PlannerState, service: &Service, engine: &EngineProfile) -> Vec<Shortage> {
-    let mut present: BTreeMap<(FabricName, ModelName), usize> = BTreeMap::new();
-    for group in &state.record.groups {
-        let head = state.endpoints.get(&group.head().id);
-        if let Some(fabric) = head.and_then(|view| view.endpoint.fabric.clone()) {
-            *present.entry((fabric, group.model.clone())).or_default() += 1;
+/// Home models of a service's fabric domains.
+///
+/// A domain keeps the model that it has; else the one that most of its
+/// endpoints hold; else the one whose share of the domains is furthest off.
+pub fn home_models(
+    state: &PlannerState,
+    draft: &GroupRecord,
+    service: &Service,
+    engine: &EngineProfile,
+    is_early: bool,
+) -> HomeTable {
+    let fabrics = fabrics_of(state, service);
+    let mut homes = HomeTable::new();
+    for fabric in &fabrics {
+        let kept = state.homes.get(fabric).cloned();
+        let kept = kept.or_else(|| most_held(state, draft, fabric));
+        let known = kept.filter(|model| engine.model(model).is_some());
+        if let Some(model) = known {
+            homes.insert(fabric.clone(), model);
         }
     }
-    let mut shortages = Vec::new();
-    for fabric in fabrics_of(state, service) {
+    for fabric in fabrics {
+        if homes.contains_key(&fabric) {
+            continue;
+        }
         let usable = count_usable(state, service, &fabric);
-        let counts = share_out(usable, &engine.models);
-        for (model, target) in engine.models.iter().zip(counts) {
-            let key = (fabric.clone(), model.name.clone());
-            shortages.push(Shortage {
-                present: present.get(&key).copied().unwrap_or(0),
-                fabric: key.0,
-                model: key.1,
-                target,
-            });
+        let fits = |model: &&ModelProfile| is_early || model.size <= usable;
+        let models = engine.models.iter().filter(fits);
+        let lack = |model: &ModelProfile| share_lack(model, engine, &homes);
+        let most = models.max_by(|a, b| lack(a).total_cmp(&lack(b)).then(a.size.cmp(&b.size)));
+        if let Some(model) = most {
+            homes.insert(fabric, model.name.clone());
         }
     }
-    shortages
+    homes
+}
+
+/// Domains that a model lacks for its share, if one more were given out.
+fn share_lack(model: &ModelProfile, engine: &EngineProfile, homes: &HomeTable) -> f64 {
+    let whole: f64 = engine.models.iter().map(|model| model.share).sum();
+    let present = homes.values().filter(|home| **home == model.name).count();
+    let wanted = model.share / whole.max(f64::MIN_POSITIVE) * (homes.len() + 1) as f64;
+    wanted - present as f64
+}
+
+/// Model that most endpoints of a domain run or hold.
+fn most_held(state: &PlannerState, draft: &GroupRecord, fabric: &FabricName) -> Option<ModelName> {
+    let mut counts: BTreeMap<ModelName, usize> = BTreeMap::new();
+    for (id, view) in &state.endpoints {
+        if view.endpoint.fabric.as_ref() != Some(fabric) {
+            continue;
+        }
+        let in_group = draft.group_of(id).map(|group| group.model.clone());
+        if let Some(model) = in_group.or_else(|| view.endpoint.staged.first().cloned()) {
+            *counts.entry(model).or_default() += 1;
+        }
+    }
+    counts.into_iter().max_by_key(|(_, count)| *count).map(|(model, _)| model)
+}
+
+/// Groups and endpoints of one fabric domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DomainStock {
+    /// Fabric domain.
+    pub fabric: FabricName,
+    /// Its home model.
+    pub model: ModelName,
+    /// Usable endpoints.
+    pub usable: usize,
+    /// Groups that the record has.
+    pub groups: usize,
+    /// Usable endpoints outside groups that hold the model.
+    pub spares: usize,
+}
+
+/// Groups and spare endpoints by fabric domain.
+pub fn stock(state: &PlannerState, service: &Service, engine: &EngineProfile) -> Vec<DomainStock> {
+    let homes = home_models(state, &state.record, service, engine, true);
+    let stocks = homes.into_iter().map(|(fabric, model)| {
+        let in_fabric = |id: &HostName| {
+            let view = state.endpoints.get(id);
+            view.is_some_and(|view| view.endpoint.fabric.as_ref() == Some(&fabric))
+        };
+        let groups = state.record.groups.iter().filter(|group| in_fabric(&group.head().id));
+        let spares = state.endpoints.iter().filter(|(id, view)| {
+            in_fabric(id)
+                && is_usable(view)
+                && view.endpoint.staged.contains(&model)
+                && state.record.group_of(id).is_none()
+        });
+        DomainStock {
+            usable: count_usable(state, service, &fabric),
+            groups: groups.count(),
+            spares: spares.count(),
+            fabric: fabric.clone(),
+            model: model.clone(),
+        }
+    });
+    stocks.collect()
 }
--- a/crates/replicas/src/state.rs
+++ b/crates/replicas/src/state.rs
@@ -90,6 +90,8 @@
     /// Epoch block that a write in flight takes.
     pub(crate) epochs_asked: std::ops::Range<u64>,
     pub(crate) loads: LoadLedger,
+    /// Home models that this node has given out.
+    pub(crate) homes: BTreeMap<FabricName, ModelName>,
     /// When each closing group was first seen so.
     pub(crate) closing: BTreeMap<GroupEpoch, ClockTime>,
 }
@@ -108,6 +110,7 @@
             epochs: 0..0,
             epochs_asked: 0..0,
             loads: LoadLedger::default(),
+            homes: BTreeMap::new(),
             closing: BTreeMap::new(),
         }
     }
