Let requests that can't come in time wait behind those that can

Cause: where a model is short of groups, a common queue makes every request miss its objective by a little. Change: a fast lane up to the slots of a head and a slow lane behind it, by the rank in the engine's queue; streams of a group that has ended move within 60 ms.

--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use prost::Message;
+use relay::LaneCounts;
 use replicas::{GroupRecord, RecordWire};
 
 use crate::peer::{Digest, PeerMessage};
@@ -64,7 +65,9 @@
     #[prost(string, tag = "1")]
     place: String,
     #[prost(uint32, tag = "2")]
-    count: u32,
+    fast: u32,
+    #[prost(uint32, tag = "3")]
+    slow: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -114,7 +117,8 @@
     fn from(digest: &Digest) -> Self {
         let counts = digest.counts.iter().map(|(place, count)| CountWire {
             place: place.as_str().to_owned(),
-            count: *count,
+            fast: count.fast,
+            slow: count.slow,
         });
         Self {
             from: digest.from.as_str().to_owned(),
@@ -132,7 +136,10 @@
 
     fn try_from(wire: DigestWire) -> Result<Self, NameError> {
         let counts = wire.counts.into_iter();
-        let counts = counts.map(|wire| Ok((HostName::new(&wire.place)?, wire.count)));
+        let counts = counts.map(|wire| {
+            let CountWire { place, fast, slow } = wire;
+            Ok((HostName::new(&place)?, LaneCounts { fast, slow }))
+        });
         let silent = wire.silent.iter().map(|head| HostName::new(head));
         Ok(Self {
             from: NodeName::new(&wire.from)?,
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use relay::LaneCounts;
 use replicas::GroupRecord;
 
 /// Node and where it takes messages.
@@ -26,7 +27,7 @@
     /// Whether it could form the groups: it reaches the store and is not ending.
     pub can_own: bool,
     /// Requests that it has at each place.
-    pub counts: Vec<(HostName, u32)>,
+    pub counts: Vec<(HostName, LaneCounts)>,
     /// Heads that give it no bytes.
     pub silent: Vec<HostName>,
 }
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -7,10 +7,12 @@
 
 use super::places::{occupy, vacate};
 use crate::queries::choose_place;
-use crate::{AttemptEnd, CallStep, Refusal, RefusalReason, RelayState, SendOrder};
+use crate::{AttemptEnd, CallStep, Lane, Refusal, RefusalReason, RelayState, SendOrder};
 
-/// Rank of a request that is sent for the first time.
-const FIRST_RANK: u8 = 5;
+/// Rank of a request that can be answered in time.
+const FAST_RANK: u8 = 4;
+/// Rank of a request that waits for room.
+const SLOW_RANK: u8 = 8;
 /// Rank of a request that has lost time at another server.
 const AGAIN_RANK: u8 = 2;
 
@@ -85,8 +87,8 @@
         return refuse(RefusalReason::Late, has_run, None);
     }
     let is_again = known.runs + known.rejections > 0;
-    let place = match choose_place(state, known, now) {
-        Ok(place) => place.clone(),
+    let (place, lane) = match choose_place(state, known, now) {
+        Ok((place, lane)) => (place.clone(), lane),
         Err(reason) => return refuse(reason, has_run, Some(state.settings.retry_after)),
     };
     let silence = match known.arrival.route.kind {
@@ -94,9 +96,10 @@
         _ => known.arrival.route.objective.mul_f64(state.settings.plain_silence_part),
     };
     let deadline = known.arrival.deadline;
-    occupy(state, &place.id);
+    occupy(state, &place.id, lane);
     if let Some(known) = state.calls.get_mut(&call) {
         known.place = Some(place.id.clone());
+        known.lane = lane;
         known.epoch = place.epoch;
         known.sent_at = now;
         known.has_begun = false;
@@ -107,7 +110,11 @@
         address: place.address,
         deadline,
         check_at: now + silence,
-        rank: if is_again { AGAIN_RANK } else { FIRST_RANK },
+        rank: match lane {
+            _ if is_again => AGAIN_RANK,
+            Lane::Fast => FAST_RANK,
+            Lane::Slow => SLOW_RANK,
+        },
     })
 }
 
--- a/crates/relay/src/commands/calls.rs
+++ b/crates/relay/src/commands/calls.rs
@@ -6,7 +6,7 @@
 use super::attempts::send_on;
 use super::places::vacate;
 use crate::state::CallState;
-use crate::{CallArrival, CallStep, RelayState};
+use crate::{CallArrival, CallStep, Lane, RelayState};
 
 /// Takes in a request and decides where it goes.
 pub fn arrive(state: &mut RelayState, arrival: CallArrival, now: ClockTime) -> CallStep {
@@ -15,6 +15,7 @@
     let known = CallState {
         arrival,
         place: None,
+        lane: Lane::Fast,
         epoch: GroupEpoch::default(),
         sent_at: now,
         has_begun: false,
--- a/crates/relay/src/commands/places.rs
+++ b/crates/relay/src/commands/places.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 
-use crate::{Place, RelayState};
+use crate::{Lane, LaneCounts, Place, RelayState};
 
 /// Replaces the places; loads of places that stay are kept.
 pub fn set_places(state: &mut RelayState, places: Vec<Place>) {
@@ -18,14 +18,14 @@
     }
     state.places = places.into_iter().map(|place| (place.id.clone(), place)).collect();
     let (places, loads) = (&state.places, &mut state.loads);
-    loads.retain(|id, load| load.own > 0 || places.contains_key(id));
+    loads.retain(|id, load| load.own != LaneCounts::default() || places.contains_key(id));
 }
 
 /// Takes in what another node has running.
 pub fn note_remote(
     state: &mut RelayState,
     node: &NodeName,
-    counts: &[(HostName, u32)],
+    counts: &[(HostName, LaneCounts)],
     now: ClockTime,
 ) {
     for load in state.loads.values_mut() {
@@ -52,15 +52,17 @@
 }
 
 /// Counts an attempt's start at a place.
-pub(super) fn occupy(state: &mut RelayState, id: &HostName) {
-    state.loads.entry(id.clone()).or_default().own += 1;
+pub(super) fn occupy(state: &mut RelayState, id: &HostName, lane: Lane) {
+    *state.loads.entry(id.clone()).or_default().own.of(lane) += 1;
 }
 
 /// Counts an attempt's end at its place.
 pub(super) fn vacate(state: &mut RelayState, call: CallId) -> Option<HostName> {
-    let id = state.calls.get_mut(&call)?.place.take()?;
+    let known = state.calls.get_mut(&call)?;
+    let id = known.place.take()?;
     if let Some(load) = state.loads.get_mut(&id) {
-        load.own = load.own.saturating_sub(1);
+        let count = load.own.of(known.lane);
+        *count = count.saturating_sub(1);
     }
     Some(id)
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,6 @@
 pub mod queries;
 
 pub use call::{AttemptEnd, CallArrival, CallStep, Refusal, RefusalReason, SendOrder, StallStep};
-pub use place::{Place, PlaceLoad};
+pub use place::{Lane, LaneCounts, Place, PlaceLoad};
 pub use settings::RelaySettings;
 pub use state::RelayState;
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -24,13 +24,48 @@
     pub slots: usize,
 }
 
+/// Requests at a place.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LaneCounts {
+    /// Those that should be answered in time.
+    pub fast: u32,
+    /// Those that wait for room that the others leave.
+    pub slow: u32,
+}
+
+/// Lane of a request in its server's queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lane {
+    /// It can still be answered in time.
+    Fast,
+    /// It is answered when there is room.
+    Slow,
+}
+
+impl LaneCounts {
+    /// Count of one lane.
+    pub(crate) fn of(&mut self, lane: Lane) -> &mut u32 {
+        match lane {
+            Lane::Fast => &mut self.fast,
+            Lane::Slow => &mut self.slow,
+        }
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            fast: self.fast + other.fast,
+            slow: self.slow + other.slow,
+        }
+    }
+}
+
 /// What runs at a place, and how it has done lately.
 #[derive(Clone, Debug, Default)]
 pub struct PlaceLoad {
     /// Requests of this node.
-    pub own: u32,
+    pub own: LaneCounts,
     /// Requests of the other nodes, as they told.
-    pub remote: HashMap<NodeName, (u32, ClockTime)>,
+    pub remote: HashMap<NodeName, (LaneCounts, ClockTime)>,
     /// Last time that bytes came from it.
     pub(crate) heard_at: Option<ClockTime>,
     /// Failures in a row.
@@ -41,8 +76,8 @@
 
 impl PlaceLoad {
     /// Requests of all nodes, as far as known.
-    pub fn total(&self, now: ClockTime) -> u32 {
+    pub fn total(&self, now: ClockTime) -> LaneCounts {
         let fresh = self.remote.values().filter(|(_, expires)| *expires > now);
-        self.own + fresh.map(|(count, _)| count).sum::<u32>()
+        fresh.fold(self.own, |sum, (counts, _)| sum.plus(*counts))
     }
 }
--- a/crates/relay/src/queries/choose.rs
+++ b/crates/relay/src/queries/choose.rs
@@ -3,17 +3,33 @@
 use base::prelude::*;
 
 use crate::state::CallState;
-use crate::{Place, RefusalReason, RelayState};
+use crate::{Lane, LaneCounts, Place, RefusalReason, RelayState};
 
-/// Place with the least load for a request.
+/// Place that can be chosen for a request.
+struct Candidate<'a> {
+    place: &'a Place,
+    is_avoided: bool,
+    /// Load that a request of the fast lane sees, in parts of the slots.
+    fast_fill: f64,
+    /// Load of both lanes, in parts of the slots.
+    fill: f64,
+    /// Penalty of another failure domain.
+    far: f64,
+    /// Place in the turn, to spread ties.
+    order: usize,
+}
+
+/// Place with the least load for a request, and the lane it takes there.
 ///
-/// Places that failed lately come last; those that were tried already come
-/// only if nothing else is left and nothing has run.
+/// While an engine has room for another request that is answered in time, the
+/// request takes the fast lane. Else it takes the slow lane of the engine with
+/// the shortest queue: then those that come in time stay in time, and only the
+/// rest are late. Places that failed lately come last.
 pub(crate) fn choose_place<'a>(
     state: &'a RelayState,
     call: &CallState,
     now: ClockTime,
-) -> Result<&'a Place, RefusalReason> {
+) -> Result<(&'a Place, Lane), RefusalReason> {
     let arrival = &call.arrival;
     let fitting: Vec<_> = state
         .places
@@ -26,32 +42,63 @@
         return Err(RefusalReason::NoPlace);
     }
     let turn = state.turn as usize % fitting.len();
-    let ranked = fitting.iter().enumerate().filter_map(|(index, place)| {
-        let load = state.loads.get(&place.id);
-        let total = load.map_or(0, |load| load.total(now));
-        let fill = f64::from(total) / place.slots.max(1) as f64;
-        let limit = if place.model.is_some() {
-            state.settings.engine_fill_limit
-        } else {
-            state.settings.plain_fill_limit
-        };
-        if fill >= limit {
-            return None;
-        }
-        let is_avoided = load.is_some_and(|load| load.avoid_until > now);
-        let far = if place.zone == state.zone {
-            0.0
-        } else {
-            state.settings.far_penalty
-        };
+    let candidates = fitting.iter().enumerate().map(|(index, place)| {
         let order = (index + fitting.len() - turn) % fitting.len();
-        Some((is_avoided, fill + far, order, *place))
+        candidate(state, place, order, now)
     });
-    ranked
-        .min_by(|a, b| {
-            let by_fill = a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
-            by_fill.then(a.2.cmp(&b.2))
-        })
-        .map(|(_, _, _, place)| place)
+    let candidates: Vec<_> = candidates.collect();
+    let settings = &state.settings;
+    let is_engine = arrival.model.is_some();
+    let is_again = call.runs + call.rejections > 0;
+    let fast = candidates
+        .iter()
+        .filter(|candidate| !is_engine || is_again || candidate.fast_fill < settings.fast_fill_limit);
+    let lane_limit = if is_engine { settings.engine_fill_limit } else { settings.plain_fill_limit };
+    let fast = fast.filter(|candidate| candidate.fill < lane_limit);
+    if let Some(best) = least(fast, |candidate| candidate.fast_fill + candidate.far) {
+        return Ok((best.place, Lane::Fast));
+    }
+    let slow = candidates.iter().filter(|candidate| candidate.fill < lane_limit);
+    least(slow, |candidate| candidate.fill + candidate.far)
+        .map(|best| (best.place, Lane::Slow))
         .ok_or(RefusalReason::Overload)
 }
+
+fn candidate<'a>(
+    state: &RelayState,
+    place: &'a Place,
+    order: usize,
+    now: ClockTime,
+) -> Candidate<'a> {
+    let load = state.loads.get(&place.id);
+    let LaneCounts { fast, slow } = load.map(|load| load.total(now)).unwrap_or_default();
+    let slots = place.slots.max(1) as f64;
+    let slow_fill = f64::from(slow) / slots;
+    let fast_fill = f64::from(fast) / slots;
+    Candidate {
+        place,
+        is_avoided: load.is_some_and(|load| load.avoid_until > now),
+        fast_fill: fast_fill + slow_fill * state.settings.slow_weight,
+        fill: fast_fill + slow_fill,
+        far: if place.zone == state.zone {
+            0.0
+        } else {
+            state.settings.far_penalty
+        },
+        order,
+    }
+}
+
+/// Candidate with the least cost, those to avoid last.
+fn least<'a, 'b>(
+    candidates: impl Iterator<Item = &'b Candidate<'a>>,
+    cost: impl Fn(&Candidate<'_>) -> f64,
+) -> Option<&'b Candidate<'a>>
+where
+    'a: 'b,
+{
+    candidates.min_by(|a, b| {
+        let by_cost = a.is_avoided.cmp(&b.is_avoided).then(cost(a).total_cmp(&cost(b)));
+        by_cost.then(a.order.cmp(&b.order))
+    })
+}
--- a/crates/relay/src/queries/counts.rs
+++ b/crates/relay/src/queries/counts.rs
@@ -2,10 +2,10 @@
 
 use base::prelude::*;
 
-use crate::RelayState;
+use crate::{LaneCounts, RelayState};
 
 /// Requests of this node by place.
-pub fn own_counts(state: &RelayState) -> Vec<(HostName, u32)> {
-    let busy = state.loads.iter().filter(|(_, load)| load.own > 0);
+pub fn own_counts(state: &RelayState) -> Vec<(HostName, LaneCounts)> {
+    let busy = state.loads.iter().filter(|(_, load)| load.own != LaneCounts::default());
     busy.map(|(id, load)| (id.clone(), load.own)).collect()
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -10,7 +10,7 @@
 /// Part of a plain route's objective after which a silent server is left.
 const PLAIN_SILENCE_PART: f64 = 0.7;
 /// Pause between two looks at a request that waits.
-const CHECK_PERIOD: Duration = Duration::from_millis(200);
+const CHECK_PERIOD: Duration = Duration::from_millis(60);
 /// First span for which a place that failed is avoided; it doubles with each failure.
 const AVOID_SPAN: Duration = Duration::from_millis(500);
 /// Longest span for which a place is avoided.
@@ -25,7 +25,11 @@
 const LEAST_TIME: Duration = Duration::from_millis(20);
 /// Requests at an engine, in parts of its slots, above which new ones are refused.
 const ENGINE_FILL_LIMIT: f64 = 2.5;
-/// The same for a plain server.
+/// Requests of the fast lane, in parts of an engine's slots, above which new ones take the slow one.
+const FAST_FILL_LIMIT: f64 = 1.05;
+/// Part of its size that a request of the slow lane counts in the fast one, for the slot that it may hold.
+const SLOW_WEIGHT: f64 = 0.3;
+/// Requests at a plain server, in parts of its slots, above which new ones are refused.
 const PLAIN_FILL_LIMIT: f64 = 4.0;
 /// Extra load, in parts of the slots, that a place of another failure domain counts as.
 const FAR_PENALTY: f64 = 0.06;
@@ -57,6 +61,10 @@
     pub least_time: Duration,
     /// Fill above which an engine takes no new request.
     pub engine_fill_limit: f64,
+    /// Fill of the fast lane above which requests take the slow one.
+    pub fast_fill_limit: f64,
+    /// Part that a request of the slow lane counts in the fast one.
+    pub slow_weight: f64,
     /// Fill above which a plain server takes no new request.
     pub plain_fill_limit: f64,
     /// Penalty of another failure domain.
@@ -79,6 +87,8 @@
             rejection_limit: REJECTION_LIMIT,
             least_time: LEAST_TIME,
             engine_fill_limit: ENGINE_FILL_LIMIT,
+            fast_fill_limit: FAST_FILL_LIMIT,
+            slow_weight: SLOW_WEIGHT,
             plain_fill_limit: PLAIN_FILL_LIMIT,
             far_penalty: FAR_PENALTY,
             retry_after: RETRY_AFTER,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use limits::{BudgetSettings, RetryBudget};
 
-use crate::{CallArrival, Place, PlaceLoad, RelaySettings};
+use crate::{CallArrival, Lane, Place, PlaceLoad, RelaySettings};
 
 /// Request under way.
 #[derive(Clone, Debug)]
@@ -13,6 +13,8 @@
     pub arrival: CallArrival,
     /// Server of the present attempt.
     pub place: Option<HostName>,
+    /// Lane that it is in there.
+    pub lane: Lane,
     /// Generation of the group that it was sent to.
     pub epoch: GroupEpoch,
     pub sent_at: ClockTime,
