Ask the store less where other nodes tell of changes

Cause: each node asked three feeds every second and for each change by itself. Change: nodes that are told of configuration and record by others wait for 8 s and gather changes for 0.5 to 1.5 s; the owner keeps its pace. A failed write counts as a sign that the store is out of reach.

--- a/crates/edge/src/border/carrier.rs
+++ b/crates/edge/src/border/carrier.rs
@@ -12,7 +12,7 @@
 use super::links::PeerLinks;
 use super::ports::{EndpointPort, PlatformStore};
 use super::wire::encode_message;
-use crate::{EdgeEffect, EdgeEvent};
+use crate::{EdgeEffect, EdgeEvent, FeedPace};
 
 /// Time in which an endpoint must answer an order or a question.
 const ANSWER_SPAN: Duration = Duration::from_millis(300);
@@ -27,6 +27,7 @@
     pub links: PeerLinks,
     pub drain: RefCell<Option<DrainSwitch>>,
     pub is_closing: Rc<Cell<bool>>,
+    pub pace: Rc<Cell<FeedPace>>,
 }
 
 impl EdgeBorder {
@@ -67,6 +68,7 @@
             EdgeEffect::Send { to, message } => {
                 self.links.send(to, Bytes::from(encode_message(&message)));
             }
+            EdgeEffect::Pace(pace) => self.pace.set(pace),
             EdgeEffect::Close => self.is_closing.set(true),
             EdgeEffect::Drain => {
                 self.drain.borrow_mut().take().map(DrainSwitch::start);
--- a/crates/edge/src/border/feeds.rs
+++ b/crates/edge/src/border/feeds.rs
@@ -1,5 +1,6 @@
 //! Follows the feeds of the platform's store, one task each.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use base::prelude::*;
@@ -7,17 +8,28 @@
 use net::sleep_until;
 
 use super::ports::{Feed, FollowOutcome, ListOutcome, PlatformStore};
-use crate::{EdgeEvent, FeedEvent};
+use crate::{EdgeEvent, FeedEvent, FeedPace};
 
-/// Wait of one call. A connection that has gone silent shows when it is over,
-/// and changes must be in force within two seconds.
+/// Wait of one call where nobody else would tell of a change. A connection
+/// that has gone silent shows when it is over.
 const WAIT_SPAN: Duration = Duration::from_millis(1_000);
+/// Wait for changes of the endpoints, which every node must see for itself
+/// within three seconds of a fault.
+const ENDPOINTS_WAIT_SPAN: Duration = Duration::from_millis(2_200);
+/// Wait for changes that other nodes would tell of.
+const TOLD_WAIT_SPAN: Duration = Duration::from_millis(8_000);
 /// Pause after a call without an answer.
 const FAULT_PAUSE: Duration = Duration::from_millis(150);
 /// Longest such pause; it doubles with each failure.
 const FAULT_PAUSE_LIMIT: Duration = Duration::from_millis(600);
-/// Pause after changes, so that several come in one answer.
-const GATHER_PAUSE: Duration = Duration::from_millis(40);
+/// Pause after changes of the endpoints at their owner, so that several come in one answer.
+const OWNER_PAUSE: Duration = Duration::from_millis(30);
+/// The same at other nodes, which must stop to use an endpoint within two seconds.
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(500);
+/// The same for what the owner tells the other nodes anyway.
+const TOLD_PAUSE: Duration = Duration::from_millis(1_500);
+/// The same where nobody tells.
+const ALONE_PAUSE: Duration = Duration::from_millis(40);
 
 /// Follows one feed until the loop has ended.
 pub(super) async fn follow_feed(
@@ -25,6 +37,7 @@
     store: Rc<dyn PlatformStore>,
     clock: Rc<dyn ClockSource>,
     events: UnboundedSender<EdgeEvent>,
+    pace: Rc<Cell<FeedPace>>,
 ) {
     let mut revision: Option<ObjectVersion> = None;
     let mut pause = FAULT_PAUSE;
@@ -34,7 +47,7 @@
                 ListOutcome::Listed(items, at) => (FeedEvent::Listed(items, at), Some(at)),
                 ListOutcome::Unavailable => (FeedEvent::Lost, None),
             },
-            Some(since) => match store.follow(feed, since, WAIT_SPAN).await {
+            Some(since) => match store.follow(feed, since, wait_span(feed, pace.get())).await {
                 FollowOutcome::Changed(changes, at) => {
                     (FeedEvent::Changed(changes, at), Some(at.max(since)))
                 }
@@ -58,8 +71,28 @@
         } else {
             pause = FAULT_PAUSE;
             if has_changes {
-                sleep_until(clock.as_ref(), clock.now() + GATHER_PAUSE).await;
+                sleep_until(clock.as_ref(), clock.now() + gather_pause(feed, pace.get())).await;
             }
         }
     }
 }
+
+/// How long one call waits for changes.
+fn wait_span(feed: Feed, pace: FeedPace) -> Duration {
+    match feed {
+        _ if !pace.has_peers => WAIT_SPAN,
+        Feed::Endpoints => ENDPOINTS_WAIT_SPAN,
+        Feed::Intent | Feed::Shared => TOLD_WAIT_SPAN,
+    }
+}
+
+/// How long changes are gathered before the next call.
+fn gather_pause(feed: Feed, pace: FeedPace) -> Duration {
+    match feed {
+        Feed::Endpoints if pace.is_owner => OWNER_PAUSE,
+        _ if !pace.has_peers => ALONE_PAUSE,
+        Feed::Endpoints => ENDPOINTS_PAUSE,
+        Feed::Shared => TOLD_PAUSE,
+        Feed::Intent => ALONE_PAUSE,
+    }
+}
--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -16,7 +16,7 @@
 use super::links::{PeerLinks, receive_links};
 use super::page::ReadyPage;
 use super::ports::{EndpointPort, Feed, PlatformStore, RequestDialect};
-use crate::{EdgeEvent, EdgeSettings, EdgeState, EdgeTimes};
+use crate::{EdgeEvent, EdgeSettings, FeedPace, EdgeState, EdgeTimes};
 
 /// Time in which a new connection to a server must be made.
 const CONNECT_SPAN: Duration = Duration::from_millis(250);
@@ -58,8 +58,10 @@
     let (switch, watch) = drain_pair();
     let is_closing = Rc::new(Cell::new(false));
 
+    let pace = Rc::<Cell<FeedPace>>::default();
     for feed in Feed::ALL {
-        monoio::spawn(follow_feed(feed, store.clone(), clock.clone(), events.clone()));
+        let (store, clock, events) = (store.clone(), clock.clone(), events.clone());
+        monoio::spawn(follow_feed(feed, store, clock, events, pace.clone()));
     }
     monoio::spawn(receive_links(peers, store.clone(), clock.clone(), events.clone()));
     let page = Rc::new(ReadyPage { desk: desk.clone() });
@@ -97,6 +99,7 @@
         links: PeerLinks::new(clock.clone()),
         drain: RefCell::new(Some(switch)),
         is_closing,
+        pace,
     };
     let mut state = EdgeState::new(settings, EdgeTimes::default(), seed_from_system(), clock.now());
     run_loop(&mut state, receiver, clock.as_ref(), &border).await;
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -6,8 +6,8 @@
 use super::feeds::adopt;
 use super::refresh_places;
 use crate::peer::{Digest, PeerMessage};
-use crate::queries::can_own;
-use crate::{EdgeEffect, EdgeState};
+use crate::queries::{can_own, is_heard};
+use crate::{EdgeEffect, EdgeState, FeedPace};
 
 /// Pause before a node is sent the same thing again.
 const RESEND_PAUSE: Duration = Duration::from_millis(500);
@@ -27,9 +27,27 @@
         silent: std::mem::take(&mut state.silent).into_iter().collect(),
     };
     let peers = state.peers.values();
-    peers
-        .map(|peer| EdgeEffect::digest(peer.address, digest.clone()))
-        .collect()
+    let digests = peers.map(|peer| EdgeEffect::digest(peer.address, digest.clone()));
+    let mut effects: Vec<_> = digests.collect();
+    effects.extend(set_pace(state, now));
+    effects
+}
+
+/// Nodes that must be heard before this one relies on being told of changes.
+const PEERS_RELIED_ON: usize = 2;
+
+/// Changes the pace of the feeds if need be.
+fn set_pace(state: &mut EdgeState, now: ClockTime) -> Option<EdgeEffect> {
+    let heard = state.peers.values().filter(|peer| is_heard(state, peer, now));
+    let pace = FeedPace {
+        is_owner: state.is_owner,
+        has_peers: heard.count() >= PEERS_RELIED_ON,
+    };
+    if pace == state.pace {
+        return None;
+    }
+    state.pace = pace;
+    Some(EdgeEffect::Pace(pace))
 }
 
 /// Sends the record to every node at once.
--- a/crates/edge/src/commands/shared.rs
+++ b/crates/edge/src/commands/shared.rs
@@ -141,6 +141,9 @@
         UpdateOutcome::Unknown => WriteOutcome::Unknown,
         UpdateOutcome::TooLarge | UpdateOutcome::Unavailable => WriteOutcome::Failed,
     };
+    if matches!(outcome, WriteOutcome::Unknown | WriteOutcome::Failed) {
+        state.write_fault_at = Some(now);
+    }
     if !matches!(outcome, WriteOutcome::Written(_)) {
         log::warn!(outcome:? = outcome; "the record of groups was not written");
     }
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -142,6 +142,15 @@
     Stop,
 }
 
+/// How closely this node must follow the feeds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FeedPace {
+    /// Whether it owns the groups and acts on each change.
+    pub is_owner: bool,
+    /// Whether other nodes would tell it what it misses.
+    pub has_peers: bool,
+}
+
 /// Something to be done.
 #[derive(Debug)]
 pub enum EdgeEffect {
@@ -172,6 +181,8 @@
         /// What.
         message: PeerMessage,
     },
+    /// Follow the feeds at another pace.
+    Pace(FeedPace),
     /// Ask clients not to keep their connections.
     Close,
     /// Accept no more connections and end once the open ones are done.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use event::{
     Arrival, ArrivalOutcome, EdgeAnswer, EdgeEffect, EdgeEvent, EdgeQuestion, EdgeStatus, FeedEvent,
-    RejectReason,
+    FeedPace, RejectReason,
 };
 pub use peer::{Digest, PeerAddress, PeerMessage};
 pub use settings::{EdgeBounds, EdgeSettings};
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -6,6 +6,6 @@
 mod status;
 
 pub use deadline::next_deadline;
-pub(crate) use owner::{can_own, owner};
+pub(crate) use owner::{can_own, is_heard, owner};
 pub(crate) use places::places;
 pub use status::status;
--- a/crates/edge/src/queries/owner.rs
+++ b/crates/edge/src/queries/owner.rs
@@ -4,13 +4,21 @@
 
 use crate::EdgeState;
 use crate::border::ports::Feed;
+use crate::state::PeerState;
 
-/// Whether the store has answered on a feed lately.
-pub(crate) fn is_store_heard(state: &EdgeState, feed: Feed, now: ClockTime) -> bool {
-    state.feed(feed).is_some_and(|known| {
-        known.is_listed
-            && known.heard_at.is_some_and(|at| now.since(at) < state.times.store_silence)
-    })
+/// Whether the store answers, as far as this node can tell.
+fn is_store_heard(state: &EdgeState, now: ClockTime) -> bool {
+    let is_followed = |feed| {
+        let known = state.feed(feed);
+        known.is_some_and(|known| known.is_listed && !known.is_lost)
+    };
+    let heard_at = state.feed(Feed::Endpoints).and_then(|known| known.heard_at);
+    let is_recent = |at: ClockTime| now.since(at) < state.times.store_silence;
+    let has_failed = state.write_fault_at.is_some_and(|at| now.since(at) < state.times.write_pause);
+    is_followed(Feed::Endpoints)
+        && is_followed(Feed::Shared)
+        && heard_at.is_some_and(is_recent)
+        && !has_failed
 }
 
 /// Whether this node could form the groups.
@@ -18,8 +26,12 @@
     state.stopping.is_none()
         && state.intent.get().is_some()
         && now.since(state.started_at) >= state.times.settle_span
-        && is_store_heard(state, Feed::Endpoints, now)
-        && is_store_heard(state, Feed::Shared, now)
+        && is_store_heard(state, now)
+}
+
+/// Whether another node has been heard lately.
+pub(crate) fn is_heard(state: &EdgeState, peer: &PeerState, now: ClockTime) -> bool {
+    peer.heard_at.is_some_and(|at| now.since(at) < state.times.peer_silence)
 }
 
 /// Node that forms the groups, as this node sees it.
@@ -30,8 +42,7 @@
 pub(crate) fn owner(state: &EdgeState, now: ClockTime) -> Option<NodeName> {
     let present = state.planner.record().owner.clone();
     let peers = state.peers.iter().filter(|(_, peer)| {
-        let is_heard = peer.heard_at.is_some_and(|at| now.since(at) < state.times.peer_silence);
-        is_heard && peer.digest.as_ref().is_some_and(|digest| digest.can_own)
+        is_heard(state, peer, now) && peer.digest.as_ref().is_some_and(|digest| digest.can_own)
     });
     let mut able: Vec<_> = peers.map(|(node, _)| node.clone()).collect();
     if can_own(state, now) {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -10,7 +10,8 @@
 use replicas::{PlannerSettings, PlannerState};
 
 use crate::peer::Digest;
-use crate::{EdgeSettings, border::ports::Feed};
+use crate::border::ports::Feed;
+use crate::{EdgeSettings, FeedPace};
 
 /// Buckets in a retry window.
 const RETRY_BUCKETS: u32 = 10;
@@ -30,6 +31,8 @@
     pub peer_silence: Duration,
     /// Silence of the store after which this node can't own the groups.
     pub store_silence: Duration,
+    /// Time after a write without a good answer in which this node can't own the groups.
+    pub write_pause: Duration,
     /// Pause between two looks at the groups by their owner.
     pub plan_period: Duration,
     /// Time after SIGTERM in which the platform notices that the node isn't ready.
@@ -49,8 +52,10 @@
             digest_period: Duration::from_millis(200),
             // Three digests may be late on a busy machine.
             peer_silence: Duration::from_millis(800),
-            // A watch answers at least every second.
-            store_silence: Duration::from_millis(2_000),
+            // A watch of the endpoints ends at least every two and a half seconds.
+            store_silence: Duration::from_millis(3_000),
+            // Long enough for another node to take over.
+            write_pause: Duration::from_millis(1_000),
             // Twice as fast as the quickest step of a group.
             plan_period: Duration::from_millis(100),
             // The platform asks every second and needs two misses.
@@ -124,6 +129,10 @@
     pub(crate) plan_due: ClockTime,
     pub(crate) stock_due: ClockTime,
     pub(crate) is_owner: bool,
+    /// Pace at which the feeds are followed.
+    pub(crate) pace: FeedPace,
+    /// Last write that got no good answer.
+    pub(crate) write_fault_at: Option<ClockTime>,
     /// Version of this node's own entry in the shared feed.
     pub(crate) entry_version: ObjectVersion,
     pub(crate) is_announcing: bool,
@@ -164,6 +173,8 @@
             plan_due: now,
             stock_due: now,
             is_owner: false,
+            pace: FeedPace::default(),
+            write_fault_at: None,
             entry_version: ObjectVersion::default(),
             is_announcing: false,
             announce_due: now,
