Avoid heads whose streams fall silent, and ask their members at once

Cause: a lost member showed after 0.85 s; until then new requests went to its head. Change: a head silent for 160 ms is avoided by every node that hears of it, its members are asked at once and must answer within 130 ms; members that nothing speaks against are asked every 2 s.

--- a/crates/edge/src/border/carrier.rs
+++ b/crates/edge/src/border/carrier.rs
@@ -14,8 +14,10 @@
 use super::wire::encode_message;
 use crate::{EdgeEffect, EdgeEvent, FeedPace};
 
-/// Time in which an endpoint must answer an order or a question.
-const ANSWER_SPAN: Duration = Duration::from_millis(300);
+/// Time in which an endpoint must answer an order.
+const ORDER_SPAN: Duration = Duration::from_millis(300);
+/// Time in which an endpoint must answer a question, which it does without waiting for its work.
+const REPORT_SPAN: Duration = Duration::from_millis(130);
 
 /// Carrier of the loop's effects.
 pub(super) struct EdgeBorder {
@@ -41,7 +43,7 @@
 impl EffectCarrier<EdgeEffect> for EdgeBorder {
     fn carry(&self, effect: EdgeEffect) {
         let events = self.events.clone();
-        let deadline = self.clock.now() + ANSWER_SPAN;
+        let now = self.clock.now();
         match effect {
             EdgeEffect::Answer(ask, answer) => self.desk.tell(ask, answer),
             EdgeEffect::Update(change) => {
@@ -52,14 +54,14 @@
                 });
             }
             EdgeEffect::Order { to, address, order } => {
-                let given = self.endpoints.order(address, &to, &order, deadline);
+                let given = self.endpoints.order(address, &to, &order, now + ORDER_SPAN);
                 monoio::spawn(async move {
                     let outcome = given.await;
                     Self::post(&events, EdgeEvent::Ordered(to, order, outcome));
                 });
             }
             EdgeEffect::Probe { of, address } => {
-                let asked = self.endpoints.report(address, &of, deadline);
+                let asked = self.endpoints.report(address, &of, now + REPORT_SPAN);
                 monoio::spawn(async move {
                     let outcome = asked.await;
                     Self::post(&events, EdgeEvent::Reported(of, outcome));
--- a/crates/edge/src/border/front.rs
+++ b/crates/edge/src/border/front.rs
@@ -26,7 +26,7 @@
 /// Largest answer that is held until it is whole.
 const ANSWER_LIMIT: usize = 8 * 1_024 * 1_024;
 /// Silence of a stream after which the loop is asked about its server.
-const STREAM_CHECK_SPAN: Duration = Duration::from_millis(250);
+const STREAM_CHECK_SPAN: Duration = Duration::from_millis(170);
 
 /// Service of the clients' address.
 #[derive(Clone)]
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -60,7 +60,8 @@
 
 /// Decides about a silent server, and tells the owner of it.
 pub(crate) fn check(state: &mut EdgeState, call: CallId, now: ClockTime) -> StallStep {
-    if let Some(head) = relay::commands::is_silent(&state.relay, call, now) {
+    if let Some(head) = relay::commands::silent_place(&state.relay, call, now) {
+        relay::commands::suspect_place(&mut state.relay, &head, now);
         if state.is_owner {
             replicas::commands::suspect(&mut state.planner, &head, now);
             state.plan_due = now;
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -91,8 +91,9 @@
 
 fn take_digest(state: &mut EdgeState, digest: Digest, now: ClockTime) -> Vec<EdgeEffect> {
     relay::commands::note_remote(&mut state.relay, &digest.from, &digest.counts, now);
-    if state.is_owner {
-        for head in &digest.silent {
+    for head in &digest.silent {
+        relay::commands::suspect_place(&mut state.relay, head, now);
+        if state.is_owner {
             suspect(&mut state.planner, head, now);
             state.plan_due = now;
         }
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -92,7 +92,7 @@
         Err(reason) => return refuse(reason, has_run, Some(state.settings.retry_after)),
     };
     let silence = match known.arrival.route.kind {
-        CallKind::Stream { .. } => state.settings.stream_silence,
+        CallKind::Stream { .. } => state.settings.suspect_wait,
         _ => known.arrival.route.objective.mul_f64(state.settings.plain_silence_part),
     };
     let deadline = known.arrival.deadline;
--- a/crates/relay/src/commands/places.rs
+++ b/crates/relay/src/commands/places.rs
@@ -14,6 +14,7 @@
             load.failures = 0;
             load.avoid_until = ClockTime::default();
             load.heard_at = None;
+            load.suspect_until = ClockTime::default();
         }
     }
     state.places = places.into_iter().map(|place| (place.id.clone(), place)).collect();
@@ -47,10 +48,19 @@
     known.has_begun = true;
     if let Some(load) = known.place.as_ref().and_then(|id| state.loads.get_mut(id)) {
         load.heard_at = Some(now);
+        load.suspect_until = ClockTime::default();
         load.failures = 0;
     }
 }
 
+/// Prefers other places for a moment, because one's streams are silent.
+pub fn suspect_place(state: &mut RelayState, id: &HostName, now: ClockTime) {
+    let until = now + state.settings.suspect_span;
+    if let Some(load) = state.loads.get_mut(id) {
+        load.suspect_until = load.suspect_until.max(until);
+    }
+}
+
 /// Counts an attempt's start at a place.
 pub(super) fn occupy(state: &mut RelayState, id: &HostName, lane: Lane) {
     *state.loads.entry(id.clone()).or_default().own.of(lane) += 1;
--- a/crates/relay/src/commands/stalls.rs
+++ b/crates/relay/src/commands/stalls.rs
@@ -47,12 +47,22 @@
     }
 }
 
-/// Whether a request's server has been silent long enough to be looked at.
-pub fn is_silent(state: &RelayState, call: CallId, now: ClockTime) -> Option<HostName> {
+/// Server of a request, if its silence speaks against it.
+///
+/// A stream that has begun brings bytes with every pass of its engine; a
+/// request that has not begun may only be queued, so it says less.
+pub fn silent_place(state: &RelayState, call: CallId, now: ClockTime) -> Option<HostName> {
     let known = state.calls.get(&call)?;
     let id = known.place.as_ref()?;
-    let heard = state.loads.get(id)?.heard_at.unwrap_or(known.sent_at);
-    let silence = now.since(heard.max(known.sent_at));
-    (known.arrival.route.kind.is_stream() && silence >= state.settings.stream_silence / 2)
-        .then(|| id.clone())
+    if !known.arrival.route.kind.is_stream() {
+        return None;
+    }
+    let heard = state.loads.get(id)?.heard_at;
+    let limit = if known.has_begun {
+        state.settings.suspect_silence
+    } else {
+        state.settings.suspect_wait
+    };
+    let since = heard.map_or(known.sent_at, |heard| heard.max(known.sent_at));
+    (now.since(since) >= limit).then(|| id.clone())
 }
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -68,6 +68,8 @@
     pub remote: HashMap<NodeName, (LaneCounts, ClockTime)>,
     /// Last time that bytes came from it.
     pub(crate) heard_at: Option<ClockTime>,
+    /// Instant until which it counts as suspect, because its streams are silent.
+    pub(crate) suspect_until: ClockTime,
     /// Failures in a row.
     pub(crate) failures: u32,
     /// Instant until which other places are preferred.
--- a/crates/relay/src/queries/choose.rs
+++ b/crates/relay/src/queries/choose.rs
@@ -77,7 +77,7 @@
     let fast_fill = f64::from(fast) / slots;
     Candidate {
         place,
-        is_avoided: load.is_some_and(|load| load.avoid_until > now),
+        is_avoided: load.is_some_and(|load| load.avoid_until > now || load.suspect_until > now),
         fast_fill: fast_fill + slow_fill * state.settings.slow_weight,
         fill: fast_fill + slow_fill,
         far: if place.zone == state.zone {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -7,6 +7,12 @@
 const STREAM_SILENCE: Duration = Duration::from_millis(500);
 /// The same for a request that has not begun, which may only be queued.
 const QUEUE_SILENCE: Duration = Duration::from_millis(1_500);
+/// Silence of a stream after which its server is suspect; events usually come every 60 ms.
+const SUSPECT_SILENCE: Duration = Duration::from_millis(160);
+/// Wait for a first event after which a server that sends nothing at all is suspect.
+const SUSPECT_WAIT: Duration = Duration::from_millis(400);
+/// Span for which a suspect server is avoided; each look that finds it silent renews it.
+const SUSPECT_SPAN: Duration = Duration::from_millis(200);
 /// Part of a plain route's objective after which a silent server is left.
 const PLAIN_SILENCE_PART: f64 = 0.7;
 /// Pause between two looks at a request that waits.
@@ -41,6 +47,12 @@
 pub struct RelaySettings {
     /// Silence of a streaming server after which its streams move.
     pub stream_silence: Duration,
+    /// Silence of a stream after which its server is suspect.
+    pub suspect_silence: Duration,
+    /// Wait for a first event after which a silent server is suspect.
+    pub suspect_wait: Duration,
+    /// Span for which a suspect server is avoided.
+    pub suspect_span: Duration,
     /// The same for a request that has not begun.
     pub queue_silence: Duration,
     /// Part of a plain route's objective after which a silent server is left.
@@ -77,6 +89,9 @@
     fn default() -> Self {
         Self {
             stream_silence: STREAM_SILENCE,
+            suspect_silence: SUSPECT_SILENCE,
+            suspect_wait: SUSPECT_WAIT,
+            suspect_span: SUSPECT_SPAN,
             queue_silence: QUEUE_SILENCE,
             plain_silence_part: PLAIN_SILENCE_PART,
             check_period: CHECK_PERIOD,
--- a/crates/replicas/src/commands/probes.rs
+++ b/crates/replicas/src/commands/probes.rs
@@ -5,6 +5,9 @@
 use super::list::learn_model;
 use crate::{GroupPhase, PlanEffect, PlannerState, ReportOutcome};
 
+/// Pause between two questions to an endpoint that is suspect.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(250);
+
 /// Takes in how a question ended.
 pub fn note_report(state: &mut PlannerState, id: &HostName, outcome: ReportOutcome, now: ClockTime) {
     let settings = state.settings.clone();
@@ -55,7 +58,8 @@
     };
     for member in &group.members {
         if let Some(view) = state.endpoints.get_mut(&member.id) {
-            if !view.is_lost {
+            let rested = view.probe.asked_at.is_none_or(|at| now.since(at) >= SUSPECT_PAUSE);
+            if !view.is_lost && rested {
                 view.probe.due = view.probe.due.min(now);
             }
         }
@@ -81,6 +85,7 @@
         }
         if view.probe.due <= now {
             view.probe.is_asked = true;
+            view.probe.asked_at = Some(now);
             effects.push(PlanEffect::Probe(id.clone()));
         }
     }
--- a/crates/replicas/src/settings.rs
+++ b/crates/replicas/src/settings.rs
@@ -2,10 +2,8 @@
 
 use base::prelude::*;
 
-/// Time within which an endpoint answers an order or a report; its links take a few milliseconds.
-const ANSWER_SPAN: Duration = Duration::from_millis(300);
 /// Pause between two reports of a member that nothing speaks against.
-const PROBE_PERIOD: Duration = Duration::from_millis(1_000);
+const PROBE_PERIOD: Duration = Duration::from_millis(2_000);
 /// Pause between two reports of a member whose group is being formed.
 const FORMING_PROBE_PERIOD: Duration = Duration::from_millis(400);
 /// Pause between two reports of an endpoint that gave no answer.
@@ -27,8 +25,6 @@
 /// Times and limits of the planner.
 #[derive(Clone, Debug)]
 pub struct PlannerSettings {
-    /// Time within which an endpoint answers.
-    pub answer_span: Duration,
     /// Pause between two reports of a member.
     pub probe_period: Duration,
     /// Pause between two reports of a member of a forming group.
@@ -55,7 +51,6 @@
 impl Default for PlannerSettings {
     fn default() -> Self {
         Self {
-            answer_span: ANSWER_SPAN,
             probe_period: PROBE_PERIOD,
             forming_probe_period: FORMING_PROBE_PERIOD,
             silent_probe_period: SILENT_PROBE_PERIOD,
--- a/crates/replicas/src/state.rs
+++ b/crates/replicas/src/state.rs
@@ -23,6 +23,7 @@
 pub(crate) struct ProbeState {
     pub due: ClockTime,
     pub is_asked: bool,
+    pub asked_at: Option<ClockTime>,
     pub misses: u32,
 }
 
