--- a/crates/edge/src/border/front.rs
+++ b/crates/edge/src/border/front.rs
@@ -19,7 +19,7 @@
 
 use super::events::EventBuffer;
 use super::exchange::{AttemptOutcome, ClientRequest, ExchangeTools};
-use super::relayed::{CallGuard, RelayedStream};
+use super::relayed::{CallGuard, PauseMeter, RelayedStream};
 use super::reply::{refusal_reply, reject_reply, timeout_reply};
 use crate::{Arrival, ArrivalOutcome, EdgeAnswer, EdgeEvent, EdgeQuestion};
 
@@ -43,6 +43,7 @@
 struct TakenCall {
     request: ClientRequest,
     route: Arc<Route>,
+    arrived_at: ClockTime,
     deadline: ClockTime,
     last_event: Option<u64>,
     guard: CallGuard,
@@ -120,6 +121,7 @@
                 let taken = TakenCall {
                     request,
                     route,
+                    arrived_at: now,
                     deadline,
                     last_event: marks.last_event,
                     guard,
@@ -204,6 +206,8 @@
         let stream = RelayedStream {
             tools: self.tools.clone(),
             request: taken.request,
+            route: taken.route.name.clone(),
+            pauses: PauseMeter::new(taken.arrived_at),
             guard: taken.guard,
             deadline: taken.deadline,
             check_span: STREAM_CHECK_SPAN,
--- a/crates/edge/src/border/relayed.rs
+++ b/crates/edge/src/border/relayed.rs
@@ -32,6 +32,8 @@
 pub(super) struct RelayedStream {
     pub tools: ExchangeTools,
     pub request: ClientRequest,
+    /// Route, for logs.
+    pub route: Arc<str>,
     pub guard: CallGuard,
     pub deadline: ClockTime,
     /// Silence after which the loop is asked.
@@ -39,6 +41,38 @@
     pub buffer: EventBuffer,
     /// Whether another server may go on with it.
     pub is_resumable: bool,
+    pub pauses: PauseMeter,
+}
+
+/// How a client sees the pace of a stream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PauseMeter {
+    arrived_at: ClockTime,
+    last_at: Option<ClockTime>,
+    /// Time to the first event.
+    first: Duration,
+    /// Longest pause between two events.
+    longest: Duration,
+}
+
+impl PauseMeter {
+    /// Meter of a request that came in at an instant.
+    pub fn new(arrived_at: ClockTime) -> Self {
+        Self {
+            arrived_at,
+            last_at: None,
+            first: Duration::ZERO,
+            longest: Duration::ZERO,
+        }
+    }
+
+    fn note(&mut self, now: ClockTime) {
+        match self.last_at {
+            None => self.first = now.since(self.arrived_at),
+            Some(last) => self.longest = self.longest.max(now.since(last)),
+        }
+        self.last_at = Some(now);
+    }
 }
 
 /// How a stream ended.
@@ -63,7 +97,9 @@
             }
         };
         let last_event = self.buffer.last_id();
-        log::info!(id:% = self.request.id, end:? = end, last_event:? = last_event; "a stream ended");
+        let first_ms = self.pauses.first.as_millis() as u64;
+        let pause_ms = self.pauses.longest.as_millis() as u64;
+        log::info!(id:% = self.request.id, route:% = self.route, end:? = end, first_ms, pause_ms, last_event:? = last_event; "a stream ended");
         if end == StreamEnd::Cut {
             body.abort().await;
         }
@@ -98,6 +134,9 @@
                         let _ = self.guard.events.unbounded_send(EdgeEvent::Progress(self.guard.call));
                     }
                     let events = if self.is_resumable { self.buffer.push(&bytes) } else { bytes };
+                    if !events.is_empty() {
+                        self.pauses.note(now);
+                    }
                     if !events.is_empty() && body.send(events).await.is_err() {
                         return Ok(StreamEnd::Left);
                     }
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -17,7 +17,7 @@
     if state.digest_due > now {
         return Vec::new();
     }
-    state.digest_due = now + state.times.digest_period;
+    state.digest_due = now + digest_period(state);
     let digest = Digest {
         from: state.settings.node.clone(),
         intent_version: state.intent.version().unwrap_or(0),
@@ -33,6 +33,13 @@
     effects
 }
 
+/// Pause before the next digest, which grows with the number of nodes.
+fn digest_period(state: &EdgeState) -> Duration {
+    let peers = u32::try_from(state.peers.len()).unwrap_or(u32::MAX);
+    let times = &state.times;
+    times.digest_span.saturating_mul(peers).clamp(times.digest_least, times.digest_most)
+}
+
 /// Nodes that must be heard before this one relies on being told of changes.
 const PEERS_RELIED_ON: usize = 2;
 
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -25,8 +25,12 @@
 /// Times of the node's own work.
 #[derive(Clone, Debug)]
 pub struct EdgeTimes {
-    /// Pause between two digests.
-    pub digest_period: Duration,
+    /// Time that each other node adds to the pause between two digests.
+    pub digest_span: Duration,
+    /// Shortest such pause.
+    pub digest_least: Duration,
+    /// Longest such pause.
+    pub digest_most: Duration,
     /// Silence after which another node counts as gone.
     pub peer_silence: Duration,
     /// Silence of the store after which this node can't own the groups.
@@ -48,8 +52,12 @@
 impl Default for EdgeTimes {
     fn default() -> Self {
         Self {
-            // Five a second keep counts of running requests useful.
-            digest_period: Duration::from_millis(200),
+            // A node sends about 140 digests a second, however many nodes there are.
+            digest_span: Duration::from_millis(7),
+            // Requests come every 40 ms at the busiest node of today's sites.
+            digest_least: Duration::from_millis(40),
+            // Half of the silence that makes a node count as gone.
+            digest_most: Duration::from_millis(400),
             // Three digests may be late on a busy machine.
             peer_silence: Duration::from_millis(800),
             // A watch of the endpoints ends at least every two and a half seconds.
