Hubs where there are many nodes: one node tells the others what they need

Ruled out: fewer digests alone (counts would be older than a request lasts). Change: with more than ten nodes each tells four hubs, the nodes that can do most; the owner, a hub, sums the counts up and tells places; nodes that are told don't follow endpoints. Among few nodes all are hubs, as before. The owner stays while it can, also before its first write. Where counts are old, four places that are drawn are compared.

--- a/crates/edge/src/border/feeds.rs
+++ b/crates/edge/src/border/feeds.rs
@@ -28,6 +28,10 @@
 const ENDPOINTS_PAUSE: Duration = Duration::from_millis(350);
 /// The same for what the owner tells the other nodes anyway.
 const TOLD_PAUSE: Duration = Duration::from_millis(1_500);
+/// Pause between two looks whether this node must follow the endpoints itself again.
+const TOLD_LOOK_PERIOD: Duration = Duration::from_millis(200);
+/// Wait for configurations at a node that hears of them from others.
+const INTENT_WAIT_SPAN: Duration = Duration::from_millis(20_000);
 /// The same where nobody tells.
 const ALONE_PAUSE: Duration = Duration::from_millis(40);
 
@@ -42,6 +46,10 @@
     let mut revision: Option<ObjectVersion> = None;
     let mut pause = FAULT_PAUSE;
     loop {
+        if revision.is_some() && feed != Feed::Intent && pace.get().is_told {
+            sleep_until(clock.as_ref(), clock.now() + TOLD_LOOK_PERIOD).await;
+            continue;
+        }
         let (news, next) = match revision {
             None => match store.list(feed).await {
                 ListOutcome::Listed(items, at) => (FeedEvent::Listed(items, at), Some(at)),
@@ -80,6 +88,7 @@
 /// How long one call waits for changes.
 fn wait_span(feed: Feed, pace: FeedPace) -> Duration {
     match feed {
+        Feed::Intent if pace.is_told => INTENT_WAIT_SPAN,
         _ if !pace.has_peers => WAIT_SPAN,
         Feed::Endpoints => ENDPOINTS_WAIT_SPAN,
         Feed::Intent | Feed::Shared => TOLD_WAIT_SPAN,
@@ -90,6 +99,8 @@
 fn gather_pause(feed: Feed, pace: FeedPace) -> Duration {
     match feed {
         Feed::Endpoints if pace.is_owner => OWNER_PAUSE,
+        // At the start each node's entry is a change; a quick look at each would cost a call.
+        Feed::Shared if !pace.has_peers => ENDPOINTS_PAUSE,
         _ if !pace.has_peers => ALONE_PAUSE,
         Feed::Endpoints => ENDPOINTS_PAUSE,
         Feed::Shared => TOLD_PAUSE,
--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use prost::Message;
-use relay::LaneCounts;
+use relay::{LaneCounts, Place};
 use replicas::{GroupRecord, RecordWire};
 
 use crate::peer::{Digest, PeerMessage};
@@ -16,6 +16,9 @@
     /// A name in it is none.
     #[error("the message has a bad name: {0}")]
     Name(#[from] NameError),
+    /// An address in it is none.
+    #[error("the message has a bad address: {0}")]
+    Address(#[from] std::net::AddrParseError),
     /// The record in it can't be read.
     #[error("the message has a bad record: {0}")]
     Record(String),
@@ -29,7 +32,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 struct MessageWire {
-    #[prost(oneof = "BodyWire", tags = "1, 2, 3")]
+    #[prost(oneof = "BodyWire", tags = "1, 2, 3, 4")]
     body: Option<BodyWire>,
 }
 
@@ -42,6 +45,8 @@
     Intent(String),
     #[prost(message, tag = "3")]
     Record(RecordBodyWire),
+    #[prost(message, tag = "4")]
+    Places(PlacesWire),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -58,6 +63,10 @@
     counts: Vec<CountWire>,
     #[prost(string, repeated, tag = "6")]
     silent: Vec<String>,
+    #[prost(uint64, tag = "7")]
+    places_version: u64,
+    #[prost(bool, tag = "8")]
+    owns: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -70,6 +79,32 @@
     slow: u32,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct PlacesWire {
+    #[prost(uint64, tag = "1")]
+    version: u64,
+    #[prost(message, repeated, tag = "2")]
+    places: Vec<PlaceWire>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct PlaceWire {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(string, tag = "2")]
+    address: String,
+    #[prost(string, tag = "3")]
+    zone: String,
+    #[prost(string, tag = "4")]
+    service: String,
+    #[prost(string, optional, tag = "5")]
+    model: Option<String>,
+    #[prost(uint64, tag = "6")]
+    epoch: u64,
+    #[prost(uint32, tag = "7")]
+    slots: u32,
+}
+
 #[derive(Clone, PartialEq, Message)]
 struct RecordBodyWire {
     #[prost(uint64, tag = "1")]
@@ -83,6 +118,10 @@
     let body = match message {
         PeerMessage::Digest(digest) => BodyWire::Digest(DigestWire::from(digest.as_ref())),
         PeerMessage::Intent(_, text) => BodyWire::Intent(text.as_ref().to_owned()),
+        PeerMessage::Places(places, version) => BodyWire::Places(PlacesWire {
+            version: version.0,
+            places: places.iter().map(PlaceWire::from).collect(),
+        }),
         PeerMessage::Record(record, version) => BodyWire::Record(RecordBodyWire {
             version: version.0,
             text: serde_json::to_string(&RecordWire::from(record.as_ref()))
@@ -106,6 +145,11 @@
             let intent = read_intent(&text).map_err(MessageError::Intent)?;
             Ok(PeerMessage::Intent(Arc::new(intent), text.into()))
         }
+        BodyWire::Places(wire) => {
+            let places = wire.places.into_iter().map(Place::try_from);
+            let places: Arc<[Place]> = places.collect::<Result<_, _>>()?;
+            Ok(PeerMessage::Places(places, ObjectVersion(wire.version)))
+        }
         BodyWire::Record(wire) => {
             let fault = |fault: String| MessageError::Record(fault);
             let record: RecordWire =
@@ -119,6 +163,37 @@
     }
 }
 
+impl From<&Place> for PlaceWire {
+    fn from(place: &Place) -> Self {
+        Self {
+            id: place.id.as_str().to_owned(),
+            address: place.address.to_string(),
+            zone: place.zone.as_str().to_owned(),
+            service: place.service.as_str().to_owned(),
+            model: place.model.as_ref().map(|model| model.as_str().to_owned()),
+            epoch: place.epoch.0,
+            slots: u32::try_from(place.slots).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl TryFrom<PlaceWire> for Place {
+    type Error = MessageError;
+
+    fn try_from(wire: PlaceWire) -> Result<Self, MessageError> {
+        let model = wire.model.as_deref().map(ModelName::new);
+        Ok(Self {
+            id: HostName::new(&wire.id)?,
+            address: wire.address.parse()?,
+            zone: DomainName::new(&wire.zone)?,
+            service: ServiceName::new(&wire.service)?,
+            model: model.transpose()?,
+            epoch: GroupEpoch(wire.epoch),
+            slots: wire.slots as usize,
+        })
+    }
+}
+
 impl From<&Digest> for DigestWire {
     fn from(digest: &Digest) -> Self {
         let counts = digest.counts.iter().map(|(place, count)| CountWire {
@@ -131,6 +206,8 @@
             intent_version: digest.intent_version,
             record_version: digest.record_version.0,
             can_own: digest.can_own,
+            places_version: digest.places_version.0,
+            owns: digest.owns,
             counts: counts.collect(),
             silent: digest
                 .silent
@@ -156,6 +233,8 @@
             intent_version: wire.intent_version,
             record_version: ObjectVersion(wire.record_version),
             can_own: wire.can_own,
+            places_version: ObjectVersion(wire.places_version),
+            owns: wire.owns,
             counts: counts.collect::<Result<_, NameError>>()?,
             silent: silent.collect::<Result<_, _>>()?,
         })
--- a/crates/edge/src/commands/feeds.rs
+++ b/crates/edge/src/commands/feeds.rs
@@ -7,7 +7,7 @@
 
 use super::take_shared;
 use crate::border::ports::{Feed, FeedChange, FeedItem};
-use crate::queries::places;
+use crate::queries::{own_places_version, places};
 use crate::{EdgeEffect, EdgeState, FeedEvent};
 
 /// Takes in news of a feed.
@@ -25,6 +25,10 @@
         return Vec::new();
     }
     note_heard(state, feed, now);
+    if let FeedEvent::Listed(_, revision) | FeedEvent::Changed(_, revision) = &news {
+        let known = state.feeds.entry(feed).or_default();
+        known.revision = known.revision.max(*revision);
+    }
     let effects = match (feed, news) {
         (Feed::Intent, news) => {
             take_intents(state, news);
@@ -184,6 +188,17 @@
 
 /// Tells the relay which places take requests now.
 pub(crate) fn refresh_places(state: &mut EdgeState) {
-    let places = places(state);
-    relay::commands::set_places(&mut state.relay, places);
+    let own_version = own_places_version(state);
+    let told = state.told_places.as_ref();
+    let told = told.filter(|(_, version)| *version > own_version);
+    let (places, version) = match told {
+        Some((places, version)) => (places.clone(), *version),
+        None => (places(state).into(), own_version),
+    };
+    if places != state.places {
+        state.places_version = version;
+        relay::commands::set_places(&mut state.relay, places.to_vec());
+        state.places = places;
+        state.has_new_places = true;
+    }
 }
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -7,43 +7,123 @@
 use super::refresh_places;
 use super::shared::adopt_record;
 use crate::peer::{Digest, PeerMessage};
-use crate::queries::{can_own, is_heard};
+use crate::queries::{can_own, hubs, is_heard, is_hub, is_star, is_told};
 use crate::{EdgeEffect, EdgeState, FeedPace};
 
 /// Pause before a node is sent the same thing again.
 const RESEND_PAUSE: Duration = Duration::from_millis(500);
 
-/// Sends a digest to every other node, if it is time.
+/// Time in which a hub must be heard after it has become one.
+const HUB_PATIENCE: Duration = Duration::from_millis(1_200);
+/// Time for which a hub that was not heard doesn't count as one.
+const HUB_REST: Duration = Duration::from_secs(5);
+/// Places compared for each request where counts are old.
+const STAR_SAMPLE: usize = 4;
+
+/// Sends digests, if it is time.
 pub(crate) fn tell_peers(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
     if state.digest_due > now {
-        return Vec::new();
+        return tell_places(state, now);
     }
+    choose_hubs(state, now);
     state.digest_due = now + digest_period(state);
-    let digest = Digest {
+    let own = Digest {
         from: state.settings.node.clone(),
         intent_version: state.intent.version().unwrap_or(0),
         record_version: state.planner.version().unwrap_or_default(),
+        places_version: state.places_version,
+        owns: state.is_owner,
         can_own: can_own(state, now),
         counts: relay::queries::own_counts(&state.relay),
         silent: std::mem::take(&mut state.silent).into_iter().collect(),
     };
-    let peers = state.peers.values();
-    let digests = peers.map(|peer| EdgeEffect::digest(peer.address, digest.clone()));
-    let mut effects: Vec<_> = digests.collect();
+    let mut summed = own.clone();
+    summed.counts = if state.is_owner {
+        relay::queries::total_counts(&state.relay, now)
+    } else {
+        Vec::new()
+    };
+    let speaks_to_all = is_hub(state);
+    let mut effects = Vec::new();
+    for (node, peer) in &state.peers {
+        let is_hub = state.hubs.contains(node);
+        if is_hub {
+            effects.push(EdgeEffect::digest(peer.address, own.clone()));
+        } else if speaks_to_all {
+            effects.push(EdgeEffect::digest(peer.address, summed.clone()));
+        }
+    }
+    effects.extend(tell_places(state, now));
     effects.extend(set_pace(state, now));
     effects
 }
 
+/// Chooses the hubs anew, without those that should have been heard.
+fn choose_hubs(state: &mut EdgeState, now: ClockTime) {
+    let silence = state.times.peer_silence;
+    for peer in state.peers.values_mut() {
+        let is_heard = peer.heard_at.is_some_and(|at| now.since(at) < silence);
+        let is_late = peer
+            .expected_at
+            .is_some_and(|at| now.since(at) >= HUB_PATIENCE);
+        if is_late && !is_heard {
+            peer.silent_until = now + HUB_REST;
+        }
+    }
+    let hubs = hubs(state, now);
+    for (node, peer) in &mut state.peers {
+        if hubs.contains(node) {
+            peer.expected_at.get_or_insert(now);
+        } else {
+            peer.expected_at = None;
+        }
+    }
+    if hubs != state.hubs {
+        log::debug!(count = hubs.len(); "the hubs have changed");
+        state.hubs = hubs;
+    }
+    let sample = is_star(state).then_some(STAR_SAMPLE);
+    state.relay.set_sample(sample);
+}
+
 /// Pause before the next digest, which grows with the number of nodes.
 fn digest_period(state: &EdgeState) -> Duration {
     let peers = u32::try_from(state.peers.len()).unwrap_or(u32::MAX);
     let times = &state.times;
+    if is_star(state) && state.is_owner {
+        return times.digest_owner;
+    }
+    if !is_hub(state) {
+        return times.digest_spoke;
+    }
     times
         .digest_span
         .saturating_mul(peers)
         .clamp(times.digest_least, times.digest_most)
 }
 
+/// Tells nodes that don't follow the store which places there are, if they have changed.
+fn tell_places(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
+    if !std::mem::take(&mut state.has_new_places) || !state.is_owner || !is_star(state) {
+        return Vec::new();
+    }
+    let version = state.places_version;
+    let (places, hubs) = (&state.places, &state.hubs);
+    let others = state
+        .peers
+        .iter_mut()
+        .filter(|(node, _)| !hubs.contains(*node));
+    others
+        .map(|(_, peer)| {
+            peer.places_sent = Some(now);
+            EdgeEffect::Send {
+                to: peer.address,
+                message: PeerMessage::Places(places.clone(), version),
+            }
+        })
+        .collect()
+}
+
 /// Nodes that must be heard before this one relies on being told of changes.
 const PEERS_RELIED_ON: usize = 2;
 
@@ -56,6 +136,7 @@
     let pace = FeedPace {
         is_owner: state.is_owner,
         has_peers: heard.count() >= PEERS_RELIED_ON,
+        is_told: is_told(state, now),
     };
     if pace == state.pace {
         return None;
@@ -70,9 +151,13 @@
         return Vec::new();
     };
     let record = state.planner.record().clone();
-    let peers = state.peers.values_mut();
+    let hubs = &state.hubs;
+    let peers = state
+        .peers
+        .iter_mut()
+        .filter(|(node, _)| hubs.contains(*node));
     peers
-        .map(|peer| {
+        .map(|(_, peer)| {
             peer.record_sent = Some(now);
             EdgeEffect::record(peer.address, record.clone(), version)
         })
@@ -93,6 +178,14 @@
             }
             Vec::new()
         }
+        PeerMessage::Places(places, version) => {
+            let known = state.told_places.as_ref().map(|(_, version)| *version);
+            if known.is_none_or(|known| known < version) {
+                state.told_places = Some((places, version));
+                refresh_places(state);
+            }
+            Vec::new()
+        }
         PeerMessage::Record(record, version) => {
             if adopt_record(state, record, version, now) {
                 refresh_places(state);
@@ -104,7 +197,15 @@
 }
 
 fn take_digest(state: &mut EdgeState, digest: Digest, now: ClockTime) -> Vec<EdgeEffect> {
-    relay::commands::note_remote(&mut state.relay, &digest.from, &digest.counts, now);
+    if is_hub(state) {
+        relay::commands::note_remote(&mut state.relay, &digest.from, &digest.counts, now);
+    } else {
+        relay::commands::note_totals(&mut state.relay, &digest.from, &digest.counts, now);
+    }
+    if state.is_owner && is_star(state) {
+        // Nodes that hear only hubs hear of silent heads through the owner.
+        state.silent.extend(digest.silent.iter().cloned());
+    }
     for head in &digest.silent {
         relay::commands::suspect_place(&mut state.relay, head, now);
         if state.is_owner {
@@ -130,11 +231,20 @@
             message: PeerMessage::Intent(intent.clone(), text.clone()),
         });
     }
-    if digest.record_version < record_version && may_send(peer.record_sent) {
+    let is_hub = state.hubs.contains(&digest.from);
+    if is_hub && digest.record_version < record_version && may_send(peer.record_sent) {
         peer.record_sent = Some(now);
         let record = state.planner.record().clone();
         effects.push(EdgeEffect::record(peer.address, record, record_version));
     }
+    let is_behind = digest.places_version < state.places_version;
+    if !is_hub && state.is_owner && is_behind && may_send(peer.places_sent) {
+        peer.places_sent = Some(now);
+        effects.push(EdgeEffect::Send {
+            to: peer.address,
+            message: PeerMessage::Places(state.places.clone(), state.places_version),
+        });
+    }
     peer.heard_at = Some(now);
     peer.digest = Some(digest);
     effects
--- a/crates/edge/src/commands/shared.rs
+++ b/crates/edge/src/commands/shared.rs
@@ -24,6 +24,9 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct NodeWire {
     address: SocketAddr,
+    /// How much the node can do.
+    #[serde(default)]
+    rank: u32,
 }
 
 /// Takes in shared objects.
@@ -100,9 +103,10 @@
     let address = wire.address;
     let peer = state.peers.entry(node.clone()).or_insert_with(|| {
         log::info!(node:% = node, address:% = address; "another node is known");
-        PeerState::new(address)
+        PeerState::new(address, wire.rank)
     });
     peer.address = address;
+    peer.rank = wire.rank;
 }
 
 /// Writes this node's entry unless it stands.
@@ -115,6 +119,7 @@
     }
     let wire = NodeWire {
         address: state.settings.peers,
+        rank: state.settings.rank,
     };
     let Ok(value) = serde_json::to_string(&wire) else {
         return Vec::new();
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -154,6 +154,8 @@
     pub is_owner: bool,
     /// Whether other nodes would tell it what it misses.
     pub has_peers: bool,
+    /// Whether another node tells it all that it must know of endpoints.
+    pub is_told: bool,
 }
 
 /// Something to be done.
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use relay::LaneCounts;
+use relay::{LaneCounts, Place};
 use replicas::GroupRecord;
 
 /// Node and where it takes messages.
@@ -24,9 +24,14 @@
     pub intent_version: u64,
     /// Version of the record that it knows; zero for none.
     pub record_version: ObjectVersion,
+    /// Version of the places that it uses; zero for none.
+    pub places_version: ObjectVersion,
+    /// Whether it forms the groups.
+    pub owns: bool,
     /// Whether it could form the groups: it reaches the store and is not ending.
     pub can_own: bool,
-    /// Requests that it has at each place.
+    /// Requests that it has at each place, or that all nodes have there if it
+    /// sums them up for a node that doesn't hear the others.
     pub counts: Vec<(HostName, LaneCounts)>,
     /// Heads that give it no bytes.
     pub silent: Vec<HostName>,
@@ -39,6 +44,8 @@
     Digest(Box<Digest>),
     /// Text of a configuration that the receiver doesn't have.
     Intent(Arc<intent::Intent>, Arc<str>),
+    /// Places that the receiver doesn't know of.
+    Places(Arc<[Place]>, ObjectVersion),
     /// Record that the receiver doesn't have.
     Record(Arc<GroupRecord>, ObjectVersion),
 }
--- a/crates/edge/src/queries/owner.rs
+++ b/crates/edge/src/queries/owner.rs
@@ -1,7 +1,10 @@
 //! Which node forms the groups.
 
+use std::cmp::Reverse;
+
 use base::prelude::*;
 
+use super::hubs::is_hub;
 use crate::EdgeState;
 use crate::border::ports::Feed;
 use crate::state::PeerState;
@@ -27,6 +30,7 @@
 pub(crate) fn can_own(state: &EdgeState, now: ClockTime) -> bool {
     let yielded = state.yielded_at;
     state.stopping.is_none()
+        && is_hub(state)
         && yielded.is_none_or(|at| now.since(at) >= state.times.yield_span)
         && state.intent.get().is_some()
         && now.since(state.started_at) >= state.times.settle_span
@@ -41,20 +45,44 @@
 
 /// Node that forms the groups, as this node sees it.
 ///
-/// The present owner keeps them while it can; otherwise the first node by name
-/// takes over. Two nodes that disagree for a moment are harmless, because each
-/// step is a conditional write of the record.
+/// The present owner keeps them while it can, be it the one that wrote the
+/// record or one that has nothing to write yet; otherwise the node that can do
+/// most takes over, the first by name among equals. Two nodes that disagree for
+/// a moment are harmless, because each step is a conditional write of the record.
 pub(crate) fn owner(state: &EdgeState, now: ClockTime) -> Option<NodeName> {
-    let present = state.planner.record().owner.clone();
-    let peers = state.peers.iter().filter(|(_, peer)| {
-        is_heard(state, peer, now) && peer.digest.as_ref().is_some_and(|digest| digest.can_own)
+    let peers = state.peers.iter().filter_map(|(node, peer)| {
+        let digest = peer.digest.as_ref()?;
+        let is_able = digest.can_own && is_heard(state, peer, now);
+        is_able.then(|| Candidate {
+            node: node.clone(),
+            rank: peer.rank,
+            owns: digest.owns,
+        })
     });
-    let mut able: Vec<_> = peers.map(|(node, _)| node.clone()).collect();
+    let mut able: Vec<_> = peers.collect();
     if can_own(state, now) {
-        able.push(state.settings.node.clone());
-    }
-    if let Some(present) = present.filter(|present| able.contains(present)) {
-        return Some(present);
+        able.push(Candidate {
+            node: state.settings.node.clone(),
+            rank: state.settings.rank,
+            owns: state.is_owner,
+        });
     }
-    able.into_iter().min()
+    let writer = state.planner.record().owner.as_ref();
+    let best = able.into_iter().min_by_key(|candidate| {
+        let wrote = Some(&candidate.node) == writer;
+        let order = (
+            Reverse(wrote),
+            Reverse(candidate.owns),
+            Reverse(candidate.rank),
+        );
+        (order, candidate.node.clone())
+    });
+    best.map(|candidate| candidate.node)
+}
+
+/// Node that could form the groups.
+struct Candidate {
+    node: NodeName,
+    rank: u32,
+    owns: bool,
 }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -24,6 +24,8 @@
     pub node: NodeName,
     /// Its failure domain.
     pub zone: DomainName,
+    /// How much it can do; nodes that can do more take what one node does for all.
+    pub rank: u32,
     /// Its address.
     pub ip: IpAddr,
     /// Where clients come in.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -6,7 +6,7 @@
 use base::prelude::*;
 use intent::IntentSlot;
 use limits::BudgetSettings;
-use relay::{RelaySettings, RelayState};
+use relay::{Place, RelaySettings, RelayState};
 use replicas::{PlannerSettings, PlannerState};
 
 use crate::border::ports::Feed;
@@ -27,6 +27,10 @@
 pub struct EdgeTimes {
     /// Time that each other node adds to the pause between two digests.
     pub digest_span: Duration,
+    /// Pause between two digests of the owner where nodes hear only hubs.
+    pub digest_owner: Duration,
+    /// The same of a node that is no hub.
+    pub digest_spoke: Duration,
     /// Shortest such pause.
     pub digest_least: Duration,
     /// Longest such pause.
@@ -56,6 +60,9 @@
         Self {
             // A node sends about 140 digests a second, however many nodes there are.
             digest_span: Duration::from_millis(7),
+            // Counts of a node reach another one within 350 ms through the owner.
+            digest_owner: Duration::from_millis(200),
+            digest_spoke: Duration::from_millis(150),
             // Requests come every 40 ms at the busiest node of today's sites.
             digest_least: Duration::from_millis(40),
             // Half of the silence that makes a node count as gone.
@@ -91,6 +98,8 @@
     pub is_listed: bool,
     /// Whether the store gave no answer last.
     pub is_lost: bool,
+    /// Revision of the store up to which it was read.
+    pub revision: ObjectVersion,
     /// Last return of the store after an outage.
     pub back_at: Option<ClockTime>,
 }
@@ -101,15 +110,27 @@
     pub address: SocketAddr,
     pub heard_at: Option<ClockTime>,
     pub digest: Option<Digest>,
+    /// How much it can do.
+    pub rank: u32,
+    /// Since when it should be heard as a hub.
+    pub expected_at: Option<ClockTime>,
+    /// Instant until which it doesn't count as a hub, because it was not heard.
+    pub silent_until: ClockTime,
+    /// Last instant at which it was sent the places.
+    pub places_sent: Option<ClockTime>,
     /// Last instants at which it was sent a configuration or a record.
     pub intent_sent: Option<ClockTime>,
     pub record_sent: Option<ClockTime>,
 }
 
 impl PeerState {
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, rank: u32) -> Self {
         Self {
             address,
+            rank,
+            expected_at: None,
+            silent_until: ClockTime::default(),
+            places_sent: None,
             heard_at: None,
             digest: None,
             intent_sent: None,
@@ -137,6 +158,16 @@
     pub(crate) relay: RelayState,
     pub(crate) feeds: BTreeMap<Feed, FeedState>,
     pub(crate) peers: BTreeMap<NodeName, PeerState>,
+    /// Nodes that hear all others; every node, where there are few.
+    pub(crate) hubs: BTreeSet<NodeName>,
+    /// Places that a hub has told, and their version.
+    pub(crate) told_places: Option<(Arc<[Place]>, ObjectVersion)>,
+    /// Places that this node uses.
+    pub(crate) places: Arc<[Place]>,
+    /// Version at which they changed last.
+    pub(crate) places_version: ObjectVersion,
+    /// Whether they have changed since nodes were told.
+    pub(crate) has_new_places: bool,
     pub(crate) digest_due: ClockTime,
     pub(crate) plan_due: ClockTime,
     pub(crate) stock_due: ClockTime,
@@ -177,6 +208,11 @@
             intent_text: None,
             feeds: BTreeMap::new(),
             peers: BTreeMap::new(),
+            hubs: BTreeSet::new(),
+            told_places: None,
+            places: Arc::new([]),
+            places_version: ObjectVersion::default(),
+            has_new_places: false,
             digest_due: now,
             plan_due: now,
             stock_due: now,
--- a/crates/edge/tests/messages.rs
+++ b/crates/edge/tests/messages.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use edge::border::{MessageError, decode_message, encode_message};
 use edge::{Digest, PeerMessage};
-use relay::LaneCounts;
+use relay::{LaneCounts, Place};
 use replicas::GroupRecord;
 
 fn no_intent(_text: &str) -> Result<intent::Intent, String> {
@@ -15,6 +15,8 @@
         from: NodeName::new("edge-1").unwrap(),
         intent_version: 7,
         record_version: ObjectVersion(12),
+        places_version: ObjectVersion(11),
+        owns: true,
         can_own: true,
         counts: vec![(
             HostName::new("i-1").unwrap(),
@@ -49,6 +51,26 @@
     assert_eq!((decoded, version), (record, ObjectVersion(5)));
 }
 
+#[test]
+fn places_keep_their_version() {
+    let place = Place {
+        id: HostName::new("i-1").unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: DomainName::new("zone-a").unwrap(),
+        service: ServiceName::new("models").unwrap(),
+        model: Some(ModelName::new("large").unwrap()),
+        epoch: GroupEpoch(4),
+        slots: 17,
+    };
+    let places: Arc<[Place]> = Arc::new([place]);
+    let message = PeerMessage::Places(places.clone(), ObjectVersion(5));
+    let decoded = decode_message(&encode_message(&message), &no_intent).unwrap();
+    let PeerMessage::Places(decoded, version) = decoded else {
+        panic!("another message: {decoded:?}");
+    };
+    assert_eq!((decoded, version), (places, ObjectVersion(5)));
+}
+
 #[test]
 fn spoiled_bytes_are_an_error_and_never_a_message() {
     let bytes = encode_message(&PeerMessage::Digest(Box::new(digest())));
--- a/crates/edge/tests/node.rs
+++ b/crates/edge/tests/node.rs
@@ -210,3 +210,24 @@
     let ends = state.wake(at(8_500));
     assert!(ends.iter().any(|effect| matches!(effect, EdgeEffect::Exit)));
 }
+
+#[test]
+fn a_node_that_comes_back_leaves_the_groups_to_the_one_that_has_them() {
+    let mut state = ready("n1", "n2");
+    let owner = edge::Digest {
+        from: support::node("n2"),
+        intent_version: 1,
+        record_version: ObjectVersion(0),
+        places_version: ObjectVersion(0),
+        owns: true,
+        can_own: true,
+        counts: Vec::new(),
+        silent: Vec::new(),
+    };
+    state.handle(
+        EdgeEvent::Peer(PeerMessage::Digest(Box::new(owner))),
+        at(400),
+    );
+    state.wake(at(500));
+    assert!(!status(&mut state, at(500)).is_owner);
+}
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -22,6 +22,7 @@
     EdgeSettings {
         node: node(name),
         zone: DomainName::new("zone-a").unwrap(),
+        rank: 250,
         ip: "127.0.0.1".parse().unwrap(),
         front: "127.0.0.1:1".parse().unwrap(),
         ready: "127.0.0.1:2".parse().unwrap(),
@@ -117,7 +118,7 @@
     let entry = FeedItem::Shared(StoredObject {
         key: ObjectKey::new(&format!("node.{other}")),
         version: ObjectVersion(1),
-        value: r#"{"address":"127.0.0.1:33"}"#.into(),
+        value: r#"{"address":"127.0.0.1:33","rank":250}"#.into(),
     });
     list(&mut state, Feed::Shared, vec![entry], at(1));
     state
@@ -162,6 +163,8 @@
         from: node(from),
         intent_version,
         record_version: ObjectVersion(0),
+        places_version: ObjectVersion(0),
+        owns: false,
         can_own,
         counts: Vec::new(),
         silent: Vec::new(),
--- a/crates/relay/src/commands/mod.rs
+++ b/crates/relay/src/commands/mod.rs
@@ -7,5 +7,5 @@
 
 pub use attempts::end_attempt;
 pub use calls::{arrive, finish};
-pub use places::{note_progress, note_remote, set_places, suspect_place};
+pub use places::{note_progress, note_remote, note_totals, set_places, suspect_place};
 pub use stalls::{check_stall, silent_place};
--- a/crates/relay/src/commands/places.rs
+++ b/crates/relay/src/commands/places.rs
@@ -56,6 +56,23 @@
     }
 }
 
+/// Takes in what all nodes together have running, as one of them has summed it up.
+///
+/// What this node has there itself is left out again.
+pub fn note_totals(
+    state: &mut RelayState,
+    node: &NodeName,
+    totals: &[(HostName, LaneCounts)],
+    now: ClockTime,
+) {
+    let others = totals.iter().map(|(id, total)| {
+        let own = state.loads.get(id).map(|load| load.own).unwrap_or_default();
+        (id.clone(), total.minus(own))
+    });
+    let others: Vec<_> = others.collect();
+    note_remote(state, node, &others, now);
+}
+
 /// Prefers other places for a moment, because one's streams are silent.
 pub fn suspect_place(state: &mut RelayState, id: &HostName, now: ClockTime) {
     let until = now + state.settings.suspect_span;
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -56,6 +56,14 @@
         self.fast + self.slow
     }
 
+    /// Count without another one.
+    pub(crate) fn minus(self, other: Self) -> Self {
+        Self {
+            fast: self.fast.saturating_sub(other.fast),
+            slow: self.slow.saturating_sub(other.slow),
+        }
+    }
+
     fn plus(self, other: Self) -> Self {
         Self {
             fast: self.fast + other.fast,
--- a/crates/relay/src/queries/choose.rs
+++ b/crates/relay/src/queries/choose.rs
@@ -46,7 +46,10 @@
         let order = (index + fitting.len() - turn) % fitting.len();
         candidate(state, place, order, now)
     });
-    let candidates: Vec<_> = candidates.collect();
+    let mut candidates: Vec<_> = candidates.collect();
+    if let Some(sample) = state.sample {
+        draw(&mut candidates, sample, state.turn);
+    }
     let settings = &state.settings;
     let is_engine = arrival.model.is_some();
     let is_again = call.runs + call.rejections > 0;
@@ -70,6 +73,20 @@
         .ok_or(RefusalReason::Overload)
 }
 
+/// Keeps some candidates that are drawn, those to avoid last.
+fn draw(candidates: &mut Vec<Candidate<'_>>, sample: usize, turn: u64) {
+    candidates.sort_by_key(|candidate| {
+        // Any mix of the turn and the place will do; each turn gives another order.
+        let mixed = (turn.wrapping_add(1)).wrapping_mul(candidate.order as u64 + 1);
+        let mixed = mixed.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29);
+        (
+            candidate.is_avoided,
+            mixed.wrapping_mul(0xbf58_476d_1ce4_e5b9),
+        )
+    });
+    candidates.truncate(sample);
+}
+
 fn candidate<'a>(
     state: &RelayState,
     place: &'a Place,
--- a/crates/relay/src/queries/counts.rs
+++ b/crates/relay/src/queries/counts.rs
@@ -4,6 +4,17 @@
 
 use crate::{LaneCounts, RelayState};
 
+/// Requests of all nodes by place, as far as known.
+pub fn total_counts(state: &RelayState, now: ClockTime) -> Vec<(HostName, LaneCounts)> {
+    let totals = state
+        .loads
+        .iter()
+        .map(|(id, load)| (id.clone(), load.total(now)));
+    totals
+        .filter(|(_, total)| *total != LaneCounts::default())
+        .collect()
+}
+
 /// Requests of this node by place.
 pub fn own_counts(state: &RelayState) -> Vec<(HostName, LaneCounts)> {
     let busy = state
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -37,6 +37,8 @@
     pub(crate) loads: HashMap<HostName, PlaceLoad>,
     pub(crate) calls: HashMap<CallId, CallState>,
     pub(crate) budget: RetryBudget,
+    /// Places drawn for each choice; none if all are compared.
+    pub(crate) sample: Option<usize>,
     /// Turns ties between places about.
     pub(crate) turn: u64,
 }
@@ -51,6 +53,7 @@
             loads: HashMap::new(),
             calls: HashMap::new(),
             budget: RetryBudget::new(budget),
+            sample: None,
             turn: 0,
         }
     }
@@ -60,6 +63,14 @@
         self.budget.configure(settings);
     }
 
+    /// Compares only so many places that are drawn, or all of them.
+    ///
+    /// Where many nodes choose by counts that are some hundred milliseconds
+    /// old, all of them would choose the same place.
+    pub fn set_sample(&mut self, sample: Option<usize>) {
+        self.sample = sample;
+    }
+
     /// Requests under way.
     pub fn call_count(&self) -> usize {
         self.calls.len()
