End groups whose members strayed; order nothing before the record names the owner

Trace: a node that had just started believed it owned the groups, saw a group newer than its record and ordered a member to leave; the record went on to say that the group serves, its head answered 421 for 25 s, and the rejected sends used the retry budget up. Change: no orders until the record names this node; a stray of an epoch that the record doesn't know is left alone; a serving group ends when a member reports that it is elsewhere; a 421 makes the head suspect at once.

--- a/crates/edge/src/border/exchange.rs
+++ b/crates/edge/src/border/exchange.rs
@@ -123,9 +123,14 @@
             return AttemptOutcome::Ended(AttemptEnd::Lost);
         }
         if marks.is_unrun {
-            log::info!(id:% = request.id, status = answer.parts.status.as_u16(), culprit:? = marks.culprit.as_ref().map(HostName::as_str); "a server did not run a request");
+            log::info!(id:% = request.id, status = answer.parts.status.as_u16(), culprit:? = marks.culprit; "a server did not run a request");
+            let end = if marks.is_misdirected {
+                AttemptEnd::NotHere
+            } else {
+                AttemptEnd::NotRun
+            };
             keep_connection(answer, self.clock.as_ref());
-            return AttemptOutcome::Ended(AttemptEnd::NotRun);
+            return AttemptOutcome::Ended(end);
         }
         AttemptOutcome::Answered(Box::new(answer))
     }
--- a/crates/edge/src/border/ports.rs
+++ b/crates/edge/src/border/ports.rs
@@ -174,10 +174,12 @@
     pub is_sealed: bool,
     /// Whether the server says that it did not run the request.
     pub is_unrun: bool,
+    /// Whether it says so because the request belongs to another server.
+    pub is_misdirected: bool,
     /// Whether its body was encoded on the way.
     pub is_encoded: bool,
     /// Server at fault, if it names one.
-    pub culprit: Option<HostName>,
+    pub culprit: Option<Arc<str>>,
 }
 
 /// Headers of requests and answers.
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -61,6 +61,10 @@
     end: AttemptEnd,
     now: ClockTime,
 ) -> CallStep {
+    let place = relay::queries::place_of(&state.relay, call).cloned();
+    if let (AttemptEnd::NotHere, Some(head)) = (end, place) {
+        tell_owner(state, head, now);
+    }
     relay::commands::end_attempt(&mut state.relay, call, end, now)
 }
 
@@ -68,16 +72,21 @@
 pub(crate) fn check(state: &mut EdgeState, call: CallId, now: ClockTime) -> StallStep {
     if let Some(head) = relay::commands::silent_place(&state.relay, call, now) {
         relay::commands::suspect_place(&mut state.relay, &head, now);
-        if state.is_owner {
-            replicas::commands::suspect(&mut state.planner, &head, now);
-            state.plan_due = now;
-        } else if state.silent.insert(head) {
-            state.digest_due = now;
-        }
+        tell_owner(state, head, now);
     }
     relay::commands::check_stall(&state.relay, call, now)
 }
 
+/// Lets the owner of the groups ask a head's members at once.
+fn tell_owner(state: &mut EdgeState, head: HostName, now: ClockTime) {
+    if state.is_owner {
+        replicas::commands::suspect(&mut state.planner, &head, now);
+        state.plan_due = now;
+    } else if state.silent.insert(head) {
+        state.digest_due = now;
+    }
+}
+
 /// Notes that bytes of an answer came.
 pub(crate) fn progress(state: &mut EdgeState, call: CallId, now: ClockTime) {
     relay::commands::note_progress(&mut state.relay, call, now);
--- a/crates/edge/src/commands/shared.rs
+++ b/crates/edge/src/commands/shared.rs
@@ -76,7 +76,7 @@
     let own = Some(&state.settings.node);
     let was_own = state.planner.record().owner.as_ref() == own;
     let is_own = record.owner.as_ref() == own;
-    let is_new = note_record(&mut state.planner, record, version);
+    let is_new = note_record(&mut state.planner, record, version, now);
     if is_new && was_own && !is_own {
         log::info!(version = version.0; "another node has taken the groups over");
         state.yielded_at = Some(now);
--- a/crates/edge/tests/node.rs
+++ b/crates/edge/tests/suite/node.rs
@@ -1,14 +1,12 @@
 //! A node's decisions: configuration, readiness, ownership and its end.
 
-mod support;
-
+use crate::support::{
+    arrive, at, digest, endpoint, feed, intent, intent_item, list, ready, start, status,
+};
 use base::prelude::*;
 use edge::border::ports::{Feed, FeedChange, FeedItem};
 use edge::{ArrivalOutcome, EdgeEffect, EdgeEvent, FeedEvent, PeerMessage, RejectReason};
 use relay::CallStep;
-use support::{
-    arrive, at, digest, endpoint, feed, intent, intent_item, list, ready, start, status,
-};
 
 fn changed(item: FeedItem) -> FeedEvent {
     FeedEvent::Changed(vec![FeedChange::Put(item)], ObjectVersion(9))
@@ -215,7 +213,7 @@
 fn a_node_that_comes_back_leaves_the_groups_to_the_one_that_has_them() {
     let mut state = ready("n1", "n2");
     let owner = edge::Digest {
-        from: support::node("n2"),
+        from: crate::support::node("n2"),
         intent_version: 1,
         record_version: ObjectVersion(0),
         places_version: ObjectVersion(0),
--- a/crates/edge/tests/star.rs
+++ b/crates/edge/tests/suite/star.rs
@@ -1,13 +1,11 @@
 //! Deployments with many nodes: hubs, and what the others are told.
 
-mod support;
-
+use crate::support::{arrive, at, endpoint, intent_item, list, node, start, status};
 use base::prelude::*;
 use edge::border::ports::{Feed, FeedItem};
 use edge::{Digest, EdgeEffect, EdgeEvent, EdgeState, FeedPace, PeerMessage};
 use relay::Place;
 use store::{ObjectKey, StoredObject};
-use support::{arrive, at, endpoint, intent_item, list, node, start, status};
 
 const NODES: usize = 30;
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -31,6 +31,8 @@
     NotSent,
     /// The server said that it did not run the request.
     NotRun,
+    /// Another server has the address, or the server is in no group; nothing was run.
+    NotHere,
     /// The request may have run, and no usable answer came.
     Lost,
     /// The server went silent.
@@ -44,7 +46,7 @@
 impl AttemptEnd {
     /// Whether the server can't have run the request.
     pub fn is_unrun(self) -> bool {
-        matches!(self, Self::NotSent | Self::NotRun)
+        matches!(self, Self::NotSent | Self::NotRun | Self::NotHere)
     }
 
     /// Word for logs.
@@ -52,6 +54,7 @@
         match self {
             Self::NotSent => "not-sent",
             Self::NotRun => "not-run",
+            Self::NotHere => "not-here",
             Self::Lost => "lost",
             Self::Stalled => "stalled",
             Self::Cut => "cut",
--- a/crates/relay/src/queries/counts.rs
+++ b/crates/relay/src/queries/counts.rs
@@ -4,6 +4,11 @@
 
 use crate::{LaneCounts, RelayState};
 
+/// Server of a request's present attempt.
+pub fn place_of(state: &RelayState, call: CallId) -> Option<&HostName> {
+    state.calls.get(&call)?.place.as_ref()
+}
+
 /// Requests of all nodes by place, as far as known.
 pub fn total_counts(state: &RelayState, now: ClockTime) -> Vec<(HostName, LaneCounts)> {
     let totals = state
--- a/crates/relay/src/queries/mod.rs
+++ b/crates/relay/src/queries/mod.rs
@@ -4,4 +4,4 @@
 mod counts;
 
 pub(crate) use choose::choose_place;
-pub use counts::{own_counts, total_counts};
+pub use counts::{own_counts, place_of, total_counts};
--- a/crates/relay/tests/suite/choice.rs
+++ b/crates/relay/tests/suite/choice.rs
@@ -75,6 +75,20 @@
     assert_eq!(order.place, first.place);
 }
 
+#[test]
+fn a_server_that_is_another_one_now_is_left_alone_for_longer() {
+    let mut state = relay(vec![head("h1", 1), head("h2", 2)]);
+    let first = send(&mut state, request(1, STREAM, 2), at(0));
+    let end = relay::AttemptEnd::NotHere;
+    relay::commands::end_attempt(&mut state, CallId(1), end, at(5));
+    finish(&mut state, CallId(1));
+    for call in 2..8 {
+        let order = send(&mut state, request(call, STREAM, 2), at(300));
+        assert_ne!(order.place, first.place);
+        finish(&mut state, CallId(call));
+    }
+}
+
 #[test]
 fn a_queued_request_is_patient_and_a_begun_stream_is_not() {
     let mut state = relay(vec![head("h1", 1), head("h2", 2)]);
--- a/crates/replicas/src/commands/plan.rs
+++ b/crates/replicas/src/commands/plan.rs
@@ -8,7 +8,9 @@
 use super::list::drop_gone;
 use super::orders::give;
 use super::probes::ask_due;
-use crate::queries::{Verdict, home_models, is_usable, pick_group, plan_staging, verdict};
+use crate::queries::{
+    Verdict, has_strayed, home_models, is_usable, pick_group, plan_staging, verdict,
+};
 use crate::state::{is_park, park_name};
 use crate::{
     CloseMode, GroupEntry, GroupPhase, GroupRecord, MemberOrder, MemberPhase, PlanEffect,
@@ -42,8 +44,11 @@
             });
         }
     }
-    effects.extend(order_groups(state, &draft, intent, now));
-    effects.extend(order_spares(state, &draft, intent, now));
+    // Until the record names this node, another owner's orders may be on their way.
+    if !state.epochs.is_empty() {
+        effects.extend(order_groups(state, &draft, intent, now));
+        effects.extend(order_spares(state, &draft, intent, now));
+    }
     effects.extend(ask_due(state, now));
     effects
 }
@@ -61,10 +66,11 @@
     let mut closing = BTreeMap::new();
     let known = &state.endpoints;
     let span = state.settings.close_span;
+    let record_at = state.record_at;
     draft
         .groups
         .retain_mut(|group| match verdict(known, group) {
-            Verdict::Whole => true,
+            Verdict::Whole => !has_strayed(known, group, record_at),
             Verdict::Lost => false,
             Verdict::Leaving if group.phase == GroupPhase::Forming => false,
             Verdict::Leaving => {
@@ -278,6 +284,10 @@
     let view = state.endpoints.get(id)?;
     let held = view.endpoint.membership.as_ref();
     if let Some(held) = held.filter(|held| !is_park(&held.group)) {
+        if held.epoch >= state.record.next_epoch {
+            // A newer owner formed that group, and its record isn't known here yet.
+            return None;
+        }
         return Some(MemberOrder::Leave {
             group: held.group.clone(),
             epoch: held.epoch,
--- a/crates/replicas/src/commands/probes.rs
+++ b/crates/replicas/src/commands/probes.rs
@@ -1,8 +1,11 @@
 //! Reports asked of endpoints, and what their silence means.
 
+use std::collections::BTreeSet;
+
 use base::prelude::*;
 
 use super::list::learn_model;
+use crate::queries::is_member;
 use crate::{GroupPhase, PlanEffect, PlannerState, ReportOutcome};
 
 /// Pause between two questions to an endpoint that is suspect.
@@ -39,6 +42,7 @@
             view.probe.misses = 0;
             view.is_lost = false;
             view.probe.due = now + settings.probe_period;
+            view.reported_at = Some(now);
             view.pace = report.pace;
             if report.run != view.endpoint.run {
                 // It started again; the list will say so, and until then it has no group.
@@ -82,17 +86,37 @@
     }
 }
 
+/// Members of serving groups that were last heard to be elsewhere.
+fn doubtful_members(state: &PlannerState) -> BTreeSet<HostName> {
+    let groups = state.record.groups.iter();
+    let serving = groups.filter(|group| group.phase != GroupPhase::Forming);
+    let members = serving.flat_map(|group| group.members.iter().map(move |member| (group, member)));
+    let doubtful = members.filter(|(group, member)| {
+        let view = state.endpoints.get(&member.id);
+        view.is_some_and(|view| !is_member(view, group))
+    });
+    doubtful.map(|(_, member)| member.id.clone()).collect()
+}
+
 /// Asks every endpoint whose time has come.
 pub(super) fn ask_due(state: &mut PlannerState, now: ClockTime) -> Vec<PlanEffect> {
-    let mut forming = std::collections::BTreeSet::new();
+    let mut forming = BTreeSet::new();
     for group in &state.record.groups {
         if group.phase == GroupPhase::Forming {
             forming.extend(group.members.iter().map(|member| member.id.clone()));
         }
     }
     let period = state.settings.forming_probe_period;
+    let doubtful = doubtful_members(state);
     let mut effects = Vec::new();
     for (id, view) in &mut state.endpoints {
+        let rested = view
+            .probe
+            .asked_at
+            .is_none_or(|at| now.since(at) >= SUSPECT_PAUSE);
+        if rested && doubtful.contains(id) {
+            view.probe.due = view.probe.due.min(now);
+        }
         if view.endpoint.fabric.is_none() || view.probe.is_asked {
             continue;
         }
--- a/crates/replicas/src/commands/record.rs
+++ b/crates/replicas/src/commands/record.rs
@@ -27,6 +27,7 @@
     state: &mut PlannerState,
     record: Arc<GroupRecord>,
     version: ObjectVersion,
+    now: ClockTime,
 ) -> bool {
     if state.version.is_some_and(|present| present >= version) {
         return false;
@@ -36,6 +37,7 @@
         state.epochs = 0..0;
     }
     state.record = record;
+    state.record_at = now;
     state.version = Some(version);
     true
 }
@@ -55,7 +57,7 @@
     let asked = std::mem::replace(&mut state.epochs_asked, 0..0);
     match outcome {
         WriteOutcome::Written(version) => {
-            let is_new = note_record(state, record, version);
+            let is_new = note_record(state, record, version, now);
             if is_new && !asked.is_empty() {
                 state.epochs = asked;
             }
--- a/crates/replicas/src/queries/mod.rs
+++ b/crates/replicas/src/queries/mod.rs
@@ -12,4 +12,4 @@
 pub use serving::{ServingGroup, serving_groups};
 pub use staging::plan_staging;
 pub use target::{DomainStock, HomeTable, home_models, stock};
-pub use verdict::{Verdict, is_usable, verdict};
+pub use verdict::{Verdict, has_strayed, is_member, is_usable, verdict};
--- a/crates/replicas/src/state.rs
+++ b/crates/replicas/src/state.rs
@@ -40,6 +40,8 @@
     pub(crate) refused_epoch: Option<GroupEpoch>,
     /// Model of the last group that it joined.
     pub(crate) last_model: Option<ModelName>,
+    /// Last instant at which it reported.
+    pub(crate) reported_at: Option<ClockTime>,
     /// Factor by which its work takes longer than usual.
     pub(crate) pace: f64,
     pub(crate) pending: Option<PendingOrder>,
@@ -54,6 +56,7 @@
             is_lost: false,
             refused_epoch: None,
             last_model: None,
+            reported_at: None,
             pace: 1.0,
             pending: None,
             probe: ProbeState {
@@ -83,6 +86,8 @@
     pub(crate) record: Arc<GroupRecord>,
     /// Version of the record in the store; none until it was read.
     pub(crate) version: Option<ObjectVersion>,
+    /// Instant from which this version of the record was known here.
+    pub(crate) record_at: ClockTime,
     pub(crate) writing: Option<Arc<GroupRecord>>,
     /// Instant before which a failed write isn't tried again.
     pub(crate) write_at: ClockTime,
@@ -106,6 +111,7 @@
             endpoints: BTreeMap::new(),
             record: Arc::default(),
             version: None,
+            record_at: ClockTime::default(),
             writing: None,
             write_at: ClockTime::default(),
             epochs: 0..0,
--- a/crates/replicas/tests/groups.rs
+++ b/crates/replicas/tests/groups.rs
@@ -149,6 +149,73 @@
     assert_eq!(world.serving("small"), 5);
 }
 
+#[test]
+fn a_group_whose_member_says_that_it_left_is_formed_anew() {
+    let mut world = World::new(DOMAINS, 11);
+    world.run(8_000);
+    let member = world.some_member("small");
+    let epoch = epoch_of(&world, &member);
+    let held = world.endpoints[&member]
+        .endpoint
+        .membership
+        .clone()
+        .unwrap();
+    let leave = MemberOrder::Leave {
+        group: held.group,
+        epoch: held.epoch,
+    };
+    assert_eq!(world.apply(&member, &leave), OrderOutcome::Begun);
+    world.publish(&member);
+    world.run(2_000);
+    assert_ne!(epoch_of(&world, &member), epoch);
+    assert_eq!(world.serving("small"), 5);
+    assert_eq!(world.breaches, Vec::<String>::new());
+}
+
+#[test]
+fn a_new_owner_orders_nothing_before_the_record_names_it() {
+    let mut world = World::new(DOMAINS, 12);
+    world.run(3_000);
+    world.add_owner("n2");
+    // The second owner's record is old: its first write conflicts.
+    let stale = world.owners.pop().unwrap();
+    world.run(5_000);
+    world.owners.push(stale);
+    let effects = replicas::commands::tick(&mut world.owners[1], &world.intent, world.now);
+    let orders = effects
+        .iter()
+        .filter(|effect| matches!(effect, replicas::PlanEffect::Order { .. }));
+    assert_eq!(orders.count(), 0, "{effects:?}");
+}
+
+#[test]
+fn an_owner_that_was_taken_over_from_leaves_newer_groups_alone() {
+    let mut world = World::new(DOMAINS, 13);
+    world.run(8_000);
+    let mut old = world.owners.pop().unwrap();
+    world.add_owner("n2");
+    let lost = world.some_member("large");
+    world.kill(&lost);
+    let head = head_of(&world, &lost);
+    replicas::commands::suspect(&mut world.owners[0], &head, world.now);
+    world.run(2_000);
+    for real in world.endpoints.values() {
+        let change = replicas::commands::ListChange::Put(real.endpoint.clone());
+        replicas::commands::change_list(&mut old, change, false, world.now);
+    }
+    let effects = replicas::commands::tick(&mut old, &world.intent, world.now);
+    let leaves = effects.iter().filter(|effect| {
+        matches!(
+            effect,
+            replicas::PlanEffect::Order {
+                order: MemberOrder::Leave { .. },
+                ..
+            }
+        )
+    });
+    assert_eq!(leaves.count(), 0, "{effects:?}");
+}
+
 /// Losses, lost answers, late orders and two owners at once, over many seeds.
 #[test]
 fn no_interleaving_breaks_a_promise() {
--- a/crates/replicas/tests/world/mod.rs
+++ b/crates/replicas/tests/world/mod.rs
@@ -176,7 +176,7 @@
         replace_list(&mut owner, list.collect(), false, self.now);
         match &self.record {
             Some((record, version)) => {
-                note_record(&mut owner, record.clone(), *version);
+                note_record(&mut owner, record.clone(), *version, self.now);
             }
             None => note_no_record(&mut owner),
         }
@@ -217,7 +217,7 @@
         if present != expected {
             note_write(&mut self.owners[index], WriteOutcome::Conflict, self.now);
             let (record, version) = self.record.clone().expect("a conflict needs a record");
-            note_record(&mut self.owners[index], record, version);
+            note_record(&mut self.owners[index], record, version, self.now);
             return;
         }
         self.check_record(&record);
@@ -227,7 +227,7 @@
             if other == index {
                 note_write(owner, WriteOutcome::Written(version), self.now);
             } else {
-                note_record(owner, record.clone(), version);
+                note_record(owner, record.clone(), version, self.now);
             }
         }
     }
