--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -72,10 +72,10 @@
         endpoints,
         dialect,
     } = parts;
-    let (ready, _) = listen(settings.ready)?;
-    let (front, _) = listen(settings.front)?;
-    let (peers, _) = listen(settings.peers)?;
-    log::info!(node:% = settings.node, front:% = settings.front; "started");
+    let (ready, ready_bound) = listen(settings.ready)?;
+    let (front, front_bound) = listen(settings.front)?;
+    let (peers, peers_bound) = listen(settings.peers)?;
+    log::info!(node:% = settings.node, front:% = front_bound, ready:% = ready_bound, peers:% = peers_bound; "started");
     let (events, receiver) = unbounded();
     forward_stops(events.clone(), || EdgeEvent::Stop)?;
     let signal = watch_reload()?;
