One caller for JSON calls; fields and an order mode that nothing used are gone

Cause: the platform's store and the project's own object API built, sent and told apart calls in the same way; the engine profile, the request and the close order carried values that nothing read. Change: `net::web::JsonCaller`; the model world's deployment is a file of its own.

--- a/crates/edge/src/border/front.rs
+++ b/crates/edge/src/border/front.rs
@@ -86,8 +86,6 @@
             path: parts.uri.path().into(),
             key: marks.key.clone(),
             model: marks.model.clone(),
-            prompt_tokens: marks.prompt_tokens,
-            answer_tokens: marks.answer_tokens,
             client_deadline: marks.patience.map(|patience| now + patience),
         };
         let guard = CallGuard {
@@ -116,7 +114,7 @@
             } => {
                 let left = deadline.since(now).as_millis() as u64;
                 let holder = workspace.as_ref().map_or("", WorkspaceName::as_str);
-                log::info!(id:% = id, route:% = route.name, workspace = holder, intent = version, left; "a request was taken");
+                log::info!(id:% = id, route:% = route.name, workspace = holder, intent = version, left, prompt = marks.prompt_tokens, answer = marks.answer_tokens; "a request was taken");
                 let request = ClientRequest {
                     call,
                     id,
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -30,8 +30,6 @@
     let deadline = arrival
         .client_deadline
         .map_or(timeout, |client| client.min(timeout));
-    let rank = workspace.and_then(|workspace| workspace.priority);
-    state.has_served = true;
     let step = relay::commands::arrive(
         &mut state.relay,
         CallArrival {
@@ -39,8 +37,6 @@
             route: route.clone(),
             service: service.clone(),
             model: arrival.model,
-            weight: f64::from(arrival.prompt_tokens) + f64::from(arrival.answer_tokens),
-            priority: rank.unwrap_or(route.priority),
             deadline,
         },
         now,
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -38,10 +38,6 @@
     pub key: Option<Arc<str>>,
     /// Model it asks for.
     pub model: Option<ModelName>,
-    /// Tokens to read.
-    pub prompt_tokens: u32,
-    /// Tokens to write at most.
-    pub answer_tokens: u32,
     /// Instant at which its client gives up.
     pub client_deadline: Option<ClockTime>,
 }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,6 +1,6 @@
 //! What a node is told when it starts.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 
 use base::prelude::*;
 
@@ -26,8 +26,6 @@
     pub zone: DomainName,
     /// How much it can do; nodes that can do more take what one node does for all.
     pub rank: u32,
-    /// Its address.
-    pub ip: IpAddr,
     /// Where clients come in.
     pub front: SocketAddr,
     /// Where the platform asks whether this node is ready.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -186,7 +186,6 @@
     /// Heads that give this node no bytes, and since when it says so.
     pub(crate) silent: BTreeSet<HostName>,
     pub(crate) stopping: Option<StopState>,
-    pub(crate) has_served: bool,
     pub(crate) draws: u64,
 }
 
@@ -226,7 +225,6 @@
             is_announced: false,
             silent: BTreeSet::new(),
             stopping: None,
-            has_served: false,
             draws: seed,
         }
     }
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -23,7 +23,6 @@
         node: node(name),
         zone: DomainName::new("zone-a").unwrap(),
         rank: 250,
-        ip: "127.0.0.1".parse().unwrap(),
         front: "127.0.0.1:1".parse().unwrap(),
         ready: "127.0.0.1:2".parse().unwrap(),
         peers: "127.0.0.1:3".parse().unwrap(),
@@ -148,8 +147,6 @@
         path: path.into(),
         key: None,
         model: None,
-        prompt_tokens: 0,
-        answer_tokens: 0,
         client_deadline: Some(now + Duration::from_secs(4)),
     };
     match ask(state, EdgeQuestion::Arrive(Box::new(arrival)), now) {
--- a/crates/intent/src/engine.rs
+++ b/crates/intent/src/engine.rs
@@ -26,24 +26,10 @@
     pub slots: usize,
     /// Models it may run.
     pub models: Vec<ModelProfile>,
-    /// Time of one token step without requests, in milliseconds.
-    pub step_millis: f64,
-    /// Time that each running request adds to a step, in milliseconds.
-    pub step_millis_per_request: f64,
-    /// Prompt tokens read in a second.
-    pub prompt_tokens_per_second: f64,
-    /// Steps between two looks at the queue.
-    pub steps_per_pass: u32,
-    /// Mean tokens of a prompt.
-    pub usual_prompt: f64,
-    /// Mean tokens of an answer.
-    pub usual_answer: f64,
     /// Loads from the weight store that may start in a second.
     pub loads_per_second: f64,
     /// Loads that run at once before each slows the others.
     pub loads_at_once: usize,
-    /// Models that a host keeps.
-    pub kept_models: usize,
     /// Time from the order to serve until the head serves.
     pub open_delay: Duration,
 }
--- a/crates/interface/src/objects.rs
+++ b/crates/interface/src/objects.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use http::{Method, StatusCode};
-use net::web::{CollectOutcome, WebClient, WebRequest, empty_body, full_body};
+use net::web::{CallReply, JsonCaller, WebClient};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use store::{
@@ -27,68 +27,36 @@
 /// Object store over HTTP.
 #[derive(Clone)]
 pub struct HttpObjectStore {
-    client: WebClient,
+    caller: JsonCaller,
     clock: Rc<dyn ClockSource>,
-    server: SocketAddr,
-}
-
-/// Answer to a call, or why there is none.
-enum Reply {
-    Answered(StatusCode, Bytes),
-    NotSent,
-    Lost,
 }
 
 impl HttpObjectStore {
     /// Store at the platform's address.
     pub fn new(client: WebClient, clock: Rc<dyn ClockSource>, server: SocketAddr) -> Self {
-        Self {
-            client,
-            clock,
-            server,
-        }
-    }
-
-    async fn call(
-        &self,
-        method: Method,
-        path: &str,
-        body: Option<Bytes>,
-        deadline: ClockTime,
-    ) -> Reply {
-        let Some(request) = build_request(method, path, body) else {
-            return Reply::NotSent;
-        };
-        let outcome = self
-            .client
-            .collect(self.server, request, ANSWER_LIMIT, deadline)
-            .await;
-        match outcome {
-            CollectOutcome::Answered(parts, body) => Reply::Answered(parts.status, body),
-            CollectOutcome::NotSent => Reply::NotSent,
-            CollectOutcome::Lost => Reply::Lost,
-        }
+        let caller = JsonCaller::new(client, server, ANSWER_LIMIT);
+        Self { caller, clock }
     }
 
     async fn fetch(&self, path: &str, deadline: ClockTime) -> ReadOutcome {
-        match self.call(Method::GET, path, None, deadline).await {
-            Reply::Answered(StatusCode::OK, body) => match decode::<ObjectWire>(&body) {
+        match self.caller.call(Method::GET, path, None, deadline).await {
+            CallReply::Answered(StatusCode::OK, body) => match decode::<ObjectWire>(&body) {
                 Some(wire) => ReadOutcome::Found(StoredObject::from(wire)),
                 None => ReadOutcome::Unavailable,
             },
-            Reply::Answered(StatusCode::NOT_FOUND, _) => ReadOutcome::Missing,
+            CallReply::Answered(StatusCode::NOT_FOUND, _) => ReadOutcome::Missing,
             _ => ReadOutcome::Unavailable,
         }
     }
 
     async fn fetch_change(&self, path: &str, deadline: ClockTime) -> WatchOutcome {
-        match self.call(Method::GET, path, None, deadline).await {
-            Reply::Answered(StatusCode::OK, body) => match decode::<ObjectWire>(&body) {
+        match self.caller.call(Method::GET, path, None, deadline).await {
+            CallReply::Answered(StatusCode::OK, body) => match decode::<ObjectWire>(&body) {
                 Some(wire) => WatchOutcome::Changed(StoredObject::from(wire)),
                 None => WatchOutcome::Unavailable,
             },
-            Reply::Answered(StatusCode::NOT_MODIFIED, _) => WatchOutcome::Unchanged,
-            Reply::Answered(StatusCode::NOT_FOUND, _) => WatchOutcome::Missing,
+            CallReply::Answered(StatusCode::NOT_MODIFIED, _) => WatchOutcome::Unchanged,
+            CallReply::Answered(StatusCode::NOT_FOUND, _) => WatchOutcome::Missing,
             _ => WatchOutcome::Unavailable,
         }
     }
@@ -96,8 +64,8 @@
     async fn fetch_list(&self, prefix: &str) -> ListOutcome {
         let path = format!("/v1/objects?prefix={prefix}");
         let deadline = self.clock.now() + CALL_TIMEOUT;
-        match self.call(Method::GET, &path, None, deadline).await {
-            Reply::Answered(StatusCode::OK, body) => match decode::<ObjectsWire>(&body) {
+        match self.caller.call(Method::GET, &path, None, deadline).await {
+            CallReply::Answered(StatusCode::OK, body) => match decode::<ObjectsWire>(&body) {
                 Some(wire) => {
                     ListOutcome::Found(wire.objects.into_iter().map(StoredObject::from).collect())
                 }
@@ -114,26 +82,34 @@
             value: change.value.as_ref().to_owned(),
         });
         let deadline = self.clock.now() + CALL_TIMEOUT;
-        match self.call(Method::PUT, &path, Some(body), deadline).await {
-            Reply::Answered(StatusCode::OK, body) => match decode::<VersionWire>(&body) {
+        match self
+            .caller
+            .call(Method::PUT, &path, Some(body), deadline)
+            .await
+        {
+            CallReply::Answered(StatusCode::OK, body) => match decode::<VersionWire>(&body) {
                 Some(wire) => UpdateOutcome::Applied(wire.version),
                 None => UpdateOutcome::Unknown,
             },
-            Reply::Answered(StatusCode::CONFLICT, _) => UpdateOutcome::Conflict,
-            Reply::Answered(StatusCode::PAYLOAD_TOO_LARGE, _) => UpdateOutcome::TooLarge,
-            Reply::NotSent => UpdateOutcome::Unavailable,
-            Reply::Answered(..) | Reply::Lost => UpdateOutcome::Unknown,
+            CallReply::Answered(StatusCode::CONFLICT, _) => UpdateOutcome::Conflict,
+            CallReply::Answered(StatusCode::PAYLOAD_TOO_LARGE, _) => UpdateOutcome::TooLarge,
+            CallReply::NotSent => UpdateOutcome::Unavailable,
+            CallReply::Answered(..) | CallReply::Lost => UpdateOutcome::Unknown,
         }
     }
 
     async fn delete(&self, key: &ObjectKey, expected: ObjectVersion) -> RemoveOutcome {
         let path = format!("{}?expected={expected}", object_path(key));
         let deadline = self.clock.now() + CALL_TIMEOUT;
-        match self.call(Method::DELETE, &path, None, deadline).await {
-            Reply::Answered(StatusCode::NO_CONTENT, _) => RemoveOutcome::Removed,
-            Reply::Answered(StatusCode::CONFLICT, _) => RemoveOutcome::Conflict,
-            Reply::NotSent => RemoveOutcome::Unavailable,
-            Reply::Answered(..) | Reply::Lost => RemoveOutcome::Unknown,
+        match self
+            .caller
+            .call(Method::DELETE, &path, None, deadline)
+            .await
+        {
+            CallReply::Answered(StatusCode::NO_CONTENT, _) => RemoveOutcome::Removed,
+            CallReply::Answered(StatusCode::CONFLICT, _) => RemoveOutcome::Conflict,
+            CallReply::NotSent => RemoveOutcome::Unavailable,
+            CallReply::Answered(..) | CallReply::Lost => RemoveOutcome::Unknown,
         }
     }
 }
@@ -142,15 +118,6 @@
     format!("/v1/objects/{key}")
 }
 
-fn build_request(method: Method, path: &str, body: Option<Bytes>) -> Option<WebRequest> {
-    let body = body.map_or_else(empty_body, full_body);
-    http::Request::builder()
-        .method(method)
-        .uri(path)
-        .body(body)
-        .ok()
-}
-
 fn encode(value: &impl Serialize) -> Bytes {
     let bytes = serde_json::to_vec(value).expect("wire types have a JSON form");
     Bytes::from(bytes)
--- a/crates/net/src/web/mod.rs
+++ b/crates/net/src/web/mod.rs
@@ -5,12 +5,14 @@
 //! the last answer was read to its end.
 
 mod body;
+mod caller;
 mod client;
 mod limits;
 mod reply;
 mod server;
 
 pub use body::{BodyError, BodySender, WebBody, body_channel, empty_body, full_body};
+pub use caller::{CallReply, JsonCaller};
 pub use client::{CallOutcome, ChunkOutcome, CollectOutcome, WebAnswer, WebClient, WebRequest};
 pub use limits::WebLimits;
 pub use reply::{WebReply, json_reply, text_reply};
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -16,10 +16,6 @@
     pub service: ServiceName,
     /// Model it asks for, where the service runs models.
     pub model: Option<ModelName>,
-    /// Tokens it may read and write, weighed as reading time.
-    pub weight: f64,
-    /// Rank among the requests of its service; zero is the most urgent.
-    pub priority: u8,
     /// Instant at which its client or its route gives up.
     pub deadline: ClockTime,
 }
--- a/crates/relay/tests/suite/support.rs
+++ b/crates/relay/tests/suite/support.rs
@@ -76,8 +76,6 @@
         route: Arc::new(route),
         service,
         model: is_stream.then(|| ModelName::new("large").unwrap()),
-        weight: 1_000.0,
-        priority: 1,
         deadline: at(8_000),
     }
 }
--- a/crates/replicas/src/commands/plan.rs
+++ b/crates/replicas/src/commands/plan.rs
@@ -13,8 +13,7 @@
 };
 use crate::state::{is_park, park_name};
 use crate::{
-    CloseMode, GroupEntry, GroupPhase, GroupRecord, MemberOrder, MemberPhase, PlanEffect,
-    PlannerState,
+    GroupEntry, GroupPhase, GroupRecord, MemberOrder, MemberPhase, PlanEffect, PlannerState,
 };
 
 /// Decides what the owner does next.
@@ -169,7 +168,6 @@
                     let order = MemberOrder::Close {
                         group: group.name.clone(),
                         epoch: group.epoch,
-                        mode: CloseMode::Finish,
                     };
                     effects.extend(give(state, &head, order, engine, now));
                 }
--- a/crates/replicas/src/order.rs
+++ b/crates/replicas/src/order.rs
@@ -4,15 +4,6 @@
 
 use crate::{EndpointReport, GroupRecord};
 
-/// What becomes of a head's running requests when it closes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CloseMode {
-    /// They finish.
-    Finish,
-    /// They are cut.
-    Cut,
-}
-
 /// Order to one endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum MemberOrder {
@@ -39,14 +30,12 @@
         /// Generation.
         epoch: GroupEpoch,
     },
-    /// Stop to serve, as head.
+    /// Finish what there is and take no more, as head.
     Close {
         /// Group.
         group: GroupName,
         /// Generation.
         epoch: GroupEpoch,
-        /// What becomes of running requests.
-        mode: CloseMode,
     },
     /// Be a member no more.
     Leave {
@@ -64,7 +53,7 @@
             Self::Stage { .. } => None,
             Self::Join { group, epoch, .. }
             | Self::Open { group, epoch }
-            | Self::Close { group, epoch, .. }
+            | Self::Close { group, epoch }
             | Self::Leave { group, epoch } => Some((group, *epoch)),
         }
     }
--- a/crates/replicas/tests/world/mod.rs
+++ b/crates/replicas/tests/world/mod.rs
@@ -4,10 +4,12 @@
 //! seen is refused, nothing checks the other members, and an order without an
 //! answer may be carried out much later. Every join and every record is checked.
 
+mod site;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use base::prelude::*;
-use intent::{ClientLimits, EngineProfile, Intent, ModelProfile, Service};
+use intent::Intent;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use replicas::commands::{
@@ -19,6 +21,8 @@
     OrderOutcome, PlanEffect, PlannerSettings, PlannerState, Presence, ReportOutcome,
 };
 
+pub use site::{host, intent, model};
+
 /// Model time between two looks of the owners.
 const STEP_MILLIS: u64 = 50;
 
@@ -29,54 +33,6 @@
 /// Time of a load after that.
 const LOAD: Duration = Duration::from_secs(12);
 
-pub fn host(name: &str) -> HostName {
-    HostName::new(name).unwrap()
-}
-
-pub fn model(name: &str) -> ModelName {
-    ModelName::new(name).unwrap()
-}
-
-pub fn intent() -> Intent {
-    let profile = |name: &str, size, pace, load, warm| ModelProfile {
-        name: model(name),
-        size,
-        share: 0.5,
-        pace,
-        load: Duration::from_millis(load),
-        warm: Duration::from_millis(warm),
-    };
-    let engine = EngineProfile {
-        slots: 17,
-        models: vec![
-            profile("large", 4, 1.0, 16_000, 1_600),
-            profile("small", 2, 0.6, 12_000, 1_100),
-        ],
-        step_millis: 7.8,
-        step_millis_per_request: 0.1,
-        prompt_tokens_per_second: 45_900.0,
-        steps_per_pass: 5,
-        usual_prompt: 979.0,
-        usual_answer: 154.0,
-        loads_per_second: 5.0,
-        loads_at_once: 7,
-        kept_models: 1,
-        open_delay: Duration::from_millis(300),
-    };
-    let service = Service {
-        name: ServiceName::new("models").unwrap(),
-        connection_limit: 268,
-        engine: Some(engine),
-    };
-    let limits = ClientLimits {
-        header_bytes: 16_384,
-        body_bytes: 1_000_000,
-        header_timeout: Duration::from_secs(3),
-        idle_timeout: Duration::from_secs(15),
-    };
-    Intent::new(1, Vec::new(), vec![service], None, limits)
-}
-
 /// Endpoint as it really is.
 #[derive(Clone, Debug)]
 pub struct RealEndpoint {
--- /dev/null
+++ b/crates/replicas/tests/world/site.rs
@@ -0,0 +1,45 @@
+//! The deployment of the model world.
+
+use base::prelude::*;
+use intent::{ClientLimits, EngineProfile, Intent, ModelProfile, Service};
+
+pub fn host(name: &str) -> HostName {
+    HostName::new(name).unwrap()
+}
+
+pub fn model(name: &str) -> ModelName {
+    ModelName::new(name).unwrap()
+}
+
+pub fn intent() -> Intent {
+    let profile = |name: &str, size, pace, load, warm| ModelProfile {
+        name: model(name),
+        size,
+        share: 0.5,
+        pace,
+        load: Duration::from_millis(load),
+        warm: Duration::from_millis(warm),
+    };
+    let engine = EngineProfile {
+        slots: 17,
+        models: vec![
+            profile("large", 4, 1.0, 16_000, 1_600),
+            profile("small", 2, 0.6, 12_000, 1_100),
+        ],
+        loads_per_second: 5.0,
+        loads_at_once: 7,
+        open_delay: Duration::from_millis(300),
+    };
+    let service = Service {
+        name: ServiceName::new("models").unwrap(),
+        connection_limit: 268,
+        engine: Some(engine),
+    };
+    let limits = ClientLimits {
+        header_bytes: 16_384,
+        body_bytes: 1_000_000,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    Intent::new(1, Vec::new(), vec![service], None, limits)
+}
