--- a/crates/cli/tests/suite/main.rs
+++ b/crates/cli/tests/suite/main.rs
@@ -2,5 +2,6 @@
 
 mod common;
 mod drain;
+mod explain;
 mod put;
 mod reads;
