Serve both of the node's own pages through one function

Cause: reading the change again: the readiness page and the metrics page were started by the same lines twice. Ruled out: sharing more with the clients' address, which drains. Change: serve_page; a module header that named half of what is there.

--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -6,7 +6,8 @@
 
 use base::prelude::*;
 use futures_channel::mpsc::unbounded;
-use net::web::{WebClient, WebLimits, serve};
+use monoio::net::TcpListener;
+use net::web::{WebClient, WebLimits, WebService, serve};
 use net::{
     DaemonError, MetricsPage, PageMetrics, block_on, drain_pair, forward_stops, listen, run_loop,
     seed_from_system, watch_reload,
@@ -56,10 +57,14 @@
             return;
         }
     };
+    serve_page(listener, Rc::new(MetricsPage(metrics)));
+}
+
+/// Serves a page of the node's own until the process ends, also while it drains.
+fn serve_page(listener: TcpListener, page: Rc<dyn WebService>) {
     let (switch, watch) = drain_pair();
-    // The page is served until the process ends.
+    // Dropping the switch would start the drain.
     std::mem::forget(switch);
-    let page = Rc::new(MetricsPage(metrics));
     monoio::spawn(serve(listener, page, WebLimits::default(), watch));
 }
 
@@ -96,11 +101,7 @@
         clock.clone(),
         events.clone(),
     ));
-    let page = Rc::new(ReadyPage { desk: desk.clone() });
-    // The readiness page is served until the process ends.
-    let (page_switch, page_watch) = drain_pair();
-    std::mem::forget(page_switch);
-    monoio::spawn(serve(ready, page, WebLimits::default(), page_watch));
+    serve_page(ready, Rc::new(ReadyPage { desk: desk.clone() }));
 
     let metrics = Rc::new(PageMetrics::default());
     serve_metrics(settings.metrics, metrics.clone());
--- a/crates/relay/src/queries/counts.rs
+++ b/crates/relay/src/queries/counts.rs
@@ -1,4 +1,4 @@
-//! What this node has running.
+//! What runs where, here and at all nodes.
 
 use base::prelude::*;
 
