--- a/crates/edge/src/border/links.rs
+++ b/crates/edge/src/border/links.rs
@@ -16,10 +16,12 @@
 use super::wire::decode_message;
 use crate::EdgeEvent;
 
-/// Time in which a connection must be made, or a message be written.
+/// Time in which a connection must be made; ten round trips between regions.
+const CONNECT_SPAN: Duration = Duration::from_millis(250);
+/// Time in which a message must be written.
 const SEND_SPAN: Duration = Duration::from_millis(600);
-/// Pause after a connection failed.
-const FAULT_PAUSE: Duration = Duration::from_millis(400);
+/// Pause after a connection failed; nodes that start together must soon hear one another.
+const FAULT_PAUSE: Duration = Duration::from_millis(100);
 /// Silence after which a receiver takes its sender for gone; digests come five times a second.
 const SILENCE_SPAN: Duration = Duration::from_secs(3);
 /// Pause after a failed accept.
@@ -62,7 +64,7 @@
     while let Some(message) = messages.next().await {
         if stream.is_none() {
             let connect = FrameStream::connect(to);
-            match with_deadline(clock, clock.now() + SEND_SPAN, connect).await {
+            match with_deadline(clock, clock.now() + CONNECT_SPAN, connect).await {
                 Some(Ok(connected)) => stream = Some(connected),
                 _ => {
                     log::debug!(node:% = to; "a node can't be reached");
--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -5,7 +5,7 @@
 use relay::{LaneCounts, Place};
 use replicas::{GroupRecord, RecordWire};
 
-use crate::peer::{Digest, PeerMessage};
+use crate::peer::{Digest, PeerMessage, SlowPace};
 
 /// Why bytes are no message.
 #[derive(Debug, thiserror::Error)]
@@ -67,6 +67,17 @@
     places_version: u64,
     #[prost(bool, tag = "8")]
     owns: bool,
+    #[prost(message, repeated, tag = "9")]
+    paces: Vec<PaceWire>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct PaceWire {
+    #[prost(string, tag = "1")]
+    head: String,
+    /// Hundredths of the usual time.
+    #[prost(uint32, tag = "2")]
+    percent: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -201,6 +212,10 @@
             fast: count.fast,
             slow: count.slow,
         });
+        let paces = digest.paces.iter().map(|(head, pace)| PaceWire {
+            head: head.as_str().to_owned(),
+            percent: pace.0,
+        });
         Self {
             from: digest.from.as_str().to_owned(),
             intent_version: digest.intent_version,
@@ -209,6 +224,7 @@
             places_version: digest.places_version.0,
             owns: digest.owns,
             counts: counts.collect(),
+            paces: paces.collect(),
             silent: digest
                 .silent
                 .iter()
@@ -228,6 +244,8 @@
             Ok((HostName::new(&place)?, LaneCounts { fast, slow }))
         });
         let silent = wire.silent.iter().map(|head| HostName::new(head));
+        let paces = wire.paces.iter();
+        let paces = paces.map(|pace| Ok((HostName::new(&pace.head)?, SlowPace(pace.percent))));
         Ok(Self {
             from: NodeName::new(&wire.from)?,
             intent_version: wire.intent_version,
@@ -237,6 +255,7 @@
             owns: wire.owns,
             counts: counts.collect::<Result<_, NameError>>()?,
             silent: silent.collect::<Result<_, _>>()?,
+            paces: paces.collect::<Result<_, NameError>>()?,
         })
     }
 }
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -77,7 +77,7 @@
 fn tell_owner(state: &mut EdgeState, head: HostName, now: ClockTime) {
     if state.is_owner {
         replicas::commands::suspect(&mut state.planner, &head, now);
-        state.plan_due = now;
+        state.has_news = true;
     } else if state.silent.insert(head) {
         state.digest_due = now;
     }
--- a/crates/edge/src/commands/feeds.rs
+++ b/crates/edge/src/commands/feeds.rs
@@ -57,7 +57,7 @@
         (_, FeedEvent::Lost) => Vec::new(),
     };
     refresh_places(state);
-    state.plan_due = state.plan_due.min(now);
+    state.has_news = true;
     effects
 }
 
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -8,6 +8,7 @@
 use super::shared::adopt_record;
 use crate::peer::{Digest, PeerMessage};
 use crate::queries::{can_own, hubs, is_heard, is_hub, is_star, is_told};
+use crate::state::PeerState;
 use crate::{EdgeEffect, EdgeState, FeedPace};
 
 /// Pause before a node is sent the same thing again.
@@ -26,6 +27,8 @@
         return tell_places(state, now);
     }
     choose_hubs(state, now);
+    let unheard = unheard_nodes(state, now);
+    state.relay.set_unheard(unheard);
     state.digest_due = now + digest_period(state);
     let own = Digest {
         from: state.settings.node.clone(),
@@ -34,8 +37,14 @@
         places_version: state.places_version,
         owns: state.is_owner,
         can_own: can_own(state, now),
-        counts: relay::queries::own_counts(&state.relay),
+        counts: relay::queries::own_counts(&state.relay, now),
         silent: std::mem::take(&mut state.silent).into_iter().collect(),
+        paces: if state.is_owner {
+            let paces = state.paces.iter();
+            paces.map(|(head, pace)| (head.clone(), *pace)).collect()
+        } else {
+            Vec::new()
+        },
     };
     let mut summed = own.clone();
     summed.counts = if state.is_owner {
@@ -86,19 +95,39 @@
     state.relay.set_sample(sample);
 }
 
+/// Other nodes whose requests this node doesn't know yet, because it has just started.
+///
+/// Later a node that isn't heard is gone, and its requests with it.
+fn unheard_nodes(state: &EdgeState, now: ClockTime) -> usize {
+    if now.since(state.started_at) >= state.times.blind_span {
+        return 0;
+    }
+    let speaks_for_all = |peer: &&PeerState| peer.digest.as_ref().is_some_and(|told| told.owns);
+    let mut heard = state
+        .peers
+        .values()
+        .filter(|peer| is_heard(state, peer, now));
+    if is_star(state) && !is_hub(state) {
+        let is_told = heard.any(|peer| speaks_for_all(&peer));
+        return if is_told { 0 } else { state.peers.len() };
+    }
+    state.peers.len() - heard.count()
+}
+
 /// Pause before the next digest, which grows with the number of nodes.
 fn digest_period(state: &EdgeState) -> Duration {
     let peers = u32::try_from(state.peers.len()).unwrap_or(u32::MAX);
     let times = &state.times;
-    if is_star(state) && state.is_owner {
-        return times.digest_owner;
-    }
-    if !is_hub(state) {
-        return times.digest_spoke;
-    }
-    times
-        .digest_span
-        .saturating_mul(peers)
+    let span = if !is_hub(state) {
+        times.digest_spoke
+    } else if is_star(state) && state.is_owner {
+        let places = u32::try_from(state.places.len()).unwrap_or(u32::MAX);
+        let by_size = times.digest_place.saturating_mul(places);
+        times.digest_owner.max(by_size)
+    } else {
+        times.digest_span
+    };
+    span.saturating_mul(peers)
         .clamp(times.digest_least, times.digest_most)
 }
 
@@ -189,7 +218,7 @@
         PeerMessage::Record(record, version) => {
             if adopt_record(state, record, version, now) {
                 refresh_places(state);
-                state.plan_due = state.plan_due.min(now);
+                state.has_news = true;
             }
             Vec::new()
         }
@@ -206,11 +235,18 @@
         // Nodes that hear only hubs hear of silent heads through the owner.
         state.silent.extend(digest.silent.iter().cloned());
     }
+    if digest.owns && !state.is_owner {
+        let paces = digest.paces.iter().cloned().collect();
+        if state.paces != paces {
+            state.paces = paces;
+            refresh_places(state);
+        }
+    }
     for head in &digest.silent {
         relay::commands::suspect_place(&mut state.relay, head, now);
         if state.is_owner {
             suspect(&mut state.planner, head, now);
-            state.plan_due = now;
+            state.has_news = true;
         }
     }
     let intent_version = state.intent.version().unwrap_or(0);
--- a/crates/edge/src/commands/plan.rs
+++ b/crates/edge/src/commands/plan.rs
@@ -1,12 +1,16 @@
 //! The owner's work on the groups.
 
+use std::collections::BTreeMap;
+
 use base::prelude::*;
-use replicas::commands::{note_order, note_report, tick};
+use replicas::commands::{note_order, note_report, tick, watch_heads};
+use replicas::queries::serving_groups;
 use replicas::{MemberOrder, OrderOutcome, PlanEffect, ReportOutcome};
 
 use super::refresh_places;
 use super::shared::record_change;
-use crate::queries::owner;
+use crate::peer::SlowPace;
+use crate::queries::{owner, plan_due};
 use crate::{EdgeEffect, EdgeState};
 
 /// Pause between two lines that sum up the groups.
@@ -17,16 +21,22 @@
     let is_owner = owner(state, now).as_ref() == Some(&state.settings.node);
     if is_owner != state.is_owner {
         state.is_owner = is_owner;
+        if is_owner {
+            watch_heads(&mut state.planner, now);
+        }
         log::info!(is_owner, record = state.planner.version().unwrap_or_default().0; "the owner of the groups has changed");
     }
-    if !is_owner || state.plan_due > now {
+    if !is_owner || plan_due(state) > now {
         return Vec::new();
     }
     state.plan_due = now + state.times.plan_period;
+    state.planned_at = Some(now);
+    state.has_news = false;
     let Some(intent) = state.intent.get().cloned() else {
         return Vec::new();
     };
     let effects = tick(&mut state.planner, &intent, now);
+    note_paces(state);
     refresh_places(state);
     if state.stock_due <= now {
         state.stock_due = now + STOCK_PERIOD;
@@ -38,6 +48,17 @@
         .collect()
 }
 
+/// Notes which groups run slowly, as their members have reported.
+fn note_paces(state: &mut EdgeState) {
+    let groups = serving_groups(&state.planner).into_iter();
+    let slow = groups.filter_map(|group| Some((group.head, SlowPace::new(group.pace)?)));
+    let paces: BTreeMap<_, _> = slow.collect();
+    if paces != state.paces {
+        log::info!(paces:? = paces; "the slow groups have changed");
+        state.paces = paces;
+    }
+}
+
 /// Logs what each fabric domain has and should have.
 fn log_stock(state: &EdgeState, intent: &intent::Intent) {
     for service in intent.services.values() {
@@ -114,7 +135,7 @@
         service.engine.as_ref()
     });
     note_order(&mut state.planner, to, order, outcome, engine, now);
-    state.plan_due = now;
+    state.has_news = true;
     plan_if_due(state, now)
 }
 
@@ -130,6 +151,10 @@
         .endpoints()
         .get(of)
         .is_some_and(|view| view.is_lost());
+    if let ReportOutcome::Told(report) = &outcome {
+        let requests = report.running + report.queued;
+        relay::commands::note_engine_load(&mut state.relay, of, requests, now);
+    }
     note_report(&mut state.planner, of, outcome, now);
     let is_lost = state
         .planner
@@ -138,7 +163,7 @@
         .is_some_and(|view| view.is_lost());
     if was_lost != is_lost {
         log::info!(endpoint:% = of, is_lost; "an endpoint's silence changed");
-        state.plan_due = now;
+        state.has_news = true;
         return plan_if_due(state, now);
     }
     Vec::new()
--- a/crates/edge/src/commands/shared.rs
+++ b/crates/edge/src/commands/shared.rs
@@ -102,7 +102,7 @@
     }
     let address = wire.address;
     let peer = state.peers.entry(node.clone()).or_insert_with(|| {
-        log::info!(node:% = node, address:% = address; "another node is known");
+        log::debug!(node:% = node, address:% = address; "another node is known");
         PeerState::new(address, wire.rank)
     });
     peer.address = address;
@@ -173,7 +173,7 @@
         log::warn!(outcome:? = outcome; "the record of groups was not written");
     }
     let is_new = note_write(&mut state.planner, outcome, now);
-    state.plan_due = now;
+    state.has_news = true;
     if !is_new {
         return Vec::new();
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,6 @@
     Arrival, ArrivalOutcome, EdgeAnswer, EdgeEffect, EdgeEvent, EdgeQuestion, EdgeStatus,
     FeedEvent, FeedPace, RejectReason,
 };
-pub use peer::{Digest, PeerAddress, PeerMessage};
+pub use peer::{Digest, PeerAddress, PeerMessage, SlowPace};
 pub use settings::{EdgeBounds, EdgeSettings};
 pub use state::{EdgeState, EdgeTimes};
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -15,6 +15,27 @@
     pub address: SocketAddr,
 }
 
+/// Hundredths of its usual time that a slow group takes for the same work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlowPace(pub u32);
+
+impl SlowPace {
+    /// Pace from which a group counts as slow, in hundredths; reports of a healthy one vary less.
+    const LEAST: u32 = 130;
+
+    /// Pace of a group that takes so many times as long as usual, if that is slow.
+    pub fn new(factor: f64) -> Option<Self> {
+        // A group that hardly moves is as good as one that takes a hundred times as long.
+        let percent = (factor * 100.0).clamp(0.0, 10_000.0) as u32;
+        (percent >= Self::LEAST).then_some(Self(percent))
+    }
+
+    /// Requests that the group can run in time, of those that it runs at its usual pace.
+    pub fn scale(self, slots: usize) -> usize {
+        (slots * 100 / self.0.max(100) as usize).max(1)
+    }
+}
+
 /// What a node says of itself again and again.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Digest {
@@ -35,6 +56,8 @@
     pub counts: Vec<(HostName, LaneCounts)>,
     /// Heads that give it no bytes.
     pub silent: Vec<HostName>,
+    /// Heads of groups that run slowly, as the owner knows.
+    pub paces: Vec<(HostName, SlowPace)>,
 }
 
 /// Message from one node to another.
--- a/crates/edge/src/queries/deadline.rs
+++ b/crates/edge/src/queries/deadline.rs
@@ -8,9 +8,10 @@
 pub fn next_deadline(state: &EdgeState) -> Option<ClockTime> {
     let mut next = state.digest_due;
     if state.is_owner {
+        let due = plan_due(state);
         let planner = replicas::queries::next_deadline(&state.planner);
-        let due = planner.map_or(state.plan_due, |due| due.max(state.plan_due));
-        next = next.min(due);
+        let planner = planner.filter(|_| !state.has_news);
+        next = next.min(planner.map_or(due, |at| at.max(due)));
     }
     if let Some(stop) = &state.stopping {
         let drain = stop.since + state.times.unready_span;
@@ -27,3 +28,15 @@
     }
     Some(next)
 }
+
+/// Instant before which the owner doesn't look at the groups again.
+///
+/// News brings the next look forward, but many pieces of news at once share one.
+pub(crate) fn plan_due(state: &EdgeState) -> ClockTime {
+    let Some(planned_at) = state.planned_at.filter(|_| state.has_news) else {
+        return state.plan_due;
+    };
+    let count = u32::try_from(state.planner.endpoints().len()).unwrap_or(u32::MAX);
+    let soon = planned_at + state.times.plan_span.saturating_mul(count);
+    soon.min(state.plan_due)
+}
--- a/crates/edge/src/queries/places.rs
+++ b/crates/edge/src/queries/places.rs
@@ -18,10 +18,14 @@
             .and_then(|service| service.engine.as_ref());
         engine.map(|engine| engine.slots)
     };
+    let scale = |head: &HostName, slots: usize| {
+        let pace = state.paces.get(head);
+        pace.map_or(slots, |pace| pace.scale(slots))
+    };
     let groups = serving_groups(&state.planner)
         .into_iter()
         .map(|group| Place {
-            slots: engine_slots(&group.service).unwrap_or(1),
+            slots: scale(&group.head, engine_slots(&group.service).unwrap_or(1)),
             id: group.head,
             address: group.address,
             zone: group.zone,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -10,7 +10,7 @@
 use replicas::{PlannerSettings, PlannerState};
 
 use crate::border::ports::Feed;
-use crate::peer::Digest;
+use crate::peer::{Digest, SlowPace};
 use crate::{EdgeBounds, EdgeSettings, FeedPace};
 
 /// Buckets in a retry window.
@@ -27,9 +27,11 @@
 pub struct EdgeTimes {
     /// Time that each other node adds to the pause between two digests.
     pub digest_span: Duration,
-    /// Pause between two digests of the owner where nodes hear only hubs.
+    /// Time that each other node adds to the owner's pause where nodes hear only hubs.
     pub digest_owner: Duration,
-    /// The same of a node that is no hub.
+    /// The same for each place that the digest names, if that is longer.
+    pub digest_place: Duration,
+    /// Time that each other node adds to the pause of a node that is no hub.
     pub digest_spoke: Duration,
     /// Shortest such pause.
     pub digest_least: Duration,
@@ -43,8 +45,12 @@
     pub write_pause: Duration,
     /// Time for which a node leaves the groups to the one that took them over.
     pub yield_span: Duration,
-    /// Pause between two looks at the groups by their owner.
+    /// Time after the start in which nodes that were not heard count as busy.
+    pub blind_span: Duration,
+    /// Pause between two looks at the groups by their owner if nothing happens.
     pub plan_period: Duration,
+    /// Time that each endpoint adds to the least pause between two looks.
+    pub plan_span: Duration,
     /// Time after SIGTERM in which the platform notices that the node isn't ready.
     pub unready_span: Duration,
     /// Time before the end of the grace period at which the process exits.
@@ -60,9 +66,11 @@
         Self {
             // A node sends about 140 digests a second, however many nodes there are.
             digest_span: Duration::from_millis(7),
-            // Counts of a node reach another one within 350 ms through the owner.
-            digest_owner: Duration::from_millis(200),
-            digest_spoke: Duration::from_millis(150),
+            // The owner sends and takes 2,000 digests a second, however many nodes there are.
+            digest_owner: Duration::from_micros(500),
+            // A place takes 20 bytes; this keeps the owner at 2 MB a second.
+            digest_place: Duration::from_micros(10),
+            digest_spoke: Duration::from_micros(500),
             // Requests come every 40 ms at the busiest node of today's sites.
             digest_least: Duration::from_millis(40),
             // Half of the silence that makes a node count as gone.
@@ -75,8 +83,12 @@
             write_pause: Duration::from_millis(1_000),
             // Two nodes that don't hear each other would else undo each other's steps.
             yield_span: Duration::from_millis(3_000),
+            // Nodes that start together hear one another within a second.
+            blind_span: Duration::from_millis(1_500),
             // Twice as fast as the quickest step of a group.
             plan_period: Duration::from_millis(100),
+            // About ten times what a look takes for each endpoint on a quarter of a core.
+            plan_span: Duration::from_micros(20),
             // The platform asks every second and needs two misses.
             unready_span: Duration::from_millis(2_600),
             // Time to write out the last answers.
@@ -170,6 +182,10 @@
     pub(crate) has_new_places: bool,
     pub(crate) digest_due: ClockTime,
     pub(crate) plan_due: ClockTime,
+    /// Last look at the groups.
+    pub(crate) planned_at: Option<ClockTime>,
+    /// Whether something has happened since that the owner should act on.
+    pub(crate) has_news: bool,
     pub(crate) stock_due: ClockTime,
     pub(crate) is_owner: bool,
     /// Pace at which the feeds are followed.
@@ -183,6 +199,8 @@
     pub(crate) is_announcing: bool,
     pub(crate) announce_due: ClockTime,
     pub(crate) is_announced: bool,
+    /// Heads of groups that run slowly, as the owner knows.
+    pub(crate) paces: BTreeMap<HostName, SlowPace>,
     /// Heads that give this node no bytes, and since when it says so.
     pub(crate) silent: BTreeSet<HostName>,
     pub(crate) stopping: Option<StopState>,
@@ -214,6 +232,8 @@
             has_new_places: false,
             digest_due: now,
             plan_due: now,
+            planned_at: None,
+            has_news: false,
             stock_due: now,
             is_owner: false,
             pace: FeedPace::default(),
@@ -223,6 +243,7 @@
             is_announcing: false,
             announce_due: now,
             is_announced: false,
+            paces: BTreeMap::new(),
             silent: BTreeSet::new(),
             stopping: None,
             draws: seed,
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use edge::border::{MessageError, decode_message, encode_message};
-use edge::{Digest, PeerMessage};
+use edge::{Digest, PeerMessage, SlowPace};
 use relay::{LaneCounts, Place};
 use replicas::GroupRecord;
 
@@ -23,6 +23,7 @@
             LaneCounts { fast: 3, slow: 1 },
         )],
         silent: vec![HostName::new("i-2").unwrap()],
+        paces: vec![(HostName::new("i-3").unwrap(), SlowPace(480))],
     }
 }
 
--- a/crates/edge/tests/suite/node.rs
+++ b/crates/edge/tests/suite/node.rs
@@ -221,6 +221,7 @@
         can_own: true,
         counts: Vec::new(),
         silent: Vec::new(),
+        paces: Vec::new(),
     };
     state.handle(
         EdgeEvent::Peer(PeerMessage::Digest(Box::new(owner))),
@@ -229,3 +230,11 @@
     state.wake(at(500));
     assert!(!status(&mut state, at(500)).is_owner);
 }
+
+#[test]
+fn a_slow_group_gets_as_many_requests_as_it_can_run_in_time() {
+    let slots = |factor: f64| edge::SlowPace::new(factor).map(|pace| pace.scale(17));
+    assert_eq!(slots(1.1), None, "reports of a healthy group vary");
+    assert_eq!(slots(5.0), Some(3));
+    assert_eq!(slots(f64::INFINITY), Some(1));
+}
--- a/crates/edge/tests/suite/star.rs
+++ b/crates/edge/tests/suite/star.rs
@@ -1,9 +1,11 @@
 //! Deployments with many nodes: hubs, and what the others are told.
 
-use crate::support::{arrive, at, endpoint, intent_item, list, node, start, status};
+use crate::support::{arrive, at, endpoint, intent_item, list, node, settings, status};
 use base::prelude::*;
 use edge::border::ports::{Feed, FeedItem};
-use edge::{Digest, EdgeEffect, EdgeEvent, EdgeState, FeedPace, PeerMessage};
+use edge::{
+    Digest, EdgeEffect, EdgeEvent, EdgeSettings, EdgeState, EdgeTimes, FeedPace, PeerMessage,
+};
 use relay::Place;
 use store::{ObjectKey, StoredObject};
 
@@ -11,7 +13,15 @@
 
 /// Node that knows 30 nodes, of which the first four can do more.
 fn member(name: &str) -> EdgeState {
-    let mut state = start(name);
+    ranked(name, 250)
+}
+
+fn ranked(name: &str, rank: u32) -> EdgeState {
+    let settings = EdgeSettings {
+        rank,
+        ..settings(name)
+    };
+    let mut state = EdgeState::new(settings, EdgeTimes::default(), 1, at(0));
     list(&mut state, Feed::Intent, vec![intent_item(1, "/x/")], at(1));
     let items = vec![FeedItem::Endpoint(endpoint("p-1"))];
     list(&mut state, Feed::Endpoints, items, at(1));
@@ -52,6 +62,7 @@
         can_own: true,
         counts: Vec::new(),
         silent: Vec::new(),
+        paces: Vec::new(),
     })))
 }
 
@@ -140,3 +151,45 @@
         }
     ));
 }
+
+/// Digests that a node sends to another one within two seconds.
+fn digests_to(
+    state: &mut EdgeState,
+    port: u16,
+    mut beat: impl FnMut(&mut EdgeState, u64),
+) -> usize {
+    let mut count = 0;
+    for now in 5_000..7_000 {
+        beat(state, now);
+        if state.next_deadline().is_some_and(|due| due <= at(now)) {
+            let sent = digests(&state.wake(at(now)));
+            count += sent.iter().filter(|to| **to == port).count();
+        }
+    }
+    count
+}
+
+#[test]
+fn counts_are_told_often_enough_to_choose_by() {
+    let mut spoke = member("n20");
+    let told = digests_to(&mut spoke, 1_000, |state, now| {
+        if now % 100 == 0 {
+            state.handle(hub_digest("n00", true, 0), at(now));
+        }
+    });
+    // 29 other nodes would allow one every 15 ms; the least pause is 40 ms.
+    assert!((45..=50).contains(&told), "{told} digests in two seconds");
+}
+
+#[test]
+fn the_owner_tells_all_at_a_rate_that_does_not_grow_with_the_nodes() {
+    let mut owner = ranked("n00", 500);
+    let told = digests_to(&mut owner, 1_020, |state, now| {
+        if now % 1_000 == 0 {
+            list(state, Feed::Endpoints, Vec::new(), at(now));
+            list(state, Feed::Shared, Vec::new(), at(now));
+        }
+    });
+    assert!(status(&mut owner, at(7_000)).is_owner);
+    assert!((45..=50).contains(&told), "{told} digests in two seconds");
+}
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -165,5 +165,6 @@
         can_own,
         counts: Vec::new(),
         silent: Vec::new(),
+        paces: Vec::new(),
     })))
 }
--- a/crates/relay/src/commands/mod.rs
+++ b/crates/relay/src/commands/mod.rs
@@ -7,5 +7,7 @@
 
 pub use attempts::end_attempt;
 pub use calls::{arrive, finish};
-pub use places::{note_progress, note_remote, note_totals, set_places, suspect_place};
+pub use places::{
+    note_engine_load, note_progress, note_remote, note_totals, set_places, suspect_place,
+};
 pub use stalls::{check_stall, silent_place};
--- a/crates/relay/src/commands/places.rs
+++ b/crates/relay/src/commands/places.rs
@@ -43,6 +43,18 @@
     }
 }
 
+/// Takes in how many requests a place reports.
+///
+/// What no node has told of belongs to nodes that are gone; the place works on
+/// it all the same, and requests that count on its slots would come late.
+pub fn note_engine_load(state: &mut RelayState, id: &HostName, requests: u32, now: ClockTime) {
+    let expires = now + state.settings.report_span;
+    if let Some(load) = state.loads.get_mut(id) {
+        let unclaimed = requests.saturating_sub(load.claimed(now).sum());
+        load.unclaimed = (unclaimed, expires);
+    }
+}
+
 /// Notes that bytes of a request's answer came.
 pub fn note_progress(state: &mut RelayState, call: CallId, now: ClockTime) {
     let Some(known) = state.calls.get_mut(&call) else {
--- a/crates/relay/src/commands/stalls.rs
+++ b/crates/relay/src/commands/stalls.rs
@@ -2,7 +2,8 @@
 
 use base::prelude::*;
 
-use crate::{RelayState, StallStep};
+use crate::state::CallState;
+use crate::{Lane, RelayState, StallStep};
 
 /// Decides whether a request waits on for a server that says nothing.
 ///
@@ -30,12 +31,17 @@
     if !group_stands {
         return StallStep::Move;
     }
+    let load = state.loads.get(id);
+    let is_suspect = load.is_some_and(|load| load.suspect_until > now);
+    if is_queued(known) && !is_suspect {
+        return wait;
+    }
     let limit = match (route.kind.is_stream(), known.has_begun) {
         (true, true) => settings.stream_silence,
         (true, false) => settings.queue_silence,
         (false, _) => route.objective.mul_f64(settings.plain_silence_part),
     };
-    let heard = state.loads.get(id).and_then(|load| load.heard_at);
+    let heard = load.and_then(|load| load.heard_at);
     let since = match heard {
         Some(heard) if route.kind.is_stream() => heard.max(known.sent_at),
         _ => known.sent_at,
@@ -50,6 +56,11 @@
     }
 }
 
+/// Whether a request waits for room that others leave, so that silence says nothing.
+fn is_queued(call: &CallState) -> bool {
+    call.arrival.route.kind.is_stream() && call.lane == Lane::Slow && !call.has_begun
+}
+
 /// Server of a request, if its silence speaks against it.
 ///
 /// A stream that has begun brings bytes with every pass of its engine; a
@@ -57,7 +68,7 @@
 pub fn silent_place(state: &RelayState, call: CallId, now: ClockTime) -> Option<HostName> {
     let known = state.calls.get(&call)?;
     let id = known.place.as_ref()?;
-    if !known.arrival.route.kind.is_stream() {
+    if !known.arrival.route.kind.is_stream() || is_queued(known) {
         return None;
     }
     let heard = state.loads.get(id)?.heard_at;
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -64,7 +64,7 @@
         }
     }
 
-    fn plus(self, other: Self) -> Self {
+    pub(crate) fn plus(self, other: Self) -> Self {
         Self {
             fast: self.fast + other.fast,
             slow: self.slow + other.slow,
@@ -79,6 +79,8 @@
     pub own: LaneCounts,
     /// Requests of the other nodes, as they told.
     pub remote: HashMap<NodeName, (LaneCounts, ClockTime)>,
+    /// Requests that it reports and no node has told of, and until when that holds.
+    pub(crate) unclaimed: (u32, ClockTime),
     /// Last time that bytes came from it.
     pub(crate) heard_at: Option<ClockTime>,
     /// Instant until which it counts as suspect, because its streams are silent.
@@ -90,9 +92,23 @@
 }
 
 impl PlaceLoad {
-    /// Requests of all nodes, as far as known.
+    /// Requests of all nodes, as far as known, and those of nodes that are gone.
     pub fn total(&self, now: ClockTime) -> LaneCounts {
+        self.claimed(now).plus(self.unclaimed(now))
+    }
+
+    /// Requests that nodes have told of.
+    pub(crate) fn claimed(&self, now: ClockTime) -> LaneCounts {
         let fresh = self.remote.values().filter(|(_, expires)| *expires > now);
         fresh.fold(self.own, |sum, (counts, _)| sum.plus(*counts))
     }
+
+    /// Requests of nodes that are gone.
+    pub(crate) fn unclaimed(&self, now: ClockTime) -> LaneCounts {
+        let (fast, expires) = self.unclaimed;
+        LaneCounts {
+            fast: if expires > now { fast } else { 0 },
+            slow: 0,
+        }
+    }
 }
--- a/crates/relay/src/queries/choose.rs
+++ b/crates/relay/src/queries/choose.rs
@@ -42,9 +42,12 @@
         return Err(RefusalReason::NoPlace);
     }
     let turn = state.turn as usize % fitting.len();
+    let assumed = assumed_fill(state, &fitting);
     let candidates = fitting.iter().enumerate().map(|(index, place)| {
         let order = (index + fitting.len() - turn) % fitting.len();
-        candidate(state, place, order, now)
+        let mut candidate = candidate(state, place, order, now);
+        candidate.fast_fill += assumed;
+        candidate
     });
     let mut candidates: Vec<_> = candidates.collect();
     if let Some(sample) = state.sample {
@@ -73,6 +76,18 @@
         .ok_or(RefusalReason::Overload)
 }
 
+/// Load of each place, in parts of its slots, if the nodes that were not heard are as busy as
+/// this one.
+fn assumed_fill(state: &RelayState, places: &[&Place]) -> f64 {
+    if state.unheard == 0 {
+        return 0.0;
+    }
+    let loads = places.iter().filter_map(|place| state.loads.get(&place.id));
+    let own: u32 = loads.map(|load| load.own.sum()).sum();
+    let slots: usize = places.iter().map(|place| place.slots.max(1)).sum();
+    f64::from(own) * state.unheard as f64 / slots as f64
+}
+
 /// Keeps some candidates that are drawn, those to avoid last.
 fn draw(candidates: &mut Vec<Candidate<'_>>, sample: usize, turn: u64) {
     candidates.sort_by_key(|candidate| {
--- a/crates/relay/src/queries/counts.rs
+++ b/crates/relay/src/queries/counts.rs
@@ -20,11 +20,13 @@
         .collect()
 }
 
-/// Requests of this node by place.
-pub fn own_counts(state: &RelayState) -> Vec<(HostName, LaneCounts)> {
-    let busy = state
+/// Requests of this node by place, and those that only this node has learnt of.
+pub fn own_counts(state: &RelayState, now: ClockTime) -> Vec<(HostName, LaneCounts)> {
+    let counts = state
         .loads
         .iter()
-        .filter(|(_, load)| load.own != LaneCounts::default());
-    busy.map(|(id, load)| (id.clone(), load.own)).collect()
+        .map(|(id, load)| (id.clone(), load.own.plus(load.unclaimed(now))));
+    counts
+        .filter(|(_, counts)| *counts != LaneCounts::default())
+        .collect()
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -25,6 +25,8 @@
 const FULL_SPAN: Duration = Duration::from_millis(100);
 /// Span for which another node's counts hold.
 const REMOTE_SPAN: Duration = Duration::from_millis(1_000);
+/// Span for which the requests that a place reports hold; the owner asks again within it.
+const REPORT_SPAN: Duration = Duration::from_millis(450);
 /// Sends that servers may reject unrun before the request is refused.
 const REJECTION_LIMIT: u32 = 3;
 /// Time that must be left for an attempt to be worth making.
@@ -67,6 +69,8 @@
     pub full_span: Duration,
     /// Span for which another node's counts hold.
     pub remote_span: Duration,
+    /// Span for which the requests that a place reports hold.
+    pub report_span: Duration,
     /// Rejected sends after which a request is refused.
     pub rejection_limit: u32,
     /// Least time for an attempt.
@@ -99,6 +103,7 @@
             avoid_limit: AVOID_LIMIT,
             full_span: FULL_SPAN,
             remote_span: REMOTE_SPAN,
+            report_span: REPORT_SPAN,
             rejection_limit: REJECTION_LIMIT,
             least_time: LEAST_TIME,
             engine_fill_limit: ENGINE_FILL_LIMIT,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -39,6 +39,8 @@
     pub(crate) budget: RetryBudget,
     /// Places drawn for each choice; none if all are compared.
     pub(crate) sample: Option<usize>,
+    /// Other nodes of which nothing has been heard yet.
+    pub(crate) unheard: usize,
     /// Turns ties between places about.
     pub(crate) turn: u64,
 }
@@ -54,6 +56,7 @@
             calls: HashMap::new(),
             budget: RetryBudget::new(budget),
             sample: None,
+            unheard: 0,
             turn: 0,
         }
     }
@@ -71,6 +74,13 @@
         self.sample = sample;
     }
 
+    /// Takes so many other nodes to be as busy as this one.
+    ///
+    /// A node that has just started has not heard of the others' requests yet.
+    pub fn set_unheard(&mut self, nodes: usize) {
+        self.unheard = nodes;
+    }
+
     /// Requests under way.
     pub fn call_count(&self) -> usize {
         self.calls.len()
--- a/crates/relay/tests/suite/choice.rs
+++ b/crates/relay/tests/suite/choice.rs
@@ -3,8 +3,10 @@
 use crate::support::{STREAM, at, head, host, relay, request, send};
 use base::prelude::*;
 use relay::commands::{
-    check_stall, finish, note_progress, note_remote, set_places, silent_place, suspect_place,
+    check_stall, finish, note_engine_load, note_progress, note_remote, set_places, silent_place,
+    suspect_place,
 };
+use relay::queries::{own_counts, total_counts};
 use relay::{CallStep, LaneCounts, RefusalReason, StallStep};
 
 const FAST_RANK: u8 = 4;
@@ -144,3 +146,57 @@
         StallStep::Wait { .. }
     ));
 }
+
+#[test]
+fn work_that_engines_still_do_for_lost_nodes_counts() {
+    let mut state = relay(vec![head("h1", 1)]);
+    note_engine_load(&mut state, &host("h1"), 6, at(0));
+    let order = send(&mut state, request(1, STREAM, 2), at(10));
+    assert_eq!(order.rank, SLOW_RANK, "the slots are taken");
+    let told = own_counts(&state, at(10));
+    assert_eq!(told, vec![(host("h1"), LaneCounts { fast: 6, slow: 1 })]);
+    let order = send(&mut state, request(2, STREAM, 2), at(500));
+    assert_eq!(
+        order.rank, FAST_RANK,
+        "a report of half a second ago is old"
+    );
+}
+
+#[test]
+fn work_that_nodes_tell_of_is_not_counted_twice() {
+    let mut state = relay(vec![head("h1", 1)]);
+    let node = NodeName::new("n2").unwrap();
+    let busy = LaneCounts { fast: 2, slow: 0 };
+    note_remote(&mut state, &node, &[(host("h1"), busy)], at(0));
+    note_engine_load(&mut state, &host("h1"), 2, at(1));
+    assert_eq!(total_counts(&state, at(2)), vec![(host("h1"), busy)]);
+}
+
+#[test]
+fn a_node_that_has_heard_nobody_takes_the_others_to_be_as_busy() {
+    let mut state = relay(vec![head("h1", 1), head("h2", 2)]);
+    state.set_unheard(9);
+    let ranks: Vec<_> = (0..3)
+        .map(|call| send(&mut state, request(call, STREAM, 2), at(0)).rank)
+        .collect();
+    assert_eq!(ranks, vec![FAST_RANK, SLOW_RANK, SLOW_RANK]);
+    state.set_unheard(0);
+    let order = send(&mut state, request(9, STREAM, 2), at(1));
+    assert_eq!(order.rank, FAST_RANK);
+}
+
+#[test]
+fn a_request_in_the_slow_lane_says_nothing_about_its_server() {
+    let mut state = relay(vec![head("h1", 1), head("h2", 2)]);
+    state.set_unheard(90);
+    send(&mut state, request(1, STREAM, 2), at(0));
+    let order = send(&mut state, request(2, STREAM, 2), at(0));
+    assert_eq!(order.rank, SLOW_RANK);
+    assert_eq!(silent_place(&state, CallId(2), at(1_700)), None);
+    assert!(matches!(
+        check_stall(&state, CallId(2), at(1_700)),
+        StallStep::Wait { .. }
+    ));
+    suspect_place(&mut state, &order.place, at(1_700));
+    assert_eq!(check_stall(&state, CallId(2), at(1_710)), StallStep::Move);
+}
--- a/crates/replicas/src/commands/plan.rs
+++ b/crates/replicas/src/commands/plan.rs
@@ -1,6 +1,6 @@
 //! One look at everything: what the owner writes and orders next.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use base::prelude::*;
 use intent::{EngineProfile, Intent};
@@ -9,7 +9,8 @@
 use super::orders::give;
 use super::probes::ask_due;
 use crate::queries::{
-    Verdict, has_strayed, home_models, is_usable, pick_group, plan_staging, verdict,
+    DomainSurvey, GroupPick, Verdict, has_strayed, home_models, is_usable, pick_group,
+    plan_staging, verdict,
 };
 use crate::state::{is_park, park_name};
 use crate::{
@@ -127,16 +128,37 @@
             continue;
         };
         let allow_cold = now < state.settings.cold_until;
-        let homes = home_models(state, draft, service, engine, allow_cold);
+        let mut survey = DomainSurvey::new(state, draft, service);
+        let homes = home_models(state, &survey, engine, allow_cold);
         state.homes.extend(homes.clone());
-        while let Some(epoch) = state.epochs.next() {
-            let picked = pick_group(state, draft, service, engine, &homes, allow_cold);
+        let pick = |state: &PlannerState, survey: &DomainSurvey, fabric: &FabricName| {
+            let model = homes.get(fabric).and_then(|home| engine.model(home))?;
+            pick_group(state, survey, service, model, fabric, allow_cold)
+        };
+        let mut picks: BTreeMap<FabricName, GroupPick> = homes
+            .keys()
+            .filter_map(|fabric| Some((fabric.clone(), pick(state, &survey, fabric)?)))
+            .collect();
+        // The domain with the fewest groups comes first.
+        while let Some(fabric) = picks
+            .keys()
+            .min_by_key(|fabric| survey.group_count(fabric))
+            .cloned()
+        {
+            let Some(epoch) = state.epochs.next() else {
+                break;
+            };
+            let picked = picks.remove(&fabric);
             let Some(group) = picked.and_then(|pick| pick.into_entry(GroupEpoch(epoch), draft))
             else {
                 state.epochs.start = epoch;
                 break;
             };
+            survey.add(Some(&fabric), &group);
             draft.groups.push(group);
+            if let Some(next) = pick(state, &survey, &fabric) {
+                picks.insert(fabric, next);
+            }
         }
     }
 }
@@ -149,10 +171,11 @@
     now: ClockTime,
 ) -> Vec<PlanEffect> {
     let record = state.record.clone();
+    let kept: HashSet<_> = draft.groups.iter().map(|group| group.epoch).collect();
     let mut effects = Vec::new();
     for group in &record.groups {
         // A group that the next version ends gets no more orders.
-        if !draft.groups.iter().any(|kept| kept.epoch == group.epoch) {
+        if !kept.contains(&group.epoch) {
             continue;
         }
         let Some(engine) = engine_of(intent, &group.service) else {
@@ -239,29 +262,28 @@
     intent: &Intent,
     now: ClockTime,
 ) -> Vec<PlanEffect> {
+    let record = state.record.clone();
+    let members = record.groups.iter().flat_map(|group| &group.members);
+    let held: HashSet<_> = members.map(|member| &member.id).collect();
     let mut effects = Vec::new();
     for service in intent.services.values() {
         let Some(engine) = &service.engine else {
             continue;
         };
+        let survey = DomainSurvey::new(state, draft, service);
         let spares: Vec<_> = state
             .endpoints
             .iter()
             .filter(|(id, view)| {
                 view.endpoint.service == service.name
                     && is_usable(view)
-                    && draft.group_of(id).is_none()
-                    && state.record.group_of(id).is_none()
+                    && survey.model_of(id).is_none()
+                    && !held.contains(id)
             })
             .map(|(id, _)| id.clone())
             .collect();
-        let homes = home_models(
-            state,
-            draft,
-            service,
-            engine,
-            now < state.settings.cold_until,
-        );
+        let is_early = now < state.settings.cold_until;
+        let homes = home_models(state, &survey, engine, is_early);
         let wishes = plan_staging(state, &homes, &spares);
         for id in spares {
             let order = spare_order(state, &id, wishes.get(&id));
--- a/crates/replicas/src/commands/probes.rs
+++ b/crates/replicas/src/commands/probes.rs
@@ -86,6 +86,13 @@
     }
 }
 
+/// Asks heads often for a while, because this node has just become the owner.
+///
+/// Where all nodes were lost at once, engines still work on what those had sent.
+pub fn watch_heads(state: &mut PlannerState, now: ClockTime) {
+    state.heads_until = now + state.settings.head_span;
+}
+
 /// Members of serving groups that were last heard to be elsewhere.
 fn doubtful_members(state: &PlannerState) -> BTreeSet<HostName> {
     let groups = state.record.groups.iter();
@@ -106,7 +113,14 @@
             forming.extend(group.members.iter().map(|member| member.id.clone()));
         }
     }
+    let mut watched = BTreeSet::new();
+    if now < state.heads_until {
+        let serving = state.record.groups.iter();
+        let serving = serving.filter(|group| group.phase == GroupPhase::Serving);
+        watched.extend(serving.map(|group| group.head().id.clone()));
+    }
     let period = state.settings.forming_probe_period;
+    let head_period = state.settings.head_probe_period;
     let doubtful = doubtful_members(state);
     let mut effects = Vec::new();
     for (id, view) in &mut state.endpoints {
@@ -123,6 +137,10 @@
         if forming.contains(id) && !view.is_lost {
             view.probe.due = view.probe.due.min(now + period);
         }
+        if watched.contains(id) && !view.is_lost {
+            let last = view.probe.asked_at.unwrap_or_default();
+            view.probe.due = view.probe.due.min(last + head_period);
+        }
         if view.probe.due <= now {
             view.probe.is_asked = true;
             view.probe.asked_at = Some(now);
--- a/crates/replicas/src/queries/mod.rs
+++ b/crates/replicas/src/queries/mod.rs
@@ -4,6 +4,7 @@
 mod pool;
 mod serving;
 mod staging;
+mod survey;
 mod target;
 mod verdict;
 
@@ -11,5 +12,6 @@
 pub use pool::{GroupPick, pick_group};
 pub use serving::{ServingGroup, serving_groups};
 pub use staging::plan_staging;
+pub use survey::DomainSurvey;
 pub use target::{DomainStock, HomeTable, home_models, stock};
 pub use verdict::{Verdict, has_strayed, is_member, is_usable, verdict};
--- a/crates/replicas/src/queries/pool.rs
+++ b/crates/replicas/src/queries/pool.rs
@@ -3,10 +3,9 @@
 use std::cmp::Reverse;
 
 use base::prelude::*;
-use intent::{EngineProfile, ModelProfile, Service};
+use intent::{ModelProfile, Service};
 
-use super::target::HomeTable;
-use super::verdict::is_usable;
+use super::survey::DomainSurvey;
 use crate::state::is_park;
 use crate::{EndpointView, GroupEntry, GroupPhase, GroupRecord, MemberRef, PlannerState};
 
@@ -39,63 +38,22 @@
     }
 }
 
-/// Picks a group that can be formed, in the domain with the fewest groups.
+/// Picks members for one more group of a fabric domain, if it has enough that are free.
+///
+/// With `allow_cold`, endpoints without weights count too.
 pub fn pick_group(
     state: &PlannerState,
-    draft: &GroupRecord,
+    survey: &DomainSurvey,
     service: &Service,
-    engine: &EngineProfile,
-    homes: &HomeTable,
-    allow_cold: bool,
-) -> Option<GroupPick> {
-    let mut picks = Vec::new();
-    for (fabric, home) in homes {
-        let Some(model) = engine.model(home) else {
-            continue;
-        };
-        let free = free_endpoints(state, draft, service, fabric, model, allow_cold);
-        if let Some(pick) = choose_members(service, model, free) {
-            picks.push((count_groups(state, draft, fabric), pick));
-        }
-    }
-    picks
-        .into_iter()
-        .min_by_key(|(present, _)| *present)
-        .map(|(_, pick)| pick)
-}
-
-fn count_groups(state: &PlannerState, draft: &GroupRecord, fabric: &FabricName) -> usize {
-    let heads = draft.groups.iter().map(|group| &group.head().id);
-    heads
-        .filter(|head| {
-            let view = state.endpoints.get(head);
-            view.is_some_and(|view| view.endpoint.fabric.as_ref() == Some(fabric))
-        })
-        .count()
-}
-
-/// Endpoints that could join a group of a model now.
-fn free_endpoints<'a>(
-    state: &'a PlannerState,
-    draft: &GroupRecord,
-    service: &Service,
-    fabric: &FabricName,
     model: &ModelProfile,
+    fabric: &FabricName,
     allow_cold: bool,
-) -> Vec<&'a EndpointView> {
-    let views = state.endpoints.values();
-    views
-        .filter(|view| {
-            let endpoint = &view.endpoint;
-            let is_warm = endpoint.staged.contains(&model.name);
-            let is_cold = endpoint.staged.is_empty() && allow_cold;
-            endpoint.service == service.name
-                && endpoint.fabric.as_ref() == Some(fabric)
-                && is_usable(view)
-                && (is_warm || is_cold)
-                && draft.group_of(&endpoint.id).is_none()
-        })
-        .collect()
+) -> Option<GroupPick> {
+    let free = survey.free(state, fabric).filter(|view| {
+        let staged = &view.endpoint.staged;
+        staged.contains(&model.name) || (staged.is_empty() && allow_cold)
+    });
+    choose_members(service, model, free.collect())
 }
 
 /// Those that are ready soonest, the quickest as head.
--- a/crates/replicas/src/queries/serving.rs
+++ b/crates/replicas/src/queries/serving.rs
@@ -5,10 +5,10 @@
 use base::prelude::*;
 
 use super::verdict::{Verdict, verdict};
-use crate::{GroupPhase, PlannerState};
+use crate::{GroupEntry, GroupPhase, PlannerState};
 
 /// Group that takes requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServingGroup {
     /// Service.
     pub service: ServiceName,
@@ -22,6 +22,14 @@
     pub address: SocketAddr,
     /// Head's failure domain.
     pub zone: DomainName,
+    /// Factor by which its work takes longer than usual: that of its slowest member.
+    pub pace: f64,
+}
+
+fn slowest(state: &PlannerState, group: &GroupEntry) -> f64 {
+    let views = group.members.iter();
+    let paces = views.filter_map(|member| Some(state.endpoints.get(&member.id)?.pace));
+    paces.fold(1.0, f64::max)
 }
 
 /// Groups that the record says serve and no member speaks against.
@@ -39,6 +47,7 @@
                 head: group.head().id.clone(),
                 address: head.endpoint.address,
                 zone: head.endpoint.zone.clone(),
+                pace: slowest(state, group),
             })
         })
         .collect()
--- a/crates/replicas/src/queries/target.rs
+++ b/crates/replicas/src/queries/target.rs
@@ -4,33 +4,22 @@
 //! the domain can replace every lost member, and an empty one is loaded with a
 //! model that is sure to be needed there.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use base::prelude::*;
 use intent::{EngineProfile, ModelProfile, Service};
 
+use super::survey::DomainSurvey;
 use super::verdict::is_usable;
-use crate::{GroupRecord, PlannerState};
+use crate::PlannerState;
 
 /// Home models by fabric domain.
 pub type HomeTable = BTreeMap<FabricName, ModelName>;
 
-/// Fabric domains of a service.
-pub(super) fn fabrics_of(state: &PlannerState, service: &Service) -> BTreeSet<FabricName> {
-    state
-        .endpoints
-        .values()
-        .filter(|view| view.endpoint.service == service.name)
-        .filter_map(|view| view.endpoint.fabric.clone())
-        .collect()
-}
-
 /// Usable endpoints of a fabric domain.
-pub(super) fn count_usable(state: &PlannerState, service: &Service, fabric: &FabricName) -> usize {
-    let in_domain = state.endpoints.values().filter(|view| {
-        view.endpoint.service == service.name && view.endpoint.fabric.as_ref() == Some(fabric)
-    });
-    in_domain.filter(|view| is_usable(view)).count()
+fn count_usable(state: &PlannerState, survey: &DomainSurvey, fabric: &FabricName) -> usize {
+    let views = survey.views(state, fabric);
+    views.filter(|view| is_usable(view)).count()
 }
 
 /// Home models of a service's fabric domains.
@@ -39,32 +28,30 @@
 /// endpoints hold; else the one whose share of the domains is furthest off.
 pub fn home_models(
     state: &PlannerState,
-    draft: &GroupRecord,
-    service: &Service,
+    survey: &DomainSurvey,
     engine: &EngineProfile,
     is_early: bool,
 ) -> HomeTable {
-    let fabrics = fabrics_of(state, service);
     let mut homes = HomeTable::new();
-    for fabric in &fabrics {
+    for fabric in survey.fabrics() {
         let kept = state.homes.get(fabric).cloned();
-        let kept = kept.or_else(|| most_held(state, draft, fabric));
+        let kept = kept.or_else(|| most_held(state, survey, fabric));
         let known = kept.filter(|model| engine.model(model).is_some());
         if let Some(model) = known {
             homes.insert(fabric.clone(), model);
         }
     }
-    for fabric in fabrics {
-        if homes.contains_key(&fabric) {
+    for fabric in survey.fabrics() {
+        if homes.contains_key(fabric) {
             continue;
         }
-        let usable = count_usable(state, service, &fabric);
+        let usable = count_usable(state, survey, fabric);
         let fits = |model: &&ModelProfile| is_early || model.size <= usable;
         let models = engine.models.iter().filter(fits);
         let lack = |model: &ModelProfile| share_lack(model, engine, &homes);
         let most = models.max_by(|a, b| lack(a).total_cmp(&lack(b)).then(a.size.cmp(&b.size)));
         if let Some(model) = most {
-            homes.insert(fabric, model.name.clone());
+            homes.insert(fabric.clone(), model.name.clone());
         }
     }
     homes
@@ -79,15 +66,16 @@
 }
 
 /// Model that most endpoints of a domain run or hold.
-fn most_held(state: &PlannerState, draft: &GroupRecord, fabric: &FabricName) -> Option<ModelName> {
+fn most_held(
+    state: &PlannerState,
+    survey: &DomainSurvey,
+    fabric: &FabricName,
+) -> Option<ModelName> {
     let mut counts: BTreeMap<ModelName, usize> = BTreeMap::new();
-    for (id, view) in &state.endpoints {
-        if view.endpoint.fabric.as_ref() != Some(fabric) {
-            continue;
-        }
-        let in_group = draft.group_of(id).map(|group| group.model.clone());
-        if let Some(model) = in_group.or_else(|| view.endpoint.staged.first().cloned()) {
-            *counts.entry(model).or_default() += 1;
+    for view in survey.views(state, fabric) {
+        let in_group = survey.model_of(&view.endpoint.id);
+        if let Some(model) = in_group.or_else(|| view.endpoint.staged.first()) {
+            *counts.entry(model.clone()).or_default() += 1;
         }
     }
     counts
@@ -113,29 +101,18 @@
 
 /// Groups and spare endpoints by fabric domain.
 pub fn stock(state: &PlannerState, service: &Service, engine: &EngineProfile) -> Vec<DomainStock> {
-    let homes = home_models(state, &state.record, service, engine, true);
+    let survey = DomainSurvey::new(state, &state.record, service);
+    let homes = home_models(state, &survey, engine, true);
     let stocks = homes.into_iter().map(|(fabric, model)| {
-        let in_fabric = |id: &HostName| {
-            let view = state.endpoints.get(id);
-            view.is_some_and(|view| view.endpoint.fabric.as_ref() == Some(&fabric))
-        };
-        let groups = state
-            .record
-            .groups
-            .iter()
-            .filter(|group| in_fabric(&group.head().id));
-        let spares = state.endpoints.iter().filter(|(id, view)| {
-            in_fabric(id)
-                && is_usable(view)
-                && view.endpoint.staged.contains(&model)
-                && state.record.group_of(id).is_none()
-        });
+        let free = survey.free(state, &fabric);
         DomainStock {
-            usable: count_usable(state, service, &fabric),
-            groups: groups.count(),
-            spares: spares.count(),
+            usable: count_usable(state, &survey, &fabric),
+            groups: survey.group_count(&fabric),
+            spares: free
+                .filter(|view| view.endpoint.staged.contains(&model))
+                .count(),
             fabric: fabric.clone(),
-            model: model.clone(),
+            model,
         }
     });
     stocks.collect()
--- a/crates/replicas/src/settings.rs
+++ b/crates/replicas/src/settings.rs
@@ -6,6 +6,11 @@
 const PROBE_PERIOD: Duration = Duration::from_millis(2_000);
 /// Pause between two reports of a member whose group is being formed.
 const FORMING_PROBE_PERIOD: Duration = Duration::from_millis(400);
+/// Pause between two reports of a head after the owner has changed.
+const HEAD_PROBE_PERIOD: Duration = Duration::from_millis(300);
+/// Time for which heads are asked that often; engines finish what nodes that are gone had sent
+/// within it.
+const HEAD_SPAN: Duration = Duration::from_millis(3_000);
 /// Pause between two reports of an endpoint that gave no answer.
 const SILENT_PROBE_PERIOD: Duration = Duration::from_millis(1_000);
 /// Reports in a row without an answer after which an endpoint is taken for lost.
@@ -29,6 +34,10 @@
     pub probe_period: Duration,
     /// Pause between two reports of a member of a forming group.
     pub forming_probe_period: Duration,
+    /// Pause between two reports of a head after the owner has changed.
+    pub head_probe_period: Duration,
+    /// Time for which heads are asked that often.
+    pub head_span: Duration,
     /// Pause between two reports of a silent endpoint.
     pub silent_probe_period: Duration,
     /// Silent reports in a row that make an endpoint lost.
@@ -53,6 +62,8 @@
         Self {
             probe_period: PROBE_PERIOD,
             forming_probe_period: FORMING_PROBE_PERIOD,
+            head_probe_period: HEAD_PROBE_PERIOD,
+            head_span: HEAD_SPAN,
             silent_probe_period: SILENT_PROBE_PERIOD,
             miss_limit: MISS_LIMIT,
             relist_span: RELIST_SPAN,
--- a/crates/replicas/src/state.rs
+++ b/crates/replicas/src/state.rs
@@ -71,6 +71,11 @@
         self.is_lost
     }
 
+    /// Last instant at which it was asked for a report.
+    pub fn asked_at(&self) -> Option<ClockTime> {
+        self.probe.asked_at
+    }
+
     /// Whether it has refused an epoch because it has seen a newer one.
     pub(crate) fn is_ahead_of(&self, epoch: GroupEpoch) -> bool {
         self.refused_epoch.is_some_and(|refused| refused >= epoch)
@@ -98,6 +103,8 @@
     pub(crate) loads: LoadLedger,
     /// Home models that this node has given out.
     pub(crate) homes: BTreeMap<FabricName, ModelName>,
+    /// Instant until which heads are asked often.
+    pub(crate) heads_until: ClockTime,
     /// When each closing group was first seen so.
     pub(crate) closing: BTreeMap<GroupEpoch, ClockTime>,
 }
@@ -118,6 +125,7 @@
             epochs_asked: 0..0,
             loads: LoadLedger::default(),
             homes: BTreeMap::new(),
+            heads_until: ClockTime::default(),
             closing: BTreeMap::new(),
         }
     }
--- a/crates/replicas/tests/groups.rs
+++ b/crates/replicas/tests/groups.rs
@@ -274,3 +274,29 @@
     let (record, _) = world.record.as_ref().unwrap();
     record.group_of(member).unwrap().head().id.clone()
 }
+
+#[test]
+fn a_new_owner_asks_heads_often_for_a_while() {
+    let mut world = World::new(DOMAINS, 12);
+    world.run(9_000);
+    let head = head_of(&world, &world.some_member("large"));
+    let asked = |world: &mut World| {
+        let mut count = 0;
+        for _ in 0..20 {
+            world.run(50);
+            let view = &world.owners[0].endpoints()[&head];
+            count += usize::from(view.asked_at() == Some(world.now));
+        }
+        count
+    };
+    assert!(
+        asked(&mut world) <= 1,
+        "a healthy head is asked every two seconds"
+    );
+    let now = world.now;
+    replicas::commands::watch_heads(&mut world.owners[0], now);
+    assert!(asked(&mut world) >= 3);
+    world.run(3_000);
+    assert!(asked(&mut world) <= 1);
+    assert_eq!(world.breaches, Vec::<String>::new());
+}
