Configurations don't fill the owner's link, and its own lateness isn't a server's silence

The owner sent each version to all 77 nodes as soon as their digests showed an older one, while they read it from the store themselves. Its link and loop were late by 140 ms at each version, answers to its questions came after their 130 ms, and 674 times it took an endpoint for lost or back: groups ended one after the other.

Where there are many nodes, one is sent a configuration only if it doesn't have it 700 ms after the sender. A question without an answer doesn't count within 260 ms after the node's own loop was 65 ms late; it is asked again. Both tests failed first.

--- a/crates/edge/src/commands/feeds.rs
+++ b/crates/edge/src/commands/feeds.rs
@@ -31,7 +31,7 @@
     }
     let effects = match (feed, news) {
         (Feed::Intent, news) => {
-            take_intents(state, news);
+            take_intents(state, news, now);
             Vec::new()
         }
         (Feed::Endpoints, FeedEvent::Listed(items, revision)) => {
@@ -70,7 +70,7 @@
     }
 }
 
-fn take_intents(state: &mut EdgeState, news: FeedEvent) {
+fn take_intents(state: &mut EdgeState, news: FeedEvent, now: ClockTime) {
     let items: Vec<_> = match news {
         FeedEvent::Listed(items, _) => {
             state.feeds.entry(Feed::Intent).or_default().is_listed = true;
@@ -91,7 +91,7 @@
     for item in items {
         match item {
             FeedItem::Intent(intent, text) => {
-                adopt(state, intent, text, "store");
+                adopt(state, intent, text, "store", now);
             }
             other => note_unreadable(&other, "the last configuration stays in force"),
         }
@@ -104,12 +104,14 @@
     intent: Arc<intent::Intent>,
     text: Arc<str>,
     source: &str,
+    now: ClockTime,
 ) -> bool {
     let version = intent.version;
     let before = state.intent.version();
     match state.intent.adopt(intent) {
         AdoptOutcome::Adopted => {
             state.intent_text = Some(text);
+            state.intent_since.push_back((version, now));
             log::info!(version, before:? = before, source; "a configuration is in force");
             true
         }
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -26,6 +26,9 @@
     if state.digest_due > now {
         return tell_places(state, now);
     }
+    if now.since(state.digest_due) >= state.times.lag_limit {
+        state.lagged_at = Some(now);
+    }
     choose_hubs(state, now);
     let unheard = unheard_nodes(state, now);
     state.relay.set_unheard(unheard);
@@ -193,6 +196,25 @@
         .collect()
 }
 
+/// Newest configuration that other nodes should have by now.
+///
+/// A few nodes tell one another at once. To send a large one to every node of
+/// many would fill this node's link just when they read it from the store
+/// themselves, so they get time for that.
+fn settled_intent(state: &mut EdgeState, now: ClockTime) -> u64 {
+    let patience = if is_star(state) {
+        state.times.intent_patience
+    } else {
+        Duration::ZERO
+    };
+    let is_settled = |entry: &(u64, ClockTime)| now.since(entry.1) >= patience;
+    while state.intent_since.get(1).is_some_and(is_settled) {
+        state.intent_since.pop_front();
+    }
+    let settled = state.intent_since.front().filter(|entry| is_settled(entry));
+    settled.map_or(0, |(version, _)| *version)
+}
+
 /// Takes in a message of another node.
 pub(crate) fn take_message(
     state: &mut EdgeState,
@@ -202,7 +224,7 @@
     match message {
         PeerMessage::Digest(digest) => take_digest(state, *digest, now),
         PeerMessage::Intent(intent, text) => {
-            if adopt(state, intent, text, "node") {
+            if adopt(state, intent, text, "node", now) {
                 refresh_places(state);
             }
             Vec::new()
@@ -249,7 +271,7 @@
             state.has_news = true;
         }
     }
-    let intent_version = state.intent.version().unwrap_or(0);
+    let settled_version = settled_intent(state, now);
     let record_version = state.planner.version().unwrap_or_default();
     let Some(peer) = state.peers.get_mut(&digest.from) else {
         // Its entry in the store will say where it is.
@@ -257,7 +279,7 @@
     };
     let mut effects = Vec::new();
     let may_send = |sent: Option<ClockTime>| sent.is_none_or(|at| now.since(at) >= RESEND_PAUSE);
-    if digest.intent_version < intent_version
+    if digest.intent_version < settled_version
         && may_send(peer.intent_sent)
         && let (Some(intent), Some(text)) = (state.intent.get(), &state.intent_text)
     {
--- a/crates/edge/src/commands/plan.rs
+++ b/crates/edge/src/commands/plan.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use base::prelude::*;
-use replicas::commands::{note_order, note_report, tick, watch_heads};
+use replicas::commands::{ask_again, note_order, note_report, tick, watch_heads};
 use replicas::queries::serving_groups;
 use replicas::{MemberOrder, OrderOutcome, PlanEffect, ReportOutcome};
 
@@ -155,6 +155,14 @@
         let requests = report.running + report.queued;
         relay::commands::note_engine_load(&mut state.relay, of, requests, now);
     }
+    let lagged = state.lagged_at.map(|at| now.since(at));
+    if outcome == ReportOutcome::Silent && lagged.is_some_and(|since| since < state.times.lag_span)
+    {
+        // The answer may have come while this node was busy.
+        log::info!(endpoint:% = of; "a question that this node was too busy for is asked again");
+        ask_again(&mut state.planner, of, now);
+        return Vec::new();
+    }
     note_report(&mut state.planner, of, outcome, now);
     let is_lost = state
         .planner
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,6 +1,6 @@
 //! What the loop knows.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use base::prelude::*;
@@ -47,6 +47,12 @@
     pub yield_span: Duration,
     /// Time after the start in which nodes that were not heard count as busy.
     pub blind_span: Duration,
+    /// Time in which each of many nodes learns of a configuration from the store itself.
+    pub intent_patience: Duration,
+    /// Lateness of the loop from which the node takes itself to be overloaded.
+    pub lag_limit: Duration,
+    /// Time for which an overloaded node's own timeouts say nothing about others.
+    pub lag_span: Duration,
     /// Pause between two looks at the groups by their owner if nothing happens.
     pub plan_period: Duration,
     /// Time that each endpoint adds to the least pause between two looks.
@@ -85,6 +91,12 @@
             yield_span: Duration::from_millis(3_000),
             // Nodes that start together hear one another within a second.
             blind_span: Duration::from_millis(1_500),
+            // A watch that waits is answered at once; a large configuration takes longer.
+            intent_patience: Duration::from_millis(700),
+            // Half of the time that an endpoint gets to answer a question.
+            lag_limit: Duration::from_millis(65),
+            // Twice that time: the question before and the one under way.
+            lag_span: Duration::from_millis(260),
             // Twice as fast as the quickest step of a group.
             plan_period: Duration::from_millis(100),
             // About ten times what a look takes for each endpoint on a quarter of a core.
@@ -166,6 +178,8 @@
     pub(crate) intent: IntentSlot,
     /// Text of the configuration in force, for other nodes.
     pub(crate) intent_text: Option<Arc<str>>,
+    /// Latest versions of the configuration, and since when each has been in force here.
+    pub(crate) intent_since: VecDeque<(u64, ClockTime)>,
     pub(crate) planner: PlannerState,
     pub(crate) relay: RelayState,
     pub(crate) feeds: BTreeMap<Feed, FeedState>,
@@ -203,6 +217,8 @@
     pub(crate) paces: BTreeMap<HostName, SlowPace>,
     /// Heads that give this node no bytes, and since when it says so.
     pub(crate) silent: BTreeSet<HostName>,
+    /// Last instant at which the loop was late.
+    pub(crate) lagged_at: Option<ClockTime>,
     pub(crate) stopping: Option<StopState>,
     pub(crate) draws: u64,
 }
@@ -223,6 +239,7 @@
             started_at: now,
             intent: IntentSlot::default(),
             intent_text: None,
+            intent_since: VecDeque::new(),
             feeds: BTreeMap::new(),
             peers: BTreeMap::new(),
             hubs: BTreeSet::new(),
@@ -245,6 +262,7 @@
             is_announced: false,
             paces: BTreeMap::new(),
             silent: BTreeSet::new(),
+            lagged_at: None,
             stopping: None,
             draws: seed,
         }
--- a/crates/edge/tests/suite/node.rs
+++ b/crates/edge/tests/suite/node.rs
@@ -238,3 +238,44 @@
     assert_eq!(slots(5.0), Some(3));
     assert_eq!(slots(f64::INFINITY), Some(1));
 }
+
+/// Questions to an engine within a second after two of them got no answer.
+fn questions_after_silence(is_busy: bool) -> usize {
+    let mut state = ready("n1", "n2");
+    for now in (10..400).step_by(10) {
+        state.wake(at(now));
+    }
+    let mut engine = crate::support::endpoint("e-1");
+    engine.fabric = Some(FabricName::new("d0").unwrap());
+    let items = vec![FeedItem::Endpoint(engine.clone())];
+    list(&mut state, Feed::Endpoints, items, at(400));
+    let mut asked = 0;
+    for now in (410..1_400).step_by(10) {
+        // A loop that is busy looks only every 120 ms.
+        if is_busy && now % 120 != 0 {
+            continue;
+        }
+        let effects = state.wake(at(now));
+        for effect in effects {
+            if matches!(effect, EdgeEffect::Probe { .. }) {
+                asked += 1;
+                let silent = replicas::ReportOutcome::Silent;
+                state.handle(EdgeEvent::Reported(engine.id.clone(), silent), at(now));
+            }
+        }
+    }
+    asked
+}
+
+#[test]
+fn silence_that_a_busy_node_hears_is_not_the_endpoints() {
+    assert_eq!(
+        questions_after_silence(false),
+        2,
+        "then it is taken for lost"
+    );
+    assert!(
+        questions_after_silence(true) > 5,
+        "it is asked again and again"
+    );
+}
--- a/crates/edge/tests/suite/star.rs
+++ b/crates/edge/tests/suite/star.rs
@@ -193,3 +193,34 @@
     assert!(status(&mut owner, at(7_000)).is_owner);
     assert!((45..=50).contains(&told), "{told} digests in two seconds");
 }
+
+#[test]
+fn a_configuration_goes_to_one_of_many_only_if_the_store_has_not_given_it_to_it() {
+    let mut hub = ranked("n00", 500);
+    hub.wake(at(10));
+    list(
+        &mut hub,
+        Feed::Intent,
+        vec![intent_item(2, "/x/")],
+        at(1_000),
+    );
+    let is_sent = |effects: Vec<EdgeEffect>| {
+        effects.iter().any(|effect| {
+            matches!(
+                effect,
+                EdgeEffect::Send {
+                    message: PeerMessage::Intent(..),
+                    ..
+                }
+            )
+        })
+    };
+    // The node that speaks has version 1 in force.
+    let speak = || hub_digest("n20", false, 0);
+    assert!(!is_sent(hub.handle(speak(), at(1_600))));
+    assert!(is_sent(hub.handle(speak(), at(1_700))));
+    assert!(
+        !is_sent(hub.handle(speak(), at(1_800))),
+        "it was sent just now"
+    );
+}
--- a/crates/replicas/src/commands/mod.rs
+++ b/crates/replicas/src/commands/mod.rs
@@ -9,5 +9,5 @@
 pub use list::{ListChange, change_list, replace_list};
 pub use orders::note_order;
 pub use plan::tick;
-pub use probes::{note_report, suspect, watch_heads};
+pub use probes::{ask_again, note_report, suspect, watch_heads};
 pub use record::{WriteOutcome, note_no_record, note_record, note_write};
--- a/crates/replicas/src/commands/probes.rs
+++ b/crates/replicas/src/commands/probes.rs
@@ -63,6 +63,14 @@
     }
 }
 
+/// Asks an endpoint again, because it isn't known whether it gave an answer.
+pub fn ask_again(state: &mut PlannerState, id: &HostName, now: ClockTime) {
+    if let Some(view) = state.endpoints.get_mut(id) {
+        view.probe.is_asked = false;
+        view.probe.due = now;
+    }
+}
+
 /// Asks the members of a head's group at once, because the head went silent.
 pub fn suspect(state: &mut PlannerState, head: &HostName, now: ClockTime) {
     let Some(group) = state
