Requests that are late already leave the room to those in time

After all nodes of a grown site lost power, 1,700 requests came in a second, five times the usual number.

Ruled out: ranking them behind others when they are sent again (trial, no difference), the lanes' limits (trials, no difference).

Clients say how long they still wait. Where a tenth of a route's requests or more have the longest wait, one that has less by more than the objective takes the slow lane. Clients with waits of all lengths are left alone (test).

--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -38,6 +38,7 @@
             service: service.clone(),
             model: arrival.model,
             deadline,
+            client_deadline: arrival.client_deadline,
         },
         now,
     );
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -18,6 +18,8 @@
     pub model: Option<ModelName>,
     /// Instant at which its client or its route gives up.
     pub deadline: ClockTime,
+    /// Instant at which its client gives up, if it says so.
+    pub client_deadline: Option<ClockTime>,
 }
 
 /// How one attempt ended without a whole answer.
--- a/crates/relay/src/commands/calls.rs
+++ b/crates/relay/src/commands/calls.rs
@@ -13,6 +13,7 @@
     record_request(&mut state.budget, &arrival.service, now);
     let call = arrival.call;
     let known = CallState {
+        is_late: has_waited(state, &arrival, now) >= arrival.route.objective,
         arrival,
         place: None,
         lane: Lane::Fast,
@@ -27,6 +28,15 @@
     send_on(state, call, now)
 }
 
+/// Time that a request's client has waited before, as far as that can be told.
+fn has_waited(state: &mut RelayState, arrival: &CallArrival, now: ClockTime) -> Duration {
+    let Some(deadline) = arrival.client_deadline else {
+        return Duration::ZERO;
+    };
+    let route = state.patience.entry(arrival.route.name.clone());
+    route.or_default().note(deadline.since(now))
+}
+
 /// Forgets a request that was answered, or whose client left.
 pub fn finish(state: &mut RelayState, call: CallId) {
     vacate(state, call);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 //! refusal says "not run" only if every server said so or nothing was sent.
 
 mod call;
+mod patience;
 mod place;
 mod settings;
 mod state;
--- a/crates/relay/src/queries/choose.rs
+++ b/crates/relay/src/queries/choose.rs
@@ -65,6 +65,8 @@
         settings.plain_fill_limit
     };
     let fast = fast.filter(|candidate| candidate.fill < lane_limit);
+    // One that is late already leaves the room to those that can still be in time.
+    let fast = fast.filter(|_| !is_engine || is_again || !call.is_late);
     if let Some(best) = least(fast, |candidate| candidate.fast_fill + candidate.far) {
         return Ok((best.place, Lane::Fast));
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use limits::{BudgetSettings, RetryBudget};
 
+use crate::patience::RoutePatience;
 use crate::{CallArrival, Lane, Place, PlaceLoad, RelaySettings};
 
 /// Request under way.
@@ -18,6 +19,8 @@
     /// Generation of the group that it was sent to.
     pub epoch: GroupEpoch,
     pub sent_at: ClockTime,
+    /// Whether its client has waited for longer than the route's objective before.
+    pub is_late: bool,
     /// Whether bytes of the present attempt's answer came.
     pub has_begun: bool,
     /// Servers that it was sent to.
@@ -37,6 +40,8 @@
     pub(crate) loads: HashMap<HostName, PlaceLoad>,
     pub(crate) calls: HashMap<CallId, CallState>,
     pub(crate) budget: RetryBudget,
+    /// How long clients wait, by route.
+    pub(crate) patience: HashMap<Arc<str>, RoutePatience>,
     /// Places drawn for each choice; none if all are compared.
     pub(crate) sample: Option<usize>,
     /// Other nodes of which nothing has been heard yet.
@@ -55,6 +60,7 @@
             loads: HashMap::new(),
             calls: HashMap::new(),
             budget: RetryBudget::new(budget),
+            patience: HashMap::new(),
             sample: None,
             unheard: 0,
             turn: 0,
--- a/crates/relay/tests/suite/choice.rs
+++ b/crates/relay/tests/suite/choice.rs
@@ -200,3 +200,35 @@
     suspect_place(&mut state, &order.place, at(1_700));
     assert_eq!(check_stall(&state, CallId(2), at(1_710)), StallStep::Move);
 }
+
+/// Request whose client still waits for some milliseconds.
+fn with_patience(call: u64, millis: u64) -> relay::CallArrival {
+    relay::CallArrival {
+        client_deadline: Some(at(millis)),
+        ..request(call, STREAM, 2)
+    }
+}
+
+#[test]
+fn a_request_that_is_late_already_leaves_the_room_to_others() {
+    let mut state = relay(vec![head("h1", 1), head("h2", 2)]);
+    let mut rank = |call, millis| send(&mut state, with_patience(call, millis), at(0)).rank;
+    assert_eq!(rank(1, 6_000), FAST_RANK);
+    assert_eq!(rank(2, 4_900), SLOW_RANK, "it comes again after a second");
+    assert_eq!(rank(3, 5_800), FAST_RANK, "it may still be in time");
+}
+
+#[test]
+fn clients_that_wait_for_different_times_are_all_in_time() {
+    let mut state = relay(vec![head("h1", 1)]);
+    let mut ranks = Vec::new();
+    for call in 0..60 {
+        let patience = if call == 0 { 9_000 } else { 2_000 + call * 50 };
+        ranks.push(send(&mut state, with_patience(call, patience), at(0)).rank);
+        finish(&mut state, CallId(call));
+    }
+    assert!(
+        ranks[20..].iter().all(|rank| *rank == FAST_RANK),
+        "{ranks:?}"
+    );
+}
--- a/crates/relay/tests/suite/support.rs
+++ b/crates/relay/tests/suite/support.rs
@@ -77,6 +77,7 @@
         service,
         model: is_stream.then(|| ModelName::new("large").unwrap()),
         deadline: at(8_000),
+        client_deadline: None,
     }
 }
 
