--- a/crates/relay/src/patience.rs
+++ b/crates/relay/src/patience.rs
@@ -1,6 +1,6 @@
 //! How long clients usually wait, and how long one has waited already.
 //!
-//! A client that asks again says how much of its time is left. Where most
+//! A client that asks again says how much of its time is left. Where many
 //! clients of a route wait equally long, what is missing has passed already.
 
 use base::prelude::*;
