--- a/crates/edge/src/commands/feeds.rs
+++ b/crates/edge/src/commands/feeds.rs
@@ -111,7 +111,7 @@
     match state.intent.adopt(intent) {
         AdoptOutcome::Adopted => {
             state.intent_text = Some(text);
-            state.intent_since.push_back((version, now));
+            note_intent(state, version, now);
             log::info!(version, before:? = before, source; "a configuration is in force");
             true
         }
@@ -123,6 +123,17 @@
     }
 }
 
+/// Notes since when a version is in force; of those that every node should have, the newest
+/// stays.
+fn note_intent(state: &mut EdgeState, version: u64, now: ClockTime) {
+    let patience = state.times.intent_patience;
+    let known = &mut state.intent_since;
+    while (known.get(1)).is_some_and(|(_, since)| now.since(*since) >= patience) {
+        known.pop_front();
+    }
+    known.push_back((version, now));
+}
+
 fn list_endpoints(
     state: &mut EdgeState,
     items: Vec<FeedItem>,
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -201,18 +201,15 @@
 /// A few nodes tell one another at once. To send a large one to every node of
 /// many would fill this node's link just when they read it from the store
 /// themselves, so they get time for that.
-fn settled_intent(state: &mut EdgeState, now: ClockTime) -> u64 {
+fn settled_intent(state: &EdgeState, now: ClockTime) -> u64 {
     let patience = if is_star(state) {
         state.times.intent_patience
     } else {
         Duration::ZERO
     };
-    let is_settled = |entry: &(u64, ClockTime)| now.since(entry.1) >= patience;
-    while state.intent_since.get(1).is_some_and(is_settled) {
-        state.intent_since.pop_front();
-    }
-    let settled = state.intent_since.front().filter(|entry| is_settled(entry));
-    settled.map_or(0, |(version, _)| *version)
+    let newest_first = state.intent_since.iter().rev();
+    let mut settled = newest_first.filter(|(_, since)| now.since(*since) >= patience);
+    settled.next().map_or(0, |(version, _)| *version)
 }
 
 /// Takes in a message of another node.
--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -16,7 +16,7 @@
 use super::chat::{AnswerFrame, AnswerKind, PromptWire};
 use super::tokens::answer_tokens;
 use super::{EngineOrder, EngineState, OrderVerdict};
-use crate::web::{read_json, unknown_path};
+use crate::web::{header_text, read_json, unknown_path};
 
 /// Header with the group that the caller means.
 const GROUP_HEADER: &str = "x-bronzerun-group";
@@ -199,13 +199,6 @@
     }
 }
 
-fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
-    headers
-        .get(name)
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or("")
-}
-
 fn resume_point(headers: &HeaderMap) -> usize {
     header_text(headers, RESUME_HEADER).parse().unwrap_or(0)
 }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -10,7 +10,7 @@
 mod load;
 pub mod plain;
 pub mod platform;
-mod web;
+pub mod web;
 
 pub use fleet::{
     FleetError, FleetHost, FleetPlan, run_engine, run_plain, run_platform, start_fleet,
--- a/crates/emulator/src/web.rs
+++ b/crates/emulator/src/web.rs
@@ -1,11 +1,19 @@
 //! Small helpers that all stand-ins share.
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use hyper::body::Incoming;
 use net::web::{WebLimits, WebReply, receive_body, text_reply};
 use serde::de::DeserializeOwned;
 
+/// Text of a header; empty if it is missing.
+pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("")
+}
+
 /// Value of one key in the query part of a request's path.
 pub fn query_value<'a>(request: &'a Request<Incoming>, key: &str) -> Option<&'a str> {
     let query = request.uri().query()?;
--- a/crates/relay/src/queries/counts.rs
+++ b/crates/relay/src/queries/counts.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 
-use crate::{LaneCounts, RelayState};
+use crate::{LaneCounts, PlaceLoad, RelayState};
 
 /// Server of a request's present attempt.
 pub fn place_of(state: &RelayState, call: CallId) -> Option<&HostName> {
@@ -11,22 +11,20 @@
 
 /// Requests of all nodes by place, as far as known.
 pub fn total_counts(state: &RelayState, now: ClockTime) -> Vec<(HostName, LaneCounts)> {
-    let totals = state
-        .loads
-        .iter()
-        .map(|(id, load)| (id.clone(), load.total(now)));
-    totals
-        .filter(|(_, total)| *total != LaneCounts::default())
-        .collect()
+    busy_places(state, |load| load.total(now))
 }
 
 /// Requests of this node by place, and those that only this node has learnt of.
 pub fn own_counts(state: &RelayState, now: ClockTime) -> Vec<(HostName, LaneCounts)> {
-    let counts = state
-        .loads
-        .iter()
-        .map(|(id, load)| (id.clone(), load.own.plus(load.unclaimed(now))));
-    counts
-        .filter(|(_, counts)| *counts != LaneCounts::default())
-        .collect()
+    busy_places(state, |load| load.own.plus(load.unclaimed(now)))
+}
+
+/// Places where something counts, and how much.
+fn busy_places(
+    state: &RelayState,
+    count: impl Fn(&PlaceLoad) -> LaneCounts,
+) -> Vec<(HostName, LaneCounts)> {
+    let counts = state.loads.iter().map(|(id, load)| (id, count(load)));
+    let busy = counts.filter(|(_, counts)| *counts != LaneCounts::default());
+    busy.map(|(id, counts)| (id.clone(), counts)).collect()
 }
--- a/crates/replicas/src/queries/serving.rs
+++ b/crates/replicas/src/queries/serving.rs
@@ -26,6 +26,7 @@
     pub pace: f64,
 }
 
+/// Pace of a group's slowest member.
 fn slowest(state: &PlannerState, group: &GroupEntry) -> f64 {
     let views = group.members.iter();
     let paces = views.filter_map(|member| Some(state.endpoints.get(&member.id)?.pace));
--- a/crates/replicas/src/record.rs
+++ b/crates/replicas/src/record.rs
@@ -60,12 +60,3 @@
     /// Groups.
     pub groups: Vec<GroupEntry>,
 }
-
-impl GroupRecord {
-    /// Group of an endpoint's run.
-    pub fn group_of(&self, id: &HostName) -> Option<&GroupEntry> {
-        self.groups
-            .iter()
-            .find(|group| group.members.iter().any(|member| member.id == *id))
-    }
-}
--- a/crates/replicas/tests/groups.rs
+++ b/crates/replicas/tests/groups.rs
@@ -3,7 +3,9 @@
 mod world;
 
 use base::prelude::*;
-use replicas::{GroupPhase, GroupRecord, MemberOrder, OrderOutcome, Presence, RecordWire};
+use replicas::{
+    GroupEntry, GroupPhase, GroupRecord, MemberOrder, OrderOutcome, Presence, RecordWire,
+};
 use world::{World, host, model};
 
 const DOMAINS: &[(&str, usize)] = &[("d0", 10), ("d1", 10)];
@@ -265,14 +267,19 @@
     assert!(GroupRecord::try_from(wire).is_err());
 }
 
+fn group_of<'a>(record: &'a GroupRecord, id: &HostName) -> Option<&'a GroupEntry> {
+    let mut groups = record.groups.iter();
+    groups.find(|group| group.members.iter().any(|member| member.id == *id))
+}
+
 fn epoch_of(world: &World, member: &HostName) -> Option<GroupEpoch> {
     let (record, _) = world.record.as_ref()?;
-    record.group_of(member).map(|group| group.epoch)
+    group_of(record, member).map(|group| group.epoch)
 }
 
 fn head_of(world: &World, member: &HostName) -> HostName {
     let (record, _) = world.record.as_ref().unwrap();
-    record.group_of(member).unwrap().head().id.clone()
+    group_of(record, member).unwrap().head().id.clone()
 }
 
 #[test]
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -7,6 +7,7 @@
 
 use base::prelude::*;
 use bytes::BytesMut;
+use emulator::web::header_text;
 use http::{Method, StatusCode};
 use net::SystemClock;
 use net::web::{CallOutcome, ChunkOutcome, CollectOutcome, WebAnswer, WebClient, empty_body};
@@ -14,7 +15,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::book::{RequestKind, RunBook, Tally};
-use crate::standin::{STREAM_EVENTS, header};
+use crate::standin::STREAM_EVENTS;
 
 /// Time that a client waits for its answer.
 const PATIENCE: Duration = Duration::from_secs(4);
@@ -192,7 +193,7 @@
             CallOutcome::NotSent | CallOutcome::Lost => return Ending::Failed,
         };
         let status = answer.parts.status;
-        let seal = header(&answer.parts.headers, "x-bronzerun-response-seal");
+        let seal = header_text(&answer.parts.headers, "x-bronzerun-response-seal");
         let is_own = seal.ends_with(&format!(".{}", self.id));
         match status {
             StatusCode::OK if !is_own => {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use base::prelude::ClockTime;
+use base::prelude::ClockSource;
 use net::web::{CollectOutcome, WebClient, WebLimits, WebService, bind, empty_body, serve};
 use net::{SystemClock, block_on, drain_pair};
 use rustix::process::Signal;
@@ -279,23 +279,13 @@
             for index in 0..self.seats.len() {
                 self.look_after(index, now)?;
             }
-            self.mends.retain(|(at, mode)| {
-                let is_due = *at <= now;
-                if is_due {
-                    mode.set(LinkMode::Open);
-                }
-                !is_due
-            });
-            let (due, later): (Vec<_>, Vec<_>) =
-                self.ends.drain(..).partition(|(at, _)| *at <= now);
-            self.ends = later;
-            for (_, slot) in due {
+            for mode in take_due(&mut self.mends, now) {
+                mode.set(LinkMode::Open);
+            }
+            for slot in take_due(&mut self.ends, now) {
                 self.end_server(slot, now);
             }
-            let (due, later): (Vec<_>, Vec<_>) =
-                self.replaces.drain(..).partition(|(at, _)| *at <= now);
-            self.replaces = later;
-            for (_, slot) in due {
+            for slot in take_due(&mut self.replaces, now) {
                 self.fleet.borrow_mut().replace(slot);
                 self.server_links[slot].mode.set(LinkMode::Open);
             }
@@ -345,7 +335,7 @@
                 let mut misses = 0;
                 while !is_over.get() {
                     monoio::time::sleep(READY_PERIOD).await;
-                    let deadline = now_of(clock.as_ref()) + READY_PERIOD;
+                    let deadline = clock.now() + READY_PERIOD;
                     let request = http::Request::get("/readyz").body(empty_body());
                     let request = request.expect("the request is well formed");
                     let web = WebClient::new(clock.clone());
@@ -491,6 +481,8 @@
     }
 }
 
-fn now_of(clock: &dyn base::prelude::ClockSource) -> ClockTime {
-    clock.now()
+/// Takes out what is due.
+fn take_due<T>(waiting: &mut Vec<(Instant, T)>, now: Instant) -> Vec<T> {
+    let due = waiting.extract_if(.., |(at, _)| *at <= now);
+    due.map(|(_, value)| value).collect()
 }
--- a/crates/soak/src/standin/server.rs
+++ b/crates/soak/src/standin/server.rs
@@ -5,17 +5,16 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use emulator::web::{header_text, read_bytes};
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use hyper::body::Incoming;
-use net::web::{
-    BodySender, WebLimits, WebReply, WebService, body_channel, full_body, receive_body, text_reply,
-};
+use net::web::{BodySender, WebReply, WebService, body_channel, full_body, text_reply};
 use serde_json::Value;
 
+use super::STREAM_EVENTS;
 use super::fleet::{Fleet, GroupPlace, SoakServer};
 use super::store::lost_reply;
-use super::{STREAM_EVENTS, header};
 
 /// Time of a plain request.
 const PLAIN_SPAN: Duration = Duration::from_millis(120);
@@ -67,9 +66,9 @@
         let fleet = self.fleet.borrow();
         let mut book = fleet.book.borrow_mut();
         let has_key = headers.contains_key("api-key");
-        let tenant = header(headers, "x-bronzerun-tenant");
+        let tenant = header_text(headers, "x-bronzerun-tenant");
         book.run(
-            header(headers, "x-bronzerun-request-id"),
+            header_text(headers, "x-bronzerun-request-id"),
             tenant,
             path,
             has_key,
@@ -79,12 +78,12 @@
     async fn plain(&self, headers: &HeaderMap, path: &str, server: &SoakServer) -> WebReply {
         self.run(headers, path);
         monoio::time::sleep(PLAIN_SPAN).await;
-        let id = header(headers, "x-bronzerun-request-id");
+        let id = header_text(headers, "x-bronzerun-request-id");
         sealed(full_body(format!("whole:{id}")), id, &server.id)
     }
 
     fn stream(&self, headers: &HeaderMap, path: &str, server: &SoakServer) -> WebReply {
-        let model = header(headers, "x-bronzerun-model");
+        let model = header_text(headers, "x-bronzerun-model");
         let place = server.place.as_ref();
         let Some(place) = place.filter(|place| place.state == "open" && place.model == model)
         else {
@@ -98,8 +97,8 @@
             .check_group(&place.group, place.epoch, &place.members, size);
         drop(fleet);
         self.run(headers, path);
-        let id = header(headers, "x-bronzerun-request-id").to_owned();
-        let first = header(headers, "last-event-id").parse().unwrap_or(0) + 1;
+        let id = header_text(headers, "x-bronzerun-request-id").to_owned();
+        let first = header_text(headers, "last-event-id").parse().unwrap_or(0) + 1;
         let (sender, body) = body_channel();
         let this = self.clone();
         let (place, life) = (place.clone(), server.id.clone());
@@ -162,11 +161,12 @@
         let this = self.clone();
         Box::pin(async move {
             let (parts, body) = request.into_parts();
-            let Ok(body) = receive_body(body, &WebLimits::default()).await else {
-                return text_reply(StatusCode::BAD_REQUEST, "");
+            let body = match read_bytes(body).await {
+                Ok(body) => body,
+                Err(reply) => return reply,
             };
             let server = this.seen();
-            let expected = header(&parts.headers, "x-bronzerun-expect-instance");
+            let expected = header_text(&parts.headers, "x-bronzerun-expect-instance");
             if !expected.is_empty() && expected != server.id {
                 return unrun(StatusCode::MISDIRECTED_REQUEST);
             }
--- a/crates/soak/src/standin/store.rs
+++ b/crates/soak/src/standin/store.rs
@@ -6,10 +6,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use emulator::web::{query_number, read_bytes};
 use futures_util::future::LocalBoxFuture;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
-use net::web::{WebLimits, WebReply, WebService, body_channel, receive_body, text_reply};
+use net::web::{WebReply, WebService, body_channel, text_reply};
 use serde_json::{Value, json};
 
 /// Time that a call takes.
@@ -100,7 +101,10 @@
     method: Method,
     kind: String,
     name: Option<String>,
-    query: HashMap<String, String>,
+    /// Revision after which the caller waits for changes, if it does.
+    watch: Option<u64>,
+    /// Time that it waits.
+    wait: Duration,
     body: Value,
 }
 
@@ -176,11 +180,10 @@
             }
             return text_reply(status, &body.to_string());
         }
-        let number = |name: &str| call.query.get(name).and_then(|text| text.parse().ok());
-        let Some(since) = number("watch") else {
+        let Some(since) = call.watch else {
             return text_reply(StatusCode::OK, &self.list(&call.kind).to_string());
         };
-        let end = Instant::now() + Duration::from_millis(number("waitMs").unwrap_or(0));
+        let end = Instant::now() + call.wait;
         loop {
             let Some(changes) = self.changes(&call.kind, since) else {
                 return text_reply(StatusCode::GONE, "");
@@ -207,19 +210,19 @@
     fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebReply> {
         let this = self.clone();
         Box::pin(async move {
+            let watch = query_number(&request, "watch");
+            let wait = Duration::from_millis(query_number(&request, "waitMs").unwrap_or(0));
             let (parts, body) = request.into_parts();
-            let Ok(body) = receive_body(body, &WebLimits::default()).await else {
-                return text_reply(StatusCode::BAD_REQUEST, "");
+            let body = match read_bytes(body).await {
+                Ok(body) => body,
+                Err(reply) => return reply,
             };
             let mut words = parts.uri.path().split('/').skip(2).map(str::to_owned);
-            let query = parts.uri.query().unwrap_or_default().split('&');
-            let query = query.filter_map(|pair| pair.split_once('='));
             let call = StoreCall {
                 kind: words.next().unwrap_or_default(),
                 name: words.next(),
-                query: query
-                    .map(|(name, value)| (name.to_owned(), value.to_owned()))
-                    .collect(),
+                watch,
+                wait,
                 body: serde_json::from_slice(&body).unwrap_or_default(),
                 method: parts.method,
             };
