Soaks that run at once have different loopback addresses

Ruled out: a fault of the daemon; each of them said which address was taken.

The addresses follow the soak's process number.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -45,14 +45,17 @@
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
 /// Pause between two questions whether a daemon is ready, and time for the answer.
 const READY_PERIOD: Duration = Duration::from_millis(500);
-/// Second part of the daemons' loopback addresses; the third is the seed's.
-const LOOPBACK_PART: u8 = 77;
+/// First of the second parts of the daemons' loopback addresses, and how many there are.
+const LOOPBACK_START: u32 = 64;
+const LOOPBACK_COUNT: u32 = 64;
+/// Third parts of these addresses.
+const LOOPBACK_PARTS: u32 = 250;
 
 /// Why a run could not be played.
 #[derive(Debug, thiserror::Error)]
 pub enum SoakError {
     /// Something of the machine failed.
-    #[error("{0}; build the daemon first, and end other soaks with the same seed")]
+    #[error("{0}; build the daemon first, and free the ports that it names")]
     Machine(#[from] std::io::Error),
 }
 
@@ -154,6 +157,18 @@
     Ok(address)
 }
 
+/// Address of a daemon; soaks that run at the same time have different ones.
+fn loopback(process: u32, index: usize) -> IpAddr {
+    let second = LOOPBACK_START + process / LOOPBACK_PARTS % LOOPBACK_COUNT;
+    let third = process % LOOPBACK_PARTS;
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        second as u8,
+        third as u8,
+        index as u8 + 1,
+    ))
+}
+
 fn free_port() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
@@ -189,8 +204,8 @@
                 proxies: proxies.clone(),
             })?;
             let link = LinkProxy::open(free_port(), desk)?;
-            let ip = Ipv4Addr::new(127, LOOPBACK_PART, (seed % 250) as u8, index as u8 + 1);
-            let node = SoakNode::new(&options.edge, &logs, index, IpAddr::V4(ip), link.address)?;
+            let ip = loopback(std::process::id(), index);
+            let node = SoakNode::new(&options.edge, &logs, index, ip, link.address)?;
             store_links.push(link);
             let link = LinkProxy::open(free_port(), node.peers)?;
             proxies.borrow_mut().insert(reader, link.address);
