--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -69,6 +69,10 @@
     owns: bool,
     #[prost(message, repeated, tag = "9")]
     paces: Vec<PaceWire>,
+    #[prost(string, optional, tag = "10")]
+    summing_hub: Option<String>,
+    #[prost(bool, tag = "11")]
+    has_sums: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -224,6 +228,8 @@
             can_own: digest.can_own,
             places_version: digest.targets_version.0,
             owns: digest.is_owner,
+            summing_hub: (digest.summing_hub.as_ref()).map(|hub| hub.as_str().to_owned()),
+            has_sums: digest.has_sums,
             counts: counts.collect(),
             paces: paces.collect(),
             silent: digest
@@ -248,8 +254,11 @@
         let slow_groups = wire.paces.iter();
         let slow_groups =
             slow_groups.map(|pace| Ok((HostName::new(&pace.head)?, SlowPace(pace.percent))));
+        let summing_hub = wire.summing_hub.as_deref().map(NodeName::new);
         Ok(Self {
             from: NodeName::new(&wire.from)?,
+            summing_hub: summing_hub.transpose()?,
+            has_sums: wire.has_sums,
             config_version: wire.intent_version,
             record_version: ObjectVersion(wire.record_version),
             can_own: wire.can_own,
--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -7,7 +7,7 @@
 
 use super::apply_shared_objects;
 use crate::border::ports::{CollectionChange, CollectionItem, StoreCollection};
-use crate::queries::{local_targets_version, ready_targets};
+use crate::queries::{complete_targets_version, local_targets_version, ready_targets};
 use crate::{CollectionEvent, EdgeEffect, EdgeState};
 
 /// Applies the result of listing or watching a collection.
@@ -209,12 +209,12 @@
 /// Updates the relay's targets, from the node's own state or from the owner's message,
 /// whichever is newer.
 pub(crate) fn refresh_targets(state: &mut EdgeState) {
-    let local_version = local_targets_version(state);
+    let complete_version = complete_targets_version(state);
     let received = state.received_targets.as_ref();
-    let received = received.filter(|(_, version)| *version > local_version);
+    let received = received.filter(|(_, version)| *version > complete_version);
     let (targets, version) = match received {
         Some((targets, version)) => (targets.clone(), *version),
-        None => (ready_targets(state).into(), local_version),
+        None => (ready_targets(state).into(), local_targets_version(state)),
     };
     if targets != state.targets {
         state.targets_version = version;
--- a/crates/edge/src/commands/mod.rs
+++ b/crates/edge/src/commands/mod.rs
@@ -13,5 +13,7 @@
 pub(crate) use peers::{handle_message, send_digests, send_record};
 pub(crate) use plan::{handle_order_outcome, handle_report_outcome, plan_if_due};
 pub(crate) use reload::reload;
-pub(crate) use shared::{apply_shared_objects, handle_write_outcome, register_node};
+pub(crate) use shared::{
+    apply_shared_objects, handle_write_outcome, register_node, update_retry_budget,
+};
 pub(crate) use stop::{advance_stop, stop};
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -1,14 +1,18 @@
 //! Messages between nodes.
 
 use base::prelude::*;
+use relay::SendTarget;
 use replicas::commands::probe_group;
 
 use super::collections::adopt_config;
 use super::refresh_targets;
 use super::shared::adopt_record;
 use crate::peer::{Digest, PeerMessage};
-use crate::queries::{can_own, is_hub, is_peer_alive, receives_targets, select_hubs, uses_hubs};
-use crate::state::PeerState;
+use crate::queries::{
+    can_own, choose_summing_hub, is_hub, is_peer_alive, receives_targets, select_hubs,
+    sends_sums_to, uses_hubs,
+};
+use crate::state::SummingHub;
 use crate::{EdgeEffect, EdgeState, WatchMode};
 
 /// Shortest interval between two identical messages to a node.
@@ -18,9 +22,6 @@
 const HUB_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time for which a hub that timed out can't be a hub.
 const HUB_EXCLUSION: Duration = Duration::from_secs(5);
-/// Number of targets compared for each request in a large deployment, where request
-/// counts are old.
-const SAMPLE_SIZE: usize = 4;
 
 /// Sends digests if they are due, and targets if they have changed.
 pub(crate) fn send_digests(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
@@ -31,48 +32,141 @@
         state.last_lag_at = Some(now);
     }
     update_hubs(state, now);
+    update_summing_hub(state, now);
     let unreported = count_unreported_nodes(state, now);
     state.relay.set_unreported_nodes(unreported);
-    state.digest_due = now + digest_interval(state);
-    let digest = Digest {
+    state.relay.set_counts_age(counts_age(state));
+    let receivers = digest_receivers(state, now);
+    let with_sums = receivers
+        .iter()
+        .filter(|(_, kind)| *kind == DigestKind::Sums);
+    state.digest_due = now + digest_interval(state, with_sums.count());
+    let digest = local_digest(state, now);
+    let summed_digest = summed_digest(state, &digest, now);
+    let mut effects = Vec::new();
+    for (node, kind) in receivers {
+        let Some(peer) = state.peers.get_mut(&node) else {
+            continue;
+        };
+        peer.digest_sent_at = Some(now);
+        let digest = match kind {
+            DigestKind::Local => digest.clone(),
+            DigestKind::Sums => summed_digest.clone(),
+            DigestKind::Presence => Digest {
+                counts: Vec::new(),
+                ..digest.clone()
+            },
+        };
+        effects.push(EdgeEffect::digest(peer.address, digest));
+    }
+    effects.extend(send_targets(state, now));
+    effects.extend(update_watch_mode(state, now));
+    effects
+}
+
+/// Counts that a digest carries.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum DigestKind {
+    /// Those of this node.
+    Local,
+    /// The sums of all nodes.
+    Sums,
+    /// None: the digest only shows that this hub is alive.
+    Presence,
+}
+
+/// Nodes that get a digest now.
+fn digest_receivers(state: &EdgeState, now: ClockTime) -> Vec<(NodeName, DigestKind)> {
+    let is_hub = is_hub(state);
+    let receivers = state.peers.iter().filter_map(|(node, peer)| {
+        let kind = if state.hubs.contains(node) {
+            DigestKind::Local
+        } else if sends_sums_to(state, node, peer.digest.as_ref()) {
+            DigestKind::Sums
+        } else {
+            let is_due = peer
+                .digest_sent_at
+                .is_none_or(|at| now.since(at) >= state.times.max_digest_interval);
+            (is_hub && is_due).then_some(DigestKind::Presence)?
+        };
+        Some((node.clone(), kind))
+    });
+    receivers.collect()
+}
+
+/// Digest with the counts of this node.
+fn local_digest(state: &mut EdgeState, now: ClockTime) -> Digest {
+    let slow_groups = state.slow_groups.iter();
+    Digest {
         from: state.settings.node.clone(),
         config_version: state.config.version().unwrap_or(0),
         record_version: state.planner.version().unwrap_or_default(),
         targets_version: state.targets_version,
         is_owner: state.is_owner,
         can_own: can_own(state, now),
+        summing_hub: state.summing_hub.as_ref().map(|hub| hub.node.clone()),
+        has_sums: false,
         counts: relay::queries::local_counts(&state.relay, now),
         silent_heads: std::mem::take(&mut state.silent_heads)
             .into_iter()
             .collect(),
         slow_groups: if state.is_owner {
-            let slow_groups = state.slow_groups.iter();
             slow_groups
                 .map(|(head, pace)| (head.clone(), *pace))
                 .collect()
         } else {
             Vec::new()
         },
-    };
-    let mut summed_digest = digest.clone();
-    summed_digest.counts = if state.is_owner {
-        relay::queries::total_counts(&state.relay, now)
-    } else {
-        Vec::new()
-    };
-    let sends_to_all = is_hub(state);
-    let mut effects = Vec::new();
-    for (node, peer) in &state.peers {
-        let is_hub = state.hubs.contains(node);
-        if is_hub {
-            effects.push(EdgeEffect::digest(peer.address, digest.clone()));
-        } else if sends_to_all {
-            effects.push(EdgeEffect::digest(peer.address, summed_digest.clone()));
+    }
+}
+
+/// Digest with the sums of all nodes and the silent heads that they have reported.
+fn summed_digest(state: &mut EdgeState, digest: &Digest, now: ClockTime) -> Digest {
+    let mut silent_heads = std::mem::take(&mut state.reported_silent_heads);
+    silent_heads.extend(digest.silent_heads.iter().cloned());
+    Digest {
+        has_sums: true,
+        counts: relay::queries::total_counts(&state.relay, now),
+        silent_heads: silent_heads.into_iter().collect(),
+        ..digest.clone()
+    }
+}
+
+/// Chooses another summing hub if the present one is gone or sends no sums.
+fn update_summing_hub(state: &mut EdgeState, now: ClockTime) {
+    if let Some(current) = &state.summing_hub
+        && state.hubs.contains(&current.node)
+    {
+        if now.since(current.heard_at) < state.times.sums_timeout {
+            return;
+        }
+        if let Some(peer) = state.peers.get_mut(&current.node) {
+            peer.no_sums_until = now + state.times.summing_hub_exclusion;
         }
     }
-    effects.extend(send_targets(state, now));
-    effects.extend(update_watch_mode(state, now));
-    effects
+    state.summing_hub = choose_summing_hub(state, now).map(|node| {
+        log::info!(hub:% = node; "summing hub chosen");
+        SummingHub {
+            node,
+            heard_at: now,
+        }
+    });
+}
+
+/// Largest age of other nodes' counts in a large deployment; `None` in a small one, in which
+/// they are nearly current.
+fn counts_age(state: &EdgeState) -> Option<Duration> {
+    let peers = u32::try_from(state.peers.len()).unwrap_or(u32::MAX);
+    let spokes_per_hub = peers / u32::try_from(state.hubs.len().max(1)).unwrap_or(u32::MAX);
+    let to_hub = spoke_interval(state);
+    let from_hub = hub_interval(state, spokes_per_hub);
+    uses_hubs(state).then(|| {
+        if is_hub(state) {
+            to_hub
+        } else {
+            to_hub + from_hub
+        }
+    })
 }
 
 /// Selects the hubs again, without those that timed out.
@@ -101,8 +195,6 @@
         log::debug!(count = hubs.len(); "hubs changed");
         state.hubs = hubs;
     }
-    let sample_size = uses_hubs(state).then_some(SAMPLE_SIZE);
-    state.relay.set_sample_size(sample_size);
 }
 
 /// Number of other nodes that have not reported their requests to this node, which has
@@ -113,59 +205,90 @@
     if now.since(state.started_at) >= state.times.startup_report_window {
         return 0;
     }
-    let is_digest_of_owner =
-        |peer: &&PeerState| peer.digest.as_ref().is_some_and(|digest| digest.is_owner);
-    let mut alive = state
+    if uses_hubs(state) && !is_hub(state) {
+        return if state.sums_received_at.is_some() {
+            0
+        } else {
+            state.peers.len()
+        };
+    }
+    let alive = state
         .peers
         .values()
         .filter(|peer| is_peer_alive(state, peer, now));
-    if uses_hubs(state) && !is_hub(state) {
-        let is_reported = alive.any(|peer| is_digest_of_owner(&peer));
-        return if is_reported { 0 } else { state.peers.len() };
-    }
     state.peers.len() - alive.count()
 }
 
 /// Interval until the next digest, which grows with the number of nodes.
-fn digest_interval(state: &EdgeState) -> Duration {
+fn digest_interval(state: &EdgeState, receivers_of_sums: usize) -> Duration {
     let peers = u32::try_from(state.peers.len()).unwrap_or(u32::MAX);
-    let times = &state.times;
-    let interval = if !is_hub(state) {
-        times.spoke_digest_interval_per_peer
-    } else if uses_hubs(state) && state.is_owner {
-        let targets = u32::try_from(state.targets.len()).unwrap_or(u32::MAX);
-        let by_target_count = times
-            .owner_digest_interval_per_target
-            .saturating_mul(targets);
-        times.owner_digest_interval_per_peer.max(by_target_count)
+    if !is_hub(state) {
+        spoke_interval(state)
+    } else if uses_hubs(state) {
+        hub_interval(state, u32::try_from(receivers_of_sums).unwrap_or(u32::MAX))
     } else {
-        times.digest_interval_per_peer
-    };
-    interval
-        .saturating_mul(peers)
-        .clamp(times.min_digest_interval, times.max_digest_interval)
+        let interval = state.times.digest_interval_per_peer.saturating_mul(peers);
+        clamp_interval(state, interval)
+    }
+}
+
+/// Interval between two digests of a node that is no hub.
+fn spoke_interval(state: &EdgeState) -> Duration {
+    let peers = u32::try_from(state.peers.len()).unwrap_or(u32::MAX);
+    let interval = state.times.spoke_digest_interval_per_peer;
+    clamp_interval(state, interval.saturating_mul(peers))
+}
+
+/// Interval between two digests of a hub that sends the sums to this many nodes.
+fn hub_interval(state: &EdgeState, receivers: u32) -> Duration {
+    let times = &state.times;
+    let targets = u32::try_from(state.targets.len()).unwrap_or(u32::MAX);
+    let by_target_count = times.hub_digest_interval_per_target.saturating_mul(targets);
+    let interval = times.hub_digest_interval_per_peer.max(by_target_count);
+    clamp_interval(state, interval.saturating_mul(receivers))
 }
 
-/// Sends changed targets to the nodes that don't watch the endpoints.
+fn clamp_interval(state: &EdgeState, interval: Duration) -> Duration {
+    let times = &state.times;
+    interval.clamp(times.min_digest_interval, times.max_digest_interval)
+}
+
+/// Sends changed targets of the owner to the hubs, which pass them on, and to the nodes that
+/// this node sends the sums to.
 fn send_targets(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
     if !std::mem::take(&mut state.has_unsent_targets) || !state.is_owner || !uses_hubs(state) {
         return Vec::new();
     }
-    let version = state.targets_version;
-    let (targets, hubs) = (&state.targets, &state.hubs);
-    let others = state
-        .peers
-        .iter_mut()
-        .filter(|(node, _)| !hubs.contains(*node));
-    others
-        .map(|(_, peer)| {
-            peer.targets_sent_at = Some(now);
-            EdgeEffect::Send {
-                to: peer.address,
-                message: PeerMessage::Targets(targets.clone(), version),
-            }
-        })
-        .collect()
+    let (targets, version) = (state.targets.clone(), state.targets_version);
+    pass_on_targets(state, targets, version, now)
+}
+
+/// Sends targets to the nodes that this hub sends the sums to; as the owner also to the hubs.
+fn pass_on_targets(
+    state: &mut EdgeState,
+    targets: Arc<[SendTarget]>,
+    version: ObjectVersion,
+    now: ClockTime,
+) -> Vec<EdgeEffect> {
+    let receivers = state.peers.iter().filter(|(node, peer)| {
+        (state.is_owner && state.hubs.contains(*node))
+            || sends_sums_to(state, node, peer.digest.as_ref())
+    });
+    let receivers: Vec<_> = receivers.map(|(node, _)| node.clone()).collect();
+    let peers = receivers.iter().filter_map(|node| {
+        let peer = state.peers.get_mut(node)?;
+        peer.targets_sent_at = Some(now);
+        Some(EdgeEffect::targets(peer.address, targets.clone(), version))
+    });
+    peers.collect()
+}
+
+/// Targets that this node sends to those that have older ones, and their version.
+fn distributed_targets(state: &EdgeState) -> Option<(Arc<[SendTarget]>, ObjectVersion)> {
+    if state.is_owner {
+        return Some((state.targets.clone(), state.targets_version));
+    }
+    state.forwarded_targets.clone()
 }
 
 /// Number of live peers from which this node relies on them to send it changes.
@@ -239,14 +362,7 @@
             }
             Vec::new()
         }
-        PeerMessage::Targets(targets, version) => {
-            let current = state.received_targets.as_ref().map(|(_, version)| *version);
-            if current.is_none_or(|current| current < version) {
-                state.received_targets = Some((targets, version));
-                refresh_targets(state);
-            }
-            Vec::new()
-        }
+        PeerMessage::Targets(targets, version) => handle_targets(state, targets, version, now),
         PeerMessage::Record(record, version) => {
             if adopt_record(state, record, version, now) {
                 refresh_targets(state);
@@ -257,16 +373,62 @@
     }
 }
 
-fn handle_digest(state: &mut EdgeState, digest: Digest, now: ClockTime) -> Vec<EdgeEffect> {
-    if is_hub(state) {
-        relay::commands::update_remote_counts(&mut state.relay, &digest.from, &digest.counts, now);
+/// Uses targets that are newer than the present ones, or passes them on as a hub, which
+/// computes its own.
+fn handle_targets(
+    state: &mut EdgeState,
+    targets: Arc<[SendTarget]>,
+    version: ObjectVersion,
+    now: ClockTime,
+) -> Vec<EdgeEffect> {
+    let is_hub = is_hub(state);
+    let slot = if is_hub {
+        &mut state.forwarded_targets
     } else {
-        relay::commands::update_total_counts(&mut state.relay, &digest.from, &digest.counts, now);
+        &mut state.received_targets
+    };
+    if slot
+        .as_ref()
+        .is_some_and(|(_, current)| *current >= version)
+    {
+        return Vec::new();
+    }
+    *slot = Some((targets.clone(), version));
+    if is_hub {
+        return pass_on_targets(state, targets, version, now);
+    }
+    refresh_targets(state);
+    Vec::new()
+}
+
+/// Updates the counts of other nodes from a digest.
+fn record_counts(state: &mut EdgeState, digest: &Digest, now: ClockTime) {
+    let Digest { from, counts, .. } = digest;
+    if is_hub(state) {
+        if !digest.has_sums {
+            relay::commands::update_remote_counts(&mut state.relay, from, counts, now);
+        }
+        return;
     }
-    if state.is_owner && uses_hubs(state) {
-        // Nodes that are no hubs learn of silent heads from the owner's digest.
+    // Owners of an older build send sums without saying so.
+    if digest.has_sums || (digest.is_owner && !counts.is_empty()) {
+        state.sums_received_at = Some(now);
+        if let Some(hub) = state.summing_hub.as_mut().filter(|hub| hub.node == *from) {
+            hub.heard_at = now;
+        }
+        relay::commands::update_total_counts(&mut state.relay, from, counts, now);
+    }
+}
+
+fn handle_digest(state: &mut EdgeState, digest: Digest, now: ClockTime) -> Vec<EdgeEffect> {
+    record_counts(state, &digest, now);
+    if digest.is_owner && digest.can_own {
+        state.owner_seen_at = Some(now);
+    }
+    if is_hub(state) && uses_hubs(state) {
+        // Other nodes learn of silent heads from the digest of their summing hub.
         state
-            .silent_heads
+            .reported_silent_heads
             .extend(digest.silent_heads.iter().cloned());
     }
     if digest.is_owner && !state.is_owner {
@@ -285,13 +447,19 @@
     }
     let propagated_version = propagated_config_version(state, now);
     let record_version = state.planner.version().unwrap_or_default();
+    let distributed_targets = distributed_targets(state);
+    let is_hub = state.hubs.contains(&digest.from);
+    let sends_sums = sends_sums_to(state, &digest.from, Some(&digest));
+    // A node that has chosen another hub gets configurations from that one.
+    let sends_configs = is_hub || sends_sums || digest.summing_hub.is_none();
     let Some(peer) = state.peers.get_mut(&digest.from) else {
         // Its address is not known until its entry is read from the store.
         return Vec::new();
     };
     let mut effects = Vec::new();
     let may_send = |sent: Option<ClockTime>| sent.is_none_or(|at| now.since(at) >= RESEND_INTERVAL);
-    if digest.config_version < propagated_version
+    if sends_configs
+        && digest.config_version < propagated_version
         && may_send(peer.config_sent_at)
         && let (Some(config), Some(text)) = (state.config.get(), &state.config_text)
     {
@@ -301,19 +469,18 @@
             message: PeerMessage::RoutingConfig(config.clone(), text.clone()),
         });
     }
-    let is_hub = state.hubs.contains(&digest.from);
     if is_hub && digest.record_version < record_version && may_send(peer.record_sent_at) {
         peer.record_sent_at = Some(now);
         let record = state.planner.record().clone();
         effects.push(EdgeEffect::record(peer.address, record, record_version));
     }
-    let is_behind = digest.targets_version < state.targets_version;
-    if !is_hub && state.is_owner && is_behind && may_send(peer.targets_sent_at) {
+    if let Some((targets, version)) = distributed_targets
+        && sends_sums
+        && digest.targets_version < version
+        && may_send(peer.targets_sent_at)
+    {
         peer.targets_sent_at = Some(now);
-        effects.push(EdgeEffect::Send {
-            to: peer.address,
-            message: PeerMessage::Targets(state.targets.clone(), state.targets_version),
-        });
+        effects.push(EdgeEffect::targets(peer.address, targets, version));
     }
     peer.last_digest_at = Some(now);
     peer.digest = Some(digest);
--- a/crates/edge/src/commands/plan.rs
+++ b/crates/edge/src/commands/plan.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use replicas::commands::{
-    probe_heads_often, record_order_outcome, record_probe_outcome, retry_probe, tick,
+    probe_heads_often, record_order_outcome, record_probe_outcome, retry_probe, spread_probes, tick,
 };
 use replicas::queries::serving_groups;
 use replicas::{MemberOrder, OrderOutcome, PlanEffect, ProbeOutcome};
@@ -25,6 +25,7 @@
         state.is_owner = is_owner;
         if is_owner {
             probe_heads_often(&mut state.planner, now);
+            spread_probes(&mut state.planner, now);
         }
         log::info!(is_owner, record = state.planner.version().unwrap_or_default().0; "group ownership changed");
     }
--- a/crates/edge/src/commands/reload.rs
+++ b/crates/edge/src/commands/reload.rs
@@ -1,6 +1,6 @@
 //! Reload of the settings.
 
-use crate::state::budget_of;
+use super::update_retry_budget;
 use crate::{EdgeSettings, EdgeState};
 
 /// Applies the changed settings that don't need a restart.
@@ -19,6 +19,6 @@
     {
         log::warn!("address in the settings changed: it takes effect after a restart");
     }
-    state.relay.set_budget(budget_of(&settings.bounds));
     state.settings.bounds = settings.bounds;
+    update_retry_budget(state);
 }
--- a/crates/edge/src/commands/shared.rs
+++ b/crates/edge/src/commands/shared.rs
@@ -10,7 +10,7 @@
 
 use super::{refresh_targets, send_record};
 use crate::border::ports::StoreCollection;
-use crate::state::PeerState;
+use crate::state::{PeerState, budget_of};
 use crate::{EdgeEffect, EdgeState};
 
 /// Name of the object with the record of groups.
@@ -27,6 +27,9 @@
     /// Thousandths of a core that the node may use.
     #[serde(default)]
     rank: u32,
+    /// Failure domain of the node.
+    #[serde(default)]
+    domain: String,
 }
 
 /// Applies shared objects; `is_complete` if they are the whole list.
@@ -55,9 +58,17 @@
     if is_complete && !has_record {
         record_missing(&mut state.planner);
     }
+    update_retry_budget(state);
     register_node(state, now)
 }
 
+/// Updates this node's share of the retries from the settings and the number of nodes.
+pub(crate) fn update_retry_budget(state: &mut EdgeState) {
+    let node_count = state.peers.len() + 1;
+    let budget = budget_of(&state.settings.bounds, node_count);
+    state.relay.set_budget(budget);
+}
+
 fn apply_record(state: &mut EdgeState, object: &StoredObject, now: ClockTime) {
     let wire = serde_json::from_str::<RecordWire>(&object.value).map_err(|error| error.to_string());
     match wire.and_then(|wire| GroupRecord::try_from(wire).map_err(|error| error.to_string())) {
@@ -101,15 +112,18 @@
     };
     if node == state.settings.node {
         state.entry_version = object.version;
-        state.is_registered = wire.address == state.settings.peers;
+        state.is_registered =
+            wire.address == state.settings.peers && wire.domain == state.settings.domain.as_str();
         return;
     }
     let address = wire.address;
+    let domain = DomainName::new(&wire.domain).ok();
     let peer = state.peers.entry(node.clone()).or_insert_with(|| {
         log::debug!(node:% = node, address:% = address; "node discovered");
-        PeerState::new(address, wire.rank)
+        PeerState::new(address, wire.rank, domain.clone())
     });
     peer.address = address;
+    peer.domain = domain;
     peer.capacity = wire.rank;
 }
 
@@ -124,6 +138,7 @@
     let wire = NodeWire {
         address: state.settings.peers,
         rank: state.settings.capacity,
+        domain: state.settings.domain.as_str().to_owned(),
     };
     let Ok(value) = serde_json::to_string(&wire) else {
         return Vec::new();
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use net::ReplyId;
-use relay::{AttemptEnd, CallStep, StallStep};
+use relay::{AttemptEnd, CallStep, SendTarget, StallStep};
 use replicas::{GroupRecord, MemberOrder, OrderOutcome, ProbeOutcome};
 use store::{ObjectChange, UpdateOutcome};
 
@@ -203,6 +203,18 @@
         }
     }
 
+    /// Sends targets to a node.
+    pub(crate) fn targets(
+        to: SocketAddr,
+        targets: Arc<[SendTarget]>,
+        version: ObjectVersion,
+    ) -> Self {
+        Self::Send {
+            to,
+            message: PeerMessage::Targets(targets, version),
+        }
+    }
+
     /// Sends the record of groups to a node.
     pub(crate) fn record(to: SocketAddr, record: Arc<GroupRecord>, version: ObjectVersion) -> Self {
         Self::Send {
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -52,8 +52,11 @@
     pub is_owner: bool,
     /// Whether it can own the groups: it reaches the store and isn't stopping.
     pub can_own: bool,
-    /// Its requests at each target, or those of all nodes if the receiver gets no
-    /// digests from the others.
+    /// Hub that sends it the sums of all nodes; `None` if it has not chosen one or is a hub.
+    pub summing_hub: Option<NodeName>,
+    /// Whether `counts` are the sums of all nodes.
+    pub has_sums: bool,
+    /// Its requests at each target, or those of all nodes if it is the receiver's summing hub.
     pub counts: Vec<(HostName, LaneCounts)>,
     /// Heads of groups that send it no bytes.
     pub silent_heads: Vec<HostName>,
--- a/crates/edge/src/queries/hubs.rs
+++ b/crates/edge/src/queries/hubs.rs
@@ -2,22 +2,29 @@
 //!
 //! In a small deployment every node sends digests to every other. In a large one
 //! the number of messages would grow with the square of the number of nodes, so
-//! nodes send digests only to a few hubs, and the owner of the groups, one of the
-//! hubs, sends the sums and the targets to all nodes.
+//! nodes send digests only to a few hubs. Each other node chooses one of the hubs,
+//! its summing hub, which sends it the sums of all counts and passes on the targets
+//! of the owner. The loss of a hub concerns only the nodes that have chosen it, and
+//! the loss of the owner, which is one of the hubs, only the repair of groups.
 
 use std::cmp::Reverse;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use base::prelude::*;
 
 use super::owner::is_peer_alive;
 use crate::EdgeState;
 use crate::border::ports::StoreCollection;
+use crate::peer::Digest;
+use crate::state::PeerState;
 
 /// Largest number of nodes that all exchange digests.
 const FULL_MESH_LIMIT: usize = 10;
-/// Number of hubs in a larger deployment.
-const HUB_COUNT: usize = 4;
+/// Least number of hubs in a larger deployment.
+const MIN_HUB_COUNT: usize = 4;
+/// Largest number of hubs; every node sends its digests to each of them.
+const MAX_HUB_COUNT: usize = 8;
 
 /// Whether nodes send digests only to hubs.
 pub(crate) fn uses_hubs(state: &EdgeState) -> bool {
@@ -29,48 +36,152 @@
     !uses_hubs(state) || state.hubs.contains(&state.settings.node)
 }
 
-/// Selects the hubs: the nodes with the most processing capacity, without those that
-/// recently timed out as hubs.
+/// Node that can be a hub.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct HubCandidate<'a> {
+    capacity: Reverse<u32>,
+    node: &'a NodeName,
+    domain: Option<&'a DomainName>,
+}
+
+/// Selects the hubs without those that recently timed out as hubs: in each failure domain
+/// the node with the most processing capacity, then the next ones up to the least number.
+///
+/// A failure domain whose nodes all have half of the largest capacity or less gets none.
 pub(crate) fn select_hubs(state: &EdgeState, now: ClockTime) -> BTreeSet<NodeName> {
-    let local = state
-        .stopping
-        .is_none()
-        .then_some((&state.settings.node, state.settings.capacity));
-    let peers = state
-        .peers
+    let settings = &state.settings;
+    let local = state.stopping.is_none().then_some(HubCandidate {
+        capacity: Reverse(settings.capacity),
+        node: &settings.node,
+        domain: Some(&settings.domain),
+    });
+    let peers = (state.peers.iter()).filter(|(_, peer)| peer.excluded_until <= now);
+    let peers = peers.map(|(node, peer)| HubCandidate {
+        capacity: Reverse(peer.capacity),
+        node,
+        domain: peer.domain.as_ref(),
+    });
+    let mut candidates: Vec<_> = peers.chain(local).collect();
+    if !uses_hubs(state) {
+        return candidates
+            .into_iter()
+            .map(|candidate| candidate.node.clone())
+            .collect();
+    }
+    candidates.sort();
+    let largest = candidates.first().map_or(0, |first| first.capacity.0);
+    // Position among the candidates of the same domain; the first of each domain come first.
+    let mut positions: BTreeMap<Option<&DomainName>, usize> = BTreeMap::new();
+    let mut ranked: Vec<_> = candidates
+        .into_iter()
+        .map(|candidate| {
+            let position = positions.entry(candidate.domain).or_default();
+            *position += 1;
+            let is_small = candidate.capacity.0 * 2 <= largest;
+            ((is_small, *position), candidate)
+        })
+        .collect();
+    ranked.sort();
+    let domain_count = ranked
         .iter()
-        .filter(|(_, peer)| peer.excluded_until <= now);
-    let peers = peers.map(|(node, peer)| (node, peer.capacity));
-    let mut nodes: Vec<_> = peers.chain(local).collect();
-    if uses_hubs(state) {
-        nodes.sort_by_key(|(node, capacity)| (Reverse(*capacity), *node));
-        nodes.truncate(HUB_COUNT);
+        .filter(|((is_small, position), _)| !is_small && *position == 1)
+        .count();
+    let hub_count = domain_count.clamp(MIN_HUB_COUNT, MAX_HUB_COUNT);
+    let hubs = ranked.into_iter().take(hub_count);
+    hubs.map(|(_, candidate)| candidate.node.clone()).collect()
+}
+
+/// Hub from which this node should get the sums; `None` for a hub and in a small deployment.
+///
+/// A hub of the own failure domain is preferred, as its sums cross no other domain, and one
+/// that doesn't own the groups, so that the loss of the owner leaves the sums alone.
+pub(crate) fn choose_summing_hub(state: &EdgeState, now: ClockTime) -> Option<NodeName> {
+    if !uses_hubs(state) || is_hub(state) {
+        return None;
     }
-    nodes.into_iter().map(|(node, _)| node.clone()).collect()
+    let hubs = state
+        .hubs
+        .iter()
+        .filter_map(|hub| state.peers.get_key_value(hub));
+    let usable = hubs
+        .filter(|(_, peer)| is_peer_alive(state, peer, now) && peer.no_sums_until <= now)
+        .filter_map(|(hub, peer)| Some((hub, peer.domain.as_ref(), peer.digest.as_ref()?)));
+    let best = usable.min_by_key(|(hub, domain, digest)| {
+        let is_elsewhere = *domain != Some(&state.settings.domain);
+        let is_cut_off = !digest.can_own;
+        (
+            digest.is_owner,
+            is_cut_off,
+            is_elsewhere,
+            pair_hash(state, hub),
+        )
+    });
+    best.map(|(hub, ..)| hub.clone())
 }
 
-/// Whether an owner that reaches the store sends this node the targets.
+/// Order of the hubs that differs from node to node.
+fn pair_hash(state: &EdgeState, hub: &NodeName) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (state.settings.node.as_str(), hub.as_str()).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Whether this node sends the sums and the targets to another one.
+///
+/// A node that has not chosen a hub yet gets them from the owner.
+pub(crate) fn sends_sums_to(state: &EdgeState, node: &NodeName, digest: Option<&Digest>) -> bool {
+    if !uses_hubs(state) || !is_hub(state) || state.hubs.contains(node) {
+        return false;
+    }
+    match digest.and_then(|digest| digest.summing_hub.as_ref()) {
+        Some(hub) => *hub == state.settings.node,
+        None => state.is_owner,
+    }
+}
+
+/// Whether this node relies on an owner for the targets instead of watching the store.
+///
+/// It does so while another node is about to take over from an owner, and while no hub
+/// reaches the store, as this node would hardly reach it either.
 pub(crate) fn receives_targets(state: &EdgeState, now: ClockTime) -> bool {
-    let is_owner_alive = || {
-        state.peers.values().any(|peer| {
-            let is_owner = peer
-                .digest
-                .as_ref()
-                .is_some_and(|digest| digest.is_owner && digest.can_own);
-            is_owner && is_peer_alive(state, peer, now)
-        })
-    };
-    uses_hubs(state) && !is_hub(state) && state.received_targets.is_some() && is_owner_alive()
+    let has_owner = state
+        .owner_seen_at
+        .is_some_and(|at| now.since(at) < state.times.owner_change_timeout);
+    let hubs = state.hubs.iter().filter_map(|hub| state.peers.get(hub));
+    let mut hubs = hubs
+        .filter(|peer| is_peer_alive(state, peer, now))
+        .peekable();
+    let can_own = |peer: &PeerState| peer.digest.as_ref().is_some_and(|digest| digest.can_own);
+    let is_store_away = hubs.peek().is_some() && !hubs.any(can_own);
+    uses_hubs(state)
+        && !is_hub(state)
+        && state.received_targets.is_some()
+        && (has_owner || is_store_away)
 }
 
 /// Version of the targets that this node computes itself: the revision of the store
 /// up to which it has read the endpoints and the record.
 pub(crate) fn local_targets_version(state: &EdgeState) -> ObjectVersion {
+    let (endpoints, record) = read_revisions(state);
+    endpoints.max(record)
+}
+
+/// Revision of the store up to which this node knows both the endpoints and the record.
+///
+/// Targets from newer endpoints and an older record would lack all groups formed since.
+pub(crate) fn complete_targets_version(state: &EdgeState) -> ObjectVersion {
+    let shared = state
+        .collection(StoreCollection::Shared)
+        .map(|entry| entry.revision);
+    let (endpoints, record) = read_revisions(state);
+    endpoints.min(record.max(shared.unwrap_or_default()))
+}
+
+/// Revision up to which the endpoints were read, and version of the record.
+fn read_revisions(state: &EdgeState) -> (ObjectVersion, ObjectVersion) {
     let endpoints = state
         .collection(StoreCollection::Endpoints)
         .map(|entry| entry.revision);
     let record = state.planner.version();
-    endpoints
-        .unwrap_or_default()
-        .max(record.unwrap_or_default())
+    (endpoints.unwrap_or_default(), record.unwrap_or_default())
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -15,8 +15,9 @@
 
 /// Buckets in a retry window.
 const RETRY_BUCKET_COUNT: u32 = 10;
-/// Number of nodes among which the retries that don't depend on traffic are split.
-const RETRY_SLACK_SHARES: f64 = 16.0;
+/// Least number of nodes among which the retries that don't depend on traffic are split, as a
+/// node that has just started doesn't know the others.
+const MIN_RETRY_SLACK_SHARES: usize = 16;
 /// Fraction of the allowed retries that is used, as the nodes' windows aren't aligned.
 const RETRY_FRACTION: f64 = 0.8;
 /// Time after the first start in which groups are formed of endpoints that have not
@@ -28,11 +29,10 @@
 pub struct EdgeTimes {
     /// Interval between two digests, for each other node.
     pub digest_interval_per_peer: Duration,
-    /// The same for the owner of a large deployment, in which nodes send digests only to
-    /// hubs.
-    pub owner_digest_interval_per_peer: Duration,
-    /// The same for each target that the owner's digest names, if that is longer.
-    pub owner_digest_interval_per_target: Duration,
+    /// The same for a hub of a large deployment, for each node that it sends the sums to.
+    pub hub_digest_interval_per_peer: Duration,
+    /// The same for each target that the sums name, if that is longer.
+    pub hub_digest_interval_per_target: Duration,
     /// The same for a node that is no hub.
     pub spoke_digest_interval_per_peer: Duration,
     /// Shortest interval between two digests.
@@ -41,6 +41,13 @@
     pub max_digest_interval: Duration,
     /// Time without a digest after which another node counts as gone.
     pub peer_timeout: Duration,
+    /// Time without sums after which a node chooses another summing hub.
+    pub sums_timeout: Duration,
+    /// Time for which a hub that sent no sums isn't chosen again.
+    pub summing_hub_exclusion: Duration,
+    /// Time without a digest of an owner after which a node of a large deployment watches the
+    /// store itself.
+    pub owner_change_timeout: Duration,
     /// Time without a response of the store after which this node can't own the groups.
     pub store_timeout: Duration,
     /// Time after a failed or unanswered write in which this node can't own the groups.
@@ -76,10 +83,10 @@
         Self {
             // A node sends about 140 digests a second, however many nodes there are.
             digest_interval_per_peer: Duration::from_millis(7),
-            // The owner sends and receives 2,000 digests a second, however many nodes there are.
-            owner_digest_interval_per_peer: Duration::from_micros(500),
-            // A target takes 20 bytes; this limits the owner to 2 MB a second.
-            owner_digest_interval_per_target: Duration::from_micros(10),
+            // A hub sends and receives 2,000 digests a second, however many nodes there are.
+            hub_digest_interval_per_peer: Duration::from_micros(500),
+            // A target takes 20 bytes; this limits a hub to 2 MB a second.
+            hub_digest_interval_per_target: Duration::from_micros(10),
             spoke_digest_interval_per_peer: Duration::from_micros(500),
             // At the busiest node, requests arrive every 40 ms.
             min_digest_interval: Duration::from_millis(40),
@@ -87,6 +94,12 @@
             max_digest_interval: Duration::from_millis(400),
             // Three digests may be late on a busy machine.
             peer_timeout: Duration::from_millis(800),
+            // Several of the usual intervals, but well below the validity of the counts.
+            sums_timeout: Duration::from_millis(400),
+            // Long enough for the other nodes to replace it as a hub.
+            summing_hub_exclusion: Duration::from_millis(3_000),
+            // Another node takes over after `peer_timeout` and then sends the targets.
+            owner_change_timeout: Duration::from_millis(1_500),
             // A watch of the endpoints ends at least every two and a half seconds.
             store_timeout: Duration::from_millis(3_000),
             // Long enough for another node to take over.
@@ -140,10 +153,16 @@
     pub digest: Option<Digest>,
     /// Thousandths of a core that it may use.
     pub capacity: u32,
+    /// Its failure domain; `None` if its entry doesn't say.
+    pub domain: Option<DomainName>,
     /// Since when it has been a hub; `None` if it is none.
     pub hub_since: Option<ClockTime>,
     /// Instant until which it can't be a hub, because it sent no digests as a hub.
     pub excluded_until: ClockTime,
+    /// Instant until which it isn't chosen as the summing hub, because it sent no sums.
+    pub no_sums_until: ClockTime,
+    /// Last instant at which a digest was sent to it.
+    pub digest_sent_at: Option<ClockTime>,
     /// Last instant at which the targets were sent to it.
     pub targets_sent_at: Option<ClockTime>,
     /// Last instant at which a configuration was sent to it.
@@ -153,12 +172,15 @@
 }
 
 impl PeerState {
-    pub fn new(address: SocketAddr, capacity: u32) -> Self {
+    pub fn new(address: SocketAddr, capacity: u32, domain: Option<DomainName>) -> Self {
         Self {
             address,
             capacity,
+            domain,
             hub_since: None,
             excluded_until: ClockTime::default(),
+            no_sums_until: ClockTime::default(),
+            digest_sent_at: None,
             targets_sent_at: None,
             last_digest_at: None,
             digest: None,
@@ -168,6 +190,14 @@
     }
 }
 
+/// Hub from which a node gets the sums.
+#[derive(Clone, Debug)]
+pub(crate) struct SummingHub {
+    pub node: NodeName,
+    /// Last instant at which it sent sums, or was chosen.
+    pub heard_at: ClockTime,
+}
+
 /// Progress of a shutdown.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct StopState {
@@ -191,8 +221,16 @@
     pub(crate) peers: BTreeMap<NodeName, PeerState>,
     /// Nodes that receive the digests of all others; all nodes in a small deployment.
     pub(crate) hubs: BTreeSet<NodeName>,
+    /// Hub that sends this node the sums of all nodes' counts.
+    pub(crate) summing_hub: Option<SummingHub>,
+    /// Last instant at which sums arrived.
+    pub(crate) sums_received_at: Option<ClockTime>,
+    /// Last digest of a node that owned the groups and reached the store.
+    pub(crate) owner_seen_at: Option<ClockTime>,
     /// Targets that the owner has sent, and their version.
     pub(crate) received_targets: Option<(Arc<[SendTarget]>, ObjectVersion)>,
+    /// Targets that this hub passes on to the nodes that it sends the sums to.
+    pub(crate) forwarded_targets: Option<(Arc<[SendTarget]>, ObjectVersion)>,
     /// Targets that this node uses.
     pub(crate) targets: Arc<[SendTarget]>,
     /// Version of the last change of `targets`.
@@ -222,6 +260,8 @@
     pub(crate) slow_groups: BTreeMap<HostName, SlowPace>,
     /// Heads of groups without progress, to be reported in the next digest.
     pub(crate) silent_heads: BTreeSet<HostName>,
+    /// The same, reported by other nodes, for those that this hub sends the sums to.
+    pub(crate) reported_silent_heads: BTreeSet<HostName>,
     /// Last instant at which the event loop lagged.
     pub(crate) last_lag_at: Option<ClockTime>,
     pub(crate) stopping: Option<StopState>,
@@ -232,14 +272,16 @@
 impl EdgeState {
     /// Creates the state of a node that starts now.
     pub fn new(settings: EdgeSettings, times: EdgeTimes, seed: u64, now: ClockTime) -> Self {
-        let budget = budget_of(&settings.bounds);
+        let budget = budget_of(&settings.bounds, 1);
         let mut planner_settings = PlannerSettings::default();
         if settings.is_first_start {
             planner_settings.cold_start_until = now + COLD_START_WINDOW;
         }
+        let mut relay = RelayState::new(RelaySettings::default(), budget, settings.domain.clone());
+        relay.seed_choice(seed);
         Self {
             planner: PlannerState::new(planner_settings, settings.node.clone()),
-            relay: RelayState::new(RelaySettings::default(), budget, settings.domain.clone()),
+            relay,
             settings,
             times,
             started_at: now,
@@ -249,7 +291,11 @@
             collections: BTreeMap::new(),
             peers: BTreeMap::new(),
             hubs: BTreeSet::new(),
+            summing_hub: None,
+            sums_received_at: None,
+            owner_seen_at: None,
             received_targets: None,
+            forwarded_targets: None,
             targets: Arc::new([]),
             targets_version: ObjectVersion::default(),
             has_unsent_targets: false,
@@ -268,6 +314,7 @@
             is_registered: false,
             slow_groups: BTreeMap::new(),
             silent_heads: BTreeSet::new(),
+            reported_silent_heads: BTreeSet::new(),
             last_lag_at: None,
             stopping: None,
             random_state: seed,
@@ -280,10 +327,14 @@
 }
 
 /// This node's share of the retries that the limits allow all nodes together.
-pub(crate) fn budget_of(bounds: &EdgeBounds) -> BudgetSettings {
+///
+/// The share of the requests holds whatever the other nodes do. What is allowed besides is
+/// split among all nodes that have an entry, so that it holds without counts of the others.
+pub(crate) fn budget_of(bounds: &EdgeBounds, node_count: usize) -> BudgetSettings {
+    let slack_shares = node_count.max(MIN_RETRY_SLACK_SHARES) as f64;
     BudgetSettings {
         retry_share: bounds.retry_share * RETRY_FRACTION,
-        retry_floor: (bounds.retry_slack / RETRY_SLACK_SHARES) as u32,
+        retry_floor: (bounds.retry_slack / slack_shares) as u32,
         bucket_duration: bounds.retry_window / RETRY_BUCKET_COUNT,
         bucket_count: RETRY_BUCKET_COUNT as usize,
     }
--- a/crates/edge/tests/suite/star.rs
+++ b/crates/edge/tests/suite/hubs.rs
@@ -71,6 +71,8 @@
         targets_version: ObjectVersion(targets_version),
         is_owner,
         can_own: true,
+        summing_hub: None,
+        has_sums: false,
         counts: Vec::new(),
         silent_heads: Vec::new(),
         slow_groups: Vec::new(),
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the event loop and the encodings, without network.
 
 mod events;
+mod hubs;
 mod messages;
 mod node;
-mod star;
+mod owner_loss;
+
 mod support;
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -18,6 +18,8 @@
         targets_version: ObjectVersion(11),
         is_owner: true,
         can_own: true,
+        summing_hub: None,
+        has_sums: false,
         counts: vec![(
             HostName::new("i-1").unwrap(),
             LaneCounts { fast: 3, slow: 1 },
--- a/crates/edge/tests/suite/node.rs
+++ b/crates/edge/tests/suite/node.rs
@@ -264,6 +264,8 @@
         targets_version: ObjectVersion(0),
         is_owner: true,
         can_own: true,
+        summing_hub: None,
+        has_sums: false,
         counts: Vec::new(),
         silent_heads: Vec::new(),
         slow_groups: Vec::new(),
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -178,6 +178,8 @@
         targets_version: ObjectVersion(0),
         is_owner: false,
         can_own,
+        summing_hub: None,
+        has_sums: false,
         counts: Vec::new(),
         silent_heads: Vec::new(),
         slow_groups: Vec::new(),
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -34,14 +34,13 @@
     } else {
         entry.runs += 1;
     }
+    entry.misdirections += u32::from(end == AttemptEnd::Misdirected);
     let arrival = &entry.arrival;
-    let may_retry = if entry.runs == 0 {
-        entry.rejections <= state.settings.max_rejections
-    } else {
-        arrival.route.kind.is_repeatable()
-            && entry.runs < arrival.route.attempts
-            && entry.rejections <= state.settings.max_rejections
-    };
+    let has_attempts_left = entry.runs == 0
+        || (arrival.route.kind.is_repeatable() && entry.runs < arrival.route.attempts);
+    let may_retry = has_attempts_left
+        && entry.rejections <= state.settings.max_rejections
+        && entry.misdirections <= state.settings.max_misdirections;
     let has_run = entry.runs > 0;
     if !may_retry {
         return refuse(
--- a/crates/relay/src/commands/calls.rs
+++ b/crates/relay/src/commands/calls.rs
@@ -23,6 +23,7 @@
         tried: Vec::new(),
         runs: 0,
         rejections: 0,
+        misdirections: 0,
     };
     state.calls.insert(call, entry);
     dispatch(state, call, now)
--- a/crates/relay/src/commands/targets.rs
+++ b/crates/relay/src/commands/targets.rs
@@ -86,6 +86,10 @@
         (id.clone(), total.minus(local))
     });
     let others: Vec<_> = others.collect();
+    // Sums of another node would count each request twice.
+    for load in state.loads.values_mut() {
+        load.remote.clear();
+    }
     update_remote_counts(state, node, &others, now);
 }
 
--- a/crates/relay/src/queries/choose.rs
+++ b/crates/relay/src/queries/choose.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 
+use super::spread::{SpreadOption, choose_spread};
 use crate::state::CallState;
 use crate::{Lane, LaneCounts, RefusalReason, RelayState, SendTarget};
 
@@ -49,10 +50,7 @@
         candidate.fast_utilization += assumed;
         candidate
     });
-    let mut candidates: Vec<_> = candidates.collect();
-    if let Some(sample_size) = state.sample_size {
-        sample_candidates(&mut candidates, sample_size, state.rotation);
-    }
+    let candidates: Vec<_> = candidates.collect();
     let settings = &state.settings;
     let is_engine = arrival.model.is_some();
     let is_retry = call.runs + call.rejections > 0;
@@ -67,7 +65,7 @@
     let fast = fast.filter(|candidate| candidate.utilization < max_utilization);
     // A request that is already late leaves the fast lane to those that can still be in time.
     let fast = fast.filter(|_| !is_engine || is_retry || !call.is_late);
-    if let Some(best) = least_cost(fast, |candidate| {
+    if let Some(best) = best_candidate(state, fast, |candidate| {
         candidate.fast_utilization + candidate.penalty
     }) {
         return Ok((best.target, Lane::Fast));
@@ -75,9 +73,11 @@
     let slow = candidates
         .iter()
         .filter(|candidate| candidate.utilization < max_utilization);
-    least_cost(slow, |candidate| candidate.utilization + candidate.penalty)
-        .map(|best| (best.target, Lane::Slow))
-        .ok_or(RefusalReason::Overload)
+    best_candidate(state, slow, |candidate| {
+        candidate.utilization + candidate.penalty
+    })
+    .map(|best| (best.target, Lane::Slow))
+    .ok_or(RefusalReason::Overload)
 }
 
 /// Load per slot added to each target on the assumption that the nodes without counts are as
@@ -94,20 +94,6 @@
     f64::from(local) * state.unreported_nodes as f64 / slots as f64
 }
 
-/// Keeps a pseudo-random sample of the candidates; those to avoid are sampled last.
-fn sample_candidates(candidates: &mut Vec<Candidate<'_>>, sample_size: usize, rotation: u64) {
-    candidates.sort_by_key(|candidate| {
-        // Any hash of rotation and position will do; each rotation gives another order.
-        let mixed = (rotation.wrapping_add(1)).wrapping_mul(candidate.tie_break as u64 + 1);
-        let mixed = mixed.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29);
-        (
-            candidate.is_avoided,
-            mixed.wrapping_mul(0xbf58_476d_1ce4_e5b9),
-        )
-    });
-    candidates.truncate(sample_size);
-}
-
 fn candidate<'a>(
     state: &RelayState,
     target: &'a SendTarget,
@@ -133,19 +119,35 @@
     }
 }
 
-/// Candidate with the least cost; those to avoid come last.
-fn least_cost<'a, 'b>(
+/// Candidate for a request: the one with the least cost, or a random one of those with low
+/// costs if the costs are old. Those to avoid come last.
+fn best_candidate<'a, 'b>(
+    state: &RelayState,
     candidates: impl Iterator<Item = &'b Candidate<'a>>,
     cost: impl Fn(&Candidate<'_>) -> f64,
 ) -> Option<&'b Candidate<'a>>
 where
     'a: 'b,
 {
-    candidates.min_by(|a, b| {
-        let by_cost = a
-            .is_avoided
-            .cmp(&b.is_avoided)
-            .then(cost(a).total_cmp(&cost(b)));
-        by_cost.then(a.tie_break.cmp(&b.tie_break))
-    })
+    let candidates: Vec<_> = candidates.collect();
+    let is_avoided = candidates.iter().all(|candidate| candidate.is_avoided);
+    let candidates = candidates
+        .into_iter()
+        .filter(|candidate| candidate.is_avoided == is_avoided);
+    let Some(age) = state.counts_age else {
+        return candidates.min_by(|a, b| {
+            let by_cost = cost(a).total_cmp(&cost(b));
+            by_cost.then(a.tie_break.cmp(&b.tie_break))
+        });
+    };
+    let candidates: Vec<_> = candidates.collect();
+    let options: Vec<_> = candidates
+        .iter()
+        .map(|candidate| SpreadOption {
+            cost: cost(candidate),
+            capacity: candidate.target.slots.max(1) as f64,
+            load: candidate.utilization * candidate.target.slots.max(1) as f64,
+        })
+        .collect();
+    choose_spread(&options, age, state.rotation).map(|index| candidates[index])
 }
--- a/crates/relay/src/queries/mod.rs
+++ b/crates/relay/src/queries/mod.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod counts;
+mod spread;
 
 pub(crate) use choose::choose_target;
 pub use counts::{local_counts, target_of, total_counts};
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -30,6 +30,9 @@
 const REPORTED_LOAD_VALIDITY: Duration = Duration::from_millis(450);
 /// Attempts that may end without a run before the request is refused.
 const MAX_REJECTIONS: u32 = 3;
+/// Attempts that may reach another server than the one meant before the request is refused.
+/// Two of them show that this node's targets are outdated.
+const MAX_MISDIRECTIONS: u32 = 1;
 /// Least time before the deadline with which an attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
 /// Requests per slot of an engine above which it is sent no new ones.
@@ -74,6 +77,8 @@
     pub reported_load_validity: Duration,
     /// Attempts that may end without a run before the request is refused.
     pub max_rejections: u32,
+    /// Attempts that may reach another server than the one meant before the request is refused.
+    pub max_misdirections: u32,
     /// Least time before the deadline with which an attempt is made.
     pub min_attempt_time: Duration,
     /// Requests per slot above which an engine is sent no new ones.
@@ -106,6 +111,7 @@
             remote_counts_validity: REMOTE_COUNTS_VALIDITY,
             reported_load_validity: REPORTED_LOAD_VALIDITY,
             max_rejections: MAX_REJECTIONS,
+            max_misdirections: MAX_MISDIRECTIONS,
             min_attempt_time: MIN_ATTEMPT_TIME,
             max_engine_utilization: MAX_ENGINE_UTILIZATION,
             max_fast_utilization: MAX_FAST_UTILIZATION,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -29,6 +29,8 @@
     pub runs: u32,
     /// Number of attempts that certainly did not run.
     pub rejections: u32,
+    /// Number of those whose target turned out to be another server.
+    pub misdirections: u32,
 }
 
 /// Targets and requests of one node.
@@ -42,11 +44,11 @@
     pub(crate) budget: RetryBudget,
     /// Client timeouts by route.
     pub(crate) client_timeouts: HashMap<Arc<str>, ClientTimeouts>,
-    /// Number of random candidates per choice; `None` if all targets are compared.
-    pub(crate) sample_size: Option<usize>,
+    /// Age of the other nodes' counts; `None` if they are nearly current.
+    pub(crate) counts_age: Option<Duration>,
     /// Number of other nodes whose counts have not arrived yet.
     pub(crate) unreported_nodes: usize,
-    /// Rotates the choice among targets of equal load.
+    /// Number of the next choice; rotates it among targets of equal load.
     pub(crate) rotation: u64,
 }
 
@@ -61,7 +63,7 @@
             calls: HashMap::new(),
             budget: RetryBudget::new(budget),
             client_timeouts: HashMap::new(),
-            sample_size: None,
+            counts_age: None,
             unreported_nodes: 0,
             rotation: 0,
         }
@@ -72,12 +74,18 @@
         self.budget.configure(settings);
     }
 
-    /// Sets how many random candidates each choice compares; `None` for all targets.
+    /// Sets how old the other nodes' counts are on average; `None` if they are nearly current.
     ///
-    /// Sampling keeps many nodes, whose counts are some hundred milliseconds old, from
-    /// choosing the same target at the same time.
-    pub fn set_sample_size(&mut self, sample_size: Option<usize>) {
-        self.sample_size = sample_size;
+    /// With old counts, requests are spread over several targets instead of all going to the
+    /// one with the lowest count.
+    pub fn set_counts_age(&mut self, age: Option<Duration>) {
+        self.counts_age = age;
+    }
+
+    /// Starts the node's sequence of choices at a point of its own, so that nodes that start
+    /// together don't choose the same targets.
+    pub fn seed_choice(&mut self, seed: u64) {
+        self.rotation = seed;
     }
 
     /// Sets how many other nodes are assumed to be as busy as this one.
--- a/crates/relay/tests/suite/attempts.rs
+++ b/crates/relay/tests/suite/attempts.rs
@@ -116,3 +116,23 @@
     assert_eq!(refusal.reason, RefusalReason::NoTarget);
     assert!(refusal.retry_after.is_some());
 }
+
+/// Steps of a request whose attempts all end in the same way.
+fn attempts_until_refusal(end: AttemptEnd) -> usize {
+    let heads = (1..9).map(|index| head(&format!("h{index}"), index));
+    let mut state = relay(heads.collect());
+    let mut step = arrive(&mut state, request(1, STREAM, 2), at(0));
+    let mut attempts = 0;
+    while matches!(step, CallStep::Send(_)) {
+        attempts += 1;
+        step = end_attempt(&mut state, CallId(1), end, at(attempts));
+    }
+    assert_eq!(next(step), Next::NotRun);
+    attempts as usize
+}
+
+#[test]
+fn two_targets_that_are_other_servers_show_that_the_list_is_outdated() {
+    assert_eq!(attempts_until_refusal(AttemptEnd::Misdirected), 2);
+    assert_eq!(attempts_until_refusal(AttemptEnd::NotRun), 4);
+}
--- a/crates/relay/tests/suite/main.rs
+++ b/crates/relay/tests/suite/main.rs
@@ -2,4 +2,5 @@
 
 mod attempts;
 mod choice;
+mod spread;
 mod support;
--- a/crates/replicas/src/commands/probes.rs
+++ b/crates/replicas/src/commands/probes.rs
@@ -101,6 +101,21 @@
     state.frequent_head_probes_until = now + state.settings.head_probe_duration;
 }
 
+/// Spreads the probes that are due over one interval, because this node has just become the
+/// owner.
+///
+/// Otherwise every endpoint would be probed at the same moment, now and after each interval,
+/// and whatever delays this node's packets at one such moment would make all endpoints miss
+/// the same probe.
+pub fn spread_probes(state: &mut PlannerState, now: ClockTime) {
+    let interval = state.settings.probe_interval;
+    let count = u32::try_from(state.endpoints.len()).unwrap_or(u32::MAX);
+    for (view, index) in state.endpoints.values_mut().zip(0_u32..) {
+        let offset = interval.mul_f64(f64::from(index) / f64::from(count));
+        view.probe.due = view.probe.due.max(now + offset);
+    }
+}
+
 /// Members of serving or closing groups that are not in their group by their last known state.
 fn displaced_members(state: &PlannerState) -> BTreeSet<HostName> {
     let groups = state.record.groups.iter();
--- a/crates/replicas/tests/groups.rs
+++ b/crates/replicas/tests/groups.rs
@@ -316,3 +316,25 @@
     assert!(count_probes(&mut simulation) <= 1);
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
+
+#[test]
+fn a_new_owner_spreads_its_probes_over_an_interval() {
+    let mut simulation = Simulation::new(DOMAINS, 11);
+    simulation.run(8_000);
+    let owner = &mut simulation.owners[0];
+    replicas::commands::spread_probes(owner, simulation.now);
+    let probed_since = |simulation: &Simulation, start: ClockTime| {
+        let views = simulation.owners[0].endpoints().values();
+        let probed = views.filter_map(|view| view.probed_at());
+        probed.filter(|at| *at > start).count()
+    };
+    let start = simulation.now;
+    simulation.run(500);
+    let count = probed_since(&simulation, start);
+    assert!(
+        count <= 8,
+        "{count} of 20 endpoints were probed in a quarter of the interval"
+    );
+    simulation.run(1_600);
+    assert_eq!(probed_since(&simulation, start), 20);
+}
