Client timeouts that vary from client to client are not taken for retries

The estimate now finds the range of usual timeouts: from the longest one down while they are about equally frequent. Only less than the shortest of them is a retry. Two tests: varying timeouts (failed before, every request but the longest was demoted), and retries beside a single timeout.

--- a/crates/relay/src/client_timeouts.rs
+++ b/crates/relay/src/client_timeouts.rs
@@ -1,8 +1,10 @@
 //! Estimate of how long a client has already waited for a request.
 //!
-//! A request carries the time left until its client's deadline. If many clients of
-//! a route use the same timeout, a request with less time left is a retry, and the
-//! difference is the time that its client has already waited.
+//! A request carries the time left until its client's deadline. If the clients of a
+//! route use about the same timeout, a request with less time left is a retry, and the
+//! difference is the time that its client has already waited. Timeouts may vary from
+//! client to client: they form a range from the longest one down, within which they are
+//! about equally frequent, and only less than the shortest of them shows a retry.
 
 use base::prelude::*;
 
@@ -11,16 +13,27 @@
 const TOLERANCE: Duration = Duration::from_millis(100);
 /// Decay of the counts per request; about the last hundred requests count.
 const DECAY: f64 = 0.99;
-/// Share of the requests that must have the longest timeout for it to count as the
-/// usual one; low, since right after an outage most requests are retries.
-const MIN_LONGEST_SHARE: f64 = 0.1;
+/// Share of the requests that must have a usual timeout; low, since right after an outage
+/// most requests are retries.
+const MIN_USUAL_SHARE: f64 = 0.1;
+/// Number of counts, each of which covers the tolerance; a range of timeouts is at most that
+/// wide.
+const STEP_COUNT: usize = 30;
+/// Number of neighbouring counts that are compared at a time, as single ones vary by chance.
+const WINDOW_LENGTH: usize = 3;
+/// Share of the mean frequency in the range so far with which a window still belongs to it;
+/// retries are less frequent than first attempts.
+const MIN_WINDOW_FREQUENCY: f64 = 0.6;
+/// The same for a single count within a window.
+const MIN_STEP_FREQUENCY: f64 = 0.3;
 
 /// Client timeouts of one route.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ClientTimeouts {
     longest: Duration,
-    /// Decayed numbers of requests with the longest timeout and of all requests.
-    with_longest: f64,
+    /// Decayed numbers of requests by the difference of their timeout to the longest one.
+    counts: [f64; STEP_COUNT],
+    /// Decayed number of all requests.
     all: f64,
 }
 
@@ -34,12 +47,41 @@
                 ..Self::default()
             };
         }
-        let has_longest = timeout + TOLERANCE >= self.longest;
+        let shortfall = self.longest.saturating_sub(timeout);
+        let step = (shortfall.as_millis() / TOLERANCE.as_millis()) as usize;
+        for count in &mut self.counts {
+            *count *= DECAY;
+        }
         self.all = self.all * DECAY + 1.0;
-        self.with_longest = self.with_longest * DECAY + f64::from(u8::from(has_longest));
-        if has_longest || self.with_longest < self.all * MIN_LONGEST_SHARE {
+        if let Some(count) = self.counts.get_mut(step) {
+            *count += 1.0;
+        }
+        let last_usual_step = self.last_usual_step();
+        let usual: f64 = self.counts[..=last_usual_step].iter().sum();
+        if step <= last_usual_step || usual < self.all * MIN_USUAL_SHARE {
             return Duration::ZERO;
         }
-        self.longest - timeout
+        let usual_shortfall = TOLERANCE * u32::try_from(last_usual_step).unwrap_or(u32::MAX);
+        shortfall.saturating_sub(usual_shortfall)
+    }
+
+    /// Last of the steps that belong to the range of usual timeouts.
+    fn last_usual_step(&self) -> usize {
+        let (mut last_step, mut sum, mut length) = (0, 0.0, 0.0);
+        for (index, window) in self.counts.chunks(WINDOW_LENGTH).enumerate() {
+            let window_sum: f64 = window.iter().sum();
+            let mean = sum / f64::max(length, 1.0);
+            let window_mean = window_sum / WINDOW_LENGTH as f64;
+            if index > 0 && window_mean < mean * MIN_WINDOW_FREQUENCY {
+                break;
+            }
+            sum += window_sum;
+            length += WINDOW_LENGTH as f64;
+            let is_frequent = |count: &f64| *count >= window_mean * MIN_STEP_FREQUENCY;
+            if let Some(step) = window.iter().rposition(is_frequent) {
+                last_step = index * WINDOW_LENGTH + step;
+            }
+        }
+        last_step
     }
 }
--- a/crates/relay/tests/suite/choice.rs
+++ b/crates/relay/tests/suite/choice.rs
@@ -235,3 +235,49 @@
         "{ranks:?}"
     );
 }
+
+#[test]
+fn clients_whose_timeouts_vary_are_not_taken_for_retries() {
+    let mut state = relay(vec![head("h1", 1)]);
+    let mut demoted = 0;
+    for call in 0..400 {
+        // From 5.1 to 6 s, as if drawn at random.
+        let deadline = 6_000 - call * 619 % 900;
+        let order = send(&mut state, with_client_deadline(call, deadline), at(0));
+        demoted += usize::from(call >= 40 && order.rank == SLOW_RANK);
+        finish(&mut state, CallId(call));
+    }
+    assert_eq!(demoted, 0, "of 360 first attempts");
+    let retry = send(&mut state, with_client_deadline(500, 4_600), at(0));
+    assert_eq!(
+        retry.rank, SLOW_RANK,
+        "half a second less than the shortest timeout"
+    );
+}
+
+#[test]
+fn retries_do_not_pass_for_first_attempts_with_a_shorter_timeout() {
+    let mut state = relay(vec![head("h1", 1)]);
+    let mut ranks = Vec::new();
+    for call in 0..100 {
+        // Every third request is a retry after 0.3 to 2 s.
+        let waited = if call % 3 == 2 {
+            300 + call * 619 % 1_700
+        } else {
+            0
+        };
+        let order = send(
+            &mut state,
+            with_client_deadline(call, 6_000 - waited),
+            at(0),
+        );
+        ranks.push((waited, order.rank));
+        finish(&mut state, CallId(call));
+    }
+    assert!(
+        ranks
+            .iter()
+            .all(|(waited, rank)| (*waited > 0) == (*rank == SLOW_RANK)),
+        "{ranks:?}"
+    );
+}
