Nodes that start get their targets from a hub; lost groups are avoided while the store is away

Now only hubs list the endpoints at once; a node that is no hub waits up to a second for the targets of a hub, which sends its own before there is an owner. A request that reaches a node in its first 600 ms waits until the node knows servers, instead of being refused and coming back with a wave of others.

One hub, the last owner if it can, now goes on probing while nobody can own the groups, and reports the heads of lost groups in each digest, so that all nodes avoid them. It changes no record and gives no order. A node that finds more than half of the groups lost reports none.

--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -11,6 +11,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 use intent::Route;
+use net::sleep_until;
 use net::web::{
     CollectOutcome, IncomingResponse, WebLimits, WebResponse, WebService, body_channel, full_body,
     receive_body, text_response,
@@ -92,11 +93,10 @@
             call,
             events: self.events.clone(),
         };
-        let question = EdgeQuestion::Arrive(Box::new(arrival));
-        let Some(EdgeReply::Arrival(outcome)) = self.context.replies.request(question).await else {
+        let Some(outcome) = self.arrive(arrival).await else {
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "this node is about to end");
         };
-        match *outcome {
+        match outcome {
             ArrivalOutcome::Rejected(reason) => {
                 log::info!(id:% = id, path = parts.uri.path(), reason:? = reason; "request rejected");
                 let reason_label = format!("{reason:?}");
@@ -144,6 +144,20 @@
         }
     }
 
+    /// Asks the event loop about a new request, again while the request has to wait.
+    async fn arrive(&self, arrival: Arrival) -> Option<ArrivalOutcome> {
+        loop {
+            let question = EdgeQuestion::Arrive(Box::new(arrival.clone()));
+            match self.context.replies.request(question).await {
+                Some(EdgeReply::Arrival(outcome)) => return Some(*outcome),
+                Some(EdgeReply::Waiting { until }) => {
+                    sleep_until(self.context.clock.as_ref(), until).await;
+                }
+                _ => return None,
+            }
+        }
+    }
+
     /// Makes attempts until one gets a response or the event loop refuses another.
     async fn attempt_until_done(&self, accepted: AcceptedRequest, first: CallStep) -> WebResponse {
         let mut step = first;
--- a/crates/edge/src/border/watch.rs
+++ b/crates/edge/src/border/watch.rs
@@ -32,6 +32,8 @@
 /// Interval at which a node that is sent the targets checks whether it must watch the
 /// store itself again.
 const MODE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// The same before the first list of a collection, for which requests may be waiting.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Wait of a watch of the configuration at a node that is sent the targets, as the hubs
 /// also send it newer configurations.
 const CONFIG_WATCH_TIMEOUT: Duration = Duration::from_millis(20_000);
@@ -50,11 +52,13 @@
     let mut revision: Option<ObjectVersion> = None;
     let mut delay = RETRY_DELAY;
     loop {
-        if revision.is_some()
-            && collection != StoreCollection::RoutingConfig
-            && mode.get().receives_targets
-        {
-            sleep_until(clock.as_ref(), clock.now() + MODE_CHECK_INTERVAL).await;
+        if is_paused(collection, revision.is_some(), mode.get()) {
+            let interval = if revision.is_some() {
+                MODE_CHECK_INTERVAL
+            } else {
+                START_CHECK_INTERVAL
+            };
+            sleep_until(clock.as_ref(), clock.now() + interval).await;
             continue;
         }
         let (event, next_revision) = match revision {
@@ -103,6 +107,15 @@
     }
 }
 
+/// Whether this node gets along without a collection at present.
+fn is_paused(collection: StoreCollection, is_listed: bool, mode: WatchMode) -> bool {
+    match collection {
+        StoreCollection::RoutingConfig => false,
+        StoreCollection::Endpoints => mode.receives_targets || !mode.lists_endpoints,
+        StoreCollection::Shared => is_listed && mode.receives_targets,
+    }
+}
+
 /// Time that one watch waits for changes.
 fn watch_timeout(collection: StoreCollection, mode: WatchMode) -> Duration {
     match collection {
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -9,8 +9,8 @@
 use super::shared::adopt_record;
 use crate::peer::{Digest, PeerMessage};
 use crate::queries::{
-    can_own, choose_summing_hub, is_hub, is_peer_alive, receives_targets, select_hubs,
-    sends_sums_to, uses_hubs,
+    can_own, choose_summing_hub, complete_targets_version, is_hub, is_peer_alive, lists_endpoints,
+    receives_targets, select_hubs, sends_sums_to, uses_hubs,
 };
 use crate::state::SummingHub;
 use crate::{EdgeEffect, EdgeState, WatchMode};
@@ -96,6 +96,9 @@
 
 /// Digest with the counts of this node.
 fn local_digest(state: &mut EdgeState, now: ClockTime) -> Digest {
+    if state.is_caretaker {
+        report_lost_groups(state, now);
+    }
     let slow_groups = state.slow_groups.iter();
     Digest {
         from: state.settings.node.clone(),
@@ -120,6 +123,15 @@
     }
 }
 
+/// Reports the heads of groups that have lost a member, each time until the store is back and
+/// the groups can be repaired.
+fn report_lost_groups(state: &mut EdgeState, now: ClockTime) {
+    for head in replicas::queries::lost_heads(&state.planner) {
+        relay::commands::suspect_target(&mut state.relay, &head, now);
+        state.silent_heads.insert(head);
+    }
+}
+
 /// Digest with the sums of all nodes and the silent heads that they have reported.
 fn summed_digest(state: &mut EdgeState, digest: &Digest, now: ClockTime) -> Digest {
     let mut silent_heads = std::mem::take(&mut state.reported_silent_heads);
@@ -284,11 +296,20 @@
 }
 
 /// Targets that this node sends to those that have older ones, and their version.
-fn distributed_targets(state: &EdgeState) -> Option<(Arc<[SendTarget]>, ObjectVersion)> {
+///
+/// A hub without targets of an owner sends its own to nodes that have none, so that these can
+/// serve before there is an owner.
+fn distributed_targets(
+    state: &EdgeState,
+    digest: &Digest,
+) -> Option<(Arc<[SendTarget]>, ObjectVersion)> {
     if state.is_owner {
         return Some((state.targets.clone(), state.targets_version));
     }
-    state.forwarded_targets.clone()
+    let has_none = digest.targets_version == ObjectVersion::default();
+    let local = || (state.targets.clone(), complete_targets_version(state));
+    let forwarded = state.forwarded_targets.clone();
+    forwarded.or_else(|| (has_none && !state.targets.is_empty()).then(local))
 }
 
 /// Number of live peers from which this node relies on them to send it changes.
@@ -304,6 +325,7 @@
         is_owner: state.is_owner,
         has_peers: alive.count() >= MIN_RELIABLE_PEERS,
         receives_targets: receives_targets(state, now),
+        lists_endpoints: lists_endpoints(state, now),
     };
     if mode == state.watch_mode {
         return None;
@@ -440,14 +462,14 @@
     }
     for head in &digest.silent_heads {
         relay::commands::suspect_target(&mut state.relay, head, now);
-        if state.is_owner {
+        if state.is_owner || state.is_caretaker {
             probe_group(&mut state.planner, head, now);
             state.needs_plan = true;
         }
     }
     let propagated_version = propagated_config_version(state, now);
     let record_version = state.planner.version().unwrap_or_default();
-    let distributed_targets = distributed_targets(state);
+    let distributed_targets = distributed_targets(state, &digest);
     let is_hub = state.hubs.contains(&digest.from);
     let sends_sums = sends_sums_to(state, &digest.from, Some(&digest));
     // A node that has chosen another hub gets configurations from that one.
@@ -484,5 +506,9 @@
     }
     peer.last_digest_at = Some(now);
     peer.digest = Some(digest);
+    if state.summing_hub.is_none() && choose_summing_hub(state, now).is_some() {
+        // The hub sends the targets once it knows that it was chosen.
+        state.digest_due = now;
+    }
     effects
 }
--- a/crates/edge/src/commands/plan.rs
+++ b/crates/edge/src/commands/plan.rs
@@ -4,7 +4,8 @@
 
 use base::prelude::*;
 use replicas::commands::{
-    probe_heads_often, record_order_outcome, record_probe_outcome, retry_probe, spread_probes, tick,
+    probe, probe_heads_often, record_order_outcome, record_probe_outcome, retry_probe,
+    spread_probes, tick,
 };
 use replicas::queries::serving_groups;
 use replicas::{MemberOrder, OrderOutcome, PlanEffect, ProbeOutcome};
@@ -12,7 +13,7 @@
 use super::refresh_targets;
 use super::shared::record_change;
 use crate::peer::SlowPace;
-use crate::queries::{next_plan, owner};
+use crate::queries::{is_caretaker, next_plan, owner};
 use crate::{EdgeEffect, EdgeState};
 
 /// Interval between two log lines that summarize the groups.
@@ -29,7 +30,11 @@
         }
         log::info!(is_owner, record = state.planner.version().unwrap_or_default().0; "group ownership changed");
     }
-    if !is_owner || next_plan(state) > now {
+    let is_caretaker = !is_owner && is_caretaker(state, now);
+    if is_caretaker != std::mem::replace(&mut state.is_caretaker, is_caretaker) {
+        log::info!(is_caretaker; "probing of groups without an owner changed");
+    }
+    if !(is_owner || is_caretaker) || next_plan(state) > now {
         return Vec::new();
     }
     state.plan_due = now + state.times.plan_interval;
@@ -38,7 +43,11 @@
     let Some(config) = state.config.get().cloned() else {
         return Vec::new();
     };
-    let effects = tick(&mut state.planner, &config, now);
+    let effects = if is_owner {
+        tick(&mut state.planner, &config, now)
+    } else {
+        probe(&mut state.planner, now)
+    };
     update_slow_groups(state);
     refresh_targets(state);
     if state.inventory_log_due <= now {
--- a/crates/edge/src/commands/shared.rs
+++ b/crates/edge/src/commands/shared.rs
@@ -40,11 +40,14 @@
     now: ClockTime,
 ) -> Vec<EdgeEffect> {
     if is_complete {
-        state
+        let shared = state
             .collections
             .entry(StoreCollection::Shared)
-            .or_default()
-            .is_listed = true;
+            .or_default();
+        if !std::mem::replace(&mut shared.is_listed, true) {
+            // The other nodes and the watches of this one wait for its first digest.
+            state.digest_due = now;
+        }
     }
     let mut has_record = false;
     for object in objects {
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -110,6 +110,12 @@
 pub enum EdgeReply {
     /// Outcome of an arrival.
     Arrival(Box<ArrivalOutcome>),
+    /// The arriving request has to wait, as this node has just started and will know shortly
+    /// where to send it.
+    Waiting {
+        /// Instant at which to ask again.
+        until: ClockTime,
+    },
     /// Next step of a request.
     Step(CallStep),
     /// What to do about a stalled attempt.
@@ -152,6 +158,8 @@
     pub has_peers: bool,
     /// Whether the owner sends it the targets, so that it need not watch the endpoints.
     pub receives_targets: bool,
+    /// Whether it has to list the endpoints because no hub will send it targets soon.
+    pub lists_endpoints: bool,
 }
 
 /// Effect that the border executes.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -59,9 +59,10 @@
 
 fn reply(state: &mut EdgeState, question: EdgeQuestion, now: ClockTime) -> EdgeReply {
     match question {
-        EdgeQuestion::Arrive(arrival) => {
-            EdgeReply::Arrival(Box::new(commands::arrive(state, *arrival, now)))
-        }
+        EdgeQuestion::Arrive(arrival) => match queries::startup_wait(state, &arrival, now) {
+            Some(until) => EdgeReply::Waiting { until },
+            None => EdgeReply::Arrival(Box::new(commands::arrive(state, *arrival, now))),
+        },
         EdgeQuestion::Ended(call, end) => {
             EdgeReply::Step(commands::end_attempt(state, call, end, now))
         }
--- a/crates/edge/src/queries/hubs.rs
+++ b/crates/edge/src/queries/hubs.rs
@@ -159,6 +159,19 @@
         && (has_owner || is_store_away)
 }
 
+/// Whether this node has to list the endpoints itself.
+///
+/// A node that is no hub waits a moment after its start for the targets of a hub. They are a
+/// small part of the list, whose transfer to all nodes at once takes the store's link most of
+/// a second.
+pub(crate) fn lists_endpoints(state: &EdgeState, now: ClockTime) -> bool {
+    let has_listed_nodes = state
+        .collection(StoreCollection::Shared)
+        .is_some_and(|entry| entry.is_listed);
+    let has_waited = now.since(state.started_at) >= state.times.initial_targets_timeout;
+    has_waited || (has_listed_nodes && is_hub(state))
+}
+
 /// Version of the targets that this node computes itself: the revision of the store
 /// up to which it has read the endpoints and the record.
 pub(crate) fn local_targets_version(state: &EdgeState) -> ObjectVersion {
--- a/crates/edge/src/queries/owner.rs
+++ b/crates/edge/src/queries/owner.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 
-use super::hubs::is_hub;
+use super::hubs::{is_hub, uses_hubs};
 use crate::EdgeState;
 use crate::border::ports::StoreCollection;
 use crate::state::PeerState;
@@ -82,6 +82,27 @@
     best.map(|candidate| candidate.node)
 }
 
+/// Whether this node watches over the groups although nobody can own them, because the store is
+/// away.
+///
+/// It only probes their members, so that the nodes avoid groups that have lost one. One node
+/// does so: the one that wrote the record, or else the first of the hubs.
+pub(crate) fn is_caretaker(state: &EdgeState, now: ClockTime) -> bool {
+    let has_started = now.since(state.started_at) >= state.times.ownership_start_delay;
+    let is_able = has_started && state.stopping.is_none() && is_hub(state);
+    if !is_able || state.planner.version().is_none() || owner(state, now).is_some() {
+        return false;
+    }
+    let writer = state.planner.record().owner.as_ref();
+    let rank =
+        |node: &NodeName, capacity: u32| (writer != Some(node), Reverse(capacity), node.clone());
+    let local = rank(&state.settings.node, state.settings.capacity);
+    let peers = state.peers.iter();
+    let hubs = peers.filter(|(node, _)| !uses_hubs(state) || state.hubs.contains(*node));
+    let mut alive = hubs.filter(|(_, peer)| is_peer_alive(state, peer, now));
+    alive.all(|(node, peer)| local < rank(node, peer.capacity))
+}
+
 /// Node that can own the groups.
 struct Candidate {
     node: NodeName,
--- a/crates/edge/src/queries/status.rs
+++ b/crates/edge/src/queries/status.rs
@@ -3,23 +3,50 @@
 use base::prelude::*;
 
 use crate::border::ports::StoreCollection;
-use crate::{EdgeState, EdgeStatus};
+use crate::{Arrival, EdgeState, EdgeStatus};
 
-/// Status of the node.
+/// Time after the start in which requests wait for the configuration and the targets, which
+/// usually arrive within half of it.
+const STARTUP_WAIT: Duration = Duration::from_millis(600);
+/// Interval at which a waiting request checks for them.
+const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Instant until which a request has to wait because this node has just started and doesn't
+/// know yet where to send it.
 ///
-/// A node is ready once it has a configuration and the endpoints or targets. An outage
-/// of the store doesn't change that.
-pub fn status(state: &EdgeState, _now: ClockTime) -> EdgeStatus {
+/// After all nodes were lost, clients come back before the nodes know any server. A request
+/// that waits for that moment is served sooner than one that is rejected and comes back, and
+/// its client keeps its retry.
+pub(crate) fn startup_wait(
+    state: &EdgeState,
+    arrival: &Arrival,
+    now: ClockTime,
+) -> Option<ClockTime> {
+    let is_starting = now.since(state.started_at) < STARTUP_WAIT;
+    let until = now + STARTUP_CHECK_INTERVAL;
+    let has_time = arrival
+        .client_deadline
+        .is_none_or(|deadline| until < deadline);
+    (is_starting && has_time && !has_config_and_targets(state)).then_some(until)
+}
+
+fn has_config_and_targets(state: &EdgeState) -> bool {
     let is_listed = |collection| {
         state
             .collection(collection)
             .is_some_and(|entry| entry.is_listed)
     };
     let has_listed = is_listed(StoreCollection::Endpoints) && is_listed(StoreCollection::Shared);
-    let has_config_and_targets =
-        state.config.get().is_some() && (has_listed || state.received_targets.is_some());
+    state.config.get().is_some() && (has_listed || state.received_targets.is_some())
+}
+
+/// Status of the node.
+///
+/// A node is ready once it has a configuration and the endpoints or targets. An outage
+/// of the store doesn't change that.
+pub fn status(state: &EdgeState, _now: ClockTime) -> EdgeStatus {
     EdgeStatus {
-        is_ready: has_config_and_targets && state.stopping.is_none(),
+        is_ready: has_config_and_targets(state) && state.stopping.is_none(),
         is_stopping: state.stopping.is_some(),
         config_version: state.config.version(),
         is_owner: state.is_owner,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -45,6 +45,9 @@
     pub sums_timeout: Duration,
     /// Time for which a hub that sent no sums isn't chosen again.
     pub summing_hub_exclusion: Duration,
+    /// Time after the start in which a node of a large deployment waits for targets before it
+    /// lists the endpoints itself.
+    pub initial_targets_timeout: Duration,
     /// Time without a digest of an owner after which a node of a large deployment watches the
     /// store itself.
     pub owner_change_timeout: Duration,
@@ -98,6 +101,8 @@
             sums_timeout: Duration::from_millis(400),
             // Long enough for the other nodes to replace it as a hub.
             summing_hub_exclusion: Duration::from_millis(3_000),
+            // A hub has listed the endpoints after some 200 ms.
+            initial_targets_timeout: Duration::from_millis(1_000),
             // Another node takes over after `peer_timeout` and then sends the targets.
             owner_change_timeout: Duration::from_millis(1_500),
             // A watch of the endpoints ends at least every two and a half seconds.
@@ -245,6 +250,8 @@
     pub(crate) needs_plan: bool,
     pub(crate) inventory_log_due: ClockTime,
     pub(crate) is_owner: bool,
+    /// Whether this node probes the groups while nobody can own them.
+    pub(crate) is_caretaker: bool,
     /// How the collections are watched.
     pub(crate) watch_mode: WatchMode,
     /// Last instant at which another node took the groups over from this one.
@@ -305,6 +312,7 @@
             needs_plan: false,
             inventory_log_due: now,
             is_owner: false,
+            is_caretaker: false,
             watch_mode: WatchMode::default(),
             yielded_at: None,
             last_write_failure_at: None,
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -6,4 +6,5 @@
 mod node;
 mod owner_loss;
 
+mod store_away;
 mod support;
--- a/crates/edge/tests/suite/owner_loss.rs
+++ b/crates/edge/tests/suite/owner_loss.rs
@@ -362,3 +362,40 @@
     assert!(retries <= limit, "{retries} retries, limit {limit}");
     assert!(retries >= limit / 2, "{retries} retries, limit {limit}");
 }
+
+/// Watch mode after a time from the start; the default one lists no endpoints.
+fn last_mode(state: &mut EdgeState, millis: std::ops::Range<u64>) -> WatchMode {
+    let modes = millis.step_by(10).flat_map(|now| state.wake(at(now)));
+    let modes = modes.filter_map(|effect| match effect {
+        EdgeEffect::SetWatchMode(mode) => Some(mode),
+        _ => None,
+    });
+    modes.last().unwrap_or_default()
+}
+
+#[test]
+fn a_node_that_starts_lists_the_endpoints_only_if_no_hub_sends_targets() {
+    let mut state = start(22);
+    assert!(!last_mode(&mut state, 10..900).lists_endpoints);
+    assert!(last_mode(&mut state, 900..1_200).lists_endpoints);
+    let mut hub = start(1);
+    assert!(last_mode(&mut hub, 10..100).lists_endpoints);
+}
+
+#[test]
+fn a_hub_sends_its_own_targets_to_a_node_without_any_before_there_is_an_owner() {
+    let mut hub = start(1);
+    hub.wake(at(10));
+    let chosen = Digest {
+        summing_hub: Some(node("n01")),
+        ..digest("n20")
+    };
+    let effects = receive(&mut hub, chosen.clone(), 20);
+    assert_eq!(receivers(&effects, is_targets), [1_020]);
+    let has_targets = Digest {
+        targets_version: ObjectVersion(1),
+        ..chosen
+    };
+    let effects = receive(&mut hub, has_targets, 600);
+    assert_eq!(receivers(&effects, is_targets), [0_u16; 0]);
+}
--- /dev/null
+++ b/crates/edge/tests/suite/store_away.rs
@@ -0,0 +1,147 @@
+//! Outage of the store: groups are not repaired, but those that have lost a member are avoided.
+
+use crate::support::{apply_event, at, config_item, endpoint, list, node, start};
+use base::prelude::*;
+use edge::border::ports::{CollectionItem, StoreCollection};
+use edge::{CollectionEvent, EdgeEffect, EdgeEvent, EdgeState, PeerMessage};
+use replicas::{
+    EndpointReport, GroupEntry, GroupPhase, GroupRecord, MemberPhase, MemberRef, Membership,
+    ProbeOutcome, RecordWire,
+};
+use store::{ObjectKey, StoredObject};
+
+/// Groups of two members each: `e-0` and `e-1`, `e-2` and `e-3`, and so on.
+const GROUPS: usize = 3;
+
+fn member(index: usize) -> HostName {
+    HostName::new(&format!("e-{index}")).unwrap()
+}
+
+fn membership(index: usize) -> Membership {
+    let group = index / 2;
+    Membership {
+        group: GroupName::new(&format!("g{group}")).unwrap(),
+        epoch: GroupEpoch(group as u64 + 1),
+        phase: if index.is_multiple_of(2) {
+            MemberPhase::Open
+        } else {
+            MemberPhase::Ready
+        },
+    }
+}
+
+fn record() -> GroupRecord {
+    let groups = (0..GROUPS).map(|group| {
+        let members = [2 * group, 2 * group + 1].map(|index| MemberRef {
+            id: member(index),
+            incarnation: HostIncarnation(1),
+        });
+        GroupEntry {
+            name: GroupName::new(&format!("g{group}")).unwrap(),
+            service: ServiceName::new("plain").unwrap(),
+            model: ModelName::new("large").unwrap(),
+            epoch: GroupEpoch(group as u64 + 1),
+            members: members.into(),
+            head_address: "127.0.0.1:9".parse().unwrap(),
+            phase: GroupPhase::Serving,
+        }
+    });
+    GroupRecord {
+        owner: Some(node("n1")),
+        next_epoch: GroupEpoch(100),
+        groups: groups.collect(),
+    }
+}
+
+/// Node that knows three groups and another node.
+fn node_with_groups() -> EdgeState {
+    let mut state = start("n1");
+    let config = vec![config_item(1, "/x/")];
+    list(&mut state, StoreCollection::RoutingConfig, config, at(1));
+    let endpoints = (0..2 * GROUPS).map(|index| {
+        let mut endpoint = endpoint(member(index).as_str());
+        endpoint.fabric = Some(FabricName::new("d0").unwrap());
+        endpoint.membership = Some(membership(index));
+        CollectionItem::Endpoint(endpoint)
+    });
+    list(
+        &mut state,
+        StoreCollection::Endpoints,
+        endpoints.collect(),
+        at(1),
+    );
+    let objects = [
+        (
+            "node.n2",
+            r#"{"address":"127.0.0.1:33","rank":250}"#.to_owned(),
+        ),
+        (
+            "groups",
+            serde_json::to_string(&RecordWire::from(&record())).unwrap(),
+        ),
+    ];
+    let objects = objects.map(|(key, value)| {
+        CollectionItem::Shared(StoredObject {
+            key: ObjectKey::new(key),
+            version: ObjectVersion(1),
+            value: value.into(),
+        })
+    });
+    list(&mut state, StoreCollection::Shared, objects.into(), at(1));
+    state
+}
+
+fn report(index: usize) -> ProbeOutcome {
+    ProbeOutcome::Received(EndpointReport {
+        incarnation: HostIncarnation(1),
+        sequence: 0,
+        staged: Vec::new(),
+        membership: Some(membership(index)),
+        latency_factor: 1.0,
+        queued: 0,
+        running: 0,
+    })
+}
+
+/// Heads that the node reports as silent while the store is away and some endpoints do not
+/// respond.
+fn reported_heads(state: &mut EdgeState, unresponsive: &[usize]) -> Vec<HostName> {
+    for collection in StoreCollection::ALL {
+        apply_event(state, collection, CollectionEvent::Unavailable, at(500));
+    }
+    let mut reported = Vec::new();
+    for now in (500..6_000).step_by(10) {
+        for effect in state.wake(at(now)) {
+            match effect {
+                EdgeEffect::Probe { of, .. } => {
+                    let index = (0..2 * GROUPS).find(|index| member(*index) == of).unwrap();
+                    let outcome = if unresponsive.contains(&index) {
+                        ProbeOutcome::NoResponse
+                    } else {
+                        report(index)
+                    };
+                    state.handle(EdgeEvent::Reported(of, outcome), at(now));
+                }
+                EdgeEffect::Send {
+                    message: PeerMessage::Digest(digest),
+                    ..
+                } => reported = digest.silent_heads,
+                EdgeEffect::Order { .. } => panic!("order without a record that can be written"),
+                _ => {}
+            }
+        }
+    }
+    reported
+}
+
+#[test]
+fn a_group_that_loses_a_member_is_reported_until_the_store_is_back() {
+    let mut state = node_with_groups();
+    assert_eq!(reported_heads(&mut state, &[3]), [member(2)]);
+}
+
+#[test]
+fn a_node_that_reaches_hardly_any_endpoint_reports_none() {
+    let mut state = node_with_groups();
+    assert_eq!(reported_heads(&mut state, &[0, 1, 3, 4]), []);
+}
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -154,8 +154,8 @@
     replies.last().expect("a question gets a reply at once")
 }
 
-pub fn arrive(state: &mut EdgeState, call: u64, path: &str, now: ClockTime) -> ArrivalOutcome {
-    let arrival = Arrival {
+pub fn arrival(call: u64, path: &str, now: ClockTime) -> Arrival {
+    Arrival {
         call: CallId(call),
         id: format!("request-{call}").into(),
         host: "a.example".into(),
@@ -163,7 +163,11 @@
         key: None,
         model: None,
         client_deadline: Some(now + Duration::from_secs(4)),
-    };
+    }
+}
+
+pub fn arrive(state: &mut EdgeState, call: u64, path: &str, now: ClockTime) -> ArrivalOutcome {
+    let arrival = arrival(call, path, now);
     match ask(state, EdgeQuestion::Arrive(Box::new(arrival)), now) {
         EdgeReply::Arrival(outcome) => *outcome,
         other => panic!("no arrival: {other:?}"),
--- a/crates/replicas/src/commands/mod.rs
+++ b/crates/replicas/src/commands/mod.rs
@@ -8,7 +8,7 @@
 
 pub use list::{ListChange, change_list, replace_list};
 pub use orders::record_order_outcome;
-pub use plan::tick;
+pub use plan::{probe, tick};
 pub use probes::{
     probe_group, probe_heads_often, record_probe_outcome, retry_probe, spread_probes,
 };
--- a/crates/replicas/src/commands/plan.rs
+++ b/crates/replicas/src/commands/plan.rs
@@ -53,6 +53,11 @@
     effects
 }
 
+/// Runs a pass that only probes endpoints, without a change of the groups.
+pub fn probe(state: &mut PlannerState, now: ClockTime) -> Vec<PlanEffect> {
+    start_due_probes(state, now)
+}
+
 /// Reserves the next block of epochs.
 fn reserve_epochs(state: &mut PlannerState, draft: &mut GroupRecord) {
     let start = draft.next_epoch.0.max(1);
--- a/crates/replicas/src/queries/mod.rs
+++ b/crates/replicas/src/queries/mod.rs
@@ -13,5 +13,5 @@
 pub use group_health::{GroupHealth, group_health, has_displaced_member, is_member, is_usable};
 pub use home_models::{FabricInventory, HomeModels, fabric_inventories, home_models};
 pub use selection::{GroupSelection, select_group};
-pub use serving::{ServingGroup, serving_groups};
+pub use serving::{ServingGroup, lost_heads, serving_groups};
 pub use staging::plan_staging;
--- a/crates/replicas/src/queries/serving.rs
+++ b/crates/replicas/src/queries/serving.rs
@@ -33,6 +33,19 @@
     factors.fold(1.0, f64::max)
 }
 
+/// Heads of groups that serve according to the record but have lost a member.
+pub fn lost_heads(state: &PlannerState) -> Vec<HostName> {
+    let groups = state.record.groups.iter();
+    let serving = groups.filter(|group| group.phase == GroupPhase::Serving);
+    let is_lost =
+        |group: &&GroupEntry| group_health(&state.endpoints, group) == GroupHealth::MemberLost;
+    let (lost, healthy): (Vec<_>, Vec<_>) = serving.partition(is_lost);
+    if lost.len() > healthy.len() {
+        return Vec::new();
+    }
+    lost.iter().map(|group| group.head().id.clone()).collect()
+}
+
 /// Groups that serve according to the record and whose members are all present.
 pub fn serving_groups(state: &PlannerState) -> Vec<ServingGroup> {
     let groups = state.record.groups.iter();
