Requests avoid suspect heads whatever the load, and are spread in small deployments too

The heads were suspect, yet chosen: candidates for the fast lane were taken first, and once all other heads were busy only the lost ones were left, with no load at all.

- Suspect heads are left out before the lane is chosen, unless all are suspect.
Test failed before.
- A rejection that names another server means that the group is broken: the head is avoided for 0.5 s, doubling, instead of the 0.1 s of a full one, and reported.
- In a deployment of up to ten nodes requests are spread by the age of the counts as well.

--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -70,7 +70,7 @@
             let outcome = with_deadline(self.clock.as_ref(), until, call.as_mut()).await;
             match outcome {
                 Some(CallOutcome::Response(response)) => {
-                    return self.check_response(request, *response).await;
+                    return self.check_response(request, order, *response);
                 }
                 Some(CallOutcome::NotSent) => return AttemptOutcome::Ended(AttemptEnd::NotSent),
                 Some(CallOutcome::Lost) if self.clock.now() >= order.deadline => {
@@ -119,9 +119,10 @@
     }
 
     /// Checks that a response is the server's own response to this request.
-    async fn check_response(
+    fn check_response(
         &self,
         request: &ClientRequest,
+        order: &SendOrder,
         response: IncomingResponse,
     ) -> AttemptOutcome {
         let metadata = self
@@ -134,11 +135,7 @@
         }
         if metadata.is_not_run {
             log::info!(id:% = request.id, status = response.parts.status.as_u16(), culprit:? = metadata.faulty_endpoint; "request not run by the server");
-            let end = if metadata.is_misdirected {
-                AttemptEnd::Misdirected
-            } else {
-                AttemptEnd::NotRun
-            };
+            let end = end_of_rejection(&metadata, order);
             drain_response(response, self.clock.as_ref());
             return AttemptOutcome::Ended(end);
         }
@@ -146,6 +143,19 @@
     }
 }
 
+/// Why a server did not run a request.
+///
+/// A head that has lost a member names that member's address.
+fn end_of_rejection(metadata: &ResponseMetadata, order: &SendOrder) -> AttemptEnd {
+    let faulty = metadata.faulty_endpoint.as_deref();
+    let is_other = faulty.is_some_and(|address| address != order.address.to_string());
+    match (metadata.is_misdirected, is_other) {
+        (true, _) => AttemptEnd::Misdirected,
+        (false, true) => AttemptEnd::GroupBroken,
+        (false, false) => AttemptEnd::NotRun,
+    }
+}
+
 /// Reason for which a response has to be discarded, if there is one.
 fn find_defect(
     request: &ClientRequest,
--- a/crates/edge/src/border/ports.rs
+++ b/crates/edge/src/border/ports.rs
@@ -178,7 +178,7 @@
     pub is_misdirected: bool,
     /// Whether an intermediary encoded its body.
     pub is_encoded: bool,
-    /// Endpoint that caused a failure, if it names one.
+    /// Address of the endpoint that caused a rejection, if it names one.
     pub faulty_endpoint: Option<Arc<str>>,
 }
 
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -59,7 +59,8 @@
     now: ClockTime,
 ) -> CallStep {
     let target = relay::queries::target_of(&state.relay, call).cloned();
-    if let (AttemptEnd::Misdirected, Some(head)) = (end, target) {
+    let is_group_lost = matches!(end, AttemptEnd::Misdirected | AttemptEnd::GroupBroken);
+    if let Some(head) = target.filter(|_| is_group_lost) {
         report_silent_head(state, head, now);
     }
     relay::commands::end_attempt(&mut state.relay, call, end, now)
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -35,7 +35,7 @@
     update_summing_hub(state, now);
     let unreported = count_unreported_nodes(state, now);
     state.relay.set_unreported_nodes(unreported);
-    state.relay.set_counts_age(counts_age(state));
+    state.relay.set_counts_age(Some(counts_age(state)));
     let receivers = digest_receivers(state, now);
     let with_sums = receivers
         .iter()
@@ -165,20 +165,19 @@
     });
 }
 
-/// Largest age of other nodes' counts in a large deployment; `None` in a small one, in which
-/// they are nearly current.
-fn counts_age(state: &EdgeState) -> Option<Duration> {
+/// Largest age of other nodes' counts.
+fn counts_age(state: &EdgeState) -> Duration {
     let peers = u32::try_from(state.peers.len()).unwrap_or(u32::MAX);
+    if !uses_hubs(state) {
+        return mesh_interval(state);
+    }
     let spokes_per_hub = peers / u32::try_from(state.hubs.len().max(1)).unwrap_or(u32::MAX);
     let to_hub = spoke_interval(state);
-    let from_hub = hub_interval(state, spokes_per_hub);
-    uses_hubs(state).then(|| {
-        if is_hub(state) {
-            to_hub
-        } else {
-            to_hub + from_hub
-        }
-    })
+    if is_hub(state) {
+        to_hub
+    } else {
+        to_hub + hub_interval(state, spokes_per_hub)
+    }
 }
 
 /// Selects the hubs again, without those that timed out.
@@ -233,17 +232,22 @@
 
 /// Interval until the next digest, which grows with the number of nodes.
 fn digest_interval(state: &EdgeState, receivers_of_sums: usize) -> Duration {
-    let peers = u32::try_from(state.peers.len()).unwrap_or(u32::MAX);
     if !is_hub(state) {
         spoke_interval(state)
     } else if uses_hubs(state) {
         hub_interval(state, u32::try_from(receivers_of_sums).unwrap_or(u32::MAX))
     } else {
-        let interval = state.times.digest_interval_per_peer.saturating_mul(peers);
-        clamp_interval(state, interval)
+        mesh_interval(state)
     }
 }
 
+/// Interval between two digests of a node of a small deployment.
+fn mesh_interval(state: &EdgeState) -> Duration {
+    let peers = u32::try_from(state.peers.len()).unwrap_or(u32::MAX);
+    let interval = state.times.digest_interval_per_peer;
+    clamp_interval(state, interval.saturating_mul(peers))
+}
+
 /// Interval between two digests of a node that is no hub.
 fn spoke_interval(state: &EdgeState) -> Duration {
     let peers = u32::try_from(state.peers.len()).unwrap_or(u32::MAX);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -29,6 +29,8 @@
     NotSent,
     /// The target reported that it did not run the request.
     NotRun,
+    /// The target did not run the request, as its group has lost a member.
+    GroupBroken,
     /// The address belongs to another server, or the server is in no group; nothing was run.
     Misdirected,
     /// The request may have run, and no usable response arrived.
@@ -44,7 +46,10 @@
 impl AttemptEnd {
     /// Whether the request was certainly not run.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::NotSent | Self::NotRun | Self::Misdirected)
+        matches!(
+            self,
+            Self::NotSent | Self::NotRun | Self::GroupBroken | Self::Misdirected
+        )
     }
 
     /// Name in logs.
@@ -52,6 +57,7 @@
         match self {
             Self::NotSent => "not-sent",
             Self::NotRun => "not-run",
+            Self::GroupBroken => "group-broken",
             Self::Misdirected => "not-here",
             Self::Lost => "lost",
             Self::Stalled => "stalled",
--- a/crates/relay/src/queries/choose.rs
+++ b/crates/relay/src/queries/choose.rs
@@ -50,7 +50,7 @@
         candidate.fast_utilization += assumed;
         candidate
     });
-    let candidates: Vec<_> = candidates.collect();
+    let candidates = without_avoided(candidates.collect());
     let settings = &state.settings;
     let is_engine = arrival.model.is_some();
     let is_retry = call.runs + call.rejections > 0;
@@ -119,8 +119,22 @@
     }
 }
 
+/// Candidates that are not to be avoided; all of them if there are no others.
+///
+/// This comes before the choice of the lane: heads of lost groups have the lowest load, as
+/// they reject requests, and would attract all of them while the other heads are busy.
+fn without_avoided(candidates: Vec<Candidate<'_>>) -> Vec<Candidate<'_>> {
+    if candidates.iter().all(|candidate| candidate.is_avoided) {
+        return candidates;
+    }
+    let usable = candidates
+        .into_iter()
+        .filter(|candidate| !candidate.is_avoided);
+    usable.collect()
+}
+
 /// Candidate for a request: the one with the least cost, or a random one of those with low
-/// costs if the costs are old. Those to avoid come last.
+/// costs if the costs are old.
 fn best_candidate<'a, 'b>(
     state: &RelayState,
     candidates: impl Iterator<Item = &'b Candidate<'a>>,
@@ -129,11 +143,6 @@
 where
     'a: 'b,
 {
-    let candidates: Vec<_> = candidates.collect();
-    let is_avoided = candidates.iter().all(|candidate| candidate.is_avoided);
-    let candidates = candidates
-        .into_iter()
-        .filter(|candidate| candidate.is_avoided == is_avoided);
     let Some(age) = state.counts_age else {
         return candidates.min_by(|a, b| {
             let by_cost = cost(a).total_cmp(&cost(b));
--- a/crates/relay/tests/suite/attempts.rs
+++ b/crates/relay/tests/suite/attempts.rs
@@ -28,10 +28,11 @@
 
 #[test]
 fn an_attempt_that_may_have_run_is_retried_only_if_the_route_allows_it() {
-    use AttemptEnd::{Cut, Failed, Lost, NotRun, NotSent, Stalled};
+    use AttemptEnd::{Cut, Failed, GroupBroken, Lost, NotRun, NotSent, Stalled};
     let cases = [
         (ONCE_ONLY, 1, NotSent, Next::Sent),
         (ONCE_ONLY, 1, NotRun, Next::Sent),
+        (ONCE_ONLY, 1, GroupBroken, Next::Sent),
         (ONCE_ONLY, 1, Lost, Next::MayHaveRun),
         (ONCE_ONLY, 2, Lost, Next::MayHaveRun),
         (ONCE_ONLY, 2, Failed, Next::MayHaveRun),
@@ -136,3 +137,18 @@
     assert_eq!(attempts_until_refusal(AttemptEnd::Misdirected), 2);
     assert_eq!(attempts_until_refusal(AttemptEnd::NotRun), 4);
 }
+
+#[test]
+fn a_head_without_one_of_its_members_is_avoided_for_longer_than_a_full_one() {
+    let target_after = |end, millis| {
+        let mut state = relay(vec![head("h1", 1), head("h2", 2)]);
+        let first = send(&mut state, request(1, STREAM, 2), at(0)).target;
+        end_attempt(&mut state, CallId(1), end, at(5));
+        finish(&mut state, CallId(1));
+        send(&mut state, request(2, STREAM, 2), at(millis)).target == first
+    };
+    assert!(target_after(AttemptEnd::NotRun, 200));
+    assert!(!target_after(AttemptEnd::GroupBroken, 200));
+    assert!(!target_after(AttemptEnd::GroupBroken, 450));
+    assert!(target_after(AttemptEnd::GroupBroken, 1_000));
+}
--- a/crates/relay/tests/suite/choice.rs
+++ b/crates/relay/tests/suite/choice.rs
@@ -281,3 +281,15 @@
         "{ranks:?}"
     );
 }
+
+#[test]
+fn a_suspect_head_is_no_way_out_when_the_others_are_busy() {
+    let mut state = relay(vec![head("h1", 1), head("h2", 2)]);
+    let node = NodeName::new("n2").unwrap();
+    let busy = LaneCounts { fast: 6, slow: 0 };
+    update_remote_counts(&mut state, &node, &[(host("h1"), busy)], at(0));
+    suspect_target(&mut state, &host("h2"), at(10));
+    let order = send(&mut state, request(1, STREAM, 2), at(20));
+    assert_eq!(order.target, host("h1"), "a request to a lost group stalls");
+    assert_eq!(order.rank, SLOW_RANK);
+}
--- a/crates/relay/tests/suite/main.rs
+++ b/crates/relay/tests/suite/main.rs
@@ -2,5 +2,7 @@
 
 mod attempts;
 mod choice;
+mod nearly_full;
+
 mod spread;
 mod support;
