The owner sends its targets again to a hub that did not get them

Found while reading the diff: since hubs pass the targets on, a message to a hub that was lost (full queue, reset connection) or sent before the hub was chosen stayed lost until the next change, and the nodes behind that hub kept sending to an endpoint that had left. A hub's digest now names the version that it passes on, and the owner sends the targets again, at most twice a second, to a hub with an older one. The test failed before; the round trip of digests covers the new fields.

--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -73,6 +73,8 @@
     summing_hub: Option<String>,
     #[prost(bool, tag = "11")]
     has_sums: bool,
+    #[prost(uint64, tag = "12")]
+    forwarded_version: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -230,6 +232,7 @@
             owns: digest.is_owner,
             summing_hub: (digest.summing_hub.as_ref()).map(|hub| hub.as_str().to_owned()),
             has_sums: digest.has_sums,
+            forwarded_version: digest.forwarded_version.0,
             counts: counts.collect(),
             paces: paces.collect(),
             silent: digest
@@ -259,6 +262,7 @@
             from: NodeName::new(&wire.from)?,
             summing_hub: summing_hub.transpose()?,
             has_sums: wire.has_sums,
+            forwarded_version: ObjectVersion(wire.forwarded_version),
             config_version: wire.intent_version,
             record_version: ObjectVersion(wire.record_version),
             can_own: wire.can_own,
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -105,6 +105,8 @@
         config_version: state.config.version().unwrap_or(0),
         record_version: state.planner.version().unwrap_or_default(),
         targets_version: state.targets_version,
+        forwarded_version: (state.forwarded_targets.as_ref())
+            .map_or(ObjectVersion::default(), |(_, version)| *version),
         is_owner: state.is_owner,
         can_own: can_own(state, now),
         summing_hub: state.summing_hub.as_ref().map(|hub| hub.node.clone()),
@@ -475,6 +477,7 @@
     let record_version = state.planner.version().unwrap_or_default();
     let distributed_targets = distributed_targets(state, &digest);
     let is_hub = state.hubs.contains(&digest.from);
+    let (uses_hubs, is_owner) = (uses_hubs(state), state.is_owner);
     let sends_sums = sends_sums_to(state, &digest.from, Some(&digest));
     // A node that has chosen another hub gets configurations from that one.
     let sends_configs = is_hub || sends_sums || digest.summing_hub.is_none();
@@ -500,9 +503,12 @@
         let record = state.planner.record().clone();
         effects.push(EdgeEffect::record(peer.address, record, record_version));
     }
+    let has_older_targets = |version: ObjectVersion| match is_hub {
+        true => uses_hubs && is_owner && digest.forwarded_version < version,
+        false => sends_sums && digest.targets_version < version,
+    };
     if let Some((targets, version)) = distributed_targets
-        && sends_sums
-        && digest.targets_version < version
+        && has_older_targets(version)
         && may_send(peer.targets_sent_at)
     {
         peer.targets_sent_at = Some(now);
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -48,6 +48,8 @@
     pub record_version: ObjectVersion,
     /// Version of the send targets that it uses; zero for none.
     pub targets_version: ObjectVersion,
+    /// Version of the owner's targets that it passes on as a hub; zero for none.
+    pub forwarded_version: ObjectVersion,
     /// Whether it owns the groups.
     pub is_owner: bool,
     /// Whether it can own the groups: it reaches the store and isn't stopping.
--- a/crates/edge/tests/suite/hubs.rs
+++ b/crates/edge/tests/suite/hubs.rs
@@ -69,6 +69,7 @@
         config_version: 1,
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(targets_version),
+        forwarded_version: ObjectVersion(0),
         is_owner,
         can_own: true,
         summing_hub: None,
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -16,10 +16,11 @@
         config_version: 7,
         record_version: ObjectVersion(12),
         targets_version: ObjectVersion(11),
+        forwarded_version: ObjectVersion(8),
         is_owner: true,
         can_own: true,
-        summing_hub: None,
-        has_sums: false,
+        summing_hub: Some(NodeName::new("n2").unwrap()),
+        has_sums: true,
         counts: vec![(
             HostName::new("i-1").unwrap(),
             LaneCounts { fast: 3, slow: 1 },
--- a/crates/edge/tests/suite/node.rs
+++ b/crates/edge/tests/suite/node.rs
@@ -301,6 +301,7 @@
         config_version: 1,
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(0),
+        forwarded_version: ObjectVersion(0),
         is_owner: true,
         can_own: true,
         summing_hub: None,
--- a/crates/edge/tests/suite/owner_loss.rs
+++ b/crates/edge/tests/suite/owner_loss.rs
@@ -57,6 +57,7 @@
         config_version: 1,
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(0),
+        forwarded_version: ObjectVersion(0),
         is_owner: false,
         can_own: true,
         summing_hub: None,
@@ -331,6 +332,21 @@
     let mut effects = apply_event(&mut owner, StoreCollection::Endpoints, listed, at(1_000));
     effects.extend(owner.wake(at(1_001)));
     assert_eq!(receivers(&effects, is_targets), [1_001, 1_002, 1_003]);
+    // A hub that did not get them is sent them again, and only that one.
+    let version = ObjectVersion(60);
+    let received = Digest {
+        forwarded_version: version,
+        ..digest("n01")
+    };
+    assert_eq!(
+        receivers(&receive(&mut owner, received, 1_600), is_targets),
+        [0_u16; 0]
+    );
+    let lacking = digest("n02");
+    assert_eq!(
+        receivers(&receive(&mut owner, lacking, 1_600), is_targets),
+        [1_002]
+    );
 }
 
 /// Number of retries that a node of a deployment grants within a second to requests of clients
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -180,6 +180,7 @@
         config_version,
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(0),
+        forwarded_version: ObjectVersion(0),
         is_owner: false,
         can_own,
         summing_hub: None,
