A node that starts when the store returns keeps the groups until their members are listed

The new owner found almost no endpoint, removed all 36 groups, and 640 requests ended as "no target" in the next half second.

Running nodes wait 2.2 s for missing entries. A node that starts now does the same for the members of the record's serving groups, if a quarter of them or more are missing. Ruled out: waiting for every missing member; a dark fabric domain would delay repairs.

The test failed before.

--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use intent::AdoptOutcome;
-use replicas::commands::{ListChange, change_list, replace_list};
+use replicas::commands::{ListChange, change_list, replace_list, restore_recorded_members};
 use store::StoredObject;
 
 use super::apply_shared_objects;
@@ -25,6 +25,10 @@
         return Vec::new();
     }
     record_store_response(state, collection, now);
+    if matches!(event, CollectionEvent::Listed(..)) {
+        let entry = state.collections.entry(collection).or_default();
+        entry.first_listed_at.get_or_insert(now);
+    }
     if let CollectionEvent::Listed(_, revision) | CollectionEvent::Changed(_, revision) = &event {
         let entry = state.collections.entry(collection).or_default();
         entry.revision = entry.revision.max(*revision);
@@ -56,6 +60,14 @@
         }
         (_, CollectionEvent::Unavailable) => Vec::new(),
     };
+    let listed_at =
+        (state.collection(StoreCollection::Endpoints)).and_then(|entry| entry.first_listed_at);
+    if let Some(listed_at) = listed_at {
+        let count = restore_recorded_members(&mut state.planner, listed_at, now);
+        if count > 0 {
+            log::info!(count; "recorded members that are not listed yet are kept");
+        }
+    }
     refresh_targets(state);
     state.needs_plan = true;
     effects
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -142,6 +142,8 @@
     pub last_response_at: Option<ClockTime>,
     /// Whether the collection was listed at least once.
     pub is_listed: bool,
+    /// Instant of the first list.
+    pub first_listed_at: Option<ClockTime>,
     /// Whether the last call failed.
     pub is_unavailable: bool,
     /// Revision of the store up to which the collection was read.
--- a/crates/edge/tests/suite/store_away.rs
+++ b/crates/edge/tests/suite/store_away.rs
@@ -1,6 +1,6 @@
 //! Outage of the store: groups are not repaired, but those that have lost a member are avoided.
 
-use crate::support::{apply_event, at, config_item, endpoint, list, node, start};
+use crate::support::{apply_event, at, config_item, endpoint, list, node, start, status};
 use base::prelude::*;
 use edge::border::ports::{CollectionItem, StoreCollection};
 use edge::{CollectionEvent, EdgeEffect, EdgeEvent, EdgeState, PeerMessage};
@@ -55,10 +55,15 @@
 
 /// Node that knows three groups and another node.
 fn node_with_groups() -> EdgeState {
+    node_that_lists(0..2 * GROUPS)
+}
+
+/// Node that starts with the record of three groups and a list of these endpoints.
+fn node_that_lists(members: std::ops::Range<usize>) -> EdgeState {
     let mut state = start("n1");
     let config = vec![config_item(1, "/x/")];
     list(&mut state, StoreCollection::RoutingConfig, config, at(1));
-    let endpoints = (0..2 * GROUPS).map(|index| {
+    let endpoints = members.map(|index| {
         let mut endpoint = endpoint(member(index).as_str());
         endpoint.fabric = Some(FabricName::new("d0").unwrap());
         endpoint.membership = Some(membership(index));
@@ -145,3 +150,26 @@
     let mut state = node_with_groups();
     assert_eq!(reported_heads(&mut state, &[0, 1, 3, 4]), []);
 }
+
+/// Numbers of groups that a node sends requests to, 0.1, 1 and 3 s after its start.
+fn serving(state: &mut EdgeState) -> [usize; 3] {
+    [100, 1_000, 3_000].map(|now| {
+        state.wake(at(now));
+        let endpoints = Vec::new();
+        let unchanged = CollectionEvent::Changed(endpoints, ObjectVersion(1));
+        apply_event(state, StoreCollection::Endpoints, unchanged, at(now));
+        status(state, at(now)).serving
+    })
+}
+
+#[test]
+fn a_node_that_starts_after_an_outage_keeps_groups_until_their_members_are_listed_again() {
+    let mut state = node_that_lists(0..1);
+    assert_eq!(serving(&mut state), [3, 3, 0]);
+}
+
+#[test]
+fn a_group_without_one_member_is_lost_if_the_others_are_listed() {
+    let mut state = node_that_lists(0..5);
+    assert_eq!(serving(&mut state), [2, 2, 2]);
+}
--- a/crates/replicas/src/commands/mod.rs
+++ b/crates/replicas/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod plan;
 mod probes;
 mod record;
+mod restore;
 
 pub use list::{ListChange, change_list, replace_list};
 pub use orders::record_order_outcome;
@@ -13,3 +14,4 @@
     probe_group, probe_heads_often, record_probe_outcome, retry_probe, spread_probes,
 };
 pub use record::{WriteOutcome, record_missing, record_write_outcome, update_record};
+pub use restore::restore_recorded_members;
