--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -78,7 +78,7 @@
 
 /// Makes the owner of the groups probe a head's members at once.
 fn report_silent_head(state: &mut EdgeState, head: HostName, now: ClockTime) {
-    if state.is_owner || state.is_caretaker {
+    if state.is_owner || state.is_prober {
         replicas::commands::probe_group(&mut state.planner, &head, now);
         state.needs_plan = true;
     } else if state.silent_heads.insert(head) {
--- /dev/null
+++ b/crates/edge/src/commands/digests.rs
@@ -0,0 +1,287 @@
+//! Digests to other nodes, and the hubs that they go through.
+
+use base::prelude::*;
+
+use super::distribution::send_targets;
+use crate::peer::Digest;
+use crate::queries::{
+    can_own, choose_summing_hub, is_hub, is_peer_alive, lists_endpoints, receives_targets,
+    select_hubs, sends_sums_to, uses_hubs,
+};
+use crate::state::SummingHub;
+use crate::{EdgeEffect, EdgeState, WatchMode};
+
+/// Time after becoming a hub in which a node must send a digest.
+const HUB_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time for which a hub that timed out can't be a hub.
+const HUB_EXCLUSION: Duration = Duration::from_secs(5);
+
+/// Sends digests if they are due, and targets if they have changed.
+pub(crate) fn send_digests(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
+    if state.digest_due > now {
+        return send_targets(state, now);
+    }
+    if now.since(state.digest_due) >= state.times.lag_threshold {
+        state.last_lag_at = Some(now);
+    }
+    update_hubs(state, now);
+    update_summing_hub(state, now);
+    let unreported = count_unreported_nodes(state, now);
+    state.relay.set_unreported_nodes(unreported);
+    state.relay.set_counts_age(Some(counts_age(state)));
+    let receivers = digest_receivers(state, now);
+    let with_sums = receivers
+        .iter()
+        .filter(|(_, kind)| *kind == DigestKind::Sums);
+    state.digest_due = now + digest_interval(state, with_sums.count());
+    let digest = local_digest(state, now);
+    let summed_digest = summed_digest(state, &digest, now);
+    let mut effects = Vec::new();
+    for (node, kind) in receivers {
+        let Some(peer) = state.peers.get_mut(&node) else {
+            continue;
+        };
+        peer.digest_sent_at = Some(now);
+        let digest = match kind {
+            DigestKind::Local => digest.clone(),
+            DigestKind::Sums => summed_digest.clone(),
+            DigestKind::Presence => Digest {
+                counts: Vec::new(),
+                ..digest.clone()
+            },
+        };
+        effects.push(EdgeEffect::digest(peer.address, digest));
+    }
+    effects.extend(send_targets(state, now));
+    effects.extend(update_watch_mode(state, now));
+    effects
+}
+
+/// Counts that a digest carries.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum DigestKind {
+    /// Those of this node.
+    Local,
+    /// The sums of all nodes.
+    Sums,
+    /// None: the digest only shows that this hub is alive.
+    Presence,
+}
+
+/// Nodes that get a digest now.
+fn digest_receivers(state: &EdgeState, now: ClockTime) -> Vec<(NodeName, DigestKind)> {
+    let is_hub = is_hub(state);
+    let receivers = state.peers.iter().filter_map(|(node, peer)| {
+        let kind = if state.hubs.contains(node) {
+            DigestKind::Local
+        } else if sends_sums_to(state, node, peer.digest.as_ref()) {
+            DigestKind::Sums
+        } else {
+            let is_due = peer
+                .digest_sent_at
+                .is_none_or(|at| now.since(at) >= state.times.max_digest_interval);
+            (is_hub && is_due).then_some(DigestKind::Presence)?
+        };
+        Some((node.clone(), kind))
+    });
+    receivers.collect()
+}
+
+/// Digest with the counts of this node.
+fn local_digest(state: &mut EdgeState, now: ClockTime) -> Digest {
+    if state.is_prober {
+        report_lost_groups(state, now);
+    }
+    let slow_groups = state.slow_groups.iter();
+    Digest {
+        from: state.settings.node.clone(),
+        config_version: state.config.version().unwrap_or(0),
+        record_version: state.planner.version().unwrap_or_default(),
+        targets_version: state.targets_version,
+        forwarded_version: (state.forwarded_targets.as_ref())
+            .map_or(ObjectVersion::default(), |(_, version)| *version),
+        is_owner: state.is_owner,
+        can_own: can_own(state, now),
+        summing_hub: state.summing_hub.as_ref().map(|hub| hub.node.clone()),
+        has_sums: false,
+        counts: relay::queries::local_counts(&state.relay, now),
+        silent_heads: std::mem::take(&mut state.silent_heads)
+            .into_iter()
+            .collect(),
+        slow_groups: if state.is_owner {
+            slow_groups
+                .map(|(head, pace)| (head.clone(), *pace))
+                .collect()
+        } else {
+            Vec::new()
+        },
+    }
+}
+
+/// Reports the heads of groups that have lost a member, each time until the store is back and
+/// the groups can be repaired.
+fn report_lost_groups(state: &mut EdgeState, now: ClockTime) {
+    for head in replicas::queries::lost_heads(&state.planner) {
+        relay::commands::suspect_target(&mut state.relay, &head, now);
+        state.silent_heads.insert(head);
+    }
+}
+
+/// Digest with the sums of all nodes and the silent heads that they have reported.
+fn summed_digest(state: &mut EdgeState, digest: &Digest, now: ClockTime) -> Digest {
+    let mut silent_heads = std::mem::take(&mut state.reported_silent_heads);
+    silent_heads.extend(digest.silent_heads.iter().cloned());
+    Digest {
+        has_sums: true,
+        counts: relay::queries::total_counts(&state.relay, now),
+        silent_heads: silent_heads.into_iter().collect(),
+        ..digest.clone()
+    }
+}
+
+/// Chooses another summing hub if the present one is gone or sends no sums.
+fn update_summing_hub(state: &mut EdgeState, now: ClockTime) {
+    if let Some(current) = &state.summing_hub
+        && state.hubs.contains(&current.node)
+    {
+        if now.since(current.heard_at) < state.times.sums_timeout {
+            return;
+        }
+        if let Some(peer) = state.peers.get_mut(&current.node) {
+            peer.no_sums_until = now + state.times.summing_hub_exclusion;
+        }
+    }
+    state.summing_hub = choose_summing_hub(state, now).map(|node| {
+        log::info!(hub:% = node; "summing hub chosen");
+        SummingHub {
+            node,
+            heard_at: now,
+        }
+    });
+}
+
+/// Largest age of other nodes' counts.
+fn counts_age(state: &EdgeState) -> Duration {
+    let peers = u32::try_from(state.peers.len()).unwrap_or(u32::MAX);
+    if !uses_hubs(state) {
+        return mesh_interval(state);
+    }
+    let spokes_per_hub = peers / u32::try_from(state.hubs.len().max(1)).unwrap_or(u32::MAX);
+    let to_hub = spoke_interval(state);
+    if is_hub(state) {
+        to_hub
+    } else {
+        to_hub + hub_interval(state, spokes_per_hub)
+    }
+}
+
+/// Selects the hubs again, without those that timed out.
+fn update_hubs(state: &mut EdgeState, now: ClockTime) {
+    let timeout = state.times.peer_timeout;
+    for peer in state.peers.values_mut() {
+        let is_alive = peer
+            .last_digest_at
+            .is_some_and(|at| now.since(at) < timeout);
+        let is_late = peer
+            .hub_since
+            .is_some_and(|at| now.since(at) >= HUB_TIMEOUT);
+        if is_late && !is_alive {
+            peer.excluded_until = now + HUB_EXCLUSION;
+        }
+    }
+    let hubs = select_hubs(state, now);
+    for (node, peer) in &mut state.peers {
+        if hubs.contains(node) {
+            peer.hub_since.get_or_insert(now);
+        } else {
+            peer.hub_since = None;
+        }
+    }
+    if hubs != state.hubs {
+        log::debug!(count = hubs.len(); "hubs changed");
+        state.hubs = hubs;
+    }
+}
+
+/// Number of other nodes that have not reported their requests to this node, which has
+/// just started.
+///
+/// Later on, a node that sends no digests is gone, and so are its requests.
+fn count_unreported_nodes(state: &EdgeState, now: ClockTime) -> usize {
+    if now.since(state.started_at) >= state.times.startup_report_window {
+        return 0;
+    }
+    if uses_hubs(state) && !is_hub(state) {
+        return if state.sums_received_at.is_some() {
+            0
+        } else {
+            state.peers.len()
+        };
+    }
+    let alive = state
+        .peers
+        .values()
+        .filter(|peer| is_peer_alive(state, peer, now));
+    state.peers.len() - alive.count()
+}
+
+/// Interval until the next digest, which grows with the number of nodes.
+fn digest_interval(state: &EdgeState, receivers_of_sums: usize) -> Duration {
+    if !is_hub(state) {
+        spoke_interval(state)
+    } else if uses_hubs(state) {
+        hub_interval(state, u32::try_from(receivers_of_sums).unwrap_or(u32::MAX))
+    } else {
+        mesh_interval(state)
+    }
+}
+
+/// Interval between two digests of a node of a small deployment.
+fn mesh_interval(state: &EdgeState) -> Duration {
+    let peers = u32::try_from(state.peers.len()).unwrap_or(u32::MAX);
+    let interval = state.times.digest_interval_per_peer;
+    clamp_interval(state, interval.saturating_mul(peers))
+}
+
+/// Interval between two digests of a node that is no hub.
+fn spoke_interval(state: &EdgeState) -> Duration {
+    let peers = u32::try_from(state.peers.len()).unwrap_or(u32::MAX);
+    let interval = state.times.spoke_digest_interval_per_peer;
+    clamp_interval(state, interval.saturating_mul(peers))
+}
+
+/// Interval between two digests of a hub that sends the sums to this many nodes.
+fn hub_interval(state: &EdgeState, receivers: u32) -> Duration {
+    let times = &state.times;
+    let targets = u32::try_from(state.targets.len()).unwrap_or(u32::MAX);
+    let by_target_count = times.hub_digest_interval_per_target.saturating_mul(targets);
+    let interval = times.hub_digest_interval_per_peer.max(by_target_count);
+    clamp_interval(state, interval.saturating_mul(receivers))
+}
+
+fn clamp_interval(state: &EdgeState, interval: Duration) -> Duration {
+    let times = &state.times;
+    interval.clamp(times.min_digest_interval, times.max_digest_interval)
+}
+
+/// Number of live peers from which this node relies on them to send it changes.
+const MIN_RELIABLE_PEERS: usize = 2;
+
+/// Changes the watch mode if needed.
+fn update_watch_mode(state: &mut EdgeState, now: ClockTime) -> Option<EdgeEffect> {
+    let alive = state
+        .peers
+        .values()
+        .filter(|peer| is_peer_alive(state, peer, now));
+    let mode = WatchMode {
+        is_owner: state.is_owner,
+        has_peers: alive.count() >= MIN_RELIABLE_PEERS,
+        receives_targets: receives_targets(state, now),
+        lists_endpoints: lists_endpoints(state, now),
+    };
+    if mode == state.watch_mode {
+        return None;
+    }
+    state.watch_mode = mode;
+    Some(EdgeEffect::SetWatchMode(mode))
+}
--- a/crates/edge/src/commands/mod.rs
+++ b/crates/edge/src/commands/mod.rs
@@ -2,6 +2,8 @@
 
 mod calls;
 mod collections;
+mod digests;
+mod distribution;
 mod peers;
 mod plan;
 mod reload;
@@ -10,7 +12,9 @@
 
 pub(crate) use calls::{arrive, check_stall, end_attempt, record_progress};
 pub(crate) use collections::{apply_collection_event, refresh_targets};
-pub(crate) use peers::{handle_message, send_digests, send_record};
+pub(crate) use digests::send_digests;
+pub(crate) use distribution::send_record;
+pub(crate) use peers::handle_message;
 pub(crate) use plan::{handle_order_outcome, handle_report_outcome, plan_if_due};
 pub(crate) use reload::reload;
 pub(crate) use shared::{
--- a/crates/edge/src/commands/plan.rs
+++ b/crates/edge/src/commands/plan.rs
@@ -13,7 +13,7 @@
 use super::refresh_targets;
 use super::shared::record_change;
 use crate::peer::SlowPace;
-use crate::queries::{is_caretaker, next_plan, owner};
+use crate::queries::{is_prober, next_plan, owner};
 use crate::{EdgeEffect, EdgeState};
 
 /// Interval between two log lines that summarize the groups.
@@ -30,11 +30,11 @@
         }
         log::info!(is_owner, record = state.planner.version().unwrap_or_default().0; "group ownership changed");
     }
-    let is_caretaker = !is_owner && is_caretaker(state, now);
-    if is_caretaker != std::mem::replace(&mut state.is_caretaker, is_caretaker) {
-        log::info!(is_caretaker; "probing of groups without an owner changed");
+    let is_prober = !is_owner && is_prober(state, now);
+    if is_prober != std::mem::replace(&mut state.is_prober, is_prober) {
+        log::info!(is_prober; "probing of groups without an owner changed");
     }
-    if !(is_owner || is_caretaker) || next_plan(state) > now {
+    if !(is_owner || is_prober) || next_plan(state) > now {
         return Vec::new();
     }
     state.plan_due = now + state.times.plan_interval;
--- a/crates/edge/src/queries/deadline.rs
+++ b/crates/edge/src/queries/deadline.rs
@@ -7,7 +7,7 @@
 /// Instant at which the next timer is due.
 pub fn next_deadline(state: &EdgeState) -> Option<ClockTime> {
     let mut next = state.digest_due;
-    if state.is_owner || state.is_caretaker {
+    if state.is_owner || state.is_prober {
         let due = next_plan(state);
         let planner = replicas::queries::next_deadline(&state.planner);
         let planner = planner.filter(|_| !state.needs_plan);
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -12,7 +12,7 @@
     choose_summing_hub, complete_targets_version, is_hub, lists_endpoints, local_targets_version,
     receives_targets, select_hubs, sends_sums_to, uses_hubs,
 };
-pub(crate) use owner::{can_own, is_caretaker, is_peer_alive, owner};
+pub(crate) use owner::{can_own, is_peer_alive, is_prober, owner};
 pub(crate) use status::startup_wait;
 pub use status::status;
 pub(crate) use targets::ready_targets;
--- a/crates/edge/src/queries/owner.rs
+++ b/crates/edge/src/queries/owner.rs
@@ -87,7 +87,7 @@
 ///
 /// It only probes their members, so that the nodes avoid groups that have lost one. One node
 /// does so: the one that wrote the record, or else the first of the hubs.
-pub(crate) fn is_caretaker(state: &EdgeState, now: ClockTime) -> bool {
+pub(crate) fn is_prober(state: &EdgeState, now: ClockTime) -> bool {
     let has_started = now.since(state.started_at) >= state.times.ownership_start_delay;
     let is_able = has_started && state.stopping.is_none() && is_hub(state);
     if !is_able || state.planner.version().is_none() || owner(state, now).is_some() {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -253,7 +253,7 @@
     pub(crate) inventory_log_due: ClockTime,
     pub(crate) is_owner: bool,
     /// Whether this node probes the groups while nobody can own them.
-    pub(crate) is_caretaker: bool,
+    pub(crate) is_prober: bool,
     /// How the collections are watched.
     pub(crate) watch_mode: WatchMode,
     /// Last instant at which another node took the groups over from this one.
@@ -314,7 +314,7 @@
             needs_plan: false,
             inventory_log_due: now,
             is_owner: false,
-            is_caretaker: false,
+            is_prober: false,
             watch_mode: WatchMode::default(),
             yielded_at: None,
             last_write_failure_at: None,
