--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -112,12 +112,26 @@
             state.needs_plan = true;
         }
     }
+    let effects = send_missing(state, &digest, now);
+    if let Some(peer) = state.peers.get_mut(&digest.from) {
+        peer.last_digest_at = Some(now);
+        peer.digest = Some(digest);
+    }
+    if state.summing_hub.is_none() && choose_summing_hub(state, now).is_some() {
+        // The hub sends the targets once it knows that it was chosen.
+        state.digest_due = now;
+    }
+    effects
+}
+
+/// Sends the configuration, record or targets that a digest shows to be missing at its sender.
+fn send_missing(state: &mut EdgeState, digest: &Digest, now: ClockTime) -> Vec<EdgeEffect> {
     let propagated_version = propagated_config_version(state, now);
     let record_version = state.planner.version().unwrap_or_default();
-    let distributed_targets = distributed_targets(state, &digest);
+    let distributed_targets = distributed_targets(state, digest);
     let is_hub = state.hubs.contains(&digest.from);
     let (uses_hubs, is_owner) = (uses_hubs(state), state.is_owner);
-    let sends_sums = sends_sums_to(state, &digest.from, Some(&digest));
+    let sends_sums = sends_sums_to(state, &digest.from, Some(digest));
     // A node that has chosen another hub gets configurations from that one.
     let sends_configs = is_hub || sends_sums || digest.summing_hub.is_none();
     let Some(peer) = state.peers.get_mut(&digest.from) else {
@@ -153,11 +167,5 @@
         peer.targets_sent_at = Some(now);
         effects.push(EdgeEffect::targets(peer.address, targets, version));
     }
-    peer.last_digest_at = Some(now);
-    peer.digest = Some(digest);
-    if state.summing_hub.is_none() && choose_summing_hub(state, now).is_some() {
-        // The hub sends the targets once it knows that it was chosen.
-        state.digest_due = now;
-    }
     effects
 }
