--- a/crates/edge/tests/suite/owner_loss.rs
+++ b/crates/edge/tests/suite/owner_loss.rs
@@ -101,20 +101,43 @@
     matches!(message, PeerMessage::Targets(..))
 }
 
-/// Runs the event loop for a while with digests of these hubs; the first one owns the groups.
-fn run(state: &mut EdgeState, hubs: &[&str], with_owner: bool, millis: std::ops::Range<u64>) {
+/// Runs the event loop for a while with these digests; returns the watch modes that it sets.
+fn run_with(
+    state: &mut EdgeState,
+    digests: &[Digest],
+    millis: std::ops::Range<u64>,
+) -> Vec<WatchMode> {
+    let mut modes = Vec::new();
     for now in millis.step_by(20) {
-        for (index, hub) in hubs.iter().enumerate() {
-            let is_owner = with_owner && index == 0;
-            let has_sums = !is_owner;
-            let digest = Digest {
-                is_owner,
-                has_sums,
-                ..digest(hub)
-            };
-            receive(state, digest, now);
+        for digest in digests {
+            receive(state, digest.clone(), now);
         }
-        state.wake(at(now));
+        let effects = state.wake(at(now)).into_iter();
+        modes.extend(effects.filter_map(|effect| match effect {
+            EdgeEffect::SetWatchMode(mode) => Some(mode),
+            _ => None,
+        }));
+    }
+    modes
+}
+
+/// Runs the event loop for a while with digests of these hubs; the first one owns the groups.
+fn run(state: &mut EdgeState, hubs: &[&str], millis: std::ops::Range<u64>) -> Vec<WatchMode> {
+    let digests = hubs.iter().enumerate().map(|(index, hub)| Digest {
+        is_owner: index == 0,
+        has_sums: index > 0,
+        ..digest(hub)
+    });
+    let digests: Vec<_> = digests.collect();
+    run_with(state, &digests, millis)
+}
+
+/// Digest of a hub that sends the sums and doesn't own the groups.
+fn sums_of(hub: &str, can_own: bool) -> Digest {
+    Digest {
+        can_own,
+        has_sums: true,
+        ..digest(hub)
     }
 }
 
@@ -153,19 +176,19 @@
 fn a_node_gets_the_sums_from_a_hub_of_its_domain_that_is_not_the_owner() {
     let hubs = ["n00", "n01", "n02", "n03"];
     let mut state = start(22);
-    run(&mut state, &hubs, true, 10..200);
+    run(&mut state, &hubs, 10..200);
     assert_eq!(summing_hub(&mut state, 300), Some(node("n01")));
     // The hubs of its domain are the owner and n03.
     let mut state = start(21);
-    run(&mut state, &hubs, true, 10..200);
+    run(&mut state, &hubs, 10..200);
     assert_eq!(summing_hub(&mut state, 300), Some(node("n03")));
 }
 
 #[test]
 fn a_silent_hub_is_replaced_before_its_sums_expire() {
     let mut state = start(22);
-    run(&mut state, &["n00", "n01", "n02", "n03"], true, 10..1_000);
-    run(&mut state, &["n00", "n02", "n03"], true, 1_000..1_500);
+    run(&mut state, &["n00", "n01", "n02", "n03"], 10..1_000);
+    run(&mut state, &["n00", "n02", "n03"], 1_000..1_500);
     assert_ne!(summing_hub(&mut state, 1_600), Some(node("n01")));
 }
 
@@ -176,7 +199,7 @@
         HostName::new("p-1").unwrap(),
         LaneCounts { fast: 14, slow: 0 },
     )];
-    run(&mut state, &["n00", "n01"], true, 10..200);
+    run(&mut state, &["n00", "n01"], 10..200);
     for hub in ["n01", "n02"] {
         let counts = counts.clone();
         let digest = Digest {
@@ -197,35 +220,12 @@
 fn the_targets_stay_in_use_while_another_node_takes_over_the_groups() {
     let mut state = start(22);
     state.handle(EdgeEvent::Peer(targets(40)), at(5));
-    run(&mut state, &["n00", "n01", "n02"], true, 10..1_000);
-    let mut modes = Vec::new();
-    for now in (1_000..2_200).step_by(20) {
-        receive(
-            &mut state,
-            Digest {
-                has_sums: true,
-                ..digest("n01")
-            },
-            now,
-        );
-        modes.extend(
-            state
-                .wake(at(now))
-                .into_iter()
-                .filter_map(|effect| match effect {
-                    EdgeEffect::SetWatchMode(mode) => Some(mode),
-                    _ => None,
-                }),
-        );
-    }
-    assert!(
-        modes.iter().all(|mode: &WatchMode| mode.receives_targets),
-        "{modes:?}"
-    );
-    assert_eq!(
-        chosen_target(&arrive(&mut state, 1, "/x/a", at(2_200))),
-        Some("p-7")
-    );
+    let modes = run(&mut state, &["n00", "n01", "n02"], 10..1_000);
+    assert!(modes.last().is_some_and(|mode| mode.receives_targets));
+    let modes = run_with(&mut state, &[sums_of("n01", true)], 1_000..2_200);
+    assert!(modes.iter().all(|mode| mode.receives_targets), "{modes:?}");
+    let outcome = arrive(&mut state, 1, "/x/a", at(2_200));
+    assert_eq!(chosen_target(&outcome), Some("p-7"));
 }
 
 #[test]
@@ -251,34 +251,11 @@
 fn the_store_is_not_asked_for_targets_while_no_hub_reaches_it() {
     let mut state = start(22);
     state.handle(EdgeEvent::Peer(targets(40)), at(5));
-    run(&mut state, &["n00", "n01"], true, 10..1_000);
-    let mut modes = Vec::new();
-    for now in (1_000..6_000).step_by(20) {
-        for hub in ["n00", "n01"] {
-            receive(
-                &mut state,
-                Digest {
-                    can_own: false,
-                    has_sums: true,
-                    ..digest(hub)
-                },
-                now,
-            );
-        }
-        modes.extend(
-            state
-                .wake(at(now))
-                .into_iter()
-                .filter_map(|effect| match effect {
-                    EdgeEffect::SetWatchMode(mode) => Some(mode),
-                    _ => None,
-                }),
-        );
-    }
-    assert!(
-        modes.iter().all(|mode: &WatchMode| mode.receives_targets),
-        "{modes:?}"
-    );
+    let modes = run(&mut state, &["n00", "n01"], 10..1_000);
+    assert!(modes.last().is_some_and(|mode| mode.receives_targets));
+    let digests = ["n00", "n01"].map(|hub| sums_of(hub, false));
+    let modes = run_with(&mut state, &digests, 1_000..6_000);
+    assert!(modes.iter().all(|mode| mode.receives_targets), "{modes:?}");
 }
 
 #[test]
@@ -379,14 +356,10 @@
     assert!(retries >= limit / 2, "{retries} retries, limit {limit}");
 }
 
-/// Watch mode after a time from the start; the default one lists no endpoints.
+/// Watch mode after a time without digests; the default one lists no endpoints.
 fn last_mode(state: &mut EdgeState, millis: std::ops::Range<u64>) -> WatchMode {
-    let modes = millis.step_by(10).flat_map(|now| state.wake(at(now)));
-    let modes = modes.filter_map(|effect| match effect {
-        EdgeEffect::SetWatchMode(mode) => Some(mode),
-        _ => None,
-    });
-    modes.last().unwrap_or_default()
+    let modes = run_with(state, &[], millis);
+    modes.last().copied().unwrap_or_default()
 }
 
 #[test]
