Servers removed just after a disturbance of the store get no more requests

What callers saw: requests went on to a plain server that had left, up to two seconds and more after the store had confirmed it (DRAIN).

Cause: after an outage of the store missing endpoints are kept for 2.2 s, because expired entries come back. Three faults in that: - any failed call counted as an outage, also a reset that cost 0.16 s, and each removal in the next 2.2 s was kept for 2.2 s from then on; - the end of that time was only acted on by the planner, which runs at the owner; at every other node a plain server was kept until the next list; - a single server that leaves was treated like many entries that expire.

Change: an outage has to last a second; the kept time counts from its end; missing endpoints are kept only where a service lacks several and more than a tenth of its endpoints, or all of them (replicas::queries::is_expiry_likely); an endpoint that announced its leaving is never kept; every node removes them when the time is over.

Tests, each failed before: edge/tests/suite/leaving.rs (three); table in replicas/tests/expiry.rs. The existing test of kept endpoints listed the store a second time, which hid that nothing expires by itself.

--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -74,11 +74,16 @@
 }
 
 fn record_store_response(state: &mut EdgeState, collection: StoreCollection, now: ClockTime) {
+    let min_outage = state.times.min_outage;
     let entry = state.collections.entry(collection).or_default();
-    entry.last_response_at = Some(now);
+    let last_response_at = entry.last_response_at.replace(now);
     if std::mem::replace(&mut entry.is_unavailable, false) {
-        entry.recovered_at = Some(now);
-        log::info!(feed = collection.as_str(); "store available again");
+        let outage = last_response_at.map(|at| now.since(at));
+        if outage.is_none_or(|outage| outage >= min_outage) {
+            entry.recovered_at = Some(now);
+        }
+        let outage_ms = outage.map(|outage| outage.as_millis() as u64);
+        log::info!(feed = collection.as_str(), outage_ms:? = outage_ms; "store available again");
     }
 }
 
@@ -157,7 +162,7 @@
         .entry(StoreCollection::Endpoints)
         .or_default();
     entry.is_listed = true;
-    let after_outage = is_after_outage(state, now);
+    let keep_until = relist_deadline(state, now);
     let mut endpoints = Vec::new();
     for item in items {
         match item {
@@ -165,40 +170,52 @@
             other => log_unreadable(&other, "it is ignored"),
         }
     }
+    let after_outage = keep_until.is_some();
     log::info!(count = endpoints.len(), revision = revision.0, after_outage; "endpoints listed");
-    replace_list(&mut state.planner, endpoints, after_outage, now);
+    replace_list(&mut state.planner, endpoints, keep_until, now);
 }
 
-fn is_after_outage(state: &EdgeState, now: ClockTime) -> bool {
-    let recovered_at = state
-        .collection(StoreCollection::Endpoints)
-        .and_then(|entry| entry.recovered_at);
-    recovered_at.is_some_and(|at| now.since(at) < state.times.relist_window)
+/// End of the time after an outage of the store in which expired entries may be listed again;
+/// `None` if it is over.
+fn relist_deadline(state: &EdgeState, now: ClockTime) -> Option<ClockTime> {
+    let entry = state.collection(StoreCollection::Endpoints)?;
+    let deadline = entry.recovered_at? + state.times.relist_window;
+    (now < deadline).then_some(deadline)
 }
 
 fn apply_endpoint_changes(state: &mut EdgeState, changes: Vec<CollectionChange>, now: ClockTime) {
-    let after_outage = is_after_outage(state, now);
-    for change in changes {
-        let change = match change {
-            CollectionChange::Put(CollectionItem::Endpoint(endpoint)) => ListChange::Put(endpoint),
-            CollectionChange::Put(other) => {
-                log_unreadable(&other, "it is ignored");
-                continue;
+    let keep_until = relist_deadline(state, now);
+    let after_outage = keep_until.is_some();
+    let changes = changes.into_iter().filter_map(|change| match change {
+        CollectionChange::Put(CollectionItem::Endpoint(endpoint)) => {
+            Some(ListChange::Put(endpoint))
+        }
+        CollectionChange::Put(other) => {
+            log_unreadable(&other, "it is ignored");
+            None
+        }
+        CollectionChange::Removed(name) => match HostName::new(&name) {
+            Ok(id) => {
+                log::info!(endpoint:% = id, after_outage; "endpoint removed");
+                Some(ListChange::Removed(id))
             }
-            CollectionChange::Removed(name) => match HostName::new(&name) {
-                Ok(id) => {
-                    log::info!(endpoint:% = id, after_outage; "endpoint removed");
-                    ListChange::Removed(id)
-                }
-                Err(error) => {
-                    log::warn!(
-                        "removal of an object without a valid endpoint name ignored: {error}"
-                    );
-                    continue;
-                }
-            },
-        };
-        change_list(&mut state.planner, change, after_outage, now);
+            Err(error) => {
+                log::warn!("removal of an object without a valid endpoint name ignored: {error}");
+                None
+            }
+        },
+    });
+    let changes = changes.collect();
+    change_list(&mut state.planner, changes, keep_until, now);
+}
+
+/// Stops using endpoints that are still not listed at the end of their grace period, at nodes
+/// that don't run the planner too.
+pub(crate) fn expire_endpoints(state: &mut EdgeState, now: ClockTime) {
+    let count = replicas::commands::expire_endpoints(&mut state.planner, now);
+    if count > 0 {
+        log::info!(count; "endpoints that were not listed again removed");
+        refresh_targets(state);
     }
 }
 
--- a/crates/edge/src/commands/mod.rs
+++ b/crates/edge/src/commands/mod.rs
@@ -11,7 +11,7 @@
 mod stop;
 
 pub(crate) use calls::{arrive, check_stall, end_attempt, record_progress};
-pub(crate) use collections::{apply_collection_event, refresh_targets};
+pub(crate) use collections::{apply_collection_event, expire_endpoints, refresh_targets};
 pub(crate) use digests::send_digests;
 pub(crate) use distribution::send_record;
 pub(crate) use peers::handle_message;
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -45,6 +45,7 @@
     }
 
     fn wake(&mut self, now: ClockTime) -> Vec<EdgeEffect> {
+        commands::expire_endpoints(self, now);
         let mut effects = commands::register_node(self, now);
         effects.extend(commands::send_digests(self, now));
         effects.extend(commands::plan_if_due(self, now));
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -74,7 +74,9 @@
     pub readiness_propagation_delay: Duration,
     /// Time before the end of the grace period at which the process exits.
     pub exit_margin: Duration,
-    /// Time after an outage of the store in which missing endpoints may be listed again.
+    /// Shortest outage of the store in which entries of endpoints can expire.
+    pub min_outage: Duration,
+    /// Time after such an outage in which missing endpoints may be listed again.
     pub relist_window: Duration,
     /// Time after the start before this node can own the groups, so that it learns of
     /// other nodes and endpoints first.
@@ -127,6 +129,8 @@
             readiness_propagation_delay: Duration::from_millis(2_600),
             // Time to write the last responses.
             exit_margin: Duration::from_millis(500),
+            // Endpoints write their entries about as often, and may miss two writes.
+            min_outage: Duration::from_millis(1_000),
             // The platform lists endpoints again within two seconds.
             relist_window: Duration::from_millis(2_200),
             // One digest interval, so that one node starts and not all of them.
@@ -148,7 +152,7 @@
     pub is_unavailable: bool,
     /// Revision of the store up to which the collection was read.
     pub revision: ObjectVersion,
-    /// End of the last outage of the store.
+    /// End of the last outage of the store in which entries can have expired.
     pub recovered_at: Option<ClockTime>,
 }
 
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod events;
 mod hubs;
+mod leaving;
 mod messages;
 mod node;
 mod owner_loss;
--- a/crates/replicas/src/commands/list.rs
+++ b/crates/replicas/src/commands/list.rs
@@ -1,11 +1,12 @@
 //! Updates of the platform's endpoint list.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::prelude::*;
 
+use crate::queries::is_expiry_likely;
 use crate::state::{EndpointView, is_standby};
-use crate::{Endpoint, PlannerState};
+use crate::{Endpoint, PlannerState, Presence};
 
 /// Change of the endpoint list.
 #[derive(Clone, Debug)]
@@ -18,51 +19,97 @@
 
 /// Replaces the whole list.
 ///
-/// After a store outage, entries may be missing that are listed again soon; their
-/// endpoints are kept for a grace period.
+/// `keep_until` is the end of the grace period after a store outage, in which expired entries
+/// may be listed again; see [`is_expiry_likely`].
 pub fn replace_list(
     state: &mut PlannerState,
     list: Vec<Endpoint>,
-    after_outage: bool,
+    keep_until: Option<ClockTime>,
     now: ClockTime,
 ) {
     let listed: BTreeSet<_> = list.iter().map(|endpoint| endpoint.id.clone()).collect();
     for endpoint in list {
         upsert(state, endpoint, now);
     }
-    let expires_at = if after_outage {
-        now + state.settings.relist_grace_period
-    } else {
-        now
-    };
-    for (id, view) in &mut state.endpoints {
-        if !listed.contains(id) {
-            view.expires_at.get_or_insert(expires_at);
-        }
-    }
-    remove_expired(state, now);
+    let ids = state.endpoints.keys();
+    let missing = ids.filter(|id| !listed.contains(*id)).cloned().collect();
+    remove_missing(state, missing, keep_until);
+    expire_endpoints(state, now);
 }
 
-/// Applies one change of the list.
+/// Applies changes of the list; `keep_until` as in [`replace_list`].
 pub fn change_list(
     state: &mut PlannerState,
-    change: ListChange,
-    after_outage: bool,
+    changes: Vec<ListChange>,
+    keep_until: Option<ClockTime>,
     now: ClockTime,
 ) {
-    let relist_grace_period = state.settings.relist_grace_period;
-    match change {
-        ListChange::Put(endpoint) => upsert(state, endpoint, now),
-        ListChange::Removed(id) if after_outage => {
-            if let Some(view) = state.endpoints.get_mut(&id) {
-                view.expires_at.get_or_insert(now + relist_grace_period);
+    let mut missing = BTreeSet::new();
+    for change in changes {
+        match change {
+            ListChange::Put(endpoint) => {
+                missing.remove(&endpoint.id);
+                upsert(state, endpoint, now);
             }
+            ListChange::Removed(id) if keep_until.is_some() => {
+                missing.insert(id);
+            }
+            ListChange::Removed(id) => remove(state, &id),
         }
-        ListChange::Removed(id) => {
-            state.endpoints.remove(&id);
-            state.loads.finish(&id);
+    }
+    remove_missing(state, missing, keep_until);
+}
+
+/// Removes endpoints that are no longer listed, or keeps them until the end of the grace period
+/// if their entries have rather expired.
+fn remove_missing(
+    state: &mut PlannerState,
+    missing: BTreeSet<HostName>,
+    keep_until: Option<ClockTime>,
+) {
+    let expired_services = match keep_until {
+        Some(_) => services_with_expired_entries(state, &missing),
+        None => BTreeSet::new(),
+    };
+    for id in missing {
+        let Some(view) = state.endpoints.get_mut(&id) else {
+            continue;
+        };
+        let is_expired = expired_services.contains(&view.endpoint.service)
+            && view.endpoint.presence == Presence::Ready;
+        match keep_until.filter(|_| is_expired) {
+            Some(until) => {
+                let expires_at = *view.expires_at.get_or_insert(until);
+                state.expiry_due = earlier(state.expiry_due, expires_at);
+            }
+            None => remove(state, &id),
+        }
+    }
+}
+
+/// Services whose missing endpoints have rather expired than left.
+fn services_with_expired_entries(
+    state: &PlannerState,
+    missing: &BTreeSet<HostName>,
+) -> BTreeSet<ServiceName> {
+    let mut counts: BTreeMap<&ServiceName, (usize, usize)> = BTreeMap::new();
+    for (id, view) in &state.endpoints {
+        if view.endpoint.presence != Presence::Ready {
+            continue;
         }
+        let (missing_count, known_count) = counts.entry(&view.endpoint.service).or_default();
+        *known_count += 1;
+        *missing_count += usize::from(missing.contains(id) || view.expires_at.is_some());
     }
+    let expired = counts
+        .into_iter()
+        .filter(|(_, (missing_count, known_count))| is_expiry_likely(*missing_count, *known_count));
+    expired.map(|(service, _)| service.clone()).collect()
+}
+
+fn remove(state: &mut PlannerState, id: &HostName) {
+    state.endpoints.remove(id);
+    state.loads.finish(id);
 }
 
 fn upsert(state: &mut PlannerState, endpoint: Endpoint, now: ClockTime) {
@@ -119,9 +166,21 @@
     state.loads.finish(id);
 }
 
-/// Removes endpoints whose grace period has ended.
-pub(super) fn remove_expired(state: &mut PlannerState, now: ClockTime) {
+/// Removes endpoints whose grace period has ended; returns their number.
+pub fn expire_endpoints(state: &mut PlannerState, now: ClockTime) -> usize {
+    if state.expiry_due.is_none_or(|due| due > now) {
+        return 0;
+    }
+    let count = state.endpoints.len();
     state
         .endpoints
         .retain(|_, view| view.expires_at.is_none_or(|at| at > now));
+    let views = state.endpoints.values();
+    state.expiry_due = views.filter_map(|view| view.expires_at).min();
+    count - state.endpoints.len()
+}
+
+/// Earlier of an instant that may be missing and another one.
+pub(super) fn earlier(current: Option<ClockTime>, other: ClockTime) -> Option<ClockTime> {
+    Some(current.map_or(other, |current| current.min(other)))
 }
--- a/crates/replicas/src/commands/mod.rs
+++ b/crates/replicas/src/commands/mod.rs
@@ -7,7 +7,7 @@
 mod record;
 mod restore;
 
-pub use list::{ListChange, change_list, replace_list};
+pub use list::{ListChange, change_list, expire_endpoints, replace_list};
 pub use orders::record_order_outcome;
 pub use plan::{probe, tick};
 pub use probes::{
--- a/crates/replicas/src/commands/plan.rs
+++ b/crates/replicas/src/commands/plan.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use intent::{EngineProfile, RoutingConfig};
 
-use super::list::remove_expired;
+use super::list::expire_endpoints;
 use super::orders::issue;
 use super::probes::start_due_probes;
 use crate::queries::{
@@ -19,7 +19,7 @@
 
 /// Runs one planning pass and returns what the owner does next.
 pub fn tick(state: &mut PlannerState, config: &RoutingConfig, now: ClockTime) -> Vec<PlanEffect> {
-    remove_expired(state, now);
+    expire_endpoints(state, now);
     let Some(version) = state.version else {
         return Vec::new();
     };
--- a/crates/replicas/src/commands/restore.rs
+++ b/crates/replicas/src/commands/restore.rs
@@ -7,6 +7,7 @@
 
 use base::prelude::*;
 
+use super::list::earlier;
 use crate::state::EndpointView;
 use crate::{Endpoint, GroupEntry, GroupPhase, MemberPhase, Membership, PlannerState, Presence};
 
@@ -45,6 +46,7 @@
             .endpoints
             .insert(group.members[*rank].id.clone(), view);
     }
+    state.expiry_due = earlier(state.expiry_due, expires_at);
     missing.len()
 }
 
--- a/crates/replicas/src/queries/mod.rs
+++ b/crates/replicas/src/queries/mod.rs
@@ -1,6 +1,7 @@
 //! Queries that only read the planner's state.
 
 mod deadline;
+mod expiry;
 mod fabric_index;
 mod group_health;
 mod home_models;
@@ -9,6 +10,7 @@
 mod staging;
 
 pub use deadline::next_deadline;
+pub use expiry::{is_expiry_likely, next_expiry};
 pub use fabric_index::FabricIndex;
 pub use group_health::{GroupHealth, group_health, has_displaced_member, is_member, is_usable};
 pub use home_models::{FabricInventory, HomeModels, fabric_inventories, home_models};
--- a/crates/replicas/src/state.rs
+++ b/crates/replicas/src/state.rs
@@ -90,6 +90,8 @@
     pub(crate) settings: PlannerSettings,
     pub(crate) node: NodeName,
     pub(crate) endpoints: BTreeMap<HostName, EndpointView>,
+    /// Earliest instant at which an endpoint expires.
+    pub(crate) expiry_due: Option<ClockTime>,
     pub(crate) record: Arc<GroupRecord>,
     /// Version of the record in the store; `None` until it was read.
     pub(crate) version: Option<ObjectVersion>,
@@ -119,6 +121,7 @@
             settings,
             node,
             endpoints: BTreeMap::new(),
+            expiry_due: None,
             record: Arc::default(),
             version: None,
             record_received_at: ClockTime::default(),
--- a/crates/replicas/tests/groups.rs
+++ b/crates/replicas/tests/groups.rs
@@ -148,7 +148,12 @@
     let (before, _) = simulation.record.clone().unwrap();
     for endpoint in early {
         let change = replicas::commands::ListChange::Put(endpoint);
-        replicas::commands::change_list(&mut simulation.owners[0], change, false, simulation.now);
+        replicas::commands::change_list(
+            &mut simulation.owners[0],
+            vec![change],
+            None,
+            simulation.now,
+        );
     }
     simulation.run(200);
     let (after, _) = simulation.record.clone().unwrap();
@@ -212,7 +217,7 @@
     simulation.run(2_000);
     for simulated in simulation.endpoints.values() {
         let change = replicas::commands::ListChange::Put(simulated.endpoint.clone());
-        replicas::commands::change_list(&mut old, change, false, simulation.now);
+        replicas::commands::change_list(&mut old, vec![change], None, simulation.now);
     }
     let effects = replicas::commands::tick(&mut old, &simulation.config, simulation.now);
     let leaves = effects.iter().filter(|effect| {
--- a/crates/replicas/tests/simulation/mod.rs
+++ b/crates/replicas/tests/simulation/mod.rs
@@ -133,7 +133,7 @@
             .endpoints
             .values()
             .map(|simulated| simulated.endpoint.clone());
-        replace_list(&mut owner, list.collect(), false, self.now);
+        replace_list(&mut owner, list.collect(), None, self.now);
         match &self.record {
             Some((record, version)) => {
                 update_record(&mut owner, record.clone(), *version, self.now);
@@ -458,8 +458,8 @@
         for owner in &mut self.owners {
             change_list(
                 owner,
-                ListChange::Put(simulated.endpoint.clone()),
-                false,
+                vec![ListChange::Put(simulated.endpoint.clone())],
+                None,
                 self.now,
             );
         }
