A server that the own watch saw leave is not used because of older targets

What callers would see: in a large deployment, requests go to a plain server, or the head of a group, that has left, for as long as the node knows a newer list of endpoints but an older record (up to 8 s, the wait of a watch of shared objects).

Targets carry one version, the older of the revisions of endpoints and record. Targets of a hub that are newer than that replaced this node's own, also where its own list of endpoints is newer than the hub's.

Change: where the own list is newer, plain servers are taken from it, and groups only if it lists their head as ready (edge::queries::current_targets).

--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -7,7 +7,9 @@
 
 use super::apply_shared_objects;
 use crate::border::ports::{CollectionChange, CollectionItem, StoreCollection};
-use crate::queries::{complete_targets_version, local_targets_version, ready_targets};
+use crate::queries::{
+    complete_targets_version, current_targets, local_targets_version, ready_targets,
+};
 use crate::{CollectionEvent, EdgeEffect, EdgeState};
 
 /// Applies the result of listing or watching a collection.
@@ -237,12 +239,14 @@
 
 /// Updates the relay's targets, from the node's own state or from the owner's message,
 /// whichever is newer.
+///
+/// The owner's message may be newer as to the groups and older as to the endpoints.
 pub(crate) fn refresh_targets(state: &mut EdgeState) {
     let complete_version = complete_targets_version(state);
     let received = state.received_targets.as_ref();
     let received = received.filter(|(_, version)| *version > complete_version);
     let (targets, version) = match received {
-        Some((targets, version)) => (targets.clone(), *version),
+        Some((targets, version)) => (current_targets(state, targets, *version), *version),
         None => (ready_targets(state).into(), local_targets_version(state)),
     };
     if targets != state.targets {
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -15,4 +15,4 @@
 pub(crate) use owner::{can_own, is_peer_alive, is_prober, owner};
 pub(crate) use status::startup_wait;
 pub use status::status;
-pub(crate) use targets::ready_targets;
+pub(crate) use targets::{current_targets, ready_targets};
--- a/crates/edge/src/queries/targets.rs
+++ b/crates/edge/src/queries/targets.rs
@@ -5,6 +5,7 @@
 use replicas::{Presence, queries::serving_groups};
 
 use crate::EdgeState;
+use crate::border::ports::StoreCollection;
 
 /// Heads of the groups that serve, and plain servers that are ready.
 pub(crate) fn ready_targets(state: &EdgeState) -> Vec<SendTarget> {
@@ -49,3 +50,26 @@
         });
     groups.chain(plain).collect()
 }
+
+/// Targets of the owner's message, corrected by this node's own list of the endpoints if that
+/// is newer: plain servers as listed, and only groups whose head is listed as ready.
+pub(crate) fn current_targets(
+    state: &EdgeState,
+    received: &Arc<[SendTarget]>,
+    version: ObjectVersion,
+) -> Arc<[SendTarget]> {
+    let listed = state.collection(StoreCollection::Endpoints);
+    if listed.is_none_or(|entry| entry.revision <= version) {
+        return received.clone();
+    }
+    let endpoints = state.planner.endpoints();
+    let is_ready = |id: &HostName| {
+        let view = endpoints.get(id);
+        view.is_some_and(|view| view.endpoint.presence == Presence::Ready)
+    };
+    let groups = received.iter().filter(|target| target.model.is_some());
+    let groups = groups.filter(|target| is_ready(&target.id)).cloned();
+    let plain = ready_targets(state).into_iter();
+    let plain = plain.filter(|target| target.model.is_none());
+    groups.chain(plain).collect()
+}
