Connections that go silent for good no longer delay configurations and digests

A node with two live peers waits up to 8 s (20 s if it is sent targets) in one watch of the configuration, because peers send what it misses. When the connections of all nodes are silent, no peer has anything to send, and the connections between nodes are silent too: the sender of digests never learns of it, as nothing is sent back on them.

Ruled out: the resumption of calls that were lost (the watch of the endpoints, 2.6 s, recovered as designed) and the version check (no older version was applied).

The connection to a node that has not been heard for a second is replaced, once a second, unless this node itself was late.

The soak plays it: Fault::HangConnections once in each plan, run_plan for plans of a test, addresses that differ between runs of one process.

--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -1,8 +1,9 @@
 //! Short runs of the fault soak with fixed seeds.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
-use soak::{SoakOptions, run_seed};
+use soak::{Fault, FaultPlan, FaultStep, SoakOptions, run_plan, run_seed};
 
 /// Seeds of the short runs.
 const SEEDS: [u64; 2] = [101, 102];
@@ -29,3 +30,22 @@
         assert!(report.all.served > 0, "{report}");
     }
 }
+
+#[test]
+fn a_key_revoked_after_all_connections_went_silent_is_rejected_in_time() {
+    let steps = [
+        (1_000, Fault::HangConnections),
+        (1_300, Fault::RevokeKey),
+        (2_500, Fault::RevokeKey),
+    ];
+    let steps = steps.map(|(millis, fault)| FaultStep {
+        at: Duration::from_millis(millis),
+        fault,
+    });
+    let plan = FaultPlan {
+        steps: steps.into(),
+    };
+    let report = run_plan(&options(SECONDS), 103, &plan).unwrap();
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.all.served > 0, "{report}");
+}
--- a/crates/edge/src/border/executor.rs
+++ b/crates/edge/src/border/executor.rs
@@ -73,6 +73,7 @@
             EdgeEffect::Send { to, message } => {
                 self.links.send(to, Bytes::from(encode_message(&message)));
             }
+            EdgeEffect::Reconnect(to) => self.links.reconnect(to),
             EdgeEffect::SetWatchMode(mode) => self.watch_mode.set(mode),
             EdgeEffect::Close => self.is_closing.set(true),
             EdgeEffect::Drain => {
--- a/crates/edge/src/border/links.rs
+++ b/crates/edge/src/border/links.rs
@@ -1,6 +1,6 @@
 //! Connections between nodes, each used in one direction.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,7 +35,14 @@
 /// Connections to other nodes.
 pub(super) struct PeerLinks {
     clock: Rc<dyn ClockSource>,
-    links: RefCell<HashMap<SocketAddr, Sender<Bytes>>>,
+    links: RefCell<HashMap<SocketAddr, PeerLink>>,
+}
+
+/// Connection to one node.
+struct PeerLink {
+    messages: Sender<Bytes>,
+    /// Set to open a new connection before the next message.
+    is_outdated: Rc<Cell<bool>>,
 }
 
 impl PeerLinks {
@@ -50,21 +57,41 @@
     pub fn send(&self, to: SocketAddr, message: Bytes) {
         let mut links = self.links.borrow_mut();
         let link = links.entry(to).or_insert_with(|| {
-            let (sender, receiver) = channel(SEND_QUEUE_LENGTH);
-            monoio::spawn(send_messages(to, receiver, self.clock.clone()));
-            sender
+            let (messages, receiver) = channel(SEND_QUEUE_LENGTH);
+            let is_outdated = Rc::<Cell<bool>>::default();
+            let clock = self.clock.clone();
+            monoio::spawn(send_messages(to, receiver, is_outdated.clone(), clock));
+            PeerLink {
+                messages,
+                is_outdated,
+            }
         });
-        if link.try_send(message).is_err() {
+        if link.messages.try_send(message).is_err() {
             log::debug!(node:% = to; "message to node dropped: send queue full");
         }
     }
+
+    /// Sends the next message to a node on a new connection.
+    pub fn reconnect(&self, to: SocketAddr) {
+        if let Some(link) = self.links.borrow().get(&to) {
+            link.is_outdated.set(true);
+        }
+    }
 }
 
 /// Sends queued messages to one node and reconnects after failures.
-async fn send_messages(to: SocketAddr, mut messages: Receiver<Bytes>, clock: Rc<dyn ClockSource>) {
+async fn send_messages(
+    to: SocketAddr,
+    mut messages: Receiver<Bytes>,
+    is_outdated: Rc<Cell<bool>>,
+    clock: Rc<dyn ClockSource>,
+) {
     let clock = clock.as_ref();
     let mut stream: Option<FrameStream> = None;
     while let Some(message) = messages.next().await {
+        if is_outdated.take() {
+            stream = None;
+        }
         if stream.is_none() {
             let connect = FrameStream::connect(to);
             match with_deadline(clock, clock.now() + CONNECT_TIMEOUT, connect).await {
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -8,8 +8,8 @@
     can_own, choose_summing_hub, is_hub, is_peer_alive, lists_endpoints, receives_targets,
     select_hubs, sends_sums_to, uses_hubs,
 };
-use crate::state::SummingHub;
-use crate::{EdgeEffect, EdgeState, WatchMode};
+use crate::state::{PeerState, SummingHub};
+use crate::{EdgeEffect, EdgeState, EdgeTimes, WatchMode};
 
 /// Time after becoming a hub in which a node must send a digest.
 const HUB_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -42,6 +42,10 @@
             continue;
         };
         peer.digest_sent_at = Some(now);
+        if is_link_silent(peer, &state.times, state.last_lag_at, now) {
+            peer.reconnect_due = now + state.times.link_timeout;
+            effects.push(EdgeEffect::Reconnect(peer.address));
+        }
         let digest = match kind {
             DigestKind::Local => digest.clone(),
             DigestKind::Sums => summed_digest.clone(),
@@ -57,6 +61,20 @@
     effects
 }
 
+/// Whether the connection to a node may hang: the node was heard before and no longer is,
+/// although this node has read its messages in time.
+fn is_link_silent(
+    peer: &PeerState,
+    times: &EdgeTimes,
+    last_lag_at: Option<ClockTime>,
+    now: ClockTime,
+) -> bool {
+    let is_over = |at: ClockTime| now.since(at) >= times.link_timeout;
+    peer.last_digest_at.is_some_and(is_over)
+        && last_lag_at.is_none_or(is_over)
+        && peer.reconnect_due <= now
+}
+
 /// Counts that a digest carries.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum DigestKind {
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -192,6 +192,8 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Send the next message to a node on a new connection.
+    Reconnect(SocketAddr),
     /// Watch the collections in another mode.
     SetWatchMode(WatchMode),
     /// Ask clients to close their connections after each response.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -41,6 +41,9 @@
     pub max_digest_interval: Duration,
     /// Time without a digest after which another node counts as gone.
     pub peer_timeout: Duration,
+    /// Time without a digest of a node after which the connection to it is replaced, and
+    /// interval between two replacements. It may hang without a reset.
+    pub link_timeout: Duration,
     /// Time without sums after which a node chooses another summing hub.
     pub sums_timeout: Duration,
     /// Time for which a hub that sent no sums isn't chosen again.
@@ -99,6 +102,8 @@
             max_digest_interval: Duration::from_millis(400),
             // Three digests may be late on a busy machine.
             peer_timeout: Duration::from_millis(800),
+            // Longer than `peer_timeout`, so that a busy node's connections are kept.
+            link_timeout: Duration::from_millis(1_000),
             // Several of the usual intervals, but well below the validity of the counts.
             sums_timeout: Duration::from_millis(400),
             // Long enough for the other nodes to replace it as a hub.
@@ -174,6 +179,8 @@
     pub no_sums_until: ClockTime,
     /// Last instant at which a digest was sent to it.
     pub digest_sent_at: Option<ClockTime>,
+    /// Instant before which the connection to it isn't replaced.
+    pub reconnect_due: ClockTime,
     /// Last instant at which the targets were sent to it.
     pub targets_sent_at: Option<ClockTime>,
     /// Last instant at which a configuration was sent to it.
@@ -192,6 +199,7 @@
             excluded_until: ClockTime::default(),
             no_sums_until: ClockTime::default(),
             digest_sent_at: None,
+            reconnect_due: ClockTime::default(),
             targets_sent_at: None,
             last_digest_at: None,
             digest: None,
--- a/crates/edge/tests/suite/node.rs
+++ b/crates/edge/tests/suite/node.rs
@@ -168,6 +168,31 @@
     assert!(is_accepted(&arrive(&mut state, 1, "/z/a", at(201))));
 }
 
+#[test]
+fn the_connection_to_a_node_that_is_no_longer_heard_is_replaced_once_a_second() {
+    let mut state = ready("n1", "n2");
+    let mut replaced_at = Vec::new();
+    for now in 0..4_000 {
+        if now <= 500 && now % 100 == 0 {
+            state.handle(digest("n2", true, 1), at(now));
+        }
+        if state.next_deadline().is_some_and(|due| due <= at(now)) {
+            let effects = state.wake(at(now));
+            let is_reconnect = |effect| matches!(effect, EdgeEffect::Reconnect(_));
+            replaced_at.extend(effects.into_iter().any(is_reconnect).then_some(now));
+        }
+    }
+    assert!((1_500..2_000).contains(&replaced_at[0]), "{replaced_at:?}");
+    let intervals = replaced_at.windows(2).map(|pair| pair[1] - pair[0]);
+    let intervals: Vec<_> = intervals.collect();
+    assert!(
+        !intervals.is_empty()
+            && intervals
+                .iter()
+                .all(|interval| (1_000..1_500).contains(interval))
+    );
+}
+
 #[test]
 fn a_leaving_endpoint_gets_no_requests() {
     let mut state = ready("n1", "n2");
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -22,4 +22,4 @@
 pub use checker::{InvariantChecker, RequestKind, Tally};
 pub use options::SoakOptions;
 pub use plan::{Fault, FaultPlan, FaultStep, LinkMode, PlanSize};
-pub use run::{SoakError, SoakReport, run_seed};
+pub use run::{SoakError, SoakReport, run_plan, run_seed};
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -55,6 +55,9 @@
     Reload(usize),
     /// A link is in this mode for this long.
     Link(Link, LinkMode, Duration),
+    /// All open connections to the store and between daemons go silent for good, without a
+    /// reset; new ones work.
+    HangConnections,
     /// The store responds with errors.
     StoreUnavailable(Duration),
     /// The store applies writes and loses the responses.
@@ -107,11 +110,21 @@
         loop {
             at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
             if at >= duration {
-                return Self { steps };
+                break;
             }
             let fault = random_fault(&mut rng, size);
             steps.push(FaultStep { at, fault });
         }
+        let hang_ms = duration.as_millis() as u64;
+        if hang_ms > 0 {
+            let step = FaultStep {
+                at: Duration::from_millis(rng.random_range(0..hang_ms)),
+                fault: Fault::HangConnections,
+            };
+            let position = steps.partition_point(|other| other.at <= step.at);
+            steps.insert(position, step);
+        }
+        Self { steps }
     }
 }
 
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -24,6 +24,8 @@
     pub mode: Rc<Cell<LinkMode>>,
     /// Address to which new connections are forwarded.
     pub target: Rc<Cell<SocketAddr>>,
+    /// Number of times that the open connections were made to hang.
+    hangs: Rc<Cell<u64>>,
 }
 
 impl LinkProxy {
@@ -34,19 +36,48 @@
             address: listener.local_addr()?,
             mode: Rc::new(Cell::new(LinkMode::Open)),
             target: Rc::new(Cell::new(target)),
+            hangs: Rc::default(),
         };
         let (mode, target) = (proxy.mode.clone(), proxy.target.clone());
+        let hangs = proxy.hangs.clone();
         monoio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
-                monoio::spawn(forward(client, target.get(), mode.clone()));
+                let state = LinkState {
+                    mode: mode.clone(),
+                    hangs: hangs.clone(),
+                    accepted_at: hangs.get(),
+                };
+                monoio::spawn(forward(client, target.get(), state));
             }
         });
         Ok(proxy)
     }
+
+    /// Makes all open connections go silent for good, without a reset.
+    pub fn hang_connections(&self) {
+        self.hangs.set(self.hangs.get() + 1);
+    }
+}
+
+/// State of a link as one of its connections sees it.
+#[derive(Clone)]
+struct LinkState {
+    mode: Rc<Cell<LinkMode>>,
+    hangs: Rc<Cell<u64>>,
+    /// Value of `hangs` when the connection was accepted.
+    accepted_at: u64,
+}
+
+impl LinkState {
+    /// Whether the connection has gone silent for good.
+    fn is_hung(&self) -> bool {
+        self.hangs.get() != self.accepted_at
+    }
 }
 
 /// Forwards a connection to the target until either side closes it or the link is reset.
-async fn forward(client: TcpStream, target: SocketAddr, mode: Rc<Cell<LinkMode>>) {
+async fn forward(client: TcpStream, target: SocketAddr, state: LinkState) {
+    let mode = state.mode.clone();
     while mode.get() == LinkMode::Blackhole {
         monoio::time::sleep(MODE_POLL_INTERVAL).await;
     }
@@ -62,8 +93,8 @@
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
     let copies = futures_util::future::select(
-        Box::pin(copy(client_read, server_write, mode.clone(), true)),
-        Box::pin(copy(server_read, client_write, mode.clone(), false)),
+        Box::pin(copy(client_read, server_write, state.clone(), true)),
+        Box::pin(copy(server_read, client_write, state, false)),
     );
     let reset = async {
         while mode.get() != LinkMode::Reset {
@@ -76,7 +107,7 @@
 async fn copy<R: AsyncReadRent, W: AsyncWriteRentExt>(
     mut from: R,
     mut to: W,
-    mode: Rc<Cell<LinkMode>>,
+    state: LinkState,
     is_forward: bool,
 ) {
     let mut buffer = Vec::with_capacity(BUFFER_BYTES);
@@ -86,9 +117,14 @@
         buffer.clear();
         let (read, bytes) = from.read(buffer).await;
         if !matches!(read, Ok(count) if count > 0) {
+            if state.is_hung() {
+                // Neither end learns that the other one has closed the connection.
+                std::future::pending::<()>().await;
+            }
             return;
         }
-        match mode.get() {
+        has_dropped |= state.is_hung();
+        match state.mode.get() {
             LinkMode::Open => {}
             LinkMode::Delayed(delay) => monoio::time::sleep(delay).await,
             LinkMode::Blackhole => has_dropped = true,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,6 +7,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use base::prelude::ClockSource;
@@ -52,6 +53,14 @@
 /// Number of values of the third octet of these addresses.
 const THIRD_OCTET_COUNT: u32 = 250;
 
+/// Number of runs in one process that have addresses of their own at the same time.
+const CONCURRENT_RUNS: u32 = 4;
+/// Number of daemons that a run has addresses for.
+const MAX_NODES: u32 = 60;
+
+/// Number of runs that this process has started.
+static RUNS: AtomicU32 = AtomicU32::new(0);
+
 /// Reason that a run could not be carried out.
 #[derive(Debug, thiserror::Error)]
 pub enum SoakError {
@@ -102,13 +111,30 @@
     }
 }
 
-/// Runs the soak with one seed.
+/// Runs the soak with the fault plan of a seed.
 pub fn run_seed(options: &SoakOptions, seed: u64) -> Result<SoakReport, SoakError> {
+    let size = PlanSize {
+        nodes: options.nodes,
+        servers: SERVER_COUNT,
+    };
+    let plan = FaultPlan::generate(seed, options.fault_duration(), size);
+    run_plan(options, seed, &plan)
+}
+
+/// Runs the soak with a given fault plan; the seed is that of the clients' requests.
+pub fn run_plan(
+    options: &SoakOptions,
+    seed: u64,
+    plan: &FaultPlan,
+) -> Result<SoakReport, SoakError> {
     let logs = options
         .logs
         .join(format!("seed-{seed}-{}", std::process::id()));
     std::fs::create_dir_all(&logs)?;
-    let report = block_on(async { SoakRun::start(options, seed, logs)?.execute(options).await })??;
+    let report = block_on(async {
+        let run = SoakRun::start(options, seed, logs)?;
+        run.execute(options, plan).await
+    })??;
     if report.violations.is_empty() {
         std::fs::remove_dir_all(&report.logs)?;
     }
@@ -158,16 +184,13 @@
     Ok(address)
 }
 
-/// Address of a daemon; it depends on the process id, so that concurrent soaks do not collide.
-fn loopback(process_id: u32, index: usize) -> IpAddr {
+/// Address of a daemon; it depends on the process id and the number of the run in the process,
+/// so that concurrent soaks do not collide.
+fn loopback(process_id: u32, run: u32, index: usize) -> IpAddr {
     let second = SECOND_OCTET_START + process_id / THIRD_OCTET_COUNT % SECOND_OCTET_COUNT;
     let third = process_id % THIRD_OCTET_COUNT;
-    IpAddr::V4(Ipv4Addr::new(
-        127,
-        second as u8,
-        third as u8,
-        index as u8 + 1,
-    ))
+    let fourth = run % CONCURRENT_RUNS * MAX_NODES + index as u32 + 1;
+    IpAddr::V4(Ipv4Addr::new(127, second as u8, third as u8, fourth as u8))
 }
 
 fn free_port() -> SocketAddr {
@@ -196,6 +219,7 @@
                 .set(open_service(ServerService { fleet, slot })?);
         }
         let proxies = Rc::new(RefCell::new(HashMap::new()));
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let (mut nodes, mut store_links, mut node_links) = (Vec::new(), Vec::new(), Vec::new());
         for index in 0..options.nodes {
             let reader = format!("edge-{index}");
@@ -206,7 +230,7 @@
                 proxies: proxies.clone(),
             })?;
             let link = LinkProxy::listen(free_port(), address)?;
-            let ip = loopback(std::process::id(), index);
+            let ip = loopback(std::process::id(), run, index);
             let node = SoakNode::new(&options.edge, &logs, index, ip, link.address)?;
             store_links.push(link);
             let link = LinkProxy::listen(free_port(), node.peer_address)?;
@@ -261,7 +285,11 @@
         self.store.borrow_mut().put("config", "main", text);
     }
 
-    async fn execute(mut self, options: &SoakOptions) -> Result<SoakReport, SoakError> {
+    async fn execute(
+        mut self,
+        options: &SoakOptions,
+        plan: &FaultPlan,
+    ) -> Result<SoakReport, SoakError> {
         let started = Instant::now();
         self.probe_readiness();
         self.run_until(started + STARTUP_DURATION).await?;
@@ -270,11 +298,6 @@
             let client = SoakClient::new(self.client_context.clone(), self.seed, name);
             monoio::spawn(client.send_all(period));
         }
-        let size = PlanSize {
-            nodes: options.nodes,
-            servers: SERVER_COUNT,
-        };
-        let plan = FaultPlan::generate(self.seed, options.fault_duration(), size);
         let faults_start = Instant::now();
         for step in &plan.steps {
             self.run_until(faults_start + step.at).await?;
@@ -396,6 +419,10 @@
                 self.link_repairs.push((now + duration, link.mode.clone()));
                 disturbed_until = now + duration;
             }
+            Fault::HangConnections => {
+                let links = self.store_links.iter().chain(&self.node_links);
+                links.for_each(LinkProxy::hang_connections);
+            }
             Fault::StoreUnavailable(duration) => {
                 self.store.borrow_mut().unavailable_until = Some(now + duration);
                 disturbed_until = now + duration;
