Configuration watches wait two seconds at most, as a watch may hear nothing

What callers saw: a confirmed configuration was not in force for 8 s at any node; an added route got 404, a moved one went to the old service, DENIED besides.

Cause: while the store drops its history, watches hear nothing for a second, and one that begins just then is not cut. It waits out its 8 s, and so may every node, as they are in step. The class: one long wait, relying on peers that fail in the same way at the same moment.

Ruled out: an older version that wins.

Change: watches of the configuration are as short as those of the endpoints.

Test: a_key_revoked_while_watches_hear_nothing_is_rejected_in_time, failed before with 8 s of wrong answers; the test of silent connections still passes.

--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use soak::{Fault, FaultPlan, FaultStep, SoakOptions, run_plan, run_seed};
+use soak::{Fault, FaultPlan, FaultStep, SoakOptions, SoakReport, run_plan, run_seed};
 
 /// Seeds of the short runs.
 const SEEDS: [u64; 2] = [101, 102];
@@ -31,21 +31,40 @@
     }
 }
 
+/// Runs the soak with these faults, each at a number of milliseconds.
+fn run_faults(seed: u64, faults: &[(u64, Fault)]) -> SoakReport {
+    let steps = faults.iter().map(|(millis, fault)| FaultStep {
+        at: Duration::from_millis(*millis),
+        fault: *fault,
+    });
+    let plan = FaultPlan {
+        steps: steps.collect(),
+    };
+    run_plan(&options(SECONDS), seed, &plan).unwrap()
+}
+
 #[test]
 fn a_key_revoked_after_all_connections_went_silent_is_rejected_in_time() {
-    let steps = [
+    let faults = [
         (1_000, Fault::HangConnections),
         (1_300, Fault::RevokeKey),
         (2_500, Fault::RevokeKey),
     ];
-    let steps = steps.map(|(millis, fault)| FaultStep {
-        at: Duration::from_millis(millis),
-        fault,
-    });
-    let plan = FaultPlan {
-        steps: steps.into(),
-    };
-    let report = run_plan(&options(SECONDS), 103, &plan).unwrap();
+    let report = run_faults(103, &faults);
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.all.served > 0, "{report}");
+}
+
+#[test]
+fn a_key_revoked_while_watches_hear_nothing_is_rejected_in_time() {
+    let deaf = Duration::from_millis(1_000);
+    // The first change makes all watches begin anew.
+    let faults = [
+        (900, Fault::RevokeKey),
+        (1_100, Fault::StoreDeafensWatches(deaf)),
+        (1_500, Fault::RevokeKey),
+    ];
+    let report = run_faults(104, &faults);
     assert!(report.violations.is_empty(), "{report}");
     assert!(report.all.served > 0, "{report}");
 }
--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -21,7 +21,7 @@
 use super::ports::{EndpointClient, HeaderCodec, PlatformStore, SettingsSource, StoreCollection};
 use super::readiness::ReadinessService;
 use super::reload::watch_settings;
-use super::watch::{PendingWatches, watch_collection};
+use super::watch::watch_collection;
 use crate::{EdgeEvent, EdgeSettings, EdgeState, EdgeTimes, WatchMode};
 
 /// Timeout of a new connection to a server.
@@ -97,7 +97,6 @@
     let is_closing = Rc::new(Cell::new(false));
 
     let watch_mode = Rc::<Cell<WatchMode>>::default();
-    let pending_watches = Rc::<PendingWatches>::default();
     for collection in StoreCollection::ALL {
         let (store, clock, events) = (store.clone(), clock.clone(), events.clone());
         monoio::spawn(watch_collection(
@@ -106,7 +105,6 @@
             clock,
             events,
             watch_mode.clone(),
-            pending_watches.clone(),
         ));
     }
     monoio::spawn(accept_links(
--- a/crates/edge/src/border/watch.rs
+++ b/crates/edge/src/border/watch.rs
@@ -1,12 +1,10 @@
 //! Watches of the store's collections, one task for each.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 
 use base::prelude::*;
 use futures_channel::mpsc::UnboundedSender;
-use futures_channel::oneshot;
-use futures_util::future::{Either, select};
 use net::sleep_until;
 
 use super::ports::{ListOutcome, PlatformStore, StoreCollection, WatchOutcome};
@@ -15,10 +13,12 @@
 /// Wait of a watch without peers that would send changes. It bounds the time until a
 /// hung connection is noticed.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Wait of a watch of the endpoints. It also bounds the time until a hung connection is noticed,
-/// which must leave time to read what was missed within three seconds of a fault.
-const ENDPOINTS_WATCH_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Wait of a watch for changes that peers send anyway.
+/// Wait of a watch of the endpoints or the configuration. A connection may hang without a reset,
+/// and a watch may hear nothing while the store drops its history. Both can happen to all nodes
+/// at once, so that no peer could help, and every node must know of changes within three seconds
+/// of the fault.
+const BOUNDED_WATCH_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Wait of a watch of shared objects, of which peers send the record at once.
 const PEERED_WATCH_TIMEOUT: Duration = Duration::from_millis(8_000);
 /// Delay after a failed call; it doubles with each failure.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -43,32 +43,6 @@
 /// send changes.
 const UNPEERED_BATCH_DELAY: Duration = Duration::from_millis(40);
 
-/// Watches that are waiting for changes, each on a connection of its own.
-///
-/// Whatever made one connection hang may have affected all that were open at the time, and the
-/// other watches would notice only at the end of their own, longer waits.
-#[derive(Default)]
-pub(super) struct PendingWatches(RefCell<Vec<oneshot::Sender<()>>>);
-
-impl PendingWatches {
-    /// Adds a watch; the receiver resolves when it is to be repeated on a new connection.
-    fn add(&self) -> oneshot::Receiver<()> {
-        let (sender, receiver) = oneshot::channel();
-        let mut pending = self.0.borrow_mut();
-        pending.retain(|other| !other.is_canceled());
-        pending.push(sender);
-        receiver
-    }
-
-    /// Interrupts all pending watches.
-    fn interrupt_all(&self) {
-        for sender in self.0.take() {
-            // Fails if the watch has ended meanwhile.
-            let _ = sender.send(());
-        }
-    }
-}
-
 /// Watches one collection until the event loop has ended.
 pub(super) async fn watch_collection(
     collection: StoreCollection,
@@ -76,11 +50,9 @@
     clock: Rc<dyn ClockSource>,
     events: UnboundedSender<EdgeEvent>,
     mode: Rc<Cell<WatchMode>>,
-    pending: Rc<PendingWatches>,
 ) {
     let mut revision: Option<ObjectVersion> = None;
     let mut delay = RETRY_DELAY;
-    let mut was_unavailable = false;
     loop {
         if is_paused(collection, revision.is_some(), mode.get()) {
             let interval = if revision.is_some() {
@@ -96,25 +68,20 @@
                 ListOutcome::Listed(items, at) => (CollectionEvent::Listed(items, at), Some(at)),
                 ListOutcome::Unavailable => (CollectionEvent::Unavailable, None),
             },
-            Some(since) => {
-                let wait = watch_timeout(collection, mode.get());
-                let watch = store.watch(collection, since, wait);
-                let outcome = match select(watch, pending.add()).await {
-                    Either::Left((outcome, _)) => outcome,
-                    Either::Right(_) => continue,
-                };
-                match outcome {
-                    WatchOutcome::Changed(changes, at) => {
-                        (CollectionEvent::Changed(changes, at), Some(at.max(since)))
-                    }
-                    WatchOutcome::Compacted => {
-                        log::info!(feed = collection.as_str(), since = since.0; "watch revision compacted; listing again");
-                        revision = None;
-                        continue;
-                    }
-                    WatchOutcome::Unavailable => (CollectionEvent::Unavailable, Some(since)),
+            Some(since) => match store
+                .watch(collection, since, watch_timeout(collection, mode.get()))
+                .await
+            {
+                WatchOutcome::Changed(changes, at) => {
+                    (CollectionEvent::Changed(changes, at), Some(at.max(since)))
                 }
-            }
+                WatchOutcome::Compacted => {
+                    log::info!(feed = collection.as_str(), since = since.0; "watch revision compacted; listing again");
+                    revision = None;
+                    continue;
+                }
+                WatchOutcome::Unavailable => (CollectionEvent::Unavailable, Some(since)),
+            },
         };
         revision = next_revision;
         let is_unavailable = matches!(event, CollectionEvent::Unavailable);
@@ -126,10 +93,6 @@
         {
             return;
         }
-        if is_unavailable && !was_unavailable {
-            pending.interrupt_all();
-        }
-        was_unavailable = is_unavailable;
         if is_unavailable {
             sleep_until(clock.as_ref(), clock.now() + delay).await;
             delay = (delay * 2).min(MAX_RETRY_DELAY);
@@ -160,8 +123,8 @@
     match collection {
         StoreCollection::RoutingConfig if mode.receives_targets => CONFIG_WATCH_TIMEOUT,
         _ if !mode.has_peers => WATCH_TIMEOUT,
-        StoreCollection::Endpoints => ENDPOINTS_WATCH_TIMEOUT,
-        StoreCollection::RoutingConfig | StoreCollection::Shared => PEERED_WATCH_TIMEOUT,
+        StoreCollection::Endpoints | StoreCollection::RoutingConfig => BOUNDED_WATCH_TIMEOUT,
+        StoreCollection::Shared => PEERED_WATCH_TIMEOUT,
     }
 }
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -64,6 +64,9 @@
     StoreLosesResponses(Duration),
     /// The store compacts its history, so that watches must list again.
     StoreCompacts,
+    /// Watches that are waiting, or begin within this time, hear of no change until their wait
+    /// is over.
+    StoreDeafensWatches(Duration),
     /// A server crashes; another one replaces it.
     Crash(usize),
     /// A server announces that it is leaving, and stops.
--- a/crates/soak/src/platform/store.rs
+++ b/crates/soak/src/platform/store.rs
@@ -43,6 +43,8 @@
     pub unavailable_until: Option<Instant>,
     /// Until when the store applies writes and loses the responses.
     pub loses_responses_until: Option<Instant>,
+    /// Until when watches that are waiting or begin hear of no change.
+    pub deafens_watches_until: Option<Instant>,
 }
 
 impl StoreState {
@@ -188,7 +190,12 @@
             return text_response(StatusCode::OK, &self.list(&call.kind).to_string());
         };
         let end = Instant::now() + call.wait;
+        let mut is_deaf = false;
         loop {
+            is_deaf |= is_in_effect(self.state.borrow().deafens_watches_until);
+            if is_deaf {
+                monoio::time::sleep(end.saturating_duration_since(Instant::now())).await;
+            }
             let Some(changes) = self.changes(&call.kind, since) else {
                 return text_response(StatusCode::GONE, "");
             };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -431,6 +431,10 @@
                 self.store.borrow_mut().loses_responses_until = Some(now + duration);
                 disturbed_until = now + duration;
             }
+            Fault::StoreDeafensWatches(duration) => {
+                self.store.borrow_mut().deafens_watches_until = Some(now + duration);
+                disturbed_until = now + duration;
+            }
             Fault::StoreCompacts => self.store.borrow_mut().compact(),
             Fault::Crash(slot) => self.stop_server(slot, now),
             Fault::Leave(slot) => {
@@ -502,6 +506,7 @@
         let mut store = self.store.borrow_mut();
         store.unavailable_until = None;
         store.loses_responses_until = None;
+        store.deafens_watches_until = None;
         self.fleet.borrow_mut().orders_delayed_until = None;
     }
 
