Parts of prompts that crash servers are quarantined, at all nodes

What callers saw: requests of one kind crashed servers one after the other.

Cause: a request whose server crashed before it began to answer was sent to the next server, as after any lost server, and so were the client's own repeats and every other request with the same part. Nothing related one crash to the next.

Change: a crate of its own, quarantine, holds the decisions. When the connection to a server breaks before it has begun to answer a request, the parts of the request's prompt are reported; an answer begun anywhere clears a part. A part of three separate crashes and two different requests, without an answer in between, is quarantined for a minute after the last crash: requests with it get 503 at once, and those that wait at servers are given up. Crashes at the same moment count as one, and the fewest parts that explain the crashes are taken; parts that can't be told apart are refused only together. A request is not sent again after a crash if its parts were in another one. Nodes exchange reports at once and compare a hash in each digest, so that nodes that start, were cut off or are turned away by the store learn of it from any other.

Ruled out: a limit of attempts alone (each new request would crash one server), and verdicts of the owner alone (lost with it, and unknown to nodes that it cannot reach).

Tests: quarantine/tests/verdicts.rs (tables), edge/tests/suite/quarantine.rs, encoding and header.

--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -18,6 +18,12 @@
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Instant a duration earlier; at the earliest the start of the clock.
+    pub fn before(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
 }
 
 impl Add<Duration> for ClockTime {
--- a/crates/edge/src/border/events.rs
+++ b/crates/edge/src/border/events.rs
@@ -69,6 +69,11 @@
     }
 }
 
+/// Whether bytes contain the end of an event.
+pub(super) fn has_complete_event(bytes: &[u8]) -> bool {
+    last_event_end(bytes).is_some()
+}
+
 /// Length of the first of several complete events.
 fn event_length(bytes: &[u8]) -> usize {
     first_event_end(bytes).unwrap_or(bytes.len())
--- a/crates/edge/src/border/executor.rs
+++ b/crates/edge/src/border/executor.rs
@@ -6,7 +6,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use futures_channel::mpsc::UnboundedSender;
-use net::DrainSignal;
+use net::{DrainSignal, MetricSink};
 
 use super::EdgeReplies;
 use super::links::PeerLinks;
@@ -31,6 +31,7 @@
     pub drain: RefCell<Option<DrainSignal>>,
     pub is_closing: Rc<Cell<bool>>,
     pub watch_mode: Rc<Cell<WatchMode>>,
+    pub metrics: Rc<dyn MetricSink>,
 }
 
 impl EdgeExecutor {
@@ -71,7 +72,12 @@
                 });
             }
             EdgeEffect::Send { to, message } => {
-                self.links.send(to, Bytes::from(encode_message(&message)));
+                self.links
+                    .send(to, Bytes::from(encode_message(&message, now)));
+            }
+            EdgeEffect::CountQuarantined(count) => {
+                let count = i64::try_from(count).unwrap_or(i64::MAX);
+                self.metrics.count("quarantined_parts", &[], count);
             }
             EdgeEffect::Reconnect(to) => self.links.reconnect(to),
             EdgeEffect::SetWatchMode(mode) => self.watch_mode.set(mode),
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -87,6 +87,7 @@
             path: parts.uri.path().into(),
             key: metadata.key.clone(),
             model: metadata.model.clone(),
+            prompt: metadata.prompt.clone(),
             client_deadline: metadata.client_timeout.map(|timeout| now + timeout),
         };
         let guard = CallGuard {
@@ -98,11 +99,10 @@
         };
         match outcome {
             ArrivalOutcome::Rejected(reason) => {
-                log::info!(id:% = id, path = parts.uri.path(), reason:? = reason; "request rejected");
-                let reason_label = format!("{reason:?}");
+                log::info!(id:% = id, path = parts.uri.path(), reason = reason.as_str(); "request rejected");
                 self.context
                     .metrics
-                    .count("rejected_requests", &[("reason", &reason_label)], 1);
+                    .count("rejected_requests", &[("reason", reason.as_str())], 1);
                 rejection_response(reason)
             }
             ArrivalOutcome::Accepted {
@@ -174,6 +174,11 @@
             let end = match self.context.attempt(&accepted.request, &order, None).await {
                 AttemptOutcome::Response(incoming) => {
                     let status = incoming.parts.status;
+                    if !accepted.route.kind.is_stream() {
+                        // The event loop ends only when the process is about to exit.
+                        let answered = EdgeEvent::Answered(accepted.request.call);
+                        let _ = self.events.unbounded_send(answered);
+                    }
                     if accepted.route.kind.is_stream() && status.is_success() {
                         return self.relay_stream(accepted, *incoming);
                     }
@@ -254,6 +259,7 @@
             stall_timeout: STREAM_STALL_TIMEOUT,
             buffer: EventBuffer::after(accepted.last_event),
             is_resumable,
+            is_answered: false,
         };
         monoio::spawn(stream.run(incoming, sender));
         response
--- a/crates/edge/src/border/links.rs
+++ b/crates/edge/src/border/links.rs
@@ -159,7 +159,7 @@
             return;
         };
         let parse_config = |text: &str| store.parse_config(text);
-        match decode_message(&bytes, &parse_config) {
+        match decode_message(&bytes, clock.now(), &parse_config) {
             Ok(message) => {
                 if events.unbounded_send(EdgeEvent::Peer(message)).is_err() {
                     return;
--- a/crates/edge/src/border/mod.rs
+++ b/crates/edge/src/border/mod.rs
@@ -1,6 +1,7 @@
 //! Input and output with clients, servers, the store and the other nodes.
 
 mod attempt;
+mod crashes;
 pub mod events;
 mod executor;
 mod ingress;
--- a/crates/edge/src/border/ports.rs
+++ b/crates/edge/src/border/ports.rs
@@ -10,6 +10,7 @@
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, StatusCode};
 use intent::RoutingConfig;
+use quarantine::PromptParts;
 use replicas::{Endpoint, MemberOrder, OrderOutcome, ProbeOutcome};
 use store::{ObjectChange, StoredObject, UpdateOutcome};
 
@@ -140,6 +141,8 @@
     pub key: Option<Arc<str>>,
     /// Requested model.
     pub model: Option<ModelName>,
+    /// Parts of its prompt; none if not given.
+    pub prompt: PromptParts,
     /// Number of tokens of the prompt; zero if not given.
     pub prompt_tokens: u32,
     /// Largest number of tokens of the answer; zero if not given.
--- a/crates/edge/src/border/responses.rs
+++ b/crates/edge/src/border/responses.rs
@@ -24,6 +24,13 @@
         RejectReason::NoRoute => {
             text_response(StatusCode::NOT_FOUND, "no route for this host and path")
         }
+        RejectReason::Quarantined { retry_after } => {
+            let response = text_response(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "a part of the prompt has crashed several servers; it was not run",
+            );
+            with_retry_after(response, retry_after)
+        }
         RejectReason::Denied => {
             text_response(StatusCode::UNAUTHORIZED, "the key is missing or unknown")
         }
--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -153,6 +153,7 @@
         drain: RefCell::new(Some(drain_signal)),
         is_closing,
         watch_mode,
+        metrics,
     };
     let mut state = EdgeState::new(
         settings,
--- a/crates/edge/src/border/stream.rs
+++ b/crates/edge/src/border/stream.rs
@@ -9,7 +9,7 @@
 use relay::{AttemptEnd, CallStep, StallStep};
 
 use super::attempt::{AttemptContext, AttemptOutcome, ClientRequest};
-use super::events::EventBuffer;
+use super::events::{EventBuffer, has_complete_event};
 use super::labels::RequestLabels;
 use crate::{EdgeEvent, EdgeQuestion, EdgeReply};
 
@@ -45,6 +45,8 @@
     pub buffer: EventBuffer,
     /// Whether it can be resumed at another server.
     pub is_resumable: bool,
+    /// Whether its first complete event was reported.
+    pub is_answered: bool,
     pub pauses: PauseMeter,
 }
 
@@ -165,6 +167,7 @@
                     };
                     if !events.is_empty() {
                         self.pauses.record(now);
+                        self.report_answer(&events);
                     }
                     if !events.is_empty() && body.send(events).await.is_err() {
                         return Ok(StreamEnd::Left);
@@ -191,6 +194,18 @@
         }
     }
 
+    /// Reports the first complete event.
+    fn report_answer(&mut self, events: &[u8]) {
+        let is_complete = self.is_resumable || has_complete_event(events);
+        if is_complete && !std::mem::replace(&mut self.is_answered, true) {
+            // The event loop ends only when the process is about to exit.
+            let _ = self
+                .guard
+                .events
+                .unbounded_send(EdgeEvent::Answered(self.guard.call));
+        }
+    }
+
     /// Resumes the stream at another server after the last complete event.
     async fn resume(&mut self, end: AttemptEnd, body: &mut BodySender) -> Option<IncomingResponse> {
         if !self.is_resumable {
--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -5,6 +5,7 @@
 use relay::{LaneCounts, SendTarget};
 use replicas::{GroupRecord, RecordWire};
 
+use super::crashes::CrashesWire;
 use crate::peer::{Digest, PeerMessage, SlowPace};
 
 /// Why bytes can't be decoded as a message.
@@ -32,7 +33,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 struct MessageWire {
-    #[prost(oneof = "BodyWire", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "BodyWire", tags = "1, 2, 3, 4, 5")]
     body: Option<BodyWire>,
 }
 
@@ -47,6 +48,8 @@
     Record(RecordBodyWire),
     #[prost(message, tag = "4")]
     Targets(TargetsWire),
+    #[prost(message, tag = "5")]
+    Crashes(CrashesWire),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -75,6 +78,8 @@
     has_sums: bool,
     #[prost(uint64, tag = "12")]
     forwarded_version: u64,
+    #[prost(fixed64, tag = "13")]
+    quarantine_hash: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -130,8 +135,8 @@
     text: String,
 }
 
-/// Encodes a message.
-pub fn encode_message(message: &PeerMessage) -> Vec<u8> {
+/// Encodes a message that is sent at an instant.
+pub fn encode_message(message: &PeerMessage, now: ClockTime) -> Vec<u8> {
     let body = match message {
         PeerMessage::Digest(digest) => BodyWire::Digest(DigestWire::from(digest.as_ref())),
         PeerMessage::RoutingConfig(_, text) => BodyWire::RoutingConfig(text.as_ref().to_owned()),
@@ -139,6 +144,9 @@
             version: version.0,
             places: targets.iter().map(TargetWire::from).collect(),
         }),
+        PeerMessage::Crashes(evidence) => {
+            BodyWire::Crashes(CrashesWire::from_evidence(evidence, now))
+        }
         PeerMessage::Record(record, version) => BodyWire::Record(RecordBodyWire {
             version: version.0,
             text: serde_json::to_string(&RecordWire::from(record.as_ref()))
@@ -148,9 +156,11 @@
     MessageWire { body: Some(body) }.encode_to_vec()
 }
 
-/// Decodes a message; `parse_config` parses a configuration's text.
+/// Decodes a message that was received at an instant; `parse_config` parses a configuration's
+/// text.
 pub fn decode_message(
     bytes: &[u8],
+    now: ClockTime,
     parse_config: &dyn Fn(&str) -> Result<intent::RoutingConfig, String>,
 ) -> Result<PeerMessage, MessageError> {
     match MessageWire::decode(bytes)?
@@ -167,6 +177,7 @@
             let targets: Arc<[SendTarget]> = targets.collect::<Result<_, _>>()?;
             Ok(PeerMessage::Targets(targets, ObjectVersion(wire.version)))
         }
+        BodyWire::Crashes(wire) => Ok(PeerMessage::Crashes(Box::new(wire.into_evidence(now)))),
         BodyWire::Record(wire) => {
             let invalid_record = |reason: String| MessageError::Record(reason);
             let record: RecordWire = serde_json::from_str(&wire.text)
@@ -233,6 +244,7 @@
             summing_hub: (digest.summing_hub.as_ref()).map(|hub| hub.as_str().to_owned()),
             has_sums: digest.has_sums,
             forwarded_version: digest.forwarded_version.0,
+            quarantine_hash: digest.quarantine_hash,
             counts: counts.collect(),
             paces: paces.collect(),
             silent: digest
@@ -263,6 +275,7 @@
             summing_hub: summing_hub.transpose()?,
             has_sums: wire.has_sums,
             forwarded_version: ObjectVersion(wire.forwarded_version),
+            quarantine_hash: wire.quarantine_hash,
             config_version: wire.intent_version,
             record_version: ObjectVersion(wire.record_version),
             can_own: wire.can_own,
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -4,6 +4,7 @@
 use intent::queries::{AccessOutcome, check_access, find_route, pick_service};
 use relay::{AttemptEnd, CallArrival, CallStep, StallStep};
 
+use super::quarantine::{block_call, record_crash};
 use crate::{Arrival, ArrivalOutcome, EdgeState, RejectReason};
 
 /// Checks a request against the active configuration and chooses its first step.
@@ -23,6 +24,9 @@
         .random_state
         .wrapping_mul(6_364_136_223_846_793_005)
         .wrapping_add(1);
+    if let Some(retry_after) = block_call(state, &arrival, now) {
+        return ArrivalOutcome::Rejected(RejectReason::Quarantined { retry_after });
+    }
     let Some(service) = pick_service(route, state.random_state >> 33) else {
         return ArrivalOutcome::Rejected(RejectReason::NoRoute);
     };
@@ -63,6 +67,9 @@
     if let Some(head) = target.filter(|_| is_group_lost) {
         report_silent_head(state, head, now);
     }
+    if record_crash(state, call, end, now) {
+        return relay::commands::give_up(&mut state.relay, call, end, now);
+    }
     relay::commands::end_attempt(&mut state.relay, call, end, now)
 }
 
@@ -73,6 +80,9 @@
         relay::commands::suspect_target(&mut state.relay, &head, now);
         report_silent_head(state, head, now);
     }
+    if quarantine::queries::is_call_blocked(&state.quarantine, call) {
+        return StallStep::Abort;
+    }
     relay::commands::check_stall(&state.relay, call, now)
 }
 
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 
 use super::distribution::send_targets;
+use super::quarantine::quarantine_hash;
 use crate::peer::Digest;
 use crate::queries::{
     can_own, choose_summing_hub, is_hub, is_peer_alive, lists_endpoints, receives_targets,
@@ -133,6 +134,7 @@
         } else {
             Vec::new()
         },
+        quarantine_hash: quarantine_hash(state),
     }
 }
 
--- a/crates/edge/src/commands/mod.rs
+++ b/crates/edge/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod distribution;
 mod peers;
 mod plan;
+mod quarantine;
 mod reload;
 mod shared;
 mod stop;
@@ -16,6 +17,7 @@
 pub(crate) use distribution::send_record;
 pub(crate) use peers::handle_message;
 pub(crate) use plan::{handle_order_outcome, handle_report_outcome, plan_if_due};
+pub(crate) use quarantine::{record_answer, send_evidence};
 pub(crate) use reload::reload;
 pub(crate) use shared::{
     apply_shared_objects, handle_write_outcome, register_node, update_retry_budget,
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -6,6 +6,7 @@
 
 use super::collections::adopt_config;
 use super::distribution::{distributed_targets, pass_on_targets, propagated_config_version};
+use super::quarantine::{merge_evidence, send_watched_evidence};
 use super::refresh_targets;
 use super::shared::adopt_record;
 use crate::peer::{Digest, PeerMessage};
@@ -30,6 +31,7 @@
             Vec::new()
         }
         PeerMessage::Targets(targets, version) => handle_targets(state, targets, version, now),
+        PeerMessage::Crashes(evidence) => merge_evidence(state, &evidence, now),
         PeerMessage::Record(record, version) => {
             if adopt_record(state, record, version, now) {
                 refresh_targets(state);
@@ -112,7 +114,8 @@
             state.needs_plan = true;
         }
     }
-    let effects = send_missing(state, &digest, now);
+    let mut effects = send_missing(state, &digest, now);
+    effects.extend(send_watched_evidence(state, &digest, now));
     if let Some(peer) = state.peers.get_mut(&digest.from) {
         peer.last_digest_at = Some(now);
         peer.digest = Some(digest);
--- /dev/null
+++ b/crates/edge/src/commands/quarantine.rs
@@ -0,0 +1,176 @@
+//! Parts of prompts that crash servers: what this node sees of them and exchanges with others.
+
+use base::prelude::*;
+use quarantine::commands::{expire, record_answer as clear_parts, start_call};
+use quarantine::queries::{
+    blocking_verdict, evidence_hash, fresh_evidence, may_resend, watched_evidence,
+};
+use quarantine::{CrashEvidence, PartVerdict, ServerCrash};
+use relay::AttemptEnd;
+
+use crate::peer::{Digest, PeerMessage};
+use crate::queries::{is_hub, sends_sums_to, uses_hubs};
+use crate::{Arrival, EdgeEffect, EdgeState};
+
+/// Interval between two messages with this node's latest crash reports.
+const EVIDENCE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time until the end of the quarantine if a request has quarantined parts; otherwise remembers
+/// its parts.
+pub(super) fn block_call(
+    state: &mut EdgeState,
+    arrival: &Arrival,
+    now: ClockTime,
+) -> Option<Duration> {
+    if expire(&mut state.quarantine, now) {
+        log::info!("quarantine of prompt parts ended");
+    }
+    if let Some(verdict) = blocking_verdict(&state.quarantine, &arrival.prompt) {
+        log::info!(id:% = arrival.id, parts = part_names(verdict); "prompt part is quarantined");
+        return Some(verdict.until.since(now));
+    }
+    start_call(&mut state.quarantine, arrival.call, arrival.prompt.clone());
+    None
+}
+
+/// Records that a server has begun to answer a request.
+pub(crate) fn record_answer(
+    state: &mut EdgeState,
+    call: CallId,
+    now: ClockTime,
+) -> Vec<EdgeEffect> {
+    let effects = log_new_verdicts(state, |state| {
+        clear_parts(&mut state.quarantine, call, now);
+    });
+    schedule_evidence(state, now);
+    effects
+}
+
+/// Reports the parts of a request whose connection broke before a server began to answer it;
+/// returns whether the request must not be sent to another server.
+pub(super) fn record_crash(
+    state: &mut EdgeState,
+    call: CallId,
+    end: AttemptEnd,
+    now: ClockTime,
+) -> bool {
+    let is_given_up = quarantine::queries::is_call_blocked(&state.quarantine, call);
+    if !matches!(end, AttemptEnd::Lost | AttemptEnd::Cut) {
+        return is_given_up;
+    }
+    let Some((head, epoch)) = relay::queries::attempt_of(&state.relay, call) else {
+        return is_given_up;
+    };
+    let crash = ServerCrash::of(head, epoch);
+    let effects = log_new_verdicts(state, |state| {
+        quarantine::commands::record_crash(&mut state.quarantine, call, crash, now);
+    });
+    state.unsent_effects.extend(effects);
+    schedule_evidence(state, now);
+    !may_resend(&state.quarantine, call, crash, now)
+}
+
+/// Adds another node's evidence.
+pub(super) fn merge_evidence(
+    state: &mut EdgeState,
+    evidence: &CrashEvidence,
+    now: ClockTime,
+) -> Vec<EdgeEffect> {
+    let effects = log_new_verdicts(state, |state| {
+        quarantine::commands::merge_evidence(&mut state.quarantine, evidence, now);
+    });
+    schedule_evidence(state, now);
+    effects
+}
+
+/// Sends this node's latest crash reports and clearances to all hubs, if they are due; in a small
+/// deployment to all nodes.
+pub(crate) fn send_evidence(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
+    if state.evidence_due.is_none_or(|due| due > now) {
+        return Vec::new();
+    }
+    let mut effects = std::mem::take(&mut state.unsent_effects);
+    expire(&mut state.quarantine, now);
+    let evidence = fresh_evidence(&state.quarantine, now);
+    if evidence.is_empty() {
+        state.evidence_due = None;
+        return effects;
+    }
+    state.evidence_due = Some(now + EVIDENCE_INTERVAL);
+    let is_receiver = |node: &NodeName| !uses_hubs(state) || state.hubs.contains(node);
+    let receivers = state.peers.iter().filter(|(node, _)| is_receiver(node));
+    effects.extend(receivers.map(|(_, peer)| evidence_message(peer.address, evidence.clone())));
+    effects
+}
+
+/// Sends what every node must know to a node whose digest shows that it knows something else.
+pub(super) fn send_watched_evidence(
+    state: &mut EdgeState,
+    digest: &Digest,
+    now: ClockTime,
+) -> Vec<EdgeEffect> {
+    // A node that was cut off is no hub for a while, but hears of it at once.
+    let is_receiver = !uses_hubs(state)
+        || state.hubs.contains(&digest.from)
+        || sends_sums_to(state, &digest.from, Some(digest));
+    if !is_hub(state) || !is_receiver || digest.quarantine_hash == quarantine_hash(state) {
+        return Vec::new();
+    }
+    let evidence = watched_evidence(&state.quarantine);
+    let Some(peer) = state.peers.get_mut(&digest.from) else {
+        return Vec::new();
+    };
+    let is_due = (peer.evidence_sent_at).is_none_or(|at| now.since(at) >= EVIDENCE_INTERVAL);
+    if evidence.is_empty() || !is_due {
+        return Vec::new();
+    }
+    peer.evidence_sent_at = Some(now);
+    vec![evidence_message(peer.address, evidence)]
+}
+
+/// Hash of the crash reports that every node must know.
+pub(super) fn quarantine_hash(state: &EdgeState) -> u64 {
+    evidence_hash(&state.quarantine)
+}
+
+fn evidence_message(to: std::net::SocketAddr, evidence: CrashEvidence) -> EdgeEffect {
+    EdgeEffect::Send {
+        to,
+        message: PeerMessage::Crashes(Box::new(evidence)),
+    }
+}
+
+/// Makes the latest evidence be sent at once, unless it was sent a moment ago.
+fn schedule_evidence(state: &mut EdgeState, now: ClockTime) {
+    if state.evidence_due.is_none() && !fresh_evidence(&state.quarantine, now).is_empty() {
+        state.evidence_due = Some(now);
+    }
+}
+
+/// Logs and counts the verdicts that a change adds, and logs those that it ends.
+fn log_new_verdicts(state: &mut EdgeState, change: impl FnOnce(&mut EdgeState)) -> Vec<EdgeEffect> {
+    let before: Vec<_> = state.quarantine.verdicts().to_vec();
+    change(state);
+    let after = state.quarantine.verdicts();
+    let is_in = |verdicts: &[PartVerdict], verdict: &PartVerdict| {
+        verdicts.iter().any(|other| other.parts == verdict.parts)
+    };
+    let added = after.iter().filter(|verdict| !is_in(&before, verdict));
+    let mut count = 0;
+    for verdict in added {
+        count += verdict.parts.len();
+        log::warn!(parts = part_names(verdict), crashes = verdict.crashes; "prompt parts quarantined");
+    }
+    for verdict in before.iter().filter(|verdict| !is_in(after, verdict)) {
+        log::info!(parts = part_names(verdict); "prompt parts released");
+    }
+    if count == 0 {
+        return Vec::new();
+    }
+    vec![EdgeEffect::CountQuarantined(count)]
+}
+
+fn part_names(verdict: &PartVerdict) -> String {
+    let names: Vec<_> = verdict.parts.iter().map(ToString::to_string).collect();
+    names.join(",")
+}
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use net::ReplyId;
+use quarantine::PromptParts;
 use relay::{AttemptEnd, CallStep, SendTarget, StallStep};
 use replicas::{GroupRecord, MemberOrder, OrderOutcome, ProbeOutcome};
 use store::{ObjectChange, UpdateOutcome};
@@ -38,6 +39,8 @@
     pub key: Option<Arc<str>>,
     /// Requested model.
     pub model: Option<ModelName>,
+    /// Parts of its prompt.
+    pub prompt: PromptParts,
     /// Instant at which its client times out.
     pub client_deadline: Option<ClockTime>,
 }
@@ -51,6 +54,23 @@
     NoRoute,
     /// The API key is missing or unknown.
     Denied,
+    /// A part of its prompt has crashed several servers.
+    Quarantined {
+        /// Time until the quarantine ends.
+        retry_after: Duration,
+    },
+}
+
+impl RejectReason {
+    /// Name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoIntent => "NoIntent",
+            Self::NoRoute => "NoRoute",
+            Self::Denied => "Denied",
+            Self::Quarantined { .. } => "Quarantined",
+        }
+    }
 }
 
 /// Outcome of the checks of an arriving request.
@@ -131,6 +151,8 @@
     Asked(ReplyId, EdgeQuestion),
     /// Bytes of a request's response arrived.
     Progress(CallId),
+    /// A server has begun to answer a request.
+    Answered(CallId),
     /// A request was answered, or its client disconnected.
     Finished(CallId),
     /// A collection was listed, has changed or could not be read.
@@ -194,6 +216,8 @@
     },
     /// Send the next message to a node on a new connection.
     Reconnect(SocketAddr),
+    /// Count parts of prompts that were quarantined.
+    CountQuarantined(usize),
     /// Watch the collections in another mode.
     SetWatchMode(WatchMode),
     /// Ask clients to close their connections after each response.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -19,8 +19,10 @@
                 commands::record_progress(self, call, now);
                 Vec::new()
             }
+            EdgeEvent::Answered(call) => commands::record_answer(self, call, now),
             EdgeEvent::Finished(call) => {
                 relay::commands::finish(&mut self.relay, call);
+                quarantine::commands::finish_call(&mut self.quarantine, call);
                 Vec::new()
             }
             EdgeEvent::Collection(collection, event) => {
@@ -48,6 +50,7 @@
         commands::expire_endpoints(self, now);
         let mut effects = commands::register_node(self, now);
         effects.extend(commands::send_digests(self, now));
+        effects.extend(commands::send_evidence(self, now));
         effects.extend(commands::plan_if_due(self, now));
         effects.extend(commands::advance_stop(self, now));
         effects
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use quarantine::CrashEvidence;
 use relay::{LaneCounts, SendTarget};
 use replicas::GroupRecord;
 
@@ -64,6 +65,8 @@
     pub silent_heads: Vec<HostName>,
     /// Slow groups by their heads; only the owner sends them.
     pub slow_groups: Vec<(HostName, SlowPace)>,
+    /// Hash of its crash reports that every node must know.
+    pub quarantine_hash: u64,
 }
 
 /// Message from one node to another.
@@ -77,4 +80,6 @@
     Targets(Arc<[SendTarget]>, ObjectVersion),
     /// Record of groups that the receiver lacks.
     Record(Arc<GroupRecord>, ObjectVersion),
+    /// Crashes of servers, and the parts of prompts that they may be due to.
+    Crashes(Box<CrashEvidence>),
 }
--- a/crates/edge/src/queries/deadline.rs
+++ b/crates/edge/src/queries/deadline.rs
@@ -7,6 +7,9 @@
 /// Instant at which the next timer is due.
 pub fn next_deadline(state: &EdgeState) -> Option<ClockTime> {
     let mut next = state.digest_due;
+    if let Some(due) = state.evidence_due {
+        next = next.min(due);
+    }
     if let Some(expiry) = replicas::queries::next_expiry(&state.planner) {
         next = next.min(expiry);
     }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -6,12 +6,13 @@
 use base::prelude::*;
 use intent::ConfigSlot;
 use limits::BudgetSettings;
+use quarantine::{QuarantineSettings, QuarantineState};
 use relay::{RelaySettings, RelayState, SendTarget};
 use replicas::{PlannerSettings, PlannerState};
 
 use crate::border::ports::StoreCollection;
 use crate::peer::{Digest, SlowPace};
-use crate::{EdgeBounds, EdgeSettings, WatchMode};
+use crate::{EdgeBounds, EdgeEffect, EdgeSettings, WatchMode};
 
 /// Buckets in a retry window.
 const RETRY_BUCKET_COUNT: u32 = 10;
@@ -187,6 +188,8 @@
     pub config_sent_at: Option<ClockTime>,
     /// Last instant at which the record of groups was sent to it.
     pub record_sent_at: Option<ClockTime>,
+    /// Last instant at which the watched crash reports were sent to it.
+    pub evidence_sent_at: Option<ClockTime>,
 }
 
 impl PeerState {
@@ -205,6 +208,7 @@
             digest: None,
             config_sent_at: None,
             record_sent_at: None,
+            evidence_sent_at: None,
         }
     }
 }
@@ -236,6 +240,11 @@
     pub(crate) config_history: VecDeque<(u64, ClockTime)>,
     pub(crate) planner: PlannerState,
     pub(crate) relay: RelayState,
+    pub(crate) quarantine: QuarantineState,
+    /// Instant at which this node's crash reports are sent next; `None` if there are none.
+    pub(crate) evidence_due: Option<ClockTime>,
+    /// Effects of a request's question, which is answered at once; executed at the next wake.
+    pub(crate) unsent_effects: Vec<EdgeEffect>,
     pub(crate) collections: BTreeMap<StoreCollection, CollectionState>,
     pub(crate) peers: BTreeMap<NodeName, PeerState>,
     /// Nodes that receive the digests of all others; all nodes in a small deployment.
@@ -303,6 +312,9 @@
         Self {
             planner: PlannerState::new(planner_settings, settings.node.clone()),
             relay,
+            quarantine: QuarantineState::new(QuarantineSettings::default()),
+            evidence_due: None,
+            unsent_effects: Vec::new(),
             settings,
             times,
             started_at: now,
--- a/crates/edge/tests/suite/hubs.rs
+++ b/crates/edge/tests/suite/hubs.rs
@@ -80,6 +80,7 @@
         counts: Vec::new(),
         silent_heads: Vec::new(),
         slow_groups: Vec::new(),
+        quarantine_hash: 0,
     })))
 }
 
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod messages;
 mod node;
 mod owner_loss;
+mod quarantine;
 
 mod store_away;
 mod support;
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -3,6 +3,9 @@
 use base::prelude::*;
 use edge::border::{MessageError, decode_message, encode_message};
 use edge::{Digest, PeerMessage, SlowPace};
+
+use crate::support::at;
+use quarantine::{CrashEvidence, CrashReport, PartClearance, PromptPart, ServerCrash};
 use relay::{LaneCounts, SendTarget};
 use replicas::GroupRecord;
 
@@ -27,13 +30,14 @@
         )],
         silent_heads: vec![HostName::new("i-2").unwrap()],
         slow_groups: vec![(HostName::new("i-3").unwrap(), SlowPace(480))],
+        quarantine_hash: 77,
     }
 }
 
 #[test]
 fn a_digest_is_unchanged_after_a_round_trip() {
     let message = PeerMessage::Digest(Box::new(digest()));
-    let decoded = decode_message(&encode_message(&message), &no_config).unwrap();
+    let decoded = decode_message(&encode_message(&message, at(0)), at(0), &no_config).unwrap();
     let PeerMessage::Digest(decoded) = decoded else {
         panic!("another message: {decoded:?}");
     };
@@ -48,7 +52,7 @@
         groups: Vec::new(),
     });
     let message = PeerMessage::Record(record.clone(), ObjectVersion(5));
-    let decoded = decode_message(&encode_message(&message), &no_config).unwrap();
+    let decoded = decode_message(&encode_message(&message, at(0)), at(0), &no_config).unwrap();
     let PeerMessage::Record(decoded, version) = decoded else {
         panic!("another message: {decoded:?}");
     };
@@ -68,7 +72,7 @@
     };
     let targets: Arc<[SendTarget]> = Arc::new([target]);
     let message = PeerMessage::Targets(targets.clone(), ObjectVersion(5));
-    let decoded = decode_message(&encode_message(&message), &no_config).unwrap();
+    let decoded = decode_message(&encode_message(&message, at(0)), at(0), &no_config).unwrap();
     let PeerMessage::Targets(decoded, version) = decoded else {
         panic!("another message: {decoded:?}");
     };
@@ -77,24 +81,50 @@
 
 #[test]
 fn invalid_bytes_are_an_error() {
-    let bytes = encode_message(&PeerMessage::Digest(Box::new(digest())));
+    let bytes = encode_message(&PeerMessage::Digest(Box::new(digest())), at(0));
     for cut in 1..bytes.len() {
         // A shorter prefix may decode, but only as a digest with fewer fields.
-        if let Ok(message) = decode_message(&bytes[..cut], &no_config) {
+        if let Ok(message) = decode_message(&bytes[..cut], at(0), &no_config) {
             assert!(matches!(message, PeerMessage::Digest(_)));
         }
     }
     assert!(matches!(
-        decode_message(&[], &no_config),
+        decode_message(&[], at(0), &no_config),
         Err(MessageError::Empty)
     ));
-    assert!(decode_message(&[0xff; 40], &no_config).is_err());
+    assert!(decode_message(&[0xff; 40], at(0), &no_config).is_err());
 }
 
 #[test]
 fn a_configuration_that_cannot_be_parsed_is_an_error() {
     let mut bytes = vec![0x12, 3];
     bytes.extend_from_slice(b"{}x");
-    let outcome = decode_message(&bytes, &no_config);
+    let outcome = decode_message(&bytes, at(0), &no_config);
     assert!(matches!(outcome, Err(MessageError::RoutingConfig(_))));
 }
+
+#[test]
+fn crash_reports_keep_their_age_at_a_node_with_another_clock() {
+    let sent = CrashEvidence {
+        reports: vec![CrashReport {
+            part: PromptPart(u64::MAX),
+            crash: ServerCrash(7),
+            request: PromptPart(9),
+            seen_at: at(4_000),
+        }],
+        clearances: vec![PartClearance {
+            part: PromptPart(3),
+            cleared_at: at(4_500),
+        }],
+    };
+    let bytes = encode_message(&PeerMessage::Crashes(Box::new(sent.clone())), at(5_000));
+    let decoded = decode_message(&bytes, at(905_000), &no_config).unwrap();
+    let PeerMessage::Crashes(received) = decoded else {
+        panic!("another message: {decoded:?}");
+    };
+    assert_eq!(received.reports[0].seen_at, at(904_000));
+    assert_eq!(received.clearances[0].cleared_at, at(904_500));
+    assert_eq!(received.reports[0].part, sent.reports[0].part);
+    assert_eq!(received.reports[0].crash, sent.reports[0].crash);
+    assert_eq!(received.reports[0].request, sent.reports[0].request);
+}
--- a/crates/edge/tests/suite/node.rs
+++ b/crates/edge/tests/suite/node.rs
@@ -334,6 +334,7 @@
         counts: Vec::new(),
         silent_heads: Vec::new(),
         slow_groups: Vec::new(),
+        quarantine_hash: 0,
     };
     state.handle(
         EdgeEvent::Peer(PeerMessage::Digest(Box::new(owner))),
--- a/crates/edge/tests/suite/owner_loss.rs
+++ b/crates/edge/tests/suite/owner_loss.rs
@@ -69,6 +69,7 @@
         counts: Vec::new(),
         silent_heads: Vec::new(),
         slow_groups: Vec::new(),
+        quarantine_hash: 0,
     }
 }
 
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -7,6 +7,7 @@
     EdgeQuestion, EdgeReply, EdgeSettings, EdgeState, EdgeStatus, EdgeTimes, PeerMessage,
 };
 use intent::{CallKind, ClientLimits, Route, RoutingConfig, Service, WeightedService};
+use quarantine::PromptParts;
 use replicas::{Endpoint, Presence};
 use store::{ObjectKey, StoredObject};
 
@@ -162,6 +163,7 @@
         path: path.into(),
         key: None,
         model: None,
+        prompt: PromptParts::default(),
         client_deadline: Some(now + Duration::from_secs(4)),
     }
 }
@@ -188,5 +190,6 @@
         counts: Vec::new(),
         silent_heads: Vec::new(),
         slow_groups: Vec::new(),
+        quarantine_hash: 0,
     })))
 }
--- /dev/null
+++ b/crates/quarantine/src/queries/share.rs
@@ -0,0 +1,73 @@
+//! Evidence that is sent to other nodes.
+
+use base::prelude::*;
+use twox_hash::XxHash64;
+
+use crate::state::ReportedPart;
+use crate::{CrashEvidence, PartClearance, QuarantineState};
+
+/// Separate crashes from which all nodes hear of a part.
+const MIN_WATCHED_CRASHES: usize = 2;
+
+/// This node's own latest reports and clearances; other nodes must hear of them at once.
+pub fn fresh_evidence(state: &QuarantineState, now: ClockTime) -> CrashEvidence {
+    let clearances = clearances(state)
+        .filter(|clearance| now.since(clearance.cleared_at) < state.settings.resend_duration);
+    CrashEvidence {
+        reports: state
+            .own_reports
+            .iter()
+            .map(|(report, _)| *report)
+            .collect(),
+        clearances: clearances.collect(),
+    }
+}
+
+/// What every node must know: reports of parts that several crashes have in common, and
+/// clearances.
+pub fn watched_evidence(state: &QuarantineState) -> CrashEvidence {
+    let watched = state.reported.values().filter(|part| is_watched(part));
+    let reports = watched.flat_map(|reported| &reported.reports);
+    CrashEvidence {
+        reports: reports.copied().collect(),
+        clearances: clearances(state).collect(),
+    }
+}
+
+/// Hash of the watched reports; nodes with the same hash have nothing to tell each other.
+pub fn evidence_hash(state: &QuarantineState) -> u64 {
+    let watched = state.reported.values().filter(|part| is_watched(part));
+    let reports = watched.flat_map(|reported| &reported.reports);
+    let hashes = reports.map(|report| {
+        let fields = [report.part.0, report.crash.0, report.request.0];
+        let bytes: Vec<u8> = fields
+            .iter()
+            .flat_map(|field| field.to_le_bytes())
+            .collect();
+        XxHash64::oneshot(0, &bytes)
+    });
+    // The order of the reports doesn't matter.
+    hashes.fold(0, u64::wrapping_add)
+}
+
+/// Instant at which the next quarantine ends or evidence expires.
+pub fn next_expiry(state: &QuarantineState) -> Option<ClockTime> {
+    state.verdicts.iter().map(|verdict| verdict.until).min()
+}
+
+fn clearances(state: &QuarantineState) -> impl Iterator<Item = PartClearance> {
+    state
+        .cleared
+        .iter()
+        .map(|(part, cleared_at)| PartClearance {
+            part: *part,
+            cleared_at: *cleared_at,
+        })
+}
+
+fn is_watched(reported: &ReportedPart) -> bool {
+    let reports = &reported.reports;
+    let first = reports.first().map(|report| report.crash);
+    let others = reports.iter().filter(|report| Some(report.crash) != first);
+    others.count() + 1 >= MIN_WATCHED_CRASHES
+}
--- /dev/null
+++ b/crates/quarantine/src/state.rs
@@ -0,0 +1,72 @@
+//! State of the quarantine at one node.
+
+use std::collections::{BTreeMap, HashMap};
+
+use base::prelude::*;
+
+use crate::{CrashReport, PromptPart, PromptParts, QuarantineSettings};
+
+/// Parts that are quarantined together.
+///
+/// Several parts that were reported for the same crashes can't be told apart; only requests
+/// with all of them are rejected, so that an answer to one with fewer clears a sound part.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PartVerdict {
+    /// The parts, in order.
+    pub parts: Vec<PromptPart>,
+    /// Number of crashes that they were reported for.
+    pub crashes: usize,
+    /// End of the quarantine unless there are further crashes.
+    pub until: ClockTime,
+}
+
+/// Request in flight.
+#[derive(Clone, Debug)]
+pub(crate) struct CallPrompt {
+    pub parts: PromptParts,
+    /// Whether a server has begun to answer it.
+    pub has_begun: bool,
+}
+
+/// Reports of one part.
+#[derive(Clone, Debug)]
+pub(crate) struct ReportedPart {
+    /// Reports since the last answer, the newest last.
+    pub reports: Vec<CrashReport>,
+    pub expires_at: ClockTime,
+}
+
+/// State of the quarantine at one node.
+#[derive(Clone, Debug)]
+pub struct QuarantineState {
+    pub(crate) settings: QuarantineSettings,
+    pub(crate) calls: HashMap<CallId, CallPrompt>,
+    pub(crate) reported: BTreeMap<PromptPart, ReportedPart>,
+    /// Parts that were cleared after reports, and when; reports from before don't count.
+    pub(crate) cleared: BTreeMap<PromptPart, ClockTime>,
+    /// Last answers that servers have begun for this node's requests.
+    pub(crate) answered: HashMap<PromptPart, ClockTime>,
+    /// Reports of this node, and until when they are sent to others.
+    pub(crate) own_reports: Vec<(CrashReport, ClockTime)>,
+    pub(crate) verdicts: Vec<PartVerdict>,
+}
+
+impl QuarantineState {
+    /// State without evidence.
+    pub fn new(settings: QuarantineSettings) -> Self {
+        Self {
+            settings,
+            calls: HashMap::new(),
+            reported: BTreeMap::new(),
+            cleared: BTreeMap::new(),
+            answered: HashMap::new(),
+            own_reports: Vec::new(),
+            verdicts: Vec::new(),
+        }
+    }
+
+    /// Parts that are quarantined now.
+    pub fn verdicts(&self) -> &[PartVerdict] {
+        &self.verdicts
+    }
+}
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -64,6 +64,20 @@
     }
 }
 
+/// Records the end of an attempt of a request that must not be sent again, and refuses it.
+pub fn give_up(state: &mut RelayState, call: CallId, end: AttemptEnd, now: ClockTime) -> CallStep {
+    if let Some(id) = record_attempt_end(state, call) {
+        record_failure(state, &id, end, now);
+    }
+    let had_run = state.calls.get(&call).is_none_or(|entry| entry.runs > 0);
+    let may_have_run = had_run || !end.is_not_run();
+    refuse(
+        RefusalReason::Exhausted,
+        may_have_run,
+        Some(state.settings.retry_after),
+    )
+}
+
 /// Avoids a failed target for a while, longer with each consecutive failure.
 fn record_failure(state: &mut RelayState, id: &HostName, end: AttemptEnd, now: ClockTime) {
     let settings = &state.settings;
--- a/crates/relay/src/commands/mod.rs
+++ b/crates/relay/src/commands/mod.rs
@@ -5,7 +5,7 @@
 mod stalls;
 mod targets;
 
-pub use attempts::end_attempt;
+pub use attempts::{end_attempt, give_up};
 pub use calls::{arrive, finish};
 pub use stalls::{check_stall, silent_target};
 pub use targets::{
--- a/crates/relay/src/queries/counts.rs
+++ b/crates/relay/src/queries/counts.rs
@@ -9,6 +9,12 @@
     state.calls.get(&call)?.target.as_ref()
 }
 
+/// Target of a request's present attempt, and the epoch of its group.
+pub fn attempt_of(state: &RelayState, call: CallId) -> Option<(&HostName, GroupEpoch)> {
+    let entry = state.calls.get(&call)?;
+    Some((entry.target.as_ref()?, entry.epoch))
+}
+
 /// Requests of all nodes by target, from the latest counts.
 pub fn total_counts(state: &RelayState, now: ClockTime) -> Vec<(HostName, LaneCounts)> {
     nonzero_counts(state, |load| load.total(now))
--- a/crates/relay/src/queries/mod.rs
+++ b/crates/relay/src/queries/mod.rs
@@ -5,4 +5,4 @@
 mod spread;
 
 pub(crate) use choose::choose_target;
-pub use counts::{local_counts, target_of, total_counts};
+pub use counts::{attempt_of, local_counts, target_of, total_counts};
