A node that has just started takes other nodes' crash reports at their age

Cause: a process's clock starts at zero, and reports are sent with their age. A node that is younger than a report put it at zero: all crashes fell on one instant, which counts as one, and what it passed on looked younger than it was, so that an old clearance voided reports at other nodes, too ("prompt parts released" at 23.23 s).

Change: the system clock starts at an hour, so that instants before the start of a process exist, and what is older than that is left out when it is decoded.

The test of a starting node used a clock that had run for 20 s, which hid it.

--- a/crates/edge/src/border/crashes.rs
+++ b/crates/edge/src/border/crashes.rs
@@ -54,18 +54,26 @@
         }
     }
 
-    /// Evidence as received at an instant.
+    /// Evidence as received at an instant, without what is older than the clock.
     pub fn into_evidence(self, now: ClockTime) -> CrashEvidence {
-        let instant = |age_ms: u64| now.before(Duration::from_millis(age_ms));
-        let reports = self.reports.into_iter().map(|wire| CrashReport {
-            part: PromptPart(wire.part),
-            crash: ServerCrash(wire.crash),
-            request: PromptPart(wire.request),
-            seen_at: instant(wire.age_ms),
+        let instant = |age_ms: u64| {
+            let age = Duration::from_millis(age_ms);
+            let at = now.before(age);
+            (now.since(at) == age).then_some(at)
+        };
+        let reports = self.reports.into_iter().filter_map(|wire| {
+            Some(CrashReport {
+                part: PromptPart(wire.part),
+                crash: ServerCrash(wire.crash),
+                request: PromptPart(wire.request),
+                seen_at: instant(wire.age_ms)?,
+            })
         });
-        let clearances = self.clearances.into_iter().map(|wire| PartClearance {
-            part: PromptPart(wire.part),
-            cleared_at: instant(wire.age_ms),
+        let clearances = self.clearances.into_iter().filter_map(|wire| {
+            Some(PartClearance {
+                part: PromptPart(wire.part),
+                cleared_at: instant(wire.age_ms)?,
+            })
         });
         CrashEvidence {
             reports: reports.collect(),
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -128,3 +128,22 @@
     assert_eq!(received.reports[0].crash, sent.reports[0].crash);
     assert_eq!(received.reports[0].request, sent.reports[0].request);
 }
+
+#[test]
+fn crash_reports_from_before_the_start_of_the_clock_are_not_taken_for_newer_ones() {
+    let evidence = CrashEvidence {
+        reports: vec![CrashReport {
+            part: PromptPart(1),
+            crash: ServerCrash(7),
+            request: PromptPart(9),
+            seen_at: at(4_000),
+        }],
+        clearances: vec![PartClearance {
+            part: PromptPart(1),
+            cleared_at: at(3_000),
+        }],
+    };
+    let bytes = encode_message(&PeerMessage::Crashes(Box::new(evidence)), at(20_000));
+    let decoded = decode_message(&bytes, at(1_000), &no_config).unwrap();
+    assert!(matches!(decoded, PeerMessage::Crashes(received) if received.is_empty()));
+}
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -3,6 +3,10 @@
 use base::prelude::*;
 use rustix::time::{ClockId, Timespec, clock_gettime};
 
+/// Reading of a clock when it is created, so that instants before it can be represented: those
+/// of events that other nodes report.
+const INITIAL_READING: Duration = Duration::from_secs(3_600);
+
 /// Monotonic clock that starts when it is created and includes time in which the
 /// machine was suspended.
 ///
@@ -18,7 +22,7 @@
 
 impl ClockSource for SystemClock {
     fn now(&self) -> ClockTime {
-        ClockTime(0) + read_clock().saturating_sub(self.0)
+        ClockTime(0) + INITIAL_READING + read_clock().saturating_sub(self.0)
     }
 }
 
