A sound part is not quarantined for a single request that crashed several servers

Cause: the first crashes came from one request and its client's repeats, so the deadly part lacked the second request that a verdict asks for and was left out before the crashes were explained. Its companion had that second request, a bystander.

Change: parts of a single request take part in explaining the crashes; a verdict needs the second request for at least one of the parts that can't be told apart, and these are rejected only together.

Test: a_sound_part_is_not_quarantined_in_place_of_one_that_a_single_request_has_brought failed before.

--- a/crates/quarantine/src/queries/verdict.rs
+++ b/crates/quarantine/src/queries/verdict.rs
@@ -52,34 +52,53 @@
     blocking_verdict(state, &prompt.parts).is_none() && !prompt.parts.shared.iter().any(is_suspect)
 }
 
+/// Part that explains several crashes.
+#[derive(Clone)]
+struct VerdictCandidate {
+    part: PromptPart,
+    crashes: BTreeSet<ServerCrash>,
+    /// Number of different requests among them.
+    requests: usize,
+    expires_at: ClockTime,
+}
+
 /// Fewest parts that explain the reported crashes.
 ///
 /// A part that was reported beside the one that crashes servers is not quarantined, as its
 /// crashes are explained already.
 pub fn find_verdicts(state: &QuarantineState) -> Vec<PartVerdict> {
     let mut explained = BTreeSet::new();
+    let mut skipped = BTreeSet::new();
     let mut verdicts = Vec::new();
     loop {
-        let candidates = state.reported.iter().filter_map(|(part, reported)| {
-            let crashes = unexplained_crashes(&state.settings, reported, &explained)?;
-            Some((*part, reported.expires_at, crashes))
-        });
-        let candidates: Vec<_> = candidates.collect();
-        let Some((_, until, crashes)) = (candidates.iter())
-            .max_by_key(|(_, until, crashes)| (crashes.len(), *until))
-            .cloned()
+        let reported = state.reported.iter();
+        let reported = reported.filter(|(part, _)| !skipped.contains(*part));
+        let candidates: Vec<_> = reported
+            .filter_map(|(part, reported)| {
+                verdict_candidate(&state.settings, *part, reported, &explained)
+            })
+            .collect();
+        let Some(best) = candidates
+            .iter()
+            .max_by_key(|candidate| (candidate.crashes.len(), candidate.expires_at))
         else {
             return verdicts;
         };
         let same = candidates
             .iter()
-            .filter(|(.., other)| is_nearly_same(other, &crashes));
+            .filter(|other| is_nearly_same(&other.crashes, &best.crashes));
+        let parts: Vec<_> = same.clone().map(|candidate| candidate.part).collect();
+        // One request alone proves nothing about the parts that others share with it.
+        if same.map(|candidate| candidate.requests).max() < Some(state.settings.min_requests) {
+            skipped.extend(parts);
+            continue;
+        }
+        explained.extend(best.crashes.iter().copied());
         verdicts.push(PartVerdict {
-            parts: same.map(|(part, ..)| *part).collect(),
-            crashes: crashes.len(),
-            until,
+            parts,
+            crashes: best.crashes.len(),
+            until: best.expires_at,
         });
-        explained.extend(crashes);
     }
 }
 
@@ -90,20 +109,27 @@
     one.difference(other).count() <= 1 && other.difference(one).count() <= 1
 }
 
-/// Crashes of a part that no other one explains, if they are enough to quarantine it.
-fn unexplained_crashes(
+/// Part with the crashes that no other one explains, if they are enough to quarantine it.
+fn verdict_candidate(
     settings: &QuarantineSettings,
+    part: PromptPart,
     reported: &ReportedPart,
     explained: &BTreeSet<ServerCrash>,
-) -> Option<BTreeSet<ServerCrash>> {
+) -> Option<VerdictCandidate> {
     let reports = reported.reports.iter();
     let reports: Vec<_> = reports
         .filter(|report| !explained.contains(&report.crash))
         .collect();
+    if count_separate(settings, &reports) < settings.min_crashes {
+        return None;
+    }
     let requests: BTreeSet<_> = reports.iter().map(|report| report.request).collect();
-    let is_enough = requests.len() >= settings.min_requests
-        && count_separate(settings, &reports) >= settings.min_crashes;
-    is_enough.then(|| reports.iter().map(|report| report.crash).collect())
+    Some(VerdictCandidate {
+        part,
+        crashes: reports.iter().map(|report| report.crash).collect(),
+        requests: requests.len(),
+        expires_at: reported.expires_at,
+    })
 }
 
 /// Number of different crashes, of which those at the same time count as one.
--- a/crates/quarantine/tests/verdicts.rs
+++ b/crates/quarantine/tests/verdicts.rs
@@ -164,6 +164,21 @@
     assert!(is_rejected(&state, &[COMPANION, DEADLY]));
 }
 
+#[test]
+fn a_sound_part_is_not_quarantined_in_place_of_one_that_a_single_request_has_brought() {
+    let mut state = new_state();
+    for index in 0..4 {
+        let now = index * SECOND;
+        // The same request each time, and another one that waited at the same server.
+        crash(&mut state, &[COMPANION, DEADLY], 10, index, now);
+        crash(&mut state, &[COMPANION], 5, index, now);
+    }
+    assert!(!is_rejected(&state, &[COMPANION]));
+    crash(&mut state, &[COMPANION], 20, 7, 5 * SECOND);
+    assert!(!is_rejected(&state, &[COMPANION]));
+    assert!(is_rejected(&state, &[COMPANION, DEADLY]));
+}
+
 #[test]
 fn a_quarantine_ends_a_minute_after_the_last_crash() {
     let mut state = state_after_crashes();
