A stream that ends inside an event is broken off, not complete

What callers would see: a server that fails while its stream has neither a length nor chunks ends the connection, perhaps inside an event; the rest was passed on and the response ended as complete. With a length from the server the partial event even completed it.

Cause: the end of the response's body was taken for the end of the stream.

Change: a body that ends inside an event ends the attempt as cut: a stream that may be resumed goes on elsewhere, another one is aborted. Streams are sent to the client in chunks, so that an abort shows.

Tests: a_stream_that_ends_inside_an_event_is_not_complete_for_the_client (process, failed before) and a table of the splitter. The test of the rest of a stream asked for the rest of a partial event to be passed on, which the new rule forbids; it now asks for the line breaks after the last event, and that these are no partial event.

--- a/crates/edge/src/border/events.rs
+++ b/crates/edge/src/border/events.rs
@@ -44,7 +44,12 @@
         self.partial.clear();
     }
 
-    /// Takes the bytes after the last complete event of a stream that ended normally.
+    /// Whether the bytes so far end inside an event; a stream that ends there was broken off.
+    pub fn is_within_event(&self) -> bool {
+        self.partial.iter().any(|byte| !b"\r\n".contains(byte))
+    }
+
+    /// Takes the line breaks after the last event of a stream that ended normally.
     pub fn take_rest(&mut self) -> Bytes {
         self.partial.split().freeze()
     }
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -244,10 +244,9 @@
             .header_codec
             .response_headers(&incoming.parts.headers);
         let is_resumable = accepted.route.kind.is_repeatable();
-        if is_resumable {
-            // Another server may send the rest, with events of other lengths.
-            response.headers_mut().remove(CONTENT_LENGTH);
-        }
+        // Another server may send the rest, with events of other lengths, and a stream that was
+        // broken off must not look complete because it has the announced length.
+        response.headers_mut().remove(CONTENT_LENGTH);
         let stream = RelayedStream {
             labels: RequestLabels::of(&accepted),
             context: self.context.clone(),
--- a/crates/edge/src/border/stream.rs
+++ b/crates/edge/src/border/stream.rs
@@ -160,11 +160,8 @@
                             .events
                             .unbounded_send(EdgeEvent::Progress(self.guard.call));
                     }
-                    let events = if self.is_resumable {
-                        self.buffer.push(&bytes)
-                    } else {
-                        bytes
-                    };
+                    let complete = self.buffer.push(&bytes);
+                    let events = if self.is_resumable { complete } else { bytes };
                     if !events.is_empty() {
                         self.pauses.record(now);
                         self.report_answer(&events);
@@ -173,8 +170,14 @@
                         return Ok(StreamEnd::Left);
                     }
                 }
+                Some(ChunkOutcome::End) if self.buffer.is_within_event() => {
+                    return Err(AttemptEnd::Cut);
+                }
                 Some(ChunkOutcome::End) => {
                     response.finish();
+                    if !self.is_resumable {
+                        return Ok(StreamEnd::Whole);
+                    }
                     let rest = self.buffer.take_rest();
                     if !rest.is_empty() && body.send(rest).await.is_err() {
                         return Ok(StreamEnd::Left);
