A verdict about a prompt part settles before it holds

Cause: in a large deployment a hub hears of crashes from all nodes at once, and of the answers that clear a part only after it has told the nodes which parts to look at, half a second after the second crash.

Change: a verdict holds 400 ms after the third crash, or at once at the fifth. Until then its crashes count as explained, so that no companion is taken instead.

--- a/crates/edge/src/commands/quarantine.rs
+++ b/crates/edge/src/commands/quarantine.rs
@@ -22,8 +22,12 @@
     arrival: &Arrival,
     now: ClockTime,
 ) -> Option<Duration> {
-    if expire(&mut state.quarantine, now) {
-        log::info!("quarantine of prompt parts ended");
+    let effects = log_new_verdicts(state, |state| {
+        expire(&mut state.quarantine, now);
+    });
+    if !effects.is_empty() {
+        state.unsent_effects.extend(effects);
+        state.evidence_due.get_or_insert(now);
     }
     if let Some(verdict) = blocking_verdict(&state.quarantine, &arrival.prompt) {
         log::info!(id:% = arrival.id, parts = part_names(verdict); "prompt part is quarantined");
--- a/crates/quarantine/src/commands/calls.rs
+++ b/crates/quarantine/src/commands/calls.rs
@@ -43,7 +43,7 @@
         }
     }
     if has_cleared {
-        update_verdicts(state);
+        update_verdicts(state, now);
     }
 }
 
@@ -83,6 +83,6 @@
             state.own_reports.push((report, resend_until));
         }
     }
-    update_verdicts(state);
+    update_verdicts(state, now);
     true
 }
--- a/crates/quarantine/src/commands/merge.rs
+++ b/crates/quarantine/src/commands/merge.rs
@@ -25,10 +25,11 @@
         }
     }
     expire(state, now);
-    update_verdicts(state);
+    update_verdicts(state, now);
 }
 
-/// Forgets evidence whose time is over; returns whether verdicts have ended.
+/// Forgets evidence whose time is over, and makes verdicts that are due; returns whether verdicts
+/// have ended.
 pub fn expire(state: &mut QuarantineState, now: ClockTime) -> bool {
     let retention = state.settings.retention;
     state
@@ -38,7 +39,11 @@
     state.own_reports.retain(|(_, until)| *until > now);
     let count = state.verdicts.len();
     state.verdicts.retain(|verdict| verdict.until > now);
-    state.verdicts.len() < count
+    let has_ended = state.verdicts.len() < count;
+    if state.verdict_due.is_some_and(|due| due <= now) {
+        update_verdicts(state, now);
+    }
+    has_ended
 }
 
 /// Adds a report unless it is known or void; returns whether it is new.
@@ -112,6 +117,8 @@
     state.own_reports.retain(|(report, _)| is_valid(report));
 }
 
-pub(super) fn update_verdicts(state: &mut QuarantineState) {
-    state.verdicts = find_verdicts(state);
+pub(super) fn update_verdicts(state: &mut QuarantineState, now: ClockTime) {
+    let (verdicts, verdict_due) = find_verdicts(state, now);
+    state.verdicts = verdicts;
+    state.verdict_due = verdict_due;
 }
--- a/crates/quarantine/src/queries/verdict.rs
+++ b/crates/quarantine/src/queries/verdict.rs
@@ -59,17 +59,24 @@
     crashes: BTreeSet<ServerCrash>,
     /// Number of different requests among them.
     requests: usize,
+    /// Instant from which a verdict holds.
+    settled_at: ClockTime,
     expires_at: ClockTime,
 }
 
-/// Fewest parts that explain the reported crashes.
+/// Fewest parts that explain the reported crashes, and the instant at which further verdicts are
+/// due.
 ///
 /// A part that was reported beside the one that crashes servers is not quarantined, as its
 /// crashes are explained already.
-pub fn find_verdicts(state: &QuarantineState) -> Vec<PartVerdict> {
+pub fn find_verdicts(
+    state: &QuarantineState,
+    now: ClockTime,
+) -> (Vec<PartVerdict>, Option<ClockTime>) {
     let mut explained = BTreeSet::new();
     let mut skipped = BTreeSet::new();
     let mut verdicts = Vec::new();
+    let mut verdict_due: Option<ClockTime> = None;
     loop {
         let reported = state.reported.iter();
         let reported = reported.filter(|(part, _)| !skipped.contains(*part));
@@ -82,7 +89,7 @@
             .iter()
             .max_by_key(|candidate| (candidate.crashes.len(), candidate.expires_at))
         else {
-            return verdicts;
+            return (verdicts, verdict_due);
         };
         let same = candidates
             .iter()
@@ -94,6 +101,11 @@
             continue;
         }
         explained.extend(best.crashes.iter().copied());
+        if best.settled_at > now {
+            let due = verdict_due.map_or(best.settled_at, |due| due.min(best.settled_at));
+            verdict_due = Some(due);
+            continue;
+        }
         verdicts.push(PartVerdict {
             parts,
             crashes: best.crashes.len(),
@@ -120,28 +132,33 @@
     let reports: Vec<_> = reports
         .filter(|report| !explained.contains(&report.crash))
         .collect();
-    if count_separate(settings, &reports) < settings.min_crashes {
-        return None;
-    }
+    let separate = separate_crashes(settings, &reports);
+    let last_needed_at = *separate.get(settings.min_crashes - 1)?;
+    let settled_at = if separate.len() >= settings.certain_crashes {
+        last_needed_at
+    } else {
+        last_needed_at + settings.settling_time
+    };
     let requests: BTreeSet<_> = reports.iter().map(|report| report.request).collect();
     Some(VerdictCandidate {
         part,
         crashes: reports.iter().map(|report| report.crash).collect(),
         requests: requests.len(),
+        settled_at,
         expires_at: reported.expires_at,
     })
 }
 
-/// Number of different crashes, of which those at the same time count as one.
-fn count_separate(settings: &QuarantineSettings, reports: &[&CrashReport]) -> usize {
-    let mut counted: BTreeSet<ServerCrash> = BTreeSet::new();
-    let mut counted_at: Option<ClockTime> = None;
+/// Instants of different crashes, of which those at the same time count as one.
+fn separate_crashes(settings: &QuarantineSettings, reports: &[&CrashReport]) -> Vec<ClockTime> {
+    let mut instants: Vec<ClockTime> = Vec::new();
     for report in reports {
-        let is_separate =
-            counted_at.is_none_or(|at| report.seen_at.since(at) >= settings.simultaneous_crashes);
-        if is_separate && counted.insert(report.crash) {
-            counted_at = Some(report.seen_at);
+        let is_separate = instants
+            .last()
+            .is_none_or(|at| report.seen_at.since(*at) >= settings.simultaneous_crashes);
+        if is_separate {
+            instants.push(report.seen_at);
         }
     }
-    counted.len()
+    instants
 }
--- a/crates/quarantine/src/settings.rs
+++ b/crates/quarantine/src/settings.rs
@@ -9,6 +9,11 @@
 /// Crashes within this time count as one, since servers that fail together for another reason
 /// were sent many parts at the same moment.
 const SIMULTANEOUS_CRASHES: Duration = Duration::from_millis(250);
+/// Time after the last crash that a verdict needs, in which nodes that have seen an answer since
+/// say so.
+const SETTLING_TIME: Duration = Duration::from_millis(400);
+/// Crashes after which a verdict needs no such time.
+const CERTAIN_CRASHES: usize = 5;
 /// Time after its last report for which a part is remembered, and quarantined if it is.
 const RETENTION: Duration = Duration::from_secs(60);
 /// Time for which this node's reports are sent to other nodes.
@@ -31,6 +36,10 @@
     pub min_requests: usize,
     /// Time within which crashes count as one.
     pub simultaneous_crashes: Duration,
+    /// Time after the last crash that a verdict needs before it holds.
+    pub settling_time: Duration,
+    /// Crashes after which a verdict needs no such time.
+    pub certain_crashes: usize,
     /// Time after its last report for which a part is remembered.
     pub retention: Duration,
     /// Time for which this node's reports are sent to other nodes.
@@ -51,6 +60,8 @@
             min_crashes: MIN_CRASHES,
             min_requests: MIN_REQUESTS,
             simultaneous_crashes: SIMULTANEOUS_CRASHES,
+            settling_time: SETTLING_TIME,
+            certain_crashes: CERTAIN_CRASHES,
             retention: RETENTION,
             resend_duration: RESEND_DURATION,
             recent_answer: RECENT_ANSWER,
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -49,6 +49,8 @@
     /// Reports of this node, and until when they are sent to others.
     pub(crate) own_reports: Vec<(CrashReport, ClockTime)>,
     pub(crate) verdicts: Vec<PartVerdict>,
+    /// Instant at which the next verdict holds if its parts are not cleared before.
+    pub(crate) verdict_due: Option<ClockTime>,
 }
 
 impl QuarantineState {
@@ -62,6 +64,7 @@
             answered: HashMap::new(),
             own_reports: Vec::new(),
             verdicts: Vec::new(),
+            verdict_due: None,
         }
     }
 
