A watch whose deadline passed long ago reports no change

What callers would see: a watch of the project's own object API with a deadline that passed more than half a second ago was "unavailable" instead of "no change", so that its caller took the store for lost.

Cause: the time for the response counted from the watch's deadline, not from the call.

Change: the time for the response counts from the call.

Test: the_object_api_satisfies_the_store_contract_over_http, failed before.

--- a/crates/interface/src/objects.rs
+++ b/crates/interface/src/objects.rs
@@ -167,9 +167,11 @@
         let this = self.clone();
         let path = object_path(key);
         Box::pin(async move {
-            let wait = deadline.since(this.clock.now()).as_millis();
-            let path = format!("{path}?after={after}&wait_ms={wait}");
-            this.fetch_change(&path, deadline + WATCH_GRACE).await
+            let now = this.clock.now();
+            let wait = deadline.since(now);
+            let path = format!("{path}?after={after}&wait_ms={}", wait.as_millis());
+            // The deadline may have passed long ago.
+            this.fetch_change(&path, now + wait + WATCH_GRACE).await
         })
     }
 }
