Quarantine: verdicts that become due while evidence is sent are logged; reading

Read as a newcomer: a verdict that became due while evidence was being sent was made but neither logged nor counted until the next arrival; both places share one function now. An unused query and return value are gone. No decision changes; tests as before.

--- a/crates/edge/src/commands/quarantine.rs
+++ b/crates/edge/src/commands/quarantine.rs
@@ -22,9 +22,7 @@
     arrival: &Arrival,
     now: ClockTime,
 ) -> Option<Duration> {
-    let effects = log_new_verdicts(state, |state| {
-        expire(&mut state.quarantine, now);
-    });
+    let effects = update_verdicts(state, now);
     if !effects.is_empty() {
         state.unsent_effects.extend(effects);
         state.evidence_due.get_or_insert(now);
@@ -94,7 +92,7 @@
         return Vec::new();
     }
     let mut effects = std::mem::take(&mut state.unsent_effects);
-    expire(&mut state.quarantine, now);
+    effects.extend(update_verdicts(state, now));
     let evidence = fresh_evidence(&state.quarantine, now);
     if evidence.is_empty() {
         state.evidence_due = None;
@@ -151,6 +149,11 @@
     }
 }
 
+/// Forgets what has expired and makes the verdicts that are due.
+fn update_verdicts(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
+    log_new_verdicts(state, |state| expire(&mut state.quarantine, now))
+}
+
 /// Logs and counts the verdicts that a change adds, and logs those that it ends.
 fn log_new_verdicts(state: &mut EdgeState, change: impl FnOnce(&mut EdgeState)) -> Vec<EdgeEffect> {
     let before: Vec<_> = state.quarantine.verdicts().to_vec();
--- a/crates/quarantine/src/commands/merge.rs
+++ b/crates/quarantine/src/commands/merge.rs
@@ -28,22 +28,18 @@
     update_verdicts(state, now);
 }
 
-/// Forgets evidence whose time is over, and makes verdicts that are due; returns whether verdicts
-/// have ended.
-pub fn expire(state: &mut QuarantineState, now: ClockTime) -> bool {
+/// Forgets evidence whose time is over, ends verdicts, and makes those that are due.
+pub fn expire(state: &mut QuarantineState, now: ClockTime) {
     let retention = state.settings.retention;
     state
         .reported
         .retain(|_, reported| reported.expires_at > now);
     state.cleared.retain(|_, at| now.since(*at) < retention);
     state.own_reports.retain(|(_, until)| *until > now);
-    let count = state.verdicts.len();
     state.verdicts.retain(|verdict| verdict.until > now);
-    let has_ended = state.verdicts.len() < count;
     if state.verdict_due.is_some_and(|due| due <= now) {
         update_verdicts(state, now);
     }
-    has_ended
 }
 
 /// Adds a report unless it is known or void; returns whether it is new.
--- a/crates/quarantine/src/queries/share.rs
+++ b/crates/quarantine/src/queries/share.rs
@@ -50,11 +50,6 @@
     hashes.fold(0, u64::wrapping_add)
 }
 
-/// Instant at which the next quarantine ends or evidence expires.
-pub fn next_expiry(state: &QuarantineState) -> Option<ClockTime> {
-    state.verdicts.iter().map(|verdict| verdict.until).min()
-}
-
 fn clearances(state: &QuarantineState) -> impl Iterator<Item = PartClearance> {
     state
         .cleared
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 //!
 //! The crate implements the platform's side of the wire protocol.
 
+mod addresses;
 mod checker;
 mod clients;
 mod nodes;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,10 +4,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use base::prelude::ClockSource;
@@ -15,6 +14,7 @@
 use net::{SystemClock, block_on, drain_channel};
 use rustix::process::Signal;
 
+use crate::addresses::{free_port, loopback, next_run};
 use crate::checker::{InvariantChecker, Tally};
 use crate::clients::{ClientContext, EntryHost, SoakClient};
 use crate::nodes::{GRACE_SECONDS, SoakNode};
@@ -47,19 +47,6 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between two readiness probes of a daemon, and timeout of a probe.
 const READY_PROBE_INTERVAL: Duration = Duration::from_millis(500);
-// First value and number of values of the second octet of the daemons' loopback addresses.
-const SECOND_OCTET_START: u32 = 64;
-const SECOND_OCTET_COUNT: u32 = 64;
-/// Number of values of the third octet of these addresses.
-const THIRD_OCTET_COUNT: u32 = 250;
-
-/// Number of runs in one process that have addresses of their own at the same time.
-const CONCURRENT_RUNS: u32 = 4;
-/// Number of daemons that a run has addresses for.
-const MAX_NODES: u32 = 60;
-
-/// Number of runs that this process has started.
-static RUNS: AtomicU32 = AtomicU32::new(0);
 
 /// Reason that a run could not be carried out.
 #[derive(Debug, thiserror::Error)]
@@ -184,19 +171,6 @@
     Ok(address)
 }
 
-/// Address of a daemon; it depends on the process id and the number of the run in the process,
-/// so that concurrent soaks do not collide.
-fn loopback(process_id: u32, run: u32, index: usize) -> IpAddr {
-    let second = SECOND_OCTET_START + process_id / THIRD_OCTET_COUNT % SECOND_OCTET_COUNT;
-    let third = process_id % THIRD_OCTET_COUNT;
-    let fourth = run % CONCURRENT_RUNS * MAX_NODES + index as u32 + 1;
-    IpAddr::V4(Ipv4Addr::new(127, second as u8, third as u8, fourth as u8))
-}
-
-fn free_port() -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
-}
-
 impl SoakRun {
     fn start(options: &SoakOptions, seed: u64, logs: PathBuf) -> Result<Self, SoakError> {
         let now = Instant::now();
@@ -219,7 +193,7 @@
                 .set(open_service(ServerService { fleet, slot })?);
         }
         let proxies = Rc::new(RefCell::new(HashMap::new()));
-        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        let run = next_run();
         let (mut nodes, mut store_links, mut node_links) = (Vec::new(), Vec::new(), Vec::new());
         for index in 0..options.nodes {
             let reader = format!("edge-{index}");
