Soak: servers that name a limit; the daemon sends them more than it allows

The soak's servers can name a limit in their responses, and its checker counts what reaches them in any four seconds, from all daemons together.

--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -68,3 +68,15 @@
     assert!(report.violations.is_empty(), "{report}");
     assert!(report.all.served > 0, "{report}");
 }
+
+#[test]
+fn servers_that_name_a_limit_get_no_more_than_it_allows() {
+    let limited = Duration::from_secs(5);
+    let faults = [
+        (200, Fault::Limit(0, 60, limited)),
+        (300, Fault::Limit(1, 60, limited)),
+    ];
+    let report = run_faults(105, &faults);
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.all.served > 0, "{report}");
+}
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -7,6 +7,17 @@
 /// Time after the revocation of a key during which daemons may still accept it.
 const REVOCATION_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after a server first named its limit from which the limit must hold.
+const LIMIT_GRACE: Duration = Duration::from_secs(3);
+/// Time after a server first named its limit before which arrivals are not counted.
+const LIMIT_DELAY: Duration = Duration::from_millis(500);
+/// Window over which the arrivals at a limited server are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Arrivals allowed in a window, as a multiple of what the limit allows.
+const LIMIT_TOLERANCE: f64 = 1.5;
+/// Arrivals allowed in a window besides.
+const LIMIT_SLACK: f64 = 5.0;
+
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -39,6 +50,13 @@
     pub failed: u32,
 }
 
+/// Arrivals at a server since it first named a limit.
+#[derive(Debug)]
+struct LimitedServer {
+    named_at: Instant,
+    arrivals: Vec<Instant>,
+}
+
 /// Observations of clients and servers, and the violations found in them.
 #[derive(Debug, Default)]
 pub struct InvariantChecker {
@@ -47,6 +65,10 @@
     ready: BTreeSet<(String, u64, Vec<String>, String)>,
     /// API keys: when they were issued, and when they were revoked.
     keys: BTreeMap<String, (Instant, Option<Instant>)>,
+    /// Servers that have named a limit, by id.
+    limited: HashMap<String, LimitedServer>,
+    /// Limits are checked over windows that begin after this instant.
+    limits_checked_from: Option<Instant>,
     tallies: BTreeMap<u64, Tally>,
     violations: Vec<String>,
 }
@@ -162,6 +184,46 @@
         sum
     }
 
+    /// Stops the checks of limits for windows that begin before an instant.
+    pub fn pause_limit_checks(&mut self, until: Instant) {
+        self.limits_checked_from = Some(until);
+    }
+
+    /// Records that a request arrived at a server, and checks the limit that the server names.
+    pub fn record_arrival(&mut self, id: &str, limit: Option<f64>, now: Instant) {
+        let Some(limit) = limit else {
+            self.limited.remove(id);
+            return;
+        };
+        let server = self
+            .limited
+            .entry(id.to_owned())
+            .or_insert_with(|| LimitedServer {
+                named_at: now,
+                arrivals: Vec::new(),
+            });
+        if now.duration_since(server.named_at) < LIMIT_DELAY {
+            return;
+        }
+        server.arrivals.push(now);
+        server
+            .arrivals
+            .retain(|at| now.duration_since(*at) <= LIMIT_WINDOW);
+        let is_disturbed = self
+            .limits_checked_from
+            .is_some_and(|from| now < from + LIMIT_WINDOW);
+        let allowed = LIMIT_TOLERANCE * LIMIT_WINDOW.as_secs_f64() * limit + LIMIT_SLACK;
+        let count = server.arrivals.len();
+        if now.duration_since(server.named_at) >= LIMIT_GRACE
+            && !is_disturbed
+            && count as f64 > allowed
+        {
+            self.violations.push(format!(
+                "server {id} named a limit of {limit:.2} a second and got {count} requests in four seconds"
+            ));
+        }
+    }
+
     /// Records that a member became ready in a group.
     pub fn record_ready_member(&mut self, group: &str, epoch: u64, members: &[String], id: &str) {
         self.ready
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -10,6 +10,8 @@
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 200..1_500;
 /// Range of the duration of a fault.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..4_000;
+/// Range of the limit of a plain server, in requests a minute.
+const PLAIN_LIMIT_PER_MINUTE: std::ops::Range<u32> = 60..300;
 
 /// Number of plain servers; they have the first slots, engines the others.
 pub(crate) const PLAIN_SERVER_COUNT: usize = 2;
@@ -71,6 +73,8 @@
     Crash(usize),
     /// A server announces that it is leaving, and stops.
     Leave(usize),
+    /// A server names a limit in its responses for this long, in requests a minute.
+    Limit(usize, u32, Duration),
     /// Orders to servers get no response and are executed later.
     DelayedOrders(Duration),
     /// The configuration changes.
@@ -124,13 +128,22 @@
                 at: Duration::from_millis(rng.random_range(0..hang_ms)),
                 fault: Fault::HangConnections,
             };
-            let position = steps.partition_point(|other| other.at <= step.at);
-            steps.insert(position, step);
+            insert_step(&mut steps, step);
+            let step = FaultStep {
+                at: Duration::from_millis(rng.random_range(0..hang_ms)),
+                fault: Fault::Limit(0, rng.random_range(PLAIN_LIMIT_PER_MINUTE), duration),
+            };
+            insert_step(&mut steps, step);
         }
         Self { steps }
     }
 }
 
+fn insert_step(steps: &mut Vec<FaultStep>, step: FaultStep) {
+    let position = steps.partition_point(|other| other.at <= step.at);
+    steps.insert(position, step);
+}
+
 fn random_fault(rng: &mut StdRng, size: PlanSize) -> Fault {
     let node = rng.random_range(0..size.nodes);
     let server = rng.random_range(0..size.servers);
--- a/crates/soak/src/platform/fleet.rs
+++ b/crates/soak/src/platform/fleet.rs
@@ -43,6 +43,8 @@
     pub is_leaving: bool,
     pub membership: Option<GroupMembership>,
     pub running: u32,
+    /// Limit that it names in its responses, in requests a second, and until when.
+    limit: Option<(f64, Instant)>,
     slot: usize,
     incarnation: u64,
     fabric: Option<String>,
@@ -63,6 +65,7 @@
             is_leaving: false,
             membership: None,
             running: 0,
+            limit: None,
             slot,
             incarnation,
             fabric,
@@ -79,6 +82,13 @@
         if model == "large" { 3 } else { 2 }
     }
 
+    /// Limit that it names now, in requests a second.
+    pub fn limit(&self, now: Instant) -> Option<f64> {
+        self.limit
+            .filter(|(_, until)| now < *until)
+            .map(|(rate, _)| rate)
+    }
+
     fn staged(&self) -> Vec<&String> {
         self.staged.iter().collect()
     }
@@ -173,6 +183,11 @@
         }
     }
 
+    /// Makes a server name a limit in its responses until an instant.
+    pub fn limit(&mut self, slot: usize, per_minute: u32, until: Instant) {
+        self.servers[slot].limit = Some((f64::from(per_minute) / 60.0, until));
+    }
+
     /// Stops a server; its store entry stays.
     pub fn stop(&mut self, slot: usize) {
         self.servers[slot].is_alive = false;
--- a/crates/soak/src/platform/server.rs
+++ b/crates/soak/src/platform/server.rs
@@ -61,6 +61,25 @@
         text_response(status, "{}")
     }
 
+    /// Records that a request has arrived, whether or not it is run.
+    fn record_arrival(&self, server: &SoakServer) {
+        let now = Instant::now();
+        let fleet = self.fleet.borrow();
+        let mut checker = fleet.checker.borrow_mut();
+        checker.record_arrival(&server.id, server.limit(now), now);
+    }
+
+    /// Adds what the server announces in its responses.
+    fn with_notices(&self, mut response: WebResponse) -> WebResponse {
+        let server = self.current_server();
+        if let Some(limit) = server.limit(Instant::now()) {
+            let value = HeaderValue::from_str(&format!("{limit:.2}"));
+            let value = value.expect("numbers are valid header values");
+            response.headers_mut().insert("server-limit", value);
+        }
+        response
+    }
+
     /// Records that a request starts to run here.
     fn record_run(&self, headers: &HeaderMap, path: &str) {
         let fleet = self.fleet.borrow();
@@ -182,17 +201,25 @@
                 return not_executed(StatusCode::MISDIRECTED_REQUEST);
             }
             let path = parts.uri.path();
-            match path {
-                "/report" => text_response(StatusCode::OK, &server.report().to_string()),
+            let response = match path {
+                "/report" => {
+                    return text_response(StatusCode::OK, &server.report().to_string());
+                }
                 "/order" => {
-                    this.order(serde_json::from_slice(&body).unwrap_or_default())
-                        .await
+                    return this
+                        .order(serde_json::from_slice(&body).unwrap_or_default())
+                        .await;
                 }
                 _ if server.service == "app" => {
+                    this.record_arrival(&server);
                     this.serve_plain(&parts.headers, path, &server).await
                 }
-                _ => this.serve_stream(&parts.headers, path, &server),
-            }
+                _ => {
+                    this.record_arrival(&server);
+                    this.serve_stream(&parts.headers, path, &server)
+                }
+            };
+            this.with_notices(response)
         })
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -415,6 +415,11 @@
                 self.fleet.borrow_mut().servers[slot].is_leaving = true;
                 self.server_stops.push((now + LEAVE_DURATION, slot));
             }
+            Fault::Limit(slot, per_minute, duration) => {
+                self.fleet
+                    .borrow_mut()
+                    .limit(slot, per_minute, now + duration);
+            }
             Fault::DelayedOrders(duration) => {
                 self.fleet.borrow_mut().orders_delayed_until = Some(now + duration);
                 disturbed_until = now + duration;
@@ -438,11 +443,15 @@
                 });
             }
         }
-        let is_config_change = matches!(fault, Fault::ChangeConfig | Fault::RevokeKey);
-        if !is_config_change {
+        let is_disturbance = !matches!(
+            fault,
+            Fault::ChangeConfig | Fault::RevokeKey | Fault::Limit(..)
+        );
+        if is_disturbance {
             let strict_from =
                 (disturbed_until + PROPAGATION_TIMEOUT).max(self.client_context.strict_from.get());
             self.client_context.strict_from.set(strict_from);
+            self.checker.borrow_mut().pause_limit_checks(strict_from);
         }
         Ok(())
     }
