Limits that servers name hold, summed over all nodes

What callers saw: nothing; the servers did.

Cause: no code read the header. Ruled out by the log: a limit that nodes keep each for itself (the rate of a limited server didn't change at all).

The new crate notices keeps the latest announcement of each server and this node's turns to send to it. Digests carry what a node has heard, and its weight, the rate of its requests; hubs send the sum. A node's share of a limit is its part of the sum. Turns are earned at the share, end unused after a second and are staggered over the nodes, so however many nodes there are, they have at most five seconds' worth of the limit in any four. relay takes a turn for every send. Where all targets are full or limited, the least urgent requests are refused at once.

--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -5,14 +5,16 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use futures_channel::mpsc::UnboundedSender;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use net::web::{CallOutcome, IncomingResponse, WebClient, WebRequest, full_body};
 use net::{MetricSink, with_deadline};
+use notices::ServerNotice;
 use relay::{AttemptEnd, SendOrder, StallStep};
 
 use super::EdgeReplies;
 use super::ports::{ForwardMetadata, HeaderCodec, ResponseMetadata};
-use crate::{EdgeQuestion, EdgeReply};
+use crate::{EdgeEvent, EdgeQuestion, EdgeReply};
 
 /// Request of a client, kept for further attempts.
 #[derive(Debug)]
@@ -47,6 +49,7 @@
     pub replies: EdgeReplies,
     pub header_codec: Rc<dyn HeaderCodec>,
     pub metrics: Rc<dyn MetricSink>,
+    pub events: UnboundedSender<EdgeEvent>,
 }
 
 impl AttemptContext {
@@ -96,6 +99,26 @@
         }
     }
 
+    /// Reports what a server announces, or that it no longer does.
+    fn report_notice(
+        &self,
+        request: &ClientRequest,
+        order: &SendOrder,
+        metadata: &ResponseMetadata,
+    ) {
+        // A misdirected request was answered by another server than the one meant.
+        let is_news = metadata.notice != ServerNotice::default() || order.has_notice;
+        if metadata.is_misdirected || !is_news {
+            return;
+        }
+        // The event loop ends only when the process is about to exit.
+        let _ = self.events.unbounded_send(EdgeEvent::Announced {
+            server: order.target.clone(),
+            id: request.id.clone(),
+            notice: metadata.notice,
+        });
+    }
+
     fn build_request(
         &self,
         request: &ClientRequest,
@@ -133,6 +156,7 @@
             response.abandon();
             return AttemptOutcome::Ended(AttemptEnd::Lost);
         }
+        self.report_notice(request, order, &metadata);
         if metadata.is_not_run {
             log::info!(id:% = request.id, status = response.parts.status.as_u16(), culprit:? = metadata.faulty_endpoint; "request not run by the server");
             let end = end_of_rejection(&metadata, order);
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use futures_channel::mpsc::UnboundedSender;
 use futures_util::future::LocalBoxFuture;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
@@ -34,7 +33,6 @@
 #[derive(Clone)]
 pub(super) struct ClientService {
     pub context: AttemptContext,
-    pub events: UnboundedSender<EdgeEvent>,
     pub limits: WebLimits,
     /// Whether the node is stopping, so that connections are closed after a response.
     pub is_closing: Rc<Cell<bool>>,
@@ -92,7 +90,7 @@
         };
         let guard = CallGuard {
             call,
-            events: self.events.clone(),
+            events: self.context.events.clone(),
         };
         let Some(outcome) = self.arrive(arrival).await else {
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "this node is about to end");
@@ -177,7 +175,7 @@
                     if !accepted.route.kind.is_stream() {
                         // The event loop ends only when the process is about to exit.
                         let answered = EdgeEvent::Answered(accepted.request.call);
-                        let _ = self.events.unbounded_send(answered);
+                        let _ = self.context.events.unbounded_send(answered);
                     }
                     if accepted.route.kind.is_stream() && status.is_success() {
                         return self.relay_stream(accepted, *incoming);
--- a/crates/edge/src/border/ports.rs
+++ b/crates/edge/src/border/ports.rs
@@ -10,6 +10,7 @@
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, StatusCode};
 use intent::RoutingConfig;
+use notices::ServerNotice;
 use quarantine::PromptParts;
 use replicas::{Endpoint, MemberOrder, OrderOutcome, ProbeOutcome};
 use store::{ObjectChange, StoredObject, UpdateOutcome};
@@ -183,6 +184,8 @@
     pub is_encoded: bool,
     /// Address of the endpoint that caused a rejection, if it names one.
     pub faulty_endpoint: Option<Arc<str>>,
+    /// What the server announces about itself.
+    pub notice: ServerNotice,
 }
 
 /// Translation between headers and metadata.
--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -1,12 +1,13 @@
 //! Encoding of messages between nodes.
 
 use base::prelude::*;
+use notices::{LimitReport, RequestRate};
 use prost::Message;
 use relay::{LaneCounts, SendTarget};
 use replicas::{GroupRecord, RecordWire};
 
 use super::crashes::CrashesWire;
-use crate::peer::{Digest, PeerMessage, SlowPace};
+use crate::peer::{Digest, NodeWeight, PeerMessage, SlowPace};
 
 /// Why bytes can't be decoded as a message.
 #[derive(Debug, thiserror::Error)]
@@ -80,6 +81,21 @@
     forwarded_version: u64,
     #[prost(fixed64, tag = "13")]
     quarantine_hash: u64,
+    #[prost(uint32, tag = "14")]
+    weight: u32,
+    #[prost(message, repeated, tag = "15")]
+    limits: Vec<LimitWire>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct LimitWire {
+    #[prost(string, tag = "1")]
+    server: String,
+    /// Requests a second; absent if the server has stopped naming a limit.
+    #[prost(double, optional, tag = "2")]
+    per_second: Option<f64>,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -138,7 +154,7 @@
 /// Encodes a message that is sent at an instant.
 pub fn encode_message(message: &PeerMessage, now: ClockTime) -> Vec<u8> {
     let body = match message {
-        PeerMessage::Digest(digest) => BodyWire::Digest(DigestWire::from(digest.as_ref())),
+        PeerMessage::Digest(digest) => BodyWire::Digest(DigestWire::from_digest(digest, now)),
         PeerMessage::RoutingConfig(_, text) => BodyWire::RoutingConfig(text.as_ref().to_owned()),
         PeerMessage::Targets(targets, version) => BodyWire::Targets(TargetsWire {
             version: version.0,
@@ -167,7 +183,7 @@
         .body
         .ok_or(MessageError::Empty)?
     {
-        BodyWire::Digest(wire) => Ok(PeerMessage::Digest(Box::new(Digest::try_from(wire)?))),
+        BodyWire::Digest(wire) => Ok(PeerMessage::Digest(Box::new(wire.into_digest(now)?))),
         BodyWire::RoutingConfig(text) => {
             let config = parse_config(&text).map_err(MessageError::RoutingConfig)?;
             Ok(PeerMessage::RoutingConfig(Arc::new(config), text.into()))
@@ -223,8 +239,9 @@
     }
 }
 
-impl From<&Digest> for DigestWire {
-    fn from(digest: &Digest) -> Self {
+impl DigestWire {
+    /// Digest as sent at an instant.
+    fn from_digest(digest: &Digest, now: ClockTime) -> Self {
         let counts = digest.counts.iter().map(|(target, count)| CountWire {
             place: target.as_str().to_owned(),
             fast: count.fast,
@@ -234,6 +251,11 @@
             head: head.as_str().to_owned(),
             percent: pace.0,
         });
+        let limits = digest.limits.iter().map(|report| LimitWire {
+            server: report.server.as_str().to_owned(),
+            per_second: report.limit.map(RequestRate::per_second),
+            age_ms: now.since(report.heard_at).as_millis() as u64,
+        });
         Self {
             from: digest.from.as_str().to_owned(),
             intent_version: digest.config_version,
@@ -245,6 +267,8 @@
             has_sums: digest.has_sums,
             forwarded_version: digest.forwarded_version.0,
             quarantine_hash: digest.quarantine_hash,
+            weight: digest.weight.0,
+            limits: limits.collect(),
             counts: counts.collect(),
             paces: paces.collect(),
             silent: digest
@@ -254,12 +278,9 @@
                 .collect(),
         }
     }
-}
-
-impl TryFrom<DigestWire> for Digest {
-    type Error = NameError;
-
-    fn try_from(wire: DigestWire) -> Result<Self, NameError> {
+    /// Digest as received at an instant.
+    fn into_digest(self, now: ClockTime) -> Result<Digest, NameError> {
+        let wire = self;
         let counts = wire.counts.into_iter();
         let counts = counts.map(|wire| {
             let CountWire { place, fast, slow } = wire;
@@ -270,7 +291,9 @@
         let slow_groups =
             slow_groups.map(|pace| Ok((HostName::new(&pace.head)?, SlowPace(pace.percent))));
         let summing_hub = wire.summing_hub.as_deref().map(NodeName::new);
-        Ok(Self {
+        let limits = wire.limits.into_iter();
+        let limits = limits.map(|wire| wire.into_report(now));
+        Ok(Digest {
             from: NodeName::new(&wire.from)?,
             summing_hub: summing_hub.transpose()?,
             has_sums: wire.has_sums,
@@ -281,9 +304,22 @@
             can_own: wire.can_own,
             targets_version: ObjectVersion(wire.places_version),
             is_owner: wire.owns,
+            weight: NodeWeight(wire.weight),
+            limits: limits.collect::<Result<_, NameError>>()?,
             counts: counts.collect::<Result<_, NameError>>()?,
             silent_heads: silent_heads.collect::<Result<_, _>>()?,
             slow_groups: slow_groups.collect::<Result<_, NameError>>()?,
         })
     }
 }
+
+impl LimitWire {
+    /// Report as received at an instant; a number that is no rate counts as no limit.
+    fn into_report(self, now: ClockTime) -> Result<LimitReport, NameError> {
+        Ok(LimitReport {
+            server: HostName::new(&self.server)?,
+            limit: self.per_second.and_then(RequestRate::new),
+            heard_at: now.before(Duration::from_millis(self.age_ms)),
+        })
+    }
+}
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -41,6 +41,9 @@
             route: route.clone(),
             service: service.clone(),
             model: arrival.model,
+            priority: workspace
+                .and_then(|workspace| workspace.priority)
+                .unwrap_or(route.priority),
             deadline,
             client_deadline: arrival.client_deadline,
         },
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -3,11 +3,12 @@
 use base::prelude::*;
 
 use super::distribution::send_targets;
+use super::notices::update_share;
 use super::quarantine::quarantine_hash;
 use crate::peer::Digest;
 use crate::queries::{
-    can_own, choose_summing_hub, is_hub, is_peer_alive, lists_endpoints, receives_targets,
-    select_hubs, sends_sums_to, uses_hubs,
+    can_own, choose_summing_hub, is_hub, is_peer_alive, lists_endpoints, local_weight,
+    receives_targets, select_hubs, sends_sums_to, total_weight, uses_hubs,
 };
 use crate::state::{PeerState, SummingHub};
 use crate::{EdgeEffect, EdgeState, EdgeTimes, WatchMode};
@@ -37,7 +38,7 @@
     state.digest_due = now + digest_interval(state, with_sums.count());
     let digest = local_digest(state, now);
     let summed_digest = summed_digest(state, &digest, now);
-    let mut effects = Vec::new();
+    let mut effects = update_share(state, now);
     for (node, kind) in receivers {
         let Some(peer) = state.peers.get_mut(&node) else {
             continue;
@@ -52,6 +53,7 @@
             DigestKind::Sums => summed_digest.clone(),
             DigestKind::Presence => Digest {
                 counts: Vec::new(),
+                limits: Vec::new(),
                 ..digest.clone()
             },
         };
@@ -135,6 +137,8 @@
             Vec::new()
         },
         quarantine_hash: quarantine_hash(state),
+        weight: local_weight(state, now),
+        limits: notices::queries::own_reports(state.relay.notices()),
     }
 }
 
@@ -155,6 +159,8 @@
         has_sums: true,
         counts: relay::queries::total_counts(&state.relay, now),
         silent_heads: silent_heads.into_iter().collect(),
+        weight: total_weight(state, now).unwrap_or(digest.weight),
+        limits: notices::queries::all_reports(state.relay.notices()),
         ..digest.clone()
     }
 }
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -6,6 +6,7 @@
 
 use super::collections::adopt_config;
 use super::distribution::{distributed_targets, pass_on_targets, propagated_config_version};
+use super::notices::merge_reports;
 use super::quarantine::{merge_evidence, send_watched_evidence};
 use super::refresh_targets;
 use super::shared::adopt_record;
@@ -82,6 +83,9 @@
     // Owners of an older build send sums without saying so.
     if digest.has_sums || (digest.is_owner && !counts.is_empty()) {
         state.sums_received_at = Some(now);
+        if digest.has_sums {
+            state.received_weight = Some(digest.weight);
+        }
         if let Some(hub) = state.summing_hub.as_mut().filter(|hub| hub.node == *from) {
             hub.heard_at = now;
         }
@@ -114,7 +118,8 @@
             state.needs_plan = true;
         }
     }
-    let mut effects = send_missing(state, &digest, now);
+    let mut effects = merge_reports(state, &digest.from, &digest.limits, now);
+    effects.extend(send_missing(state, &digest, now));
     effects.extend(send_watched_evidence(state, &digest, now));
     if let Some(peer) = state.peers.get_mut(&digest.from) {
         peer.last_digest_at = Some(now);
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use net::ReplyId;
+use notices::ServerNotice;
 use quarantine::PromptParts;
 use relay::{AttemptEnd, CallStep, SendTarget, StallStep};
 use replicas::{GroupRecord, MemberOrder, OrderOutcome, ProbeOutcome};
@@ -153,6 +154,15 @@
     Progress(CallId),
     /// A server has begun to answer a request.
     Answered(CallId),
+    /// A server has announced something in a response, or no longer does.
+    Announced {
+        /// The server.
+        server: HostName,
+        /// ID of the request that it answered.
+        id: Arc<str>,
+        /// What it announced.
+        notice: ServerNotice,
+    },
     /// A request was answered, or its client disconnected.
     Finished(CallId),
     /// A collection was listed, has changed or could not be read.
@@ -218,6 +228,13 @@
     Reconnect(SocketAddr),
     /// Count parts of prompts that were quarantined.
     CountQuarantined(usize),
+    /// Count changes of the servers' limits.
+    CountLimits {
+        /// Kind of the change, a label of the metric.
+        change: &'static str,
+        /// Number of changes.
+        count: usize,
+    },
     /// Watch the collections in another mode.
     SetWatchMode(WatchMode),
     /// Ask clients to close their connections after each response.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -20,6 +20,9 @@
                 Vec::new()
             }
             EdgeEvent::Answered(call) => commands::record_answer(self, call, now),
+            EdgeEvent::Announced { server, id, notice } => {
+                commands::record_notice(self, &server, &id, notice, now)
+            }
             EdgeEvent::Finished(call) => {
                 relay::commands::finish(&mut self.relay, call);
                 quarantine::commands::finish_call(&mut self.quarantine, call);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,6 @@
     Arrival, ArrivalOutcome, CollectionEvent, EdgeEffect, EdgeEvent, EdgeQuestion, EdgeReply,
     EdgeStatus, RejectReason, WatchMode,
 };
-pub use peer::{Digest, PeerAddress, PeerMessage, SlowPace};
+pub use peer::{Digest, NodeWeight, PeerAddress, PeerMessage, SlowPace};
 pub use settings::{EdgeBounds, EdgeSettings};
 pub use state::{EdgeState, EdgeTimes};
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use notices::LimitReport;
 use quarantine::CrashEvidence;
 use relay::{LaneCounts, SendTarget};
 use replicas::GroupRecord;
@@ -38,6 +39,23 @@
     }
 }
 
+/// Part of all requests that arrive at a node, in thousandths of a request a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NodeWeight(pub u32);
+
+impl NodeWeight {
+    /// Weight of a node that gets this many requests a second.
+    pub fn of_rate(per_second: f64) -> Self {
+        Self::from_sum(per_second * 1_000.0)
+    }
+
+    /// Sum of weights.
+    pub(crate) fn from_sum(sum: f64) -> Self {
+        // Conversions of floating-point numbers saturate.
+        Self(sum as u32)
+    }
+}
+
 /// State of a node that it sends to others at regular intervals.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Digest {
@@ -67,6 +85,10 @@
     pub slow_groups: Vec<(HostName, SlowPace)>,
     /// Hash of its crash reports that every node must know.
     pub quarantine_hash: u64,
+    /// Its weight, or the sum of those of all nodes if `counts` are sums.
+    pub weight: NodeWeight,
+    /// Limits that servers have named to it, or to any node if `counts` are sums.
+    pub limits: Vec<LimitReport>,
 }
 
 /// Message from one node to another.
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -3,6 +3,7 @@
 mod deadline;
 mod hubs;
 mod owner;
+mod share;
 mod status;
 mod targets;
 
@@ -13,6 +14,7 @@
     receives_targets, select_hubs, sends_sums_to, uses_hubs,
 };
 pub(crate) use owner::{can_own, is_peer_alive, is_prober, owner};
+pub(crate) use share::{local_weight, node_share, total_weight};
 pub(crate) use status::startup_wait;
 pub use status::status;
 pub(crate) use targets::{current_targets, ready_targets};
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -11,7 +11,7 @@
 use replicas::{PlannerSettings, PlannerState};
 
 use crate::border::ports::StoreCollection;
-use crate::peer::{Digest, SlowPace};
+use crate::peer::{Digest, NodeWeight, SlowPace};
 use crate::{EdgeBounds, EdgeEffect, EdgeSettings, WatchMode};
 
 /// Buckets in a retry window.
@@ -253,6 +253,8 @@
     pub(crate) summing_hub: Option<SummingHub>,
     /// Last instant at which sums arrived.
     pub(crate) sums_received_at: Option<ClockTime>,
+    /// Sum of all nodes' weights, as the summing hub sends it.
+    pub(crate) received_weight: Option<NodeWeight>,
     /// Last digest of a node that owned the groups and reached the store.
     pub(crate) owner_seen_at: Option<ClockTime>,
     /// Targets that the owner has sent, and their version.
@@ -326,6 +328,7 @@
             hubs: BTreeSet::new(),
             summing_hub: None,
             sums_received_at: None,
+            received_weight: None,
             owner_seen_at: None,
             received_targets: None,
             forwarded_targets: None,
--- a/crates/edge/tests/suite/hubs.rs
+++ b/crates/edge/tests/suite/hubs.rs
@@ -81,6 +81,8 @@
         silent_heads: Vec::new(),
         slow_groups: Vec::new(),
         quarantine_hash: 0,
+        weight: edge::NodeWeight(1_000),
+        limits: Vec::new(),
     })))
 }
 
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod events;
 mod hubs;
 mod leaving;
+mod limits;
 mod messages;
 mod node;
 mod owner_loss;
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -31,6 +31,8 @@
         silent_heads: vec![HostName::new("i-2").unwrap()],
         slow_groups: vec![(HostName::new("i-3").unwrap(), SlowPace(480))],
         quarantine_hash: 77,
+        weight: edge::NodeWeight(1_000),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/edge/tests/suite/node.rs
+++ b/crates/edge/tests/suite/node.rs
@@ -335,6 +335,8 @@
         silent_heads: Vec::new(),
         slow_groups: Vec::new(),
         quarantine_hash: 0,
+        weight: edge::NodeWeight(1_000),
+        limits: Vec::new(),
     };
     state.handle(
         EdgeEvent::Peer(PeerMessage::Digest(Box::new(owner))),
--- a/crates/edge/tests/suite/owner_loss.rs
+++ b/crates/edge/tests/suite/owner_loss.rs
@@ -70,6 +70,8 @@
         silent_heads: Vec::new(),
         slow_groups: Vec::new(),
         quarantine_hash: 0,
+        weight: edge::NodeWeight(1_000),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -191,5 +191,7 @@
         silent_heads: Vec::new(),
         slow_groups: Vec::new(),
         quarantine_hash: 0,
+        weight: edge::NodeWeight(1_000),
+        limits: Vec::new(),
     })))
 }
--- /dev/null
+++ b/crates/notices/src/lib.rs
@@ -0,0 +1,23 @@
+//! What servers announce about themselves in their responses.
+//!
+//! A server in need names a limit: the requests a second that it takes from all nodes together.
+//! Nodes tell one another what they heard, so the latest announcement prevails at all of them,
+//! and a node that has sent the server nothing yet knows it too.
+//!
+//! Each node takes a share of the limit, in proportion to its part of all requests. The shares
+//! of all nodes sum up to one, so the limit holds whatever their number. A share is turned into
+//! single turns to send: the nodes' turns are staggered, and an unused turn ends after a second.
+//! So the turns of hundreds of nodes, each of which has far less than one a second, never add up
+//! to more than the limit allows in a second.
+//!
+//! [`commands`] change a [`NoticeState`]; [`queries`] only read it.
+
+mod allowance;
+mod notice;
+mod state;
+
+pub mod commands;
+pub mod queries;
+
+pub use notice::{LimitChange, LimitReport, RequestRate, ServerNotice};
+pub use state::{NodeShare, NoticeState};
--- /dev/null
+++ b/crates/notices/src/queries/mod.rs
@@ -0,0 +1,64 @@
+//! Queries that only read the announcements and the turns.
+
+use base::prelude::*;
+
+use crate::{LimitReport, NoticeState, RequestRate};
+
+/// Limit of a server; `None` if it has none.
+pub fn limit_of(state: &NoticeState, server: &HostName) -> Option<RequestRate> {
+    state.limits.get(server)?.limit
+}
+
+/// Whether anything is known of a server, so that a response without an announcement matters.
+pub fn has_notice(state: &NoticeState, server: &HostName) -> bool {
+    limit_of(state, server).is_some()
+}
+
+/// Whether this node may send a request to a server now.
+pub fn may_send(state: &NoticeState, server: &HostName, now: ClockTime) -> bool {
+    let Some(entry) = state.limits.get(server) else {
+        return true;
+    };
+    entry.limit.is_none_or(|limit| {
+        let rate = state.turn_rate(limit);
+        entry.allowance.has_turn(rate, now)
+    })
+}
+
+/// Whether this node has a turn at a server that it has left unused for a while; none if the
+/// server has no limit.
+pub fn has_spare_turn(state: &NoticeState, server: &HostName, now: ClockTime) -> bool {
+    state.limits.get(server).is_some_and(|entry| {
+        let limit = entry.limit;
+        limit.is_some_and(|limit| {
+            let rate = state.turn_rate(limit);
+            entry.allowance.has_spare_turn(rate, now)
+        })
+    })
+}
+
+/// Requests a second that this node may send to a server; `None` if it has no limit.
+pub fn send_rate(state: &NoticeState, server: &HostName) -> Option<f64> {
+    limit_of(state, server).map(|limit| state.turn_rate(limit))
+}
+
+/// What this node has heard from servers itself.
+pub fn own_reports(state: &NoticeState) -> Vec<LimitReport> {
+    reports(state, true)
+}
+
+/// What this node knows from servers and from other nodes.
+pub fn all_reports(state: &NoticeState) -> Vec<LimitReport> {
+    reports(state, false)
+}
+
+fn reports(state: &NoticeState, is_own_only: bool) -> Vec<LimitReport> {
+    let entries = state.limits.iter();
+    let reported = entries.filter(|(_, entry)| entry.is_own || !is_own_only);
+    let reports = reported.map(|(server, entry)| LimitReport {
+        server: server.clone(),
+        limit: entry.limit,
+        heard_at: entry.heard_at,
+    });
+    reports.collect()
+}
--- /dev/null
+++ b/crates/notices/src/state.rs
@@ -0,0 +1,66 @@
+//! State of one node: the servers' limits and its own share of them.
+
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use base::prelude::*;
+
+use crate::RequestRate;
+use crate::allowance::SendAllowance;
+
+/// This node's part of what all nodes may send.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NodeShare {
+    /// Part of each limit, from zero to one; those of all nodes sum up to one.
+    pub fraction: f64,
+    /// Place among all nodes, from zero to one; staggers their turns.
+    pub position: f64,
+}
+
+impl Default for NodeShare {
+    fn default() -> Self {
+        Self {
+            fraction: 1.0,
+            position: 0.0,
+        }
+    }
+}
+
+/// Latest announcement of one server.
+#[derive(Clone, Debug)]
+pub(crate) struct LimitEntry {
+    /// Its limit; `None` if it has stopped naming one.
+    pub limit: Option<RequestRate>,
+    pub heard_at: ClockTime,
+    /// Whether this node heard it from the server itself.
+    pub is_own: bool,
+    pub allowance: SendAllowance,
+}
+
+/// Limits of servers, and this node's turns to send to them.
+#[derive(Clone, Debug, Default)]
+pub struct NoticeState {
+    pub(crate) limits: BTreeMap<HostName, LimitEntry>,
+    pub(crate) share: NodeShare,
+}
+
+impl NoticeState {
+    /// State without limits.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Progress towards the first turn at a server, which differs from node to node and from
+    /// server to server.
+    pub(crate) fn first_progress(&self, server: &HostName) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        server.as_str().hash(&mut hasher);
+        let offset = (hasher.finish() >> 11) as f64 / (1_u64 << 53) as f64;
+        (self.share.position + offset).fract()
+    }
+
+    /// Turns a second that this node earns at a limit.
+    pub(crate) fn turn_rate(&self, limit: RequestRate) -> f64 {
+        limit.per_second() * self.share.fraction
+    }
+}
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -16,6 +16,8 @@
     pub service: ServiceName,
     /// Requested model; `None` for a plain service.
     pub model: Option<ModelName>,
+    /// Priority of its workspace, or of the route; zero is the most urgent.
+    pub priority: u8,
     /// Earlier of the client's deadline and the end of the route's timeout.
     pub deadline: ClockTime,
     /// Deadline that the client sent, if any.
@@ -82,6 +84,8 @@
     pub rank: u8,
     /// Requests of all nodes at the target before this one, from the latest counts.
     pub load: u32,
+    /// Whether the target has announced something that its next response may end.
+    pub has_notice: bool,
 }
 
 /// Why a request is refused.
@@ -91,6 +95,8 @@
     NoTarget,
     /// Every target is full.
     Overload,
+    /// Every target is full or limited, and more urgent requests take what is left.
+    Limited,
     /// The attempts or the retry budget are used up.
     Exhausted,
     /// Too little time is left before the deadline.
@@ -103,6 +109,7 @@
         match self {
             Self::NoTarget => "no-place",
             Self::Overload => "overload",
+            Self::Limited => "limited",
             Self::Exhausted => "exhausted",
             Self::DeadlinePassed => "late",
         }
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -6,7 +6,7 @@
 use limits::{CallIdempotency, IdempotentCall, RetryOutcome};
 
 use super::targets::{record_attempt_end, record_attempt_start};
-use crate::queries::choose_target;
+use crate::queries::{choose_target, limited_retry_delay};
 use crate::{AttemptEnd, CallStep, Lane, Refusal, RefusalReason, RelayState, SendOrder};
 
 /// Rank of a request in the fast lane.
@@ -108,6 +108,10 @@
     let is_retry = entry.runs + entry.rejections > 0;
     let (target, lane) = match choose_target(state, entry, now) {
         Ok((target, lane)) => (target.clone(), lane),
+        Err(RefusalReason::Limited) => {
+            let delay = limited_retry_delay(state, entry, now);
+            return refuse(RefusalReason::Limited, has_run, Some(delay));
+        }
         Err(reason) => return refuse(reason, has_run, Some(state.settings.retry_after)),
     };
     let check_delay = match entry.arrival.route.kind {
@@ -119,10 +123,12 @@
             .mul_f64(state.settings.plain_stall_fraction),
     };
     let deadline = entry.arrival.deadline;
+    let has_notice = notices::queries::has_notice(&state.notices, &target.id);
     let load = state
         .loads
         .get(&target.id)
         .map_or(0, |load| load.total(now).sum());
+    notices::commands::take_turn(&mut state.notices, &target.id, now);
     record_attempt_start(state, &target.id, lane);
     if let Some(entry) = state.calls.get_mut(&call) {
         entry.target = Some(target.id.clone());
@@ -143,6 +149,7 @@
             Lane::Slow => SLOW_RANK,
         },
         load,
+        has_notice,
     })
 }
 
--- a/crates/relay/src/commands/calls.rs
+++ b/crates/relay/src/commands/calls.rs
@@ -5,15 +5,27 @@
 
 use super::attempts::dispatch;
 use super::targets::record_attempt_end;
+use crate::demand::UrgencyRank;
 use crate::state::CallState;
 use crate::{CallArrival, CallStep, Lane, RelayState};
 
+/// Time that a client has waited from which it counts as one that was refused and has come back.
+const MIN_RETURN_TIME: Duration = Duration::from_millis(200);
+
 /// Adds a request and decides its first step.
 pub fn arrive(state: &mut RelayState, arrival: CallArrival, now: ClockTime) -> CallStep {
     record_request(&mut state.budget, &arrival.service, now);
     let call = arrival.call;
+    let elapsed = elapsed_client_time(state, &arrival, now);
+    let urgency = UrgencyRank {
+        priority: arrival.priority,
+        is_new: elapsed < MIN_RETURN_TIME,
+    };
+    let pool = (arrival.service.clone(), arrival.model.clone());
+    state.demand.record(pool, urgency, now);
     let entry = CallState {
-        is_late: elapsed_client_time(state, &arrival, now) >= arrival.route.objective,
+        is_late: elapsed >= arrival.route.objective,
+        urgency,
         arrival,
         target: None,
         lane: Lane::Fast,
--- /dev/null
+++ b/crates/relay/src/demand.rs
@@ -0,0 +1,85 @@
+//! Rates at which requests arrive.
+
+use std::collections::{BTreeMap, HashMap};
+
+use base::prelude::*;
+
+/// Time constant of a rate's average.
+const AVERAGING_TIME: Duration = Duration::from_secs(2);
+
+/// Average rate of events, in which older ones count exponentially less.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RateMeter {
+    /// Weighted number of events up to `updated_at`.
+    level: f64,
+    updated_at: ClockTime,
+}
+
+impl RateMeter {
+    fn record(&mut self, now: ClockTime) {
+        self.level = self.level_at(now) + 1.0;
+        self.updated_at = now;
+    }
+
+    fn level_at(&self, now: ClockTime) -> f64 {
+        let elapsed = now.since(self.updated_at).as_secs_f64();
+        self.level * (-elapsed / AVERAGING_TIME.as_secs_f64()).exp()
+    }
+
+    /// Events a second.
+    pub fn per_second(&self, now: ClockTime) -> f64 {
+        self.level_at(now) / AVERAGING_TIME.as_secs_f64()
+    }
+}
+
+/// Order in which requests are served if not all can be; the lowest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct UrgencyRank {
+    /// Priority of the workspace or the route.
+    pub priority: u8,
+    /// Whether its client has just sent it, and has not waited and come back.
+    pub is_new: bool,
+}
+
+/// Rates of the requests that the same servers can run.
+#[derive(Clone, Debug, Default)]
+struct PoolDemand {
+    by_rank: BTreeMap<UrgencyRank, RateMeter>,
+}
+
+/// Service and model of requests that the same servers can run.
+type PoolKey = (ServiceName, Option<ModelName>);
+
+/// Rates at which requests arrive at this node.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DemandMeter {
+    pools: HashMap<PoolKey, PoolDemand>,
+    total: RateMeter,
+}
+
+impl DemandMeter {
+    pub fn record(&mut self, pool: PoolKey, rank: UrgencyRank, now: ClockTime) {
+        let pool = self.pools.entry(pool).or_default();
+        pool.by_rank.entry(rank).or_default().record(now);
+        self.total.record(now);
+    }
+
+    /// All requests, a second.
+    pub fn total(&self, now: ClockTime) -> f64 {
+        self.total.per_second(now)
+    }
+
+    /// Requests of a pool, a second: those that are more urgent than a rank, and those of it.
+    pub fn by_urgency(&self, pool: &PoolKey, rank: UrgencyRank, now: ClockTime) -> (f64, f64) {
+        let Some(pool) = self.pools.get(pool) else {
+            return (0.0, 0.0);
+        };
+        let more_urgent = pool.by_rank.range(..rank);
+        let more_urgent = more_urgent.map(|(_, meter)| meter.per_second(now)).sum();
+        let equal = pool.by_rank.get(&rank);
+        (
+            more_urgent,
+            equal.map_or(0.0, |meter| meter.per_second(now)),
+        )
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,12 +4,17 @@
 //! groups and plain servers), their load, and the requests in flight. `commands`
 //! change it and return a [`CallStep`]; `queries` only read.
 //!
+//! A server that names a limit is sent requests only while this node has a turn there, see
+//! [`notices`]. Where every server is limited or full, the least urgent requests are refused
+//! at once, so that the turns that are left go to the others.
+//!
 //! A request is retried only if no target can have run it or if it may run more
 //! than once; every retry draws on the service's retry budget. A refusal says
 //! "not run" only if every target reported so or nothing was sent.
 
 mod call;
 mod client_timeouts;
+mod demand;
 mod settings;
 mod state;
 mod target;
--- a/crates/relay/src/queries/choose.rs
+++ b/crates/relay/src/queries/choose.rs
@@ -1,7 +1,9 @@
 //! Choice of the target for a request.
 
 use base::prelude::*;
+use notices::queries::may_send;
 
+use super::limited::{is_admitted, is_limited, suitable_targets};
 use super::spread::{SpreadOption, choose_spread};
 use crate::state::CallState;
 use crate::{Lane, LaneCounts, RefusalReason, RelayState, SendTarget};
@@ -32,16 +34,15 @@
     now: ClockTime,
 ) -> Result<(&'a SendTarget, Lane), RefusalReason> {
     let arrival = &call.arrival;
-    let eligible: Vec<_> = state
-        .targets
-        .values()
-        .filter(|target| target.service == arrival.service)
-        .filter(|target| target.model.is_none() || target.model == arrival.model)
-        .filter(|target| !call.tried.contains(&target.id))
-        .collect();
-    if eligible.is_empty() {
+    let suitable = suitable_targets(state, call);
+    if suitable.is_empty() {
         return Err(RefusalReason::NoTarget);
     }
+    let has_turn = |target: &&&SendTarget| may_send(&state.notices, &target.id, now);
+    let eligible: Vec<_> = suitable.iter().filter(has_turn).copied().collect();
+    if eligible.is_empty() {
+        return Err(RefusalReason::Limited);
+    }
     let rotation = state.rotation as usize % eligible.len();
     let assumed = assumed_utilization(state, &eligible);
     let candidates = eligible.iter().enumerate().map(|(index, target)| {
@@ -54,14 +55,23 @@
     let settings = &state.settings;
     let is_engine = arrival.model.is_some();
     let is_retry = call.runs + call.rejections > 0;
-    let fast = candidates.iter().filter(|candidate| {
-        !is_engine || is_retry || candidate.fast_utilization < settings.max_fast_utilization
-    });
     let max_utilization = if is_engine {
         settings.max_engine_utilization
     } else {
         settings.max_plain_utilization
     };
+    let has_unlimited = candidates.iter().any(|candidate| {
+        candidate.utilization < max_utilization && !is_limited(state, candidate.target)
+    });
+    if !has_unlimited
+        && suitable.iter().any(|target| is_limited(state, target))
+        && !is_admitted(state, call, &suitable, now)
+    {
+        return Err(RefusalReason::Limited);
+    }
+    let fast = candidates.iter().filter(|candidate| {
+        !is_engine || is_retry || candidate.fast_utilization < settings.max_fast_utilization
+    });
     let fast = fast.filter(|candidate| candidate.utilization < max_utilization);
     // A request that is already late leaves the fast lane to those that can still be in time.
     let fast = fast.filter(|_| !is_engine || is_retry || !call.is_late);
--- /dev/null
+++ b/crates/relay/src/queries/limited.rs
@@ -0,0 +1,86 @@
+//! Which requests are served where every target is limited or full.
+
+use base::prelude::*;
+use notices::queries::{has_spare_turn, limit_of, send_rate};
+
+use super::spread::unit_random;
+use crate::state::CallState;
+use crate::{RelayState, SendTarget};
+
+/// Requests a second below which turns are not kept for them.
+const MIN_RATE: f64 = 0.1;
+/// Longest delay after which a refused client may retry.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(4);
+
+/// Makes the draws of admissions independent of those of targets.
+const ADMISSION_SALT: u64 = 0x5851_f42d_4c95_7f2d;
+
+/// Whether a request gets one of the turns that are left.
+///
+/// More urgent requests come first: as many turns as they are likely to need are kept for them,
+/// each until it has been unused for a while.
+pub(super) fn is_admitted(
+    state: &RelayState,
+    call: &CallState,
+    targets: &[&SendTarget],
+    now: ClockTime,
+) -> bool {
+    let is_retry = call.runs + call.rejections > 0;
+    let (more_urgent, equal) = competing_rates(state, call, now);
+    if is_retry || more_urgent < MIN_RATE {
+        return true;
+    }
+    let left = turn_rate(state, targets) - more_urgent;
+    let is_spare = |target: &&SendTarget| has_spare_turn(&state.notices, &target.id, now);
+    left >= equal
+        || unit_random(state.rotation ^ ADMISSION_SALT) * equal < left
+        || targets.iter().any(is_spare)
+}
+
+/// Delay after which a client that was refused for want of a turn may retry: the longer, the
+/// more requests compete for the turns.
+pub(crate) fn limited_retry_delay(
+    state: &RelayState,
+    call: &CallState,
+    now: ClockTime,
+) -> Duration {
+    let targets = suitable_targets(state, call);
+    let (more_urgent, equal) = competing_rates(state, call, now);
+    let supply = (turn_rate(state, &targets) - more_urgent).max(0.0);
+    let excess = (equal / supply.max(f64::MIN_POSITIVE)).clamp(1.0, 100.0);
+    state
+        .settings
+        .retry_after
+        .mul_f64(excess)
+        .min(MAX_RETRY_DELAY)
+}
+
+/// Targets that can run a request.
+pub(super) fn suitable_targets<'a>(state: &'a RelayState, call: &CallState) -> Vec<&'a SendTarget> {
+    let arrival = &call.arrival;
+    let targets = state.targets.values();
+    targets
+        .filter(|target| target.service == arrival.service)
+        .filter(|target| target.model.is_none() || target.model == arrival.model)
+        .filter(|target| !call.tried.contains(&target.id))
+        .collect()
+}
+
+/// Whether a target names a limit.
+pub(super) fn is_limited(state: &RelayState, target: &SendTarget) -> bool {
+    limit_of(&state.notices, &target.id).is_some()
+}
+
+/// Turns a second that this node has at limited targets.
+fn turn_rate(state: &RelayState, targets: &[&SendTarget]) -> f64 {
+    let rates = targets
+        .iter()
+        .filter_map(|target| send_rate(&state.notices, &target.id));
+    rates.sum()
+}
+
+/// Rates of the more urgent requests that compete with one, and of the equally urgent ones.
+fn competing_rates(state: &RelayState, call: &CallState, now: ClockTime) -> (f64, f64) {
+    let pool = (call.arrival.service.clone(), call.arrival.model.clone());
+    state.demand.by_urgency(&pool, call.urgency, now)
+}
--- a/crates/relay/src/queries/mod.rs
+++ b/crates/relay/src/queries/mod.rs
@@ -2,7 +2,9 @@
 
 mod choose;
 mod counts;
+mod limited;
 mod spread;
 
 pub(crate) use choose::choose_target;
 pub use counts::{attempt_of, local_counts, target_of, total_counts};
+pub(crate) use limited::limited_retry_delay;
--- a/crates/relay/src/queries/spread.rs
+++ b/crates/relay/src/queries/spread.rs
@@ -73,7 +73,7 @@
 }
 
 /// Random number from 0 to 1 by a hash of the draw (splitmix64).
-fn unit_random(draw: u64) -> f64 {
+pub(super) fn unit_random(draw: u64) -> f64 {
     let mut mixed = draw.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -4,8 +4,10 @@
 
 use base::prelude::*;
 use limits::{BudgetSettings, RetryBudget};
+use notices::NoticeState;
 
 use crate::client_timeouts::ClientTimeouts;
+use crate::demand::{DemandMeter, UrgencyRank};
 use crate::{CallArrival, Lane, RelaySettings, SendTarget, TargetLoad};
 
 /// Request in flight.
@@ -21,6 +23,7 @@
     pub sent_at: ClockTime,
     /// Whether its client had waited longer than the route's objective before it arrived.
     pub is_late: bool,
+    pub urgency: UrgencyRank,
     /// Whether data of the present attempt's response has arrived.
     pub has_begun: bool,
     /// Targets that it was sent to.
@@ -42,6 +45,9 @@
     pub(crate) loads: HashMap<HostName, TargetLoad>,
     pub(crate) calls: HashMap<CallId, CallState>,
     pub(crate) budget: RetryBudget,
+    /// Announcements of the servers.
+    pub(crate) notices: NoticeState,
+    pub(crate) demand: DemandMeter,
     /// Client timeouts by route.
     pub(crate) client_timeouts: HashMap<Arc<str>, ClientTimeouts>,
     /// Age of the other nodes' counts; `None` if they are nearly current.
@@ -62,6 +68,8 @@
             loads: HashMap::new(),
             calls: HashMap::new(),
             budget: RetryBudget::new(budget),
+            notices: NoticeState::new(),
+            demand: DemandMeter::default(),
             client_timeouts: HashMap::new(),
             counts_age: None,
             unreported_nodes: 0,
@@ -95,6 +103,21 @@
         self.unreported_nodes = nodes;
     }
 
+    /// Announcements of the servers.
+    pub fn notices(&self) -> &NoticeState {
+        &self.notices
+    }
+
+    /// The same, to record what servers and other nodes announce.
+    pub fn notices_mut(&mut self) -> &mut NoticeState {
+        &mut self.notices
+    }
+
+    /// Requests that arrive at this node, a second.
+    pub fn arrival_rate(&self, now: ClockTime) -> f64 {
+        self.demand.total(now)
+    }
+
     /// Number of requests in flight.
     pub fn call_count(&self) -> usize {
         self.calls.len()
--- a/crates/relay/tests/suite/main.rs
+++ b/crates/relay/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod choice;
+mod limited;
 mod nearly_full;
 
 mod spread;
--- a/crates/relay/tests/suite/support.rs
+++ b/crates/relay/tests/suite/support.rs
@@ -76,6 +76,7 @@
         route: Arc::new(route),
         service,
         model: is_stream.then(|| ModelName::new("large").unwrap()),
+        priority: 1,
         deadline: at(8_000),
         client_deadline: None,
     }
