Soak: a store that is restored from a copy; a revoked key stays valid

The soak's store can come back from an older copy: what daemons wrote since is gone, revisions are given out again, and Store-Era rises. A configuration that gets the revision of a lost one is never seen by the daemons, whose watches go on from that revision: a revoked key is accepted and a new one rejected until the next change.

--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -80,3 +80,17 @@
     assert!(report.violations.is_empty(), "{report}");
     assert!(report.all.served > 0, "{report}");
 }
+
+#[test]
+fn a_key_revoked_as_the_store_is_restored_from_a_copy_is_rejected_in_time() {
+    let (age, away) = (Duration::from_millis(700), Duration::from_millis(300));
+    // The version that revokes the key gets the revision that the lost one had.
+    let faults = [
+        (1_000, Fault::ChangeConfig),
+        (1_300, Fault::StoreRestores(age, away)),
+        (1_400, Fault::RevokeKey),
+    ];
+    let report = run_faults(106, &faults);
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.all.served > 0, "{report}");
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -66,6 +66,9 @@
     StoreLosesResponses(Duration),
     /// The store compacts its history, so that watches must list again.
     StoreCompacts,
+    /// The store is unavailable for the second duration and comes back from a copy that is as old
+    /// as the first: what the daemons wrote since is lost, and revisions are given out again.
+    StoreRestores(Duration, Duration),
     /// Watches that are waiting, or begin within this time, hear of no change until their wait
     /// is over.
     StoreDeafensWatches(Duration),
--- a/crates/soak/src/platform/fleet.rs
+++ b/crates/soak/src/platform/fleet.rs
@@ -123,6 +123,8 @@
     store: Rc<RefCell<StoreState>>,
     /// Until when loads take a tenth of their time.
     fast_loads_until: Instant,
+    /// Until when the servers write no entries, as the store has just been restored.
+    silent_until: Option<Instant>,
     /// Until when orders get no response and are executed later.
     pub orders_delayed_until: Option<Instant>,
 }
@@ -145,12 +147,17 @@
             checker,
             store,
             fast_loads_until,
+            silent_until: None,
             orders_delayed_until: None,
         }
     }
 
     /// Completes the joins, openings and loads that are due, and updates the servers' store entries.
     pub fn advance(&mut self, now: Instant) {
+        let is_silent = self.silent_until.is_some_and(|until| now < until);
+        if !is_silent && self.silent_until.take().is_some() {
+            self.remove_unknown_entries();
+        }
         for server in self.servers.iter_mut().filter(|server| server.is_alive) {
             if let Some((at, model)) = &server.staging
                 && *at <= now
@@ -176,6 +183,9 @@
                     membership.state = "open";
                 }
             }
+            if is_silent {
+                continue;
+            }
             let store_entry = server.store_entry();
             self.store
                 .borrow_mut()
@@ -183,6 +193,21 @@
         }
     }
 
+    /// Makes the servers write no entries until an instant; entries of servers that are gone by
+    /// then are removed.
+    pub fn silence(&mut self, until: Instant) {
+        self.silent_until = Some(until);
+    }
+
+    fn remove_unknown_entries(&self) {
+        let mut store = self.store.borrow_mut();
+        for name in store.names("servers") {
+            if !self.servers.iter().any(|server| server.id == name) {
+                store.remove("servers", &name);
+            }
+        }
+    }
+
     /// Makes a server name a limit in its responses until an instant.
     pub fn limit(&mut self, slot: usize, per_minute: u32, until: Instant) {
         self.servers[slot].limit = Some((f64::from(per_minute) / 60.0, until));
--- a/crates/soak/src/platform/store.rs
+++ b/crates/soak/src/platform/store.rs
@@ -1,14 +1,14 @@
 //! Emulated store of the platform, with fault injection.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use emulator::web::{query_number, read_bytes};
 use futures_util::future::LocalBoxFuture;
-use http::{Method, Request, StatusCode};
+use http::{HeaderValue, Method, Request, StatusCode};
 use hyper::body::Incoming;
 use net::web::{WebResponse, WebService, body_channel, text_response};
 use serde_json::{Value, json};
@@ -17,6 +17,9 @@
 const RESPONSE_DELAY: Duration = Duration::from_millis(4);
 /// Interval between two checks for changes by a watch.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval between two copies of the store, and their number.
+const COPY_INTERVAL: Duration = Duration::from_millis(100);
+const COPY_COUNT: usize = 100;
 /// Prefix of the names of the daemons' entries.
 const NODE_PREFIX: &str = "node.";
 
@@ -24,6 +27,7 @@
 type StoredObject = (u64, Value);
 
 /// Entry of the change history.
+#[derive(Clone)]
 struct ChangeEntry {
     revision: u64,
     kind: String,
@@ -32,13 +36,29 @@
     is_removed: bool,
 }
 
+/// Objects by kind and name.
+type ObjectMap = BTreeMap<(String, String), StoredObject>;
+
+/// State of the store at an instant, from which it can be restored.
+#[derive(Clone)]
+struct StoreCopy {
+    taken_at: Instant,
+    objects: ObjectMap,
+    revision: u64,
+}
+
 /// Contents of the store, its change history and the faults in effect.
 #[derive(Default)]
 pub(crate) struct StoreState {
-    objects: BTreeMap<(String, String), StoredObject>,
+    objects: ObjectMap,
     revision: u64,
     history: Vec<ChangeEntry>,
     compacted_revision: u64,
+    /// Number of times that it was restored from a copy.
+    era: u64,
+    copies: VecDeque<StoreCopy>,
+    /// Copy to be restored, and when.
+    restoring: Option<(Instant, StoreCopy)>,
     /// Until when the store responds with errors.
     pub unavailable_until: Option<Instant>,
     /// Until when the store applies writes and loses the responses.
@@ -77,6 +97,53 @@
         self.compacted_revision = self.revision;
     }
 
+    /// Copies the contents, if the last copy is old enough.
+    pub fn copy(&mut self, now: Instant) {
+        let last = self.copies.back().map(|copy| copy.taken_at);
+        if last.is_some_and(|at| now.duration_since(at) < COPY_INTERVAL) {
+            return;
+        }
+        self.copies.push_back(StoreCopy {
+            taken_at: now,
+            objects: self.objects.clone(),
+            revision: self.revision,
+        });
+        if self.copies.len() > COPY_COUNT {
+            self.copies.pop_front();
+        }
+    }
+
+    /// Makes the store unavailable until an instant, at which it comes back from a copy.
+    pub fn restore_at(&mut self, until: Instant, copy_before: Instant) {
+        let older = |copy: &&StoreCopy| copy.taken_at <= copy_before;
+        let copy = self.copies.iter().rev().find(older);
+        if let Some(copy) = copy.or(self.copies.front()).cloned() {
+            self.unavailable_until = Some(until);
+            self.restoring = Some((until, copy));
+        }
+    }
+
+    /// Restores the copy if it is due; returns whether it was.
+    pub fn restore_if_due(&mut self, now: Instant) -> bool {
+        let Some((_, copy)) = self.restoring.take_if(|(at, _)| *at <= now) else {
+            return false;
+        };
+        self.objects = copy.objects;
+        self.revision = copy.revision;
+        self.history
+            .retain(|change| change.revision <= copy.revision);
+        self.compacted_revision = self.compacted_revision.min(copy.revision);
+        self.era += 1;
+        self.copies.clear();
+        true
+    }
+
+    /// Names of all objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let keys = self.objects.keys().filter(|(other, _)| other == kind);
+        keys.map(|(_, name)| name.clone()).collect()
+    }
+
     fn record_change(&mut self, kind: &str, name: &str, spec: Value, is_removed: bool) {
         self.history.push(ChangeEntry {
             revision: self.revision,
@@ -138,7 +205,7 @@
     /// Changes after a revision; `None` if they were compacted.
     fn changes(&self, kind: &str, since: u64) -> Option<Value> {
         let state = self.state.borrow();
-        if since < state.compacted_revision {
+        if since < state.compacted_revision || since > state.revision {
             return None;
         }
         let changes = state.history.iter();
@@ -240,7 +307,10 @@
                 body: serde_json::from_slice(&body).unwrap_or_default(),
                 method: parts.method,
             };
-            this.handle_call(call).await
+            let mut response = this.handle_call(call).await;
+            let era = HeaderValue::from(this.state.borrow().era);
+            response.headers_mut().insert("store-era", era);
+            response
         })
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -41,6 +41,8 @@
 const REPLACEMENT_DELAY: Duration = Duration::from_millis(2_400);
 /// Time for which a leaving server continues to serve.
 const LEAVE_DURATION: Duration = Duration::from_millis(2_600);
+/// Time from the store's return from a copy until the servers write their entries again.
+const REWRITE_DELAY: Duration = Duration::from_millis(1_000);
 /// Delay before a daemon that has exited is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Interval between two checks of daemons, servers and links.
@@ -147,6 +149,8 @@
     fleet: Rc<RefCell<Fleet>>,
     checker: Rc<RefCell<InvariantChecker>>,
     config: ConfigPublisher,
+    /// Newest version of the configuration.
+    config_text: serde_json::Value,
     store_links: Vec<LinkProxy>,
     node_links: Vec<LinkProxy>,
     server_links: Vec<LinkProxy>,
@@ -238,6 +242,7 @@
             fleet,
             checker,
             config: ConfigPublisher::new(),
+            config_text: serde_json::Value::Null,
             store_links,
             node_links,
             server_links,
@@ -255,10 +260,25 @@
     }
 
     fn publish_config(&mut self) {
-        let text = self.config.next_version();
+        self.config_text = self.config.next_version();
+        self.write_config();
+    }
+
+    fn write_config(&self) {
+        let text = self.config_text.clone();
         self.store.borrow_mut().put("config", "main", text);
     }
 
+    /// Restores the store if that is due. The operator writes the configuration again at once,
+    /// the servers their entries a while later.
+    fn restore_store(&mut self, now: Instant) {
+        if self.store.borrow_mut().restore_if_due(now) {
+            self.write_config();
+            self.fleet.borrow_mut().silence(now + REWRITE_DELAY);
+        }
+        self.store.borrow_mut().copy(now);
+    }
+
     async fn execute(
         mut self,
         options: &SoakOptions,
@@ -304,6 +324,7 @@
                 self.fleet.borrow_mut().replace(slot);
                 self.server_links[slot].mode.set(LinkMode::Open);
             }
+            self.restore_store(now);
             self.fleet.borrow_mut().advance(now);
             if now >= end {
                 return Ok(());
@@ -409,6 +430,11 @@
                 self.store.borrow_mut().deafens_watches_until = Some(now + duration);
                 disturbed_until = now + duration;
             }
+            Fault::StoreRestores(age, away) => {
+                let mut store = self.store.borrow_mut();
+                store.restore_at(now + away, now - age);
+                disturbed_until = now + away;
+            }
             Fault::StoreCompacts => self.store.borrow_mut().compact(),
             Fault::Crash(slot) => self.stop_server(slot, now),
             Fault::Leave(slot) => {
