Versions of the store carry its era, so a restored store is read again

Cause: a store that is restored gives revisions out again, and nodes compared them by size alone. A watch went on from a revision of before; the change that had got that number again was never seen. The same comparison decided between lists, hubs' targets and records.

The store counts its restores in Store-Era. platform/ puts the era before the revision in ObjectVersion, so that every comparison in the project orders versions of the present era after all before.

Ruled out: lists that are refused for their lower revision (the daemon takes each list whole, whatever its revision).

--- a/crates/base/src/number.rs
+++ b/crates/base/src/number.rs
@@ -29,8 +29,6 @@
 }
 
 numbers! {
-    /// Version of an object in the platform's store; zero if the object does not exist.
-    ObjectVersion;
     /// Fencing token of a fabric domain's owner lease.
     FencingToken;
     /// Generation of a replica group's membership.
@@ -45,3 +43,55 @@
     /// the update when reading it back.
     WriteNonce;
 }
+
+/// Bits of a version below those of the era.
+const REVISION_BITS: u32 = 40;
+/// Largest era; later ones count as this one.
+const MAX_ERA: u64 = (1 << (u64::BITS - REVISION_BITS)) - 1;
+
+/// Version of an object in the platform's store; zero if the object does not exist.
+///
+/// A store that was restored from a copy gives its revisions out again. It counts its restores:
+/// the era goes before the revision, so versions of the present era are newer than all before.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ObjectVersion(pub u64);
+
+impl ObjectVersion {
+    /// Version that the store gave in an era; revision zero if the object does not exist in it.
+    pub const fn in_era(era: u64, revision: u64) -> Self {
+        let era = if era < MAX_ERA { era } else { MAX_ERA };
+        Self((era << REVISION_BITS) | revision)
+    }
+
+    /// Number of restores of the store before it gave this version.
+    pub const fn era(self) -> u64 {
+        self.0 >> REVISION_BITS
+    }
+
+    /// Revision by which the store names this version.
+    pub const fn revision(self) -> u64 {
+        self.0 & ((1 << REVISION_BITS) - 1)
+    }
+
+    /// Whether the object exists.
+    pub const fn exists(self) -> bool {
+        self.revision() > 0
+    }
+
+    /// Returns the next version of the same era.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for ObjectVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.era() == 0 {
+            return self.revision().fmt(f);
+        }
+        write!(f, "{}:{}", self.era(), self.revision())
+    }
+}
--- a/crates/edge/src/border/ports.rs
+++ b/crates/edge/src/border/ports.rs
@@ -81,7 +81,8 @@
 pub enum WatchOutcome {
     /// Changes up to a revision; none if the watch timed out.
     Changed(Vec<CollectionChange>, ObjectVersion),
-    /// The store no longer keeps the changes after the revision; list again.
+    /// The store doesn't know the changes after the revision, as it has dropped them or was
+    /// restored from a copy since; list again.
     Compacted,
     /// The store did not respond.
     Unavailable,
@@ -100,6 +101,9 @@
         wait: Duration,
     ) -> LocalBoxFuture<'static, WatchOutcome>;
 
+    /// Whether the store is known to have been restored from a copy since it gave a version.
+    fn is_superseded(&self, version: ObjectVersion) -> bool;
+
     /// Writes a shared object if it still has the expected version.
     fn update(&self, change: ObjectChange) -> LocalBoxFuture<'static, UpdateOutcome>;
 
--- a/crates/edge/src/border/watch.rs
+++ b/crates/edge/src/border/watch.rs
@@ -54,7 +54,12 @@
     let mut revision: Option<ObjectVersion> = None;
     let mut delay = RETRY_DELAY;
     loop {
-        if is_paused(collection, revision.is_some(), mode.get()) {
+        let is_superseded = revision.is_some_and(|revision| store.is_superseded(revision));
+        if is_superseded {
+            log::info!(feed = collection.as_str(), since:% = revision.unwrap_or_default(); "store was restored from a copy; listing again");
+            revision = None;
+        }
+        if !is_superseded && is_paused(collection, revision.is_some(), mode.get()) {
             let interval = if revision.is_some() {
                 MODE_CHECK_INTERVAL
             } else {
@@ -76,7 +81,7 @@
                     (CollectionEvent::Changed(changes, at), Some(at.max(since)))
                 }
                 WatchOutcome::Compacted => {
-                    log::info!(feed = collection.as_str(), since = since.0; "watch revision compacted; listing again");
+                    log::info!(feed = collection.as_str(), since:% = since; "watch revision compacted; listing again");
                     revision = None;
                     continue;
                 }
--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -173,7 +173,7 @@
         }
     }
     let after_outage = keep_until.is_some();
-    log::info!(count = endpoints.len(), revision = revision.0, after_outage; "endpoints listed");
+    log::info!(count = endpoints.len(), revision:% = revision, after_outage; "endpoints listed");
     replace_list(&mut state.planner, endpoints, keep_until, now);
 }
 
--- a/crates/edge/src/commands/shared.rs
+++ b/crates/edge/src/commands/shared.rs
@@ -79,7 +79,7 @@
             adopt_record(state, Arc::new(record), object.version, now);
         }
         Err(error) => {
-            log::warn!(version = object.version.0; "group record can't be decoded: {error}");
+            log::warn!(version:% = object.version; "group record can't be decoded: {error}");
         }
     }
 }
@@ -96,7 +96,7 @@
     let is_owner = record.owner.as_ref() == local;
     let is_new = update_record(&mut state.planner, record, version, now);
     if is_new && was_owner && !is_owner {
-        log::info!(version = version.0; "group ownership taken over by another node");
+        log::info!(version:% = version; "group ownership taken over by another node");
         state.yielded_at = Some(now);
     }
     is_new
--- a/crates/net/src/web/json.rs
+++ b/crates/net/src/web/json.rs
@@ -47,6 +47,21 @@
         body: Option<Bytes>,
         deadline: ClockTime,
     ) -> JsonOutcome {
+        match self.collect(method, path, body, deadline).await {
+            CollectOutcome::Response(parts, body) => JsonOutcome::Response(parts.status, body),
+            CollectOutcome::NotSent => JsonOutcome::NotSent,
+            CollectOutcome::Lost => JsonOutcome::Lost,
+        }
+    }
+
+    /// Sends one request as [`Self::call`] does, and returns the headers of the response too.
+    pub async fn collect(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Bytes>,
+        deadline: ClockTime,
+    ) -> CollectOutcome {
         let request = Request::builder().method(method).uri(path);
         let request = match body {
             Some(body) => request
@@ -58,16 +73,11 @@
             Ok(request) => request,
             Err(error) => {
                 log::error!(path; "request could not be built: {error}");
-                return JsonOutcome::NotSent;
+                return CollectOutcome::NotSent;
             }
         };
-        let collected = self
-            .client
-            .collect(self.server, request, self.response_limit, deadline);
-        match collected.await {
-            CollectOutcome::Response(parts, body) => JsonOutcome::Response(parts.status, body),
-            CollectOutcome::NotSent => JsonOutcome::NotSent,
-            CollectOutcome::Lost => JsonOutcome::Lost,
-        }
+        self.client
+            .collect(self.server, request, self.response_limit, deadline)
+            .await
     }
 }
