A node whose entry a restored store has lost writes it again

Nodes find one another by their entries in the store. A node remembered that its entry was written and did not look whether it was still there: after a restore from a copy that was taken before, nodes that started later never learnt of it, and a hub that started sent it no sums.

Each complete list now decides whether the own entry exists.

The test failed before: no write followed a list without the entry.

--- a/crates/edge/src/commands/shared.rs
+++ b/crates/edge/src/commands/shared.rs
@@ -50,6 +50,11 @@
         }
     }
     let mut has_record = false;
+    if is_complete {
+        // Set again below if this node's entry is listed; a restored store may have lost it.
+        state.is_registered = false;
+        state.entry_version = ObjectVersion::default();
+    }
     for object in objects {
         if object.key.as_str() == RECORD_NAME {
             has_record = true;
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -9,5 +9,6 @@
 mod owner_loss;
 mod quarantine;
 
+mod restored_store;
 mod store_away;
 mod support;
