The record of groups that a restored store has lost is written again

What callers would see: groups that were formed since the copy end and are formed anew, and after the loss of all nodes epochs that engines know with other members.

Cause: with the era in its version, the older copy of the record counts as newer. Without it the copy was ignored until the revision had grown past the old one, and then taken; a record that the copy lacked was never written again, as every write expected a version that is gone.

A node that knows a later record than the copy (epochs only grow) keeps it under the copy's version, and the owner writes it again. Each era has epochs of its own, so that an owner that knows only the copy gives out none that engines have seen with other members.

--- a/crates/edge/src/commands/shared.rs
+++ b/crates/edge/src/commands/shared.rs
@@ -64,7 +64,10 @@
         }
     }
     if is_complete && !has_record {
-        record_missing(&mut state.planner);
+        let revision = state
+            .collection(StoreCollection::Shared)
+            .map(|entry| entry.revision);
+        record_missing(&mut state.planner, revision.unwrap_or_default());
     }
     update_retry_budget(state);
     register_node(state, now)
--- a/crates/replicas/src/commands/plan.rs
+++ b/crates/replicas/src/commands/plan.rs
@@ -17,6 +17,9 @@
     GroupEntry, GroupPhase, GroupRecord, MemberOrder, MemberPhase, PlanEffect, PlannerState,
 };
 
+/// Epochs that can be reserved between two restores of the store.
+const EPOCHS_PER_ERA: u64 = 1 << 24;
+
 /// Runs one planning pass and returns what the owner does next.
 pub fn tick(state: &mut PlannerState, config: &RoutingConfig, now: ClockTime) -> Vec<PlanEffect> {
     expire_endpoints(state, now);
@@ -30,11 +33,11 @@
         end_groups(state, &mut draft, now);
         mark_serving(state, &mut draft);
         if state.epochs.is_empty() {
-            reserve_epochs(state, &mut draft);
+            reserve_epochs(state, &mut draft, version);
         } else {
             form_groups(state, &mut draft, config, now);
         }
-        if draft != *state.record {
+        if draft != *state.record || state.is_record_lost {
             draft.owner = Some(state.node.clone());
             let record = Arc::new(draft.clone());
             state.pending_record = Some(record.clone());
@@ -59,8 +62,12 @@
 }
 
 /// Reserves the next block of epochs.
-fn reserve_epochs(state: &mut PlannerState, draft: &mut GroupRecord) {
-    let start = draft.next_epoch.0.max(1);
+///
+/// A restored store may have lost blocks that were reserved since the copy, so each era of the
+/// store has epochs of its own.
+fn reserve_epochs(state: &mut PlannerState, draft: &mut GroupRecord, version: ObjectVersion) {
+    let era_start = version.era().saturating_mul(EPOCHS_PER_ERA);
+    let start = draft.next_epoch.0.max(1).max(era_start);
     let end = start + state.settings.epoch_block_size;
     draft.next_epoch = GroupEpoch(end);
     state.requested_epochs = start..end;
--- a/crates/replicas/src/commands/record.rs
+++ b/crates/replicas/src/commands/record.rs
@@ -22,7 +22,9 @@
 
 /// Replaces the record unless the version is known already or older.
 ///
-/// Returns whether the record was replaced.
+/// A store that was restored from a copy has lost what was written since. If the given record is
+/// such a copy and this node knows a later one, that one is kept, to be written again. Returns
+/// whether the record was replaced.
 pub fn update_record(
     state: &mut PlannerState,
     record: Arc<GroupRecord>,
@@ -32,6 +34,22 @@
     if state.version.is_some_and(|present| present >= version) {
         return false;
     }
+    let is_restored = (state.version).is_some_and(|present| present.era() < version.era());
+    if is_restored && state.record.is_ahead_of(&record) {
+        log::info!(version:% = version; "store holds an older copy of the group record; it is written again");
+        keep_record(state, version);
+        return false;
+    }
+    replace_record(state, record, version, now);
+    true
+}
+
+fn replace_record(
+    state: &mut PlannerState,
+    record: Arc<GroupRecord>,
+    version: ObjectVersion,
+    now: ClockTime,
+) {
     if record.owner.as_ref() != Some(&state.node) {
         // Another owner took over; its epochs are higher than the ones reserved here.
         state.epochs = 0..0;
@@ -39,12 +57,30 @@
     state.record = record;
     state.record_received_at = now;
     state.version = Some(version);
-    true
+    state.is_record_lost = false;
+}
+
+/// Keeps the record, which the store has lost and has another version of.
+fn keep_record(state: &mut PlannerState, version: ObjectVersion) {
+    state.version = Some(version);
+    state.is_record_lost = true;
 }
 
-/// Records that the store has no record yet.
-pub fn record_missing(state: &mut PlannerState) {
-    state.version.get_or_insert(ObjectVersion::default());
+/// Records that the store has no record as of a version: none yet, or none any more.
+pub fn record_missing(state: &mut PlannerState, at: ObjectVersion) {
+    let absent = ObjectVersion::in_era(at.era(), 0);
+    match state.version {
+        None => state.version = Some(absent),
+        Some(present) if present.era() < at.era() => {
+            if *state.record == GroupRecord::default() {
+                state.version = Some(absent);
+            } else {
+                log::info!(era = at.era(); "store has lost the group record; it is written again");
+                keep_record(state, absent);
+            }
+        }
+        Some(_) => {}
+    }
 }
 
 /// Records the outcome of a write; returns whether the record was replaced.
@@ -61,7 +97,10 @@
     let requested = std::mem::replace(&mut state.requested_epochs, 0..0);
     match outcome {
         WriteOutcome::Written(version) => {
-            let is_new = update_record(state, record, version, now);
+            let is_new = state.version.is_none_or(|present| present < version);
+            if is_new {
+                replace_record(state, record, version, now);
+            }
             if is_new && !requested.is_empty() {
                 state.epochs = requested;
             }
--- a/crates/replicas/src/record.rs
+++ b/crates/replicas/src/record.rs
@@ -60,3 +60,15 @@
     /// Groups, in no particular order.
     pub groups: Vec<GroupEntry>,
 }
+
+impl GroupRecord {
+    /// Whether this record was written after another one or equals it; epochs only grow.
+    pub(crate) fn is_ahead_of(&self, other: &Self) -> bool {
+        self.latest_epochs() >= other.latest_epochs()
+    }
+
+    fn latest_epochs(&self) -> (GroupEpoch, Option<GroupEpoch>) {
+        let epochs = self.groups.iter().map(|group| group.epoch);
+        (self.next_epoch, epochs.max())
+    }
+}
--- a/crates/replicas/src/state.rs
+++ b/crates/replicas/src/state.rs
@@ -95,6 +95,8 @@
     pub(crate) record: Arc<GroupRecord>,
     /// Version of the record in the store; `None` until it was read.
     pub(crate) version: Option<ObjectVersion>,
+    /// Whether the store has lost the record in a restore, so that it has to be written again.
+    pub(crate) is_record_lost: bool,
     /// Instant at which this node received this version of the record.
     pub(crate) record_received_at: ClockTime,
     /// Record whose write is in flight.
@@ -124,6 +126,7 @@
             expiry_due: None,
             record: Arc::default(),
             version: None,
+            is_record_lost: false,
             record_received_at: ClockTime::default(),
             pending_record: None,
             next_write_at: ClockTime::default(),
--- a/crates/replicas/tests/groups.rs
+++ b/crates/replicas/tests/suite/groups.rs
@@ -1,12 +1,10 @@
 //! Groups are formed, repaired and closed.
 
-mod simulation;
-
+use crate::simulation::{Simulation, host, model};
 use base::prelude::*;
 use replicas::{
     GroupEntry, GroupPhase, GroupRecord, MemberOrder, OrderOutcome, Presence, RecordWire,
 };
-use simulation::{Simulation, host, model};
 
 const DOMAINS: &[(&str, usize)] = &[("d0", 10), ("d1", 10)];
 
@@ -237,7 +235,7 @@
 fn no_interleaving_violates_an_invariant() {
     for seed in 0..60 {
         let mut simulation = Simulation::new(DOMAINS, seed);
-        simulation.faults = simulation::OrderFaults {
+        simulation.faults = crate::simulation::OrderFaults {
             unanswered_rate: 0.3,
             late_rate: 0.6,
         };
--- /dev/null
+++ b/crates/replicas/tests/suite/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the groups' record, their planning and the list of endpoints.
+
+mod expiry;
+mod groups;
+mod restored;
+mod simulation;
--- a/crates/replicas/tests/simulation/mod.rs
+++ b/crates/replicas/tests/suite/simulation/mod.rs
@@ -61,6 +61,8 @@
     pub endpoints: BTreeMap<HostName, SimulatedEndpoint>,
     pub owners: Vec<PlannerState>,
     pub record: Option<(Arc<GroupRecord>, ObjectVersion)>,
+    /// Number of restores of the store.
+    era: u64,
     pub faults: OrderFaults,
     pub loads: Vec<ClockTime>,
     /// Members that were ready, by group, epoch and identity.
@@ -79,6 +81,7 @@
             endpoints: BTreeMap::new(),
             owners: Vec::new(),
             record: None,
+            era: 0,
             faults: OrderFaults::default(),
             loads: Vec::new(),
             ready: BTreeSet::new(),
@@ -138,11 +141,27 @@
             Some((record, version)) => {
                 update_record(&mut owner, record.clone(), *version, self.now);
             }
-            None => record_missing(&mut owner),
+            None => record_missing(&mut owner, ObjectVersion::in_era(self.era, 0)),
         }
         self.owners.push(owner);
     }
 
+    /// Restores the store from a copy of the record; the owners list it.
+    pub fn restore(&mut self, copy: Option<(Arc<GroupRecord>, ObjectVersion)>) {
+        self.era += 1;
+        let era = self.era;
+        self.record =
+            copy.map(|(record, version)| (record, ObjectVersion::in_era(era, version.revision())));
+        for owner in &mut self.owners {
+            match &self.record {
+                Some((record, version)) => {
+                    update_record(owner, record.clone(), *version, self.now);
+                }
+                None => record_missing(owner, ObjectVersion::in_era(era, 0)),
+            }
+        }
+    }
+
     /// Advances virtual time and runs the owners.
     pub fn run(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
@@ -173,11 +192,12 @@
         let present = self
             .record
             .as_ref()
-            .map_or(ObjectVersion(0), |(_, version)| *version);
+            .map_or(ObjectVersion::in_era(self.era, 0), |(_, version)| *version);
         if present != expected {
             record_write_outcome(&mut self.owners[index], WriteOutcome::Conflict, self.now);
-            let (record, version) = self.record.clone().expect("a conflict needs a record");
-            update_record(&mut self.owners[index], record, version, self.now);
+            if let Some((record, version)) = self.record.clone() {
+                update_record(&mut self.owners[index], record, version, self.now);
+            }
             return;
         }
         self.check_record(&record);
