--- a/crates/replicas/src/commands/record.rs
+++ b/crates/replicas/src/commands/record.rs
@@ -35,7 +35,7 @@
         return false;
     }
     let is_restored = (state.version).is_some_and(|present| present.era() < version.era());
-    if is_restored && state.record.is_ahead_of(&record) {
+    if is_restored && state.record != record && state.record.is_ahead_of(&record) {
         log::info!(version:% = version; "store holds an older copy of the group record; it is written again");
         keep_record(state, version);
         return false;
@@ -98,6 +98,8 @@
     match outcome {
         WriteOutcome::Written(version) => {
             let is_new = state.version.is_none_or(|present| present < version);
+            // The store gives no new version to what it holds already.
+            state.is_record_lost = false;
             if is_new {
                 replace_record(state, record, version, now);
             }
--- a/crates/replicas/tests/suite/restored.rs
+++ b/crates/replicas/tests/suite/restored.rs
@@ -88,3 +88,14 @@
     simulation.run(50);
     assert_eq!(stored(&simulation).groups, groups);
 }
+
+#[test]
+fn a_record_that_the_copy_holds_unchanged_is_not_written_again() {
+    let mut simulation = Simulation::new(DOMAINS, 5);
+    simulation.run(12_000);
+    let present = simulation.record.clone();
+    let writes = simulation.writes;
+    simulation.restore(present);
+    simulation.run(2_000);
+    assert_eq!(simulation.writes, writes);
+}
--- a/crates/replicas/tests/suite/simulation/mod.rs
+++ b/crates/replicas/tests/suite/simulation/mod.rs
@@ -63,6 +63,8 @@
     pub record: Option<(Arc<GroupRecord>, ObjectVersion)>,
     /// Number of restores of the store.
     era: u64,
+    /// Number of writes that the store has accepted.
+    pub writes: usize,
     pub faults: OrderFaults,
     pub loads: Vec<ClockTime>,
     /// Members that were ready, by group, epoch and identity.
@@ -82,6 +84,7 @@
             owners: Vec::new(),
             record: None,
             era: 0,
+            writes: 0,
             faults: OrderFaults::default(),
             loads: Vec::new(),
             ready: BTreeSet::new(),
@@ -201,7 +204,9 @@
             return;
         }
         self.check_record(&record);
-        let version = present.next();
+        self.writes += 1;
+        let is_same = (self.record.as_ref()).is_some_and(|(stored, _)| *stored == record);
+        let version = if is_same { present } else { present.next() };
         self.record = Some((record.clone(), version));
         for (other, owner) in self.owners.iter_mut().enumerate() {
             if other == index {
