Servers that left before a restore get no requests because a copy lists them

What servers would see: one that had announced that it leaves, or had left, got requests again once the store came back from a copy that still listed it as ready, until the entry was written again or removed. Servers that the copy lacked were dropped at once, and their groups ended.

Cause: the first list after a restore was taken like any other. Each node now sets its own memory against it: incarnations that it saw leave are withheld until they write their entries again, or for five seconds, after which entries that nobody writes are gone; servers that the copy lacks are kept for 2.2 seconds, as after an outage.

--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -2,7 +2,10 @@
 
 use base::prelude::*;
 use intent::AdoptOutcome;
-use replicas::commands::{ListChange, change_list, replace_list, restore_recorded_members};
+use replicas::commands::{
+    ListChange, RestoreTimes, change_list, replace_list, replace_restored_list,
+    restore_recorded_members,
+};
 use store::StoredObject;
 
 use super::apply_shared_objects;
@@ -31,8 +34,10 @@
         let entry = state.collections.entry(collection).or_default();
         entry.first_listed_at.get_or_insert(now);
     }
+    let mut is_restored = false;
     if let CollectionEvent::Listed(_, revision) | CollectionEvent::Changed(_, revision) = &event {
         let entry = state.collections.entry(collection).or_default();
+        is_restored = entry.is_listed && entry.revision.era() < revision.era();
         entry.revision = entry.revision.max(*revision);
     }
     let effects = match (collection, event) {
@@ -41,7 +46,7 @@
             Vec::new()
         }
         (StoreCollection::Endpoints, CollectionEvent::Listed(items, revision)) => {
-            replace_endpoints(state, items, revision, now);
+            replace_endpoints(state, items, revision, is_restored, now);
             Vec::new()
         }
         (StoreCollection::Endpoints, CollectionEvent::Changed(changes, _)) => {
@@ -157,6 +162,7 @@
     state: &mut EdgeState,
     items: Vec<CollectionItem>,
     revision: ObjectVersion,
+    is_restored: bool,
     now: ClockTime,
 ) {
     let entry = state
@@ -173,8 +179,16 @@
         }
     }
     let after_outage = keep_until.is_some();
-    log::info!(count = endpoints.len(), revision:% = revision, after_outage; "endpoints listed");
-    replace_list(&mut state.planner, endpoints, keep_until, now);
+    log::info!(count = endpoints.len(), revision:% = revision, after_outage, is_restored; "endpoints listed");
+    if is_restored {
+        let times = RestoreTimes {
+            keep_until: now + state.times.relist_window,
+            settled_at: now + state.times.restore_settling_time,
+        };
+        replace_restored_list(&mut state.planner, endpoints, times, now);
+    } else {
+        replace_list(&mut state.planner, endpoints, keep_until, now);
+    }
 }
 
 /// End of the time after an outage of the store in which expired entries may be listed again;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -82,6 +82,9 @@
     pub min_outage: Duration,
     /// Time after such an outage in which missing endpoints may be listed again.
     pub relist_window: Duration,
+    /// Time after a restore of the store from a copy in which entries that nobody writes any more
+    /// are removed.
+    pub restore_settling_time: Duration,
     /// Time after the start before this node can own the groups, so that it learns of
     /// other nodes and endpoints first.
     pub ownership_start_delay: Duration,
@@ -139,6 +142,8 @@
             min_outage: Duration::from_millis(1_000),
             // The platform lists endpoints again within two seconds.
             relist_window: Duration::from_millis(2_200),
+            // The platform removes entries after three heartbeats without a write.
+            restore_settling_time: Duration::from_millis(5_000),
             // One digest interval, so that one node starts and not all of them.
             ownership_start_delay: Duration::from_millis(300),
         }
--- a/crates/edge/tests/suite/restored_store.rs
+++ b/crates/edge/tests/suite/restored_store.rs
@@ -1,9 +1,11 @@
 //! A store that came back from a copy: what was written since is gone.
 
-use crate::support::{apply_event, at, config_item, list, ready, status};
+use crate::support::{apply_event, arrive, at, config_item, endpoint, list, ready, status};
 use base::prelude::*;
-use edge::border::ports::{CollectionItem, StoreCollection};
-use edge::{CollectionEvent, EdgeEffect, EdgeState};
+use edge::border::ports::{CollectionChange, CollectionItem, StoreCollection};
+use edge::{ArrivalOutcome, CollectionEvent, EdgeEffect, EdgeState};
+use relay::CallStep;
+use replicas::{Endpoint, Presence};
 use store::{ObjectChange, ObjectKey, StoredObject, UpdateOutcome};
 
 fn entry(node: &str, version: ObjectVersion) -> CollectionItem {
@@ -61,3 +63,25 @@
     apply_event(&mut state, StoreCollection::RoutingConfig, older, at(5_000));
     assert_eq!(status(&mut state, at(5_010)).config_version, Some(9));
 }
+
+#[test]
+fn a_server_that_left_gets_no_requests_because_a_restored_store_lists_it_as_ready() {
+    let mut state = registered();
+    let leaving = CollectionItem::Endpoint(Endpoint {
+        presence: Presence::Leaving,
+        ..endpoint("p-1")
+    });
+    let event = CollectionEvent::Changed(
+        vec![CollectionChange::Put(leaving)],
+        ObjectVersion::in_era(1, 30),
+    );
+    apply_event(&mut state, StoreCollection::Endpoints, event, at(4_000));
+    let ready = vec![CollectionItem::Endpoint(endpoint("p-1"))];
+    let copy = CollectionEvent::Listed(ready, ObjectVersion::in_era(2, 3));
+    apply_event(&mut state, StoreCollection::Endpoints, copy, at(5_000));
+    let outcome = arrive(&mut state, 1, "/x/1", at(5_010));
+    let ArrivalOutcome::Accepted { step, .. } = outcome else {
+        panic!("the route exists");
+    };
+    assert!(matches!(step, CallStep::Refuse(_)), "{step:?}");
+}
--- a/crates/replicas/src/commands/list.rs
+++ b/crates/replicas/src/commands/list.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 
+use super::restored_list::{record_departure, release_withheld};
 use crate::queries::is_expiry_likely;
 use crate::state::{EndpointView, is_standby};
 use crate::{Endpoint, PlannerState, Presence};
@@ -33,7 +34,8 @@
     }
     let ids = state.endpoints.keys();
     let missing = ids.filter(|id| !listed.contains(*id)).cloned().collect();
-    remove_missing(state, missing, keep_until);
+    state.withheld.clear();
+    remove_missing(state, missing, keep_until, now);
     expire_endpoints(state, now);
 }
 
@@ -49,15 +51,16 @@
         match change {
             ListChange::Put(endpoint) => {
                 missing.remove(&endpoint.id);
+                state.withheld.remove(&endpoint.id);
                 upsert(state, endpoint, now);
             }
-            ListChange::Removed(id) if keep_until.is_some() => {
+            ListChange::Removed(id) => {
+                state.withheld.remove(&id);
                 missing.insert(id);
             }
-            ListChange::Removed(id) => remove(state, &id),
         }
     }
-    remove_missing(state, missing, keep_until);
+    remove_missing(state, missing, keep_until, now);
 }
 
 /// Removes endpoints that are no longer listed, or keeps them until the end of the grace period
@@ -66,6 +69,7 @@
     state: &mut PlannerState,
     missing: BTreeSet<HostName>,
     keep_until: Option<ClockTime>,
+    now: ClockTime,
 ) {
     let expired_services = match keep_until {
         Some(_) => services_with_expired_entries(state, &missing),
@@ -82,7 +86,7 @@
                 let expires_at = *view.expires_at.get_or_insert(until);
                 state.expiry_due = earlier(state.expiry_due, expires_at);
             }
-            None => remove(state, &id),
+            None => remove(state, &id, now),
         }
     }
 }
@@ -107,12 +111,14 @@
     expired.map(|(service, _)| service.clone()).collect()
 }
 
-fn remove(state: &mut PlannerState, id: &HostName) {
-    state.endpoints.remove(id);
+fn remove(state: &mut PlannerState, id: &HostName, now: ClockTime) {
+    if let Some(view) = state.endpoints.remove(id) {
+        record_departure(state, &view.endpoint, now);
+    }
     state.loads.finish(id);
 }
 
-fn upsert(state: &mut PlannerState, endpoint: Endpoint, now: ClockTime) {
+pub(super) fn upsert(state: &mut PlannerState, endpoint: Endpoint, now: ClockTime) {
     let id = endpoint.id.clone();
     match state.endpoints.get_mut(&id) {
         Some(view) if view.endpoint.incarnation == endpoint.incarnation => {
@@ -171,13 +177,20 @@
     if state.expiry_due.is_none_or(|due| due > now) {
         return 0;
     }
-    let count = state.endpoints.len();
-    state
-        .endpoints
-        .retain(|_, view| view.expires_at.is_none_or(|at| at > now));
+    let views = state.endpoints.iter();
+    let expired = views.filter(|(_, view)| view.expires_at.is_some_and(|at| at <= now));
+    let expired: Vec<_> = expired.map(|(id, _)| id.clone()).collect();
+    for id in &expired {
+        remove(state, id, now);
+    }
+    release_withheld(state, now);
     let views = state.endpoints.values();
-    state.expiry_due = views.filter_map(|view| view.expires_at).min();
-    count - state.endpoints.len()
+    let next = views.filter_map(|view| view.expires_at).min();
+    state.expiry_due = match state.settled_at {
+        Some(settled_at) => earlier(next, settled_at),
+        None => next,
+    };
+    expired.len()
 }
 
 /// Earlier of an instant that may be missing and another one.
--- a/crates/replicas/src/commands/mod.rs
+++ b/crates/replicas/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod probes;
 mod record;
 mod restore;
+mod restored_list;
 
 pub use list::{ListChange, change_list, expire_endpoints, replace_list};
 pub use orders::record_order_outcome;
@@ -15,3 +16,4 @@
 };
 pub use record::{WriteOutcome, record_missing, record_write_outcome, update_record};
 pub use restore::restore_recorded_members;
+pub use restored_list::{RestoreTimes, replace_restored_list};
--- a/crates/replicas/src/state.rs
+++ b/crates/replicas/src/state.rs
@@ -7,6 +7,13 @@
 use crate::loads::LoadTracker;
 use crate::{Endpoint, GroupRecord, MemberOrder, PlannerSettings};
 
+/// Removal of an endpoint from the list.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndpointDeparture {
+    pub incarnation: HostIncarnation,
+    pub at: ClockTime,
+}
+
 /// Name prefix of standby groups: a spare endpoint joins one to keep a model in memory. They
 /// never open.
 const STANDBY_PREFIX: &str = "park.";
@@ -92,6 +99,11 @@
     pub(crate) endpoints: BTreeMap<HostName, EndpointView>,
     /// Earliest instant at which an endpoint expires.
     pub(crate) expiry_due: Option<ClockTime>,
+    /// Endpoints that were removed lately.
+    pub(crate) departures: BTreeMap<HostName, EndpointDeparture>,
+    /// Endpoints that a restored store lists although they have left, until `settled_at`.
+    pub(crate) withheld: BTreeMap<HostName, Endpoint>,
+    pub(crate) settled_at: Option<ClockTime>,
     pub(crate) record: Arc<GroupRecord>,
     /// Version of the record in the store; `None` until it was read.
     pub(crate) version: Option<ObjectVersion>,
@@ -124,6 +136,9 @@
             node,
             endpoints: BTreeMap::new(),
             expiry_due: None,
+            departures: BTreeMap::new(),
+            withheld: BTreeMap::new(),
+            settled_at: None,
             record: Arc::default(),
             version: None,
             is_record_lost: false,
