Own interface: a restored store neither hides changes nor takes back sections

Looked for elsewhere: the object API of the project's own interface is read by gateway, controller and command line with the same comparison.

What callers would see: a change written under a version that had been given out before a restore is never heard of; sections of the document go back to the copy; a new owner's fencing tokens and epochs are refused by engines that have seen higher ones.

The document keeps sections that are newer than the copy's, by their revisions, until they are edited again. Tokens and epochs of an era are higher than all before. The emulated platform can take and restore a copy (/emulator/copy, /emulator/restore).

The tests in emulator/tests/contract.rs, document/tests/floor.rs and groups/tests/lease.rs failed before.

--- a/crates/document/src/commands/accept.rs
+++ b/crates/document/src/commands/accept.rs
@@ -29,7 +29,12 @@
     if version == state.in_force.version {
         return AcceptOutcome::Unchanged;
     }
+    if state.in_force.version.era() < version.era() {
+        // Revisions of sections only grow, so they tell what the copy has lost.
+        state.lost_sections = state.document.sections.clone();
+    }
     state.floor = version;
+    let document = with_lost_sections(state, document);
     let effective = effective_config(&document, &state.good);
     state.document = document;
     if !effective.rejected.iter().any(is_left_out) {
@@ -39,6 +44,23 @@
     AcceptOutcome::InForce
 }
 
+/// Document with the sections that the store has lost, until they are edited again.
+fn with_lost_sections(state: &mut ConfigState, document: Arc<Document>) -> Arc<Document> {
+    let stored = |name: &SectionName| document.sections.get(name).map(|section| section.revision);
+    state
+        .lost_sections
+        .retain(|name, lost| stored(name) < Some(lost.revision));
+    if state.lost_sections.is_empty() {
+        return document;
+    }
+    let mut merged = Document::clone(&document);
+    let lost = state.lost_sections.iter();
+    merged
+        .sections
+        .extend(lost.map(|(name, section)| (name.clone(), section.clone())));
+    Arc::new(merged)
+}
+
 /// Whether the section has no version in force.
 ///
 /// The store may then hold a last good version that this process has never read.
--- a/crates/document/src/state.rs
+++ b/crates/document/src/state.rs
@@ -1,8 +1,10 @@
 //! Document and configuration of one process.
 
+use std::collections::BTreeMap;
+
 use base::prelude::*;
 
-use crate::{CallerIndex, Configuration, Document, GoodSections, RejectedSection};
+use crate::{CallerIndex, Configuration, Document, GoodSections, RejectedSection, Section};
 
 /// Document and configuration that one process uses, with the version floor.
 #[derive(Clone, Debug, Default)]
@@ -11,6 +13,8 @@
     pub floor: ObjectVersion,
     /// Document of the version in force.
     pub document: Arc<Document>,
+    /// Sections of which the store holds an older revision since it was restored from a copy.
+    pub lost_sections: BTreeMap<SectionName, Section>,
     /// Latest version known to lack no last good section: either it left no section
     /// out, or the stored last good versions were looked up.
     pub resolved_version: ObjectVersion,
--- a/crates/document/tests/floor.rs
+++ b/crates/document/tests/floor.rs
@@ -120,6 +120,30 @@
     assert_eq!(digests.len(), 2);
 }
 
+#[test]
+fn sections_that_a_restored_store_has_lost_stay_in_force_until_they_are_edited_again() {
+    let mut state = ConfigState::default();
+    let mut wider = Document::clone(&initial_document());
+    write_text(&mut wider, "models", WIDER);
+    accept(&mut state, ObjectVersion(8), initial_document());
+    accept(&mut state, ObjectVersion(9), Arc::new(wider.clone()));
+    // The copy holds the first document; its revisions are lower.
+    let copy = ObjectVersion::in_era(1, 8);
+    accept(&mut state, copy, initial_document());
+    assert_eq!(group_size(&state), 8);
+    // An edit of another section takes effect, the lost one stays.
+    let mut other = Document::clone(&initial_document());
+    write_text(&mut other, "chat", "workspaces: {}\n");
+    accept(&mut state, copy.next(), Arc::new(other.clone()));
+    let chat = SectionName::new("chat").unwrap();
+    assert!(state.document.sections.contains_key(&chat));
+    assert_eq!(group_size(&state), 8);
+    // The lost section is edited again, under a revision that was given out before.
+    write_text(&mut other, "models", MODELS);
+    accept(&mut state, copy.next().next(), Arc::new(other));
+    assert_eq!(group_size(&state), 4);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: proptest::test_runner::RngSeed::Fixed(12),
--- a/crates/emulator/src/platform/objects.rs
+++ b/crates/emulator/src/platform/objects.rs
@@ -12,6 +12,15 @@
     objects: BTreeMap<ObjectKey, StoredObject>,
     watches: BTreeMap<ObjectKey, Vec<oneshot::Sender<()>>>,
     last_version: ObjectVersion,
+    /// Number of restores from a copy.
+    era: u64,
+}
+
+/// Copy of the objects, from which they can be restored.
+#[derive(Clone, Debug)]
+pub struct ObjectCopy {
+    objects: BTreeMap<ObjectKey, StoredObject>,
+    last_version: ObjectVersion,
 }
 
 impl ObjectTable {
@@ -58,6 +67,30 @@
         matches
     }
 
+    /// Copies all objects.
+    pub fn copy(&self) -> ObjectCopy {
+        ObjectCopy {
+            objects: self.objects.clone(),
+            last_version: self.last_version,
+        }
+    }
+
+    /// Restores a copy: what was written since is gone, and versions are given out again.
+    pub fn restore(&mut self, copy: ObjectCopy) {
+        let watched: Vec<_> = self.watches.keys().cloned().collect();
+        self.objects = copy.objects;
+        self.last_version = copy.last_version;
+        self.era += 1;
+        for key in watched {
+            self.notify_watchers(&key);
+        }
+    }
+
+    /// Number of restores from a copy.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
     /// Returns a receiver that completes at the object's next change.
     pub fn watch(&mut self, key: &ObjectKey) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/emulator/src/platform/service.rs
+++ b/crates/emulator/src/platform/service.rs
@@ -8,10 +8,12 @@
 use futures_util::future::LocalBoxFuture;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use interface::STORE_ERA;
 use interface::wire::{ChangeWire, HostWire, HostsWire, ObjectWire, ObjectsWire, VersionWire};
 use net::web::{WebResponse, WebService, body_channel, empty_body, json_response, text_response};
 use store::{ObjectChange, ObjectKey, UpdateOutcome};
 
+use super::objects::ObjectCopy;
 use super::{ObjectTable, PlatformFaults};
 use crate::web::{query_number, query_value, read_json, unknown_path};
 
@@ -29,6 +31,8 @@
     frozen_hosts: RefCell<Option<HostsWire>>,
     faults: Cell<PlatformFaults>,
     call_count: Cell<u64>,
+    /// Copy of the objects to be restored.
+    copy: RefCell<Option<ObjectCopy>>,
 }
 
 impl PlatformService {
@@ -48,6 +52,22 @@
         });
     }
 
+    /// Copies all objects, to be restored later.
+    pub fn copy_objects(&self) {
+        let copy = self.0.objects.borrow().copy();
+        self.0.copy.replace(Some(copy));
+    }
+
+    /// Restores the objects from the last copy; returns whether there is one.
+    pub fn restore_objects(&self) -> bool {
+        let copy = self.0.copy.borrow().clone();
+        let has_copy = copy.is_some();
+        if let Some(copy) = copy {
+            self.0.objects.borrow_mut().restore(copy);
+        }
+        has_copy
+    }
+
     fn list_hosts(&self) -> HostsWire {
         if let Some(frozen_hosts) = self.0.frozen_hosts.borrow().as_ref() {
             return frozen_hosts.clone();
@@ -74,7 +94,14 @@
             return aborted_response().await;
         }
         monoio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
-        match (request.method().clone(), path.as_str()) {
+        let mut response = self.answer_call(&path, request).await;
+        let era = self.0.objects.borrow().era();
+        response.headers_mut().insert(STORE_ERA, era.into());
+        response
+    }
+
+    async fn answer_call(&self, path: &str, request: Request<Incoming>) -> WebResponse {
+        match (request.method().clone(), path) {
             (Method::GET, "/v1/hosts") => json_response(StatusCode::OK, &self.list_hosts()),
             (Method::GET, "/v1/objects") => self.list_objects(&request),
             (method, path) => match path.strip_prefix(OBJECT_PATH) {
@@ -88,6 +115,16 @@
         if path == "/emulator/calls" {
             return text_response(StatusCode::OK, &self.0.call_count.get().to_string());
         }
+        if path == "/emulator/copy" {
+            self.copy_objects();
+            return no_content();
+        }
+        if path == "/emulator/restore" {
+            return match self.restore_objects() {
+                true => no_content(),
+                false => text_response(StatusCode::CONFLICT, "no copy was taken"),
+            };
+        }
         if path == "/emulator/faults" {
             return match read_json(request.into_body()).await {
                 Ok(faults) => {
--- a/crates/emulator/tests/contract.rs
+++ b/crates/emulator/tests/contract.rs
@@ -12,6 +12,7 @@
 use net::web::WebClient;
 use net::{SystemClock, drain_channel};
 use store::contract::check_contract;
+use store::{ObjectChange, ObjectKey, ObjectStore, ReadOutcome, UpdateOutcome, WatchOutcome};
 
 /// Time from the start of the check to its `future` instant, which must not be reached during it.
 const LONG_WAIT: Duration = Duration::from_secs(60);
@@ -43,3 +44,47 @@
     });
     assert_eq!(violations.unwrap(), []);
 }
+
+fn change(expected: base::ObjectVersion, value: &str) -> ObjectChange {
+    ObjectChange {
+        key: ObjectKey::new("document"),
+        expected,
+        value: value.into(),
+    }
+}
+
+#[test]
+fn versions_given_out_again_after_a_restore_are_newer_than_those_of_before() {
+    let outcome = net::block_on(async {
+        let (_signal, drain) = drain_channel();
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let (address, platform) = start_fleet(any_port, &empty_plan(), &drain).unwrap();
+        let clock = Rc::new(SystemClock::default());
+        let client = WebClient::new(clock.clone());
+        let store = HttpObjectStore::new(client, clock.clone(), address);
+        let key = ObjectKey::new("document");
+        store.update(change(Default::default(), "first")).await;
+        platform.copy_objects();
+        let ReadOutcome::Found(first) = store.read(&key).await else {
+            panic!("the object was written");
+        };
+        let UpdateOutcome::Applied(lost) = store.update(change(first.version, "lost")).await else {
+            panic!("the object has the expected version");
+        };
+        platform.restore_objects();
+        // The store gives the lost version's number out again.
+        platform.put_object(&key, "second");
+        let watch = store.watch(&key, lost, clock.now() + Duration::from_secs(1));
+        let watched = watch.await;
+        let stale = store.update(change(lost, "third")).await;
+        (lost, watched, stale)
+    });
+    let (lost, watched, stale) = outcome.unwrap();
+    let WatchOutcome::Changed(object) = watched else {
+        panic!("a watch from a lost version hears of the present one: {watched:?}");
+    };
+    assert_eq!(&*object.value, "second");
+    assert_eq!(object.version.revision(), lost.revision());
+    assert!(object.version > lost);
+    assert_eq!(stale, UpdateOutcome::Conflict);
+}
--- a/crates/groups/src/commands/lease.rs
+++ b/crates/groups/src/commands/lease.rs
@@ -84,7 +84,8 @@
     /// Record in which this node holds the lease under the next token.
     pub(crate) fn acquired_record(&self) -> FabricRecord {
         let mut record = self.record.clone();
-        record.token = record.token.next();
+        record.era = self.version.map_or(0, ObjectVersion::era);
+        record.token = record.token.max(FencingToken(record.era_floor())).next();
         record.lease = Some(OwnerLease {
             holder: self.node.clone(),
             process: self.process,
--- a/crates/groups/src/model.rs
+++ b/crates/groups/src/model.rs
@@ -5,6 +5,9 @@
 
 use base::prelude::*;
 
+/// Tokens and epochs that can be given out between two restores of the store.
+const NUMBERS_PER_ERA: u64 = 1 << 24;
+
 /// Decisions about one fabric domain, as stored.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FabricRecord {
@@ -14,6 +17,8 @@
     pub lease: Option<OwnerLease>,
     /// Token of the newest lease; increases with every change of owner.
     pub token: FencingToken,
+    /// Era of the store in which that lease was taken.
+    pub era: u64,
     /// Replica groups of the fabric domain.
     pub groups: Vec<GroupRecord>,
     /// Number of groups formed so far; the next group's name contains the next number.
@@ -33,6 +38,7 @@
             fabric,
             lease: None,
             token: FencingToken::default(),
+            era: 0,
             groups: Vec::new(),
             groups_formed: 0,
             standbys: Vec::new(),
@@ -41,6 +47,13 @@
         }
     }
 
+    /// Largest number of an earlier era; tokens and epochs of this one are higher.
+    ///
+    /// A store that was restored from a copy has lost some that engines have seen.
+    pub(crate) fn era_floor(&self) -> u64 {
+        self.era.saturating_mul(NUMBERS_PER_ERA)
+    }
+
     /// Hosts that are members of a group.
     pub fn member_hosts(&self) -> BTreeSet<&HostName> {
         let members = self.groups.iter().flat_map(|group| &group.members);
--- a/crates/groups/src/queries/plan/mod.rs
+++ b/crates/groups/src/queries/plan/mod.rs
@@ -19,6 +19,8 @@
 
 pub(crate) use view::PlanView;
 
+use base::prelude::*;
+
 use crate::FabricRecord;
 use pool::HostPool;
 
@@ -34,5 +36,18 @@
     form::form_groups(view, &mut plan, &mut pool);
     standby::update_standbys(view, &mut plan, &pool);
     drain::expire_stragglers(view, &mut plan);
+    raise_epochs(&mut plan, record);
     plan
 }
+
+/// Gives new lists of members epochs that no engine has seen before a restore of the store.
+fn raise_epochs(plan: &mut FabricRecord, record: &FabricRecord) {
+    let floor = record.era_floor();
+    for group in &mut plan.groups {
+        let mut known = record.groups.iter();
+        let is_known = known.any(|other| other.group == group.group && other.epoch == group.epoch);
+        if !is_known && group.epoch.0 <= floor {
+            group.epoch = GroupEpoch(floor + group.epoch.0);
+        }
+    }
+}
--- a/crates/groups/src/wire.rs
+++ b/crates/groups/src/wire.rs
@@ -15,6 +15,8 @@
     fabric: FabricName,
     lease: Option<LeaseWire>,
     token: FencingToken,
+    #[serde(default)]
+    era: u64,
     groups: Vec<GroupWire>,
     #[serde(default)]
     formed: u64,
@@ -67,6 +69,7 @@
             fabric: record.fabric,
             lease: record.lease.map(LeaseWire::from),
             token: record.token,
+            era: record.era,
             groups: record.groups.into_iter().map(GroupWire::from).collect(),
             formed: record.groups_formed,
             standbys: record.standbys.into_iter().map(StandbyWire::from).collect(),
@@ -86,6 +89,7 @@
             fabric: wire.fabric,
             lease: wire.lease.map(OwnerLease::from),
             token: wire.token,
+            era: wire.era,
             groups: wire.groups.into_iter().map(GroupRecord::from).collect(),
             groups_formed: wire.formed,
             standbys: wire.standbys.into_iter().map(StandbyRecord::from).collect(),
--- a/crates/groups/tests/lease.rs
+++ b/crates/groups/tests/lease.rs
@@ -335,3 +335,27 @@
     assert!(nodes[0].holds_lease(now));
     assert!(!nodes[1].holds_lease(now));
 }
+
+#[test]
+fn a_lease_taken_after_a_restore_has_a_token_that_no_engine_has_seen() {
+    let mut state = single_node();
+    let now = ClockTime::from_millis(1);
+    let mut newest = record_of("n2", 5);
+    newest.token = FencingToken(7);
+    state.observe_record(Some((newest, ObjectVersion(9))), now);
+    // The copy is from before the last leases.
+    let mut copy = record_of("n2", 1);
+    copy.token = FencingToken(3);
+    copy.lease = None;
+    let restored = ObjectVersion::in_era(1, 4);
+    assert_eq!(
+        state.observe_record(Some((copy, restored)), now),
+        RecordOutcome::Updated
+    );
+    let effects = state.tick(now + Duration::from_secs(60));
+    let [FabricEffect::Write { record, expected }] = effects.as_slice() else {
+        panic!("the lease was not requested: {effects:?}");
+    };
+    assert_eq!(*expected, restored);
+    assert!(record.token > FencingToken(7), "{:?}", record.token);
+}
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -21,7 +21,7 @@
 pub use nodes::{
     HttpNodeClient, NodeClient, NodeEntry, NodeRole, NodeWire, RoleWire, STATUS_PATH, StatusOutcome,
 };
-pub use objects::HttpObjectStore;
+pub use objects::{HttpObjectStore, STORE_ERA};
 pub use reads::{
     DocumentOutcome, FabricRead, count_gateways, read_drains, read_fabric, read_fabrics,
     read_good_sections, watch_document,
--- a/crates/interface/src/objects.rs
+++ b/crates/interface/src/objects.rs
@@ -1,13 +1,14 @@
 //! Client of the platform's object API.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use base::prelude::*;
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
-use http::{Method, StatusCode};
-use net::web::{JsonClient, JsonOutcome, WebClient};
+use http::{HeaderMap, HeaderName, Method, StatusCode};
+use net::web::{CollectOutcome, JsonClient, JsonOutcome, WebClient};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use store::{
@@ -24,24 +25,76 @@
 /// Time allowed for the response to a watch after the deadline of the watch.
 const WATCH_GRACE: Duration = Duration::from_millis(500);
 
+/// Number of times that the store was restored from a copy; absent if it never was.
+pub const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Object store that is reached over HTTP.
 #[derive(Clone)]
 pub struct HttpObjectStore {
     client: JsonClient,
     clock: Rc<dyn ClockSource>,
+    /// Newest era that a response has named.
+    era: Rc<Cell<u64>>,
 }
 
 impl HttpObjectStore {
     /// Creates a client of the store at `server`.
     pub fn new(client: WebClient, clock: Rc<dyn ClockSource>, server: SocketAddr) -> Self {
         let client = JsonClient::new(client, server, MAX_RESPONSE_BYTES);
-        Self { client, clock }
+        Self {
+            client,
+            clock,
+            era: Rc::default(),
+        }
+    }
+
+    /// Sends a request; what the store said before it was restored from a copy counts as lost.
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Bytes>,
+        deadline: ClockTime,
+    ) -> JsonOutcome {
+        match self.client.collect(method, path, body, deadline).await {
+            CollectOutcome::Response(parts, body) => {
+                let (era, newest) = (read_era(&parts.headers), self.era.get());
+                if era > newest {
+                    log::info!(era, before = newest; "store was restored from a copy");
+                    self.era.set(era);
+                }
+                if era < newest {
+                    return JsonOutcome::Lost;
+                }
+                JsonOutcome::Response(parts.status, body)
+            }
+            CollectOutcome::NotSent => JsonOutcome::NotSent,
+            CollectOutcome::Lost => JsonOutcome::Lost,
+        }
+    }
+
+    fn object(&self, wire: ObjectWire) -> StoredObject {
+        let object = StoredObject::from(wire);
+        StoredObject {
+            version: self.version(object.version),
+            ..object
+        }
+    }
+
+    /// Version of the present era.
+    fn version(&self, version: ObjectVersion) -> ObjectVersion {
+        ObjectVersion::in_era(self.era.get(), version.revision())
+    }
+
+    /// Whether a version was given before the store was restored from a copy.
+    fn is_superseded(&self, version: ObjectVersion) -> bool {
+        version.exists() && version.era() < self.era.get()
     }
 
     async fn fetch(&self, path: &str, deadline: ClockTime) -> ReadOutcome {
-        match self.client.call(Method::GET, path, None, deadline).await {
+        match self.call(Method::GET, path, None, deadline).await {
             JsonOutcome::Response(StatusCode::OK, body) => match decode::<ObjectWire>(&body) {
-                Some(wire) => ReadOutcome::Found(StoredObject::from(wire)),
+                Some(wire) => ReadOutcome::Found(self.object(wire)),
                 None => ReadOutcome::Unavailable,
             },
             JsonOutcome::Response(StatusCode::NOT_FOUND, _) => ReadOutcome::Missing,
@@ -50,9 +103,9 @@
     }
 
     async fn fetch_change(&self, path: &str, deadline: ClockTime) -> WatchOutcome {
-        match self.client.call(Method::GET, path, None, deadline).await {
+        match self.call(Method::GET, path, None, deadline).await {
             JsonOutcome::Response(StatusCode::OK, body) => match decode::<ObjectWire>(&body) {
-                Some(wire) => WatchOutcome::Changed(StoredObject::from(wire)),
+                Some(wire) => WatchOutcome::Changed(self.object(wire)),
                 None => WatchOutcome::Unavailable,
             },
             JsonOutcome::Response(StatusCode::NOT_MODIFIED, _) => WatchOutcome::Unchanged,
@@ -64,10 +117,11 @@
     async fn fetch_list(&self, prefix: &str) -> ListOutcome {
         let path = format!("/v1/objects?prefix={prefix}");
         let deadline = self.clock.now() + CALL_TIMEOUT;
-        match self.client.call(Method::GET, &path, None, deadline).await {
+        match self.call(Method::GET, &path, None, deadline).await {
             JsonOutcome::Response(StatusCode::OK, body) => match decode::<ObjectsWire>(&body) {
                 Some(wire) => {
-                    ListOutcome::Found(wire.objects.into_iter().map(StoredObject::from).collect())
+                    let objects = wire.objects.into_iter();
+                    ListOutcome::Found(objects.map(|wire| self.object(wire)).collect())
                 }
                 None => ListOutcome::Unavailable,
             },
@@ -76,19 +130,18 @@
     }
 
     async fn put(&self, change: ObjectChange) -> UpdateOutcome {
+        if self.is_superseded(change.expected) {
+            return UpdateOutcome::Conflict;
+        }
         let path = object_path(&change.key);
         let body = encode(&ChangeWire {
-            expected: change.expected,
+            expected: ObjectVersion(change.expected.revision()),
             value: change.value.as_ref().to_owned(),
         });
         let deadline = self.clock.now() + CALL_TIMEOUT;
-        match self
-            .client
-            .call(Method::PUT, &path, Some(body), deadline)
-            .await
-        {
+        match self.call(Method::PUT, &path, Some(body), deadline).await {
             JsonOutcome::Response(StatusCode::OK, body) => match decode::<VersionWire>(&body) {
-                Some(wire) => UpdateOutcome::Applied(wire.version),
+                Some(wire) => UpdateOutcome::Applied(self.version(wire.version)),
                 None => UpdateOutcome::Unknown,
             },
             JsonOutcome::Response(StatusCode::CONFLICT, _) => UpdateOutcome::Conflict,
@@ -99,13 +152,12 @@
     }
 
     async fn delete(&self, key: &ObjectKey, expected: ObjectVersion) -> RemoveOutcome {
-        let path = format!("{}?expected={expected}", object_path(key));
+        if self.is_superseded(expected) {
+            return RemoveOutcome::Conflict;
+        }
+        let path = format!("{}?expected={}", object_path(key), expected.revision());
         let deadline = self.clock.now() + CALL_TIMEOUT;
-        match self
-            .client
-            .call(Method::DELETE, &path, None, deadline)
-            .await
-        {
+        match self.call(Method::DELETE, &path, None, deadline).await {
             JsonOutcome::Response(StatusCode::NO_CONTENT, _) => RemoveOutcome::Removed,
             JsonOutcome::Response(StatusCode::CONFLICT, _) => RemoveOutcome::Conflict,
             JsonOutcome::NotSent => RemoveOutcome::Unavailable,
@@ -114,6 +166,12 @@
     }
 }
 
+/// Era that a response names; zero if it names none.
+fn read_era(headers: &HeaderMap) -> u64 {
+    let text = headers.get(STORE_ERA).and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.trim().parse().ok()).unwrap_or(0)
+}
+
 fn object_path(key: &ObjectKey) -> String {
     format!("/v1/objects/{key}")
 }
@@ -169,9 +227,18 @@
         Box::pin(async move {
             let now = this.clock.now();
             let wait = deadline.since(now);
-            let path = format!("{path}?after={after}&wait_ms={}", wait.as_millis());
             // The deadline may have passed long ago.
-            this.fetch_change(&path, now + wait + WATCH_GRACE).await
+            let deadline = now + wait + WATCH_GRACE;
+            if !this.is_superseded(after) {
+                let revision = after.revision();
+                let path = format!("{path}?after={revision}&wait_ms={}", wait.as_millis());
+                let outcome = this.fetch_change(&path, deadline).await;
+                if outcome != WatchOutcome::Unchanged || !this.is_superseded(after) {
+                    return outcome;
+                }
+            }
+            // The version was given in an earlier era, so the object counts as changed.
+            this.fetch_change(&path, deadline).await
         })
     }
 }
