Entries and reports with the largest numbers end no node

Report of other operators: one odd entry among the servers' ends the machines that read the list, or stops them from following it.

Here: deep nesting, numbers too large and ports out of range are decoded object by object and name no server; lists and watches go on.

Numbers that do fit their types were added without a check: two servers with the largest number of slots, or a report with the largest numbers of queued and running requests, ended a node that was built with overflow checks, and gave wrong sums in a release build. The sums saturate now or are taken as floating-point numbers. Both tests in edge/tests/suite/odd_entries.rs failed before.

--- a/crates/edge/src/commands/plan.rs
+++ b/crates/edge/src/commands/plan.rs
@@ -164,7 +164,7 @@
         .get(of)
         .is_some_and(|view| view.is_lost());
     if let ProbeOutcome::Received(report) = &outcome {
-        let requests = report.running + report.queued;
+        let requests = report.running.saturating_add(report.queued);
         relay::commands::update_engine_load(&mut state.relay, of, requests, now);
     }
     let lag_age = state.last_lag_at.map(|at| now.since(at));
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -35,7 +35,7 @@
     /// Number of requests that the group can run in time, given the number at its usual
     /// speed; at least one.
     pub fn scale(self, slots: usize) -> usize {
-        (slots * 100 / self.0.max(100) as usize).max(1)
+        (slots.saturating_mul(100) / self.0.max(100) as usize).max(1)
     }
 }
 
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod messages;
 mod node;
+mod odd_entries;
 mod owner_loss;
 mod quarantine;
 
--- /dev/null
+++ b/crates/edge/tests/suite/odd_entries.rs
@@ -0,0 +1,61 @@
+//! Entries and reports of servers whose values are odd but can be decoded.
+
+use crate::support::{arrive, at, endpoint, list, ready};
+use base::prelude::*;
+use edge::border::ports::{CollectionItem, StoreCollection};
+use edge::{ArrivalOutcome, EdgeEvent, EdgeState};
+use relay::CallStep;
+use replicas::{Endpoint, EndpointReport, ProbeOutcome};
+
+fn is_sent(state: &mut EdgeState, call: u64, now: ClockTime) -> bool {
+    let ArrivalOutcome::Accepted { step, .. } = arrive(state, call, "/x/1", now) else {
+        panic!("the route exists");
+    };
+    matches!(step, CallStep::Send(_))
+}
+
+#[test]
+fn entries_with_the_largest_numbers_end_no_node() {
+    let mut state = ready("n1", "n2");
+    let largest = |id: &str| {
+        CollectionItem::Endpoint(Endpoint {
+            slots: usize::MAX,
+            sequence: u64::MAX,
+            incarnation: HostIncarnation(u64::MAX),
+            ..endpoint(id)
+        })
+    };
+    let items = ["p-1", "p-2", "p-3"].map(largest);
+    list(
+        &mut state,
+        StoreCollection::Endpoints,
+        items.to_vec(),
+        at(2),
+    );
+    for call in 0..20 {
+        let now = at(10 + call * 50);
+        assert!(is_sent(&mut state, call, now));
+        state.wake(now);
+    }
+}
+
+#[test]
+fn a_report_with_the_largest_numbers_ends_no_node() {
+    let mut state = ready("n1", "n2");
+    let report = EndpointReport {
+        incarnation: HostIncarnation(1),
+        sequence: u64::MAX,
+        staged: Vec::new(),
+        membership: None,
+        latency_factor: f64::MAX,
+        queued: u32::MAX,
+        running: u32::MAX,
+    };
+    let id = HostName::new("p-1").unwrap();
+    let reported = EdgeEvent::Reported(id, ProbeOutcome::Received(report));
+    state.handle(reported, at(10));
+    // The server counts as full until the reported load expires.
+    assert!(!is_sent(&mut state, 1, at(20)));
+    state.wake(at(1_000));
+    assert!(is_sent(&mut state, 2, at(1_000)));
+}
--- a/crates/relay/src/queries/choose.rs
+++ b/crates/relay/src/queries/choose.rs
@@ -100,8 +100,11 @@
         .iter()
         .filter_map(|target| state.loads.get(&target.id));
     let local: u32 = loads.map(|load| load.local.sum()).sum();
-    let slots: usize = targets.iter().map(|target| target.slots.max(1)).sum();
-    f64::from(local) * state.unreported_nodes as f64 / slots as f64
+    let slots: f64 = targets
+        .iter()
+        .map(|target| target.slots.max(1) as f64)
+        .sum();
+    f64::from(local) * state.unreported_nodes as f64 / slots
 }
 
 fn candidate<'a>(
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -53,7 +53,7 @@
 
     /// Sum of both lanes.
     pub(crate) fn sum(self) -> u32 {
-        self.fast + self.slow
+        self.fast.saturating_add(self.slow)
     }
 
     /// Difference by lane, at least zero.
@@ -66,8 +66,8 @@
 
     pub(crate) fn plus(self, other: Self) -> Self {
         Self {
-            fast: self.fast + other.fast,
-            slow: self.slow + other.slow,
+            fast: self.fast.saturating_add(other.fast),
+            slow: self.slow.saturating_add(other.slow),
         }
     }
 }
--- a/crates/replicas/src/commands/orders.rs
+++ b/crates/replicas/src/commands/orders.rs
@@ -97,7 +97,7 @@
         OrderOutcome::Begun | OrderOutcome::Holds => {
             if outcome == OrderOutcome::Begun {
                 // State from before the order now counts as outdated.
-                view.endpoint.sequence += 1;
+                view.endpoint.sequence = view.endpoint.sequence.saturating_add(1);
             }
             if let MemberOrder::Leave { .. } = order {
                 view.endpoint.membership = None;
