An entry that turns unreadable names no server to use

What callers would see: requests go on to a server whose entry another writer has overwritten, whatever the server has announced since: a list read at that moment left the server out, a watch kept it.

A change that can't be decoded now counts as a removal, as in a list. The server is used again once it has written its entry.

The test failed before.

--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -207,8 +207,11 @@
             Some(ListChange::Put(endpoint))
         }
         CollectionChange::Put(other) => {
-            log_unreadable(&other, "it is ignored");
-            None
+            log_unreadable(&other, "it names no endpoint");
+            let CollectionItem::Unreadable { name, .. } = other else {
+                return None;
+            };
+            HostName::new(&name).ok().map(ListChange::Removed)
         }
         CollectionChange::Removed(name) => match HostName::new(&name) {
             Ok(id) => {
--- a/crates/edge/tests/suite/odd_entries.rs
+++ b/crates/edge/tests/suite/odd_entries.rs
@@ -1,9 +1,10 @@
-//! Entries and reports of servers whose values are odd but can be decoded.
+//! Entries and reports of servers whose values are odd but can be decoded, and entries that turn
+//! unreadable.
 
-use crate::support::{arrive, at, endpoint, list, ready};
+use crate::support::{apply_event, arrive, at, endpoint, list, ready};
 use base::prelude::*;
-use edge::border::ports::{CollectionItem, StoreCollection};
-use edge::{ArrivalOutcome, EdgeEvent, EdgeState};
+use edge::border::ports::{CollectionChange, CollectionItem, StoreCollection};
+use edge::{ArrivalOutcome, CollectionEvent, EdgeEvent, EdgeState};
 use relay::CallStep;
 use replicas::{Endpoint, EndpointReport, ProbeOutcome};
 
@@ -59,3 +60,16 @@
     state.wake(at(1_000));
     assert!(is_sent(&mut state, 2, at(1_000)));
 }
+
+#[test]
+fn an_entry_that_turns_unreadable_names_no_server_to_use() {
+    let mut state = ready("n1", "n2");
+    assert!(is_sent(&mut state, 1, at(10)));
+    let unreadable = CollectionChange::Put(CollectionItem::Unreadable {
+        name: "p-1".into(),
+        reason: "no state".into(),
+    });
+    let event = CollectionEvent::Changed(vec![unreadable], ObjectVersion(5));
+    apply_event(&mut state, StoreCollection::Endpoints, event, at(20));
+    assert!(!is_sent(&mut state, 2, at(30)));
+}
