A response that doesn't name its request is discarded

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for requests that the server had run.

It could happen here: a response was checked against the request's id only if it carried one. A refusal without an id, written again before the answer to the next request, was taken for that answer: the client got 503, and the request ran at a second server, too. With the earlier request's id it was discarded already.

Servers echo the id in every response, so one without it is discarded now, as lost: a request that may run once gets 502.

The test (bronzerun/tests/edge.rs, raw bytes on a kept connection) failed before: status 503 after 2 runs.

--- a/crates/bronzerun/tests/edge.rs
+++ b/crates/bronzerun/tests/edge.rs
@@ -2,11 +2,12 @@
 //! a server emulated by the test.
 
 use std::cell::RefCell;
-use std::io::{BufRead, BufReader};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
-use std::sync::mpsc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 
 use futures_util::future::LocalBoxFuture;
@@ -35,9 +36,9 @@
     receiver.recv().unwrap()
 }
 
-/// Store that holds a configuration and one server and accepts every write.
+/// Store that holds a configuration and some servers and accepts every write.
 struct Store {
-    server: SocketAddr,
+    servers: Vec<SocketAddr>,
     revision: Rc<RefCell<u64>>,
 }
 
@@ -48,16 +49,23 @@
             "routes": [{"name": "orders", "host": "a.example", "pathPrefix": "/o/", "type": "non_idempotent",
                 "timeoutMs": 2000, "targetLatencyMs": 300, "attempts": 1, "service": "app"},
                 {"name": "streams", "host": "a.example", "pathPrefix": "/s/", "type": "streaming",
-                "timeoutMs": 2000, "targetLatencyMs": 300, "attempts": 1, "resumable": false, "service": "app"}],
+                "timeoutMs": 2000, "targetLatencyMs": 300, "attempts": 1, "resumable": false, "service": "app"},
+                {"name": "resumed", "host": "a.example", "pathPrefix": "/r/", "type": "streaming",
+                "timeoutMs": 2000, "targetLatencyMs": 300, "attempts": 2, "resumable": true, "service": "app"}],
             "services": [{"name": "app", "healthPath": "/health", "maxConnections": 100}],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
             "tenants": [{"name": "depot", "apiKeys": ["key-1"]}]}})
     }
 
-    fn server_object(&self) -> Value {
-        json!({"metadata": {"name": "i-1", "revision": 3}, "spec": {
-            "service": "app", "address": self.server.to_string(), "zone": "z1", "version": "v1", "slots": 6,
-            "state": "ready", "born": 5, "sequence": 0}})
+    fn server_objects(&self) -> Vec<Value> {
+        let servers = self.servers.iter().enumerate();
+        let objects = servers.map(|(index, address)| {
+            let name = format!("i-{}", index + 1);
+            json!({"metadata": {"name": name, "revision": 3}, "spec": {
+                "service": "app", "address": address.to_string(), "zone": "z1", "version": "v1", "slots": 6,
+                "state": "ready", "born": 5, "sequence": 0}})
+        });
+        objects.collect()
     }
 }
 
@@ -82,7 +90,7 @@
                 json!({"items": [self.config_object()], "hasMore": false, "storeRevision": revision})
             }
             "/objects/servers" => {
-                json!({"items": [self.server_object()], "hasMore": false, "storeRevision": revision})
+                json!({"items": self.server_objects(), "hasMore": false, "storeRevision": revision})
             }
             _ if request.method() == http::Method::GET => {
                 json!({"items": [], "hasMore": false, "storeRevision": revision})
@@ -158,9 +166,13 @@
 
 impl Node {
     fn start(name: &str) -> Self {
-        let server = spawn_service(|| Server);
+        Self::start_before(name, vec![spawn_service(|| Server)])
+    }
+
+    /// Starts a node before these servers.
+    fn start_before(name: &str, servers: Vec<SocketAddr>) -> Self {
         let store = spawn_service(move || Store {
-            server,
+            servers,
             revision: Rc::new(RefCell::new(10)),
         });
         let settings_value = json!({
@@ -215,12 +227,16 @@
     }
 
     fn request(&self, path: &str, key: &str) -> (u16, String, Option<String>) {
+        self.request_as("r-1", path, key)
+    }
+
+    fn request_as(&self, id: &str, path: &str, key: &str) -> (u16, String, Option<String>) {
         let url = format!("http://{}{path}", self.ingress);
         let headers = [
             ("host", "a.example"),
             ("api-key", key),
             ("x-bronzerun-tenant", "forged"),
-            ("x-bronzerun-request-id", "r-1"),
+            ("x-bronzerun-request-id", id),
             ("x-bronzerun-deadline-ms", "4000"),
         ];
         get(&url, &headers)
@@ -262,6 +278,101 @@
     }
 }
 
+/// Request as a raw server reads it.
+struct RawRequest {
+    path: String,
+    id: String,
+}
+
+/// Serves connections with the bytes that `answer` writes for each request, on threads that end
+/// with the test process; returns the address.
+fn spawn_raw_server<F>(answer: F) -> SocketAddr
+where
+    F: Fn(&RawRequest, &mut TcpStream) -> std::io::Result<()> + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let answer = Arc::new(answer);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let answer = answer.clone();
+            std::thread::spawn(move || serve_raw(stream, answer.as_ref()));
+        }
+    });
+    address
+}
+
+/// Serves one connection until either side closes it.
+fn serve_raw<F>(mut stream: TcpStream, answer: &F) -> std::io::Result<()>
+where
+    F: Fn(&RawRequest, &mut TcpStream) -> std::io::Result<()>,
+{
+    let mut lines = BufReader::new(stream.try_clone()?).lines();
+    loop {
+        let mut head = Vec::new();
+        loop {
+            match lines.next().transpose()? {
+                Some(line) if line.is_empty() => break,
+                Some(line) => head.push(line.to_lowercase()),
+                None => return Ok(()),
+            }
+        }
+        let path = head[0].split(' ').nth(1).unwrap_or_default().to_owned();
+        let ids = head
+            .iter()
+            .filter_map(|line| line.strip_prefix("x-bronzerun-request-id: "));
+        let id = ids.last().unwrap_or_default().to_owned();
+        answer(&RawRequest { path, id }, &mut stream)?;
+    }
+}
+
+fn raw_response(status: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n{headers}\r\n{body}")
+}
+
+/// Server that refuses `/o/refuse`, and writes that refusal once more, with these headers, before
+/// its answer to the next request, which it runs.
+fn server_that_repeats_a_refusal(repeated: &'static str, runs: Arc<AtomicUsize>) -> SocketAddr {
+    spawn_raw_server(move |request, stream| {
+        let id = &request.id;
+        if request.path == "/o/refuse" {
+            let headers =
+                format!("x-bronzerun-not-executed: 1\r\nx-bronzerun-request-id: {id}\r\n");
+            let refusal = raw_response("503 Service Unavailable", &headers, "");
+            return stream.write_all(refusal.as_bytes());
+        }
+        runs.fetch_add(1, Ordering::SeqCst);
+        stream.write_all(raw_response(repeated, "", "").as_bytes())?;
+        let headers = format!("x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n");
+        stream.write_all(raw_response("200 OK", &headers, "done").as_bytes())
+    })
+}
+
+#[test]
+fn a_refusal_written_once_more_is_not_passed_on_for_a_request_that_runs() {
+    let repeated = [
+        "503 Service Unavailable\r\nx-bronzerun-not-executed: 1\r\nx-bronzerun-request-id: r-refused",
+        "503 Service Unavailable\r\nx-bronzerun-not-executed: 1",
+        "421 Misdirected Request",
+        "429 Too Many Requests\r\nx-bronzerun-not-executed: 1",
+    ];
+    for (index, repeated) in repeated.into_iter().enumerate() {
+        let runs = Arc::new(AtomicUsize::new(0));
+        let servers = (0..2).map(|_| server_that_repeats_a_refusal(repeated, runs.clone()));
+        let node = Node::start_before(&format!("refusal-{index}"), servers.collect());
+        let refused = node.request_as("r-refused", "/o/refuse", "key-1");
+        assert_eq!(refused.0, 503);
+        let (status, _, _) = node.request_as("r-2", "/o/run", "key-1");
+        let runs = runs.load(Ordering::SeqCst);
+        assert!(
+            ![408, 421, 429, 503].contains(&status),
+            "'{repeated}': status {status} after {runs} runs"
+        );
+        assert_eq!(runs, 1, "'{repeated}'");
+    }
+}
+
 #[test]
 fn a_request_is_forwarded_unchanged_with_its_tenant_and_without_its_key() {
     let node = Node::start("through");
--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -189,6 +189,10 @@
     if metadata.id.as_ref().is_some_and(|id| *id != request.id) {
         return Some("it belongs to another request");
     }
+    if metadata.id.is_none() && !request.id.is_empty() {
+        // It may be an earlier response that the server has written once more.
+        return Some("it doesn't name the request");
+    }
     if status.is_success() && !metadata.is_sealed {
         return Some("it lacks the server's seal");
     }
