A stream is resumed only with a response of the same kind

Here: errors by status were dropped already. A success of another kind was not: a response with another content type was passed on inside the stream, and an empty one (204) would have ended it as complete.

The response that goes on with a stream must have the status and content type of the first; otherwise it counts as failed, and the stream is broken off if no server is left.

--- a/crates/bronzerun/tests/edge.rs
+++ b/crates/bronzerun/tests/edge.rs
@@ -318,10 +318,10 @@
             }
         }
         let path = head[0].split(' ').nth(1).unwrap_or_default().to_owned();
-        let ids = head
+        let mut ids = head
             .iter()
             .filter_map(|line| line.strip_prefix("x-bronzerun-request-id: "));
-        let id = ids.last().unwrap_or_default().to_owned();
+        let id = ids.next_back().unwrap_or_default().to_owned();
         answer(&RawRequest { path, id }, &mut stream)?;
     }
 }
@@ -373,6 +373,91 @@
     }
 }
 
+/// Server that sends three events of a stream and breaks off within the fourth.
+fn server_that_breaks_off(request: &RawRequest, stream: &mut TcpStream) -> std::io::Result<()> {
+    let id = &request.id;
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\nda";
+    let chunk = format!("{:x}\r\n{events}\r\n", events.len());
+    stream.write_all(format!("{head}{chunk}").as_bytes())?;
+    // Time for the node to pass the events on.
+    std::thread::sleep(Duration::from_millis(50));
+    stream.shutdown(std::net::Shutdown::Both)
+}
+
+/// Reads a response to its end; returns the body, without chunk sizes, and whether it is whole.
+fn read_stream(node: &Node, path: &str) -> (String, bool) {
+    let mut stream = TcpStream::connect(node.ingress).unwrap();
+    stream.set_read_timeout(Some(CONDITION_TIMEOUT)).unwrap();
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nhost: a.example\r\napi-key: key-1\r\nx-bronzerun-request-id: r-1\r\nx-bronzerun-deadline-ms: 3000\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut bytes = Vec::new();
+    // A reset ends the response too.
+    let _ = std::io::Read::read_to_end(&mut stream, &mut bytes);
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let (_, mut rest) = text.split_once("\r\n\r\n").unwrap_or_default();
+    let mut body = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size.trim(), 16) else {
+            break;
+        };
+        if size == 0 {
+            return (body, true);
+        }
+        body.push_str(&after[..size.min(after.len())]);
+        rest = after.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
+
+#[test]
+fn a_stream_that_broke_off_does_not_go_on_with_the_next_servers_error() {
+    let errors = [
+        "500 Internal Server Error\r\ncontent-type: text/plain",
+        "503 Service Unavailable\r\nx-bronzerun-not-executed: 1",
+        "404 Not Found\r\ncontent-type: text/event-stream",
+        "200 OK\r\ncontent-type: application/json",
+        "204 No Content",
+        "302 Found\r\nlocation: /elsewhere",
+    ];
+    for (index, error) in errors.into_iter().enumerate() {
+        let begun = Arc::new(AtomicUsize::new(0));
+        let server = || {
+            let begun = begun.clone();
+            spawn_raw_server(move |request, stream| {
+                if begun.fetch_add(1, Ordering::SeqCst) == 0 {
+                    return server_that_breaks_off(request, stream);
+                }
+                let id = &request.id;
+                let headers =
+                    format!("x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n");
+                let body = if error.starts_with("204") {
+                    ""
+                } else {
+                    "{\"error\":\"x\"}\n\n"
+                };
+                stream.write_all(raw_response(error, &headers, body).as_bytes())
+            })
+        };
+        let servers = vec![server(), server()];
+        let node = Node::start_before(&format!("broken-{index}"), servers);
+        let (body, is_whole) = read_stream(&node, "/r/stream");
+        assert_eq!(
+            body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n",
+            "'{error}'"
+        );
+        assert!(!is_whole, "'{error}': the stream looks complete");
+        assert!(
+            begun.load(Ordering::SeqCst) >= 2,
+            "'{error}': never resumed"
+        );
+    }
+}
+
 #[test]
 fn a_request_is_forwarded_unchanged_with_its_tenant_and_without_its_key() {
     let node = Node::start("through");
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -21,7 +21,7 @@
 use super::events::EventBuffer;
 use super::labels::RequestLabels;
 use super::responses::{refusal_response, rejection_response, timeout_response};
-use super::stream::{CallGuard, PauseMeter, RelayedStream};
+use super::stream::{CallGuard, PauseMeter, RelayedStream, ResponseKind};
 use crate::{Arrival, ArrivalOutcome, EdgeEvent, EdgeQuestion, EdgeReply};
 
 /// Largest response that is buffered.
@@ -242,6 +242,7 @@
             .header_codec
             .response_headers(&incoming.parts.headers);
         let is_resumable = accepted.route.kind.is_repeatable();
+        let kind = ResponseKind::of(&incoming.parts);
         // Another server may send the rest, with events of other lengths, and a stream that was
         // broken off must not look complete because it has the announced length.
         response.headers_mut().remove(CONTENT_LENGTH);
@@ -255,6 +256,7 @@
             deadline: accepted.deadline,
             stall_timeout: STREAM_STALL_TIMEOUT,
             buffer: EventBuffer::after(accepted.last_event),
+            kind,
             is_resumable,
             is_answered: false,
         };
--- a/crates/edge/src/border/stream.rs
+++ b/crates/edge/src/border/stream.rs
@@ -5,6 +5,9 @@
 use base::prelude::*;
 use futures_channel::mpsc::UnboundedSender;
 use futures_util::future::{Either, select};
+use http::header::CONTENT_TYPE;
+use http::response::Parts;
+use http::{HeaderValue, StatusCode};
 use net::web::{BodySender, ChunkOutcome, IncomingResponse};
 use relay::{AttemptEnd, CallStep, StallStep};
 
@@ -43,6 +46,8 @@
     /// Time without bytes after which the event loop is asked about the server.
     pub stall_timeout: Duration,
     pub buffer: EventBuffer,
+    /// Kind of the response, which each server that resumes the stream must give.
+    pub kind: ResponseKind,
     /// Whether it can be resumed at another server.
     pub is_resumable: bool,
     /// Whether its first complete event was reported.
@@ -50,6 +55,22 @@
     pub pauses: PauseMeter,
 }
 
+/// Status and content type of a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct ResponseKind {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+}
+
+impl ResponseKind {
+    pub fn of(parts: &Parts) -> Self {
+        Self {
+            status: parts.status,
+            content_type: parts.headers.get(CONTENT_TYPE).cloned(),
+        }
+    }
+}
+
 /// Measures the pauses of a stream at the client.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PauseMeter {
@@ -231,7 +252,9 @@
                     .attempt(&self.request, &order, last_event)
                     .await
                 {
-                    AttemptOutcome::Response(response) if response.parts.status.is_success() => {
+                    AttemptOutcome::Response(response)
+                        if ResponseKind::of(&response.parts) == self.kind =>
+                    {
                         return Some(*response);
                     }
                     AttemptOutcome::Response(response) => {
