Own interface: the gateway believes 421 only with the request's id

Looked for elsewhere, after the reports of refusals written once more and of errors inside streams: the gateway took a 421 without an id for "not run", and passed a response other than 200 on after a stream had begun. Both by reading; no test plays them on the own interface yet.

--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -104,7 +104,11 @@
     async fn generate(&self, kind: CompletionKind, request: Request<Incoming>) -> WebResponse {
         let (parts, body) = request.into_parts();
         if !self.is_addressed_here(&parts.headers) {
-            return text_response(StatusCode::MISDIRECTED_REQUEST, "not in that group");
+            let mut response = text_response(StatusCode::MISDIRECTED_REQUEST, "not in that group");
+            if let Some(id) = parts.headers.get(REQUEST_HEADER) {
+                response.headers_mut().insert(REQUEST_HEADER, id.clone());
+            }
+            return response;
         }
         let prompt: PromptWire = match read_json(body).await {
             Ok(prompt) => prompt,
--- a/crates/gateway/src/border/exchange.rs
+++ b/crates/gateway/src/border/exchange.rs
@@ -135,6 +135,8 @@
         match response.parts.status {
             StatusCode::MISDIRECTED_REQUEST if order.generation.is_some() => AttemptEnd::NotSent,
             status if order.generation.is_some() && status.is_server_error() => AttemptEnd::Lost,
+            // Nothing but events may follow in a stream that has started.
+            status if self.stream.is_some() && status != StatusCode::OK => AttemptEnd::Lost,
             StatusCode::OK if self.request.streams => self.forward_stream(*response).await,
             _ => self.forward_whole(*response, order).await,
         }
@@ -209,10 +211,13 @@
     }
 
     /// Whether a response belongs to this request: it must not carry another request's
-    /// identifier.
+    /// identifier, and one that reports the request as not run must carry this one's.
     fn matches_request(&self, response: &IncomingResponse) -> bool {
         let id = response.parts.headers.get(REQUEST_HEADER);
-        id.is_none_or(|id| *id == self.request.id)
+        match response.parts.status {
+            StatusCode::MISDIRECTED_REQUEST => id.is_some_and(|id| *id == self.request.id),
+            _ => id.is_none_or(|id| *id == self.request.id),
+        }
     }
 
     async fn forward_whole(&mut self, response: IncomingResponse, order: &SendOrder) -> AttemptEnd {
