A server that says it leaves gets no more requests, whatever the list says

What servers saw: one that announced in its answers that it leaves (Server-Leaving) went on getting requests while the store's list, or the targets of a hub, still called it ready.

Cause: no code read the header. Every send passes it over, retries and resumed streams too. A server that starts anew is another run.

The soak's leaving servers say so, too; it can run twelve plans at once, as tests do.

--- a/crates/bronzerun/tests/edge.rs
+++ b/crates/bronzerun/tests/edge.rs
@@ -458,6 +458,47 @@
     }
 }
 
+/// Server that answers each request with this status and these headers, and counts them.
+fn counting_server(status: &'static str, headers: &'static str) -> (SocketAddr, Arc<AtomicUsize>) {
+    let count = Arc::new(AtomicUsize::new(0));
+    let counter = count.clone();
+    let address = spawn_raw_server(move |request, stream| {
+        counter.fetch_add(1, Ordering::SeqCst);
+        let id = &request.id;
+        let headers =
+            format!("x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n{headers}");
+        stream.write_all(raw_response(status, &headers, "").as_bytes())
+    });
+    (address, count)
+}
+
+/// Sends requests until the server has got one, then twenty more; returns how many of these the
+/// server got.
+fn requests_after_first(node: &Node, count: &AtomicUsize) -> usize {
+    let end = Instant::now() + CONDITION_TIMEOUT;
+    let mut id = 0;
+    while count.load(Ordering::SeqCst) == 0 {
+        assert!(Instant::now() < end, "the server got no request");
+        id += 1;
+        node.request_as(&format!("r-{id}"), "/o/any", "key-1");
+    }
+    // The announcement is passed to the event loop with the response.
+    std::thread::sleep(Duration::from_millis(50));
+    let before = count.load(Ordering::SeqCst);
+    for later in 0..20 {
+        node.request_as(&format!("later-{later}"), "/o/any", "key-1");
+    }
+    count.load(Ordering::SeqCst) - before
+}
+
+#[test]
+fn a_server_that_says_it_leaves_gets_no_requests_although_the_store_lists_it() {
+    let (leaving, count) = counting_server("200 OK", "server-leaving: 1\r\n");
+    let (other, _) = counting_server("200 OK", "");
+    let node = Node::start_before("leaving", vec![leaving, other]);
+    assert_eq!(requests_after_first(&node, &count), 0);
+}
+
 #[test]
 fn a_request_is_forwarded_unchanged_with_its_tenant_and_without_its_key() {
     let node = Node::start("through");
--- a/crates/cli/src/queries/explain.rs
+++ b/crates/cli/src/queries/explain.rs
@@ -18,7 +18,7 @@
 /// Fields that name targets.
 const TARGET_FIELDS: [&str; 3] = ["place", "endpoint", "members"];
 /// Messages about the state of a node, shown whichever target they concern.
-const NODE_STATE_MESSAGES: [&str; 11] = [
+const NODE_STATE_MESSAGES: [&str; 18] = [
     "started",
     "stopping: no longer ready",
     "configuration applied",
@@ -30,6 +30,13 @@
     "log lines dropped",
     "prompt parts quarantined",
     "prompt parts released",
+    "server names a limit",
+    "server names no limit any more",
+    "server names a limit to another node",
+    "server names no limit to another node any more",
+    "server announces that it leaves",
+    "server announces to another node that it leaves",
+    "server wants no requests for a while",
 ];
 
 /// Log file of one node or of several.
--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use net::web::{CallOutcome, IncomingResponse, WebClient, WebRequest, full_body};
 use net::{MetricSink, with_deadline};
-use notices::ServerNotice;
+use notices::{ServerNotice, ServerRun};
 use relay::{AttemptEnd, SendOrder, StallStep};
 
 use super::EdgeReplies;
@@ -61,7 +61,7 @@
         last_event: Option<u64>,
     ) -> AttemptOutcome {
         let remaining_ms = order.deadline.since(self.clock.now()).as_millis() as u64;
-        log::info!(id:% = request.id, place:% = order.target, rank = order.rank, load = order.load, left = remaining_ms, last_event:? = last_event; "attempt started");
+        log::info!(id:% = request.id, place:% = order.target, rank = order.rank, load = order.load, passed_over = order.passed_over, left = remaining_ms, last_event:? = last_event; "attempt started");
         let Some(forwarded) = self.build_request(request, order, last_event) else {
             return AttemptOutcome::Ended(AttemptEnd::NotSent);
         };
@@ -113,7 +113,10 @@
         }
         // The event loop ends only when the process is about to exit.
         let _ = self.events.unbounded_send(EdgeEvent::Announced {
-            server: order.target.clone(),
+            run: ServerRun {
+                server: order.target.clone(),
+                incarnation: order.incarnation,
+            },
             id: request.id.clone(),
             notice: metadata.notice,
         });
--- a/crates/edge/src/border/executor.rs
+++ b/crates/edge/src/border/executor.rs
@@ -79,10 +79,9 @@
                 let count = i64::try_from(count).unwrap_or(i64::MAX);
                 self.metrics.count("quarantined_parts", &[], count);
             }
-            EdgeEffect::CountLimits { change, count } => {
-                let count = i64::try_from(count).unwrap_or(i64::MAX);
-                let tags = [("change", change)];
-                self.metrics.count("server_limits", &tags, count);
+            EdgeEffect::CountNotice(notice) => {
+                let tags = [("notice", notice)];
+                self.metrics.count("server_notices", &tags, 1);
             }
             EdgeEffect::Reconnect(to) => self.links.reconnect(to),
             EdgeEffect::SetWatchMode(mode) => self.watch_mode.set(mode),
--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -1,7 +1,7 @@
 //! Encoding of messages between nodes.
 
 use base::prelude::*;
-use notices::{LimitReport, RequestRate};
+use notices::{LeavingReport, LimitReport, RequestRate, ServerRun};
 use prost::Message;
 use relay::{LaneCounts, SendTarget};
 use replicas::{GroupRecord, RecordWire};
@@ -85,6 +85,18 @@
     weight: u32,
     #[prost(message, repeated, tag = "15")]
     limits: Vec<LimitWire>,
+    #[prost(message, repeated, tag = "16")]
+    leaving: Vec<LeavingWire>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct LeavingWire {
+    #[prost(string, tag = "1")]
+    server: String,
+    #[prost(uint64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -141,6 +153,8 @@
     epoch: u64,
     #[prost(uint32, tag = "7")]
     slots: u32,
+    #[prost(uint64, tag = "8")]
+    incarnation: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -218,6 +232,7 @@
             model: target.model.as_ref().map(|model| model.as_str().to_owned()),
             epoch: target.epoch.0,
             slots: u32::try_from(target.slots).unwrap_or(u32::MAX),
+            incarnation: target.incarnation.0,
         }
     }
 }
@@ -235,6 +250,7 @@
             model: model.transpose()?,
             epoch: GroupEpoch(wire.epoch),
             slots: wire.slots as usize,
+            incarnation: HostIncarnation(wire.incarnation),
         })
     }
 }
@@ -256,6 +272,11 @@
             per_second: report.limit.map(RequestRate::per_second),
             age_ms: now.since(report.heard_at).as_millis() as u64,
         });
+        let leaving = digest.leaving.iter().map(|report| LeavingWire {
+            server: report.run.server.as_str().to_owned(),
+            incarnation: report.run.incarnation.0,
+            age_ms: now.since(report.heard_at).as_millis() as u64,
+        });
         Self {
             from: digest.from.as_str().to_owned(),
             intent_version: digest.config_version,
@@ -269,6 +290,7 @@
             quarantine_hash: digest.quarantine_hash,
             weight: digest.weight.0,
             limits: limits.collect(),
+            leaving: leaving.collect(),
             counts: counts.collect(),
             paces: paces.collect(),
             silent: digest
@@ -293,6 +315,8 @@
         let summing_hub = wire.summing_hub.as_deref().map(NodeName::new);
         let limits = wire.limits.into_iter();
         let limits = limits.map(|wire| wire.into_report(now));
+        let leaving = wire.leaving.into_iter();
+        let leaving = leaving.map(|wire| wire.into_report(now));
         Ok(Digest {
             from: NodeName::new(&wire.from)?,
             summing_hub: summing_hub.transpose()?,
@@ -306,6 +330,7 @@
             is_owner: wire.owns,
             weight: NodeWeight(wire.weight),
             limits: limits.collect::<Result<_, NameError>>()?,
+            leaving: leaving.collect::<Result<_, NameError>>()?,
             counts: counts.collect::<Result<_, NameError>>()?,
             silent_heads: silent_heads.collect::<Result<_, _>>()?,
             slow_groups: slow_groups.collect::<Result<_, NameError>>()?,
@@ -323,3 +348,16 @@
         })
     }
 }
+
+impl LeavingWire {
+    /// Report as received at an instant.
+    fn into_report(self, now: ClockTime) -> Result<LeavingReport, NameError> {
+        Ok(LeavingReport {
+            run: ServerRun {
+                server: HostName::new(&self.server)?,
+                incarnation: HostIncarnation(self.incarnation),
+            },
+            heard_at: now.before(Duration::from_millis(self.age_ms)),
+        })
+    }
+}
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -54,6 +54,7 @@
             DigestKind::Presence => Digest {
                 counts: Vec::new(),
                 limits: Vec::new(),
+                leaving: Vec::new(),
                 ..digest.clone()
             },
         };
@@ -139,6 +140,7 @@
         quarantine_hash: quarantine_hash(state),
         weight: local_weight(state, now),
         limits: notices::queries::own_reports(state.relay.notices()),
+        leaving: notices::queries::own_leaving(state.relay.notices()),
     }
 }
 
@@ -161,6 +163,7 @@
         silent_heads: silent_heads.into_iter().collect(),
         weight: total_weight(state, now).unwrap_or(digest.weight),
         limits: notices::queries::all_reports(state.relay.notices()),
+        leaving: notices::queries::all_leaving(state.relay.notices()),
         ..digest.clone()
     }
 }
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -118,7 +118,7 @@
             state.needs_plan = true;
         }
     }
-    let mut effects = merge_reports(state, &digest.from, &digest.limits, now);
+    let mut effects = merge_reports(state, &digest, now);
     effects.extend(send_missing(state, &digest, now));
     effects.extend(send_watched_evidence(state, &digest, now));
     if let Some(peer) = state.peers.get_mut(&digest.from) {
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use net::ReplyId;
-use notices::ServerNotice;
+use notices::{ServerNotice, ServerRun};
 use quarantine::PromptParts;
 use relay::{AttemptEnd, CallStep, SendTarget, StallStep};
 use replicas::{GroupRecord, MemberOrder, OrderOutcome, ProbeOutcome};
@@ -156,8 +156,8 @@
     Answered(CallId),
     /// A server has announced something in a response, or no longer does.
     Announced {
-        /// The server.
-        server: HostName,
+        /// Run of the server that was sent the request.
+        run: ServerRun,
         /// ID of the request that it answered.
         id: Arc<str>,
         /// What it announced.
@@ -228,13 +228,8 @@
     Reconnect(SocketAddr),
     /// Count parts of prompts that were quarantined.
     CountQuarantined(usize),
-    /// Count changes of the servers' limits.
-    CountLimits {
-        /// Kind of the change, a label of the metric.
-        change: &'static str,
-        /// Number of changes.
-        count: usize,
-    },
+    /// Count an announcement of a server; the label of the metric says of what.
+    CountNotice(&'static str),
     /// Watch the collections in another mode.
     SetWatchMode(WatchMode),
     /// Ask clients to close their connections after each response.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -20,8 +20,8 @@
                 Vec::new()
             }
             EdgeEvent::Answered(call) => commands::record_answer(self, call, now),
-            EdgeEvent::Announced { server, id, notice } => {
-                commands::record_notice(self, &server, &id, notice, now)
+            EdgeEvent::Announced { run, id, notice } => {
+                commands::record_notice(self, &run, &id, notice, now)
             }
             EdgeEvent::Finished(call) => {
                 relay::commands::finish(&mut self.relay, call);
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use notices::LimitReport;
+use notices::{LeavingReport, LimitReport};
 use quarantine::CrashEvidence;
 use relay::{LaneCounts, SendTarget};
 use replicas::GroupRecord;
@@ -89,6 +89,8 @@
     pub weight: NodeWeight,
     /// Limits that servers have named to it, or to any node if `counts` are sums.
     pub limits: Vec<LimitReport>,
+    /// Servers that have told it that they leave, or told any node if `counts` are sums.
+    pub leaving: Vec<LeavingReport>,
 }
 
 /// Message from one node to another.
--- a/crates/edge/src/queries/targets.rs
+++ b/crates/edge/src/queries/targets.rs
@@ -28,6 +28,7 @@
         .map(|group| SendTarget {
             slots: scale(&group.head, engine_slots(&group.service).unwrap_or(1)),
             id: group.head,
+            incarnation: group.incarnation,
             address: group.address,
             domain: group.domain,
             service: group.service,
@@ -41,6 +42,7 @@
         .filter(|endpoint| engine_slots(&endpoint.service).is_none())
         .map(|endpoint| SendTarget {
             id: endpoint.id.clone(),
+            incarnation: endpoint.incarnation,
             address: endpoint.address,
             domain: endpoint.domain.clone(),
             service: endpoint.service.clone(),
--- a/crates/edge/tests/suite/hubs.rs
+++ b/crates/edge/tests/suite/hubs.rs
@@ -83,12 +83,14 @@
         quarantine_hash: 0,
         weight: edge::NodeWeight(1_000),
         limits: Vec::new(),
+        leaving: Vec::new(),
     })))
 }
 
 fn targets_message() -> PeerMessage {
     let target = SendTarget {
         id: HostName::new("p-7").unwrap(),
+        incarnation: HostIncarnation(1),
         address: "127.0.0.1:9".parse().unwrap(),
         domain: DomainName::new("zone-a").unwrap(),
         service: ServiceName::new("plain").unwrap(),
--- a/crates/edge/tests/suite/limits.rs
+++ b/crates/edge/tests/suite/limits.rs
@@ -9,7 +9,7 @@
     ArrivalOutcome, EdgeEffect, EdgeEvent, EdgeQuestion, EdgeReply, EdgeSettings, EdgeState,
     EdgeTimes, PeerMessage,
 };
-use notices::{RequestRate, ServerNotice};
+use notices::{RequestRate, ServerNotice, ServerRun};
 use relay::CallStep;
 use store::{ObjectKey, StoredObject};
 
@@ -69,9 +69,15 @@
             }
             for (index, call, limit) in self.responses.remove(&self.now).unwrap_or_default() {
                 let announced = EdgeEvent::Announced {
-                    server: HostName::new("p-1").unwrap(),
+                    run: ServerRun {
+                        server: HostName::new("p-1").unwrap(),
+                        incarnation: HostIncarnation(1),
+                    },
                     id: "request".into(),
-                    notice: ServerNotice { limit },
+                    notice: ServerNotice {
+                        limit,
+                        ..ServerNotice::default()
+                    },
                 };
                 let effects = self.nodes[index].handle(announced, at(self.now));
                 self.execute(index, effects);
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -33,6 +33,7 @@
         quarantine_hash: 77,
         weight: edge::NodeWeight(1_000),
         limits: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
@@ -65,6 +66,7 @@
 fn targets_keep_their_version() {
     let target = SendTarget {
         id: HostName::new("i-1").unwrap(),
+        incarnation: HostIncarnation(1),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: DomainName::new("zone-a").unwrap(),
         service: ServiceName::new("models").unwrap(),
--- a/crates/edge/tests/suite/node.rs
+++ b/crates/edge/tests/suite/node.rs
@@ -337,6 +337,7 @@
         quarantine_hash: 0,
         weight: edge::NodeWeight(1_000),
         limits: Vec::new(),
+        leaving: Vec::new(),
     };
     state.handle(
         EdgeEvent::Peer(PeerMessage::Digest(Box::new(owner))),
--- a/crates/edge/tests/suite/owner_loss.rs
+++ b/crates/edge/tests/suite/owner_loss.rs
@@ -72,6 +72,7 @@
         quarantine_hash: 0,
         weight: edge::NodeWeight(1_000),
         limits: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
@@ -85,6 +86,7 @@
 fn targets(version: u64) -> PeerMessage {
     let target = SendTarget {
         id: HostName::new("p-7").unwrap(),
+        incarnation: HostIncarnation(1),
         address: "127.0.0.1:9".parse().unwrap(),
         domain: DomainName::new("zone-a").unwrap(),
         service: ServiceName::new("plain").unwrap(),
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -193,5 +193,6 @@
         quarantine_hash: 0,
         weight: edge::NodeWeight(1_000),
         limits: Vec::new(),
+        leaving: Vec::new(),
     })))
 }
--- a/crates/notices/src/commands/limits.rs
+++ b/crates/notices/src/commands/limits.rs
@@ -12,7 +12,7 @@
 /// Time for which the end of a limit is remembered, so that older reports don't bring it back.
 const END_VALIDITY: Duration = Duration::from_secs(30);
 /// Largest number of servers whose announcements are kept.
-const MAX_ENTRIES: usize = 5_000;
+pub(super) const MAX_ENTRIES: usize = 5_000;
 
 /// Records the limit that a response of a server named, or that it named none.
 pub fn record_limit(
@@ -83,9 +83,10 @@
     Some(LimitChange::Named(limit))
 }
 
-/// Drops announcements that nobody has heard again for long; returns the servers whose limits
-/// end by that.
+/// Drops announcements that nobody has heard again for long, and those whose time is over;
+/// returns the servers whose limits end by that.
 pub fn expire(state: &mut NoticeState, now: ClockTime) -> Vec<HostName> {
+    super::presence::expire_presence(state, now);
     let mut ended = Vec::new();
     state.limits.retain(|server, entry| {
         let validity = match entry.limit {
--- a/crates/notices/src/commands/mod.rs
+++ b/crates/notices/src/commands/mod.rs
@@ -1,7 +1,9 @@
 //! Commands that change the announcements and the turns.
 
 mod limits;
+mod presence;
 mod turns;
 
 pub use limits::{expire, merge_report, record_limit};
+pub use presence::{merge_leaving, record_notice};
 pub use turns::{set_share, take_turn};
--- a/crates/notices/src/lib.rs
+++ b/crates/notices/src/lib.rs
@@ -1,5 +1,9 @@
 //! What servers announce about themselves in their responses.
 //!
+//! A server that leaves says so; one that turns a request away may say for how long it wants
+//! nothing from that node. Both hold until the server starts anew, the second only at the node
+//! that heard it.
+//!
 //! A server in need names a limit: the requests a second that it takes from all nodes together.
 //! Nodes tell one another what they heard, so the latest announcement prevails at all of them,
 //! and a node that has sent the server nothing yet knows it too.
@@ -19,5 +23,7 @@
 pub mod commands;
 pub mod queries;
 
-pub use notice::{LimitChange, LimitReport, RequestRate, ServerNotice};
+pub use notice::{
+    LeavingReport, LimitChange, LimitReport, NoticeChange, RequestRate, ServerNotice, ServerRun,
+};
 pub use state::{NodeShare, NoticeState};
--- a/crates/notices/src/notice.rs
+++ b/crates/notices/src/notice.rs
@@ -29,6 +29,28 @@
 pub struct ServerNotice {
     /// Requests that it takes from all nodes together; `None` for no limit.
     pub limit: Option<RequestRate>,
+    /// Whether it is about to leave.
+    pub is_leaving: bool,
+    /// Time for which it wants nothing from the node that it has turned away.
+    pub retry_after: Option<Duration>,
+}
+
+/// One run of a server, between two starts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerRun {
+    /// The server.
+    pub server: HostName,
+    /// Its start.
+    pub incarnation: HostIncarnation,
+}
+
+/// Announcement of a server that leaves, which a node has heard from the server itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeavingReport {
+    /// Run of the server that leaves.
+    pub run: ServerRun,
+    /// Instant at which the node heard it.
+    pub heard_at: ClockTime,
 }
 
 /// Latest announcement of a server's limit that a node has heard from the server itself.
@@ -50,3 +72,14 @@
     /// The server names no limit any more.
     Ended,
 }
+
+/// Change of what is known of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoticeChange {
+    /// Its limit.
+    Limit(LimitChange),
+    /// It has announced that it leaves.
+    Leaving,
+    /// It wants nothing from this node until this instant.
+    Paused(ClockTime),
+}
--- a/crates/notices/src/queries/mod.rs
+++ b/crates/notices/src/queries/mod.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 
-use crate::{LimitReport, NoticeState, RequestRate};
+use crate::{LeavingReport, LimitReport, NoticeState, RequestRate, ServerRun};
 
 /// Limit of a server; `None` if it has none.
 pub fn limit_of(state: &NoticeState, server: &HostName) -> Option<RequestRate> {
@@ -14,8 +14,37 @@
     limit_of(state, server).is_some()
 }
 
-/// Whether this node may send a request to a server now.
-pub fn may_send(state: &NoticeState, server: &HostName, now: ClockTime) -> bool {
+/// Whether this run of a server has announced that it leaves.
+pub fn is_leaving(state: &NoticeState, server: &HostName, incarnation: HostIncarnation) -> bool {
+    let entry = state.leaving.get(server);
+    entry.is_some_and(|entry| entry.incarnation == incarnation)
+}
+
+/// Instant until which this run of a server wants nothing from this node, if it is yet to come.
+pub fn paused_until(
+    state: &NoticeState,
+    server: &HostName,
+    incarnation: HostIncarnation,
+    now: ClockTime,
+) -> Option<ClockTime> {
+    let entry = state.pauses.get(server)?;
+    (entry.incarnation == incarnation && entry.until > now).then_some(entry.until)
+}
+
+/// Whether this node may send a request to this run of a server now.
+pub fn may_send(
+    state: &NoticeState,
+    server: &HostName,
+    incarnation: HostIncarnation,
+    now: ClockTime,
+) -> bool {
+    !is_leaving(state, server, incarnation)
+        && paused_until(state, server, incarnation, now).is_none()
+        && has_turn(state, server, now)
+}
+
+/// Whether this node has a turn at a server, or the server has no limit.
+pub fn has_turn(state: &NoticeState, server: &HostName, now: ClockTime) -> bool {
     let Some(entry) = state.limits.get(server) else {
         return true;
     };
@@ -62,3 +91,26 @@
     });
     reports.collect()
 }
+
+/// Servers that leave, as this node has heard from themselves.
+pub fn own_leaving(state: &NoticeState) -> Vec<LeavingReport> {
+    leaving_reports(state, true)
+}
+
+/// Servers that leave, as this node knows from themselves and from other nodes.
+pub fn all_leaving(state: &NoticeState) -> Vec<LeavingReport> {
+    leaving_reports(state, false)
+}
+
+fn leaving_reports(state: &NoticeState, is_own_only: bool) -> Vec<LeavingReport> {
+    let entries = state.leaving.iter();
+    let reported = entries.filter(|(_, entry)| entry.is_own || !is_own_only);
+    let reports = reported.map(|(server, entry)| LeavingReport {
+        run: ServerRun {
+            server: server.clone(),
+            incarnation: entry.incarnation,
+        },
+        heard_at: entry.heard_at,
+    });
+    reports.collect()
+}
--- a/crates/notices/src/state.rs
+++ b/crates/notices/src/state.rs
@@ -37,15 +37,33 @@
     pub allowance: SendAllowance,
 }
 
-/// Limits of servers, and this node's turns to send to them.
+/// Announcement of a server that leaves.
+#[derive(Clone, Debug)]
+pub(crate) struct LeavingEntry {
+    pub incarnation: HostIncarnation,
+    pub heard_at: ClockTime,
+    /// Whether this node heard it from the server itself.
+    pub is_own: bool,
+}
+
+/// Time in which a server wants nothing from this node.
+#[derive(Clone, Debug)]
+pub(crate) struct PauseEntry {
+    pub incarnation: HostIncarnation,
+    pub until: ClockTime,
+}
+
+/// Announcements of servers, and this node's turns to send to those with a limit.
 #[derive(Clone, Debug, Default)]
 pub struct NoticeState {
     pub(crate) limits: BTreeMap<HostName, LimitEntry>,
+    pub(crate) leaving: BTreeMap<HostName, LeavingEntry>,
+    pub(crate) pauses: BTreeMap<HostName, PauseEntry>,
     pub(crate) share: NodeShare,
 }
 
 impl NoticeState {
-    /// State without limits.
+    /// State without announcements.
     pub fn new() -> Self {
         Self::default()
     }
--- a/crates/notices/tests/limits.rs
+++ b/crates/notices/tests/limits.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use notices::commands::{expire, merge_report, record_limit, set_share, take_turn};
-use notices::queries::{all_reports, limit_of, may_send, own_reports};
+use notices::queries::{all_reports, has_turn, limit_of, own_reports};
 use notices::{LimitChange, LimitReport, NodeShare, NoticeState, RequestRate};
 
 const STEP: Duration = Duration::from_millis(25);
@@ -43,7 +43,7 @@
     let mut now = from;
     while now < until {
         for state in states.iter_mut() {
-            while may_send(state, &server(0), now) {
+            while has_turn(state, &server(0), now) {
                 take_turn(state, &server(0), now);
                 sends.push(now);
             }
@@ -131,10 +131,10 @@
 #[test]
 fn a_limit_ends_when_a_response_names_none() {
     let mut state = nodes(7, 0.5, at(0)).remove(0);
-    assert!(!may_send(&state, &server(0), at(10)));
+    assert!(!has_turn(&state, &server(0), at(10)));
     let change = record_limit(&mut state, &server(0), None, at(20));
     assert_eq!(change, Some(LimitChange::Ended));
-    assert!(may_send(&state, &server(0), at(20)));
+    assert!(has_turn(&state, &server(0), at(20)));
 }
 
 #[test]
@@ -186,7 +186,7 @@
     record_limit(&mut state, &server(0), Some(rate(2.0)), at(0));
     assert!(expire(&mut state, at(59_000)).is_empty());
     assert_eq!(expire(&mut state, at(61_000)), vec![server(0)]);
-    assert!(may_send(&state, &server(0), at(61_000)));
+    assert!(has_turn(&state, &server(0), at(61_000)));
 }
 
 #[test]
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -74,6 +74,8 @@
 pub struct SendOrder {
     /// Target of the attempt.
     pub target: HostName,
+    /// Start of the target.
+    pub incarnation: HostIncarnation,
     /// Address of the target.
     pub address: SocketAddr,
     /// Instant by which the response must be complete.
@@ -84,6 +86,8 @@
     pub rank: u8,
     /// Requests of all nodes at the target before this one, from the latest counts.
     pub load: u32,
+    /// Servers that were passed over because of what they have announced.
+    pub passed_over: u32,
     /// Whether the target has announced something that its next response may end.
     pub has_notice: bool,
 }
@@ -95,7 +99,8 @@
     NoTarget,
     /// Every target is full.
     Overload,
-    /// Every target is full or limited, and more urgent requests take what is left.
+    /// Every target is full, limited or wants nothing for a while, and more urgent requests take
+    /// what is left.
     Limited,
     /// The attempts or the retry budget are used up.
     Exhausted,
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -6,7 +6,7 @@
 use limits::{CallIdempotency, IdempotentCall, RetryOutcome};
 
 use super::targets::{record_attempt_end, record_attempt_start};
-use crate::queries::{choose_target, limited_retry_delay};
+use crate::queries::{choose_target, limited_retry_delay, passed_over_count};
 use crate::{AttemptEnd, CallStep, Lane, Refusal, RefusalReason, RelayState, SendOrder};
 
 /// Rank of a request in the fast lane.
@@ -123,6 +123,7 @@
             .mul_f64(state.settings.plain_stall_fraction),
     };
     let deadline = entry.arrival.deadline;
+    let passed_over = passed_over_count(state, entry, now);
     let has_notice = notices::queries::has_notice(&state.notices, &target.id);
     let load = state
         .loads
@@ -140,6 +141,7 @@
     }
     CallStep::Send(SendOrder {
         target: target.id,
+        incarnation: target.incarnation,
         address: target.address,
         deadline,
         check_at: now + check_delay,
@@ -149,6 +151,7 @@
             Lane::Slow => SLOW_RANK,
         },
         load,
+        passed_over,
         has_notice,
     })
 }
--- a/crates/relay/src/queries/choose.rs
+++ b/crates/relay/src/queries/choose.rs
@@ -1,9 +1,8 @@
 //! Choice of the target for a request.
 
 use base::prelude::*;
-use notices::queries::may_send;
 
-use super::limited::{is_admitted, is_limited, suitable_targets};
+use super::limited::{is_admitted, is_limited, is_open, leaves, suitable_targets};
 use super::spread::{SpreadOption, choose_spread};
 use crate::state::CallState;
 use crate::{Lane, LaneCounts, RefusalReason, RelayState, SendTarget};
@@ -38,10 +37,16 @@
     if suitable.is_empty() {
         return Err(RefusalReason::NoTarget);
     }
-    let has_turn = |target: &&&SendTarget| may_send(&state.notices, &target.id, now);
-    let eligible: Vec<_> = suitable.iter().filter(has_turn).copied().collect();
+    let eligible: Vec<_> = suitable
+        .iter()
+        .filter(|target| is_open(state, target, now))
+        .copied()
+        .collect();
     if eligible.is_empty() {
-        return Err(RefusalReason::Limited);
+        return Err(match suitable.iter().all(|target| leaves(state, target)) {
+            true => RefusalReason::NoTarget,
+            false => RefusalReason::Limited,
+        });
     }
     let rotation = state.rotation as usize % eligible.len();
     let assumed = assumed_utilization(state, &eligible);
--- a/crates/relay/src/queries/limited.rs
+++ b/crates/relay/src/queries/limited.rs
@@ -1,7 +1,7 @@
 //! Which requests are served where every target is limited or full.
 
 use base::prelude::*;
-use notices::queries::{has_spare_turn, limit_of, send_rate};
+use notices::queries::{has_spare_turn, is_leaving, limit_of, may_send, paused_until, send_rate};
 
 use super::spread::unit_random;
 use crate::state::CallState;
@@ -37,14 +37,23 @@
         || targets.iter().any(is_spare)
 }
 
-/// Delay after which a client that was refused for want of a turn may retry: the longer, the
-/// more requests compete for the turns.
+/// Delay after which a client that was refused may retry: until the first target wants requests
+/// again; or for want of a turn, the longer the more requests compete for the turns.
 pub(crate) fn limited_retry_delay(
     state: &RelayState,
     call: &CallState,
     now: ClockTime,
 ) -> Duration {
     let targets = suitable_targets(state, call);
+    let pauses = targets
+        .iter()
+        .filter_map(|target| paused_until(&state.notices, &target.id, target.incarnation, now));
+    if let Some(until) = pauses.min()
+        && turn_rate(state, &targets) == 0.0
+    {
+        // Nobody takes the request before that, so the client need not ask.
+        return until.since(now).max(state.settings.retry_after);
+    }
     let (more_urgent, equal) = competing_rates(state, call, now);
     let supply = (turn_rate(state, &targets) - more_urgent).max(0.0);
     let excess = (equal / supply.max(f64::MIN_POSITIVE)).clamp(1.0, 100.0);
@@ -66,6 +75,26 @@
         .collect()
 }
 
+/// Whether nothing that a target has announced keeps this node from sending to it now.
+pub(super) fn is_open(state: &RelayState, target: &SendTarget, now: ClockTime) -> bool {
+    may_send(&state.notices, &target.id, target.incarnation, now)
+}
+
+/// Whether a target has announced that it leaves.
+pub(super) fn leaves(state: &RelayState, target: &SendTarget) -> bool {
+    is_leaving(&state.notices, &target.id, target.incarnation)
+}
+
+/// Number of targets that can run a request but are passed over because of what they have
+/// announced.
+pub(crate) fn passed_over_count(state: &RelayState, call: &CallState, now: ClockTime) -> u32 {
+    let suitable = suitable_targets(state, call);
+    let passed_over = suitable
+        .iter()
+        .filter(|target| !is_open(state, target, now));
+    u32::try_from(passed_over.count()).unwrap_or(u32::MAX)
+}
+
 /// Whether a target names a limit.
 pub(super) fn is_limited(state: &RelayState, target: &SendTarget) -> bool {
     limit_of(&state.notices, &target.id).is_some()
--- a/crates/relay/src/queries/mod.rs
+++ b/crates/relay/src/queries/mod.rs
@@ -7,4 +7,4 @@
 
 pub(crate) use choose::choose_target;
 pub use counts::{attempt_of, local_counts, target_of, total_counts};
-pub(crate) use limited::limited_retry_delay;
+pub(crate) use limited::{limited_retry_delay, passed_over_count};
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -10,6 +10,8 @@
 pub struct SendTarget {
     /// Identity of the server.
     pub id: HostName,
+    /// Start of the server.
+    pub incarnation: HostIncarnation,
     /// Address for requests.
     pub address: SocketAddr,
     /// Failure domain of the server.
--- a/crates/relay/tests/suite/limited.rs
+++ b/crates/relay/tests/suite/limited.rs
@@ -3,8 +3,8 @@
 use crate::support::{STREAM, at, head, host, plain, relay, request, send};
 use base::prelude::*;
 use intent::CallKind;
-use notices::commands::{record_limit, set_share};
-use notices::{NodeShare, RequestRate};
+use notices::commands::{record_limit, record_notice, set_share};
+use notices::{NodeShare, RequestRate, ServerNotice, ServerRun};
 use relay::commands::{arrive, end_attempt, finish};
 use relay::{AttemptEnd, CallArrival, CallStep, Refusal, RefusalReason, RelayState};
 
@@ -167,3 +167,78 @@
     record_limit(state.notices_mut(), &host("p1"), None, at(20));
     send(&mut state, request(2, CallKind::OnceOnly, 1), at(20));
 }
+
+fn announce(state: &mut RelayState, server: &str, notice: ServerNotice, now: ClockTime) {
+    let run = ServerRun {
+        server: host(server),
+        incarnation: HostIncarnation(1),
+    };
+    record_notice(state.notices_mut(), &run, notice, now);
+}
+
+fn retry_after(seconds: u64) -> ServerNotice {
+    ServerNotice {
+        retry_after: Some(Duration::from_secs(seconds)),
+        ..ServerNotice::default()
+    }
+}
+
+#[test]
+fn a_server_that_turned_this_node_away_gets_nothing_until_it_wants_requests_again() {
+    let mut state = relay(vec![plain("p1"), plain("p2")]);
+    announce(&mut state, "p1", retry_after(3), at(0));
+    for call in 0..50 {
+        let order = send(
+            &mut state,
+            request(call, CallKind::OnceOnly, 1),
+            at(call * 50),
+        );
+        assert_eq!(order.target, host("p2"));
+        assert_eq!(order.passed_over, 1);
+        finish(&mut state, CallId(call));
+    }
+    let targets: Vec<_> = (100..104)
+        .map(|call| {
+            send(
+                &mut state,
+                request(call, CallKind::OnceOnly, 1),
+                at(3_000 + call),
+            )
+            .target
+        })
+        .collect();
+    assert!(targets.contains(&host("p1")), "{targets:?}");
+}
+
+#[test]
+fn requests_that_no_server_wants_are_refused_at_once_until_the_first_wants_them() {
+    let mut state = relay(vec![plain("p1"), plain("p2")]);
+    announce(&mut state, "p1", retry_after(5), at(0));
+    announce(&mut state, "p2", retry_after(2), at(0));
+    let refused = refusal(arrive(
+        &mut state,
+        request(1, CallKind::OnceOnly, 1),
+        at(500),
+    ));
+    assert_eq!(refused.reason, RefusalReason::Limited);
+    assert!(!refused.may_have_run);
+    assert_eq!(refused.retry_after, Some(Duration::from_millis(1_500)));
+}
+
+#[test]
+fn retries_and_resumed_streams_pass_over_a_server_that_leaves() {
+    let mut state = relay(vec![head("h1", 1), head("h2", 2)]);
+    let order = send(&mut state, request(1, STREAM, 2), at(0));
+    let other = if order.target == host("h1") {
+        "h2"
+    } else {
+        "h1"
+    };
+    let leaving = ServerNotice {
+        is_leaving: true,
+        ..ServerNotice::default()
+    };
+    announce(&mut state, other, leaving, at(5));
+    let refused = refusal(end_attempt(&mut state, CallId(1), AttemptEnd::Cut, at(10)));
+    assert_eq!(refused.reason, RefusalReason::NoTarget);
+}
--- a/crates/relay/tests/suite/support.rs
+++ b/crates/relay/tests/suite/support.rs
@@ -19,6 +19,7 @@
 pub fn head(id: &str, epoch: u64) -> SendTarget {
     SendTarget {
         id: host(id),
+        incarnation: HostIncarnation(1),
         address: "127.0.0.1:9".parse().unwrap(),
         domain: DomainName::new("zone-a").unwrap(),
         service: ServiceName::new("models").unwrap(),
--- a/crates/replicas/src/commands/list.rs
+++ b/crates/replicas/src/commands/list.rs
@@ -130,6 +130,9 @@
                 previous.membership.clone(),
             );
             view.endpoint = endpoint;
+            if view.has_announced_leaving {
+                view.endpoint.presence = Presence::Leaving;
+            }
             if is_stale {
                 (
                     view.endpoint.sequence,
@@ -149,6 +152,23 @@
     update_resident_model(state, &id);
 }
 
+/// Records that an endpoint has announced itself that it leaves; returns whether that is news.
+pub fn record_leaving(
+    state: &mut PlannerState,
+    id: &HostName,
+    incarnation: HostIncarnation,
+) -> bool {
+    let Some(view) = state.endpoints.get_mut(id) else {
+        return false;
+    };
+    if view.endpoint.incarnation != incarnation {
+        return false;
+    }
+    view.has_announced_leaving = true;
+    let previous = std::mem::replace(&mut view.endpoint.presence, Presence::Leaving);
+    previous != Presence::Leaving
+}
+
 /// Updates the model that an endpoint has in memory from the group that it has joined.
 pub(super) fn update_resident_model(state: &mut PlannerState, id: &HostName) {
     let Some(view) = state.endpoints.get_mut(id) else {
--- a/crates/replicas/src/commands/mod.rs
+++ b/crates/replicas/src/commands/mod.rs
@@ -8,7 +8,7 @@
 mod restore;
 mod restored_list;
 
-pub use list::{ListChange, change_list, expire_endpoints, replace_list};
+pub use list::{ListChange, change_list, expire_endpoints, record_leaving, replace_list};
 pub use orders::record_order_outcome;
 pub use plan::{probe, tick};
 pub use probes::{
--- a/crates/replicas/src/queries/serving.rs
+++ b/crates/replicas/src/queries/serving.rs
@@ -18,6 +18,8 @@
     pub epoch: GroupEpoch,
     /// Endpoint that is its head.
     pub head: HostName,
+    /// Head's start.
+    pub incarnation: HostIncarnation,
     /// Head's address.
     pub address: SocketAddr,
     /// Head's failure domain.
@@ -55,6 +57,7 @@
         .filter_map(|group| {
             let head = state.endpoints.get(&group.head().id)?;
             Some(ServingGroup {
+                incarnation: head.endpoint.incarnation,
                 service: group.service.clone(),
                 model: group.model.clone(),
                 epoch: group.epoch,
--- a/crates/replicas/src/state.rs
+++ b/crates/replicas/src/state.rs
@@ -42,6 +42,8 @@
     pub endpoint: Endpoint,
     /// Instant at which it is removed, set when it disappears from the list.
     pub(crate) expires_at: Option<ClockTime>,
+    /// Whether it has announced itself that it leaves, whatever the list says.
+    pub(crate) has_announced_leaving: bool,
     /// Whether it does not respond.
     pub(crate) is_lost: bool,
     /// Highest epoch that it rejected as outdated.
@@ -61,6 +63,7 @@
         Self {
             endpoint,
             expires_at: None,
+            has_announced_leaving: false,
             is_lost: false,
             rejected_epoch: None,
             resident_model: None,
--- a/crates/soak/src/addresses.rs
+++ b/crates/soak/src/addresses.rs
@@ -9,9 +9,9 @@
 /// Number of values of the third octet of these addresses.
 const THIRD_OCTET_COUNT: u32 = 250;
 /// Number of runs in one process that have addresses of their own at the same time.
-const CONCURRENT_RUNS: u32 = 4;
-/// Number of daemons that a run has addresses for.
-const MAX_NODES: u32 = 60;
+const CONCURRENT_RUNS: u32 = 12;
+/// Number of daemons that a run has addresses of its own for.
+const MAX_NODES: u32 = 20;
 
 /// Number of runs that this process has started.
 static RUNS: AtomicU32 = AtomicU32::new(0);
@@ -21,7 +21,7 @@
 pub(crate) fn loopback(process_id: u32, run: u32, index: usize) -> IpAddr {
     let second = SECOND_OCTET_START + process_id / THIRD_OCTET_COUNT % SECOND_OCTET_COUNT;
     let third = process_id % THIRD_OCTET_COUNT;
-    let fourth = run % CONCURRENT_RUNS * MAX_NODES + index as u32 + 1;
+    let fourth = (run % CONCURRENT_RUNS * MAX_NODES + index as u32) % 254 + 1;
     IpAddr::V4(Ipv4Addr::new(127, second as u8, third as u8, fourth as u8))
 }
 
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -18,6 +18,11 @@
 /// Arrivals allowed in a window besides.
 const LIMIT_SLACK: f64 = 5.0;
 
+/// Time after a server first turned a request away from which few may follow.
+const TURNED_AWAY_DELAY: Duration = Duration::from_millis(500);
+/// Requests that may follow from each daemon while the server turns all away.
+const TURNED_AWAY_SLACK: usize = 2;
+
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -57,6 +62,13 @@
     arrivals: Vec<Instant>,
 }
 
+/// Requests at a server since it first turned one away.
+#[derive(Debug)]
+struct BusyServer {
+    turned_away_at: Instant,
+    later: usize,
+}
+
 /// Observations of clients and servers, and the violations found in them.
 #[derive(Debug, Default)]
 pub struct InvariantChecker {
@@ -67,6 +79,10 @@
     keys: BTreeMap<String, (Instant, Option<Instant>)>,
     /// Servers that have named a limit, by id.
     limited: HashMap<String, LimitedServer>,
+    /// Servers that turn all requests away, by id.
+    busy: HashMap<String, BusyServer>,
+    /// Number of daemons.
+    daemons: usize,
     /// Limits are checked over windows that begin after this instant.
     limits_checked_from: Option<Instant>,
     tallies: BTreeMap<u64, Tally>,
@@ -74,6 +90,14 @@
 }
 
 impl InvariantChecker {
+    /// Creates a checker of this number of daemons.
+    pub fn for_daemons(daemons: usize) -> Self {
+        Self {
+            daemons,
+            ..Self::default()
+        }
+    }
+
     /// Records an invariant violation.
     pub(crate) fn record_violation(&mut self, text: String) {
         self.violations.push(text);
@@ -224,6 +248,32 @@
         }
     }
 
+    /// Records that a request arrived at a server that turns all away, or that it turns none away
+    /// any more.
+    pub fn record_turned_away(&mut self, id: &str, is_busy: bool, now: Instant) {
+        if !is_busy {
+            self.busy.remove(id);
+            return;
+        }
+        let server = self.busy.entry(id.to_owned()).or_insert(BusyServer {
+            turned_away_at: now,
+            later: 0,
+        });
+        if now.duration_since(server.turned_away_at) < TURNED_AWAY_DELAY {
+            return;
+        }
+        server.later += 1;
+        let is_disturbed = self
+            .limits_checked_from
+            .is_some_and(|from| now < from + LIMIT_WINDOW);
+        if !is_disturbed && server.later > TURNED_AWAY_SLACK * self.daemons.max(1) {
+            self.violations.push(format!(
+                "server {id} got {} requests that it had said it doesn't want",
+                server.later
+            ));
+        }
+    }
+
     /// Records that a member became ready in a group.
     pub fn record_ready_member(&mut self, group: &str, epoch: u64, members: &[String], id: &str) {
         self.ready
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -69,6 +69,8 @@
     /// The store is unavailable for the second duration and comes back from a copy that is as old
     /// as the first: what the daemons wrote since is lost, and revisions are given out again.
     StoreRestores(Duration, Duration),
+    /// A server turns all requests away for this long, and says until when.
+    TurnAway(usize, Duration),
     /// Watches that are waiting, or begin within this time, hear of no change until their wait
     /// is over.
     StoreDeafensWatches(Duration),
@@ -137,6 +139,12 @@
                 fault: Fault::Limit(0, rng.random_range(PLAIN_LIMIT_PER_MINUTE), duration),
             };
             insert_step(&mut steps, step);
+            let busy_ms = rng.random_range(FAULT_DURATION_MS);
+            let step = FaultStep {
+                at: Duration::from_millis(rng.random_range(0..hang_ms)),
+                fault: Fault::TurnAway(1, Duration::from_millis(busy_ms)),
+            };
+            insert_step(&mut steps, step);
         }
         Self { steps }
     }
--- a/crates/soak/src/platform/fleet.rs
+++ b/crates/soak/src/platform/fleet.rs
@@ -45,6 +45,8 @@
     pub running: u32,
     /// Limit that it names in its responses, in requests a second, and until when.
     limit: Option<(f64, Instant)>,
+    /// Until when it turns all requests away.
+    busy_until: Option<Instant>,
     slot: usize,
     incarnation: u64,
     fabric: Option<String>,
@@ -66,6 +68,7 @@
             membership: None,
             running: 0,
             limit: None,
+            busy_until: None,
             slot,
             incarnation,
             fabric,
@@ -82,6 +85,12 @@
         if model == "large" { 3 } else { 2 }
     }
 
+    /// Time for which it still turns all requests away.
+    pub fn busy_time(&self, now: Instant) -> Option<Duration> {
+        let left = self.busy_until?.checked_duration_since(now)?;
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Limit that it names now, in requests a second.
     pub fn limit(&self, now: Instant) -> Option<f64> {
         self.limit
@@ -213,6 +222,11 @@
         self.servers[slot].limit = Some((f64::from(per_minute) / 60.0, until));
     }
 
+    /// Makes a server turn all requests away until an instant.
+    pub fn turn_away(&mut self, slot: usize, until: Instant) {
+        self.servers[slot].busy_until = Some(until);
+    }
+
     /// Stops a server; its store entry stays.
     pub fn stop(&mut self, slot: usize) {
         self.servers[slot].is_alive = false;
--- a/crates/soak/src/platform/server.rs
+++ b/crates/soak/src/platform/server.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use emulator::web::{header_text, read_bytes};
 use futures_util::future::LocalBoxFuture;
-use http::{HeaderMap, HeaderValue, Request, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use hyper::body::Incoming;
 use net::web::{BodySender, WebResponse, WebService, body_channel, full_body, text_response};
 use serde_json::Value;
@@ -67,6 +67,20 @@
         let fleet = self.fleet.borrow();
         let mut checker = fleet.checker.borrow_mut();
         checker.record_arrival(&server.id, server.limit(now), now);
+        checker.record_turned_away(&server.id, server.busy_time(now).is_some(), now);
+    }
+
+    /// Rejects a request and says until when the server wants none.
+    fn turn_away(&self, headers: &HeaderMap, server: &SoakServer) -> WebResponse {
+        let mut response = not_executed(StatusCode::SERVICE_UNAVAILABLE);
+        let left = server.busy_time(Instant::now()).unwrap_or_default();
+        let id = headers.get("x-bronzerun-request-id").cloned();
+        let seconds = HeaderValue::from_str(&format!("{:.3}", left.as_secs_f64()));
+        let seconds = seconds.expect("numbers are valid header values");
+        let headers = response.headers_mut();
+        headers.insert("retry-after", seconds);
+        headers.extend(id.map(|id| (HeaderName::from_static("x-bronzerun-request-id"), id)));
+        response
     }
 
     /// Adds what the server announces in its responses.
@@ -77,6 +91,10 @@
             let value = value.expect("numbers are valid header values");
             response.headers_mut().insert("server-limit", value);
         }
+        if server.is_leaving {
+            let value = HeaderValue::from_static("1");
+            response.headers_mut().insert("server-leaving", value);
+        }
         response
     }
 
@@ -210,6 +228,10 @@
                         .order(serde_json::from_slice(&body).unwrap_or_default())
                         .await;
                 }
+                _ if server.busy_time(Instant::now()).is_some() => {
+                    this.record_arrival(&server);
+                    this.turn_away(&parts.headers, &server)
+                }
                 _ if server.service == "app" => {
                     this.record_arrival(&server);
                     this.serve_plain(&parts.headers, path, &server).await
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -178,7 +178,8 @@
 impl SoakRun {
     fn start(options: &SoakOptions, seed: u64, logs: PathBuf) -> Result<Self, SoakError> {
         let now = Instant::now();
-        let (store, checker) = (Rc::<RefCell<StoreState>>::default(), Rc::default());
+        let checker = Rc::new(RefCell::new(InvariantChecker::for_daemons(options.nodes)));
+        let store = Rc::<RefCell<StoreState>>::default();
         let mut server_links = Vec::new();
         for _ in 0..SERVER_COUNT {
             server_links.push(LinkProxy::listen(free_port(), free_port())?);
@@ -446,6 +447,9 @@
                     .borrow_mut()
                     .limit(slot, per_minute, now + duration);
             }
+            Fault::TurnAway(slot, duration) => {
+                self.fleet.borrow_mut().turn_away(slot, now + duration);
+            }
             Fault::DelayedOrders(duration) => {
                 self.fleet.borrow_mut().orders_delayed_until = Some(now + duration);
                 disturbed_until = now + duration;
@@ -471,7 +475,7 @@
         }
         let is_disturbance = !matches!(
             fault,
-            Fault::ChangeConfig | Fault::RevokeKey | Fault::Limit(..)
+            Fault::ChangeConfig | Fault::RevokeKey | Fault::Limit(..) | Fault::TurnAway(..)
         );
         if is_disturbance {
             let strict_from =
