A server that turns requests away with a time gets none in that time

What servers saw: one that answered 503 with Retry-After got requests from the same node again after 100 ms, when it was no longer avoided.

Cause: no code read the header from a server.

--- a/crates/bronzerun/tests/edge.rs
+++ b/crates/bronzerun/tests/edge.rs
@@ -499,6 +499,15 @@
     assert_eq!(requests_after_first(&node, &count), 0);
 }
 
+#[test]
+fn a_server_that_turns_requests_away_with_a_time_gets_none_in_that_time() {
+    let headers = "x-bronzerun-not-executed: 1\r\nretry-after: 600\r\n";
+    let (busy, count) = counting_server("503 Service Unavailable", headers);
+    let (other, _) = counting_server("200 OK", "");
+    let node = Node::start_before("busy", vec![busy, other]);
+    assert_eq!(requests_after_first(&node, &count), 0);
+}
+
 #[test]
 fn a_request_is_forwarded_unchanged_with_its_tenant_and_without_its_key() {
     let node = Node::start("through");
--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -94,3 +94,12 @@
     assert!(report.violations.is_empty(), "{report}");
     assert!(report.all.served > 0, "{report}");
 }
+
+#[test]
+fn servers_that_turn_requests_away_with_a_time_are_left_alone_until_then() {
+    let busy = Duration::from_secs(4);
+    let faults = [(500, Fault::TurnAway(0, busy)), (700, Fault::Leave(1))];
+    let report = run_faults(107, &faults);
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.all.served > 0, "{report}");
+}
