--- a/crates/notices/src/queries/mod.rs
+++ b/crates/notices/src/queries/mod.rs
@@ -4,6 +4,11 @@
 
 use crate::{LeavingReport, LimitReport, NoticeState, RequestRate, ServerRun};
 
+/// Whether no server has announced anything.
+pub fn is_silent(state: &NoticeState) -> bool {
+    state.limits.is_empty() && state.leaving.is_empty() && state.pauses.is_empty()
+}
+
 /// Limit of a server; `None` if it has none.
 pub fn limit_of(state: &NoticeState, server: &HostName) -> Option<RequestRate> {
     state.limits.get(server)?.limit
--- a/crates/relay/src/queries/limited.rs
+++ b/crates/relay/src/queries/limited.rs
@@ -1,7 +1,9 @@
 //! Which requests are served where every target is limited or full.
 
 use base::prelude::*;
-use notices::queries::{has_spare_turn, is_leaving, limit_of, may_send, paused_until, send_rate};
+use notices::queries::{
+    has_spare_turn, is_leaving, is_silent, limit_of, may_send, paused_until, send_rate,
+};
 
 use super::spread::unit_random;
 use crate::state::CallState;
@@ -88,6 +90,9 @@
 /// Number of targets that can run a request but are passed over because of what they have
 /// announced.
 pub(crate) fn passed_over_count(state: &RelayState, call: &CallState, now: ClockTime) -> u32 {
+    if is_silent(&state.notices) {
+        return 0;
+    }
     let suitable = suitable_targets(state, call);
     let passed_over = suitable
         .iter()
