Relay: models that clients make up take no memory

Found by reading: the rates of requests are kept by service and model, and clients name models as they like, so each made-up name took memory for good. At most 256 kinds are kept, and those without requests give way.

The content type of a response that goes on with a stream is compared without its parameters, as servers of two versions may differ in them.

--- a/crates/edge/src/border/stream.rs
+++ b/crates/edge/src/border/stream.rs
@@ -55,22 +55,29 @@
     pub pauses: PauseMeter,
 }
 
-/// Status and content type of a response.
+/// Status and media type of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct ResponseKind {
     status: StatusCode,
-    content_type: Option<HeaderValue>,
+    /// In lower case, without parameters.
+    media_type: Option<String>,
 }
 
 impl ResponseKind {
     pub fn of(parts: &Parts) -> Self {
         Self {
             status: parts.status,
-            content_type: parts.headers.get(CONTENT_TYPE).cloned(),
+            media_type: parts.headers.get(CONTENT_TYPE).map(media_type),
         }
     }
 }
 
+fn media_type(value: &HeaderValue) -> String {
+    let text = value.to_str().unwrap_or_default();
+    let media_type = text.split(';').next().unwrap_or_default();
+    media_type.trim().to_ascii_lowercase()
+}
+
 /// Measures the pauses of a stream at the client.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PauseMeter {
--- a/crates/relay/src/demand.rs
+++ b/crates/relay/src/demand.rs
@@ -7,6 +7,11 @@
 /// Time constant of a rate's average.
 const AVERAGING_TIME: Duration = Duration::from_secs(2);
 
+/// Largest number of pools whose rates are kept. Clients name models as they like.
+const MAX_POOLS: usize = 256;
+/// Requests a second below which a pool's rates are forgotten if there are too many.
+const MIN_KEPT_RATE: f64 = 0.05;
+
 /// Average rate of events, in which older ones count exponentially less.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RateMeter {
@@ -47,6 +52,13 @@
     by_rank: BTreeMap<UrgencyRank, RateMeter>,
 }
 
+impl PoolDemand {
+    fn per_second(&self, now: ClockTime) -> f64 {
+        let meters = self.by_rank.values();
+        meters.map(|meter| meter.per_second(now)).sum()
+    }
+}
+
 /// Service and model of requests that the same servers can run.
 type PoolKey = (ServiceName, Option<ModelName>);
 
@@ -59,9 +71,20 @@
 
 impl DemandMeter {
     pub fn record(&mut self, pool: PoolKey, rank: UrgencyRank, now: ClockTime) {
-        let pool = self.pools.entry(pool).or_default();
-        pool.by_rank.entry(rank).or_default().record(now);
         self.total.record(now);
+        if self.pools.len() >= MAX_POOLS && !self.pools.contains_key(&pool) {
+            self.pools
+                .retain(|_, pool| pool.per_second(now) >= MIN_KEPT_RATE);
+        }
+        if self.pools.len() < MAX_POOLS || self.pools.contains_key(&pool) {
+            let pool = self.pools.entry(pool).or_default();
+            pool.by_rank.entry(rank).or_default().record(now);
+        }
+    }
+
+    /// Number of pools whose rates are kept.
+    pub fn pool_count(&self) -> usize {
+        self.pools.len()
     }
 
     /// All requests, a second.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -113,6 +113,11 @@
         &mut self.notices
     }
 
+    /// Number of kinds of requests whose rates are kept.
+    pub fn pool_count(&self) -> usize {
+        self.demand.pool_count()
+    }
+
     /// Requests that arrive at this node, a second.
     pub fn arrival_rate(&self, now: ClockTime) -> f64 {
         self.demand.total(now)
--- a/crates/relay/tests/suite/limited.rs
+++ b/crates/relay/tests/suite/limited.rs
@@ -242,3 +242,17 @@
     let refused = refusal(end_attempt(&mut state, CallId(1), AttemptEnd::Cut, at(10)));
     assert_eq!(refused.reason, RefusalReason::NoTarget);
 }
+
+#[test]
+fn models_that_clients_make_up_take_no_memory() {
+    let mut state = relay(vec![head("h1", 1)]);
+    for call in 0..5_000 {
+        let arrival = CallArrival {
+            model: ModelName::new(&format!("made-up-{call}")).ok(),
+            ..request(call, STREAM, 1)
+        };
+        arrive(&mut state, arrival, at(call));
+        finish(&mut state, CallId(call));
+    }
+    assert!(state.pool_count() <= 256, "{}", state.pool_count());
+}
