--- /dev/null
+++ b/crates/bronzerun/tests/edge/faulty.rs
@@ -0,0 +1,187 @@
+//! Servers that repeat refusals, break streams off, leave or turn requests away.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use crate::raw::{RawRequest, raw_response, spawn_raw_server};
+use crate::{CONDITION_TIMEOUT, Node};
+
+/// Server that refuses `/o/refuse`, and writes that refusal once more, with these headers, before
+/// its answer to the next request, which it runs.
+fn server_that_repeats_a_refusal(repeated: &'static str, runs: Arc<AtomicUsize>) -> SocketAddr {
+    spawn_raw_server(move |request, stream| {
+        let id = &request.id;
+        if request.path == "/o/refuse" {
+            let headers =
+                format!("x-bronzerun-not-executed: 1\r\nx-bronzerun-request-id: {id}\r\n");
+            let refusal = raw_response("503 Service Unavailable", &headers, "");
+            return stream.write_all(refusal.as_bytes());
+        }
+        runs.fetch_add(1, Ordering::SeqCst);
+        stream.write_all(raw_response(repeated, "", "").as_bytes())?;
+        let headers = format!("x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n");
+        stream.write_all(raw_response("200 OK", &headers, "done").as_bytes())
+    })
+}
+
+#[test]
+fn a_refusal_written_once_more_is_not_passed_on_for_a_request_that_runs() {
+    let repeated = [
+        "503 Service Unavailable\r\nx-bronzerun-not-executed: 1\r\nx-bronzerun-request-id: r-refused",
+        "503 Service Unavailable\r\nx-bronzerun-not-executed: 1",
+        "421 Misdirected Request",
+        "429 Too Many Requests\r\nx-bronzerun-not-executed: 1",
+    ];
+    for (index, repeated) in repeated.into_iter().enumerate() {
+        let runs = Arc::new(AtomicUsize::new(0));
+        let servers = (0..2).map(|_| server_that_repeats_a_refusal(repeated, runs.clone()));
+        let node = Node::start_before(&format!("refusal-{index}"), servers.collect());
+        let refused = node.request_as("r-refused", "/o/refuse", "key-1");
+        assert_eq!(refused.0, 503);
+        let (status, _, _) = node.request_as("r-2", "/o/run", "key-1");
+        let runs = runs.load(Ordering::SeqCst);
+        assert!(
+            ![408, 421, 429, 503].contains(&status),
+            "'{repeated}': status {status} after {runs} runs"
+        );
+        assert_eq!(runs, 1, "'{repeated}'");
+    }
+}
+
+/// Server that sends three events of a stream and breaks off within the fourth.
+fn server_that_breaks_off(request: &RawRequest, stream: &mut TcpStream) -> std::io::Result<()> {
+    let id = &request.id;
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\nda";
+    let chunk = format!("{:x}\r\n{events}\r\n", events.len());
+    stream.write_all(format!("{head}{chunk}").as_bytes())?;
+    // Time for the node to pass the events on.
+    std::thread::sleep(Duration::from_millis(50));
+    stream.shutdown(std::net::Shutdown::Both)
+}
+
+/// Reads a response to its end; returns the body, without chunk sizes, and whether it is whole.
+fn read_stream(node: &Node, path: &str) -> (String, bool) {
+    let mut stream = TcpStream::connect(node.ingress).unwrap();
+    stream.set_read_timeout(Some(CONDITION_TIMEOUT)).unwrap();
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nhost: a.example\r\napi-key: key-1\r\nx-bronzerun-request-id: r-1\r\nx-bronzerun-deadline-ms: 3000\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut bytes = Vec::new();
+    // A reset ends the response too.
+    let _ = std::io::Read::read_to_end(&mut stream, &mut bytes);
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let (_, mut rest) = text.split_once("\r\n\r\n").unwrap_or_default();
+    let mut body = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size.trim(), 16) else {
+            break;
+        };
+        if size == 0 {
+            return (body, true);
+        }
+        body.push_str(&after[..size.min(after.len())]);
+        rest = after.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
+
+#[test]
+fn a_stream_that_broke_off_does_not_go_on_with_the_next_servers_error() {
+    let errors = [
+        "500 Internal Server Error\r\ncontent-type: text/plain",
+        "503 Service Unavailable\r\nx-bronzerun-not-executed: 1",
+        "404 Not Found\r\ncontent-type: text/event-stream",
+        "200 OK\r\ncontent-type: application/json",
+        "204 No Content",
+        "302 Found\r\nlocation: /elsewhere",
+    ];
+    for (index, error) in errors.into_iter().enumerate() {
+        let begun = Arc::new(AtomicUsize::new(0));
+        let server = || {
+            let begun = begun.clone();
+            spawn_raw_server(move |request, stream| {
+                if begun.fetch_add(1, Ordering::SeqCst) == 0 {
+                    return server_that_breaks_off(request, stream);
+                }
+                let id = &request.id;
+                let headers =
+                    format!("x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n");
+                let body = if error.starts_with("204") {
+                    ""
+                } else {
+                    "{\"error\":\"x\"}\n\n"
+                };
+                stream.write_all(raw_response(error, &headers, body).as_bytes())
+            })
+        };
+        let servers = vec![server(), server()];
+        let node = Node::start_before(&format!("broken-{index}"), servers);
+        let (body, is_whole) = read_stream(&node, "/r/stream");
+        assert_eq!(
+            body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n",
+            "'{error}'"
+        );
+        assert!(!is_whole, "'{error}': the stream looks complete");
+        assert!(
+            begun.load(Ordering::SeqCst) >= 2,
+            "'{error}': never resumed"
+        );
+    }
+}
+
+/// Server that answers each request with this status and these headers, and counts them.
+fn counting_server(status: &'static str, headers: &'static str) -> (SocketAddr, Arc<AtomicUsize>) {
+    let count = Arc::new(AtomicUsize::new(0));
+    let counter = count.clone();
+    let address = spawn_raw_server(move |request, stream| {
+        counter.fetch_add(1, Ordering::SeqCst);
+        let id = &request.id;
+        let headers =
+            format!("x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n{headers}");
+        stream.write_all(raw_response(status, &headers, "").as_bytes())
+    });
+    (address, count)
+}
+
+/// Sends requests until the server has got one, then twenty more; returns how many of these the
+/// server got.
+fn requests_after_first(node: &Node, count: &AtomicUsize) -> usize {
+    let end = Instant::now() + CONDITION_TIMEOUT;
+    let mut id = 0;
+    while count.load(Ordering::SeqCst) == 0 {
+        assert!(Instant::now() < end, "the server got no request");
+        id += 1;
+        node.request_as(&format!("r-{id}"), "/o/any", "key-1");
+    }
+    // The announcement is passed to the event loop with the response.
+    std::thread::sleep(Duration::from_millis(50));
+    let before = count.load(Ordering::SeqCst);
+    for later in 0..20 {
+        node.request_as(&format!("later-{later}"), "/o/any", "key-1");
+    }
+    count.load(Ordering::SeqCst) - before
+}
+
+#[test]
+fn a_server_that_says_it_leaves_gets_no_requests_although_the_store_lists_it() {
+    let (leaving, count) = counting_server("200 OK", "server-leaving: 1\r\n");
+    let (other, _) = counting_server("200 OK", "");
+    let node = Node::start_before("leaving", vec![leaving, other]);
+    assert_eq!(requests_after_first(&node, &count), 0);
+}
+
+#[test]
+fn a_server_that_turns_requests_away_with_a_time_gets_none_in_that_time() {
+    let headers = "x-bronzerun-not-executed: 1\r\nretry-after: 600\r\n";
+    let (busy, count) = counting_server("503 Service Unavailable", headers);
+    let (other, _) = counting_server("200 OK", "");
+    let node = Node::start_before("busy", vec![busy, other]);
+    assert_eq!(requests_after_first(&node, &count), 0);
+}
