Own interface: a fabric domain's record that a restore has lost is written anew

What callers would see: no group of the fabric domain is repaired, as each controller that knew the record waits for a version newer than the one that is gone.

An object that the copy lacks read as missing, at version zero, which is older than anything a controller knows. The store's client now tells the version of absent objects, with the store's era, and the controller takes an empty record of that version: it takes the lease with a token of the new era and forms the groups anew.

The check of the version was added to emulator/tests/contract.rs with the change; the test in groups/tests/lease.rs shows what follows from it. The ledger's shards and epoch are still open.

--- a/crates/emulator/tests/contract.rs
+++ b/crates/emulator/tests/contract.rs
@@ -77,9 +77,11 @@
         let watch = store.watch(&key, lost, clock.now() + Duration::from_secs(1));
         let watched = watch.await;
         let stale = store.update(change(lost, "third")).await;
-        (lost, watched, stale)
+        let fabric = base::FabricName::new("kozep-a").unwrap();
+        let fabric = interface::read_fabric(&store, &fabric).await;
+        (lost, watched, stale, fabric)
     });
-    let (lost, watched, stale) = outcome.unwrap();
+    let (lost, watched, stale, fabric) = outcome.unwrap();
     let WatchOutcome::Changed(object) = watched else {
         panic!("a watch from a lost version hears of the present one: {watched:?}");
     };
@@ -87,4 +89,8 @@
     assert_eq!(object.version.revision(), lost.revision());
     assert!(object.version > lost);
     assert_eq!(stale, UpdateOutcome::Conflict);
+    let (_, absent) = fabric
+        .unwrap()
+        .expect("an absent record has the store's era");
+    assert!(absent > lost && !absent.exists());
 }
--- a/crates/groups/tests/lease.rs
+++ b/crates/groups/tests/lease.rs
@@ -359,3 +359,21 @@
     assert_eq!(*expected, restored);
     assert!(record.token > FencingToken(7), "{:?}", record.token);
 }
+
+#[test]
+fn a_record_that_a_restored_store_has_lost_does_not_block_the_lease() {
+    let mut state = single_node();
+    let now = ClockTime::from_millis(1);
+    state.observe_record(Some((record_of("n2", 5), ObjectVersion(9))), now);
+    let absent = (FabricRecord::new(fabric()), ObjectVersion::in_era(1, 0));
+    assert_eq!(
+        state.observe_record(Some(absent), now),
+        RecordOutcome::Updated
+    );
+    let effects = state.tick(now + Duration::from_secs(60));
+    let [FabricEffect::Write { record, expected }] = effects.as_slice() else {
+        panic!("the lease was not requested: {effects:?}");
+    };
+    assert!(!expected.exists());
+    assert!(record.token > FencingToken(1), "{:?}", record.token);
+}
--- a/crates/interface/src/objects.rs
+++ b/crates/interface/src/objects.rs
@@ -195,6 +195,10 @@
         })
     }
 
+    fn absent_version(&self) -> ObjectVersion {
+        ObjectVersion::in_era(self.era.get(), 0)
+    }
+
     fn list(&self, prefix: &str) -> LocalBoxFuture<'static, ListOutcome> {
         let this = self.clone();
         let prefix = prefix.to_owned();
--- a/crates/interface/src/reads.rs
+++ b/crates/interface/src/reads.rs
@@ -73,7 +73,12 @@
 pub async fn read_fabric(store: &dyn ObjectStore, fabric: &FabricName) -> Option<FabricRead> {
     match store.read(&fabric_key(fabric)).await {
         ReadOutcome::Found(object) => decode_fabric(&object).map(Some),
-        ReadOutcome::Missing => Some(None),
+        ReadOutcome::Missing => {
+            let absent = store.absent_version();
+            // A restored store may have lost a record that the reader knows.
+            let is_restored = absent.era() > 0;
+            Some(is_restored.then(|| (FabricRecord::new(fabric.clone()), absent)))
+        }
         ReadOutcome::Unavailable => None,
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -22,6 +22,12 @@
     /// Reads one object.
     fn read(&self, key: &ObjectKey) -> LocalBoxFuture<'static, ReadOutcome>;
 
+    /// Version of an object that does not exist; later ones prevail over it. Its era is that of
+    /// the store if the store counts its restores from a copy.
+    fn absent_version(&self) -> ObjectVersion {
+        ObjectVersion::default()
+    }
+
     /// Reads every object whose key starts with `prefix`.
     fn list(&self, prefix: &str) -> LocalBoxFuture<'static, ListOutcome>;
 
