--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -4,7 +4,7 @@
 
 use super::distribution::send_targets;
 use super::notices::update_share;
-use super::quarantine::{quarantine_hash, update_settling_time};
+use super::quarantine::quarantine_hash;
 use crate::peer::Digest;
 use crate::queries::{
     can_own, choose_summing_hub, is_hub, is_peer_alive, lists_endpoints, local_weight,
@@ -28,7 +28,6 @@
     }
     update_hubs(state, now);
     update_summing_hub(state, now);
-    update_settling_time(state);
     let unreported = count_unreported_nodes(state, now);
     state.relay.set_unreported_nodes(unreported);
     state.relay.set_counts_age(Some(counts_age(state)));
--- a/crates/edge/src/commands/quarantine.rs
+++ b/crates/edge/src/commands/quarantine.rs
@@ -15,21 +15,6 @@
 /// Interval between two messages with this node's latest crash reports.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time that a clearance takes to any node of a small deployment.
-const MESH_SETTLING_TIME: Duration = Duration::from_millis(400);
-/// The same by way of a hub: an interval between two messages at the node and at the hub, and one
-/// between two digests.
-const HUB_SETTLING_TIME: Duration = Duration::from_millis(1_000);
-
-/// Sets how long a verdict waits for other nodes' clearances.
-pub(super) fn update_settling_time(state: &mut EdgeState) {
-    let time = match uses_hubs(state) {
-        true => HUB_SETTLING_TIME,
-        false => MESH_SETTLING_TIME,
-    };
-    state.quarantine.set_settling_time(time);
-}
-
 /// Time until the end of the quarantine if a request has quarantined parts; otherwise remembers
 /// its parts.
 pub(super) fn block_call(
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -68,11 +68,6 @@
         }
     }
 
-    /// Sets the time that other nodes' clearances take to arrive, before which no verdict holds.
-    pub fn set_settling_time(&mut self, time: Duration) {
-        self.settings.settling_time = time;
-    }
-
     /// Parts that are quarantined now.
     pub fn verdicts(&self) -> &[PartVerdict] {
         &self.verdicts
