--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use soak::{Fault, FaultPlan, FaultStep, SoakOptions, SoakReport, run_plan, run_seed};
+use soak::{Fault, FaultPlan, FaultStep, RequestKind, SoakOptions, SoakReport, run_plan, run_seed};
 
 /// Seeds of the short runs.
 const SEEDS: [u64; 2] = [101, 102];
@@ -103,3 +103,21 @@
     assert!(report.violations.is_empty(), "{report}");
     assert!(report.all.served > 0, "{report}");
 }
+
+/// Whether a request of this kind that crashes servers is kept from them once it is known.
+fn check_deadly_request(seed: u64, kind: RequestKind) {
+    let faults = [(100, Fault::DeadlyRequest(kind, Duration::from_secs(9)))];
+    let report = run_faults(seed, &faults);
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.all.served > 0, "{report}");
+}
+
+#[test]
+fn a_request_that_crashes_plain_servers_is_rejected_once_it_is_known() {
+    check_deadly_request(108, RequestKind::OnceOnly);
+}
+
+#[test]
+fn a_request_that_crashes_engines_is_rejected_once_it_is_known() {
+    check_deadly_request(109, RequestKind::Stream);
+}
--- a/crates/edge/src/border/crashes.rs
+++ b/crates/edge/src/border/crashes.rs
@@ -4,7 +4,10 @@
 
 use base::prelude::*;
 use prost::Message;
-use quarantine::{CrashEvidence, CrashReport, PartClearance, PromptPart, ServerCrash};
+use quarantine::{
+    CrashEvidence, CrashReport, CrashSuspect, PromptPart, RequestDigest, ServerCrash,
+    SuspectClearance,
+};
 
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct CrashesWire {
@@ -17,36 +20,67 @@
 #[derive(Clone, PartialEq, Message)]
 struct ReportWire {
     #[prost(fixed64, tag = "1")]
-    part: u64,
+    suspect: u64,
     #[prost(fixed64, tag = "2")]
     crash: u64,
     #[prost(fixed64, tag = "3")]
     request: u64,
     #[prost(uint64, tag = "4")]
     age_ms: u64,
+    #[prost(bool, tag = "5")]
+    is_request: bool,
+    #[prost(uint64, tag = "6")]
+    sent_age_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
 struct ClearanceWire {
     #[prost(fixed64, tag = "1")]
-    part: u64,
+    suspect: u64,
     #[prost(uint64, tag = "2")]
     age_ms: u64,
+    #[prost(bool, tag = "3")]
+    is_request: bool,
+}
+
+/// Number of a suspect, and whether it is a request.
+fn suspect_fields(suspect: CrashSuspect) -> (u64, bool) {
+    match suspect {
+        CrashSuspect::Part(part) => (part.0, false),
+        CrashSuspect::Request(digest) => (digest.0, true),
+    }
+}
+
+fn suspect_of(number: u64, is_request: bool) -> CrashSuspect {
+    if is_request {
+        CrashSuspect::Request(RequestDigest(number))
+    } else {
+        CrashSuspect::Part(PromptPart(number))
+    }
 }
 
 impl CrashesWire {
     /// Evidence as sent at an instant.
     pub fn from_evidence(evidence: &CrashEvidence, now: ClockTime) -> Self {
         let age_ms = |at: ClockTime| now.since(at).as_millis() as u64;
-        let reports = evidence.reports.iter().map(|report| ReportWire {
-            part: report.part.0,
-            crash: report.crash.0,
-            request: report.request.0,
-            age_ms: age_ms(report.seen_at),
+        let reports = evidence.reports.iter().map(|report| {
+            let (suspect, is_request) = suspect_fields(report.suspect);
+            ReportWire {
+                suspect,
+                is_request,
+                crash: report.crash.0,
+                request: report.request.0,
+                age_ms: age_ms(report.seen_at),
+                sent_age_ms: age_ms(report.sent_at),
+            }
         });
-        let clearances = evidence.clearances.iter().map(|clearance| ClearanceWire {
-            part: clearance.part.0,
-            age_ms: age_ms(clearance.cleared_at),
+        let clearances = evidence.clearances.iter().map(|clearance| {
+            let (suspect, is_request) = suspect_fields(clearance.suspect);
+            ClearanceWire {
+                suspect,
+                is_request,
+                age_ms: age_ms(clearance.cleared_at),
+            }
         });
         Self {
             reports: reports.collect(),
@@ -63,15 +97,16 @@
         };
         let reports = self.reports.into_iter().filter_map(|wire| {
             Some(CrashReport {
-                part: PromptPart(wire.part),
+                suspect: suspect_of(wire.suspect, wire.is_request),
                 crash: ServerCrash(wire.crash),
-                request: PromptPart(wire.request),
+                request: RequestDigest(wire.request),
                 seen_at: instant(wire.age_ms)?,
+                sent_at: now.before(Duration::from_millis(wire.sent_age_ms)),
             })
         });
         let clearances = self.clearances.into_iter().filter_map(|wire| {
-            Some(PartClearance {
-                part: PromptPart(wire.part),
+            Some(SuspectClearance {
+                suspect: suspect_of(wire.suspect, wire.is_request),
                 cleared_at: instant(wire.age_ms)?,
             })
         });
--- a/crates/edge/src/border/executor.rs
+++ b/crates/edge/src/border/executor.rs
@@ -75,10 +75,14 @@
                 self.links
                     .send(to, Bytes::from(encode_message(&message, now)));
             }
-            EdgeEffect::CountQuarantined(count) => {
+            EdgeEffect::CountQuarantinedParts(count) => {
                 let count = i64::try_from(count).unwrap_or(i64::MAX);
                 self.metrics.count("quarantined_parts", &[], count);
             }
+            EdgeEffect::CountQuarantinedRequests(count) => {
+                let count = i64::try_from(count).unwrap_or(i64::MAX);
+                self.metrics.count("quarantined_requests", &[], count);
+            }
             EdgeEffect::CountNotice(notice) => {
                 let tags = [("notice", notice)];
                 self.metrics.count("server_notices", &tags, 1);
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -18,6 +18,7 @@
 use relay::{AttemptEnd, CallStep};
 
 use super::attempt::{AttemptContext, AttemptOutcome, ClientRequest};
+use super::digest::request_digest;
 use super::events::EventBuffer;
 use super::labels::RequestLabels;
 use super::responses::{refusal_response, rejection_response, timeout_response};
@@ -86,6 +87,7 @@
             key: metadata.key.clone(),
             model: metadata.model.clone(),
             prompt: metadata.prompt.clone(),
+            digest: request_digest(&parts, &body),
             client_deadline: metadata.client_timeout.map(|timeout| now + timeout),
         };
         let guard = CallGuard {
@@ -172,16 +174,14 @@
             let end = match self.context.attempt(&accepted.request, &order, None).await {
                 AttemptOutcome::Response(incoming) => {
                     let status = incoming.parts.status;
-                    if !accepted.route.kind.is_stream() {
-                        // The event loop ends only when the process is about to exit.
-                        let answered = EdgeEvent::Answered(accepted.request.call);
-                        let _ = self.context.events.unbounded_send(answered);
-                    }
                     if accepted.route.kind.is_stream() && status.is_success() {
                         return self.relay_stream(accepted, *incoming);
                     }
                     match self.collect(*incoming, accepted.deadline).await {
                         Some(response) => {
+                            // The event loop ends only when the process is about to exit.
+                            let answered = EdgeEvent::Answered(accepted.request.call);
+                            let _ = self.context.events.unbounded_send(answered);
                             let may_improve =
                                 status.is_server_error() && accepted.route.kind.is_repeatable();
                             if !may_improve {
--- a/crates/edge/src/border/mod.rs
+++ b/crates/edge/src/border/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod crashes;
+mod digest;
 pub mod events;
 mod executor;
 mod ingress;
--- a/crates/edge/src/border/responses.rs
+++ b/crates/edge/src/border/responses.rs
@@ -27,7 +27,7 @@
         RejectReason::Quarantined { retry_after } => {
             let response = text_response(
                 StatusCode::SERVICE_UNAVAILABLE,
-                "a part of the prompt has crashed several servers; it was not run",
+                "the request or a part of its prompt has crashed several servers; it was not run",
             );
             with_retry_after(response, retry_after)
         }
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use intent::queries::{AccessOutcome, check_access, find_route, pick_service};
+use quarantine::CallSuspects;
 use relay::{AttemptEnd, CallArrival, CallStep, StallStep};
 
 use super::quarantine::{block_call, record_crash};
@@ -24,7 +25,13 @@
         .random_state
         .wrapping_mul(6_364_136_223_846_793_005)
         .wrapping_add(1);
-    if let Some(retry_after) = block_call(state, &arrival, now) {
+    let suspects = CallSuspects {
+        parts: arrival.prompt,
+        digest: arrival
+            .digest
+            .of_workspace(workspace.map(|workspace| &workspace.name)),
+    };
+    if let Some(retry_after) = block_call(state, arrival.call, &arrival.id, suspects, now) {
         return ArrivalOutcome::Rejected(RejectReason::Quarantined { retry_after });
     }
     let Some(service) = pick_service(route, state.random_state >> 33) else {
--- a/crates/edge/src/commands/quarantine.rs
+++ b/crates/edge/src/commands/quarantine.rs
@@ -1,25 +1,29 @@
-//! Parts of prompts that crash servers: what this node sees of them and exchanges with others.
+//! Requests and parts of prompts that crash servers: what this node sees of them and exchanges with others.
 
 use base::prelude::*;
-use quarantine::commands::{expire, record_answer as clear_parts, start_call};
+use quarantine::commands::{
+    expire, record_answer as clear_suspects, record_crash as report_crash, start_call,
+};
 use quarantine::queries::{
     blocking_verdict, evidence_hash, fresh_evidence, may_resend, watched_evidence,
 };
-use quarantine::{CrashEvidence, PartVerdict, ServerCrash};
+use quarantine::{CallSuspects, CrashEvidence, CrashSuspect, CrashVerdict, ServerCrash};
 use relay::AttemptEnd;
 
 use crate::peer::{Digest, PeerMessage};
 use crate::queries::{is_hub, sends_sums_to, uses_hubs};
-use crate::{Arrival, EdgeEffect, EdgeState};
+use crate::{EdgeEffect, EdgeState};
 
 /// Interval between two messages with this node's latest crash reports.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time until the end of the quarantine if a request has quarantined parts; otherwise remembers
-/// its parts.
+/// Time until the end of the quarantine if a request or parts of its prompt are quarantined;
+/// otherwise remembers the request.
 pub(super) fn block_call(
     state: &mut EdgeState,
-    arrival: &Arrival,
+    call: CallId,
+    id: &str,
+    suspects: CallSuspects,
     now: ClockTime,
 ) -> Option<Duration> {
     let effects = update_verdicts(state, now);
@@ -27,11 +31,11 @@
         state.unsent_effects.extend(effects);
         state.evidence_due.get_or_insert(now);
     }
-    if let Some(verdict) = blocking_verdict(&state.quarantine, &arrival.prompt) {
-        log::info!(id:% = arrival.id, parts = part_names(verdict); "prompt part is quarantined");
+    if let Some(verdict) = blocking_verdict(&state.quarantine, &suspects) {
+        log::info!(id:% = id, digest:% = suspects.digest, suspects = suspect_names(verdict), crashes = verdict.crashes; "request is quarantined");
         return Some(verdict.until.since(now));
     }
-    start_call(&mut state.quarantine, arrival.call, arrival.prompt.clone());
+    start_call(&mut state.quarantine, call, suspects);
     None
 }
 
@@ -42,13 +46,13 @@
     now: ClockTime,
 ) -> Vec<EdgeEffect> {
     let effects = log_new_verdicts(state, |state| {
-        clear_parts(&mut state.quarantine, call, now);
+        clear_suspects(&mut state.quarantine, call, now);
     });
     schedule_evidence(state, now);
     effects
 }
 
-/// Reports the parts of a request whose connection broke before a server began to answer it;
+/// Reports a request and its parts whose connection broke before a server began to answer it;
 /// returns whether the request must not be sent to another server.
 pub(super) fn record_crash(
     state: &mut EdgeState,
@@ -60,12 +64,16 @@
     if !matches!(end, AttemptEnd::Lost | AttemptEnd::Cut) {
         return is_given_up;
     }
-    let Some((head, epoch)) = relay::queries::attempt_of(&state.relay, call) else {
+    let Some(attempt) = relay::queries::attempt_of(&state.relay, call) else {
         return is_given_up;
     };
-    let crash = ServerCrash::of(head, epoch);
+    let crash = ServerCrash::of(&attempt.target, attempt.incarnation, attempt.epoch);
     let effects = log_new_verdicts(state, |state| {
-        quarantine::commands::record_crash(&mut state.quarantine, call, crash, now);
+        let sent_at = attempt.sent_at;
+        let digest = report_crash(&mut state.quarantine, call, crash, sent_at, now);
+        if let Some(digest) = digest {
+            log::info!(digest:% = digest, place:% = attempt.target; "request suspected of a crash");
+        }
     });
     state.unsent_effects.extend(effects);
     schedule_evidence(state, now);
@@ -159,25 +167,34 @@
     let before: Vec<_> = state.quarantine.verdicts().to_vec();
     change(state);
     let after = state.quarantine.verdicts();
-    let is_in = |verdicts: &[PartVerdict], verdict: &PartVerdict| {
-        verdicts.iter().any(|other| other.parts == verdict.parts)
+    let is_in = |verdicts: &[CrashVerdict], verdict: &CrashVerdict| {
+        verdicts
+            .iter()
+            .any(|other| other.suspects == verdict.suspects)
     };
     let added = after.iter().filter(|verdict| !is_in(&before, verdict));
-    let mut count = 0;
+    let (mut parts, mut requests) = (0, 0);
     for verdict in added {
-        count += verdict.parts.len();
-        log::warn!(parts = part_names(verdict), crashes = verdict.crashes; "prompt parts quarantined");
+        let is_request = |suspect: &&CrashSuspect| matches!(suspect, CrashSuspect::Request(_));
+        let count = verdict.suspects.iter().filter(is_request).count();
+        requests += count;
+        parts += verdict.suspects.len() - count;
+        log::warn!(suspects = suspect_names(verdict), crashes = verdict.crashes; "quarantined");
     }
     for verdict in before.iter().filter(|verdict| !is_in(after, verdict)) {
-        log::info!(parts = part_names(verdict); "prompt parts released");
+        log::info!(suspects = suspect_names(verdict); "released from quarantine");
     }
-    if count == 0 {
-        return Vec::new();
+    let mut effects = Vec::new();
+    if parts > 0 {
+        effects.push(EdgeEffect::CountQuarantinedParts(parts));
     }
-    vec![EdgeEffect::CountQuarantined(count)]
+    if requests > 0 {
+        effects.push(EdgeEffect::CountQuarantinedRequests(requests));
+    }
+    effects
 }
 
-fn part_names(verdict: &PartVerdict) -> String {
-    let names: Vec<_> = verdict.parts.iter().map(ToString::to_string).collect();
+fn suspect_names(verdict: &CrashVerdict) -> String {
+    let names: Vec<_> = verdict.suspects.iter().map(ToString::to_string).collect();
     names.join(",")
 }
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use net::ReplyId;
 use notices::{ServerNotice, ServerRun};
-use quarantine::PromptParts;
+use quarantine::{PromptParts, RequestDigest};
 use relay::{AttemptEnd, CallStep, SendTarget, StallStep};
 use replicas::{GroupRecord, MemberOrder, OrderOutcome, ProbeOutcome};
 use store::{ObjectChange, UpdateOutcome};
@@ -42,6 +42,8 @@
     pub model: Option<ModelName>,
     /// Parts of its prompt.
     pub prompt: PromptParts,
+    /// Digest of its content; the caller's workspace is not part of it.
+    pub digest: RequestDigest,
     /// Instant at which its client times out.
     pub client_deadline: Option<ClockTime>,
 }
@@ -55,7 +57,7 @@
     NoRoute,
     /// The API key is missing or unknown.
     Denied,
-    /// A part of its prompt has crashed several servers.
+    /// It, or a part of its prompt, has crashed several servers.
     Quarantined {
         /// Time until the quarantine ends.
         retry_after: Duration,
@@ -227,7 +229,9 @@
     /// Send the next message to a node on a new connection.
     Reconnect(SocketAddr),
     /// Count parts of prompts that were quarantined.
-    CountQuarantined(usize),
+    CountQuarantinedParts(usize),
+    /// Count requests that were quarantined.
+    CountQuarantinedRequests(usize),
     /// Count an announcement of a server; the label of the metric says of what.
     CountNotice(&'static str),
     /// Watch the collections in another mode.
--- /dev/null
+++ b/crates/edge/tests/suite/deadly.rs
@@ -0,0 +1,162 @@
+//! A request that crashes servers, before whole deployments.
+
+use crate::network::NodeNetwork;
+use crate::support::{arrival, at, endpoint, list};
+use base::prelude::*;
+use edge::border::ports::{CollectionItem, StoreCollection};
+use edge::{Arrival, ArrivalOutcome, EdgeEvent, EdgeQuestion, EdgeReply, RejectReason};
+use quarantine::RequestDigest;
+use relay::{AttemptEnd, CallStep};
+
+const DEADLY: RequestDigest = RequestDigest(7);
+const POPULAR: RequestDigest = RequestDigest(8);
+/// Numbers of nodes, and the time after the third crash within which all must know of it
+/// (`contactMs`).
+const DEPLOYMENTS: [(usize, u64); 2] = [(7, 3_000), (195, 5_000)];
+
+/// Nodes before a plain server that starts anew after each crash.
+struct Deployment {
+    network: NodeNetwork,
+    crashes: u64,
+    calls: u64,
+}
+
+impl Deployment {
+    fn new(nodes: usize) -> Self {
+        let mut network = NodeNetwork::new(nodes);
+        network.run(2_000);
+        Self {
+            network,
+            crashes: 0,
+            calls: 0,
+        }
+    }
+
+    /// Sends a request to a node; returns its number, and whether the node sent it to the server.
+    fn send(&mut self, node: usize, digest: RequestDigest) -> (CallId, bool) {
+        self.calls += 1;
+        let arrival = Arrival {
+            digest,
+            ..arrival(self.calls, "/x/", at(self.network.now))
+        };
+        let call = arrival.call;
+        let question = EdgeQuestion::Arrive(Box::new(arrival));
+        let EdgeReply::Arrival(outcome) = self.network.ask(node, question) else {
+            panic!("an arrival gets its outcome");
+        };
+        match *outcome {
+            ArrivalOutcome::Accepted {
+                step: CallStep::Send(_),
+                ..
+            } => (call, true),
+            ArrivalOutcome::Rejected(RejectReason::Quarantined { .. }) => (call, false),
+            other => panic!("neither sent nor quarantined: {other:?}"),
+        }
+    }
+
+    /// The server of these requests crashes; another one replaces it.
+    fn crash(&mut self, calls: &[(usize, CallId)]) {
+        self.network.run(self.network.now + 60);
+        for (node, call) in calls {
+            let ended = EdgeQuestion::Ended(*call, AttemptEnd::Lost);
+            self.network.ask(*node, ended);
+            self.network.handle(*node, EdgeEvent::Finished(*call));
+        }
+        self.crashes += 1;
+        let id = format!("p-{}", 1 + self.crashes);
+        for node in &mut self.network.nodes {
+            let servers = vec![CollectionItem::Endpoint(endpoint(&id))];
+            list(
+                node,
+                StoreCollection::Endpoints,
+                servers,
+                at(self.network.now),
+            );
+        }
+    }
+
+    /// Sends the deadly request to a node; the server crashes if it gets there.
+    fn send_deadly(&mut self, node: usize) -> bool {
+        let (call, is_sent) = self.send(node, DEADLY);
+        if is_sent {
+            self.crash(&[(node, call)]);
+        }
+        is_sent
+    }
+
+    fn answer(&mut self, node: usize, digest: RequestDigest) {
+        let (call, is_sent) = self.send(node, digest);
+        assert!(is_sent, "a sound request is rejected at node {node}");
+        self.network.handle(node, EdgeEvent::Answered(call));
+        self.network.handle(node, EdgeEvent::Finished(call));
+    }
+}
+
+/// Crashes at nodes far apart, none of which is a hub of a large deployment.
+fn deployment_after_crashes(nodes: usize) -> Deployment {
+    let mut deployment = Deployment::new(nodes);
+    for index in 1..=3 {
+        assert!(deployment.send_deadly(nodes - index));
+        deployment.network.run(deployment.network.now + 300);
+    }
+    deployment
+}
+
+#[test]
+fn every_node_rejects_a_request_that_crashed_servers_at_three_nodes() {
+    for (nodes, contact_ms) in DEPLOYMENTS {
+        let mut deployment = deployment_after_crashes(nodes);
+        let end = deployment.network.now + contact_ms - 300;
+        deployment.network.run(end);
+        for node in 0..nodes {
+            assert!(!deployment.send(node, DEADLY).1, "{nodes} nodes: {node}");
+            deployment.answer(node, POPULAR);
+        }
+    }
+}
+
+#[test]
+fn nodes_that_start_or_were_cut_off_reject_a_request_that_crashed_servers_before() {
+    for (nodes, contact_ms) in DEPLOYMENTS {
+        let (started, cut_off) = (nodes - 4, nodes - 5);
+        let mut deployment = Deployment::new(nodes);
+        deployment.network.cut_off.insert(cut_off);
+        for index in 1..=3 {
+            assert!(deployment.send_deadly(nodes - index));
+            deployment.network.run(deployment.network.now + 300);
+        }
+        // Long after the reports were sent.
+        deployment.network.run(15_000);
+        deployment.network.cut_off.clear();
+        deployment.network.restart(started);
+        deployment.network.run(15_000 + contact_ms);
+        for node in [started, cut_off] {
+            assert!(!deployment.send(node, DEADLY).1, "{nodes} nodes: {node}");
+        }
+    }
+}
+
+#[test]
+fn a_popular_request_is_never_rejected_while_servers_crash_for_other_reasons() {
+    for (nodes, _) in DEPLOYMENTS {
+        let mut deployment = Deployment::new(nodes);
+        for round in 0..12 {
+            // Some nodes lose their request with the server, all others get answers.
+            let losers = (0..nodes).filter(|node| (node + round) % 3 == 0);
+            let calls = losers.map(|node| (node, deployment.send(node, POPULAR)));
+            let calls: Vec<_> = calls.collect();
+            for (node, (_, is_sent)) in &calls {
+                assert!(is_sent, "{nodes} nodes, round {round}: {node}");
+            }
+            let calls: Vec<_> = calls
+                .iter()
+                .map(|(node, (call, _))| (*node, *call))
+                .collect();
+            deployment.crash(&calls);
+            for node in (0..nodes).filter(|node| (node + round) % 3 == 1) {
+                deployment.answer(node, POPULAR);
+            }
+            deployment.network.run(deployment.network.now + 340);
+        }
+    }
+}
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -1,10 +1,12 @@
 //! Tests of the event loop and the encodings, without network.
 
+mod deadly;
 mod events;
 mod hubs;
 mod leaving;
 mod limits;
 mod messages;
+mod network;
 mod node;
 mod odd_entries;
 mod owner_loss;
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -5,7 +5,10 @@
 use edge::{Digest, PeerMessage, SlowPace};
 
 use crate::support::at;
-use quarantine::{CrashEvidence, CrashReport, PartClearance, PromptPart, ServerCrash};
+use quarantine::{
+    CrashEvidence, CrashReport, CrashSuspect, PromptPart, RequestDigest, ServerCrash,
+    SuspectClearance,
+};
 use relay::{LaneCounts, SendTarget};
 use replicas::GroupRecord;
 
@@ -110,14 +113,20 @@
 #[test]
 fn crash_reports_keep_their_age_at_a_node_with_another_clock() {
     let sent = CrashEvidence {
-        reports: vec![CrashReport {
-            part: PromptPart(u64::MAX),
+        reports: [
+            CrashSuspect::Part(PromptPart(u64::MAX)),
+            CrashSuspect::Request(RequestDigest(9)),
+        ]
+        .map(|suspect| CrashReport {
+            suspect,
             crash: ServerCrash(7),
-            request: PromptPart(9),
+            request: RequestDigest(9),
+            sent_at: at(3_800),
             seen_at: at(4_000),
-        }],
-        clearances: vec![PartClearance {
-            part: PromptPart(3),
+        })
+        .to_vec(),
+        clearances: vec![SuspectClearance {
+            suspect: CrashSuspect::Request(RequestDigest(3)),
             cleared_at: at(4_500),
         }],
     };
@@ -127,23 +136,29 @@
         panic!("another message: {decoded:?}");
     };
     assert_eq!(received.reports[0].seen_at, at(904_000));
+    assert_eq!(received.reports[0].sent_at, at(903_800));
     assert_eq!(received.clearances[0].cleared_at, at(904_500));
-    assert_eq!(received.reports[0].part, sent.reports[0].part);
-    assert_eq!(received.reports[0].crash, sent.reports[0].crash);
-    assert_eq!(received.reports[0].request, sent.reports[0].request);
+    for (received, sent) in received.reports.iter().zip(&sent.reports) {
+        assert_eq!(received.suspect, sent.suspect);
+        assert_eq!(received.crash, sent.crash);
+        assert_eq!(received.request, sent.request);
+    }
+    assert_eq!(received.reports.len(), sent.reports.len());
+    assert_eq!(received.clearances[0].suspect, sent.clearances[0].suspect);
 }
 
 #[test]
 fn crash_reports_from_before_the_start_of_the_clock_are_not_taken_for_newer_ones() {
     let evidence = CrashEvidence {
         reports: vec![CrashReport {
-            part: PromptPart(1),
+            suspect: CrashSuspect::Part(PromptPart(1)),
             crash: ServerCrash(7),
-            request: PromptPart(9),
+            request: RequestDigest(9),
+            sent_at: at(3_800),
             seen_at: at(4_000),
         }],
-        clearances: vec![PartClearance {
-            part: PromptPart(1),
+        clearances: vec![SuspectClearance {
+            suspect: CrashSuspect::Part(PromptPart(1)),
             cleared_at: at(3_000),
         }],
     };
--- /dev/null
+++ b/crates/edge/tests/suite/network.rs
@@ -0,0 +1,121 @@
+//! Event loops of several nodes and the messages between them, without a network.
+
+use std::collections::BTreeSet;
+
+use crate::support::{at, config_item, endpoint, list, settings};
+use base::prelude::*;
+use edge::PeerMessage;
+use edge::border::ports::{CollectionItem, StoreCollection};
+use edge::{EdgeEffect, EdgeEvent, EdgeQuestion, EdgeReply, EdgeSettings, EdgeState, EdgeTimes};
+use store::{ObjectKey, StoredObject};
+
+/// Time that a message takes.
+pub const TICK_MS: u64 = 20;
+const FIRST_PORT: u16 = 1_000;
+
+/// Nodes with one endpoint each, and the messages between them.
+pub struct NodeNetwork {
+    pub nodes: Vec<EdgeState>,
+    /// Nodes that reach no other node, nor are reached.
+    pub cut_off: BTreeSet<usize>,
+    pub now: u64,
+    in_flight: Vec<(usize, PeerMessage)>,
+}
+
+impl NodeNetwork {
+    pub fn new(count: usize) -> Self {
+        Self {
+            nodes: (0..count).map(|index| start(index, count, 0)).collect(),
+            cut_off: BTreeSet::new(),
+            now: 0,
+            in_flight: Vec::new(),
+        }
+    }
+
+    /// Starts a node anew.
+    pub fn restart(&mut self, index: usize) {
+        self.nodes[index] = start(index, self.nodes.len(), self.now);
+    }
+
+    /// Delivers the messages of the last tick.
+    pub fn advance(&mut self) {
+        self.now += TICK_MS;
+        for (index, message) in std::mem::take(&mut self.in_flight) {
+            self.handle(index, EdgeEvent::Peer(message));
+        }
+    }
+
+    /// Runs all nodes until an instant.
+    pub fn run(&mut self, until: u64) {
+        while self.now < until {
+            self.advance();
+            (0..self.nodes.len()).for_each(|index| self.wake(index));
+        }
+    }
+
+    /// Wakes a node if it has something to do.
+    pub fn wake(&mut self, index: usize) {
+        let due = self.nodes[index].next_deadline();
+        if due.is_some_and(|due| due <= at(self.now)) {
+            let effects = self.nodes[index].wake(at(self.now));
+            self.execute(index, effects);
+        }
+    }
+
+    pub fn handle(&mut self, index: usize, event: EdgeEvent) {
+        let effects = self.nodes[index].handle(event, at(self.now));
+        self.execute(index, effects);
+    }
+
+    pub fn ask(&mut self, index: usize, question: EdgeQuestion) -> EdgeReply {
+        let event = EdgeEvent::Asked(1, question);
+        let (replies, others): (Vec<_>, Vec<_>) = self.nodes[index]
+            .handle(event, at(self.now))
+            .into_iter()
+            .partition(|effect| matches!(effect, EdgeEffect::Reply(..)));
+        self.execute(index, others);
+        match replies.into_iter().next() {
+            Some(EdgeEffect::Reply(_, reply)) => reply,
+            _ => panic!("a question gets a reply at once"),
+        }
+    }
+
+    fn execute(&mut self, index: usize, effects: Vec<EdgeEffect>) {
+        for effect in effects {
+            if let EdgeEffect::Send { to, message } = effect {
+                let receiver = usize::from(to.port() - FIRST_PORT);
+                if !self.cut_off.contains(&index) && !self.cut_off.contains(&receiver) {
+                    self.in_flight.push((receiver, message));
+                }
+            }
+        }
+    }
+}
+
+fn start(index: usize, count: usize, now: u64) -> EdgeState {
+    let capacity = |index: usize| if index < 4 { 500 } else { 200 };
+    let settings = EdgeSettings {
+        capacity: capacity(index),
+        ..settings(&format!("n{index:03}"))
+    };
+    let mut state = EdgeState::new(settings, EdgeTimes::default(), index as u64, at(now));
+    let config = vec![config_item(1, "/x/")];
+    list(&mut state, StoreCollection::RoutingConfig, config, at(now));
+    let endpoints = vec![CollectionItem::Endpoint(endpoint("p-1"))];
+    list(&mut state, StoreCollection::Endpoints, endpoints, at(now));
+    let entries = (0..count).map(|other| {
+        let (port, rank) = (usize::from(FIRST_PORT) + other, capacity(other));
+        CollectionItem::Shared(StoredObject {
+            key: ObjectKey::new(&format!("node.n{other:03}")),
+            version: ObjectVersion(1),
+            value: format!(r#"{{"address":"127.0.0.1:{port}","rank":{rank}}}"#).into(),
+        })
+    });
+    list(
+        &mut state,
+        StoreCollection::Shared,
+        entries.collect(),
+        at(now),
+    );
+    state
+}
--- a/crates/edge/tests/suite/quarantine.rs
+++ b/crates/edge/tests/suite/quarantine.rs
@@ -6,7 +6,7 @@
     Arrival, ArrivalOutcome, EdgeEffect, EdgeEvent, EdgeQuestion, EdgeReply, EdgeState,
     PeerMessage, RejectReason,
 };
-use quarantine::{PromptPart, PromptParts};
+use quarantine::{PromptPart, PromptParts, RequestDigest};
 use relay::{AttemptEnd, CallStep, StallStep};
 
 use crate::support::{arrival, ask, at, digest, endpoint, list, ready};
@@ -33,8 +33,8 @@
     let arrival = Arrival {
         prompt: PromptParts {
             shared: shared.iter().copied().map(PromptPart).collect(),
-            own: Some(PromptPart(own)),
         },
+        digest: RequestDigest(own),
         ..arrival(own, "/x/a", now)
     };
     match ask(state, EdgeQuestion::Arrive(Box::new(arrival)), now) {
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -7,7 +7,7 @@
     EdgeQuestion, EdgeReply, EdgeSettings, EdgeState, EdgeStatus, EdgeTimes, PeerMessage,
 };
 use intent::{CallKind, ClientLimits, Route, RoutingConfig, Service, WeightedService};
-use quarantine::PromptParts;
+use quarantine::{PromptParts, RequestDigest};
 use replicas::{Endpoint, Presence};
 use store::{ObjectKey, StoredObject};
 
@@ -164,6 +164,7 @@
         key: None,
         model: None,
         prompt: PromptParts::default(),
+        digest: RequestDigest(call),
         client_deadline: Some(now + Duration::from_secs(4)),
     }
 }
--- a/crates/quarantine/src/commands/merge.rs
+++ b/crates/quarantine/src/commands/merge.rs
@@ -3,22 +3,22 @@
 use base::prelude::*;
 
 use crate::queries::find_verdicts;
-use crate::state::ReportedPart;
-use crate::{CrashEvidence, CrashReport, PromptPart, QuarantineState};
+use crate::state::ReportedSuspect;
+use crate::{CrashEvidence, CrashReport, CrashSuspect, QuarantineState};
 
 /// Adds another node's evidence.
 pub fn merge_evidence(state: &mut QuarantineState, evidence: &CrashEvidence, now: ClockTime) {
     for clearance in &evidence.clearances {
-        let cleared_at = state.cleared.get(&clearance.part);
+        let cleared_at = state.cleared.get(&clearance.suspect);
         if cleared_at.is_none_or(|at| *at < clearance.cleared_at) {
-            clear_part(state, clearance.part, clearance.cleared_at);
+            clear_suspect(state, clearance.suspect, clearance.cleared_at);
         }
     }
     for report in &evidence.reports {
-        let answered_at = state.answered.get(&report.part).copied();
+        let answered_at = state.answered.get(&report.suspect).copied();
         match answered_at.filter(|at| *at > report.seen_at) {
             // Other nodes need the clearance too.
-            Some(at) => clear_part(state, report.part, at),
+            Some(at) => clear_suspect(state, report.suspect, at),
             None => {
                 add_report(state, *report);
             }
@@ -44,21 +44,21 @@
 
 /// Adds a report unless it is known or void; returns whether it is new.
 pub(super) fn add_report(state: &mut QuarantineState, report: CrashReport) -> bool {
-    let cleared_at = state.cleared.get(&report.part);
+    let cleared_at = state.cleared.get(&report.suspect);
     if cleared_at.is_some_and(|at| *at >= report.seen_at) {
         return false;
     }
     let settings = &state.settings;
     let expires_at = report.seen_at + settings.retention;
-    let is_new_part = !state.reported.contains_key(&report.part);
-    if is_new_part && state.reported.len() >= settings.max_reported_parts {
-        forget_oldest_part(state);
+    let is_new = !state.reported.contains_key(&report.suspect);
+    if is_new && state.reported.len() >= settings.max_reported_suspects {
+        forget_oldest_suspect(state);
     }
-    let max_reports = state.settings.max_reports_per_part;
+    let max_reports = state.settings.max_reports_per_suspect;
     let reported = state
         .reported
-        .entry(report.part)
-        .or_insert_with(|| ReportedPart {
+        .entry(report.suspect)
+        .or_insert_with(|| ReportedSuspect {
             reports: Vec::new(),
             expires_at,
         });
@@ -76,40 +76,54 @@
         .partition_point(|other| other.seen_at <= report.seen_at);
     reported.reports.insert(position, report);
     if reported.reports.len() > max_reports {
-        reported.reports.remove(0);
+        remove_closest(&mut reported.reports);
     }
     true
 }
 
-fn forget_oldest_part(state: &mut QuarantineState) {
+/// Removes the report that says least: the one that follows another most closely, but for the
+/// last one. Verdicts depend on the first, on the last and on how far apart crashes are.
+fn remove_closest(reports: &mut Vec<CrashReport>) {
+    let gap = |index: &usize| reports[*index].seen_at.since(reports[*index - 1].seen_at);
+    let closest = (1..reports.len().saturating_sub(1)).min_by_key(gap);
+    if let Some(index) = closest {
+        reports.remove(index);
+    }
+}
+
+fn forget_oldest_suspect(state: &mut QuarantineState) {
     let oldest = state
         .reported
         .iter()
         .min_by_key(|(_, reported)| (reported.reports.len(), reported.expires_at));
-    if let Some(part) = oldest.map(|(part, _)| *part) {
-        state.reported.remove(&part);
+    if let Some(suspect) = oldest.map(|(suspect, _)| *suspect) {
+        state.reported.remove(&suspect);
     }
 }
 
-/// Voids the reports of a part up to an instant.
-pub(super) fn clear_part(state: &mut QuarantineState, part: PromptPart, cleared_at: ClockTime) {
-    if state.cleared.len() >= state.settings.max_reported_parts {
+/// Voids the reports of a part or request up to an instant.
+pub(super) fn clear_suspect(
+    state: &mut QuarantineState,
+    suspect: CrashSuspect,
+    cleared_at: ClockTime,
+) {
+    if state.cleared.len() >= state.settings.max_reported_suspects {
         let oldest = state.cleared.iter().min_by_key(|(_, at)| **at);
-        if let Some(part) = oldest.map(|(part, _)| *part) {
-            state.cleared.remove(&part);
+        if let Some(suspect) = oldest.map(|(suspect, _)| *suspect) {
+            state.cleared.remove(&suspect);
         }
     }
-    let entry = state.cleared.entry(part).or_insert(cleared_at);
+    let entry = state.cleared.entry(suspect).or_insert(cleared_at);
     *entry = (*entry).max(cleared_at);
-    if let Some(reported) = state.reported.get_mut(&part) {
+    if let Some(reported) = state.reported.get_mut(&suspect) {
         reported
             .reports
             .retain(|report| report.seen_at > cleared_at);
         if reported.reports.is_empty() {
-            state.reported.remove(&part);
+            state.reported.remove(&suspect);
         }
     }
-    let is_valid = |report: &CrashReport| report.part != part || report.seen_at > cleared_at;
+    let is_valid = |report: &CrashReport| report.suspect != suspect || report.seen_at > cleared_at;
     state.own_reports.retain(|(report, _)| is_valid(report));
 }
 
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -15,45 +15,100 @@
     }
 }
 
-/// Parts of one request's prompt.
+/// Parts of one request's prompt that other requests may share.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PromptParts {
-    /// Parts that other requests may share.
+    /// The parts, without the last one, which belongs to the request itself.
     pub shared: Vec<PromptPart>,
-    /// Last part, which belongs to the request itself; a client's retry has the same.
-    pub own: Option<PromptPart>,
 }
 
-/// Crash of one server in one group.
+/// Digest of a whole request; every repetition of the request has the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestDigest(pub u64);
+
+impl RequestDigest {
+    /// Digest of the same content from a caller of a workspace; callers of different workspaces
+    /// are never judged together.
+    pub fn of_workspace(self, workspace: Option<&WorkspaceName>) -> Self {
+        let name = workspace.map_or("", WorkspaceName::as_str);
+        Self(XxHash64::oneshot(self.0, name.as_bytes()))
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// What may be the cause of a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum CrashSuspect {
+    /// A part of a prompt, whatever else the request holds.
+    Part(PromptPart),
+    /// A request as a whole.
+    Request(RequestDigest),
+}
+
+impl fmt::Display for CrashSuspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(part) => write!(f, "part:{part}"),
+            Self::Request(digest) => write!(f, "request:{digest}"),
+        }
+    }
+}
+
+/// Everything about one request that may crash a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallSuspects {
+    /// Shared parts of its prompt; none at a plain service.
+    pub parts: PromptParts,
+    /// The request itself.
+    pub digest: RequestDigest,
+}
+
+impl CallSuspects {
+    /// The parts and the request.
+    pub fn iter(&self) -> impl Iterator<Item = CrashSuspect> {
+        let parts = self.parts.shared.iter().copied().map(CrashSuspect::Part);
+        parts.chain([CrashSuspect::Request(self.digest)])
+    }
+}
+
+/// Crash of one server: a start of it, in one group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServerCrash(pub u64);
 
 impl ServerCrash {
-    /// Crash of the head of a group.
-    pub fn of(head: &HostName, epoch: GroupEpoch) -> Self {
-        Self(XxHash64::oneshot(epoch.0, head.as_str().as_bytes()))
+    /// Crash of the head of a group, or of a plain server.
+    pub fn of(head: &HostName, incarnation: HostIncarnation, epoch: GroupEpoch) -> Self {
+        let start = XxHash64::oneshot(epoch.0, &incarnation.0.to_le_bytes());
+        Self(XxHash64::oneshot(start, head.as_str().as_bytes()))
     }
 }
 
-/// Part of a request that a crashed server had not begun to answer.
+/// Part of a request that a crashed server had not begun to answer, or the request itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashReport {
-    /// The part.
-    pub part: PromptPart,
+    /// The part or the request.
+    pub suspect: CrashSuspect,
     /// The crash.
     pub crash: ServerCrash,
-    /// Own part of the request.
-    pub request: PromptPart,
+    /// The request.
+    pub request: RequestDigest,
+    /// Instant at which the request was sent to the server.
+    pub sent_at: ClockTime,
     /// Instant of the crash.
     pub seen_at: ClockTime,
 }
 
-/// Part of which a server has begun an answer.
+/// Part or request of which a server has begun an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PartClearance {
-    /// The part.
-    pub part: PromptPart,
-    /// Instant of the answer; earlier reports of the part are void.
+pub struct SuspectClearance {
+    /// The part or the request.
+    pub suspect: CrashSuspect,
+    /// Instant of the answer; earlier reports are void.
     pub cleared_at: ClockTime,
 }
 
@@ -63,7 +118,7 @@
     /// Reports.
     pub reports: Vec<CrashReport>,
     /// Clearances.
-    pub clearances: Vec<PartClearance>,
+    pub clearances: Vec<SuspectClearance>,
 }
 
 impl CrashEvidence {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,11 +1,11 @@
-//! Parts of prompts that crash the servers that answer them.
+//! Requests, and parts of prompts, that crash the servers that run them.
 //!
-//! A prompt consists of parts that requests share. One part may crash every server that begins
-//! to answer a prompt with it. When a server crashes, its requests that have no event yet are
-//! reported with their parts: one of them may be the cause, most are bystanders. A part of
-//! which any server has since begun an answer is cleared. A part that was reported for several
-//! crashes in a row, for different requests and without an answer in between, is quarantined:
-//! requests with it are rejected for a while, and all others are served.
+//! A request may crash every server that runs it, and so may one part of a prompt, whatever
+//! else the request holds. When a server crashes, its requests that have no event yet are
+//! reported with their parts: one of them may be the cause, most are bystanders. A request or a
+//! part of which any server has since begun an answer is cleared. What was reported for several
+//! crashes in a row without an answer in between, a part for different requests, is
+//! quarantined: such requests are rejected for a while, and all others are served.
 //!
 //! Reports and clearances are [`CrashEvidence`], which nodes exchange. Merging evidence does not
 //! depend on the order, so nodes with the same evidence come to the same verdicts. All of it
@@ -21,7 +21,8 @@
 pub mod queries;
 
 pub use evidence::{
-    CrashEvidence, CrashReport, PartClearance, PromptPart, PromptParts, ServerCrash,
+    CallSuspects, CrashEvidence, CrashReport, CrashSuspect, PromptPart, PromptParts, RequestDigest,
+    ServerCrash, SuspectClearance,
 };
 pub use settings::QuarantineSettings;
-pub use state::{PartVerdict, QuarantineState};
+pub use state::{CrashVerdict, QuarantineState};
--- a/crates/quarantine/src/queries/share.rs
+++ b/crates/quarantine/src/queries/share.rs
@@ -3,10 +3,10 @@
 use base::prelude::*;
 use twox_hash::XxHash64;
 
-use crate::state::ReportedPart;
-use crate::{CrashEvidence, PartClearance, QuarantineState};
+use crate::state::ReportedSuspect;
+use crate::{CrashEvidence, CrashSuspect, QuarantineState, SuspectClearance};
 
-/// Separate crashes from which all nodes hear of a part.
+/// Separate crashes from which all nodes hear of a part or request.
 const MIN_WATCHED_CRASHES: usize = 2;
 
 /// This node's own latest reports and clearances; other nodes must hear of them at once.
@@ -23,10 +23,13 @@
     }
 }
 
-/// What every node must know: reports of parts that several crashes have in common, and
+/// What every node must know: reports that several crashes have in common, and
 /// clearances.
 pub fn watched_evidence(state: &QuarantineState) -> CrashEvidence {
-    let watched = state.reported.values().filter(|part| is_watched(part));
+    let watched = state
+        .reported
+        .values()
+        .filter(|reported| is_watched(reported));
     let reports = watched.flat_map(|reported| &reported.reports);
     CrashEvidence {
         reports: reports.copied().collect(),
@@ -36,10 +39,17 @@
 
 /// Hash of the watched reports; nodes with the same hash have nothing to tell each other.
 pub fn evidence_hash(state: &QuarantineState) -> u64 {
-    let watched = state.reported.values().filter(|part| is_watched(part));
+    let watched = state
+        .reported
+        .values()
+        .filter(|reported| is_watched(reported));
     let reports = watched.flat_map(|reported| &reported.reports);
     let hashes = reports.map(|report| {
-        let fields = [report.part.0, report.crash.0, report.request.0];
+        let (kind, id) = match report.suspect {
+            CrashSuspect::Part(part) => (0, part.0),
+            CrashSuspect::Request(digest) => (1, digest.0),
+        };
+        let fields = [kind, id, report.crash.0, report.request.0];
         let bytes: Vec<u8> = fields
             .iter()
             .flat_map(|field| field.to_le_bytes())
@@ -50,17 +60,17 @@
     hashes.fold(0, u64::wrapping_add)
 }
 
-fn clearances(state: &QuarantineState) -> impl Iterator<Item = PartClearance> {
+fn clearances(state: &QuarantineState) -> impl Iterator<Item = SuspectClearance> {
     state
         .cleared
         .iter()
-        .map(|(part, cleared_at)| PartClearance {
-            part: *part,
+        .map(|(suspect, cleared_at)| SuspectClearance {
+            suspect: *suspect,
             cleared_at: *cleared_at,
         })
 }
 
-fn is_watched(reported: &ReportedPart) -> bool {
+fn is_watched(reported: &ReportedSuspect) -> bool {
     let reports = &reported.reports;
     let first = reports.first().map(|report| report.crash);
     let others = reports.iter().filter(|report| Some(report.crash) != first);
--- a/crates/quarantine/src/queries/verdict.rs
+++ b/crates/quarantine/src/queries/verdict.rs
@@ -1,61 +1,67 @@
-//! Which parts are quarantined, and what that means for a request.
+//! Which requests and parts are quarantined, and what that means for a request.
 
 use std::collections::BTreeSet;
 
 use base::prelude::*;
 
-use crate::state::ReportedPart;
+use crate::state::ReportedSuspect;
 use crate::{
-    CrashReport, PartVerdict, PromptPart, PromptParts, QuarantineSettings, QuarantineState,
+    CallSuspects, CrashReport, CrashSuspect, CrashVerdict, QuarantineSettings, QuarantineState,
     ServerCrash,
 };
 
-/// Verdict because of which a request with these parts is rejected; `None` if it may be sent.
+/// Verdict because of which a request is rejected; `None` if it may be sent.
 pub fn blocking_verdict<'a>(
     state: &'a QuarantineState,
-    parts: &PromptParts,
-) -> Option<&'a PartVerdict> {
-    let is_blocked =
-        |verdict: &&PartVerdict| verdict.parts.iter().all(|part| parts.shared.contains(part));
+    suspects: &CallSuspects,
+) -> Option<&'a CrashVerdict> {
+    let is_blocked = |verdict: &&CrashVerdict| {
+        let mut blocked = verdict.suspects.iter();
+        blocked.all(|suspect| suspects.iter().any(|other| other == *suspect))
+    };
     state.verdicts.iter().find(is_blocked)
 }
 
-/// Whether a request in flight, which no server has begun to answer, has quarantined parts.
+/// Whether a request in flight, which no server has begun to answer, is quarantined or has
+/// quarantined parts.
 pub fn is_call_blocked(state: &QuarantineState, call: CallId) -> bool {
-    let prompt = state.calls.get(&call).filter(|prompt| !prompt.has_begun);
-    prompt.is_some_and(|prompt| blocking_verdict(state, &prompt.parts).is_some())
+    let running = state.calls.get(&call).filter(|call| !call.has_begun);
+    running.is_some_and(|running| blocking_verdict(state, &running.suspects).is_some())
 }
 
 /// Whether a request whose server crashed may be sent to another one.
 ///
-/// It may not if one of its parts was reported for another request and another crash, without a
-/// recent answer: it would rather crash the next server too.
+/// It may not if it was reported for another crash, or one of its parts for another request and
+/// another crash, without a recent answer: it would rather crash the next server too.
 pub fn may_resend(
     state: &QuarantineState,
     call: CallId,
     crash: ServerCrash,
     now: ClockTime,
 ) -> bool {
-    let Some(prompt) = state.calls.get(&call).filter(|prompt| !prompt.has_begun) else {
+    let Some(running) = state.calls.get(&call).filter(|call| !call.has_begun) else {
         return true;
     };
-    let is_suspect = |part: &PromptPart| {
-        let answered_at = state.answered.get(part);
+    let digest = running.suspects.digest;
+    let is_suspected = |suspect: CrashSuspect| {
+        let answered_at = state.answered.get(&suspect);
         let is_answered =
             answered_at.is_some_and(|at| now.since(*at) < state.settings.recent_answer);
-        let reports = state.reported.get(part).map(|reported| &reported.reports);
-        let mut reports = reports.into_iter().flatten();
+        let is_request = matches!(suspect, CrashSuspect::Request(_));
+        let reports = state.reported.get(&suspect);
+        let mut reports = reports.into_iter().flat_map(|reported| &reported.reports);
         !is_answered
             && reports
-                .any(|report| report.crash != crash && Some(report.request) != prompt.parts.own)
+                .any(|report| report.crash != crash && (is_request || report.request != digest))
     };
-    blocking_verdict(state, &prompt.parts).is_none() && !prompt.parts.shared.iter().any(is_suspect)
+    let suspects = &running.suspects;
+    blocking_verdict(state, suspects).is_none() && !suspects.iter().any(is_suspected)
 }
 
-/// Part that explains several crashes.
+/// Part or request that explains several crashes.
 #[derive(Clone)]
 struct VerdictCandidate {
-    part: PromptPart,
+    suspect: CrashSuspect,
     crashes: BTreeSet<ServerCrash>,
     /// Number of different requests among them.
     requests: usize,
@@ -64,40 +70,47 @@
     expires_at: ClockTime,
 }
 
-/// Fewest parts that explain the reported crashes, and the instant at which further verdicts are
-/// due.
+/// Fewest parts and requests that explain the reported crashes, and the instant at which further
+/// verdicts are due.
 ///
 /// A part that was reported beside the one that crashes servers is not quarantined, as its
-/// crashes are explained already.
+/// crashes are explained already. Where one request explains the crashes as well as the parts
+/// of its prompt do, only the request is quarantined.
 pub fn find_verdicts(
     state: &QuarantineState,
     now: ClockTime,
-) -> (Vec<PartVerdict>, Option<ClockTime>) {
+) -> (Vec<CrashVerdict>, Option<ClockTime>) {
     let mut explained = BTreeSet::new();
     let mut skipped = BTreeSet::new();
     let mut verdicts = Vec::new();
     let mut verdict_due: Option<ClockTime> = None;
     loop {
         let reported = state.reported.iter();
-        let reported = reported.filter(|(part, _)| !skipped.contains(*part));
+        let reported = reported.filter(|(suspect, _)| !skipped.contains(*suspect));
         let candidates: Vec<_> = reported
-            .filter_map(|(part, reported)| {
-                verdict_candidate(&state.settings, *part, reported, &explained)
+            .filter_map(|(suspect, reported)| {
+                verdict_candidate(&state.settings, *suspect, reported, &explained)
             })
             .collect();
-        let Some(best) = candidates
-            .iter()
-            .max_by_key(|candidate| (candidate.crashes.len(), candidate.expires_at))
-        else {
+        let Some(most) = most_crashes(candidates.iter()) else {
             return (verdicts, verdict_due);
         };
         let same = candidates
             .iter()
-            .filter(|other| is_nearly_same(&other.crashes, &best.crashes));
-        let parts: Vec<_> = same.clone().map(|candidate| candidate.part).collect();
+            .filter(|other| is_nearly_same(&other.crashes, &most.crashes));
+        let request = most_crashes(same.clone().filter(|candidate| candidate.is_request()));
+        let (best, suspects) = match request {
+            Some(request) => (request, vec![request.suspect]),
+            None => (
+                most,
+                same.clone().map(|candidate| candidate.suspect).collect(),
+            ),
+        };
         // One request alone proves nothing about the parts that others share with it.
-        if same.map(|candidate| candidate.requests).max() < Some(state.settings.min_requests) {
-            skipped.extend(parts);
+        let is_proven = request.is_some()
+            || same.map(|candidate| candidate.requests).max() >= Some(state.settings.min_requests);
+        if !is_proven {
+            skipped.extend(suspects);
             continue;
         }
         explained.extend(best.crashes.iter().copied());
@@ -106,42 +119,63 @@
             verdict_due = Some(due);
             continue;
         }
-        verdicts.push(PartVerdict {
-            parts,
+        verdicts.push(CrashVerdict {
+            suspects,
             crashes: best.crashes.len(),
             until: best.expires_at,
         });
     }
 }
 
-/// Whether two parts were reported for the same crashes, but for one at each.
+impl VerdictCandidate {
+    fn is_request(&self) -> bool {
+        matches!(self.suspect, CrashSuspect::Request(_))
+    }
+}
+
+/// Candidate that explains most crashes, and the latest among equals.
+fn most_crashes<'a>(
+    candidates: impl Iterator<Item = &'a VerdictCandidate>,
+) -> Option<&'a VerdictCandidate> {
+    candidates.max_by_key(|candidate| (candidate.crashes.len(), candidate.expires_at))
+}
+
+/// Whether two suspects were reported for the same crashes, but for one at each.
 ///
 /// Either may have been a bystander of one more crash.
 fn is_nearly_same(one: &BTreeSet<ServerCrash>, other: &BTreeSet<ServerCrash>) -> bool {
     one.difference(other).count() <= 1 && other.difference(one).count() <= 1
 }
 
-/// Part with the crashes that no other one explains, if they are enough to quarantine it.
+/// Suspect with the crashes that no other one explains, if they are enough to quarantine it.
 fn verdict_candidate(
     settings: &QuarantineSettings,
-    part: PromptPart,
-    reported: &ReportedPart,
+    suspect: CrashSuspect,
+    reported: &ReportedSuspect,
     explained: &BTreeSet<ServerCrash>,
 ) -> Option<VerdictCandidate> {
     let reports = reported.reports.iter();
     let reports: Vec<_> = reports
         .filter(|report| !explained.contains(&report.crash))
         .collect();
-    let separate = separate_crashes(settings, &reports);
+    let separate = match suspect {
+        CrashSuspect::Part(_) => separate_crashes(settings, &reports),
+        CrashSuspect::Request(_) => successive_crashes(&reports),
+    };
+    let first_at = *separate.first()?;
     let last_needed_at = *separate.get(settings.min_crashes - 1)?;
-    let settled_at = if separate.len() >= settings.certain_crashes {
-        last_needed_at
-    } else {
-        last_needed_at + settings.settling_time
+    let is_certain = separate.len() >= settings.certain_crashes;
+    let settled_at = match suspect {
+        CrashSuspect::Part(_) if is_certain => last_needed_at,
+        CrashSuspect::Part(_) => last_needed_at + settings.settling_time,
+        CrashSuspect::Request(_) if is_certain => {
+            last_needed_at.max(first_at + settings.request_settling_time)
+        }
+        CrashSuspect::Request(_) => last_needed_at + settings.request_settling_time,
     };
     let requests: BTreeSet<_> = reports.iter().map(|report| report.request).collect();
     Some(VerdictCandidate {
-        part,
+        suspect,
         crashes: reports.iter().map(|report| report.crash).collect(),
         requests: requests.len(),
         settled_at,
@@ -162,3 +196,17 @@
     }
     instants
 }
+
+/// Instants of crashes of which each server got the request after the crash before.
+///
+/// A request that many callers send is at several servers at a time, which may fail together; a
+/// request that crashes one server after the other may do so within milliseconds.
+fn successive_crashes(reports: &[&CrashReport]) -> Vec<ClockTime> {
+    let mut instants: Vec<ClockTime> = Vec::new();
+    for report in reports {
+        if instants.last().is_none_or(|at| report.sent_at >= *at) {
+            instants.push(report.seen_at);
+        }
+    }
+    instants
+}
--- a/crates/quarantine/src/settings.rs
+++ b/crates/quarantine/src/settings.rs
@@ -2,56 +2,61 @@
 
 use base::prelude::*;
 
-/// Crashes without an answer in between after which a part is quarantined.
+/// Crashes without an answer in between after which a part or a request is quarantined.
 const MIN_CRASHES: usize = 3;
-/// Different requests among them.
+/// Different requests among the crashes of a part.
 const MIN_REQUESTS: usize = 2;
-/// Crashes within this time count as one, since servers that fail together for another reason
+/// Crashes within this time count as one for a part, since servers that fail together for another reason
 /// were sent many parts at the same moment.
 const SIMULTANEOUS_CRASHES: Duration = Duration::from_millis(250);
 /// Time after the last crash that a verdict needs, in which nodes that have seen an answer since
 /// say so.
 const SETTLING_TIME: Duration = Duration::from_millis(400);
+/// The same for a verdict about a request. Answers at any of hundreds of nodes clear a request
+/// that many callers send, and reach the others by way of two hubs.
+const REQUEST_SETTLING_TIME: Duration = Duration::from_millis(1_000);
 /// Crashes after which a verdict needs no such time.
 const CERTAIN_CRASHES: usize = 5;
-/// Time after its last report for which a part is remembered, and quarantined if it is.
+/// Time after its last report for which a part or request is remembered, and quarantined if it is.
 const RETENTION: Duration = Duration::from_secs(60);
 /// Time for which this node's reports are sent to other nodes.
 const RESEND_DURATION: Duration = Duration::from_secs(2);
-/// Age of an answer up to which a part is not suspected after its first reports.
+/// Age of an answer up to which a part or request is not suspected after its first reports.
 const RECENT_ANSWER: Duration = Duration::from_secs(2);
-/// Reported parts that are remembered.
-const MAX_REPORTED_PARTS: usize = 512;
-/// Reports of one part that are remembered.
-const MAX_REPORTS_PER_PART: usize = 8;
-/// Answered parts that are remembered.
-const MAX_ANSWERED_PARTS: usize = 4_096;
+/// Reported parts and requests that are remembered.
+const MAX_REPORTED_SUSPECTS: usize = 2_048;
+/// Reports of one part or request that are remembered.
+const MAX_REPORTS_PER_SUSPECT: usize = 12;
+/// Answered parts and requests that are remembered.
+const MAX_ANSWERED_SUSPECTS: usize = 8_192;
 
 /// Thresholds, durations and limits.
 #[derive(Clone, Debug)]
 pub struct QuarantineSettings {
-    /// Crashes without an answer in between after which a part is quarantined.
+    /// Crashes without an answer in between after which a part or a request is quarantined.
     pub min_crashes: usize,
-    /// Different requests among them.
+    /// Different requests among the crashes of a part.
     pub min_requests: usize,
-    /// Time within which crashes count as one.
+    /// Time within which crashes count as one for a part.
     pub simultaneous_crashes: Duration,
     /// Time after the last crash that a verdict needs before it holds.
     pub settling_time: Duration,
-    /// Crashes after which a verdict needs no such time.
+    /// The same for a verdict about a request; after `certain_crashes` it runs from the first.
+    pub request_settling_time: Duration,
+    /// Crashes after which a verdict about a part needs no such time.
     pub certain_crashes: usize,
-    /// Time after its last report for which a part is remembered.
+    /// Time after its last report for which a part or request is remembered.
     pub retention: Duration,
     /// Time for which this node's reports are sent to other nodes.
     pub resend_duration: Duration,
-    /// Age of an answer up to which a part is not suspected.
+    /// Age of an answer up to which a part or request is not suspected.
     pub recent_answer: Duration,
-    /// Reported parts that are remembered.
-    pub max_reported_parts: usize,
-    /// Reports of one part that are remembered.
-    pub max_reports_per_part: usize,
-    /// Answered parts that are remembered.
-    pub max_answered_parts: usize,
+    /// Reported parts and requests that are remembered.
+    pub max_reported_suspects: usize,
+    /// Reports of one part or request that are remembered.
+    pub max_reports_per_suspect: usize,
+    /// Answered parts and requests that are remembered.
+    pub max_answered_suspects: usize,
 }
 
 impl Default for QuarantineSettings {
@@ -61,13 +66,14 @@
             min_requests: MIN_REQUESTS,
             simultaneous_crashes: SIMULTANEOUS_CRASHES,
             settling_time: SETTLING_TIME,
+            request_settling_time: REQUEST_SETTLING_TIME,
             certain_crashes: CERTAIN_CRASHES,
             retention: RETENTION,
             resend_duration: RESEND_DURATION,
             recent_answer: RECENT_ANSWER,
-            max_reported_parts: MAX_REPORTED_PARTS,
-            max_reports_per_part: MAX_REPORTS_PER_PART,
-            max_answered_parts: MAX_ANSWERED_PARTS,
+            max_reported_suspects: MAX_REPORTED_SUSPECTS,
+            max_reports_per_suspect: MAX_REPORTS_PER_SUSPECT,
+            max_answered_suspects: MAX_ANSWERED_SUSPECTS,
         }
     }
 }
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -4,16 +4,16 @@
 
 use base::prelude::*;
 
-use crate::{CrashReport, PromptPart, PromptParts, QuarantineSettings};
+use crate::{CallSuspects, CrashReport, CrashSuspect, QuarantineSettings};
 
-/// Parts that are quarantined together.
+/// A request, or parts of prompts, that are quarantined together.
 ///
 /// Several parts that were reported for the same crashes can't be told apart; only requests
 /// with all of them are rejected, so that an answer to one with fewer clears a sound part.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PartVerdict {
-    /// The parts, in order.
-    pub parts: Vec<PromptPart>,
+pub struct CrashVerdict {
+    /// One request, or the parts in order.
+    pub suspects: Vec<CrashSuspect>,
     /// Number of crashes that they were reported for.
     pub crashes: usize,
     /// End of the quarantine unless there are further crashes.
@@ -22,15 +22,15 @@
 
 /// Request in flight.
 #[derive(Clone, Debug)]
-pub(crate) struct CallPrompt {
-    pub parts: PromptParts,
+pub(crate) struct RunningCall {
+    pub suspects: CallSuspects,
     /// Whether a server has begun to answer it.
     pub has_begun: bool,
 }
 
-/// Reports of one part.
+/// Reports of one part or request.
 #[derive(Clone, Debug)]
-pub(crate) struct ReportedPart {
+pub(crate) struct ReportedSuspect {
     /// Reports since the last answer, the newest last.
     pub reports: Vec<CrashReport>,
     pub expires_at: ClockTime,
@@ -40,16 +40,16 @@
 #[derive(Clone, Debug)]
 pub struct QuarantineState {
     pub(crate) settings: QuarantineSettings,
-    pub(crate) calls: HashMap<CallId, CallPrompt>,
-    pub(crate) reported: BTreeMap<PromptPart, ReportedPart>,
-    /// Parts that were cleared after reports, and when; reports from before don't count.
-    pub(crate) cleared: BTreeMap<PromptPart, ClockTime>,
+    pub(crate) calls: HashMap<CallId, RunningCall>,
+    pub(crate) reported: BTreeMap<CrashSuspect, ReportedSuspect>,
+    /// What was cleared after reports, and when; reports from before don't count.
+    pub(crate) cleared: BTreeMap<CrashSuspect, ClockTime>,
     /// Last answers that servers have begun for this node's requests.
-    pub(crate) answered: HashMap<PromptPart, ClockTime>,
+    pub(crate) answered: HashMap<CrashSuspect, ClockTime>,
     /// Reports of this node, and until when they are sent to others.
     pub(crate) own_reports: Vec<(CrashReport, ClockTime)>,
-    pub(crate) verdicts: Vec<PartVerdict>,
-    /// Instant at which the next verdict holds if its parts are not cleared before.
+    pub(crate) verdicts: Vec<CrashVerdict>,
+    /// Instant at which the next verdict holds if nothing clears its suspects before.
     pub(crate) verdict_due: Option<ClockTime>,
 }
 
@@ -68,8 +68,8 @@
         }
     }
 
-    /// Parts that are quarantined now.
-    pub fn verdicts(&self) -> &[PartVerdict] {
+    /// What is quarantined now.
+    pub fn verdicts(&self) -> &[CrashVerdict] {
         &self.verdicts
     }
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -92,6 +92,19 @@
     pub has_notice: bool,
 }
 
+/// Attempt that was sent and has not ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SentAttempt {
+    /// Target of the attempt.
+    pub target: HostName,
+    /// Start of the target.
+    pub incarnation: HostIncarnation,
+    /// Epoch of its group.
+    pub epoch: GroupEpoch,
+    /// Instant at which it was sent.
+    pub sent_at: ClockTime,
+}
+
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalReason {
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -135,6 +135,7 @@
         entry.target = Some(target.id.clone());
         entry.lane = lane;
         entry.epoch = target.epoch;
+        entry.incarnation = target.incarnation;
         entry.sent_at = now;
         entry.has_begun = false;
         entry.tried.push(target.id.clone());
--- a/crates/relay/src/commands/calls.rs
+++ b/crates/relay/src/commands/calls.rs
@@ -30,6 +30,7 @@
         target: None,
         lane: Lane::Fast,
         epoch: GroupEpoch::default(),
+        incarnation: HostIncarnation::default(),
         sent_at: now,
         has_begun: false,
         tried: Vec::new(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,7 +22,9 @@
 pub mod commands;
 pub mod queries;
 
-pub use call::{AttemptEnd, CallArrival, CallStep, Refusal, RefusalReason, SendOrder, StallStep};
+pub use call::{
+    AttemptEnd, CallArrival, CallStep, Refusal, RefusalReason, SendOrder, SentAttempt, StallStep,
+};
 pub use settings::RelaySettings;
 pub use state::RelayState;
 pub use target::{Lane, LaneCounts, SendTarget, TargetLoad};
--- a/crates/relay/src/queries/counts.rs
+++ b/crates/relay/src/queries/counts.rs
@@ -2,17 +2,22 @@
 
 use base::prelude::*;
 
-use crate::{LaneCounts, RelayState, TargetLoad};
+use crate::{LaneCounts, RelayState, SentAttempt, TargetLoad};
 
 /// Target of a request's present attempt.
 pub fn target_of(state: &RelayState, call: CallId) -> Option<&HostName> {
     state.calls.get(&call)?.target.as_ref()
 }
 
-/// Target of a request's present attempt, and the epoch of its group.
-pub fn attempt_of(state: &RelayState, call: CallId) -> Option<(&HostName, GroupEpoch)> {
+/// Present attempt of a request.
+pub fn attempt_of(state: &RelayState, call: CallId) -> Option<SentAttempt> {
     let entry = state.calls.get(&call)?;
-    Some((entry.target.as_ref()?, entry.epoch))
+    Some(SentAttempt {
+        target: entry.target.clone()?,
+        incarnation: entry.incarnation,
+        epoch: entry.epoch,
+        sent_at: entry.sent_at,
+    })
 }
 
 /// Requests of all nodes by target, from the latest counts.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -20,6 +20,8 @@
     pub lane: Lane,
     /// Epoch of the group that it was sent to.
     pub epoch: GroupEpoch,
+    /// Start of the server that it was sent to.
+    pub incarnation: HostIncarnation,
     pub sent_at: ClockTime,
     /// Whether its client had waited longer than the route's objective before it arrived.
     pub is_late: bool,
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -23,6 +23,13 @@
 /// Requests that may follow from each daemon while the server turns all away.
 const TURNED_AWAY_SLACK: usize = 2;
 
+/// Crashes of servers by one request after which few more may follow.
+const DEADLY_CRASHES: usize = 3;
+/// Time after the last of them until every daemon rejects the request.
+const DEADLY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Runs of the request that are allowed after that time.
+const DEADLY_SLACK: usize = 3;
+
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -81,6 +88,8 @@
     limited: HashMap<String, LimitedServer>,
     /// Servers that turn all requests away, by id.
     busy: HashMap<String, BusyServer>,
+    /// Instants at which servers began to run the request that crashes them.
+    deadly_runs: Vec<Instant>,
     /// Number of daemons.
     daemons: usize,
     /// Limits are checked over windows that begin after this instant.
@@ -274,6 +283,25 @@
         }
     }
 
+    /// Records that a server begins to run a request that crashes it.
+    pub fn record_deadly_run(&mut self, now: Instant) {
+        self.deadly_runs.push(now);
+        let Some(known_at) = self.deadly_runs.get(DEADLY_CRASHES - 1) else {
+            return;
+        };
+        let late = self
+            .deadly_runs
+            .iter()
+            .filter(|at| at.duration_since(*known_at) > DEADLY_TIMEOUT);
+        let count = late.count();
+        if count == DEADLY_SLACK + 1 {
+            self.violations.push(format!(
+                "a request that had crashed {DEADLY_CRASHES} servers was sent to more than {DEADLY_SLACK} others later than {} s",
+                DEADLY_TIMEOUT.as_secs()
+            ));
+        }
+    }
+
     /// Records that a member became ready in a group.
     pub fn record_ready_member(&mut self, group: &str, epoch: u64, members: &[String], id: &str) {
         self.ready
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,7 @@
 mod addresses;
 mod checker;
 mod clients;
+mod deadly;
 mod nodes;
 pub mod options;
 mod plan;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,6 +5,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::checker::RequestKind;
+
 /// Range of the interval between two faults; faults last up to several times as
 /// long, so that they overlap.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 200..1_500;
@@ -76,6 +78,9 @@
     StoreDeafensWatches(Duration),
     /// A server crashes; another one replaces it.
     Crash(usize),
+    /// A request comes again and again, at any daemon, and crashes every server that begins to
+    /// run it.
+    DeadlyRequest(RequestKind, Duration),
     /// A server announces that it is leaving, and stops.
     Leave(usize),
     /// A server names a limit in its responses for this long, in requests a minute.
--- a/crates/soak/src/platform/fleet.rs
+++ b/crates/soak/src/platform/fleet.rs
@@ -136,6 +136,8 @@
     silent_until: Option<Instant>,
     /// Until when orders get no response and are executed later.
     pub orders_delayed_until: Option<Instant>,
+    /// Slots of servers that have crashed and whose connections are still open.
+    crashed: Vec<usize>,
 }
 
 impl Fleet {
@@ -158,6 +160,7 @@
             fast_loads_until,
             silent_until: None,
             orders_delayed_until: None,
+            crashed: Vec::new(),
         }
     }
 
@@ -232,6 +235,18 @@
         self.servers[slot].is_alive = false;
     }
 
+    /// Ends a server because of a request that it runs.
+    pub fn crash(&mut self, slot: usize) {
+        self.checker.borrow_mut().record_deadly_run(Instant::now());
+        self.stop(slot);
+        self.crashed.push(slot);
+    }
+
+    /// Slots of the servers that have crashed since the last call.
+    pub fn take_crashed(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.crashed)
+    }
+
     /// Removes a server's store entry and starts another server in its slot.
     pub fn replace(&mut self, slot: usize) {
         let old = &self.servers[slot];
--- a/crates/soak/src/platform/server.rs
+++ b/crates/soak/src/platform/server.rs
@@ -15,6 +15,7 @@
 use super::STREAM_EVENTS;
 use super::fleet::{Fleet, GroupMembership, SoakServer};
 use super::store::truncated_response;
+use crate::deadly::is_deadly;
 
 /// Time that a plain server takes for a request.
 const PLAIN_DURATION: Duration = Duration::from_millis(120);
@@ -120,6 +121,10 @@
     ) -> WebResponse {
         self.record_run(headers, path);
         monoio::time::sleep(PLAIN_DURATION).await;
+        if is_deadly(path) {
+            self.fleet.borrow_mut().crash(self.slot);
+            return truncated_response();
+        }
         let id = header_text(headers, "x-bronzerun-request-id");
         sealed_response(full_body(format!("whole:{id}")), id, &server.id)
     }
@@ -142,6 +147,10 @@
         );
         drop(fleet);
         self.record_run(headers, path);
+        if is_deadly(path) {
+            self.fleet.borrow_mut().crash(self.slot);
+            return truncated_response();
+        }
         let id = header_text(headers, "x-bronzerun-request-id").to_owned();
         let first = header_text(headers, "last-event-id").parse().unwrap_or(0) + 1;
         let (sender, body) = body_channel();
@@ -218,6 +227,9 @@
             if !expected.is_empty() && expected != server.id {
                 return not_executed(StatusCode::MISDIRECTED_REQUEST);
             }
+            if !server.is_alive {
+                return truncated_response();
+            }
             let path = parts.uri.path();
             let response = match path {
                 "/report" => {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -17,6 +17,7 @@
 use crate::addresses::{free_port, loopback, next_run};
 use crate::checker::{InvariantChecker, Tally};
 use crate::clients::{ClientContext, EntryHost, SoakClient};
+use crate::deadly::send_deadly;
 use crate::nodes::{GRACE_SECONDS, SoakNode};
 use crate::options::SoakOptions;
 use crate::plan::{Fault, FaultPlan, Link, LinkMode, PlanSize};
@@ -39,6 +40,8 @@
 const PROPAGATION_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time from the stop of a server until its entry leaves the store and another one replaces it.
 const REPLACEMENT_DELAY: Duration = Duration::from_millis(2_400);
+/// Time from the crash of a server by a request until another one replaces it.
+const CRASH_DURATION: Duration = Duration::from_millis(800);
 /// Time for which a leaving server continues to serve.
 const LEAVE_DURATION: Duration = Duration::from_millis(2_600);
 /// Time from the store's return from a copy until the servers write their entries again.
@@ -325,6 +328,11 @@
                 self.fleet.borrow_mut().replace(slot);
                 self.server_links[slot].mode.set(LinkMode::Open);
             }
+            let crashed = self.fleet.borrow_mut().take_crashed();
+            for slot in crashed {
+                self.server_links[slot].mode.set(LinkMode::Reset);
+                self.server_replacements.push((now + CRASH_DURATION, slot));
+            }
             self.restore_store(now);
             self.fleet.borrow_mut().advance(now);
             if now >= end {
@@ -442,6 +450,11 @@
                 self.fleet.borrow_mut().servers[slot].is_leaving = true;
                 self.server_stops.push((now + LEAVE_DURATION, slot));
             }
+            Fault::DeadlyRequest(kind, duration) => {
+                let context = self.client_context.clone();
+                monoio::spawn(send_deadly(context, kind, now + duration));
+                disturbed_until = now + duration;
+            }
             Fault::Limit(slot, per_minute, duration) => {
                 self.fleet
                     .borrow_mut()
