Soak: daemons partitioned from all servers; three failing tests of it

Each daemon has links of its own to the servers, so that one daemon, or most of them, can be cut off from all servers while clients, the store and the other daemons reach it: silent, reset, or with open connections that live on.

--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -3,7 +3,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use soak::{Fault, FaultPlan, FaultStep, RequestKind, SoakOptions, SoakReport, run_plan, run_seed};
+use soak::{
+    Fault, FaultPlan, FaultStep, LinkMode, RequestKind, SoakOptions, SoakReport, run_plan, run_seed,
+};
 
 /// Seeds of the short runs.
 const SEEDS: [u64; 2] = [101, 102];
@@ -121,3 +123,29 @@
 fn a_request_that_crashes_engines_is_rejected_once_it_is_known() {
     check_deadly_request(109, RequestKind::Stream);
 }
+
+/// Whether callers of partitioned daemons are served, and those of the others as well.
+fn check_cut_from_servers(seed: u64, count: usize, mode: LinkMode) {
+    let cut = Fault::CutFromServers(count, mode, Duration::from_secs(7));
+    let report = run_faults(seed, &[(100, cut)]);
+    assert!(report.violations.is_empty(), "{report}");
+    let (all, served) = report.cut.elsewhere;
+    assert!(served * 10 >= all * 9, "{report} {:?}", report.cut);
+    let (all, served) = report.cut.at_cut;
+    assert!(served * 10 >= all * 9, "{report} {:?}", report.cut);
+}
+
+#[test]
+fn callers_of_a_daemon_that_all_servers_are_silent_to_are_served() {
+    check_cut_from_servers(110, 1, LinkMode::Blackhole);
+}
+
+#[test]
+fn callers_of_most_daemons_that_reset_connections_cut_from_servers_are_served() {
+    check_cut_from_servers(111, 2, LinkMode::Reset);
+}
+
+#[test]
+fn callers_of_daemons_that_can_open_no_new_connection_to_servers_are_served() {
+    check_cut_from_servers(112, 2, LinkMode::RefuseNew);
+}
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -30,6 +30,11 @@
 /// Runs of the request that are allowed after that time.
 const DEADLY_SLACK: usize = 3;
 
+/// Requests at partitioned daemons that may fail, besides one in fifty.
+const CUT_SLACK: u32 = 10;
+/// Part of the others' success that partitioned daemons must have.
+const MIN_CUT_RATIO: f64 = 2.0 / 3.0;
+
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -62,6 +67,15 @@
     pub failed: u32,
 }
 
+/// First tries while some daemons were partitioned from all servers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CutTries {
+    /// At the partitioned daemons: all, and those that were served.
+    pub at_cut: (u32, u32),
+    /// At the others.
+    pub elsewhere: (u32, u32),
+}
+
 /// Arrivals at a server since it first named a limit.
 #[derive(Debug)]
 struct LimitedServer {
@@ -90,6 +104,7 @@
     busy: HashMap<String, BusyServer>,
     /// Instants at which servers began to run the request that crashes them.
     deadly_runs: Vec<Instant>,
+    cut_tries: CutTries,
     /// Number of daemons.
     daemons: usize,
     /// Limits are checked over windows that begin after this instant.
@@ -283,6 +298,35 @@
         }
     }
 
+    /// Records the outcome of a request while some daemon was partitioned from all servers.
+    pub fn record_try_in_cut(&mut self, is_at_cut: bool, is_served: bool) {
+        let tries = if is_at_cut {
+            &mut self.cut_tries.at_cut
+        } else {
+            &mut self.cut_tries.elsewhere
+        };
+        tries.0 += 1;
+        tries.1 += u32::from(is_served);
+    }
+
+    /// Requests while some daemon was partitioned from all servers.
+    pub fn cut_tries(&self) -> CutTries {
+        self.cut_tries
+    }
+
+    /// Checks that callers of partitioned daemons were served nearly as often as others.
+    pub fn check_cuts(&mut self) {
+        let CutTries { at_cut, elsewhere } = self.cut_tries;
+        let ratio = |(all, served): (u32, u32)| f64::from(served) / f64::from(all.max(1));
+        let failed = at_cut.0 - at_cut.1;
+        if failed > CUT_SLACK + at_cut.0 / 50 && ratio(at_cut) < ratio(elsewhere) * MIN_CUT_RATIO {
+            self.violations.push(format!(
+                "daemons partitioned from all servers served {} of {} requests, the others {} of {}",
+                at_cut.1, at_cut.0, elsewhere.1, elsewhere.0
+            ));
+        }
+    }
+
     /// Records that a server begins to run a request that crashes it.
     pub fn record_deadly_run(&mut self, now: Instant) {
         self.deadly_runs.push(now);
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -26,6 +26,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest body of a response that is not a stream.
 const MAX_BODY_BYTES: usize = 64 * 1_024;
+/// Time from a partition until callers of the partitioned daemon are served as others.
+const CUT_TIMEOUT: Duration = Duration::from_secs(2);
 /// One request in this many, on average, uses a revoked key, if there is one.
 const REVOKED_KEY_ONE_IN: u32 = 12;
 
@@ -35,6 +37,16 @@
     pub client_address: SocketAddr,
     /// Whether clients send new requests to it.
     pub is_in_rotation: Rc<Cell<bool>>,
+    /// When it was last partitioned from all servers, and until when.
+    pub cut: Rc<Cell<Option<(Instant, Instant)>>>,
+}
+
+impl EntryHost {
+    /// Whether it is partitioned from all servers, and has been for long enough to know.
+    fn is_known_cut(&self, now: Instant) -> bool {
+        let cut = self.cut.get();
+        cut.is_some_and(|(from, until)| now >= from + CUT_TIMEOUT && now < until)
+    }
 }
 
 /// State that all clients share.
@@ -97,7 +109,7 @@
         } else {
             usable
         };
-        let address = usable[self.rng.random_range(0..usable.len())].client_address;
+        let host = usable[self.rng.random_range(0..usable.len())].clone();
         let keys = self.context.keys.borrow();
         let checker = self.context.checker.borrow();
         let wants_revoked = self.rng.random_range(0..REVOKED_KEY_ONE_IN) == 0;
@@ -117,7 +129,7 @@
         ClientRequest {
             id: format!("c{}-{}", self.name, self.sent),
             path: format!("/{path}/{}/{}", self.name, self.sent),
-            address,
+            host,
             key,
             kind,
             model,
@@ -129,7 +141,7 @@
 struct ClientRequest {
     id: String,
     path: String,
-    address: SocketAddr,
+    host: EntryHost,
     key: String,
     kind: RequestKind,
     model: &'static str,
@@ -154,8 +166,17 @@
             .checker
             .borrow()
             .is_revocation_due(&self.key, sent_at);
+        let is_cut = self.host.is_known_cut(sent_at);
+        let has_cut = context
+            .entry_hosts
+            .iter()
+            .any(|host| host.is_known_cut(sent_at));
         let outcome = self.send(context, web, clock.now() + CLIENT_TIMEOUT).await;
         let mut checker = context.checker.borrow_mut();
+        if has_cut && !matches!(outcome, RequestOutcome::Denied(_)) {
+            let is_served = matches!(outcome, RequestOutcome::Served);
+            checker.record_try_in_cut(is_cut, is_served);
+        }
         let is_valid = checker.is_valid(&self.key);
         let second = context.started_at.elapsed().as_secs();
         match outcome {
@@ -210,7 +231,7 @@
             .header("x-bronzerun-tenant", "forged")
             .body(empty_body())
             .expect("the request is well formed");
-        let response = match web.call(self.address, request, deadline).await {
+        let response = match web.call(self.host.client_address, request, deadline).await {
             CallOutcome::Response(response) => response,
             CallOutcome::NotSent | CallOutcome::Lost => return RequestOutcome::Failed,
         };
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -21,7 +21,7 @@
 mod proxy;
 mod run;
 
-pub use checker::{InvariantChecker, RequestKind, Tally};
+pub use checker::{CutTries, InvariantChecker, RequestKind, Tally};
 pub use options::SoakOptions;
 pub use plan::{Fault, FaultPlan, FaultStep, LinkMode, PlanSize};
 pub use run::{SoakError, SoakReport, run_plan, run_seed};
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -31,6 +31,8 @@
     OneWay,
     /// Connections are reset.
     Reset,
+    /// Open connections live on, new ones are closed at once.
+    RefuseNew,
 }
 
 /// Connections that a fault disturbs.
@@ -59,6 +61,8 @@
     Reload(usize),
     /// A link is in this mode for this long.
     Link(Link, LinkMode, Duration),
+    /// The first daemons, this many, are partitioned from all servers in this mode for this long.
+    CutFromServers(usize, LinkMode, Duration),
     /// All open connections to the store and between daemons go silent for good, without a
     /// reset; new ones work.
     HangConnections,
--- a/crates/soak/src/platform/store.rs
+++ b/crates/soak/src/platform/store.rs
@@ -163,6 +163,8 @@
     pub reader: String,
     /// Addresses of the proxies in front of the daemons, by daemon name.
     pub proxies: Rc<RefCell<HashMap<String, SocketAddr>>>,
+    /// Addresses of the proxies between this daemon and the servers, by the servers' addresses.
+    pub server_proxies: HashMap<SocketAddr, SocketAddr>,
 }
 
 /// Parsed request.
@@ -187,6 +189,12 @@
         {
             spec["address"] = json!(proxy.to_string());
         }
+        let address = spec["address"]
+            .as_str()
+            .and_then(|address| address.parse().ok());
+        if let Some(proxy) = address.and_then(|address| self.server_proxies.get(&address)) {
+            spec["address"] = json!(proxy.to_string());
+        }
         json!({"metadata": {"name": name, "revision": revision}, "spec": spec})
     }
 
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -81,7 +81,7 @@
     while mode.get() == LinkMode::Blackhole {
         monoio::time::sleep(MODE_POLL_INTERVAL).await;
     }
-    if mode.get() == LinkMode::Reset {
+    if matches!(mode.get(), LinkMode::Reset | LinkMode::RefuseNew) {
         return;
     }
     let Ok(server) = TcpStream::connect(target).await else {
@@ -125,7 +125,7 @@
         }
         has_dropped |= state.is_hung();
         match state.mode.get() {
-            LinkMode::Open => {}
+            LinkMode::Open | LinkMode::RefuseNew => {}
             LinkMode::Delayed(delay) => monoio::time::sleep(delay).await,
             LinkMode::Blackhole => has_dropped = true,
             LinkMode::OneWay => has_dropped |= is_forward,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -15,7 +15,7 @@
 use rustix::process::Signal;
 
 use crate::addresses::{free_port, loopback, next_run};
-use crate::checker::{InvariantChecker, Tally};
+use crate::checker::{CutTries, InvariantChecker, Tally};
 use crate::clients::{ClientContext, EntryHost, SoakClient};
 use crate::deadly::send_deadly;
 use crate::nodes::{GRACE_SECONDS, SoakNode};
@@ -72,6 +72,8 @@
     pub all: Tally,
     /// Outcomes in the evaluation window at the end.
     pub last: Tally,
+    /// First tries while daemons were partitioned from all servers.
+    pub cut: CutTries,
     /// Invariant violations.
     pub violations: Vec<String>,
     /// Directory of the daemons' logs.
@@ -157,6 +159,8 @@
     store_links: Vec<LinkProxy>,
     node_links: Vec<LinkProxy>,
     server_links: Vec<LinkProxy>,
+    /// From each daemon to each server.
+    daemon_server_links: Vec<Vec<LinkProxy>>,
     /// Links to open again.
     link_repairs: Vec<(Instant, Rc<Cell<LinkMode>>)>,
     // Servers to stop and to replace.
@@ -203,14 +207,22 @@
         let proxies = Rc::new(RefCell::new(HashMap::new()));
         let run = next_run();
         let (mut nodes, mut store_links, mut node_links) = (Vec::new(), Vec::new(), Vec::new());
+        let mut daemon_server_links = Vec::new();
         for index in 0..options.nodes {
             let reader = format!("edge-{index}");
             let (state, proxies) = (store.clone(), proxies.clone());
+            let mut links = Vec::new();
+            for address in &addresses {
+                links.push(LinkProxy::listen(free_port(), *address)?);
+            }
+            let own_addresses = links.iter().map(|link| link.address);
             let address = open_service(StoreService {
                 state,
                 reader: reader.clone(),
                 proxies: proxies.clone(),
+                server_proxies: addresses.iter().copied().zip(own_addresses).collect(),
             })?;
+            daemon_server_links.push(links);
             let link = LinkProxy::listen(free_port(), address)?;
             let ip = loopback(std::process::id(), run, index);
             let node = SoakNode::new(&options.edge, &logs, index, ip, link.address)?;
@@ -229,6 +241,7 @@
         let entry_hosts = nodes.iter().map(|supervised| EntryHost {
             client_address: supervised.node.client_address,
             is_in_rotation: Rc::new(Cell::new(true)),
+            cut: Rc::default(),
         });
         let client_context = ClientContext {
             checker: Rc::clone(&checker),
@@ -250,6 +263,7 @@
             store_links,
             node_links,
             server_links,
+            daemon_server_links,
             link_repairs: Vec::new(),
             server_stops: Vec::new(),
             server_replacements: Vec::new(),
@@ -423,6 +437,17 @@
                 self.link_repairs.push((now + duration, link.mode.clone()));
                 disturbed_until = now + duration;
             }
+            Fault::CutFromServers(count, mode, duration) => {
+                let hosts = self.client_context.entry_hosts.iter().take(count);
+                for (links, host) in self.daemon_server_links.iter().zip(hosts) {
+                    host.cut.set(Some((now, now + duration)));
+                    for link in links {
+                        link.mode.set(mode);
+                        self.link_repairs.push((now + duration, link.mode.clone()));
+                    }
+                }
+                disturbed_until = now + duration;
+            }
             Fault::HangConnections => {
                 let links = self.store_links.iter().chain(&self.node_links);
                 links.for_each(LinkProxy::hang_connections);
@@ -550,9 +575,11 @@
                 last.served
             ));
         }
+        checker.check_cuts();
         SoakReport {
             seed: self.seed,
             faults,
+            cut: checker.cut_tries(),
             all: checker.tally_from(0),
             last,
             violations: checker.violations().to_vec(),
