Nodes that reach no server have other nodes pass their requests on

Cause: a node had one way to a server, its own connection, and took its own reach for the servers' health. Class: a local fault taken for a fault of what is observed.

Change: the new crate reach decides. Trouble with three servers in two seconds raises a suspicion, and a trial asks three other servers on new connections at once. One response dismisses it; none means that the node is cut off. Until the trial ends, probes without a response are held back, and silent heads are not reported. A node that is cut off says so in its digests, can't own the groups while other nodes reach servers, reports no crashes and no silent heads, forgets the failures that it has counted, and has each attempt passed on by another node, of its own failure domain if it can. The other node carries one attempt, once: target, deadline, retries, limits and the end of a stream remain with the node that took the request; a body that breaks off is aborted, and a disconnect closes both connections. It refuses if it is cut off or stopping, or if the server has told it that it leaves or wants nothing. Two good trials in a row end it. If no node reaches a server, the servers are down, and ownership stays.

Weighed and dropped: leaving the balancer (a whole zone or most nodes may be cut, open connections stay, and a duty is missed), and refusing. A TCP tunnel ends a body without a length as if it were complete when the middle node dies; HTTP between the nodes has an end of its own.

Besides, a table test of the decisions and event loops of 7 and 195 nodes with one node, a third and three quarters partitioned, a partitioned owner, the way back, and no node that reaches servers.

--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -13,6 +13,7 @@
 use relay::{AttemptEnd, SendOrder, StallStep};
 
 use super::EdgeReplies;
+use super::pass::{add_pass_headers, pass_outcome};
 use super::ports::{ForwardMetadata, HeaderCodec, ResponseMetadata};
 use crate::{EdgeEvent, EdgeQuestion, EdgeReply};
 
@@ -61,11 +62,12 @@
         last_event: Option<u64>,
     ) -> AttemptOutcome {
         let remaining_ms = order.deadline.since(self.clock.now()).as_millis() as u64;
-        log::info!(id:% = request.id, place:% = order.target, rank = order.rank, load = order.load, passed_over = order.passed_over, left = remaining_ms, last_event:? = last_event; "attempt started");
+        log::info!(id:% = request.id, place:% = order.target, rank = order.rank, load = order.load, passed_over = order.passed_over, left = remaining_ms, last_event:? = last_event, via:? = order.via; "attempt started");
         let Some(forwarded) = self.build_request(request, order, last_event) else {
             return AttemptOutcome::Ended(AttemptEnd::NotSent);
         };
-        let call = self.client.call(order.address, forwarded, order.deadline);
+        let address = order.via.unwrap_or(order.address);
+        let call = self.client.call(address, forwarded, order.deadline);
         let mut call = pin!(call);
         let mut check_at = order.check_at;
         loop {
@@ -73,8 +75,18 @@
             let outcome = with_deadline(self.clock.as_ref(), until, call.as_mut()).await;
             match outcome {
                 Some(CallOutcome::Response(response)) => {
+                    let outcome = order
+                        .via
+                        .and_then(|_| pass_outcome(&response.parts.headers));
+                    if let Some(end) = outcome {
+                        drain_response(*response, self.clock.as_ref());
+                        return AttemptOutcome::Ended(end);
+                    }
                     return self.check_response(request, order, *response);
                 }
+                Some(CallOutcome::NotSent) if order.via.is_some() => {
+                    return AttemptOutcome::Ended(AttemptEnd::NotPassedOn);
+                }
                 Some(CallOutcome::NotSent) => return AttemptOutcome::Ended(AttemptEnd::NotSent),
                 Some(CallOutcome::Lost) if self.clock.now() >= order.deadline => {
                     return AttemptOutcome::DeadlinePassed;
@@ -141,6 +153,9 @@
         *forwarded.headers_mut() = self
             .header_codec
             .forward_headers(&request.headers, &metadata);
+        if order.via.is_some() {
+            add_pass_headers(&mut forwarded, order, &request.id, self.clock.now())?;
+        }
         Some(forwarded)
     }
 
--- a/crates/edge/src/border/executor.rs
+++ b/crates/edge/src/border/executor.rs
@@ -20,6 +20,9 @@
 /// work.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(130);
 
+/// Time for a server's response on trial.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Executor of the event loop's effects.
 pub(super) struct EdgeExecutor {
     pub clock: Rc<dyn ClockSource>,
@@ -71,6 +74,19 @@
                     Self::send_event(&events, EdgeEvent::Reported(of, outcome));
                 });
             }
+            EdgeEffect::Try { server, address } => {
+                let trial = self
+                    .endpoints
+                    .responds(address, &server, now + TRIAL_TIMEOUT);
+                monoio::spawn(async move {
+                    let is_reached = trial.await;
+                    Self::send_event(&events, EdgeEvent::Tried(server, is_reached));
+                });
+            }
+            EdgeEffect::CountReach(change) => {
+                self.metrics
+                    .count("reach_changes", &[("change", change)], 1);
+            }
             EdgeEffect::Send { to, message } => {
                 self.links
                     .send(to, Bytes::from(encode_message(&message, now)));
--- a/crates/edge/src/border/mod.rs
+++ b/crates/edge/src/border/mod.rs
@@ -8,6 +8,7 @@
 mod ingress;
 mod labels;
 mod links;
+mod pass;
 mod readiness;
 mod reload;
 mod responses;
--- a/crates/edge/src/border/ports.rs
+++ b/crates/edge/src/border/ports.rs
@@ -128,6 +128,14 @@
         deadline: ClockTime,
     ) -> LocalBoxFuture<'static, OrderOutcome>;
 
+    /// Whether a server responds on a new connection, whatever the response.
+    fn responds(
+        &self,
+        address: SocketAddr,
+        server: &HostName,
+        deadline: ClockTime,
+    ) -> LocalBoxFuture<'static, bool>;
+
     /// Requests a report.
     fn report(
         &self,
--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -6,6 +6,7 @@
 
 use base::prelude::*;
 use futures_channel::mpsc::unbounded;
+use futures_util::future::join;
 use monoio::net::TcpListener;
 use net::web::{WebClient, WebLimits, WebService, serve};
 use net::{
@@ -18,6 +19,7 @@
 use super::executor::EdgeExecutor;
 use super::ingress::ClientService;
 use super::links::{PeerLinks, accept_links};
+use super::pass::pass_service;
 use super::ports::{EndpointClient, HeaderCodec, PlatformStore, SettingsSource, StoreCollection};
 use super::readiness::ReadinessService;
 use super::reload::watch_settings;
@@ -80,6 +82,7 @@
     let (ready, ready_address) = listen(settings.ready)?;
     let (ingress, ingress_address) = listen(settings.ingress)?;
     let (peers, peers_address) = listen(settings.peers)?;
+    let (passing, _) = listen(settings.passing)?;
     log::info!(node:% = settings.node, front:% = ingress_address, ready:% = ready_address, peers:% = peers_address; "started");
     let (events, receiver) = unbounded();
     forward_shutdown_signals(events.clone(), || EdgeEvent::Stop)?;
@@ -137,8 +140,10 @@
         is_closing: is_closing.clone(),
         next_call: Rc::default(),
     });
+    let passing_service = pass_service(service.context.clone(), limits);
     monoio::spawn(async move {
-        serve(ingress, service, limits, drain_watch).await;
+        let passing = serve(passing, passing_service, limits, drain_watch.clone());
+        join(serve(ingress, service, limits, drain_watch), passing).await;
         log::info!("stopped: all connections closed");
         std::process::exit(0);
     });
--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -87,6 +87,8 @@
     limits: Vec<LimitWire>,
     #[prost(message, repeated, tag = "16")]
     leaving: Vec<LeavingWire>,
+    #[prost(bool, tag = "17")]
+    is_cut_off: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -282,6 +284,7 @@
             intent_version: digest.config_version,
             record_version: digest.record_version.0,
             can_own: digest.can_own,
+            is_cut_off: digest.is_cut_off,
             places_version: digest.targets_version.0,
             owns: digest.is_owner,
             summing_hub: (digest.summing_hub.as_ref()).map(|hub| hub.as_str().to_owned()),
@@ -326,6 +329,7 @@
             config_version: wire.intent_version,
             record_version: ObjectVersion(wire.record_version),
             can_own: wire.can_own,
+            is_cut_off: wire.is_cut_off,
             targets_version: ObjectVersion(wire.places_version),
             is_owner: wire.owns,
             weight: NodeWeight(wire.weight),
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -6,6 +6,7 @@
 use relay::{AttemptEnd, CallArrival, CallStep, StallStep};
 
 use super::quarantine::{block_call, record_crash};
+use super::reach::{is_stranded, is_untrusted, pass_elsewhere, record_trouble, route_attempt};
 use crate::{Arrival, ArrivalOutcome, EdgeState, RejectReason};
 
 /// Checks a request against the active configuration and chooses its first step.
@@ -56,6 +57,7 @@
         },
         now,
     );
+    let step = route_attempt(state, arrival.call, step, now);
     ArrivalOutcome::Accepted {
         version: config.version,
         route: route.clone(),
@@ -72,7 +74,16 @@
     end: AttemptEnd,
     now: ClockTime,
 ) -> CallStep {
+    if end == AttemptEnd::NotPassedOn
+        && let Some(step) = pass_elsewhere(state, call, now)
+    {
+        return step;
+    }
     let target = relay::queries::target_of(&state.relay, call).cloned();
+    let is_direct = !state.passed.contains_key(&call);
+    if let Some(server) = target.as_ref().filter(|_| is_direct && is_unanswered(end)) {
+        record_trouble(state, server, now);
+    }
     let is_group_lost = matches!(end, AttemptEnd::Misdirected | AttemptEnd::GroupBroken);
     if let Some(head) = target.filter(|_| is_group_lost) {
         report_silent_head(state, head, now);
@@ -80,16 +91,31 @@
     if record_crash(state, call, end, now) {
         return relay::commands::give_up(&mut state.relay, call, end, now);
     }
-    relay::commands::end_attempt(&mut state.relay, call, end, now)
+    let step = relay::commands::end_attempt(&mut state.relay, call, end, now);
+    route_attempt(state, call, step, now)
+}
+
+/// Whether an attempt ended without a response.
+fn is_unanswered(end: AttemptEnd) -> bool {
+    matches!(
+        end,
+        AttemptEnd::NotSent | AttemptEnd::Lost | AttemptEnd::Cut | AttemptEnd::Stalled
+    )
 }
 
 /// Decides whether an attempt without progress goes on, and reports its head to the
 /// owner of the groups if it is silent.
 pub(crate) fn check_stall(state: &mut EdgeState, call: CallId, now: ClockTime) -> StallStep {
     if let Some(head) = relay::commands::silent_target(&state.relay, call, now) {
+        if !state.passed.contains_key(&call) {
+            record_trouble(state, &head, now);
+        }
         relay::commands::suspect_target(&mut state.relay, &head, now);
         report_silent_head(state, head, now);
     }
+    if is_stranded(state, call) {
+        return StallStep::Abort;
+    }
     if quarantine::queries::is_call_blocked(&state.quarantine, call) {
         return StallStep::Abort;
     }
@@ -98,6 +124,9 @@
 
 /// Makes the owner of the groups probe a head's members at once.
 fn report_silent_head(state: &mut EdgeState, head: HostName, now: ClockTime) {
+    if is_untrusted(state, now) {
+        return;
+    }
     if state.is_owner || state.is_prober {
         replicas::commands::probe_group(&mut state.planner, &head, now);
         state.needs_plan = true;
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -124,6 +124,7 @@
             .map_or(ObjectVersion::default(), |(_, version)| *version),
         is_owner: state.is_owner,
         can_own: can_own(state, now),
+        is_cut_off: reach::queries::is_cut_off(&state.reach),
         summing_hub: state.summing_hub.as_ref().map(|hub| hub.node.clone()),
         has_sums: false,
         counts: relay::queries::local_counts(&state.relay, now),
--- a/crates/edge/src/commands/mod.rs
+++ b/crates/edge/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod peers;
 mod plan;
 mod quarantine;
+mod reach;
 mod reload;
 mod shared;
 mod stop;
@@ -20,6 +21,7 @@
 pub(crate) use peers::handle_message;
 pub(crate) use plan::{handle_order_outcome, handle_report_outcome, plan_if_due};
 pub(crate) use quarantine::{record_answer, send_evidence};
+pub(crate) use reach::{find_pass_target, handle_trial_outcome, record_pass_failure, start_trials};
 pub(crate) use reload::reload;
 pub(crate) use shared::{
     apply_shared_objects, handle_write_outcome, register_node, update_retry_budget,
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -98,7 +98,7 @@
     if digest.is_owner && digest.can_own {
         state.owner_seen_at = Some(now);
     }
-    if is_hub(state) && uses_hubs(state) {
+    if is_hub(state) && uses_hubs(state) && !digest.is_cut_off {
         // Other nodes learn of silent heads from the digest of their summing hub.
         state
             .reported_silent_heads
@@ -111,7 +111,9 @@
             refresh_targets(state);
         }
     }
-    for head in &digest.silent_heads {
+    // A node that reaches no server finds all of them silent.
+    let silent_heads = digest.silent_heads.iter();
+    for head in silent_heads.filter(|_| !digest.is_cut_off) {
         relay::commands::suspect_target(&mut state.relay, head, now);
         if state.is_owner || state.is_prober {
             probe_group(&mut state.planner, head, now);
--- a/crates/edge/src/commands/plan.rs
+++ b/crates/edge/src/commands/plan.rs
@@ -10,6 +10,7 @@
 use replicas::queries::serving_groups;
 use replicas::{MemberOrder, OrderOutcome, PlanEffect, ProbeOutcome};
 
+use super::reach::{is_untrusted, record_trouble};
 use super::refresh_targets;
 use super::shared::record_change;
 use crate::peer::SlowPace;
@@ -176,6 +177,14 @@
         retry_probe(&mut state.planner, of, now);
         return Vec::new();
     }
+    if outcome == ProbeOutcome::NoResponse {
+        record_trouble(state, of, now);
+        if is_untrusted(state, now) {
+            // Counts once it is clear that the servers are in trouble and not this node.
+            state.held_probes.insert(of.clone());
+            return Vec::new();
+        }
+    }
     record_probe_outcome(&mut state.planner, of, outcome, now);
     let is_lost = state
         .planner
--- a/crates/edge/src/commands/quarantine.rs
+++ b/crates/edge/src/commands/quarantine.rs
@@ -8,6 +8,7 @@
     blocking_verdict, evidence_hash, fresh_evidence, may_resend, watched_evidence,
 };
 use quarantine::{CallSuspects, CrashEvidence, CrashSuspect, CrashVerdict, ServerCrash};
+use reach::queries::is_cut_off;
 use relay::AttemptEnd;
 
 use crate::peer::{Digest, PeerMessage};
@@ -61,7 +62,8 @@
     now: ClockTime,
 ) -> bool {
     let is_given_up = quarantine::queries::is_call_blocked(&state.quarantine, call);
-    if !matches!(end, AttemptEnd::Lost | AttemptEnd::Cut) {
+    let is_crash = matches!(end, AttemptEnd::Lost | AttemptEnd::Cut);
+    if !is_crash || is_cut_off(&state.reach) {
         return is_given_up;
     }
     let Some(attempt) = relay::queries::attempt_of(&state.relay, call) else {
--- a/crates/edge/src/commands/shared.rs
+++ b/crates/edge/src/commands/shared.rs
@@ -24,6 +24,9 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct NodeWire {
     address: SocketAddr,
+    /// Address for requests that the node passes on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    passing: Option<SocketAddr>,
     /// Thousandths of a core that the node may use.
     #[serde(default)]
     rank: u32,
@@ -123,8 +126,9 @@
     };
     if node == state.settings.node {
         state.entry_version = object.version;
-        state.is_registered =
-            wire.address == state.settings.peers && wire.domain == state.settings.domain.as_str();
+        state.is_registered = wire.address == state.settings.peers
+            && wire.passing == Some(state.settings.passing)
+            && wire.domain == state.settings.domain.as_str();
         return;
     }
     let address = wire.address;
@@ -134,6 +138,7 @@
         PeerState::new(address, wire.rank, domain.clone())
     });
     peer.address = address;
+    peer.passing = wire.passing;
     peer.domain = domain;
     peer.capacity = wire.rank;
 }
@@ -148,6 +153,7 @@
     }
     let wire = NodeWire {
         address: state.settings.peers,
+        passing: Some(state.settings.passing),
         rank: state.settings.capacity,
         domain: state.settings.domain.as_str().to_owned(),
     };
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -105,6 +105,8 @@
     Ended(CallId, AttemptEnd),
     /// The server of a request has sent nothing for a while.
     Check(CallId),
+    /// Another node asks to pass a request on to a start of a server.
+    PassOn(ServerRun),
     /// The status of the node is requested.
     Status,
 }
@@ -143,6 +145,8 @@
     Step(CallStep),
     /// What to do about a stalled attempt.
     Stall(StallStep),
+    /// Address of the server; `None` if this node can't pass the request on.
+    PassTarget(Option<SocketAddr>),
     /// Status of the node.
     Status(EdgeStatus),
 }
@@ -175,6 +179,10 @@
     Ordered(HostName, MemberOrder, OrderOutcome),
     /// A probe of an endpoint ended.
     Reported(HostName, ProbeOutcome),
+    /// A request that this node passed on got no response from a server.
+    PassFailed(HostName),
+    /// A server has responded on a new connection on trial, or has not.
+    Tried(HostName, bool),
     /// A message of another node arrived.
     Peer(PeerMessage),
     /// The settings were reloaded and have changed.
@@ -219,6 +227,15 @@
         /// Its address.
         address: SocketAddr,
     },
+    /// Find out whether a server responds on a new connection.
+    Try {
+        /// The server.
+        server: HostName,
+        /// Its address.
+        address: SocketAddr,
+    },
+    /// Count a change of whether this node reaches servers; the label of the metric says which.
+    CountReach(&'static str),
     /// Send a message to another node.
     Send {
         /// Address of the node.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -26,6 +26,7 @@
             EdgeEvent::Finished(call) => {
                 relay::commands::finish(&mut self.relay, call);
                 quarantine::commands::finish_call(&mut self.quarantine, call);
+                self.passed.remove(&call);
                 Vec::new()
             }
             EdgeEvent::Collection(collection, event) => {
@@ -40,6 +41,10 @@
             EdgeEvent::Reported(of, outcome) => {
                 commands::handle_report_outcome(self, &of, outcome, now)
             }
+            EdgeEvent::PassFailed(server) => commands::record_pass_failure(self, &server, now),
+            EdgeEvent::Tried(server, is_reached) => {
+                commands::handle_trial_outcome(self, &server, is_reached, now)
+            }
             EdgeEvent::Peer(message) => commands::handle_message(self, message, now),
             EdgeEvent::Reloaded(settings) => {
                 commands::reload(self, *settings);
@@ -54,6 +59,7 @@
         let mut effects = commands::register_node(self, now);
         effects.extend(commands::send_digests(self, now));
         effects.extend(commands::send_evidence(self, now));
+        effects.extend(commands::start_trials(self, now));
         effects.extend(commands::plan_if_due(self, now));
         effects.extend(commands::advance_stop(self, now));
         effects
@@ -74,6 +80,9 @@
             EdgeReply::Step(commands::end_attempt(state, call, end, now))
         }
         EdgeQuestion::Check(call) => EdgeReply::Stall(commands::check_stall(state, call, now)),
+        EdgeQuestion::PassOn(run) => {
+            EdgeReply::PassTarget(commands::find_pass_target(state, &run, now))
+        }
         EdgeQuestion::Status => EdgeReply::Status(queries::status(state, now)),
     }
 }
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -73,6 +73,8 @@
     pub is_owner: bool,
     /// Whether it can own the groups: it reaches the store and isn't stopping.
     pub can_own: bool,
+    /// Whether it reaches no server.
+    pub is_cut_off: bool,
     /// Hub that sends it the sums of all nodes; `None` if it has not chosen one or is a hub.
     pub summing_hub: Option<NodeName>,
     /// Whether `counts` are the sums of all nodes.
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -3,6 +3,7 @@
 mod deadline;
 mod hubs;
 mod owner;
+mod pass;
 mod share;
 mod status;
 mod targets;
@@ -13,7 +14,8 @@
     choose_summing_hub, complete_targets_version, is_hub, lists_endpoints, local_targets_version,
     receives_targets, select_hubs, sends_sums_to, uses_hubs,
 };
-pub(crate) use owner::{can_own, is_peer_alive, is_prober, owner};
+pub(crate) use owner::{can_own, is_cut_off_alone, is_peer_alive, is_prober, owner};
+pub(crate) use pass::pass_candidates;
 pub(crate) use share::{local_weight, node_share, total_weight};
 pub(crate) use status::startup_wait;
 pub use status::status;
--- a/crates/edge/src/queries/owner.rs
+++ b/crates/edge/src/queries/owner.rs
@@ -37,6 +37,20 @@
         && state.config.get().is_some()
         && now.since(state.started_at) >= state.times.ownership_start_delay
         && is_store_available(state, now)
+        && !is_cut_off_alone(state, now)
+}
+
+/// Whether this node reaches no server while others do; if no node does, the servers are down.
+pub(crate) fn is_cut_off_alone(state: &EdgeState, now: ClockTime) -> bool {
+    let mut peers = state.peers.values();
+    reach::queries::is_cut_off(&state.reach)
+        && peers.any(|peer| {
+            let is_sound = peer
+                .digest
+                .as_ref()
+                .is_some_and(|digest| !digest.is_cut_off);
+            is_sound && is_peer_alive(state, peer, now)
+        })
 }
 
 /// Whether another node has sent a digest recently.
@@ -89,7 +103,8 @@
 /// does so: the one that wrote the record, or else the first of the hubs.
 pub(crate) fn is_prober(state: &EdgeState, now: ClockTime) -> bool {
     let has_started = now.since(state.started_at) >= state.times.ownership_start_delay;
-    let is_able = has_started && state.stopping.is_none() && is_hub(state);
+    let is_able =
+        has_started && state.stopping.is_none() && is_hub(state) && !is_cut_off_alone(state, now);
     if !is_able || state.planner.version().is_none() || owner(state, now).is_some() {
         return false;
     }
@@ -99,7 +114,12 @@
     let local = rank(&state.settings.node, state.settings.capacity);
     let peers = state.peers.iter();
     let hubs = peers.filter(|(node, _)| !uses_hubs(state) || state.hubs.contains(*node));
-    let mut alive = hubs.filter(|(_, peer)| is_peer_alive(state, peer, now));
+    let reaches_servers = |peer: &PeerState| {
+        let digest = peer.digest.as_ref();
+        digest.is_none_or(|digest| !digest.is_cut_off)
+    };
+    let mut alive =
+        hubs.filter(|(_, peer)| is_peer_alive(state, peer, now) && reaches_servers(peer));
     alive.all(|(node, peer)| local < rank(node, peer.capacity))
 }
 
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -33,6 +33,8 @@
     pub ready: SocketAddr,
     /// Listener for other nodes.
     pub peers: SocketAddr,
+    /// Listener for requests that other nodes pass on.
+    pub passing: SocketAddr,
     /// Listener for the metrics page.
     pub metrics: SocketAddr,
     /// Address of the platform's store.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,13 +1,14 @@
 //! State of the event loop.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use base::prelude::*;
 use intent::ConfigSlot;
 use limits::BudgetSettings;
 use quarantine::{QuarantineSettings, QuarantineState};
-use relay::{RelaySettings, RelayState, SendTarget};
+use reach::{ReachSettings, ReachState};
+use relay::{RelaySettings, RelayState, SendOrder, SendTarget};
 use replicas::{PlannerSettings, PlannerState};
 
 use crate::border::ports::StoreCollection;
@@ -173,6 +174,8 @@
     pub address: SocketAddr,
     pub last_digest_at: Option<ClockTime>,
     pub digest: Option<Digest>,
+    /// Address for requests that it passes on; `None` if its build passes none on.
+    pub passing: Option<SocketAddr>,
     /// Thousandths of a core that it may use.
     pub capacity: u32,
     /// Its failure domain; `None` if its entry doesn't say.
@@ -201,6 +204,7 @@
     pub fn new(address: SocketAddr, capacity: u32, domain: Option<DomainName>) -> Self {
         Self {
             address,
+            passing: None,
             capacity,
             domain,
             hub_since: None,
@@ -218,6 +222,15 @@
     }
 }
 
+/// Attempt that another node passes on.
+#[derive(Clone, Debug)]
+pub(crate) struct PassedAttempt {
+    pub order: SendOrder,
+    pub node: NodeName,
+    /// Nodes that were asked before.
+    pub refusals: u32,
+}
+
 /// Hub from which a node gets the sums.
 #[derive(Clone, Debug)]
 pub(crate) struct SummingHub {
@@ -246,6 +259,12 @@
     pub(crate) planner: PlannerState,
     pub(crate) relay: RelayState,
     pub(crate) quarantine: QuarantineState,
+    /// Whether this node reaches the servers.
+    pub(crate) reach: ReachState,
+    /// Requests that another node passes on.
+    pub(crate) passed: HashMap<CallId, PassedAttempt>,
+    /// Endpoints whose probes got no response while this node may have been cut off.
+    pub(crate) held_probes: BTreeSet<HostName>,
     /// Instant at which this node's crash reports are sent next; `None` if there are none.
     pub(crate) evidence_due: Option<ClockTime>,
     /// Effects of a request's question, which is answered at once; executed at the next wake.
@@ -320,6 +339,9 @@
             planner: PlannerState::new(planner_settings, settings.node.clone()),
             relay,
             quarantine: QuarantineState::new(QuarantineSettings::default()),
+            reach: ReachState::new(ReachSettings::default()),
+            passed: HashMap::new(),
+            held_probes: BTreeSet::new(),
             evidence_due: None,
             unsent_effects: Vec::new(),
             settings,
--- a/crates/edge/tests/suite/hubs.rs
+++ b/crates/edge/tests/suite/hubs.rs
@@ -75,6 +75,7 @@
         forwarded_version: ObjectVersion(0),
         is_owner,
         can_own: true,
+        is_cut_off: false,
         summing_hub: None,
         has_sums: false,
         counts: Vec::new(),
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the event loop and the encodings, without network.
 
+mod cut_off;
 mod deadly;
 mod events;
 mod hubs;
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -25,6 +25,7 @@
         forwarded_version: ObjectVersion(8),
         is_owner: true,
         can_own: true,
+        is_cut_off: false,
         summing_hub: Some(NodeName::new("n2").unwrap()),
         has_sums: true,
         counts: vec![(
--- a/crates/edge/tests/suite/owner_loss.rs
+++ b/crates/edge/tests/suite/owner_loss.rs
@@ -64,6 +64,7 @@
         forwarded_version: ObjectVersion(0),
         is_owner: false,
         can_own: true,
+        is_cut_off: false,
         summing_hub: None,
         has_sums: false,
         counts: Vec::new(),
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -70,6 +70,14 @@
         }
     }
 
+    /// Client with the same limits whose first request opens a new connection.
+    pub fn without_connections(&self) -> Self {
+        Self {
+            idle: Rc::default(),
+            ..self.clone()
+        }
+    }
+
     /// Limits the time for opening a connection, however late a request's deadline is.
     pub fn with_connect_timeout(mut self, timeout: Duration) -> Self {
         self.connect_timeout = Some(timeout);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -29,6 +29,8 @@
 pub enum AttemptEnd {
     /// No byte was sent.
     NotSent,
+    /// The node that was to pass the request on did not; nothing was sent to the target.
+    NotPassedOn,
     /// The target reported that it did not run the request.
     NotRun,
     /// The target did not run the request, as its group has lost a member.
@@ -50,7 +52,11 @@
     pub fn is_not_run(self) -> bool {
         matches!(
             self,
-            Self::NotSent | Self::NotRun | Self::GroupBroken | Self::Misdirected
+            Self::NotSent
+                | Self::NotPassedOn
+                | Self::NotRun
+                | Self::GroupBroken
+                | Self::Misdirected
         )
     }
 
@@ -58,6 +64,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NotSent => "not-sent",
+            Self::NotPassedOn => "not-passed-on",
             Self::NotRun => "not-run",
             Self::GroupBroken => "group-broken",
             Self::Misdirected => "not-here",
@@ -78,6 +85,8 @@
     pub incarnation: HostIncarnation,
     /// Address of the target.
     pub address: SocketAddr,
+    /// Address of the node that passes the request on; `None` if it is sent to the target itself.
+    pub via: Option<SocketAddr>,
     /// Instant by which the response must be complete.
     pub deadline: ClockTime,
     /// Instant of the first stall check if nothing arrives before.
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -144,6 +144,7 @@
         target: target.id,
         incarnation: target.incarnation,
         address: target.address,
+        via: None,
         deadline,
         check_at: now + check_delay,
         rank: match lane {
--- a/crates/relay/src/commands/mod.rs
+++ b/crates/relay/src/commands/mod.rs
@@ -9,6 +9,6 @@
 pub use calls::{arrive, finish};
 pub use stalls::{check_stall, silent_target};
 pub use targets::{
-    record_progress, set_targets, suspect_target, update_engine_load, update_remote_counts,
-    update_total_counts,
+    forgive_targets, record_progress, set_targets, suspect_target, update_engine_load,
+    update_remote_counts, update_total_counts,
 };
--- a/crates/relay/src/commands/targets.rs
+++ b/crates/relay/src/commands/targets.rs
@@ -101,6 +101,15 @@
     }
 }
 
+/// Forgets the failures of all targets, because they were failures of this node's own links.
+pub fn forgive_targets(state: &mut RelayState) {
+    for load in state.loads.values_mut() {
+        load.failures = 0;
+        load.avoid_until = ClockTime::default();
+        load.suspect_until = ClockTime::default();
+    }
+}
+
 /// Counts the start of an attempt at its target.
 pub(super) fn record_attempt_start(state: &mut RelayState, id: &HostName, lane: Lane) {
     *state.loads.entry(id.clone()).or_default().local.of(lane) += 1;
--- a/crates/relay/src/queries/counts.rs
+++ b/crates/relay/src/queries/counts.rs
@@ -1,7 +1,10 @@
 //! Numbers of requests by target, of this node and of all nodes.
 
+use std::net::SocketAddr;
+
 use base::prelude::*;
 
+use super::limited::is_open;
 use crate::{LaneCounts, RelayState, SentAttempt, TargetLoad};
 
 /// Target of a request's present attempt.
@@ -20,6 +23,24 @@
     })
 }
 
+/// Address of a target that takes requests now, if it is still the same start of it.
+pub fn open_address(
+    state: &RelayState,
+    target: &HostName,
+    incarnation: HostIncarnation,
+    now: ClockTime,
+) -> Option<SocketAddr> {
+    let target = state.targets.get(target)?;
+    let is_usable = target.incarnation == incarnation && is_open(state, target, now);
+    is_usable.then_some(target.address)
+}
+
+/// Whether a request may be sent to another target after one that may have run it.
+pub fn is_repeatable(state: &RelayState, call: CallId) -> bool {
+    let entry = state.calls.get(&call);
+    entry.is_some_and(|entry| entry.arrival.route.kind.is_repeatable())
+}
+
 /// Requests of all nodes by target, from the latest counts.
 pub fn total_counts(state: &RelayState, now: ClockTime) -> Vec<(HostName, LaneCounts)> {
     nonzero_counts(state, |load| load.total(now))
