A node without a port for passed requests still runs

The listener for requests of other nodes used the port after the first internal one, also where that is zero and the kernel chooses: the process tests of one node then bound port 1.

--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -10,8 +10,8 @@
 use monoio::net::TcpListener;
 use net::web::{WebClient, WebLimits, WebService, serve};
 use net::{
-    DaemonError, MetricsPage, PrometheusMetrics, block_on, drain_channel, forward_shutdown_signals,
-    listen, run_loop, seed_from_system, watch_reload,
+    DaemonError, DrainWatch, MetricsPage, PrometheusMetrics, block_on, drain_channel,
+    forward_shutdown_signals, listen, run_loop, seed_from_system, watch_reload,
 };
 
 use super::EdgeReplies;
@@ -70,6 +70,20 @@
     monoio::spawn(serve(listener, page, WebLimits::default(), watch));
 }
 
+/// Serves requests that other nodes pass on, until the node has drained. If the port is in use, the
+/// others find that out and ask another node.
+async fn serve_passed_requests(
+    address: SocketAddr,
+    service: Rc<dyn WebService>,
+    limits: WebLimits,
+    drain: DrainWatch,
+) {
+    match listen(address) {
+        Ok((listener, _)) => serve(listener, service, limits, drain).await,
+        Err(error) => log::error!("requests of other nodes not passed on: {error}"),
+    }
+}
+
 async fn run(parts: EdgeParts) -> Result<(), DaemonError> {
     let EdgeParts {
         settings,
@@ -82,7 +96,6 @@
     let (ready, ready_address) = listen(settings.ready)?;
     let (ingress, ingress_address) = listen(settings.ingress)?;
     let (peers, peers_address) = listen(settings.peers)?;
-    let (passing, _) = listen(settings.passing)?;
     log::info!(node:% = settings.node, front:% = ingress_address, ready:% = ready_address, peers:% = peers_address; "started");
     let (events, receiver) = unbounded();
     forward_shutdown_signals(events.clone(), || EdgeEvent::Stop)?;
@@ -140,9 +153,13 @@
         is_closing: is_closing.clone(),
         next_call: Rc::default(),
     });
-    let passing_service = pass_service(service.context.clone(), limits);
+    let passing = serve_passed_requests(
+        settings.passing,
+        pass_service(service.context.clone(), limits),
+        limits,
+        drain_watch.clone(),
+    );
     monoio::spawn(async move {
-        let passing = serve(passing, passing_service, limits, drain_watch.clone());
         join(serve(ingress, service, limits, drain_watch), passing).await;
         log::info!("stopped: all connections closed");
         std::process::exit(0);
