Test: a server that closes within the head of its answer

Report of other operators: clients got a 200 with an empty or short body, framed as whole (MIXED, ORDER). Not reproduced: seven places at which the head may end, HTTP/1.0 included, each for a request that may run once, a stream and a stream that is resumed at the next server; all get 502 without a seal. The HTTP client takes no head before its empty line.

--- a/crates/bronzerun/tests/edge/faulty.rs
+++ b/crates/bronzerun/tests/edge/faulty.rs
@@ -185,3 +185,38 @@
     let node = Node::start_before("busy", vec![busy, other]);
     assert_eq!(requests_after_first(&node, &count), 0);
 }
+
+/// Server that closes the connection within the head of its answer, after this much of it.
+fn server_that_closes_within_its_head(head: &'static str) -> SocketAddr {
+    spawn_raw_server(move |request, stream| {
+        let head = head.replace("ID", &request.id);
+        stream.write_all(head.as_bytes())?;
+        std::thread::sleep(Duration::from_millis(20));
+        stream.shutdown(std::net::Shutdown::Both)
+    })
+}
+
+#[test]
+fn a_server_that_closes_within_the_head_of_its_answer_gives_no_complete_response() {
+    let heads = [
+        "HTTP/1.1 200 OK",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nx-bronzerun-response-seal: s\r\nx-bronzerun-request-id: ID\r\n",
+        "HTTP/1.1 200 OK\r\nx-bronzerun-response-seal: s\r\nx-bronzerun-request-id: ID\r\n\r",
+        "HTTP/1.1 200 OK\r\nx-bronzerun-response-seal: s\r\nx-bronzerun-request-id: ID\r\ncontent-length: 0",
+        "HTTP/1.1 200 OK\r\nx-bronzerun-response-seal: s\r\nx-bronzerun-request-id: ID\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunk",
+        "HTTP/1.0 200 OK\r\nx-bronzerun-response-seal: s\r\nx-bronzerun-request-id: ID\r\nconnection: close\r\n",
+    ];
+    for (index, head) in heads.into_iter().enumerate() {
+        let servers = (0..2).map(|_| server_that_closes_within_its_head(head));
+        let node = Node::start_before(&format!("head-{index}"), servers.collect());
+        for path in ["/o/any", "/s/any", "/r/any"] {
+            let (status, body, seal) = node.request_as("r-1", path, "key-1");
+            assert_eq!(
+                (status, seal),
+                (502, None),
+                "{path} after {head:?}: {body:?}"
+            );
+        }
+    }
+}
