Test: requests that come late in a planned stop

Report of other operators: requests that came late in the grace were taken, passed on and cut at its end, among them some that may run once only (LOST).

--- a/crates/bronzerun/tests/edge/main.rs
+++ b/crates/bronzerun/tests/edge/main.rs
@@ -3,6 +3,7 @@
 
 mod faulty;
 mod raw;
+mod stopping;
 
 use std::cell::RefCell;
 use std::io::{BufRead, BufReader};
