--- a/crates/edge/tests/suite/deadly.rs
+++ b/crates/edge/tests/suite/deadly.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use edge::border::ports::{CollectionItem, StoreCollection};
 use edge::{Arrival, ArrivalOutcome, EdgeEvent, EdgeQuestion, EdgeReply, RejectReason};
-use quarantine::RequestDigest;
+use quarantine::{PromptPart, PromptParts, RequestDigest};
 use relay::{AttemptEnd, CallStep};
 
 const DEADLY: RequestDigest = RequestDigest(7);
@@ -34,9 +34,18 @@
 
     /// Sends a request to a node; returns its number, and whether the node sent it to the server.
     fn send(&mut self, node: usize, digest: RequestDigest) -> (CallId, bool) {
+        self.send_with(node, digest, &[])
+    }
+
+    /// The same with parts of a prompt.
+    fn send_with(&mut self, node: usize, digest: RequestDigest, parts: &[u64]) -> (CallId, bool) {
         self.calls += 1;
+        let shared = parts.iter().copied().map(PromptPart);
         let arrival = Arrival {
             digest,
+            prompt: PromptParts {
+                shared: shared.collect(),
+            },
             ..arrival(self.calls, "/x/", at(self.network.now))
         };
         let call = arrival.call;
@@ -160,3 +169,29 @@
         }
     }
 }
+
+#[test]
+fn a_popular_part_is_nowhere_quarantined_while_servers_crash_for_other_reasons() {
+    for (nodes, _) in DEPLOYMENTS {
+        let mut deployment = Deployment::new(nodes);
+        for round in 0..12 {
+            let losers: Vec<_> = (0..nodes).filter(|node| (node + round) % 11 == 0).collect();
+            let calls = losers.into_iter().map(|node| {
+                let digest = RequestDigest(1_000_000 + deployment.calls);
+                (node, deployment.send_with(node, digest, &[1]).0)
+            });
+            let calls: Vec<_> = calls.collect();
+            deployment.crash(&calls);
+            // One node sees an answer, which is no hub and has lost no request.
+            let mut others = (4..nodes).filter(|node| (node + round) % 11 == 1);
+            let node = others.nth(round % 3).unwrap_or(nodes - 1);
+            let digest = RequestDigest(2_000_000 + deployment.calls);
+            let (call, is_sent) = deployment.send_with(node, digest, &[1]);
+            assert!(is_sent, "a sound request is rejected at node {node}");
+            deployment.network.handle(node, EdgeEvent::Answered(call));
+            deployment.network.handle(node, EdgeEvent::Finished(call));
+            deployment.network.run(deployment.network.now + 340);
+        }
+        assert_eq!(deployment.network.quarantined, 0, "{nodes} nodes");
+    }
+}
--- a/crates/edge/tests/suite/network.rs
+++ b/crates/edge/tests/suite/network.rs
@@ -23,6 +23,8 @@
     /// Nodes that reach no server.
     pub partitioned: BTreeSet<usize>,
     pub now: u64,
+    /// Number of times that a node has quarantined a part or a request.
+    pub quarantined: usize,
     in_flight: Vec<(usize, PeerMessage)>,
 }
 
@@ -33,6 +35,7 @@
             cut_off: BTreeSet::new(),
             partitioned: BTreeSet::new(),
             now: 0,
+            quarantined: 0,
             in_flight: Vec::new(),
         }
     }
@@ -98,6 +101,8 @@
                     let is_reached = !self.partitioned.contains(&index);
                     self.handle(index, EdgeEvent::Tried(server, is_reached));
                 }
+                EdgeEffect::CountQuarantinedParts(count)
+                | EdgeEffect::CountQuarantinedRequests(count) => self.quarantined += count,
                 _ => {}
             }
         }
