An order's effect that is listed before its response does not block the group

Cause: after the response to an order the owner raised its count of the endpoint's orders by one, so that state from before the order counts as outdated. If the list or a report had brought the state after the order already, the count was one too high, and every later report of the endpoint was taken for outdated: it stayed "joining" for the owner, which sent join again and again and never open. Class: an increment where the bound is known. Evidence: probes of the members reported ready every half second (a scratch log of probes and writes) while join was ordered every 1.8 s. Ruled out: lost writes of the record, probes without a response, suspicions of a cut.

Change: the count is raised to one more than it was when the order was sent.

groups_open_although_orders_are_listed_before_their_responses_arrive failed before: 0 of 2 groups of the large model served."

--- a/crates/replicas/src/commands/orders.rs
+++ b/crates/replicas/src/commands/orders.rs
@@ -48,6 +48,7 @@
     let view = state.endpoints.get_mut(to)?;
     view.pending = Some(PendingOrder {
         order: order.clone(),
+        sent_sequence: view.endpoint.sequence,
         retry_at: None,
     });
     Some(PlanEffect::Order {
@@ -96,8 +97,12 @@
     let retry_at = match outcome {
         OrderOutcome::Begun | OrderOutcome::Holds => {
             if outcome == OrderOutcome::Begun {
-                // State from before the order now counts as outdated.
-                view.endpoint.sequence = view.endpoint.sequence.saturating_add(1);
+                // State from before the order now counts as outdated. State from after it may have
+                // arrived before the response, and doesn't.
+                let pending = view.pending.as_ref().filter(|sent| sent.order == *order);
+                let sent_sequence = pending.map(|sent| sent.sent_sequence);
+                let least = sent_sequence.map_or(0, |sequence| sequence.saturating_add(1));
+                view.endpoint.sequence = view.endpoint.sequence.max(least);
             }
             if let MemberOrder::Leave { .. } = order {
                 view.endpoint.membership = None;
--- a/crates/replicas/src/state.rs
+++ b/crates/replicas/src/state.rs
@@ -22,6 +22,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PendingOrder {
     pub order: MemberOrder,
+    /// Orders that the endpoint was known to have accepted when this one was sent.
+    pub sent_sequence: u64,
     /// Instant at which it may be sent again; `None` while its outcome is awaited.
     pub retry_at: Option<ClockTime>,
 }
--- a/crates/replicas/tests/suite/groups.rs
+++ b/crates/replicas/tests/suite/groups.rs
@@ -83,6 +83,22 @@
     assert_eq!(&simulation.endpoints[&host("d1-new")].endpoint.staged, home);
 }
 
+#[test]
+fn groups_open_although_orders_are_listed_before_their_responses_arrive() {
+    for rate in [0.5, 1.0] {
+        let mut simulation = Simulation::new(DOMAINS, 7);
+        simulation.faults.slow_response_rate = rate;
+        simulation.run(8_000);
+        let mut usual = Simulation::new(DOMAINS, 7);
+        usual.run(8_000);
+        for model in ["large", "small"] {
+            let (serving, expected) = (simulation.serving(model), usual.serving(model));
+            assert_eq!(serving, expected, "{model}, {rate}");
+        }
+        assert_eq!(simulation.violations, Vec::<String>::new());
+    }
+}
+
 #[test]
 fn loads_stay_within_the_rate_limit_once_traffic_runs() {
     let mut simulation = Simulation::new(DOMAINS, 6);
@@ -238,6 +254,7 @@
         simulation.faults = crate::simulation::OrderFaults {
             unanswered_rate: 0.3,
             late_rate: 0.6,
+            slow_response_rate: 0.2,
         };
         simulation.run(5_000);
         if seed % 2 == 0 {
--- a/crates/replicas/tests/suite/simulation/mod.rs
+++ b/crates/replicas/tests/suite/simulation/mod.rs
@@ -53,6 +53,8 @@
     pub unanswered_rate: f64,
     /// Fraction of those that are executed late instead of never.
     pub late_rate: f64,
+    /// Fraction of the orders whose effect is listed before their response arrives.
+    pub slow_response_rate: f64,
 }
 
 pub struct Simulation {
@@ -253,6 +255,9 @@
         } else {
             self.apply(&to, &order)
         };
+        if self.rng.random_bool(self.faults.slow_response_rate) {
+            self.publish(&to);
+        }
         let engine = self
             .config
             .services
