Soak: generated plans cut daemons from the servers

Once a run, one daemon, several or all are partitioned from all servers for 3 to 7 s, silent, reset, or with open connections that live on. The check that their callers are served applies while no other fault is in effect.

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -173,7 +173,8 @@
             .any(|host| host.is_known_cut(sent_at));
         let outcome = self.send(context, web, clock.now() + CLIENT_TIMEOUT).await;
         let mut checker = context.checker.borrow_mut();
-        if has_cut && !matches!(outcome, RequestOutcome::Denied(_)) {
+        let is_calm = sent_at > context.strict_from.get();
+        if has_cut && is_calm && !matches!(outcome, RequestOutcome::Denied(_)) {
             let is_served = matches!(outcome, RequestOutcome::Served);
             checker.record_try_in_cut(is_cut, is_served);
         }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -12,6 +12,8 @@
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 200..1_500;
 /// Range of the duration of a fault.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..4_000;
+/// Range of the duration of a cut from the servers, which lasts longer than daemons need to notice.
+const CUT_DURATION_MS: std::ops::Range<u64> = 3_000..7_000;
 /// Range of the limit of a plain server, in requests a minute.
 const PLAIN_LIMIT_PER_MINUTE: std::ops::Range<u32> = 60..300;
 
@@ -154,6 +156,11 @@
                 fault: Fault::TurnAway(1, Duration::from_millis(busy_ms)),
             };
             insert_step(&mut steps, step);
+            let step = FaultStep {
+                at: Duration::from_millis(rng.random_range(0..hang_ms)),
+                fault: random_cut(&mut rng, size),
+            };
+            insert_step(&mut steps, step);
         }
         Self { steps }
     }
@@ -186,6 +193,16 @@
     }
 }
 
+/// Cut of one daemon, of most or of all from the servers.
+fn random_cut(rng: &mut StdRng, size: PlanSize) -> Fault {
+    let modes = [LinkMode::Blackhole, LinkMode::Reset, LinkMode::RefuseNew];
+    Fault::CutFromServers(
+        rng.random_range(1..=size.nodes),
+        modes[rng.random_range(0..modes.len())],
+        Duration::from_millis(rng.random_range(CUT_DURATION_MS)),
+    )
+}
+
 fn random_link(rng: &mut StdRng, node: usize, server: usize) -> Link {
     match rng.random_range(0..3) {
         0 => Link::Store(node),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -446,7 +446,6 @@
                         self.link_repairs.push((now + duration, link.mode.clone()));
                     }
                 }
-                disturbed_until = now + duration;
             }
             Fault::HangConnections => {
                 let links = self.store_links.iter().chain(&self.node_links);
@@ -513,7 +512,11 @@
         }
         let is_disturbance = !matches!(
             fault,
-            Fault::ChangeConfig | Fault::RevokeKey | Fault::Limit(..) | Fault::TurnAway(..)
+            Fault::ChangeConfig
+                | Fault::RevokeKey
+                | Fault::Limit(..)
+                | Fault::TurnAway(..)
+                | Fault::CutFromServers(..)
         );
         if is_disturbance {
             let strict_from =
