--- a/crates/cli/src/queries/explain.rs
+++ b/crates/cli/src/queries/explain.rs
@@ -18,7 +18,7 @@
 /// Fields that name targets.
 const TARGET_FIELDS: [&str; 3] = ["place", "endpoint", "members"];
 /// Messages about the state of a node, shown whichever target they concern.
-const NODE_STATE_MESSAGES: [&str; 18] = [
+const NODE_STATE_MESSAGES: [&str; 20] = [
     "started",
     "stopping: no longer ready",
     "configuration applied",
@@ -28,6 +28,8 @@
     "store unavailable",
     "store available again",
     "log lines dropped",
+    "no server reached; other nodes pass requests on",
+    "servers reached again",
     "quarantined",
     "released from quarantine",
     "server names a limit",
