--- /dev/null
+++ b/crates/quarantine/tests/suite/main.rs
@@ -0,0 +1,6 @@
+//! Evidence and verdicts about requests and parts of prompts that crash servers.
+
+mod evidence;
+mod parts;
+mod requests;
+mod support;
--- /dev/null
+++ b/crates/soak/src/run/inject.rs
@@ -0,0 +1,169 @@
+//! Injection of faults into a run.
+
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+
+use super::{LEAVE_DURATION, PROPAGATION_TIMEOUT, REPLACEMENT_DELAY, SoakError, SoakRun};
+use crate::deadly::send_deadly;
+use crate::nodes::GRACE_SECONDS;
+use crate::plan::{Fault, Link, LinkMode};
+use crate::proxy::LinkProxy;
+
+impl SoakRun {
+    /// Injects one fault.
+    pub(super) fn inject(&mut self, fault: Fault) -> Result<(), SoakError> {
+        let now = Instant::now();
+        let mut disturbed_until = now;
+        match fault {
+            Fault::Kill(node) => self.stop_node(node, Signal::KILL),
+            Fault::KillAll => {
+                (0..self.nodes.len()).for_each(|node| self.stop_node(node, Signal::KILL))
+            }
+            Fault::Stop(node) => {
+                self.stop_node(node, Signal::TERM);
+                self.nodes[node].kill_at = Some(now + Duration::from_secs(GRACE_SECONDS));
+            }
+            Fault::Pause(node, duration) => {
+                self.nodes[node].node.signal(Signal::STOP);
+                self.nodes[node].paused_until = Some(now + duration);
+                disturbed_until = now + duration;
+            }
+            Fault::Reload(node) => self.nodes[node].node.signal(Signal::HUP),
+            Fault::Link(link, mode, duration) => {
+                let link = match link {
+                    Link::Store(node) => &self.store_links[node],
+                    Link::Node(node) => &self.node_links[node],
+                    Link::Server(slot) => &self.server_links[slot],
+                };
+                link.mode.set(mode);
+                self.link_repairs.push((now + duration, link.mode.clone()));
+                disturbed_until = now + duration;
+            }
+            Fault::CutFromServers(count, mode, duration) => {
+                let hosts = self.client_context.entry_hosts.iter().take(count);
+                for (links, host) in self.daemon_server_links.iter().zip(hosts) {
+                    host.cut.set(Some((now, now + duration)));
+                    for link in links {
+                        link.mode.set(mode);
+                        self.link_repairs.push((now + duration, link.mode.clone()));
+                    }
+                }
+            }
+            Fault::HangConnections => {
+                let links = self.store_links.iter().chain(&self.node_links);
+                links.for_each(LinkProxy::hang_connections);
+            }
+            Fault::StoreUnavailable(duration) => {
+                self.store.borrow_mut().unavailable_until = Some(now + duration);
+                disturbed_until = now + duration;
+            }
+            Fault::StoreLosesResponses(duration) => {
+                self.store.borrow_mut().loses_responses_until = Some(now + duration);
+                disturbed_until = now + duration;
+            }
+            Fault::StoreDeafensWatches(duration) => {
+                self.store.borrow_mut().deafens_watches_until = Some(now + duration);
+                disturbed_until = now + duration;
+            }
+            Fault::StoreRestores(age, away) => {
+                let mut store = self.store.borrow_mut();
+                store.restore_at(now + away, now - age);
+                disturbed_until = now + away;
+            }
+            Fault::StoreCompacts => self.store.borrow_mut().compact(),
+            Fault::Crash(slot) => self.stop_server(slot, now),
+            Fault::Leave(slot) => {
+                self.fleet.borrow_mut().servers[slot].is_leaving = true;
+                self.server_stops.push((now + LEAVE_DURATION, slot));
+            }
+            Fault::DeadlyRequest(kind, duration) => {
+                let context = self.client_context.clone();
+                monoio::spawn(send_deadly(context, kind, now + duration));
+                disturbed_until = now + duration;
+            }
+            Fault::Limit(slot, per_minute, duration) => {
+                self.fleet
+                    .borrow_mut()
+                    .limit(slot, per_minute, now + duration);
+            }
+            Fault::TurnAway(slot, duration) => {
+                self.fleet.borrow_mut().turn_away(slot, now + duration);
+            }
+            Fault::DelayedOrders(duration) => {
+                self.fleet.borrow_mut().orders_delayed_until = Some(now + duration);
+                disturbed_until = now + duration;
+            }
+            Fault::ChangeConfig => {
+                self.config.add_route();
+                self.publish_config();
+            }
+            Fault::RevokeKey => {
+                let (revoked, issued) = self.config.replace_key();
+                self.publish_config();
+                let mut checker = self.checker.borrow_mut();
+                checker.revoke_key(&revoked, now);
+                checker.issue_key(&issued, now);
+                drop(checker);
+                // Clients use the new key only once all daemons have it.
+                let keys = self.client_context.keys.clone();
+                monoio::spawn(async move {
+                    monoio::time::sleep(PROPAGATION_TIMEOUT).await;
+                    keys.borrow_mut().push(issued);
+                });
+            }
+        }
+        let is_disturbance = !matches!(
+            fault,
+            Fault::ChangeConfig
+                | Fault::RevokeKey
+                | Fault::Limit(..)
+                | Fault::TurnAway(..)
+                | Fault::CutFromServers(..)
+        );
+        if is_disturbance {
+            let strict_from =
+                (disturbed_until + PROPAGATION_TIMEOUT).max(self.client_context.strict_from.get());
+            self.client_context.strict_from.set(strict_from);
+            self.checker.borrow_mut().pause_limit_checks(strict_from);
+        }
+        Ok(())
+    }
+
+    fn stop_node(&mut self, node: usize, signal: Signal) {
+        let supervised = &mut self.nodes[node];
+        supervised.is_stopping = true;
+        if signal == Signal::TERM {
+            // A process under SIGSTOP would not handle SIGTERM.
+            supervised.node.signal(Signal::CONT);
+        }
+        supervised.node.signal(signal);
+    }
+
+    /// Stops a server and drops its traffic; its replacement is scheduled.
+    pub(super) fn stop_server(&mut self, slot: usize, now: Instant) {
+        if !self.fleet.borrow().servers[slot].is_alive {
+            return;
+        }
+        self.fleet.borrow_mut().stop(slot);
+        self.server_links[slot].mode.set(LinkMode::Blackhole);
+        self.server_replacements
+            .push((now + REPLACEMENT_DELAY, slot));
+    }
+
+    /// Ends all faults that are still in effect.
+    pub(super) fn end_faults(&mut self) {
+        let now = Instant::now();
+        for supervised in &mut self.nodes {
+            supervised.paused_until = supervised.paused_until.map(|_| now);
+        }
+        for (at, _) in &mut self.link_repairs {
+            *at = now;
+        }
+        let mut store = self.store.borrow_mut();
+        store.unavailable_until = None;
+        store.loses_responses_until = None;
+        store.deafens_watches_until = None;
+        self.fleet.borrow_mut().orders_delayed_until = None;
+    }
+}
