--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -24,6 +24,7 @@
         "false-promise" => false_promise(record, has_trouble),
         "begun-answer" => begun_answer(record, has_trouble),
         "silent-links" => silent_links(record, has_trouble),
+        "stale-owner" => stale_owner(record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -527,3 +528,74 @@
     );
     Ok(if old_served + new_denied > 0 { Verdict::Broken(text) } else { Verdict::Held(text) })
 }
+
+/// The engines of two groups crash and come back; then all open connections between nodes and to
+/// the store go silent. It ends with the first violation.
+fn stale_owner(record: &Record, has_trouble: bool) -> Outcome {
+    const NODES: usize = 7;
+    const LENGTH: Duration = Duration::from_secs(100);
+    const DOWN: Duration = Duration::from_millis(1_100);
+    const SILENT_AFTER: Duration = Duration::from_millis(100);
+    const SETTLING: Duration = Duration::from_secs(9);
+    let (plain, engine) = sound_handlers();
+    let world = World::start(record, (3, 30, NODES), plain, engine)?;
+    world.wait_served(|world| text_request(world, "/text/a", "5c1e07a2:40,91bd3f06:410,0:250"))?;
+    std::thread::sleep(Duration::from_secs(3));
+    let start = Instant::now();
+    let (whole, cut) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    let (world_ref, whole_ref, cut_ref) = (&world, &whole, &cut);
+    // Members of an open group of a domain.
+    let open_group = |domain: u32| -> Vec<Arc<Server>> {
+        let engines = world.servers.lock().unwrap().clone();
+        let engines = engines.into_iter().filter(|server| server.domain == Some(domain));
+        let engines: Vec<_> = engines.collect();
+        let group = engines.iter().find_map(|server| {
+            let inner = server.inner.lock().unwrap();
+            inner.group.clone().filter(|group| group.state == "open")
+        });
+        let ids = group.map(|group| group.members).unwrap_or_default();
+        engines.into_iter().filter(|server| ids.contains(&server.id)).collect()
+    };
+    std::thread::scope(|scope| {
+        for worker in 0..6 {
+            scope.spawn(move || {
+                let mut number = worker;
+                while start.elapsed() < LENGTH {
+                    let parts = format!("5c1e07a2:40,91bd3f06:410,{number:x}:250");
+                    let req = text_request(world_ref, &format!("/text/s{worker}-{number}"), &parts);
+                    let got = world_ref.send(number % NODES, &req, Duration::from_millis(6_500));
+                    let is_whole = got.is_whole && got.status == Some(200);
+                    let counter = if is_whole { whole_ref } else { cut_ref };
+                    counter.fetch_add(1, Ordering::SeqCst);
+                    number += 1;
+                    std::thread::sleep(Duration::from_millis(100));
+                }
+            });
+        }
+        let mut domain = 0;
+        while start.elapsed() + SETTLING < LENGTH && record.violations().is_empty() {
+            // Four of thirty engines: the members of two groups.
+            let members = [open_group(domain), open_group((domain + 1) % 3)].concat();
+            domain = (domain + 1) % 3;
+            for member in members.iter().filter(|_| has_trouble) {
+                record.line(&format!("server {} crashes", member.id));
+                member.crash(DOWN);
+                std::thread::sleep(Duration::from_millis(30));
+            }
+            std::thread::sleep(DOWN + SILENT_AFTER);
+            if has_trouble {
+                record.line("all open connections between nodes and to the store go silent");
+                world.store.silences.begin();
+            }
+            std::thread::sleep(SETTLING);
+        }
+    });
+    let violations = record.violations();
+    let text = format!(
+        "{} joins of another group while the head was open; requests: {} whole, {} not",
+        violations.len(),
+        whole.load(Ordering::SeqCst),
+        cut.load(Ordering::SeqCst)
+    );
+    Ok(if violations.is_empty() { Verdict::Held(text) } else { Verdict::Broken(text) })
+}
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -54,8 +54,13 @@
     pub store: Store,
     pub record: Record,
     handler: Handler,
+    /// All servers, this one too.
+    fleet: Fleet,
 }
 
+/// All servers of a deployment.
+pub type Fleet = Arc<Mutex<Vec<Arc<Server>>>>;
+
 fn unix_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     now.map_or(0, |now| now.as_millis() as u64)
@@ -66,7 +71,7 @@
     pub fn start(
         (id, service, zone, domain): (&str, &str, &str, Option<u32>),
         (ip, slots): (&str, u32),
-        (store, record): (&Store, &Record),
+        (store, record, fleet): (&Store, &Record, &Fleet),
         handler: Handler,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind((ip, 0))?;
@@ -81,7 +86,9 @@
             store: store.clone(),
             record: record.clone(),
             handler,
+            fleet: fleet.clone(),
         });
+        fleet.lock().unwrap().push(server.clone());
         server.begin_life(listener);
         Ok(server)
     }
@@ -264,7 +271,7 @@
             })
             .collect();
         let (name, model) = (order.text("group"), order.text("model"));
-        let mut inner = self.inner.lock().unwrap();
+        let inner = self.inner.lock().unwrap();
         if epoch < inner.highest_epoch {
             return "412 Precondition Failed";
         }
@@ -279,6 +286,18 @@
         } else {
             COLD_JOIN
         };
+        let old = inner.group.clone().filter(|group| group.name != name);
+        drop(inner);
+        if let Some(old) = old.filter(|old| self.is_serving(old)) {
+            let (id, head) = (&self.id, &old.members[0]);
+            let text = format!(
+                "{id} takes the join of {name} (epoch {epoch}) while the head {head} of its group {} (epoch {}) is open",
+                old.name, old.epoch
+            );
+            self.record.line(&text);
+            self.record.violation(text);
+        }
+        let mut inner = self.inner.lock().unwrap();
         inner.highest_epoch = epoch;
         inner.group = Some(Group { name, epoch, model, members, state: "joining" });
         self.later(time, inner.born, epoch, "joining", "ready");
@@ -342,6 +361,22 @@
         });
     }
 
+    /// Whether the head of a group that this server is in is open.
+    fn is_serving(&self, group: &Group) -> bool {
+        let fleet = self.fleet.lock().unwrap();
+        let head = fleet.iter().find(|server| Some(&server.id) == group.members.first());
+        head.is_some_and(|head| {
+            let inner = head.inner.lock().unwrap();
+            let current = inner.group.as_ref();
+            inner.is_alive
+                && current.is_some_and(|current| {
+                    current.name == group.name
+                        && current.epoch == group.epoch
+                        && current.state == "open"
+                })
+        })
+    }
+
     /// Whether this server is the head of an open group of a model.
     pub fn serves(&self, model: &str) -> bool {
         let inner = self.inner.lock().unwrap();
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -7,11 +7,12 @@
 use std::time::Instant;
 
 #[derive(Clone)]
-pub struct Record(Arc<(Mutex<File>, Instant)>);
+pub struct Record(Arc<(Mutex<File>, Instant, Mutex<Vec<String>>)>);
 
 impl Record {
     pub fn create(path: &Path) -> io::Result<Self> {
-        Ok(Self(Arc::new((Mutex::new(File::create(path)?), Instant::now()))))
+        let file = Mutex::new(File::create(path)?);
+        Ok(Self(Arc::new((file, Instant::now(), Mutex::default()))))
     }
 
     /// Milliseconds since the start.
@@ -19,6 +20,15 @@
         self.0.1.elapsed().as_millis()
     }
 
+    /// Notes that a rule was broken.
+    pub fn violation(&self, text: String) {
+        self.0.2.lock().unwrap().push(text);
+    }
+
+    pub fn violations(&self) -> Vec<String> {
+        self.0.2.lock().unwrap().clone()
+    }
+
     pub fn line(&self, text: &str) {
         let ms = self.ms();
         let mut file = self.0.0.lock().unwrap();
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -1,11 +1,10 @@
 //! One deployment: store, servers and nodes.
 
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
-use crate::fleet::{Handler, Server};
+use crate::fleet::{Fleet, Handler, Server};
 use crate::http::{Got, Req, call};
 use crate::json::Json;
 use crate::node::Node;
@@ -30,7 +29,7 @@
 pub struct World {
     pub record: Record,
     pub store: Store,
-    _servers: Vec<Arc<Server>>,
+    pub servers: Fleet,
     pub nodes: Vec<Node>,
     folder: PathBuf,
     next_id: AtomicU64,
@@ -55,7 +54,7 @@
 }
 
 impl World {
-    /// Starts a store, `plain` plain servers, `engines` engines in one fabric domain and `nodes`
+    /// Starts a store, `plain` plain servers, `engines` engines in fabric domains of ten and `nodes`
     /// nodes, and waits until the nodes are ready.
     pub fn start(
         record: &Record,
@@ -74,33 +73,33 @@
         let silences = Silences::default();
         let store = Store::new(&silences);
         store.put("config", "main", config(7, KEY));
-        let mut servers = Vec::new();
+        let servers = Fleet::default();
         for index in 0..plain {
             let id = format!("i-app-{}", index + 1);
             let zone = ZONES[index % 3];
-            let server = Server::start(
+            Server::start(
                 (&id, PLAIN, zone, None),
                 (&ip(100 + index), 6),
-                (&store, record),
+                (&store, record, &servers),
                 plain_handler.clone(),
-            );
-            servers.push(server.map_err(|error| error.to_string())?);
+            )
+            .map_err(|error| error.to_string())?;
         }
         for index in 0..engines {
             let id = format!("i-lm-{}", index + 1);
             let zone = ZONES[index % 3];
-            let server = Server::start(
-                (&id, ENGINES, zone, Some(0)),
+            Server::start(
+                (&id, ENGINES, zone, Some((index / 10) as u32)),
                 (&ip(150 + index), 17),
-                (&store, record),
+                (&store, record, &servers),
                 engine_handler.clone(),
-            );
-            servers.push(server.map_err(|error| error.to_string())?);
+            )
+            .map_err(|error| error.to_string())?;
         }
         let mut world = Self {
             record: record.clone(),
             store,
-            _servers: servers,
+            servers,
             nodes: Vec::new(),
             folder: folder.clone(),
             next_id: AtomicU64::new(1),
