--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -536,7 +536,7 @@
     const LENGTH: Duration = Duration::from_secs(100);
     const DOWN: Duration = Duration::from_millis(1_100);
     const SILENT_AFTER: Duration = Duration::from_millis(100);
-    const SETTLING: Duration = Duration::from_secs(9);
+    const SETTLING: Duration = Duration::from_secs(6);
     let (plain, engine) = sound_handlers();
     let world = World::start(record, (3, 30, NODES), plain, engine)?;
     world.wait_served(|world| text_request(world, "/text/a", "5c1e07a2:40,91bd3f06:410,0:250"))?;
