--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -37,7 +37,12 @@
 fn answer_plain(server: &Server, req: &Req, stream: &mut TcpStream) -> io::Result<()> {
     let id = req.header("x-bronzerun-request-id");
     std::thread::sleep(PLAIN_WORK);
-    respond(stream, "200 OK", &sealed(server, req), format!("done {id}").as_bytes())
+    respond(
+        stream,
+        "200 OK",
+        &sealed(server, req),
+        format!("done {id}").as_bytes(),
+    )
 }
 
 /// Head of a stream's answer.
@@ -95,7 +100,10 @@
 }
 
 fn sound_handlers() -> (Handler, Handler) {
-    (Arc::new(|s, r, t| answer_plain(s, r, t)), Arc::new(answer_engine))
+    (
+        Arc::new(|s, r, t| answer_plain(s, r, t)),
+        Arc::new(answer_engine),
+    )
 }
 
 /// Bytes that are no answer come without end: first in a body, then in a head.
@@ -108,7 +116,11 @@
         texts.push(format!("in a {place}: {text}"));
     }
     let text = texts.join("; ");
-    Ok(if is_broken { Verdict::Broken(text) } else { Verdict::Held(text) })
+    Ok(if is_broken {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    })
 }
 
 /// One server answers one request so. Returns the requests that were unanswered at their route's
@@ -130,7 +142,10 @@
             return sound_plain(server, req, stream);
         }
         let id = req.header("x-bronzerun-request-id");
-        server.record.line(&format!("server {} answers {id} with an endless {place}", server.id));
+        server.record.line(&format!(
+            "server {} answers {id} with an endless {place}",
+            server.id
+        ));
         if place == "head" {
             let bytes = "HTTP/1.1 100 Continue\r\n\r\n".repeat(10_000);
             return flood(server, stream, bytes.as_bytes(), &over);
@@ -158,7 +173,9 @@
                     let node = &world_ref.nodes[node];
                     if node.readiness() != Some(200) {
                         unready_ref.fetch_add(1, Ordering::SeqCst);
-                        world_ref.record.line(&format!("{} does not answer /readyz with 200", node.name));
+                        world_ref
+                            .record
+                            .line(&format!("{} does not answer /readyz with 200", node.name));
                     }
                     std::thread::sleep(Duration::from_millis(250));
                 }
@@ -247,7 +264,10 @@
     let plain: Handler = Arc::new(move |server, req, stream| {
         let id = req.header("x-bronzerun-request-id").to_owned();
         if req.path() == "/status/deadly" && has_trouble {
-            server.record.line(&format!("server {} begins to run {id} and crashes", server.id));
+            server.record.line(&format!(
+                "server {} begins to run {id} and crashes",
+                server.id
+            ));
             deadly_runs.lock().unwrap().push(Instant::now());
             server.crash(DOWN);
             return Err(io::ErrorKind::ConnectionAborted.into());
@@ -287,7 +307,12 @@
                 let mut number = worker;
                 while start.elapsed() < LENGTH {
                     let body = format!("order {worker} {number}");
-                    let req = world_ref.request("POST", &format!("/orders/{worker}/{number}"), 4_000, &body);
+                    let req = world_ref.request(
+                        "POST",
+                        &format!("/orders/{worker}/{number}"),
+                        4_000,
+                        &body,
+                    );
                     let got = world_ref.send(number % NODES, &req, Duration::from_millis(4_500));
                     match got.status {
                         Some(200) => served_ref.fetch_add(1, Ordering::SeqCst),
@@ -307,7 +332,11 @@
         later.count()
     });
     for (index, at) in runs.iter().enumerate() {
-        record.line(&format!("deadly run {} at {} ms of the load", index + 1, ms(at.duration_since(start))));
+        record.line(&format!(
+            "deadly run {} at {} ms of the load",
+            index + 1,
+            ms(at.duration_since(start))
+        ));
     }
     let text = format!(
         "{} runs of the request, {after} of them later than contactMs after the third crash; orders: {} answered 200, {} lost (502)",
@@ -315,7 +344,11 @@
         served.load(Ordering::SeqCst),
         lost.load(Ordering::SeqCst)
     );
-    Ok(if after > 3 { Verdict::Broken(text) } else { Verdict::Held(text) })
+    Ok(if after > 3 {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    })
 }
 
 /// A server fails part of its requests after it has run them, with a 503 of its own.
@@ -339,10 +372,20 @@
         // One of three servers, four of ten of its requests.
         if has_trouble && server.id == "i-app-1" && number % 5 < 2 {
             std::thread::sleep(PLAIN_WORK);
-            server.record.line(&format!("server {} has run {id} and answers 503", server.id));
-            return respond(stream, "503 Service Unavailable", &sealed(server, req), b"failed after the order was booked");
+            server.record.line(&format!(
+                "server {} has run {id} and answers 503",
+                server.id
+            ));
+            return respond(
+                stream,
+                "503 Service Unavailable",
+                &sealed(server, req),
+                b"failed after the order was booked",
+            );
         }
-        server.record.line(&format!("server {} runs {id}", server.id));
+        server
+            .record
+            .line(&format!("server {} runs {id}", server.id));
         answer_plain(server, req, stream)
     });
     let world = World::start(record, (3, 4, NODES), plain, Arc::new(answer_engine))?;
@@ -360,7 +403,8 @@
                     for _attempt in 0..2 {
                         let req = world_ref.request("POST", "/orders/b", 2_000, &body);
                         let id = req.headers[1].1.clone();
-                        let got = world_ref.send(number % NODES, &req, Duration::from_millis(2_500));
+                        let got =
+                            world_ref.send(number % NODES, &req, Duration::from_millis(2_500));
                         let is_promise = matches!(got.status, Some(408 | 421 | 429 | 503));
                         answers_ref.lock().unwrap().push((id, got));
                         if !is_promise {
@@ -377,7 +421,9 @@
     let (runs, orders) = (runs.lock().unwrap(), orders.lock().unwrap());
     let answers = answers.lock().unwrap();
     let is_promise = |got: &Got| matches!(got.status, Some(408 | 421 | 429 | 503));
-    let broken = answers.iter().filter(|(id, got)| is_promise(got) && runs.contains_key(id));
+    let broken = answers
+        .iter()
+        .filter(|(id, got)| is_promise(got) && runs.contains_key(id));
     let broken = broken.count();
     let doubled = orders.values().filter(|runs| **runs > 1).count();
     let text = format!(
@@ -385,7 +431,11 @@
         answers.len(),
         orders.len()
     );
-    Ok(if broken > 0 { Verdict::Broken(text) } else { Verdict::Held(text) })
+    Ok(if broken > 0 {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    })
 }
 
 /// A part of a prompt crashes each engine that begins to write an answer on it: the first event of
@@ -405,7 +455,10 @@
             return answer_engine(server, req, stream);
         }
         let id = req.header("x-bronzerun-request-id");
-        server.record.line(&format!("server {} gets {id} with the part bad0bad0", server.id));
+        server.record.line(&format!(
+            "server {} gets {id} with the part bad0bad0",
+            server.id
+        ));
         arrived.lock().unwrap().push(Instant::now());
         if !has_trouble {
             return answer_engine(server, req, stream);
@@ -443,7 +496,10 @@
             scope.spawn(move || {
                 let mut number = worker;
                 while start.elapsed() < LENGTH {
-                    let parts = format!("5c1e07a2:40,91bd3f06:410,{:x}:250", 0x9000 + number * 10 + worker);
+                    let parts = format!(
+                        "5c1e07a2:40,91bd3f06:410,{:x}:250",
+                        0x9000 + number * 10 + worker
+                    );
                     let req = text_request(world_ref, &format!("/text/s{worker}-{number}"), &parts);
                     let got = world_ref.send(number % NODES, &req, Duration::from_millis(6_500));
                     let is_whole = got.is_whole && got.status == Some(200);
@@ -457,7 +513,9 @@
     });
     let (arrivals, crashes) = (arrivals.lock().unwrap(), crashes.lock().unwrap());
     let after = crashes.get(4).map_or(0, |fifth| {
-        let later = arrivals.iter().filter(|at| at.duration_since(*fifth) > CONTACT);
+        let later = arrivals
+            .iter()
+            .filter(|at| at.duration_since(*fifth) > CONTACT);
         later.count()
     });
     let text = format!(
@@ -467,7 +525,11 @@
         whole.load(Ordering::SeqCst),
         cut.load(Ordering::SeqCst)
     );
-    Ok(if after > 3 { Verdict::Broken(text) } else { Verdict::Held(text) })
+    Ok(if after > 3 {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    })
 }
 
 /// All open connections between nodes and to the store go silent; later a key is replaced.
@@ -490,7 +552,9 @@
     std::thread::sleep(PAUSE);
     world.store.put("config", "main", config(9, NEW_KEY));
     let acknowledged = Instant::now();
-    record.line(&format!("configuration 9 is acknowledged: {KEY} is taken away, {NEW_KEY} is given"));
+    record.line(&format!(
+        "configuration 9 is acknowledged: {KEY} is taken away, {NEW_KEY} is given"
+    ));
     std::thread::sleep(APPLY + Duration::from_millis(100));
     let (mut old_served, mut new_denied, mut all) = (0, 0, 0);
     let mut nodes = std::collections::BTreeSet::new();
@@ -516,7 +580,9 @@
                 if is_wrong {
                     let name = &world.nodes[node].name;
                     nodes.insert(name.clone());
-                    record.line(&format!("{name} acts on the older version {since} ms after the acknowledgement"));
+                    record.line(&format!(
+                        "{name} acts on the older version {since} ms after the acknowledgement"
+                    ));
                 }
             }
         }
@@ -526,7 +592,11 @@
         "{all} requests later than configApplyMs after the acknowledgement: {old_served} run with the key that was taken away, {new_denied} with the new key answered 401, at {} of {NODES} nodes",
         nodes.len()
     );
-    Ok(if old_served + new_denied > 0 { Verdict::Broken(text) } else { Verdict::Held(text) })
+    Ok(if old_served + new_denied > 0 {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    })
 }
 
 /// The engines of two groups crash and come back; then all open connections between nodes and to
@@ -547,14 +617,19 @@
     // Members of an open group of a domain.
     let open_group = |domain: u32| -> Vec<Arc<Server>> {
         let engines = world.servers.lock().unwrap().clone();
-        let engines = engines.into_iter().filter(|server| server.domain == Some(domain));
+        let engines = engines
+            .into_iter()
+            .filter(|server| server.domain == Some(domain));
         let engines: Vec<_> = engines.collect();
         let group = engines.iter().find_map(|server| {
             let inner = server.inner.lock().unwrap();
             inner.group.clone().filter(|group| group.state == "open")
         });
         let ids = group.map(|group| group.members).unwrap_or_default();
-        engines.into_iter().filter(|server| ids.contains(&server.id)).collect()
+        engines
+            .into_iter()
+            .filter(|server| ids.contains(&server.id))
+            .collect()
     };
     std::thread::scope(|scope| {
         for worker in 0..6 {
@@ -597,5 +672,9 @@
         whole.load(Ordering::SeqCst),
         cut.load(Ordering::SeqCst)
     );
-    Ok(if violations.is_empty() { Verdict::Held(text) } else { Verdict::Broken(text) })
+    Ok(if violations.is_empty() {
+        Verdict::Held(text)
+    } else {
+        Verdict::Broken(text)
+    })
 }
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -145,7 +145,9 @@
                         return;
                     }
                     Err(error) if Instant::now() > end => {
-                        server.record.line(&format!("server {} not back: {error}", server.id));
+                        server
+                            .record
+                            .line(&format!("server {} not back: {error}", server.id));
                         return;
                     }
                     Err(_) => std::thread::sleep(Duration::from_millis(50)),
@@ -188,12 +190,19 @@
         match req.path() {
             "/report" => {
                 let body = self.state_json(true);
-                respond(stream, "200 OK", "content-type: application/json\r\n", body.as_bytes())
+                respond(
+                    stream,
+                    "200 OK",
+                    "content-type: application/json\r\n",
+                    body.as_bytes(),
+                )
             }
             "/order" => {
                 let body = String::from_utf8_lossy(&req.body).into_owned();
-                let status = Json::parse(&body).map_or("400 Bad Request", |order| self.order(&order));
-                self.record.line(&format!("order to {}: {body} -> {status}", self.id));
+                let status =
+                    Json::parse(&body).map_or("400 Bad Request", |order| self.order(&order));
+                self.record
+                    .line(&format!("order to {}: {body} -> {status}", self.id));
                 respond(stream, status, "content-type: application/json\r\n", b"{}")
             }
             "/health" => {
@@ -213,7 +222,11 @@
                 ",\"group\":{{\"name\":{},\"epoch\":{},\"rank\":{},\"state\":{}}}",
                 quote(&group.name),
                 group.epoch,
-                group.members.iter().position(|id| *id == self.id).unwrap_or(0),
+                group
+                    .members
+                    .iter()
+                    .position(|id| *id == self.id)
+                    .unwrap_or(0),
                 quote(group.state)
             )
         });
@@ -275,9 +288,17 @@
         if epoch < inner.highest_epoch {
             return "412 Precondition Failed";
         }
-        if let Some(group) = inner.group.as_ref().filter(|g| g.name == name && g.epoch == epoch) {
+        if let Some(group) = inner
+            .group
+            .as_ref()
+            .filter(|g| g.name == name && g.epoch == epoch)
+        {
             let is_same = group.members == members;
-            return if is_same { "200 OK" } else { "412 Precondition Failed" };
+            return if is_same {
+                "200 OK"
+            } else {
+                "412 Precondition Failed"
+            };
         }
         let time = if inner.loaded.as_ref() == Some(&model) {
             REJOIN
@@ -299,7 +320,13 @@
         }
         let mut inner = self.inner.lock().unwrap();
         inner.highest_epoch = epoch;
-        inner.group = Some(Group { name, epoch, model, members, state: "joining" });
+        inner.group = Some(Group {
+            name,
+            epoch,
+            model,
+            members,
+            state: "joining",
+        });
         self.later(time, inner.born, epoch, "joining", "ready");
         "202 Accepted"
     }
@@ -308,7 +335,11 @@
         let mut inner = self.inner.lock().unwrap();
         let born = inner.born;
         let (name, epoch) = (order.text("group"), order.number("epoch").unwrap_or(0));
-        let Some(group) = inner.group.as_mut().filter(|g| g.name == name && g.epoch == epoch) else {
+        let Some(group) = inner
+            .group
+            .as_mut()
+            .filter(|g| g.name == name && g.epoch == epoch)
+        else {
             return "409 Conflict";
         };
         match (operation, group.state) {
@@ -348,7 +379,9 @@
                 if inner.born != born {
                     return;
                 }
-                let Some(group) = inner.group.as_mut() else { return };
+                let Some(group) = inner.group.as_mut() else {
+                    return;
+                };
                 if group.epoch != epoch || group.state != from {
                     return;
                 }
@@ -364,7 +397,9 @@
     /// Whether the head of a group that this server is in is open.
     fn is_serving(&self, group: &Group) -> bool {
         let fleet = self.fleet.lock().unwrap();
-        let head = fleet.iter().find(|server| Some(&server.id) == group.members.first());
+        let head = fleet
+            .iter()
+            .find(|server| Some(&server.id) == group.members.first());
         head.is_some_and(|head| {
             let inner = head.inner.lock().unwrap();
             let current = inner.group.as_ref();
@@ -390,5 +425,8 @@
 /// Headers of a server's own answer to a request that it ran.
 pub fn sealed(server: &Server, req: &Req) -> String {
     let id = req.header("x-bronzerun-request-id");
-    format!("x-bronzerun-request-id: {id}\r\nx-bronzerun-response-seal: {}.{id}\r\n", server.id)
+    format!(
+        "x-bronzerun-request-id: {id}\r\nx-bronzerun-response-seal: {}.{id}\r\n",
+        server.id
+    )
 }
--- a/review/standin/proxy.rs
+++ b/review/standin/proxy.rs
@@ -31,9 +31,13 @@
         for client in listener.incoming().flatten() {
             let silences = silences.clone();
             std::thread::spawn(move || {
-                let Ok(server) = TcpStream::connect(target) else { return };
+                let Ok(server) = TcpStream::connect(target) else {
+                    return;
+                };
                 let _ = (client.set_nodelay(true), server.set_nodelay(true));
-                let (Ok(from), Ok(to)) = (server.try_clone(), client.try_clone()) else { return };
+                let (Ok(from), Ok(to)) = (server.try_clone(), client.try_clone()) else {
+                    return;
+                };
                 let born = silences.count();
                 let other = silences.clone();
                 std::thread::spawn(move || copy(from, to, &other, born));
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -35,9 +35,15 @@
 
 impl Store {
     pub fn new(silences: &Silences) -> Self {
-        let contents = Contents { revision: 10, ..Contents::default() };
+        let contents = Contents {
+            revision: 10,
+            ..Contents::default()
+        };
         let shared = Arc::new((Mutex::new(contents), Condvar::new()));
-        Self { shared, silences: silences.clone() }
+        Self {
+            shared,
+            silences: silences.clone(),
+        }
     }
 
     /// Makes the other nodes reach a node by way of a proxy.
@@ -78,8 +84,13 @@
             while self.silences.count() != born {
                 std::thread::sleep(Duration::from_secs(3_600));
             }
-            if respond(&mut stream, status, "content-type: application/json\r\n", body.as_bytes())
-                .is_err()
+            if respond(
+                &mut stream,
+                status,
+                "content-type: application/json\r\n",
+                body.as_bytes(),
+            )
+            .is_err()
             {
                 return;
             }
@@ -96,7 +107,10 @@
             let Some(body) = Json::parse(&body) else {
                 return ("400 Bad Request", "{}".to_owned());
             };
-            let answer = contents.lock().unwrap().write(&req.method, &kind, name, &body);
+            let answer = contents
+                .lock()
+                .unwrap()
+                .write(&req.method, &kind, name, &body);
             changed.notify_all();
             return answer;
         }
@@ -140,7 +154,9 @@
 
     /// Object as one node sees it: with the proxies' addresses in the entries of the others.
     fn shown(&self, name: &str, revision: u64, spec: &Json, reader: &str) -> String {
-        let node = name.strip_prefix(NODE_PREFIX).filter(|node| *node != reader);
+        let node = name
+            .strip_prefix(NODE_PREFIX)
+            .filter(|node| *node != reader);
         let proxy = node.and_then(|node| self.proxies.get(node));
         let (Some(proxy), Json::Obj(fields)) = (proxy, spec) else {
             return object(name, revision, spec);
@@ -199,7 +215,11 @@
         }
         let spec = body.get("spec").cloned().unwrap_or(Json::Null);
         let revision = self.put(kind, &name, spec.clone());
-        let status = if method == "POST" { "201 Created" } else { "200 OK" };
+        let status = if method == "POST" {
+            "201 Created"
+        } else {
+            "200 OK"
+        };
         (status, object(&name, revision, &spec))
     }
 }
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -144,9 +144,13 @@
     pub fn send(&self, node: usize, req: &Req, patience: Duration) -> Got {
         let id = &req.headers[1].1;
         let name = &self.nodes[node].name;
-        self.record.line(&format!("client sends {id} {} {} to {name}", req.method, req.target));
+        self.record.line(&format!(
+            "client sends {id} {} {} to {name}",
+            req.method, req.target
+        ));
         let got = call(self.nodes[node].front, req, patience);
-        self.record.line(&format!("client got {id} from {name}: {}", got.short()));
+        self.record
+            .line(&format!("client got {id} from {name}: {}", got.short()));
         got
     }
 
