--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -73,7 +73,7 @@
 
 /// Sound answer of an engine.
 fn answer_engine(server: &Arc<Server>, req: &Req, stream: &mut TcpStream) -> io::Result<()> {
-    if !server.serves(req.header("x-bronzerun-model")) {
+    if !server.serves(req.header("x-bronzerun-model")) || !server.wait_whole() {
         return refuse_engine(req, stream);
     }
     let id = req.header("x-bronzerun-request-id");
@@ -81,6 +81,9 @@
     std::thread::sleep(Duration::from_millis(110));
     begin_stream(server, req, stream)?;
     for number in first..=EVENTS {
+        if !server.wait_whole() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         write_chunk(stream, &event(id, number))?;
         std::thread::sleep(Duration::from_millis(40));
     }
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -16,6 +16,8 @@
 const COLD_JOIN: Duration = Duration::from_millis(1_200);
 /// Time from an order to open until the head serves.
 const OPENING: Duration = Duration::from_millis(300);
+/// Time for which the work of a group that has lost a member stalls (`stallMs`).
+const STALL: Duration = Duration::from_secs(5);
 
 /// What a server does with a request of a client.
 pub type Handler = Arc<dyn Fn(&Arc<Server>, &Req, &mut TcpStream) -> io::Result<()> + Send + Sync>;
@@ -38,7 +40,8 @@
     pub loaded: Option<String>,
     pub group: Option<Group>,
     pub highest_epoch: u64,
-    pub crashes: u32,
+    /// Requests that are running.
+    running: u32,
     connections: Vec<TcpStream>,
 }
 
@@ -102,6 +105,7 @@
             inner.group = None;
             inner.loaded = None;
             inner.highest_epoch = 0;
+            inner.running = 0;
         }
         self.write_entry();
         let server = self.clone();
@@ -128,7 +132,6 @@
                 return;
             }
             inner.is_alive = false;
-            inner.crashes += 1;
             for stream in inner.connections.drain(..) {
                 let _ = stream.shutdown(Shutdown::Both);
             }
@@ -209,10 +212,35 @@
                 let headers = format!("x-bronzerun-instance-id: {}\r\n", self.id);
                 respond(stream, "200 OK", &headers, b"")
             }
-            _ => (self.handler)(self, req, stream),
+            _ => self.run(req, stream),
         }
     }
 
+    fn run(self: &Arc<Self>, req: &Req, stream: &mut TcpStream) -> io::Result<()> {
+        let born = {
+            let mut inner = self.inner.lock().unwrap();
+            inner.running += 1;
+            inner.born
+        };
+        let result = (self.handler)(self, req, stream);
+        let mut inner = self.inner.lock().unwrap();
+        if inner.born != born {
+            return result;
+        }
+        inner.running = inner.running.saturating_sub(1);
+        let is_idle = inner.running == 0;
+        if let Some(group) = inner
+            .group
+            .as_mut()
+            .filter(|group| is_idle && group.state == "closing")
+        {
+            group.state = "ready";
+            drop(inner);
+            self.write_entry();
+        }
+        result
+    }
+
     fn state_json(&self, is_report: bool) -> String {
         let inner = self.inner.lock().unwrap();
         let staged = inner.staged.iter().map(|model| quote(model));
@@ -237,8 +265,15 @@
             group.unwrap_or_default()
         );
         if is_report {
+            let models = inner.loaded.iter().map(|model| {
+                format!(
+                    "{{\"name\":{},\"version\":1,\"adapters\":[]}}",
+                    quote(model)
+                )
+            });
+            let (models, running) = (models.collect::<String>(), inner.running);
             return format!(
-                "{{\"stage\":\"unified\",\"models\":[],\"busy\":false,\"queued\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":1860000,\"handles\":0,\"pace\":1.0,{common}}}"
+                "{{\"stage\":\"unified\",\"models\":[{models}],\"busy\":false,\"queued\":0,\"running\":{running},\"kvUsed\":0,\"kvTotal\":1860000,\"handles\":0,\"pace\":1.0,{common}}}"
             );
         }
         let domain = self.domain.map(|domain| format!(",\"domain\":{domain}"));
@@ -261,10 +296,7 @@
     fn order(self: &Arc<Self>, order: &Json) -> &'static str {
         let status = match order.text("operation").as_str() {
             "join" => self.join(order),
-            "stage" => {
-                self.inner.lock().unwrap().staged = Some(order.text("model"));
-                "200 OK"
-            }
+            "stage" => self.stage(order),
             operation => self.change_group(operation, order),
         };
         if status.starts_with("202") {
@@ -274,6 +306,25 @@
         status
     }
 
+    fn stage(self: &Arc<Self>, order: &Json) -> &'static str {
+        let model = order.text("model");
+        let inner = self.inner.lock().unwrap();
+        if inner.staged.as_ref() == Some(&model) {
+            return "200 OK";
+        }
+        let (server, born) = (self.clone(), inner.born);
+        std::thread::spawn(move || {
+            std::thread::sleep(COLD_JOIN);
+            let mut inner = server.inner.lock().unwrap();
+            if inner.born == born {
+                inner.staged = Some(model);
+                drop(inner);
+                server.write_entry();
+            }
+        });
+        "202 Accepted"
+    }
+
     fn join(self: &Arc<Self>, order: &Json) -> &'static str {
         let epoch = order.number("epoch").unwrap_or(0);
         let members = order.items("members").into_iter();
@@ -334,6 +385,7 @@
     fn change_group(self: &Arc<Self>, operation: &str, order: &Json) -> &'static str {
         let mut inner = self.inner.lock().unwrap();
         let born = inner.born;
+        let is_idle = inner.running == 0;
         let (name, epoch) = (order.text("group"), order.number("epoch").unwrap_or(0));
         let Some(group) = inner
             .group
@@ -349,10 +401,10 @@
                 "202 Accepted"
             }
             ("close", "open") => {
-                group.state = "ready";
+                group.state = if is_idle { "ready" } else { "closing" };
                 "202 Accepted"
             }
-            ("close", "ready") => "200 OK",
+            ("close", "ready" | "closing") => "200 OK",
             ("leave", _) => {
                 inner.group = None;
                 "202 Accepted"
@@ -394,6 +446,32 @@
         });
     }
 
+    /// Waits while a member of this head's group is gone, as long as the work stalls; whether the
+    /// group is whole.
+    pub fn wait_whole(&self) -> bool {
+        let end = Instant::now() + STALL;
+        loop {
+            let group = self.inner.lock().unwrap().group.clone();
+            let Some(group) = group else { return false };
+            let fleet = self.fleet.lock().unwrap().clone();
+            let is_present = |id: &String| {
+                let member = fleet.iter().find(|server| server.id == *id);
+                member.is_some_and(|member| {
+                    let inner = member.inner.lock().unwrap();
+                    let current = inner.group.as_ref();
+                    inner.is_alive && current.is_some_and(|current| current.epoch == group.epoch)
+                })
+            };
+            if group.members.iter().all(is_present) {
+                return true;
+            }
+            if Instant::now() >= end {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(30));
+        }
+    }
+
     /// Whether the head of a group that this server is in is open.
     fn is_serving(&self, group: &Group) -> bool {
         let fleet = self.fleet.lock().unwrap();
@@ -407,7 +485,7 @@
                 && current.is_some_and(|current| {
                     current.name == group.name
                         && current.epoch == group.epoch
-                        && current.state == "open"
+                        && matches!(current.state, "open" | "closing")
                 })
         })
     }
@@ -425,8 +503,12 @@
 /// Headers of a server's own answer to a request that it ran.
 pub fn sealed(server: &Server, req: &Req) -> String {
     let id = req.header("x-bronzerun-request-id");
+    let version = match server.domain {
+        Some(_) => "x-bronzerun-weight-versions: 1\r\n",
+        None => "",
+    };
     format!(
-        "x-bronzerun-request-id: {id}\r\nx-bronzerun-response-seal: {}.{id}\r\n",
+        "x-bronzerun-request-id: {id}\r\n{version}x-bronzerun-response-seal: {}.{id}\r\n",
         server.id
     )
 }
