--- a/crates/bronzerun/tests/edge/main.rs
+++ b/crates/bronzerun/tests/edge/main.rs
@@ -1,6 +1,7 @@
 //! Runs the edge node of the users' platform as a process, against a store and
 //! a server emulated by the test.
 
+mod endless;
 mod faulty;
 mod raw;
 mod stopping;
@@ -75,7 +76,7 @@
 impl WebService for Store {
     fn answer(
         &self,
-        request: Request<hyper::body::Incoming>,
+        request: Request<net::web::RequestBody>,
     ) -> LocalBoxFuture<'static, WebResponse> {
         let path = request.uri().path().to_owned();
         let is_watch = request
@@ -116,7 +117,7 @@
 impl WebService for Server {
     fn answer(
         &self,
-        request: Request<hyper::body::Incoming>,
+        request: Request<net::web::RequestBody>,
     ) -> LocalBoxFuture<'static, WebResponse> {
         let header = |name: &str| {
             let value = request.headers().get(name);
@@ -234,18 +235,27 @@
     }
 
     fn request_as(&self, id: &str, path: &str, key: &str) -> (u16, String, Option<String>) {
-        let url = format!("http://{}{path}", self.ingress);
-        let headers = [
-            ("host", "a.example"),
-            ("api-key", key),
-            ("x-bronzerun-tenant", "forged"),
-            ("x-bronzerun-request-id", id),
-            ("x-bronzerun-deadline-ms", "4000"),
-        ];
-        get(&url, &headers)
+        request_at(self.ingress, id, path, key)
     }
 }
 
+fn request_at(
+    ingress: SocketAddr,
+    id: &str,
+    path: &str,
+    key: &str,
+) -> (u16, String, Option<String>) {
+    let url = format!("http://{ingress}{path}");
+    let headers = [
+        ("host", "a.example"),
+        ("api-key", key),
+        ("x-bronzerun-tenant", "forged"),
+        ("x-bronzerun-request-id", id),
+        ("x-bronzerun-deadline-ms", "4000"),
+    ];
+    get(&url, &headers)
+}
+
 fn wait_line(lines: &mpsc::Receiver<Value>, message: &str) -> Value {
     let end = Instant::now() + CONDITION_TIMEOUT;
     loop {
--- a/crates/controller/src/border/admin.rs
+++ b/crates/controller/src/border/admin.rs
@@ -3,9 +3,9 @@
 use futures_util::future::LocalBoxFuture;
 use groups::GroupHealth;
 use http::{Request, StatusCode};
-use hyper::body::Incoming;
 use interface::status::{ConfigStatusWire, GroupStatusWire, StatusWire};
 use interface::{RoleWire, STATUS_PATH};
+use net::web::RequestBody;
 use net::web::{WebResponse, WebService, json_response, text_response};
 
 use super::ControllerReplies;
@@ -60,7 +60,7 @@
 }
 
 impl WebService for AdminService {
-    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebResponse> {
+    fn answer(&self, request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let this = self.clone();
         Box::pin(async move { this.route(request.uri().path()).await })
     }
--- a/crates/edge/src/border/events.rs
+++ b/crates/edge/src/border/events.rs
@@ -1,7 +1,12 @@
 //! Splitting of streams into server-sent events.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
+use net::HeldBytes;
 
+/// Largest event. A server that sends a longer one doesn't send events.
+const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
+/// Size up to which an incomplete event is kept even if the buffers of all connections are full.
+const MIN_HELD_BYTES: usize = 8 * 1_024;
 /// Field with the number of an event.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -12,15 +17,25 @@
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     partial: BytesMut,
+    /// Bytes of the incomplete event in which no end was found.
+    searched: usize,
+    held: HeldBytes,
     last_id: Option<u64>,
 }
 
+/// Error of a stream whose event is longer than this node keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the event of {bytes} bytes has no end, or no buffer has room for it")]
+pub struct EventTooLong {
+    bytes: usize,
+}
+
 impl EventBuffer {
     /// Creates a buffer for a client that has received the events up to `last_id`.
     pub fn after(last_id: Option<u64>) -> Self {
         Self {
-            partial: BytesMut::new(),
             last_id,
+            ..Self::default()
         }
     }
 
@@ -30,18 +45,36 @@
     }
 
     /// Appends bytes and returns the complete events that the client lacks.
-    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
         self.partial.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.partial) else {
-            return Bytes::new();
+        let complete = match last_event_end(&self.partial, self.searched) {
+            // A copy, so that the buffer of the incomplete event is used again.
+            Some(end) => {
+                let complete = Bytes::copy_from_slice(&self.partial[..end]);
+                self.partial.advance(end);
+                complete
+            }
+            None => Bytes::new(),
         };
-        let complete = self.partial.split_to(end).freeze();
-        self.skip_received(complete)
+        self.searched = self.partial.len();
+        let is_short = self.partial.len() <= MIN_HELD_BYTES;
+        if is_short {
+            self.held.resize(self.partial.len());
+        } else if self.partial.len() > MAX_EVENT_BYTES
+            || !self.held.try_resize(self.partial.capacity())
+        {
+            return Err(EventTooLong {
+                bytes: self.partial.len(),
+            });
+        }
+        Ok(self.skip_received(complete))
     }
 
     /// Drops an incomplete event, whose server has failed.
     pub fn drop_partial(&mut self) {
-        self.partial.clear();
+        self.partial = BytesMut::new();
+        self.searched = 0;
+        self.held.resize(0);
     }
 
     /// Whether the bytes so far end inside an event; a stream that ends there was broken off.
@@ -51,7 +84,9 @@
 
     /// Takes the line breaks after the last event of a stream that ended normally.
     pub fn take_rest(&mut self) -> Bytes {
-        self.partial.split().freeze()
+        let rest = Bytes::copy_from_slice(&self.partial);
+        self.drop_partial();
+        rest
     }
 
     /// Removes events that the client has and records the number of the last event.
@@ -76,7 +111,7 @@
 
 /// Whether bytes contain the end of an event.
 pub(super) fn has_complete_event(bytes: &[u8]) -> bool {
-    last_event_end(bytes).is_some()
+    last_event_end(bytes, 0).is_some()
 }
 
 /// Length of the first of several complete events.
@@ -88,8 +123,9 @@
     (0..bytes.len()).find_map(|position| end_at(bytes, position))
 }
 
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    (0..bytes.len())
+/// End of the last complete event; the first `searched` bytes are known to hold none.
+fn last_event_end(bytes: &[u8], searched: usize) -> Option<usize> {
+    (searched..bytes.len())
         .rev()
         .find_map(|position| end_at(bytes, position))
 }
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -8,12 +8,11 @@
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, Uri};
-use hyper::body::Incoming;
 use intent::Route;
 use net::sleep_until;
 use net::web::{
-    CollectOutcome, IncomingResponse, WebLimits, WebResponse, WebService, body_channel, full_body,
-    receive_body, text_response,
+    CollectOutcome, IncomingResponse, ReceiveError, RequestBody, WebLimits, WebResponse,
+    WebService, body_channel, full_body, receive_body, text_response,
 };
 use relay::{AttemptEnd, CallStep};
 
@@ -21,7 +20,9 @@
 use super::digest::request_digest;
 use super::events::EventBuffer;
 use super::labels::RequestLabels;
-use super::responses::{refusal_response, rejection_response, timeout_response};
+use super::responses::{
+    no_memory_response, refusal_response, rejection_response, timeout_response,
+};
 use super::stream::{CallGuard, PauseMeter, RelayedStream, ResponseKind};
 use crate::{Arrival, ArrivalOutcome, EdgeEvent, EdgeQuestion, EdgeReply};
 
@@ -51,7 +52,7 @@
 }
 
 impl WebService for ClientService {
-    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebResponse> {
+    fn answer(&self, request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let service = self.clone();
         Box::pin(async move {
             let mut response = service.serve(request).await;
@@ -65,13 +66,16 @@
 }
 
 impl ClientService {
-    async fn serve(&self, request: Request<Incoming>) -> WebResponse {
+    async fn serve(&self, request: Request<RequestBody>) -> WebResponse {
         let now = self.context.clock.now();
         let (parts, body) = request.into_parts();
         let body = match receive_body(body, &self.limits).await {
             Ok(body) => body,
             Err(error) => {
                 log::info!("request body not received: {error}");
+                if error == ReceiveError::NoMemory {
+                    return no_memory_response();
+                }
                 return text_response(StatusCode::BAD_REQUEST, &error.to_string());
             }
         };
--- a/crates/edge/src/border/pass.rs
+++ b/crates/edge/src/border/pass.rs
@@ -12,7 +12,7 @@
 use futures_util::future::{Either, LocalBoxFuture, select};
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
-use hyper::body::Incoming;
+use net::web::RequestBody;
 use net::web::{
     BodySender, CallOutcome, ChunkOutcome, IncomingResponse, WebLimits, WebRequest, WebResponse,
     WebService, body_channel, empty_body, full_body, receive_body,
@@ -101,7 +101,7 @@
 }
 
 impl WebService for PassService {
-    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebResponse> {
+    fn answer(&self, request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let service = self.clone();
         Box::pin(async move {
             service
@@ -113,7 +113,7 @@
 }
 
 impl PassService {
-    async fn pass_on(&self, request: Request<Incoming>) -> Result<WebResponse, AttemptEnd> {
+    async fn pass_on(&self, request: Request<RequestBody>) -> Result<WebResponse, AttemptEnd> {
         let context = &self.context;
         let (mut parts, body) = request.into_parts();
         let Some(order) = PassOrder::take(&mut parts.headers, context.clock.now()) else {
--- a/crates/edge/src/border/readiness.rs
+++ b/crates/edge/src/border/readiness.rs
@@ -2,7 +2,7 @@
 
 use futures_util::future::LocalBoxFuture;
 use http::{Request, StatusCode};
-use hyper::body::Incoming;
+use net::web::RequestBody;
 use net::web::{WebResponse, WebService, text_response};
 
 use super::EdgeReplies;
@@ -15,7 +15,7 @@
 }
 
 impl WebService for ReadinessService {
-    fn answer(&self, _request: Request<Incoming>) -> LocalBoxFuture<'static, WebResponse> {
+    fn answer(&self, _request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let replies = self.replies.clone();
         Box::pin(async move {
             match replies.request(EdgeQuestion::Status).await {
--- a/crates/edge/src/border/responses.rs
+++ b/crates/edge/src/border/responses.rs
@@ -8,6 +8,8 @@
 
 use crate::RejectReason;
 
+/// Retry delay for clients of a node whose buffers are full.
+const NO_MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Retry delay for clients of a node that has just started.
 const STARTUP_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -37,6 +39,15 @@
     }
 }
 
+/// Response to a request whose body this node has no memory for.
+pub(super) fn no_memory_response() -> WebResponse {
+    let response = text_response(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "this node has no memory for the request; it was not run",
+    );
+    with_retry_after(response, NO_MEMORY_RETRY_DELAY)
+}
+
 /// Response to a request that is refused another attempt.
 pub(super) fn refusal_response(refusal: &Refusal) -> WebResponse {
     match (refusal.may_have_run, refusal.reason) {
--- a/crates/edge/src/border/stream.rs
+++ b/crates/edge/src/border/stream.rs
@@ -178,9 +178,23 @@
             };
             let now = clock.now();
             match chunk {
+                Some(ChunkOutcome::Chunk(_)) if now >= self.deadline => return Ok(StreamEnd::Cut),
                 Some(ChunkOutcome::Chunk(bytes)) => {
-                    check_at = now + self.stall_timeout;
-                    if progress_sent_at.is_none_or(|at| now.since(at) >= PROGRESS_INTERVAL) {
+                    let complete = match self.buffer.push(&bytes) {
+                        Ok(complete) => complete,
+                        Err(error) => {
+                            log::warn!(id:% = self.request.id; "stream of the server given up: {error}");
+                            return Err(AttemptEnd::Cut);
+                        }
+                    };
+                    // Bytes that don't complete an event are no progress, however many there are.
+                    let is_progress = !complete.is_empty();
+                    if is_progress {
+                        check_at = now + self.stall_timeout;
+                    }
+                    if is_progress
+                        && progress_sent_at.is_none_or(|at| now.since(at) >= PROGRESS_INTERVAL)
+                    {
                         progress_sent_at = Some(now);
                         // The event loop ends only when the process is about to exit.
                         let _ = self
@@ -188,7 +202,6 @@
                             .events
                             .unbounded_send(EdgeEvent::Progress(self.guard.call));
                     }
-                    let complete = self.buffer.push(&bytes);
                     let events = if self.is_resumable { complete } else { bytes };
                     if !events.is_empty() {
                         self.pauses.record(now);
--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -9,8 +9,8 @@
 use futures_util::future::LocalBoxFuture;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use interface::wire::{OrderWire, ReportWire};
+use net::web::RequestBody;
 use net::web::{BodySender, WebResponse, WebService, body_channel, json_response, text_response};
 
 use super::chat::{CompletionEncoder, CompletionKind, PromptWire};
@@ -58,7 +58,7 @@
         }
     }
 
-    async fn route(&self, request: Request<Incoming>) -> WebResponse {
+    async fn route(&self, request: Request<RequestBody>) -> WebResponse {
         match request.uri().path() {
             "/status" => self.report(),
             "/emulator/leaving" => self.leave(),
@@ -79,7 +79,7 @@
         self.report()
     }
 
-    async fn apply_order(&self, body: Incoming) -> WebResponse {
+    async fn apply_order(&self, body: RequestBody) -> WebResponse {
         let wire: OrderWire = match read_json(body).await {
             Ok(wire) => wire,
             Err(response) => return response,
@@ -101,7 +101,7 @@
         }
     }
 
-    async fn generate(&self, kind: CompletionKind, request: Request<Incoming>) -> WebResponse {
+    async fn generate(&self, kind: CompletionKind, request: Request<RequestBody>) -> WebResponse {
         let (parts, body) = request.into_parts();
         if !self.is_addressed_here(&parts.headers) {
             let mut response = text_response(StatusCode::MISDIRECTED_REQUEST, "not in that group");
@@ -214,7 +214,7 @@
 }
 
 impl WebService for EngineService {
-    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebResponse> {
+    fn answer(&self, request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let this = self.clone();
         Box::pin(async move { this.route(request).await })
     }
--- a/crates/emulator/src/plain/service.rs
+++ b/crates/emulator/src/plain/service.rs
@@ -6,7 +6,7 @@
 use base::prelude::*;
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderValue, Request, StatusCode};
-use hyper::body::Incoming;
+use net::web::RequestBody;
 use net::web::{WebResponse, WebService, json_response};
 use serde::{Deserialize, Serialize};
 
@@ -60,7 +60,7 @@
         }
     }
 
-    async fn route(&self, request: Request<Incoming>) -> WebResponse {
+    async fn route(&self, request: Request<RequestBody>) -> WebResponse {
         if request.uri().path() == "/emulator/runs" {
             return json_response(StatusCode::OK, &*self.executed_calls.borrow());
         }
@@ -98,7 +98,7 @@
 }
 
 impl WebService for PlainService {
-    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebResponse> {
+    fn answer(&self, request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let this = self.clone();
         Box::pin(async move { this.route(request).await })
     }
--- a/crates/emulator/src/platform/service.rs
+++ b/crates/emulator/src/platform/service.rs
@@ -7,9 +7,9 @@
 use base::prelude::*;
 use futures_util::future::LocalBoxFuture;
 use http::{Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use interface::STORE_ERA;
 use interface::wire::{ChangeWire, HostWire, HostsWire, ObjectWire, ObjectsWire, VersionWire};
+use net::web::RequestBody;
 use net::web::{WebResponse, WebService, body_channel, empty_body, json_response, text_response};
 use store::{ObjectChange, ObjectKey, UpdateOutcome};
 
@@ -83,7 +83,7 @@
         self.0.faults.set(faults);
     }
 
-    async fn route(&self, request: Request<Incoming>) -> WebResponse {
+    async fn route(&self, request: Request<RequestBody>) -> WebResponse {
         let path = request.uri().path().to_owned();
         if path.starts_with("/emulator/") {
             return self.control(&path, request).await;
@@ -100,7 +100,7 @@
         response
     }
 
-    async fn answer_call(&self, path: &str, request: Request<Incoming>) -> WebResponse {
+    async fn answer_call(&self, path: &str, request: Request<RequestBody>) -> WebResponse {
         match (request.method().clone(), path) {
             (Method::GET, "/v1/hosts") => json_response(StatusCode::OK, &self.list_hosts()),
             (Method::GET, "/v1/objects") => self.list_objects(&request),
@@ -111,7 +111,7 @@
         }
     }
 
-    async fn control(&self, path: &str, request: Request<Incoming>) -> WebResponse {
+    async fn control(&self, path: &str, request: Request<RequestBody>) -> WebResponse {
         if path == "/emulator/calls" {
             return text_response(StatusCode::OK, &self.0.call_count.get().to_string());
         }
@@ -140,7 +140,7 @@
         self.control_host(host.to_owned(), request).await
     }
 
-    async fn control_host(&self, host: String, request: Request<Incoming>) -> WebResponse {
+    async fn control_host(&self, host: String, request: Request<RequestBody>) -> WebResponse {
         let Ok(host) = HostName::new(&host) else {
             return unknown_path();
         };
@@ -157,7 +157,7 @@
         }
     }
 
-    fn list_objects(&self, request: &Request<Incoming>) -> WebResponse {
+    fn list_objects(&self, request: &Request<RequestBody>) -> WebResponse {
         let prefix = query_value(request, "prefix").unwrap_or("");
         let objects = self.0.objects.borrow().list(prefix);
         let objects = objects.into_iter().map(ObjectWire::from).collect();
@@ -168,7 +168,7 @@
         &self,
         method: Method,
         key: ObjectKey,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
     ) -> WebResponse {
         match method {
             Method::GET => self.get_object(&key, &request).await,
@@ -178,7 +178,7 @@
         }
     }
 
-    async fn get_object(&self, key: &ObjectKey, request: &Request<Incoming>) -> WebResponse {
+    async fn get_object(&self, key: &ObjectKey, request: &Request<RequestBody>) -> WebResponse {
         let after = query_number(request, "after").map(ObjectVersion);
         let wait = Duration::from_millis(query_number(request, "wait_ms").unwrap_or(0));
         if let Some(after) = after {
@@ -205,7 +205,7 @@
         let _ = monoio::time::timeout(wait, watch).await;
     }
 
-    async fn put(&self, key: ObjectKey, request: Request<Incoming>) -> WebResponse {
+    async fn put(&self, key: ObjectKey, request: Request<RequestBody>) -> WebResponse {
         let change: ChangeWire = match read_json(request.into_body()).await {
             Ok(change) => change,
             Err(response) => return response,
@@ -232,7 +232,7 @@
         }
     }
 
-    fn delete(&self, key: &ObjectKey, request: &Request<Incoming>) -> WebResponse {
+    fn delete(&self, key: &ObjectKey, request: &Request<RequestBody>) -> WebResponse {
         let expected = ObjectVersion(query_number(request, "expected").unwrap_or(0));
         if self.0.objects.borrow_mut().remove(key, expected) {
             no_content()
@@ -269,7 +269,7 @@
 }
 
 impl WebService for PlatformService {
-    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebResponse> {
+    fn answer(&self, request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let this = self.clone();
         Box::pin(async move { this.route(request).await })
     }
--- a/crates/emulator/src/web.rs
+++ b/crates/emulator/src/web.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
-use hyper::body::Incoming;
+use net::web::RequestBody;
 use net::web::{WebLimits, WebResponse, receive_body, text_response};
 use serde::de::DeserializeOwned;
 
@@ -15,7 +15,7 @@
 }
 
 /// Value of a key in the query string of a request.
-pub fn query_value<'a>(request: &'a Request<Incoming>, key: &str) -> Option<&'a str> {
+pub fn query_value<'a>(request: &'a Request<RequestBody>, key: &str) -> Option<&'a str> {
     let query = request.uri().query()?;
     query
         .split('&')
@@ -24,19 +24,19 @@
 }
 
 /// Value of a key in the query string as a number; `None` if it is missing or no number.
-pub fn query_number(request: &Request<Incoming>, key: &str) -> Option<u64> {
+pub fn query_number(request: &Request<RequestBody>, key: &str) -> Option<u64> {
     query_value(request, key)?.parse().ok()
 }
 
 /// Reads the body of a request; an error is the response to send.
-pub async fn read_bytes(body: Incoming) -> Result<Bytes, WebResponse> {
+pub async fn read_bytes(body: RequestBody) -> Result<Bytes, WebResponse> {
     receive_body(body, &WebLimits::default())
         .await
         .map_err(|fault| text_response(StatusCode::BAD_REQUEST, &fault.to_string()))
 }
 
 /// Reads the body of a request as JSON; an error is the response to send.
-pub async fn read_json<T: DeserializeOwned>(body: Incoming) -> Result<T, WebResponse> {
+pub async fn read_json<T: DeserializeOwned>(body: RequestBody) -> Result<T, WebResponse> {
     let bytes = read_bytes(body).await?;
     serde_json::from_slice(&bytes)
         .map_err(|fault| text_response(StatusCode::BAD_REQUEST, &fault.to_string()))
--- a/crates/gateway/src/border/admin.rs
+++ b/crates/gateway/src/border/admin.rs
@@ -6,12 +6,12 @@
 
 use futures_util::future::LocalBoxFuture;
 use http::{Request, StatusCode};
-use hyper::body::Incoming;
 use interface::status::{
     ConfigStatusWire, GroupStatusWire, HistogramWire, LimitStatusWire, StatusWire,
 };
 use interface::{RoleWire, STATUS_PATH};
 use net::HistogramSet;
+use net::web::RequestBody;
 use net::web::{WebResponse, WebService, json_response, text_response};
 
 use super::GatewayReplies;
@@ -93,7 +93,7 @@
 }
 
 impl WebService for AdminService {
-    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebResponse> {
+    fn answer(&self, request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let this = self.clone();
         Box::pin(async move { this.route(request.uri().path()).await })
     }
--- a/crates/gateway/src/border/events.rs
+++ b/crates/gateway/src/border/events.rs
@@ -1,6 +1,7 @@
 //! Server-sent events of a streamed response.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
+use net::HeldBytes;
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 
@@ -14,6 +15,7 @@
 pub struct EventSplitter {
     buffer: BytesMut,
     searched: usize,
+    held: HeldBytes,
 }
 
 impl EventSplitter {
@@ -22,6 +24,12 @@
         self.buffer.extend_from_slice(chunk);
     }
 
+    /// Whether the incomplete event is longer than a gateway keeps, or no buffer has room for it.
+    pub fn is_too_long(&mut self) -> bool {
+        let pending = self.buffer.len();
+        pending > MAX_EVENT_BYTES || !self.held.try_resize(pending)
+    }
+
     /// Next complete event with its terminator; `None` until more bytes arrive.
     pub fn next_event(&mut self) -> Option<Bytes> {
         let found = self.buffer[self.searched..]
@@ -31,7 +39,10 @@
             Some(position) => {
                 let end = self.searched + position + EVENT_TERMINATOR.len();
                 self.searched = 0;
-                Some(self.buffer.split_to(end).freeze())
+                // A copy, so that the buffer of the incomplete event is used again.
+                let event = Bytes::copy_from_slice(&self.buffer[..end]);
+                self.buffer.advance(end);
+                Some(event)
             }
             None => {
                 self.searched = self.buffer.len().saturating_sub(EVENT_TERMINATOR.len() - 1);
@@ -39,11 +50,6 @@
             }
         }
     }
-
-    /// Length of the incomplete event, in bytes.
-    pub fn pending(&self) -> usize {
-        self.buffer.len()
-    }
 }
 
 /// Role of an event in its stream.
--- a/crates/gateway/src/border/exchange.rs
+++ b/crates/gateway/src/border/exchange.rs
@@ -15,7 +15,7 @@
 };
 use net::with_deadline;
 
-use super::events::{EventKind, EventSplitter, MAX_EVENT_BYTES, classify};
+use super::events::{EventKind, EventSplitter, classify};
 use super::response::{
     REQUEST_HEADER, endpoint_response, forwarded_headers, recorded_response, refusal_event,
     refusal_response, to_recorded,
@@ -241,8 +241,9 @@
         }
         let mut splitter = EventSplitter::default();
         let mut done = false;
+        // Bytes that don't complete an event are no progress, however many there are.
+        let mut deadline = self.context.clock.now() + self.context.times.silence_limit;
         loop {
-            let deadline = self.context.clock.now() + self.context.times.silence_limit;
             match response.next_chunk(deadline).await {
                 ChunkOutcome::Chunk(chunk) => splitter.push(&chunk),
                 ChunkOutcome::End if done => {
@@ -253,13 +254,14 @@
                 ChunkOutcome::End | ChunkOutcome::Lost => return AttemptEnd::Lost,
             }
             while let Some(event) = splitter.next_event() {
+                deadline = self.context.clock.now() + self.context.times.silence_limit;
                 let kind = classify(&event);
                 done |= kind == EventKind::Done;
                 if !self.send_event(event, kind).await {
                     return AttemptEnd::CallerDisconnected;
                 }
             }
-            if splitter.pending() > MAX_EVENT_BYTES {
+            if splitter.is_too_long() {
                 return AttemptEnd::Lost;
             }
         }
--- a/crates/gateway/src/border/ingress.rs
+++ b/crates/gateway/src/border/ingress.rs
@@ -11,8 +11,8 @@
 use http::header::AUTHORIZATION;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
-use hyper::body::Incoming;
 use net::seed_from_system;
+use net::web::RequestBody;
 use net::web::{
     WebClient, WebLimits, WebResponse, WebService, json_response, receive_body, text_response,
 };
@@ -99,7 +99,7 @@
         }
     }
 
-    async fn route(&self, request: Request<Incoming>) -> WebResponse {
+    async fn route(&self, request: Request<RequestBody>) -> WebResponse {
         match request.uri().path() {
             "/healthz" => text_response(StatusCode::OK, "alive"),
             "/readyz" => readiness_response(&self.replies).await,
@@ -125,7 +125,7 @@
         }
     }
 
-    async fn call(&self, request: Request<Incoming>) -> WebResponse {
+    async fn call(&self, request: Request<RequestBody>) -> WebResponse {
         let (parts, body) = request.into_parts();
         let call_headers = match parse_headers(&parts.headers) {
             Ok(call_headers) => call_headers,
@@ -223,7 +223,7 @@
 }
 
 impl WebService for IngressService {
-    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebResponse> {
+    fn answer(&self, request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let this = self.clone();
         Box::pin(async move { this.route(request).await })
     }
--- a/crates/gateway/src/border/response.rs
+++ b/crates/gateway/src/border/response.rs
@@ -103,6 +103,7 @@
     let (status, code) = match error {
         ReceiveError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
         ReceiveError::TooSlow { .. } => (StatusCode::REQUEST_TIMEOUT, "body_too_slow"),
+        ReceiveError::NoMemory => (StatusCode::SERVICE_UNAVAILABLE, "no_memory"),
         ReceiveError::Broken => (StatusCode::BAD_REQUEST, "body_broken"),
     };
     error_response(status, &error.to_string(), code, RunState::NotRun)
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 //! that loop and all I/O tasks on the calling thread. This crate starts no
 //! threads and does no busy waiting.
 
+mod budget;
 mod clock;
 mod daemon;
 mod drain;
@@ -13,6 +14,7 @@
 mod lines;
 mod logs;
 mod metrics;
+mod paced;
 mod pending;
 mod prometheus;
 mod random;
@@ -20,6 +22,7 @@
 mod signal;
 pub mod web;
 
+pub use budget::HeldBytes;
 pub use clock::SystemClock;
 pub use daemon::{DaemonError, forward_shutdown_signals, listen};
 pub use drain::{DrainSignal, DrainWatch, drain_channel};
--- a/crates/net/src/prometheus.rs
+++ b/crates/net/src/prometheus.rs
@@ -6,7 +6,6 @@
 
 use futures_util::future::LocalBoxFuture;
 use http::{Request, StatusCode};
-use hyper::body::Incoming;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -14,7 +13,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::MetricSink;
-use crate::web::{WebResponse, WebService, text_response};
+use crate::web::{RequestBody, WebResponse, WebService, text_response};
 
 /// Upper bound of the first histogram bucket.
 const FIRST_BUCKET_SECONDS: f64 = 0.005;
@@ -103,7 +102,7 @@
 pub struct MetricsPage(pub std::rc::Rc<PrometheusMetrics>);
 
 impl WebService for MetricsPage {
-    fn answer(&self, _request: Request<Incoming>) -> LocalBoxFuture<'static, WebResponse> {
+    fn answer(&self, _request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let text = self.0.text();
         Box::pin(async move { text_response(StatusCode::OK, &text) })
     }
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -10,14 +11,15 @@
 use http::header::HOST;
 use http::response::Parts;
 use http::{HeaderValue, Request};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use monoio::io::IntoPollIo;
 use monoio::net::TcpStream;
 use monoio_compat::hyper::MonoioIo;
 
-use super::body::WebBody;
+use super::body::{MeteredBody, WebBody, collect_body};
+use super::limits::MAX_PENDING_BYTES;
+use crate::paced::{PacedStream, ReadMeter};
 use crate::runtime::with_deadline;
 
 /// Idle connections kept per server.
@@ -28,7 +30,11 @@
 /// Request to another server.
 pub type WebRequest = Request<WebBody>;
 
-type Connection = http1::SendRequest<WebBody>;
+/// Connection to a server, and the meter of what it receives.
+struct Connection {
+    requests: http1::SendRequest<WebBody>,
+    meter: ReadMeter,
+}
 
 /// Outcome of sending a request and waiting for the response headers.
 #[derive(Debug)]
@@ -131,7 +137,7 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&server)?;
         while let Some(connection) = connections.pop() {
-            if connection.is_ready() {
+            if connection.requests.is_ready() {
                 return Some(connection);
             }
         }
@@ -145,8 +151,9 @@
         let stream = with_deadline(clock, deadline, TcpStream::connect(server)).await?;
         let stream = stream.ok()?;
         stream.set_nodelay(true).ok()?;
-        let io = MonoioIo::new(stream.into_poll_io().ok()?);
-        let (connection, driver) = http1::Builder::new()
+        let meter = ReadMeter::new(MAX_PENDING_BYTES);
+        let io = MonoioIo::new(PacedStream::new(stream, meter.clone()).ok()?);
+        let (requests, driver) = http1::Builder::new()
             .max_buf_size(MAX_HEADER_BYTES)
             .handshake(io)
             .await
@@ -155,7 +162,7 @@
             // The error is also returned by the request on this connection.
             let _ = driver.await;
         });
-        Some(connection)
+        Some(Connection { requests, meter })
     }
 
     async fn send(
@@ -165,13 +172,15 @@
         request: WebRequest,
         deadline: ClockTime,
     ) -> SendOutcome {
-        let sent = connection.try_send_request(request);
+        connection.meter.record_progress();
+        let sent = connection.requests.try_send_request(request);
         match with_deadline(self.clock.as_ref(), deadline, sent).await {
             None => {
                 self.drop_idle(server);
                 SendOutcome::Lost
             }
             Some(Ok(response)) => {
+                connection.meter.record_progress();
                 let (parts, body) = response.into_parts();
                 SendOutcome::Response(Box::new(IncomingResponse {
                     parts,
@@ -183,7 +192,10 @@
             }
             Some(Err(mut error)) => match error.take_message() {
                 Some(unsent) => SendOutcome::Unsent(Box::new(unsent)),
-                None => SendOutcome::Lost,
+                None => {
+                    log_failure(server, error.error());
+                    SendOutcome::Lost
+                }
             },
         }
     }
@@ -199,13 +211,20 @@
     fn put_idle(&self, server: SocketAddr, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(server).or_default();
-        connections.retain(|connection| !connection.is_closed());
+        connections.retain(|connection| !connection.requests.is_closed());
         if connections.len() < MAX_IDLE_CONNECTIONS {
             connections.push(connection);
         }
     }
 }
 
+/// Logs why a connection failed, if its error has a cause that an operator should know.
+fn log_failure(server: SocketAddr, error: &hyper::Error) {
+    if let Some(cause) = error.source() {
+        log::info!(server:% = server; "connection to server failed: {cause}");
+    }
+}
+
 enum SendOutcome {
     Response(Box<IncomingResponse>),
     Unsent(Box<WebRequest>),
@@ -256,7 +275,15 @@
 impl IncomingResponse {
     /// Waits for the next bytes; a passed deadline counts as a lost connection.
     pub async fn next_chunk(&mut self, deadline: ClockTime) -> ChunkOutcome {
-        match self.poll_chunk(deadline).await {
+        // A chunk that is there already would be returned before the deadline is looked at, and a
+        // server that sends without end always has one there.
+        let is_passed = self.client.clock.now() >= deadline;
+        let outcome = if is_passed {
+            None
+        } else {
+            self.poll_chunk(deadline).await
+        };
+        match outcome {
             Some(outcome) => outcome,
             None => {
                 self.client.drop_idle(self.server);
@@ -270,13 +297,18 @@
         loop {
             let clock = self.client.clock.clone();
             let frame = with_deadline(clock.as_ref(), until, self.body.frame()).await?;
+            self.connection.meter.record_progress();
             return Some(match frame {
                 None => ChunkOutcome::End,
                 Some(Ok(frame)) => match frame.into_data() {
-                    Ok(chunk) => ChunkOutcome::Chunk(chunk),
+                    // A copy, as a small chunk would keep the buffer that it was read into.
+                    Ok(chunk) => ChunkOutcome::Chunk(Bytes::copy_from_slice(&chunk)),
                     Err(_trailers) => continue,
                 },
-                Some(Err(_)) => ChunkOutcome::Lost,
+                Some(Err(error)) => {
+                    log_failure(self.server, &error);
+                    ChunkOutcome::Lost
+                }
             });
         }
     }
@@ -295,7 +327,7 @@
             ..
         } = self;
         monoio::spawn(async move {
-            if connection.ready().await.is_ok() {
+            if connection.requests.ready().await.is_ok() {
                 client.put_idle(server, connection);
             }
         });
@@ -304,15 +336,18 @@
     /// Reads the rest of the body; one of more than `limit` bytes counts as lost.
     pub async fn collect(mut self, limit: usize, deadline: ClockTime) -> CollectOutcome {
         let clock = self.client.clock.clone();
-        let body = Limited::new(&mut self.body, limit).collect();
-        match with_deadline(clock.as_ref(), deadline, body).await {
-            Some(Ok(collected)) => {
-                let bytes = collected.to_bytes();
+        let mut body = MeteredBody::new(&mut self.body, self.connection.meter.clone());
+        let collected = collect_body(&mut body, limit);
+        match with_deadline(clock.as_ref(), deadline, collected).await {
+            Some(Ok(bytes)) => {
                 let parts = self.parts.clone();
                 self.finish();
                 CollectOutcome::Response(parts, bytes)
             }
-            Some(Err(_)) => CollectOutcome::Lost,
+            Some(Err(error)) => {
+                log::info!(server:% = self.server, limit; "response not read: {error}");
+                CollectOutcome::Lost
+            }
             None => {
                 self.client.drop_idle(self.server);
                 CollectOutcome::Lost
--- a/crates/net/src/web/limits.rs
+++ b/crates/net/src/web/limits.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+/// Bytes that a connection may receive while no message, nor any part of a body, reaches its
+/// reader: several times the largest head.
+pub(super) const MAX_PENDING_BYTES: usize = 256 * 1_024;
+
 /// Limits of one HTTP server.
 #[derive(Clone, Copy, Debug)]
 pub struct WebLimits {
--- a/crates/net/src/web/mod.rs
+++ b/crates/net/src/web/mod.rs
@@ -11,7 +11,7 @@
 mod response;
 mod server;
 
-pub use body::{BodyError, BodySender, WebBody, body_channel, empty_body, full_body};
+pub use body::{BodyError, BodySender, RequestBody, WebBody, body_channel, empty_body, full_body};
 pub use client::{
     CallOutcome, ChunkOutcome, CollectOutcome, IncomingResponse, WebClient, WebRequest,
 };
--- a/crates/net/src/web/server.rs
+++ b/crates/net/src/web/server.rs
@@ -11,16 +11,17 @@
 use futures_util::future::{Either, LocalBoxFuture, select};
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderValue, Request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use monoio::io::IntoPollIo;
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 
+use super::body::{CollectError, RequestBody, collect_body};
+use super::limits::MAX_PENDING_BYTES;
 use super::{WebLimits, WebResponse};
 use crate::DrainWatch;
+use crate::paced::{PacedStream, ReadMeter};
 
 /// Delay after a failed accept; without it, running out of file descriptors would
 /// cause a busy loop.
@@ -29,7 +30,7 @@
 /// Handler of HTTP requests.
 pub trait WebService {
     /// Produces the response to one request.
-    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebResponse>;
+    fn answer(&self, request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse>;
 }
 
 /// Binds a listener; the kernel chooses the port if it is zero.
@@ -102,10 +103,13 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let Ok(io) = stream.into_poll_io() else {
+    let meter = ReadMeter::new(MAX_PENDING_BYTES);
+    let Ok(io) = PacedStream::new(stream, meter.clone()) else {
         return;
     };
-    let handler = service_fn(move |request| {
+    let handler = service_fn(move |request: Request<Incoming>| {
+        meter.record_progress();
+        let request = request.map(|body| RequestBody::new(body, meter.clone()));
         let response = handle_request(service.clone(), request);
         async move { Ok::<_, Infallible>(response.await) }
     });
@@ -132,7 +136,7 @@
 /// If a request has both a chunked body and a content length, the HTTP library
 /// uses the chunks. A proxy in front may use the length instead, and the bytes
 /// that remain could then be read as another request (request smuggling).
-async fn handle_request(service: Rc<dyn WebService>, request: Request<Incoming>) -> WebResponse {
+async fn handle_request(service: Rc<dyn WebService>, request: Request<RequestBody>) -> WebResponse {
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let mut response = service.answer(request).await;
     if is_chunked {
@@ -160,22 +164,29 @@
         /// Time limit in seconds.
         seconds: u64,
     },
+    /// The buffers of all connections are full.
+    #[error("this node has no memory for the body: try again later")]
+    NoMemory,
     /// The connection failed.
     #[error("the connection broke before the end of the body")]
     Broken,
 }
 
 /// Reads a request's complete body, within the limits for size and time.
-pub async fn receive_body(body: Incoming, limits: &WebLimits) -> Result<Bytes, ReceiveError> {
-    let limited = Limited::new(body, limits.body_bytes).collect();
-    match monoio::time::timeout(limits.body_timeout, limited).await {
+pub async fn receive_body(
+    mut body: RequestBody,
+    limits: &WebLimits,
+) -> Result<Bytes, ReceiveError> {
+    let collected = collect_body(&mut body, limits.body_bytes);
+    match monoio::time::timeout(limits.body_timeout, collected).await {
         Err(_) => Err(ReceiveError::TooSlow {
             seconds: limits.body_timeout.as_secs(),
         }),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ReceiveError::TooLarge {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(CollectError::TooLarge)) => Err(ReceiveError::TooLarge {
             limit: limits.body_bytes,
         }),
-        Ok(Err(_)) => Err(ReceiveError::Broken),
+        Ok(Err(CollectError::NoMemory)) => Err(ReceiveError::NoMemory),
+        Ok(Err(CollectError::Broken)) => Err(ReceiveError::Broken),
     }
 }
--- a/crates/soak/src/platform/server.rs
+++ b/crates/soak/src/platform/server.rs
@@ -8,7 +8,7 @@
 use emulator::web::{header_text, read_bytes};
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
-use hyper::body::Incoming;
+use net::web::RequestBody;
 use net::web::{BodySender, WebResponse, WebService, body_channel, full_body, text_response};
 use serde_json::Value;
 
@@ -214,7 +214,7 @@
 }
 
 impl WebService for ServerService {
-    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebResponse> {
+    fn answer(&self, request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let this = self.clone();
         Box::pin(async move {
             let (parts, body) = request.into_parts();
--- a/crates/soak/src/platform/store.rs
+++ b/crates/soak/src/platform/store.rs
@@ -9,7 +9,7 @@
 use emulator::web::{query_number, read_bytes};
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderValue, Method, Request, StatusCode};
-use hyper::body::Incoming;
+use net::web::RequestBody;
 use net::web::{WebResponse, WebService, body_channel, text_response};
 use serde_json::{Value, json};
 
@@ -296,7 +296,7 @@
 }
 
 impl WebService for StoreService {
-    fn answer(&self, request: Request<Incoming>) -> LocalBoxFuture<'static, WebResponse> {
+    fn answer(&self, request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let this = self.clone();
         Box::pin(async move {
             let watch = query_number(&request, "watch");
