--- a/crates/edge/src/border/links.rs
+++ b/crates/edge/src/border/links.rs
@@ -14,7 +14,7 @@
 
 use super::ports::PlatformStore;
 use super::wire::decode_message;
-use crate::EdgeEvent;
+use crate::{EdgeEvent, PeerMessage};
 
 /// Timeout of a connection attempt: ten round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -152,6 +152,7 @@
     clock: Rc<dyn ClockSource>,
     events: UnboundedSender<EdgeEvent>,
 ) {
+    let mut is_new = true;
     loop {
         let deadline = clock.now() + RECEIVE_TIMEOUT;
         let received = with_deadline(clock.as_ref(), deadline, stream.receive()).await;
@@ -161,6 +162,12 @@
         let parse_config = |text: &str| store.parse_config(text);
         match decode_message(&bytes, clock.now(), &parse_config) {
             Ok(message) => {
+                if let PeerMessage::Digest(digest) = &message
+                    && std::mem::take(&mut is_new)
+                {
+                    // The event loop ends only when the process is about to exit.
+                    let _ = events.unbounded_send(EdgeEvent::Connected(digest.from.clone()));
+                }
                 if events.unbounded_send(EdgeEvent::Peer(message)).is_err() {
                     return;
                 }
--- a/crates/edge/src/border/watch.rs
+++ b/crates/edge/src/border/watch.rs
@@ -1,17 +1,18 @@
 //! Watches of the store's collections, one task for each.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 
 use base::prelude::*;
 use futures_channel::mpsc::UnboundedSender;
-use net::sleep_until;
+use net::{sleep_until, with_deadline};
 
 use super::ports::{ListOutcome, PlatformStore, StoreCollection, WatchOutcome};
 use crate::{CollectionEvent, EdgeEvent, WatchMode};
 
-/// Wait of a watch without peers that would send changes. It bounds the time until a
-/// hung connection is noticed.
+/// Wait of a watch without peers that would send changes, and of one that has missed a change. It
+/// bounds the time until a hung connection is noticed.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Wait of a watch of the endpoints or the configuration. A connection may hang without a reset,
 /// and a watch may hear nothing while the store drops its history. Both can happen to all nodes
@@ -39,6 +40,8 @@
 /// Wait of a watch of the configuration at a node that is sent the targets, as the hubs
 /// also send it newer configurations.
 const CONFIG_WATCH_TIMEOUT: Duration = Duration::from_millis(20_000);
+/// Time beyond its wait after which a watch counts as hung; calls end by themselves before.
+const WATCH_GRACE: Duration = Duration::from_millis(500);
 /// Delay after changes of a configuration, or of the endpoints without peers that would
 /// send changes.
 const UNPEERED_BATCH_DELAY: Duration = Duration::from_millis(40);
@@ -73,20 +76,27 @@
                 ListOutcome::Listed(items, at) => (CollectionEvent::Listed(items, at), Some(at)),
                 ListOutcome::Unavailable => (CollectionEvent::Unavailable, None),
             },
-            Some(since) => match store
-                .watch(collection, since, watch_timeout(collection, mode.get()))
-                .await
-            {
-                WatchOutcome::Changed(changes, at) => {
-                    (CollectionEvent::Changed(changes, at), Some(at.max(since)))
+            Some(since) => {
+                match watch_until_outdated(collection, since, store.as_ref(), clock.as_ref(), &mode)
+                    .await
+                {
+                    None => {
+                        log::info!(feed = collection.as_str(), since:% = since; "watch replaced, as changes may be missing");
+                        continue;
+                    }
+                    Some(outcome) => match outcome {
+                        WatchOutcome::Changed(changes, at) => {
+                            (CollectionEvent::Changed(changes, at), Some(at.max(since)))
+                        }
+                        WatchOutcome::Compacted => {
+                            log::info!(feed = collection.as_str(), since:% = since; "watch revision compacted; listing again");
+                            revision = None;
+                            continue;
+                        }
+                        WatchOutcome::Unavailable => (CollectionEvent::Unavailable, Some(since)),
+                    },
                 }
-                WatchOutcome::Compacted => {
-                    log::info!(feed = collection.as_str(), since:% = since; "watch revision compacted; listing again");
-                    revision = None;
-                    continue;
-                }
-                WatchOutcome::Unavailable => (CollectionEvent::Unavailable, Some(since)),
-            },
+            }
         };
         revision = next_revision;
         let is_unavailable = matches!(event, CollectionEvent::Unavailable);
@@ -114,6 +124,32 @@
     }
 }
 
+/// Watches a collection; `None` once the watch has lasted longer than it may by now.
+///
+/// A watch may wait for long because other nodes send the changes. Its connection may hang, so it
+/// must end when they no longer do.
+async fn watch_until_outdated(
+    collection: StoreCollection,
+    since: ObjectVersion,
+    store: &dyn PlatformStore,
+    clock: &dyn ClockSource,
+    mode: &Cell<WatchMode>,
+) -> Option<WatchOutcome> {
+    let started_at = clock.now();
+    let watch = store.watch(collection, since, watch_timeout(collection, mode.get()));
+    let mut watch = pin!(watch);
+    loop {
+        let checked_at = clock.now() + MODE_CHECK_INTERVAL;
+        if let Some(outcome) = with_deadline(clock, checked_at, watch.as_mut()).await {
+            return Some(outcome);
+        }
+        let end = started_at + watch_timeout(collection, mode.get()) + WATCH_GRACE;
+        if clock.now() >= end {
+            return None;
+        }
+    }
+}
+
 /// Whether this node gets along without a collection at present.
 fn is_paused(collection: StoreCollection, is_listed: bool, mode: WatchMode) -> bool {
     match collection {
@@ -126,6 +162,7 @@
 /// Time that one watch waits for changes.
 fn watch_timeout(collection: StoreCollection, mode: WatchMode) -> Duration {
     match collection {
+        StoreCollection::RoutingConfig if mode.lacks_config => WATCH_TIMEOUT,
         StoreCollection::RoutingConfig if mode.receives_targets => CONFIG_WATCH_TIMEOUT,
         _ if !mode.has_peers => WATCH_TIMEOUT,
         StoreCollection::Endpoints | StoreCollection::RoutingConfig => BOUNDED_WATCH_TIMEOUT,
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -18,6 +18,10 @@
 /// Time for which a hub that timed out can't be a hub.
 const HUB_EXCLUSION: Duration = Duration::from_secs(5);
 
+/// Doublings of the interval between two replacements of the connection to a node that stays
+/// silent.
+const MAX_RECONNECT_DOUBLINGS: u32 = 2;
+
 /// Sends digests if they are due, and targets if they have changed.
 pub(crate) fn send_digests(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
     if state.digest_due > now {
@@ -44,8 +48,13 @@
             continue;
         };
         peer.digest_sent_at = Some(now);
+        peer.link_opened_at.get_or_insert(now);
         if is_link_silent(peer, &state.times, state.last_lag_at, now) {
-            peer.reconnect_due = now + state.times.link_timeout;
+            // The node may be gone, or may not take this one for a hub.
+            let doublings = peer.reconnects.min(MAX_RECONNECT_DOUBLINGS);
+            peer.reconnect_due = now + state.times.link_timeout * 2_u32.pow(doublings);
+            peer.reconnects += 1;
+            peer.link_opened_at = Some(now);
             effects.push(EdgeEffect::Reconnect(peer.address));
         }
         let digest = match kind {
@@ -297,6 +306,24 @@
 /// Number of live peers from which this node relies on them to send it changes.
 const MIN_RELIABLE_PEERS: usize = 2;
 
+/// Whether a hub has had a newer configuration than this node for longer than hubs take to send
+/// it. The hub may not know that this node lacks it, if it doesn't receive this node's digests.
+fn lacks_config(state: &mut EdgeState, now: ClockTime) -> bool {
+    let version = state.config.version().unwrap_or(0);
+    let hubs = state.hubs.iter().filter_map(|hub| state.peers.get(hub));
+    let mut alive_hubs = hubs.filter(|peer| is_peer_alive(state, peer, now));
+    let is_missed = alive_hubs.any(|peer| {
+        let digest = peer.digest.as_ref();
+        digest.is_some_and(|digest| digest.config_version > version)
+    });
+    if !is_missed {
+        state.config_missed_since = None;
+        return false;
+    }
+    let since = *state.config_missed_since.get_or_insert(now);
+    now.since(since) >= state.times.config_wait
+}
+
 /// Changes the watch mode if needed.
 fn update_watch_mode(state: &mut EdgeState, now: ClockTime) -> Option<EdgeEffect> {
     let alive = state
@@ -308,6 +335,7 @@
         has_peers: alive.count() >= MIN_RELIABLE_PEERS,
         receives_targets: receives_targets(state, now),
         lists_endpoints: lists_endpoints(state, now),
+        lacks_config: lacks_config(state, now),
     };
     if mode == state.watch_mode {
         return None;
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -43,6 +43,28 @@
     }
 }
 
+/// Replaces this node's connection to a node that has opened a new one.
+///
+/// Each connection is used in one direction, so its sender doesn't notice when it goes silent. The
+/// other node does, but all that it can do is to open a connection of its own, which this node
+/// takes as the sign.
+pub(crate) fn handle_connection(
+    state: &mut EdgeState,
+    node: &NodeName,
+    now: ClockTime,
+) -> Vec<EdgeEffect> {
+    let Some(peer) = state.peers.get_mut(node) else {
+        return Vec::new();
+    };
+    // A new connection of this node may be what made the other one open its own.
+    let is_old = |at: ClockTime| now.since(at) >= state.times.link_settling_time;
+    if !peer.link_opened_at.is_some_and(is_old) {
+        return Vec::new();
+    }
+    peer.link_opened_at = Some(now);
+    vec![EdgeEffect::Reconnect(peer.address)]
+}
+
 /// Uses targets that are newer than the present ones, or passes them on as a hub, which
 /// computes its own.
 fn handle_targets(
@@ -125,6 +147,7 @@
     effects.extend(send_watched_evidence(state, &digest, now));
     if let Some(peer) = state.peers.get_mut(&digest.from) {
         peer.last_digest_at = Some(now);
+        peer.reconnects = 0;
         peer.digest = Some(digest);
     }
     if state.summing_hub.is_none() && choose_summing_hub(state, now).is_some() {
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -185,6 +185,8 @@
     Tried(HostName, bool),
     /// A message of another node arrived.
     Peer(PeerMessage),
+    /// Another node has opened a new connection to this one.
+    Connected(NodeName),
     /// The settings were reloaded and have changed.
     Reloaded(Box<EdgeSettings>),
     /// The process was asked to stop.
@@ -202,6 +204,8 @@
     pub receives_targets: bool,
     /// Whether it has to list the endpoints because no hub will send it targets soon.
     pub lists_endpoints: bool,
+    /// Whether hubs have had a newer configuration for longer than they take to send it.
+    pub lacks_config: bool,
 }
 
 /// Effect that the border executes.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -46,6 +46,7 @@
                 commands::handle_trial_outcome(self, &server, is_reached, now)
             }
             EdgeEvent::Peer(message) => commands::handle_message(self, message, now),
+            EdgeEvent::Connected(node) => commands::handle_connection(self, &node, now),
             EdgeEvent::Reloaded(settings) => {
                 commands::reload(self, *settings);
                 Vec::new()
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -43,9 +43,13 @@
     pub max_digest_interval: Duration,
     /// Time without a digest after which another node counts as gone.
     pub peer_timeout: Duration,
-    /// Time without a digest of a node after which the connection to it is replaced, and
+    /// Time without a digest of a node after which the connection to it is replaced, and first
     /// interval between two replacements. It may hang without a reset.
     pub link_timeout: Duration,
+    /// Age from which a connection to a node is replaced when that node opens a new one.
+    pub link_settling_time: Duration,
+    /// Time after which a node reads a newer configuration that a hub has from the store itself.
+    pub config_wait: Duration,
     /// Time without sums after which a node chooses another summing hub.
     pub sums_timeout: Duration,
     /// Time for which a hub that sent no sums isn't chosen again.
@@ -109,6 +113,10 @@
             peer_timeout: Duration::from_millis(800),
             // Longer than `peer_timeout`, so that a busy node's connections are kept.
             link_timeout: Duration::from_millis(1_000),
+            // Two messages; shorter than `link_timeout`, so that no replacement is left out.
+            link_settling_time: Duration::from_millis(800),
+            // Hubs send it after `config_propagation_delay`.
+            config_wait: Duration::from_millis(900),
             // Several of the usual intervals, but well below the validity of the counts.
             sums_timeout: Duration::from_millis(400),
             // Long enough for the other nodes to replace it as a hub.
@@ -190,6 +198,10 @@
     pub digest_sent_at: Option<ClockTime>,
     /// Instant before which the connection to it isn't replaced.
     pub reconnect_due: ClockTime,
+    /// Replacements of the connection since a digest of it arrived.
+    pub reconnects: u32,
+    /// Instant at which the connection to it was opened or last replaced.
+    pub link_opened_at: Option<ClockTime>,
     /// Last instant at which the targets were sent to it.
     pub targets_sent_at: Option<ClockTime>,
     /// Last instant at which a configuration was sent to it.
@@ -212,6 +224,8 @@
             no_sums_until: ClockTime::default(),
             digest_sent_at: None,
             reconnect_due: ClockTime::default(),
+            reconnects: 0,
+            link_opened_at: None,
             targets_sent_at: None,
             last_digest_at: None,
             digest: None,
@@ -303,6 +317,8 @@
     pub(crate) is_prober: bool,
     /// How the collections are watched.
     pub(crate) watch_mode: WatchMode,
+    /// Since when a hub has had a newer configuration than this node.
+    pub(crate) config_missed_since: Option<ClockTime>,
     /// Last instant at which another node took the groups over from this one.
     pub(crate) yielded_at: Option<ClockTime>,
     /// Last write that failed or got no response.
@@ -370,6 +386,7 @@
             is_owner: false,
             is_prober: false,
             watch_mode: WatchMode::default(),
+            config_missed_since: None,
             yielded_at: None,
             last_write_failure_at: None,
             entry_version: ObjectVersion::default(),
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -14,5 +14,6 @@
 mod quarantine;
 
 mod restored_store;
+mod silent_links;
 mod store_away;
 mod support;
--- a/crates/edge/tests/suite/network.rs
+++ b/crates/edge/tests/suite/network.rs
@@ -1,12 +1,14 @@
 //! Event loops of several nodes and the messages between them, without a network.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use crate::support::{at, config_item, endpoint, list, settings};
+use crate::support::{at, config_item, endpoint, list, node, settings};
 use base::prelude::*;
 use edge::PeerMessage;
 use edge::border::ports::{CollectionItem, StoreCollection};
-use edge::{EdgeEffect, EdgeEvent, EdgeQuestion, EdgeReply, EdgeSettings, EdgeState, EdgeTimes};
+use edge::{
+    EdgeEffect, EdgeEvent, EdgeQuestion, EdgeReply, EdgeSettings, EdgeState, EdgeTimes, WatchMode,
+};
 use store::{ObjectKey, StoredObject};
 
 /// Time that a message takes.
@@ -25,7 +27,13 @@
     pub now: u64,
     /// Number of times that a node has quarantined a part or a request.
     pub quarantined: usize,
-    in_flight: Vec<(usize, PeerMessage)>,
+    /// Number of connections between nodes that were replaced.
+    pub reconnects: usize,
+    /// How each node watches the store.
+    pub watch_modes: Vec<WatchMode>,
+    /// Connections by sender and receiver, and whether they lose all messages.
+    links: BTreeMap<(usize, usize), bool>,
+    in_flight: Vec<(usize, EdgeEvent)>,
 }
 
 impl NodeNetwork {
@@ -36,6 +44,9 @@
             partitioned: BTreeSet::new(),
             now: 0,
             quarantined: 0,
+            reconnects: 0,
+            watch_modes: vec![WatchMode::default(); count],
+            links: BTreeMap::new(),
             in_flight: Vec::new(),
         }
     }
@@ -48,8 +59,8 @@
     /// Delivers the messages of the last tick.
     pub fn advance(&mut self) {
         self.now += TICK_MS;
-        for (index, message) in std::mem::take(&mut self.in_flight) {
-            self.handle(index, EdgeEvent::Peer(message));
+        for (index, event) in std::mem::take(&mut self.in_flight) {
+            self.handle(index, event);
         }
     }
 
@@ -88,15 +99,40 @@
         }
     }
 
+    /// Makes the open connections of these senders and receivers lose all messages from now on.
+    pub fn silence_links(&mut self, is_silent: impl Fn(usize, usize) -> bool) {
+        for ((sender, receiver), is_lost) in &mut self.links {
+            *is_lost |= is_silent(*sender, *receiver);
+        }
+    }
+
+    fn send(&mut self, sender: usize, receiver: usize, message: PeerMessage) {
+        let is_new = !self.links.contains_key(&(sender, receiver));
+        if *self.links.entry((sender, receiver)).or_default() {
+            return;
+        }
+        if is_new {
+            let name = node(&node_name(sender));
+            self.in_flight.push((receiver, EdgeEvent::Connected(name)));
+        }
+        self.in_flight.push((receiver, EdgeEvent::Peer(message)));
+    }
+
     fn execute(&mut self, index: usize, effects: Vec<EdgeEffect>) {
         for effect in effects {
             match effect {
                 EdgeEffect::Send { to, message } => {
                     let receiver = usize::from(to.port() - FIRST_PORT);
                     if !self.cut_off.contains(&index) && !self.cut_off.contains(&receiver) {
-                        self.in_flight.push((receiver, message));
+                        self.send(index, receiver, message);
                     }
                 }
+                EdgeEffect::Reconnect(to) => {
+                    self.reconnects += 1;
+                    let receiver = usize::from(to.port() - FIRST_PORT);
+                    self.links.remove(&(index, receiver));
+                }
+                EdgeEffect::SetWatchMode(mode) => self.watch_modes[index] = mode,
                 EdgeEffect::Try { server, .. } => {
                     let is_reached = !self.partitioned.contains(&index);
                     self.handle(index, EdgeEvent::Tried(server, is_reached));
@@ -109,11 +145,15 @@
     }
 }
 
+fn node_name(index: usize) -> String {
+    format!("n{index:03}")
+}
+
 fn start(index: usize, count: usize, now: u64) -> EdgeState {
     let capacity = |index: usize| if index < 4 { 500 } else { 200 };
     let settings = EdgeSettings {
         capacity: capacity(index),
-        ..settings(&format!("n{index:03}"))
+        ..settings(&node_name(index))
     };
     let mut state = EdgeState::new(settings, EdgeTimes::default(), index as u64, at(now));
     let config = vec![config_item(1, "/x/")];
--- a/crates/quarantine/src/settings.rs
+++ b/crates/quarantine/src/settings.rs
@@ -19,8 +19,9 @@
 const CERTAIN_CRASHES: usize = 5;
 /// Time after its last report for which a part or request is remembered, and quarantined if it is.
 const RETENTION: Duration = Duration::from_secs(60);
-/// Time for which this node's reports are sent to other nodes.
-const RESEND_DURATION: Duration = Duration::from_secs(2);
+/// Time for which this node's reports are sent to other nodes; silent connections between them are
+/// replaced within two seconds.
+const RESEND_DURATION: Duration = Duration::from_secs(3);
 /// Age of an answer up to which a part or request is not suspected after its first reports.
 const RECENT_ANSWER: Duration = Duration::from_secs(2);
 /// Reported parts and requests that are remembered.
