--- a/crates/edge/src/border/crashes.rs
+++ b/crates/edge/src/border/crashes.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use prost::Message;
 use quarantine::{
-    CrashEvidence, CrashReport, CrashSuspect, PromptPart, RequestDigest, ServerCrash,
+    AnswerStage, CrashEvidence, CrashReport, CrashSuspect, PromptPart, RequestDigest, ServerCrash,
     SuspectClearance,
 };
 
@@ -31,6 +31,9 @@
     is_request: bool,
     #[prost(uint64, tag = "6")]
     sent_age_ms: u64,
+    /// Zero for reports of older builds, which know the first stage only.
+    #[prost(uint32, tag = "7")]
+    stage: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -59,6 +62,13 @@
     }
 }
 
+/// Stage with a number; an unknown one is taken for the last, which needs most crashes.
+fn stage_of(number: u32) -> AnswerStage {
+    let stages = AnswerStage::ALL.into_iter();
+    let mut stages = stages.filter(|stage| *stage as u32 == number);
+    stages.next().unwrap_or(AnswerStage::Whole)
+}
+
 impl CrashesWire {
     /// Evidence as sent at an instant.
     pub fn from_evidence(evidence: &CrashEvidence, now: ClockTime) -> Self {
@@ -72,6 +82,7 @@
                 request: report.request.0,
                 age_ms: age_ms(report.seen_at),
                 sent_age_ms: age_ms(report.sent_at),
+                stage: report.stage as u32,
             }
         });
         let clearances = evidence.clearances.iter().map(|clearance| {
@@ -98,6 +109,7 @@
         let reports = self.reports.into_iter().filter_map(|wire| {
             Some(CrashReport {
                 suspect: suspect_of(wire.suspect, wire.is_request),
+                stage: stage_of(wire.stage),
                 crash: ServerCrash(wire.crash),
                 request: RequestDigest(wire.request),
                 seen_at: instant(wire.age_ms)?,
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -184,7 +184,7 @@
                     match self.collect(*incoming, accepted.deadline).await {
                         Some(response) => {
                             // The event loop ends only when the process is about to exit.
-                            let answered = EdgeEvent::Answered(accepted.request.call);
+                            let answered = EdgeEvent::Completed(accepted.request.call);
                             let _ = self.context.events.unbounded_send(answered);
                             let may_improve =
                                 status.is_server_error() && accepted.route.kind.is_repeatable();
--- a/crates/edge/src/border/stream.rs
+++ b/crates/edge/src/border/stream.rs
@@ -142,6 +142,11 @@
                 },
             }
         };
+        if end == StreamEnd::Whole {
+            // The event loop ends only when the process is about to exit.
+            let completed = EdgeEvent::Completed(self.guard.call);
+            let _ = self.guard.events.unbounded_send(completed);
+        }
         let last_event = self.buffer.last_id();
         let first_ms = self.pauses.first.as_millis() as u64;
         let pause_ms = self.pauses.longest.as_millis() as u64;
@@ -253,6 +258,9 @@
     /// Resumes the stream at another server after the last complete event.
     async fn resume(&mut self, end: AttemptEnd, body: &mut BodySender) -> Option<IncomingResponse> {
         if !self.is_resumable {
+            // The event loop ends only when the process is about to exit.
+            let broken = EdgeEvent::Broken(self.guard.call, end);
+            let _ = self.guard.events.unbounded_send(broken);
             return None;
         }
         self.buffer.drop_partial();
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -5,9 +5,9 @@
 use quarantine::CallSuspects;
 use relay::{AttemptEnd, CallArrival, CallStep, StallStep};
 
-use super::quarantine::{block_call, record_crash};
+use super::quarantine::{block_call, record_crash, record_sustained_answer};
 use super::reach::{is_stranded, is_untrusted, pass_elsewhere, record_trouble, route_attempt};
-use crate::{Arrival, ArrivalOutcome, EdgeState, RejectReason};
+use crate::{Arrival, ArrivalOutcome, EdgeEffect, EdgeState, RejectReason};
 
 /// Checks a request against the active configuration and chooses its first step.
 pub(crate) fn arrive(state: &mut EdgeState, arrival: Arrival, now: ClockTime) -> ArrivalOutcome {
@@ -135,7 +135,27 @@
     }
 }
 
-/// Records that bytes of a response arrived.
-pub(crate) fn record_progress(state: &mut EdgeState, call: CallId, now: ClockTime) {
+/// Records the end of an attempt whose request can't be sent again.
+pub(crate) fn record_broken_attempt(
+    state: &mut EdgeState,
+    call: CallId,
+    end: AttemptEnd,
+    now: ClockTime,
+) {
+    let target = relay::queries::target_of(&state.relay, call).cloned();
+    let is_direct = !state.passed.contains_key(&call);
+    if let Some(server) = target.filter(|_| is_direct && is_unanswered(end)) {
+        record_trouble(state, &server, now);
+    }
+    record_crash(state, call, end, now);
+}
+
+/// Records that complete events of a response arrived.
+pub(crate) fn record_progress(
+    state: &mut EdgeState,
+    call: CallId,
+    now: ClockTime,
+) -> Vec<EdgeEffect> {
     relay::commands::record_progress(&mut state.relay, call, now);
+    record_sustained_answer(state, call, now)
 }
--- a/crates/edge/src/commands/mod.rs
+++ b/crates/edge/src/commands/mod.rs
@@ -13,14 +13,14 @@
 mod shared;
 mod stop;
 
-pub(crate) use calls::{arrive, check_stall, end_attempt, record_progress};
+pub(crate) use calls::{arrive, check_stall, end_attempt, record_broken_attempt, record_progress};
 pub(crate) use collections::{apply_collection_event, expire_endpoints, refresh_targets};
 pub(crate) use digests::send_digests;
 pub(crate) use distribution::send_record;
 pub(crate) use notices::record_notice;
 pub(crate) use peers::{handle_connection, handle_message};
 pub(crate) use plan::{handle_order_outcome, handle_report_outcome, plan_if_due};
-pub(crate) use quarantine::{record_answer, send_evidence};
+pub(crate) use quarantine::{record_answer, record_whole_answer, send_evidence};
 pub(crate) use reach::{find_pass_target, handle_trial_outcome, record_pass_failure, start_trials};
 pub(crate) use reload::reload;
 pub(crate) use shared::{
--- a/crates/edge/src/commands/quarantine.rs
+++ b/crates/edge/src/commands/quarantine.rs
@@ -53,7 +53,36 @@
     effects
 }
 
-/// Reports a request and its parts whose connection broke before a server began to answer it;
+/// Records that events of an answer arrive, which prove a request sound after a while.
+pub(super) fn record_sustained_answer(
+    state: &mut EdgeState,
+    call: CallId,
+    now: ClockTime,
+) -> Vec<EdgeEffect> {
+    if !quarantine::commands::record_progress(&mut state.quarantine, call, now) {
+        return Vec::new();
+    }
+    let effects = log_new_verdicts(state, |state| {
+        quarantine::commands::record_sustained_answer(&mut state.quarantine, call, now);
+    });
+    schedule_evidence(state, now);
+    effects
+}
+
+/// Records that a request was answered completely.
+pub(crate) fn record_whole_answer(
+    state: &mut EdgeState,
+    call: CallId,
+    now: ClockTime,
+) -> Vec<EdgeEffect> {
+    let effects = log_new_verdicts(state, |state| {
+        quarantine::commands::record_whole_answer(&mut state.quarantine, call, now);
+    });
+    schedule_evidence(state, now);
+    effects
+}
+
+/// Reports a request and its parts whose connection broke before its answer was whole;
 /// returns whether the request must not be sent to another server.
 pub(super) fn record_crash(
     state: &mut EdgeState,
@@ -72,9 +101,9 @@
     let crash = ServerCrash::of(&attempt.target, attempt.incarnation, attempt.epoch);
     let effects = log_new_verdicts(state, |state| {
         let sent_at = attempt.sent_at;
-        let digest = report_crash(&mut state.quarantine, call, crash, sent_at, now);
-        if let Some(digest) = digest {
-            log::info!(digest:% = digest, place:% = attempt.target; "request suspected of a crash");
+        let reported = report_crash(&mut state.quarantine, call, crash, sent_at, now);
+        if let Some((digest, stage)) = reported {
+            log::info!(digest:% = digest, place:% = attempt.target, before:? = stage; "request suspected of a crash");
         }
     });
     state.unsent_effects.extend(effects);
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -156,10 +156,14 @@
 pub enum EdgeEvent {
     /// A task has asked a question.
     Asked(ReplyId, EdgeQuestion),
-    /// Bytes of a request's response arrived.
+    /// Complete events of a request's response arrived.
     Progress(CallId),
     /// A server has begun to answer a request.
     Answered(CallId),
+    /// A request was answered completely.
+    Completed(CallId),
+    /// An attempt has ended whose request can't be sent again.
+    Broken(CallId, AttemptEnd),
     /// A server has announced something in a response, or no longer does.
     Announced {
         /// Run of the server that was sent the request.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -15,11 +15,13 @@
             EdgeEvent::Asked(id, question) => {
                 vec![EdgeEffect::Reply(id, reply(self, question, now))]
             }
-            EdgeEvent::Progress(call) => {
-                commands::record_progress(self, call, now);
+            EdgeEvent::Progress(call) => commands::record_progress(self, call, now),
+            EdgeEvent::Answered(call) => commands::record_answer(self, call, now),
+            EdgeEvent::Completed(call) => commands::record_whole_answer(self, call, now),
+            EdgeEvent::Broken(call, end) => {
+                commands::record_broken_attempt(self, call, end, now);
                 Vec::new()
             }
-            EdgeEvent::Answered(call) => commands::record_answer(self, call, now),
             EdgeEvent::Announced { run, id, notice } => {
                 commands::record_notice(self, &run, &id, notice, now)
             }
--- a/crates/edge/tests/suite/deadly.rs
+++ b/crates/edge/tests/suite/deadly.rs
@@ -96,7 +96,7 @@
     fn answer(&mut self, node: usize, digest: RequestDigest) {
         let (call, is_sent) = self.send(node, digest);
         assert!(is_sent, "a sound request is rejected at node {node}");
-        self.network.handle(node, EdgeEvent::Answered(call));
+        self.network.handle(node, EdgeEvent::Completed(call));
         self.network.handle(node, EdgeEvent::Finished(call));
     }
 }
@@ -124,6 +124,47 @@
     }
 }
 
+#[test]
+fn every_node_rejects_a_part_that_crashes_servers_which_began_to_answer() {
+    for (nodes, contact_ms) in [
+        (3, 3_000),
+        (7, 3_000),
+        (12, 3_000),
+        (24, 4_000),
+        (195, 5_000),
+    ] {
+        let mut deployment = Deployment::new(nodes);
+        for index in 1..=3 {
+            let node = nodes - index;
+            let digest = RequestDigest(100 + index as u64);
+            let (call, is_sent) = deployment.send_with(node, digest, &[1, 2]);
+            assert!(is_sent, "{nodes} nodes: crash {index}");
+            deployment.network.handle(node, EdgeEvent::Answered(call));
+            deployment.network.handle(node, EdgeEvent::Progress(call));
+            deployment.crash(&[(node, call)]);
+            // Another request with the first part only.
+            let sound = RequestDigest(200 + index as u64);
+            let (call, _) = deployment.send_with(0, sound, &[1]);
+            deployment.network.handle(0, EdgeEvent::Completed(call));
+            deployment.network.handle(0, EdgeEvent::Finished(call));
+            deployment.network.run(deployment.network.now + 300);
+        }
+        deployment
+            .network
+            .run(deployment.network.now + contact_ms - 300);
+        for node in 0..nodes {
+            let digest = RequestDigest(1_000 + node as u64);
+            let is_sent = |parts: &[u64], deployment: &mut Deployment| {
+                let (call, is_sent) = deployment.send_with(node, digest, parts);
+                deployment.network.handle(node, EdgeEvent::Finished(call));
+                is_sent
+            };
+            assert!(!is_sent(&[1, 2], &mut deployment), "{nodes} nodes: {node}");
+            assert!(is_sent(&[1], &mut deployment), "{nodes} nodes: {node}");
+        }
+    }
+}
+
 #[test]
 fn nodes_that_start_or_were_cut_off_reject_a_request_that_crashed_servers_before() {
     for (nodes, contact_ms) in DEPLOYMENTS {
@@ -188,7 +229,7 @@
             let digest = RequestDigest(2_000_000 + deployment.calls);
             let (call, is_sent) = deployment.send_with(node, digest, &[1]);
             assert!(is_sent, "a sound request is rejected at node {node}");
-            deployment.network.handle(node, EdgeEvent::Answered(call));
+            deployment.network.handle(node, EdgeEvent::Completed(call));
             deployment.network.handle(node, EdgeEvent::Finished(call));
             deployment.network.run(deployment.network.now + 340);
         }
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -6,7 +6,7 @@
 
 use crate::support::at;
 use quarantine::{
-    CrashEvidence, CrashReport, CrashSuspect, PromptPart, RequestDigest, ServerCrash,
+    AnswerStage, CrashEvidence, CrashReport, CrashSuspect, PromptPart, RequestDigest, ServerCrash,
     SuspectClearance,
 };
 use relay::{LaneCounts, SendTarget};
@@ -119,6 +119,7 @@
             CrashSuspect::Request(RequestDigest(9)),
         ]
         .map(|suspect| CrashReport {
+            stage: AnswerStage::Begun,
             suspect,
             crash: ServerCrash(7),
             request: RequestDigest(9),
@@ -152,6 +153,7 @@
 fn crash_reports_from_before_the_start_of_the_clock_are_not_taken_for_newer_ones() {
     let evidence = CrashEvidence {
         reports: vec![CrashReport {
+            stage: AnswerStage::Begun,
             suspect: CrashSuspect::Part(PromptPart(1)),
             crash: ServerCrash(7),
             request: RequestDigest(9),
--- a/crates/edge/tests/suite/quarantine.rs
+++ b/crates/edge/tests/suite/quarantine.rs
@@ -67,7 +67,7 @@
 /// A request with the common part is answered.
 fn answer(state: &mut EdgeState, own: u64, now: ClockTime) {
     arrive_with(state, &[COMMON], own, now);
-    state.handle(EdgeEvent::Answered(CallId(own)), now);
+    state.handle(EdgeEvent::Completed(CallId(own)), now);
     state.handle(EdgeEvent::Finished(CallId(own)), now);
 }
 
@@ -159,7 +159,7 @@
 }
 
 #[test]
-fn failed_servers_that_answered_before_quarantine_no_part() {
+fn failed_servers_quarantine_no_part_that_others_answer_completely() {
     let mut state = node_with_server("n1", "n2");
     for own in 10..20 {
         let now = at(1_000 + own * 500);
@@ -168,6 +168,12 @@
         let ended = EdgeQuestion::Ended(CallId(own), AttemptEnd::Cut);
         ask(&mut state, ended, now + Duration::from_millis(50));
         state.handle(EdgeEvent::Finished(CallId(own)), now);
+        // Another request with the same parts is answered completely.
+        let other = 100 + own;
+        arrive_with(&mut state, &[COMMON, DEADLY], other, now);
+        let completed = EdgeEvent::Completed(CallId(other));
+        state.handle(completed, now + Duration::from_millis(60));
+        state.handle(EdgeEvent::Finished(CallId(other)), now);
     }
     assert!(!is_quarantined(
         &mut state,
--- a/crates/quarantine/src/commands/calls.rs
+++ b/crates/quarantine/src/commands/calls.rs
@@ -4,13 +4,15 @@
 
 use super::merge::{add_report, clear_suspect, update_verdicts};
 use crate::state::RunningCall;
-use crate::{CallSuspects, CrashReport, QuarantineState, RequestDigest, ServerCrash};
+use crate::{AnswerStage, CallSuspects, CrashReport, QuarantineState, RequestDigest, ServerCrash};
 
 /// Remembers a request until it is finished.
 pub fn start_call(state: &mut QuarantineState, call: CallId, suspects: CallSuspects) {
     let running = RunningCall {
         suspects,
         has_begun: false,
+        attempt_begun_at: None,
+        is_sustained: false,
     };
     state.calls.insert(call, running);
 }
@@ -20,15 +22,52 @@
     state.calls.remove(&call);
 }
 
-/// Records that a server has begun to answer a request, which clears it and its parts.
+/// Records that a server has begun to answer a request, which clears it and its parts of crashes
+/// before the beginning of an answer.
 pub fn record_answer(state: &mut QuarantineState, call: CallId, now: ClockTime) {
     let Some(running) = state.calls.get_mut(&call) else {
         return;
     };
-    if std::mem::replace(&mut running.has_begun, true) {
-        return;
+    if !std::mem::replace(&mut running.has_begun, true) {
+        clear_call(state, call, AnswerStage::Begun, now);
     }
-    let suspects: Vec<_> = running.suspects.iter().collect();
+}
+
+/// Records that events of an answer arrive; returns whether the answer is sustained from now on.
+pub fn record_progress(state: &mut QuarantineState, call: CallId, now: ClockTime) -> bool {
+    let sustained_answer = state.settings.sustained_answer;
+    let Some(running) = state.calls.get_mut(&call) else {
+        return false;
+    };
+    let begun_at = *running.attempt_begun_at.get_or_insert(now);
+    let is_sustained = now.since(begun_at) >= sustained_answer;
+    is_sustained && !std::mem::replace(&mut running.is_sustained, true)
+}
+
+/// Clears a request and its parts of crashes soon after the beginning of an answer.
+pub fn record_sustained_answer(state: &mut QuarantineState, call: CallId, now: ClockTime) {
+    clear_call(state, call, AnswerStage::Sustained, now);
+}
+
+/// Records that a request was answered completely, which clears it and its parts of all crashes.
+pub fn record_whole_answer(state: &mut QuarantineState, call: CallId, now: ClockTime) {
+    if let Some(running) = state.calls.get_mut(&call) {
+        running.has_begun = true;
+        clear_call(state, call, AnswerStage::Whole, now);
+    }
+}
+
+/// Clears a request and its parts of crashes before a stage and the earlier ones.
+fn clear_call(state: &mut QuarantineState, call: CallId, reached: AnswerStage, now: ClockTime) {
+    let Some(running) = state.calls.get(&call) else {
+        return;
+    };
+    let stages = AnswerStage::ALL
+        .into_iter()
+        .filter(|stage| *stage <= reached);
+    let suspects: Vec<_> = stages
+        .flat_map(|stage| running.suspects.before(stage))
+        .collect();
     if state.answered.len() + suspects.len() > state.settings.max_answered_suspects {
         forget_old_answers(state, now);
     }
@@ -54,31 +93,43 @@
     }
 }
 
-/// Reports a request whose server crashed before it began to answer; returns the request's
-/// digest if it did so.
+/// Reports a request whose server crashed before its answer was whole; returns the request's digest
+/// and the first stage that the answer had not reached.
 pub fn record_crash(
     state: &mut QuarantineState,
     call: CallId,
     crash: ServerCrash,
     sent_at: ClockTime,
     now: ClockTime,
-) -> Option<RequestDigest> {
-    let running = state.calls.get(&call).filter(|call| !call.has_begun)?;
+) -> Option<(RequestDigest, AnswerStage)> {
+    let running = state.calls.get_mut(&call)?;
+    running.attempt_begun_at = None;
+    let missed = match (running.has_begun, std::mem::take(&mut running.is_sustained)) {
+        (false, _) => AnswerStage::Begun,
+        (true, false) => AnswerStage::Sustained,
+        (true, true) => AnswerStage::Whole,
+    };
     let suspects = running.suspects.clone();
-    for suspect in suspects.iter() {
-        let report = CrashReport {
-            suspect,
-            crash,
-            request: suspects.digest,
-            sent_at,
-            seen_at: now,
-        };
-        let has_room = state.own_reports.len() < state.settings.max_reported_suspects;
-        if add_report(state, report) && has_room {
-            let resend_until = now + state.settings.resend_duration;
-            state.own_reports.push((report, resend_until));
+    for stage in AnswerStage::ALL
+        .into_iter()
+        .filter(|stage| *stage >= missed)
+    {
+        for suspect in suspects.before(stage) {
+            let report = CrashReport {
+                suspect,
+                stage,
+                crash,
+                request: suspects.digest,
+                sent_at,
+                seen_at: now,
+            };
+            let has_room = state.own_reports.len() < state.settings.max_reported_suspects;
+            if add_report(state, report) && has_room {
+                let resend_until = now + state.settings.resend_duration;
+                state.own_reports.push((report, resend_until));
+            }
         }
     }
     update_verdicts(state, now);
-    Some(suspects.digest)
+    Some((suspects.digest, missed))
 }
--- a/crates/quarantine/src/commands/mod.rs
+++ b/crates/quarantine/src/commands/mod.rs
@@ -3,5 +3,8 @@
 mod calls;
 mod merge;
 
-pub use calls::{finish_call, record_answer, record_crash, start_call};
+pub use calls::{
+    finish_call, record_answer, record_crash, record_progress, record_sustained_answer,
+    record_whole_answer, start_call,
+};
 pub use merge::{expire, merge_evidence};
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -41,6 +41,23 @@
     }
 }
 
+/// How far a server has come with the answer to a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum AnswerStage {
+    /// The first event has arrived.
+    #[default]
+    Begun,
+    /// Events have arrived for a while.
+    Sustained,
+    /// The answer is complete.
+    Whole,
+}
+
+impl AnswerStage {
+    /// All stages in order.
+    pub const ALL: [Self; 3] = [Self::Begun, Self::Sustained, Self::Whole];
+}
+
 /// What may be the cause of a crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum CrashSuspect {
@@ -50,6 +67,24 @@
     Request(RequestDigest),
 }
 
+impl CrashSuspect {
+    /// The same part or request, with the crashes before a stage of the answer.
+    ///
+    /// Each stage has a number of its own, as answers that reach it clear only crashes before it.
+    /// Nodes of builds that know just the first stage pass the others on as suspects that none of
+    /// their requests has, and so never clear them.
+    pub fn before(self, stage: AnswerStage) -> Self {
+        if stage == AnswerStage::Begun {
+            return self;
+        }
+        let number = |number: u64| XxHash64::oneshot(stage as u64, &number.to_le_bytes());
+        match self {
+            Self::Part(part) => Self::Part(PromptPart(number(part.0))),
+            Self::Request(digest) => Self::Request(RequestDigest(number(digest.0))),
+        }
+    }
+}
+
 impl fmt::Display for CrashSuspect {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -74,6 +109,11 @@
         let parts = self.parts.shared.iter().copied().map(CrashSuspect::Part);
         parts.chain([CrashSuspect::Request(self.digest)])
     }
+
+    /// The parts and the request with the crashes before a stage of the answer.
+    pub fn before(&self, stage: AnswerStage) -> impl Iterator<Item = CrashSuspect> {
+        self.iter().map(move |suspect| suspect.before(stage))
+    }
 }
 
 /// Crash of one server: a start of it, in one group.
@@ -88,11 +128,13 @@
     }
 }
 
-/// Part of a request that a crashed server had not begun to answer, or the request itself.
+/// Part of a request whose answer a crashed server had not brought to a stage, or the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashReport {
-    /// The part or the request.
+    /// The part or the request, with the crashes before the stage.
     pub suspect: CrashSuspect,
+    /// Stage that the answer had not reached.
+    pub stage: AnswerStage,
     /// The crash.
     pub crash: ServerCrash,
     /// The request.
@@ -103,10 +145,10 @@
     pub seen_at: ClockTime,
 }
 
-/// Part or request of which a server has begun an answer.
+/// Part or request of which an answer has reached a stage.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SuspectClearance {
-    /// The part or the request.
+    /// The part or the request, with the crashes before the stage.
     pub suspect: CrashSuspect,
     /// Instant of the answer; earlier reports are void.
     pub cleared_at: ClockTime,
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -21,8 +21,8 @@
 pub mod queries;
 
 pub use evidence::{
-    CallSuspects, CrashEvidence, CrashReport, CrashSuspect, PromptPart, PromptParts, RequestDigest,
-    ServerCrash, SuspectClearance,
+    AnswerStage, CallSuspects, CrashEvidence, CrashReport, CrashSuspect, PromptPart, PromptParts,
+    RequestDigest, ServerCrash, SuspectClearance,
 };
 pub use settings::QuarantineSettings;
 pub use state::{CrashVerdict, QuarantineState};
--- a/crates/quarantine/src/queries/verdict.rs
+++ b/crates/quarantine/src/queries/verdict.rs
@@ -6,8 +6,8 @@
 
 use crate::state::ReportedSuspect;
 use crate::{
-    CallSuspects, CrashReport, CrashSuspect, CrashVerdict, QuarantineSettings, QuarantineState,
-    ServerCrash,
+    AnswerStage, CallSuspects, CrashReport, CrashSuspect, CrashVerdict, QuarantineSettings,
+    QuarantineState, ServerCrash,
 };
 
 /// Verdict because of which a request is rejected; `None` if it may be sent.
@@ -17,7 +17,11 @@
 ) -> Option<&'a CrashVerdict> {
     let is_blocked = |verdict: &&CrashVerdict| {
         let mut blocked = verdict.suspects.iter();
-        blocked.all(|suspect| suspects.iter().any(|other| other == *suspect))
+        let is_of_call = |suspect: &CrashSuspect| {
+            let mut stages = AnswerStage::ALL.into_iter();
+            stages.any(|stage| suspects.before(stage).any(|other| other == *suspect))
+        };
+        blocked.all(is_of_call)
     };
     state.verdicts.iter().find(is_blocked)
 }
@@ -31,7 +35,9 @@
 
 /// Whether a request whose server crashed may be sent to another one.
 ///
-/// It may not if it was reported for another crash, or one of its parts for another request and
+/// One that a server had begun to answer may, until it is quarantined or has lost many servers soon
+/// after they began: its stream would be cut, and it is more often a bystander than the cause. Any
+/// other may not if it was reported for another crash, or one of its parts for another request and
 /// another crash, without a recent answer: it would rather crash the next server too.
 pub fn may_resend(
     state: &QuarantineState,
@@ -39,10 +45,17 @@
     crash: ServerCrash,
     now: ClockTime,
 ) -> bool {
-    let Some(running) = state.calls.get(&call).filter(|call| !call.has_begun) else {
+    let Some(running) = state.calls.get(&call) else {
         return true;
     };
     let digest = running.suspects.digest;
+    if running.has_begun {
+        let request = CrashSuspect::Request(digest).before(AnswerStage::Sustained);
+        let reported = state.reported.get(&request);
+        let crashes = reported.map_or(0, |reported| reported.reports.len());
+        return crashes < state.settings.certain_crashes
+            && blocking_verdict(state, &running.suspects).is_none();
+    }
     let is_suspected = |suspect: CrashSuspect| {
         let answered_at = state.answered.get(&suspect);
         let is_answered =
@@ -80,50 +93,70 @@
     state: &QuarantineState,
     now: ClockTime,
 ) -> (Vec<CrashVerdict>, Option<ClockTime>) {
-    let mut explained = BTreeSet::new();
-    let mut skipped = BTreeSet::new();
-    let mut verdicts = Vec::new();
-    let mut verdict_due: Option<ClockTime> = None;
-    loop {
-        let reported = state.reported.iter();
-        let reported = reported.filter(|(suspect, _)| !skipped.contains(*suspect));
-        let candidates: Vec<_> = reported
-            .filter_map(|(suspect, reported)| {
-                verdict_candidate(&state.settings, *suspect, reported, &explained)
-            })
-            .collect();
-        let Some(most) = most_crashes(candidates.iter()) else {
-            return (verdicts, verdict_due);
-        };
-        let same = candidates
-            .iter()
-            .filter(|other| is_nearly_same(&other.crashes, &most.crashes));
-        let request = most_crashes(same.clone().filter(|candidate| candidate.is_request()));
-        let (best, suspects) = match request {
-            Some(request) => (request, vec![request.suspect]),
-            None => (
-                most,
-                same.clone().map(|candidate| candidate.suspect).collect(),
-            ),
-        };
-        // One request alone proves nothing about the parts that others share with it.
-        let is_proven = request.is_some()
-            || same.map(|candidate| candidate.requests).max() >= Some(state.settings.min_requests);
-        if !is_proven {
-            skipped.extend(suspects);
-            continue;
-        }
-        explained.extend(best.crashes.iter().copied());
-        if best.settled_at > now {
-            let due = verdict_due.map_or(best.settled_at, |due| due.min(best.settled_at));
-            verdict_due = Some(due);
-            continue;
+    let mut search = VerdictSearch::default();
+    // What crashes servers before an answer begins explains the crashes of answers that had begun.
+    for stage in AnswerStage::ALL {
+        search.find_before(state, stage, now);
+    }
+    (search.verdicts, search.verdict_due)
+}
+
+/// Search for the verdicts that explain all crashes.
+#[derive(Default)]
+struct VerdictSearch {
+    explained: BTreeSet<ServerCrash>,
+    verdicts: Vec<CrashVerdict>,
+    verdict_due: Option<ClockTime>,
+}
+
+impl VerdictSearch {
+    /// Adds the verdicts about crashes before a stage of the answers.
+    fn find_before(&mut self, state: &QuarantineState, stage: AnswerStage, now: ClockTime) {
+        let mut skipped = BTreeSet::new();
+        loop {
+            let reported = state.reported.iter();
+            let reported = reported.filter(|(suspect, reported)| {
+                reported.stage() == stage && !skipped.contains(*suspect)
+            });
+            let candidates: Vec<_> = reported
+                .filter_map(|(suspect, reported)| {
+                    verdict_candidate(&state.settings, *suspect, reported, &self.explained)
+                })
+                .collect();
+            let Some(most) = most_crashes(candidates.iter()) else {
+                return;
+            };
+            let same = candidates
+                .iter()
+                .filter(|other| is_nearly_same(&other.crashes, &most.crashes));
+            let request = most_crashes(same.clone().filter(|candidate| candidate.is_request()));
+            let (best, suspects) = match request {
+                Some(request) => (request, vec![request.suspect]),
+                None => (
+                    most,
+                    same.clone().map(|candidate| candidate.suspect).collect(),
+                ),
+            };
+            // One request alone proves nothing about the parts that others share with it.
+            let is_proven = request.is_some()
+                || same.map(|candidate| candidate.requests).max()
+                    >= Some(state.settings.min_requests);
+            if !is_proven {
+                skipped.extend(suspects);
+                continue;
+            }
+            self.explained.extend(best.crashes.iter().copied());
+            if best.settled_at > now {
+                let due = self.verdict_due.unwrap_or(best.settled_at);
+                self.verdict_due = Some(due.min(best.settled_at));
+                continue;
+            }
+            self.verdicts.push(CrashVerdict {
+                suspects,
+                crashes: best.crashes.len(),
+                until: best.expires_at,
+            });
         }
-        verdicts.push(CrashVerdict {
-            suspects,
-            crashes: best.crashes.len(),
-            until: best.expires_at,
-        });
     }
 }
 
@@ -154,6 +187,14 @@
     reported: &ReportedSuspect,
     explained: &BTreeSet<ServerCrash>,
 ) -> Option<VerdictCandidate> {
+    let stage = reported.stage();
+    let min_crashes = match stage {
+        AnswerStage::Begun | AnswerStage::Sustained => settings.min_crashes,
+        AnswerStage::Whole => settings.min_late_crashes,
+    };
+    if reported.reports.len() < min_crashes {
+        return None;
+    }
     let reports = reported.reports.iter();
     let reports: Vec<_> = reports
         .filter(|report| !explained.contains(&report.crash))
@@ -163,9 +204,10 @@
         CrashSuspect::Request(_) => successive_crashes(&reports),
     };
     let first_at = *separate.first()?;
-    let last_needed_at = *separate.get(settings.min_crashes - 1)?;
+    let last_needed_at = *separate.get(min_crashes - 1)?;
     let is_certain = separate.len() >= settings.certain_crashes;
     let settled_at = match suspect {
+        _ if stage > AnswerStage::Begun => last_needed_at + settings.late_settling_time,
         CrashSuspect::Part(_) if is_certain => last_needed_at,
         CrashSuspect::Part(_) => last_needed_at + settings.settling_time,
         CrashSuspect::Request(_) if is_certain => {
--- a/crates/quarantine/src/settings.rs
+++ b/crates/quarantine/src/settings.rs
@@ -15,6 +15,15 @@
 /// The same for a verdict about a request. Answers at any of hundreds of nodes clear a request
 /// that many callers send, and reach the others by way of two hubs.
 const REQUEST_SETTLING_TIME: Duration = Duration::from_millis(1_000);
+/// The same for a verdict about crashes before an answer was sustained or whole, which answers to
+/// other requests take longer to clear.
+const LATE_SETTLING_TIME: Duration = Duration::from_millis(1_200);
+/// Time from the first event of an answer after which it is sustained. A server that crashes as it
+/// begins to answer has crashed by then.
+const SUSTAINED_ANSWER: Duration = Duration::from_millis(1_000);
+/// Crashes after sustained answers from which a part or request is quarantined. Long answers are
+/// cut by unrelated crashes more often than short ones.
+const MIN_LATE_CRASHES: usize = 5;
 /// Crashes after which a verdict needs no such time.
 const CERTAIN_CRASHES: usize = 5;
 /// Time after its last report for which a part or request is remembered, and quarantined if it is.
@@ -44,6 +53,12 @@
     pub settling_time: Duration,
     /// The same for a verdict about a request; after `certain_crashes` it runs from the first.
     pub request_settling_time: Duration,
+    /// Time after the last crash that a verdict needs if the answers had begun.
+    pub late_settling_time: Duration,
+    /// Time from the first event of an answer after which it is sustained.
+    pub sustained_answer: Duration,
+    /// Crashes from which a part or request is quarantined if only whole answers clear it.
+    pub min_late_crashes: usize,
     /// Crashes after which a verdict about a part needs no such time.
     pub certain_crashes: usize,
     /// Time after its last report for which a part or request is remembered.
@@ -68,6 +83,9 @@
             simultaneous_crashes: SIMULTANEOUS_CRASHES,
             settling_time: SETTLING_TIME,
             request_settling_time: REQUEST_SETTLING_TIME,
+            late_settling_time: LATE_SETTLING_TIME,
+            sustained_answer: SUSTAINED_ANSWER,
+            min_late_crashes: MIN_LATE_CRASHES,
             certain_crashes: CERTAIN_CRASHES,
             retention: RETENTION,
             resend_duration: RESEND_DURATION,
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 
-use crate::{CallSuspects, CrashReport, CrashSuspect, QuarantineSettings};
+use crate::{AnswerStage, CallSuspects, CrashReport, CrashSuspect, QuarantineSettings};
 
 /// A request, or parts of prompts, that are quarantined together.
 ///
@@ -26,6 +26,10 @@
     pub suspects: CallSuspects,
     /// Whether a server has begun to answer it.
     pub has_begun: bool,
+    /// First event of the present attempt; `None` before it.
+    pub attempt_begun_at: Option<ClockTime>,
+    /// Whether the present attempt's answer is sustained.
+    pub is_sustained: bool,
 }
 
 /// Reports of one part or request.
@@ -36,6 +40,15 @@
     pub expires_at: ClockTime,
 }
 
+impl ReportedSuspect {
+    /// Stage that the answers had not reached. Nodes of builds that know just the first stage pass
+    /// reports on without it.
+    pub fn stage(&self) -> AnswerStage {
+        let stages = self.reports.iter().map(|report| report.stage);
+        stages.max().unwrap_or_default()
+    }
+}
+
 /// State of the quarantine at one node.
 #[derive(Clone, Debug)]
 pub struct QuarantineState {
--- a/crates/quarantine/tests/suite/evidence.rs
+++ b/crates/quarantine/tests/suite/evidence.rs
@@ -3,8 +3,8 @@
 use quarantine::commands::merge_evidence;
 use quarantine::queries::{evidence_hash, fresh_evidence, watched_evidence};
 use quarantine::{
-    CrashEvidence, CrashReport, QuarantineSettings, QuarantineState, RequestDigest, ServerCrash,
-    SuspectClearance,
+    AnswerStage, CrashEvidence, CrashReport, QuarantineSettings, QuarantineState, RequestDigest,
+    ServerCrash, SuspectClearance,
 };
 
 use crate::support::{
@@ -79,6 +79,7 @@
     let mut state = new_state();
     answer(&mut state, &[COMMON], 50, 5 * SECOND);
     let report = CrashReport {
+        stage: AnswerStage::Begun,
         suspect: part(COMMON),
         crash: ServerCrash(1),
         request: RequestDigest(10),
--- a/crates/quarantine/tests/suite/main.rs
+++ b/crates/quarantine/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Evidence and verdicts about requests and parts of prompts that crash servers.
 
+mod begun;
 mod evidence;
 mod parts;
 mod requests;
--- a/crates/quarantine/tests/suite/parts.rs
+++ b/crates/quarantine/tests/suite/parts.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use quarantine::ServerCrash;
-use quarantine::commands::{expire, record_answer, record_crash, start_call};
+use quarantine::commands::{expire, record_answer, record_crash, record_whole_answer, start_call};
 use quarantine::queries::{is_call_blocked, may_resend};
 
 use crate::support::{
@@ -187,8 +187,13 @@
     assert!(is_call_blocked(&state, CallId(40)));
     record_answer(&mut state, CallId(40), at(4 * SECOND));
     assert!(!is_call_blocked(&state, CallId(40)));
+    assert!(
+        is_rejected(&state, &[DEADLY]),
+        "a server that begins to answer may still crash"
+    );
+    record_whole_answer(&mut state, CallId(40), at(5 * SECOND));
     assert!(
         !is_rejected(&state, &[DEADLY]),
-        "the answer clears the part"
+        "the whole answer clears the part"
     );
 }
--- a/crates/quarantine/tests/suite/requests.rs
+++ b/crates/quarantine/tests/suite/requests.rs
@@ -3,7 +3,9 @@
 use base::prelude::*;
 use quarantine::commands::{expire, merge_evidence, record_crash, start_call};
 use quarantine::queries::may_resend;
-use quarantine::{CrashEvidence, CrashSuspect, RequestDigest, ServerCrash, SuspectClearance};
+use quarantine::{
+    AnswerStage, CrashEvidence, CrashSuspect, RequestDigest, ServerCrash, SuspectClearance,
+};
 
 use crate::support::{
     COMMON, DEADLY, SECOND, answer, at, crash, crash_later, is_rejected, is_request_rejected,
@@ -118,12 +120,13 @@
         let now = index * 400;
         crash(&mut state, &[COMMON], 10, index, now);
         // Another node answers it meanwhile, and says so with a delay.
+        let clearances = AnswerStage::ALL.map(|stage| SuspectClearance {
+            suspect: CrashSuspect::Request(RequestDigest(10)).before(stage),
+            cleared_at: at(now + 5),
+        });
         let clearance = CrashEvidence {
             reports: Vec::new(),
-            clearances: vec![SuspectClearance {
-                suspect: CrashSuspect::Request(RequestDigest(10)),
-                cleared_at: at(now + 5),
-            }],
+            clearances: clearances.to_vec(),
         };
         let mut later = state.clone();
         expire(&mut later, at(now + 390));
--- a/crates/quarantine/tests/suite/support.rs
+++ b/crates/quarantine/tests/suite/support.rs
@@ -1,7 +1,7 @@
 //! Helpers that play requests, crashes and answers.
 
 use base::prelude::*;
-use quarantine::commands::{expire, finish_call, record_answer, record_crash, start_call};
+use quarantine::commands::{expire, finish_call, record_crash, record_whole_answer, start_call};
 use quarantine::queries::blocking_verdict;
 use quarantine::{
     CallSuspects, CrashSuspect, PromptPart, PromptParts, QuarantineSettings, QuarantineState,
@@ -57,7 +57,7 @@
 pub fn answer(state: &mut QuarantineState, shared: &[u64], own: u64, millis: u64) {
     let call = CallId(own);
     start_call(state, call, suspects(shared, own));
-    record_answer(state, call, at(millis));
+    record_whole_answer(state, call, at(millis));
     finish_call(state, call);
 }
 
