Soak: bytes without end, streams that crash engines late, hubs whose links go silent

Generated plans now have, once a run, a server whose answers are surrounded by bytes without end, and a stream that crashes each engine after its first event; with eleven daemons or more connections go silent twice. Daemons may take 130 MB of memory at most. Three tests have plans of their own, one with twelve daemons.

--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use soak::{
-    Fault, FaultPlan, FaultStep, LinkMode, RequestKind, SoakOptions, SoakReport, run_plan, run_seed,
+    EndlessForm, Fault, FaultPlan, FaultStep, Link, LinkMode, RequestKind, SoakOptions, SoakReport,
+    run_plan, run_seed,
 };
 
 /// Seeds of the short runs.
@@ -35,14 +36,17 @@
 
 /// Runs the soak with these faults, each at a number of milliseconds.
 fn run_faults(seed: u64, faults: &[(u64, Fault)]) -> SoakReport {
+    run_plan(&options(SECONDS), seed, &plan_of(faults)).unwrap()
+}
+
+fn plan_of(faults: &[(u64, Fault)]) -> FaultPlan {
     let steps = faults.iter().map(|(millis, fault)| FaultStep {
         at: Duration::from_millis(*millis),
         fault: *fault,
     });
-    let plan = FaultPlan {
+    FaultPlan {
         steps: steps.collect(),
-    };
-    run_plan(&options(SECONDS), seed, &plan).unwrap()
+    }
 }
 
 #[test]
@@ -119,6 +123,45 @@
     check_deadly_request(108, RequestKind::OnceOnly);
 }
 
+#[test]
+fn a_stream_that_crashes_engines_after_its_first_event_is_rejected_once_it_is_known() {
+    let faults = [(100, Fault::DeadlyStream(Duration::from_secs(9)))];
+    let report = run_faults(113, &faults);
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.all.served > 0, "{report}");
+}
+
+#[test]
+fn servers_that_send_bytes_without_end_hold_up_no_other_request() {
+    // All at once: one plain server of two, and four engines of twelve.
+    let flood = Duration::from_secs(5);
+    let forms = (0..).zip(EndlessForm::ALL);
+    let engines = forms.map(|(index, form)| (2 + 3 * index, form));
+    let servers = engines.chain([(0, EndlessForm::ChunkSize)]);
+    let faults: Vec<_> = servers
+        .map(|(server, form)| {
+            let mode = LinkMode::Endless(form);
+            (200, Fault::Link(Link::Server(server), mode, flood))
+        })
+        .collect();
+    let report = run_faults(114, &faults);
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.all.served > 0, "{report}");
+}
+
+#[test]
+fn a_key_revoked_after_connections_of_twelve_daemons_went_silent_is_rejected_in_time() {
+    // With so many daemons hubs send the others the configuration.
+    let faults = [(500, Fault::HangConnections), (5_000, Fault::RevokeKey)];
+    let options = SoakOptions {
+        nodes: 12,
+        ..options(SECONDS)
+    };
+    let report = run_plan(&options, 115, &plan_of(&faults)).unwrap();
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.all.served > 0, "{report}");
+}
+
 #[test]
 fn a_request_that_crashes_engines_is_rejected_once_it_is_known() {
     check_deadly_request(109, RequestKind::Stream);
--- a/crates/soak/src/deadly.rs
+++ b/crates/soak/src/deadly.rs
@@ -17,12 +17,31 @@
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest body of a response.
 const MAX_BODY_BYTES: usize = 64 * 1_024;
-/// End of the path of the request.
-const PATH_END: &str = "/deadly";
+/// When a request crashes the server that runs it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CrashMoment {
+    /// Before the answer.
+    Start,
+    /// After the first event of the answer.
+    FirstEvent,
+}
+
+impl CrashMoment {
+    const ALL: [Self; 2] = [Self::Start, Self::FirstEvent];
+
+    /// End of the path of such requests.
+    fn path_end(self) -> &'static str {
+        match self {
+            Self::Start => "/deadly",
+            Self::FirstEvent => "/deadly-stream",
+        }
+    }
 
-/// Whether a request with this path crashes the server that runs it.
-pub(crate) fn is_deadly(path: &str) -> bool {
-    path.ends_with(PATH_END)
+    /// When a request with this path crashes the server; `None` if it doesn't.
+    pub fn of_path(path: &str) -> Option<Self> {
+        let mut moments = Self::ALL.into_iter();
+        moments.find(|moment| path.ends_with(moment.path_end()))
+    }
 }
 
 fn valid_key(context: &ClientContext) -> Option<String> {
@@ -31,7 +50,12 @@
 }
 
 /// Sends the request to one daemon after the other until an instant.
-pub(crate) async fn send_deadly(context: ClientContext, kind: RequestKind, end: Instant) {
+pub(crate) async fn send_deadly(
+    context: ClientContext,
+    kind: RequestKind,
+    moment: CrashMoment,
+    end: Instant,
+) {
     let clock: Rc<dyn ClockSource> = Rc::new(SystemClock::default());
     let (prefix, model) = match kind {
         RequestKind::OnceOnly => ("/o", ""),
@@ -43,7 +67,7 @@
             return;
         }
         let id = format!("deadly-{number}");
-        let path = format!("{prefix}{PATH_END}");
+        let path = format!("{prefix}{}", moment.path_end());
         context
             .checker
             .borrow_mut()
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -23,5 +23,5 @@
 
 pub use checker::{CutTries, InvariantChecker, RequestKind, Tally};
 pub use options::SoakOptions;
-pub use plan::{Fault, FaultPlan, FaultStep, LinkMode, PlanSize};
+pub use plan::{EndlessForm, Fault, FaultPlan, FaultStep, Link, LinkMode, PlanSize};
 pub use run::{SoakError, SoakReport, run_plan, run_seed};
--- a/crates/soak/src/nodes.rs
+++ b/crates/soak/src/nodes.rs
@@ -87,6 +87,14 @@
         }
     }
 
+    /// Most memory that the running process has had, in kilobytes.
+    pub fn peak_memory_kb(&self) -> Option<u64> {
+        let id = self.child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
     /// Whether no process is running; reaps one that has exited.
     pub fn has_exited(&mut self) -> bool {
         let Some(child) = &mut self.child else {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -14,6 +14,10 @@
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..4_000;
 /// Range of the duration of a cut from the servers, which lasts longer than daemons need to notice.
 const CUT_DURATION_MS: std::ops::Range<u64> = 3_000..7_000;
+/// Time for which a stream comes that crashes servers after its first event.
+const DEADLY_STREAM_DURATION: Duration = Duration::from_secs(5);
+/// Number of daemons from which they use hubs.
+const HUB_NODES: usize = 11;
 /// Range of the limit of a plain server, in requests a minute.
 const PLAIN_LIMIT_PER_MINUTE: std::ops::Range<u32> = 60..300;
 
@@ -35,6 +39,31 @@
     Reset,
     /// Open connections live on, new ones are closed at once.
     RefuseNew,
+    /// Once the target answers, bytes without end are sent until the client closes.
+    Endless(EndlessForm),
+}
+
+/// Bytes without end in place of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndlessForm {
+    /// Interim responses before the head.
+    InterimResponses,
+    /// A header before the end of the head.
+    Header,
+    /// The size of a chunk, after the beginning of the answer.
+    ChunkSize,
+    /// A line of an event, after the beginning of the answer.
+    EventLine,
+}
+
+impl EndlessForm {
+    /// All forms.
+    pub const ALL: [Self; 4] = [
+        Self::InterimResponses,
+        Self::Header,
+        Self::ChunkSize,
+        Self::EventLine,
+    ];
 }
 
 /// Connections that a fault disturbs.
@@ -87,6 +116,8 @@
     /// A request comes again and again, at any daemon, and crashes every server that begins to
     /// run it.
     DeadlyRequest(RequestKind, Duration),
+    /// The same with a stream that crashes servers after its first event.
+    DeadlyStream(Duration),
     /// A server announces that it is leaving, and stops.
     Leave(usize),
     /// A server names a limit in its responses for this long, in requests a minute.
@@ -161,6 +192,28 @@
                 fault: random_cut(&mut rng, size),
             };
             insert_step(&mut steps, step);
+            let flood_ms = rng.random_range(FAULT_DURATION_MS);
+            let form = EndlessForm::ALL[rng.random_range(0..EndlessForm::ALL.len())];
+            let server = Link::Server(rng.random_range(0..size.servers));
+            let duration = Duration::from_millis(flood_ms);
+            let step = FaultStep {
+                at: Duration::from_millis(rng.random_range(0..hang_ms)),
+                fault: Fault::Link(server, LinkMode::Endless(form), duration),
+            };
+            insert_step(&mut steps, step);
+            let step = FaultStep {
+                at: Duration::from_millis(rng.random_range(0..hang_ms)),
+                fault: Fault::DeadlyStream(DEADLY_STREAM_DURATION),
+            };
+            insert_step(&mut steps, step);
+            if size.nodes >= HUB_NODES {
+                // Connections go silent again while hubs may still be excluded.
+                let step = FaultStep {
+                    at: Duration::from_millis(rng.random_range(0..hang_ms)),
+                    fault: Fault::HangConnections,
+                };
+                insert_step(&mut steps, step);
+            }
         }
         Self { steps }
     }
--- a/crates/soak/src/platform/server.rs
+++ b/crates/soak/src/platform/server.rs
@@ -15,7 +15,7 @@
 use super::STREAM_EVENTS;
 use super::fleet::{Fleet, GroupMembership, SoakServer};
 use super::store::truncated_response;
-use crate::deadly::is_deadly;
+use crate::deadly::CrashMoment;
 
 /// Time that a plain server takes for a request.
 const PLAIN_DURATION: Duration = Duration::from_millis(120);
@@ -121,7 +121,7 @@
     ) -> WebResponse {
         self.record_run(headers, path);
         monoio::time::sleep(PLAIN_DURATION).await;
-        if is_deadly(path) {
+        if CrashMoment::of_path(path).is_some() {
             self.fleet.borrow_mut().crash(self.slot);
             return truncated_response();
         }
@@ -147,7 +147,8 @@
         );
         drop(fleet);
         self.record_run(headers, path);
-        if is_deadly(path) {
+        let crash_moment = CrashMoment::of_path(path);
+        if crash_moment == Some(CrashMoment::Start) {
             self.fleet.borrow_mut().crash(self.slot);
             return truncated_response();
         }
@@ -158,7 +159,7 @@
         let (membership, server_id) = (membership.clone(), server.id.clone());
         let response = sealed_response(body, &id, &server.id);
         monoio::spawn(async move {
-            this.write_events(sender, id, first, membership, server_id)
+            this.write_events(sender, id, first, membership, server_id, crash_moment)
                 .await
         });
         response
@@ -172,6 +173,7 @@
         first: u64,
         membership: GroupMembership,
         server_id: String,
+        crash_moment: Option<CrashMoment>,
     ) {
         self.fleet.borrow_mut().servers[self.slot].running += 1;
         for event in first..=STREAM_EVENTS {
@@ -186,6 +188,13 @@
                 sender.abort().await;
                 break;
             }
+            if crash_moment.is_some() {
+                // Time for the event to arrive.
+                monoio::time::sleep(EVENT_INTERVAL).await;
+                self.fleet.borrow_mut().crash(self.slot);
+                sender.abort().await;
+                break;
+            }
         }
         let mut fleet = self.fleet.borrow_mut();
         let server = &mut fleet.servers[self.slot];
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -9,7 +9,7 @@
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt, Splitable};
 use monoio::net::{TcpListener, TcpStream};
 
-use crate::plan::LinkMode;
+use crate::plan::{EndlessForm, LinkMode};
 
 /// Size of a read buffer.
 const BUFFER_BYTES: usize = 16 * 1_024;
@@ -126,6 +126,11 @@
         has_dropped |= state.is_hung();
         match state.mode.get() {
             LinkMode::Open | LinkMode::RefuseNew => {}
+            LinkMode::Endless(form) if !is_forward => {
+                flood(&mut to, bytes, form, &state).await;
+                return;
+            }
+            LinkMode::Endless(_) => {}
             LinkMode::Delayed(delay) => monoio::time::sleep(delay).await,
             LinkMode::Blackhole => has_dropped = true,
             LinkMode::OneWay => has_dropped |= is_forward,
@@ -142,3 +147,24 @@
         buffer = bytes;
     }
 }
+
+/// Writes bytes without end around the beginning of an answer, until the client closes or the
+/// fault ends.
+async fn flood<W: AsyncWriteRentExt>(
+    to: &mut W,
+    answer: Vec<u8>,
+    form: EndlessForm,
+    state: &LinkState,
+) {
+    let (start, pattern) = match form {
+        EndlessForm::InterimResponses => (Vec::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+        EndlessForm::Header => (b"HTTP/1.1 200 OK\r\n".to_vec(), "a: b\r\n"),
+        EndlessForm::ChunkSize => (answer, "0"),
+        EndlessForm::EventLine => (answer, "6\r\ndata: \r\n"),
+    };
+    let mut bytes = pattern.repeat(BUFFER_BYTES / pattern.len()).into_bytes();
+    let (mut result, _) = to.write_all(start).await;
+    while result.is_ok() && state.mode.get() == LinkMode::Endless(form) {
+        (result, bytes) = to.write_all(bytes).await;
+    }
+}
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -5,7 +5,8 @@
 use rustix::process::Signal;
 
 use super::{LEAVE_DURATION, PROPAGATION_TIMEOUT, REPLACEMENT_DELAY, SoakError, SoakRun};
-use crate::deadly::send_deadly;
+use crate::checker::RequestKind;
+use crate::deadly::{CrashMoment, send_deadly};
 use crate::nodes::GRACE_SECONDS;
 use crate::plan::{Fault, Link, LinkMode};
 use crate::proxy::LinkProxy;
@@ -79,7 +80,14 @@
             }
             Fault::DeadlyRequest(kind, duration) => {
                 let context = self.client_context.clone();
-                monoio::spawn(send_deadly(context, kind, now + duration));
+                let sent = send_deadly(context, kind, CrashMoment::Start, now + duration);
+                monoio::spawn(sent);
+                disturbed_until = now + duration;
+            }
+            Fault::DeadlyStream(duration) => {
+                let context = self.client_context.clone();
+                let (kind, moment) = (RequestKind::Stream, CrashMoment::FirstEvent);
+                monoio::spawn(send_deadly(context, kind, moment, now + duration));
                 disturbed_until = now + duration;
             }
             Fault::Limit(slot, per_minute, duration) => {
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -35,6 +35,8 @@
 const RECOVERY_DURATION: Duration = Duration::from_secs(9);
 /// Last part of the recovery time, in which enough requests must be served.
 const EVALUATION_WINDOW: Duration = Duration::from_secs(3);
+/// Most memory that a daemon may take: half of the 260 MB of an entry host.
+const MAX_MEMORY_KB: u64 = 130_000;
 /// Part of the requests in the evaluation window that must be served.
 const MIN_SERVED_RATIO: f64 = 0.9;
 /// Longest time after a fault or a change until every daemon has the current state.
@@ -423,6 +425,13 @@
                 last.served
             ));
         }
+        for supervised in &self.nodes {
+            let peak_kb = supervised.node.peak_memory_kb().unwrap_or_default();
+            if peak_kb > MAX_MEMORY_KB {
+                let name = &supervised.node.name;
+                checker.record_violation(format!("{name} took {peak_kb} kB of memory"));
+            }
+        }
         checker.check_cuts();
         SoakReport {
             seed: self.seed,
