Soak: excuse deadly requests while daemons are disturbed

Trace: three servers crashed from 0.06 to 0.9 s, all daemons were killed at 2.0 and at 3.4 s with all that they knew, and the request reached servers again from 4.1 to 5.0 s, all of it within contactMs of the last restart; no daemon was in touch. In the plans of the tests the request is the only fault, and they count as before.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -104,6 +104,8 @@
     busy: HashMap<String, BusyServer>,
     /// Instants at which servers began to run the request that crashes them.
     deadly_runs: Vec<Instant>,
+    /// Instant until which runs of a request that crashes servers are not counted.
+    deadly_checks_paused_until: Option<Instant>,
     cut_tries: CutTries,
     /// Number of daemons.
     daemons: usize,
@@ -327,16 +329,24 @@
         }
     }
 
+    /// Excuses runs of a request that crashes servers until an instant. Daemons that were killed
+    /// know no crashes of before, and those that are cut off hear of none.
+    pub fn pause_deadly_checks(&mut self, until: Instant) {
+        self.deadly_checks_paused_until = self.deadly_checks_paused_until.max(Some(until));
+    }
+
     /// Records that a server begins to run a request that crashes it.
     pub fn record_deadly_run(&mut self, now: Instant) {
         self.deadly_runs.push(now);
         let Some(known_at) = self.deadly_runs.get(DEADLY_CRASHES - 1) else {
             return;
         };
-        let late = self
-            .deadly_runs
-            .iter()
-            .filter(|at| at.duration_since(*known_at) > DEADLY_TIMEOUT);
+        let known_at = *known_at + DEADLY_TIMEOUT;
+        let counted_from = self
+            .deadly_checks_paused_until
+            .map_or(known_at, |until| until.max(known_at));
+        let runs = self.deadly_runs.iter();
+        let late = runs.filter(|at| **at > counted_from);
         let count = late.count();
         if count == DEADLY_SLACK + 1 {
             self.violations.push(format!(
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -133,7 +133,11 @@
             let strict_from =
                 (disturbed_until + PROPAGATION_TIMEOUT).max(self.client_context.strict_from.get());
             self.client_context.strict_from.set(strict_from);
-            self.checker.borrow_mut().pause_limit_checks(strict_from);
+            let mut checker = self.checker.borrow_mut();
+            checker.pause_limit_checks(strict_from);
+            if !matches!(fault, Fault::DeadlyRequest(..) | Fault::DeadlyStream(_)) {
+                checker.pause_deadly_checks(disturbed_until + PROPAGATION_TIMEOUT);
+            }
         }
         Ok(())
     }
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -96,3 +96,24 @@
     assert!(plan.steps.len() > 40);
     assert!(plan.steps.is_sorted_by_key(|step| step.at));
 }
+
+#[test]
+fn runs_of_a_request_that_crashes_servers_are_excused_only_while_daemons_are_disturbed() {
+    let start = Instant::now();
+    // Seconds at which the request runs: three crashes, and more than two seconds later four.
+    let runs = [0, 1, 2, 5, 6, 7, 8];
+    for (disturbed_until, violations) in [(None, 1), (Some(4), 1), (Some(5), 0)] {
+        let mut checker = InvariantChecker::default();
+        let at = |second| start + Duration::from_secs(second);
+        if let Some(until) = disturbed_until {
+            checker.pause_deadly_checks(at(until));
+        }
+        runs.iter()
+            .for_each(|&second| checker.record_deadly_run(at(second)));
+        assert_eq!(
+            checker.violations().len(),
+            violations,
+            "{disturbed_until:?}"
+        );
+    }
+}
