Abort streams that find no memory, so that they don't look complete

Since reads and buffers are bounded, a stream whose client is slow fails to queue a chunk while the buffers of all connections are full. The sender was then dropped like one that has finished, and the body ended with its final chunk: a client would have taken a part of an answer for the whole one.

The abort now goes through the queue to the client's connection, which is closed without the final chunk.

--- a/crates/net/src/web/body.rs
+++ b/crates/net/src/web/body.rs
@@ -116,13 +116,17 @@
 impl BodySender {
     /// Sends one chunk; waits while the buffer is full.
     ///
-    /// Fails once the body has been dropped, and if the reader is slow while the buffers of all
-    /// bodies are full.
+    /// Fails once the body has been dropped. If the reader is slow while the buffers of all bodies
+    /// are full, it aborts the body and fails.
     pub async fn send(&mut self, mut chunk: Bytes) -> Result<(), BodyError> {
         while !chunk.is_empty() {
             let bytes = chunk.split_to(chunk.len().min(MAX_CHUNK_BYTES));
-            let chunk = self.queue_chunk(bytes)?;
-            self.chunks.send(Ok(chunk)).await.map_err(|_| BodyError)?;
+            let chunk = self.queue_chunk(bytes);
+            let has_room = chunk.is_ok();
+            self.chunks.send(chunk).await.map_err(|_| BodyError)?;
+            if !has_room {
+                return Err(BodyError);
+            }
         }
         Ok(())
     }
