Known failure: seed 101 of the soak breaks TWO at times

Trace (milliseconds of the run): edge-2 writes the record up to 93 by 11,427; at 11,740 edge-0, cut from the store for 4 s before, takes the groups over with record 82; at 12,481 it orders i-7-1, head of g2005, into g2002, the group of its old list.

--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -8,8 +8,6 @@
     run_plan, run_seed,
 };
 
-/// Seeds of the short runs.
-const SEEDS: [u64; 2] = [101, 102];
 /// Seconds of fault injection.
 const SECONDS: u64 = 6;
 
@@ -25,13 +23,21 @@
     }
 }
 
+/// Whether the invariants hold under the plan of a seed.
+fn check_seed(seed: u64) {
+    let report = run_seed(&options(SECONDS), seed).unwrap();
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.all.served > 0, "{report}");
+}
+
 #[test]
-fn invariants_hold_under_a_short_fault_plan() {
-    for seed in SEEDS {
-        let report = run_seed(&options(SECONDS), seed).unwrap();
-        assert!(report.violations.is_empty(), "{report}");
-        assert!(report.all.served > 0, "{report}");
-    }
+fn invariants_hold_under_the_fault_plan_of_seed_101() {
+    check_seed(101);
+}
+
+#[test]
+fn invariants_hold_under_the_fault_plan_of_seed_102() {
+    check_seed(102);
 }
 
 /// Runs the soak with these faults, each at a number of milliseconds.
