Soak: a silent store before a change and a leaving server; a failing test of it

Requests reach a plain server that has announced in the store that it leaves, up to as long as it lives, if the store was silent some seconds before (DRAIN). No plan of the soak had a silent store, and no invariant asked for servers that leave.

New: the store of all daemons goes silent, and calls of that time stay unanswered; a server announces its leaving in the store only; no request may reach it two seconds later. Generated plans end with both, as two disturbances close to one another are excused.

--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -198,3 +198,31 @@
 fn callers_of_daemons_that_can_open_no_new_connection_to_servers_are_served() {
     check_cut_from_servers(112, 2, LinkMode::RefuseNew);
 }
+
+/// Whether daemons learn of a key and of a leaving server just after the store was silent.
+fn check_silent_store(seed: u64, nodes: usize, silence: Duration) {
+    let silence_at = 1_000;
+    let change_at = silence_at + silence.as_millis() as u64 + 3_300;
+    let faults = [
+        (silence_at, Fault::StoreSilent(silence)),
+        (change_at, Fault::RevokeKey),
+        (change_at, Fault::Drain(0)),
+    ];
+    let options = SoakOptions {
+        nodes,
+        ..options(SECONDS)
+    };
+    let report = run_plan(&options, seed, &plan_of(&faults)).unwrap();
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.all.served > 0, "{report}");
+}
+
+#[test]
+fn a_server_that_leaves_after_the_store_was_silent_gets_no_request_at_three_daemons() {
+    check_silent_store(116, 3, Duration::from_millis(7_000));
+}
+
+#[test]
+fn a_server_that_leaves_after_the_store_was_silent_gets_no_request_at_twelve_daemons() {
+    check_silent_store(117, 12, Duration::from_millis(7_000));
+}
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -7,6 +7,9 @@
 /// Time after the revocation of a key during which daemons may still accept it.
 const REVOCATION_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after a server's announcement that it is leaving during which daemons may still use it.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time after a server first named its limit from which the limit must hold.
 const LIMIT_GRACE: Duration = Duration::from_secs(3);
 /// Time after a server first named its limit before which arrivals are not counted.
@@ -106,6 +109,10 @@
     deadly_runs: Vec<Instant>,
     /// Instant until which runs of a request that crashes servers are not counted.
     deadly_checks_paused_until: Option<Instant>,
+    /// When servers announced in the store that they are leaving, by id.
+    drained: HashMap<String, Instant>,
+    /// Announcements before this instant are not checked.
+    drains_checked_from: Option<Instant>,
     cut_tries: CutTries,
     /// Number of daemons.
     daemons: usize,
@@ -239,6 +246,31 @@
         self.limits_checked_from = Some(until);
     }
 
+    /// Stops the checks of servers that announced their leaving before an instant.
+    pub fn pause_drain_checks(&mut self, until: Instant) {
+        self.drains_checked_from = self.drains_checked_from.max(Some(until));
+    }
+
+    /// Records that a server has announced in the store that it is leaving.
+    pub fn record_drain(&mut self, id: &str, now: Instant) {
+        self.drained.insert(id.to_owned(), now);
+    }
+
+    /// Records that a request arrived at a server, and checks that it isn't leaving.
+    pub fn record_drained_arrival(&mut self, id: &str, now: Instant) {
+        let Some(announced_at) = self.drained.get(id) else {
+            return;
+        };
+        let is_disturbed = (self.drains_checked_from).is_some_and(|from| *announced_at < from);
+        let elapsed = now.duration_since(*announced_at);
+        if !is_disturbed && elapsed > DRAIN_TIMEOUT {
+            self.violations.push(format!(
+                "server {id} got a request {} ms after it had announced that it is leaving",
+                elapsed.as_millis()
+            ));
+        }
+    }
+
     /// Records that a request arrived at a server, and checks the limit that the server names.
     pub fn record_arrival(&mut self, id: &str, limit: Option<f64>, now: Instant) {
         let Some(limit) = limit else {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -14,6 +14,10 @@
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..4_000;
 /// Range of the duration of a cut from the servers, which lasts longer than daemons need to notice.
 const CUT_DURATION_MS: std::ops::Range<u64> = 3_000..7_000;
+/// Range of the duration of a silence of the store, in which unanswered calls add up.
+const SILENCE_DURATION_MS: std::ops::Range<u64> = 1_000..8_000;
+/// Time from the store's return until the daemons must know its current state.
+const CONTACT_DELAY: Duration = Duration::from_millis(3_300);
 /// Time for which a stream comes that crashes servers after its first event.
 const DEADLY_STREAM_DURATION: Duration = Duration::from_secs(5);
 /// Number of daemons from which they use hubs.
@@ -99,6 +103,8 @@
     HangConnections,
     /// The store responds with errors.
     StoreUnavailable(Duration),
+    /// The store does not respond; calls of that time get no response afterwards either.
+    StoreSilent(Duration),
     /// The store applies writes and loses the responses.
     StoreLosesResponses(Duration),
     /// The store compacts its history, so that watches must list again.
@@ -120,6 +126,8 @@
     DeadlyStream(Duration),
     /// A server announces that it is leaving, and stops.
     Leave(usize),
+    /// A plain server announces in the store only that it is leaving, and serves on for a while.
+    Drain(usize),
     /// A server names a limit in its responses for this long, in requests a minute.
     Limit(usize, u32, Duration),
     /// Orders to servers get no response and are executed later.
@@ -214,6 +222,7 @@
                 };
                 insert_step(&mut steps, step);
             }
+            steps.extend(silent_store(&mut rng, Duration::from_millis(hang_ms)));
         }
         Self { steps }
     }
@@ -246,6 +255,20 @@
     }
 }
 
+/// Silent store after the other faults, and a change and a leaving server just after the daemons
+/// are in touch again.
+fn silent_store(rng: &mut StdRng, silence_at: Duration) -> [FaultStep; 3] {
+    let silence = Duration::from_millis(rng.random_range(SILENCE_DURATION_MS));
+    let change_at = silence_at + silence + CONTACT_DELAY;
+    let drained = rng.random_range(0..PLAIN_SERVER_COUNT);
+    let step = |at, fault| FaultStep { at, fault };
+    [
+        step(silence_at, Fault::StoreSilent(silence)),
+        step(change_at, Fault::RevokeKey),
+        step(change_at, Fault::Drain(drained)),
+    ]
+}
+
 /// Cut of one daemon, of most or of all from the servers.
 fn random_cut(rng: &mut StdRng, size: PlanSize) -> Fault {
     let modes = [LinkMode::Blackhole, LinkMode::Reset, LinkMode::RefuseNew];
--- a/crates/soak/src/platform/fleet.rs
+++ b/crates/soak/src/platform/fleet.rs
@@ -41,6 +41,8 @@
     pub address: SocketAddr,
     pub is_alive: bool,
     pub is_leaving: bool,
+    /// Whether its responses say that it is leaving.
+    pub announces_leaving: bool,
     pub membership: Option<GroupMembership>,
     pub running: u32,
     /// Limit that it names in its responses, in requests a second, and until when.
@@ -65,6 +67,7 @@
             address,
             is_alive: true,
             is_leaving: false,
+            announces_leaving: true,
             membership: None,
             running: 0,
             limit: None,
@@ -230,6 +233,15 @@
         self.servers[slot].busy_until = Some(until);
     }
 
+    /// Makes a server announce in the store only that it is leaving.
+    pub fn drain(&mut self, slot: usize, now: Instant) {
+        let server = &mut self.servers[slot];
+        server.is_leaving = true;
+        server.announces_leaving = false;
+        self.checker.borrow_mut().record_drain(&server.id, now);
+        self.advance(now);
+    }
+
     /// Stops a server; its store entry stays.
     pub fn stop(&mut self, slot: usize) {
         self.servers[slot].is_alive = false;
--- a/crates/soak/src/platform/server.rs
+++ b/crates/soak/src/platform/server.rs
@@ -68,6 +68,7 @@
         let fleet = self.fleet.borrow();
         let mut checker = fleet.checker.borrow_mut();
         checker.record_arrival(&server.id, server.limit(now), now);
+        checker.record_drained_arrival(&server.id, now);
         checker.record_turned_away(&server.id, server.busy_time(now).is_some(), now);
     }
 
@@ -92,7 +93,7 @@
             let value = value.expect("numbers are valid header values");
             response.headers_mut().insert("server-limit", value);
         }
-        if server.is_leaving {
+        if server.is_leaving && server.announces_leaving {
             let value = HeaderValue::from_static("1");
             response.headers_mut().insert("server-leaving", value);
         }
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -4,7 +4,9 @@
 
 use rustix::process::Signal;
 
-use super::{LEAVE_DURATION, PROPAGATION_TIMEOUT, REPLACEMENT_DELAY, SoakError, SoakRun};
+use super::{
+    DRAIN_DURATION, LEAVE_DURATION, PROPAGATION_TIMEOUT, REPLACEMENT_DELAY, SoakError, SoakRun,
+};
 use crate::checker::RequestKind;
 use crate::deadly::{CrashMoment, send_deadly};
 use crate::nodes::GRACE_SECONDS;
@@ -59,6 +61,13 @@
                 self.store.borrow_mut().unavailable_until = Some(now + duration);
                 disturbed_until = now + duration;
             }
+            Fault::StoreSilent(duration) => {
+                for link in &self.store_links {
+                    link.mode.set(LinkMode::Blackhole);
+                }
+                self.store_returns.push((now + duration, ()));
+                disturbed_until = now + duration;
+            }
             Fault::StoreLosesResponses(duration) => {
                 self.store.borrow_mut().loses_responses_until = Some(now + duration);
                 disturbed_until = now + duration;
@@ -78,6 +87,10 @@
                 self.fleet.borrow_mut().servers[slot].is_leaving = true;
                 self.server_stops.push((now + LEAVE_DURATION, slot));
             }
+            Fault::Drain(slot) => {
+                self.fleet.borrow_mut().drain(slot, now);
+                self.server_stops.push((now + DRAIN_DURATION, slot));
+            }
             Fault::DeadlyRequest(kind, duration) => {
                 let context = self.client_context.clone();
                 let sent = send_deadly(context, kind, CrashMoment::Start, now + duration);
@@ -125,6 +138,7 @@
             fault,
             Fault::ChangeConfig
                 | Fault::RevokeKey
+                | Fault::Drain(_)
                 | Fault::Limit(..)
                 | Fault::TurnAway(..)
                 | Fault::CutFromServers(..)
@@ -135,6 +149,7 @@
             self.client_context.strict_from.set(strict_from);
             let mut checker = self.checker.borrow_mut();
             checker.pause_limit_checks(strict_from);
+            checker.pause_drain_checks(strict_from);
             if !matches!(fault, Fault::DeadlyRequest(..) | Fault::DeadlyStream(_)) {
                 checker.pause_deadly_checks(disturbed_until + PROPAGATION_TIMEOUT);
             }
@@ -172,6 +187,9 @@
         for (at, _) in &mut self.link_repairs {
             *at = now;
         }
+        for (at, ()) in &mut self.store_returns {
+            *at = now;
+        }
         let mut store = self.store.borrow_mut();
         store.unavailable_until = None;
         store.loses_responses_until = None;
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -47,6 +47,8 @@
 const CRASH_DURATION: Duration = Duration::from_millis(800);
 /// Time for which a leaving server continues to serve.
 const LEAVE_DURATION: Duration = Duration::from_millis(2_600);
+/// Time for which a server that announces its leaving in the store only continues to serve.
+const DRAIN_DURATION: Duration = Duration::from_millis(6_000);
 /// Time from the store's return from a copy until the servers write their entries again.
 const REWRITE_DELAY: Duration = Duration::from_millis(1_000);
 /// Delay before a daemon that has exited is started again.
@@ -166,6 +168,8 @@
     daemon_server_links: Vec<Vec<LinkProxy>>,
     /// Links to open again.
     link_repairs: Vec<(Instant, Rc<Cell<LinkMode>>)>,
+    /// Ends of the store's silence.
+    store_returns: Vec<(Instant, ())>,
     // Servers to stop and to replace.
     server_stops: Vec<(Instant, usize)>,
     server_replacements: Vec<(Instant, usize)>,
@@ -268,6 +272,7 @@
             server_links,
             daemon_server_links,
             link_repairs: Vec::new(),
+            store_returns: Vec::new(),
             server_stops: Vec::new(),
             server_replacements: Vec::new(),
             client_context,
@@ -338,6 +343,9 @@
             for mode in take_due(&mut self.link_repairs, now) {
                 mode.set(LinkMode::Open);
             }
+            if !take_due(&mut self.store_returns, now).is_empty() {
+                self.return_store();
+            }
             for slot in take_due(&mut self.server_stops, now) {
                 self.stop_server(slot, now);
             }
@@ -359,6 +367,14 @@
         }
     }
 
+    /// Ends the store's silence; connections of that time stay silent.
+    fn return_store(&self) {
+        for link in &self.store_links {
+            link.hang_connections();
+            link.mode.set(LinkMode::Open);
+        }
+    }
+
     fn supervise_node(&mut self, index: usize, now: Instant) -> Result<(), SoakError> {
         let supervised = &mut self.nodes[index];
         let is_due = |at: &mut Option<Instant>| at.take_if(|at| *at <= now).is_some();
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -117,3 +117,18 @@
         );
     }
 }
+
+#[test]
+fn a_server_that_announced_its_leaving_in_calm_times_gets_no_request_after_two_seconds() {
+    let mut checker = checker();
+    let now = Instant::now();
+    checker.record_drain("left", now);
+    checker.record_drained_arrival("left", now + Duration::from_millis(1_900));
+    checker.record_drained_arrival("other", now + Duration::from_millis(2_100));
+    assert_eq!(checker.violations().len(), 0);
+    checker.record_drained_arrival("left", now + Duration::from_millis(2_100));
+    assert_eq!(checker.violations().len(), 1);
+    checker.pause_drain_checks(now + Duration::from_millis(10));
+    checker.record_drained_arrival("left", now + Duration::from_millis(2_200));
+    assert_eq!(checker.violations().len(), 1);
+}
