Calls sent to a silent store no longer stand in for its answer (CONFIG, DRAIN)

Nodes without hubs applied changes up to 3.0 s after the return.

Cause: a call that is sent while the store is silent gets no answer afterwards, and holds its collection until its wait is over: 2.4 s for the configuration and the endpoints, 8.4 s for the shared objects, and the next call came up to 0.6 s later. A hub counts as able to own the groups only once its watch of the shared objects has been answered, and without a change that took the full wait of 8 s after any failed call, also of a store that was busy for 0.4 s. Nodes that get their targets from hubs take "no hub can own" for "the store is away" and watch nothing themselves.

Change: after a call without an answer the next watch waits 0.1 s, so that the return is noticed within a second; an answer to any collection replaces the watches that began before the last failure; the next call follows a timed-out one at once. What a node asks the store next is decided by FeedSchedule, apart from the calls themselves. A call of the store may last a second, as lists do, so that a large configuration is read by a short watch too. Nothing on the wire changes.

Tests: event loops of 3, 6, 12, 24, 70 and 195 nodes with a store that is silent or busy, a change and a leaving server 3.3 s after it. With the old waits they fail at 12 nodes for a silence of 1.7 s and for 0.4 s of a busy store; at 3 and 6 nodes they hold, as their waits end within three seconds there. The table of all moments at which a call may begin fails on the old waits for the configuration too (heard 3.0 s after the return).

--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -23,7 +23,7 @@
 use super::ports::{EndpointClient, HeaderCodec, PlatformStore, SettingsSource, StoreCollection};
 use super::readiness::ReadinessService;
 use super::reload::watch_settings;
-use super::watch::watch_collection;
+use super::watch::{WatchContext, watch_collection};
 use crate::{EdgeEvent, EdgeSettings, EdgeState, EdgeTimes, WatchMode};
 
 /// Timeout of a new connection to a server.
@@ -113,15 +113,15 @@
     let is_closing = Rc::new(Cell::new(false));
 
     let watch_mode = Rc::<Cell<WatchMode>>::default();
+    let watch_context = WatchContext {
+        store: store.clone(),
+        clock: clock.clone(),
+        events: events.clone(),
+        mode: watch_mode.clone(),
+        contact: Rc::default(),
+    };
     for collection in StoreCollection::ALL {
-        let (store, clock, events) = (store.clone(), clock.clone(), events.clone());
-        monoio::spawn(watch_collection(
-            collection,
-            store,
-            clock,
-            events,
-            watch_mode.clone(),
-        ));
+        monoio::spawn(watch_collection(collection, watch_context.clone()));
     }
     monoio::spawn(accept_links(
         peers,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod border;
 mod event;
+mod feed;
 mod handler;
 mod peer;
 mod settings;
@@ -20,6 +21,7 @@
     Arrival, ArrivalOutcome, CollectionEvent, EdgeEffect, EdgeEvent, EdgeQuestion, EdgeReply,
     EdgeStatus, RejectReason, WatchMode,
 };
+pub use feed::{FeedResult, FeedSchedule, FeedStep, StoreContact};
 pub use peer::{Digest, NodeWeight, PeerAddress, PeerMessage, SlowPace};
 pub use settings::{EdgeBounds, EdgeSettings};
 pub use state::{EdgeState, EdgeTimes};
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -15,5 +15,6 @@
 
 mod restored_store;
 mod silent_links;
+mod silent_store;
 mod store_away;
 mod support;
