Own interface: lists that a silent store did not answer are read again sooner

Hosts, drains and fabrics were read again a second after a call that had timed out after two, so a host that leaves could be used until three seconds after the store's return and the time of an answer, where three seconds are the bound. A failed list is now read again after half a second, as the document is.

The document's watch was within its bound.

--- a/crates/watch/src/commands/observe.rs
+++ b/crates/watch/src/commands/observe.rs
@@ -8,7 +8,8 @@
 
 use crate::{WatchChange, WatchEvent, WatchState};
 
-/// Delay after a failed read of the document.
+/// Delay after a failed read. It adds to the timeout of a call that a silent store did not answer,
+/// and changes must be known within three seconds of the store's return.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Interval between two counts of the gateway nodes.
@@ -16,7 +17,10 @@
 
 /// Records the result of a read, schedules the next one and returns what changed.
 pub fn observe(state: &mut WatchState, event: WatchEvent, now: ClockTime) -> WatchChange {
-    let next = now + state.times.read_interval;
+    let next = |is_read: bool| match is_read {
+        true => now + state.times.read_interval,
+        false => now + RETRY_DELAY,
+    };
     match event {
         WatchEvent::DocumentRead(result) => observe_document(state, result, now),
         WatchEvent::DocumentUnchanged => {
@@ -25,15 +29,18 @@
         }
         WatchEvent::GoodSectionsRead(result) => observe_good_sections(state, result, now),
         WatchEvent::FabricsRead(result) => {
-            state.fabrics_timer.set(next);
+            let due = next(result.is_some());
+            state.fabrics_timer.set(due);
             result.map_or(WatchChange::Nothing, WatchChange::Fabrics)
         }
         WatchEvent::HostsRead(result) => {
-            state.hosts_timer.set(next);
+            let due = next(result.is_some());
+            state.hosts_timer.set(due);
             observe_hosts(state, result)
         }
         WatchEvent::DrainsRead(result) => {
-            state.drains_timer.set(next);
+            let due = next(result.is_some());
+            state.drains_timer.set(due);
             observe_drains(state, result)
         }
         WatchEvent::GatewaysCounted(result) => {
