Nodes whose hubs are all turned away by the store watch it themselves (DRAIN)

A node that is sent the targets watched nothing while no hub could own the groups, as it took that for an outage of the store. Where the store turns away or is silent to the hubs alone, all other nodes kept sending requests to servers that leave, without end.

Change: while no hub that it hears can own the groups, such a node bounds its watch of the configuration to two seconds, and so knows whether the store responds. It watches the rest itself once the store has responded and no hub has been able for 1.5 s; the hubs get that time after an outage, so that a store that comes back isn't asked for all lists at once. Nothing on the wire changes.

Test: event loops of 12, 24 and 70 nodes with four hubs that a busy or silent store doesn't answer.

--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -7,8 +7,8 @@
 use super::quarantine::quarantine_hash;
 use crate::peer::Digest;
 use crate::queries::{
-    can_own, choose_summing_hub, is_hub, is_peer_alive, lists_endpoints, local_weight,
-    receives_targets, select_hubs, sends_sums_to, total_weight, uses_hubs,
+    can_own, choose_summing_hub, has_able_hub, is_hub, is_peer_alive, lists_endpoints,
+    local_weight, receives_targets, select_hubs, sends_sums_to, total_weight, uses_hubs,
 };
 use crate::state::{PeerState, SummingHub};
 use crate::{EdgeEffect, EdgeState, EdgeTimes, WatchMode};
@@ -326,6 +326,10 @@
 
 /// Changes the watch mode if needed.
 fn update_watch_mode(state: &mut EdgeState, now: ClockTime) -> Option<EdgeEffect> {
+    state.hubs_lost_at = match has_able_hub(state, now) {
+        Some(false) => Some(state.hubs_lost_at.unwrap_or(now)),
+        _ => None,
+    };
     let alive = state
         .peers
         .values()
@@ -335,6 +339,7 @@
         has_peers: alive.count() >= MIN_RELIABLE_PEERS,
         receives_targets: receives_targets(state, now),
         lists_endpoints: lists_endpoints(state, now),
+        lacks_hubs: state.hubs_lost_at.is_some(),
         lacks_config: lacks_config(state, now),
     };
     if mode == state.watch_mode {
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -208,6 +208,9 @@
     pub receives_targets: bool,
     /// Whether it has to list the endpoints because no hub will send it targets soon.
     pub lists_endpoints: bool,
+    /// Whether no hub that it hears can own the groups, so that it must find out whether the store
+    /// is away.
+    pub lacks_hubs: bool,
     /// Whether hubs have had a newer configuration for longer than they take to send it.
     pub lacks_config: bool,
 }
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -198,7 +198,9 @@
         }
         match self.collection {
             StoreCollection::RoutingConfig if mode.lacks_config => WATCH_TIMEOUT,
-            StoreCollection::RoutingConfig if mode.receives_targets => CONFIG_WATCH_TIMEOUT,
+            StoreCollection::RoutingConfig if mode.receives_targets && !mode.lacks_hubs => {
+                CONFIG_WATCH_TIMEOUT
+            }
             _ if !mode.has_peers => WATCH_TIMEOUT,
             StoreCollection::Endpoints | StoreCollection::RoutingConfig => BOUNDED_WATCH_TIMEOUT,
             StoreCollection::Shared => PEERED_WATCH_TIMEOUT,
--- a/crates/edge/src/queries/hubs.rs
+++ b/crates/edge/src/queries/hubs.rs
@@ -141,22 +141,43 @@
 
 /// Whether this node relies on an owner for the targets instead of watching the store.
 ///
-/// It does so while another node is about to take over from an owner, and while no hub
-/// reaches the store, as this node would hardly reach it either.
+/// It does so while another node is about to take over from an owner, and while neither a hub nor
+/// this node reaches the store.
 pub(crate) fn receives_targets(state: &EdgeState, now: ClockTime) -> bool {
     let has_owner = state
         .owner_seen_at
         .is_some_and(|at| now.since(at) < state.times.owner_change_timeout);
+    let is_store_away = has_able_hub(state, now) == Some(false) && !reaches_store_alone(state, now);
+    uses_hubs(state)
+        && !is_hub(state)
+        && state.received_targets.is_some()
+        && (has_owner || is_store_away)
+}
+
+/// Whether any hub that this node hears can own the groups; `None` if it hears none.
+pub(crate) fn has_able_hub(state: &EdgeState, now: ClockTime) -> Option<bool> {
     let hubs = state.hubs.iter().filter_map(|hub| state.peers.get(hub));
     let mut hubs = hubs
         .filter(|peer| is_peer_alive(state, peer, now))
         .peekable();
     let can_own = |peer: &PeerState| peer.digest.as_ref().is_some_and(|digest| digest.can_own);
-    let is_store_away = hubs.peek().is_some() && !hubs.any(can_own);
-    uses_hubs(state)
-        && !is_hub(state)
-        && state.received_targets.is_some()
-        && (has_owner || is_store_away)
+    hubs.peek().is_some().then(|| hubs.any(can_own))
+}
+
+/// Whether the store has responded to this node for a while in which no hub could own the groups.
+///
+/// Hubs need a moment after an outage; if all other nodes listed the endpoints meanwhile, that
+/// would take the store's link most of a second.
+fn reaches_store_alone(state: &EdgeState, now: ClockTime) -> bool {
+    let Some(entry) = state.collection(StoreCollection::RoutingConfig) else {
+        return false;
+    };
+    let is_over = |at: ClockTime| now.since(at) >= state.times.owner_change_timeout;
+    let is_recent = |at: ClockTime| now.since(at) < state.times.store_timeout;
+    state.hubs_lost_at.is_some_and(is_over)
+        && !entry.is_unavailable
+        && entry.last_response_at.is_some_and(is_recent)
+        && entry.recovered_at.is_none_or(is_over)
 }
 
 /// Whether this node has to list the endpoints itself.
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -11,8 +11,8 @@
 pub use deadline::next_deadline;
 pub(crate) use deadline::next_plan;
 pub(crate) use hubs::{
-    choose_summing_hub, complete_targets_version, is_hub, lists_endpoints, local_targets_version,
-    receives_targets, select_hubs, sends_sums_to, uses_hubs,
+    choose_summing_hub, complete_targets_version, has_able_hub, is_hub, lists_endpoints,
+    local_targets_version, receives_targets, select_hubs, sends_sums_to, uses_hubs,
 };
 pub(crate) use owner::{can_own, is_cut_off_alone, is_peer_alive, is_prober, owner};
 pub(crate) use pass::pass_candidates;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -319,6 +319,8 @@
     pub(crate) watch_mode: WatchMode,
     /// Since when a hub has had a newer configuration than this node.
     pub(crate) config_missed_since: Option<ClockTime>,
+    /// Since when no hub that this node hears could own the groups; `None` if one can.
+    pub(crate) hubs_lost_at: Option<ClockTime>,
     /// Last instant at which another node took the groups over from this one.
     pub(crate) yielded_at: Option<ClockTime>,
     /// Last write that failed or got no response.
@@ -387,6 +389,7 @@
             is_prober: false,
             watch_mode: WatchMode::default(),
             config_missed_since: None,
+            hubs_lost_at: None,
             yielded_at: None,
             last_write_failure_at: None,
             entry_version: ObjectVersion::default(),
--- a/crates/edge/tests/suite/silent_store.rs
+++ b/crates/edge/tests/suite/silent_store.rs
@@ -290,6 +290,39 @@
     check(70, Trouble::Busy, 9_000, 4_000, |_| true);
 }
 
+/// Whether a change and a leaving server are known everywhere else while the first nodes, among
+/// them all hubs, get no response from the store.
+fn check_hubs(count: usize, trouble: Trouble) {
+    let mut platform = Platform::new(count);
+    let hubs = 4;
+    platform.trouble = Some((trouble, 6_000, 60_000));
+    platform.is_troubled = Box::new(move |index| index < hubs);
+    for changed_at in [6_000 + CONTACT_MS + 300, 20_000] {
+        platform.run(changed_at);
+        platform.change();
+        platform.run(changed_at + APPLY_MS);
+        let others = |nodes: Vec<usize>| nodes.into_iter().filter(|index| *index >= hubs).count();
+        let text = format!("{count} nodes, hubs {trouble:?}, change at {changed_at}");
+        assert_eq!(
+            others(platform.nodes_with_older_config()),
+            0,
+            "CONFIG, {text}"
+        );
+        assert_eq!(
+            others(platform.nodes_with_leaving_server()),
+            0,
+            "DRAIN, {text}"
+        );
+    }
+}
+
+#[test]
+fn a_server_that_leaves_while_the_store_turns_all_hubs_away_gets_no_request_from_other_nodes() {
+    check_hubs(12, Trouble::Busy);
+    check_hubs(24, Trouble::Silent);
+    check_hubs(70, Trouble::Busy);
+}
+
 /// Collections and modes of watches whose calls a silence can hold up.
 fn feeds() -> Vec<(StoreCollection, WatchMode)> {
     let peered = WatchMode {
