Log and count what a node hears of the store, and what it relies on

The incident's hypotheses could be told apart only by lines that a log happened to keep. New: a line for each call without a response (collection, revision, how long it took) and for each change of what the node relies on (watch mode), how long a replaced watch had lasted, endpoints that are listed as leaving; metrics store_calls_total by collection and result, watch_mode by flag, config_version. explain shows the lines.

--- a/crates/cli/src/queries/explain.rs
+++ b/crates/cli/src/queries/explain.rs
@@ -18,7 +18,7 @@
 /// Fields that name targets.
 const TARGET_FIELDS: [&str; 3] = ["place", "endpoint", "members"];
 /// Messages about the state of a node, shown whichever target they concern.
-const NODE_STATE_MESSAGES: [&str; 20] = [
+const NODE_STATE_MESSAGES: [&str; 23] = [
     "started",
     "stopping: no longer ready",
     "configuration applied",
@@ -27,6 +27,9 @@
     "group ownership taken over by another node",
     "store unavailable",
     "store available again",
+    "store did not respond",
+    "watch replaced, as changes may be missing",
+    "watch mode changed",
     "log lines dropped",
     "no server reached; other nodes pass requests on",
     "servers reached again",
--- a/crates/edge/src/border/executor.rs
+++ b/crates/edge/src/border/executor.rs
@@ -104,7 +104,14 @@
                 self.metrics.count("server_notices", &tags, 1);
             }
             EdgeEffect::Reconnect(to) => self.links.reconnect(to),
-            EdgeEffect::SetWatchMode(mode) => self.watch_mode.set(mode),
+            EdgeEffect::SetWatchMode(mode) => {
+                self.watch_mode.set(mode);
+                for (flag, is_set) in mode.flags() {
+                    let value = u64::from(is_set);
+                    self.metrics.set("watch_mode", &[("flag", flag)], value);
+                }
+            }
+            EdgeEffect::ReportConfig(version) => self.metrics.set("config_version", &[], version),
             EdgeEffect::Close => self.is_closing.set(true),
             EdgeEffect::Drain => {
                 if let Some(signal) = self.drain.borrow_mut().take() {
--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -113,12 +113,14 @@
     let is_closing = Rc::new(Cell::new(false));
 
     let watch_mode = Rc::<Cell<WatchMode>>::default();
+    let metrics = Rc::new(PrometheusMetrics::default());
     let watch_context = WatchContext {
         store: store.clone(),
         clock: clock.clone(),
         events: events.clone(),
         mode: watch_mode.clone(),
         contact: Rc::default(),
+        metrics: metrics.clone(),
     };
     for collection in StoreCollection::ALL {
         monoio::spawn(watch_collection(collection, watch_context.clone()));
@@ -136,7 +138,6 @@
         }),
     );
 
-    let metrics = Rc::new(PrometheusMetrics::default());
     serve_metrics(settings.metrics, metrics.clone());
     let client = WebClient::new(clock.clone()).with_connect_timeout(CONNECT_TIMEOUT);
     let limits = WebLimits::default();
--- a/crates/edge/src/border/watch.rs
+++ b/crates/edge/src/border/watch.rs
@@ -6,7 +6,7 @@
 
 use base::prelude::*;
 use futures_channel::mpsc::UnboundedSender;
-use net::{sleep_until, with_deadline};
+use net::{MetricSink, sleep_until, with_deadline};
 
 use super::ports::{ListOutcome, PlatformStore, StoreCollection, WatchOutcome};
 use crate::{
@@ -21,6 +21,7 @@
     pub events: UnboundedSender<EdgeEvent>,
     pub mode: Rc<Cell<WatchMode>>,
     pub contact: Rc<Cell<StoreContact>>,
+    pub metrics: Rc<dyn MetricSink>,
 }
 
 /// Watches one collection until the event loop has ended.
@@ -31,6 +32,7 @@
         events,
         mode,
         contact,
+        metrics,
     } = &context;
     let mut schedule = FeedSchedule::new(collection);
     loop {
@@ -39,50 +41,71 @@
             log::info!(feed = collection.as_str(), since:% = known.unwrap_or_default(); "store was restored from a copy; listing again");
             schedule.forget_revision();
         }
-        let event = match schedule.next_step(mode.get(), clock.now()) {
+        let started_at = clock.now();
+        let event = match schedule.next_step(mode.get(), started_at) {
             FeedStep::Pause(until) => {
                 sleep_until(clock.as_ref(), until).await;
                 continue;
             }
             FeedStep::List => match store.list(collection).await {
-                ListOutcome::Listed(items, at) => CollectionEvent::Listed(items, at),
-                ListOutcome::Unavailable => CollectionEvent::Unavailable,
+                ListOutcome::Listed(items, at) => Some(CollectionEvent::Listed(items, at)),
+                ListOutcome::Unavailable => Some(CollectionEvent::Unavailable),
             },
             FeedStep::Watch(since, wait) => {
                 let watch = store.watch(collection, since, wait);
                 match watch_until_outdated(watch, &schedule, &context).await {
                     None => {
-                        log::info!(feed = collection.as_str(), since:% = since; "watch replaced, as changes may be missing");
+                        let lasted_ms = clock.now().since(started_at).as_millis() as u64;
+                        log::info!(feed = collection.as_str(), since:% = since, lasted_ms; "watch replaced, as changes may be missing");
+                        count_call(metrics.as_ref(), collection, "replaced");
                         continue;
                     }
                     Some(WatchOutcome::Changed(changes, at)) => {
-                        CollectionEvent::Changed(changes, at)
+                        Some(CollectionEvent::Changed(changes, at))
                     }
                     Some(WatchOutcome::Compacted) => {
                         log::info!(feed = collection.as_str(), since:% = since; "watch revision compacted; listing again");
-                        record_contact(contact, true, clock.now());
-                        schedule.record(FeedResult::Compacted, mode.get(), clock.now());
-                        continue;
+                        None
                     }
-                    Some(WatchOutcome::Unavailable) => CollectionEvent::Unavailable,
+                    Some(WatchOutcome::Unavailable) => Some(CollectionEvent::Unavailable),
                 }
             }
         };
         let result = match &event {
-            CollectionEvent::Listed(_, at) => FeedResult::Read(*at, false),
-            CollectionEvent::Changed(changes, at) => FeedResult::Read(*at, !changes.is_empty()),
-            CollectionEvent::Unavailable => FeedResult::Unavailable,
+            None => FeedResult::Compacted,
+            Some(CollectionEvent::Listed(_, at)) => FeedResult::Read(*at, false),
+            Some(CollectionEvent::Changed(changes, at)) => {
+                FeedResult::Read(*at, !changes.is_empty())
+            }
+            Some(CollectionEvent::Unavailable) => FeedResult::Unavailable,
         };
         let now = clock.now();
-        record_contact(contact, result != FeedResult::Unavailable, now);
-        let event = EdgeEvent::Collection(collection, event);
-        if events.unbounded_send(event).is_err() {
+        let is_answered = result != FeedResult::Unavailable;
+        record_contact(contact, is_answered, now);
+        let label = if is_answered {
+            "answered"
+        } else {
+            "unanswered"
+        };
+        count_call(metrics.as_ref(), collection, label);
+        if !is_answered {
+            let lasted_ms = now.since(started_at).as_millis() as u64;
+            log::info!(feed = collection.as_str(), since:? = known, lasted_ms; "store did not respond");
+        }
+        let event = event.map(|event| EdgeEvent::Collection(collection, event));
+        if event.is_some_and(|event| events.unbounded_send(event).is_err()) {
             return;
         }
         schedule.record(result, mode.get(), now);
     }
 }
 
+/// Counts a call by its result.
+fn count_call(metrics: &dyn MetricSink, collection: StoreCollection, result: &str) {
+    let tags = [("feed", collection.as_str()), ("result", result)];
+    metrics.count("store_calls", &tags, 1);
+}
+
 fn record_contact(contact: &Cell<StoreContact>, is_answered: bool, now: ClockTime) {
     let mut latest = contact.get();
     latest.record(is_answered, now);
--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -6,6 +6,7 @@
     ListChange, RestoreTimes, change_list, replace_list, replace_restored_list,
     restore_recorded_members,
 };
+use replicas::{Endpoint, Presence};
 use store::StoredObject;
 
 use super::apply_shared_objects;
@@ -174,7 +175,10 @@
     let mut endpoints = Vec::new();
     for item in items {
         match item {
-            CollectionItem::Endpoint(endpoint) => endpoints.push(endpoint),
+            CollectionItem::Endpoint(endpoint) => {
+                log_leaving(state, &endpoint);
+                endpoints.push(endpoint);
+            }
             other => log_unreadable(&other, "it is ignored"),
         }
     }
@@ -204,6 +208,7 @@
     let after_outage = keep_until.is_some();
     let changes = changes.into_iter().filter_map(|change| match change {
         CollectionChange::Put(CollectionItem::Endpoint(endpoint)) => {
+            log_leaving(state, &endpoint);
             Some(ListChange::Put(endpoint))
         }
         CollectionChange::Put(other) => {
@@ -224,10 +229,19 @@
             }
         },
     });
-    let changes = changes.collect();
+    let changes: Vec<_> = changes.collect();
     change_list(&mut state.planner, changes, keep_until, now);
 }
 
+/// Logs that an endpoint that was ready is listed as leaving.
+fn log_leaving(state: &EdgeState, endpoint: &Endpoint) {
+    let known = state.planner.endpoints().get(&endpoint.id);
+    let was_ready = known.is_some_and(|view| view.endpoint.presence == Presence::Ready);
+    if was_ready && endpoint.presence == Presence::Leaving {
+        log::info!(endpoint:% = endpoint.id; "endpoint is listed as leaving");
+    }
+}
+
 /// Stops using endpoints that are still not listed at the end of their grace period, at nodes
 /// that don't run the planner too.
 pub(crate) fn expire_endpoints(state: &mut EdgeState, now: ClockTime) {
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -71,6 +71,7 @@
     }
     effects.extend(send_targets(state, now));
     effects.extend(update_watch_mode(state, now));
+    effects.extend(report_config(state));
     effects
 }
 
@@ -324,6 +325,16 @@
     now.since(since) >= state.times.config_wait
 }
 
+/// Reports the version of the configuration if it has changed.
+fn report_config(state: &mut EdgeState) -> Option<EdgeEffect> {
+    let version = state.config.version();
+    if state.reported_config == version {
+        return None;
+    }
+    state.reported_config = version;
+    version.map(EdgeEffect::ReportConfig)
+}
+
 /// Changes the watch mode if needed.
 fn update_watch_mode(state: &mut EdgeState, now: ClockTime) -> Option<EdgeEffect> {
     state.hubs_lost_at = match has_able_hub(state, now) {
@@ -346,5 +357,8 @@
         return None;
     }
     state.watch_mode = mode;
+    let set = mode.flags().into_iter().filter(|(_, is_set)| *is_set);
+    let set: Vec<_> = set.map(|(flag, _)| flag).collect();
+    log::info!(flags = set.join(","); "watch mode changed");
     Some(EdgeEffect::SetWatchMode(mode))
 }
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -215,6 +215,20 @@
     pub lacks_config: bool,
 }
 
+impl WatchMode {
+    /// The flags and their names, for logs and metrics.
+    pub fn flags(self) -> [(&'static str, bool); 6] {
+        [
+            ("is_owner", self.is_owner),
+            ("has_peers", self.has_peers),
+            ("receives_targets", self.receives_targets),
+            ("lists_endpoints", self.lists_endpoints),
+            ("lacks_hubs", self.lacks_hubs),
+            ("lacks_config", self.lacks_config),
+        ]
+    }
+}
+
 /// Effect that the border executes.
 #[derive(Debug)]
 pub enum EdgeEffect {
@@ -264,6 +278,8 @@
     CountNotice(&'static str),
     /// Watch the collections in another mode.
     SetWatchMode(WatchMode),
+    /// Report the version of the active configuration as a metric.
+    ReportConfig(u64),
     /// Ask clients to close their connections after each response.
     Close,
     /// Accept no more connections and exit once the open ones are closed.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -317,6 +317,8 @@
     pub(crate) is_prober: bool,
     /// How the collections are watched.
     pub(crate) watch_mode: WatchMode,
+    /// Version of the configuration that was last reported as a metric.
+    pub(crate) reported_config: Option<u64>,
     /// Since when a hub has had a newer configuration than this node.
     pub(crate) config_missed_since: Option<ClockTime>,
     /// Since when no hub that this node hears could own the groups; `None` if one can.
@@ -388,6 +390,7 @@
             is_owner: false,
             is_prober: false,
             watch_mode: WatchMode::default(),
+            reported_config: None,
             config_missed_since: None,
             hubs_lost_at: None,
             yielded_at: None,
--- a/crates/net/src/metrics.rs
+++ b/crates/net/src/metrics.rs
@@ -13,6 +13,9 @@
     /// Adds to a counter.
     fn count(&self, name: &str, tags: &[(&str, &str)], amount: i64);
 
+    /// Sets the present value of something.
+    fn set(&self, name: &str, tags: &[(&str, &str)], value: u64);
+
     /// Records a duration.
     fn time(&self, name: &str, tags: &[(&str, &str)], duration: Duration);
 
@@ -27,6 +30,8 @@
 impl MetricSink for NullMetrics {
     fn count(&self, _name: &str, _tags: &[(&str, &str)], _amount: i64) {}
 
+    fn set(&self, _name: &str, _tags: &[(&str, &str)], _value: u64) {}
+
     fn time(&self, _name: &str, _tags: &[(&str, &str)], _duration: Duration) {}
 
     fn flush(&self) {}
@@ -54,6 +59,13 @@
             .send();
     }
 
+    fn set(&self, name: &str, tags: &[(&str, &str)], value: u64) {
+        let metric = self.0.gauge_with_tags(name, value);
+        tags.iter()
+            .fold(metric, |metric, (key, value)| metric.with_tag(key, value))
+            .send();
+    }
+
     fn time(&self, name: &str, tags: &[(&str, &str)], duration: Duration) {
         let metric = self.0.time_with_tags(name, duration);
         tags.iter()
--- a/crates/net/src/prometheus.rs
+++ b/crates/net/src/prometheus.rs
@@ -1,4 +1,4 @@
-//! Counters and histograms in the Prometheus text format.
+//! Counters, gauges and histograms in the Prometheus text format.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -9,6 +9,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
@@ -33,6 +34,7 @@
 struct MetricsState {
     registry: Registry,
     counters: BTreeMap<String, Family<Labels, Counter>>,
+    gauges: BTreeMap<String, Family<Labels, Gauge>>,
     histograms: BTreeMap<String, Histograms>,
 }
 
@@ -62,6 +64,20 @@
         family.get_or_create(&labels(tags)).inc_by(amount);
     }
 
+    fn set(&self, name: &str, tags: &[(&str, &str)], value: u64) {
+        let mut state = self.0.borrow_mut();
+        let MetricsState {
+            registry, gauges, ..
+        } = &mut *state;
+        let family = gauges.entry(name.to_owned()).or_insert_with(|| {
+            let family = Family::default();
+            registry.register(name, name.replace('_', " "), Family::clone(&family));
+            family
+        });
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        family.get_or_create(&labels(tags)).set(value);
+    }
+
     fn time(&self, name: &str, tags: &[(&str, &str)], duration: Duration) {
         let mut state = self.0.borrow_mut();
         let MetricsState {
