--- a/crates/edge/src/queries/hubs.rs
+++ b/crates/edge/src/queries/hubs.rs
@@ -169,12 +169,15 @@
 /// Hubs need a moment after an outage; if all other nodes listed the endpoints meanwhile, that
 /// would take the store's link most of a second.
 fn reaches_store_alone(state: &EdgeState, now: ClockTime) -> bool {
-    let Some(entry) = state.collection(StoreCollection::RoutingConfig) else {
+    let (Some(entry), Some(hubs_lost_at)) = (
+        state.collection(StoreCollection::RoutingConfig),
+        state.hubs_lost_at,
+    ) else {
         return false;
     };
     let is_over = |at: ClockTime| now.since(at) >= state.times.owner_change_timeout;
-    let is_recent = |at: ClockTime| now.since(at) < state.times.store_timeout;
-    state.hubs_lost_at.is_some_and(is_over)
+    let is_recent = |at: ClockTime| at > hubs_lost_at && now.since(at) < state.times.store_timeout;
+    is_over(hubs_lost_at)
         && !entry.is_unavailable
         && entry.last_response_at.is_some_and(is_recent)
         && entry.recovered_at.is_none_or(is_over)
