--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -7,7 +7,7 @@
 use super::quarantine::quarantine_hash;
 use crate::peer::Digest;
 use crate::queries::{
-    can_own, choose_summing_hub, has_able_hub, is_hub, is_peer_alive, lists_endpoints,
+    awaits_list, can_own, choose_summing_hub, has_able_hub, is_hub, is_peer_alive, lists_endpoints,
     local_weight, receives_targets, select_hubs, sends_sums_to, total_weight, uses_hubs,
 };
 use crate::state::{PeerState, SummingHub};
@@ -336,7 +336,7 @@
 }
 
 /// Changes the watch mode if needed.
-fn update_watch_mode(state: &mut EdgeState, now: ClockTime) -> Option<EdgeEffect> {
+pub(super) fn update_watch_mode(state: &mut EdgeState, now: ClockTime) -> Option<EdgeEffect> {
     state.hubs_lost_at = match has_able_hub(state, now) {
         Some(false) => Some(state.hubs_lost_at.unwrap_or(now)),
         _ => None,
@@ -347,6 +347,7 @@
         .filter(|peer| is_peer_alive(state, peer, now));
     let mode = WatchMode {
         is_owner: state.is_owner,
+        awaits_list: state.is_owner && awaits_list(state),
         has_peers: alive.count() >= MIN_RELIABLE_PEERS,
         receives_targets: receives_targets(state, now),
         lists_endpoints: lists_endpoints(state, now),
--- a/crates/edge/src/commands/plan.rs
+++ b/crates/edge/src/commands/plan.rs
@@ -4,8 +4,8 @@
 
 use base::prelude::*;
 use replicas::commands::{
-    probe, probe_heads_often, record_order_outcome, record_probe_outcome, retry_probe,
-    spread_probes, tick,
+    begin_ownership, claim, probe, probe_heads_often, record_order_outcome, record_probe_outcome,
+    retry_probe, spread_probes, tick,
 };
 use replicas::queries::serving_groups;
 use replicas::{MemberOrder, OrderOutcome, PlanEffect, ProbeOutcome};
@@ -14,7 +14,7 @@
 use super::refresh_targets;
 use super::shared::record_change;
 use crate::peer::SlowPace;
-use crate::queries::{is_prober, next_plan, owner};
+use crate::queries::{awaits_list, is_prober, next_plan, owner};
 use crate::{EdgeEffect, EdgeState};
 
 /// Interval between two log lines that summarize the groups.
@@ -26,6 +26,7 @@
     if is_owner != state.is_owner {
         state.is_owner = is_owner;
         if is_owner {
+            begin_ownership(&mut state.planner);
             probe_heads_often(&mut state.planner, now);
             spread_probes(&mut state.planner, now);
         }
@@ -44,10 +45,10 @@
     let Some(config) = state.config.get().cloned() else {
         return Vec::new();
     };
-    let effects = if is_owner {
-        tick(&mut state.planner, &config, now)
-    } else {
-        probe(&mut state.planner, now)
+    let effects = match state.planner.claimed_version() {
+        None if is_owner => claim(&mut state.planner, now),
+        Some(_) if is_owner && !awaits_list(state) => tick(&mut state.planner, &config, now),
+        _ => probe(&mut state.planner, now),
     };
     update_slow_groups(state);
     refresh_targets(state);
--- a/crates/edge/src/commands/shared.rs
+++ b/crates/edge/src/commands/shared.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use store::{ObjectChange, ObjectKey, StoredObject, UpdateOutcome};
 
+use super::digests::update_watch_mode;
 use super::{refresh_targets, send_record};
 use crate::border::ports::StoreCollection;
 use crate::state::{PeerState, budget_of};
@@ -214,5 +215,8 @@
         return Vec::new();
     }
     refresh_targets(state);
-    send_record(state, now)
+    let mut effects = send_record(state, now);
+    // A new owner waits for the list.
+    effects.extend(update_watch_mode(state, now));
+    effects
 }
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -202,6 +202,8 @@
 pub struct WatchMode {
     /// Whether this node owns the groups, so that it acts on each change.
     pub is_owner: bool,
+    /// Whether it has claimed the groups and needs a newer list of the endpoints before it acts.
+    pub awaits_list: bool,
     /// Whether enough other nodes would send it the changes that it misses.
     pub has_peers: bool,
     /// Whether the owner sends it the targets, so that it need not watch the endpoints.
@@ -217,9 +219,10 @@
 
 impl WatchMode {
     /// The flags and their names, for logs and metrics.
-    pub fn flags(self) -> [(&'static str, bool); 6] {
+    pub fn flags(self) -> [(&'static str, bool); 7] {
         [
             ("is_owner", self.is_owner),
+            ("awaits_list", self.awaits_list),
             ("has_peers", self.has_peers),
             ("receives_targets", self.receives_targets),
             ("lists_endpoints", self.lists_endpoints),
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -21,7 +21,8 @@
 const BOUNDED_WATCH_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Wait of a watch of shared objects, of which peers send the record at once.
 const PEERED_WATCH_TIMEOUT: Duration = Duration::from_millis(8_000);
-/// Wait of a watch after a call without a response, to notice the store's return.
+/// Wait of a watch after a call without a response, to notice the store's return, and of one that
+/// a new owner waits for.
 const RECOVERY_WATCH_TIMEOUT: Duration = Duration::from_millis(100);
 /// Wait of a watch of the configuration at a node that is sent the targets, as the hubs
 /// also send it newer configurations.
@@ -103,6 +104,8 @@
     revision: Option<ObjectVersion>,
     /// Calls without a response since the last one with a response.
     failures: u32,
+    /// Whether the call under way, or the last one, began for a new owner.
+    is_for_owner: bool,
     /// Instant at which the call under way, or the last one, began.
     started_at: ClockTime,
     /// Instant before which no call begins.
@@ -116,6 +119,7 @@
             collection,
             revision: None,
             failures: 0,
+            is_for_owner: false,
             started_at: ClockTime::default(),
             due: ClockTime::default(),
         }
@@ -144,6 +148,7 @@
             return FeedStep::Pause(now + interval);
         }
         self.started_at = now;
+        self.is_for_owner = self.is_awaited(mode);
         match self.revision {
             Some(since) => FeedStep::Watch(since, self.watch_wait(mode)),
             None => FeedStep::List,
@@ -180,6 +185,12 @@
     pub fn is_outdated(&self, mode: WatchMode, contact: StoreContact, now: ClockTime) -> bool {
         now >= self.started_at + self.watch_wait(mode) + WATCH_GRACE
             || contact.is_outdated(self.started_at)
+            || (self.is_awaited(mode) && !self.is_for_owner)
+    }
+
+    /// Whether a new owner waits for the collection.
+    fn is_awaited(&self, mode: WatchMode) -> bool {
+        mode.awaits_list && self.collection == StoreCollection::Endpoints
     }
 
     /// Whether this node gets along without the collection at present.
@@ -193,7 +204,7 @@
 
     /// Time that one watch waits for changes.
     fn watch_wait(&self, mode: WatchMode) -> Duration {
-        if self.failures > 0 {
+        if self.failures > 0 || self.is_awaited(mode) {
             return RECOVERY_WATCH_TIMEOUT;
         }
         match self.collection {
--- a/crates/edge/src/queries/owner.rs
+++ b/crates/edge/src/queries/owner.rs
@@ -40,6 +40,14 @@
         && !is_cut_off_alone(state, now)
 }
 
+/// Whether this node's list of the endpoints is older than its claim of the groups.
+pub(crate) fn awaits_list(state: &EdgeState) -> bool {
+    let listed = state.collection(StoreCollection::Endpoints);
+    let revision = listed.map(|entry| entry.revision).unwrap_or_default();
+    let claimed_version = state.planner.claimed_version();
+    claimed_version.is_some_and(|version| revision < version)
+}
+
 /// Whether this node reaches no server while others do; if no node does, the servers are down.
 pub(crate) fn is_cut_off_alone(state: &EdgeState, now: ClockTime) -> bool {
     let mut peers = state.peers.values();
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod messages;
 mod network;
+mod new_owner;
 mod node;
 mod odd_entries;
 mod owner_loss;
--- a/crates/edge/tests/suite/store_away.rs
+++ b/crates/edge/tests/suite/store_away.rs
@@ -59,7 +59,7 @@
 }
 
 /// Node that starts with the record of three groups and a list of these endpoints.
-fn node_that_lists(members: std::ops::Range<usize>) -> EdgeState {
+pub fn node_that_lists(members: std::ops::Range<usize>) -> EdgeState {
     let mut state = start("n1");
     let config = vec![config_item(1, "/x/")];
     list(&mut state, StoreCollection::RoutingConfig, config, at(1));
--- a/crates/replicas/src/commands/mod.rs
+++ b/crates/replicas/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! Commands that change the planner's state.
 
+mod claim;
 mod list;
 mod orders;
 mod plan;
@@ -8,6 +9,7 @@
 mod restore;
 mod restored_list;
 
+pub use claim::{begin_ownership, claim};
 pub use list::{ListChange, change_list, expire_endpoints, record_leaving, replace_list};
 pub use orders::record_order_outcome;
 pub use plan::{probe, tick};
--- a/crates/replicas/src/commands/plan.rs
+++ b/crates/replicas/src/commands/plan.rs
@@ -65,7 +65,11 @@
 ///
 /// A restored store may have lost blocks that were reserved since the copy, so each era of the
 /// store has epochs of its own.
-fn reserve_epochs(state: &mut PlannerState, draft: &mut GroupRecord, version: ObjectVersion) {
+pub(super) fn reserve_epochs(
+    state: &mut PlannerState,
+    draft: &mut GroupRecord,
+    version: ObjectVersion,
+) {
     let era_start = version.era().saturating_mul(EPOCHS_PER_ERA);
     let start = draft.next_epoch.0.max(1).max(era_start);
     let end = start + state.settings.epoch_block_size;
--- a/crates/replicas/src/commands/record.rs
+++ b/crates/replicas/src/commands/record.rs
@@ -53,6 +53,7 @@
     if record.owner.as_ref() != Some(&state.node) {
         // Another owner took over; its epochs are higher than the ones reserved here.
         state.epochs = 0..0;
+        state.claimed_version = None;
     }
     state.record = record;
     state.record_received_at = now;
@@ -105,6 +106,7 @@
             }
             if is_new && !requested.is_empty() {
                 state.epochs = requested;
+                state.claimed_version.get_or_insert(version);
             }
             is_new
         }
--- a/crates/replicas/src/state.rs
+++ b/crates/replicas/src/state.rs
@@ -120,6 +120,8 @@
     pub(crate) pending_record: Option<Arc<GroupRecord>>,
     /// Earliest instant of the next write, after a failed one.
     pub(crate) next_write_at: ClockTime,
+    /// Version of the record by which this node claimed the groups; `None` until it has.
+    pub(crate) claimed_version: Option<ObjectVersion>,
     /// Epochs that this node may still use.
     pub(crate) epochs: std::ops::Range<u64>,
     /// Epoch block that the write in flight reserves.
@@ -150,6 +152,7 @@
             record_received_at: ClockTime::default(),
             pending_record: None,
             next_write_at: ClockTime::default(),
+            claimed_version: None,
             epochs: 0..0,
             requested_epochs: 0..0,
             loads: LoadTracker::default(),
@@ -169,6 +172,11 @@
         self.version
     }
 
+    /// Version of the record by which this node claimed the groups; `None` until it has.
+    pub fn claimed_version(&self) -> Option<ObjectVersion> {
+        self.claimed_version
+    }
+
     /// Endpoints by identity.
     pub fn endpoints(&self) -> &BTreeMap<HostName, EndpointView> {
         &self.endpoints
