A short watch may last as long as a large configuration takes to read

A watch after a call without an answer counted as hung after 0.6 s, though its call may last a second: a large configuration, or an answer of a slow store, would have been given up again and again, and idle connections that hang were not dropped with it. The new test fails on 0.6 s.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -29,6 +29,8 @@
 const CONFIG_WATCH_TIMEOUT: Duration = Duration::from_millis(20_000);
 /// Time beyond its wait after which a watch counts as hung; calls end by themselves before.
 const WATCH_GRACE: Duration = Duration::from_millis(500);
+/// Shortest time after which a watch counts as hung, as a large configuration takes time to read.
+const MIN_WATCH_DURATION: Duration = Duration::from_millis(1_200);
 /// Interval between the beginnings of a failed call and the next one; it doubles with each failure.
 const RETRY_INTERVAL: Duration = Duration::from_millis(150);
 /// Doublings of that interval.
@@ -183,7 +185,7 @@
     /// Whether the watch under way must be replaced: it has lasted longer than it may by now, or
     /// may be lost.
     pub fn is_outdated(&self, mode: WatchMode, contact: StoreContact, now: ClockTime) -> bool {
-        now >= self.started_at + self.watch_wait(mode) + WATCH_GRACE
+        now >= self.started_at + (self.watch_wait(mode) + WATCH_GRACE).max(MIN_WATCH_DURATION)
             || contact.is_outdated(self.started_at)
             || (self.is_awaited(mode) && !self.is_for_owner)
     }
--- a/crates/edge/tests/suite/silent_store.rs
+++ b/crates/edge/tests/suite/silent_store.rs
@@ -390,3 +390,23 @@
         assert!(!schedule.is_outdated(mode, contact, at(430)));
     }
 }
+
+#[test]
+fn a_short_watch_lasts_as_long_as_a_large_configuration_takes_to_read() {
+    for (collection, mode) in feeds() {
+        let mut schedule = FeedSchedule::new(collection);
+        schedule.record(FeedResult::Read(ObjectVersion(1), false), mode, at(0));
+        schedule.next_step(mode, at(0));
+        schedule.record(FeedResult::Unavailable, mode, at(100));
+        assert!(matches!(
+            schedule.next_step(mode, at(200)),
+            FeedStep::Watch(..)
+        ));
+        let contact = StoreContact::default();
+        let ends_at = at(200 + CALL_TIMEOUT_MS);
+        assert!(
+            !schedule.is_outdated(mode, contact, ends_at),
+            "{collection:?}"
+        );
+    }
+}
