Soak: the end of the store's silence is one instant

A list of instants with nothing beside them read badly; only one silence is played at a time. No change of the daemon. The soak's checks are unchanged.

--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -65,7 +65,7 @@
                 for link in &self.store_links {
                     link.mode.set(LinkMode::Blackhole);
                 }
-                self.store_returns.push((now + duration, ()));
+                self.store_returns_at = Some(now + duration);
                 disturbed_until = now + duration;
             }
             Fault::StoreLosesResponses(duration) => {
@@ -187,9 +187,7 @@
         for (at, _) in &mut self.link_repairs {
             *at = now;
         }
-        for (at, ()) in &mut self.store_returns {
-            *at = now;
-        }
+        self.store_returns_at = self.store_returns_at.map(|_| now);
         let mut store = self.store.borrow_mut();
         store.unavailable_until = None;
         store.loses_responses_until = None;
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -168,8 +168,8 @@
     daemon_server_links: Vec<Vec<LinkProxy>>,
     /// Links to open again.
     link_repairs: Vec<(Instant, Rc<Cell<LinkMode>>)>,
-    /// Ends of the store's silence.
-    store_returns: Vec<(Instant, ())>,
+    /// End of the store's silence.
+    store_returns_at: Option<Instant>,
     // Servers to stop and to replace.
     server_stops: Vec<(Instant, usize)>,
     server_replacements: Vec<(Instant, usize)>,
@@ -272,7 +272,7 @@
             server_links,
             daemon_server_links,
             link_repairs: Vec::new(),
-            store_returns: Vec::new(),
+            store_returns_at: None,
             server_stops: Vec::new(),
             server_replacements: Vec::new(),
             client_context,
@@ -343,7 +343,7 @@
             for mode in take_due(&mut self.link_repairs, now) {
                 mode.set(LinkMode::Open);
             }
-            if !take_due(&mut self.store_returns, now).is_empty() {
+            if self.store_returns_at.take_if(|at| *at <= now).is_some() {
                 self.return_store();
             }
             for slot in take_due(&mut self.server_stops, now) {
