Edge test: a full server is not taken for one that floods

Cause: the test lists its only server with six slots and sends it 24 requests at once. A node sends a plain server four requests a slot at most, which is exactly these 24. If all of them are under way when the sound request comes, it is refused as it must be; usually some have ended by then.

Change: the server is listed with eight slots, and the sound request is sent once all 24 are under way, so that it always meets them. Stricter than before: it may not be sent early. The bounds on memory and statuses are unchanged.

--- a/crates/bronzerun/tests/edge/endless.rs
+++ b/crates/bronzerun/tests/edge/endless.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::raw::{raw_response, spawn_raw_server};
-use crate::{Node, request_at};
+use crate::{Node, request_at, wait_line};
 
 /// Requests at a time that get such an answer.
 const CALLERS: usize = 24;
@@ -63,6 +63,9 @@
                     scope.spawn(move || request_at(ingress, &format!("r-{caller}"), path, "key-1"))
                 })
                 .collect();
+            for _ in 0..CALLERS {
+                wait_line(&node.lines, "attempt started");
+            }
             let (status, body, _) = node.request_as("r-fine", "/o/fine", "key-1");
             assert_eq!((status, body.as_str()), (200, "fine"), "beside {name}");
             for caller in callers {
--- a/crates/bronzerun/tests/edge/main.rs
+++ b/crates/bronzerun/tests/edge/main.rs
@@ -21,6 +21,9 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
+/// Slots that each server is listed with. A node sends a plain server up to four requests a slot,
+/// so that this is room for all requests of a test at once.
+const SERVER_SLOTS: u32 = 8;
 /// Longest wait for a condition.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(60);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -66,7 +69,7 @@
         let objects = servers.map(|(index, address)| {
             let name = format!("i-{}", index + 1);
             json!({"metadata": {"name": name, "revision": 3}, "spec": {
-                "service": "app", "address": address.to_string(), "zone": "z1", "version": "v1", "slots": 6,
+                "service": "app", "address": address.to_string(), "zone": "z1", "version": "v1", "slots": SERVER_SLOTS,
                 "state": "ready", "born": 5, "sequence": 0}})
         });
         objects.collect()
