A closing group ends as soon as its head has finished its requests

What callers saw: where servers are released, the engines of a closing group stayed unused for 2.5 s, the time-out for heads that don't finish, although the head had finished long before; new groups of that model came that much later.

Cause: after the order to close a head is Closing and then Ready, under the same number of accepted orders. The planner took Ready for a state from before Open, as phases only grow while that number stays, and kept Open. So `has_closed` never held.

Evidence: the planner's simulation, which publishes each change at once: 0.3 s after the order the head is Ready in the emulator and Open in the planner's view, with the same sequence 3, until the group is removed after 2.5 s.

Change: an accepted order to close makes the known phase Closing, and Ready follows Closing where no order was accepted in between. An older report of Open still has a lower sequence.

Test: a_closing_group_ends_as_soon_as_its_head_has_finished_its_requests, failed before (the group was still there after a second). The other tests of the planner pass unchanged.

--- a/crates/replicas/src/commands/orders.rs
+++ b/crates/replicas/src/commands/orders.rs
@@ -5,7 +5,7 @@
 
 use crate::loads::LoadLimits;
 use crate::state::PendingOrder;
-use crate::{MemberOrder, OrderOutcome, PlanEffect, PlannerState};
+use crate::{MemberOrder, MemberPhase, OrderOutcome, PlanEffect, PlannerState};
 
 /// Duration of a join if the endpoint still has the model in memory.
 const REJOIN_DURATION: Duration = Duration::from_millis(200);
@@ -104,8 +104,15 @@
                 let least = sent_sequence.map_or(0, |sequence| sequence.saturating_add(1));
                 view.endpoint.sequence = view.endpoint.sequence.max(least);
             }
-            if let MemberOrder::Leave { .. } = order {
-                view.endpoint.membership = None;
+            match (order, &mut view.endpoint.membership) {
+                (MemberOrder::Leave { .. }, membership) => *membership = None,
+                (MemberOrder::Close { group, epoch }, Some(membership))
+                    if membership.phase == MemberPhase::Open
+                        && (&membership.group, membership.epoch) == (group, *epoch) =>
+                {
+                    membership.phase = MemberPhase::Closing;
+                }
+                _ => {}
             }
             view.probe.due = view.probe.due.min(now + delay);
             now + delay + settings.effect_timeout
--- a/crates/replicas/src/endpoint.rs
+++ b/crates/replicas/src/endpoint.rs
@@ -29,6 +29,16 @@
 }
 
 impl MemberPhase {
+    /// Whether a member was in this phase before another one, if it accepted no order between them.
+    fn precedes(self, other: Self) -> bool {
+        match (self, other) {
+            // A head that has finished its requests is ready again.
+            (Self::Closing, Self::Ready) => true,
+            (Self::Ready, Self::Closing) => false,
+            _ => self.ordinal() < other.ordinal(),
+        }
+    }
+
     /// Position among the phases, which a member passes in this order unless it gets a new order.
     fn ordinal(self) -> u8 {
         match self {
@@ -70,7 +80,7 @@
             (Some(current), Some(received)) => {
                 current.group == received.group
                     && current.epoch == received.epoch
-                    && received.phase.ordinal() < current.phase.ordinal()
+                    && received.phase.precedes(current.phase)
             }
             _ => false,
         }
--- a/crates/replicas/tests/suite/groups.rs
+++ b/crates/replicas/tests/suite/groups.rs
@@ -72,6 +72,20 @@
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
 
+#[test]
+fn a_closing_group_ends_as_soon_as_its_head_has_finished_its_requests() {
+    let mut simulation = Simulation::new(DOMAINS, 4);
+    simulation.closing_time = Duration::from_millis(300);
+    simulation.run(8_000);
+    let member = simulation.any_member("large");
+    let simulated = simulation.endpoints.get_mut(&member).unwrap();
+    simulated.endpoint.presence = Presence::Leaving;
+    simulation.publish(&member);
+    simulation.run(1_000);
+    assert_eq!(epoch_of(&simulation, &member), None);
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
+
 #[test]
 fn an_empty_endpoint_loads_the_model_of_its_domain() {
     let mut simulation = Simulation::new(DOMAINS, 5);
--- a/crates/replicas/tests/suite/simulation/mod.rs
+++ b/crates/replicas/tests/suite/simulation/mod.rs
@@ -68,6 +68,8 @@
     /// Number of writes that the store has accepted.
     pub writes: usize,
     pub faults: OrderFaults,
+    /// Time that heads take to finish their requests once they are closed.
+    pub closing_time: Duration,
     pub loads: Vec<ClockTime>,
     /// Members that were ready, by group, epoch and identity.
     ready: BTreeSet<(GroupName, GroupEpoch, HostName)>,
@@ -88,6 +90,7 @@
             era: 0,
             writes: 0,
             faults: OrderFaults::default(),
+            closing_time: Duration::ZERO,
             loads: Vec::new(),
             ready: BTreeSet::new(),
             late_orders: Vec::new(),
@@ -367,9 +370,17 @@
                     _ => OrderOutcome::Unfit,
                 }
             }
-            MemberOrder::Close { group, epoch, .. } => {
+            MemberOrder::Close { group, epoch, .. } if self.closing_time.is_zero() => {
                 self.change(to, group, *epoch, Some(MemberPhase::Ready))
             }
+            MemberOrder::Close { group, epoch, .. } => {
+                let ready_at = self.now + self.closing_time;
+                let outcome = self.change(to, group, *epoch, Some(MemberPhase::Closing));
+                if let Some(simulated) = self.endpoints.get_mut(to) {
+                    simulated.ready_at = Some(ready_at);
+                }
+                outcome
+            }
             MemberOrder::Leave { group, epoch } => self.change(to, group, *epoch, None),
         }
     }
@@ -463,7 +474,10 @@
             if simulated.ready_at.is_some_and(|at| at <= now) {
                 simulated.ready_at = None;
                 if let Some(membership) = &mut simulated.endpoint.membership
-                    && membership.phase == MemberPhase::Joining
+                    && matches!(
+                        membership.phase,
+                        MemberPhase::Joining | MemberPhase::Closing
+                    )
                 {
                     membership.phase = MemberPhase::Ready;
                     self.ready
