--- a/crates/limits/src/commands/retry.rs
+++ b/crates/limits/src/commands/retry.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 
+use crate::queries::has_retry;
 use crate::{IdempotentCall, RetryBudget, RetryOutcome};
 
 /// Records the first attempt of a request.
@@ -17,12 +18,10 @@
     call: IdempotentCall,
     now: ClockTime,
 ) -> RetryOutcome {
-    let window = budget.services.entry(service.clone()).or_default();
-    let (requests, retries) = window.count(now);
-    let share = (requests as f64 * budget.settings.retry_share) as u64;
-    if retries >= share.max(u64::from(budget.settings.retry_floor)) {
+    if !has_retry(budget, service, now) {
         return RetryOutcome::Exhausted;
     }
+    let window = budget.services.entry(service.clone()).or_default();
     window.open_bucket(&budget.settings, now).retries += 1;
     RetryOutcome::Granted(call)
 }
--- a/crates/relay/src/commands/stalls.rs
+++ b/crates/relay/src/commands/stalls.rs
@@ -2,14 +2,18 @@
 
 use base::prelude::*;
 
+use limits::queries::has_retry;
+
+use crate::queries::choose_target;
 use crate::state::CallState;
 use crate::{Lane, RelayState, StallStep};
 
 /// Decides whether a request keeps waiting for a target that sends it no data.
 ///
-/// A target that still sends data for other streams is not stalled. An attempt at a
-/// group that has ended is aborted at once. A request that may not be sent again
-/// always waits.
+/// A target that still sends data for other streams is not stalled. A request leaves a group that
+/// has ended or is closing as soon as another target takes it: its head may still finish it, so
+/// without another target leaving it would cut it. That holds for begun streams at silent heads too.
+/// A request that may not be sent again always waits.
 pub fn check_stall(state: &RelayState, call: CallId, now: ClockTime) -> StallStep {
     let settings = &state.settings;
     let wait = StallStep::Wait {
@@ -30,7 +34,10 @@
         .get(id)
         .is_some_and(|target| target.epoch == entry.epoch);
     if !is_same_group {
-        return StallStep::Abort;
+        return match can_move(state, entry, now) {
+            true => StallStep::Abort,
+            false => wait,
+        };
     }
     let load = state.loads.get(id);
     let is_suspect = load.is_some_and(|load| load.suspect_until > now);
@@ -48,7 +55,10 @@
         _ => entry.sent_at,
     };
     if now.since(since) >= limit {
-        StallStep::Abort
+        match !entry.has_begun || can_move(state, entry, now) {
+            true => StallStep::Abort,
+            false => wait,
+        }
     } else {
         let until = (since + limit).max(now + Duration::from_millis(1));
         StallStep::Wait {
@@ -57,6 +67,11 @@
     }
 }
 
+/// Whether another target would take a request now, within the retry budget.
+fn can_move(state: &RelayState, call: &CallState, now: ClockTime) -> bool {
+    has_retry(&state.budget, &call.arrival.service, now) && choose_target(state, call, now).is_ok()
+}
+
 /// Whether a request is queued in the slow lane, where silence is normal.
 fn is_queued(call: &CallState) -> bool {
     call.arrival.route.kind.is_stream() && call.lane == Lane::Slow && !call.has_begun
--- a/crates/relay/tests/suite/choice.rs
+++ b/crates/relay/tests/suite/choice.rs
@@ -140,6 +140,29 @@
     assert_eq!(check_stall(&state, CallId(1), at(60)), StallStep::Abort);
 }
 
+#[test]
+fn streams_are_not_cut_while_their_group_closes_and_no_other_takes_them() {
+    let mut state = relay(vec![head("h1", 1)]);
+    send(&mut state, request(1, STREAM, 2), at(0));
+    record_progress(&mut state, CallId(1), at(50));
+    set_targets(&mut state, Vec::new());
+    for millis in [60, 700, 3_000] {
+        let step = check_stall(&state, CallId(1), at(millis));
+        assert!(matches!(step, StallStep::Wait { .. }), "{millis} ms");
+    }
+    set_targets(&mut state, vec![head("h2", 2)]);
+    assert_eq!(check_stall(&state, CallId(1), at(3_060)), StallStep::Abort);
+}
+
+#[test]
+fn a_begun_stream_is_not_cut_at_a_silent_head_while_no_other_takes_it() {
+    let mut state = relay(vec![head("h1", 1)]);
+    send(&mut state, request(1, STREAM, 2), at(0));
+    record_progress(&mut state, CallId(1), at(50));
+    let step = check_stall(&state, CallId(1), at(2_000));
+    assert!(matches!(step, StallStep::Wait { .. }));
+}
+
 #[test]
 fn a_stream_without_another_attempt_waits() {
     let mut state = relay(vec![head("h1", 1), head("h2", 2)]);
--- a/crates/replicas/src/settings.rs
+++ b/crates/replicas/src/settings.rs
@@ -20,8 +20,9 @@
 const RELIST_GRACE_PERIOD: Duration = Duration::from_millis(2_200);
 /// Time after which an order that was accepted but shows no effect is sent again.
 const EFFECT_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time that a head has to finish its requests before its leaving member is replaced.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time that a head has to finish its requests before its leaving member is replaced. A leaving
+/// endpoint stays ten seconds at most while the head has work.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(9_000);
 /// Delay before a rejected order is sent again.
 const REJECTED_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Number of epochs that an owner reserves in one write.
--- a/crates/replicas/tests/suite/groups.rs
+++ b/crates/replicas/tests/suite/groups.rs
@@ -86,6 +86,23 @@
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
 
+#[test]
+fn members_of_a_closing_group_stay_until_its_head_has_finished_its_requests() {
+    let mut simulation = Simulation::new(DOMAINS, 4);
+    simulation.closing_time = Duration::from_secs(6);
+    simulation.run(8_000);
+    let member = simulation.any_member("large");
+    let epoch = epoch_of(&simulation, &member);
+    let simulated = simulation.endpoints.get_mut(&member).unwrap();
+    simulated.endpoint.presence = Presence::Leaving;
+    simulation.publish(&member);
+    simulation.run(5_900);
+    assert_eq!(epoch_of(&simulation, &member), epoch);
+    simulation.run(1_000);
+    assert_eq!(epoch_of(&simulation, &member), None);
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
+
 #[test]
 fn an_empty_endpoint_loads_the_model_of_its_domain() {
     let mut simulation = Simulation::new(DOMAINS, 5);
