A node that stops probing forgets what its probes found

Cause: a node that owned the groups, or probed them without an owner, while it was cut off took all endpoints for lost. Once another node owned the groups it no longer probed, so nothing showed it that they respond again, and it used no group with such a member.

Change: when a node stops probing it forgets missed probes and lost endpoints, and takes no outcome of a probe that ends later for a failure. What the owner finds reaches it as the record.

Test: a_node_that_was_cut_off_while_it_probed_serves_again_once_another_one_probes, 0 of 3 groups served before.

--- a/crates/edge/src/commands/plan.rs
+++ b/crates/edge/src/commands/plan.rs
@@ -4,8 +4,8 @@
 
 use base::prelude::*;
 use replicas::commands::{
-    begin_ownership, claim, probe, probe_heads_often, record_order_outcome, record_probe_outcome,
-    retry_probe, spread_probes, tick,
+    begin_ownership, claim, forget_probes, probe, probe_heads_often, record_order_outcome,
+    record_probe_outcome, retry_probe, spread_probes, tick,
 };
 use replicas::queries::serving_groups;
 use replicas::{MemberOrder, OrderOutcome, PlanEffect, ProbeOutcome};
@@ -22,6 +22,7 @@
 
 /// Runs the planner if this node owns the groups and a run is due.
 pub(crate) fn plan_if_due(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
+    let was_probing = is_probing(state);
     let is_owner = owner(state, now).as_ref() == Some(&state.settings.node);
     if is_owner != state.is_owner {
         state.is_owner = is_owner;
@@ -36,6 +37,11 @@
     if is_prober != std::mem::replace(&mut state.is_prober, is_prober) {
         log::info!(is_prober; "probing of groups without an owner changed");
     }
+    if was_probing && !is_probing(state) {
+        forget_probes(&mut state.planner);
+        state.held_probes.clear();
+        refresh_targets(state);
+    }
     if !(is_owner || is_prober) || next_plan(state) > now {
         return Vec::new();
     }
@@ -62,6 +68,11 @@
         .collect()
 }
 
+/// Whether this node probes the endpoints.
+fn is_probing(state: &EdgeState) -> bool {
+    state.is_owner || state.is_prober
+}
+
 /// Updates the slow groups from the reports of their members.
 fn update_slow_groups(state: &mut EdgeState) {
     let groups = serving_groups(&state.planner).into_iter();
@@ -178,6 +189,10 @@
         retry_probe(&mut state.planner, of, now);
         return Vec::new();
     }
+    if outcome == ProbeOutcome::NoResponse && !is_probing(state) {
+        // The probe was sent before another node took over, and no later one would correct it.
+        return Vec::new();
+    }
     if outcome == ProbeOutcome::NoResponse {
         record_trouble(state, of, now);
         if is_untrusted(state, now) {
--- a/crates/edge/tests/suite/store_away.rs
+++ b/crates/edge/tests/suite/store_away.rs
@@ -1,6 +1,6 @@
 //! Outage of the store: groups are not repaired, but those that have lost a member are avoided.
 
-use crate::support::{apply_event, at, config_item, endpoint, list, node, start, status};
+use crate::support::{apply_event, at, config_item, digest, endpoint, list, node, start, status};
 use base::prelude::*;
 use edge::border::ports::{CollectionItem, StoreCollection};
 use edge::{CollectionEvent, EdgeEffect, EdgeEvent, EdgeState, PeerMessage};
@@ -131,6 +131,10 @@
                     message: PeerMessage::Digest(digest),
                     ..
                 } => reported = digest.silent_heads,
+                EdgeEffect::Try { server, .. } => {
+                    let is_reached = unresponsive.len() < 2 * GROUPS;
+                    state.handle(EdgeEvent::Tried(server, is_reached), at(now));
+                }
                 EdgeEffect::Order { .. } => panic!("order without a record that can be written"),
                 _ => {}
             }
@@ -151,6 +155,22 @@
     assert_eq!(reported_heads(&mut state, &[0, 1, 3, 4]), []);
 }
 
+#[test]
+fn a_node_that_was_cut_off_while_it_probed_serves_again_once_another_one_probes() {
+    let mut state = node_with_groups();
+    reported_heads(&mut state, &[0, 1, 2, 3, 4, 5]);
+    assert_eq!(status(&mut state, at(6_000)).serving, 0);
+    state.handle(digest("n2", true, 1), at(6_010));
+    state.wake(at(6_010));
+    // Its last probe ends late.
+    state.handle(
+        EdgeEvent::Reported(member(0), ProbeOutcome::NoResponse),
+        at(6_020),
+    );
+    state.wake(at(6_030));
+    assert_eq!(status(&mut state, at(6_030)).serving, GROUPS);
+}
+
 /// Numbers of groups that a node sends requests to, 0.1, 1 and 3 s after its start.
 fn serving(state: &mut EdgeState) -> [usize; 3] {
     [100, 1_000, 3_000].map(|now| {
--- a/crates/replicas/src/commands/mod.rs
+++ b/crates/replicas/src/commands/mod.rs
@@ -14,7 +14,7 @@
 pub use orders::record_order_outcome;
 pub use plan::{probe, tick};
 pub use probes::{
-    probe_group, probe_heads_often, record_probe_outcome, retry_probe, spread_probes,
+    forget_probes, probe_group, probe_heads_often, record_probe_outcome, retry_probe, spread_probes,
 };
 pub use record::{WriteOutcome, record_missing, record_write_outcome, update_record};
 pub use restore::restore_recorded_members;
--- a/crates/replicas/src/commands/probes.rs
+++ b/crates/replicas/src/commands/probes.rs
@@ -71,6 +71,18 @@
     }
 }
 
+/// Forgets what probes have shown, because this node stops probing.
+///
+/// Nothing would show it that an endpoint responds again. If it was cut off from the endpoints, it
+/// would take them for lost from then on.
+pub fn forget_probes(state: &mut PlannerState) {
+    for view in state.endpoints.values_mut() {
+        view.is_lost = false;
+        view.probe.missed = 0;
+        view.probe.is_in_flight = false;
+    }
+}
+
 /// Schedules probes of a group's members at once, because its head does not respond.
 pub fn probe_group(state: &mut PlannerState, head: &HostName, now: ClockTime) {
     let Some(group) = state
