--- a/crates/edge/src/commands/quarantine.rs
+++ b/crates/edge/src/commands/quarantine.rs
@@ -2,10 +2,11 @@
 
 use base::prelude::*;
 use quarantine::commands::{
-    expire, record_answer as clear_suspects, record_crash as report_crash, start_call,
+    expire, record_answer as clear_suspects, record_crash as report_crash, renew_suspects,
+    start_call,
 };
 use quarantine::queries::{
-    blocking_verdict, evidence_hash, fresh_evidence, may_resend, watched_evidence,
+    blocking_verdict, evidence_hash, fresh_evidence, last_renewal, may_resend, watched_evidence,
 };
 use quarantine::{CallSuspects, CrashEvidence, CrashSuspect, CrashVerdict, ServerCrash};
 use reach::queries::is_cut_off;
@@ -32,6 +33,11 @@
         state.unsent_effects.extend(effects);
         state.evidence_due.get_or_insert(now);
     }
+    let blocking = blocking_verdict(&state.quarantine, &suspects);
+    if let Some(blocked) = blocking.map(|verdict| verdict.suspects.clone()) {
+        renew_suspects(&mut state.quarantine, &blocked, now);
+        schedule_evidence(state, now);
+    }
     if let Some(verdict) = blocking_verdict(&state.quarantine, &suspects) {
         log::info!(id:% = id, digest:% = suspects.digest, suspects = suspect_names(verdict), crashes = verdict.crashes; "request is quarantined");
         return Some(verdict.until.since(now));
@@ -154,7 +160,12 @@
     let is_receiver = !uses_hubs(state)
         || state.hubs.contains(&digest.from)
         || sends_sums_to(state, &digest.from, Some(digest));
-    if !is_hub(state) || !is_receiver || digest.quarantine_hash == quarantine_hash(state) {
+    if !is_hub(state) || !is_receiver {
+        return Vec::new();
+    }
+    let is_known = digest.quarantine_hash == quarantine_hash(state);
+    let sent_at = (state.peers.get(&digest.from)).and_then(|peer| peer.evidence_sent_at);
+    if is_known && last_renewal(&state.quarantine) <= sent_at {
         return Vec::new();
     }
     let evidence = watched_evidence(&state.quarantine);
--- a/crates/edge/tests/suite/deadly.rs
+++ b/crates/edge/tests/suite/deadly.rs
@@ -124,6 +124,26 @@
     }
 }
 
+#[test]
+fn no_node_forgets_a_request_that_still_comes_at_another_one() {
+    for nodes in [3, 6, 12, 24] {
+        let mut deployment = deployment_after_crashes(nodes);
+        // The verdict on three crashes doesn't hold yet; five are certain.
+        for node in [0, 1] {
+            assert!(deployment.send_deadly(node), "{nodes} nodes: {node}");
+        }
+        let end = deployment.network.now + 70_000;
+        while deployment.network.now < end {
+            deployment.network.run(deployment.network.now + 5_000);
+            assert!(!deployment.send(nodes - 1, DEADLY).1, "{nodes} nodes");
+        }
+        for node in 0..nodes {
+            assert!(!deployment.send(node, DEADLY).1, "{nodes} nodes: {node}");
+            deployment.answer(node, POPULAR);
+        }
+    }
+}
+
 #[test]
 fn every_node_rejects_a_part_that_crashes_servers_which_began_to_answer() {
     for (nodes, contact_ms) in [
--- a/crates/quarantine/src/commands/calls.rs
+++ b/crates/quarantine/src/commands/calls.rs
@@ -124,7 +124,7 @@
                 seen_at: now,
             };
             let has_room = state.own_reports.len() < state.settings.max_reported_suspects;
-            if add_report(state, report) && has_room {
+            if add_report(state, report, now) && has_room {
                 let resend_until = now + state.settings.resend_duration;
                 state.own_reports.push((report, resend_until));
             }
--- a/crates/quarantine/src/commands/merge.rs
+++ b/crates/quarantine/src/commands/merge.rs
@@ -20,7 +20,7 @@
             // Other nodes need the clearance too.
             Some(at) => clear_suspect(state, report.suspect, at),
             None => {
-                add_report(state, *report);
+                add_report(state, *report, now);
             }
         }
     }
@@ -42,8 +42,38 @@
     }
 }
 
+/// Remembers suspects for longer, here and at other nodes, because requests with them still come
+/// and are rejected.
+pub fn renew_suspects(state: &mut QuarantineState, suspects: &[CrashSuspect], now: ClockTime) {
+    let settings = &state.settings;
+    let expires_at = now + settings.retention;
+    let resend_until = now + settings.resend_duration;
+    let mut renewals = Vec::new();
+    for suspect in suspects {
+        let Some(reported) = state.reported.get_mut(suspect) else {
+            continue;
+        };
+        if reported.expires_at + settings.renewal_interval > expires_at {
+            continue;
+        }
+        reported.renewed_at = Some(now);
+        reported.expires_at = expires_at;
+        renewals.extend(reported.renewed_reports().last());
+    }
+    if renewals.is_empty() {
+        return;
+    }
+    let room = (state.settings.max_reported_suspects).saturating_sub(state.own_reports.len());
+    let renewals = renewals.into_iter().take(room);
+    let renewals = renewals.map(|report| (report, resend_until));
+    state.own_reports.extend(renewals);
+    update_verdicts(state, now);
+}
+
 /// Adds a report unless it is known or void; returns whether it is new.
-pub(super) fn add_report(state: &mut QuarantineState, report: CrashReport) -> bool {
+///
+/// A known one that was seen later is a renewal by another node.
+pub(super) fn add_report(state: &mut QuarantineState, report: CrashReport, now: ClockTime) -> bool {
     let cleared_at = state.cleared.get(&report.suspect);
     if cleared_at.is_some_and(|at| *at >= report.seen_at) {
         return false;
@@ -60,8 +90,16 @@
         .entry(report.suspect)
         .or_insert_with(|| ReportedSuspect {
             reports: Vec::new(),
+            renewed_at: None,
             expires_at,
         });
+    let is_known = reported
+        .reports
+        .iter()
+        .any(|other| other.crash == report.crash);
+    if is_known && expires_at > reported.expires_at + state.settings.resend_duration {
+        reported.renewed_at = Some(now);
+    }
     reported.expires_at = reported.expires_at.max(expires_at);
     // Of several requests at one crash the first by number stands for all, at every node.
     let reports = &mut reported.reports;
@@ -123,7 +161,11 @@
             state.reported.remove(&suspect);
         }
     }
-    let is_valid = |report: &CrashReport| report.suspect != suspect || report.seen_at > cleared_at;
+    let reported = state.reported.get(&suspect);
+    let is_valid = |report: &CrashReport| {
+        let mut reports = reported.into_iter().flat_map(|reported| &reported.reports);
+        report.suspect != suspect || reports.any(|other| other.crash == report.crash)
+    };
     state.own_reports.retain(|(report, _)| is_valid(report));
 }
 
--- a/crates/quarantine/src/commands/mod.rs
+++ b/crates/quarantine/src/commands/mod.rs
@@ -7,4 +7,4 @@
     finish_call, record_answer, record_crash, record_progress, record_sustained_answer,
     record_whole_answer, start_call,
 };
-pub use merge::{expire, merge_evidence};
+pub use merge::{expire, merge_evidence, renew_suspects};
--- a/crates/quarantine/src/queries/share.rs
+++ b/crates/quarantine/src/queries/share.rs
@@ -30,13 +30,18 @@
         .reported
         .values()
         .filter(|reported| is_watched(reported));
-    let reports = watched.flat_map(|reported| &reported.reports);
     CrashEvidence {
-        reports: reports.copied().collect(),
+        reports: watched.flat_map(ReportedSuspect::renewed_reports).collect(),
         clearances: clearances(state).collect(),
     }
 }
 
+/// Last instant at which a suspect was renewed; nodes that don't know of it may forget too early.
+pub fn last_renewal(state: &QuarantineState) -> Option<ClockTime> {
+    let reported = state.reported.values();
+    reported.filter_map(|reported| reported.renewed_at).max()
+}
+
 /// Hash of the watched reports; nodes with the same hash have nothing to tell each other.
 pub fn evidence_hash(state: &QuarantineState) -> u64 {
     let watched = state
--- a/crates/quarantine/src/queries/verdict.rs
+++ b/crates/quarantine/src/queries/verdict.rs
@@ -80,7 +80,8 @@
     requests: usize,
     /// Instant from which a verdict holds.
     settled_at: ClockTime,
-    expires_at: ClockTime,
+    /// Instant until which it holds.
+    ends_at: ClockTime,
 }
 
 /// Fewest parts and requests that explain the reported crashes, and the instant at which further
@@ -122,6 +123,7 @@
                 .filter_map(|(suspect, reported)| {
                     verdict_candidate(&state.settings, *suspect, reported, &self.explained)
                 })
+                .filter(|candidate| candidate.ends_at > now)
                 .collect();
             let Some(most) = most_crashes(candidates.iter()) else {
                 return;
@@ -154,7 +156,7 @@
             self.verdicts.push(CrashVerdict {
                 suspects,
                 crashes: best.crashes.len(),
-                until: best.expires_at,
+                until: best.ends_at,
             });
         }
     }
@@ -170,7 +172,7 @@
 fn most_crashes<'a>(
     candidates: impl Iterator<Item = &'a VerdictCandidate>,
 ) -> Option<&'a VerdictCandidate> {
-    candidates.max_by_key(|candidate| (candidate.crashes.len(), candidate.expires_at))
+    candidates.max_by_key(|candidate| (candidate.crashes.len(), candidate.ends_at))
 }
 
 /// Whether two suspects were reported for the same crashes, but for one at each.
@@ -215,13 +217,20 @@
         }
         CrashSuspect::Request(_) => last_needed_at + settings.request_settling_time,
     };
+    // A few crashes may have had another cause, so the next request is a trial; its crash would add
+    // to those that are remembered.
+    let last_at = reports.last()?.seen_at;
+    let ends_at = match is_certain {
+        true => reported.expires_at,
+        false => reported.expires_at.min(last_at + settings.retention),
+    };
     let requests: BTreeSet<_> = reports.iter().map(|report| report.request).collect();
     Some(VerdictCandidate {
         suspect,
         crashes: reports.iter().map(|report| report.crash).collect(),
         requests: requests.len(),
         settled_at,
-        expires_at: reported.expires_at,
+        ends_at,
     })
 }
 
--- a/crates/quarantine/src/settings.rs
+++ b/crates/quarantine/src/settings.rs
@@ -26,8 +26,10 @@
 const MIN_LATE_CRASHES: usize = 5;
 /// Crashes after which a verdict needs no such time.
 const CERTAIN_CRASHES: usize = 5;
-/// Time after its last report for which a part or request is remembered, and quarantined if it is.
+/// Time after its last report or rejection for which a part or request is remembered.
 const RETENTION: Duration = Duration::from_secs(60);
+/// Interval at which rejections of a part or request are passed on, so that no node forgets it.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(20);
 /// Time for which this node's reports are sent to other nodes; silent connections between them are
 /// replaced within two seconds.
 const RESEND_DURATION: Duration = Duration::from_secs(3);
@@ -61,8 +63,10 @@
     pub min_late_crashes: usize,
     /// Crashes after which a verdict about a part needs no such time.
     pub certain_crashes: usize,
-    /// Time after its last report for which a part or request is remembered.
+    /// Time after its last report or rejection for which a part or request is remembered.
     pub retention: Duration,
+    /// Interval at which rejections of a part or request are passed on.
+    pub renewal_interval: Duration,
     /// Time for which this node's reports are sent to other nodes.
     pub resend_duration: Duration,
     /// Age of an answer up to which a part or request is not suspected.
@@ -88,6 +92,7 @@
             min_late_crashes: MIN_LATE_CRASHES,
             certain_crashes: CERTAIN_CRASHES,
             retention: RETENTION,
+            renewal_interval: RENEWAL_INTERVAL,
             resend_duration: RESEND_DURATION,
             recent_answer: RECENT_ANSWER,
             max_reported_suspects: MAX_REPORTED_SUSPECTS,
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -37,10 +37,26 @@
 pub(crate) struct ReportedSuspect {
     /// Reports since the last answer, the newest last.
     pub reports: Vec<CrashReport>,
+    /// Last time at which requests with it were rejected here, or another node said so.
+    pub renewed_at: Option<ClockTime>,
     pub expires_at: ClockTime,
 }
 
 impl ReportedSuspect {
+    /// The reports as other nodes get them: the last one as of the last renewal, so that they
+    /// remember the suspect for as long.
+    pub fn renewed_reports(&self) -> impl Iterator<Item = CrashReport> {
+        let last = self.reports.len().saturating_sub(1);
+        let reports = self.reports.iter().enumerate();
+        reports.map(move |(index, report)| {
+            let renewed_at = self.renewed_at.filter(|_| index == last);
+            CrashReport {
+                seen_at: renewed_at.map_or(report.seen_at, |at| at.max(report.seen_at)),
+                ..*report
+            }
+        })
+    }
+
     /// Stage that the answers had not reached. Nodes of builds that know just the first stage pass
     /// reports on without it.
     pub fn stage(&self) -> AnswerStage {
--- a/crates/quarantine/tests/suite/requests.rs
+++ b/crates/quarantine/tests/suite/requests.rs
@@ -1,10 +1,11 @@
 //! Which requests are quarantined after which crashes and answers.
 
 use base::prelude::*;
-use quarantine::commands::{expire, merge_evidence, record_crash, start_call};
-use quarantine::queries::may_resend;
+use quarantine::commands::{expire, merge_evidence, record_crash, renew_suspects, start_call};
+use quarantine::queries::{blocking_verdict, fresh_evidence, may_resend};
 use quarantine::{
-    AnswerStage, CrashEvidence, CrashSuspect, RequestDigest, ServerCrash, SuspectClearance,
+    AnswerStage, CrashEvidence, CrashSuspect, QuarantineState, RequestDigest, ServerCrash,
+    SuspectClearance,
 };
 
 use crate::support::{
@@ -91,6 +92,72 @@
     }
 }
 
+/// Sends a request whose server crashes unless it is rejected; returns whether it was sent.
+fn send_deadly(state: &mut QuarantineState, own: u64, id: u64, millis: u64) -> bool {
+    expire(state, at(millis));
+    let verdict = blocking_verdict(state, &suspects(&[], own));
+    let blocked = verdict.map(|verdict| verdict.suspects.clone());
+    match &blocked {
+        Some(blocked) => renew_suspects(state, blocked, at(millis)),
+        None => crash(state, &[], own, id, millis),
+    }
+    blocked.is_none()
+}
+
+#[test]
+fn a_request_that_still_comes_is_not_forgotten_a_minute_after_its_last_crash() {
+    for crashes in [3, 5] {
+        let mut state = new_state();
+        for index in 0..crashes {
+            crash(&mut state, &[], 10, index, index * 400);
+        }
+        let mut sent = 0;
+        for round in 1..200 {
+            let millis = 3 * SECOND + round * 2_700;
+            sent += u64::from(send_deadly(&mut state, 10, 100 + round, millis));
+        }
+        // One trial a minute until the crashes are certain.
+        assert_eq!(sent, 5 - crashes, "after {crashes} crashes");
+    }
+}
+
+#[test]
+fn a_sound_request_is_served_again_after_its_trial() {
+    let mut state = new_state();
+    for index in 0..3 {
+        crash(&mut state, &[], 10, index, index * 400);
+    }
+    for millis in (3 * SECOND..60 * SECOND).step_by(1_000) {
+        expire(&mut state, at(millis));
+        let verdict = blocking_verdict(&state, &suspects(&[], 10)).unwrap();
+        let blocked = verdict.suspects.clone();
+        renew_suspects(&mut state, &blocked, at(millis));
+    }
+    expire(&mut state, at(61 * SECOND));
+    assert!(!is_request_rejected(&state, &[], 10));
+    answer(&mut state, &[], 10, 61 * SECOND);
+    crash(&mut state, &[], 10, 7, 62 * SECOND);
+    expire(&mut state, at(64 * SECOND));
+    assert!(!is_request_rejected(&state, &[], 10));
+}
+
+#[test]
+fn a_node_that_rejects_no_request_itself_is_told_that_it_still_comes() {
+    let (mut one, mut other) = (new_state(), new_state());
+    for index in 0..5 {
+        crash(&mut one, &[], 10, index, index * 400);
+    }
+    for millis in (2 * SECOND..200 * SECOND).step_by(1_000) {
+        expire(&mut one, at(millis));
+        expire(&mut other, at(millis));
+        let verdict = blocking_verdict(&one, &suspects(&[], 10)).unwrap();
+        let blocked = verdict.suspects.clone();
+        renew_suspects(&mut one, &blocked, at(millis));
+        merge_evidence(&mut other, &fresh_evidence(&one, at(millis)), at(millis));
+        assert!(is_request_rejected(&other, &[], 10), "{millis} ms");
+    }
+}
+
 #[test]
 fn a_verdict_is_not_postponed_by_further_crashes() {
     let mut state = new_state();
