--- a/crates/replicas/src/commands/plan.rs
+++ b/crates/replicas/src/commands/plan.rs
@@ -10,7 +10,7 @@
 use super::probes::start_due_probes;
 use crate::queries::{
     FabricIndex, GroupHealth, GroupSelection, group_health, has_displaced_member, home_models,
-    is_usable, plan_staging, select_group,
+    is_list_outdated, is_usable, plan_staging, select_group,
 };
 use crate::state::{is_standby, standby_name};
 use crate::{
@@ -87,6 +87,7 @@
         .groups
         .retain_mut(|group| match group_health(endpoints, group) {
             GroupHealth::Healthy => !has_displaced_member(endpoints, group, record_received_at),
+            GroupHealth::MemberLost if is_list_outdated(endpoints, group, now) => true,
             GroupHealth::MemberLost => false,
             GroupHealth::MemberLeaving if group.phase == GroupPhase::Forming => false,
             GroupHealth::MemberLeaving => {
--- a/crates/replicas/src/queries/group_health.rs
+++ b/crates/replicas/src/queries/group_health.rs
@@ -4,7 +4,11 @@
 
 use base::prelude::*;
 
-use crate::{EndpointView, GroupEntry, GroupPhase, Presence};
+use crate::{EndpointView, GroupEntry, GroupPhase, MemberRef, Presence};
+
+/// Age of a report up to which it prevails over the record; members under suspicion are probed
+/// twice in that time.
+const REPORT_VALIDITY: Duration = Duration::from_millis(500);
 
 /// Health of a group, from the state of its members.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +54,34 @@
         })
 }
 
+/// Whether a listed member responds, has not restarted and is in no newer group.
+fn is_present(view: &EndpointView, member: &MemberRef, epoch: GroupEpoch) -> bool {
+    view.endpoint.incarnation == member.incarnation && !view.is_lost && !view.is_ahead_of(epoch)
+}
+
+/// Whether all that a group lacks are members that are listed as of an earlier start than the one
+/// that the record names.
+///
+/// Another owner has heard of the restart from the member itself, and its entry lags behind. A
+/// probe, which is due at once for such members, tells which start is the present one: the time of
+/// day, which numbers the starts, may have jumped back.
+pub fn is_list_outdated(
+    endpoints: &BTreeMap<HostName, EndpointView>,
+    group: &GroupEntry,
+    now: ClockTime,
+) -> bool {
+    let is_outdated = |view: &EndpointView, member: &MemberRef| {
+        let reported_at = view.reported_at;
+        view.endpoint.incarnation < member.incarnation
+            && !view.is_lost
+            && reported_at.is_none_or(|at| now.since(at) >= REPORT_VALIDITY)
+    };
+    group.members.iter().all(|member| {
+        let view = endpoints.get(&member.id);
+        view.is_some_and(|view| is_present(view, member, group.epoch) || is_outdated(view, member))
+    })
+}
+
 /// Health of a group, from the state of its members.
 pub fn group_health(
     endpoints: &BTreeMap<HostName, EndpointView>,
@@ -60,10 +92,7 @@
         let Some(view) = endpoints.get(&member.id) else {
             return GroupHealth::MemberLost;
         };
-        if view.endpoint.incarnation != member.incarnation
-            || view.is_lost
-            || view.is_ahead_of(group.epoch)
-        {
+        if !is_present(view, member, group.epoch) {
             return GroupHealth::MemberLost;
         }
         if view.endpoint.presence == Presence::Leaving {
--- a/crates/replicas/src/queries/mod.rs
+++ b/crates/replicas/src/queries/mod.rs
@@ -12,7 +12,9 @@
 pub use deadline::next_deadline;
 pub use expiry::{is_expiry_likely, next_expiry};
 pub use fabric_index::FabricIndex;
-pub use group_health::{GroupHealth, group_health, has_displaced_member, is_member, is_usable};
+pub use group_health::{
+    GroupHealth, group_health, has_displaced_member, is_list_outdated, is_member, is_usable,
+};
 pub use home_models::{FabricInventory, HomeModels, fabric_inventories, home_models};
 pub use selection::{GroupSelection, select_group};
 pub use serving::{ServingGroup, lost_heads, serving_groups};
--- a/crates/replicas/tests/suite/groups.rs
+++ b/crates/replicas/tests/suite/groups.rs
@@ -103,6 +103,45 @@
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
 
+#[test]
+fn a_new_owner_keeps_a_group_whose_member_it_knows_only_before_its_restart() {
+    let mut simulation = Simulation::new(DOMAINS, 4);
+    simulation.run(8_000);
+    let member = simulation.any_member("small");
+    let epoch = epoch_of(&simulation, &member);
+    simulation.owners.clear();
+    simulation.add_owner("n2");
+    let mut outdated = simulation.endpoints[&member].endpoint.clone();
+    outdated.incarnation = HostIncarnation(outdated.incarnation.0 - 1);
+    outdated.membership = None;
+    let change = replicas::commands::ListChange::Put(outdated);
+    replicas::commands::change_list(
+        &mut simulation.owners[0],
+        vec![change],
+        None,
+        simulation.now,
+    );
+    simulation.run(3_000);
+    assert_eq!(epoch_of(&simulation, &member), epoch);
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_member_that_reports_an_earlier_start_than_the_record_names_ends_its_group() {
+    let mut simulation = Simulation::new(DOMAINS, 4);
+    simulation.run(8_000);
+    let member = simulation.any_member("small");
+    let epoch = epoch_of(&simulation, &member);
+    // It restarted after the time of day had jumped back.
+    let simulated = simulation.endpoints.get_mut(&member).unwrap();
+    simulated.endpoint.incarnation = HostIncarnation(1);
+    simulated.endpoint.membership = None;
+    simulation.publish(&member);
+    simulation.run(1_500);
+    assert_ne!(epoch_of(&simulation, &member), epoch);
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
+
 #[test]
 fn an_empty_endpoint_loads_the_model_of_its_domain() {
     let mut simulation = Simulation::new(DOMAINS, 5);
