--- a/crates/edge/tests/suite/silent_store.rs
+++ b/crates/edge/tests/suite/silent_store.rs
@@ -33,6 +33,15 @@
     Busy,
 }
 
+/// How servers leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    /// `p-2` announces it.
+    Announced,
+    /// The entries of `p-2` and `p-3` are removed, as if they had expired in an outage.
+    Removed,
+}
+
 /// Call under way, and when it gets its result.
 struct Call {
     step: FeedStep,
@@ -60,6 +69,7 @@
     revisions: [u64; 2],
     config_version: u64,
     is_leaving: bool,
+    departure: Departure,
 }
 
 impl Platform {
@@ -83,6 +93,7 @@
             revisions: [1, 2],
             config_version: 1,
             is_leaving: false,
+            departure: Departure::Announced,
         };
         for index in 0..count {
             platform.deliver(index, StoreCollection::Endpoints, 2);
@@ -124,11 +135,16 @@
             )));
         }
         if is_news && collection == StoreCollection::Endpoints {
-            let mut leaving = endpoint("p-2");
-            if self.is_leaving {
-                leaving.presence = Presence::Leaving;
+            for id in ["p-2", "p-3"] {
+                let mut server = endpoint(id);
+                if self.is_leaving && id == "p-2" {
+                    server.presence = Presence::Leaving;
+                }
+                changes.push(match (self.is_leaving, self.departure) {
+                    (true, Departure::Removed) => CollectionChange::Removed(id.into()),
+                    _ => CollectionChange::Put(CollectionItem::Endpoint(server)),
+                });
             }
-            changes.push(CollectionChange::Put(CollectionItem::Endpoint(leaving)));
         }
         let has_changes = !changes.is_empty();
         let event = CollectionEvent::Changed(changes, ObjectVersion(last));
@@ -260,6 +276,33 @@
     assert_eq!(platform.nodes_with_leaving_server(), empty, "DRAIN, {text}");
 }
 
+#[test]
+fn servers_removed_together_after_the_store_was_silent_get_no_request() {
+    for (count, from) in [
+        (3, 5_000),
+        (3, 12_500),
+        (6, 5_000),
+        (6, 12_500),
+        (12, 9_000),
+    ] {
+        for length in [1_700, 4_000, 9_000] {
+            let mut platform = Platform::new(count);
+            let changed_at = from + length + CONTACT_MS + 300;
+            platform.trouble = Some((Trouble::Silent, from, from + length));
+            platform.departure = Departure::Removed;
+            platform.run(changed_at);
+            platform.change();
+            platform.run(changed_at + APPLY_MS);
+            let empty: [usize; 0] = [];
+            let using = platform.nodes_with_leaving_server();
+            assert_eq!(
+                using, empty,
+                "{count} nodes, silent from {from} for {length}"
+            );
+        }
+    }
+}
+
 fn check_lengths(count: usize, trouble: Trouble) {
     for from in [5_000, 12_500] {
         for length in [400, 1_700, 4_000, 9_000] {
