Soak: a server's limit ends before the other plain server leaves

So the case is allowed, and the plan contradicts the window's check, which stays as it is.

The tests of limits have plans of their own.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -184,9 +184,12 @@
                 fault: Fault::HangConnections,
             };
             insert_step(&mut steps, step);
+            // It ends with the other faults, as the only other plain server leaves after them.
+            let at = Duration::from_millis(rng.random_range(0..hang_ms));
+            let rate = rng.random_range(PLAIN_LIMIT_PER_MINUTE);
             let step = FaultStep {
-                at: Duration::from_millis(rng.random_range(0..hang_ms)),
-                fault: Fault::Limit(0, rng.random_range(PLAIN_LIMIT_PER_MINUTE), duration),
+                at,
+                fault: Fault::Limit(0, rate, duration.saturating_sub(at)),
             };
             insert_step(&mut steps, step);
             let busy_ms = rng.random_range(FAULT_DURATION_MS);
