Logs and metrics: why a node gives up a server, and why a stream is not resumed

Three hypotheses about streams cut at silent servers (docs/incidents/silent-servers.md) could not be told apart: every check that ends an attempt logged 'stalled', the retry budget and the attempts shared the reason 'exhausted', and a stream that was not resumed gave no reason.

'server given up' names the check, 'stream not resumed' the reason; the budget has a reason of its own, 'no-budget'. Both are counted. No decision changes. Tests of the stall checks now expect the cause, too.

--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -10,7 +10,7 @@
 use net::web::{CallOutcome, IncomingResponse, WebClient, WebRequest, full_body};
 use net::{MetricSink, with_deadline};
 use notices::{ServerNotice, ServerRun};
-use relay::{AttemptEnd, SendOrder, StallStep};
+use relay::{AttemptEnd, SendOrder, StallCause, StallStep};
 
 use super::EdgeReplies;
 use super::pass::{add_pass_headers, pass_outcome};
@@ -95,20 +95,27 @@
                 None if self.clock.now() >= order.deadline => {
                     return AttemptOutcome::DeadlinePassed;
                 }
-                None => match self.check_stall(request.call).await {
+                None => match self.check_stall(request).await {
                     StallStep::Wait { until } => check_at = until,
-                    StallStep::Abort => return AttemptOutcome::Ended(AttemptEnd::Stalled),
+                    StallStep::Abort(_) => return AttemptOutcome::Ended(AttemptEnd::Stalled),
                 },
             }
         }
     }
 
     /// Asks the event loop what to do about a server that sends nothing.
-    pub async fn check_stall(&self, call: CallId) -> StallStep {
-        match self.replies.request(EdgeQuestion::Check(call)).await {
+    pub async fn check_stall(&self, request: &ClientRequest) -> StallStep {
+        let question = EdgeQuestion::Check(request.call);
+        let step = match self.replies.request(question).await {
             Some(EdgeReply::Stall(step)) => step,
-            _ => StallStep::Abort,
+            _ => StallStep::Abort(StallCause::LoopEnded),
+        };
+        if let StallStep::Abort(cause) = step {
+            log::info!(id:% = request.id, cause = cause.as_str(); "server given up");
+            let labels = [("cause", cause.as_str())];
+            self.metrics.count("given_up_attempts", &labels, 1);
         }
+        step
     }
 
     /// Reports what a server announces, or that it no longer does.
--- a/crates/edge/src/border/stream.rs
+++ b/crates/edge/src/border/stream.rs
@@ -9,7 +9,7 @@
 use http::response::Parts;
 use http::{HeaderValue, StatusCode};
 use net::web::{BodySender, ChunkOutcome, IncomingResponse};
-use relay::{AttemptEnd, CallStep, StallStep};
+use relay::{AttemptEnd, CallStep, RefusalReason, StallStep};
 
 use super::attempt::{AttemptContext, AttemptOutcome, ClientRequest};
 use super::events::{EventBuffer, has_complete_event};
@@ -232,9 +232,9 @@
                 }
                 Some(ChunkOutcome::Lost) => return Err(AttemptEnd::Cut),
                 None if now >= self.deadline => return Ok(StreamEnd::Cut),
-                None => match self.context.check_stall(self.guard.call).await {
+                None => match self.context.check_stall(&self.request).await {
                     StallStep::Wait { until } => check_at = until,
-                    StallStep::Abort => {
+                    StallStep::Abort(_) => {
                         response.abandon();
                         return Err(AttemptEnd::Stalled);
                     }
@@ -255,6 +255,14 @@
         }
     }
 
+    /// Reports why the stream is not resumed at another server.
+    fn report_refusal(&self, reason: RefusalReason) {
+        log::info!(id:% = self.request.id, reason = reason.as_str(); "stream not resumed");
+        let labels = [("reason", reason.as_str())];
+        let metrics = self.context.metrics.as_ref();
+        metrics.count("unresumed_streams", &labels, 1);
+    }
+
     /// Resumes the stream at another server after the last complete event.
     async fn resume(&mut self, end: AttemptEnd, body: &mut BodySender) -> Option<IncomingResponse> {
         if !self.is_resumable {
@@ -269,10 +277,13 @@
             loop {
                 log::info!(id:% = self.request.id, end = end.as_str(), last_event:? = self.buffer.last_id(); "stream interrupted");
                 let question = EdgeQuestion::Ended(self.guard.call, end);
-                let Some(EdgeReply::Step(CallStep::Send(order))) =
-                    self.context.replies.request(question).await
-                else {
-                    return None;
+                let order = match self.context.replies.request(question).await {
+                    Some(EdgeReply::Step(CallStep::Send(order))) => order,
+                    Some(EdgeReply::Step(CallStep::Refuse(refusal))) => {
+                        self.report_refusal(refusal.reason);
+                        return None;
+                    }
+                    _ => return None,
                 };
                 let last_event = self.buffer.last_id();
                 match self
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use intent::queries::{AccessOutcome, check_access, find_route, pick_service};
 use quarantine::CallSuspects;
-use relay::{AttemptEnd, CallArrival, CallStep, StallStep};
+use relay::{AttemptEnd, CallArrival, CallStep, StallCause, StallStep};
 
 use super::quarantine::{block_call, record_crash, record_sustained_answer};
 use super::reach::{is_stranded, is_untrusted, pass_elsewhere, record_trouble, route_attempt};
@@ -114,10 +114,10 @@
         report_silent_head(state, head, now);
     }
     if is_stranded(state, call) {
-        return StallStep::Abort;
+        return StallStep::Abort(StallCause::CutOff);
     }
     if quarantine::queries::is_call_blocked(&state.quarantine, call) {
-        return StallStep::Abort;
+        return StallStep::Abort(StallCause::Quarantined);
     }
     relay::commands::check_stall(&state.relay, call, now)
 }
--- a/crates/edge/tests/suite/quarantine.rs
+++ b/crates/edge/tests/suite/quarantine.rs
@@ -7,7 +7,7 @@
     PeerMessage, RejectReason,
 };
 use quarantine::{PromptPart, PromptParts, RequestDigest};
-use relay::{AttemptEnd, CallStep, StallStep};
+use relay::{AttemptEnd, CallStep, StallCause, StallStep};
 
 use crate::support::{arrival, ask, at, digest, endpoint, list, ready};
 
@@ -154,7 +154,7 @@
     let check = EdgeQuestion::Check(CallId(40));
     assert!(matches!(
         ask(&mut state, check, at(8_000)),
-        EdgeReply::Stall(StallStep::Abort)
+        EdgeReply::Stall(StallStep::Abort(StallCause::Quarantined))
     ));
 }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -124,8 +124,10 @@
     /// Every target is full, limited or wants nothing for a while, and more urgent requests take
     /// what is left.
     Limited,
-    /// The attempts or the retry budget are used up.
+    /// The attempts are used up.
     Exhausted,
+    /// The retry budget of the service is used up.
+    NoBudget,
     /// Too little time is left before the deadline.
     DeadlinePassed,
 }
@@ -138,6 +140,7 @@
             Self::Overload => "overload",
             Self::Limited => "limited",
             Self::Exhausted => "exhausted",
+            Self::NoBudget => "no-budget",
             Self::DeadlinePassed => "late",
         }
     }
@@ -163,6 +166,37 @@
     Refuse(Refusal),
 }
 
+/// Why this node ends an attempt that its target has not ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StallCause {
+    /// The target sends nothing.
+    Silent,
+    /// The target sends nothing, and no event has come from it yet.
+    NotBegun,
+    /// Its group closes, has ended or was formed anew.
+    GroupChanged,
+    /// This node reaches no target.
+    CutOff,
+    /// The request or a part of its prompt is quarantined.
+    Quarantined,
+    /// The event loop has ended.
+    LoopEnded,
+}
+
+impl StallCause {
+    /// Name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::NotBegun => "not-begun",
+            Self::GroupChanged => "group-changed",
+            Self::CutOff => "cut-off",
+            Self::Quarantined => "quarantined",
+            Self::LoopEnded => "loop-ended",
+        }
+    }
+}
+
 /// Decision about an attempt whose target is silent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StallStep {
@@ -172,5 +206,5 @@
         until: ClockTime,
     },
     /// Abort the attempt; it ends as stalled.
-    Abort,
+    Abort(StallCause),
 }
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -57,7 +57,7 @@
     match claim_retry(&mut state.budget, &service, proof, now) {
         RetryOutcome::Granted(_) => dispatch(state, call, now),
         RetryOutcome::Exhausted => refuse(
-            RefusalReason::Exhausted,
+            RefusalReason::NoBudget,
             has_run,
             Some(state.settings.retry_after),
         ),
--- a/crates/relay/src/commands/stalls.rs
+++ b/crates/relay/src/commands/stalls.rs
@@ -6,7 +6,7 @@
 
 use crate::queries::choose_target;
 use crate::state::CallState;
-use crate::{Lane, RelayState, StallStep};
+use crate::{Lane, RelayState, StallCause, StallStep};
 
 /// Decides whether a request keeps waiting for a target that sends it no data.
 ///
@@ -35,7 +35,7 @@
         .is_some_and(|target| target.epoch == entry.epoch);
     if !is_same_group {
         return match can_move(state, entry, now) {
-            true => StallStep::Abort,
+            true => StallStep::Abort(StallCause::GroupChanged),
             false => wait,
         };
     }
@@ -55,9 +55,10 @@
         _ => entry.sent_at,
     };
     if now.since(since) >= limit {
-        match !entry.has_begun || can_move(state, entry, now) {
-            true => StallStep::Abort,
-            false => wait,
+        match entry.has_begun {
+            false => StallStep::Abort(StallCause::NotBegun),
+            true if can_move(state, entry, now) => StallStep::Abort(StallCause::Silent),
+            true => wait,
         }
     } else {
         let until = (since + limit).max(now + Duration::from_millis(1));
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,7 +23,8 @@
 pub mod queries;
 
 pub use call::{
-    AttemptEnd, CallArrival, CallStep, Refusal, RefusalReason, SendOrder, SentAttempt, StallStep,
+    AttemptEnd, CallArrival, CallStep, Refusal, RefusalReason, SendOrder, SentAttempt, StallCause,
+    StallStep,
 };
 pub use settings::RelaySettings;
 pub use state::RelayState;
--- a/crates/relay/tests/suite/choice.rs
+++ b/crates/relay/tests/suite/choice.rs
@@ -7,7 +7,7 @@
     update_engine_load, update_remote_counts,
 };
 use relay::queries::{local_counts, total_counts};
-use relay::{CallStep, LaneCounts, RefusalReason, StallStep};
+use relay::{CallStep, LaneCounts, RefusalReason, StallCause, StallStep};
 
 const FAST_RANK: u8 = 4;
 const SLOW_RANK: u8 = 8;
@@ -107,7 +107,10 @@
         check_stall(&state, CallId(1), at(1_100)),
         StallStep::Wait { .. }
     ));
-    assert_eq!(check_stall(&state, CallId(1), at(1_400)), StallStep::Abort);
+    assert_eq!(
+        check_stall(&state, CallId(1), at(1_400)),
+        StallStep::Abort(StallCause::Silent)
+    );
 }
 
 #[test]
@@ -137,7 +140,10 @@
         &mut state,
         vec![head(other, 2), head(order.target.as_str(), 7)],
     );
-    assert_eq!(check_stall(&state, CallId(1), at(60)), StallStep::Abort);
+    assert_eq!(
+        check_stall(&state, CallId(1), at(60)),
+        StallStep::Abort(StallCause::GroupChanged)
+    );
 }
 
 #[test]
@@ -151,7 +157,10 @@
         assert!(matches!(step, StallStep::Wait { .. }), "{millis} ms");
     }
     set_targets(&mut state, vec![head("h2", 2)]);
-    assert_eq!(check_stall(&state, CallId(1), at(3_060)), StallStep::Abort);
+    assert_eq!(
+        check_stall(&state, CallId(1), at(3_060)),
+        StallStep::Abort(StallCause::GroupChanged)
+    );
 }
 
 #[test]
@@ -224,7 +233,10 @@
         StallStep::Wait { .. }
     ));
     suspect_target(&mut state, &order.target, at(1_700));
-    assert_eq!(check_stall(&state, CallId(2), at(1_710)), StallStep::Abort);
+    assert_eq!(
+        check_stall(&state, CallId(2), at(1_710)),
+        StallStep::Abort(StallCause::NotBegun)
+    );
 }
 
 /// Request whose client's deadline is at `millis`.
