Soak: sound servers fall silent; streams that are cut then break an invariant

Users saw streams of sound servers end without their last chunk (LOST). The soak had no fault that suspends servers, so it could not show it, and it did not check streams that are cut.

PauseServers suspends some or all emulated servers, as SIGSTOP does a process: connections are accepted, nothing is answered, streams go on where they were; a group waits for any of its members. Plans have a series of three, each beside a change of the configuration. A stream that is cut before its client's deadline is a violation unless a fault, a crash or a partition of the last three seconds explains it.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -113,6 +113,8 @@
     drained: HashMap<String, Instant>,
     /// Announcements before this instant are not checked.
     drains_checked_from: Option<Instant>,
+    /// Streams that were sent before this instant may be cut.
+    cuts_checked_from: Option<Instant>,
     cut_tries: CutTries,
     /// Number of daemons.
     daemons: usize,
@@ -251,6 +253,21 @@
         self.drains_checked_from = self.drains_checked_from.max(Some(until));
     }
 
+    /// Excuses streams that are cut and were sent before an instant.
+    pub fn pause_cut_checks(&mut self, until: Instant) {
+        self.cuts_checked_from = self.cuts_checked_from.max(Some(until));
+    }
+
+    /// Records that a stream ended without a complete answer before its client's deadline.
+    pub fn record_cut_stream(&mut self, id: &str, sent_at: Instant, now: Instant) {
+        if self.cuts_checked_from.is_none_or(|from| sent_at >= from) {
+            let elapsed = now.duration_since(sent_at).as_millis();
+            self.violations.push(format!(
+                "stream {id} was cut after {elapsed} ms though no server had failed"
+            ));
+        }
+    }
+
     /// Records that a server has announced in the store that it is leaving.
     pub fn record_drain(&mut self, id: &str, now: Instant) {
         self.drained.insert(id.to_owned(), now);
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -22,6 +22,8 @@
 
 /// Time that a client waits for a complete response.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time before its client's deadline from which a stream may be cut for want of time.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(200);
 /// Time limit for a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest body of a response that is not a stream.
@@ -220,6 +222,7 @@
         web: &WebClient,
         deadline: ClockTime,
     ) -> RequestOutcome {
+        let sent_at = Instant::now();
         let request = http::Request::builder()
             .method(Method::POST)
             .uri(&self.path)
@@ -249,7 +252,8 @@
                 RequestOutcome::Failed
             }
             StatusCode::OK if self.kind == RequestKind::Stream => {
-                self.read_stream(context, *response, deadline).await
+                self.read_stream(context, *response, deadline, sent_at)
+                    .await
             }
             StatusCode::OK => self.read_body(context, *response, deadline).await,
             _ => {
@@ -287,12 +291,20 @@
         context: &ClientContext,
         mut response: IncomingResponse,
         deadline: ClockTime,
+        sent_at: Instant,
     ) -> RequestOutcome {
         let mut text = BytesMut::new();
         loop {
             match response.next_chunk(deadline).await {
                 ChunkOutcome::Chunk(chunk) => text.extend_from_slice(&chunk),
-                ChunkOutcome::Lost => return RequestOutcome::Failed,
+                ChunkOutcome::Lost => {
+                    let now = Instant::now();
+                    if now.duration_since(sent_at) + DEADLINE_MARGIN < CLIENT_TIMEOUT {
+                        let mut checker = context.checker.borrow_mut();
+                        checker.record_cut_stream(&self.id, sent_at, now);
+                    }
+                    return RequestOutcome::Failed;
+                }
                 ChunkOutcome::End => break,
             }
         }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -16,6 +16,13 @@
 const CUT_DURATION_MS: std::ops::Range<u64> = 3_000..7_000;
 /// Range of the duration of a silence of the store, in which unanswered calls add up.
 const SILENCE_DURATION_MS: std::ops::Range<u64> = 1_000..8_000;
+/// Range of the duration of a silence of sound servers.
+const SERVER_SILENCE_MS: std::ops::Range<u64> = 600..2_000;
+/// Silences of sound servers in a series, and the time from the start of one to the next.
+const SERVER_SILENCES: u32 = 3;
+const SERVER_SILENCE_INTERVAL: Duration = Duration::from_secs(3);
+/// Time from the start of a silence of sound servers to a change of the configuration.
+const CHANGE_DELAY: Duration = Duration::from_millis(300);
 /// Time from the store's return until the daemons must know its current state.
 const CONTACT_DELAY: Duration = Duration::from_millis(3_300);
 /// Time for which a stream comes that crashes servers after its first event.
@@ -117,6 +124,9 @@
     /// Watches that are waiting, or begin within this time, hear of no change until their wait
     /// is over.
     StoreDeafensWatches(Duration),
+    /// The servers from this slot on, this many, fall silent and go on where they were after this
+    /// long, as suspended processes do.
+    PauseServers(usize, usize, Duration),
     /// A server crashes; another one replaces it.
     Crash(usize),
     /// A request comes again and again, at any daemon, and crashes every server that begins to
@@ -225,6 +235,9 @@
                 };
                 insert_step(&mut steps, step);
             }
+            for step in silent_servers(&mut rng, size, hang_ms) {
+                insert_step(&mut steps, step);
+            }
             steps.extend(silent_store(&mut rng, Duration::from_millis(hang_ms)));
         }
         Self { steps }
@@ -272,6 +285,25 @@
     ]
 }
 
+/// Silences of sound servers, of one, some or all, each with a change of the configuration.
+fn silent_servers(rng: &mut StdRng, size: PlanSize, duration_ms: u64) -> Vec<FaultStep> {
+    let mut at = Duration::from_millis(rng.random_range(0..duration_ms));
+    let mut steps = Vec::new();
+    for _ in 0..SERVER_SILENCES {
+        let first = rng.random_range(0..size.servers);
+        let count = rng.random_range(1..=size.servers);
+        let silence = Duration::from_millis(rng.random_range(SERVER_SILENCE_MS));
+        if at + silence < Duration::from_millis(duration_ms) {
+            let fault = Fault::PauseServers(first, count, silence);
+            steps.push(FaultStep { at, fault });
+            let (at, fault) = (at + CHANGE_DELAY, Fault::ChangeConfig);
+            steps.push(FaultStep { at, fault });
+        }
+        at += SERVER_SILENCE_INTERVAL;
+    }
+    steps
+}
+
 /// Cut of one daemon, of most or of all from the servers.
 fn random_cut(rng: &mut StdRng, size: PlanSize) -> Fault {
     let modes = [LinkMode::Blackhole, LinkMode::Reset, LinkMode::RefuseNew];
--- a/crates/soak/src/platform/fleet.rs
+++ b/crates/soak/src/platform/fleet.rs
@@ -21,6 +21,9 @@
 /// Time from an order to open until the head serves.
 const OPEN_DURATION: Duration = Duration::from_millis(100);
 
+/// Time after a crash in which streams may find no other server.
+const CRASH_SETTLING_TIME: Duration = Duration::from_secs(3);
+
 /// Membership of a server in a group.
 #[derive(Clone, Debug)]
 pub(crate) struct GroupMembership {
@@ -49,6 +52,8 @@
     limit: Option<(f64, Instant)>,
     /// Until when it turns all requests away.
     busy_until: Option<Instant>,
+    /// Until when it is suspended.
+    paused_until: Option<Instant>,
     slot: usize,
     incarnation: u64,
     fabric: Option<String>,
@@ -72,6 +77,7 @@
             running: 0,
             limit: None,
             busy_until: None,
+            paused_until: None,
             slot,
             incarnation,
             fabric,
@@ -94,6 +100,11 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Whether it is suspended.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
+    }
+
     /// Limit that it names now, in requests a second.
     pub fn limit(&self, now: Instant) -> Option<f64> {
         self.limit
@@ -198,7 +209,7 @@
                     membership.state = "open";
                 }
             }
-            if is_silent {
+            if is_silent || server.is_paused(now) {
                 continue;
             }
             let store_entry = server.store_entry();
@@ -233,6 +244,23 @@
         self.servers[slot].busy_until = Some(until);
     }
 
+    /// Suspends servers until an instant: those from a slot on, around the end of the slots.
+    pub fn pause(&mut self, first: usize, count: usize, until: Instant) {
+        let slots = self.servers.len();
+        for index in 0..count.min(slots) {
+            let server = &mut self.servers[(first + index) % slots];
+            server.paused_until = server.paused_until.max(Some(until));
+        }
+    }
+
+    /// Whether a member of a group is suspended, for which its head waits.
+    pub fn is_group_paused(&self, membership: &GroupMembership, now: Instant) -> bool {
+        membership.members.iter().any(|id| {
+            let member = self.servers.iter().find(|server| server.id == *id);
+            member.is_some_and(|member| member.is_alive && member.is_paused(now))
+        })
+    }
+
     /// Makes a server announce in the store only that it is leaving.
     pub fn drain(&mut self, slot: usize, now: Instant) {
         let server = &mut self.servers[slot];
@@ -249,7 +277,11 @@
 
     /// Ends a server because of a request that it runs.
     pub fn crash(&mut self, slot: usize) {
-        self.checker.borrow_mut().record_deadly_run(Instant::now());
+        let now = Instant::now();
+        let mut checker = self.checker.borrow_mut();
+        checker.record_deadly_run(now);
+        checker.pause_cut_checks(now + CRASH_SETTLING_TIME);
+        drop(checker);
         self.stop(slot);
         self.crashed.push(slot);
     }
--- a/crates/soak/src/platform/server.rs
+++ b/crates/soak/src/platform/server.rs
@@ -25,6 +25,8 @@
 const STALL_DURATION: Duration = Duration::from_secs(5);
 /// Interval between two checks of a stalled group.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval between two checks of a suspended server.
+const PAUSE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Delay of an order that got no response.
 const ORDER_DELAY: Duration = Duration::from_millis(1_700);
 
@@ -36,6 +38,21 @@
 }
 
 impl ServerService {
+    /// Waits while the server is suspended.
+    async fn resumed(&self) {
+        while self.fleet.borrow().servers[self.slot].is_paused(Instant::now()) {
+            monoio::time::sleep(PAUSE_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Waits while the server or another member of its group is suspended.
+    async fn group_resumed(&self, membership: &GroupMembership) {
+        self.resumed().await;
+        while (self.fleet.borrow()).is_group_paused(membership, Instant::now()) {
+            monoio::time::sleep(PAUSE_POLL_INTERVAL).await;
+        }
+    }
+
     fn current_server(&self) -> SoakServer {
         let mut fleet = self.fleet.borrow_mut();
         fleet.advance(Instant::now());
@@ -122,6 +139,7 @@
     ) -> WebResponse {
         self.record_run(headers, path);
         monoio::time::sleep(PLAIN_DURATION).await;
+        self.resumed().await;
         if CrashMoment::of_path(path).is_some() {
             self.fleet.borrow_mut().crash(self.slot);
             return truncated_response();
@@ -179,6 +197,7 @@
         self.fleet.borrow_mut().servers[self.slot].running += 1;
         for event in first..=STREAM_EVENTS {
             monoio::time::sleep(EVENT_INTERVAL).await;
+            self.group_resumed(&membership).await;
             let stall_end = Instant::now() + STALL_DURATION;
             while !self.fleet.borrow().is_group_intact(&membership) && Instant::now() < stall_end {
                 monoio::time::sleep(POLL_INTERVAL).await;
@@ -232,6 +251,7 @@
                 Ok(body) => body,
                 Err(response) => return response,
             };
+            this.resumed().await;
             let server = this.current_server();
             let expected = header_text(&parts.headers, "x-bronzerun-expect-instance");
             if !expected.is_empty() && expected != server.id {
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -44,6 +44,8 @@
                 disturbed_until = now + duration;
             }
             Fault::CutFromServers(count, mode, duration) => {
+                let excused_until = now + duration + PROPAGATION_TIMEOUT;
+                self.checker.borrow_mut().pause_cut_checks(excused_until);
                 let hosts = self.client_context.entry_hosts.iter().take(count);
                 for (links, host) in self.daemon_server_links.iter().zip(hosts) {
                     host.cut.set(Some((now, now + duration)));
@@ -82,6 +84,9 @@
                 disturbed_until = now + away;
             }
             Fault::StoreCompacts => self.store.borrow_mut().compact(),
+            Fault::PauseServers(first, count, duration) => {
+                self.fleet.borrow_mut().pause(first, count, now + duration);
+            }
             Fault::Crash(slot) => self.stop_server(slot, now),
             Fault::Leave(slot) => {
                 self.fleet.borrow_mut().servers[slot].is_leaving = true;
@@ -142,6 +147,7 @@
                 | Fault::Limit(..)
                 | Fault::TurnAway(..)
                 | Fault::CutFromServers(..)
+                | Fault::PauseServers(..)
         );
         if is_disturbance {
             let strict_from =
@@ -150,6 +156,7 @@
             let mut checker = self.checker.borrow_mut();
             checker.pause_limit_checks(strict_from);
             checker.pause_drain_checks(strict_from);
+            checker.pause_cut_checks(strict_from);
             if !matches!(fault, Fault::DeadlyRequest(..) | Fault::DeadlyStream(_)) {
                 checker.pause_deadly_checks(disturbed_until + PROPAGATION_TIMEOUT);
             }
