--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -1,16 +1,15 @@
 //! Single attempts of requests at servers.
 
-use std::pin::pin;
 use std::rc::Rc;
 
 use base::prelude::*;
 use bytes::Bytes;
 use futures_channel::mpsc::UnboundedSender;
 use http::{HeaderMap, Method, StatusCode, Uri};
+use net::MetricSink;
 use net::web::{CallOutcome, IncomingResponse, WebClient, WebRequest, full_body};
-use net::{MetricSink, with_deadline};
 use notices::{ServerNotice, ServerRun};
-use relay::{AttemptEnd, SendOrder, StallCause, StallStep};
+use relay::{AttemptEnd, AttemptId, SendOrder, StallCause, StallStep};
 
 use super::EdgeReplies;
 use super::pass::{add_pass_headers, pass_outcome};
@@ -56,64 +55,67 @@
 impl AttemptContext {
     /// Sends a request and waits for the headers of the response.
     pub async fn attempt(
-        &self,
-        request: &ClientRequest,
-        order: &SendOrder,
+        self,
+        request: Rc<ClientRequest>,
+        order: SendOrder,
         last_event: Option<u64>,
     ) -> AttemptOutcome {
         let remaining_ms = order.deadline.since(self.clock.now()).as_millis() as u64;
-        log::info!(id:% = request.id, place:% = order.target, rank = order.rank, load = order.load, passed_over = order.passed_over, left = remaining_ms, last_event:? = last_event, via:? = order.via; "attempt started");
-        let Some(forwarded) = self.build_request(request, order, last_event) else {
+        log::info!(id:% = request.id, place:% = order.target, attempt = order.attempt.number, rank = order.rank, load = order.load, passed_over = order.passed_over, left = remaining_ms, last_event:? = last_event, via:? = order.via; "attempt started");
+        let Some(forwarded) = self.build_request(&request, &order, last_event) else {
             return AttemptOutcome::Ended(AttemptEnd::NotSent);
         };
         let address = order.via.unwrap_or(order.address);
-        let call = self.client.call(address, forwarded, order.deadline);
-        let mut call = pin!(call);
-        let mut check_at = order.check_at;
-        loop {
-            let until = check_at.min(order.deadline);
-            let outcome = with_deadline(self.clock.as_ref(), until, call.as_mut()).await;
-            match outcome {
-                Some(CallOutcome::Response(response)) => {
-                    let outcome = order
-                        .via
-                        .and_then(|_| pass_outcome(&response.parts.headers));
-                    if let Some(end) = outcome {
-                        drain_response(*response, self.clock.as_ref());
-                        return AttemptOutcome::Ended(end);
-                    }
-                    return self.check_response(request, order, *response);
-                }
-                Some(CallOutcome::NotSent) if order.via.is_some() => {
-                    return AttemptOutcome::Ended(AttemptEnd::NotPassedOn);
+        let outcome = self.client.call(address, forwarded, order.deadline).await;
+        match outcome {
+            CallOutcome::Response(response) => {
+                let end = order
+                    .via
+                    .and_then(|_| pass_outcome(&response.parts.headers));
+                if let Some(end) = end {
+                    drain_response(*response, self.clock.as_ref());
+                    return AttemptOutcome::Ended(end);
                 }
-                Some(CallOutcome::NotSent) => return AttemptOutcome::Ended(AttemptEnd::NotSent),
-                Some(CallOutcome::Lost) if self.clock.now() >= order.deadline => {
-                    return AttemptOutcome::DeadlinePassed;
-                }
-                Some(CallOutcome::Lost) => return AttemptOutcome::Ended(AttemptEnd::Lost),
-                None if self.clock.now() >= order.deadline => {
-                    return AttemptOutcome::DeadlinePassed;
-                }
-                None => match self.check_stall(request).await {
-                    StallStep::Wait { until } => check_at = until,
-                    StallStep::Abort(_) => return AttemptOutcome::Ended(AttemptEnd::Stalled),
-                },
+                self.check_response(&request, &order, *response)
+            }
+            CallOutcome::NotSent if order.via.is_some() => {
+                AttemptOutcome::Ended(AttemptEnd::NotPassedOn)
             }
+            CallOutcome::NotSent => AttemptOutcome::Ended(AttemptEnd::NotSent),
+            CallOutcome::Lost if self.clock.now() >= order.deadline => {
+                AttemptOutcome::DeadlinePassed
+            }
+            CallOutcome::Lost => AttemptOutcome::Ended(AttemptEnd::Lost),
         }
     }
 
     /// Asks the event loop what to do about a server that sends nothing.
-    pub async fn check_stall(&self, request: &ClientRequest) -> StallStep {
-        let question = EdgeQuestion::Check(request.call);
+    pub async fn check_stall(
+        &self,
+        request: &ClientRequest,
+        attempt: AttemptId,
+        is_answering: bool,
+    ) -> StallStep {
+        let question = EdgeQuestion::Check {
+            attempt,
+            is_answering,
+        };
         let step = match self.replies.request(question).await {
             Some(EdgeReply::Stall(step)) => step,
             _ => StallStep::Abort(StallCause::LoopEnded),
         };
-        if let StallStep::Abort(cause) = step {
-            log::info!(id:% = request.id, cause = cause.as_str(); "server given up");
-            let labels = [("cause", cause.as_str())];
-            self.metrics.count("given_up_attempts", &labels, 1);
+        match &step {
+            StallStep::Wait { .. } => {}
+            StallStep::Move(cause, _) => {
+                log::info!(id:% = request.id, cause = cause.as_str(); "server silent, another one is tried");
+                let labels = [("cause", cause.as_str())];
+                self.metrics.count("moved_attempts", &labels, 1);
+            }
+            StallStep::Abort(cause) => {
+                log::info!(id:% = request.id, cause = cause.as_str(); "server given up");
+                let labels = [("cause", cause.as_str())];
+                self.metrics.count("given_up_attempts", &labels, 1);
+            }
         }
         step
     }
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -14,9 +14,10 @@
     CollectOutcome, IncomingResponse, ReceiveError, RequestBody, WebLimits, WebResponse,
     WebService, body_channel, full_body, receive_body, text_response,
 };
-use relay::{AttemptEnd, CallStep};
+use relay::{AttemptEnd, CallStep, SendOrder};
 
-use super::attempt::{AttemptContext, AttemptOutcome, ClientRequest};
+use super::attempt::{AttemptContext, ClientRequest};
+use super::attempts::{AttemptSignal, OpenAttempts};
 use super::digest::request_digest;
 use super::events::EventBuffer;
 use super::labels::RequestLabels;
@@ -28,8 +29,6 @@
 
 /// Largest response that is buffered.
 const MAX_BUFFERED_BYTES: usize = 8 * 1_024 * 1_024;
-/// Time without bytes of a stream after which the event loop is asked about its server.
-const STREAM_STALL_TIMEOUT: Duration = Duration::from_millis(170);
 
 /// Service of the client listener.
 #[derive(Clone)]
@@ -43,7 +42,7 @@
 
 /// Request that was accepted by a route.
 pub(super) struct AcceptedRequest {
-    pub request: ClientRequest,
+    pub request: Rc<ClientRequest>,
     pub route: Arc<Route>,
     arrived_at: ClockTime,
     deadline: ClockTime,
@@ -130,7 +129,7 @@
                     is_ranked: metadata.model.is_some(),
                 };
                 let accepted = AcceptedRequest {
-                    request,
+                    request: Rc::new(request),
                     route,
                     arrived_at: now,
                     deadline,
@@ -164,22 +163,25 @@
 
     /// Makes attempts until one gets a response or the event loop refuses another.
     async fn attempt_until_done(&self, accepted: AcceptedRequest, first: CallStep) -> WebResponse {
+        let (request, deadline) = (accepted.request.clone(), accepted.deadline);
+        let mut attempts = OpenAttempts::new(self.context.clone(), request, deadline);
         let mut step = first;
         // Error response of a server, which is returned if no other server does better.
         let mut failure: Option<WebResponse> = None;
         loop {
-            let order = match step {
-                CallStep::Send(order) => order,
+            match step {
+                CallStep::Send(order) => attempts.send(order, None),
+                CallStep::Wait => {}
                 CallStep::Refuse(refusal) => {
                     log::info!(id:% = accepted.request.id, route:% = accepted.route.name, reason = refusal.reason.as_str(), may_have_run = refusal.may_have_run, has_answer = failure.is_some(); "request failed");
                     return failure.unwrap_or_else(|| refusal_response(&refusal));
                 }
-            };
-            let end = match self.context.attempt(&accepted.request, &order, None).await {
-                AttemptOutcome::Response(incoming) => {
+            }
+            let (order, end) = match attempts.next(None).await {
+                AttemptSignal::Response(order, incoming) => {
                     let status = incoming.parts.status;
                     if accepted.route.kind.is_stream() && status.is_success() {
-                        return self.relay_stream(accepted, *incoming);
+                        return self.relay_stream(accepted, attempts, order, incoming);
                     }
                     match self.collect(*incoming, accepted.deadline).await {
                         Some(response) => {
@@ -192,25 +194,30 @@
                                 return response;
                             }
                             failure = Some(response);
-                            AttemptEnd::Failed
+                            (order, AttemptEnd::Failed)
                         }
                         None if self.context.clock.now() >= accepted.deadline => {
                             return timeout_response();
                         }
-                        None => AttemptEnd::Lost,
+                        None => (order, AttemptEnd::Lost),
                     }
                 }
-                AttemptOutcome::Ended(end) => end,
-                AttemptOutcome::DeadlinePassed => {
-                    log::info!(id:% = accepted.request.id, route:% = accepted.route.name, place:% = order.target; "request timed out at the server");
+                AttemptSignal::Ended(order, end) => (order, end),
+                // No body is read here but by `collect`.
+                AttemptSignal::Chunk(..) => {
+                    step = CallStep::Wait;
+                    continue;
+                }
+                AttemptSignal::DeadlinePassed => {
+                    log::info!(id:% = accepted.request.id, route:% = accepted.route.name; "request timed out at the server");
                     return failure.unwrap_or_else(timeout_response);
                 }
             };
-            log::info!(id:% = accepted.request.id, place:% = order.target, end = end.as_str(); "attempt failed");
+            log::info!(id:% = accepted.request.id, place:% = order.target, attempt = order.attempt.number, end = end.as_str(); "attempt failed");
             self.context
                 .metrics
                 .count("ended_attempts", &[("end", end.as_str())], 1);
-            let question = EdgeQuestion::Ended(accepted.request.call, end);
+            let question = EdgeQuestion::Ended(order.attempt, end);
             step = match self.context.replies.request(question).await {
                 Some(EdgeReply::Step(step)) => step,
                 _ => return text_response(StatusCode::BAD_GATEWAY, "this node is about to end"),
@@ -236,8 +243,14 @@
         }
     }
 
-    /// Starts to relay a stream.
-    fn relay_stream(&self, accepted: AcceptedRequest, incoming: IncomingResponse) -> WebResponse {
+    /// Starts to relay a stream. Attempts that are under way stay open until its first event.
+    fn relay_stream(
+        &self,
+        accepted: AcceptedRequest,
+        mut attempts: OpenAttempts,
+        order: SendOrder,
+        incoming: Box<IncomingResponse>,
+    ) -> WebResponse {
         let (sender, body) = body_channel();
         let mut response = Response::new(body);
         *response.status_mut() = incoming.parts.status;
@@ -250,21 +263,23 @@
         // Another server may send the rest, with events of other lengths, and a stream that was
         // broken off must not look complete because it has the announced length.
         response.headers_mut().remove(CONTENT_LENGTH);
+        attempts.read(order, incoming, EventBuffer::after(accepted.last_event));
         let stream = RelayedStream {
             labels: RequestLabels::of(&accepted),
             context: self.context.clone(),
             request: accepted.request,
+            attempts,
             route: accepted.route.name.clone(),
             pauses: PauseMeter::new(accepted.arrived_at),
             guard: accepted.guard,
             deadline: accepted.deadline,
-            stall_timeout: STREAM_STALL_TIMEOUT,
-            buffer: EventBuffer::after(accepted.last_event),
+            last_event: accepted.last_event,
             kind,
             is_resumable,
             is_answered: false,
+            progress_sent_at: None,
         };
-        monoio::spawn(stream.run(incoming, sender));
+        monoio::spawn(stream.run(sender));
         response
     }
 }
--- a/crates/edge/src/border/mod.rs
+++ b/crates/edge/src/border/mod.rs
@@ -1,6 +1,7 @@
 //! Input and output with clients, servers, the store and the other nodes.
 
 mod attempt;
+mod attempts;
 mod crashes;
 mod digest;
 pub mod events;
--- a/crates/edge/src/border/stream.rs
+++ b/crates/edge/src/border/stream.rs
@@ -1,17 +1,21 @@
 //! Relay of streams from servers to clients.
 
+use std::ops::ControlFlow;
 use std::pin::pin;
+use std::rc::Rc;
 
 use base::prelude::*;
+use bytes::Bytes;
 use futures_channel::mpsc::UnboundedSender;
 use futures_util::future::{Either, select};
 use http::header::CONTENT_TYPE;
 use http::response::Parts;
 use http::{HeaderValue, StatusCode};
-use net::web::{BodySender, ChunkOutcome, IncomingResponse};
-use relay::{AttemptEnd, CallStep, RefusalReason, StallStep};
+use net::web::{BodySender, ChunkOutcome};
+use relay::{AttemptEnd, AttemptId, CallStep, RefusalReason};
 
-use super::attempt::{AttemptContext, AttemptOutcome, ClientRequest};
+use super::attempt::{AttemptContext, ClientRequest};
+use super::attempts::{AttemptSignal, OpenAttempts};
 use super::events::{EventBuffer, has_complete_event};
 use super::labels::RequestLabels;
 use crate::{EdgeEvent, EdgeQuestion, EdgeReply};
@@ -37,21 +41,24 @@
 /// Stream that is being relayed.
 pub(super) struct RelayedStream {
     pub context: AttemptContext,
-    pub request: ClientRequest,
+    pub request: Rc<ClientRequest>,
+    /// Attempts whose responses are read, or that are under way.
+    pub attempts: OpenAttempts,
     /// Name of the route, for logs.
     pub route: Arc<str>,
     pub labels: RequestLabels,
     pub guard: CallGuard,
     pub deadline: ClockTime,
-    /// Time without bytes after which the event loop is asked about the server.
-    pub stall_timeout: Duration,
-    pub buffer: EventBuffer,
+    /// Number of the last event that the client was sent.
+    pub last_event: Option<u64>,
     /// Kind of the response, which each server that resumes the stream must give.
     pub kind: ResponseKind,
     /// Whether it can be resumed at another server.
     pub is_resumable: bool,
     /// Whether its first complete event was reported.
     pub is_answered: bool,
+    /// Instant at which progress was last reported.
+    pub progress_sent_at: Option<ClockTime>,
     pub pauses: PauseMeter,
 }
 
@@ -129,27 +136,18 @@
 }
 
 impl RelayedStream {
-    /// Relays events until the stream is complete, can't be resumed, or the client has
+    /// Relays events until the stream is complete, no server goes on with it, or the client has
     /// disconnected.
-    pub async fn run(mut self, first: IncomingResponse, mut body: BodySender) {
-        let mut response = first;
-        let end = loop {
-            match self.relay_events(response, &mut body).await {
-                Ok(end) => break end,
-                Err(attempt) => match self.resume(attempt, &mut body).await {
-                    Some(next) => response = next,
-                    None => break StreamEnd::Cut,
-                },
-            }
-        };
+    pub async fn run(mut self, mut body: BodySender) {
+        let end = self.relay_events(&mut body).await;
         if end == StreamEnd::Whole {
             // The event loop ends only when the process is about to exit.
             let completed = EdgeEvent::Completed(self.guard.call);
             let _ = self.guard.events.unbounded_send(completed);
         }
-        let last_event = self.buffer.last_id();
         let first_ms = self.pauses.first.as_millis() as u64;
         let pause_ms = self.pauses.longest.as_millis() as u64;
+        let last_event = self.last_event;
         log::info!(id:% = self.request.id, route:% = self.route, end:? = end, first_ms, pause_ms, last_event:? = last_event; "stream ended");
         let metrics = self.context.metrics.as_ref();
         self.labels.count_stream(metrics, end.as_str());
@@ -162,84 +160,156 @@
         }
     }
 
-    /// Relays one server's events; the error is the end of a failed attempt.
-    async fn relay_events(
-        &mut self,
-        mut response: IncomingResponse,
-        body: &mut BodySender,
-    ) -> Result<StreamEnd, AttemptEnd> {
-        let clock = self.context.clock.clone();
-        let mut check_at = clock.now() + self.stall_timeout;
-        let mut progress_sent_at: Option<ClockTime> = None;
+    async fn relay_events(&mut self, body: &mut BodySender) -> StreamEnd {
         loop {
-            let until = check_at.min(self.deadline);
-            let chunk = {
-                let next = pin!(response.poll_chunk(until));
+            let signal = {
+                let next = pin!(self.attempts.next(self.last_event));
                 let disconnected = pin!(body.closed());
                 match select(next, disconnected).await {
-                    Either::Left((chunk, _)) => chunk,
-                    Either::Right(_) => return Ok(StreamEnd::Left),
+                    Either::Left((signal, _)) => signal,
+                    Either::Right(_) => return StreamEnd::Left,
                 }
             };
-            let now = clock.now();
-            match chunk {
-                Some(ChunkOutcome::Chunk(_)) if now >= self.deadline => return Ok(StreamEnd::Cut),
-                Some(ChunkOutcome::Chunk(bytes)) => {
-                    let complete = match self.buffer.push(&bytes) {
-                        Ok(complete) => complete,
-                        Err(error) => {
-                            log::warn!(id:% = self.request.id; "stream of the server given up: {error}");
-                            return Err(AttemptEnd::Cut);
-                        }
-                    };
-                    // Bytes that don't complete an event are no progress, however many there are.
-                    let is_progress = !complete.is_empty();
-                    if is_progress {
-                        check_at = now + self.stall_timeout;
-                    }
-                    if is_progress
-                        && progress_sent_at.is_none_or(|at| now.since(at) >= PROGRESS_INTERVAL)
-                    {
-                        progress_sent_at = Some(now);
-                        // The event loop ends only when the process is about to exit.
-                        let _ = self
-                            .guard
-                            .events
-                            .unbounded_send(EdgeEvent::Progress(self.guard.call));
-                    }
-                    let events = if self.is_resumable { complete } else { bytes };
-                    if !events.is_empty() {
-                        self.pauses.record(now);
-                        self.report_answer(&events);
-                    }
-                    if !events.is_empty() && body.send(events).await.is_err() {
-                        return Ok(StreamEnd::Left);
-                    }
+            let next = match signal {
+                AttemptSignal::DeadlinePassed => ControlFlow::Break(StreamEnd::Cut),
+                AttemptSignal::Chunk(attempt, chunk) => {
+                    self.relay_chunk(attempt, chunk, body).await
                 }
-                Some(ChunkOutcome::End) if self.buffer.is_within_event() => {
-                    return Err(AttemptEnd::Cut);
+                AttemptSignal::Response(order, response)
+                    if ResponseKind::of(&response.parts) == self.kind =>
+                {
+                    let buffer = EventBuffer::after(self.last_event);
+                    self.attempts.read(order, response, buffer);
+                    ControlFlow::Continue(())
                 }
-                Some(ChunkOutcome::End) => {
-                    response.finish();
-                    if !self.is_resumable {
-                        return Ok(StreamEnd::Whole);
-                    }
-                    let rest = self.buffer.take_rest();
-                    if !rest.is_empty() && body.send(rest).await.is_err() {
-                        return Ok(StreamEnd::Left);
-                    }
-                    return Ok(StreamEnd::Whole);
+                AttemptSignal::Response(order, response) => {
+                    super::attempt::drain_response(*response, self.context.clock.as_ref());
+                    self.end_attempt(order.attempt, AttemptEnd::Failed).await
                 }
-                Some(ChunkOutcome::Lost) => return Err(AttemptEnd::Cut),
-                None if now >= self.deadline => return Ok(StreamEnd::Cut),
-                None => match self.context.check_stall(&self.request).await {
-                    StallStep::Wait { until } => check_at = until,
-                    StallStep::Abort(_) => {
-                        response.abandon();
-                        return Err(AttemptEnd::Stalled);
-                    }
-                },
+                AttemptSignal::Ended(order, end) => self.end_attempt(order.attempt, end).await,
+            };
+            if let ControlFlow::Break(end) = next {
+                return end;
+            }
+        }
+    }
+
+    /// Relays the next part of one server's response.
+    async fn relay_chunk(
+        &mut self,
+        attempt: AttemptId,
+        chunk: ChunkOutcome,
+        body: &mut BodySender,
+    ) -> ControlFlow<StreamEnd> {
+        let now = self.context.clock.now();
+        match chunk {
+            ChunkOutcome::Chunk(_) if now >= self.deadline => ControlFlow::Break(StreamEnd::Cut),
+            ChunkOutcome::Chunk(bytes) => self.relay_bytes(attempt, bytes, body, now).await,
+            ChunkOutcome::End if self.is_within_event(attempt) => self.lose_attempt(attempt).await,
+            ChunkOutcome::End => self.end_whole(attempt, body).await,
+            ChunkOutcome::Lost => self.lose_attempt(attempt).await,
+        }
+    }
+
+    async fn relay_bytes(
+        &mut self,
+        attempt: AttemptId,
+        bytes: Bytes,
+        body: &mut BodySender,
+        now: ClockTime,
+    ) -> ControlFlow<StreamEnd> {
+        let Some(buffer) = self.attempts.buffer(attempt) else {
+            return ControlFlow::Continue(());
+        };
+        let complete = match buffer.push(&bytes) {
+            Ok(complete) => complete,
+            Err(error) => {
+                log::warn!(id:% = self.request.id; "stream of the server given up: {error}");
+                return self.lose_attempt(attempt).await;
             }
+        };
+        let last_event = buffer.last_id();
+        // Bytes that don't complete an event are no progress, however many there are.
+        if !complete.is_empty() {
+            self.last_event = last_event;
+            self.report_progress(attempt, now);
+        }
+        let events = if self.is_resumable { complete } else { bytes };
+        if events.is_empty() {
+            return ControlFlow::Continue(());
+        }
+        self.pauses.record(now);
+        self.report_answer(&events);
+        match body.send(events).await {
+            Ok(()) => ControlFlow::Continue(()),
+            Err(_) => ControlFlow::Break(StreamEnd::Left),
+        }
+    }
+
+    /// Ends the other attempts, and reports progress unless it was reported a moment ago.
+    fn report_progress(&mut self, attempt: AttemptId, now: ClockTime) {
+        let has_moved = self.attempts.keep_only(attempt);
+        let is_due = |at: ClockTime| now.since(at) >= PROGRESS_INTERVAL;
+        if has_moved || self.progress_sent_at.is_none_or(is_due) {
+            self.progress_sent_at = Some(now);
+            // The event loop ends only when the process is about to exit.
+            let progress = EdgeEvent::Progress(attempt);
+            let _ = self.guard.events.unbounded_send(progress);
+        }
+    }
+
+    fn is_within_event(&mut self, attempt: AttemptId) -> bool {
+        let buffer = self.attempts.buffer(attempt);
+        buffer.is_some_and(|buffer| buffer.is_within_event())
+    }
+
+    /// Ends the response after a server's last event.
+    async fn end_whole(
+        &mut self,
+        attempt: AttemptId,
+        body: &mut BodySender,
+    ) -> ControlFlow<StreamEnd> {
+        let rest = self.attempts.buffer(attempt).map(EventBuffer::take_rest);
+        if let Some((_, Some(response))) = self.attempts.remove(attempt) {
+            response.finish();
+        }
+        let rest = rest.filter(|rest| self.is_resumable && !rest.is_empty());
+        if let Some(rest) = rest
+            && body.send(rest).await.is_err()
+        {
+            return ControlFlow::Break(StreamEnd::Left);
+        }
+        ControlFlow::Break(StreamEnd::Whole)
+    }
+
+    /// Ends an attempt whose server broke off.
+    async fn lose_attempt(&mut self, attempt: AttemptId) -> ControlFlow<StreamEnd> {
+        self.attempts.remove(attempt);
+        self.end_attempt(attempt, AttemptEnd::Cut).await
+    }
+
+    /// Asks the event loop what follows the end of an attempt.
+    async fn end_attempt(&mut self, attempt: AttemptId, end: AttemptEnd) -> ControlFlow<StreamEnd> {
+        let (number, open) = (attempt.number, self.attempts.count());
+        log::info!(id:% = self.request.id, attempt = number, end = end.as_str(), open, last_event:? = self.last_event; "stream interrupted");
+        if !self.is_resumable {
+            // The event loop ends only when the process is about to exit.
+            let broken = EdgeEvent::Broken(attempt, end);
+            let _ = self.guard.events.unbounded_send(broken);
+            return ControlFlow::Break(StreamEnd::Cut);
+        }
+        let question = EdgeQuestion::Ended(attempt, end);
+        match self.context.replies.request(question).await {
+            Some(EdgeReply::Step(CallStep::Send(order))) => {
+                self.attempts.send(order, self.last_event);
+                ControlFlow::Continue(())
+            }
+            Some(EdgeReply::Step(CallStep::Wait)) => ControlFlow::Continue(()),
+            Some(EdgeReply::Step(CallStep::Refuse(refusal))) => {
+                self.report_refusal(refusal.reason);
+                ControlFlow::Break(StreamEnd::Cut)
+            }
+            _ => ControlFlow::Break(StreamEnd::Cut),
         }
     }
 
@@ -262,54 +332,4 @@
         let metrics = self.context.metrics.as_ref();
         metrics.count("unresumed_streams", &labels, 1);
     }
-
-    /// Resumes the stream at another server after the last complete event.
-    async fn resume(&mut self, end: AttemptEnd, body: &mut BodySender) -> Option<IncomingResponse> {
-        if !self.is_resumable {
-            // The event loop ends only when the process is about to exit.
-            let broken = EdgeEvent::Broken(self.guard.call, end);
-            let _ = self.guard.events.unbounded_send(broken);
-            return None;
-        }
-        self.buffer.drop_partial();
-        let resumption = async {
-            let mut end = end;
-            loop {
-                log::info!(id:% = self.request.id, end = end.as_str(), last_event:? = self.buffer.last_id(); "stream interrupted");
-                let question = EdgeQuestion::Ended(self.guard.call, end);
-                let order = match self.context.replies.request(question).await {
-                    Some(EdgeReply::Step(CallStep::Send(order))) => order,
-                    Some(EdgeReply::Step(CallStep::Refuse(refusal))) => {
-                        self.report_refusal(refusal.reason);
-                        return None;
-                    }
-                    _ => return None,
-                };
-                let last_event = self.buffer.last_id();
-                match self
-                    .context
-                    .attempt(&self.request, &order, last_event)
-                    .await
-                {
-                    AttemptOutcome::Response(response)
-                        if ResponseKind::of(&response.parts) == self.kind =>
-                    {
-                        return Some(*response);
-                    }
-                    AttemptOutcome::Response(response) => {
-                        super::attempt::drain_response(*response, self.context.clock.as_ref());
-                        end = AttemptEnd::Failed;
-                    }
-                    AttemptOutcome::Ended(next) => end = next,
-                    AttemptOutcome::DeadlinePassed => return None,
-                }
-            }
-        };
-        let resumption = pin!(resumption);
-        let disconnected = pin!(body.closed());
-        match select(resumption, disconnected).await {
-            Either::Left((response, _)) => response,
-            Either::Right(_) => None,
-        }
-    }
 }
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -3,10 +3,12 @@
 use base::prelude::*;
 use intent::queries::{AccessOutcome, check_access, find_route, pick_service};
 use quarantine::CallSuspects;
-use relay::{AttemptEnd, CallArrival, CallStep, StallCause, StallStep};
+use relay::{AttemptEnd, AttemptId, CallArrival, CallStep, StallCause, StallStep};
 
 use super::quarantine::{block_call, record_crash, record_sustained_answer};
-use super::reach::{is_stranded, is_untrusted, pass_elsewhere, record_trouble, route_attempt};
+use super::reach::{
+    is_stranded, is_untrusted, leave_stranded, pass_elsewhere, record_trouble, route_attempt,
+};
 use crate::{Arrival, ArrivalOutcome, EdgeEffect, EdgeState, RejectReason};
 
 /// Checks a request against the active configuration and chooses its first step.
@@ -57,7 +59,7 @@
         },
         now,
     );
-    let step = route_attempt(state, arrival.call, step, now);
+    let step = route_attempt(state, step, now);
     ArrivalOutcome::Accepted {
         version: config.version,
         route: route.clone(),
@@ -70,17 +72,17 @@
 /// Records the end of an attempt and returns the next step of the request.
 pub(crate) fn end_attempt(
     state: &mut EdgeState,
-    call: CallId,
+    attempt: AttemptId,
     end: AttemptEnd,
     now: ClockTime,
 ) -> CallStep {
     if end == AttemptEnd::NotPassedOn
-        && let Some(step) = pass_elsewhere(state, call, now)
+        && let Some(step) = pass_elsewhere(state, attempt, now)
     {
         return step;
     }
-    let target = relay::queries::target_of(&state.relay, call).cloned();
-    let is_direct = !state.passed.contains_key(&call);
+    let target = relay::queries::target_of(&state.relay, attempt).cloned();
+    let is_direct = !state.passed.contains_key(&attempt);
     if let Some(server) = target.as_ref().filter(|_| is_direct && is_unanswered(end)) {
         record_trouble(state, server, now);
     }
@@ -88,11 +90,15 @@
     if let Some(head) = target.filter(|_| is_group_lost) {
         report_silent_head(state, head, now);
     }
-    if record_crash(state, call, end, now) {
-        return relay::commands::give_up(&mut state.relay, call, end, now);
+    let is_crash_suspect = record_crash(state, attempt, end, now);
+    if quarantine::queries::is_call_blocked(&state.quarantine, attempt.call) {
+        return relay::commands::abort_call(&mut state.relay, attempt.call);
     }
-    let step = relay::commands::end_attempt(&mut state.relay, call, end, now);
-    route_attempt(state, call, step, now)
+    if is_crash_suspect {
+        return relay::commands::give_up(&mut state.relay, attempt, end, now);
+    }
+    let step = relay::commands::end_attempt(&mut state.relay, attempt, end, now);
+    route_attempt(state, step, now)
 }
 
 /// Whether an attempt ended without a response.
@@ -103,23 +109,34 @@
     )
 }
 
-/// Decides whether an attempt without progress goes on, and reports its head to the
+/// Decides whether an attempt without progress goes on alone, and reports its head to the
 /// owner of the groups if it is silent.
-pub(crate) fn check_stall(state: &mut EdgeState, call: CallId, now: ClockTime) -> StallStep {
-    if let Some(head) = relay::commands::silent_target(&state.relay, call, now) {
-        if !state.passed.contains_key(&call) {
+pub(crate) fn check_stall(
+    state: &mut EdgeState,
+    attempt: AttemptId,
+    is_answering: bool,
+    now: ClockTime,
+) -> StallStep {
+    if let Some(head) = relay::commands::silent_target(&state.relay, attempt, now) {
+        if !state.passed.contains_key(&attempt) {
             record_trouble(state, &head, now);
         }
         relay::commands::suspect_target(&mut state.relay, &head, now);
         report_silent_head(state, head, now);
     }
-    if is_stranded(state, call) {
-        return StallStep::Abort(StallCause::CutOff);
-    }
-    if quarantine::queries::is_call_blocked(&state.quarantine, call) {
+    if quarantine::queries::is_call_blocked(&state.quarantine, attempt.call) {
         return StallStep::Abort(StallCause::Quarantined);
     }
-    relay::commands::check_stall(&state.relay, call, now)
+    if is_stranded(state, attempt) {
+        return leave_stranded(state, attempt, is_answering, now);
+    }
+    match relay::commands::check_stall(&mut state.relay, attempt, now) {
+        StallStep::Move(cause, order) => match route_attempt(state, CallStep::Send(*order), now) {
+            CallStep::Send(order) => StallStep::Move(cause, Box::new(order)),
+            _ => unreachable!("an order stays an order"),
+        },
+        step => step,
+    }
 }
 
 /// Makes the owner of the groups probe a head's members at once.
@@ -138,24 +155,24 @@
 /// Records the end of an attempt whose request can't be sent again.
 pub(crate) fn record_broken_attempt(
     state: &mut EdgeState,
-    call: CallId,
+    attempt: AttemptId,
     end: AttemptEnd,
     now: ClockTime,
 ) {
-    let target = relay::queries::target_of(&state.relay, call).cloned();
-    let is_direct = !state.passed.contains_key(&call);
+    let target = relay::queries::target_of(&state.relay, attempt).cloned();
+    let is_direct = !state.passed.contains_key(&attempt);
     if let Some(server) = target.filter(|_| is_direct && is_unanswered(end)) {
         record_trouble(state, &server, now);
     }
-    record_crash(state, call, end, now);
+    record_crash(state, attempt, end, now);
 }
 
 /// Records that complete events of a response arrived.
 pub(crate) fn record_progress(
     state: &mut EdgeState,
-    call: CallId,
+    attempt: AttemptId,
     now: ClockTime,
 ) -> Vec<EdgeEffect> {
-    relay::commands::record_progress(&mut state.relay, call, now);
-    record_sustained_answer(state, call, now)
+    relay::commands::record_progress(&mut state.relay, attempt, now);
+    record_sustained_answer(state, attempt.call, now)
 }
--- a/crates/edge/src/commands/quarantine.rs
+++ b/crates/edge/src/commands/quarantine.rs
@@ -10,7 +10,7 @@
 };
 use quarantine::{CallSuspects, CrashEvidence, CrashSuspect, CrashVerdict, ServerCrash};
 use reach::queries::is_cut_off;
-use relay::AttemptEnd;
+use relay::{AttemptEnd, AttemptId};
 
 use crate::peer::{Digest, PeerMessage};
 use crate::queries::{is_hub, sends_sums_to, uses_hubs};
@@ -92,16 +92,17 @@
 /// returns whether the request must not be sent to another server.
 pub(super) fn record_crash(
     state: &mut EdgeState,
-    call: CallId,
+    attempt: AttemptId,
     end: AttemptEnd,
     now: ClockTime,
 ) -> bool {
+    let call = attempt.call;
     let is_given_up = quarantine::queries::is_call_blocked(&state.quarantine, call);
     let is_crash = matches!(end, AttemptEnd::Lost | AttemptEnd::Cut);
     if !is_crash || is_cut_off(&state.reach) {
         return is_given_up;
     }
-    let Some(attempt) = relay::queries::attempt_of(&state.relay, call) else {
+    let Some(attempt) = relay::queries::attempt_of(&state.relay, attempt) else {
         return is_given_up;
     };
     let crash = ServerCrash::of(&attempt.target, attempt.incarnation, attempt.epoch);
--- a/crates/edge/src/commands/reach.rs
+++ b/crates/edge/src/commands/reach.rs
@@ -7,7 +7,7 @@
 use reach::ReachChange;
 use reach::commands::{exclude_node, record_response, repeat_trial, start_trial};
 use reach::queries::{choose_node, is_cut_off, is_doubtful};
-use relay::{CallStep, SendOrder, SendTarget};
+use relay::{AttemptId, CallStep, SendOrder, SendTarget, StallCause, StallStep};
 use replicas::commands::retry_probe;
 use replicas::{Presence, ProbeOutcome};
 
@@ -16,6 +16,8 @@
 use crate::state::PassedAttempt;
 use crate::{EdgeEffect, EdgeState};
 
+/// Interval between checks of a request that waits for a server that this node doesn't reach.
+const STRANDED_CHECK_INTERVAL: Duration = Duration::from_millis(60);
 /// Nodes that are asked to pass one attempt on.
 const MAX_REFUSALS: u32 = 10;
 
@@ -36,15 +38,15 @@
 }
 
 /// Has another node pass an attempt on if this node is cut off.
-pub(super) fn route_attempt(
-    state: &mut EdgeState,
-    call: CallId,
-    step: CallStep,
-    now: ClockTime,
-) -> CallStep {
-    state.passed.remove(&call);
+pub(super) fn route_attempt(state: &mut EdgeState, step: CallStep, now: ClockTime) -> CallStep {
     match step {
-        CallStep::Send(order) if is_cut_off(&state.reach) => pass_on(state, call, order, 0, now),
+        CallStep::Send(order) => {
+            state.passed.remove(&order.attempt);
+            match is_cut_off(&state.reach) {
+                true => CallStep::Send(pass_on(state, order, 0, now)),
+                false => CallStep::Send(order),
+            }
+        }
         step => step,
     }
 }
@@ -52,46 +54,51 @@
 /// Asks another node after one that did not pass an attempt on; `None` if there is none.
 pub(super) fn pass_elsewhere(
     state: &mut EdgeState,
-    call: CallId,
+    attempt: AttemptId,
     now: ClockTime,
 ) -> Option<CallStep> {
-    let attempt = state.passed.remove(&call)?;
-    exclude_node(&mut state.reach, attempt.node, now);
-    let refusals = attempt.refusals + 1;
+    let passed = state.passed.remove(&attempt)?;
+    exclude_node(&mut state.reach, passed.node, now);
+    let refusals = passed.refusals + 1;
     if refusals >= MAX_REFUSALS {
         return None;
     }
-    let step = pass_on(state, call, attempt.order, refusals, now);
+    let order = pass_on(state, passed.order, refusals, now);
     // A direct attempt would only fail.
-    state.passed.contains_key(&call).then_some(step)
+    let is_passed = state.passed.contains_key(&attempt);
+    is_passed.then_some(CallStep::Send(order))
 }
 
+/// Has another node pass an order on; without one it stays as it is.
 fn pass_on(
     state: &mut EdgeState,
-    call: CallId,
     mut order: SendOrder,
     refusals: u32,
     now: ClockTime,
-) -> CallStep {
-    state.random_state = state
-        .random_state
-        .wrapping_mul(6_364_136_223_846_793_005)
-        .wrapping_add(1);
-    let candidates = pass_candidates(state, now);
-    let node = choose_node(&state.reach, &candidates, state.random_state >> 33, now);
-    let via = node
-        .as_ref()
-        .and_then(|node| state.peers.get(node)?.passing);
-    order.via = via;
-    if let Some(node) = node.filter(|_| via.is_some()) {
-        let attempt = PassedAttempt {
+) -> SendOrder {
+    let passing = choose_passing(state, now);
+    order.via = passing.as_ref().map(|(_, via)| *via);
+    if let Some((node, _)) = passing {
+        let passed = PassedAttempt {
             order: order.clone(),
             node,
             refusals,
         };
-        state.passed.insert(call, attempt);
+        state.passed.insert(order.attempt, passed);
     }
-    CallStep::Send(order)
+    order
+}
+
+/// Node that can pass a request on, and its address for that.
+fn choose_passing(state: &mut EdgeState, now: ClockTime) -> Option<(NodeName, SocketAddr)> {
+    state.random_state = state
+        .random_state
+        .wrapping_mul(6_364_136_223_846_793_005)
+        .wrapping_add(1);
+    let candidates = pass_candidates(state, now);
+    let node = choose_node(&state.reach, &candidates, state.random_state >> 33, now)?;
+    let via = state.peers.get(&node)?.passing?;
+    Some((node, via))
 }
 
 /// Address of a server that another node wants a request to be passed on to; `None` if this node
@@ -212,8 +219,34 @@
 
 /// Whether an attempt waits for a server that this node doesn't reach, although the request may
 /// be sent again by way of another node.
-pub(super) fn is_stranded(state: &EdgeState, call: CallId) -> bool {
+pub(super) fn is_stranded(state: &EdgeState, attempt: AttemptId) -> bool {
     is_cut_off(&state.reach)
-        && !state.passed.contains_key(&call)
-        && relay::queries::is_repeatable(&state.relay, call)
+        && !state.passed.contains_key(&attempt)
+        && relay::queries::is_repeatable(&state.relay, attempt.call)
+}
+
+/// Has another node send a request of a server that this node doesn't reach.
+///
+/// If that is not possible, a request whose answer has begun waits for its server, and so does
+/// every request if no node reaches servers, as these may be silent for a moment only. Any other
+/// is refused at once, so that its client can turn to another node.
+pub(super) fn leave_stranded(
+    state: &mut EdgeState,
+    attempt: AttemptId,
+    is_answering: bool,
+    now: ClockTime,
+) -> StallStep {
+    if choose_passing(state, now).is_some()
+        && let Some(StallStep::Move(cause, order)) =
+            relay::commands::move_call(&mut state.relay, attempt, StallCause::CutOff, now)
+    {
+        let order = pass_on(state, *order, 0, now);
+        return StallStep::Move(cause, Box::new(order));
+    }
+    if !is_answering && is_cut_off_alone(state, now) {
+        return StallStep::Abort(StallCause::CutOff);
+    }
+    StallStep::Wait {
+        until: now + STRANDED_CHECK_INTERVAL,
+    }
 }
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -6,7 +6,7 @@
 use net::ReplyId;
 use notices::{ServerNotice, ServerRun};
 use quarantine::{PromptParts, RequestDigest};
-use relay::{AttemptEnd, CallStep, SendTarget, StallStep};
+use relay::{AttemptEnd, AttemptId, CallStep, SendTarget, StallStep};
 use replicas::{GroupRecord, MemberOrder, OrderOutcome, ProbeOutcome};
 use store::{ObjectChange, UpdateOutcome};
 
@@ -102,9 +102,14 @@
     /// A request has arrived.
     Arrive(Box<Arrival>),
     /// An attempt has ended without a complete response.
-    Ended(CallId, AttemptEnd),
-    /// The server of a request has sent nothing for a while.
-    Check(CallId),
+    Ended(AttemptId, AttemptEnd),
+    /// The server of a request's latest attempt has sent nothing for a while.
+    Check {
+        /// Latest attempt.
+        attempt: AttemptId,
+        /// Whether the client has got the head of the response, so that a refusal would cut it.
+        is_answering: bool,
+    },
     /// Another node asks to pass a request on to a start of a server.
     PassOn(ServerRun),
     /// The status of the node is requested.
@@ -156,14 +161,14 @@
 pub enum EdgeEvent {
     /// A task has asked a question.
     Asked(ReplyId, EdgeQuestion),
-    /// Complete events of a request's response arrived.
-    Progress(CallId),
+    /// Complete events of a response arrived; other attempts of the request have ended.
+    Progress(AttemptId),
     /// A server has begun to answer a request.
     Answered(CallId),
     /// A request was answered completely.
     Completed(CallId),
     /// An attempt has ended whose request can't be sent again.
-    Broken(CallId, AttemptEnd),
+    Broken(AttemptId, AttemptEnd),
     /// A server has announced something in a response, or no longer does.
     Announced {
         /// Run of the server that was sent the request.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -15,11 +15,11 @@
             EdgeEvent::Asked(id, question) => {
                 vec![EdgeEffect::Reply(id, reply(self, question, now))]
             }
-            EdgeEvent::Progress(call) => commands::record_progress(self, call, now),
+            EdgeEvent::Progress(attempt) => commands::record_progress(self, attempt, now),
             EdgeEvent::Answered(call) => commands::record_answer(self, call, now),
             EdgeEvent::Completed(call) => commands::record_whole_answer(self, call, now),
-            EdgeEvent::Broken(call, end) => {
-                commands::record_broken_attempt(self, call, end, now);
+            EdgeEvent::Broken(attempt, end) => {
+                commands::record_broken_attempt(self, attempt, end, now);
                 Vec::new()
             }
             EdgeEvent::Announced { run, id, notice } => {
@@ -28,7 +28,7 @@
             EdgeEvent::Finished(call) => {
                 relay::commands::finish(&mut self.relay, call);
                 quarantine::commands::finish_call(&mut self.quarantine, call);
-                self.passed.remove(&call);
+                self.passed.retain(|attempt, _| attempt.call != call);
                 Vec::new()
             }
             EdgeEvent::Collection(collection, event) => {
@@ -79,10 +79,13 @@
             Some(until) => EdgeReply::Waiting { until },
             None => EdgeReply::Arrival(Box::new(commands::arrive(state, *arrival, now))),
         },
-        EdgeQuestion::Ended(call, end) => {
-            EdgeReply::Step(commands::end_attempt(state, call, end, now))
+        EdgeQuestion::Ended(attempt, end) => {
+            EdgeReply::Step(commands::end_attempt(state, attempt, end, now))
         }
-        EdgeQuestion::Check(call) => EdgeReply::Stall(commands::check_stall(state, call, now)),
+        EdgeQuestion::Check {
+            attempt,
+            is_answering,
+        } => EdgeReply::Stall(commands::check_stall(state, attempt, is_answering, now)),
         EdgeQuestion::PassOn(run) => {
             EdgeReply::PassTarget(commands::find_pass_target(state, &run, now))
         }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -8,7 +8,7 @@
 use limits::BudgetSettings;
 use quarantine::{QuarantineSettings, QuarantineState};
 use reach::{ReachSettings, ReachState};
-use relay::{RelaySettings, RelayState, SendOrder, SendTarget};
+use relay::{AttemptId, RelaySettings, RelayState, SendOrder, SendTarget};
 use replicas::{PlannerSettings, PlannerState};
 
 use crate::border::ports::StoreCollection;
@@ -276,7 +276,7 @@
     /// Whether this node reaches the servers.
     pub(crate) reach: ReachState,
     /// Requests that another node passes on.
-    pub(crate) passed: HashMap<CallId, PassedAttempt>,
+    pub(crate) passed: HashMap<AttemptId, PassedAttempt>,
     /// Endpoints whose probes got no response while this node may have been cut off.
     pub(crate) held_probes: BTreeSet<HostName>,
     /// Instant at which this node's crash reports are sent next; `None` if there are none.
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -8,6 +8,7 @@
 };
 use intent::{CallKind, ClientLimits, Route, RoutingConfig, Service, WeightedService};
 use quarantine::{PromptParts, RequestDigest};
+use relay::AttemptId;
 use replicas::{Endpoint, Presence};
 use store::{ObjectKey, StoredObject};
 
@@ -199,3 +200,8 @@
         leaving: Vec::new(),
     })))
 }
+
+/// First attempt of a request.
+pub fn first_attempt(call: CallId) -> AttemptId {
+    AttemptId { call, number: 1 }
+}
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -294,11 +294,16 @@
 
     /// Waits for the next bytes until an instant; `None` if none have arrived by then.
     pub async fn poll_chunk(&mut self, until: ClockTime) -> Option<ChunkOutcome> {
+        let clock = self.client.clock.clone();
+        with_deadline(clock.as_ref(), until, self.read_chunk()).await
+    }
+
+    /// Waits for the next bytes; nothing is lost if the future is dropped.
+    pub async fn read_chunk(&mut self) -> ChunkOutcome {
         loop {
-            let clock = self.client.clock.clone();
-            let frame = with_deadline(clock.as_ref(), until, self.body.frame()).await?;
+            let frame = self.body.frame().await;
             self.connection.meter.record_progress();
-            return Some(match frame {
+            return match frame {
                 None => ChunkOutcome::End,
                 Some(Ok(frame)) => match frame.into_data() {
                     // A copy, as a small chunk would keep the buffer that it was read into.
@@ -309,12 +314,17 @@
                     log_failure(self.server, &error);
                     ChunkOutcome::Lost
                 }
-            });
+            };
         }
     }
 
     /// Drops the response and all idle connections to its server.
     pub fn abandon(self) {
+        self.drop_idle();
+    }
+
+    /// Drops the idle connections to the server, but not this one.
+    pub fn drop_idle(&self) {
         self.client.drop_idle(self.server);
     }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -24,6 +24,15 @@
     pub client_deadline: Option<ClockTime>,
 }
 
+/// Identity of one attempt of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct AttemptId {
+    /// Request that it belongs to.
+    pub call: CallId,
+    /// Number among the attempts of the request, from one.
+    pub number: u32,
+}
+
 /// Outcome of an attempt that brought no complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -79,6 +88,8 @@
 /// Attempt to be made.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SendOrder {
+    /// Identity of the attempt.
+    pub attempt: AttemptId,
     /// Target of the attempt.
     pub target: HostName,
     /// Start of the target.
@@ -162,6 +173,8 @@
 pub enum CallStep {
     /// Make an attempt.
     Send(SendOrder),
+    /// Go on with the attempts that are still open.
+    Wait,
     /// Refuse the request.
     Refuse(Refusal),
 }
@@ -198,13 +211,15 @@
 }
 
 /// Decision about an attempt whose target is silent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StallStep {
     /// Keep waiting and check again.
     Wait {
         /// Instant of the next check.
         until: ClockTime,
     },
+    /// Make another attempt, and keep this one open until one of them makes progress.
+    Move(StallCause, Box<SendOrder>),
     /// Abort the attempt; it ends as stalled.
     Abort(StallCause),
 }
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -3,11 +3,13 @@
 use base::prelude::*;
 use intent::CallKind;
 use limits::commands::claim_retry;
-use limits::{CallIdempotency, IdempotentCall, RetryOutcome};
+use limits::queries::has_retry;
+use limits::{CallIdempotency, IdempotentCall};
 
-use super::targets::{record_attempt_end, record_attempt_start};
+use super::targets::{record_attempt_end, record_attempt_start, release_attempts};
 use crate::queries::{choose_target, limited_retry_delay, passed_over_count};
-use crate::{AttemptEnd, CallStep, Lane, Refusal, RefusalReason, RelayState, SendOrder};
+use crate::state::OpenAttempt;
+use crate::{AttemptEnd, AttemptId, CallStep, Lane, Refusal, RefusalReason, RelayState, SendOrder};
 
 /// Rank of a request in the fast lane.
 const FAST_RANK: u8 = 4;
@@ -17,28 +19,44 @@
 const RETRY_RANK: u8 = 2;
 
 /// Records the end of an attempt and decides the next step.
+///
+/// While an attempt that was silent is still open, the request is not refused.
 pub fn end_attempt(
     state: &mut RelayState,
-    call: CallId,
+    attempt: AttemptId,
     end: AttemptEnd,
     now: ClockTime,
 ) -> CallStep {
-    if let Some(id) = record_attempt_end(state, call) {
+    let call = attempt.call;
+    if let Some(id) = record_attempt_end(state, attempt) {
         record_failure(state, &id, end, now);
     }
     let Some(entry) = state.calls.get_mut(&call) else {
         return refuse(RefusalReason::DeadlinePassed, true, None);
     };
     if end.is_not_run() {
+        entry.runs = entry.runs.saturating_sub(1);
         entry.rejections += 1;
-    } else {
-        entry.runs += 1;
     }
     entry.misdirections += u32::from(end == AttemptEnd::Misdirected);
-    let arrival = &entry.arrival;
-    let has_attempts_left = entry.runs == 0
-        || (arrival.route.kind.is_repeatable() && entry.runs < arrival.route.attempts);
-    let may_retry = has_attempts_left
+    let latest = entry.open.last().map(|open| open.number);
+    if latest.is_some_and(|latest| latest > attempt.number) {
+        return CallStep::Wait;
+    }
+    let has_open = latest.is_some();
+    match retry(state, call, now) {
+        CallStep::Refuse(_) if has_open => CallStep::Wait,
+        step => step,
+    }
+}
+
+/// Sends a request once more if its attempts, the budget and the targets allow it; a refusal
+/// claims nothing.
+fn retry(state: &mut RelayState, call: CallId, now: ClockTime) -> CallStep {
+    let Some(entry) = state.calls.get(&call) else {
+        return refuse(RefusalReason::DeadlinePassed, true, None);
+    };
+    let may_retry = entry.has_attempts_left()
         && entry.rejections <= state.settings.max_rejections
         && entry.misdirections <= state.settings.max_misdirections;
     let has_run = entry.runs > 0;
@@ -53,24 +71,70 @@
     let Some(proof) = IdempotentCall::new(call, CallIdempotency::Idempotent) else {
         return refuse(RefusalReason::Exhausted, has_run, None);
     };
-    let service = arrival.service.clone();
-    match claim_retry(&mut state.budget, &service, proof, now) {
-        RetryOutcome::Granted(_) => dispatch(state, call, now),
-        RetryOutcome::Exhausted => refuse(
+    let service = entry.arrival.service.clone();
+    if !has_retry(&state.budget, &service, now) {
+        return refuse(
             RefusalReason::NoBudget,
             has_run,
             Some(state.settings.retry_after),
-        ),
+        );
     }
+    let step = dispatch(state, call, now);
+    if matches!(step, CallStep::Send(_)) {
+        claim_retry(&mut state.budget, &service, proof, now);
+    }
+    step
+}
+
+/// Sends a request of a silent target to another one and keeps the silent attempt open; `None`
+/// if nothing allows it now.
+pub(super) fn send_beside(
+    state: &mut RelayState,
+    attempt: AttemptId,
+    now: ClockTime,
+) -> Option<SendOrder> {
+    let target = state.calls.get(&attempt.call)?.attempt(attempt.number)?;
+    let target = target.target.clone();
+    let CallStep::Send(order) = retry(state, attempt.call, now) else {
+        return None;
+    };
+    record_failure(state, &target, AttemptEnd::Stalled, now);
+    Some(order)
 }
 
-/// Records the end of an attempt of a request that must not be sent again, and refuses it.
-pub fn give_up(state: &mut RelayState, call: CallId, end: AttemptEnd, now: ClockTime) -> CallStep {
-    if let Some(id) = record_attempt_end(state, call) {
+/// Records the end of an attempt of a request that must not be sent again. The request is
+/// refused unless another of its attempts is open.
+pub fn give_up(
+    state: &mut RelayState,
+    attempt: AttemptId,
+    end: AttemptEnd,
+    now: ClockTime,
+) -> CallStep {
+    if let Some(id) = record_attempt_end(state, attempt) {
         record_failure(state, &id, end, now);
     }
-    let had_run = state.calls.get(&call).is_none_or(|entry| entry.runs > 0);
-    let may_have_run = had_run || !end.is_not_run();
+    let entry = state.calls.get_mut(&attempt.call);
+    let may_have_run = entry.is_none_or(|entry| {
+        if end.is_not_run() {
+            entry.runs = entry.runs.saturating_sub(1);
+        }
+        entry.runs > 0
+    });
+    let is_open = |entry: &crate::state::CallState| !entry.open.is_empty();
+    if state.calls.get(&attempt.call).is_some_and(is_open) {
+        return CallStep::Wait;
+    }
+    refuse(
+        RefusalReason::Exhausted,
+        may_have_run,
+        Some(state.settings.retry_after),
+    )
+}
+
+/// Ends all attempts of a request and refuses it.
+pub fn abort_call(state: &mut RelayState, call: CallId) -> CallStep {
+    release_attempts(state, call, |_| true);
+    let may_have_run = state.calls.get(&call).is_none_or(|entry| entry.runs > 0);
     refuse(
         RefusalReason::Exhausted,
         may_have_run,
@@ -131,16 +195,24 @@
         .map_or(0, |load| load.total(now).sum());
     notices::commands::take_turn(&mut state.notices, &target.id, now);
     record_attempt_start(state, &target.id, lane);
-    if let Some(entry) = state.calls.get_mut(&call) {
-        entry.target = Some(target.id.clone());
-        entry.lane = lane;
-        entry.epoch = target.epoch;
-        entry.incarnation = target.incarnation;
-        entry.sent_at = now;
-        entry.has_begun = false;
-        entry.tried.push(target.id.clone());
-    }
+    let Some(entry) = state.calls.get_mut(&call) else {
+        return refuse(RefusalReason::DeadlinePassed, true, None);
+    };
+    entry.last_number += 1;
+    entry.runs += 1;
+    entry.tried.push(target.id.clone());
+    entry.open.push(OpenAttempt {
+        number: entry.last_number,
+        target: target.id.clone(),
+        lane,
+        epoch: target.epoch,
+        incarnation: target.incarnation,
+        sent_at: now,
+        has_begun: false,
+    });
+    let number = entry.last_number;
     CallStep::Send(SendOrder {
+        attempt: AttemptId { call, number },
         target: target.id,
         incarnation: target.incarnation,
         address: target.address,
--- a/crates/relay/src/commands/calls.rs
+++ b/crates/relay/src/commands/calls.rs
@@ -4,10 +4,10 @@
 use limits::commands::record_request;
 
 use super::attempts::dispatch;
-use super::targets::record_attempt_end;
+use super::targets::release_attempts;
 use crate::demand::UrgencyRank;
 use crate::state::CallState;
-use crate::{CallArrival, CallStep, Lane, RelayState};
+use crate::{CallArrival, CallStep, RelayState};
 
 /// Time that a client has waited from which it counts as one that was refused and has come back.
 const MIN_RETURN_TIME: Duration = Duration::from_millis(200);
@@ -27,12 +27,8 @@
         is_late: elapsed >= arrival.route.objective,
         urgency,
         arrival,
-        target: None,
-        lane: Lane::Fast,
-        epoch: GroupEpoch::default(),
-        incarnation: HostIncarnation::default(),
-        sent_at: now,
-        has_begun: false,
+        open: Vec::new(),
+        last_number: 0,
         tried: Vec::new(),
         runs: 0,
         rejections: 0,
@@ -53,6 +49,6 @@
 
 /// Removes a request that was answered or whose client disconnected.
 pub fn finish(state: &mut RelayState, call: CallId) {
-    record_attempt_end(state, call);
+    release_attempts(state, call, |_| true);
     state.calls.remove(&call);
 }
--- a/crates/relay/src/commands/mod.rs
+++ b/crates/relay/src/commands/mod.rs
@@ -5,9 +5,9 @@
 mod stalls;
 mod targets;
 
-pub use attempts::{end_attempt, give_up};
+pub use attempts::{abort_call, end_attempt, give_up};
 pub use calls::{arrive, finish};
-pub use stalls::{check_stall, silent_target};
+pub use stalls::{check_stall, move_call, silent_target};
 pub use targets::{
     forgive_targets, record_progress, set_targets, suspect_target, update_engine_load,
     update_remote_counts, update_total_counts,
--- a/crates/relay/src/commands/stalls.rs
+++ b/crates/relay/src/commands/stalls.rs
@@ -2,98 +2,121 @@
 
 use base::prelude::*;
 
-use limits::queries::has_retry;
-
+use super::attempts::send_beside;
 use crate::queries::choose_target;
-use crate::state::CallState;
-use crate::{Lane, RelayState, StallCause, StallStep};
+use crate::state::{CallState, OpenAttempt};
+use crate::{AttemptId, Lane, RelayState, StallCause, StallStep};
 
 /// Decides whether a request keeps waiting for a target that sends it no data.
 ///
-/// A target that still sends data for other streams is not stalled. A request leaves a group that
-/// has ended or is closing as soon as another target takes it: its head may still finish it, so
-/// without another target leaving it would cut it. That holds for begun streams at silent heads too.
+/// A target that still sends data for other streams is not stalled. A request leaves a silent
+/// target, and a group that has ended or is closing, as soon as another target takes it. Until
+/// one of the two makes progress both attempts stay open, as the silent target may go on.
 /// A request that may not be sent again always waits.
-pub fn check_stall(state: &RelayState, call: CallId, now: ClockTime) -> StallStep {
-    let settings = &state.settings;
+pub fn check_stall(state: &mut RelayState, attempt: AttemptId, now: ClockTime) -> StallStep {
     let wait = StallStep::Wait {
-        until: now + settings.check_interval,
-    };
-    let Some(entry) = state.calls.get(&call) else {
-        return wait;
+        until: now + state.settings.check_interval,
     };
-    let Some(id) = &entry.target else {
-        return wait;
-    };
-    let route = &entry.arrival.route;
-    if !route.kind.is_repeatable() || entry.runs + 1 >= route.attempts {
-        return wait;
+    match stall_cause(state, attempt, now) {
+        Ok(cause) => move_call(state, attempt, cause, now).unwrap_or(wait),
+        Err(until) => StallStep::Wait { until },
+    }
+}
+
+/// Sends a request to another target beside the one that it waits for; `None` if that is not
+/// possible now.
+pub fn move_call(
+    state: &mut RelayState,
+    attempt: AttemptId,
+    cause: StallCause,
+    now: ClockTime,
+) -> Option<StallStep> {
+    let entry = state.calls.get(&attempt.call)?;
+    if !may_be_moved(entry, attempt) {
+        return None;
+    }
+    let (target, _) = choose_target(state, entry, now).ok()?;
+    let is_silence = matches!(cause, StallCause::Silent | StallCause::NotBegun);
+    let load = state.loads.get(&target.id);
+    if is_silence && load.is_some_and(|load| load.suspect_until > now) {
+        // It is as silent as the present one, and the move would only use up a retry.
+        return None;
     }
-    let is_same_group = state
-        .targets
-        .get(id)
-        .is_some_and(|target| target.epoch == entry.epoch);
-    if !is_same_group {
-        return match can_move(state, entry, now) {
-            true => StallStep::Abort(StallCause::GroupChanged),
-            false => wait,
-        };
+    let order = send_beside(state, attempt, now)?;
+    Some(StallStep::Move(cause, Box::new(order)))
+}
+
+/// Whether a request may be sent to another target while its latest attempt is open.
+fn may_be_moved(call: &CallState, attempt: AttemptId) -> bool {
+    let latest = call.open.last();
+    let is_latest = latest.is_some_and(|open| open.number == attempt.number);
+    is_latest && call.arrival.route.kind.is_repeatable() && call.has_attempts_left()
+}
+
+/// Why a request should leave its target; the error is the instant of the next check.
+fn stall_cause(
+    state: &RelayState,
+    attempt: AttemptId,
+    now: ClockTime,
+) -> Result<StallCause, ClockTime> {
+    let settings = &state.settings;
+    let next_check = now + settings.check_interval;
+    let entry = state.calls.get(&attempt.call).ok_or(next_check)?;
+    let open = entry.attempt(attempt.number).ok_or(next_check)?;
+    if !may_be_moved(entry, attempt) {
+        return Err(next_check);
+    }
+    let target = state.targets.get(&open.target);
+    if target.is_none_or(|target| target.epoch != open.epoch) {
+        return Ok(StallCause::GroupChanged);
     }
-    let load = state.loads.get(id);
+    let load = state.loads.get(&open.target);
     let is_suspect = load.is_some_and(|load| load.suspect_until > now);
-    if is_queued(entry) && !is_suspect {
-        return wait;
+    if is_queued(entry, open) && !is_suspect {
+        return Err(next_check);
     }
-    let limit = match (route.kind.is_stream(), entry.has_begun) {
+    let route = &entry.arrival.route;
+    let limit = match (route.kind.is_stream(), open.has_begun) {
         (true, true) => settings.stream_stall_timeout,
         (true, false) => settings.queued_stall_timeout,
         (false, _) => route.objective.mul_f64(settings.plain_stall_fraction),
     };
     let received_at = load.and_then(|load| load.received_at);
     let since = match received_at {
-        Some(received_at) if route.kind.is_stream() => received_at.max(entry.sent_at),
-        _ => entry.sent_at,
+        Some(received_at) if route.kind.is_stream() => received_at.max(open.sent_at),
+        _ => open.sent_at,
     };
-    if now.since(since) >= limit {
-        match entry.has_begun {
-            false => StallStep::Abort(StallCause::NotBegun),
-            true if can_move(state, entry, now) => StallStep::Abort(StallCause::Silent),
-            true => wait,
-        }
-    } else {
+    if now.since(since) < limit {
         let until = (since + limit).max(now + Duration::from_millis(1));
-        StallStep::Wait {
-            until: until.min(now + settings.check_interval),
-        }
+        return Err(until.min(next_check));
+    }
+    match open.has_begun {
+        true => Ok(StallCause::Silent),
+        false => Ok(StallCause::NotBegun),
     }
-}
-
-/// Whether another target would take a request now, within the retry budget.
-fn can_move(state: &RelayState, call: &CallState, now: ClockTime) -> bool {
-    has_retry(&state.budget, &call.arrival.service, now) && choose_target(state, call, now).is_ok()
 }
 
 /// Whether a request is queued in the slow lane, where silence is normal.
-fn is_queued(call: &CallState) -> bool {
-    call.arrival.route.kind.is_stream() && call.lane == Lane::Slow && !call.has_begun
+fn is_queued(call: &CallState, open: &OpenAttempt) -> bool {
+    call.arrival.route.kind.is_stream() && open.lane == Lane::Slow && !open.has_begun
 }
 
 /// Target of a request if it is silent for long enough to be suspect.
 ///
 /// A running stream gets data with every pass of its engine. A request without a
 /// first event may still be queued, so its limit is longer.
-pub fn silent_target(state: &RelayState, call: CallId, now: ClockTime) -> Option<HostName> {
-    let entry = state.calls.get(&call)?;
-    let id = entry.target.as_ref()?;
-    if !entry.arrival.route.kind.is_stream() || is_queued(entry) {
+pub fn silent_target(state: &RelayState, attempt: AttemptId, now: ClockTime) -> Option<HostName> {
+    let entry = state.calls.get(&attempt.call)?;
+    let open = entry.attempt(attempt.number)?;
+    if !entry.arrival.route.kind.is_stream() || is_queued(entry, open) {
         return None;
     }
-    let received_at = state.loads.get(id)?.received_at;
-    let limit = if entry.has_begun {
+    let received_at = state.loads.get(&open.target)?.received_at;
+    let limit = if open.has_begun {
         state.settings.stream_suspect_timeout
     } else {
         state.settings.first_event_suspect_timeout
     };
-    let since = received_at.map_or(entry.sent_at, |received_at| received_at.max(entry.sent_at));
-    (now.since(since) >= limit).then(|| id.clone())
+    let since = received_at.map_or(open.sent_at, |received_at| received_at.max(open.sent_at));
+    (now.since(since) >= limit).then(|| open.target.clone())
 }
--- a/crates/relay/src/commands/targets.rs
+++ b/crates/relay/src/commands/targets.rs
@@ -2,7 +2,8 @@
 
 use base::prelude::*;
 
-use crate::{Lane, LaneCounts, RelayState, SendTarget};
+use crate::state::OpenAttempt;
+use crate::{AttemptId, Lane, LaneCounts, RelayState, SendTarget};
 
 /// Replaces the targets; keeps the load of those that remain.
 pub fn set_targets(state: &mut RelayState, targets: Vec<SendTarget>) {
@@ -55,17 +56,22 @@
     }
 }
 
-/// Records that data of a request's response has arrived.
-pub fn record_progress(state: &mut RelayState, call: CallId, now: ClockTime) {
+/// Records that data of an attempt's response has arrived. Other attempts of the request end.
+pub fn record_progress(state: &mut RelayState, attempt: AttemptId, now: ClockTime) {
+    let AttemptId { call, number } = attempt;
     let Some(entry) = state.calls.get_mut(&call) else {
         return;
     };
-    entry.has_begun = true;
-    if let Some(load) = entry.target.as_ref().and_then(|id| state.loads.get_mut(id)) {
+    let Some(open) = entry.open.iter_mut().find(|open| open.number == number) else {
+        return;
+    };
+    open.has_begun = true;
+    if let Some(load) = state.loads.get_mut(&open.target) {
         load.received_at = Some(now);
         load.suspect_until = ClockTime::default();
         load.failures = 0;
     }
+    release_attempts(state, call, |open| open.number != number);
 }
 
 /// Replaces the counts of all other nodes by totals over all nodes, as summed up by `node`.
@@ -116,12 +122,27 @@
 }
 
 /// Counts the end of an attempt; returns its target.
-pub(super) fn record_attempt_end(state: &mut RelayState, call: CallId) -> Option<HostName> {
-    let entry = state.calls.get_mut(&call)?;
-    let id = entry.target.take()?;
-    if let Some(load) = state.loads.get_mut(&id) {
-        let count = load.local.of(entry.lane);
-        *count = count.saturating_sub(1);
-    }
-    Some(id)
+pub(super) fn record_attempt_end(state: &mut RelayState, attempt: AttemptId) -> Option<HostName> {
+    release_attempts(state, attempt.call, |open| open.number == attempt.number).pop()
+}
+
+/// Counts the end of those open attempts of a request; returns their targets.
+pub(super) fn release_attempts(
+    state: &mut RelayState,
+    call: CallId,
+    is_released: impl Fn(&OpenAttempt) -> bool,
+) -> Vec<HostName> {
+    let Some(entry) = state.calls.get_mut(&call) else {
+        return Vec::new();
+    };
+    let released = entry.open.extract_if(.., |open| is_released(open));
+    let loads = &mut state.loads;
+    let targets = released.map(|open| {
+        if let Some(load) = loads.get_mut(&open.target) {
+            let count = load.local.of(open.lane);
+            *count = count.saturating_sub(1);
+        }
+        open.target
+    });
+    targets.collect()
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,11 @@
 //! A request is retried only if no target can have run it or if it may run more
 //! than once; every retry draws on the service's retry budget. A refusal says
 //! "not run" only if every target reported so or nothing was sent.
+//!
+//! A silent target may be sound and go on a moment later. So a request that moves to another
+//! target keeps the silent attempt open until one of them makes progress. The move is decided as
+//! a whole: its retry is claimed and its target is chosen before anything is given up, and the
+//! next request that asks sees what is left.
 
 mod call;
 mod client_timeouts;
@@ -23,8 +28,8 @@
 pub mod queries;
 
 pub use call::{
-    AttemptEnd, CallArrival, CallStep, Refusal, RefusalReason, SendOrder, SentAttempt, StallCause,
-    StallStep,
+    AttemptEnd, AttemptId, CallArrival, CallStep, Refusal, RefusalReason, SendOrder, SentAttempt,
+    StallCause, StallStep,
 };
 pub use settings::RelaySettings;
 pub use state::RelayState;
--- a/crates/relay/src/queries/counts.rs
+++ b/crates/relay/src/queries/counts.rs
@@ -5,24 +5,31 @@
 use base::prelude::*;
 
 use super::limited::is_open;
-use crate::{LaneCounts, RelayState, SentAttempt, TargetLoad};
+use crate::{AttemptId, LaneCounts, RelayState, SentAttempt, TargetLoad};
 
-/// Target of a request's present attempt.
-pub fn target_of(state: &RelayState, call: CallId) -> Option<&HostName> {
-    state.calls.get(&call)?.target.as_ref()
+/// Target of an open attempt.
+pub fn target_of(state: &RelayState, attempt: AttemptId) -> Option<&HostName> {
+    let open = state.calls.get(&attempt.call)?.attempt(attempt.number)?;
+    Some(&open.target)
 }
 
-/// Present attempt of a request.
-pub fn attempt_of(state: &RelayState, call: CallId) -> Option<SentAttempt> {
-    let entry = state.calls.get(&call)?;
+/// Open attempt.
+pub fn attempt_of(state: &RelayState, attempt: AttemptId) -> Option<SentAttempt> {
+    let open = state.calls.get(&attempt.call)?.attempt(attempt.number)?;
     Some(SentAttempt {
-        target: entry.target.clone()?,
-        incarnation: entry.incarnation,
-        epoch: entry.epoch,
-        sent_at: entry.sent_at,
+        target: open.target.clone(),
+        incarnation: open.incarnation,
+        epoch: open.epoch,
+        sent_at: open.sent_at,
     })
 }
 
+/// Latest open attempt of a request.
+pub fn latest_attempt(state: &RelayState, call: CallId) -> Option<AttemptId> {
+    let number = state.calls.get(&call)?.open.last()?.number;
+    Some(AttemptId { call, number })
+}
+
 /// Address of a target that takes requests now, if it is still the same start of it.
 pub fn open_address(
     state: &RelayState,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -10,27 +10,36 @@
 use crate::demand::{DemandMeter, UrgencyRank};
 use crate::{CallArrival, Lane, RelaySettings, SendTarget, TargetLoad};
 
-/// Request in flight.
+/// Attempt that was sent and has not ended.
 #[derive(Clone, Debug)]
-pub(crate) struct CallState {
-    pub arrival: CallArrival,
-    /// Target of the present attempt.
-    pub target: Option<HostName>,
-    /// Lane of the present attempt.
+pub(crate) struct OpenAttempt {
+    /// Number among the attempts of its request.
+    pub number: u32,
+    pub target: HostName,
     pub lane: Lane,
     /// Epoch of the group that it was sent to.
     pub epoch: GroupEpoch,
     /// Start of the server that it was sent to.
     pub incarnation: HostIncarnation,
     pub sent_at: ClockTime,
+    /// Whether data of its response has arrived.
+    pub has_begun: bool,
+}
+
+/// Request in flight.
+#[derive(Clone, Debug)]
+pub(crate) struct CallState {
+    pub arrival: CallArrival,
+    /// Attempts that have not ended, the latest one last.
+    pub open: Vec<OpenAttempt>,
+    /// Number of the latest attempt.
+    pub last_number: u32,
     /// Whether its client had waited longer than the route's objective before it arrived.
     pub is_late: bool,
     pub urgency: UrgencyRank,
-    /// Whether data of the present attempt's response has arrived.
-    pub has_begun: bool,
     /// Targets that it was sent to.
     pub tried: Vec<HostName>,
-    /// Number of attempts that may have run.
+    /// Number of attempts that may have run or still may, the open ones included.
     pub runs: u32,
     /// Number of attempts that certainly did not run.
     pub rejections: u32,
@@ -38,6 +47,19 @@
     pub misdirections: u32,
 }
 
+impl CallState {
+    /// Open attempt of a number.
+    pub fn attempt(&self, number: u32) -> Option<&OpenAttempt> {
+        self.open.iter().find(|attempt| attempt.number == number)
+    }
+
+    /// Whether another target may run it, too.
+    pub fn has_attempts_left(&self) -> bool {
+        let route = &self.arrival.route;
+        self.runs == 0 || (route.kind.is_repeatable() && self.runs < route.attempts)
+    }
+}
+
 /// Targets and requests of one node.
 #[derive(Clone, Debug)]
 pub struct RelayState {
--- a/crates/relay/tests/suite/attempts.rs
+++ b/crates/relay/tests/suite/attempts.rs
@@ -1,9 +1,11 @@
 //! Next step after the end of an attempt, by kind of request.
 
-use crate::support::{STREAM, at, head, plain, relay, relay_with, request, send, sent};
+use crate::support::{
+    STREAM, at, end_attempt, head, plain, relay, relay_with, request, send, sent,
+};
 use base::prelude::*;
 use intent::CallKind;
-use relay::commands::{arrive, end_attempt, finish};
+use relay::commands::{arrive, finish};
 use relay::{AttemptEnd, CallStep, Refusal, RefusalReason};
 
 const ONCE_ONLY: CallKind = CallKind::OnceOnly;
@@ -21,6 +23,7 @@
 fn next(step: CallStep) -> Next {
     match step {
         CallStep::Send(_) => Next::Sent,
+        CallStep::Wait => panic!("no attempt is open"),
         CallStep::Refuse(refusal) if refusal.may_have_run => Next::MayHaveRun,
         CallStep::Refuse(_) => Next::NotRun,
     }
--- a/crates/relay/tests/suite/limited.rs
+++ b/crates/relay/tests/suite/limited.rs
@@ -1,11 +1,11 @@
 //! Servers that name a limit: load moves away, the rest is refused by urgency.
 
-use crate::support::{STREAM, at, head, host, plain, relay, request, send};
+use crate::support::{STREAM, at, end_attempt, head, host, plain, relay, request, send};
 use base::prelude::*;
 use intent::CallKind;
 use notices::commands::{record_limit, record_notice, set_share};
 use notices::{NodeShare, RequestRate, ServerNotice, ServerRun};
-use relay::commands::{arrive, end_attempt, finish};
+use relay::commands::{arrive, finish};
 use relay::{AttemptEnd, CallArrival, CallStep, Refusal, RefusalReason, RelayState};
 
 fn limit(state: &mut RelayState, server: &str, per_second: f64, now: ClockTime) {
@@ -16,6 +16,7 @@
 fn refusal(step: CallStep) -> Refusal {
     match step {
         CallStep::Refuse(refusal) => refusal,
+        CallStep::Wait => panic!("another attempt is open"),
         CallStep::Send(order) => panic!("sent to {}", order.target),
     }
 }
@@ -40,6 +41,7 @@
             ..arrival(call)
         };
         match arrive(state, arrival.clone(), now) {
+            CallStep::Wait => unreachable!("a request that arrives has no attempts"),
             CallStep::Send(_) => sent.push(arrival),
             CallStep::Refuse(refusal) => refused.push((arrival, refusal)),
         }
--- a/crates/relay/tests/suite/nearly_full.rs
+++ b/crates/relay/tests/suite/nearly_full.rs
@@ -61,6 +61,7 @@
     let mut arrival = request(call, STREAM, 2);
     arrival.deadline = at(now + 8_000);
     match arrive(&mut nodes[node], arrival, at(now)) {
+        CallStep::Wait => unreachable!("a request that arrives has no attempts"),
         CallStep::Send(order) => {
             let engine = engines.entry(order.target).or_default();
             engine.waiting.push(EngineCall {
--- a/crates/relay/tests/suite/spread.rs
+++ b/crates/relay/tests/suite/spread.rs
@@ -116,6 +116,7 @@
             let mut arrival = request(call, STREAM, 2);
             arrival.deadline = at(now + 8_000);
             match arrive(&mut nodes[node], arrival, at(now)) {
+                CallStep::Wait => unreachable!("a request that arrives has no attempts"),
                 CallStep::Send(order) => {
                     outcome.sent += 1;
                     let count = running.entry(order.target.clone()).or_default();
--- a/crates/relay/tests/suite/support.rs
+++ b/crates/relay/tests/suite/support.rs
@@ -4,7 +4,10 @@
 use intent::{CallKind, Route, WeightedService};
 use limits::BudgetSettings;
 use relay::commands::{arrive, set_targets};
-use relay::{CallArrival, CallStep, RelaySettings, RelayState, SendOrder, SendTarget};
+use relay::{
+    AttemptEnd, AttemptId, CallArrival, CallStep, RelaySettings, RelayState, SendOrder, SendTarget,
+    StallStep,
+};
 
 pub const STREAM: CallKind = CallKind::Stream { resumable: true };
 
@@ -90,6 +93,48 @@
 pub fn sent(step: CallStep) -> SendOrder {
     match step {
         CallStep::Send(order) => order,
+        CallStep::Wait => panic!("another attempt is open"),
         CallStep::Refuse(refusal) => panic!("refused: {refusal:?}"),
     }
 }
+
+/// First attempt of a request.
+pub fn first(call: u64) -> AttemptId {
+    AttemptId {
+        call: CallId(call),
+        number: 1,
+    }
+}
+
+/// Latest attempt of a request.
+pub fn latest(state: &RelayState, call: u64) -> AttemptId {
+    relay::queries::latest_attempt(state, CallId(call)).unwrap_or_else(|| first(call))
+}
+
+/// Ends the latest attempt of a request.
+pub fn end_attempt(
+    state: &mut RelayState,
+    call: CallId,
+    end: AttemptEnd,
+    now: ClockTime,
+) -> CallStep {
+    let attempt = latest(state, call.0);
+    relay::commands::end_attempt(state, attempt, end, now)
+}
+
+/// Checks the latest attempt of a request.
+pub fn check_stall(state: &mut RelayState, call: CallId, now: ClockTime) -> StallStep {
+    let attempt = latest(state, call.0);
+    relay::commands::check_stall(state, attempt, now)
+}
+
+/// Reports progress of the latest attempt of a request.
+pub fn record_progress(state: &mut RelayState, call: CallId, now: ClockTime) {
+    let attempt = latest(state, call.0);
+    relay::commands::record_progress(state, attempt, now);
+}
+
+/// Target of the latest attempt of a request if it is silent.
+pub fn silent_target(state: &RelayState, call: CallId, now: ClockTime) -> Option<HostName> {
+    relay::commands::silent_target(state, latest(state, call.0), now)
+}
