--- a/crates/relay/tests/suite/main.rs
+++ b/crates/relay/tests/suite/main.rs
@@ -4,6 +4,6 @@
 mod choice;
 mod limited;
 mod nearly_full;
-
+mod silence;
 mod spread;
 mod support;
