Fix: a silent stream moved to a suspect target that the check had excluded

What callers saw: nothing by itself; a stream that moved to a target as silent as its own used up a retry and one of its attempts, which it lacked at the next silence.

Cause: `move_call` looks at the chosen target, and `dispatch` chose once more after advancing the rotation. With old counts, or among targets of equal load, the second choice can be another one.

Ruled out: a filter on suspect targets in `choose_target`, which would change the choice for new requests as well.

Change: the rotation advances after a choice instead of before it, so that the check and the send see the same target. A refused move advances it too, so that the next check looks at another target.

--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -161,7 +161,13 @@
 
 /// Sends a request to the best target or refuses it.
 pub(super) fn dispatch(state: &mut RelayState, call: CallId, now: ClockTime) -> CallStep {
+    let step = send_to_best(state, call, now);
+    // Last, so that a command that has looked at the choice before gets the same one.
     state.rotation = state.rotation.wrapping_add(1);
+    step
+}
+
+fn send_to_best(state: &mut RelayState, call: CallId, now: ClockTime) -> CallStep {
     let Some(entry) = state.calls.get(&call) else {
         return refuse(RefusalReason::DeadlinePassed, true, None);
     };
--- a/crates/relay/src/commands/stalls.rs
+++ b/crates/relay/src/commands/stalls.rs
@@ -40,6 +40,7 @@
     let load = state.loads.get(&target.id);
     if is_silence && load.is_some_and(|load| load.suspect_until > now) {
         // It is as silent as the present one, and the move would only use up a retry.
+        state.rotation = state.rotation.wrapping_add(1);
         return None;
     }
     let order = send_beside(state, attempt, now)?;
--- a/crates/relay/tests/suite/silence.rs
+++ b/crates/relay/tests/suite/silence.rs
@@ -160,6 +160,38 @@
     assert_eq!(check_all(&mut state, 0..6, SILENT_AT + 200).len(), 6);
 }
 
+#[test]
+fn streams_do_not_move_to_a_suspect_target_however_the_choice_falls() {
+    for seed in 0..16 {
+        let others = (2..6).map(|index| head(&format!("h{index}"), index));
+        let mut state = begun_streams(8, others.collect(), RETRIES);
+        state.seed_choice(seed);
+        state.set_counts_age(Some(Duration::from_millis(300)));
+        // The target that is not suspect has failed a moment ago, so none is preferred.
+        send(&mut state, request(100, STREAM, 2), at(SILENT_AT - 20));
+        let failed = send(&mut state, request(101, STREAM, 2), at(SILENT_AT - 20)).target;
+        end_attempt(
+            &mut state,
+            CallId(101),
+            AttemptEnd::Lost,
+            at(SILENT_AT - 10),
+        );
+        for call in [100, 101] {
+            finish(&mut state, CallId(call));
+        }
+        let suspects = (2..6).map(|index| host(&format!("h{index}")));
+        for suspect in suspects.filter(|id| *id != failed) {
+            suspect_target(&mut state, &suspect, at(SILENT_AT - 10));
+        }
+        for call in 0..8 {
+            if let StallStep::Move(_, order) = check_stall(&mut state, CallId(call), at(SILENT_AT))
+            {
+                assert_eq!(order.target, failed, "seed {seed}, request {call}");
+            }
+        }
+    }
+}
+
 #[test]
 fn a_stream_whose_attempts_are_used_up_by_earlier_silences_waits_for_its_target() {
     let mut state = begun_streams(1, vec![head("h2", 2), head("h3", 3)], RETRIES);
