Edge tests: servers that fall silent within a response, with real sockets

What callers saw before: a stream whose server was silent for a second ended early, because the next server rejected it, broke off, answered with something else or was silent too, although the first one went on.

The tests run a node before stand-in servers. The first one falls silent until the next one has the request, and then goes on: the next one rejects it, breaks off, responds with an error or another media type, has it without a response, or has sent the head only. Also: a single server, a silent server that never goes on (the next one is sent Last-Event-Id), one that breaks off after the move, a stream without a first event, a node that stops, a client that leaves (both connections close), a client that reads slowly (the stream does not move), and idempotent requests. They wait on conditions; only the silence of a single server has a fixed length.

`read_stream` moves to raw.rs and takes the deadline; the store of the tests has two more routes. The existing tests are unchanged.

--- a/crates/bronzerun/tests/edge/faulty.rs
+++ b/crates/bronzerun/tests/edge/faulty.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use crate::raw::{RawRequest, raw_response, spawn_raw_server};
+use crate::raw::{RawRequest, raw_response, read_stream, spawn_raw_server};
 use crate::{CONDITION_TIMEOUT, Node};
 
 /// Server that refuses `/o/refuse`, and writes that refusal once more, with these headers, before
@@ -65,33 +65,6 @@
     stream.shutdown(std::net::Shutdown::Both)
 }
 
-/// Reads a response to its end; returns the body, without chunk sizes, and whether it is whole.
-fn read_stream(node: &Node, path: &str) -> (String, bool) {
-    let mut stream = TcpStream::connect(node.ingress).unwrap();
-    stream.set_read_timeout(Some(CONDITION_TIMEOUT)).unwrap();
-    let head = format!(
-        "GET {path} HTTP/1.1\r\nhost: a.example\r\napi-key: key-1\r\nx-bronzerun-request-id: r-1\r\nx-bronzerun-deadline-ms: 3000\r\nconnection: close\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).unwrap();
-    let mut bytes = Vec::new();
-    // A reset ends the response too.
-    let _ = std::io::Read::read_to_end(&mut stream, &mut bytes);
-    let text = String::from_utf8_lossy(&bytes).into_owned();
-    let (_, mut rest) = text.split_once("\r\n\r\n").unwrap_or_default();
-    let mut body = String::new();
-    while let Some((size, after)) = rest.split_once("\r\n") {
-        let Ok(size) = usize::from_str_radix(size.trim(), 16) else {
-            break;
-        };
-        if size == 0 {
-            return (body, true);
-        }
-        body.push_str(&after[..size.min(after.len())]);
-        rest = after.get(size + 2..).unwrap_or_default();
-    }
-    (body, false)
-}
-
 #[test]
 fn a_stream_that_broke_off_does_not_go_on_with_the_next_servers_error() {
     let errors = [
@@ -123,7 +96,7 @@
         };
         let servers = vec![server(), server()];
         let node = Node::start_before(&format!("broken-{index}"), servers);
-        let (body, is_whole) = read_stream(&node, "/r/stream");
+        let (body, is_whole) = read_stream(node.ingress, "/r/stream", 3_000);
         assert_eq!(
             body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n",
             "'{error}'"
--- a/crates/bronzerun/tests/edge/main.rs
+++ b/crates/bronzerun/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod endless;
 mod faulty;
 mod raw;
+mod silent;
 mod stopping;
 
 use std::cell::RefCell;
@@ -58,7 +59,11 @@
                 {"name": "streams", "host": "a.example", "pathPrefix": "/s/", "type": "streaming",
                 "timeoutMs": 2000, "targetLatencyMs": 300, "attempts": 1, "resumable": false, "service": "app"},
                 {"name": "resumed", "host": "a.example", "pathPrefix": "/r/", "type": "streaming",
-                "timeoutMs": 2000, "targetLatencyMs": 300, "attempts": 2, "resumable": true, "service": "app"}],
+                "timeoutMs": 2000, "targetLatencyMs": 300, "attempts": 2, "resumable": true, "service": "app"},
+                {"name": "long", "host": "a.example", "pathPrefix": "/l/", "type": "streaming",
+                "timeoutMs": 20000, "targetLatencyMs": 300, "attempts": 2, "resumable": true, "service": "app"},
+                {"name": "repeated", "host": "a.example", "pathPrefix": "/i/", "type": "idempotent",
+                "timeoutMs": 20000, "targetLatencyMs": 300, "attempts": 2, "service": "app"}],
             "services": [{"name": "app", "healthPath": "/health", "maxConnections": 100}],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
             "tenants": [{"name": "depot", "apiKeys": ["key-1"]}]}})
--- a/crates/bronzerun/tests/edge/raw.rs
+++ b/crates/bronzerun/tests/edge/raw.rs
@@ -1,13 +1,17 @@
 //! Servers whose responses the test writes byte by byte.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 
+use crate::CONDITION_TIMEOUT;
+
 /// Request as a raw server reads it.
 pub struct RawRequest {
     pub path: String,
     pub id: String,
+    /// Number of the last event that the client of a stream has got.
+    pub last_event: Option<u64>,
 }
 
 /// Serves connections with the bytes that `answer` writes for each request, on threads that end
@@ -48,7 +52,16 @@
             .iter()
             .filter_map(|line| line.strip_prefix("x-bronzerun-request-id: "));
         let id = ids.next_back().unwrap_or_default().to_owned();
-        answer(&RawRequest { path, id }, &mut stream)?;
+        let mut last_events = head
+            .iter()
+            .filter_map(|line| line.strip_prefix("last-event-id: "));
+        let last_event = last_events.next_back().and_then(|id| id.parse().ok());
+        let request = RawRequest {
+            path,
+            id,
+            last_event,
+        };
+        answer(&request, &mut stream)?;
     }
 }
 
@@ -56,3 +69,30 @@
     let length = body.len();
     format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n{headers}\r\n{body}")
 }
+
+/// Reads a response to its end; returns the body, without chunk sizes, and whether it is whole.
+pub fn read_stream(ingress: SocketAddr, path: &str, deadline_ms: u32) -> (String, bool) {
+    let mut stream = TcpStream::connect(ingress).unwrap();
+    stream.set_read_timeout(Some(CONDITION_TIMEOUT)).unwrap();
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nhost: a.example\r\napi-key: key-1\r\nx-bronzerun-request-id: r-1\r\nx-bronzerun-deadline-ms: {deadline_ms}\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut bytes = Vec::new();
+    // A reset ends the response too.
+    let _ = stream.read_to_end(&mut bytes);
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let (_, mut rest) = text.split_once("\r\n\r\n").unwrap_or_default();
+    let mut body = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size.trim(), 16) else {
+            break;
+        };
+        if size == 0 {
+            return (body, true);
+        }
+        body.push_str(&after[..size.min(after.len())]);
+        rest = after.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
