Fix: a stream whose client reads slowly counted as silent and was moved

Since attempts are kept open nothing is lost, but the move uses up a retry and the stream's second attempt.

Cause: while the node waits for the client it does not read from the server. The check of the server was due before the next read had been tried, and found that nothing had arrived for longer than the limit.

Ruled out: reporting progress after the wait, which would call a server alive that may have fallen silent meanwhile.

Change: the check is due at the earliest one check interval after the client has taken an event.

--- a/crates/edge/src/border/attempts.rs
+++ b/crates/edge/src/border/attempts.rs
@@ -139,6 +139,12 @@
         self.attempts.len() < before
     }
 
+    /// Postpones the check after a time in which nothing was read, as the client was not ready.
+    pub fn postpone_check(&mut self) {
+        let check_at = self.context.clock.now() + STREAM_CHECK_TIMEOUT;
+        self.check_at = self.check_at.max(check_at);
+    }
+
     /// Takes an attempt out.
     pub fn remove(&mut self, attempt: AttemptId) -> Option<(SendOrder, Option<IncomingResponse>)> {
         let mut attempts = self.attempts.iter();
--- a/crates/edge/src/border/stream.rs
+++ b/crates/edge/src/border/stream.rs
@@ -240,10 +240,11 @@
         }
         self.pauses.record(now);
         self.report_answer(&events);
-        match body.send(events).await {
-            Ok(()) => ControlFlow::Continue(()),
-            Err(_) => ControlFlow::Break(StreamEnd::Left),
+        if body.send(events).await.is_err() {
+            return ControlFlow::Break(StreamEnd::Left);
         }
+        self.attempts.postpone_check();
+        ControlFlow::Continue(())
     }
 
     /// Ends the other attempts, and reports progress unless it was reported a moment ago.
