Routing: a call takes a slot at each target that it has an open attempt at

Callers see nothing yet: it prepares attempts that stay open beside the next one. A further attempt replaced the previous one in the counts, so an endpoint that still ran the first one looked as if it had a free slot.

`begin_beside` adds a target to a call, `finish_attempt` takes one off, `begin` and `finish` are as before. `find_target` names the latest one.

--- a/crates/routing/src/commands/mod.rs
+++ b/crates/routing/src/commands/mod.rs
@@ -4,6 +4,6 @@
 mod observe;
 mod target;
 
-pub use call::{begin, finish};
+pub use call::{begin, begin_beside, finish, finish_attempt};
 pub use observe::{observe_cache, observe_load};
 pub use target::{mark_leaving, set_node_count, set_targets};
--- a/crates/routing/src/commands/target.rs
+++ b/crates/routing/src/commands/target.rs
@@ -12,6 +12,7 @@
         let local_calls = state
             .calls
             .values()
+            .flatten()
             .filter(|target| **target == spec.target);
         let local_calls = local_calls.count();
         let existing = previous.remove(&spec.target);
--- a/crates/routing/src/queries/load.rs
+++ b/crates/routing/src/queries/load.rs
@@ -39,11 +39,12 @@
     state
         .calls
         .values()
+        .flatten()
         .filter(|other| *other == target)
         .count()
 }
 
-/// Target of a running call; `None` if the call is not running.
+/// Latest target of a running call.
 pub fn find_target(state: &RoutingState, call: CallId) -> Option<&TargetId> {
-    state.calls.get(&call)
+    state.calls.get(&call)?.last()
 }
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -20,8 +20,8 @@
     pub(crate) nodes: usize,
     pub(crate) targets: BTreeMap<TargetId, TargetState>,
     pub(crate) leaving: BTreeMap<TargetId, LeavingMark>,
-    /// Targets of this node's running calls.
-    pub(crate) calls: HashMap<CallId, TargetId>,
+    /// Targets of this node's running calls; several while a call has several attempts.
+    pub(crate) calls: HashMap<CallId, Vec<TargetId>>,
 }
 
 #[derive(Debug)]
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -4,7 +4,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use routing::commands::{
-    begin, finish, mark_leaving, observe_cache, observe_load, set_node_count, set_targets,
+    begin, begin_beside, finish, finish_attempt, mark_leaving, observe_cache, observe_load,
+    set_node_count, set_targets,
 };
 use routing::queries::{RouteQuery, choose, count_local};
 use routing::{
@@ -109,6 +110,25 @@
     assert_eq!(count_local(&state, &target("g2")), 0);
 }
 
+#[test]
+fn each_open_attempt_of_a_call_takes_a_slot() {
+    let mut state = state(&["g1", "g2"]);
+    let call = CallId(7);
+    let count = |state: &RoutingState| {
+        let names = ["g1", "g2"];
+        names.map(|name| count_local(state, &target(name)))
+    };
+    begin(&mut state, call, &target("g1"));
+    begin_beside(&mut state, call, &target("g2"));
+    assert_eq!(count(&state), [1, 1]);
+    finish_attempt(&mut state, call, &target("g1"));
+    finish_attempt(&mut state, call, &target("g1"));
+    assert_eq!(count(&state), [0, 1]);
+    begin_beside(&mut state, call, &target("g1"));
+    finish(&mut state, call);
+    assert_eq!(count(&state), [0, 0]);
+}
+
 #[test]
 fn a_target_with_a_cached_prefix_is_preferred_until_an_event_is_missed() {
     let prefix = hash_prefix(&[7; 4_096], 64);
