--- a/crates/bronzerun/tests/processes/groups.rs
+++ b/crates/bronzerun/tests/processes/groups.rs
@@ -199,6 +199,28 @@
     }
 }
 
+#[test]
+fn a_silent_connection_of_the_only_group_cuts_no_stream() {
+    let spec = FleetSpec {
+        fabrics: 1,
+        engines: 2,
+        groups: 1,
+        is_proxied: true,
+        ..FleetSpec::default()
+    };
+    let mut fleet = Fleet::start("only-group-silent", spec);
+    let (streams, group) = start_streams(&mut fleet, 1);
+    let mut hosts = fleet.engines.iter().map(|engine| &engine.name);
+    let head = hosts.position(|host| *host == group.hosts[0]).unwrap();
+    fleet.proxies[head].pause_open_connections(|| {
+        wait_until("the gateway notices the silence", || {
+            let logs = fleet.gateways[0].process.logs();
+            logs.contains("stream is silent") || streams[0].1.has_ended()
+        });
+    });
+    expect_complete(streams);
+}
+
 /// Reads the fabric domains' records again and again and checks that no host is in two groups.
 struct RecordMonitor {
     stop: Arc<AtomicBool>,
--- a/crates/bronzerun/tests/processes/support/caller.rs
+++ b/crates/bronzerun/tests/processes/support/caller.rs
@@ -217,6 +217,11 @@
         wait_until("tokens of a stream", || self.progress() >= tokens);
     }
 
+    /// Whether the stream has ended.
+    pub fn has_ended(&self) -> bool {
+        self.thread.is_finished()
+    }
+
     /// Waits for the end of the stream.
     pub fn wait_end(self) -> StreamOutcome {
         self.thread.join().unwrap()
--- a/crates/bronzerun/tests/processes/support/proxy.rs
+++ b/crates/bronzerun/tests/processes/support/proxy.rs
@@ -22,6 +22,8 @@
 struct ProxiedConnection {
     ends: [TcpStream; 2],
     is_stalled: Arc<Mutex<bool>>,
+    /// Locked while the connection is paused.
+    gate: Arc<Mutex<()>>,
 }
 
 impl TcpProxy {
@@ -63,6 +65,20 @@
         }
     }
 
+    /// Pauses every open connection while the closure runs: its bytes arrive afterwards. New
+    /// connections work.
+    pub fn pause_open_connections(&self, while_paused: impl FnOnce()) {
+        let gates: Vec<Arc<Mutex<()>>> = {
+            let state = self.state.lock().unwrap();
+            let connections = state.connections.iter();
+            connections
+                .map(|connection| connection.gate.clone())
+                .collect()
+        };
+        let _paused: Vec<_> = gates.iter().map(|gate| gate.lock().unwrap()).collect();
+        while_paused();
+    }
+
     /// Closes one connection in the middle of this text, the next time that it is forwarded.
     pub fn cut_inside(&self, text: &'static str) {
         self.state.lock().unwrap().cut_inside = Some(text);
@@ -80,30 +96,33 @@
         return;
     };
     let is_stalled = Arc::new(Mutex::new(false));
-    copy(&client, &server, is_stalled.clone(), state.clone());
-    copy(&server, &client, is_stalled.clone(), state.clone());
-    let ends = [client, server];
-    state
-        .lock()
-        .unwrap()
-        .connections
-        .push(ProxiedConnection { ends, is_stalled });
+    let gate = Arc::new(Mutex::new(()));
+    copy(&client, &server, &is_stalled, &gate, state);
+    copy(&server, &client, &is_stalled, &gate, state);
+    state.lock().unwrap().connections.push(ProxiedConnection {
+        ends: [client, server],
+        is_stalled,
+        gate,
+    });
 }
 
 /// Copies one direction on a separate thread until either end closes.
 fn copy(
     from: &TcpStream,
     to: &TcpStream,
-    is_stalled: Arc<Mutex<bool>>,
-    state: Arc<Mutex<ProxyState>>,
+    is_stalled: &Arc<Mutex<bool>>,
+    gate: &Arc<Mutex<()>>,
+    state: &Arc<Mutex<ProxyState>>,
 ) {
     let (mut from, mut to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+    let (is_stalled, gate, state) = (is_stalled.clone(), gate.clone(), state.clone());
     thread::spawn(move || {
         let mut buffer = [0; 16_384];
         while let Ok(count @ 1..) = from.read(&mut buffer) {
             if *is_stalled.lock().unwrap() {
                 continue;
             }
+            let _open = gate.lock().unwrap();
             let cut = take_cut(&state, &buffer[..count]);
             let written = to.write_all(&buffer[..cut.unwrap_or(count)]);
             if written.is_err() || cut.is_some() {
--- a/crates/gateway/src/border/exchange.rs
+++ b/crates/gateway/src/border/exchange.rs
@@ -1,26 +1,29 @@
 //! Forwarding of one call's request to endpoints and of the response to its caller.
 
+use std::pin::pin;
 use std::rc::Rc;
 
 use base::prelude::*;
 use bytes::Bytes;
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
+use futures_util::future::{Either, select};
 use http::request::Builder;
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
 use net::web::{
-    BodySender, CallOutcome, ChunkOutcome, CollectOutcome, IncomingResponse, WebClient, WebRequest,
-    WebResponse, body_channel, full_body,
+    BodySender, CallOutcome, CollectOutcome, IncomingResponse, WebClient, WebRequest, WebResponse,
+    body_channel, full_body,
 };
 use net::with_deadline;
 
-use super::events::{EventKind, EventSplitter, classify};
+use super::attempts::{AttemptSignal, OpenAttempt, OpenAttempts};
+use super::events::{EventKind, classify};
 use super::response::{
     REQUEST_HEADER, endpoint_response, forwarded_headers, recorded_response, refusal_event,
     refusal_response, to_recorded,
 };
-use crate::{AttemptEnd, CallRefusal, GatewayEvent, SendOrder};
+use crate::{AttemptEnd, AttemptNumber, CallRefusal, GatewayEvent, SendOrder};
 
 /// Header with the addressed group.
 const GROUP_HEADER: &str = "x-bronzerun-group";
@@ -50,7 +53,7 @@
 /// Timeouts of an exchange.
 #[derive(Clone, Copy, Debug)]
 pub struct ExchangeTimes {
-    /// Silence of an endpoint after which its stream counts as lost.
+    /// Time without an event after which a stream is silent.
     pub silence_limit: Duration,
     /// Time within which a caller must accept the next bytes.
     pub client_timeout: Duration,
@@ -76,10 +79,30 @@
     context: ExchangeContext,
     response_sender: Option<oneshot::Sender<WebResponse>>,
     stream: Option<BodySender>,
+    attempts: OpenAttempts,
+    /// Attempt whose stream has had its last event.
+    done: Option<AttemptNumber>,
     sent_tokens: usize,
     held_response: Option<(Parts, Bytes)>,
 }
 
+/// What an exchange has to handle next.
+pub(super) enum ExchangeSignal {
+    /// Signal of an attempt.
+    Attempt(Box<AttemptSignal>),
+    /// The caller has disconnected.
+    CallerDisconnected,
+}
+
+/// Whether an exchange goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ExchangeProgress {
+    /// More steps follow.
+    Open,
+    /// The caller has the whole response.
+    Answered,
+}
+
 impl CallExchange {
     /// Exchange that has sent nothing yet.
     pub fn new(
@@ -94,52 +117,130 @@
             context,
             response_sender: Some(response_sender),
             stream: None,
+            attempts: OpenAttempts::default(),
+            done: None,
             sent_tokens: 0,
             held_response: None,
         }
     }
 
-    /// Waits until the caller disconnects. Never returns once the response was sent
-    /// or has started.
-    pub async fn caller_disconnected(&mut self) {
-        match &mut self.response_sender {
-            Some(sender) => sender.cancellation().await,
-            None => std::future::pending().await,
+    /// Sends the request to an endpoint, unless an earlier attempt goes on again.
+    pub fn send(&mut self, order: SendOrder) {
+        let request = self.build_request(&order);
+        let Some(request) = request.filter(|_| !self.attempts.has_active()) else {
+            return self.report_end(&order, AttemptEnd::NotSent);
+        };
+        let client = self.context.client.clone();
+        let (address, deadline) = (order.address, order.deadline);
+        let outcome = async move { client.call(address, request, deadline).await };
+        let silent_at = self.stream.as_ref().map(|_| self.silent_at());
+        let attempt = OpenAttempt::sent(order, Box::pin(outcome), silent_at);
+        self.attempts.add(attempt);
+    }
+
+    /// Aborts an attempt, if it is open.
+    pub fn abort(&mut self, attempt: AttemptNumber) {
+        if let Some(open) = self.attempts.remove(attempt) {
+            self.report_end(&open.order, AttemptEnd::Lost);
+        }
+    }
+
+    /// Aborts all attempts.
+    pub fn abort_all(&mut self) {
+        for open in self.attempts.remove_all() {
+            self.give_up(&open.order);
+        }
+    }
+
+    /// Waits for what comes next. Nothing is lost if the future is dropped.
+    ///
+    /// A caller that disconnects is noticed while no response is expected to go on.
+    pub async fn wait(&mut self) -> ExchangeSignal {
+        let has_active = self.attempts.has_active();
+        let clock = self.context.clock.clone();
+        let signal = pin!(self.attempts.wait(clock.as_ref()));
+        if has_active {
+            return ExchangeSignal::Attempt(Box::new(signal.await));
+        }
+        let disconnected = caller_disconnected(&mut self.response_sender, &mut self.stream);
+        match select(signal, pin!(disconnected)).await {
+            Either::Left((signal, _)) => ExchangeSignal::Attempt(Box::new(signal)),
+            Either::Right(_) => ExchangeSignal::CallerDisconnected,
+        }
+    }
+
+    /// Handles what came.
+    pub async fn handle(&mut self, signal: ExchangeSignal) -> ExchangeProgress {
+        let signal = match signal {
+            ExchangeSignal::Attempt(signal) => *signal,
+            ExchangeSignal::CallerDisconnected => return self.drop_caller(),
+        };
+        match signal {
+            AttemptSignal::Response(order, outcome) => self.accept_response(order, outcome),
+            AttemptSignal::Collected(order, outcome) => self.forward_whole(&order, outcome),
+            AttemptSignal::Event(attempt, event) => self.forward_event(attempt, event).await,
+            AttemptSignal::StreamEnded(attempt) => self.end_stream(attempt),
+            AttemptSignal::StreamLost(attempt) => {
+                self.abort(attempt);
+                ExchangeProgress::Open
+            }
+            AttemptSignal::Silent(attempt) => self.report_silence(attempt),
         }
     }
 
     /// Drops the response channel of a caller that has disconnected.
-    pub fn drop_caller(&mut self) {
+    fn drop_caller(&mut self) -> ExchangeProgress {
         self.response_sender = None;
+        self.stream = None;
+        self.report(GatewayEvent::CallerDisconnected { call: self.call });
+        ExchangeProgress::Open
     }
 
-    /// Sends the request to an endpoint and forwards the response.
-    pub async fn attempt(&mut self, order: &SendOrder) -> AttemptEnd {
-        let Some(request) = self.build_request(order) else {
-            return AttemptEnd::NotSent;
-        };
-        let deadline = self.response_deadline(order);
-        let response = match self
-            .context
-            .client
-            .call(order.address, request, deadline)
-            .await
-        {
-            CallOutcome::Response(response) => response,
-            CallOutcome::NotSent => return AttemptEnd::NotSent,
-            CallOutcome::Lost => return AttemptEnd::Lost,
+    fn accept_response(&mut self, order: SendOrder, outcome: CallOutcome) -> ExchangeProgress {
+        let response = match outcome {
+            CallOutcome::Response(response) if self.matches_request(&response) => response,
+            CallOutcome::Response(_) | CallOutcome::Lost => {
+                self.report_end(&order, AttemptEnd::Lost);
+                return ExchangeProgress::Open;
+            }
+            CallOutcome::NotSent => {
+                self.report_end(&order, AttemptEnd::NotSent);
+                return ExchangeProgress::Open;
+            }
         };
-        if !self.matches_request(&response) {
-            return AttemptEnd::Lost;
-        }
         match response.parts.status {
-            StatusCode::MISDIRECTED_REQUEST if order.generation.is_some() => AttemptEnd::NotSent,
-            status if order.generation.is_some() && status.is_server_error() => AttemptEnd::Lost,
+            StatusCode::MISDIRECTED_REQUEST if order.generation.is_some() => {
+                self.report_end(&order, AttemptEnd::NotSent);
+            }
+            status if order.generation.is_some() && status.is_server_error() => {
+                self.report_end(&order, AttemptEnd::Lost);
+            }
             // Nothing but events may follow in a stream that has started.
-            status if self.stream.is_some() && status != StatusCode::OK => AttemptEnd::Lost,
-            StatusCode::OK if self.request.streams => self.forward_stream(*response).await,
-            _ => self.forward_whole(*response, order).await,
+            status if self.stream.is_some() && status != StatusCode::OK => {
+                self.report_end(&order, AttemptEnd::Lost);
+            }
+            StatusCode::OK if self.request.streams => return self.read_stream(order, response),
+            _ => {
+                let whole = response.collect(MAX_RESPONSE_BYTES, order.deadline);
+                let attempt = OpenAttempt::collecting(order, Box::pin(whole));
+                self.attempts.add(attempt);
+            }
         }
+        ExchangeProgress::Open
+    }
+
+    fn read_stream(
+        &mut self,
+        order: SendOrder,
+        response: Box<IncomingResponse>,
+    ) -> ExchangeProgress {
+        if self.stream.is_none() && !self.open_stream(&response) {
+            return self.drop_caller();
+        }
+        let silent_at = self.silent_at();
+        let attempt = OpenAttempt::streaming(order, response, silent_at);
+        self.attempts.add(attempt);
+        ExchangeProgress::Open
     }
 
     /// Sends the caller a refusal: as an event if its stream has started, else as the
@@ -170,23 +271,9 @@
         self.send_response(response);
     }
 
-    /// Logs an attempt that failed.
-    pub fn log_failure(&self, order: &SendOrder, end: &AttemptEnd) {
-        if matches!(end, AttemptEnd::Lost | AttemptEnd::NotSent) {
-            log::warn!(
-                request:? = self.request.id, endpoint:% = order.address, end:? = end;
-                "attempt failed"
-            );
-        }
-    }
-
-    /// Instant by which the response must start. A stream that had started before
-    /// must continue within the silence limit.
-    fn response_deadline(&self, order: &SendOrder) -> ClockTime {
-        match self.stream {
-            Some(_) => self.context.clock.now() + self.context.times.silence_limit,
-            None => order.deadline,
-        }
+    /// Instant at which a stream without a further event is silent.
+    fn silent_at(&self) -> ClockTime {
+        self.context.clock.now() + self.context.times.silence_limit
     }
 
     fn build_request(&self, order: &SendOrder) -> Option<WebRequest> {
@@ -220,53 +307,85 @@
         }
     }
 
-    async fn forward_whole(&mut self, response: IncomingResponse, order: &SendOrder) -> AttemptEnd {
-        let (parts, body) = match response.collect(MAX_RESPONSE_BYTES, order.deadline).await {
-            CollectOutcome::Response(parts, body) => (parts, body),
-            CollectOutcome::NotSent | CollectOutcome::Lost => return AttemptEnd::Lost,
+    fn forward_whole(&mut self, order: &SendOrder, outcome: CollectOutcome) -> ExchangeProgress {
+        let (parts, body) = match outcome {
+            CollectOutcome::Response(parts, body) if self.stream.is_none() => (parts, body),
+            _ => {
+                self.report_end(order, AttemptEnd::Lost);
+                return ExchangeProgress::Open;
+            }
         };
         if order.record_response {
             let recorded = to_recorded(&parts, &body);
             self.held_response = Some((parts, body));
-            return AttemptEnd::Recorded(recorded);
+            self.report_end(order, AttemptEnd::Recorded(recorded));
+            return ExchangeProgress::Open;
         }
         self.report_response_start();
         self.send_response(endpoint_response(&parts, body));
-        AttemptEnd::Answered
+        self.report_end(order, AttemptEnd::Answered);
+        ExchangeProgress::Answered
     }
 
-    async fn forward_stream(&mut self, mut response: IncomingResponse) -> AttemptEnd {
-        if self.stream.is_none() && !self.open_stream(&response) {
-            return AttemptEnd::CallerDisconnected;
+    /// Forwards an event. The first attempt that goes on ends the others.
+    async fn forward_event(&mut self, attempt: AttemptNumber, event: Bytes) -> ExchangeProgress {
+        self.keep_only(attempt);
+        let kind = classify(&event);
+        if kind == EventKind::Done {
+            self.done = Some(attempt);
         }
-        let mut splitter = EventSplitter::default();
-        let mut done = false;
-        // Bytes that don't complete an event are no progress, however many there are.
-        let mut deadline = self.context.clock.now() + self.context.times.silence_limit;
-        loop {
-            match response.next_chunk(deadline).await {
-                ChunkOutcome::Chunk(chunk) => splitter.push(&chunk),
-                ChunkOutcome::End if done => {
-                    response.finish();
-                    self.stream = None;
-                    return AttemptEnd::Answered;
-                }
-                ChunkOutcome::End | ChunkOutcome::Lost => return AttemptEnd::Lost,
-            }
-            while let Some(event) = splitter.next_event() {
-                deadline = self.context.clock.now() + self.context.times.silence_limit;
-                let kind = classify(&event);
-                done |= kind == EventKind::Done;
-                if !self.send_event(event, kind).await {
-                    return AttemptEnd::CallerDisconnected;
-                }
-            }
-            if splitter.is_too_long() {
-                return AttemptEnd::Lost;
-            }
+        if self.send_event(event, kind).await {
+            ExchangeProgress::Open
+        } else {
+            self.drop_caller()
         }
     }
 
+    fn keep_only(&mut self, attempt: AttemptNumber) {
+        let silent_at = self.silent_at();
+        let was_silent = self.attempts.record_event(attempt, silent_at);
+        let others = self.attempts.remove_others(attempt);
+        if was_silent || !others.is_empty() {
+            log::info!(request:? = self.request.id, attempt = attempt.0; "stream goes on");
+            let call = self.call;
+            self.report(GatewayEvent::AttemptProgressed { call, attempt });
+        }
+        for other in others {
+            self.give_up(&other.order);
+        }
+    }
+
+    fn end_stream(&mut self, attempt: AttemptNumber) -> ExchangeProgress {
+        let is_done = self.done == Some(attempt);
+        let Some(open) = self.attempts.remove(attempt) else {
+            return ExchangeProgress::Open;
+        };
+        if !is_done {
+            self.report_end(&open.order, AttemptEnd::Lost);
+            return ExchangeProgress::Open;
+        }
+        self.stream = None;
+        self.report_end(&open.order, AttemptEnd::Answered);
+        if let Some(response) = open.into_response() {
+            response.finish();
+        }
+        ExchangeProgress::Answered
+    }
+
+    fn report_silence(&mut self, attempt: AttemptNumber) -> ExchangeProgress {
+        if let Some(order) = self.attempts.order(attempt) {
+            log::info!(
+                request:? = self.request.id, endpoint:% = order.address;
+                "stream is silent"
+            );
+            // Whatever silenced this connection may have silenced the idle ones, too.
+            self.context.client.drop_idle(order.address);
+        }
+        let call = self.call;
+        self.report(GatewayEvent::AttemptSilent { call, attempt });
+        ExchangeProgress::Open
+    }
+
     fn open_stream(&mut self, endpoint_response: &IncomingResponse) -> bool {
         let (sender, body) = body_channel();
         let mut response = Response::new(body);
@@ -294,7 +413,32 @@
     }
 
     fn report_response_start(&self) {
-        let event = GatewayEvent::ResponseStarted { call: self.call };
+        self.report(GatewayEvent::ResponseStarted { call: self.call });
+    }
+
+    /// Reports an attempt that is given up although it may go on.
+    fn give_up(&self, order: &SendOrder) {
+        log::info!(
+            request:? = self.request.id, endpoint:% = order.address;
+            "attempt given up"
+        );
+        let (call, attempt, end) = (self.call, order.attempt, AttemptEnd::Lost);
+        self.report(GatewayEvent::AttemptEnded { call, attempt, end });
+    }
+
+    /// Reports the end of an attempt, and logs one that failed.
+    fn report_end(&self, order: &SendOrder, end: AttemptEnd) {
+        if matches!(end, AttemptEnd::Lost | AttemptEnd::NotSent) {
+            log::warn!(
+                request:? = self.request.id, endpoint:% = order.address, end:? = end;
+                "attempt failed"
+            );
+        }
+        let (call, attempt) = (self.call, order.attempt);
+        self.report(GatewayEvent::AttemptEnded { call, attempt, end });
+    }
+
+    fn report(&self, event: GatewayEvent) {
         // The loop may have ended at the drain limit.
         let _ = self.context.events.unbounded_send(event);
     }
@@ -308,3 +452,15 @@
         }
     }
 }
+
+/// Waits until the caller disconnects; for ever if it has no open connection any more.
+async fn caller_disconnected(
+    response_sender: &mut Option<oneshot::Sender<WebResponse>>,
+    stream: &mut Option<BodySender>,
+) {
+    match (response_sender, stream) {
+        (Some(sender), _) => sender.cancellation().await,
+        (None, Some(stream)) => stream.closed().await,
+        (None, None) => std::future::pending().await,
+    }
+}
--- a/crates/gateway/src/border/ingress.rs
+++ b/crates/gateway/src/border/ingress.rs
@@ -160,7 +160,7 @@
         };
         let exchange = CallExchange::new(call, request, self.context.clone(), sender);
         let events = self.context.events.clone();
-        let task = CallTask::new(call, self.executor.clone(), events.clone(), exchange);
+        let task = CallTask::new(call, self.executor.clone(), exchange);
         let arrival = CallArrival {
             call,
             digest: call_headers.digest,
--- a/crates/gateway/src/border/mod.rs
+++ b/crates/gateway/src/border/mod.rs
@@ -5,6 +5,7 @@
 //! other gateways; [`executor`] executes effects.
 
 mod admin;
+mod attempts;
 mod events;
 mod exchange;
 mod executor;
--- a/crates/gateway/src/border/task.rs
+++ b/crates/gateway/src/border/task.rs
@@ -4,35 +4,28 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender};
+use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 
-use super::exchange::CallExchange;
+use super::exchange::{CallExchange, ExchangeProgress, ExchangeSignal};
 use super::executor::GatewayExecutor;
-use crate::{AttemptEnd, CallStep, GatewayEvent, SendOrder};
+use crate::CallStep;
 
 /// Task of one call.
 pub struct CallTask {
     call: CallId,
     steps: UnboundedReceiver<CallStep>,
-    events: UnboundedSender<GatewayEvent>,
     executor: Rc<GatewayExecutor>,
     exchange: CallExchange,
 }
 
 impl CallTask {
     /// Creates the task and registers it with the executor for its steps.
-    pub fn new(
-        call: CallId,
-        executor: Rc<GatewayExecutor>,
-        events: UnboundedSender<GatewayEvent>,
-        exchange: CallExchange,
-    ) -> Self {
+    pub fn new(call: CallId, executor: Rc<GatewayExecutor>, exchange: CallExchange) -> Self {
         Self {
             call,
             steps: executor.register_task(call),
-            events,
             executor,
             exchange,
         }
@@ -40,79 +33,49 @@
 
     /// Runs until the call has ended.
     pub async fn run(mut self) {
-        while let Some(step) = self.next_step().await {
-            match step {
-                CallStep::Send(order) => {
-                    let (end, last_step) = self.attempt(&order).await;
-                    let is_answered = end == AttemptEnd::Answered;
-                    self.report(end);
-                    if is_answered {
-                        return;
-                    }
-                    if let Some(last_step) = last_step {
+        loop {
+            match self.next().await {
+                Either::Left(None) => return,
+                Either::Left(Some(step)) => {
+                    if let Some(last_step) = self.apply(step) {
                         return self.finish(last_step).await;
                     }
                 }
-                // The attempt to abort has ended meanwhile.
-                CallStep::Abort => {}
-                last_step => return self.finish(last_step).await,
-            }
-        }
-    }
-
-    async fn finish(&mut self, last_step: CallStep) {
-        match last_step {
-            CallStep::Refuse(refusal) => self.exchange.refuse(&refusal).await,
-            CallStep::Respond(response) => self.exchange.respond(&response),
-            CallStep::Discard | CallStep::Abort | CallStep::Send(_) => {}
-        }
-    }
-
-    async fn next_step(&mut self) -> Option<CallStep> {
-        loop {
-            match self.wait_step().await {
-                Either::Left(step) => return step,
-                Either::Right(()) => self.exchange.drop_caller(),
+                Either::Right(signal) => {
+                    if self.exchange.handle(signal).await == ExchangeProgress::Answered {
+                        return;
+                    }
+                }
             }
-            self.report(AttemptEnd::CallerDisconnected);
         }
     }
 
-    /// Waits for the next step or until the caller disconnects.
-    async fn wait_step(&mut self) -> Either<Option<CallStep>, ()> {
-        let disconnected = pin!(self.exchange.caller_disconnected());
-        match select(self.steps.next(), disconnected).await {
+    /// Waits for the next step or for something to handle.
+    async fn next(&mut self) -> Either<Option<CallStep>, ExchangeSignal> {
+        let signal = pin!(self.exchange.wait());
+        match select(self.steps.next(), signal).await {
             Either::Left((step, _)) => Either::Left(step),
-            Either::Right(_) => Either::Right(()),
+            Either::Right((signal, _)) => Either::Right(signal),
         }
     }
 
-    /// Makes an attempt, unless the loop ends it: by an abort, or by the call's last
-    /// step, which is returned.
-    async fn attempt(&mut self, order: &SendOrder) -> (AttemptEnd, Option<CallStep>) {
-        let (end, last_step) = self.run_attempt(order).await;
-        self.exchange.log_failure(order, &end);
-        (end, last_step)
-    }
-
-    async fn run_attempt(&mut self, order: &SendOrder) -> (AttemptEnd, Option<CallStep>) {
-        let attempt = pin!(self.exchange.attempt(order));
-        let next_step = self.steps.next();
-        match select(attempt, next_step).await {
-            Either::Left((end, _)) => (end, None),
-            Either::Right((step, _)) => {
-                let last_step = step.filter(|step| *step != CallStep::Abort);
-                (AttemptEnd::Lost, last_step)
-            }
+    /// Applies a step; returns it if it is the last one.
+    fn apply(&mut self, step: CallStep) -> Option<CallStep> {
+        match step {
+            CallStep::Send(order) => self.exchange.send(order),
+            CallStep::Abort(attempt) => self.exchange.abort(attempt),
+            last_step => return Some(last_step),
         }
+        None
     }
 
-    fn report(&self, end: AttemptEnd) {
-        let call = self.call;
-        // The loop may have ended at the drain limit.
-        let _ = self
-            .events
-            .unbounded_send(GatewayEvent::AttemptEnded { call, end });
+    async fn finish(&mut self, last_step: CallStep) {
+        self.exchange.abort_all();
+        match last_step {
+            CallStep::Refuse(refusal) => self.exchange.refuse(&refusal).await,
+            CallStep::Respond(response) => self.exchange.respond(&response),
+            _ => {}
+        }
     }
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -107,15 +107,28 @@
     Send(SendOrder),
     /// Send the caller the recorded response and end.
     Respond(RecordedResponse),
-    /// Abort the attempt in flight and report it as lost.
-    Abort,
+    /// Abort an attempt and report it as lost, if it is open.
+    Abort(AttemptNumber),
     /// End without a response: the caller has disconnected.
     Discard,
 }
 
+/// Number of an attempt within its call; the first one is 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AttemptNumber(pub u32);
+
+impl AttemptNumber {
+    /// Number of the following attempt.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 /// Order to send a call's request to an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SendOrder {
+    /// Number of the attempt.
+    pub attempt: AttemptNumber,
     /// Address of the endpoint.
     pub address: SocketAddr,
     /// Addressed group and its generation; `None` for a plain server.
@@ -148,8 +161,6 @@
     NotSent,
     /// The request was sent, but the response is missing or incomplete.
     Lost,
-    /// The caller has disconnected.
-    CallerDisconnected,
 }
 
 /// State of a call that has not ended.
@@ -163,10 +174,80 @@
     pub arrived_at: ClockTime,
     pub failed_targets: Vec<TargetId>,
     pub progress: CallProgress,
+    pub last_attempt: AttemptNumber,
     pub response_started: bool,
     pub may_have_run: bool,
 }
 
+impl CallState {
+    /// Open attempts, the latest one last.
+    pub fn open_attempts(&self) -> &[OpenAttempt] {
+        match &self.progress {
+            CallProgress::InFlight(attempts) => attempts,
+            _ => &[],
+        }
+    }
+
+    /// Open attempts, to change.
+    pub fn open_attempts_mut(&mut self) -> &mut [OpenAttempt] {
+        match &mut self.progress {
+            CallProgress::InFlight(attempts) => attempts,
+            _ => &mut [],
+        }
+    }
+
+    /// Open attempt of this number.
+    pub fn attempt_mut(&mut self, number: AttemptNumber) -> Option<&mut OpenAttempt> {
+        let mut attempts = self.open_attempts_mut().iter_mut();
+        attempts.find(|attempt| attempt.number == number)
+    }
+
+    /// Adds the latest attempt.
+    pub fn add_attempt(&mut self, attempt: OpenAttempt) {
+        match &mut self.progress {
+            CallProgress::InFlight(attempts) => attempts.push(attempt),
+            progress => *progress = CallProgress::InFlight(vec![attempt]),
+        }
+    }
+
+    /// Removes an attempt that has ended; the call waits for the next one if it was the
+    /// last.
+    pub fn remove_attempt(&mut self, number: AttemptNumber) -> Option<OpenAttempt> {
+        let CallProgress::InFlight(attempts) = &mut self.progress else {
+            return None;
+        };
+        let position = attempts
+            .iter()
+            .position(|attempt| attempt.number == number)?;
+        let attempt = attempts.remove(position);
+        if attempts.is_empty() {
+            self.progress = CallProgress::Starting;
+        }
+        Some(attempt)
+    }
+
+    /// Whether the call waits for endpoints none of which can be expected to answer.
+    pub fn is_held(&self) -> bool {
+        let attempts = self.open_attempts();
+        !attempts.is_empty() && attempts.iter().all(|attempt| attempt.is_silent)
+    }
+
+    /// Whether a further attempt may still start.
+    pub fn is_in_time(&self, now: ClockTime) -> bool {
+        now < self.deadline || self.response_started
+    }
+
+    /// Instant until which an endpoint is waited for. The caller's timeout limits the
+    /// time to the start of the response, and each interruption of a started one.
+    pub fn wait_deadline(&self, now: ClockTime) -> ClockTime {
+        if self.response_started {
+            now + self.deadline.since(self.arrived_at)
+        } else {
+            self.deadline
+        }
+    }
+}
+
 /// Progress of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum CallProgress {
@@ -175,11 +256,27 @@
     /// Waits for its start to be recorded in the ledger, or for the next
     /// attempt.
     Starting,
-    /// An attempt was sent to `target`.
-    InFlight {
-        target: TargetId,
-        generation: Option<GroupGeneration>,
-    },
+    /// At least one attempt is open; the latest one is the last.
+    InFlight(Vec<OpenAttempt>),
     /// Waits for its outcome to be recorded in the ledger.
     Recording,
 }
+
+/// Attempt that has not ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct OpenAttempt {
+    pub number: AttemptNumber,
+    pub target: TargetId,
+    pub generation: Option<GroupGeneration>,
+    /// Its stream has had no event for the silence limit.
+    pub is_silent: bool,
+}
+
+/// Deadlines of a call all of whose attempts are silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CallHold {
+    /// Instant at which the response counts as lost.
+    pub lost_at: ClockTime,
+    /// Instant of the next try to send the call to another target.
+    pub retry_at: ClockTime,
+}
--- a/crates/gateway/src/commands/attempts.rs
+++ b/crates/gateway/src/commands/attempts.rs
@@ -6,13 +6,16 @@
 use limits::{CallIdempotency, IdempotentCall, RetryOutcome};
 
 use super::calls::{dispatch, refuse, refuse_without_target, remove_call};
+use super::holds;
 use super::ledger as ledger_effects;
 use crate::call::{CallProgress, CallState};
 use crate::state::GatewayState;
-use crate::{AttemptEnd, CallMeasure, CallStep, GatewayEffect, RefusalCause, RunState};
+use crate::{
+    AttemptEnd, AttemptNumber, CallMeasure, CallStep, GatewayEffect, RefusalCause, RunState,
+};
 
-/// Failovers of a started stream that the retry budget doesn't limit.
-const UNBUDGETED_FAILOVERS: usize = 1;
+/// Attempts of a started stream after which the retry budget limits its failovers.
+const UNBUDGETED_ATTEMPTS: AttemptNumber = AttemptNumber(1);
 
 /// Records that the response has started, for the histograms and for the run
 /// state of a later refusal.
@@ -36,12 +39,16 @@
 pub fn complete(
     state: &mut GatewayState,
     call: CallId,
+    attempt: AttemptNumber,
     end: AttemptEnd,
     now: ClockTime,
 ) -> Vec<GatewayEffect> {
-    let Some(call_state) = state.calls.get(&call) else {
+    let Some(call_state) = state.calls.get_mut(&call) else {
         return complete_late(state, call, end, now);
     };
+    if call_state.attempt_mut(attempt).is_none() {
+        return Vec::new();
+    }
     let is_non_idempotent = call_state.idempotency == CallIdempotency::NonIdempotent;
     match end {
         AttemptEnd::Answered => {
@@ -49,26 +56,43 @@
             effects.extend(remove_call(state, call, now));
             effects
         }
-        AttemptEnd::CallerDisconnected if !is_non_idempotent => {
-            let step = CallStep::Discard;
-            let mut effects = vec![GatewayEffect::Step { call, step }];
-            effects.extend(remove_call(state, call, now));
-            effects
-        }
-        // A non-idempotent call goes on: the caller may repeat the request with
-        // the same key from another device and must get its outcome.
-        AttemptEnd::CallerDisconnected => Vec::new(),
         AttemptEnd::Recorded(response) => {
+            release_attempt(state, call, attempt, true);
             record_outcome(state, call, FinishedCall::Answered(response), now)
         }
-        AttemptEnd::NotSent => try_next_target(state, call, now),
-        AttemptEnd::Lost if is_non_idempotent => {
-            record_outcome(state, call, FinishedCall::Unknown, now)
+        AttemptEnd::NotSent => {
+            release_attempt(state, call, attempt, true);
+            try_next_target(state, call, now)
+        }
+        AttemptEnd::Lost => {
+            release_attempt(state, call, attempt, true);
+            if is_non_idempotent {
+                return record_outcome(state, call, FinishedCall::Unknown, now);
+            }
+            retry(state, call, now)
         }
-        AttemptEnd::Lost => retry(state, call, now),
     }
 }
 
+/// Ends a call whose caller has disconnected.
+///
+/// A non-idempotent call goes on: the caller may repeat the request with the same key
+/// from another device and must get its outcome.
+pub fn discard_caller(
+    state: &mut GatewayState,
+    call: CallId,
+    now: ClockTime,
+) -> Vec<GatewayEffect> {
+    let call_state = state.calls.get(&call);
+    if call_state.is_none_or(|call| call.idempotency == CallIdempotency::NonIdempotent) {
+        return Vec::new();
+    }
+    let step = CallStep::Discard;
+    let mut effects = vec![GatewayEffect::Step { call, step }];
+    effects.extend(remove_call(state, call, now));
+    effects
+}
+
 /// Records the outcome of a non-idempotent call whose caller already got a
 /// response at its deadline.
 fn complete_late(
@@ -84,7 +108,7 @@
         }
         AttemptEnd::Lost => state.ledger.finish(call, FinishedCall::Unknown, now),
         AttemptEnd::NotSent => state.ledger.withdraw(call, now),
-        AttemptEnd::Answered | AttemptEnd::CallerDisconnected => Vec::new(),
+        AttemptEnd::Answered => Vec::new(),
     };
     ledger_effects::apply(state, effects, now)
 }
@@ -95,7 +119,6 @@
     finished: FinishedCall,
     now: ClockTime,
 ) -> Vec<GatewayEffect> {
-    release_target(state, call);
     if let Some(call_state) = state.calls.get_mut(&call) {
         call_state.progress = CallProgress::Recording;
     }
@@ -106,37 +129,31 @@
 /// Sends a call that was not run to another target. This is safe for
 /// non-idempotent calls too.
 fn try_next_target(state: &mut GatewayState, call: CallId, now: ClockTime) -> Vec<GatewayEffect> {
-    release_target(state, call);
-    if let Some(call_state) = state.calls.get_mut(&call) {
-        call_state.progress = CallProgress::Starting;
-        if now >= call_state.deadline {
-            return refuse_without_target(state, call, now);
-        }
+    let Some(call_state) = state.calls.get(&call) else {
+        return Vec::new();
+    };
+    if !call_state.open_attempts().is_empty() {
+        holds::update_hold(state, call, now);
+        return Vec::new();
+    }
+    if !call_state.is_in_time(now) {
+        return refuse_without_target(state, call, now);
     }
     dispatch(state, call, now)
 }
 
-/// Retries an idempotent call whose response was lost, within the retry budget.
-///
-/// A stream that had started fails over once regardless of the budget: the loss
-/// of a group ends all its streams at once, and their retries are no more than
-/// the streams that were running.
+/// Retries an idempotent call whose response was lost, within the retry budget, unless
+/// another of its attempts is open.
 fn retry(state: &mut GatewayState, call: CallId, now: ClockTime) -> Vec<GatewayEffect> {
-    release_target(state, call);
     let Some(call_state) = state.calls.get_mut(&call) else {
         return Vec::new();
     };
     call_state.may_have_run = true;
-    let service = call_state.arrival.service.clone();
-    let claim = IdempotentCall::new(call, call_state.idempotency);
-    let in_time = now < call_state.deadline || call_state.response_started;
-    let is_unbudgeted_failover =
-        call_state.response_started && call_state.failed_targets.len() <= UNBUDGETED_FAILOVERS;
-    let granted = claim.filter(|_| in_time).is_some_and(|claim| {
-        let outcome = claim_retry(&mut state.budget, &service, claim, now);
-        is_unbudgeted_failover || matches!(outcome, RetryOutcome::Granted(_))
-    });
-    if granted {
+    if !call_state.open_attempts().is_empty() {
+        holds::update_hold(state, call, now);
+        return Vec::new();
+    }
+    if call_state.is_in_time(now) && claim_attempt(state, call, now) {
         return dispatch(state, call, now);
     }
     let run = RunState::Unknown;
@@ -145,15 +162,43 @@
     effects
 }
 
-fn release_target(state: &mut GatewayState, call: CallId) {
+/// Claims a further attempt of an idempotent call from the retry budget.
+///
+/// A stream that had started fails over once regardless of the budget: the loss
+/// of a group ends all its streams at once, and their retries are no more than
+/// the streams that were running.
+pub(super) fn claim_attempt(state: &mut GatewayState, call: CallId, now: ClockTime) -> bool {
+    let Some(call_state) = state.calls.get(&call) else {
+        return false;
+    };
+    let Some(claim) = IdempotentCall::new(call, call_state.idempotency) else {
+        return false;
+    };
+    let is_unbudgeted_failover =
+        call_state.response_started && call_state.last_attempt <= UNBUDGETED_ATTEMPTS;
+    let service = call_state.arrival.service.clone();
+    let outcome = claim_retry(&mut state.budget, &service, claim, now);
+    is_unbudgeted_failover || matches!(outcome, RetryOutcome::Granted(_))
+}
+
+/// Removes an attempt and gives its slot back; a failed one excludes its target.
+pub(super) fn release_attempt(
+    state: &mut GatewayState,
+    call: CallId,
+    attempt: AttemptNumber,
+    has_failed: bool,
+) {
     let Some(call_state) = state.calls.get_mut(&call) else {
         return;
     };
-    if let CallProgress::InFlight { target, .. } = &call_state.progress {
-        call_state.failed_targets.push(target.clone());
+    let Some(attempt) = call_state.remove_attempt(attempt) else {
+        return;
+    };
+    if has_failed {
+        call_state.failed_targets.push(attempt.target.clone());
     }
     let service = call_state.arrival.service.clone();
-    routing::commands::finish(state.route_mut(&service), call);
+    routing::commands::finish_attempt(state.route_mut(&service), call, &attempt.target);
 }
 
 pub(super) fn measure(call: &CallState, measure: &'static str, now: ClockTime) -> GatewayEffect {
--- a/crates/gateway/src/commands/calls.rs
+++ b/crates/gateway/src/commands/calls.rs
@@ -8,11 +8,12 @@
 
 use super::queue::refuse_queued;
 use super::{ledger as ledger_effects, queue};
-use crate::call::{CallProgress, CallState};
+use crate::call::{CallProgress, CallState, OpenAttempt};
 use crate::queries::{self, Entitlement};
 use crate::state::GatewayState;
 use crate::{
-    CallArrival, CallKind, CallRefusal, CallStep, GatewayEffect, RefusalCause, RunState, SendOrder,
+    AttemptNumber, CallArrival, CallKind, CallRefusal, CallStep, GatewayEffect, RefusalCause,
+    RunState, SendOrder,
 };
 
 /// Authorizes a received call and submits it to admission control.
@@ -44,6 +45,7 @@
             arrived_at: now,
             failed_targets: Vec::new(),
             progress: CallProgress::Queued,
+            last_attempt: AttemptNumber::default(),
             response_started: false,
             may_have_run: false,
             arrival,
@@ -128,34 +130,66 @@
     let Some(target) = choose_target(state, call_state, now) else {
         return refuse_without_target(state, call, now);
     };
-    let Some((address, generation)) = queries::locate(state, &target) else {
+    let effects = send_beside(state, call, target, now);
+    if effects.is_empty() {
         return refuse_without_target(state, call, now);
+    }
+    effects
+}
+
+/// Sends a call to a target and keeps its open attempts; does nothing if the target has
+/// no address.
+pub(super) fn send_beside(
+    state: &mut GatewayState,
+    call: CallId,
+    target: TargetId,
+    now: ClockTime,
+) -> Vec<GatewayEffect> {
+    let Some((address, generation)) = queries::locate(state, &target) else {
+        return Vec::new();
+    };
+    let Some(call_state) = state.calls.get_mut(&call) else {
+        return Vec::new();
     };
+    let number = call_state.last_attempt.next();
     let order = SendOrder {
+        attempt: number,
         address,
         generation: generation.clone(),
-        deadline: call_state.deadline,
-        record_response: is_non_idempotent,
+        deadline: call_state.wait_deadline(now),
+        record_response: call_state.idempotency == CallIdempotency::NonIdempotent,
     };
+    call_state.last_attempt = number;
+    call_state.add_attempt(OpenAttempt {
+        number,
+        target: target.clone(),
+        generation,
+        is_silent: false,
+    });
     let service = call_state.arrival.service.clone();
-    routing::commands::begin(state.route_mut(&service), call, &target);
-    if let Some(call_state) = state.calls.get_mut(&call) {
-        call_state.progress = CallProgress::InFlight { target, generation };
-    }
+    routing::commands::begin_beside(state.route_mut(&service), call, &target);
     let step = CallStep::Send(order);
     vec![GatewayEffect::Step { call, step }]
 }
 
-fn choose_target(state: &GatewayState, call: &CallState, now: ClockTime) -> Option<TargetId> {
+/// Best target among those that have not failed a call and don't run it.
+pub(super) fn choose_target(
+    state: &GatewayState,
+    call: &CallState,
+    now: ClockTime,
+) -> Option<TargetId> {
     let route = state.routes.get(&call.arrival.service)?;
     let prefix = match &call.arrival.kind {
         CallKind::Model { prefix, .. } => prefix.as_slice(),
         CallKind::Plain { .. } => &[],
     };
+    let open = call.open_attempts().iter();
+    let open = open.map(|attempt| &attempt.target);
+    let excluded: Vec<TargetId> = call.failed_targets.iter().chain(open).cloned().collect();
     let query = RouteQuery {
         call: call.arrival.call,
         prefix,
-        excluded: &call.failed_targets,
+        excluded: &excluded,
     };
     choose(route, now, &query).map(|choice| choice.target)
 }
@@ -194,6 +228,7 @@
     let Some(call_state) = state.calls.remove(&call) else {
         return Vec::new();
     };
+    state.held.remove(&call);
     routing::commands::finish(state.route_mut(&call_state.arrival.service), call);
     let change = match call_state.progress {
         CallProgress::Queued => limits::commands::cancel(&mut state.admission, call, now),
--- a/crates/gateway/src/commands/targets.rs
+++ b/crates/gateway/src/commands/targets.rs
@@ -7,7 +7,7 @@
 use routing::{LoadSample, TargetId, TargetSpec};
 
 use super::queue;
-use crate::call::{CallProgress, CallState};
+use crate::call::OpenAttempt;
 use crate::queries;
 use crate::{CallStep, GatewayEffect, GatewayState};
 
@@ -100,18 +100,19 @@
 
 fn abort_broken_attempts(state: &GatewayState, now: ClockTime) -> Vec<GatewayEffect> {
     let complete_groups = queries::complete_groups(state, now);
-    let is_broken = |call: &CallState| match &call.progress {
-        CallProgress::InFlight {
-            generation: Some(generation),
-            ..
-        } => !complete_groups.contains(generation),
-        _ => false,
+    let is_broken = |attempt: &&OpenAttempt| {
+        let mut generations = attempt.generation.iter();
+        generations.any(|generation| !complete_groups.contains(generation))
     };
-    let broken = state.calls.iter().filter(|(_, call)| is_broken(call));
-    broken
-        .map(|(&call, _)| GatewayEffect::Step {
+    let calls = state.calls.iter();
+    calls
+        .flat_map(|(&call, call_state)| {
+            let broken = call_state.open_attempts().iter().filter(is_broken);
+            broken.map(move |attempt| (call, attempt.number))
+        })
+        .map(|(call, attempt)| GatewayEffect::Step {
             call,
-            step: CallStep::Abort,
+            step: CallStep::Abort(attempt),
         })
         .collect()
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -8,7 +8,7 @@
 use store::UpdateOutcome;
 use watch::{WatchEffect, WatchEvent};
 
-use crate::{AttemptEnd, CallArrival, CallStep, GatewayStatus, PeerEvent};
+use crate::{AttemptEnd, AttemptNumber, CallArrival, CallStep, GatewayStatus, PeerEvent};
 
 /// Input of the gateway's event loop.
 #[derive(Debug)]
@@ -20,13 +20,35 @@
         /// Call that the attempt belongs to.
         call: CallId,
     },
+    /// An attempt's stream has had no event for the silence limit.
+    AttemptSilent {
+        /// Call that the attempt belongs to.
+        call: CallId,
+        /// Number of the attempt.
+        attempt: AttemptNumber,
+    },
+    /// An attempt that was silent, or one of several, was the first to go on; the
+    /// others are closed.
+    AttemptProgressed {
+        /// Call that the attempt belongs to.
+        call: CallId,
+        /// Number of the attempt.
+        attempt: AttemptNumber,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// Call that the attempt belongs to.
         call: CallId,
+        /// Number of the attempt.
+        attempt: AttemptNumber,
         /// Its outcome.
         end: AttemptEnd,
     },
+    /// The caller of a call has disconnected.
+    CallerDisconnected {
+        /// Call that has lost its caller.
+        call: CallId,
+    },
     /// A read of the platform or a poll of a host ended.
     Watch(WatchEvent),
     /// A read of a ledger shard completed.
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -3,7 +3,7 @@
 use ::watch::commands::start_due_reads;
 use base::prelude::*;
 
-use crate::commands::{attempts, calls, ledger, peers, queue, shutdown, targets, watch};
+use crate::commands::{attempts, calls, holds, ledger, peers, queue, shutdown, targets, watch};
 use crate::queries::{next_deadline, reply_to_query};
 use crate::{GatewayEffect, GatewayEvent, GatewayState};
 
@@ -23,7 +23,16 @@
             GatewayEvent::ResponseStarted { call } => {
                 attempts::record_response_start(state, call, now)
             }
-            GatewayEvent::AttemptEnded { call, end } => attempts::complete(state, call, end, now),
+            GatewayEvent::AttemptSilent { call, attempt } => {
+                holds::record_silence(state, call, attempt, now)
+            }
+            GatewayEvent::AttemptProgressed { call, attempt } => {
+                holds::record_progress(state, call, attempt, now)
+            }
+            GatewayEvent::AttemptEnded { call, attempt, end } => {
+                attempts::complete(state, call, attempt, end, now)
+            }
+            GatewayEvent::CallerDisconnected { call } => attempts::discard_caller(state, call, now),
             GatewayEvent::Watch(event) => {
                 let mut effects = peers::publish_read(state, &event, now);
                 effects.extend(watch::complete_read(state, event, now));
@@ -63,6 +72,7 @@
         let reads = start_due_reads(&mut state.watch, now);
         let mut effects: Vec<_> = reads.into_iter().map(GatewayEffect::Watch).collect();
         effects.extend(self.expire(now));
+        effects.extend(holds::advance(&mut self.0, now));
         effects.extend(shutdown::advance(&mut self.0, now));
         effects.extend(peers::advance(&mut self.0, now));
         effects
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,8 +18,8 @@
 
 pub use border::{GatewayAddresses, run};
 pub use call::{
-    AttemptEnd, CallArrival, CallKind, CallRefusal, CallStep, GroupGeneration, RefusalCause,
-    RunState, SendOrder,
+    AttemptEnd, AttemptNumber, CallArrival, CallKind, CallRefusal, CallStep, GroupGeneration,
+    RefusalCause, RunState, SendOrder,
 };
 pub use event::{CallMeasure, GatewayEffect, GatewayEvent, GatewayQuery, GatewayReply};
 pub use handler::GatewayLoop;
--- a/crates/gateway/src/queries/deadline.rs
+++ b/crates/gateway/src/queries/deadline.rs
@@ -18,6 +18,8 @@
     let queues = limits::queries::next_deadline(&state.admission);
     let ledger = state.ledger.next_deadline();
     let peers = state.peers.as_ref().and_then(PeerLayer::next_deadline);
-    let deadlines = [reads, reports, shutdown, queues, ledger, peers];
+    let holds = state.held.values();
+    let holds = holds.map(|hold| hold.lost_at.min(hold.retry_at)).min();
+    let deadlines = [reads, reports, shutdown, queues, ledger, peers, holds];
     deadlines.into_iter().flatten().min()
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,7 +13,7 @@
 use routing::{RouteSettings, RoutingState};
 use watch::{WatchState, WatchTimes};
 
-use crate::call::CallState;
+use crate::call::{CallHold, CallState};
 use crate::peers::PeerLayer;
 
 /// Intervals and timeouts of a gateway.
@@ -45,6 +45,8 @@
     pub(crate) budget: RetryBudget,
     pub(crate) ledger: LedgerState,
     pub(crate) calls: HashMap<CallId, CallState>,
+    /// Calls all of whose attempts are silent.
+    pub(crate) held: BTreeMap<CallId, CallHold>,
     pub(crate) shutdown: ShutdownPhase,
     pub(crate) peers: Option<PeerLayer>,
 }
@@ -96,6 +98,7 @@
             routes: BTreeMap::new(),
             budget: RetryBudget::new(BudgetSettings::default()),
             calls: HashMap::new(),
+            held: BTreeMap::new(),
             shutdown: ShutdownPhase::Running,
             peers: None,
         }
--- a/crates/gateway/tests/suite/attempts.rs
+++ b/crates/gateway/tests/suite/attempts.rs
@@ -103,7 +103,7 @@
 fn a_caller_that_disconnects_frees_its_slot() {
     let mut harness = Harness::serving(&Fleet::healthy());
     let call = harness.call(model_call());
-    harness.end_attempt(call, AttemptEnd::CallerDisconnected);
+    harness.disconnect(call);
     assert_eq!(harness.last_step(call), Some(&CallStep::Discard));
     assert_eq!(harness.status().calls, 0);
     harness.end_attempt(call, AttemptEnd::Lost);
--- a/crates/gateway/tests/suite/fleet.rs
+++ b/crates/gateway/tests/suite/fleet.rs
@@ -52,6 +52,27 @@
         }
     }
 
+    /// Healthy fleet with a second group, of two further engines.
+    pub fn with_two_groups() -> Self {
+        let mut fleet = Self::healthy();
+        let name = GroupName::new("quotes-2").unwrap();
+        let mut group = make_group();
+        group.group = name.clone();
+        for (rank, member) in group.members.iter_mut().enumerate() {
+            let index = ENGINES.len() + rank;
+            let entry = list_host(&format!("engine-{}", index + 1), index, None);
+            member.host = entry.host.clone();
+            member.address = entry.address;
+            let mut report = report_of(rank);
+            report.host = entry.host.clone();
+            report.assignment.as_mut().unwrap().group = name.clone();
+            fleet.reports.push(report);
+            fleet.hosts.push(entry);
+        }
+        fleet.record.groups.push(group);
+        fleet
+    }
+
     /// Group to change; the record gets a newer version.
     pub fn edit_group(&mut self) -> &mut GroupRecord {
         self.version = self.version.next();
--- a/crates/gateway/tests/suite/groups.rs
+++ b/crates/gateway/tests/suite/groups.rs
@@ -1,13 +1,14 @@
 //! Incomplete groups get no new calls, and their calls in flight are aborted.
 
 use base::prelude::*;
-use gateway::{CallStep, RefusalCause, RunState};
+use gateway::{AttemptNumber, CallStep, RefusalCause, RunState};
 use groups::{GroupPhase, MemberPhase};
 
 use crate::fleet::{Fleet, report_of};
 use crate::harness::{Harness, REPORT_VALIDITY, model_call};
 
 const MOMENT: Duration = Duration::from_millis(500);
+const FIRST: AttemptNumber = AttemptNumber(1);
 
 /// Change of the second member's report.
 type Change = fn(&mut Fleet);
@@ -44,7 +45,11 @@
         change(&mut fleet);
         harness.advance(MOMENT);
         harness.receive_reports(&fleet);
-        assert_eq!(harness.last_step(call), Some(&CallStep::Abort), "{case}");
+        assert_eq!(
+            harness.last_step(call),
+            Some(&CallStep::Abort(FIRST)),
+            "{case}"
+        );
         let late = harness.call(model_call());
         let refused = harness.refused(late);
         let expected = Some((RefusalCause::NoEndpoint, RunState::NotRun));
@@ -60,9 +65,9 @@
     harness.advance(REPORT_VALIDITY - Duration::from_millis(1));
     harness.receive_report(&fleet, 0, harness.now);
     assert_eq!(harness.send_count(call), 1);
-    assert_ne!(harness.last_step(call), Some(&CallStep::Abort));
+    assert!(matches!(harness.last_step(call), Some(CallStep::Send(_))));
     harness.advance(Duration::from_millis(1));
-    assert_eq!(harness.last_step(call), Some(&CallStep::Abort));
+    assert_eq!(harness.last_step(call), Some(&CallStep::Abort(FIRST)));
     let late = harness.call(model_call());
     assert!(harness.refused(late).is_some());
 }
@@ -115,7 +120,7 @@
     let call = harness.call(model_call());
     fleet.edit_group().epoch = GroupEpoch(2);
     harness.read_record(&fleet);
-    assert_eq!(harness.last_step(call), Some(&CallStep::Abort));
+    assert_eq!(harness.last_step(call), Some(&CallStep::Abort(FIRST)));
     let late = harness.call(model_call());
     assert!(harness.refused(late).is_some());
     for report in &mut fleet.reports {
@@ -153,5 +158,5 @@
     assert!(harness.refused(late).is_some());
     fleet.reports[1].incarnation = HostIncarnation(2);
     harness.receive_reports(&fleet);
-    assert_eq!(harness.last_step(call), Some(&CallStep::Abort));
+    assert_eq!(harness.last_step(call), Some(&CallStep::Abort(FIRST)));
 }
--- a/crates/gateway/tests/suite/harness.rs
+++ b/crates/gateway/tests/suite/harness.rs
@@ -7,9 +7,9 @@
 use document::KeyDigest;
 use futures_util::FutureExt;
 use gateway::{
-    AttemptEnd, CallArrival, CallKind, CallRefusal, CallStep, GatewayEffect, GatewayEvent,
-    GatewayLoop, GatewayQuery, GatewayReply, GatewayState, GatewayStatus, GatewayTimes,
-    RefusalCause, RunState, SendOrder,
+    AttemptEnd, AttemptNumber, CallArrival, CallKind, CallRefusal, CallStep, GatewayEffect,
+    GatewayEvent, GatewayLoop, GatewayQuery, GatewayReply, GatewayState, GatewayStatus,
+    GatewayTimes, RefusalCause, RunState, SendOrder,
 };
 use ledger::{
     LedgerEffect, LedgerEpoch, RecordedBody, RecordedResponse, RequestDigest, decode_epoch,
@@ -216,9 +216,35 @@
         call
     }
 
-    /// Ends an attempt.
+    /// Ends the latest attempt of a call.
     pub fn end_attempt(&mut self, call: CallId, end: AttemptEnd) {
-        self.handle(GatewayEvent::AttemptEnded { call, end });
+        let steps = self.steps_of(call).into_iter();
+        let mut orders = steps.filter_map(|step| match step {
+            CallStep::Send(order) => Some(order.attempt),
+            _ => None,
+        });
+        let attempt = orders.next_back().unwrap_or_default();
+        self.end_numbered(call, attempt, end);
+    }
+
+    /// Ends an attempt of a call.
+    pub fn end_numbered(&mut self, call: CallId, attempt: AttemptNumber, end: AttemptEnd) {
+        self.handle(GatewayEvent::AttemptEnded { call, attempt, end });
+    }
+
+    /// An attempt's stream has had no event for the silence limit.
+    pub fn silence(&mut self, call: CallId, attempt: AttemptNumber) {
+        self.handle(GatewayEvent::AttemptSilent { call, attempt });
+    }
+
+    /// An attempt goes on and ends the others.
+    pub fn progress(&mut self, call: CallId, attempt: AttemptNumber) {
+        self.handle(GatewayEvent::AttemptProgressed { call, attempt });
+    }
+
+    /// Disconnects a call's caller.
+    pub fn disconnect(&mut self, call: CallId) {
+        self.handle(GatewayEvent::CallerDisconnected { call });
     }
 
     /// Steps of a call.
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -10,4 +10,5 @@
 mod non_idempotent;
 mod queues;
 mod shutdown;
+mod silence;
 mod world;
--- a/crates/gateway/tests/suite/non_idempotent.rs
+++ b/crates/gateway/tests/suite/non_idempotent.rs
@@ -2,7 +2,9 @@
 //! caller is told whether the call was run.
 
 use base::prelude::*;
-use gateway::{AttemptEnd, CallArrival, CallStep, GatewayEvent, RefusalCause, RunState};
+use gateway::{
+    AttemptEnd, AttemptNumber, CallArrival, CallStep, GatewayEvent, RefusalCause, RunState,
+};
 
 use crate::fleet::{BOOKING_SERVICE, DESK_KEY, Fleet, TABLET_KEY};
 use crate::harness::{Harness, plain_call, recorded};
@@ -91,7 +93,7 @@
     let mut harness = Harness::serving(&Fleet::healthy());
     let call = harness.call(non_idempotent_call("k1"));
     harness.advance_with_store(MOMENT);
-    harness.end_attempt(call, AttemptEnd::CallerDisconnected);
+    harness.disconnect(call);
     assert!(matches!(harness.last_step(call), Some(CallStep::Send(_))));
     harness.end_attempt(call, AttemptEnd::Recorded(recorded("charged")));
     harness.advance_with_store(MOMENT);
@@ -219,6 +221,7 @@
     harness.now = harness.now + Duration::from_secs(120);
     harness.handle(GatewayEvent::AttemptEnded {
         call,
+        attempt: AttemptNumber(1),
         end: AttemptEnd::NotSent,
     });
     assert_eq!(harness.send_count(call), 1);
--- a/crates/gateway/tests/suite/queues.rs
+++ b/crates/gateway/tests/suite/queues.rs
@@ -91,7 +91,7 @@
     let mut harness = Harness::serving(&Fleet::healthy());
     let running = fill_slots(&mut harness);
     let waiting = harness.call(model_call());
-    harness.end_attempt(waiting, AttemptEnd::CallerDisconnected);
+    harness.disconnect(waiting);
     harness.end_attempt(running[0], AttemptEnd::Answered);
     assert_eq!(harness.send_count(waiting), 0);
     assert_eq!(harness.status().calls, SLOTS - 1);
--- a/crates/gateway/tests/suite/shutdown.rs
+++ b/crates/gateway/tests/suite/shutdown.rs
@@ -102,7 +102,7 @@
     harness.advance_with_store(MOMENT);
     harness.handle(GatewayEvent::ShutdownRequested);
     harness.advance(BALANCER_NOTICE);
-    harness.end_attempt(call, AttemptEnd::CallerDisconnected);
+    harness.disconnect(call);
     harness.handle(GatewayEvent::CallersDisconnected);
     assert!(!harness.finished, "the call is in flight");
     harness.end_attempt(call, AttemptEnd::Recorded(recorded("charged")));
--- a/crates/gateway/tests/suite/world/checks.rs
+++ b/crates/gateway/tests/suite/world/checks.rs
@@ -1,5 +1,6 @@
 //! Checks of the guarantees against the actual state of the endpoints.
 
+use base::prelude::*;
 use gateway::SendOrder;
 
 use super::{CallRef, World};
@@ -29,6 +30,22 @@
         }
     }
 
+    /// Checks that nothing of a response is forwarded that comes from a group which was
+    /// incomplete for longer than a report is valid.
+    pub(super) fn check_forwarding(&self, at: usize) {
+        let attempt = &self.attempts[at];
+        let id = attempt.id;
+        let Some(generation) = &attempt.order.generation else {
+            return;
+        };
+        let since = self.incomplete_since.get(&generation.epoch);
+        let duration = since.map_or(Duration::ZERO, |&since| self.now.since(since));
+        assert!(
+            duration <= REPORT_VALIDITY || self.nodes[id.0].paused,
+            "{id:?} was forwarded from a group incomplete for {duration:?}"
+        );
+    }
+
     pub(super) fn check_not_run(&self, id: CallRef) {
         let ran = self.runs.iter().any(|(run, _)| *run == id);
         assert!(!ran, "{id:?} was refused as not run but ran");
--- a/crates/gateway/tests/suite/world/mod.rs
+++ b/crates/gateway/tests/suite/world/mod.rs
@@ -9,7 +9,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use base::prelude::*;
-use gateway::{AttemptEnd, CallArrival, CallStep, GatewayEvent, RunState, SendOrder};
+use gateway::{
+    AttemptEnd, AttemptNumber, CallArrival, CallStep, GatewayEvent, RunState, SendOrder,
+};
 use interface::{DrainList, Presence};
 use store::MemoryStore;
 use watch::{WatchEffect, WatchEvent};
@@ -40,6 +42,8 @@
     id: CallRef,
     key: Option<(bool, u8)>,
     ended: bool,
+    /// The gateway's task has forwarded the whole response and is gone.
+    is_answered: bool,
     is_disconnected: bool,
 }
 
@@ -50,6 +54,8 @@
     run: Option<usize>,
     /// The gateway doesn't receive the outcome any more.
     is_orphaned: bool,
+    /// The gateway was told that the stream is silent.
+    is_silent: bool,
 }
 
 pub struct World {
@@ -230,13 +236,13 @@
         let id = (node, self.nodes[node].process, call);
         match step {
             CallStep::Send(order) => self.send(id, order),
-            CallStep::Abort => self.abort_attempt(id),
+            CallStep::Abort(number) => self.abort_attempt(id, number),
             CallStep::Refuse(refusal) => {
                 if refusal.run == RunState::NotRun {
                     self.check_not_run(id);
                 }
                 self.end(id);
-                self.abort_attempt(id);
+                self.abort_all(id);
             }
             CallStep::Respond(response) => {
                 let key = self.caller_call(id).key;
@@ -263,21 +269,38 @@
     fn send(&mut self, id: CallRef, order: SendOrder) {
         self.check_endpoint(id, &order);
         let call = self.caller_call(id);
+        if call.is_answered {
+            return;
+        }
         assert!(!call.ended, "{id:?} was sent after it had ended");
         assert_eq!(call.key.is_some(), order.record_response);
-        let mut attempts = self.attempts.iter().filter(|other| other.id == id);
-        assert!(
-            attempts.all(|other| other.is_orphaned),
-            "{id:?} has two attempts in flight"
-        );
+        let key = call.key;
+        let mut open = self
+            .attempts
+            .iter()
+            .filter(|other| other.id == id && !other.is_orphaned);
+        if key.is_some() {
+            assert_eq!(open.next().map(|other| other.id), None, "{id:?} runs twice");
+        }
+        // As in the gateway's task, which may have forwarded an event since the order.
+        if open.any(|other| !other.is_silent) {
+            return self.report(id, order.attempt, AttemptEnd::NotSent);
+        }
         self.attempts.push(Attempt {
             id,
             order,
             run: None,
             is_orphaned: false,
+            is_silent: false,
         });
     }
 
+    fn open_attempt(&mut self, id: CallRef, number: AttemptNumber) -> Option<&mut Attempt> {
+        self.attempts.iter_mut().find(|attempt| {
+            attempt.id == id && attempt.order.attempt == number && !attempt.is_orphaned
+        })
+    }
+
     fn caller_call(&mut self, id: CallRef) -> &mut CallerCall {
         let mut calls = self.caller_calls.iter_mut();
         calls
@@ -293,33 +316,46 @@
     }
 
     /// The gateway's task aborts an attempt, which may still reach the endpoint.
-    fn abort_attempt(&mut self, id: CallRef) {
-        let mut attempts = self.attempts.iter_mut();
-        let attempt = attempts.find(|attempt| attempt.id == id && !attempt.is_orphaned);
-        if let Some(attempt) = attempt {
+    fn abort_attempt(&mut self, id: CallRef, number: AttemptNumber) {
+        if let Some(attempt) = self.open_attempt(id, number) {
             attempt.is_orphaned = true;
-            self.report(id, AttemptEnd::Lost);
+            self.report(id, number, AttemptEnd::Lost);
+        }
+    }
+
+    fn abort_all(&mut self, id: CallRef) {
+        let attempts = self.attempts.iter();
+        let open = attempts.filter(|attempt| attempt.id == id && !attempt.is_orphaned);
+        let open: Vec<AttemptNumber> = open.map(|attempt| attempt.order.attempt).collect();
+        for number in open {
+            self.abort_attempt(id, number);
         }
     }
 
-    fn report(&mut self, id: CallRef, end: AttemptEnd) {
-        let (node, process, call) = id;
+    fn report(&mut self, id: CallRef, attempt: AttemptNumber, end: AttemptEnd) {
+        let call = id.2;
+        self.deliver_to(id, GatewayEvent::AttemptEnded { call, attempt, end });
+    }
+
+    /// Delivers an event of a call, unless its process has ended.
+    fn deliver_to(&mut self, id: CallRef, event: GatewayEvent) {
+        let (node, process, _) = id;
         if self.nodes[node].process == process {
-            self.deliver(node, GatewayEvent::AttemptEnded { call, end });
+            self.deliver(node, event);
         }
     }
 
     fn end_late_attempts(&mut self) {
         let now = self.now;
         let late = |attempt: &&Attempt| !attempt.is_orphaned && attempt.order.deadline <= now;
-        let late: Vec<CallRef> = self
+        let late: Vec<(CallRef, AttemptNumber)> = self
             .attempts
             .iter()
             .filter(late)
-            .map(|attempt| attempt.id)
+            .map(|attempt| (attempt.id, attempt.order.attempt))
             .collect();
-        for id in late {
-            self.abort_attempt(id);
+        for (id, number) in late {
+            self.abort_attempt(id, number);
         }
     }
 
@@ -367,6 +403,7 @@
             id,
             key,
             ended: false,
+            is_answered: false,
             is_disconnected: false,
         });
         self.nodes[node].harness.call(arrival);
@@ -380,7 +417,7 @@
         };
         call.is_disconnected = true;
         let id = call.id;
-        self.report(id, AttemptEnd::CallerDisconnected);
+        self.deliver_to(id, GatewayEvent::CallerDisconnected { call: id.2 });
     }
 
     /// An attempt reaches its endpoint, which may refuse to run it.
@@ -389,12 +426,13 @@
             return;
         };
         let id = attempt.id;
+        let number = attempt.order.attempt;
         if let Some(generation) = &attempt.order.generation {
             let is_current = generation.epoch == self.fleet.record.groups[0].epoch;
             if !is_current || !self.responsive_engines[0] {
                 let is_orphaned = self.attempts.remove(at).is_orphaned;
                 if !is_orphaned {
-                    self.report(id, AttemptEnd::NotSent);
+                    self.report(id, number, AttemptEnd::NotSent);
                 }
                 return;
             }
@@ -420,6 +458,7 @@
             ..
         } = self.attempts[at];
         let is_recorded = self.attempts[at].order.record_response;
+        let number = self.attempts[at].order.attempt;
         if is_orphaned {
             if run.is_some() {
                 self.attempts.remove(at);
@@ -427,27 +466,75 @@
             return;
         }
         match run {
-            None if !answered => self.abort_attempt(id),
+            None if !answered => self.abort_attempt(id, number),
             None => {
                 self.attempts.remove(at);
-                self.report(id, AttemptEnd::NotSent);
+                self.report(id, number, AttemptEnd::NotSent);
             }
             Some(_) if !answered => {
                 self.attempts.remove(at);
-                self.report(id, AttemptEnd::Lost);
+                self.report(id, number, AttemptEnd::Lost);
             }
             Some(run) if is_recorded => {
                 self.attempts.remove(at);
-                self.report(id, AttemptEnd::Recorded(recorded(&run.to_string())));
+                let response = recorded(&run.to_string());
+                self.report(id, number, AttemptEnd::Recorded(response));
             }
             Some(_) => {
+                self.check_forwarding(at);
                 self.attempts.remove(at);
                 self.end(id);
-                self.report(id, AttemptEnd::Answered);
+                self.caller_call(id).is_answered = true;
+                self.report(id, number, AttemptEnd::Answered);
+                self.orphan_attempts(id);
             }
         }
     }
 
+    /// The gateway's task drops the open attempts of a call that has ended.
+    fn orphan_attempts(&mut self, id: CallRef) {
+        let attempts = self.attempts.iter_mut();
+        for attempt in attempts.filter(|attempt| attempt.id == id) {
+            attempt.is_orphaned = true;
+        }
+    }
+
+    /// The stream of an attempt that runs has no event for the silence limit.
+    pub fn silence_attempt(&mut self, at: usize) {
+        let Some(attempt) = self.attempts.get_mut(at) else {
+            return;
+        };
+        if attempt.is_orphaned || attempt.run.is_none() || attempt.order.record_response {
+            return;
+        }
+        attempt.is_silent = true;
+        let (id, attempt) = (attempt.id, attempt.order.attempt);
+        let call = id.2;
+        self.deliver_to(id, GatewayEvent::AttemptSilent { call, attempt });
+    }
+
+    /// An attempt that runs has an event, which ends the call's other attempts.
+    pub fn continue_attempt(&mut self, at: usize) {
+        let Some(attempt) = self.attempts.get_mut(at) else {
+            return;
+        };
+        if attempt.is_orphaned || attempt.run.is_none() || attempt.order.record_response {
+            return;
+        }
+        attempt.is_silent = false;
+        let (id, number) = (attempt.id, attempt.order.attempt);
+        self.check_forwarding(at);
+        let attempts = self.attempts.iter();
+        let others = attempts
+            .filter(|other| other.id == id && other.order.attempt != number && !other.is_orphaned);
+        let others: Vec<AttemptNumber> = others.map(|other| other.order.attempt).collect();
+        let (call, attempt) = (id.2, number);
+        self.deliver_to(id, GatewayEvent::AttemptProgressed { call, attempt });
+        for other in others {
+            self.abort_attempt(id, other);
+        }
+    }
+
     /// Closes the callers' connections to a node that shuts down, once all its calls
     /// have ended.
     pub fn close_connections(&mut self, node: usize) {
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -204,7 +204,7 @@
     ///
     /// Whatever made one connection stop responding may have affected all that
     /// were open at the time, while new ones may work.
-    fn drop_idle(&self, server: SocketAddr) {
+    pub fn drop_idle(&self, server: SocketAddr) {
         self.idle.borrow_mut().remove(&server);
     }
 
