Gateway: a group that is silent is suspended, and its streams are kept

What callers saw: while a member of a group paused for longer than a report is valid, all streams of the group ended at once: those that found room elsewhere went on there, the others got `no_endpoint` and a cut connection, although the group went on a moment later. By the code, not by a run, a node that got no reports itself, after a pause of its own for one, cut the streams of all groups.

Cause: `abort_broken_attempts` aborted every attempt of a group as soon as it was not complete, and took a report that is missing for one that contradicts the record. What was concluded for the group was acted on for all its streams before any of them had another target.

Change: a group is broken if a report contradicts its record or the record has moved on: its attempts are aborted at once, as before. If its only fault is that members don't report, its attempts are suspended: the connection stays open and is not read, nothing is forwarded, and the group gets no calls. They are resumed when every member has reported the incarnation and assignment of that epoch again.

The world checks that nothing of a suspended attempt is forwarded.

--- a/crates/bronzerun/tests/processes/groups.rs
+++ b/crates/bronzerun/tests/processes/groups.rs
@@ -14,6 +14,8 @@
 
 /// Pause between two reads of the fabric domains' records.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
+/// Time without progress after which a stream stands still.
+const SUSPENSION: Duration = Duration::from_millis(300);
 /// Tokens of a stream that is still running when its group is lost.
 const LONG_STREAM: usize = 300;
 /// Number of streams that gives each group many at once.
@@ -199,6 +201,38 @@
     }
 }
 
+#[test]
+fn a_pause_of_a_member_of_the_only_group_cuts_no_stream() {
+    let spec = FleetSpec {
+        fabrics: 1,
+        engines: 2,
+        groups: 1,
+        ..FleetSpec::default()
+    };
+    for rank in [0, 1] {
+        let mut fleet = Fleet::start(&format!("only-group-paused-{rank}"), spec);
+        let (streams, group) = start_streams(&mut fleet, 2);
+        fleet.engine(&group.hosts[rank]).pause();
+        wait_until("the group no longer serves", || fleet.serving(0).is_empty());
+        wait_until("the streams stand still", || {
+            let progress = || -> Vec<usize> {
+                let streams = streams.iter();
+                streams.map(|(_, stream)| stream.progress()).collect()
+            };
+            let before = progress();
+            thread::sleep(SUSPENSION);
+            before == progress()
+        });
+        let is_incomplete = |(_, stream): &(String, RunningStream)| stream.progress() < LONG_STREAM;
+        assert!(
+            streams.iter().all(is_incomplete),
+            "an incomplete group served"
+        );
+        fleet.engine(&group.hosts[rank]).resume();
+        expect_complete(streams);
+    }
+}
+
 #[test]
 fn a_silent_connection_of_the_only_group_cuts_no_stream() {
     let spec = FleetSpec {
--- a/crates/gateway/src/border/attempts.rs
+++ b/crates/gateway/src/border/attempts.rs
@@ -32,6 +32,7 @@
 /// Attempt that has not ended.
 pub(super) struct OpenAttempt {
     pub order: SendOrder,
+    pub is_suspended: bool,
     progress: AttemptProgress,
     silence: SilenceCheck,
 }
@@ -63,6 +64,7 @@
     ) -> Self {
         Self {
             order,
+            is_suspended: false,
             progress: AttemptProgress::Sent(outcome),
             silence: silent_at.map_or(SilenceCheck::Unchecked, SilenceCheck::Until),
         }
@@ -76,6 +78,7 @@
     ) -> Self {
         Self {
             order,
+            is_suspended: false,
             progress: AttemptProgress::Streaming(response, EventSplitter::default()),
             silence: SilenceCheck::Until(silent_at),
         }
@@ -85,6 +88,7 @@
     pub fn collecting(order: SendOrder, response: LocalBoxFuture<'static, CollectOutcome>) -> Self {
         Self {
             order,
+            is_suspended: false,
             progress: AttemptProgress::Collecting(response),
             silence: SilenceCheck::Unchecked,
         }
@@ -92,7 +96,7 @@
 
     /// Whether the response is expected to go on.
     fn is_active(&self) -> bool {
-        !self.is_silent()
+        !self.is_suspended && !self.is_silent()
     }
 
     fn is_silent(&self) -> bool {
@@ -101,7 +105,7 @@
 
     fn silent_at(&self) -> Option<ClockTime> {
         match self.silence {
-            SilenceCheck::Until(silent_at) => Some(silent_at),
+            SilenceCheck::Until(silent_at) if !self.is_suspended => Some(silent_at),
             _ => None,
         }
     }
@@ -189,6 +193,25 @@
         self.0.iter().any(OpenAttempt::is_active)
     }
 
+    /// Suspends an attempt, which is then no longer read.
+    pub fn suspend(&mut self, number: AttemptNumber) {
+        if let Some(position) = self.position(number) {
+            self.0[position].is_suspended = true;
+        }
+    }
+
+    /// Resumes a suspended attempt.
+    pub fn resume(&mut self, number: AttemptNumber, silent_at: ClockTime) {
+        let Some(position) = self.position(number) else {
+            return;
+        };
+        let attempt = &mut self.0[position];
+        attempt.is_suspended = false;
+        if let SilenceCheck::Until(until) = &mut attempt.silence {
+            *until = silent_at;
+        }
+    }
+
     /// Records an event of a stream; returns whether the stream was silent.
     pub fn record_event(&mut self, number: AttemptNumber, silent_at: ClockTime) -> bool {
         let Some(position) = self.position(number) else {
@@ -200,7 +223,7 @@
         was_silent
     }
 
-    /// Waits for what comes next.
+    /// Waits for what comes next from the attempts that aren't suspended.
     ///
     /// Nothing is lost if the future is dropped.
     pub async fn wait(&mut self, clock: &dyn ClockSource) -> AttemptSignal {
@@ -232,7 +255,8 @@
 
     /// Signal that needs no more data.
     fn received_signal(&mut self) -> Option<AttemptSignal> {
-        for attempt in &mut self.0 {
+        let attempts = self.0.iter_mut().filter(|attempt| !attempt.is_suspended);
+        for attempt in attempts {
             let number = attempt.order.attempt;
             match attempt.next_event() {
                 Ok(None) => {}
@@ -254,7 +278,8 @@
 
     async fn wait_network(&mut self) -> (usize, NetworkStep) {
         let attempts = self.0.iter_mut().enumerate();
-        let steps = attempts.map(|(index, attempt)| -> LocalBoxFuture<'_, _> {
+        let readable = attempts.filter(|(_, attempt)| !attempt.is_suspended);
+        let steps = readable.map(|(index, attempt)| -> LocalBoxFuture<'_, _> {
             Box::pin(async move { (index, attempt.next().await) })
         });
         let steps: Vec<_> = steps.collect();
--- a/crates/gateway/src/border/exchange.rs
+++ b/crates/gateway/src/border/exchange.rs
@@ -152,6 +152,19 @@
         }
     }
 
+    /// Forwards nothing of an attempt until it is resumed.
+    pub fn suspend(&mut self, attempt: AttemptNumber) {
+        log::info!(request:? = self.request.id, attempt = attempt.0; "attempt suspended");
+        self.attempts.suspend(attempt);
+    }
+
+    /// Forwards the response of a suspended attempt again.
+    pub fn resume(&mut self, attempt: AttemptNumber) {
+        log::info!(request:? = self.request.id, attempt = attempt.0; "attempt resumed");
+        let silent_at = self.silent_at();
+        self.attempts.resume(attempt, silent_at);
+    }
+
     /// Waits for what comes next. Nothing is lost if the future is dropped.
     ///
     /// A caller that disconnects is noticed while no response is expected to go on.
--- a/crates/gateway/src/border/task.rs
+++ b/crates/gateway/src/border/task.rs
@@ -64,6 +64,8 @@
         match step {
             CallStep::Send(order) => self.exchange.send(order),
             CallStep::Abort(attempt) => self.exchange.abort(attempt),
+            CallStep::Suspend(attempt) => self.exchange.suspend(attempt),
+            CallStep::Resume(attempt) => self.exchange.resume(attempt),
             last_step => return Some(last_step),
         }
         None
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -109,6 +109,10 @@
     Respond(RecordedResponse),
     /// Abort an attempt and report it as lost, if it is open.
     Abort(AttemptNumber),
+    /// Forward nothing of an attempt's response until it is resumed.
+    Suspend(AttemptNumber),
+    /// Forward the response of a suspended attempt again.
+    Resume(AttemptNumber),
     /// End without a response: the caller has disconnected.
     Discard,
 }
@@ -229,7 +233,7 @@
     /// Whether the call waits for endpoints none of which can be expected to answer.
     pub fn is_held(&self) -> bool {
         let attempts = self.open_attempts();
-        !attempts.is_empty() && attempts.iter().all(|attempt| attempt.is_silent)
+        !attempts.is_empty() && attempts.iter().all(OpenAttempt::is_held)
     }
 
     /// Whether a further attempt may still start.
@@ -270,9 +274,17 @@
     pub generation: Option<GroupGeneration>,
     /// Its stream has had no event for the silence limit.
     pub is_silent: bool,
+    /// Nothing of its response is forwarded, as a member of its group doesn't report.
+    pub is_suspended: bool,
 }
 
-/// Deadlines of a call all of whose attempts are silent.
+impl OpenAttempt {
+    fn is_held(&self) -> bool {
+        self.is_silent || self.is_suspended
+    }
+}
+
+/// Deadlines of a call all of whose attempts are silent or suspended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct CallHold {
     /// Instant at which the response counts as lost.
--- a/crates/gateway/src/commands/calls.rs
+++ b/crates/gateway/src/commands/calls.rs
@@ -165,6 +165,7 @@
         target: target.clone(),
         generation,
         is_silent: false,
+        is_suspended: false,
     });
     let service = call_state.arrival.service.clone();
     routing::commands::begin_beside(state.route_mut(&service), call, &target);
--- a/crates/gateway/src/commands/holds.rs
+++ b/crates/gateway/src/commands/holds.rs
@@ -1,14 +1,17 @@
 //! Calls whose endpoints are silent but may go on.
 //!
-//! A silent attempt stays open beside the next one until one of them goes on. The next
-//! target is chosen and its retry claimed for each call alone, so no call gives up its
-//! endpoint for a target that another call takes.
+//! A silent attempt, and one of a group with a member that doesn't report, stays open
+//! beside the next one until one of them goes on. The next target is chosen and its
+//! retry claimed for each call alone, so no call gives up its endpoint for a target that
+//! another call takes. Nothing of a group's response is forwarded while a member is
+//! missing.
 
 use base::prelude::*;
 
 use super::attempts::{claim_attempt, release_attempt};
 use super::calls::{choose_target, refuse, remove_call, send_beside};
-use crate::call::CallHold;
+use crate::call::{CallHold, OpenAttempt};
+use crate::queries::{GroupCondition, group_conditions};
 use crate::state::GatewayState;
 use crate::{AttemptNumber, CallStep, GatewayEffect, RefusalCause, RunState};
 
@@ -57,6 +60,43 @@
     effects
 }
 
+/// Suspends the attempts whose group has a silent member, resumes those whose group is
+/// complete again at the same generation, and aborts those whose group is broken.
+pub fn apply_group_conditions(state: &mut GatewayState, now: ClockTime) -> Vec<GatewayEffect> {
+    let conditions = group_conditions(state, now);
+    let mut effects = Vec::new();
+    let mut changed = Vec::new();
+    for (&call, call_state) in &mut state.calls {
+        for attempt in call_state.open_attempts_mut() {
+            let Some(generation) = &attempt.generation else {
+                continue;
+            };
+            let step = match (conditions.get(generation), attempt.is_suspended) {
+                (None, _) => CallStep::Abort(attempt.number),
+                (Some(GroupCondition::Silent), false) => suspend(attempt),
+                (Some(GroupCondition::Complete), true) => resume(attempt),
+                (Some(_), _) => continue,
+            };
+            changed.push(call);
+            effects.push(GatewayEffect::Step { call, step });
+        }
+    }
+    for call in changed {
+        update_hold(state, call, now);
+    }
+    effects
+}
+
+fn suspend(attempt: &mut OpenAttempt) -> CallStep {
+    attempt.is_suspended = true;
+    CallStep::Suspend(attempt.number)
+}
+
+fn resume(attempt: &mut OpenAttempt) -> CallStep {
+    attempt.is_suspended = false;
+    CallStep::Resume(attempt.number)
+}
+
 /// Sends held calls to another target, and refuses those whose deadline has passed.
 pub fn advance(state: &mut GatewayState, now: ClockTime) -> Vec<GatewayEffect> {
     let held = state.held.iter();
@@ -100,7 +140,7 @@
     effects
 }
 
-/// Holds a call that has none but silent attempts, and no other.
+/// Holds a call that has none but silent and suspended attempts, and no other.
 pub(super) fn update_hold(state: &mut GatewayState, call: CallId, now: ClockTime) {
     let call_state = state.calls.get(&call);
     match call_state.filter(|call_state| call_state.is_held()) {
--- a/crates/gateway/src/commands/targets.rs
+++ b/crates/gateway/src/commands/targets.rs
@@ -6,13 +6,12 @@
 use routing::queries::sum_load;
 use routing::{LoadSample, TargetId, TargetSpec};
 
-use super::queue;
-use crate::call::OpenAttempt;
+use super::{holds, queue};
 use crate::queries;
-use crate::{CallStep, GatewayEffect, GatewayState};
+use crate::{GatewayEffect, GatewayState};
 
-/// Recomputes the targets of every service and aborts attempts whose group is no
-/// longer complete.
+/// Recomputes the targets of every service, and suspends or aborts attempts whose group
+/// is no longer complete.
 pub fn refresh(state: &mut GatewayState, now: ClockTime) -> Vec<GatewayEffect> {
     let configuration = &state.watch.config.in_force.configuration;
     let services: Vec<(ServiceName, ServiceKind)> = configuration
@@ -20,7 +19,7 @@
         .iter()
         .map(|(service, spec)| (service.clone(), spec.kind.clone()))
         .collect();
-    let mut effects = abort_broken_attempts(state, now);
+    let mut effects = holds::apply_group_conditions(state, now);
     for (service, kind) in services {
         let specs = queries::service_targets(state, &service, &kind, now);
         effects.extend(set_targets(state, &service, specs, now));
@@ -97,22 +96,3 @@
     let change = limits::commands::set_capacity_share(&mut state.admission, service, usage, now);
     queue::apply_change(state, change, now)
 }
-
-fn abort_broken_attempts(state: &GatewayState, now: ClockTime) -> Vec<GatewayEffect> {
-    let complete_groups = queries::complete_groups(state, now);
-    let is_broken = |attempt: &&OpenAttempt| {
-        let mut generations = attempt.generation.iter();
-        generations.any(|generation| !complete_groups.contains(generation))
-    };
-    let calls = state.calls.iter();
-    calls
-        .flat_map(|(&call, call_state)| {
-            let broken = call_state.open_attempts().iter().filter(is_broken);
-            broken.map(move |attempt| (call, attempt.number))
-        })
-        .map(|(call, attempt)| GatewayEffect::Step {
-            call,
-            step: CallStep::Abort(attempt),
-        })
-        .collect()
-}
--- a/crates/gateway/src/queries/mod.rs
+++ b/crates/gateway/src/queries/mod.rs
@@ -12,4 +12,4 @@
 pub(crate) use hosts::{hosts_to_poll, locate};
 pub use reply::reply_to_query;
 pub use status::{GatewayStatus, GroupStatus};
-pub(crate) use targets::{complete_groups, service_targets};
+pub(crate) use targets::{GroupCondition, group_conditions, service_targets};
--- a/crates/gateway/src/queries/targets.rs
+++ b/crates/gateway/src/queries/targets.rs
@@ -1,6 +1,6 @@
 //! Targets of a service, and the groups that may go on with their calls.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use base::prelude::*;
 use document::{PlainSpec, ServiceKind};
@@ -10,20 +10,51 @@
 use super::hosts::recorded_groups;
 use crate::{GatewayState, GroupGeneration};
 
-/// Complete groups, which may go on with their calls in flight; draining ones
-/// included.
-pub(crate) fn complete_groups(state: &GatewayState, now: ClockTime) -> BTreeSet<GroupGeneration> {
-    let complete = |group: &&GroupRecord| match check_group(group, &state.reports, now) {
-        GroupReadiness::Serving { .. } => true,
-        GroupReadiness::NotServing(faults) => faults.iter().all(is_planned),
-    };
-    let groups = recorded_groups(state).filter(complete);
-    groups
-        .map(|group| GroupGeneration {
+/// Whether a group that isn't broken may go on with its calls in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum GroupCondition {
+    /// All members serve; the group may be draining.
+    Complete,
+    /// Some members don't report, and the reports of the others match the record.
+    Silent,
+}
+
+/// Conditions of the groups; one that isn't among them is broken, as a member has
+/// reported a state other than that of the record.
+pub(crate) fn group_conditions(
+    state: &GatewayState,
+    now: ClockTime,
+) -> BTreeMap<GroupGeneration, GroupCondition> {
+    let conditions = recorded_groups(state).filter_map(|group| {
+        let generation = GroupGeneration {
             group: group.group.clone(),
             epoch: group.epoch,
-        })
-        .collect()
+        };
+        Some((generation, group_condition(state, group, now)?))
+    });
+    conditions.collect()
+}
+
+fn group_condition(
+    state: &GatewayState,
+    group: &GroupRecord,
+    now: ClockTime,
+) -> Option<GroupCondition> {
+    let GroupReadiness::NotServing(faults) = check_group(group, &state.reports, now) else {
+        return Some(GroupCondition::Complete);
+    };
+    let is_silent = |fault: &GroupFault| {
+        let silent = MemberFault::Silent;
+        matches!(fault, GroupFault::Member { fault, .. } if *fault == silent)
+    };
+    if faults.iter().all(is_planned) {
+        return Some(GroupCondition::Complete);
+    }
+    let may_go_on = |fault: &GroupFault| is_planned(fault) || is_silent(fault);
+    faults
+        .iter()
+        .all(may_go_on)
+        .then_some(GroupCondition::Silent)
 }
 
 /// Whether a fault is planned and leaves all members serving their calls.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -45,7 +45,7 @@
     pub(crate) budget: RetryBudget,
     pub(crate) ledger: LedgerState,
     pub(crate) calls: HashMap<CallId, CallState>,
-    /// Calls all of whose attempts are silent.
+    /// Calls all of whose attempts are silent or suspended.
     pub(crate) held: BTreeMap<CallId, CallHold>,
     pub(crate) shutdown: ShutdownPhase,
     pub(crate) peers: Option<PeerLayer>,
--- a/crates/gateway/tests/suite/silence.rs
+++ b/crates/gateway/tests/suite/silence.rs
@@ -8,7 +8,7 @@
 use watch::WatchEvent;
 
 use crate::fleet::{BOOKING_SERVICE, DESK_KEY, Fleet};
-use crate::harness::{Harness, model_call, plain_call};
+use crate::harness::{Harness, REPORT_VALIDITY, model_call, plain_call};
 
 /// Streams that a group runs at once.
 const SLOTS: usize = 2;
@@ -209,6 +209,22 @@
     assert_eq!(harness.send_count(call), 1);
 }
 
+#[test]
+fn a_gateway_that_gets_no_reports_cuts_no_stream() {
+    let fleet = Fleet::with_two_groups();
+    let (mut harness, streams) = serving_streams(2 * SLOTS);
+    harness.advance(REPORT_VALIDITY);
+    for &call in &streams {
+        assert_eq!(harness.last_step(call), Some(&CallStep::Suspend(FIRST)));
+    }
+    harness.advance(MOMENT);
+    harness.receive_reports(&fleet);
+    for &call in &streams {
+        assert_eq!(harness.last_step(call), Some(&CallStep::Resume(FIRST)));
+        assert_eq!(harness.send_count(call), 1);
+    }
+}
+
 #[test]
 fn no_stream_is_cut_when_all_groups_fall_silent_whatever_the_number_of_nodes() {
     for nodes in [1, 7, 195] {
--- a/crates/gateway/tests/suite/world/checks.rs
+++ b/crates/gateway/tests/suite/world/checks.rs
@@ -35,6 +35,10 @@
     pub(super) fn check_forwarding(&self, at: usize) {
         let attempt = &self.attempts[at];
         let id = attempt.id;
+        assert!(
+            !attempt.is_suspended,
+            "{id:?} was forwarded while suspended"
+        );
         let Some(generation) = &attempt.order.generation else {
             return;
         };
