Gateway: the forwarded request has a module of its own

Building the request for an endpoint and checking that a response belongs to it need none of the exchange's state but the number of forwarded tokens; they are methods of `EndpointRequest` now. The task's last steps are matched by name.

--- a/crates/gateway/src/border/exchange.rs
+++ b/crates/gateway/src/border/exchange.rs
@@ -8,48 +8,25 @@
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
-use http::request::Builder;
 use http::response::Parts;
-use http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
+use http::{Response, StatusCode};
 use net::web::{
-    BodySender, CallOutcome, CollectOutcome, IncomingResponse, WebClient, WebRequest, WebResponse,
-    body_channel, full_body,
+    BodySender, CallOutcome, CollectOutcome, IncomingResponse, WebClient, WebResponse, body_channel,
 };
 use net::with_deadline;
 
 use super::attempts::{AttemptSignal, OpenAttempt, OpenAttempts};
 use super::events::{EventKind, classify};
+use super::request::EndpointRequest;
 use super::response::{
     REQUEST_HEADER, endpoint_response, forwarded_headers, recorded_response, refusal_event,
     refusal_response, to_recorded,
 };
 use crate::{AttemptEnd, AttemptNumber, CallRefusal, GatewayEvent, SendOrder};
 
-/// Header with the addressed group.
-const GROUP_HEADER: &str = "x-bronzerun-group";
-/// Header with the expected generation of that group.
-const EPOCH_HEADER: &str = "x-bronzerun-epoch";
-/// Header with the number of tokens that the caller has already received.
-const RESUME_HEADER: &str = "x-bronzerun-resume";
 /// Largest response that isn't streamed, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1_024 * 1_024;
 
-/// Request to forward to an endpoint.
-pub struct EndpointRequest {
-    /// HTTP method.
-    pub method: Method,
-    /// Path and query string.
-    pub path: Arc<str>,
-    /// Headers to forward.
-    pub headers: HeaderMap,
-    /// Request body.
-    pub body: Bytes,
-    /// Whether the response is a stream of events.
-    pub streams: bool,
-    /// Request identifier, sent to the endpoint and to the caller.
-    pub id: HeaderValue,
-}
-
 /// Timeouts of an exchange.
 #[derive(Clone, Copy, Debug)]
 pub struct ExchangeTimes {
@@ -126,7 +103,7 @@
 
     /// Sends the request to an endpoint, unless an earlier attempt goes on again.
     pub fn send(&mut self, order: SendOrder) {
-        let request = self.build_request(&order);
+        let request = self.request.to_web_request(&order, self.sent_tokens);
         let Some(request) = request.filter(|_| !self.attempts.has_active()) else {
             return self.report_end(&order, AttemptEnd::NotSent);
         };
@@ -211,7 +188,7 @@
 
     fn accept_response(&mut self, order: SendOrder, outcome: CallOutcome) -> ExchangeProgress {
         let response = match outcome {
-            CallOutcome::Response(response) if self.matches_request(&response) => response,
+            CallOutcome::Response(response) if self.request.is_answered_by(&response) => response,
             CallOutcome::Response(_) | CallOutcome::Lost => {
                 self.report_end(&order, AttemptEnd::Lost);
                 return ExchangeProgress::Open;
@@ -289,37 +266,6 @@
         self.context.clock.now() + self.context.times.silence_limit
     }
 
-    fn build_request(&self, order: &SendOrder) -> Option<WebRequest> {
-        let request = &self.request;
-        let mut builder = http::Request::builder()
-            .method(request.method.clone())
-            .uri(request.path.as_ref());
-        *builder.headers_mut()? = request.headers.clone();
-        builder = builder.header(REQUEST_HEADER, request.id.clone());
-        builder = self.add_group_headers(builder, order);
-        builder.body(full_body(request.body.clone())).ok()
-    }
-
-    fn add_group_headers(&self, builder: Builder, order: &SendOrder) -> Builder {
-        let Some(generation) = &order.generation else {
-            return builder;
-        };
-        builder
-            .header(GROUP_HEADER, generation.group.as_str())
-            .header(EPOCH_HEADER, generation.epoch.0)
-            .header(RESUME_HEADER, self.sent_tokens)
-    }
-
-    /// Whether a response belongs to this request: it must not carry another request's
-    /// identifier, and one that reports the request as not run must carry this one's.
-    fn matches_request(&self, response: &IncomingResponse) -> bool {
-        let id = response.parts.headers.get(REQUEST_HEADER);
-        match response.parts.status {
-            StatusCode::MISDIRECTED_REQUEST => id.is_some_and(|id| *id == self.request.id),
-            _ => id.is_none_or(|id| *id == self.request.id),
-        }
-    }
-
     fn forward_whole(&mut self, order: &SendOrder, outcome: CollectOutcome) -> ExchangeProgress {
         let (parts, body) = match outcome {
             CollectOutcome::Response(parts, body) if self.stream.is_none() => (parts, body),
--- a/crates/gateway/src/border/ingress.rs
+++ b/crates/gateway/src/border/ingress.rs
@@ -20,9 +20,10 @@
 
 use super::GatewayReplies;
 use super::admin::readiness_response;
-use super::exchange::{CallExchange, EndpointRequest, ExchangeContext, ExchangeTimes};
+use super::exchange::{CallExchange, ExchangeContext, ExchangeTimes};
 use super::executor::GatewayExecutor;
 use super::parse::{CallHeaders, ParseError, ParsedCall, parse_call, parse_digest, parse_headers};
+use super::request::EndpointRequest;
 use super::response::{
     REQUEST_HEADER, forwarded_headers, interrupted_response, parse_error_response,
     receive_error_response, stopped_response, unknown_key_response,
--- a/crates/gateway/src/border/mod.rs
+++ b/crates/gateway/src/border/mod.rs
@@ -12,6 +12,7 @@
 mod ingress;
 mod parse;
 mod peers;
+mod request;
 mod response;
 mod task;
 
--- a/crates/gateway/src/border/task.rs
+++ b/crates/gateway/src/border/task.rs
@@ -76,7 +76,11 @@
         match last_step {
             CallStep::Refuse(refusal) => self.exchange.refuse(&refusal).await,
             CallStep::Respond(response) => self.exchange.respond(&response),
-            _ => {}
+            CallStep::Send(_)
+            | CallStep::Abort(_)
+            | CallStep::Suspend(_)
+            | CallStep::Resume(_)
+            | CallStep::Discard => {}
         }
     }
 }
