Fix: requests were refused when all servers were silent for a second

What callers saw: all servers pause for a second and go on. Requests without a first event were refused as soon as their node took itself for cut off, with seconds of their time left.

Cause: a node that finds no server reached refuses what it can't have passed on, if other nodes reach servers. At that moment the other nodes have not found out yet, or their digests have not arrived, so each node takes itself for the only one.

Ruled out: refusing nothing at a cut-off node, as its clients should turn to another node, which could serve them.

Change: such requests are refused only once the other nodes have had the time to say that they reach no server, either (`peer_timeout` after the node found out). Until then they wait; they still move as soon as another node can pass them on.

--- a/crates/edge/src/commands/reach.rs
+++ b/crates/edge/src/commands/reach.rs
@@ -191,6 +191,7 @@
         ReachChange::CutOff => {
             log::warn!("no server reached; other nodes pass requests on");
             state.silent_heads.clear();
+            state.reach_compared_at = now + state.times.peer_timeout;
             change_reach(state, "cut-off", now)
         }
         ReachChange::Restored => {
@@ -229,7 +230,8 @@
 ///
 /// If that is not possible, a request whose answer has begun waits for its server, and so does
 /// every request if no node reaches servers, as these may be silent for a moment only. Any other
-/// is refused at once, so that its client can turn to another node.
+/// is refused as soon as the other nodes have had the time to say so, and its client can turn to
+/// one that reaches servers.
 pub(super) fn leave_stranded(
     state: &mut EdgeState,
     attempt: AttemptId,
@@ -243,7 +245,8 @@
         let order = pass_on(state, *order, 0, now);
         return StallStep::Move(cause, Box::new(order));
     }
-    if !is_answering && is_cut_off_alone(state, now) {
+    let is_alone = is_cut_off_alone(state, now) && now >= state.reach_compared_at;
+    if !is_answering && is_alone {
         return StallStep::Abort(StallCause::CutOff);
     }
     StallStep::Wait {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -275,6 +275,8 @@
     pub(crate) quarantine: QuarantineState,
     /// Whether this node reaches the servers.
     pub(crate) reach: ReachState,
+    /// Instant from which the other nodes have said if they reach no servers, either.
+    pub(crate) reach_compared_at: ClockTime,
     /// Requests that another node passes on.
     pub(crate) passed: HashMap<AttemptId, PassedAttempt>,
     /// Endpoints whose probes got no response while this node may have been cut off.
@@ -400,6 +402,7 @@
             registration_due: now,
             is_registered: false,
             slow_groups: BTreeMap::new(),
+            reach_compared_at: now,
             silent_heads: BTreeSet::new(),
             reported_silent_heads: BTreeSet::new(),
             last_lag_at: None,
