Edge tests: silent servers in whole deployments

Event loops of 3 to 195 nodes with streams that have begun, streams that have not and idempotent requests at each node. Servers fall silent for a second, one, most or all of them, at one node, most or all (one of these pairs at 70 and 195 nodes): every request is answered. All servers silent at all nodes: all nodes take themselves for cut off, and every request is answered. All servers silent for good at one node: the other nodes pass its requests on; a request without a first event that had used up its attempts is refused within 1.8 s. One server silent for good: requests leave it within 500 ms (begun), 1.5 s (not begun) and 0.7 of the objective (plain), plus checks and the next server's time.

`NodeNetwork` gets servers that are silent to a node; trials of these time out after 250 ms. Partitions behave as before.

--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -13,9 +13,9 @@
 mod odd_entries;
 mod owner_loss;
 mod quarantine;
-
 mod restored_store;
 mod silent_links;
+mod silent_servers;
 mod silent_store;
 mod store_away;
 mod support;
--- a/crates/edge/tests/suite/network.rs
+++ b/crates/edge/tests/suite/network.rs
@@ -13,6 +13,8 @@
 
 /// Time that a message takes.
 pub const TICK_MS: u64 = 20;
+/// Time after which a node takes a server on trial for one that does not respond.
+const TRIAL_TIMEOUT_MS: u64 = 250;
 const FIRST_PORT: u16 = 1_000;
 /// Port of the first node for requests that it passes on.
 pub const FIRST_PASSING_PORT: u16 = 2_000;
@@ -24,6 +26,10 @@
     pub cut_off: BTreeSet<usize>,
     /// Nodes that reach no server.
     pub partitioned: BTreeSet<usize>,
+    /// Servers that send a node nothing.
+    pub silent_servers: BTreeSet<(usize, HostName)>,
+    /// Latest change of each node's reach, as its metric says.
+    pub reach_changes: Vec<Option<&'static str>>,
     pub now: u64,
     /// Number of times that a node has quarantined a part or a request.
     pub quarantined: usize,
@@ -34,6 +40,8 @@
     /// Connections by sender and receiver, and whether they lose all messages.
     links: BTreeMap<(usize, usize), bool>,
     in_flight: Vec<(usize, EdgeEvent)>,
+    /// Trials of silent servers, and when they time out.
+    trials: Vec<(u64, usize, HostName)>,
 }
 
 impl NodeNetwork {
@@ -42,12 +50,15 @@
             nodes: (0..count).map(|index| start(index, count, 0)).collect(),
             cut_off: BTreeSet::new(),
             partitioned: BTreeSet::new(),
+            silent_servers: BTreeSet::new(),
+            reach_changes: vec![None; count],
             now: 0,
             quarantined: 0,
             reconnects: 0,
             watch_modes: vec![WatchMode::default(); count],
             links: BTreeMap::new(),
             in_flight: Vec::new(),
+            trials: Vec::new(),
         }
     }
 
@@ -62,6 +73,11 @@
         for (index, event) in std::mem::take(&mut self.in_flight) {
             self.handle(index, event);
         }
+        let now = self.now;
+        let due: Vec<_> = self.trials.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, index, server) in due {
+            self.handle(index, EdgeEvent::Tried(server, false));
+        }
     }
 
     /// Runs all nodes until an instant.
@@ -106,6 +122,12 @@
         }
     }
 
+    /// Whether a server sends a node anything.
+    pub fn is_reached(&self, index: usize, server: &HostName) -> bool {
+        let link = (index, server.clone());
+        !self.partitioned.contains(&index) && !self.silent_servers.contains(&link)
+    }
+
     fn send(&mut self, sender: usize, receiver: usize, message: PeerMessage) {
         let is_new = !self.links.contains_key(&(sender, receiver));
         if *self.links.entry((sender, receiver)).or_default() {
@@ -134,9 +156,16 @@
                 }
                 EdgeEffect::SetWatchMode(mode) => self.watch_modes[index] = mode,
                 EdgeEffect::Try { server, .. } => {
+                    let link = (index, server);
+                    if self.silent_servers.contains(&link) {
+                        self.trials
+                            .push((self.now + TRIAL_TIMEOUT_MS, index, link.1));
+                        continue;
+                    }
                     let is_reached = !self.partitioned.contains(&index);
-                    self.handle(index, EdgeEvent::Tried(server, is_reached));
+                    self.handle(index, EdgeEvent::Tried(link.1, is_reached));
                 }
+                EdgeEffect::CountReach(change) => self.reach_changes[index] = Some(change),
                 EdgeEffect::CountQuarantinedParts(count)
                 | EdgeEffect::CountQuarantinedRequests(count) => self.quarantined += count,
                 _ => {}
