Edge tests: the next server stops within the body of its response (fails)

An idempotent request moves off a silent server; the next one sends the head and half of the body and stops. The first server answers a moment later, but the client gets 504 at its deadline: while `collect` reads one response, the other attempts are not read and nothing checks for silence.

A fix would read the body as part of the attempt, so that the other attempt is read beside it.

--- a/crates/bronzerun/tests/edge/silent.rs
+++ b/crates/bronzerun/tests/edge/silent.rs
@@ -366,6 +366,25 @@
     }
 }
 
+#[test]
+fn an_idempotent_request_is_answered_if_the_next_server_stops_within_its_body() {
+    let answers_late = |request: &RawRequest, stream: &mut TcpStream, log: &RequestLog| {
+        log.wait_moved();
+        answer(request, stream, log)
+    };
+    let stops_within_body = |request: &RawRequest, stream: &mut TcpStream, _: &RequestLog| {
+        let id = &request.id;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\ncontent-length: 9\r\nx-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n\r\nhalf"
+        );
+        stream.write_all(head.as_bytes())?;
+        wait_closed(stream)
+    };
+    let servers = Servers::new(2, answers_late, stops_within_body);
+    let node = Node::start_before("plain-half", servers.addresses.clone());
+    assert_eq!(plain_response(&node), ("done".to_owned(), true));
+}
+
 /// Body of the response to an idempotent request, and whether it is a success.
 fn plain_response(node: &Node) -> (String, bool) {
     let mut client = TcpStream::connect(node.ingress).unwrap();
