Fix: a request got 504 though a server had answered it, as the next one stopped within its body

What callers saw: an idempotent request moved from a silent server to another one, which sent the head of its response and stopped. The caller got 504 at its deadline although the first server had answered meanwhile.

Cause: the node read a body to its end and looked at no other attempt until then. Ruled out: a stall check of bodies, which would move large ones that arrive slowly.

Change: a body is collected as one more state of an open attempt, beside the others; the first whole response is the answer.

Evidence: an_idempotent_request_is_answered_if_the_next_server_stops_within_its_body failed on and on; with the change all 24 tests of the daemon with real sockets pass.

--- a/crates/edge/src/border/attempts.rs
+++ b/crates/edge/src/border/attempts.rs
@@ -8,7 +8,7 @@
 
 use base::prelude::*;
 use futures_util::future::{LocalBoxFuture, select_all};
-use net::web::{ChunkOutcome, IncomingResponse};
+use net::web::{ChunkOutcome, IncomingResponse, WebResponse};
 use net::with_deadline;
 use relay::{AttemptEnd, AttemptId, SendOrder, StallStep};
 
@@ -24,6 +24,8 @@
     Response(SendOrder, Box<IncomingResponse>),
     /// The next part of a body that is read.
     Chunk(AttemptId, ChunkOutcome),
+    /// A response that was read to its end; nothing if it broke off.
+    Collected(SendOrder, Option<WebResponse>),
     /// An attempt has ended without a usable response.
     Ended(SendOrder, AttemptEnd),
     /// The deadline has passed.
@@ -39,8 +41,10 @@
 enum AttemptProgress {
     /// The request was sent.
     Sent(LocalBoxFuture<'static, AttemptOutcome>),
-    /// The body of the response is read.
+    /// The body of the response is read, part by part.
     Responding(Box<IncomingResponse>, EventBuffer),
+    /// The body of the response is read to its end.
+    Collecting(LocalBoxFuture<'static, Option<WebResponse>>),
 }
 
 impl OpenAttempt {
@@ -48,6 +52,7 @@
         match &mut self.progress {
             AttemptProgress::Sent(outcome) => Step::Outcome(outcome.await),
             AttemptProgress::Responding(response, _) => Step::Chunk(response.read_chunk().await),
+            AttemptProgress::Collecting(response) => Step::Collected(response.await),
         }
     }
 }
@@ -55,6 +60,7 @@
 enum Step {
     Outcome(AttemptOutcome),
     Chunk(ChunkOutcome),
+    Collected(Option<WebResponse>),
 }
 
 /// Open attempts of one request, the latest one last.
@@ -107,6 +113,21 @@
         }
     }
 
+    /// Reads a response to its end while the other attempts stay open.
+    pub fn collect(
+        &mut self,
+        order: SendOrder,
+        response: LocalBoxFuture<'static, Option<WebResponse>>,
+    ) {
+        let attempt = order.attempt;
+        let progress = AttemptProgress::Collecting(response);
+        self.add(OpenAttempt { order, progress });
+        if self.latest() == Some(attempt) {
+            // It has answered, so its server is not silent.
+            self.check_at = self.deadline;
+        }
+    }
+
     fn add(&mut self, attempt: OpenAttempt) {
         let number = attempt.order.attempt.number;
         let is_earlier = |other: &OpenAttempt| other.order.attempt.number < number;
@@ -124,7 +145,7 @@
         let open = attempts.find(|open| open.order.attempt == attempt)?;
         match &mut open.progress {
             AttemptProgress::Responding(_, buffer) => Some(buffer),
-            AttemptProgress::Sent(_) => None,
+            AttemptProgress::Sent(_) | AttemptProgress::Collecting(_) => None,
         }
     }
 
@@ -152,7 +173,7 @@
         let open = self.attempts.remove(index);
         let response = match open.progress {
             AttemptProgress::Responding(response, _) => Some(*response),
-            AttemptProgress::Sent(_) => None,
+            AttemptProgress::Sent(_) | AttemptProgress::Collecting(_) => None,
         };
         Some((open.order, response))
     }
@@ -218,19 +239,20 @@
         Some((index, step))
     }
 
-    /// What a step means. A finished send is no longer open.
+    /// What a step means. A send or a collection that has finished is no longer open.
     fn signal(&mut self, index: usize, step: Step) -> AttemptSignal {
-        let outcome = match step {
-            Step::Chunk(chunk) => {
-                return AttemptSignal::Chunk(self.attempts[index].order.attempt, chunk);
-            }
-            Step::Outcome(outcome) => outcome,
-        };
+        if let Step::Chunk(chunk) = step {
+            return AttemptSignal::Chunk(self.attempts[index].order.attempt, chunk);
+        }
         let order = self.attempts.remove(index).order;
-        match outcome {
-            AttemptOutcome::Response(response) => AttemptSignal::Response(order, response),
-            AttemptOutcome::Ended(end) => AttemptSignal::Ended(order, end),
-            AttemptOutcome::DeadlinePassed => AttemptSignal::DeadlinePassed,
+        match step {
+            Step::Chunk(chunk) => AttemptSignal::Chunk(order.attempt, chunk),
+            Step::Collected(response) => AttemptSignal::Collected(order, response),
+            Step::Outcome(AttemptOutcome::Response(response)) => {
+                AttemptSignal::Response(order, response)
+            }
+            Step::Outcome(AttemptOutcome::Ended(end)) => AttemptSignal::Ended(order, end),
+            Step::Outcome(AttemptOutcome::DeadlinePassed) => AttemptSignal::DeadlinePassed,
         }
     }
 }
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -183,27 +183,28 @@
                     if accepted.route.kind.is_stream() && status.is_success() {
                         return self.relay_stream(accepted, attempts, order, incoming);
                     }
-                    match self.collect(*incoming, accepted.deadline).await {
-                        Some(response) => {
-                            // The event loop ends only when the process is about to exit.
-                            let answered = EdgeEvent::Completed(accepted.request.call);
-                            let _ = self.context.events.unbounded_send(answered);
-                            let may_improve =
-                                status.is_server_error() && accepted.route.kind.is_repeatable();
-                            if !may_improve {
-                                return response;
-                            }
-                            failure = Some(response);
-                            (order, AttemptEnd::Failed)
-                        }
-                        None if self.context.clock.now() >= accepted.deadline => {
-                            return timeout_response();
-                        }
-                        None => (order, AttemptEnd::Lost),
+                    let response = self.clone().collect(*incoming, accepted.deadline);
+                    attempts.collect(order, Box::pin(response));
+                    step = CallStep::Wait;
+                    continue;
+                }
+                AttemptSignal::Collected(order, Some(response)) => {
+                    // The event loop ends only when the process is about to exit.
+                    let answered = EdgeEvent::Completed(accepted.request.call);
+                    let _ = self.context.events.unbounded_send(answered);
+                    let is_failure = response.status().is_server_error();
+                    if !is_failure || !accepted.route.kind.is_repeatable() {
+                        return response;
                     }
+                    failure = Some(response);
+                    (order, AttemptEnd::Failed)
                 }
+                AttemptSignal::Collected(..) if self.context.clock.now() >= accepted.deadline => {
+                    return timeout_response();
+                }
+                AttemptSignal::Collected(order, None) => (order, AttemptEnd::Lost),
                 AttemptSignal::Ended(order, end) => (order, end),
-                // No body is read here but by `collect`.
+                // Bodies are read to their end here.
                 AttemptSignal::Chunk(..) => {
                     step = CallStep::Wait;
                     continue;
@@ -226,11 +227,7 @@
     }
 
     /// Buffers a response; nothing of an incomplete one reaches the client.
-    async fn collect(
-        &self,
-        incoming: IncomingResponse,
-        deadline: ClockTime,
-    ) -> Option<WebResponse> {
+    async fn collect(self, incoming: IncomingResponse, deadline: ClockTime) -> Option<WebResponse> {
         match incoming.collect(MAX_BUFFERED_BYTES, deadline).await {
             CollectOutcome::Response(parts, body) => {
                 let mut response = Response::new(full_body(body));
--- a/crates/edge/src/border/stream.rs
+++ b/crates/edge/src/border/stream.rs
@@ -187,6 +187,10 @@
                     self.end_attempt(order.attempt, AttemptEnd::Failed).await
                 }
                 AttemptSignal::Ended(order, end) => self.end_attempt(order.attempt, end).await,
+                // A response that was being collected was no stream.
+                AttemptSignal::Collected(order, _) => {
+                    self.end_attempt(order.attempt, AttemptEnd::Failed).await
+                }
             };
             if let ControlFlow::Break(end) = next {
                 return end;
