Fix: a request that may crash servers was sent again while another attempt was open

What callers saw: nothing; a route with three attempts could send a suspect request to a third server after the second one had crashed, and a server that a quarantined request had crashed was not avoided.

Cause: give_up kept in mind only that the attempt had ended, so the next check of the silent attempt moved the request once more; abort_call released the attempts without recording the failure.

Change: the request is marked and has no attempts left; abort_call records the end.

--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -113,17 +113,17 @@
     if let Some(id) = record_attempt_end(state, attempt) {
         record_failure(state, &id, end, now);
     }
-    let entry = state.calls.get_mut(&attempt.call);
-    let may_have_run = entry.is_none_or(|entry| {
-        if end.is_not_run() {
-            entry.runs = entry.runs.saturating_sub(1);
-        }
-        entry.runs > 0
-    });
-    let is_open = |entry: &crate::state::CallState| !entry.open.is_empty();
-    if state.calls.get(&attempt.call).is_some_and(is_open) {
+    let Some(entry) = state.calls.get_mut(&attempt.call) else {
+        return refuse(RefusalReason::Exhausted, true, None);
+    };
+    entry.is_crash_suspect = true;
+    if end.is_not_run() {
+        entry.runs = entry.runs.saturating_sub(1);
+    }
+    if !entry.open.is_empty() {
         return CallStep::Wait;
     }
+    let may_have_run = entry.runs > 0;
     refuse(
         RefusalReason::Exhausted,
         may_have_run,
@@ -131,15 +131,18 @@
     )
 }
 
-/// Ends all attempts of a request and refuses it.
-pub fn abort_call(state: &mut RelayState, call: CallId) -> CallStep {
-    release_attempts(state, call, |_| true);
-    let may_have_run = state.calls.get(&call).is_none_or(|entry| entry.runs > 0);
-    refuse(
-        RefusalReason::Exhausted,
-        may_have_run,
-        Some(state.settings.retry_after),
-    )
+/// Records the end of an attempt of a quarantined request, ends its other attempts and refuses it.
+pub fn abort_call(
+    state: &mut RelayState,
+    attempt: AttemptId,
+    end: AttemptEnd,
+    now: ClockTime,
+) -> CallStep {
+    if let Some(id) = record_attempt_end(state, attempt) {
+        record_failure(state, &id, end, now);
+    }
+    release_attempts(state, attempt.call, |_| true);
+    give_up(state, attempt, end, now)
 }
 
 /// Avoids a failed target for a while, longer with each consecutive failure.
--- a/crates/relay/src/commands/calls.rs
+++ b/crates/relay/src/commands/calls.rs
@@ -33,6 +33,7 @@
         runs: 0,
         rejections: 0,
         misdirections: 0,
+        is_crash_suspect: false,
     };
     state.calls.insert(call, entry);
     dispatch(state, call, now)
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -45,6 +45,8 @@
     pub rejections: u32,
     /// Number of those whose target turned out to be another server.
     pub misdirections: u32,
+    /// Whether it must not be sent again, as it may have crashed a server.
+    pub is_crash_suspect: bool,
 }
 
 impl CallState {
@@ -56,7 +58,8 @@
     /// Whether another target may run it, too.
     pub fn has_attempts_left(&self) -> bool {
         let route = &self.arrival.route;
-        self.runs == 0 || (route.kind.is_repeatable() && self.runs < route.attempts)
+        !self.is_crash_suspect
+            && (self.runs == 0 || (route.kind.is_repeatable() && self.runs < route.attempts))
     }
 }
 
