Fix: a move was refused because the least loaded target was suspect

What callers saw: where every target had failed a moment ago, a stream stayed at a silent server though one of the others was sound, until that one's avoidance ended (up to 4 s).

Cause: the check looked at the one target that was chosen. Ruled out: leaving out suspect targets for every request, which would change the choice of new ones.

Change: a move because of silence leaves the suspect targets out of the choice.

--- a/crates/relay/src/commands/calls.rs
+++ b/crates/relay/src/commands/calls.rs
@@ -30,6 +30,7 @@
         open: Vec::new(),
         last_number: 0,
         tried: Vec::new(),
+        excluded: Vec::new(),
         runs: 0,
         rejections: 0,
         misdirections: 0,
--- a/crates/relay/src/commands/stalls.rs
+++ b/crates/relay/src/commands/stalls.rs
@@ -3,7 +3,6 @@
 use base::prelude::*;
 
 use super::attempts::send_beside;
-use crate::queries::choose_target;
 use crate::state::{CallState, OpenAttempt};
 use crate::{AttemptId, Lane, RelayState, StallCause, StallStep};
 
@@ -35,18 +34,28 @@
     if !may_be_moved(entry, attempt) {
         return None;
     }
-    let (target, _) = choose_target(state, entry, now).ok()?;
     let is_silence = matches!(cause, StallCause::Silent | StallCause::NotBegun);
-    let load = state.loads.get(&target.id);
-    if is_silence && load.is_some_and(|load| load.suspect_until > now) {
-        // It is as silent as the present one, and the move would only use up a retry.
-        state.rotation = state.rotation.wrapping_add(1);
-        return None;
+    if is_silence {
+        // A suspect target is as silent as the present one, and would only use up a retry.
+        let suspects = suspect_targets(state, now);
+        let entry = state.calls.get_mut(&attempt.call)?;
+        entry.excluded = suspects;
+    }
+    let order = send_beside(state, attempt, now);
+    if let Some(entry) = state.calls.get_mut(&attempt.call) {
+        entry.excluded.clear();
     }
-    let order = send_beside(state, attempt, now)?;
+    let order = order?;
     Some(StallStep::Move(cause, Box::new(order)))
 }
 
+/// Targets whose streams are silent.
+fn suspect_targets(state: &RelayState, now: ClockTime) -> Vec<HostName> {
+    let suspects = state.loads.iter();
+    let suspects = suspects.filter(|(_, load)| load.suspect_until > now);
+    suspects.map(|(id, _)| id.clone()).collect()
+}
+
 /// Whether a request may be sent to another target while its latest attempt is open.
 fn may_be_moved(call: &CallState, attempt: AttemptId) -> bool {
     let latest = call.open.last();
--- a/crates/relay/src/queries/limited.rs
+++ b/crates/relay/src/queries/limited.rs
@@ -74,6 +74,7 @@
         .filter(|target| target.service == arrival.service)
         .filter(|target| target.model.is_none() || target.model == arrival.model)
         .filter(|target| !call.tried.contains(&target.id))
+        .filter(|target| !call.excluded.contains(&target.id))
         .collect()
 }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -39,6 +39,8 @@
     pub urgency: UrgencyRank,
     /// Targets that it was sent to.
     pub tried: Vec<HostName>,
+    /// Targets that the next choice leaves out besides.
+    pub excluded: Vec<HostName>,
     /// Number of attempts that may have run or still may, the open ones included.
     pub runs: u32,
     /// Number of attempts that certainly did not run.
--- a/crates/relay/tests/suite/silence.rs
+++ b/crates/relay/tests/suite/silence.rs
@@ -161,7 +161,7 @@
 }
 
 #[test]
-fn streams_do_not_move_to_a_suspect_target_however_the_choice_falls() {
+fn streams_move_to_the_only_target_that_is_not_suspect_though_it_has_failed() {
     for seed in 0..16 {
         let others = (2..6).map(|index| head(&format!("h{index}"), index));
         let mut state = begun_streams(8, others.collect(), RETRIES);
@@ -184,10 +184,8 @@
             suspect_target(&mut state, &suspect, at(SILENT_AT - 10));
         }
         for call in 0..8 {
-            if let StallStep::Move(_, order) = check_stall(&mut state, CallId(call), at(SILENT_AT))
-            {
-                assert_eq!(order.target, failed, "seed {seed}, request {call}");
-            }
+            let (_, order) = moved(check_stall(&mut state, CallId(call), at(SILENT_AT)));
+            assert_eq!(order.target, failed, "seed {seed}, request {call}");
         }
     }
 }
@@ -415,3 +413,18 @@
         assert_eq!(check_all(&mut state, 1..2, limit), [1], "{kind:?}");
     }
 }
+
+#[test]
+fn a_crash_suspect_is_not_sent_again_while_another_of_its_attempts_is_open() {
+    let others = vec![head("h2", 2), head("h3", 3)];
+    let mut state = relay_before([request(1, STREAM, 4)], others, RETRIES);
+    record_progress(&mut state, CallId(1), at(BEGUN_AT));
+    let (_, order) = moved(check_stall(&mut state, CallId(1), at(SILENT_AT)));
+    let now = at(SILENT_AT + 5);
+    let step = give_up(&mut state, order.attempt, AttemptEnd::Lost, now);
+    assert_eq!(step, CallStep::Wait);
+    for millis in [SILENT_AT + 100, SILENT_AT + 2_000] {
+        let step = check_stall(&mut state, CallId(1), at(millis));
+        assert!(matches!(step, StallStep::Wait { .. }), "{millis} ms");
+    }
+}
