Fix: a plain server that a request left was no sign that this node reaches no servers

Cause: an attempt that ended as stalled counted towards the suspicion; a move ends nothing. On pooled connections that carry nothing, a node with plain requests only would have noticed later that it is cut off. Found by the review. Change: a move because of silence counts as the stalled attempt did.

--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -92,7 +92,7 @@
     }
     let is_crash_suspect = record_crash(state, attempt, end, now);
     if quarantine::queries::is_call_blocked(&state.quarantine, attempt.call) {
-        return relay::commands::abort_call(&mut state.relay, attempt.call);
+        return relay::commands::abort_call(&mut state.relay, attempt, end, now);
     }
     if is_crash_suspect {
         return relay::commands::give_up(&mut state.relay, attempt, end, now);
@@ -130,7 +130,16 @@
     if is_stranded(state, attempt) {
         return leave_stranded(state, attempt, is_answering, now);
     }
-    match relay::commands::check_stall(&mut state.relay, attempt, now) {
+    let silent = relay::queries::target_of(&state.relay, attempt).cloned();
+    let step = relay::commands::check_stall(&mut state.relay, attempt, now);
+    let is_silence = matches!(
+        step,
+        StallStep::Move(StallCause::Silent | StallCause::NotBegun, _)
+    );
+    if let Some(server) = silent.filter(|_| is_silence && !state.passed.contains_key(&attempt)) {
+        record_trouble(state, &server, now);
+    }
+    match step {
         StallStep::Move(cause, order) => match route_attempt(state, CallStep::Send(*order), now) {
             CallStep::Send(order) => StallStep::Move(cause, Box::new(order)),
             _ => unreachable!("an order stays an order"),
