Fix: an attempt was not checked again after a later one had ended, and a head could be another server's

What callers saw: an idempotent request whose second server answered with an error waited for its first one until the deadline, though a retry had become free; a stream could get the head of the second server and all events of the first one.

Cause: the time of the next check belonged to the attempt that was taken out. The head was sent with the first head that arrived, while the attempt before could still be the first to go on.

Change: the attempt that becomes the latest is checked at once. While two attempts are open the head is sent with the first event, and is that of its server. At the deadline a server's error that is at hand is returned.

--- a/crates/edge/src/border/attempts.rs
+++ b/crates/edge/src/border/attempts.rs
@@ -8,6 +8,7 @@
 
 use base::prelude::*;
 use futures_util::future::{LocalBoxFuture, select_all};
+use http::response::Parts;
 use net::web::{ChunkOutcome, IncomingResponse, WebResponse};
 use net::with_deadline;
 use relay::{AttemptEnd, AttemptId, SendOrder, StallStep};
@@ -69,7 +70,7 @@
     request: Rc<ClientRequest>,
     deadline: ClockTime,
     attempts: Vec<OpenAttempt>,
-    /// Whether a body was read, so that the client has got the head of the response.
+    /// Whether the client has got the head of the response.
     is_answering: bool,
     /// Instant at which the event loop is asked about the latest attempt.
     check_at: ClockTime,
@@ -88,6 +89,11 @@
         }
     }
 
+    /// Records that the client gets the head of the response.
+    pub fn begin_answer(&mut self) {
+        self.is_answering = true;
+    }
+
     /// Number of open attempts.
     pub fn count(&self) -> usize {
         self.attempts.len()
@@ -105,7 +111,6 @@
     /// Reads the body of a response; its attempt is open again.
     pub fn read(&mut self, order: SendOrder, response: Box<IncomingResponse>, buffer: EventBuffer) {
         let attempt = order.attempt;
-        self.is_answering = true;
         let progress = AttemptProgress::Responding(response, buffer);
         self.add(OpenAttempt { order, progress });
         if self.latest() == Some(attempt) {
@@ -170,7 +175,7 @@
     pub fn remove(&mut self, attempt: AttemptId) -> Option<(SendOrder, Option<IncomingResponse>)> {
         let mut attempts = self.attempts.iter();
         let index = attempts.position(|open| open.order.attempt == attempt)?;
-        let open = self.attempts.remove(index);
+        let open = self.take(index);
         let response = match open.progress {
             AttemptProgress::Responding(response, _) => Some(*response),
             AttemptProgress::Sent(_) | AttemptProgress::Collecting(_) => None,
@@ -178,6 +183,24 @@
         Some((open.order, response))
     }
 
+    /// Takes an attempt out. The one before it becomes the latest, and is checked at once.
+    fn take(&mut self, index: usize) -> OpenAttempt {
+        if index + 1 == self.attempts.len() {
+            self.check_at = self.check_at.min(self.context.clock.now());
+        }
+        self.attempts.remove(index)
+    }
+
+    /// Parts of the head of a response that is read.
+    pub fn head(&self, attempt: AttemptId) -> Option<&Parts> {
+        let mut attempts = self.attempts.iter();
+        let open = attempts.find(|open| open.order.attempt == attempt)?;
+        match &open.progress {
+            AttemptProgress::Responding(response, _) => Some(&response.parts),
+            AttemptProgress::Sent(_) | AttemptProgress::Collecting(_) => None,
+        }
+    }
+
     /// Waits for what comes next, and asks the event loop about a latest attempt that is silent.
     ///
     /// Nothing is lost if the future is dropped while it waits for the servers.
@@ -244,7 +267,7 @@
         if let Step::Chunk(chunk) = step {
             return AttemptSignal::Chunk(self.attempts[index].order.attempt, chunk);
         }
-        let order = self.attempts.remove(index).order;
+        let order = self.take(index).order;
         match step {
             Step::Chunk(chunk) => AttemptSignal::Chunk(order.attempt, chunk),
             Step::Collected(response) => AttemptSignal::Collected(order, response),
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
@@ -11,10 +12,10 @@
 use intent::Route;
 use net::sleep_until;
 use net::web::{
-    CollectOutcome, IncomingResponse, ReceiveError, RequestBody, WebLimits, WebResponse,
-    WebService, body_channel, full_body, receive_body, text_response,
+    ChunkOutcome, CollectOutcome, IncomingResponse, ReceiveError, RequestBody, WebLimits,
+    WebResponse, WebService, body_channel, full_body, receive_body, text_response,
 };
-use relay::{AttemptEnd, CallStep, SendOrder};
+use relay::{AttemptEnd, AttemptId, CallStep};
 
 use super::attempt::{AttemptContext, ClientRequest};
 use super::attempts::{AttemptSignal, OpenAttempts};
@@ -181,7 +182,16 @@
                 AttemptSignal::Response(order, incoming) => {
                     let status = incoming.parts.status;
                     if accepted.route.kind.is_stream() && status.is_success() {
-                        return self.relay_stream(accepted, attempts, order, incoming);
+                        let attempt = order.attempt;
+                        let buffer = EventBuffer::after(accepted.last_event);
+                        let is_alone = attempts.count() == 0;
+                        attempts.read(order, incoming, buffer);
+                        if is_alone {
+                            return self.relay_stream(accepted, attempts, attempt, None);
+                        }
+                        // The head of the first server that sends an event is the client's.
+                        step = CallStep::Wait;
+                        continue;
                     }
                     let response = self.clone().collect(*incoming, accepted.deadline);
                     attempts.collect(order, Box::pin(response));
@@ -200,14 +210,37 @@
                     (order, AttemptEnd::Failed)
                 }
                 AttemptSignal::Collected(..) if self.context.clock.now() >= accepted.deadline => {
-                    return timeout_response();
+                    return failure.unwrap_or_else(timeout_response);
                 }
                 AttemptSignal::Collected(order, None) => (order, AttemptEnd::Lost),
                 AttemptSignal::Ended(order, end) => (order, end),
-                // Bodies are read to their end here.
-                AttemptSignal::Chunk(..) => {
-                    step = CallStep::Wait;
-                    continue;
+                AttemptSignal::Chunk(attempt, ChunkOutcome::Chunk(bytes)) => {
+                    let pushed = attempts.buffer(attempt).map(|buffer| buffer.push(&bytes));
+                    match pushed {
+                        Some(Ok(events)) if !events.is_empty() => {
+                            attempts.keep_only(attempt);
+                            return self.relay_stream(accepted, attempts, attempt, Some(events));
+                        }
+                        Some(Err(error)) => {
+                            log::warn!(id:% = accepted.request.id; "stream of the server given up: {error}");
+                            let Some((order, _)) = attempts.remove(attempt) else {
+                                step = CallStep::Wait;
+                                continue;
+                            };
+                            (order, AttemptEnd::Cut)
+                        }
+                        _ => {
+                            step = CallStep::Wait;
+                            continue;
+                        }
+                    }
+                }
+                AttemptSignal::Chunk(attempt, ChunkOutcome::End | ChunkOutcome::Lost) => {
+                    let Some((order, _)) = attempts.remove(attempt) else {
+                        step = CallStep::Wait;
+                        continue;
+                    };
+                    (order, AttemptEnd::Cut)
                 }
                 AttemptSignal::DeadlinePassed => {
                     log::info!(id:% = accepted.request.id, route:% = accepted.route.name; "request timed out at the server");
@@ -240,27 +273,28 @@
         }
     }
 
-    /// Starts to relay a stream. Attempts that are under way stay open until its first event.
+    /// Starts to relay the stream of an attempt, with the events that were read already.
     fn relay_stream(
         &self,
         accepted: AcceptedRequest,
         mut attempts: OpenAttempts,
-        order: SendOrder,
-        incoming: Box<IncomingResponse>,
+        attempt: AttemptId,
+        events: Option<Bytes>,
     ) -> WebResponse {
         let (sender, body) = body_channel();
         let mut response = Response::new(body);
-        *response.status_mut() = incoming.parts.status;
-        *response.headers_mut() = self
-            .context
-            .header_codec
-            .response_headers(&incoming.parts.headers);
+        let Some(head) = attempts.head(attempt) else {
+            return text_response(StatusCode::BAD_GATEWAY, "the server's answer was lost");
+        };
+        *response.status_mut() = head.status;
+        *response.headers_mut() = self.context.header_codec.response_headers(&head.headers);
+        let kind = ResponseKind::of(head);
         let is_resumable = accepted.route.kind.is_repeatable();
-        let kind = ResponseKind::of(&incoming.parts);
         // Another server may send the rest, with events of other lengths, and a stream that was
         // broken off must not look complete because it has the announced length.
         response.headers_mut().remove(CONTENT_LENGTH);
-        attempts.read(order, incoming, EventBuffer::after(accepted.last_event));
+        attempts.begin_answer();
+        let last_event = attempts.buffer(attempt).and_then(|buffer| buffer.last_id());
         let stream = RelayedStream {
             labels: RequestLabels::of(&accepted),
             context: self.context.clone(),
@@ -270,13 +304,14 @@
             pauses: PauseMeter::new(accepted.arrived_at),
             guard: accepted.guard,
             deadline: accepted.deadline,
-            last_event: accepted.last_event,
+            last_event,
             kind,
             is_resumable,
             is_answered: false,
             progress_sent_at: None,
         };
-        monoio::spawn(stream.run(sender));
+        let first = events.map(|events| (attempt, events));
+        monoio::spawn(stream.run(first, sender));
         response
     }
 }
--- a/crates/edge/src/border/stream.rs
+++ b/crates/edge/src/border/stream.rs
@@ -138,8 +138,13 @@
 impl RelayedStream {
     /// Relays events until the stream is complete, no server goes on with it, or the client has
     /// disconnected.
-    pub async fn run(mut self, mut body: BodySender) {
-        let end = self.relay_events(&mut body).await;
+    ///
+    /// `first` are events that were read before the head of the response was sent.
+    pub async fn run(mut self, first: Option<(AttemptId, Bytes)>, mut body: BodySender) {
+        let end = match self.relay_first(first, &mut body).await {
+            ControlFlow::Continue(()) => self.relay_events(&mut body).await,
+            ControlFlow::Break(end) => end,
+        };
         if end == StreamEnd::Whole {
             // The event loop ends only when the process is about to exit.
             let completed = EdgeEvent::Completed(self.guard.call);
@@ -160,6 +165,19 @@
         }
     }
 
+    async fn relay_first(
+        &mut self,
+        first: Option<(AttemptId, Bytes)>,
+        body: &mut BodySender,
+    ) -> ControlFlow<StreamEnd> {
+        let Some((attempt, events)) = first else {
+            return ControlFlow::Continue(());
+        };
+        let now = self.context.clock.now();
+        self.report_progress(attempt, now);
+        self.send_events(events, body, now).await
+    }
+
     async fn relay_events(&mut self, body: &mut BodySender) -> StreamEnd {
         loop {
             let signal = {
@@ -242,6 +260,15 @@
         if events.is_empty() {
             return ControlFlow::Continue(());
         }
+        self.send_events(events, body, now).await
+    }
+
+    async fn send_events(
+        &mut self,
+        events: Bytes,
+        body: &mut BodySender,
+        now: ClockTime,
+    ) -> ControlFlow<StreamEnd> {
         self.pauses.record(now);
         self.report_answer(&events);
         if body.send(events).await.is_err() {
