Gateway: a stream whose caller reads slowly doesn't count as silent

Cause: the time of silence began before the event was handed to the caller, so an endpoint that had sent everything counted as silent once the caller was ready again; as in the daemon of the users' platform. Found by the review; no test shows it here. Change: the time begins anew after the event was taken.

--- a/crates/gateway/src/border/exchange.rs
+++ b/crates/gateway/src/border/exchange.rs
@@ -294,6 +294,8 @@
             self.done = Some(attempt);
         }
         if self.send_event(event, kind).await {
+            // Nothing was read while the caller was not ready.
+            self.attempts.record_event(attempt, self.silent_at());
             ExchangeProgress::Open
         } else {
             self.drop_caller()
