--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -14,7 +14,7 @@
 const FIRST_EVENT_SUSPECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which a suspect target is avoided; every check that finds it silent renews it.
 const SUSPECT_DURATION: Duration = Duration::from_millis(200);
-/// Fraction of a plain route's objective after which an attempt at a silent target is aborted.
+/// Fraction of a plain route's objective after which a request of a silent target moves.
 const PLAIN_STALL_FRACTION: f64 = 0.7;
 /// Interval between stall checks of a waiting request.
 const CHECK_INTERVAL: Duration = Duration::from_millis(60);
@@ -61,7 +61,7 @@
     pub suspect_duration: Duration,
     /// Silence of a target after which a stream without a first event moves to another one.
     pub queued_stall_timeout: Duration,
-    /// Fraction of a plain route's objective after which an attempt at a silent target is aborted.
+    /// Fraction of a plain route's objective after which a request of a silent target moves.
     pub plain_stall_fraction: f64,
     /// Interval between stall checks of a waiting request.
     pub check_interval: Duration,
