Edge tests: engines that fall silent together, in whole deployments (one fails)

The second one fails: with all engines silent for 2.4 s, 4 of 12 groups are dissolved at 3, 6, 12, 24, 70 and 195 nodes. The second probe of these engines is in flight as the silence ends and is missed 100 ms later, when the others have answered, so that the silence no longer counts as common. With all servers silent for 1.3 s, and with two of three engines for 1.2 s, none is.

--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod owner_loss;
 mod quarantine;
 mod restored_store;
+mod silent_engines;
 mod silent_links;
 mod silent_servers;
 mod silent_store;
--- a/crates/edge/tests/suite/network.rs
+++ b/crates/edge/tests/suite/network.rs
@@ -5,16 +5,20 @@
 use crate::support::{at, config_item, endpoint, list, node, settings};
 use base::prelude::*;
 use edge::PeerMessage;
-use edge::border::ports::{CollectionItem, StoreCollection};
+use edge::border::ports::{CollectionChange, CollectionItem, StoreCollection};
 use edge::{
-    EdgeEffect, EdgeEvent, EdgeQuestion, EdgeReply, EdgeSettings, EdgeState, EdgeTimes, WatchMode,
+    CollectionEvent, EdgeEffect, EdgeEvent, EdgeQuestion, EdgeReply, EdgeSettings, EdgeState,
+    EdgeTimes, WatchMode,
 };
-use store::{ObjectKey, StoredObject};
+use replicas::{EndpointReport, ProbeOutcome};
+use store::{ObjectChange, ObjectKey, StoredObject, UpdateOutcome};
 
 /// Time that a message takes.
 pub const TICK_MS: u64 = 20;
 /// Time after which a node takes a server on trial for one that does not respond.
 const TRIAL_TIMEOUT_MS: u64 = 250;
+/// Time after which a probe without a response ends.
+const PROBE_TIMEOUT_MS: u64 = 140;
 const FIRST_PORT: u16 = 1_000;
 /// Port of the first node for requests that it passes on.
 pub const FIRST_PASSING_PORT: u16 = 2_000;
@@ -30,6 +34,12 @@
     pub silent_servers: BTreeSet<(usize, HostName)>,
     /// Latest change of each node's reach, as its metric says.
     pub reach_changes: Vec<Option<&'static str>>,
+    /// What endpoints report to probes.
+    pub reports: BTreeMap<HostName, EndpointReport>,
+    /// Record of groups in the store.
+    pub record: Option<StoredObject>,
+    /// Number of orders to endpoints.
+    pub orders: usize,
     pub now: u64,
     /// Number of times that a node has quarantined a part or a request.
     pub quarantined: usize,
@@ -40,8 +50,8 @@
     /// Connections by sender and receiver, and whether they lose all messages.
     links: BTreeMap<(usize, usize), bool>,
     in_flight: Vec<(usize, EdgeEvent)>,
-    /// Trials of silent servers, and when they time out.
-    trials: Vec<(u64, usize, HostName)>,
+    /// Outcomes of trials and probes of silent servers, and when they time out.
+    delayed: Vec<(u64, usize, EdgeEvent)>,
 }
 
 impl NodeNetwork {
@@ -52,13 +62,16 @@
             partitioned: BTreeSet::new(),
             silent_servers: BTreeSet::new(),
             reach_changes: vec![None; count],
+            reports: BTreeMap::new(),
+            record: None,
+            orders: 0,
             now: 0,
             quarantined: 0,
             reconnects: 0,
             watch_modes: vec![WatchMode::default(); count],
             links: BTreeMap::new(),
             in_flight: Vec::new(),
-            trials: Vec::new(),
+            delayed: Vec::new(),
         }
     }
 
@@ -74,9 +87,9 @@
             self.handle(index, event);
         }
         let now = self.now;
-        let due: Vec<_> = self.trials.extract_if(.., |(at, ..)| *at <= now).collect();
-        for (_, index, server) in due {
-            self.handle(index, EdgeEvent::Tried(server, false));
+        let due: Vec<_> = self.delayed.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, index, event) in due {
+            self.handle(index, event);
         }
     }
 
@@ -156,15 +169,26 @@
                 }
                 EdgeEffect::SetWatchMode(mode) => self.watch_modes[index] = mode,
                 EdgeEffect::Try { server, .. } => {
-                    let link = (index, server);
-                    if self.silent_servers.contains(&link) {
-                        self.trials
-                            .push((self.now + TRIAL_TIMEOUT_MS, index, link.1));
+                    let is_reached = self.is_reached(index, &server);
+                    let event = EdgeEvent::Tried(server.clone(), is_reached);
+                    self.respond(index, server, event, TRIAL_TIMEOUT_MS);
+                }
+                EdgeEffect::Probe { of, .. } => {
+                    let Some(report) = self.reports.get(&of).cloned() else {
                         continue;
-                    }
-                    let is_reached = !self.partitioned.contains(&index);
-                    self.handle(index, EdgeEvent::Tried(link.1, is_reached));
+                    };
+                    let outcome = if self.is_reached(index, &of) {
+                        ProbeOutcome::Received(report)
+                    } else {
+                        ProbeOutcome::NoResponse
+                    };
+                    let event = EdgeEvent::Reported(of.clone(), outcome);
+                    self.respond(index, of, event, PROBE_TIMEOUT_MS);
                 }
+                EdgeEffect::Update(change) if change.key.as_str() == "groups" => {
+                    self.write_record(index, change);
+                }
+                EdgeEffect::Order { .. } => self.orders += 1,
                 EdgeEffect::CountReach(change) => self.reach_changes[index] = Some(change),
                 EdgeEffect::CountQuarantinedParts(count)
                 | EdgeEffect::CountQuarantinedRequests(count) => self.quarantined += count,
@@ -174,6 +198,52 @@
     }
 }
 
+impl NodeNetwork {
+    /// Tells all nodes the present state of the store, and what has changed.
+    pub fn publish(&mut self, shared: Vec<CollectionChange>, version: ObjectVersion) {
+        for index in 0..self.nodes.len() {
+            let changes = [
+                (StoreCollection::Shared, shared.clone()),
+                (StoreCollection::Endpoints, Vec::new()),
+            ];
+            let events = changes.map(|(collection, items)| {
+                let event = CollectionEvent::Changed(items, version);
+                (index, EdgeEvent::Collection(collection, event))
+            });
+            self.in_flight.extend(events);
+        }
+    }
+
+    /// Delivers what a server answers, or later that a silent one has not.
+    fn respond(&mut self, index: usize, server: HostName, event: EdgeEvent, timeout_ms: u64) {
+        if self.silent_servers.contains(&(index, server)) {
+            self.delayed.push((self.now + timeout_ms, index, event));
+        } else {
+            self.handle(index, event);
+        }
+    }
+
+    /// Writes the record of groups, if there is one, and tells all nodes.
+    fn write_record(&mut self, index: usize, change: ObjectChange) {
+        let Some(record) = &mut self.record else {
+            return;
+        };
+        if record.version != change.expected {
+            let conflict = EdgeEvent::Updated(change, UpdateOutcome::Conflict);
+            self.in_flight.push((index, conflict));
+            return;
+        }
+        record.version = record.version.next();
+        record.value = change.value.clone();
+        let record = record.clone();
+        let version = record.version;
+        let written = EdgeEvent::Updated(change, UpdateOutcome::Applied(version));
+        self.in_flight.push((index, written));
+        let change = CollectionChange::Put(CollectionItem::Shared(record));
+        self.publish(vec![change], version);
+    }
+}
+
 fn node_name(index: usize) -> String {
     format!("n{index:03}")
 }
