--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -226,34 +226,3 @@
 fn a_server_that_leaves_after_the_store_was_silent_gets_no_request_at_twelve_daemons() {
     check_silent_store(117, 12, Duration::from_millis(7_000));
 }
-
-/// Whether streams arrive whole while this many servers fall silent again and again, beside
-/// changes of the configuration.
-fn check_silent_servers(seed: u64, nodes: usize, servers: usize) {
-    let silence = Duration::from_millis(1_200);
-    let silences = [300, 2_200, 4_100].into_iter().flat_map(|at| {
-        [
-            (at, Fault::PauseServers(0, servers, silence)),
-            (at + 300, Fault::ChangeConfig),
-        ]
-    });
-    let plan = plan_of(&silences.collect::<Vec<_>>());
-    let options = SoakOptions {
-        nodes,
-        rate: 90,
-        ..options(SECONDS)
-    };
-    let report = run_plan(&options, seed, &plan).unwrap();
-    assert!(report.violations.is_empty(), "{report}");
-    assert!(report.all.served > 0, "{report}");
-}
-
-#[test]
-fn streams_are_not_cut_while_all_servers_are_silent() {
-    check_silent_servers(118, 3, 14);
-}
-
-#[test]
-fn streams_are_not_cut_while_most_servers_are_silent() {
-    check_silent_servers(119, 3, 9);
-}
