Logs and metrics: messages between nodes, their size and what became of them

Ruled out: nothing; no decision changes. Change: metrics peer_messages_total and peer_bytes_total by kind and result; lines "message to node not sent" and "message to node was slow" for all but digests, "bytes sent to other nodes" once a second on a busy link, "event loop was late" from 200 ms on, and the size in "configuration applied".

--- a/crates/edge/src/border/executor.rs
+++ b/crates/edge/src/border/executor.rs
@@ -4,14 +4,12 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use bytes::Bytes;
 use futures_channel::mpsc::UnboundedSender;
 use net::{DrainSignal, MetricSink};
 
 use super::EdgeReplies;
 use super::links::PeerLinks;
 use super::ports::{EndpointClient, PlatformStore};
-use super::wire::encode_message;
 use crate::{EdgeEffect, EdgeEvent, WatchMode};
 
 /// Timeout of an order.
@@ -87,10 +85,7 @@
                 self.metrics
                     .count("reach_changes", &[("change", change)], 1);
             }
-            EdgeEffect::Send { to, message } => {
-                self.links
-                    .send(to, Bytes::from(encode_message(&message, now)));
-            }
+            EdgeEffect::Send { to, message } => self.links.send(to, &message),
             EdgeEffect::CountQuarantinedParts(count) => {
                 let count = i64::try_from(count).unwrap_or(i64::MAX);
                 self.metrics.count("quarantined_parts", &[], count);
--- a/crates/edge/src/border/links.rs
+++ b/crates/edge/src/border/links.rs
@@ -10,10 +10,11 @@
 use futures_channel::mpsc::{Receiver, Sender, UnboundedSender, channel};
 use futures_util::StreamExt;
 use monoio::net::TcpListener;
-use net::{FrameStream, sleep_until, with_deadline};
+use net::{FrameStream, MetricSink, sleep_until, with_deadline};
 
 use super::ports::PlatformStore;
-use super::wire::decode_message;
+use super::traffic::TrafficMeter;
+use super::wire::{decode_message, encode_message};
 use crate::{EdgeEvent, PeerMessage};
 
 /// Timeout of a connection attempt: ten round trips between regions.
@@ -32,42 +33,62 @@
 /// anyway.
 const SEND_QUEUE_LENGTH: usize = 8;
 
+/// Time in the queue or on the way from which a message is logged as slow.
+const SLOW_MESSAGE: Duration = Duration::from_millis(300);
+
 /// Connections to other nodes.
 pub(super) struct PeerLinks {
     clock: Rc<dyn ClockSource>,
     links: RefCell<HashMap<SocketAddr, PeerLink>>,
+    traffic: Rc<TrafficMeter>,
+}
+
+/// Message in the queue to a node.
+struct QueuedMessage {
+    kind: &'static str,
+    bytes: Bytes,
+    queued_at: ClockTime,
 }
 
 /// Connection to one node.
 struct PeerLink {
-    messages: Sender<Bytes>,
+    messages: Sender<QueuedMessage>,
     /// Set to open a new connection before the next message.
     is_outdated: Rc<Cell<bool>>,
 }
 
 impl PeerLinks {
-    pub fn new(clock: Rc<dyn ClockSource>) -> Self {
+    pub fn new(clock: Rc<dyn ClockSource>, metrics: Rc<dyn MetricSink>) -> Self {
         Self {
+            traffic: Rc::new(TrafficMeter::new(metrics, clock.now())),
             clock,
             links: RefCell::default(),
         }
     }
 
     /// Queues a message for a node, or drops it if the queue is full.
-    pub fn send(&self, to: SocketAddr, message: Bytes) {
+    pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
+        let now = self.clock.now();
+        let message = QueuedMessage {
+            kind: message.kind(),
+            bytes: Bytes::from(encode_message(message, now)),
+            queued_at: now,
+        };
         let mut links = self.links.borrow_mut();
         let link = links.entry(to).or_insert_with(|| {
             let (messages, receiver) = channel(SEND_QUEUE_LENGTH);
             let is_outdated = Rc::<Cell<bool>>::default();
             let clock = self.clock.clone();
-            monoio::spawn(send_messages(to, receiver, is_outdated.clone(), clock));
+            let traffic = self.traffic.clone();
+            let task = send_messages(to, receiver, is_outdated.clone(), clock, traffic);
+            monoio::spawn(task);
             PeerLink {
                 messages,
                 is_outdated,
             }
         });
-        if link.messages.try_send(message).is_err() {
-            log::debug!(node:% = to; "message to node dropped: send queue full");
+        if let Err(error) = link.messages.try_send(message) {
+            report_failure(&self.traffic, to, &error.into_inner(), "dropped", now);
         }
     }
 
@@ -82,9 +103,10 @@
 /// Sends queued messages to one node and reconnects after failures.
 async fn send_messages(
     to: SocketAddr,
-    mut messages: Receiver<Bytes>,
+    mut messages: Receiver<QueuedMessage>,
     is_outdated: Rc<Cell<bool>>,
     clock: Rc<dyn ClockSource>,
+    traffic: Rc<TrafficMeter>,
 ) {
     let clock = clock.as_ref();
     let mut stream: Option<FrameStream> = None;
@@ -97,23 +119,72 @@
             match with_deadline(clock, clock.now() + CONNECT_TIMEOUT, connect).await {
                 Some(Ok(connected)) => stream = Some(connected),
                 _ => {
-                    log::debug!(node:% = to; "node unreachable");
+                    report_failure(&traffic, to, &message, "unreachable", clock.now());
                     sleep_until(clock, clock.now() + RECONNECT_DELAY).await;
                     continue;
                 }
             }
         }
         if let Some(connection) = &mut stream {
-            let sent =
-                with_deadline(clock, clock.now() + SEND_TIMEOUT, connection.send(message)).await;
-            if !matches!(sent, Some(Ok(()))) {
-                log::debug!(node:% = to; "connection to node lost");
-                stream = None;
+            let started_at = clock.now();
+            let send = connection.send(message.bytes.clone());
+            let sent = with_deadline(clock, started_at + SEND_TIMEOUT, send).await;
+            let now = clock.now();
+            match sent {
+                Some(Ok(())) => {
+                    traffic.record(message.kind, "sent", message.bytes.len(), now);
+                    log_slow_message(to, &message, started_at, now);
+                }
+                Some(Err(_)) => {
+                    report_failure(&traffic, to, &message, "broken", now);
+                    stream = None;
+                }
+                None => {
+                    report_failure(&traffic, to, &message, "timed-out", now);
+                    stream = None;
+                }
             }
         }
     }
 }
 
+/// Counts a message that was not sent, and logs it unless it is a digest, which is repeated anyway.
+fn report_failure(
+    traffic: &TrafficMeter,
+    to: SocketAddr,
+    message: &QueuedMessage,
+    result: &'static str,
+    now: ClockTime,
+) {
+    let QueuedMessage { kind, bytes, .. } = message;
+    traffic.record(kind, result, bytes.len(), now);
+    let waited_ms = now.since(message.queued_at).as_millis() as u64;
+    if *kind == PeerMessage::DIGEST_KIND {
+        log::debug!(node:% = to, kind, result, waited_ms; "message to node not sent");
+    } else {
+        log::info!(node:% = to, kind, result, bytes = bytes.len(), waited_ms; "message to node not sent");
+    }
+}
+
+/// Logs a message that took long.
+fn log_slow_message(
+    to: SocketAddr,
+    message: &QueuedMessage,
+    started_at: ClockTime,
+    now: ClockTime,
+) {
+    let QueuedMessage {
+        kind,
+        bytes,
+        queued_at,
+    } = message;
+    if now.since(*queued_at) >= SLOW_MESSAGE {
+        let queued_ms = started_at.since(*queued_at).as_millis() as u64;
+        let lasted_ms = now.since(started_at).as_millis() as u64;
+        log::info!(node:% = to, kind, bytes = bytes.len(), queued_ms, lasted_ms; "message to node was slow");
+    }
+}
+
 /// Accepts connections from other nodes.
 pub(super) async fn accept_links(
     listener: TcpListener,
--- a/crates/edge/src/border/mod.rs
+++ b/crates/edge/src/border/mod.rs
@@ -15,6 +15,7 @@
 mod responses;
 mod run;
 mod stream;
+mod traffic;
 mod watch;
 mod wire;
 
--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -172,7 +172,7 @@
         endpoints,
         replies,
         events,
-        links: PeerLinks::new(clock.clone()),
+        links: PeerLinks::new(clock.clone(), metrics.clone()),
         drain: RefCell::new(Some(drain_signal)),
         is_closing,
         watch_mode,
--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -135,9 +135,10 @@
     let before = state.config.version();
     match state.config.adopt(config) {
         AdoptOutcome::Adopted => {
+            let bytes = text.len();
             state.config_text = Some(text);
             record_config_version(state, version, now);
-            log::info!(version, before:? = before, source; "configuration applied");
+            log::info!(version, before:? = before, source, bytes; "configuration applied");
             true
         }
         AdoptOutcome::Same => false,
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -18,6 +18,9 @@
 /// Time for which a hub that timed out can't be a hub.
 const HUB_EXCLUSION: Duration = Duration::from_secs(5);
 
+/// Lag of the event loop from which it is logged.
+const LOGGED_LAG: Duration = Duration::from_millis(200);
+
 /// Doublings of the interval between two replacements of the connection to a node that stays
 /// silent.
 const MAX_RECONNECT_DOUBLINGS: u32 = 2;
@@ -27,9 +30,13 @@
     if state.digest_due > now {
         return send_targets(state, now);
     }
-    if now.since(state.digest_due) >= state.times.lag_threshold {
+    let lag = now.since(state.digest_due);
+    if lag >= state.times.lag_threshold {
         state.last_lag_at = Some(now);
     }
+    if lag >= LOGGED_LAG {
+        log::info!(late_ms = lag.as_millis() as u64; "event loop was late");
+    }
     update_hubs(state, now);
     update_summing_hub(state, now);
     let unreported = count_unreported_nodes(state, now);
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -109,3 +109,19 @@
     /// Crashes of servers, and the parts of prompts that they may be due to.
     Crashes(Box<CrashEvidence>),
 }
+
+impl PeerMessage {
+    /// Kind of digests.
+    pub const DIGEST_KIND: &'static str = "digest";
+
+    /// Kind, for logs and metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Digest(_) => Self::DIGEST_KIND,
+            Self::RoutingConfig(..) => "configuration",
+            Self::Targets(..) => "targets",
+            Self::Record(..) => "record",
+            Self::Crashes(_) => "crashes",
+        }
+    }
+}
