Fix: every node sent its configuration to a hub that had an older one

Cause: a node that was sent a hub's digest with an older version sent the hub the whole configuration, hub or not. At 195 nodes that is 195 copies of 300 kB at once, each given up after 0.6 s and sent again half a second later. They filled the hub's link, so that no copy arrived, connections to the store took longer than their timeout, and targets and records waited behind the copies. The hub stayed behind, so the copies went on after their reason was gone. A hub that starts shows version 0 and meets it at once. Class: whoever notices a gap fills it, without knowing who else does.

Ruled out: processor time, and that nobody sends.

Change: nodes that could send what a node lacks are in an order that differs from receiver to receiver, and each waits 0.4 s longer than the one before it and begins anew whenever the receiver has got something (queries/supply.rs). Nodes that are no hubs send only where no hub can. Records go the same way. A transfer has a connection of its own, as long as its size needs, eight at a time, and the next one goes to the node that has waited longest. A hub that was sent a version passes it on without waiting again. No message changes.

--- a/crates/edge/src/border/links.rs
+++ b/crates/edge/src/border/links.rs
@@ -15,7 +15,7 @@
 use super::ports::PlatformStore;
 use super::traffic::TrafficMeter;
 use super::wire::{decode_message, encode_message};
-use crate::{EdgeEvent, PeerMessage};
+use crate::{EdgeEvent, PeerMessage, transfer_timeout};
 
 /// Timeout of a connection attempt: ten round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -37,10 +37,15 @@
 const SLOW_MESSAGE: Duration = Duration::from_millis(300);
 
 /// Connections to other nodes.
+///
+/// Configurations have a connection each, as digests and targets would wait behind a large one.
 pub(super) struct PeerLinks {
     clock: Rc<dyn ClockSource>,
     links: RefCell<HashMap<SocketAddr, PeerLink>>,
     traffic: Rc<TrafficMeter>,
+    events: UnboundedSender<EdgeEvent>,
+    /// Latest configuration that was sent, and its encoded form.
+    encoded_config: RefCell<Option<(Arc<str>, Bytes)>>,
 }
 
 /// Message in the queue to a node.
@@ -58,22 +63,56 @@
 }
 
 impl PeerLinks {
-    pub fn new(clock: Rc<dyn ClockSource>, metrics: Rc<dyn MetricSink>) -> Self {
+    pub fn new(
+        clock: Rc<dyn ClockSource>,
+        metrics: Rc<dyn MetricSink>,
+        events: UnboundedSender<EdgeEvent>,
+    ) -> Self {
         Self {
             traffic: Rc::new(TrafficMeter::new(metrics, clock.now())),
             clock,
             links: RefCell::default(),
+            events,
+            encoded_config: RefCell::default(),
+        }
+    }
+
+    /// Encodes a message; a configuration only once, as many nodes may lack it.
+    fn encode(&self, message: &PeerMessage, now: ClockTime) -> Bytes {
+        let PeerMessage::RoutingConfig(_, text) = message else {
+            return Bytes::from(encode_message(message, now));
+        };
+        let mut encoded = self.encoded_config.borrow_mut();
+        if let Some((known, bytes)) = encoded.as_ref()
+            && Arc::ptr_eq(known, text)
+        {
+            return bytes.clone();
         }
+        let bytes = Bytes::from(encode_message(message, now));
+        *encoded = Some((text.clone(), bytes.clone()));
+        bytes
     }
 
-    /// Queues a message for a node, or drops it if the queue is full.
+    /// Queues a message for a node, or drops it if the queue is full. The end of the transfer of a
+    /// configuration is an event.
     pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
         let now = self.clock.now();
+        let is_config = matches!(message, PeerMessage::RoutingConfig(..));
         let message = QueuedMessage {
             kind: message.kind(),
-            bytes: Bytes::from(encode_message(message, now)),
+            bytes: self.encode(message, now),
             queued_at: now,
         };
+        if is_config {
+            let (clock, traffic) = (self.clock.clone(), self.traffic.clone());
+            let events = self.events.clone();
+            monoio::spawn(async move {
+                transfer(to, &message, clock.as_ref(), &traffic).await;
+                // The event loop ends only when the process is about to exit.
+                let _ = events.unbounded_send(EdgeEvent::Transferred(to));
+            });
+            return;
+        }
         let mut links = self.links.borrow_mut();
         let link = links.entry(to).or_insert_with(|| {
             let (messages, receiver) = channel(SEND_QUEUE_LENGTH);
@@ -148,6 +187,33 @@
     }
 }
 
+/// Sends a message on a connection of its own.
+async fn transfer(
+    to: SocketAddr,
+    message: &QueuedMessage,
+    clock: &dyn ClockSource,
+    traffic: &TrafficMeter,
+) {
+    let started_at = clock.now();
+    let connect = FrameStream::connect(to);
+    let connected = with_deadline(clock, started_at + CONNECT_TIMEOUT, connect).await;
+    let Some(Ok(mut connection)) = connected else {
+        report_failure(traffic, to, message, "unreachable", clock.now());
+        return;
+    };
+    let deadline = started_at + transfer_timeout(message.bytes.len());
+    let sent = with_deadline(clock, deadline, connection.send(message.bytes.clone())).await;
+    let now = clock.now();
+    match sent {
+        Some(Ok(())) => {
+            traffic.record(message.kind, "sent", message.bytes.len(), now);
+            log_slow_message(to, message, started_at, now);
+        }
+        Some(Err(_)) => report_failure(traffic, to, message, "broken", now),
+        None => report_failure(traffic, to, message, "timed-out", now),
+    }
+}
+
 /// Counts a message that was not sent, and logs it unless it is a digest, which is repeated anyway.
 fn report_failure(
     traffic: &TrafficMeter,
--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -137,7 +137,11 @@
         AdoptOutcome::Adopted => {
             let bytes = text.len();
             state.config_text = Some(text);
-            record_config_version(state, version, now);
+            // What another node sends has had its time to be read.
+            let delay = state.times.config_propagation_delay;
+            let is_read = source == "store";
+            let since = if is_read { now } else { now.before(delay) };
+            record_config_version(state, version, since, now);
             log::info!(version, before:? = before, source, bytes; "configuration applied");
             true
         }
@@ -149,15 +153,15 @@
     }
 }
 
-/// Records when a version became active. Of the versions that every node should have by
-/// now, only the newest is kept.
-fn record_config_version(state: &mut EdgeState, version: u64, now: ClockTime) {
+/// Records since when other nodes can read a version. Of the versions that every node should have
+/// by now, only the newest is kept.
+fn record_config_version(state: &mut EdgeState, version: u64, since: ClockTime, now: ClockTime) {
     let propagation_delay = state.times.config_propagation_delay;
     let history = &mut state.config_history;
     while (history.get(1)).is_some_and(|(_, since)| now.since(*since) >= propagation_delay) {
         history.pop_front();
     }
-    history.push_back((version, now));
+    history.push_back((version, since));
 }
 
 fn replace_endpoints(
--- a/crates/edge/src/commands/mod.rs
+++ b/crates/edge/src/commands/mod.rs
@@ -12,6 +12,7 @@
 mod reload;
 mod shared;
 mod stop;
+mod supply;
 
 pub(crate) use calls::{arrive, check_stall, end_attempt, record_broken_attempt, record_progress};
 pub(crate) use collections::{apply_collection_event, expire_endpoints, refresh_targets};
@@ -27,3 +28,4 @@
     apply_shared_objects, handle_write_outcome, register_node, update_retry_budget,
 };
 pub(crate) use stop::{advance_stop, stop};
+pub(crate) use supply::finish_transfer;
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -5,16 +5,17 @@
 use replicas::commands::probe_group;
 
 use super::collections::adopt_config;
-use super::distribution::{distributed_targets, pass_on_targets, propagated_config_version};
+use super::distribution::{distributed_targets, pass_on_targets};
 use super::notices::merge_reports;
 use super::quarantine::{merge_evidence, send_watched_evidence};
 use super::refresh_targets;
 use super::shared::adopt_record;
+use super::supply::{supply_config, supply_record};
 use crate::peer::{Digest, PeerMessage};
 use crate::queries::{choose_summing_hub, is_hub, sends_sums_to, uses_hubs};
 use crate::{EdgeEffect, EdgeState};
 
-/// Shortest interval between two identical messages to a node.
+/// Shortest interval between two messages with the targets to a node.
 const RESEND_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Handles a message of another node.
@@ -159,36 +160,17 @@
 
 /// Sends the configuration, record or targets that a digest shows to be missing at its sender.
 fn send_missing(state: &mut EdgeState, digest: &Digest, now: ClockTime) -> Vec<EdgeEffect> {
-    let propagated_version = propagated_config_version(state, now);
-    let record_version = state.planner.version().unwrap_or_default();
     let distributed_targets = distributed_targets(state, digest);
     let is_hub = state.hubs.contains(&digest.from);
     let (uses_hubs, is_owner) = (uses_hubs(state), state.is_owner);
     let sends_sums = sends_sums_to(state, &digest.from, Some(digest));
-    // A node that has chosen another hub gets configurations from that one.
-    let sends_configs = is_hub || sends_sums || digest.summing_hub.is_none();
+    let mut effects: Vec<_> = supply_config(state, digest, now).into_iter().collect();
+    effects.extend(supply_record(state, digest, now));
     let Some(peer) = state.peers.get_mut(&digest.from) else {
         // Its address is not known until its entry is read from the store.
-        return Vec::new();
+        return effects;
     };
-    let mut effects = Vec::new();
     let may_send = |sent: Option<ClockTime>| sent.is_none_or(|at| now.since(at) >= RESEND_INTERVAL);
-    if sends_configs
-        && digest.config_version < propagated_version
-        && may_send(peer.config_sent_at)
-        && let (Some(config), Some(text)) = (state.config.get(), &state.config_text)
-    {
-        peer.config_sent_at = Some(now);
-        effects.push(EdgeEffect::Send {
-            to: peer.address,
-            message: PeerMessage::RoutingConfig(config.clone(), text.clone()),
-        });
-    }
-    if is_hub && digest.record_version < record_version && may_send(peer.record_sent_at) {
-        peer.record_sent_at = Some(now);
-        let record = state.planner.record().clone();
-        effects.push(EdgeEffect::record(peer.address, record, record_version));
-    }
     let has_older_targets = |version: ObjectVersion| match is_hub {
         true => uses_hubs && is_owner && digest.forwarded_version < version,
         false => sends_sums && digest.targets_version < version,
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -196,6 +196,8 @@
     Peer(PeerMessage),
     /// Another node has opened a new connection to this one.
     Connected(NodeName),
+    /// A configuration was sent to the node with this address, or given up.
+    Transferred(SocketAddr),
     /// The settings were reloaded and have changed.
     Reloaded(Box<EdgeSettings>),
     /// The process was asked to stop.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -49,6 +49,7 @@
             }
             EdgeEvent::Peer(message) => commands::handle_message(self, message, now),
             EdgeEvent::Connected(node) => commands::handle_connection(self, &node, now),
+            EdgeEvent::Transferred(to) => commands::finish_transfer(self, to, now),
             EdgeEvent::Reloaded(settings) => {
                 commands::reload(self, *settings);
                 Vec::new()
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,6 @@
     EdgeStatus, RejectReason, WatchMode,
 };
 pub use feed::{FeedResult, FeedSchedule, FeedStep, StoreContact};
-pub use peer::{Digest, NodeWeight, PeerAddress, PeerMessage, SlowPace};
+pub use peer::{Digest, NodeWeight, PeerAddress, PeerMessage, SlowPace, transfer_timeout};
 pub use settings::{EdgeBounds, EdgeSettings};
 pub use state::{EdgeState, EdgeTimes};
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -125,3 +125,14 @@
         }
     }
 }
+
+/// Least time for a message that doesn't share its connection with others.
+const MIN_TRANSFER_TIME: Duration = Duration::from_millis(600);
+/// Slowest rate at which such a message may arrive: a tenth of the smallest link.
+const MIN_TRANSFER_BYTES_PER_MS: u64 = 250;
+
+/// Time after which the transfer of a message of this size is given up.
+pub fn transfer_timeout(byte_count: usize) -> Duration {
+    let byte_count = u64::try_from(byte_count).unwrap_or(u64::MAX);
+    MIN_TRANSFER_TIME + Duration::from_millis(byte_count / MIN_TRANSFER_BYTES_PER_MS)
+}
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -6,6 +6,7 @@
 mod pass;
 mod share;
 mod status;
+mod supply;
 mod targets;
 
 pub use deadline::next_deadline;
@@ -19,4 +20,5 @@
 pub(crate) use share::{local_weight, node_share, total_weight};
 pub(crate) use status::startup_wait;
 pub use status::status;
+pub(crate) use supply::supply_delay;
 pub(crate) use targets::{current_targets, ready_targets};
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -204,8 +204,12 @@
     pub link_opened_at: Option<ClockTime>,
     /// Last instant at which the targets were sent to it.
     pub targets_sent_at: Option<ClockTime>,
-    /// Last instant at which a configuration was sent to it.
-    pub config_sent_at: Option<ClockTime>,
+    /// Configuration that it lacks.
+    pub config_gap: Option<SupplyGap>,
+    /// Record of groups that it lacks.
+    pub record_gap: Option<SupplyGap>,
+    /// Transfer of a configuration to it.
+    pub config_transfer: TransferState,
     /// Last instant at which the record of groups was sent to it.
     pub record_sent_at: Option<ClockTime>,
     /// Last instant at which the watched crash reports were sent to it.
@@ -229,13 +233,35 @@
             targets_sent_at: None,
             last_digest_at: None,
             digest: None,
-            config_sent_at: None,
+            config_gap: None,
+            record_gap: None,
+            config_transfer: TransferState::default(),
             record_sent_at: None,
             evidence_sent_at: None,
         }
     }
 }
 
+/// What another node lacks, while it gets nothing newer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SupplyGap {
+    /// Version that it has.
+    pub version: ObjectVersion,
+    /// Since when its digests show that version as older.
+    pub since: ClockTime,
+}
+
+/// Transfer of a configuration to another node.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TransferState {
+    /// Instant at which the transfer under way counts as lost; `None` if there is none.
+    pub lost_at: Option<ClockTime>,
+    /// End of the last transfer.
+    pub ended_at: Option<ClockTime>,
+    /// Since when the next transfer waits for others to end.
+    pub waiting_since: Option<ClockTime>,
+}
+
 /// Attempt that another node passes on.
 #[derive(Clone, Debug)]
 pub(crate) struct PassedAttempt {
