Fix: a response that was still arriving was given up and read anew, larger

Cause: a call to the store ended a second after its beginning, though bytes of its response were arriving, and a watch that counted as outdated was replaced the same way. A watch brings each configuration since the revision, whole, so the next one brought one more. Of ten configurations of 300 kB none would ever arrive on a link of 20 Mbit/s, and the link stayed full. Class: work that can't end in its time is begun anew instead of going on.

One that still doesn't arrive whole is followed by a list, which brings each object once. Of several configurations in a response only the last is parsed.

--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -269,7 +269,7 @@
                     self.context.header_codec.response_headers(&parts.headers);
                 Some(response)
             }
-            CollectOutcome::NotSent | CollectOutcome::Lost => None,
+            CollectOutcome::NotSent | CollectOutcome::Lost | CollectOutcome::Incomplete => None,
         }
     }
 
--- a/crates/edge/src/border/ports.rs
+++ b/crates/edge/src/border/ports.rs
@@ -10,6 +10,7 @@
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, StatusCode};
 use intent::RoutingConfig;
+use net::web::ReadProgress;
 use notices::ServerNotice;
 use quarantine::PromptParts;
 use replicas::{Endpoint, MemberOrder, OrderOutcome, ProbeOutcome};
@@ -79,8 +80,11 @@
 /// Outcome of watching a collection.
 #[derive(Clone, Debug)]
 pub enum WatchOutcome {
-    /// Changes up to a revision; none if the watch timed out.
+    /// Changes up to a revision; none if the watch timed out. Of several configurations only the
+    /// last is returned.
     Changed(Vec<CollectionChange>, ObjectVersion),
+    /// The changes did not arrive whole in time; a list may be shorter.
+    Incomplete,
     /// The store doesn't know the changes after the revision, as it has dropped them or was
     /// restored from a copy since; list again.
     Compacted,
@@ -93,12 +97,14 @@
     /// Lists a collection.
     fn list(&self, collection: StoreCollection) -> LocalBoxFuture<'static, ListOutcome>;
 
-    /// Waits up to `wait` for changes of a collection after revision `since`.
+    /// Waits up to `wait` for changes of a collection after revision `since`; records when bytes of
+    /// the response arrive.
     fn watch(
         &self,
         collection: StoreCollection,
         since: ObjectVersion,
         wait: Duration,
+        progress: ReadProgress,
     ) -> LocalBoxFuture<'static, WatchOutcome>;
 
     /// Whether the store is known to have been restored from a copy since it gave a version.
--- a/crates/edge/src/border/watch.rs
+++ b/crates/edge/src/border/watch.rs
@@ -6,6 +6,7 @@
 
 use base::prelude::*;
 use futures_channel::mpsc::UnboundedSender;
+use net::web::ReadProgress;
 use net::{MetricSink, sleep_until, with_deadline};
 
 use super::ports::{ListOutcome, PlatformStore, StoreCollection, WatchOutcome};
@@ -42,6 +43,7 @@
             schedule.forget_revision();
         }
         let started_at = clock.now();
+        let mut is_incomplete = false;
         let event = match schedule.next_step(mode.get(), started_at) {
             FeedStep::Pause(until) => {
                 sleep_until(clock.as_ref(), until).await;
@@ -52,8 +54,9 @@
                 ListOutcome::Unavailable => Some(CollectionEvent::Unavailable),
             },
             FeedStep::Watch(since, wait) => {
-                let watch = store.watch(collection, since, wait);
-                match watch_until_outdated(watch, &schedule, &context).await {
+                let progress = ReadProgress::default();
+                let watch = store.watch(collection, since, wait, progress.clone());
+                match watch_until_outdated(watch, &progress, &schedule, &context).await {
                     None => {
                         let lasted_ms = clock.now().since(started_at).as_millis() as u64;
                         log::info!(feed = collection.as_str(), since:% = since, lasted_ms; "watch replaced, as changes may be missing");
@@ -67,11 +70,16 @@
                         log::info!(feed = collection.as_str(), since:% = since; "watch revision compacted; listing again");
                         None
                     }
+                    Some(WatchOutcome::Incomplete) => {
+                        is_incomplete = true;
+                        Some(CollectionEvent::Unavailable)
+                    }
                     Some(WatchOutcome::Unavailable) => Some(CollectionEvent::Unavailable),
                 }
             }
         };
         let result = match &event {
+            Some(CollectionEvent::Unavailable) if is_incomplete => FeedResult::Incomplete,
             None => FeedResult::Compacted,
             Some(CollectionEvent::Listed(_, at)) => FeedResult::Read(*at, false),
             Some(CollectionEvent::Changed(changes, at)) => {
@@ -80,7 +88,7 @@
             Some(CollectionEvent::Unavailable) => FeedResult::Unavailable,
         };
         let now = clock.now();
-        let is_answered = result != FeedResult::Unavailable;
+        let is_answered = !matches!(event, Some(CollectionEvent::Unavailable));
         record_contact(contact, is_answered, now);
         let label = if is_answered {
             "answered"
@@ -90,7 +98,7 @@
         count_call(metrics.as_ref(), collection, label);
         if !is_answered {
             let lasted_ms = now.since(started_at).as_millis() as u64;
-            log::info!(feed = collection.as_str(), since:? = known, lasted_ms; "store did not respond");
+            log::info!(feed = collection.as_str(), since:? = known, lasted_ms, is_incomplete; "store did not respond");
         }
         let event = event.map(|event| EdgeEvent::Collection(collection, event));
         if event.is_some_and(|event| events.unbounded_send(event).is_err()) {
@@ -115,6 +123,7 @@
 /// Waits for a watch; `None` once it must be replaced.
 async fn watch_until_outdated(
     watch: impl Future<Output = WatchOutcome>,
+    progress: &ReadProgress,
     schedule: &FeedSchedule,
     context: &WatchContext,
 ) -> Option<WatchOutcome> {
@@ -125,7 +134,9 @@
         if let Some(outcome) = with_deadline(clock, check_due, watch.as_mut()).await {
             return Some(outcome);
         }
-        if schedule.is_outdated(context.mode.get(), context.contact.get(), clock.now()) {
+        let now = clock.now();
+        let is_outdated = schedule.is_outdated(context.mode.get(), context.contact.get(), now);
+        if is_outdated && !FeedSchedule::is_arriving(progress.last(), now) {
             return None;
         }
     }
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -5,6 +5,9 @@
 //! connection may hang. Two rules keep such calls from standing in for the store once it is back:
 //! after a call without a response the next ones wait briefly, and a response to any collection
 //! replaces the watches that began before the last failure.
+//!
+//! A watch brings each change since the revision, so one whose changes don't arrive in time would
+//! bring more of them the next time. A list follows it, which brings each object once.
 
 use base::prelude::*;
 
@@ -27,6 +30,8 @@
 /// Wait of a watch of the configuration at a node that is sent the targets, as the hubs
 /// also send it newer configurations.
 const CONFIG_WATCH_TIMEOUT: Duration = Duration::from_millis(20_000);
+/// Longest pause within a response that is still arriving.
+pub const READ_PAUSE: Duration = Duration::from_millis(600);
 /// Time beyond its wait after which a watch counts as hung; calls end by themselves before.
 const WATCH_GRACE: Duration = Duration::from_millis(500);
 /// Shortest time after which a watch counts as hung, as a large configuration takes time to read.
@@ -94,6 +99,8 @@
     Read(ObjectVersion, bool),
     /// The store doesn't know the changes after the revision.
     Compacted,
+    /// The changes did not arrive whole in time.
+    Incomplete,
     /// The store did not respond.
     Unavailable,
 }
@@ -169,7 +176,10 @@
                 };
             }
             FeedResult::Compacted => self.revision = None,
-            FeedResult::Unavailable => {
+            FeedResult::Incomplete | FeedResult::Unavailable => {
+                if result == FeedResult::Incomplete {
+                    self.revision = None;
+                }
                 let doublings = self.failures.min(MAX_RETRY_DOUBLINGS);
                 self.failures += 1;
                 self.due = self.started_at + RETRY_INTERVAL * 2_u32.pow(doublings);
@@ -182,8 +192,13 @@
         now + MODE_CHECK_INTERVAL
     }
 
-    /// Whether the watch under way must be replaced: it has lasted longer than it may by now, or
-    /// may be lost.
+    /// Whether a response, of which bytes arrived last at an instant, still arrives.
+    pub fn is_arriving(last_bytes_at: Option<ClockTime>, now: ClockTime) -> bool {
+        last_bytes_at.is_some_and(|at| now.since(at) < READ_PAUSE)
+    }
+
+    /// Whether the watch under way must be replaced, unless its response is arriving: it has lasted
+    /// longer than it may by now, or may be lost.
     pub fn is_outdated(&self, mode: WatchMode, contact: StoreContact, now: ClockTime) -> bool {
         now >= self.started_at + (self.watch_wait(mode) + WATCH_GRACE).max(MIN_WATCH_DURATION)
             || contact.is_outdated(self.started_at)
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,7 +21,7 @@
     Arrival, ArrivalOutcome, CollectionEvent, EdgeEffect, EdgeEvent, EdgeQuestion, EdgeReply,
     EdgeStatus, RejectReason, WatchMode,
 };
-pub use feed::{FeedResult, FeedSchedule, FeedStep, StoreContact};
+pub use feed::{FeedResult, FeedSchedule, FeedStep, READ_PAUSE, StoreContact};
 pub use peer::{Digest, NodeWeight, PeerAddress, PeerMessage, SlowPace, transfer_timeout};
 pub use settings::{EdgeBounds, EdgeSettings};
 pub use state::{EdgeState, EdgeTimes};
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod cut_off;
 mod deadly;
 mod events;
+mod feed;
 mod hubs;
 mod large_configs;
 mod leaving;
--- a/crates/interface/src/objects.rs
+++ b/crates/interface/src/objects.rs
@@ -69,7 +69,7 @@
                 JsonOutcome::Response(parts.status, body)
             }
             CollectOutcome::NotSent => JsonOutcome::NotSent,
-            CollectOutcome::Lost => JsonOutcome::Lost,
+            CollectOutcome::Lost | CollectOutcome::Incomplete => JsonOutcome::Lost,
         }
     }
 
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -1,9 +1,10 @@
 //! HTTP client that reuses connections.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::error::Error;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 
 use base::prelude::*;
@@ -56,6 +57,35 @@
     NotSent,
     /// The request may have been sent, but no complete response was received.
     Lost,
+    /// The response began, but its body did not arrive in time.
+    Incomplete,
+}
+
+/// Time that a response body may take beyond the deadline of its head.
+#[derive(Clone, Debug)]
+pub struct BodyAllowance {
+    /// Longest pause within the body.
+    pub pause: Duration,
+    /// End of the body at the latest.
+    pub latest: ClockTime,
+    /// Where the arrival of bytes is recorded.
+    pub progress: ReadProgress,
+}
+
+/// Last instant at which a part of a response body arrived.
+#[derive(Clone, Debug, Default)]
+pub struct ReadProgress(Rc<Cell<Option<ClockTime>>>);
+
+impl ReadProgress {
+    /// Records that bytes have arrived.
+    pub fn record(&self, now: ClockTime) {
+        self.0.set(Some(now));
+    }
+
+    /// Last instant at which bytes arrived; `None` if none have.
+    pub fn last(&self) -> Option<ClockTime> {
+        self.0.get()
+    }
 }
 
 /// HTTP client with a connection pool; clones share the pool.
@@ -133,6 +163,26 @@
         }
     }
 
+    /// Sends a request whose response must begin before the deadline; its body may take longer
+    /// while bytes of it arrive.
+    pub async fn collect_while_arriving(
+        &self,
+        server: SocketAddr,
+        request: WebRequest,
+        limit: usize,
+        deadline: ClockTime,
+        allowance: BodyAllowance,
+    ) -> CollectOutcome {
+        match self.call(server, request, deadline).await {
+            CallOutcome::NotSent => CollectOutcome::NotSent,
+            CallOutcome::Lost => CollectOutcome::Lost,
+            CallOutcome::Response(response) => {
+                let collected = response.collect_while_arriving(limit, deadline, allowance);
+                collected.await
+            }
+        }
+    }
+
     fn take_idle(&self, server: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&server)?;
@@ -343,6 +393,57 @@
         });
     }
 
+    /// Reads the rest of the body while bytes of it arrive.
+    pub async fn collect_while_arriving(
+        mut self,
+        limit: usize,
+        deadline: ClockTime,
+        allowance: BodyAllowance,
+    ) -> CollectOutcome {
+        let clock = self.client.clock.clone();
+        let BodyAllowance {
+            pause,
+            latest,
+            progress,
+        } = allowance;
+        let result = {
+            let body = MeteredBody::new(&mut self.body, self.connection.meter.clone());
+            let arrivals = (progress.clone(), clock.clone());
+            let mut body = body.map_frame(move |frame| {
+                arrivals.0.record(arrivals.1.now());
+                frame
+            });
+            let mut collected = pin!(collect_body(&mut body, limit));
+            let mut until = deadline;
+            loop {
+                if let Some(result) = with_deadline(clock.as_ref(), until, collected.as_mut()).await
+                {
+                    break Some(result);
+                }
+                let extended = progress.last().map(|last| (last + pause).min(latest));
+                match extended.filter(|extended| *extended > until) {
+                    Some(extended) => until = extended,
+                    None => break None,
+                }
+            }
+        };
+        match result {
+            Some(Ok(bytes)) => {
+                let parts = self.parts.clone();
+                self.finish();
+                CollectOutcome::Response(parts, bytes)
+            }
+            Some(Err(error)) => {
+                log::info!(server:% = self.server, limit; "response not read: {error}");
+                CollectOutcome::Incomplete
+            }
+            None => {
+                self.client.drop_idle(self.server);
+                CollectOutcome::Incomplete
+            }
+        }
+    }
+
     /// Reads the rest of the body; one of more than `limit` bytes counts as lost.
     pub async fn collect(mut self, limit: usize, deadline: ClockTime) -> CollectOutcome {
         let clock = self.client.clock.clone();
--- a/crates/net/src/web/json.rs
+++ b/crates/net/src/web/json.rs
@@ -8,7 +8,7 @@
 use http::{Method, Request, StatusCode};
 
 use super::body::{empty_body, full_body};
-use super::client::{CollectOutcome, WebClient};
+use super::client::{BodyAllowance, CollectOutcome, WebClient, WebRequest};
 
 /// Outcome of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,7 +50,7 @@
         match self.collect(method, path, body, deadline).await {
             CollectOutcome::Response(parts, body) => JsonOutcome::Response(parts.status, body),
             CollectOutcome::NotSent => JsonOutcome::NotSent,
-            CollectOutcome::Lost => JsonOutcome::Lost,
+            CollectOutcome::Lost | CollectOutcome::Incomplete => JsonOutcome::Lost,
         }
     }
 
@@ -62,22 +62,48 @@
         body: Option<Bytes>,
         deadline: ClockTime,
     ) -> CollectOutcome {
-        let request = Request::builder().method(method).uri(path);
-        let request = match body {
-            Some(body) => request
-                .header(CONTENT_TYPE, "application/json")
-                .body(full_body(body)),
-            None => request.body(empty_body()),
-        };
-        let request = match request {
-            Ok(request) => request,
-            Err(error) => {
-                log::error!(path; "request could not be built: {error}");
-                return CollectOutcome::NotSent;
-            }
+        let Some(request) = json_request(method, path, body) else {
+            return CollectOutcome::NotSent;
         };
         self.client
             .collect(self.server, request, self.response_limit, deadline)
             .await
     }
+
+    /// Sends one request whose response must begin before the deadline; its body may take longer
+    /// while bytes of it arrive.
+    pub async fn collect_while_arriving(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Bytes>,
+        deadline: ClockTime,
+        allowance: BodyAllowance,
+    ) -> CollectOutcome {
+        let Some(request) = json_request(method, path, body) else {
+            return CollectOutcome::NotSent;
+        };
+        let (server, limit) = (self.server, self.response_limit);
+        self.client
+            .collect_while_arriving(server, request, limit, deadline, allowance)
+            .await
+    }
+}
+
+/// Request with a body of JSON; `None` if the path is none.
+fn json_request(method: Method, path: &str, body: Option<Bytes>) -> Option<WebRequest> {
+    let request = Request::builder().method(method).uri(path);
+    let request = match body {
+        Some(body) => request
+            .header(CONTENT_TYPE, "application/json")
+            .body(full_body(body)),
+        None => request.body(empty_body()),
+    };
+    match request {
+        Ok(request) => Some(request),
+        Err(error) => {
+            log::error!(path; "request could not be built: {error}");
+            None
+        }
+    }
 }
--- a/crates/net/src/web/mod.rs
+++ b/crates/net/src/web/mod.rs
@@ -13,7 +13,8 @@
 
 pub use body::{BodyError, BodySender, RequestBody, WebBody, body_channel, empty_body, full_body};
 pub use client::{
-    CallOutcome, ChunkOutcome, CollectOutcome, IncomingResponse, WebClient, WebRequest,
+    BodyAllowance, CallOutcome, ChunkOutcome, CollectOutcome, IncomingResponse, ReadProgress,
+    WebClient, WebRequest,
 };
 pub use json::{JsonClient, JsonOutcome};
 pub use limits::WebLimits;
