--- a/crates/edge/tests/suite/hubs.rs
+++ b/crates/edge/tests/suite/hubs.rs
@@ -265,3 +265,44 @@
         "resent too soon"
     );
 }
+
+/// Addresses that a configuration is sent to.
+fn config_ports(effects: &[EdgeEffect]) -> Vec<u16> {
+    let sent = effects.iter().filter_map(|effect| match effect {
+        EdgeEffect::Send {
+            to,
+            message: PeerMessage::RoutingConfig(..),
+        } => Some(to.port()),
+        _ => None,
+    });
+    sent.collect()
+}
+
+#[test]
+fn transfers_of_configurations_wait_for_eight_others_and_the_longest_wait_ends_first() {
+    let mut hub = node_with_capacity("n00", 500);
+    hub.wake(at(10));
+    let item = vec![config_item(2, "/x/")];
+    list(&mut hub, StoreCollection::RoutingConfig, item, at(1_000));
+    let digest = |index: usize| {
+        let EdgeEvent::Peer(PeerMessage::Digest(mut digest)) =
+            hub_digest(&format!("n{index}"), false, 0)
+        else {
+            panic!("it is a digest");
+        };
+        digest.summing_hub = Some(node("n00"));
+        EdgeEvent::Peer(PeerMessage::Digest(digest))
+    };
+    for index in 10..22 {
+        let sent = config_ports(&hub.handle(digest(index), at(2_000 + index as u64)));
+        assert_eq!(sent.len(), usize::from(index < 18), "n{index}");
+    }
+    // The wait began with the first digest.
+    for index in [21, 18, 19, 20] {
+        hub.handle(digest(index), at(2_100));
+    }
+    for (ended, next) in [(1_010, 1_018), (1_011, 1_019)] {
+        let ended = EdgeEvent::Transferred(([127, 0, 0, 1], ended).into());
+        assert_eq!(config_ports(&hub.handle(ended, at(2_200))), [next]);
+    }
+}
