--- a/crates/edge/src/queries/supply.rs
+++ b/crates/edge/src/queries/supply.rs
@@ -15,9 +15,10 @@
 use crate::peer::Digest;
 use crate::state::PeerState;
 
-/// Wait for the nodes before this one to send.
+/// Time that each node leaves to the one before it; longer than a transfer and the digest after it.
 const SUPPLY_STEP: Duration = Duration::from_millis(400);
-/// Part of a second between two nodes that are no hubs, where no hub can send.
+/// The same between nodes that are no hubs. There are many, and where they have to send none may
+/// be the first in the order.
 const SPOKE_STEP: Duration = Duration::from_millis(10);
 
 /// Time for which this node leaves it to others to send what a node lacks; `None` if it never
@@ -53,7 +54,7 @@
     if !chose_receiver || suppliers.count() > 0 {
         return None;
     }
-    // Nodes that are no hubs don't hear one another.
+    // Nodes that are no hubs don't hear one another, so each takes a turn of its own.
     let places = state.peers.len().max(1) as u64;
     let place = supply_order(&state.settings.node, &receiver.from) % places;
     Some(SUPPLY_STEP + SPOKE_STEP.saturating_mul(u32::try_from(place).unwrap_or(u32::MAX)))
