Edge tests: a new hub goes on using servers that have left (fails)

Cause: a node that becomes a hub passes the owner's newer targets on and uses those that it was last sent as no hub, until its own list of the endpoints is newer.

--- a/crates/edge/tests/suite/hubs.rs
+++ b/crates/edge/tests/suite/hubs.rs
@@ -89,8 +89,13 @@
 }
 
 fn targets_message() -> PeerMessage {
+    targets_of("p-7", 40)
+}
+
+/// Targets of the owner: one plain server.
+fn targets_of(server: &str, version: u64) -> PeerMessage {
     let target = SendTarget {
-        id: HostName::new("p-7").unwrap(),
+        id: HostName::new(server).unwrap(),
         incarnation: HostIncarnation(1),
         address: "127.0.0.1:9".parse().unwrap(),
         domain: DomainName::new("zone-a").unwrap(),
@@ -99,7 +104,7 @@
         epoch: GroupEpoch(0),
         slots: 6,
     };
-    PeerMessage::Targets(Arc::new([target]), ObjectVersion(40))
+    PeerMessage::Targets(Arc::new([target]), ObjectVersion(version))
 }
 
 #[test]
@@ -306,3 +311,28 @@
         assert_eq!(config_ports(&hub.handle(ended, at(2_200))), [next]);
     }
 }
+
+#[test]
+fn a_node_that_has_become_a_hub_stops_using_a_server_that_the_owner_no_longer_sends() {
+    let mut state = node_with_capacity("n04", 300);
+    state.handle(EdgeEvent::Peer(targets_of("p-7", 40)), at(5));
+    let mut now = 10;
+    // Another node is a hub, but sends no digests.
+    while now < 2_000 {
+        for hub in ["n00", "n01", "n03"] {
+            state.handle(hub_digest(hub, hub == "n00", 0), at(now));
+        }
+        state.wake(at(now));
+        now += 150;
+    }
+    state.handle(EdgeEvent::Peer(targets_of("p-8", 60)), at(now));
+    let outcome = arrive(&mut state, 1, "/x/a", at(now));
+    assert!(
+        matches!(
+            &outcome,
+            edge::ArrivalOutcome::Accepted { step: relay::CallStep::Send(order), .. }
+                if order.target.as_str() == "p-8"
+        ),
+        "{outcome:?}"
+    );
+}
