Settings: rate of the node's link and the bound for configurations

Ruled out: constants of our own, as links differ by ten times on one deployment and the bound by two times between deployments. No decision reads them yet.

--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -15,6 +15,8 @@
     pub retry_slack: f64,
     /// Window over which retries are counted.
     pub retry_window: Duration,
+    /// Time after its acknowledgement within which every node must apply a configuration.
+    pub config_apply: Duration,
 }
 
 /// Settings of a node.
@@ -27,6 +29,8 @@
     /// Thousandths of a core that the node may use; the nodes with the most become
     /// hubs and owners.
     pub capacity: u32,
+    /// Bytes a second that the node's network link carries in each direction.
+    pub link_rate: u64,
     /// Listener for clients.
     pub ingress: SocketAddr,
     /// Listener for the platform's readiness checks.
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -25,6 +25,7 @@
         node: node(name),
         domain: DomainName::new("zone-a").unwrap(),
         capacity: 250,
+        link_rate: 2_500_000,
         ingress: "127.0.0.1:1".parse().unwrap(),
         ready: "127.0.0.1:2".parse().unwrap(),
         peers: "127.0.0.1:3".parse().unwrap(),
@@ -37,6 +38,7 @@
             retry_share: 0.2,
             retry_slack: 100.0,
             retry_window: Duration::from_secs(10),
+            config_apply: Duration::from_secs(2),
         },
     }
 }
