Edge tests: nodes answer by a configuration known to be too old (fail)

Cause as known: digests name each node's version, so every node hears within 0.4 s that a newer one exists; but only the wait of its next call to the store depends on it. It goes on answering 404 and 401, and runs requests, by the older one for as long as the content doesn't arrive, whatever keeps that away. Ruled out: that the number of the version travels with the content; in the event loops content never arrives, and all nodes know the number.

Figures: four tests, all fail: 404 1 ms and 50 ms after the newer version was named, a request accepted 1.4 s after, and at 3 nodes (the smallest of 3 to 195) one that serves version 1 two seconds after.

--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod new_owner;
 mod node;
 mod odd_entries;
+mod outdated_config;
 mod owner_loss;
 mod quarantine;
 mod restored_store;
