Fix: nodes answered by a configuration that they knew to be too old

Cause: how late a node may be followed from the way by which content comes to it, its role and each way's timers. What it knows without content, the versions that digests name, only shortened its next call to the store. Change: a node keeps each newer version that any digest names, and since when (intent::ConfigNotices). From then on it acts by that age, whoever is to hand the content over (edge::queries::config_age): a request that the newer version may allow waits for 300 ms, then gets 503 with a time instead of 404 or 401; at a third of what the platform's bound leaves after a second for the notice it asks the store itself; at the end of that it rejects requests and isn't ready. It replaces lacks_config, which counted from the first newer version a hub had had and not from the one that is missing. "configuration applied" says known_ms; two lines say when requests begin and cease to be rejected. Why it works: digests are small, come from every hub to every node in 0.4 s whatever their roles, and an answer by an older version needs no content to be held back. Ruled out: giving up a read of the store earlier.

--- a/crates/edge/src/border/responses.rs
+++ b/crates/edge/src/border/responses.rs
@@ -12,6 +12,8 @@
 const NO_MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Retry delay for clients of a node that has just started.
 const STARTUP_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Retry delay for clients of a node that waits for a newer configuration.
+const CONFIG_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Response to a request that is rejected before it is sent to any server.
 pub(super) fn rejection_response(reason: RejectReason) -> WebResponse {
@@ -23,6 +25,13 @@
             );
             with_retry_after(response, STARTUP_RETRY_DELAY)
         }
+        RejectReason::OutdatedConfig => {
+            let response = text_response(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "this node waits for a newer configuration; the request was not run, try again",
+            );
+            with_retry_after(response, CONFIG_RETRY_DELAY)
+        }
         RejectReason::NoRoute => {
             text_response(StatusCode::NOT_FOUND, "no route for this host and path")
         }
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -1,7 +1,7 @@
 //! Requests of clients.
 
 use base::prelude::*;
-use intent::queries::{AccessOutcome, check_access, find_route, pick_service};
+use intent::queries::pick_service;
 use quarantine::CallSuspects;
 use relay::{AttemptEnd, AttemptId, CallArrival, CallStep, StallCause, StallStep};
 
@@ -9,6 +9,7 @@
 use super::reach::{
     is_stranded, is_untrusted, leave_stranded, pass_elsewhere, record_trouble, route_attempt,
 };
+use crate::queries::{ConfigAge, admit, config_age};
 use crate::{Arrival, ArrivalOutcome, EdgeEffect, EdgeState, RejectReason};
 
 /// Checks a request against the active configuration and chooses its first step.
@@ -16,13 +17,17 @@
     let Some(config) = state.config.get().cloned() else {
         return ArrivalOutcome::Rejected(RejectReason::NoIntent);
     };
-    let Some(route) = find_route(&config, &arrival.host, &arrival.path) else {
-        return ArrivalOutcome::Rejected(RejectReason::NoRoute);
-    };
-    let workspace = match check_access(&config, route, arrival.key.as_deref()) {
-        AccessOutcome::Workspace(workspace) => Some(workspace),
-        AccessOutcome::Public => None,
-        AccessOutcome::Denied => return ArrivalOutcome::Rejected(RejectReason::Denied),
+    let age = config_age(state, now);
+    let (route, workspace) = match admit(&config, &arrival) {
+        _ if age == ConfigAge::Outdated => {
+            return ArrivalOutcome::Rejected(RejectReason::OutdatedConfig);
+        }
+        Ok(admitted) => admitted,
+        // The newer version may allow the request.
+        Err(_) if age > ConfigAge::Newest => {
+            return ArrivalOutcome::Rejected(RejectReason::OutdatedConfig);
+        }
+        Err(reason) => return ArrivalOutcome::Rejected(reason),
     };
     state.random_state = state
         .random_state
--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -136,13 +136,15 @@
     match state.config.adopt(config) {
         AdoptOutcome::Adopted => {
             let bytes = text.len();
+            let known_since = state.config_notices.apply(version);
+            let known_ms = known_since.map(|since| now.since(since).as_millis() as u64);
             state.config_text = Some(text);
             // What another node sends has had its time to be read.
             let delay = state.times.config_propagation_delay;
             let is_read = source == "store";
             let since = if is_read { now } else { now.before(delay) };
             record_config_version(state, version, since, now);
-            log::info!(version, before:? = before, source, bytes; "configuration applied");
+            log::info!(version, before:? = before, source, bytes, known_ms:? = known_ms; "configuration applied");
             true
         }
         AdoptOutcome::Same => false,
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -7,8 +7,9 @@
 use super::quarantine::quarantine_hash;
 use crate::peer::Digest;
 use crate::queries::{
-    awaits_list, can_own, choose_summing_hub, has_able_hub, is_hub, is_peer_alive, lists_endpoints,
-    local_weight, receives_targets, select_hubs, sends_sums_to, total_weight, uses_hubs,
+    ConfigAge, awaits_list, can_own, choose_summing_hub, config_age, has_able_hub, is_hub,
+    is_peer_alive, lists_endpoints, local_weight, receives_targets, select_hubs, sends_sums_to,
+    total_weight, uses_hubs,
 };
 use crate::state::{PeerState, SummingHub};
 use crate::{EdgeEffect, EdgeState, EdgeTimes, WatchMode};
@@ -37,6 +38,7 @@
     if lag >= LOGGED_LAG {
         log::info!(late_ms = lag.as_millis() as u64; "event loop was late");
     }
+    log_config_age(state, now);
     update_hubs(state, now);
     update_summing_hub(state, now);
     let unreported = count_unreported_nodes(state, now);
@@ -314,22 +316,21 @@
 /// Number of live peers from which this node relies on them to send it changes.
 const MIN_RELIABLE_PEERS: usize = 2;
 
-/// Whether a hub has had a newer configuration than this node for longer than hubs take to send
-/// it. The hub may not know that this node lacks it, if it doesn't receive this node's digests.
-fn lacks_config(state: &mut EdgeState, now: ClockTime) -> bool {
-    let version = state.config.version().unwrap_or(0);
-    let hubs = state.hubs.iter().filter_map(|hub| state.peers.get(hub));
-    let mut alive_hubs = hubs.filter(|peer| is_peer_alive(state, peer, now));
-    let is_missed = alive_hubs.any(|peer| {
-        let digest = peer.digest.as_ref();
-        digest.is_some_and(|digest| digest.config_version > version)
-    });
-    if !is_missed {
-        state.config_missed_since = None;
-        return false;
+/// Logs when requests begin or cease to be rejected because the configuration is too old.
+fn log_config_age(state: &mut EdgeState, now: ClockTime) {
+    let is_outdated = config_age(state, now) == ConfigAge::Outdated;
+    if std::mem::replace(&mut state.is_config_outdated, is_outdated) == is_outdated {
+        return;
+    }
+    let version = state.config.version();
+    match (is_outdated, state.config_notices.behind_since()) {
+        (true, Some(since)) => {
+            let behind_ms = now.since(since).as_millis() as u64;
+            let newest = state.config_notices.newest();
+            log::warn!(version:? = version, newest:? = newest, behind_ms; "configuration is outdated; requests are rejected");
+        }
+        _ => log::info!(version:? = version; "requests are accepted again"),
     }
-    let since = *state.config_missed_since.get_or_insert(now);
-    now.since(since) >= state.times.config_wait
 }
 
 /// Reports the version of the configuration if it has changed.
@@ -359,7 +360,7 @@
         receives_targets: receives_targets(state, now),
         lists_endpoints: lists_endpoints(state, now),
         lacks_hubs: state.hubs_lost_at.is_some(),
-        lacks_config: lacks_config(state, now),
+        lacks_config: config_age(state, now) >= ConfigAge::Missing,
     };
     if mode == state.watch_mode {
         return None;
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -53,6 +53,8 @@
 pub enum RejectReason {
     /// This node has no configuration yet.
     NoIntent,
+    /// It has a configuration that it knows to be too old for an answer.
+    OutdatedConfig,
     /// No route matches.
     NoRoute,
     /// The API key is missing or unknown.
@@ -69,6 +71,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NoIntent => "NoIntent",
+            Self::OutdatedConfig => "OutdatedConfig",
             Self::NoRoute => "NoRoute",
             Self::Denied => "Denied",
             Self::Quarantined { .. } => "Quarantined",
@@ -140,8 +143,8 @@
 pub enum EdgeReply {
     /// Outcome of an arrival.
     Arrival(Box<ArrivalOutcome>),
-    /// The arriving request has to wait, as this node has just started and will know shortly
-    /// where to send it.
+    /// The arriving request has to wait, as this node has just started, or its configuration is
+    /// about to be replaced, and it will know shortly where to send it.
     Waiting {
         /// Instant at which to ask again.
         until: ClockTime,
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -76,10 +76,14 @@
 
 fn reply(state: &mut EdgeState, question: EdgeQuestion, now: ClockTime) -> EdgeReply {
     match question {
-        EdgeQuestion::Arrive(arrival) => match queries::startup_wait(state, &arrival, now) {
-            Some(until) => EdgeReply::Waiting { until },
-            None => EdgeReply::Arrival(Box::new(commands::arrive(state, *arrival, now))),
-        },
+        EdgeQuestion::Arrive(arrival) => {
+            let wait = queries::startup_wait(state, &arrival, now)
+                .or_else(|| queries::content_wait(state, &arrival, now));
+            match wait {
+                Some(until) => EdgeReply::Waiting { until },
+                None => EdgeReply::Arrival(Box::new(commands::arrive(state, *arrival, now))),
+            }
+        }
         EdgeQuestion::Ended(attempt, end) => {
             EdgeReply::Step(commands::end_attempt(state, attempt, end, now))
         }
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -1,5 +1,6 @@
 //! Queries, which only inspect the state of the event loop.
 
+mod config_age;
 mod deadline;
 mod hubs;
 mod owner;
@@ -9,6 +10,7 @@
 mod supply;
 mod targets;
 
+pub(crate) use config_age::{ConfigAge, admit, config_age, content_wait};
 pub use deadline::next_deadline;
 pub(crate) use deadline::next_plan;
 pub(crate) use hubs::{
--- a/crates/edge/src/queries/status.rs
+++ b/crates/edge/src/queries/status.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 
+use super::config_age::{ConfigAge, config_age};
 use crate::border::ports::StoreCollection;
 use crate::{Arrival, EdgeState, EdgeStatus};
 
@@ -42,11 +43,13 @@
 
 /// Status of the node.
 ///
-/// A node is ready once it has a configuration and the endpoints or targets. An outage
-/// of the store doesn't change that.
-pub fn status(state: &EdgeState, _now: ClockTime) -> EdgeStatus {
+/// A node is ready once it has a configuration and the endpoints or targets, unless the
+/// configuration is too old to be used. An outage of the store doesn't change that.
+pub fn status(state: &EdgeState, now: ClockTime) -> EdgeStatus {
     EdgeStatus {
-        is_ready: has_config_and_targets(state) && state.stopping.is_none(),
+        is_ready: has_config_and_targets(state)
+            && config_age(state, now) != ConfigAge::Outdated
+            && state.stopping.is_none(),
         is_stopping: state.stopping.is_some(),
         config_version: state.config.version(),
         is_owner: state.is_owner,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use intent::ConfigSlot;
+use intent::{ConfigNotices, ConfigSlot};
 use limits::BudgetSettings;
 use quarantine::{QuarantineSettings, QuarantineState};
 use reach::{ReachSettings, ReachState};
@@ -48,8 +48,6 @@
     pub link_timeout: Duration,
     /// Age from which a connection to a node is replaced when that node opens a new one.
     pub link_settling_time: Duration,
-    /// Time after which a node reads a newer configuration that a hub has from the store itself.
-    pub config_wait: Duration,
     /// Time without sums after which a node chooses another summing hub.
     pub sums_timeout: Duration,
     /// Time for which a hub that sent no sums isn't chosen again.
@@ -115,8 +113,6 @@
             link_timeout: Duration::from_millis(1_000),
             // Two messages; shorter than `link_timeout`, so that no replacement is left out.
             link_settling_time: Duration::from_millis(800),
-            // Hubs send it after `config_propagation_delay`.
-            config_wait: Duration::from_millis(900),
             // Several of the usual intervals, but well below the validity of the counts.
             sums_timeout: Duration::from_millis(400),
             // Long enough for the other nodes to replace it as a hub.
@@ -347,8 +343,10 @@
     pub(crate) watch_mode: WatchMode,
     /// Version of the configuration that was last reported as a metric.
     pub(crate) reported_config: Option<u64>,
-    /// Since when a hub has had a newer configuration than this node.
-    pub(crate) config_missed_since: Option<ClockTime>,
+    /// Versions of the configuration that other nodes have and this one lacks.
+    pub(crate) config_notices: ConfigNotices,
+    /// Whether requests are rejected because the configuration is too old.
+    pub(crate) is_config_outdated: bool,
     /// Since when no hub that this node hears could own the groups; `None` if one can.
     pub(crate) hubs_lost_at: Option<ClockTime>,
     /// Last instant at which another node took the groups over from this one.
@@ -419,7 +417,8 @@
             is_prober: false,
             watch_mode: WatchMode::default(),
             reported_config: None,
-            config_missed_since: None,
+            config_notices: ConfigNotices::default(),
+            is_config_outdated: false,
             hubs_lost_at: None,
             yielded_at: None,
             last_write_failure_at: None,
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod config;
 mod engine;
+mod notices;
 mod slot;
 
 pub mod queries;
@@ -14,4 +15,5 @@
     CallKind, ClientLimits, Route, RoutingConfig, Service, WeightedService, Workspace,
 };
 pub use engine::{EngineProfile, ModelProfile};
+pub use notices::ConfigNotices;
 pub use slot::{AdoptOutcome, ConfigSlot};
