Command: lateness shows which nodes knew changes late

Ruled out: a metric of its own. A node can't know its delay by itself; config_version differs for a moment at every change.

Change: bronzerun lateness LOG... reads lines as explain does and prints, worst first, configuration versions, leaving servers, attempts at them after the first notice, long calls to the store without a whole response, and the most bytes a node sent in a second by kind. A version that a node skips counts until it applies a newer one; a log that ends before that gives a minimum. Nodes that started in between are left out.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -66,6 +66,11 @@
 Give one file per node, named after the node, or one file in which each line
 starts with the name of its node. Lines are ordered by their timestamps.";
 
+const LATENESS_HELP: &str = "\
+Give the logs of every node, as for 'explain'. Delays count from the first node;
+'+' marks a node whose log ends before it knew. Times are those of each node's
+own clock.";
+
 /// Commands of the command line.
 #[derive(Clone, Debug, Subcommand)]
 pub enum Command {
@@ -104,6 +109,9 @@
     /// Show the log events of one request across nodes, without the platform.
     #[command(after_help = EXPLAIN_HELP)]
     Explain(ExplainArgs),
+    /// Show which nodes were late with a version or a leaving server, without the platform.
+    #[command(after_help = LATENESS_HELP)]
+    Lateness(LatenessArgs),
     /// Create API keys.
     #[command(subcommand)]
     Key(KeyCommand),
@@ -124,6 +132,17 @@
     pub files: Vec<PathBuf>,
 }
 
+/// Logs to search for late nodes.
+#[derive(Clone, Debug, Args)]
+pub struct LatenessArgs {
+    /// Log files of the nodes; '-' is standard input.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+    /// Shortest delay or call that is left out, in milliseconds.
+    #[arg(long, default_value_t = 1000, value_name = "MS")]
+    pub over: u64,
+}
+
 /// Sections to check.
 #[derive(Clone, Debug, Args)]
 pub struct CheckArgs {
--- a/crates/cli/src/queries/explain.rs
+++ b/crates/cli/src/queries/explain.rs
@@ -128,13 +128,12 @@
     Ok(CommandOutcome::success(ListReport { rows, notes }))
 }
 
-/// Parses the lines of a log; the last word before the JSON names the node.
+/// Parses the lines of a log.
 fn read_lines(file: &LogFile) -> impl Iterator<Item = LogLine> {
     let name: Arc<str> = file.name.as_str().into();
     file.text.lines().filter_map(move |line| {
-        let start = line.find('{')?;
-        let mut fields: Map<String, Value> = serde_json::from_str(&line[start..]).ok()?;
-        let node = line[..start].split_whitespace().last();
+        let (node, json) = split_line(line)?;
+        let mut fields: Map<String, Value> = serde_json::from_str(json).ok()?;
         let message = fields.get("message")?.as_str()?.to_owned();
         let unix_ms = fields.get("unix_ms")?.as_u64()?;
         fields.remove("message");
@@ -147,6 +146,12 @@
     })
 }
 
+/// Splits a line into its node and its JSON; the last word before the JSON names the node.
+pub(super) fn split_line(line: &str) -> Option<(Option<&str>, &str)> {
+    let (prefix, json) = line.split_at(line.find('{')?);
+    Some((prefix.split_whitespace().last(), json))
+}
+
 fn field_text(line: &LogLine, field: &str) -> Option<String> {
     line.fields.get(field)?.as_str().map(str::to_owned)
 }
--- a/crates/cli/src/queries/mod.rs
+++ b/crates/cli/src/queries/mod.rs
@@ -5,6 +5,7 @@
 pub mod groups;
 pub mod histograms;
 pub mod hosts;
+pub mod lateness;
 pub mod leases;
 pub mod limits;
 pub mod nodes;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,7 +1,7 @@
 //! Runs the command given by the arguments.
 
 use std::io::{Read, Write};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use base::prelude::*;
@@ -10,7 +10,7 @@
 
 use crate::args::{
     CheckArgs, Command, EndpointCommand, ExplainArgs, GroupsCommand, HistogramArgs, HostsCommand,
-    PutArgs, SectionCommand, WatchArgs,
+    LatenessArgs, PutArgs, SectionCommand, WatchArgs,
 };
 use crate::commands::drain::{DrainGoal, set_drain};
 use crate::commands::new_key::new_key;
@@ -19,6 +19,7 @@
 use crate::queries::check::{CheckedFile, check_files};
 use crate::queries::explain::{LogFile, explain_request};
 use crate::queries::histograms::{HistogramFilter, list_histograms};
+use crate::queries::lateness::list_lateness;
 use crate::queries::watch::{WatchRequest, watch_version};
 use crate::queries::{groups, hosts, leases, limits, nodes, sections, stranded};
 use crate::{Arguments, CliError, CommandOutcome, ExitStatus, Report, ReportBody, Session};
@@ -47,6 +48,7 @@
     match arguments.command {
         Command::Check(args) => check(&args),
         Command::Explain(args) => explain(&args),
+        Command::Lateness(args) => lateness(&args),
         Command::Key(_) => Ok(new_key()),
         Command::Completions { shell } => Ok(CommandOutcome::success(CompletionReport::new(shell))),
         command => {
@@ -64,6 +66,7 @@
     match command {
         Command::Check(args) => check(&args),
         Command::Explain(args) => explain(&args),
+        Command::Lateness(args) => lateness(&args),
         Command::Key(_) => Ok(new_key()),
         Command::Completions { shell } => Ok(CommandOutcome::success(CompletionReport::new(shell))),
         Command::Section(SectionCommand::List) => sections::list_sections(session).await,
@@ -109,15 +112,22 @@
 }
 
 fn explain(args: &ExplainArgs) -> Result<CommandOutcome, CliError> {
-    let files = args.files.iter().map(|path| {
+    explain_request(&args.id, &read_logs(&args.files)?)
+}
+
+fn lateness(args: &LatenessArgs) -> Result<CommandOutcome, CliError> {
+    Ok(list_lateness(&read_logs(&args.files)?, args.over))
+}
+
+fn read_logs(paths: &[PathBuf]) -> Result<Vec<LogFile>, CliError> {
+    let files = paths.iter().map(|path| {
         let name = path.file_stem().unwrap_or(path.as_os_str());
         Ok(LogFile {
             name: name.to_string_lossy().into_owned(),
             text: read_text(path)?,
         })
     });
-    let files: Vec<_> = files.collect::<Result<_, CliError>>()?;
-    explain_request(&args.id, &files)
+    files.collect()
 }
 
 fn load_put_request(args: PutArgs) -> Result<PutRequest, CliError> {
--- a/crates/cli/tests/suite/main.rs
+++ b/crates/cli/tests/suite/main.rs
@@ -3,5 +3,6 @@
 mod common;
 mod drain;
 mod explain;
+mod lateness;
 mod put;
 mod reads;
