Fix: versions that no hub had were named to nobody, and some could never be had

Cause, found by the reviewer: a digest named only the version that its sender had applied, so the number still went with the content at each hop; and a number once heard counted until the content came, whoever could still hand it over. Change: digests name the newest version that their sender knows to exist (a field of its own; older builds neither send nor read it). A node whose store is away, for it and for every hub that it hears, goes on with what it has, without definite refusals. What the store has not brought 7 s after it was named is disproved. A request waits for content for 300 ms of its own, not of the latest version. Ruled out: forgetting numbers that no live node names; hubs name what they have heard, so they would keep one another's numbers alive.

--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -85,6 +85,7 @@
         let id = metadata.id.clone().unwrap_or_else(|| Arc::from(""));
         let arrival = Arrival {
             call,
+            arrived_at: now,
             id: id.clone(),
             host: host_of(&parts).into(),
             path: parts.uri.path().into(),
--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -89,6 +89,8 @@
     leaving: Vec<LeavingWire>,
     #[prost(bool, tag = "17")]
     is_cut_off: bool,
+    #[prost(uint64, tag = "18")]
+    known_config: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -282,6 +284,7 @@
         Self {
             from: digest.from.as_str().to_owned(),
             intent_version: digest.config_version,
+            known_config: digest.known_config,
             record_version: digest.record_version.0,
             can_own: digest.can_own,
             is_cut_off: digest.is_cut_off,
@@ -327,6 +330,8 @@
             forwarded_version: ObjectVersion(wire.forwarded_version),
             quarantine_hash: wire.quarantine_hash,
             config_version: wire.intent_version,
+            // Older builds don't send it.
+            known_config: wire.known_config.max(wire.intent_version),
             record_version: ObjectVersion(wire.record_version),
             can_own: wire.can_own,
             is_cut_off: wire.is_cut_off,
--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -16,6 +16,9 @@
 };
 use crate::{CollectionEvent, EdgeEffect, EdgeState};
 
+/// Longest time from the beginning of a read of the configuration to its response.
+const MAX_READ_DURATION: Duration = Duration::from_secs(7);
+
 /// Applies the result of listing or watching a collection.
 pub(crate) fn apply_collection_event(
     state: &mut EdgeState,
@@ -31,6 +34,11 @@
         return Vec::new();
     }
     record_store_response(state, collection, now);
+    if collection == StoreCollection::RoutingConfig {
+        // A read that began after a version was named has brought it, if it can be used.
+        let read_began = now.before(MAX_READ_DURATION);
+        state.config_notices.disprove(read_began);
+    }
     if matches!(event, CollectionEvent::Listed(..)) {
         let entry = state.collections.entry(collection).or_default();
         entry.first_listed_at.get_or_insert(now);
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -137,6 +137,7 @@
     Digest {
         from: state.settings.node.clone(),
         config_version: state.config.version().unwrap_or(0),
+        known_config: known_config(state),
         record_version: state.planner.version().unwrap_or_default(),
         targets_version: state.targets_version,
         forwarded_version: (state.forwarded_targets.as_ref())
@@ -316,6 +317,12 @@
 /// Number of live peers from which this node relies on them to send it changes.
 const MIN_RELIABLE_PEERS: usize = 2;
 
+/// Newest version of the configuration that this node knows to exist; zero for none.
+fn known_config(state: &EdgeState) -> u64 {
+    let known = state.config_notices.newest();
+    known.max(state.config.version()).unwrap_or(0)
+}
+
 /// Logs when requests begin or cease to be rejected because the configuration is too old.
 fn log_config_age(state: &mut EdgeState, now: ClockTime) {
     let is_outdated = config_age(state, now) == ConfigAge::Outdated;
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -120,7 +120,7 @@
     record_counts(state, &digest, now);
     let in_force = state.config.version().unwrap_or(0);
     let notices = &mut state.config_notices;
-    notices.record(digest.config_version, in_force, now);
+    notices.record(digest.known_config, in_force, now);
     if digest.is_owner && digest.can_own {
         state.owner_seen_at = Some(now);
     }
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -30,6 +30,8 @@
 pub struct Arrival {
     /// Number within this process.
     pub call: CallId,
+    /// Instant at which it arrived.
+    pub arrived_at: ClockTime,
     /// Request ID that its client set; empty if it set none.
     pub id: Arc<str>,
     /// Requested host name.
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -63,6 +63,8 @@
     pub from: NodeName,
     /// Version of its active configuration; zero for none.
     pub config_version: u64,
+    /// Newest version of the configuration that it knows to exist; zero for none.
+    pub known_config: u64,
     /// Version of its record of groups; zero for none.
     pub record_version: ObjectVersion,
     /// Version of the send targets that it uses; zero for none.
--- a/crates/edge/src/queries/config_age.rs
+++ b/crates/edge/src/queries/config_age.rs
@@ -4,14 +4,20 @@
 //! knows since when it has been behind, whoever is to hand the content over, and acts on it: at
 //! first requests that the newer version may allow wait, then they are rejected, and before the
 //! platform's bound is over all requests are.
+//!
+//! While neither this node nor a hub reaches the store, nothing can be acknowledged and nobody may
+//! be able to hand the content over, so the node goes on with what it has.
 
 use base::prelude::*;
 use intent::queries::{AccessOutcome, check_access, find_route};
 use intent::{Route, RoutingConfig, Workspace};
 
+use super::hubs::has_able_hub;
+use crate::border::ports::StoreCollection;
 use crate::{Arrival, EdgeState, RejectReason};
 
-/// Time that the content of a version usually takes after its number is known.
+/// Time that the content of a version usually takes after its number is known, and for which a
+/// request waits for it at most.
 const CONTENT_WAIT: Duration = Duration::from_millis(300);
 /// Interval at which a request that waits for the content checks for it.
 const CONTENT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -43,13 +49,19 @@
         .saturating_sub(NOTICE_TIME)
         .max(config_apply / 2);
     match now.since(behind_since) {
-        behind if behind >= limit => ConfigAge::Outdated,
+        behind if behind >= limit && !is_store_away(state, now) => ConfigAge::Outdated,
         behind if behind >= limit / 3 => ConfigAge::Missing,
         behind if behind >= CONTENT_WAIT => ConfigAge::Late,
         _ => ConfigAge::Arriving,
     }
 }
 
+/// Whether the store responds neither to this node nor to any hub that it hears.
+fn is_store_away(state: &EdgeState, now: ClockTime) -> bool {
+    let entry = state.collection(StoreCollection::RoutingConfig);
+    entry.is_some_and(|entry| entry.is_unavailable) && has_able_hub(state, now) != Some(true)
+}
+
 /// Route and workspace of a request by a configuration, or why it has none.
 pub(crate) fn admit<'a>(
     config: &'a RoutingConfig,
@@ -73,6 +85,7 @@
     let until = now + CONTENT_CHECK_INTERVAL;
     let has_time = (arrival.client_deadline).is_none_or(|deadline| until < deadline);
     let waits = has_time
+        && now.since(arrival.arrived_at) < CONTENT_WAIT
         && config_age(state, now) == ConfigAge::Arriving
         && admit(config, arrival).is_err();
     waits.then_some(until)
--- a/crates/edge/tests/suite/hubs.rs
+++ b/crates/edge/tests/suite/hubs.rs
@@ -70,6 +70,7 @@
     EdgeEvent::Peer(PeerMessage::Digest(Box::new(Digest {
         from: node(from),
         config_version: 1,
+        known_config: 1,
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(targets_version),
         forwarded_version: ObjectVersion(0),
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -20,6 +20,7 @@
     Digest {
         from: NodeName::new("edge-1").unwrap(),
         config_version: 7,
+        known_config: 7,
         record_version: ObjectVersion(12),
         targets_version: ObjectVersion(11),
         forwarded_version: ObjectVersion(8),
--- a/crates/edge/tests/suite/owner_loss.rs
+++ b/crates/edge/tests/suite/owner_loss.rs
@@ -60,6 +60,7 @@
     Digest {
         from: node(from),
         config_version: 1,
+        known_config: 1,
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(0),
         forwarded_version: ObjectVersion(0),
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -162,6 +162,7 @@
 pub fn arrival(call: u64, path: &str, now: ClockTime) -> Arrival {
     Arrival {
         call: CallId(call),
+        arrived_at: now,
         id: format!("request-{call}").into(),
         host: "a.example".into(),
         path: path.into(),
@@ -185,6 +186,7 @@
     EdgeEvent::Peer(PeerMessage::Digest(Box::new(Digest {
         from: node(from),
         config_version,
+        known_config: config_version,
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(0),
         forwarded_version: ObjectVersion(0),
--- a/crates/intent/tests/notices.rs
+++ b/crates/intent/tests/notices.rs
@@ -33,3 +33,18 @@
     notices.apply(999);
     assert_eq!(notices.behind_since(), None);
 }
+
+#[test]
+fn a_version_that_the_store_does_not_have_is_not_missed_any_more_whoever_names_it() {
+    let mut notices = ConfigNotices::default();
+    notices.record(5, 4, at(10));
+    notices.record(6, 4, at(20));
+    notices.disprove(at(20));
+    assert_eq!(notices.behind_since(), Some(at(20)));
+    notices.disprove(at(21));
+    assert_eq!((notices.behind_since(), notices.newest()), (None, None));
+    notices.record(6, 4, at(30));
+    assert_eq!(notices.behind_since(), None);
+    notices.record(7, 4, at(40));
+    assert_eq!(notices.behind_since(), Some(at(40)));
+}
