Tests: bytes of targets that nodes send while servers start and change (red)

Event loops of 12, 24, 70 and 195 nodes, links of 25 and 2.5 MB/s, 600 servers; messages are measured as encoded when the event loop hands them to the border.

Seen: the owner and the hubs send the whole list to each receiver at every change. At the start the owner also sends it, at each change, to every node that has not chosen a hub, among them nodes that were never heard.

The order of messages to one peer has no failing test here: the queue is inside the daemon's border, which no test reaches without a running daemon; the crate that takes the decision gets table tests.

--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod large_configs;
 mod leaving;
 mod limits;
+mod link_bytes;
 mod messages;
 mod network;
 mod new_owner;
