Links between nodes: newest message first, within budgets of bytes a second

Cause: digests, targets, records and crash evidence shared a queue of eight for each node, in the order of their making and encoded as they were queued.

Change: the new crate `outbox` decides what is sent next. For each receiver the newest digest, targets and record wait, crash evidence in order within a bound. Digests go first and have no budget; targets and records together get a quarter of the link, crash evidence a twentieth, over all receivers in turn. A message is encoded when it is sent, so the ages in it are right. A digest that is replaced hands its silent heads on. The border asks and executes; a connection that waits does so on a signal or a timer. The wire format is unchanged.

Why it works: what waits is bounded by kinds and not by time, and what is sent by the link's rate and not by the number of nodes or suspects. A node that is not reached keeps nothing longer than a second.

To see it in use: "messages to nodes waited for the budget" (once a second at most), `peer_messages_delayed_total`, `result="replaced"`.

Evidence: no test reaches the old queue, which was inside the border. Table tests of the new crate: evidence of 200 kB for 150 receivers each 0.3 s on links of 2.5 and 25 MB/s stays under a twentieth of the link (and two messages) in any second, and no digest waits; every receiver gets newest targets in its turn.

--- a/crates/edge/src/border/executor.rs
+++ b/crates/edge/src/border/executor.rs
@@ -85,7 +85,7 @@
                 self.metrics
                     .count("reach_changes", &[("change", change)], 1);
             }
-            EdgeEffect::Send { to, message } => self.links.send(to, &message),
+            EdgeEffect::Send { to, message } => self.links.send(to, message),
             EdgeEffect::CountQuarantinedParts(count) => {
                 let count = i64::try_from(count).unwrap_or(i64::MAX);
                 self.metrics.count("quarantined_parts", &[], count);
--- a/crates/edge/src/border/links.rs
+++ b/crates/edge/src/border/links.rs
@@ -11,10 +11,13 @@
 use futures_util::StreamExt;
 use monoio::net::TcpListener;
 use net::{FrameStream, MetricSink, sleep_until, with_deadline};
+use outbox::commands::{charge, discard, queue, suspend, take_next};
+use outbox::queries::{has_waiting, next_receivers, waiting};
+use outbox::{DiscardReason, MessageKind, OutboxSettings, OutboxState, SendStep, WaitingMessage};
 
 use super::ports::PlatformStore;
 use super::traffic::TrafficMeter;
-use super::wire::{decode_message, encode_message};
+use super::wire::{decode_message, encode_message, encoded_size};
 use crate::{EdgeEvent, PeerMessage, transfer_timeout};
 
 /// Timeout of a connection attempt: ten round trips between regions.
@@ -24,14 +27,13 @@
 /// Delay after a failed connection attempt; it is short because nodes that start together
 /// must reach each other soon.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
+/// Time after which a message to a node that isn't reached is dropped.
+const UNREACHABLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time without a message after which a connection is dropped; digests arrive at least
 /// every 400 ms.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Length of the queue to one node. Messages beyond it are dropped; digests are repeated
-/// anyway.
-const SEND_QUEUE_LENGTH: usize = 8;
 
 /// Time in the queue or on the way from which a message is logged as slow.
 const SLOW_MESSAGE: Duration = Duration::from_millis(300);
@@ -40,16 +42,24 @@
 ///
 /// Configurations have a connection each, as digests and targets would wait behind a large one.
 pub(super) struct PeerLinks {
-    clock: Rc<dyn ClockSource>,
+    shared: Rc<LinkContext>,
     links: RefCell<HashMap<SocketAddr, PeerLink>>,
-    traffic: Rc<TrafficMeter>,
     events: UnboundedSender<EdgeEvent>,
     /// Latest configuration that was sent, and its encoded form.
     encoded_config: RefCell<Option<(Arc<str>, Bytes)>>,
 }
 
-/// Message in the queue to a node.
-struct QueuedMessage {
+/// What all connections share.
+struct LinkContext {
+    clock: Rc<dyn ClockSource>,
+    outbox: RefCell<OutboxState<PeerMessage>>,
+    /// Signals that make a connection ask for its next message.
+    wakers: RefCell<HashMap<SocketAddr, Sender<()>>>,
+    traffic: TrafficMeter,
+}
+
+/// Encoded message.
+struct EncodedMessage {
     kind: &'static str,
     bytes: Bytes,
     queued_at: ClockTime,
@@ -57,31 +67,35 @@
 
 /// Connection to one node.
 struct PeerLink {
-    messages: Sender<QueuedMessage>,
     /// Set to open a new connection before the next message.
     is_outdated: Rc<Cell<bool>>,
 }
 
 impl PeerLinks {
+    /// Creates the connections of a node whose link carries this many bytes a second.
     pub fn new(
         clock: Rc<dyn ClockSource>,
         metrics: Rc<dyn MetricSink>,
         events: UnboundedSender<EdgeEvent>,
+        link_rate: u64,
     ) -> Self {
-        Self {
-            traffic: Rc::new(TrafficMeter::new(metrics, clock.now())),
+        let settings = OutboxSettings::for_link(link_rate);
+        let shared = LinkContext {
+            traffic: TrafficMeter::new(metrics, clock.now()),
             clock,
+            outbox: RefCell::new(OutboxState::new(settings)),
+            wakers: RefCell::default(),
+        };
+        Self {
+            shared: Rc::new(shared),
             links: RefCell::default(),
             events,
             encoded_config: RefCell::default(),
         }
     }
 
-    /// Encodes a message; a configuration only once, as many nodes may lack it.
-    fn encode(&self, message: &PeerMessage, now: ClockTime) -> Bytes {
-        let PeerMessage::RoutingConfig(_, text) = message else {
-            return Bytes::from(encode_message(message, now));
-        };
+    /// Encodes a configuration, once for all nodes that lack it.
+    fn encode_config(&self, message: &PeerMessage, text: &Arc<str>, now: ClockTime) -> Bytes {
         let mut encoded = self.encoded_config.borrow_mut();
         if let Some((known, bytes)) = encoded.as_ref()
             && Arc::ptr_eq(known, text)
@@ -93,42 +107,40 @@
         bytes
     }
 
-    /// Queues a message for a node, or drops it if the queue is full. The end of the transfer of a
-    /// configuration is an event.
-    pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
-        let now = self.clock.now();
-        let is_config = matches!(message, PeerMessage::RoutingConfig(..));
-        let message = QueuedMessage {
-            kind: message.kind(),
-            bytes: self.encode(message, now),
-            queued_at: now,
+    /// Queues a message for a node. The end of the transfer of a configuration is an event.
+    pub fn send(&self, to: SocketAddr, message: PeerMessage) {
+        let now = self.shared.clock.now();
+        let kind = match &message {
+            PeerMessage::RoutingConfig(_, text) => {
+                let message = EncodedMessage {
+                    kind: message.kind(),
+                    bytes: self.encode_config(&message, text, now),
+                    queued_at: now,
+                };
+                let (shared, events) = (self.shared.clone(), self.events.clone());
+                monoio::spawn(async move {
+                    transfer(to, &message, &shared).await;
+                    // The event loop ends only when the process is about to exit.
+                    let _ = events.unbounded_send(EdgeEvent::Transferred(to));
+                });
+                return;
+            }
+            PeerMessage::Digest(_) => MessageKind::Digest,
+            PeerMessage::Targets(..) => MessageKind::Targets,
+            PeerMessage::Record(..) => MessageKind::Record,
+            PeerMessage::Crashes(_) => MessageKind::Evidence,
         };
-        if is_config {
-            let (clock, traffic) = (self.clock.clone(), self.traffic.clone());
-            let events = self.events.clone();
-            monoio::spawn(async move {
-                transfer(to, &message, clock.as_ref(), &traffic).await;
-                // The event loop ends only when the process is about to exit.
-                let _ = events.unbounded_send(EdgeEvent::Transferred(to));
-            });
-            return;
-        }
+        self.shared.queue(to, kind, message, now);
         let mut links = self.links.borrow_mut();
-        let link = links.entry(to).or_insert_with(|| {
-            let (messages, receiver) = channel(SEND_QUEUE_LENGTH);
+        links.entry(to).or_insert_with(|| {
+            let (waker, woken) = channel(0);
+            self.shared.wakers.borrow_mut().insert(to, waker);
             let is_outdated = Rc::<Cell<bool>>::default();
-            let clock = self.clock.clone();
-            let traffic = self.traffic.clone();
-            let task = send_messages(to, receiver, is_outdated.clone(), clock, traffic);
+            let task = send_messages(to, woken, is_outdated.clone(), self.shared.clone());
             monoio::spawn(task);
-            PeerLink {
-                messages,
-                is_outdated,
-            }
+            PeerLink { is_outdated }
         });
-        if let Err(error) = link.messages.try_send(message) {
-            report_failure(&self.traffic, to, &error.into_inner(), "dropped", now);
-        }
+        self.shared.wake(to);
     }
 
     /// Sends the next message to a node on a new connection.
@@ -139,61 +151,165 @@
     }
 }
 
-/// Sends queued messages to one node and reconnects after failures.
+impl LinkContext {
+    fn queue(&self, to: SocketAddr, kind: MessageKind, mut message: PeerMessage, now: ClockTime) {
+        let mut outbox = self.outbox.borrow_mut();
+        if let PeerMessage::Digest(digest) = &mut message
+            && let Some(PeerMessage::Digest(older)) = waiting(&outbox, to, kind)
+        {
+            digest.add_reports(older);
+        }
+        let byte_count = match kind {
+            MessageKind::Evidence => encoded_size(&message, now),
+            _ => 0,
+        };
+        let discarded = queue(&mut outbox, to, kind, message, byte_count, now);
+        drop(outbox);
+        for message in discarded {
+            match message.reason {
+                DiscardReason::Replaced => {
+                    self.traffic.record_replaced(message.waiting.message.kind())
+                }
+                DiscardReason::Full => self.report_unsent(to, &message.waiting, "dropped", now),
+            }
+        }
+    }
+
+    /// Makes a connection ask for its next message.
+    fn wake(&self, to: SocketAddr) {
+        if let Some(waker) = self.wakers.borrow_mut().get_mut(&to) {
+            // A signal that waits already is enough.
+            let _ = waker.try_send(());
+        }
+    }
+
+    /// Wakes the connections whose turn it is after another one has taken a message.
+    fn wake_next(&self) {
+        let next: Vec<_> = next_receivers(&self.outbox.borrow()).collect();
+        next.into_iter().for_each(|to| self.wake(to));
+    }
+
+    fn next_step(&self, to: SocketAddr) -> SendStep<PeerMessage> {
+        take_next(&mut self.outbox.borrow_mut(), to, self.clock.now())
+    }
+
+    /// Encodes a message that is sent now, and charges it.
+    fn encode(&self, waiting: &WaitingMessage<PeerMessage>) -> EncodedMessage {
+        let now = self.clock.now();
+        let bytes = Bytes::from(encode_message(&waiting.message, now));
+        charge(
+            &mut self.outbox.borrow_mut(),
+            waiting.kind,
+            bytes.len(),
+            now,
+        );
+        let kind = waiting.message.kind();
+        if let Some(since) = waiting.delayed_since {
+            self.traffic.record_delay(kind, now.since(since));
+        }
+        EncodedMessage {
+            kind,
+            bytes,
+            queued_at: waiting.queued_at,
+        }
+    }
+
+    /// Opens a connection to a node; if that fails, drops what is not worth keeping.
+    async fn connect(&self, to: SocketAddr) -> Option<FrameStream> {
+        suspend(&mut self.outbox.borrow_mut(), to);
+        self.wake_next();
+        let clock = self.clock.as_ref();
+        let connect = FrameStream::connect(to);
+        if let Some(Ok(stream)) = with_deadline(clock, clock.now() + CONNECT_TIMEOUT, connect).await
+        {
+            return Some(stream);
+        }
+        let now = clock.now();
+        let queued_before = now.before(UNREACHABLE_TIMEOUT);
+        let discarded = discard(&mut self.outbox.borrow_mut(), to, queued_before);
+        for waiting in &discarded {
+            self.report_unsent(to, waiting, "unreachable", now);
+        }
+        sleep_until(clock, now + RECONNECT_DELAY).await;
+        None
+    }
+
+    fn report_unsent(
+        &self,
+        to: SocketAddr,
+        waiting: &WaitingMessage<PeerMessage>,
+        result: &'static str,
+        now: ClockTime,
+    ) {
+        let message = EncodedMessage {
+            kind: waiting.message.kind(),
+            bytes: encode_message(&waiting.message, now).into(),
+            queued_at: waiting.queued_at,
+        };
+        report_failure(&self.traffic, to, &message, result, now);
+    }
+}
+
+/// Sends the messages that wait for one node and reconnects after failures.
 async fn send_messages(
     to: SocketAddr,
-    mut messages: Receiver<QueuedMessage>,
+    mut woken: Receiver<()>,
     is_outdated: Rc<Cell<bool>>,
-    clock: Rc<dyn ClockSource>,
-    traffic: Rc<TrafficMeter>,
+    shared: Rc<LinkContext>,
 ) {
-    let clock = clock.as_ref();
+    let clock = shared.clock.as_ref();
     let mut stream: Option<FrameStream> = None;
-    while let Some(message) = messages.next().await {
+    loop {
+        if !has_waiting(&shared.outbox.borrow(), to) {
+            if woken.next().await.is_none() {
+                return;
+            }
+            continue;
+        }
         if is_outdated.take() {
             stream = None;
         }
-        if stream.is_none() {
-            let connect = FrameStream::connect(to);
-            match with_deadline(clock, clock.now() + CONNECT_TIMEOUT, connect).await {
-                Some(Ok(connected)) => stream = Some(connected),
-                _ => {
-                    report_failure(&traffic, to, &message, "unreachable", clock.now());
-                    sleep_until(clock, clock.now() + RECONNECT_DELAY).await;
-                    continue;
-                }
+        let Some(connection) = &mut stream else {
+            stream = shared.connect(to).await;
+            continue;
+        };
+        let message = match shared.next_step(to) {
+            SendStep::Send(waiting) => shared.encode(&waiting),
+            SendStep::WaitUntil(due) => {
+                with_deadline(clock, due, woken.next()).await;
+                continue;
             }
-        }
-        if let Some(connection) = &mut stream {
-            let started_at = clock.now();
-            let send = connection.send(message.bytes.clone());
-            let sent = with_deadline(clock, started_at + SEND_TIMEOUT, send).await;
-            let now = clock.now();
-            match sent {
-                Some(Ok(())) => {
-                    traffic.record(message.kind, "sent", message.bytes.len(), now);
-                    log_slow_message(to, &message, started_at, now);
-                }
-                Some(Err(_)) => {
-                    report_failure(&traffic, to, &message, "broken", now);
-                    stream = None;
-                }
-                None => {
-                    report_failure(&traffic, to, &message, "timed-out", now);
-                    stream = None;
-                }
+            SendStep::Wait => {
+                woken.next().await;
+                continue;
+            }
+        };
+        shared.wake_next();
+        let started_at = clock.now();
+        let send = connection.send(message.bytes.clone());
+        let sent = with_deadline(clock, started_at + SEND_TIMEOUT, send).await;
+        let now = clock.now();
+        match sent {
+            Some(Ok(())) => {
+                let traffic = &shared.traffic;
+                traffic.record(message.kind, "sent", message.bytes.len(), now);
+                log_slow_message(to, &message, started_at, now);
+            }
+            Some(Err(_)) => {
+                report_failure(&shared.traffic, to, &message, "broken", now);
+                stream = None;
+            }
+            None => {
+                report_failure(&shared.traffic, to, &message, "timed-out", now);
+                stream = None;
             }
         }
     }
 }
 
 /// Sends a message on a connection of its own.
-async fn transfer(
-    to: SocketAddr,
-    message: &QueuedMessage,
-    clock: &dyn ClockSource,
-    traffic: &TrafficMeter,
-) {
+async fn transfer(to: SocketAddr, message: &EncodedMessage, shared: &LinkContext) {
+    let (clock, traffic) = (shared.clock.as_ref(), &shared.traffic);
     let started_at = clock.now();
     let connect = FrameStream::connect(to);
     let connected = with_deadline(clock, started_at + CONNECT_TIMEOUT, connect).await;
@@ -218,11 +334,11 @@
 fn report_failure(
     traffic: &TrafficMeter,
     to: SocketAddr,
-    message: &QueuedMessage,
+    message: &EncodedMessage,
     result: &'static str,
     now: ClockTime,
 ) {
-    let QueuedMessage { kind, bytes, .. } = message;
+    let EncodedMessage { kind, bytes, .. } = message;
     traffic.record(kind, result, bytes.len(), now);
     let waited_ms = now.since(message.queued_at).as_millis() as u64;
     if *kind == PeerMessage::DIGEST_KIND {
@@ -235,11 +351,11 @@
 /// Logs a message that took long.
 fn log_slow_message(
     to: SocketAddr,
-    message: &QueuedMessage,
+    message: &EncodedMessage,
     started_at: ClockTime,
     now: ClockTime,
 ) {
-    let QueuedMessage {
+    let EncodedMessage {
         kind,
         bytes,
         queued_at,
--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -171,7 +171,12 @@
         store,
         endpoints,
         replies,
-        links: PeerLinks::new(clock.clone(), metrics.clone(), events.clone()),
+        links: PeerLinks::new(
+            clock.clone(),
+            metrics.clone(),
+            events.clone(),
+            settings.link_rate,
+        ),
         events,
         drain: RefCell::new(Some(drain_signal)),
         is_closing,
--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -171,6 +171,15 @@
 
 /// Encodes a message that is sent at an instant.
 pub fn encode_message(message: &PeerMessage, now: ClockTime) -> Vec<u8> {
+    message_wire(message, now).encode_to_vec()
+}
+
+/// Size of a message that is sent at an instant.
+pub(super) fn encoded_size(message: &PeerMessage, now: ClockTime) -> usize {
+    message_wire(message, now).encoded_len()
+}
+
+fn message_wire(message: &PeerMessage, now: ClockTime) -> MessageWire {
     let body = match message {
         PeerMessage::Digest(digest) => BodyWire::Digest(DigestWire::from_digest(digest, now)),
         PeerMessage::RoutingConfig(_, text) => BodyWire::RoutingConfig(text.as_ref().to_owned()),
@@ -187,7 +196,7 @@
                 .expect("records have a JSON form"),
         }),
     };
-    MessageWire { body: Some(body) }.encode_to_vec()
+    MessageWire { body: Some(body) }
 }
 
 /// Decodes a message that was received at an instant; `parse_config` parses a configuration's
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -97,6 +97,20 @@
     pub leaving: Vec<LeavingReport>,
 }
 
+impl Digest {
+    /// Adds what an older digest reports once, because this one is sent in its place.
+    pub fn add_reports(&mut self, older: &Self) {
+        // Receivers disregard the reports of a node that is cut off.
+        if older.is_cut_off {
+            return;
+        }
+        let heads = older.silent_heads.iter();
+        let missing = heads.filter(|head| !self.silent_heads.contains(head));
+        let missing: Vec<_> = missing.cloned().collect();
+        self.silent_heads.extend(missing);
+    }
+}
+
 /// Message from one node to another.
 #[derive(Clone, Debug)]
 pub enum PeerMessage {
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -19,6 +19,7 @@
 mod outdated_config;
 mod owner_loss;
 mod quarantine;
+mod replaced_digests;
 mod restored_store;
 mod silent_engines;
 mod silent_links;
