--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -4,12 +4,14 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use base::prelude::*;
-use document::{Document, Section};
+use document::{Document, KeyDigest, Section};
 use gateway::{
-    GatewayEffect, GatewayEvent, GatewayLoop, GatewayQuery, GatewayReply, GatewayState,
-    GatewayStatus, GatewayTimes, PeerEvent,
+    CallArrival, CallKind, CallRefusal, CallStep, GatewayEffect, GatewayEvent, GatewayLoop,
+    GatewayQuery, GatewayReply, GatewayState, GatewayStatus, GatewayTimes, PeerEvent, RefusalCause,
 };
 use groups::FabricRecord;
+use ledger::RequestDigest;
+use limits::CallPriority;
 use members::{
     FrameRefusal, Item, ItemKey, NodeIncarnation, NodePhase, NodeRecord, PeerEffect, PeerFrame,
     PeerMessage, PeerSettings, PeerState,
@@ -175,6 +177,33 @@
         self.status(index).config.in_force.version.0
     }
 
+    /// Refusal of a call whose key no document has.
+    fn refuse_unknown_key(&mut self, index: usize) -> CallRefusal {
+        let arrival = CallArrival {
+            call: CallId(1),
+            digest: KeyDigest::of_key("new-key"),
+            service: ServiceName::new("foglalas").unwrap(),
+            kind: CallKind::Plain {
+                method: Arc::from("GET"),
+                path: Arc::from("/"),
+                digest: RequestDigest::of_call("GET", "/", b""),
+            },
+            key: None,
+            priority: CallPriority::Normal,
+            timeout: None,
+        };
+        let effects = self.loops[index].handle(GatewayEvent::CallArrived(arrival), self.now);
+        let refusal = effects.iter().find_map(|effect| match effect {
+            GatewayEffect::Step {
+                step: CallStep::Refuse(refusal),
+                ..
+            } => Some(refusal.clone()),
+            _ => None,
+        });
+        self.execute_all(index, effects);
+        refusal.expect("the call is refused")
+    }
+
     /// Frame of the first gateway with its message replaced.
     fn forge(&self, message: PeerMessage) -> PeerFrame {
         let is_first = |frame: &&PeerFrame| frame.from.as_str() == "entry-0";
@@ -265,3 +294,30 @@
         assert_eq!(pair.version(1), expected, "from {source}");
     }
 }
+
+#[test]
+fn a_gateway_that_knows_of_a_newer_document_does_not_call_a_key_unknown() {
+    for (case, store) in [("gets it from peers", None), ("reads the store", Some(9))] {
+        let mut pair = GatewayPair::new([Some(9), store]);
+        pair.advance(Duration::from_secs(12));
+        let refusal = pair.refuse_unknown_key(1);
+        assert_eq!(refusal.cause, RefusalCause::UnknownKey, "{case}");
+
+        let frame = pair.forge(PeerMessage::Announce(vec![document_item(12).entry()]));
+        let source = PEER_IP;
+        pair.handle(1, GatewayEvent::Peer(PeerEvent::Frame { source, frame }));
+        assert_eq!(pair.version(1), 9, "{case}");
+        let refusal = pair.refuse_unknown_key(1);
+        assert_ne!(refusal.cause, RefusalCause::UnknownKey, "{case}");
+        assert!(refusal.retry_at > Some(pair.now), "{case}: {refusal:?}");
+
+        pair.write(0, 12);
+        if store.is_some() {
+            pair.write(1, 12);
+        }
+        pair.advance(Duration::from_secs(1));
+        assert_eq!(pair.version(1), 12, "{case}");
+        let refusal = pair.refuse_unknown_key(1);
+        assert_eq!(refusal.cause, RefusalCause::UnknownKey, "{case}");
+    }
+}
