A gateway that knows of a newer document refuses nothing by the older one

What callers saw: 401 or 404 for a key or service whose addition had been acknowledged, from a gateway to which a peer had announced that document already.

Cause: the peer layer knows announced versions, proven or not, before their body; what authorizes calls knows the document in force only.

Ruled out: raise_floor at an announcement. accept() would then refuse documents between the one in force and the announced one.

Change: a refusal that follows from the document is given as 503 document_behind, with Retry-After of a second, while a peer's announcement is newer than the document in force; GET /v1/models too. Announcements that no second peer confirms count as well, since a gateway that reads the store proves none; they end after a minute, so that a peer that invents versions changes a 401 into a 503 for that time, and no authorised call.

--- a/crates/gateway/src/border/ingress.rs
+++ b/crates/gateway/src/border/ingress.rs
@@ -26,7 +26,7 @@
 use super::request::EndpointRequest;
 use super::response::{
     REQUEST_HEADER, forwarded_headers, interrupted_response, parse_error_response,
-    receive_error_response, stopped_response, unknown_key_response,
+    receive_error_response, refusal_response, stopped_response,
 };
 use super::task::CallTask;
 use crate::{CallArrival, GatewayEvent, GatewayQuery, GatewayReply};
@@ -118,11 +118,13 @@
             Err(error) => return parse_error_response(&error),
         };
         match self.replies.request(GatewayQuery::Services(digest)).await {
-            Some(GatewayReply::Services(Some(services))) => {
+            Some(GatewayReply::Services(Ok(services))) => {
                 json_response(StatusCode::OK, &models_wire(services))
             }
-            Some(_) => unknown_key_response(),
-            None => stopped_response(),
+            Some(GatewayReply::Services(Err(refusal))) => {
+                refusal_response(&refusal, self.context.clock.now())
+            }
+            Some(_) | None => stopped_response(),
         }
     }
 
--- a/crates/gateway/src/border/response.rs
+++ b/crates/gateway/src/border/response.rs
@@ -109,12 +109,6 @@
     error_response(status, &error.to_string(), code, RunState::NotRun)
 }
 
-/// Response to a request with an unknown API key.
-pub fn unknown_key_response() -> WebResponse {
-    let (status, code, message) = describe_cause(RefusalCause::UnknownKey);
-    error_response(status, message, code, RunState::NotRun)
-}
-
 /// Response to a request that arrived after the event loop ended.
 pub fn stopped_response() -> WebResponse {
     error_response(
@@ -182,6 +176,12 @@
             "idempotency_key_reused",
             "this idempotency key belongs to another request: give each request its own",
         ),
+        RefusalCause::DocumentBehind => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "document_behind",
+            "this gateway is about to learn of a change that may allow the call: send it again \
+             after 'Retry-After'",
+        ),
         RefusalCause::Overloaded => (
             StatusCode::TOO_MANY_REQUESTS,
             "overloaded",
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -84,6 +84,8 @@
     KeyMissing,
     /// The idempotency key was used for a different request.
     KeyReused,
+    /// The document in force gives a reason to refuse the call, but a newer one is known to exist.
+    DocumentBehind,
     /// The workspace's queue is full.
     Overloaded,
     /// The call cannot start or did not start by its deadline.
--- a/crates/gateway/src/commands/calls.rs
+++ b/crates/gateway/src/commands/calls.rs
@@ -23,9 +23,12 @@
     now: ClockTime,
 ) -> Vec<GatewayEffect> {
     let call = arrival.call;
-    let entitlement = match queries::authorize(state, &arrival) {
+    let entitlement = match queries::authorize(state, &arrival, now) {
         Ok(entitlement) => entitlement,
-        Err(cause) => return vec![refuse(call, cause, RunState::NotRun, None)],
+        Err(refusal) => {
+            let step = CallStep::Refuse(refusal);
+            return vec![GatewayEffect::Step { call, step }];
+        }
     };
     let request = make_admission_request(&arrival, &entitlement, now);
     let Entitlement {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -8,7 +8,9 @@
 use store::UpdateOutcome;
 use watch::{WatchEffect, WatchEvent};
 
-use crate::{AttemptEnd, AttemptNumber, CallArrival, CallStep, GatewayStatus, PeerEvent};
+use crate::{
+    AttemptEnd, AttemptNumber, CallArrival, CallRefusal, CallStep, GatewayStatus, PeerEvent,
+};
 
 /// Input of the gateway's event loop.
 #[derive(Debug)]
@@ -150,8 +152,8 @@
 pub enum GatewayReply {
     /// Whether the load balancer may send connections here.
     Ready(bool),
-    /// Model services of the caller's workspace; `None` if the key is unknown.
-    Services(Option<Vec<ServiceName>>),
+    /// Model services of the caller's workspace, or the refusal of its key.
+    Services(Result<Vec<ServiceName>, CallRefusal>),
     /// Full status.
     Status(Box<GatewayStatus>),
 }
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -21,12 +21,17 @@
 
 pub(crate) fn document_item(version: ObjectVersion, document: &Document) -> Item {
     Item {
-        key: ItemKey::Section(document_name()),
+        key: document_key(),
         version,
         body: Some(document.encode()),
     }
 }
 
+/// Key of the item that holds the whole document.
+pub(crate) fn document_key() -> ItemKey {
+    ItemKey::Section(document_name())
+}
+
 pub(crate) fn fabric_item(version: ObjectVersion, record: &FabricRecord) -> Item {
     let wire = FabricWire::from(record.clone());
     let body = serde_json::to_string(&wire).expect("names, numbers and addresses are plain JSON");
--- a/crates/gateway/src/queries/authorize.rs
+++ b/crates/gateway/src/queries/authorize.rs
@@ -6,7 +6,11 @@
 use document::{Configuration, ServiceKind};
 use limits::{CallIdempotency, WorkspaceLimits};
 
-use crate::{CallArrival, CallKind, GatewayState, RefusalCause};
+use crate::items::document_key;
+use crate::{CallArrival, CallKind, CallRefusal, GatewayState, RefusalCause, RunState};
+
+/// Time after which a caller retries that the document in force refuses while a newer one is known.
+const BEHIND_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Result of a successful authorization.
 #[derive(Clone, Debug)]
@@ -24,6 +28,44 @@
 pub(crate) fn authorize(
     state: &GatewayState,
     arrival: &CallArrival,
+    now: ClockTime,
+) -> Result<Entitlement, CallRefusal> {
+    let entitlement = find_entitlement(state, arrival);
+    entitlement.map_err(|cause| refuse_by_document(state, cause, now))
+}
+
+/// Refusal for a reason that the document in force gives; not a final one while a peer has
+/// announced a newer document.
+pub(crate) fn refuse_by_document(
+    state: &GatewayState,
+    cause: RefusalCause,
+    now: ClockTime,
+) -> CallRefusal {
+    let run = RunState::NotRun;
+    if knows_newer_document(state) {
+        CallRefusal {
+            cause: RefusalCause::DocumentBehind,
+            run,
+            retry_at: Some(now + BEHIND_RETRY_DELAY),
+        }
+    } else {
+        CallRefusal {
+            cause,
+            run,
+            retry_at: None,
+        }
+    }
+}
+
+fn knows_newer_document(state: &GatewayState) -> bool {
+    let layer = state.peers.as_ref();
+    let announced = layer.and_then(|layer| layer.peers.announced_version(&document_key()));
+    announced > Some(state.watch.config.in_force.version)
+}
+
+fn find_entitlement(
+    state: &GatewayState,
+    arrival: &CallArrival,
 ) -> Result<Entitlement, RefusalCause> {
     let in_force = &state.watch.config.in_force;
     let (workspace, caller) = in_force
--- a/crates/gateway/src/queries/reply.rs
+++ b/crates/gateway/src/queries/reply.rs
@@ -5,15 +5,19 @@
 use document::{KeyDigest, ServiceKind};
 use members::ReadinessProof;
 
+use super::authorize::refuse_by_document;
 use super::status::gateway_status;
 use crate::state::ShutdownPhase;
-use crate::{GatewayQuery, GatewayReply, GatewayState};
+use crate::{GatewayQuery, GatewayReply, GatewayState, RefusalCause};
 
 /// Reply to a query.
 pub fn reply_to_query(state: &GatewayState, query: GatewayQuery, now: ClockTime) -> GatewayReply {
     match query {
         GatewayQuery::Ready => GatewayReply::Ready(is_ready(state)),
-        GatewayQuery::Services(digest) => GatewayReply::Services(list_services(state, digest)),
+        GatewayQuery::Services(digest) => {
+            let services = list_services(state, digest);
+            GatewayReply::Services(services.map_err(|cause| refuse_by_document(state, cause, now)))
+        }
         GatewayQuery::Status => GatewayReply::Status(Box::new(gateway_status(state, now))),
     }
 }
@@ -41,14 +45,18 @@
     }
 }
 
-fn list_services(state: &GatewayState, digest: KeyDigest) -> Option<Vec<ServiceName>> {
+fn list_services(
+    state: &GatewayState,
+    digest: KeyDigest,
+) -> Result<Vec<ServiceName>, RefusalCause> {
     let in_force = &state.watch.config.in_force;
-    let (workspace, _) = in_force.callers.find(digest)?;
+    let caller = in_force.callers.find(digest);
+    let (workspace, _) = caller.ok_or(RefusalCause::UnknownKey)?;
     let configuration = &in_force.configuration;
     let allowed = configuration.workspaces[workspace].services.iter();
     let is_model = |service: &&ServiceName| {
         let spec = configuration.services.get(*service);
         spec.is_some_and(|spec| matches!(spec.kind, ServiceKind::Model(_)))
     };
-    Some(allowed.filter(is_model).cloned().collect())
+    Ok(allowed.filter(is_model).cloned().collect())
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -18,6 +18,8 @@
 };
 use watch::{WatchEffect, WatchEvent, WatchTimes};
 
+/// Key that every document has; its workspace may use no service.
+const KNOWN_KEY: &str = "known-key";
 const PEER_IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 const OTHER_IP: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 9));
 const TIMES: GatewayTimes = GatewayTimes {
@@ -177,11 +179,11 @@
         self.status(index).config.in_force.version.0
     }
 
-    /// Refusal of a call whose key no document has.
-    fn refuse_unknown_key(&mut self, index: usize) -> CallRefusal {
+    /// Refusal of a call with a key.
+    fn refuse_key(&mut self, index: usize, key: &str) -> CallRefusal {
         let arrival = CallArrival {
             call: CallId(1),
-            digest: KeyDigest::of_key("new-key"),
+            digest: KeyDigest::of_key(key),
             service: ServiceName::new("foglalas").unwrap(),
             kind: CallKind::Plain {
                 method: Arc::from("GET"),
@@ -213,7 +215,9 @@
 }
 
 fn read_version(version: u64) -> (ObjectVersion, Arc<Document>) {
-    let text = format!("workspaces:\n  team-{version}: {{services: []}}\n");
+    let digest = KeyDigest::of_key(KNOWN_KEY).to_hex();
+    let caller = format!("desk: {{key_sha256: {digest}}}");
+    let text = format!("workspaces:\n  team-{version}: {{services: [], callers: {{{caller}}}}}\n");
     (ObjectVersion(version), document_with(&text))
 }
 
@@ -297,19 +301,26 @@
 
 #[test]
 fn a_gateway_that_knows_of_a_newer_document_does_not_call_a_key_unknown() {
+    let calls = [
+        ("new-key", RefusalCause::UnknownKey),
+        (KNOWN_KEY, RefusalCause::UnknownService),
+    ];
     for (case, store) in [("gets it from peers", None), ("reads the store", Some(9))] {
         let mut pair = GatewayPair::new([Some(9), store]);
         pair.advance(Duration::from_secs(12));
-        let refusal = pair.refuse_unknown_key(1);
-        assert_eq!(refusal.cause, RefusalCause::UnknownKey, "{case}");
+        for (key, cause) in calls {
+            assert_eq!(pair.refuse_key(1, key).cause, cause, "{case}");
+        }
 
         let frame = pair.forge(PeerMessage::Announce(vec![document_item(12).entry()]));
         let source = PEER_IP;
         pair.handle(1, GatewayEvent::Peer(PeerEvent::Frame { source, frame }));
         assert_eq!(pair.version(1), 9, "{case}");
-        let refusal = pair.refuse_unknown_key(1);
-        assert_ne!(refusal.cause, RefusalCause::UnknownKey, "{case}");
-        assert!(refusal.retry_at > Some(pair.now), "{case}: {refusal:?}");
+        for (key, _) in calls {
+            let refusal = pair.refuse_key(1, key);
+            assert_eq!(refusal.cause, RefusalCause::DocumentBehind, "{case}");
+            assert!(refusal.retry_at > Some(pair.now), "{case}: {refusal:?}");
+        }
 
         pair.write(0, 12);
         if store.is_some() {
@@ -317,7 +328,22 @@
         }
         pair.advance(Duration::from_secs(1));
         assert_eq!(pair.version(1), 12, "{case}");
-        let refusal = pair.refuse_unknown_key(1);
-        assert_eq!(refusal.cause, RefusalCause::UnknownKey, "{case}");
+        for (key, cause) in calls {
+            assert_eq!(pair.refuse_key(1, key).cause, cause, "{case}");
+        }
+    }
+}
+
+#[test]
+fn an_announced_document_that_never_comes_leaves_refusals_open_for_a_minute_at_most() {
+    for store in [None, Some(9)] {
+        let mut pair = GatewayPair::new([Some(9), store]);
+        pair.advance(Duration::from_secs(12));
+        let frame = pair.forge(PeerMessage::Announce(vec![document_item(12).entry()]));
+        let source = PEER_IP;
+        pair.handle(1, GatewayEvent::Peer(PeerEvent::Frame { source, frame }));
+        pair.advance(Duration::from_secs(61));
+        let refusal = pair.refuse_key(1, "new-key");
+        assert_eq!(refusal.cause, RefusalCause::UnknownKey);
     }
 }
--- a/crates/members/src/queries/versions.rs
+++ b/crates/members/src/queries/versions.rs
@@ -24,6 +24,15 @@
         self.catalog.get(key).map(|held| held.version)
     }
 
+    /// Newest version of an item that peers have announced, proven or not; `None` if none is newer
+    /// than the one in force.
+    pub fn announced_version(&self, key: &ItemKey) -> Option<ObjectVersion> {
+        let proven = self.catalog.pending_fetches.get(key);
+        let proven = proven.map(|pending| &pending.entry);
+        let announced = self.quarantined().filter(|entry| entry.key == *key);
+        announced.chain(proven).map(|entry| entry.version).max()
+    }
+
     /// Item in force; `None` if it is unknown.
     pub fn item(&self, key: &ItemKey) -> Option<Item> {
         let held = self.catalog.get(key)?;
