Fix: a node that became a hub went back to older targets

Cause: a hub kept the owner's newer targets for other nodes only, and used those of before, or its own list, until that list had ended. Two more of the same kind, found in review: targets were ordered by one number, the newer of the record's version and the endpoints' revision. So an owner with a late list that wrote the record overruled nodes whose list was newer, and the next owner's targets didn't replace those of a lost one.

Change: one slot for owners' targets at every node, whatever its role. A message names the revision of the endpoints and the version of the record that its targets come from. Plain servers, and whether a head is ready, are those of the newer endpoints; groups those of the newer record, of messages from several owners as well as of a message and the own view. A new owner sends its targets once with what it has read by then. Digests name both versions of the slot, by which hubs and the owner see what a node lacks. Messages: targets tags 3 and 4, digest tags 20 and 21; earlier builds ignore them, and without them the one version stands for both, as before.

Evidence: the test of hubs.rs and the two of the review failed before and pass.

--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -7,7 +7,7 @@
 use replicas::{GroupRecord, RecordWire};
 
 use super::crashes::CrashesWire;
-use crate::peer::{Digest, NodeWeight, PeerMessage, SlowPace};
+use crate::peer::{Digest, NodeWeight, PeerMessage, SlowPace, TargetsVersion};
 
 /// Why bytes can't be decoded as a message.
 #[derive(Debug, thiserror::Error)]
@@ -91,6 +91,10 @@
     is_cut_off: bool,
     #[prost(uint64, tag = "18")]
     known_config: u64,
+    #[prost(uint64, tag = "20")]
+    received_endpoints: u64,
+    #[prost(uint64, tag = "21")]
+    received_record: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -139,6 +143,11 @@
     version: u64,
     #[prost(message, repeated, tag = "2")]
     places: Vec<TargetWire>,
+    /// Absent from earlier builds, as the next one.
+    #[prost(uint64, tag = "3")]
+    endpoints_version: u64,
+    #[prost(uint64, tag = "4")]
+    record_version: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -184,7 +193,9 @@
         PeerMessage::Digest(digest) => BodyWire::Digest(DigestWire::from_digest(digest, now)),
         PeerMessage::RoutingConfig(_, text) => BodyWire::RoutingConfig(text.as_ref().to_owned()),
         PeerMessage::Targets(targets, version) => BodyWire::Targets(TargetsWire {
-            version: version.0,
+            version: version.latest.0,
+            endpoints_version: version.endpoints.0,
+            record_version: version.record.0,
             places: targets.iter().map(TargetWire::from).collect(),
         }),
         PeerMessage::Crashes(evidence) => {
@@ -218,7 +229,9 @@
         BodyWire::Targets(wire) => {
             let targets = wire.places.into_iter().map(SendTarget::try_from);
             let targets: Arc<[SendTarget]> = targets.collect::<Result<_, _>>()?;
-            Ok(PeerMessage::Targets(targets, ObjectVersion(wire.version)))
+            let version =
+                targets_version(wire.version, wire.endpoints_version, wire.record_version);
+            Ok(PeerMessage::Targets(targets, version))
         }
         BodyWire::Crashes(wire) => Ok(PeerMessage::Crashes(Box::new(wire.into_evidence(now)))),
         BodyWire::Record(wire) => {
@@ -235,6 +248,18 @@
     }
 }
 
+/// Version of targets; a message of an earlier build holds only the first number.
+fn targets_version(latest: u64, endpoints: u64, record: u64) -> TargetsVersion {
+    if (endpoints, record) == (0, 0) {
+        return ObjectVersion(latest).into();
+    }
+    TargetsVersion {
+        latest: ObjectVersion(latest),
+        endpoints: ObjectVersion(endpoints),
+        record: ObjectVersion(record),
+    }
+}
+
 impl From<&SendTarget> for TargetWire {
     fn from(target: &SendTarget) -> Self {
         Self {
@@ -297,6 +322,8 @@
             record_version: digest.record_version.0,
             can_own: digest.can_own,
             is_cut_off: digest.is_cut_off,
+            received_endpoints: (digest.received_version).map_or(0, |version| version.endpoints.0),
+            received_record: (digest.received_version).map_or(0, |version| version.record.0),
             places_version: digest.targets_version.0,
             owns: digest.is_owner,
             summing_hub: (digest.summing_hub.as_ref()).map(|hub| hub.as_str().to_owned()),
@@ -337,6 +364,15 @@
             summing_hub: summing_hub.transpose()?,
             has_sums: wire.has_sums,
             forwarded_version: ObjectVersion(wire.forwarded_version),
+            received_version: ((wire.received_endpoints, wire.received_record) != (0, 0)).then(
+                || {
+                    targets_version(
+                        wire.forwarded_version,
+                        wire.received_endpoints,
+                        wire.received_record,
+                    )
+                },
+            ),
             quarantine_hash: wire.quarantine_hash,
             config_version: wire.intent_version,
             // Older builds don't send it.
--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -9,11 +9,8 @@
 use replicas::{Endpoint, Presence};
 use store::StoredObject;
 
-use super::apply_shared_objects;
+use super::{apply_shared_objects, refresh_targets};
 use crate::border::ports::{CollectionChange, CollectionItem, StoreCollection};
-use crate::queries::{
-    complete_targets_version, current_targets, local_targets_version, ready_targets,
-};
 use crate::{CollectionEvent, EdgeEffect, EdgeState};
 
 /// Longest time from the beginning of a read of the configuration to its response.
@@ -282,23 +279,3 @@
         log::warn!(name:% = name; "object in the store can't be decoded, {effect}: {reason}");
     }
 }
-
-/// Updates the relay's targets, from the node's own state or from the owner's message,
-/// whichever is newer.
-///
-/// The owner's message may be newer as to the groups and older as to the endpoints.
-pub(crate) fn refresh_targets(state: &mut EdgeState) {
-    let complete_version = complete_targets_version(state);
-    let received = state.received_targets.as_ref();
-    let received = received.filter(|(_, version)| *version > complete_version);
-    let (targets, version) = match received {
-        Some((targets, version)) => (current_targets(state, targets, *version), *version),
-        None => (ready_targets(state).into(), local_targets_version(state)),
-    };
-    if targets != state.targets {
-        state.targets_version = version;
-        relay::commands::set_targets(&mut state.relay, targets.to_vec());
-        state.targets = targets;
-        state.has_unsent_targets = true;
-    }
-}
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -134,14 +134,17 @@
         report_lost_groups(state, now);
     }
     let slow_groups = state.slow_groups.iter();
+    let received_version = (state.received_targets.as_ref()).map(|(_, version)| *version);
     Digest {
         from: state.settings.node.clone(),
         config_version: state.config.version().unwrap_or(0),
         known_config: known_config(state),
         record_version: state.planner.version().unwrap_or_default(),
-        targets_version: state.targets_version,
-        forwarded_version: (state.forwarded_targets.as_ref())
-            .map_or(ObjectVersion::default(), |(_, version)| *version),
+        targets_version: state.targets_version.latest,
+        forwarded_version: received_version
+            .map(|version| version.latest)
+            .unwrap_or_default(),
+        received_version,
         is_owner: state.is_owner,
         can_own: can_own(state, now),
         is_cut_off: reach::queries::is_cut_off(&state.reach),
--- a/crates/edge/src/commands/distribution.rs
+++ b/crates/edge/src/commands/distribution.rs
@@ -3,8 +3,8 @@
 use base::prelude::*;
 use relay::SendTarget;
 
-use crate::peer::Digest;
-use crate::queries::{complete_targets_version, sends_sums_to, uses_hubs};
+use crate::peer::{Digest, TargetsVersion};
+use crate::queries::{read_targets_version, sends_sums_to, uses_hubs};
 use crate::{EdgeEffect, EdgeState};
 
 /// Sends changed targets of the owner to the hubs, which pass them on, and to the nodes that
@@ -21,7 +21,7 @@
 pub(super) fn pass_on_targets(
     state: &mut EdgeState,
     targets: Arc<[SendTarget]>,
-    version: ObjectVersion,
+    version: TargetsVersion,
     now: ClockTime,
 ) -> Vec<EdgeEffect> {
     let receivers = state.peers.iter().filter(|(node, peer)| {
@@ -44,14 +44,14 @@
 pub(super) fn distributed_targets(
     state: &EdgeState,
     digest: &Digest,
-) -> Option<(Arc<[SendTarget]>, ObjectVersion)> {
+) -> Option<(Arc<[SendTarget]>, TargetsVersion)> {
     if state.is_owner {
         return Some((state.targets.clone(), state.targets_version));
     }
     let has_none = digest.targets_version == ObjectVersion::default();
-    let local = || (state.targets.clone(), complete_targets_version(state));
-    let forwarded = state.forwarded_targets.clone();
-    forwarded.or_else(|| (has_none && !state.targets.is_empty()).then(local))
+    let local = || (state.targets.clone(), read_targets_version(state));
+    let received = state.received_targets.clone();
+    received.or_else(|| (has_none && !state.targets.is_empty()).then(local))
 }
 
 /// Sends the record of groups to every hub at once.
--- a/crates/edge/src/commands/mod.rs
+++ b/crates/edge/src/commands/mod.rs
@@ -13,9 +13,10 @@
 mod shared;
 mod stop;
 mod supply;
+mod targets;
 
 pub(crate) use calls::{arrive, check_stall, end_attempt, record_broken_attempt, record_progress};
-pub(crate) use collections::{apply_collection_event, expire_endpoints, refresh_targets};
+pub(crate) use collections::{apply_collection_event, expire_endpoints};
 pub(crate) use digests::send_digests;
 pub(crate) use distribution::send_record;
 pub(crate) use notices::record_notice;
@@ -29,3 +30,4 @@
 };
 pub(crate) use stop::{advance_stop, stop};
 pub(crate) use supply::finish_transfer;
+pub(crate) use targets::refresh_targets;
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -11,8 +11,10 @@
 use super::refresh_targets;
 use super::shared::adopt_record;
 use super::supply::{supply_config, supply_record};
-use crate::peer::{Digest, PeerMessage};
-use crate::queries::{choose_summing_hub, is_hub, sends_sums_to, uses_hubs};
+use crate::peer::{Digest, PeerMessage, TargetsVersion};
+use crate::queries::{
+    choose_summing_hub, is_hub, lacks_targets, merge_targets, sends_sums_to, uses_hubs,
+};
 use crate::{EdgeEffect, EdgeState};
 
 /// Shortest interval between two messages with the targets to a node.
@@ -32,7 +34,7 @@
             }
             Vec::new()
         }
-        PeerMessage::Targets(targets, version) => handle_targets(state, targets, version, now),
+        PeerMessage::Targets(targets, version) => handle_targets(state, (targets, version), now),
         PeerMessage::Crashes(evidence) => merge_evidence(state, &evidence, now),
         PeerMessage::Record(record, version) => {
             if adopt_record(state, record, version, now) {
@@ -66,31 +68,25 @@
     vec![EdgeEffect::Reconnect(peer.address)]
 }
 
-/// Uses targets that are newer than the present ones, or passes them on as a hub, which
-/// computes its own.
+/// Uses targets as far as they are newer than the present ones, whatever this node's role, and
+/// passes them on as a hub.
 fn handle_targets(
     state: &mut EdgeState,
-    targets: Arc<[SendTarget]>,
-    version: ObjectVersion,
+    received: (Arc<[SendTarget]>, TargetsVersion),
     now: ClockTime,
 ) -> Vec<EdgeEffect> {
-    let is_hub = is_hub(state);
-    let slot = if is_hub {
-        &mut state.forwarded_targets
-    } else {
-        &mut state.received_targets
+    let newest = match &state.received_targets {
+        Some(known) => merge_targets(known, received),
+        None => Some(received),
     };
-    if slot
-        .as_ref()
-        .is_some_and(|(_, current)| *current >= version)
-    {
+    let Some((targets, version)) = newest else {
         return Vec::new();
-    }
-    *slot = Some((targets.clone(), version));
-    if is_hub {
+    };
+    state.received_targets = Some((targets.clone(), version));
+    refresh_targets(state);
+    if is_hub(state) {
         return pass_on_targets(state, targets, version, now);
     }
-    refresh_targets(state);
     Vec::new()
 }
 
@@ -174,12 +170,18 @@
         return effects;
     };
     let may_send = |sent: Option<ClockTime>| sent.is_none_or(|at| now.since(at) >= RESEND_INTERVAL);
-    let has_older_targets = |version: ObjectVersion| match is_hub {
-        true => uses_hubs && is_owner && digest.forwarded_version < version,
-        false => sends_sums && digest.targets_version < version,
+    let is_supplied = if is_hub {
+        uses_hubs && is_owner
+    } else {
+        sends_sums
     };
+    let known_version = digest.received_version.unwrap_or_else(|| match is_hub {
+        true => digest.forwarded_version.into(),
+        false => digest.targets_version.into(),
+    });
     if let Some((targets, version)) = distributed_targets
-        && has_older_targets(version)
+        && is_supplied
+        && lacks_targets(known_version, version)
         && may_send(peer.targets_sent_at)
     {
         peer.targets_sent_at = Some(now);
--- a/crates/edge/src/commands/plan.rs
+++ b/crates/edge/src/commands/plan.rs
@@ -13,6 +13,7 @@
 use super::reach::{is_untrusted, record_trouble};
 use super::refresh_targets;
 use super::shared::record_change;
+use super::targets::announce_targets;
 use crate::peer::SlowPace;
 use crate::queries::{awaits_list, is_prober, next_plan, owner};
 use crate::{EdgeEffect, EdgeState};
@@ -30,6 +31,7 @@
             begin_ownership(&mut state.planner);
             probe_heads_often(&mut state.planner, now);
             spread_probes(&mut state.planner, now);
+            announce_targets(state);
         }
         log::info!(is_owner, record = state.planner.version().unwrap_or_default().0; "group ownership changed");
     }
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -12,7 +12,7 @@
 
 use crate::EdgeSettings;
 use crate::border::ports::{CollectionChange, CollectionItem, StoreCollection};
-use crate::peer::{Digest, PeerMessage};
+use crate::peer::{Digest, PeerMessage, TargetsVersion};
 
 /// Result of listing or watching a collection.
 #[derive(Clone, Debug)]
@@ -316,7 +316,7 @@
     pub(crate) fn targets(
         to: SocketAddr,
         targets: Arc<[SendTarget]>,
-        version: ObjectVersion,
+        version: TargetsVersion,
     ) -> Self {
         Self::Send {
             to,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,8 @@
     EdgeStatus, RejectReason, WatchMode,
 };
 pub use feed::{FeedResult, FeedSchedule, FeedStep, READ_PAUSE, StoreContact};
-pub use peer::{Digest, NodeWeight, PeerAddress, PeerMessage, SlowPace, transfer_timeout};
+pub use peer::{
+    Digest, NodeWeight, PeerAddress, PeerMessage, SlowPace, TargetsVersion, transfer_timeout,
+};
 pub use settings::{EdgeBounds, EdgeSettings};
 pub use state::{EdgeState, EdgeTimes};
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -56,6 +56,28 @@
     }
 }
 
+/// Versions of what send targets were computed from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TargetsVersion {
+    /// Version by which earlier builds order them, about the newer of the two below.
+    pub latest: ObjectVersion,
+    /// Revision of the store up to which the endpoints were read.
+    pub endpoints: ObjectVersion,
+    /// Version of the record of groups.
+    pub record: ObjectVersion,
+}
+
+impl From<ObjectVersion> for TargetsVersion {
+    /// Version of targets of an earlier build, which names only one.
+    fn from(version: ObjectVersion) -> Self {
+        Self {
+            latest: version,
+            endpoints: version,
+            record: version,
+        }
+    }
+}
+
 /// State of a node that it sends to others at regular intervals.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Digest {
@@ -69,8 +91,10 @@
     pub record_version: ObjectVersion,
     /// Version of the send targets that it uses; zero for none.
     pub targets_version: ObjectVersion,
-    /// Version of the owner's targets that it passes on as a hub; zero for none.
+    /// Version of the owner's targets that it has, in the form of earlier builds; zero for none.
     pub forwarded_version: ObjectVersion,
+    /// Version of the owner's targets that it has; `None` for none, and from earlier builds.
+    pub received_version: Option<TargetsVersion>,
     /// Whether it owns the groups.
     pub is_owner: bool,
     /// Whether it can own the groups: it reaches the store and isn't stopping.
@@ -119,7 +143,7 @@
     /// Configuration that the receiver lacks, and the text that it was parsed from.
     RoutingConfig(Arc<intent::RoutingConfig>, Arc<str>),
     /// Send targets that the receiver lacks.
-    Targets(Arc<[SendTarget]>, ObjectVersion),
+    Targets(Arc<[SendTarget]>, TargetsVersion),
     /// Record of groups that the receiver lacks.
     Record(Arc<GroupRecord>, ObjectVersion),
     /// Crashes of servers, and the parts of prompts that they may be due to.
--- a/crates/edge/src/queries/hubs.rs
+++ b/crates/edge/src/queries/hubs.rs
@@ -16,7 +16,7 @@
 use super::owner::is_peer_alive;
 use crate::EdgeState;
 use crate::border::ports::StoreCollection;
-use crate::peer::Digest;
+use crate::peer::{Digest, TargetsVersion};
 use crate::state::PeerState;
 
 /// Largest number of nodes that all exchange digests.
@@ -196,29 +196,33 @@
     has_waited || (has_listed_nodes && is_hub(state))
 }
 
-/// Version of the targets that this node computes itself: the revision of the store
-/// up to which it has read the endpoints and the record.
-pub(crate) fn local_targets_version(state: &EdgeState) -> ObjectVersion {
-    let (endpoints, record) = read_revisions(state);
-    endpoints.max(record)
+/// Version of the targets that this node computes itself: the revision of the store up to which it
+/// has read the endpoints, and its record.
+pub(crate) fn local_targets_version(state: &EdgeState) -> TargetsVersion {
+    let endpoints = read_revision(state, StoreCollection::Endpoints);
+    let record = state.planner.version().unwrap_or_default();
+    TargetsVersion {
+        latest: endpoints.max(record),
+        endpoints,
+        record,
+    }
 }
 
-/// Revision of the store up to which this node knows both the endpoints and the record.
-///
-/// Targets from newer endpoints and an older record would lack all groups formed since.
-pub(crate) fn complete_targets_version(state: &EdgeState) -> ObjectVersion {
-    let shared = state
-        .collection(StoreCollection::Shared)
-        .map(|entry| entry.revision);
-    let (endpoints, record) = read_revisions(state);
-    endpoints.min(record.max(shared.unwrap_or_default()))
+/// Revisions of the store up to which this node knows the endpoints and the record; a record that
+/// hasn't changed since is as new as what was read of the store last.
+pub(crate) fn read_targets_version(state: &EdgeState) -> TargetsVersion {
+    let shared = read_revision(state, StoreCollection::Shared);
+    let local = local_targets_version(state);
+    let record = local.record.max(shared);
+    TargetsVersion {
+        latest: local.endpoints.min(record),
+        record,
+        ..local
+    }
 }
 
-/// Revision up to which the endpoints were read, and version of the record.
-fn read_revisions(state: &EdgeState) -> (ObjectVersion, ObjectVersion) {
-    let endpoints = state
-        .collection(StoreCollection::Endpoints)
-        .map(|entry| entry.revision);
-    let record = state.planner.version();
-    (endpoints.unwrap_or_default(), record.unwrap_or_default())
+/// Revision of the store up to which a collection was read.
+fn read_revision(state: &EdgeState, collection: StoreCollection) -> ObjectVersion {
+    let entry = state.collection(collection);
+    entry.map(|entry| entry.revision).unwrap_or_default()
 }
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -14,8 +14,8 @@
 pub use deadline::next_deadline;
 pub(crate) use deadline::next_plan;
 pub(crate) use hubs::{
-    choose_summing_hub, complete_targets_version, has_able_hub, is_hub, lists_endpoints,
-    local_targets_version, receives_targets, select_hubs, sends_sums_to, uses_hubs,
+    choose_summing_hub, has_able_hub, is_hub, lists_endpoints, read_targets_version,
+    receives_targets, select_hubs, sends_sums_to, uses_hubs,
 };
 pub(crate) use owner::{awaits_list, can_own, is_cut_off_alone, is_peer_alive, is_prober, owner};
 pub(crate) use pass::pass_candidates;
@@ -23,4 +23,5 @@
 pub(crate) use status::startup_wait;
 pub use status::status;
 pub(crate) use supply::supply_delay;
-pub(crate) use targets::{current_targets, ready_targets};
+pub use targets::{TargetsSource, choose_source, merge_targets};
+pub(crate) use targets::{current_targets, lacks_targets};
--- a/crates/edge/src/queries/targets.rs
+++ b/crates/edge/src/queries/targets.rs
@@ -4,8 +4,9 @@
 use relay::SendTarget;
 use replicas::{Presence, queries::serving_groups};
 
+use super::hubs::{local_targets_version, read_targets_version};
 use crate::EdgeState;
-use crate::border::ports::StoreCollection;
+use crate::peer::TargetsVersion;
 
 /// Heads of the groups that serve, and plain servers that are ready.
 pub(crate) fn ready_targets(state: &EdgeState) -> Vec<SendTarget> {
@@ -53,17 +54,88 @@
     groups.chain(plain).collect()
 }
 
-/// Targets of the owner's message, corrected by this node's own list of the endpoints if that
-/// is newer: plain servers as listed, and only groups whose head is listed as ready.
-pub(crate) fn current_targets(
-    state: &EdgeState,
-    received: &Arc<[SendTarget]>,
-    version: ObjectVersion,
-) -> Arc<[SendTarget]> {
-    let listed = state.collection(StoreCollection::Endpoints);
-    if listed.is_none_or(|entry| entry.revision <= version) {
-        return received.clone();
+/// Where the targets come from that a node uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetsSource {
+    /// Its own view of the endpoints and of the groups.
+    Own,
+    /// The owner's message.
+    Owner,
+    /// The groups of the owner's message whose head it lists as ready, and the plain servers that
+    /// it lists.
+    OwnerGroups,
+}
+
+/// Chooses between a node's own view and the owner's message, whichever is newer.
+///
+/// Own groups need both: from newer endpoints and an older record, all groups formed since would
+/// be missing.
+pub fn choose_source(own: TargetsVersion, received: TargetsVersion) -> TargetsSource {
+    if own.endpoints < received.endpoints {
+        TargetsSource::Owner
+    } else if own.record < received.record {
+        TargetsSource::OwnerGroups
+    } else {
+        TargetsSource::Own
+    }
+}
+
+/// Owner's targets that a node has after another message with targets: the groups of the newer
+/// record and the plain servers of the newer endpoints; `None` if nothing of it is newer.
+pub fn merge_targets(
+    known: &(Arc<[SendTarget]>, TargetsVersion),
+    received: (Arc<[SendTarget]>, TargetsVersion),
+) -> Option<(Arc<[SendTarget]>, TargetsVersion)> {
+    let (known_targets, known_version) = known;
+    let (targets, version) = &received;
+    let has_newer_endpoints = version.endpoints > known_version.endpoints;
+    let has_newer_record = version.record > known_version.record;
+    let has_older_endpoints = version.endpoints < known_version.endpoints;
+    let has_older_record = version.record < known_version.record;
+    let (groups, plain) = match (has_newer_record, has_newer_endpoints) {
+        (false, false) => return None,
+        (true, _) if has_older_endpoints => (targets, known_targets),
+        (_, true) if has_older_record => (known_targets, targets),
+        _ => return Some(received),
+    };
+    let groups = groups.iter().filter(|target| target.model.is_some());
+    let plain = plain.iter().filter(|target| target.model.is_none());
+    let merged = groups.chain(plain).cloned().collect();
+    let version = TargetsVersion {
+        latest: version.latest.max(known_version.latest),
+        endpoints: version.endpoints.max(known_version.endpoints),
+        record: version.record.max(known_version.record),
+    };
+    Some((merged, version))
+}
+
+/// Whether a node that has targets of this version lacks a part of the others.
+pub(crate) fn lacks_targets(known: TargetsVersion, others: TargetsVersion) -> bool {
+    known.endpoints < others.endpoints || known.record < others.record
+}
+
+/// Targets that this node should use now, and their version.
+pub(crate) fn current_targets(state: &EdgeState) -> (Arc<[SendTarget]>, TargetsVersion) {
+    let local = local_targets_version(state);
+    let own = || (ready_targets(state).into(), local);
+    let Some((received, version)) = &state.received_targets else {
+        return own();
+    };
+    match choose_source(read_targets_version(state), *version) {
+        TargetsSource::Own => own(),
+        TargetsSource::Owner => (received.clone(), *version),
+        TargetsSource::OwnerGroups => {
+            let version = TargetsVersion {
+                endpoints: local.endpoints,
+                ..*version
+            };
+            (correct_targets(state, received), version)
+        }
     }
+}
+
+/// Targets of the owner's message, corrected by this node's own list of the endpoints.
+fn correct_targets(state: &EdgeState, received: &Arc<[SendTarget]>) -> Arc<[SendTarget]> {
     let endpoints = state.planner.endpoints();
     let is_ready = |id: &HostName| {
         let view = endpoints.get(id);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -12,7 +12,7 @@
 use replicas::{PlannerSettings, PlannerState};
 
 use crate::border::ports::StoreCollection;
-use crate::peer::{Digest, NodeWeight, SlowPace};
+use crate::peer::{Digest, NodeWeight, SlowPace, TargetsVersion};
 use crate::{EdgeBounds, EdgeEffect, EdgeSettings, WatchMode};
 
 /// Buckets in a retry window.
@@ -319,14 +319,13 @@
     pub(crate) received_weight: Option<NodeWeight>,
     /// Last digest of a node that owned the groups and reached the store.
     pub(crate) owner_seen_at: Option<ClockTime>,
-    /// Targets that the owner has sent, and their version.
-    pub(crate) received_targets: Option<(Arc<[SendTarget]>, ObjectVersion)>,
-    /// Targets that this hub passes on to the nodes that it sends the sums to.
-    pub(crate) forwarded_targets: Option<(Arc<[SendTarget]>, ObjectVersion)>,
+    /// Newest targets that owners have sent, and their version. A hub passes them on to the nodes
+    /// that it sends the sums to.
+    pub(crate) received_targets: Option<(Arc<[SendTarget]>, TargetsVersion)>,
     /// Targets that this node uses.
     pub(crate) targets: Arc<[SendTarget]>,
     /// Version of the last change of `targets`.
-    pub(crate) targets_version: ObjectVersion,
+    pub(crate) targets_version: TargetsVersion,
     /// Whether `targets` have changed since they were last sent to other nodes.
     pub(crate) has_unsent_targets: bool,
     pub(crate) digest_due: ClockTime,
@@ -404,9 +403,8 @@
             received_weight: None,
             owner_seen_at: None,
             received_targets: None,
-            forwarded_targets: None,
             targets: Arc::new([]),
-            targets_version: ObjectVersion::default(),
+            targets_version: TargetsVersion::default(),
             has_unsent_targets: false,
             digest_due: now,
             plan_due: now,
--- a/crates/edge/tests/suite/hubs.rs
+++ b/crates/edge/tests/suite/hubs.rs
@@ -10,7 +10,7 @@
     PeerMessage, WatchMode,
 };
 use relay::SendTarget;
-use store::{ObjectKey, StoredObject};
+use store::{ObjectKey, StoredObject, UpdateOutcome};
 
 const NODES: usize = 30;
 
@@ -74,6 +74,7 @@
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(targets_version),
         forwarded_version: ObjectVersion(0),
+        received_version: None,
         is_owner,
         can_own: true,
         is_cut_off: false,
@@ -105,7 +106,7 @@
         epoch: GroupEpoch(0),
         slots: 6,
     };
-    PeerMessage::Targets(Arc::new([target]), ObjectVersion(version))
+    PeerMessage::Targets(Arc::new([target]), ObjectVersion(version).into())
 }
 
 #[test]
@@ -172,7 +173,7 @@
 fn older_targets_never_replace_newer_ones() {
     let mut state = spoke("n20");
     state.handle(EdgeEvent::Peer(targets_message()), at(21));
-    let older = PeerMessage::Targets(Arc::new([]), ObjectVersion(39));
+    let older = PeerMessage::Targets(Arc::new([]), ObjectVersion(39).into());
     state.handle(EdgeEvent::Peer(older), at(22));
     let outcome = arrive(&mut state, 1, "/x/a", at(23));
     assert!(matches!(
@@ -337,3 +338,122 @@
         "{outcome:?}"
     );
 }
+
+/// Lets a hub take over the groups, and writes its claim as this version of the record; returns
+/// the record that it sends to the other hubs.
+fn take_over(owner: &mut EdgeState, version: u64, until: u64) -> PeerMessage {
+    let mut claim = None;
+    for now in (10..until).step_by(10) {
+        for effect in owner.wake(at(now)) {
+            match effect {
+                EdgeEffect::Update(change) if change.key.as_str() == "groups" => {
+                    claim = Some(change);
+                }
+                _ => {}
+            }
+        }
+    }
+    let claim = claim.expect("the owner claims the groups");
+    let written = UpdateOutcome::Applied(ObjectVersion(version));
+    let sent = owner.handle(EdgeEvent::Updated(claim, written), at(until));
+    let records = sent.into_iter().filter_map(|effect| match effect {
+        EdgeEffect::Send { message, .. } if message.kind() == "record" => Some(message),
+        _ => None,
+    });
+    records.last().expect("the owner sends its record")
+}
+
+/// Latest targets and record that an owner sends, which has read the endpoints until revision 45
+/// and written the record as revision 70.
+fn targets_of_an_owner_with_an_older_list() -> (PeerMessage, PeerMessage) {
+    let mut owner = node_with_capacity("n00", 500);
+    let record = take_over(&mut owner, 70, 800);
+    // The list took long to arrive.
+    let items = ["p-1", "p-7"].map(|id| CollectionItem::Endpoint(endpoint(id)));
+    let listed = CollectionEvent::Listed(items.into(), ObjectVersion(45));
+    apply_event(&mut owner, StoreCollection::Endpoints, listed, at(900));
+    let sent = (900..1_400).step_by(10).flat_map(|now| owner.wake(at(now)));
+    let targets = sent.filter_map(|effect| match effect {
+        EdgeEffect::Send { message, .. } if message.kind() == "targets" => Some(message),
+        _ => None,
+    });
+    let targets = targets.last().expect("the owner sends its targets");
+    (targets, record)
+}
+
+#[test]
+fn a_server_that_the_own_watch_saw_leave_gets_no_requests_because_the_owner_wrote_the_record() {
+    let (targets, _) = targets_of_an_owner_with_an_older_list();
+    for (name, capacity) in [("n20", 250), ("n01", 500)] {
+        let mut state = node_with_capacity(name, capacity);
+        let listed = vec![CollectionItem::Endpoint(endpoint("p-1"))];
+        let listed = CollectionEvent::Listed(listed, ObjectVersion(60));
+        apply_event(&mut state, StoreCollection::Endpoints, listed, at(30));
+        state.handle(EdgeEvent::Peer(targets.clone()), at(40));
+        for call in 0..10 {
+            let outcome = arrive(&mut state, call, "/x/a", at(41));
+            assert!(
+                matches!(
+                    &outcome,
+                    edge::ArrivalOutcome::Accepted { step: relay::CallStep::Send(order), .. }
+                        if order.target.as_str() == "p-1"
+                ),
+                "{name}: {outcome:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn targets_of_a_lost_owner_with_an_older_list_are_replaced_by_those_of_the_next_owner() {
+    let (targets, record) = targets_of_an_owner_with_an_older_list();
+    let mut spoke = spoke("n20");
+    spoke.handle(EdgeEvent::Peer(targets), at(40));
+    // The next owner has read that p-7 left.
+    let mut owner = node_with_capacity("n01", 500);
+    for (servers, revision) in [(vec!["p-1", "p-7"], 40), (vec!["p-1"], 60)] {
+        let items = servers.into_iter();
+        let items = items.map(|id| CollectionItem::Endpoint(endpoint(id)));
+        let listed = CollectionEvent::Listed(items.collect(), ObjectVersion(revision));
+        apply_event(&mut owner, StoreCollection::Endpoints, listed, at(5));
+    }
+    owner.handle(EdgeEvent::Peer(record), at(6));
+    take_over(&mut owner, 80, 800);
+    for now in (810..4_000).step_by(10) {
+        if now % 500 == 10 {
+            let unchanged = || CollectionEvent::Changed(Vec::new(), ObjectVersion(100 + now));
+            for collection in [StoreCollection::Endpoints, StoreCollection::Shared] {
+                apply_event(&mut owner, collection, unchanged(), at(now));
+            }
+        }
+        for (sender, receiver, port) in [(0, 1, 1_020), (1, 0, 1_001)] {
+            let nodes = [&mut owner, &mut spoke];
+            let mut waiting = nodes[sender].wake(at(now));
+            let mut answers = Vec::new();
+            for effect in waiting.drain(..) {
+                if let EdgeEffect::Send { to, message } = effect
+                    && to.port() == port
+                {
+                    answers.extend(nodes[receiver].handle(EdgeEvent::Peer(message), at(now)));
+                }
+            }
+            for effect in answers {
+                if let EdgeEffect::Send { message, .. } = effect {
+                    nodes[sender].handle(EdgeEvent::Peer(message), at(now));
+                }
+            }
+        }
+    }
+    assert!(status(&mut owner, at(4_000)).is_owner);
+    for call in 0..10 {
+        let outcome = arrive(&mut spoke, call, "/x/a", at(4_000));
+        assert!(
+            matches!(
+                &outcome,
+                edge::ArrivalOutcome::Accepted { step: relay::CallStep::Send(order), .. }
+                    if order.target.as_str() == "p-1"
+            ),
+            "{outcome:?}"
+        );
+    }
+}
--- a/crates/edge/tests/suite/link_bytes.rs
+++ b/crates/edge/tests/suite/link_bytes.rs
@@ -166,7 +166,7 @@
         }
         for (index, event) in std::mem::take(&mut self.in_flight) {
             if let EdgeEvent::Peer(PeerMessage::Targets(_, version)) = &event {
-                self.newest[index] = self.newest[index].max(*version);
+                self.newest[index] = self.newest[index].max(version.latest);
             }
             let effects = self.nodes[index].handle(event, at(self.now));
             self.execute(index, effects);
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -29,3 +29,4 @@
 mod silent_store;
 mod store_away;
 mod support;
+mod targets;
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use edge::border::{MessageError, decode_message, encode_message};
-use edge::{Digest, PeerMessage, SlowPace};
+use edge::{Digest, PeerMessage, SlowPace, TargetsVersion};
 
 use crate::support::at;
 use quarantine::{
@@ -24,6 +24,11 @@
         record_version: ObjectVersion(12),
         targets_version: ObjectVersion(11),
         forwarded_version: ObjectVersion(8),
+        received_version: Some(TargetsVersion {
+            latest: ObjectVersion(8),
+            endpoints: ObjectVersion(6),
+            record: ObjectVersion(8),
+        }),
         is_owner: true,
         can_own: true,
         is_cut_off: false,
@@ -80,12 +85,24 @@
         slots: 17,
     };
     let targets: Arc<[SendTarget]> = Arc::new([target]);
-    let message = PeerMessage::Targets(targets.clone(), ObjectVersion(5));
-    let decoded = decode_message(&encode_message(&message, at(0)), at(0), &no_config).unwrap();
-    let PeerMessage::Targets(decoded, version) = decoded else {
-        panic!("another message: {decoded:?}");
+    let versions = |endpoints, record| TargetsVersion {
+        latest: ObjectVersion(5),
+        endpoints: ObjectVersion(endpoints),
+        record: ObjectVersion(record),
     };
-    assert_eq!((decoded, version), (targets, ObjectVersion(5)));
+    // An earlier build sends only the first number.
+    for (sent, expected) in [
+        (versions(4, 5), versions(4, 5)),
+        (versions(5, 0), versions(5, 0)),
+        (versions(0, 0), versions(5, 5)),
+    ] {
+        let message = PeerMessage::Targets(targets.clone(), sent);
+        let decoded = decode_message(&encode_message(&message, at(0)), at(0), &no_config).unwrap();
+        let PeerMessage::Targets(decoded, version) = decoded else {
+            panic!("another message: {decoded:?}");
+        };
+        assert_eq!((decoded, version), (targets.clone(), expected));
+    }
 }
 
 #[test]
--- a/crates/edge/tests/suite/node.rs
+++ b/crates/edge/tests/suite/node.rs
@@ -328,6 +328,7 @@
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(0),
         forwarded_version: ObjectVersion(0),
+        received_version: None,
         is_owner: true,
         can_own: true,
         is_cut_off: false,
--- a/crates/edge/tests/suite/owner_loss.rs
+++ b/crates/edge/tests/suite/owner_loss.rs
@@ -64,6 +64,7 @@
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(0),
         forwarded_version: ObjectVersion(0),
+        received_version: None,
         is_owner: false,
         can_own: true,
         is_cut_off: false,
@@ -97,7 +98,7 @@
         epoch: GroupEpoch(0),
         slots: 6,
     };
-    PeerMessage::Targets(Arc::new([target]), ObjectVersion(version))
+    PeerMessage::Targets(Arc::new([target]), ObjectVersion(version).into())
 }
 
 /// Ports of the nodes that are sent a message of a kind.
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -190,6 +190,7 @@
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(0),
         forwarded_version: ObjectVersion(0),
+        received_version: None,
         is_owner: false,
         can_own,
         is_cut_off: false,
