Edge tests: store taken for away, and versions that can't be read (fail)

Cause: takes the store for away if the feed of the configuration failed and no hub is heard. On a full link both hold while the store answers other reads, so the node accepts requests by the older version past the bound. A version that was read and can't be parsed counts as missing for 7 s, and the next one comes sooner. Ruled out: the test's timing; with digests each 100 ms the first one is rejected. Change: two tests.

--- a/crates/edge/tests/suite/config_notices.rs
+++ b/crates/edge/tests/suite/config_notices.rs
@@ -100,3 +100,62 @@
         "it was answered at {answered_at:?} ms"
     );
 }
+
+#[test]
+fn a_node_that_only_lacks_reads_of_the_configuration_rejects_requests_in_time() {
+    let mut state = ready("n1", "n2");
+    state.handle(digest("n2", true, 2), at(100));
+    // The link is full: digests are late and no configuration arrives whole, but the store answers.
+    let mut accepted = Vec::new();
+    for now in (150..5_000).step_by(50) {
+        let failed = CollectionEvent::Unavailable;
+        apply_event(&mut state, StoreCollection::RoutingConfig, failed, at(now));
+        let unchanged = || CollectionEvent::Changed(Vec::new(), ObjectVersion(now));
+        for collection in [StoreCollection::Endpoints, StoreCollection::Shared] {
+            apply_event(&mut state, collection, unchanged(), at(now));
+        }
+        if now % 1_500 == 0 {
+            state.handle(digest("n2", true, 2), at(now));
+        }
+        state.wake(at(now));
+        let outcome = arrive(&mut state, now, "/x/a", at(now));
+        if now >= 100 + CONFIG_APPLY_MS && matches!(outcome, ArrivalOutcome::Accepted { .. }) {
+            accepted.push(now);
+        }
+    }
+    assert!(
+        accepted.is_empty(),
+        "accepted by version 1 at {accepted:?} ms"
+    );
+}
+
+#[test]
+fn a_version_that_this_build_cannot_read_stops_no_node() {
+    let mut state = ready("n1", "n2");
+    let mut rejected = Vec::new();
+    for now in (100..20_000).step_by(100) {
+        // A version each 1.2 s, which another build reads and this one can't.
+        let version = 2 + (now - 100) / 1_200;
+        state.handle(digest("n2", true, version), at(now));
+        if (now - 100) % 1_200 == 200 {
+            let item = CollectionItem::Unreadable {
+                name: "main".into(),
+                reason: "unknown kind of route".into(),
+            };
+            let change = vec![CollectionChange::Put(item)];
+            let change = CollectionEvent::Changed(change, ObjectVersion(version));
+            apply_event(&mut state, StoreCollection::RoutingConfig, change, at(now));
+        }
+        let outcome = arrive(&mut state, now, "/x/a", at(now));
+        if !matches!(outcome, ArrivalOutcome::Accepted { .. }) {
+            rejected.push(now);
+        }
+    }
+    assert!(
+        rejected.is_empty(),
+        "rejected at {} of 199 instants, first at {:?} and last at {:?} ms",
+        rejected.len(),
+        rejected.first(),
+        rejected.last()
+    );
+}
