Fix: a full link was taken for a store that is away

Cause, found by the reviewer in: one failing collection and the absence of digests counted as an outage of the store. Beside it, a version that this build can't parse stopped the node for 7 s each time, and a number disproved before a restore of the store would never be taken up again. Change: away is what every hub that is heard says, or what all collections of this node show for 1.5 s where none is heard. An object that can't be parsed disproves at once; a restore forgets all numbers.

--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -1,7 +1,7 @@
 //! Changes of the collections in the platform's store.
 
 use base::prelude::*;
-use intent::AdoptOutcome;
+use intent::{AdoptOutcome, ConfigNotices};
 use replicas::commands::{
     ListChange, RestoreTimes, change_list, replace_list, replace_restored_list,
     restore_recorded_members,
@@ -48,6 +48,10 @@
     }
     let effects = match (collection, event) {
         (StoreCollection::RoutingConfig, event) => {
+            if is_restored {
+                // Versions are counted anew.
+                state.config_notices = ConfigNotices::default();
+            }
             apply_configs(state, event, now);
             Vec::new()
         }
@@ -123,7 +127,10 @@
             CollectionItem::RoutingConfig(config, text) => {
                 adopt_config(state, config, text, "store", now);
             }
-            other => log_unreadable(&other, "the active configuration is kept"),
+            other => {
+                log_unreadable(&other, "the active configuration is kept");
+                state.config_notices.disprove(now);
+            }
         }
     }
 }
--- a/crates/edge/src/queries/config_age.rs
+++ b/crates/edge/src/queries/config_age.rs
@@ -24,6 +24,9 @@
 /// Time in which the number of an acknowledged version reaches every node by way of the hubs.
 const NOTICE_TIME: Duration = Duration::from_millis(1_000);
 
+/// Time without a response of the store after which a node that hears no hub takes it for away.
+const STORE_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// What this node knows of newer versions of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum ConfigAge {
@@ -56,10 +59,26 @@
     }
 }
 
-/// Whether the store responds neither to this node nor to any hub that it hears.
+/// Whether the store responds neither to this node nor to any hub.
+///
+/// A full link can keep one collection, or the digests of all hubs, from arriving, so neither alone
+/// says that the store is away.
 fn is_store_away(state: &EdgeState, now: ClockTime) -> bool {
-    let entry = state.collection(StoreCollection::RoutingConfig);
-    entry.is_some_and(|entry| entry.is_unavailable) && has_able_hub(state, now) != Some(true)
+    let is_unavailable =
+        |collection| matches!(state.collection(collection), Some(entry) if entry.is_unavailable);
+    if !is_unavailable(StoreCollection::RoutingConfig) {
+        return false;
+    }
+    match has_able_hub(state, now) {
+        Some(is_able) => !is_able,
+        None => {
+            let entries = StoreCollection::ALL.map(|collection| state.collection(collection));
+            let responses = entries.into_iter().flatten();
+            let last_response = responses.filter_map(|entry| entry.last_response_at).max();
+            StoreCollection::ALL.into_iter().all(is_unavailable)
+                && last_response.is_none_or(|at| now.since(at) >= STORE_SILENCE)
+        }
+    }
 }
 
 /// Route and workspace of a request by a configuration, or why it has none.
