Gateways send bodies at a bounded rate, and one at a time is asked for

What callers saw (event loops): with a document of 300 kB that changes every 1.2 s and one watcher of each failure domain in touch with the store, ready gateways used a superseded document for 6.5 s at 70 and 195 nodes (bound 3 s).

Cause: each node that knows a proven version asks the first peer that announced it and, every 0.4 s, the next; a peer answers every request with the whole body. Few nodes have the body at first, so that 7.5 MB (70 nodes) and 11.4 MB (195) were queued in a second on a link that carries 2.5, behind which the next requests expire. A body whose version had been superseded on its way was refused, proven or not, and so was a newer one that a holder sent in place of the one asked for.

Change: a node sends bodies at half the rate of a link of 20 Mbit/s, with 100 ms of backlog at the most, and answers further requests with the version that it has; the asker turns to another holder after 25 to 50 ms. Holders are chosen at random, not the one asked last. Bodies of earlier proven versions are put into force while a newer one is fetched, and a newer one if the peer asked proves it by itself.

--- a/crates/members/src/catalog.rs
+++ b/crates/members/src/catalog.rs
@@ -11,6 +11,9 @@
 /// Most versions in quarantine that one peer was the first to announce.
 const QUARANTINE_LIMIT_PER_PEER: usize = 1_024;
 
+/// Most proven versions of an item that are remembered while a newer one is fetched.
+const MAX_SUPERSEDED_VERSIONS: usize = 4;
+
 /// Item in force; only newer versions of its key are accepted.
 #[derive(Clone, Debug)]
 pub struct HeldItem {
@@ -37,7 +40,38 @@
     /// Peers known to have the version.
     pub holders: Vec<NodeName>,
     pub retry_at: ClockTime,
+    /// Requests that had no answer.
     pub attempts: usize,
+    /// Peer that was asked last.
+    pub asked: Option<NodeName>,
+    /// Earlier versions that were proven, whose bodies may still arrive.
+    pub superseded: Vec<ItemEntry>,
+}
+
+impl PendingFetch {
+    /// Fetch of a proven version, due at once.
+    pub fn new(entry: ItemEntry, holders: Vec<NodeName>, now: ClockTime) -> Self {
+        Self {
+            entry,
+            holders,
+            retry_at: now,
+            attempts: 0,
+            asked: None,
+            superseded: Vec::new(),
+        }
+    }
+
+    /// Whether a version is proven: the one to fetch or an earlier one.
+    pub fn is_proven(&self, entry: &ItemEntry) -> bool {
+        self.entry == *entry || self.superseded.contains(entry)
+    }
+
+    /// Remembers the versions of the fetch that this one replaces, the newest ones first.
+    pub fn supersede(&mut self, former: PendingFetch) {
+        self.superseded = vec![former.entry];
+        self.superseded.extend(former.superseded);
+        self.superseded.truncate(MAX_SUPERSEDED_VERSIONS);
+    }
 }
 
 /// Comparison of a version with the one in force.
--- a/crates/members/src/commands/announce.rs
+++ b/crates/members/src/commands/announce.rs
@@ -16,6 +16,7 @@
         let mut effects = Vec::new();
         let mut newer = Vec::new();
         for entry in entries {
+            self.leave_busy_peer(from, &entry, now);
             match self.catalog.compare(&entry) {
                 VersionOrder::Same => {}
                 VersionOrder::Newer => effects.extend(self.evaluate_version(from, &entry, now)),
@@ -106,12 +107,10 @@
             };
             return self.install_item(item, &holders, now);
         }
-        let pending = PendingFetch {
-            entry: entry.clone(),
-            holders,
-            retry_at: now,
-            attempts: 0,
-        };
+        let mut pending = PendingFetch::new(entry.clone(), holders, now);
+        if let Some(former) = self.catalog.pending_fetches.remove(&entry.key) {
+            pending.supersede(former);
+        }
         self.catalog.pending_fetches.insert(entry.key, pending);
         Vec::new()
     }
--- a/crates/members/src/commands/bodies.rs
+++ b/crates/members/src/commands/bodies.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use rand::RngExt;
+use rand::seq::IteratorRandom;
 
 use super::announce::refuse;
 use crate::catalog::VersionOrder;
@@ -13,6 +14,8 @@
 const KEYS_PER_FETCH: usize = 64;
 /// Total size of the bodies above which a frame is split.
 const BYTES_PER_FRAME: usize = 64 * 1_024;
+/// Time by which bodies may be behind the rate of bodies before a request is turned down.
+const MAX_BODY_BACKLOG: Duration = Duration::from_millis(100);
 /// Attempts with peers before a body is read from the store.
 const PEER_FETCH_ATTEMPTS: usize = 4;
 /// Attempts after which a ready node drops a fetch until the version is
@@ -36,8 +39,10 @@
                 abandoned.push(key.clone());
                 continue;
             }
-            let index = pending.attempts % pending.holders.len().max(1);
-            let holder = pending.holders.get(index).or(fallback.as_ref());
+            let others = pending.holders.iter();
+            let others = others.filter(|peer| Some(*peer) != pending.asked.as_ref());
+            let holder = others.choose(&mut self.random).or(pending.holders.first());
+            let holder = holder.or(fallback.as_ref()).cloned();
             let read_first = self.store.is_watcher && pending.holders.is_empty();
             let read_turn = if read_first { 0 } else { PEER_FETCH_ATTEMPTS };
             let is_read_turn = pending.attempts % (PEER_FETCH_ATTEMPTS + 1) == read_turn;
@@ -46,7 +51,8 @@
                 pending.retry_at = self.store.next_read_at;
                 continue;
             }
-            match holder.filter(|_| !is_read_turn) {
+            pending.asked = holder.filter(|_| !is_read_turn);
+            match &pending.asked {
                 Some(holder) => fetches.entry(holder.clone()).or_default().push(key.clone()),
                 None => reads.push(key.clone()),
             }
@@ -88,10 +94,36 @@
         Some(PeerEffect::ReadItems(keys))
     }
 
-    /// Answers with the requested items, several in a frame.
-    pub(crate) fn answer_fetch(&self, from: &NodeName, keys: &[ItemKey]) -> Vec<PeerEffect> {
+    /// Asks another peer soon if a peer answers a request for a body with its version only.
+    pub(crate) fn leave_busy_peer(&mut self, from: &NodeName, entry: &ItemEntry, now: ClockTime) {
+        if self.catalog.pending_fetches.is_empty() {
+            return;
+        }
+        let retry_at = self.jittered_instant(now, self.settings.busy_retry_interval);
+        let Some(pending) = self.catalog.pending_fetches.get_mut(&entry.key) else {
+            return;
+        };
+        if pending.asked.as_ref() == Some(from) && entry.version >= pending.entry.version {
+            pending.attempts = pending.attempts.saturating_sub(1);
+            pending.retry_at = pending.retry_at.min(retry_at);
+        }
+    }
+
+    /// Answers with the requested items, several in a frame; while the bodies sent before have not
+    /// passed at the rate of bodies, with their versions only.
+    pub(crate) fn answer_fetch(
+        &mut self,
+        from: &NodeName,
+        keys: &[ItemKey],
+        now: ClockTime,
+    ) -> Vec<PeerEffect> {
+        if self.timers.bodies_sent_at > now + MAX_BODY_BACKLOG {
+            return self.answer_confirm(from, keys);
+        }
+
         let mut frames = vec![Vec::new()];
         let mut bytes = 0;
+        let mut total = 0;
         for key in keys {
             let Some(held) = self.catalog.get(key) else {
                 continue;
@@ -102,6 +134,7 @@
                 bytes = 0;
             }
             bytes += size;
+            total += size;
             let item = Item {
                 key: key.clone(),
                 version: held.version,
@@ -112,6 +145,9 @@
                 .expect("there is at least one frame")
                 .push(item);
         }
+        let seconds = total as f64 / f64::from(self.settings.body_rate);
+        let begins_at = self.timers.bodies_sent_at.max(now);
+        self.timers.bodies_sent_at = begins_at + Duration::from_secs_f64(seconds);
         let filled = frames.into_iter().filter(|items| !items.is_empty());
         filled
             .filter_map(|items| self.send_to(from, PeerMessage::Items(items)))
@@ -129,32 +165,40 @@
         for item in items {
             let entry = item.entry();
             let pending = self.catalog.pending_fetches.get(&item.key);
-            match pending.filter(|pending| pending.entry == entry) {
+            match pending.filter(|pending| pending.is_proven(&entry)) {
                 Some(pending) => {
                     let holders = pending.holders.clone();
                     effects.extend(self.install_item(item, &holders, now));
                 }
-                None => effects.extend(self.refuse_item(from, &entry, now)),
+                None => effects.extend(self.handle_unproven(from, item, now)),
             }
         }
         effects
     }
 
-    /// Refuses an item whose version isn't proven; a newer version counts as
-    /// announced by the sender.
-    fn refuse_item(
-        &mut self,
-        from: &NodeName,
-        entry: &ItemEntry,
-        now: ClockTime,
-    ) -> Vec<PeerEffect> {
-        match self.catalog.compare(entry) {
+    /// Takes a newer version as announced by the sender; installs the item if that proves it and
+    /// the sender was asked for a body, and refuses it otherwise.
+    fn handle_unproven(&mut self, from: &NodeName, item: Item, now: ClockTime) -> Vec<PeerEffect> {
+        let entry = item.entry();
+        match self.catalog.compare(&entry) {
             VersionOrder::Same => Vec::new(),
             VersionOrder::Older => vec![refuse(from, FrameRefusal::OldVersion)],
             VersionOrder::OtherDigest => vec![refuse(from, FrameRefusal::WrongBody)],
             VersionOrder::Newer => {
-                let mut effects = vec![refuse(from, FrameRefusal::WrongBody)];
-                effects.extend(self.evaluate_version(from, entry, now));
+                let pending = self.catalog.pending_fetches.get(&item.key);
+                let is_answer = pending.is_some_and(|pending| pending.asked.as_ref() == Some(from));
+                let mut effects = self.evaluate_version(from, &entry, now);
+                let pending = self.catalog.pending_fetches.get(&item.key);
+                match pending.filter(|pending| is_answer && pending.entry == entry) {
+                    Some(pending) => {
+                        let holders = pending.holders.clone();
+                        effects.extend(self.install_item(item, &holders, now));
+                    }
+                    None if self.catalog.compare(&entry) == VersionOrder::Newer => {
+                        effects.push(refuse(from, FrameRefusal::WrongBody));
+                    }
+                    None => {}
+                }
                 effects
             }
         }
--- a/crates/members/src/commands/receive.rs
+++ b/crates/members/src/commands/receive.rs
@@ -64,7 +64,7 @@
             PeerMessage::Buckets(report) => self.handle_buckets(from, &report),
             PeerMessage::Announce(entries) => self.handle_announcement(from, entries, now),
             PeerMessage::Confirm(keys) => self.answer_confirm(from, &keys),
-            PeerMessage::Fetch(keys) => self.answer_fetch(from, &keys),
+            PeerMessage::Fetch(keys) => self.answer_fetch(from, &keys, now),
             PeerMessage::Items(items) => self.handle_items(from, items, now),
             PeerMessage::Ask(question) => self.answer_question(from, question, now),
             PeerMessage::Answer { question, reports } => {
--- a/crates/members/src/settings.rs
+++ b/crates/members/src/settings.rs
@@ -23,6 +23,10 @@
     pub settle_delay: Duration,
     /// Time after which the fetch of a body is retried.
     pub fetch_retry_interval: Duration,
+    /// Time after which a body is requested again if the peer asked was busy.
+    pub busy_retry_interval: Duration,
+    /// Bytes of bodies a second that are sent to all peers together.
+    pub body_rate: u32,
     /// Time after which the confirmation of a quarantined version is retried.
     pub confirm_retry_interval: Duration,
     /// Time after which an unconfirmed version is dropped.
@@ -49,6 +53,9 @@
     pub observation_max_age: Duration,
 }
 
+/// Half the rate of a link of 20 Mbit/s, in bytes a second.
+const DEFAULT_BODY_RATE: u32 = 1_250_000;
+
 impl Default for PeerSettings {
     fn default() -> Self {
         Self {
@@ -61,6 +68,8 @@
             rumor_delay: Duration::from_millis(200),
             settle_delay: Duration::from_millis(300),
             fetch_retry_interval: Duration::from_millis(400),
+            busy_retry_interval: Duration::from_millis(50),
+            body_rate: DEFAULT_BODY_RATE,
             confirm_retry_interval: Duration::from_millis(300),
             quarantine_timeout: Duration::from_secs(60),
             watcher_count: 3,
--- a/crates/members/src/state.rs
+++ b/crates/members/src/state.rs
@@ -86,6 +86,8 @@
     pub probe_at: ClockTime,
     pub ask_at: ClockTime,
     pub rumor_at: Option<ClockTime>,
+    /// When the bodies sent so far have passed at the rate of bodies.
+    pub bodies_sent_at: ClockTime,
     pub refresh_at: Option<ClockTime>,
 }
 
--- a/crates/members/tests/versions.rs
+++ b/crates/members/tests/versions.rs
@@ -252,3 +252,86 @@
     let effects = state.apply_store_item(item(6, "six"), after(20));
     assert!(effects.contains(&PeerEffect::Ready));
 }
+
+fn request(state: &mut PeerState, from: &str, now: ClockTime) -> Vec<PeerMessage> {
+    let message = PeerMessage::Fetch(vec![key("pricing")]);
+    sent(&state.receive(frame(from, message), now))
+}
+
+#[test]
+fn large_bodies_are_sent_at_a_bounded_rate_and_versions_in_their_place() {
+    let mut state = ready();
+    let large = item(6, &"x".repeat(300_000));
+    state.apply_store_item(large.clone(), after(0));
+    let peers = linked(&state, false);
+    let body = PeerMessage::Items(vec![large.clone()]);
+    let version = PeerMessage::Announce(vec![large.entry()]);
+    assert_eq!(
+        request(&mut state, &peers[0], after(10)),
+        std::slice::from_ref(&body)
+    );
+    assert_eq!(request(&mut state, &peers[1], after(11)), [version]);
+    assert_eq!(request(&mut state, &peers[1], after(260)), [body]);
+}
+
+#[test]
+fn small_bodies_are_sent_without_a_wait() {
+    let mut state = ready();
+    let peers = linked(&state, false);
+    for round in 0..20 {
+        let peer = &peers[round % peers.len()];
+        let body = PeerMessage::Items(vec![item(5, "five")]);
+        assert_eq!(request(&mut state, peer, after(10)), [body]);
+    }
+}
+
+/// Peers to which requests for bodies were sent.
+fn asked(effects: &[PeerEffect]) -> Vec<std::net::SocketAddr> {
+    let targets = effects.iter().filter_map(|effect| match effect {
+        PeerEffect::Send { to, frame } if matches!(frame.message, PeerMessage::Fetch(_)) => {
+            Some(*to)
+        }
+        _ => None,
+    });
+    targets.collect()
+}
+
+#[test]
+fn a_node_leaves_a_busy_peer_for_another_one() {
+    let mut state = ready();
+    let peers = linked(&state, false);
+    announce(&mut state, &peers[0], &item(6, "six"), after(10));
+    let effects = announce(&mut state, &peers[1], &item(6, "six"), after(11));
+    let first = asked(&effects);
+    assert_eq!(first.len(), 1);
+    let is_first = |peer: &&String| state.node(&common::node(peer)).unwrap().address == first[0];
+    let busy = peers.iter().find(is_first).unwrap().clone();
+    announce(&mut state, &busy, &item(6, "six"), after(20));
+    let second = asked(&state.tick(after(80)));
+    assert_eq!(second.len(), 1, "asked within the interval for busy peers");
+    assert_ne!(second, first);
+}
+
+#[test]
+fn a_body_of_an_earlier_proven_version_is_put_into_force_before_the_newer_one() {
+    let mut state = ready();
+    let watcher = linked(&state, true).remove(0);
+    announce(&mut state, &watcher, &item(6, "six"), after(10));
+    announce(&mut state, &watcher, &item(7, "seven"), after(11));
+    for (version, body) in [(6, "six"), (7, "seven")] {
+        let effects = send_item(&mut state, &watcher, &item(version, body), after(20));
+        assert_eq!(delivered(&effects), [version]);
+    }
+    assert_eq!(state.announced_version(&key("pricing")), None);
+}
+
+#[test]
+fn a_watchers_answer_with_a_newer_version_is_put_into_force() {
+    let mut state = ready();
+    let watcher = linked(&state, true).remove(0);
+    let unasked = send_item(&mut state, &watcher, &item(6, "six"), after(5));
+    assert_eq!(delivered(&unasked), [0_u64; 0], "nobody asked for it");
+    announce(&mut state, &watcher, &item(7, "seven"), after(10));
+    let effects = send_item(&mut state, &watcher, &item(8, "eight"), after(20));
+    assert_eq!(delivered(&effects), [8]);
+}
