Targets: sent within a budget of bytes a second, the newest to whoever waits

Cause: the owner and the hubs sent the whole list to every receiver at each change, and the owner also to nodes that it had never heard, as a node without a digest counted as one without a hub. The shortest interval applied only to lists that a digest showed to be missing, not to those passed on.

Change: one function decides who lacks the targets. Each list that is sent is charged to a budget of 19 % of the link's rate; hubs come first (half of the budget while others wait), then the node that was sent its last list longest ago, each with the newest list at its turn. Nodes that were never heard get none, as their first digest shows what they lack. A list that a node doesn't show is sent again after 0.5 s as before, then after 1, 2 and 4 s.

Why it works: the bytes of a second follow from the link's rate, and a change needs one list for each node at most, however many changes follow it.

Open: a node that gets a newer list with the same content goes on showing the older version, so it is sent the list again every 4 s.

--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -5,21 +5,16 @@
 use replicas::commands::probe_group;
 
 use super::collections::adopt_config;
-use super::distribution::{distributed_targets, pass_on_targets};
+use super::distribution::{pass_on_targets, supply_targets};
 use super::notices::merge_reports;
 use super::quarantine::{merge_evidence, send_watched_evidence};
 use super::refresh_targets;
 use super::shared::adopt_record;
 use super::supply::{supply_config, supply_record};
 use crate::peer::{Digest, PeerMessage, TargetsVersion};
-use crate::queries::{
-    choose_summing_hub, is_hub, lacks_targets, merge_targets, sends_sums_to, uses_hubs,
-};
+use crate::queries::{choose_summing_hub, is_hub, merge_targets, uses_hubs};
 use crate::{EdgeEffect, EdgeState};
 
-/// Shortest interval between two messages with the targets to a node.
-const RESEND_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Handles a message of another node.
 pub(crate) fn handle_message(
     state: &mut EdgeState,
@@ -82,10 +77,10 @@
     let Some((targets, version)) = newest else {
         return Vec::new();
     };
-    state.received_targets = Some((targets.clone(), version));
+    state.received_targets = Some((targets, version));
     refresh_targets(state);
     if is_hub(state) {
-        return pass_on_targets(state, targets, version, now);
+        return pass_on_targets(state, now);
     }
     Vec::new()
 }
@@ -145,11 +140,13 @@
     let mut effects = merge_reports(state, &digest, now);
     effects.extend(send_missing(state, &digest, now));
     effects.extend(send_watched_evidence(state, &digest, now));
-    if let Some(peer) = state.peers.get_mut(&digest.from) {
+    let from = digest.from.clone();
+    if let Some(peer) = state.peers.get_mut(&from) {
         peer.last_digest_at = Some(now);
         peer.reconnects = 0;
         peer.digest = Some(digest);
     }
+    effects.extend(supply_targets(state, &from, now));
     if state.summing_hub.is_none() && choose_summing_hub(state, now).is_some() {
         // The hub sends the targets once it knows that it was chosen.
         state.digest_due = now;
@@ -157,35 +154,9 @@
     effects
 }
 
-/// Sends the configuration, record or targets that a digest shows to be missing at its sender.
+/// Sends the configuration or record that a digest shows to be missing at its sender.
 fn send_missing(state: &mut EdgeState, digest: &Digest, now: ClockTime) -> Vec<EdgeEffect> {
-    let distributed_targets = distributed_targets(state, digest);
-    let is_hub = state.hubs.contains(&digest.from);
-    let (uses_hubs, is_owner) = (uses_hubs(state), state.is_owner);
-    let sends_sums = sends_sums_to(state, &digest.from, Some(digest));
     let mut effects: Vec<_> = supply_config(state, digest, now).into_iter().collect();
     effects.extend(supply_record(state, digest, now));
-    let Some(peer) = state.peers.get_mut(&digest.from) else {
-        // Its address is not known until its entry is read from the store.
-        return effects;
-    };
-    let may_send = |sent: Option<ClockTime>| sent.is_none_or(|at| now.since(at) >= RESEND_INTERVAL);
-    let is_supplied = if is_hub {
-        uses_hubs && is_owner
-    } else {
-        sends_sums
-    };
-    let known_version = digest.received_version.unwrap_or_else(|| match is_hub {
-        true => digest.forwarded_version.into(),
-        false => digest.targets_version.into(),
-    });
-    if let Some((targets, version)) = distributed_targets
-        && is_supplied
-        && lacks_targets(known_version, version)
-        && may_send(peer.targets_sent_at)
-    {
-        peer.targets_sent_at = Some(now);
-        effects.push(EdgeEffect::targets(peer.address, targets, version));
-    }
     effects
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -198,8 +198,8 @@
     pub reconnects: u32,
     /// Instant at which the connection to it was opened or last replaced.
     pub link_opened_at: Option<ClockTime>,
-    /// Last instant at which the targets were sent to it.
-    pub targets_sent_at: Option<ClockTime>,
+    /// Targets that were last sent to it.
+    pub sent_targets: Option<SentTargets>,
     /// Configuration that it lacks.
     pub config_gap: Option<SupplyGap>,
     /// Record of groups that it lacks.
@@ -226,7 +226,7 @@
             reconnect_due: ClockTime::default(),
             reconnects: 0,
             link_opened_at: None,
-            targets_sent_at: None,
+            sent_targets: None,
             last_digest_at: None,
             digest: None,
             config_gap: None,
@@ -238,6 +238,15 @@
     }
 }
 
+/// Targets that were sent to another node.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SentTargets {
+    pub version: TargetsVersion,
+    pub at: ClockTime,
+    /// How often they were sent again.
+    pub repeats: u32,
+}
+
 /// What another node lacks, while it gets nothing newer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct SupplyGap {
@@ -328,6 +337,10 @@
     pub(crate) targets_version: TargetsVersion,
     /// Whether `targets` have changed since they were last sent to other nodes.
     pub(crate) has_unsent_targets: bool,
+    /// When the targets are sent to the next node that waits for them; `None` if none does.
+    pub(crate) targets_due: Option<ClockTime>,
+    /// Instant from which the budget for targets allows a message.
+    pub(crate) targets_budget_due: ClockTime,
     pub(crate) digest_due: ClockTime,
     pub(crate) plan_due: ClockTime,
     /// Last run of the planner.
@@ -406,6 +419,8 @@
             targets: Arc::new([]),
             targets_version: TargetsVersion::default(),
             has_unsent_targets: false,
+            targets_due: None,
+            targets_budget_due: now,
             digest_due: now,
             plan_due: now,
             last_plan_at: None,
--- a/crates/edge/tests/suite/link_bytes.rs
+++ b/crates/edge/tests/suite/link_bytes.rs
@@ -10,13 +10,13 @@
 use edge::border::encode_message;
 use edge::border::ports::{CollectionChange, CollectionItem, StoreCollection};
 use edge::{
-    CollectionEvent, EdgeEffect, EdgeEvent, EdgeSettings, EdgeState, EdgeTimes, PeerMessage,
+    CollectionEvent, Digest, EdgeEffect, EdgeEvent, EdgeSettings, EdgeState, EdgeTimes, PeerMessage,
 };
 use relay::SendTarget;
 use replicas::{Endpoint, Presence};
 use store::{ObjectKey, StoredObject, UpdateOutcome};
 
-use crate::support::{at, config_item, endpoint, list, settings};
+use crate::support::{at, config_item, digest, endpoint, list, node, settings};
 
 const DEPLOYMENTS: [usize; 4] = [12, 24, 70, 195];
 const SERVERS: usize = 600;
@@ -185,11 +185,15 @@
             match effect {
                 EdgeEffect::Send { to, message } => {
                     let kind = message.kind();
+                    let receiver = usize::from(to.port() - FIRST_PORT);
                     if matches!(kind, "targets" | "record") {
-                        let (at, bytes) = (self.now, self.size_of(&message));
-                        self.sent[index].push(SentBytes { at, kind, bytes });
+                        let bytes = self.size_of(&message);
+                        self.sent[index].push(SentBytes {
+                            at: self.now,
+                            kind,
+                            bytes,
+                        });
                     }
-                    let receiver = usize::from(to.port() - FIRST_PORT);
                     if receiver < self.nodes.len() {
                         self.in_flight.push((receiver, EdgeEvent::Peer(message)));
                     }
@@ -296,6 +300,37 @@
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
+#[test]
+fn targets_that_a_node_never_shows_are_sent_ever_more_rarely() {
+    let mut deployment = Deployment::new(24);
+    deployment.start_node(0);
+    let mut hub = deployment.nodes.remove(0);
+    hub.wake(at(50));
+    let targets = PeerMessage::Targets(Arc::new([]), ObjectVersion(40).into());
+    hub.handle(EdgeEvent::Peer(targets), at(100));
+    let mut sent_at = Vec::new();
+    for now in (500..8_500).step_by(100) {
+        let EdgeEvent::Peer(PeerMessage::Digest(shown)) = digest("n020", false, 1) else {
+            panic!("no digest");
+        };
+        let shown = Digest {
+            summing_hub: Some(node("n000")),
+            targets_version: ObjectVersion(30),
+            ..*shown
+        };
+        let message = PeerMessage::Digest(Box::new(shown));
+        let effects = hub.handle(EdgeEvent::Peer(message), at(now));
+        let is_targets = |effect: &EdgeEffect| matches!(effect, EdgeEffect::Send { message, .. } if message.kind() == "targets");
+        sent_at.extend(
+            effects
+                .iter()
+                .filter(|effect| is_targets(effect))
+                .map(|_| now),
+        );
+    }
+    assert_eq!(sent_at, [500, 1_000, 2_000, 4_000, 8_000]);
+}
+
 #[test]
 fn changes_of_servers_many_times_a_second_send_few_bytes_of_targets() {
     let mut failures = Vec::new();
