--- a/crates/gateway/tests/changes.rs
+++ b/crates/gateway/tests/changes.rs
@@ -57,6 +57,8 @@
 enum StoreAccess {
     Answered,
     TurnedAway,
+    /// The connection of the open watch has gone silent; the next one is answered.
+    Silent,
 }
 
 /// Direction of a link, busy until the last byte queued has passed.
@@ -305,6 +307,12 @@
                     return;
                 }
                 node.open_watch = None;
+                if node.access == StoreAccess::Silent {
+                    node.access = StoreAccess::Answered;
+                    let failed = WatchEvent::DocumentRead(None);
+                    self.push_read(deadline + WATCH_GRACE, index, failed);
+                    return;
+                }
                 let event = GatewayEvent::Watch(WatchEvent::DocumentUnchanged);
                 node.gateway.handle(event, now)
             }
@@ -591,3 +599,48 @@
 fn changes_reach_195_gateways_from_one_watcher_of_each_domain() {
     check_one_watcher_each(195, 4);
 }
+
+/// Only three nodes reach the store, whichever they are.
+fn leave_three_nodes_the_store(network: &mut Network, round: usize) {
+    let count = network.nodes.len();
+    for index in 3..count {
+        network.nodes[index].access = StoreAccess::TurnedAway;
+    }
+    network.restart((round * 5 + 2) % count);
+}
+
+#[test]
+fn changes_reach_70_gateways_from_any_three_nodes() {
+    let case = "three nodes reach the store";
+    let network = play(70, 6, case, leave_three_nodes_the_store);
+    assert!(network.worst.0 <= CHANGE_BOUND, "{:?}", network.worst);
+}
+
+/// The connections of all open watches go silent before the first change, just after the first
+/// node has begun its watch.
+fn silence_watches(network: &mut Network, round: usize) {
+    const STEP: Duration = Duration::from_millis(10);
+    if round > 0 {
+        return;
+    }
+    let has_just_begun = |network: &Network| {
+        let (_, deadline) = network.nodes[0].open_watch?;
+        Some(deadline.since(network.now) + STEP >= TIMES.watch.watch_timeout)
+    };
+    while has_just_begun(network) != Some(true) {
+        network.run_for(STEP);
+    }
+    for node in &mut network.nodes {
+        if node.open_watch.is_some() {
+            node.access = StoreAccess::Silent;
+        }
+    }
+}
+
+#[test]
+fn changes_reach_gateways_whose_watches_have_just_gone_silent() {
+    for count in [3, 6, 12, 24] {
+        let network = play(count, 3, "silent watches", silence_watches);
+        assert!(network.worst.0 <= CHANGE_BOUND, "{:?}", network.worst);
+    }
+}
