Fix: what one node reads of a leaving server stays with that node

Cause: a node learned of it by one way only: a hub, and every node of a deployment without hubs, by its own read of the store, which has no bound while bytes arrive; the others by the owner's targets, as late as the owner's read. All other nodes knew meanwhile, and their digests didn't say so: these carry what servers say in responses, not what the store says.

Change: a node that reads that a server among its targets leaves, or that its entry is gone, keeps a departure: run, revision of the read, instant. Every digest, presence digests too, carries those of the last 15 s, 32 at most (1 kB by its encoding); nodes that are no hub send only what they have read, hubs also what they have heard. No node sends that run anything while its view of the endpoints (own list, or endpoints' version of the owner's targets) is older than that revision. A view as new decides by itself, so nothing is kept against an entry that is back, and an owner that still has the server sends its targets again. Entries kept after an outage of the store make no departure before their time is over. Versions carry the store's era, so a restored store is newer than departures of before. Digest tag 19; earlier builds ignore it and go on as they did. It isn't sent as a leaving report too: those hold for a run without regard to later reads.

--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -1,7 +1,7 @@
 //! Encoding of messages between nodes.
 
 use base::prelude::*;
-use notices::{LeavingReport, LimitReport, RequestRate, ServerRun};
+use notices::{Departure, LeavingReport, LimitReport, RequestRate, ServerRun};
 use prost::Message;
 use relay::{LaneCounts, SendTarget};
 use replicas::{GroupRecord, RecordWire};
@@ -40,8 +40,8 @@
 
 #[derive(Clone, PartialEq, prost::Oneof)]
 enum BodyWire {
-    #[prost(message, tag = "1")]
-    Digest(DigestWire),
+    #[prost(message, boxed, tag = "1")]
+    Digest(Box<DigestWire>),
     /// Text of a configuration.
     #[prost(string, tag = "2")]
     RoutingConfig(String),
@@ -91,6 +91,8 @@
     is_cut_off: bool,
     #[prost(uint64, tag = "18")]
     known_config: u64,
+    #[prost(message, repeated, tag = "19")]
+    departures: Vec<DepartureWire>,
     #[prost(uint64, tag = "20")]
     received_endpoints: u64,
     #[prost(uint64, tag = "21")]
@@ -107,6 +109,18 @@
     age_ms: u64,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct DepartureWire {
+    #[prost(string, tag = "1")]
+    server: String,
+    #[prost(uint64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    revision: u64,
+    #[prost(uint64, tag = "4")]
+    age_ms: u64,
+}
+
 #[derive(Clone, PartialEq, Message)]
 struct LimitWire {
     #[prost(string, tag = "1")]
@@ -190,7 +204,9 @@
 
 fn message_wire(message: &PeerMessage, now: ClockTime) -> MessageWire {
     let body = match message {
-        PeerMessage::Digest(digest) => BodyWire::Digest(DigestWire::from_digest(digest, now)),
+        PeerMessage::Digest(digest) => {
+            BodyWire::Digest(Box::new(DigestWire::from_digest(digest, now)))
+        }
         PeerMessage::RoutingConfig(_, text) => BodyWire::RoutingConfig(text.as_ref().to_owned()),
         PeerMessage::Targets(targets, version) => BodyWire::Targets(TargetsWire {
             version: version.latest.0,
@@ -315,6 +331,12 @@
             incarnation: report.run.incarnation.0,
             age_ms: now.since(report.heard_at).as_millis() as u64,
         });
+        let departures = digest.departures.iter().map(|departure| DepartureWire {
+            server: departure.run.server.as_str().to_owned(),
+            incarnation: departure.run.incarnation.0,
+            revision: departure.revision.0,
+            age_ms: now.since(departure.read_at).as_millis() as u64,
+        });
         Self {
             from: digest.from.as_str().to_owned(),
             intent_version: digest.config_version,
@@ -333,6 +355,7 @@
             weight: digest.weight.0,
             limits: limits.collect(),
             leaving: leaving.collect(),
+            departures: departures.collect(),
             counts: counts.collect(),
             paces: paces.collect(),
             silent: digest
@@ -359,6 +382,8 @@
         let limits = limits.map(|wire| wire.into_report(now));
         let leaving = wire.leaving.into_iter();
         let leaving = leaving.map(|wire| wire.into_report(now));
+        let departures = wire.departures.into_iter();
+        let departures = departures.map(|wire| wire.into_departure(now));
         Ok(Digest {
             from: NodeName::new(&wire.from)?,
             summing_hub: summing_hub.transpose()?,
@@ -385,6 +410,7 @@
             weight: NodeWeight(wire.weight),
             limits: limits.collect::<Result<_, NameError>>()?,
             leaving: leaving.collect::<Result<_, NameError>>()?,
+            departures: departures.collect::<Result<_, NameError>>()?,
             counts: counts.collect::<Result<_, NameError>>()?,
             silent_heads: silent_heads.collect::<Result<_, _>>()?,
             slow_groups: slow_groups.collect::<Result<_, NameError>>()?,
@@ -415,3 +441,17 @@
         })
     }
 }
+
+impl DepartureWire {
+    /// Departure as received at an instant.
+    fn into_departure(self, now: ClockTime) -> Result<Departure, NameError> {
+        Ok(Departure {
+            run: ServerRun {
+                server: HostName::new(&self.server)?,
+                incarnation: HostIncarnation(self.incarnation),
+            },
+            revision: ObjectVersion(self.revision),
+            read_at: now.before(Duration::from_millis(self.age_ms)),
+        })
+    }
+}
--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -9,6 +9,7 @@
 use replicas::{Endpoint, Presence};
 use store::StoredObject;
 
+use super::departures::{ready_runs, record_departures};
 use super::{apply_shared_objects, refresh_targets};
 use crate::border::ports::{CollectionChange, CollectionItem, StoreCollection};
 use crate::{CollectionEvent, EdgeEffect, EdgeState};
@@ -40,6 +41,12 @@
         let entry = state.collections.entry(collection).or_default();
         entry.first_listed_at.get_or_insert(now);
     }
+    let is_endpoints = collection == StoreCollection::Endpoints;
+    let ready = if is_endpoints {
+        ready_runs(state)
+    } else {
+        Vec::new()
+    };
     let mut is_restored = false;
     if let CollectionEvent::Listed(_, revision) | CollectionEvent::Changed(_, revision) = &event {
         let entry = state.collections.entry(collection).or_default();
@@ -85,6 +92,7 @@
             log::info!(count; "recorded members that are not listed yet are kept");
         }
     }
+    record_departures(state, ready, now);
     refresh_targets(state);
     state.needs_plan = true;
     effects
@@ -264,8 +272,13 @@
 /// Stops using endpoints that are still not listed at the end of their grace period, at nodes
 /// that don't run the planner too.
 pub(crate) fn expire_endpoints(state: &mut EdgeState, now: ClockTime) {
+    if replicas::queries::next_expiry(&state.planner).is_none_or(|due| due > now) {
+        return;
+    }
+    let ready = ready_runs(state);
     let count = replicas::commands::expire_endpoints(&mut state.planner, now);
     if count > 0 {
+        record_departures(state, ready, now);
         log::info!(count; "endpoints that were not listed again removed");
         refresh_targets(state);
     }
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -49,6 +49,7 @@
         .iter()
         .filter(|(_, kind)| *kind == DigestKind::Sums);
     state.digest_due = now + digest_interval(state, with_sums.count());
+    state.departures.expire(now);
     let digest = local_digest(state, now);
     let summed_digest = summed_digest(state, &digest, now);
     let mut effects = update_share(state, now);
@@ -165,6 +166,7 @@
         weight: local_weight(state, now),
         limits: notices::queries::own_reports(state.relay.notices()),
         leaving: notices::queries::own_leaving(state.relay.notices()),
+        departures: state.departures.reported(is_hub(state), now),
     }
 }
 
--- a/crates/edge/src/commands/distribution.rs
+++ b/crates/edge/src/commands/distribution.rs
@@ -7,7 +7,7 @@
 
 use crate::peer::TargetsVersion;
 use crate::queries::{
-    is_peer_alive, lacks_targets, read_targets_version, sends_sums_to, uses_hubs,
+    complete_targets_version, is_peer_alive, lacks_targets, sends_sums_to, uses_hubs,
 };
 use crate::state::{PeerState, SentTargets};
 use crate::{EdgeEffect, EdgeState};
@@ -206,7 +206,7 @@
     let (targets, version, is_initial) = match &state.received_targets {
         _ if state.is_owner => (own, state.targets_version, false),
         Some((targets, version)) => (targets, *version, false),
-        None if !own.is_empty() => (own, read_targets_version(state), true),
+        None if !own.is_empty() => (own, complete_targets_version(state), true),
         None => return None,
     };
     Some(TargetsMessage {
--- a/crates/edge/src/commands/mod.rs
+++ b/crates/edge/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod collections;
+mod departures;
 mod digests;
 mod distribution;
 mod notices;
--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -5,6 +5,7 @@
 use replicas::commands::probe_group;
 
 use super::collections::adopt_config;
+use super::departures::merge_departures;
 use super::distribution::{pass_on_targets, supply_targets};
 use super::notices::merge_reports;
 use super::quarantine::{merge_evidence, send_watched_evidence};
@@ -137,6 +138,7 @@
             state.needs_plan = true;
         }
     }
+    merge_departures(state, &digest);
     let mut effects = merge_reports(state, &digest, now);
     effects.extend(send_missing(state, &digest, now));
     effects.extend(send_watched_evidence(state, &digest, now));
--- a/crates/edge/src/commands/targets.rs
+++ b/crates/edge/src/commands/targets.rs
@@ -7,6 +7,15 @@
 /// whichever is newer.
 pub(crate) fn refresh_targets(state: &mut EdgeState) {
     let (targets, version) = current_targets(state);
+    // The view is newer than a departure that others may hold against the last version.
+    let last_endpoints = state.targets_version.endpoints;
+    let is_confirmed = targets.iter().any(|target| {
+        (state.departures).has_departed(&target.id, target.incarnation, last_endpoints)
+    });
+    if is_confirmed {
+        state.targets_version = version;
+        state.has_unsent_targets = true;
+    }
     if targets != state.targets {
         state.targets_version = version;
         relay::commands::set_targets(&mut state.relay, targets.to_vec());
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use notices::{LeavingReport, LimitReport};
+use notices::{Departure, LeavingReport, LimitReport};
 use quarantine::CrashEvidence;
 use relay::{LaneCounts, SendTarget};
 use replicas::GroupRecord;
@@ -119,6 +119,8 @@
     pub limits: Vec<LimitReport>,
     /// Servers that have told it that they leave, or told any node if `counts` are sums.
     pub leaving: Vec<LeavingReport>,
+    /// Servers that have left as it has read in the store, a hub also those that it has heard of.
+    pub departures: Vec<Departure>,
 }
 
 impl Digest {
--- a/crates/edge/src/queries/hubs.rs
+++ b/crates/edge/src/queries/hubs.rs
@@ -214,10 +214,16 @@
     let shared = read_revision(state, StoreCollection::Shared);
     let local = local_targets_version(state);
     let record = local.record.max(shared);
+    TargetsVersion { record, ..local }
+}
+
+/// The same as [`local_targets_version`], but in the form of earlier builds as of the revision up to
+/// which this node knows both the endpoints and the record.
+pub(crate) fn complete_targets_version(state: &EdgeState) -> TargetsVersion {
+    let read = read_targets_version(state);
     TargetsVersion {
-        latest: local.endpoints.min(record),
-        record,
-        ..local
+        latest: read.endpoints.min(read.record),
+        ..local_targets_version(state)
     }
 }
 
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -14,7 +14,7 @@
 pub use deadline::next_deadline;
 pub(crate) use deadline::next_plan;
 pub(crate) use hubs::{
-    choose_summing_hub, has_able_hub, is_hub, lists_endpoints, read_targets_version,
+    choose_summing_hub, complete_targets_version, has_able_hub, is_hub, lists_endpoints,
     receives_targets, select_hubs, sends_sums_to, uses_hubs,
 };
 pub(crate) use owner::{awaits_list, can_own, is_cut_off_alone, is_peer_alive, is_prober, owner};
--- a/crates/edge/src/queries/targets.rs
+++ b/crates/edge/src/queries/targets.rs
@@ -114,8 +114,22 @@
     known.endpoints < others.endpoints || known.record < others.record
 }
 
-/// Targets that this node should use now, and their version.
+/// Targets that this node should use now, and their version: those of its newest view, without
+/// servers that have left since.
 pub(crate) fn current_targets(state: &EdgeState) -> (Arc<[SendTarget]>, TargetsVersion) {
+    let (targets, version) = newest_targets(state);
+    let has_departed = |target: &SendTarget| {
+        (state.departures).has_departed(&target.id, target.incarnation, version.endpoints)
+    };
+    if !targets.iter().any(has_departed) {
+        return (targets, version);
+    }
+    let present = targets.iter().filter(|target| !has_departed(target));
+    (present.cloned().collect(), version)
+}
+
+/// Targets of this node's own view or of the owner's message, whichever is newer.
+fn newest_targets(state: &EdgeState) -> (Arc<[SendTarget]>, TargetsVersion) {
     let local = local_targets_version(state);
     let own = || (ready_targets(state).into(), local);
     let Some((received, version)) = &state.received_targets else {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -6,6 +6,7 @@
 use base::prelude::*;
 use intent::{ConfigNotices, ConfigSlot};
 use limits::BudgetSettings;
+use notices::DepartureState;
 use quarantine::{QuarantineSettings, QuarantineState};
 use reach::{ReachSettings, ReachState};
 use relay::{AttemptId, RelaySettings, RelayState, SendOrder, SendTarget};
@@ -331,6 +332,8 @@
     /// Newest targets that owners have sent, and their version. A hub passes them on to the nodes
     /// that it sends the sums to.
     pub(crate) received_targets: Option<(Arc<[SendTarget]>, TargetsVersion)>,
+    /// Servers that have left, as this node or others have read in the store.
+    pub(crate) departures: DepartureState,
     /// Targets that this node uses.
     pub(crate) targets: Arc<[SendTarget]>,
     /// Version of the last change of `targets`.
@@ -416,6 +419,7 @@
             received_weight: None,
             owner_seen_at: None,
             received_targets: None,
+            departures: DepartureState::new(),
             targets: Arc::new([]),
             targets_version: TargetsVersion::default(),
             has_unsent_targets: false,
--- a/crates/edge/tests/suite/hubs.rs
+++ b/crates/edge/tests/suite/hubs.rs
@@ -9,6 +9,7 @@
     CollectionEvent, Digest, EdgeEffect, EdgeEvent, EdgeSettings, EdgeState, EdgeTimes,
     PeerMessage, WatchMode,
 };
+use notices::{Departure, ServerRun};
 use relay::SendTarget;
 use store::{ObjectKey, StoredObject, UpdateOutcome};
 
@@ -87,6 +88,7 @@
         weight: edge::NodeWeight(1_000),
         limits: Vec::new(),
         leaving: Vec::new(),
+        departures: Vec::new(),
     })))
 }
 
@@ -457,3 +459,43 @@
         );
     }
 }
+
+#[test]
+fn an_owner_that_has_read_that_a_server_is_back_sends_its_targets_again() {
+    let mut owner = node_with_capacity("n00", 500);
+    take_over(&mut owner, 70, 800);
+    let listed = vec![CollectionItem::Endpoint(endpoint("p-1"))];
+    let listed = CollectionEvent::Listed(listed, ObjectVersion(80));
+    apply_event(&mut owner, StoreCollection::Endpoints, listed, at(900));
+    let sent_until = |owner: &mut EdgeState, until: u64| -> Vec<u64> {
+        let effects = (until - 500..until).step_by(10);
+        let effects = effects.flat_map(|now| owner.wake(at(now)));
+        let versions = effects.filter_map(|effect| match effect {
+            EdgeEffect::Send {
+                message: PeerMessage::Targets(_, version),
+                ..
+            } => Some(version.endpoints.0),
+            _ => None,
+        });
+        versions.collect()
+    };
+    assert!(
+        sent_until(&mut owner, 1_400).is_empty(),
+        "nothing has changed"
+    );
+    let EdgeEvent::Peer(PeerMessage::Digest(mut digest)) = hub_digest("n01", false, 0) else {
+        unreachable!("it is a digest");
+    };
+    digest.departures.push(Departure {
+        run: ServerRun {
+            server: HostName::new("p-1").unwrap(),
+            incarnation: HostIncarnation(1),
+        },
+        revision: ObjectVersion(75),
+        read_at: at(1_390),
+    });
+    owner.handle(EdgeEvent::Peer(PeerMessage::Digest(digest)), at(1_400));
+    let sent = sent_until(&mut owner, 1_900);
+    assert!(sent.iter().all(|endpoints| *endpoints == 80), "{sent:?}");
+    assert!(!sent.is_empty());
+}
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -5,6 +5,7 @@
 use edge::{Digest, PeerMessage, SlowPace, TargetsVersion};
 
 use crate::support::at;
+use notices::{Departure, ServerRun};
 use quarantine::{
     AnswerStage, CrashEvidence, CrashReport, CrashSuspect, PromptPart, RequestDigest, ServerCrash,
     SuspectClearance,
@@ -44,6 +45,14 @@
         weight: edge::NodeWeight(1_000),
         limits: Vec::new(),
         leaving: Vec::new(),
+        departures: vec![Departure {
+            run: ServerRun {
+                server: HostName::new("i-3").unwrap(),
+                incarnation: HostIncarnation(4),
+            },
+            revision: ObjectVersion::in_era(1, 70),
+            read_at: at(0),
+        }],
     }
 }
 
--- a/crates/edge/tests/suite/node.rs
+++ b/crates/edge/tests/suite/node.rs
@@ -341,6 +341,7 @@
         weight: edge::NodeWeight(1_000),
         limits: Vec::new(),
         leaving: Vec::new(),
+        departures: Vec::new(),
     };
     state.handle(
         EdgeEvent::Peer(PeerMessage::Digest(Box::new(owner))),
--- a/crates/edge/tests/suite/owner_loss.rs
+++ b/crates/edge/tests/suite/owner_loss.rs
@@ -77,6 +77,7 @@
         weight: edge::NodeWeight(1_000),
         limits: Vec::new(),
         leaving: Vec::new(),
+        departures: Vec::new(),
     }
 }
 
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -203,6 +203,7 @@
         weight: edge::NodeWeight(1_000),
         limits: Vec::new(),
         leaving: Vec::new(),
+        departures: Vec::new(),
     })))
 }
 
--- a/crates/notices/src/lib.rs
+++ b/crates/notices/src/lib.rs
@@ -14,15 +14,19 @@
 //! So the turns of hundreds of nodes, each of which has far less than one a second, never add up
 //! to more than the limit allows in a second.
 //!
+//! Beside these, what the platform's store says of servers that have left: [`DepartureState`].
+//!
 //! [`commands`] change a [`NoticeState`]; [`queries`] only read it.
 
 mod allowance;
+mod departures;
 mod notice;
 mod state;
 
 pub mod commands;
 pub mod queries;
 
+pub use departures::{Departure, DepartureState};
 pub use notice::{
     LeavingReport, LimitChange, LimitReport, NoticeChange, RequestRate, ServerNotice, ServerRun,
 };
