Fix: targets that were lost were sent again too late

What callers would see: requests at a server that has left, from a node whose connection went silent in one direction; targets lost at 0, 0.5 and 1.5 s came again at 3.5 s, over the bound at up to 100 nodes (found by the reviewer). Cause: the doubling of the interval is for nodes of earlier builds, whose digests go on showing an old version of targets that are the same. This build's digests show what was received. Ruled out: no doubling at all; earlier builds are then sent the same list twice a second without an end.

--- a/crates/edge/src/commands/distribution.rs
+++ b/crates/edge/src/commands/distribution.rs
@@ -178,7 +178,10 @@
     if sent.version != message.version && !message.is_initial {
         return true;
     }
-    let doublings = match has_none {
+    let digest = peer.digest.as_ref();
+    let shows_received = digest.is_some_and(|digest| digest.received_version.is_some());
+    // Earlier builds go on showing an older version of targets that are the same.
+    let doublings = match has_none || shows_received {
         true => 0,
         false => sent.repeats.min(MAX_RESEND_DOUBLINGS),
     };
--- a/crates/edge/tests/suite/link_bytes.rs
+++ b/crates/edge/tests/suite/link_bytes.rs
@@ -361,3 +361,38 @@
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+#[test]
+fn targets_reach_a_node_soon_after_its_silent_connection_was_replaced() {
+    let mut deployment = Deployment::new(24);
+    deployment.start_node(0);
+    let mut hub = deployment.nodes.remove(0);
+    hub.wake(at(50));
+    let targets = PeerMessage::Targets(Arc::new([]), ObjectVersion(40).into());
+    hub.handle(EdgeEvent::Peer(targets), at(100));
+    // What the hub sends is lost until then; the digests of the node arrive all the time.
+    let replaced_at = 2_100;
+    let mut arrived_at = None;
+    for now in (500..8_500).step_by(100) {
+        let EdgeEvent::Peer(PeerMessage::Digest(shown)) = digest("n020", false, 1) else {
+            panic!("no digest");
+        };
+        let shown = Digest {
+            summing_hub: Some(node("n000")),
+            targets_version: ObjectVersion(30),
+            received_version: Some(ObjectVersion(30).into()),
+            ..*shown
+        };
+        let message = PeerMessage::Digest(Box::new(shown));
+        let effects = hub.handle(EdgeEvent::Peer(message), at(now));
+        let is_targets = |effect: &EdgeEffect| matches!(effect, EdgeEffect::Send { message, .. } if message.kind() == "targets");
+        if now >= replaced_at && effects.iter().any(is_targets) {
+            arrived_at.get_or_insert(now);
+        }
+    }
+    let arrived_at = arrived_at.expect("the targets arrive");
+    assert!(
+        arrived_at <= replaced_at + 600,
+        "they arrive at {arrived_at} ms, the connection was replaced at {replaced_at} ms"
+    );
+}
