Edge tests: targets may be sent as the digest that asks for them is handled

Cause: the test of owners that send their targets again looked at the wakes after a departure was named; since targets are paced the digest that names it already gets them. Ruled out: that they aren't sent; the effects of that event hold them. Change: the test looks at these effects too, and asks as much as before: some are sent, and none of an older revision.

--- a/crates/edge/tests/suite/hubs.rs
+++ b/crates/edge/tests/suite/hubs.rs
@@ -467,10 +467,8 @@
     let listed = vec![CollectionItem::Endpoint(endpoint("p-1"))];
     let listed = CollectionEvent::Listed(listed, ObjectVersion(80));
     apply_event(&mut owner, StoreCollection::Endpoints, listed, at(900));
-    let sent_until = |owner: &mut EdgeState, until: u64| -> Vec<u64> {
-        let effects = (until - 500..until).step_by(10);
-        let effects = effects.flat_map(|now| owner.wake(at(now)));
-        let versions = effects.filter_map(|effect| match effect {
+    let sent_in = |effects: Vec<EdgeEffect>| -> Vec<u64> {
+        let versions = effects.into_iter().filter_map(|effect| match effect {
             EdgeEffect::Send {
                 message: PeerMessage::Targets(_, version),
                 ..
@@ -479,6 +477,10 @@
         });
         versions.collect()
     };
+    let sent_until = |owner: &mut EdgeState, until: u64| -> Vec<u64> {
+        let wakes = (until - 500..until).step_by(10);
+        sent_in(wakes.flat_map(|now| owner.wake(at(now))).collect())
+    };
     assert!(
         sent_until(&mut owner, 1_400).is_empty(),
         "nothing has changed"
@@ -494,8 +496,9 @@
         revision: ObjectVersion(75),
         read_at: at(1_390),
     });
-    owner.handle(EdgeEvent::Peer(PeerMessage::Digest(digest)), at(1_400));
-    let sent = sent_until(&mut owner, 1_900);
+    let digest = EdgeEvent::Peer(PeerMessage::Digest(digest));
+    let mut sent = sent_in(owner.handle(digest, at(1_400)));
+    sent.extend(sent_until(&mut owner, 1_900));
     assert!(sent.iter().all(|endpoints| *endpoints == 80), "{sent:?}");
     assert!(!sent.is_empty());
 }
