Edge tests: crash reports fill links while answers are lost (fail)

Cause as known: watched crash evidence is sent whole to each receiver whose hash differs, at most every 0.3 s, and differs always while answers are lost. The event loops gave every message but a configuration 1,000 bytes, so that nothing else could fill a link in them; now each has the size of its encoded form, and bytes are counted by sender, kind and second. Ruled out: digests and targets (0.077 and 0.002 of a link at most).

--- a/crates/edge/tests/suite/bandwidth.rs
+++ b/crates/edge/tests/suite/bandwidth.rs
@@ -1,16 +1,18 @@
 //! Links whose bandwidth large messages share, for event loops without a network.
 //!
-//! Transfers that use a link at the same time get equal parts of it. Small messages take no
-//! bandwidth, but wait for a large one on the same connection; configurations have connections of
-//! their own.
+//! Every message has the size of its encoded form. Transfers of large ones that use a link at the
+//! same time get equal parts of what small ones leave of it. Small messages wait for a large one on
+//! the same connection; configurations have connections of their own.
 
 use std::collections::{BTreeMap, VecDeque};
 
+use edge::border::encode_message;
 use edge::{EdgeEvent, PeerMessage, transfer_timeout};
 
 use crate::network::{TICK_MS, node_address};
+use crate::support::at;
 
-/// Messages below this size take no bandwidth.
+/// Messages below this size go first.
 const MIN_BULK_BYTES: u64 = 8_000;
 /// Messages that wait on a connection; more are dropped.
 const QUEUE_LENGTH: usize = 8;
@@ -25,8 +27,15 @@
     pub left: f64,
 }
 
-/// Moves transfers on by a tick; links are named by their index, rates are in bytes a millisecond.
-pub fn share_links(transfers: &mut [&mut BulkTransfer], rates: &[f64]) {
+/// Bytes a millisecond that a link carries each way.
+#[derive(Clone, Copy, Debug)]
+struct LinkRate {
+    sent: f64,
+    received: f64,
+}
+
+/// Moves transfers on by a tick; links are named by their index.
+fn share_links(transfers: &mut [&mut BulkTransfer], rates: &[LinkRate]) {
     let mut users = vec![0.0; rates.len()];
     let mut arriving = vec![0.0; rates.len()];
     for transfer in transfers.iter() {
@@ -34,8 +43,8 @@
         arriving[transfer.to] += 1.0;
     }
     for transfer in transfers {
-        let sent = rates[transfer.from] / users[transfer.from];
-        let received = rates[transfer.to] / arriving[transfer.to];
+        let sent = rates[transfer.from].sent / users[transfer.from];
+        let received = rates[transfer.to].received / arriving[transfer.to];
         transfer.left -= sent.min(received) * TICK_MS as f64;
     }
 }
@@ -57,15 +66,21 @@
     pub others: Vec<BulkTransfer>,
     /// Large messages that were given up or dropped.
     pub lost: usize,
+    /// Bytes sent, by sender, kind and second.
+    pub sent_bytes: BTreeMap<(usize, &'static str, u64), u64>,
+    /// Bytes of small messages that each link has yet to send and to receive.
+    small_bytes: Vec<(f64, f64)>,
 }
 
 impl BulkLinks {
     pub fn new(rates: Vec<f64>) -> Self {
         Self {
+            small_bytes: vec![(0.0, 0.0); rates.len()],
             rates,
             queues: BTreeMap::new(),
             others: Vec::new(),
             lost: 0,
+            sent_bytes: BTreeMap::new(),
         }
     }
 
@@ -77,16 +92,19 @@
         message: PeerMessage,
         now: u64,
     ) -> Option<PeerMessage> {
-        let (size, timeout_ms) = match &message {
-            PeerMessage::RoutingConfig(_, text) => {
-                let timeout = transfer_timeout(text.len());
-                (text.len() as u64, timeout.as_millis() as u64)
-            }
-            _ => (1_000, SEND_TIMEOUT_MS),
-        };
         let is_config = matches!(message, PeerMessage::RoutingConfig(..));
+        let size = encode_message(&message, at(now)).len();
+        let timeout_ms = if is_config {
+            transfer_timeout(size).as_millis() as u64
+        } else {
+            SEND_TIMEOUT_MS
+        };
+        let size = size as u64;
         let queue = self.queues.get(&(from, to, is_config));
         if size < MIN_BULK_BYTES && queue.is_none_or(VecDeque::is_empty) {
+            self.small_bytes[from].0 += size as f64;
+            self.small_bytes[to].1 += size as f64;
+            self.count(from, message.kind(), now, size);
             return Some(message);
         }
         let queue = self.queues.entry((from, to, is_config)).or_default();
@@ -107,10 +125,21 @@
 
     /// Moves all transfers on; returns the messages that have arrived.
     pub fn advance(&mut self, now: u64) -> Vec<(usize, EdgeEvent)> {
+        let rates = self.take_small_bytes();
+        let heads = self.queues.values().filter_map(VecDeque::front);
+        let left_before: Vec<_> = heads.map(|head| head.transfer.left).collect();
         let heads = self.queues.values_mut().filter_map(VecDeque::front_mut);
         let heads = heads.map(|head| &mut head.transfer);
         let mut transfers: Vec<_> = heads.chain(self.others.iter_mut()).collect();
-        share_links(&mut transfers, &self.rates);
+        share_links(&mut transfers, &rates);
+        let heads = self.queues.values().filter_map(VecDeque::front);
+        let moved = heads.zip(left_before).map(|(head, before)| {
+            let bytes = before - head.transfer.left.max(0.0);
+            (head.transfer.from, head.message.kind(), bytes as u64)
+        });
+        for (from, kind, bytes) in moved.collect::<Vec<_>>() {
+            self.count(from, kind, now, bytes);
+        }
         let mut arrived = Vec::new();
         for ((from, to, is_config), queue) in &mut self.queues {
             while let Some(head) = queue.front_mut() {
@@ -132,4 +161,39 @@
         self.queues.retain(|_, queue| !queue.is_empty());
         arrived
     }
+
+    /// Lets the small messages pass; returns what they leave of the links.
+    fn take_small_bytes(&mut self) -> Vec<LinkRate> {
+        let tick = TICK_MS as f64;
+        let take = |bytes: &mut f64, rate: f64| {
+            let taken = bytes.min(rate * tick);
+            *bytes -= taken;
+            rate - taken / tick
+        };
+        let links = self.rates.iter().zip(&mut self.small_bytes);
+        let rates = links.map(|(rate, (sent, received))| LinkRate {
+            sent: take(sent, *rate),
+            received: take(received, *rate),
+        });
+        rates.collect()
+    }
+
+    fn count(&mut self, from: usize, kind: &'static str, now: u64, bytes: u64) {
+        let second = now / 1_000;
+        *self.sent_bytes.entry((from, kind, second)).or_default() += bytes;
+    }
+
+    /// Most bytes that a node has sent in a second as a share of its link, by kind, with the node
+    /// and the second.
+    pub fn busiest_seconds(&self) -> BTreeMap<&'static str, (f64, usize, u64)> {
+        let mut busiest = BTreeMap::new();
+        for ((node, kind, second), bytes) in &self.sent_bytes {
+            let share = *bytes as f64 / (self.rates[*node] * 1_000.0);
+            let most: &mut (f64, usize, u64) = busiest.entry(*kind).or_default();
+            if share > most.0 {
+                *most = (share, *node, *second);
+            }
+        }
+        busiest
+    }
 }
--- a/crates/edge/tests/suite/large_configs.rs
+++ b/crates/edge/tests/suite/large_configs.rs
@@ -20,7 +20,7 @@
 /// Interval between two changes, each sent once the one before is acknowledged.
 const CHANGE_INTERVAL_MS: u64 = 1_200;
 /// Time after which a node counts as in touch again.
-const CONTACT_MS: u64 = 5_000;
+pub const CONTACT_MS: u64 = 5_000;
 /// Time of a call to the store that follows a failed one, and until the next one.
 const CALL_TIMEOUT_MS: u64 = 1_000;
 const RETRY_MS: u64 = 150;
@@ -37,8 +37,8 @@
 }
 
 /// Store and nodes that read the configuration from it.
-struct Platform {
-    network: NodeNetwork,
+pub struct Platform {
+    pub network: NodeNetwork,
     /// Versions and when each was acknowledged.
     acknowledged: Vec<u64>,
     reads: BTreeMap<usize, ConfigRead>,
@@ -47,12 +47,12 @@
     /// Nodes that the store turns away, and until when.
     turned_away: (Box<dyn Fn(usize) -> bool>, u64, u64),
     /// When each node is in touch again.
-    in_touch_from: Vec<u64>,
+    pub in_touch_from: Vec<u64>,
     text: Arc<str>,
 }
 
 impl Platform {
-    fn new(count: usize) -> Self {
+    pub fn new(count: usize) -> Self {
         let mut network = NodeNetwork::new(count);
         let mut rates: Vec<_> = (0..count)
             .map(|index| if index < 4 { HUB_RATE } else { SPOKE_RATE })
@@ -137,13 +137,13 @@
         }
     }
 
-    fn links(&mut self) -> &mut BulkLinks {
+    pub fn links(&mut self) -> &mut BulkLinks {
         self.network.bulk.as_mut().expect("links are limited")
     }
 
     /// Runs until an instant, with changes from one instant on; returns how late nodes in touch
     /// were at the worst.
-    fn run(&mut self, until: u64, changes_from: u64) -> u64 {
+    pub fn run(&mut self, until: u64, changes_from: u64) -> u64 {
         let mut worst = 0;
         while self.network.now < until {
             self.network.run(self.network.now + TICK_MS);
@@ -192,7 +192,7 @@
 }
 
 impl Platform {
-    fn check(&mut self, name: &str, worst: u64) {
+    pub fn check(&mut self, name: &str, worst: u64) {
         let count = self.due.len();
         let lost = self.links().lost;
         println!("{count} nodes, {name}: {worst} ms, {lost} large messages given up");
--- /dev/null
+++ b/crates/edge/tests/suite/lost_answers.rs
@@ -0,0 +1,207 @@
+//! Servers that lose many answers, beside changes of a large configuration and losses of hubs.
+//!
+//! Guards against failures in which reports of crashes filled the links of hubs, so that
+//! configurations and targets waited behind them.
+
+use base::prelude::*;
+use edge::border::ports::{CollectionItem, StoreCollection};
+use edge::{Arrival, ArrivalOutcome, EdgeEvent, EdgeQuestion, EdgeReply};
+use quarantine::{PromptPart, PromptParts, RequestDigest};
+use relay::{AttemptEnd, CallStep};
+
+use crate::large_configs::{CONTACT_MS, Platform};
+use crate::network::TICK_MS;
+use crate::support::{arrival, at, endpoint, first_attempt, list};
+
+/// Interval between two requests at a node.
+const ARRIVAL_INTERVAL_MS: u64 = 200;
+/// Plain servers.
+const SERVERS: usize = 48;
+/// Requests that come again and again.
+const POPULAR_REQUESTS: u64 = 200;
+/// Prompts whose parts several requests share, and the parts of each.
+const SHARED_PROMPTS: u64 = 100;
+const PROMPT_PARTS: u64 = 4;
+/// Beginning of the changes, of the losses of answers, and the end.
+const CHANGES_FROM_MS: u64 = 3_000;
+const LOSSES_FROM_MS: u64 = 4_000;
+const END_MS: u64 = 14_000;
+/// Instants at which hubs are cut off, one after the other.
+const HUB_LOSSES_MS: [u64; 4] = [6_000, 7_300, 8_600, 9_900];
+/// Largest share of a link that reports of crashes may use in a second.
+const MAX_CRASHES_SHARE: f64 = 0.1;
+/// The same for every other kind but configurations.
+const MAX_KIND_SHARE: f64 = 0.5;
+
+/// Request at a server.
+struct SentCall {
+    node: usize,
+    call: CallId,
+    ends_at: u64,
+}
+
+/// Nodes whose requests lose half of their answers.
+struct LossyDeployment {
+    platform: Platform,
+    count: usize,
+    calls: u64,
+    sent: Vec<SentCall>,
+}
+
+impl LossyDeployment {
+    fn new(count: usize) -> Self {
+        let mut platform = Platform::new(count);
+        for state in &mut platform.network.nodes {
+            let servers = (1..=SERVERS).map(|index| endpoint(&format!("p-{index}")));
+            let servers = servers.map(CollectionItem::Endpoint).collect();
+            list(state, StoreCollection::Endpoints, servers, at(0));
+        }
+        Self {
+            platform,
+            count,
+            calls: 0,
+            sent: Vec::new(),
+        }
+    }
+
+    /// Runs to the end; returns how late nodes in touch were at the worst.
+    fn run(&mut self) -> u64 {
+        let mut worst = 0;
+        while self.platform.network.now < END_MS {
+            let now = self.platform.network.now;
+            self.lose_hubs(now);
+            self.end_calls(now);
+            for node in 0..self.count {
+                let offset = node as u64 * 37 % ARRIVAL_INTERVAL_MS / TICK_MS * TICK_MS;
+                if now >= 1_000 && (now + offset).is_multiple_of(ARRIVAL_INTERVAL_MS) {
+                    self.send(node, now);
+                }
+            }
+            worst = worst.max(self.platform.run(now + TICK_MS, CHANGES_FROM_MS));
+        }
+        worst
+    }
+
+    fn lose_hubs(&mut self, now: u64) {
+        for (hub, lost_at) in HUB_LOSSES_MS.into_iter().enumerate() {
+            if hub >= self.count {
+                return;
+            }
+            if now == lost_at {
+                self.platform.network.cut_off.insert(hub);
+                self.platform.in_touch_from[hub] = u64::MAX;
+            }
+            if now == lost_at + CONTACT_MS {
+                self.platform.network.cut_off.remove(&hub);
+                self.platform.in_touch_from[hub] = now + CONTACT_MS;
+            }
+        }
+    }
+
+    /// Sends a request: one in four is a popular one, one in two shares parts of its prompt.
+    fn send(&mut self, node: usize, now: u64) {
+        self.calls += 1;
+        let number = self.calls;
+        let digest = if number.is_multiple_of(4) {
+            number / 4 % POPULAR_REQUESTS
+        } else {
+            1_000_000 + number
+        };
+        let prompt = number / 2 % SHARED_PROMPTS * PROMPT_PARTS;
+        let parts = (prompt..prompt + PROMPT_PARTS).map(PromptPart);
+        let shared = match number % 2 {
+            0 => Vec::new(),
+            _ => parts.collect(),
+        };
+        let arrival = Arrival {
+            digest: RequestDigest(digest),
+            prompt: PromptParts { shared },
+            ..arrival(number, "/x/", at(now))
+        };
+        let call = arrival.call;
+        let question = EdgeQuestion::Arrive(Box::new(arrival));
+        let reply = self.platform.network.ask(node, question);
+        let EdgeReply::Arrival(outcome) = reply else {
+            return;
+        };
+        if let ArrivalOutcome::Accepted {
+            step: CallStep::Send(_),
+            ..
+        } = *outcome
+        {
+            let ends_at = now + 60 + number % 7 * TICK_MS;
+            self.sent.push(SentCall {
+                node,
+                call,
+                ends_at,
+            });
+        } else {
+            self.finish(node, call);
+        }
+    }
+
+    fn end_calls(&mut self, now: u64) {
+        let due: Vec<_> = (self.sent)
+            .extract_if(.., |call| call.ends_at <= now)
+            .collect();
+        for SentCall { node, call, .. } in due {
+            // Neither popular requests nor shared prompts are always among the lost ones.
+            let is_lost = now >= LOSSES_FROM_MS && (call.0 ^ (call.0 / 97)).is_multiple_of(2);
+            let network = &mut self.platform.network;
+            if is_lost {
+                let ended = EdgeQuestion::Ended(first_attempt(call), AttemptEnd::Lost);
+                network.ask(node, ended);
+            } else {
+                network.handle(node, EdgeEvent::Completed(call));
+            }
+            self.finish(node, call);
+        }
+    }
+
+    fn finish(&mut self, node: usize, call: CallId) {
+        let finished = EdgeEvent::Finished(call);
+        self.platform.network.handle(node, finished);
+    }
+}
+
+/// Runs a deployment of this size; fails if a version is late or a kind of message fills a link.
+fn check(count: usize) {
+    let mut deployment = LossyDeployment::new(count);
+    let worst = deployment.run();
+    let busiest = deployment.platform.links().busiest_seconds();
+    let largest = deployment.platform.network.largest_evidence;
+    println!("{count} nodes: (reports, clearances, suspects of one crash) {largest:?}");
+    for (kind, (share, node, second)) in &busiest {
+        println!("{count} nodes: {kind} {share:.3} of the link of node {node} in second {second}");
+    }
+    for (kind, (share, node, second)) in busiest {
+        let limit = match kind {
+            "configuration" => continue,
+            "crashes" => MAX_CRASHES_SHARE,
+            _ => MAX_KIND_SHARE,
+        };
+        assert!(
+            share < limit,
+            "{count} nodes: {kind} of {share:.3} of the link of node {node} in second {second}; \
+             a version was {worst} ms late"
+        );
+    }
+    deployment.platform.check("answers lost", worst);
+}
+
+#[test]
+fn lost_answers_fill_no_link_with_crash_reports_at_few_nodes() {
+    for count in [3, 6, 12, 24] {
+        check(count);
+    }
+}
+
+#[test]
+fn lost_answers_fill_no_link_with_crash_reports_at_70_nodes() {
+    check(70);
+}
+
+#[test]
+fn lost_answers_fill_no_link_with_crash_reports_at_195_nodes() {
+    check(195);
+}
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod leaving;
 mod limits;
 mod link_bytes;
+mod lost_answers;
 mod messages;
 mod network;
 mod new_owner;
--- a/crates/edge/tests/suite/network.rs
+++ b/crates/edge/tests/suite/network.rs
@@ -12,6 +12,7 @@
     CollectionEvent, EdgeEffect, EdgeEvent, EdgeQuestion, EdgeReply, EdgeSettings, EdgeState,
     EdgeTimes, WatchMode,
 };
+use quarantine::CrashEvidence;
 use replicas::{EndpointReport, ProbeOutcome};
 use store::{ObjectChange, ObjectKey, StoredObject, UpdateOutcome};
 
@@ -53,6 +54,9 @@
     pub bulk: Option<BulkLinks>,
     /// Configurations and records that nodes were sent, by receiver and kind.
     pub sent: BTreeMap<(usize, &'static str), usize>,
+    /// Largest numbers of reports and clearances in a message about crashes, and of suspects in it
+    /// with one crash only.
+    pub largest_evidence: (usize, usize, usize),
     /// Connections by sender and receiver, and whether they lose all messages.
     links: BTreeMap<(usize, usize), bool>,
     in_flight: Vec<(usize, EdgeEvent)>,
@@ -77,6 +81,7 @@
             watch_modes: vec![WatchMode::default(); count],
             bulk: None,
             sent: BTreeMap::new(),
+            largest_evidence: (0, 0, 0),
             links: BTreeMap::new(),
             in_flight: Vec::new(),
             delayed: Vec::new(),
@@ -164,6 +169,10 @@
         if !matches!(message, PeerMessage::Digest(_)) {
             *self.sent.entry((receiver, message.kind())).or_default() += 1;
         }
+        if let PeerMessage::Crashes(evidence) = &message {
+            let evidence = evidence_size(evidence);
+            self.largest_evidence = self.largest_evidence.max(evidence);
+        }
         let unqueued = match &mut self.bulk {
             Some(bulk) => bulk.queue(sender, receiver, message, self.now),
             None => Some(message),
@@ -274,6 +283,23 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
+/// Numbers of reports, of clearances, and of suspects with one crash only.
+fn evidence_size(evidence: &CrashEvidence) -> (usize, usize, usize) {
+    let mut crashes: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
+    for report in &evidence.reports {
+        crashes
+            .entry(report.suspect)
+            .or_default()
+            .insert(report.crash);
+    }
+    let single = crashes.values().filter(|crashes| crashes.len() == 1);
+    (
+        evidence.reports.len(),
+        evidence.clearances.len(),
+        single.count(),
+    )
+}
+
 fn node_name(index: usize) -> String {
     format!("n{index:03}")
 }
@@ -282,6 +308,7 @@
     let capacity = |index: usize| if index < 4 { 500 } else { 200 };
     let settings = EdgeSettings {
         capacity: capacity(index),
+        link_rate: if index < 4 { 25_000_000 } else { 2_500_000 },
         ..settings(&node_name(index))
     };
     let mut state = EdgeState::new(settings, EdgeTimes::default(), index as u64, at(now));
