Fix: crash reports filled the links and the loops of hubs

Cause: each report went to every hub ten times, and all suspects with two crashes and all clearances of a minute whole from each hub to each node whose hash differed, which under lost answers is every node at every moment: up to 36.5 MB a second from one hub. Change: evidence is sent as differences. Each suspect has the number of its last change, each receiver a cursor; a message has what is new for that receiver, most important first, some kilobytes at most; the whole goes again in pieces only where the hash goes on differing. Own reports are sent three times, not ten, and clearances of others not at all. Budgets in bytes a second follow from the link's rate and, for what all nodes send to a hub, from their number. The hash is kept, and verdicts are searched by a deadline, not at each message. Why it works: what a node sends and takes in has a bound that no number of nodes, servers or suspects moves. Ruled out: dropping reports of later stages or of single crashes; verdicts need them (quarantine's tests).

Tests of quarantine 42, of edge (quarantine, deadly, messages, byte_budget, limits, node) 49 passed. 70 and 195 nodes of lost_answers stay listed until they are run.

--- a/crates/edge/src/commands/quarantine.rs
+++ b/crates/edge/src/commands/quarantine.rs
@@ -2,11 +2,12 @@
 
 use base::prelude::*;
 use quarantine::commands::{
-    expire, record_answer as clear_suspects, record_crash as report_crash, renew_suspects,
-    start_call,
+    expire, record_answer as clear_suspects, record_crash as report_crash, record_sent,
+    record_told, renew_suspects, start_call,
 };
 use quarantine::queries::{
-    blocking_verdict, evidence_hash, fresh_evidence, last_renewal, may_resend, watched_evidence,
+    EvidenceCursor, PeerEvidence, blocking_verdict, evidence_hash, fresh_evidence,
+    has_fresh_evidence, may_resend, next_evidence,
 };
 use quarantine::{CallSuspects, CrashEvidence, CrashSuspect, CrashVerdict, ServerCrash};
 use reach::queries::is_cut_off;
@@ -14,10 +15,15 @@
 
 use crate::peer::{Digest, PeerMessage};
 use crate::queries::{is_hub, sends_sums_to, uses_hubs};
-use crate::{EdgeEffect, EdgeState};
+use crate::{ByteRate, EdgeEffect, EdgeState};
 
 /// Interval between two messages with this node's latest crash reports.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time with other evidence after which a node counts as one that messages didn't reach.
+const EVIDENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Largest and smallest message about crashes.
+const MAX_EVIDENCE_BYTES: usize = 8_000;
+const MIN_EVIDENCE_BYTES: usize = 1_000;
 
 /// Time until the end of the quarantine if a request or parts of its prompt are quarantined;
 /// otherwise remembers the request.
@@ -134,20 +140,38 @@
 /// Sends this node's latest crash reports and clearances to all hubs, if they are due; in a small
 /// deployment to all nodes.
 pub(crate) fn send_evidence(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
+    let is_verdict_due = (state.quarantine.verdict_due()).is_some_and(|due| due <= now);
+    let verdict_effects = match is_verdict_due {
+        true => update_verdicts(state, now),
+        false => Vec::new(),
+    };
     if state.evidence_due.is_none_or(|due| due > now) {
-        return Vec::new();
+        return verdict_effects;
     }
     let mut effects = std::mem::take(&mut state.unsent_effects);
+    effects.extend(verdict_effects);
     effects.extend(update_verdicts(state, now));
-    let evidence = fresh_evidence(&state.quarantine, now);
-    if evidence.is_empty() {
+    if !has_fresh_evidence(&state.quarantine) {
         state.evidence_due = None;
         return effects;
     }
     state.evidence_due = Some(now + EVIDENCE_INTERVAL);
     let is_receiver = |node: &NodeName| !uses_hubs(state) || state.hubs.contains(node);
     let receivers = state.peers.iter().filter(|(node, _)| is_receiver(node));
-    effects.extend(receivers.map(|(_, peer)| evidence_message(peer.address, evidence.clone())));
+    let receivers: Vec<_> = receivers.map(|(_, peer)| peer.address).collect();
+    let (nodes, count) = (state.peers.len() + 1, receivers.len());
+    let rate = ByteRate::of_own_evidence(state.settings.link_rate, nodes, count);
+    let available = state.own_evidence_budget.available(rate, now);
+    let max_bytes = available.checked_div(count).unwrap_or(0);
+    let evidence = fresh_evidence(&state.quarantine, now).within(max_bytes.min(MAX_EVIDENCE_BYTES));
+    if evidence.is_empty() {
+        return effects;
+    }
+    let byte_count = evidence.byte_count() * count;
+    state.own_evidence_budget.spend(byte_count, rate, now);
+    record_sent(&mut state.quarantine, &evidence, now);
+    let messages = receivers.into_iter();
+    effects.extend(messages.map(|to| evidence_message(to, evidence.clone())));
     effects
 }
 
@@ -157,28 +181,71 @@
     digest: &Digest,
     now: ClockTime,
 ) -> Vec<EdgeEffect> {
-    // A node that was cut off is no hub for a while, but hears of it at once.
-    let is_receiver = !uses_hubs(state)
-        || state.hubs.contains(&digest.from)
-        || sends_sums_to(state, &digest.from, Some(digest));
-    if !is_hub(state) || !is_receiver {
+    if !is_hub(state) || !is_evidence_receiver(state, &digest.from, Some(digest)) {
         return Vec::new();
     }
-    let is_known = digest.quarantine_hash == quarantine_hash(state);
-    let sent_at = (state.peers.get(&digest.from)).and_then(|peer| peer.evidence_sent_at);
-    if is_known && last_renewal(&state.quarantine) <= sent_at {
-        return Vec::new();
-    }
-    let evidence = watched_evidence(&state.quarantine);
+    let evidence_hash = quarantine_hash(state);
     let Some(peer) = state.peers.get_mut(&digest.from) else {
         return Vec::new();
     };
-    let is_due = (peer.evidence_sent_at).is_none_or(|at| now.since(at) >= EVIDENCE_INTERVAL);
-    if evidence.is_empty() || !is_due {
+    let known_before = (peer.digest.as_ref()).map_or(0, |known| known.quarantine_hash);
+    if digest.quarantine_hash == 0 && known_before != 0 {
+        // It has started anew.
+        peer.evidence_cursor = EvidenceCursor::default();
+    }
+    let peer_evidence = if digest.quarantine_hash == evidence_hash {
+        peer.other_evidence_since = None;
+        PeerEvidence::Same
+    } else {
+        let since = *peer.other_evidence_since.get_or_insert(now);
+        match now.since(since) >= EVIDENCE_TIMEOUT {
+            true => PeerEvidence::StillOther,
+            false => PeerEvidence::Other,
+        }
+    };
+    let is_current =
+        peer_evidence == PeerEvidence::Same && peer.evidence_cursor.is_current(&state.quarantine);
+    if is_current || peer.evidence_due > now {
         return Vec::new();
     }
-    peer.evidence_sent_at = Some(now);
-    vec![evidence_message(peer.address, evidence)]
+    peer.evidence_due = now + EVIDENCE_INTERVAL;
+    let (address, cursor) = (peer.address, peer.evidence_cursor.clone());
+    let rate = ByteRate::of_watched_evidence(state.settings.link_rate);
+    let budget = state.watched_evidence_budget.available(rate, now);
+    if budget < MIN_EVIDENCE_BYTES {
+        return Vec::new();
+    }
+    let receivers = count_evidence_receivers(state);
+    let max_bytes = (rate.burst as usize / receivers.max(1))
+        .clamp(MIN_EVIDENCE_BYTES, MAX_EVIDENCE_BYTES)
+        .min(budget);
+    let (evidence, cursor) = next_evidence(&state.quarantine, &cursor, peer_evidence, max_bytes);
+    let byte_count = evidence.byte_count();
+    if let Some(peer) = state.peers.get_mut(&digest.from) {
+        peer.evidence_cursor = cursor;
+        // All receivers together get no more than the rate.
+        let pause = rate.time_for(byte_count * receivers);
+        peer.evidence_due = now + pause.max(EVIDENCE_INTERVAL);
+    }
+    if evidence.is_empty() {
+        return Vec::new();
+    }
+    state.watched_evidence_budget.spend(byte_count, rate, now);
+    record_told(&mut state.quarantine, &evidence);
+    vec![evidence_message(address, evidence)]
+}
+
+/// Whether this hub tells a node what all must know of crashes.
+fn is_evidence_receiver(state: &EdgeState, node: &NodeName, digest: Option<&Digest>) -> bool {
+    // A node that was cut off is no hub for a while, but hears of it at once.
+    !uses_hubs(state) || state.hubs.contains(node) || sends_sums_to(state, node, digest)
+}
+
+fn count_evidence_receivers(state: &EdgeState) -> usize {
+    let peers = state.peers.iter();
+    let receivers =
+        peers.filter(|(node, peer)| is_evidence_receiver(state, node, peer.digest.as_ref()));
+    receivers.count()
 }
 
 /// Hash of the crash reports that every node must know.
@@ -195,7 +262,7 @@
 
 /// Makes the latest evidence be sent at once, unless it was sent a moment ago.
 fn schedule_evidence(state: &mut EdgeState, now: ClockTime) {
-    if state.evidence_due.is_none() && !fresh_evidence(&state.quarantine, now).is_empty() {
+    if state.evidence_due.is_none() && has_fresh_evidence(&state.quarantine) {
         state.evidence_due = Some(now);
     }
 }
@@ -207,9 +274,14 @@
 
 /// Logs and counts the verdicts that a change adds, and logs those that it ends.
 fn log_new_verdicts(state: &mut EdgeState, change: impl FnOnce(&mut EdgeState)) -> Vec<EdgeEffect> {
-    let before: Vec<_> = state.quarantine.verdicts().to_vec();
     change(state);
-    let after = state.quarantine.verdicts();
+    if state.quarantine.verdict_changes() == state.logged_verdict_changes {
+        return Vec::new();
+    }
+    state.logged_verdict_changes = state.quarantine.verdict_changes();
+    let after = state.quarantine.verdicts().to_vec();
+    let before = std::mem::replace(&mut state.logged_verdicts, after);
+    let after = &state.logged_verdicts;
     let is_in = |verdicts: &[CrashVerdict], verdict: &CrashVerdict| {
         verdicts
             .iter()
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 //! store and the other nodes.
 
 pub mod border;
+mod byte_budget;
 mod event;
 mod feed;
 mod handler;
@@ -17,6 +18,7 @@
 pub mod commands;
 pub mod queries;
 
+pub use byte_budget::{ByteBudget, ByteRate};
 pub use event::{
     Arrival, ArrivalOutcome, CollectionEvent, EdgeEffect, EdgeEvent, EdgeQuestion, EdgeReply,
     EdgeStatus, RejectReason, WatchMode,
--- a/crates/edge/src/queries/deadline.rs
+++ b/crates/edge/src/queries/deadline.rs
@@ -13,6 +13,9 @@
     if let Some(due) = state.targets_due {
         next = next.min(due);
     }
+    if let Some(due) = state.quarantine.verdict_due() {
+        next = next.min(due);
+    }
     if let Some(due) = reach::queries::next_trial(&state.reach) {
         next = next.min(due);
     }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -7,14 +7,15 @@
 use intent::{ConfigNotices, ConfigSlot};
 use limits::BudgetSettings;
 use notices::DepartureState;
-use quarantine::{QuarantineSettings, QuarantineState};
+use quarantine::queries::EvidenceCursor;
+use quarantine::{CrashVerdict, QuarantineSettings, QuarantineState};
 use reach::{ReachSettings, ReachState};
 use relay::{AttemptId, RelaySettings, RelayState, SendOrder, SendTarget};
 use replicas::{PlannerSettings, PlannerState};
 
 use crate::border::ports::StoreCollection;
 use crate::peer::{Digest, NodeWeight, SlowPace, TargetsVersion};
-use crate::{EdgeBounds, EdgeEffect, EdgeSettings, WatchMode};
+use crate::{ByteBudget, EdgeBounds, EdgeEffect, EdgeSettings, WatchMode};
 
 /// Buckets in a retry window.
 const RETRY_BUCKET_COUNT: u32 = 10;
@@ -209,8 +210,12 @@
     pub config_transfer: TransferState,
     /// Last instant at which the record of groups was sent to it.
     pub record_sent_at: Option<ClockTime>,
-    /// Last instant at which the watched crash reports were sent to it.
-    pub evidence_sent_at: Option<ClockTime>,
+    /// Up to where it was told what all nodes must know of crashes.
+    pub evidence_cursor: EvidenceCursor,
+    /// Instant from which it may be told more.
+    pub evidence_due: ClockTime,
+    /// Since when its digests show other evidence than this node's.
+    pub other_evidence_since: Option<ClockTime>,
 }
 
 impl PeerState {
@@ -234,7 +239,9 @@
             record_gap: None,
             config_transfer: TransferState::default(),
             record_sent_at: None,
-            evidence_sent_at: None,
+            evidence_cursor: EvidenceCursor::default(),
+            evidence_due: ClockTime::default(),
+            other_evidence_since: None,
         }
     }
 }
@@ -315,6 +322,13 @@
     pub(crate) held_probes: BTreeSet<HostName>,
     /// Instant at which this node's crash reports are sent next; `None` if there are none.
     pub(crate) evidence_due: Option<ClockTime>,
+    /// What was quarantined when that was last logged, and the number of changes until then.
+    pub(crate) logged_verdicts: Vec<CrashVerdict>,
+    pub(crate) logged_verdict_changes: u64,
+    /// Bytes of this node's own crash reports.
+    pub(crate) own_evidence_budget: ByteBudget,
+    /// Bytes of messages with what all nodes must know of crashes.
+    pub(crate) watched_evidence_budget: ByteBudget,
     /// Effects of a request's question, which is answered at once; executed at the next wake.
     pub(crate) unsent_effects: Vec<EdgeEffect>,
     pub(crate) collections: BTreeMap<StoreCollection, CollectionState>,
@@ -404,6 +418,10 @@
             passed: HashMap::new(),
             held_probes: BTreeSet::new(),
             evidence_due: None,
+            logged_verdicts: Vec::new(),
+            logged_verdict_changes: 0,
+            own_evidence_budget: ByteBudget::default(),
+            watched_evidence_budget: ByteBudget::default(),
             unsent_effects: Vec::new(),
             settings,
             times,
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the event loop and the encodings, without network.
 
 mod bandwidth;
+mod byte_budget;
 mod changing_roles;
 mod config_notices;
 mod cut_off;
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -196,3 +196,29 @@
     let decoded = decode_message(&bytes, at(1_000), &no_config).unwrap();
     assert!(matches!(decoded, PeerMessage::Crashes(received) if received.is_empty()));
 }
+
+#[test]
+fn crash_reports_take_no_more_bytes_than_they_are_counted_for() {
+    let report = CrashReport {
+        stage: AnswerStage::Whole,
+        suspect: CrashSuspect::Request(RequestDigest(u64::MAX)),
+        crash: ServerCrash(u64::MAX),
+        request: RequestDigest(u64::MAX),
+        sent_at: at(0),
+        seen_at: at(0),
+    };
+    let clearance = SuspectClearance {
+        suspect: CrashSuspect::Request(RequestDigest(u64::MAX)),
+        cleared_at: at(0),
+    };
+    for (reports, clearances) in [(1, 0), (0, 1), (100, 0), (0, 100), (500, 500)] {
+        let evidence = CrashEvidence {
+            reports: vec![report; reports],
+            clearances: vec![clearance; clearances],
+        };
+        let counted = evidence.byte_count();
+        let message = PeerMessage::Crashes(Box::new(evidence));
+        let encoded = encode_message(&message, at(3_600_000)).len();
+        assert!(encoded <= counted, "{encoded} bytes, counted {counted}");
+    }
+}
--- a/crates/quarantine/src/commands/calls.rs
+++ b/crates/quarantine/src/commands/calls.rs
@@ -2,7 +2,8 @@
 
 use base::prelude::*;
 
-use super::merge::{add_report, clear_suspect, update_verdicts};
+use super::merge::{add_report, update_verdicts};
+use super::news::{add_news, clear_for_all};
 use crate::state::RunningCall;
 use crate::{AnswerStage, CallSuspects, CrashReport, QuarantineState, RequestDigest, ServerCrash};
 
@@ -75,7 +76,7 @@
     for suspect in suspects {
         state.answered.insert(suspect, now);
         if state.reported.contains_key(&suspect) {
-            clear_suspect(state, suspect, now);
+            clear_for_all(state, suspect, now, now);
             has_cleared = true;
         }
     }
@@ -123,10 +124,9 @@
                 sent_at,
                 seen_at: now,
             };
-            let has_room = state.own_reports.len() < state.settings.max_reported_suspects;
-            if add_report(state, report, now) && has_room {
-                let resend_until = now + state.settings.resend_duration;
-                state.own_reports.push((report, resend_until));
+            if add_report(state, report, now) {
+                state.expiry_due = state.expiry_due.min(now + state.settings.resend_duration);
+                add_news(&state.settings, &mut state.own_reports, report, now);
             }
         }
     }
--- /dev/null
+++ b/crates/quarantine/src/commands/news.rs
@@ -0,0 +1,70 @@
+//! This node's own reports and clearances, which it sends to other nodes a few times.
+
+use base::prelude::*;
+
+use super::merge::clear_suspect;
+use crate::state::OwnNews;
+use crate::{CrashEvidence, CrashSuspect, QuarantineSettings, QuarantineState, SuspectClearance};
+
+/// Time after each time that a report or clearance is sent until it is sent again: a message may be
+/// lost, and a silent connection is replaced within two seconds.
+const RESEND_DELAYS: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(2_000)];
+
+/// Has a report or clearance sent, if there aren't too many.
+pub(super) fn add_news<T>(
+    settings: &QuarantineSettings,
+    news: &mut Vec<OwnNews<T>>,
+    item: T,
+    now: ClockTime,
+) {
+    if news.len() < settings.max_reported_suspects {
+        news.push(OwnNews {
+            item,
+            sends: 0,
+            due: now,
+            expires_at: now + settings.resend_duration,
+        });
+    }
+}
+
+/// Voids the reports of a part or request up to an instant, and has that sent to other nodes.
+pub(super) fn clear_for_all(
+    state: &mut QuarantineState,
+    suspect: CrashSuspect,
+    cleared_at: ClockTime,
+    now: ClockTime,
+) {
+    clear_suspect(state, suspect, cleared_at);
+    state.expiry_due = state.expiry_due.min(now + state.settings.resend_duration);
+    let clearance = SuspectClearance {
+        suspect,
+        cleared_at,
+    };
+    let clearances = &mut state.own_clearances;
+    clearances.retain(|news| news.item.suspect != suspect);
+    add_news(&state.settings, clearances, clearance, now);
+}
+
+/// Records that this node's reports and clearances were sent to all that must hear of them at once.
+pub fn record_sent(state: &mut QuarantineState, evidence: &CrashEvidence, now: ClockTime) {
+    let is_sent = |news: &OwnNews<_>| evidence.reports.contains(&news.item);
+    advance_news(&mut state.own_reports, is_sent, now);
+    let is_sent = |news: &OwnNews<_>| evidence.clearances.contains(&news.item);
+    advance_news(&mut state.own_clearances, is_sent, now);
+}
+
+fn advance_news<T>(
+    news: &mut Vec<OwnNews<T>>,
+    is_sent: impl Fn(&OwnNews<T>) -> bool,
+    now: ClockTime,
+) {
+    news.retain_mut(|news| {
+        if news.due > now || !is_sent(news) {
+            return true;
+        }
+        let delay = RESEND_DELAYS.get(news.sends);
+        news.sends += 1;
+        news.due = now + delay.copied().unwrap_or_default();
+        delay.is_some()
+    });
+}
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -164,6 +164,28 @@
 }
 
 impl CrashEvidence {
+    /// Most bytes of a report in a message.
+    pub const REPORT_BYTES: usize = 48;
+    /// Most bytes of a clearance in a message.
+    pub const CLEARANCE_BYTES: usize = 24;
+
+    /// Most bytes that it takes in a message.
+    pub fn byte_count(&self) -> usize {
+        let reports = self.reports.len() * Self::REPORT_BYTES;
+        reports + self.clearances.len() * Self::CLEARANCE_BYTES
+    }
+
+    /// The first reports and clearances that fit into a message of limited size; clearances may
+    /// take half of it if there are reports.
+    pub fn within(mut self, max_bytes: usize) -> Self {
+        let for_reports = (self.reports.len() * Self::REPORT_BYTES).min(max_bytes / 2);
+        let clearances = (max_bytes - for_reports) / Self::CLEARANCE_BYTES;
+        self.clearances.truncate(clearances);
+        let left = max_bytes - self.clearances.len() * Self::CLEARANCE_BYTES;
+        self.reports.truncate(left / Self::REPORT_BYTES);
+        self
+    }
+
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
         self.reports.is_empty() && self.clearances.is_empty()
--- a/crates/quarantine/src/queries/verdict.rs
+++ b/crates/quarantine/src/queries/verdict.rs
@@ -114,11 +114,15 @@
     /// Adds the verdicts about crashes before a stage of the answers.
     fn find_before(&mut self, state: &QuarantineState, stage: AnswerStage, now: ClockTime) {
         let mut skipped = BTreeSet::new();
+        let min_crashes = min_crashes(&state.settings, stage);
+        let reported = state.reported.iter();
+        let reported = reported.filter(|(_, reported)| {
+            reported.reports.len() >= min_crashes && reported.stage() == stage
+        });
+        let reported: Vec<_> = reported.collect();
         loop {
-            let reported = state.reported.iter();
-            let reported = reported.filter(|(suspect, reported)| {
-                reported.stage() == stage && !skipped.contains(*suspect)
-            });
+            let reported = reported.iter().copied();
+            let reported = reported.filter(|(suspect, _)| !skipped.contains(*suspect));
             let candidates: Vec<_> = reported
                 .filter_map(|(suspect, reported)| {
                     verdict_candidate(&state.settings, *suspect, reported, &self.explained)
@@ -182,6 +186,14 @@
     one.difference(other).count() <= 1 && other.difference(one).count() <= 1
 }
 
+/// Crashes before a stage from which a part or request is quarantined.
+pub(super) fn min_crashes(settings: &QuarantineSettings, stage: AnswerStage) -> usize {
+    match stage {
+        AnswerStage::Begun | AnswerStage::Sustained => settings.min_crashes,
+        AnswerStage::Whole => settings.min_late_crashes,
+    }
+}
+
 /// Suspect with the crashes that no other one explains, if they are enough to quarantine it.
 fn verdict_candidate(
     settings: &QuarantineSettings,
@@ -190,10 +202,7 @@
     explained: &BTreeSet<ServerCrash>,
 ) -> Option<VerdictCandidate> {
     let stage = reported.stage();
-    let min_crashes = match stage {
-        AnswerStage::Begun | AnswerStage::Sustained => settings.min_crashes,
-        AnswerStage::Whole => settings.min_late_crashes,
-    };
+    let min_crashes = min_crashes(settings, stage);
     if reported.reports.len() < min_crashes {
         return None;
     }
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -4,7 +4,13 @@
 
 use base::prelude::*;
 
-use crate::{AnswerStage, CallSuspects, CrashReport, CrashSuspect, QuarantineSettings};
+use crate::{
+    AnswerStage, CallSuspects, CrashReport, CrashSuspect, QuarantineSettings, SuspectClearance,
+};
+
+/// Number of a change of the evidence; later changes have larger ones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ChangeNumber(pub u64);
 
 /// A request, or parts of prompts, that are quarantined together.
 ///
@@ -40,6 +46,39 @@
     /// Last time at which requests with it were rejected here, or another node said so.
     pub renewed_at: Option<ClockTime>,
     pub expires_at: ClockTime,
+    /// Last change of the reports or of their renewal.
+    pub changed: ChangeNumber,
+    /// Last renewal.
+    pub renewed: ChangeNumber,
+    /// Hash of the reports if all nodes must know them; otherwise zero.
+    pub hash: u64,
+    /// Number of reports at that change.
+    pub known_reports: usize,
+    /// Whether another node was sent the reports.
+    pub is_told: bool,
+}
+
+/// Clearance of a part or request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ClearedSuspect {
+    /// Instant of the answer; earlier reports are void.
+    pub cleared_at: ClockTime,
+    /// Last change of it.
+    pub changed: ChangeNumber,
+    /// Whether other nodes are known to have reports that it voids.
+    pub is_needed: bool,
+}
+
+/// Report or clearance of this node that it sends to others.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OwnNews<T> {
+    pub item: T,
+    /// Number of times that it was sent.
+    pub sends: usize,
+    /// Instant at which it is sent next.
+    pub due: ClockTime,
+    /// Instant from which it isn't sent any more.
+    pub expires_at: ClockTime,
 }
 
 impl ReportedSuspect {
@@ -72,14 +111,31 @@
     pub(crate) calls: HashMap<CallId, RunningCall>,
     pub(crate) reported: BTreeMap<CrashSuspect, ReportedSuspect>,
     /// What was cleared after reports, and when; reports from before don't count.
-    pub(crate) cleared: BTreeMap<CrashSuspect, ClockTime>,
+    pub(crate) cleared: BTreeMap<CrashSuspect, ClearedSuspect>,
     /// Last answers that servers have begun for this node's requests.
     pub(crate) answered: HashMap<CrashSuspect, ClockTime>,
-    /// Reports of this node, and until when they are sent to others.
-    pub(crate) own_reports: Vec<(CrashReport, ClockTime)>,
+    /// Reports of this node that are sent to others.
+    pub(crate) own_reports: Vec<OwnNews<CrashReport>>,
+    /// Clearances of this node that are sent to others.
+    pub(crate) own_clearances: Vec<OwnNews<SuspectClearance>>,
+    /// Last change of the evidence.
+    pub(crate) last_change: ChangeNumber,
+    /// Hash of the reports that all nodes must know.
+    pub(crate) watched_hash: u64,
     pub(crate) verdicts: Vec<CrashVerdict>,
-    /// Instant at which the next verdict holds if nothing clears its suspects before.
+    /// Number of changes of the verdicts.
+    pub(crate) verdict_changes: u64,
+    /// Instant at which verdicts are searched again: the next one holds then if nothing clears its
+    /// suspects before, or reports have changed since the last search.
     pub(crate) verdict_due: Option<ClockTime>,
+    /// Whether reports that can matter for verdicts have changed since the last search.
+    pub(crate) has_new_reports: bool,
+    /// Instant before which verdicts aren't searched again.
+    pub(crate) next_search_at: ClockTime,
+    /// Instant from which some evidence may have expired.
+    pub(crate) expiry_due: ClockTime,
+    /// Instant before which no evidence is searched for what has expired.
+    pub(crate) next_expiry_at: ClockTime,
 }
 
 impl QuarantineState {
@@ -92,8 +148,16 @@
             cleared: BTreeMap::new(),
             answered: HashMap::new(),
             own_reports: Vec::new(),
+            own_clearances: Vec::new(),
+            last_change: ChangeNumber::default(),
+            watched_hash: 0,
             verdicts: Vec::new(),
+            verdict_changes: 0,
             verdict_due: None,
+            has_new_reports: false,
+            next_search_at: ClockTime::default(),
+            expiry_due: ClockTime::default(),
+            next_expiry_at: ClockTime::default(),
         }
     }
 
@@ -101,4 +165,14 @@
     pub fn verdicts(&self) -> &[CrashVerdict] {
         &self.verdicts
     }
+
+    /// Number of changes of what is quarantined.
+    pub fn verdict_changes(&self) -> u64 {
+        self.verdict_changes
+    }
+
+    /// Instant at which what is quarantined may change without an event.
+    pub fn verdict_due(&self) -> Option<ClockTime> {
+        self.verdict_due
+    }
 }
