Fix: of many servers that leave at once only 32 were named to other nodes

What callers would see: requests at servers that have left, as late as the node's own read or the owner's, after a release or the loss of a failure domain (found by the reviewer). Cause: a read gives all departures the same instant, and the 32 newest of these were the same ones for 15 s. Change: those told least often go first. Ruled out: more of them in a message; 128 are 4 kB in each digest of a hub.

--- a/crates/notices/src/departures.rs
+++ b/crates/notices/src/departures.rs
@@ -38,6 +38,8 @@
     departure: Departure,
     /// Whether this node has read it itself.
     is_own: bool,
+    /// Number of messages that had it.
+    told: u32,
 }
 
 /// Departures that a node knows.
@@ -60,7 +62,11 @@
         if is_known || (known.is_none() && self.entries.len() >= MAX_ENTRIES) {
             return false;
         }
-        let entry = DepartureEntry { departure, is_own };
+        let entry = DepartureEntry {
+            departure,
+            is_own,
+            told: 0,
+        };
         self.entries
             .insert(entry.departure.run.server.clone(), entry);
         true
@@ -85,16 +91,20 @@
         })
     }
 
-    /// Latest departures for other nodes, the last ones first; only those that this node has read
-    /// itself unless it passes on what it hears.
-    pub fn reported(&self, passes_on: bool, now: ClockTime) -> Vec<Departure> {
-        let entries = self.entries.values();
+    /// Recent departures for the next message to other nodes, those told least often first and of
+    /// these the last ones; only those that this node has read itself unless it passes on what it
+    /// hears.
+    pub fn reported(&mut self, passes_on: bool, now: ClockTime) -> Vec<Departure> {
+        let entries = self.entries.values_mut();
         let recent = entries.filter(|entry| {
             (entry.is_own || passes_on) && now.since(entry.departure.read_at) < REPORTED_TIME
         });
-        let mut recent: Vec<_> = recent.map(|entry| &entry.departure).collect();
-        recent.sort_by_key(|departure| Reverse(departure.read_at));
-        recent.truncate(MAX_REPORTED);
-        recent.into_iter().cloned().collect()
+        let mut recent: Vec<_> = recent.collect();
+        recent.sort_by_key(|entry| (entry.told, Reverse(entry.departure.read_at)));
+        let reported = recent.into_iter().take(MAX_REPORTED).map(|entry| {
+            entry.told += 1;
+            entry.departure.clone()
+        });
+        reported.collect()
     }
 }
--- a/crates/notices/tests/departures.rs
+++ b/crates/notices/tests/departures.rs
@@ -72,7 +72,7 @@
     let mut state = DepartureState::new();
     state.record(departure("i-1", 1, 50, 1_000), true);
     state.record(departure("i-2", 1, 51, 2_000), false);
-    let names = |passes_on, now| -> Vec<String> {
+    let mut names = |passes_on, now| -> Vec<String> {
         let reported = state.reported(passes_on, ClockTime::from_millis(now));
         let names = reported.iter();
         names
