Quarantine: the search for verdicts costs what changes, not all suspects each time

Cause: after each verdict found, the search built every candidate anew, with a set of crashes each, so it was quadratic in suspects with a large constant. Change: candidates are built once; after a verdict only those that share a crash with it are built anew. Fewer unexplained crashes never make a new candidate, so the result is the same. Ruled out: searching less often, which delays verdicts.

--- a/crates/quarantine/src/queries/verdict.rs
+++ b/crates/quarantine/src/queries/verdict.rs
@@ -113,25 +113,20 @@
 impl VerdictSearch {
     /// Adds the verdicts about crashes before a stage of the answers.
     fn find_before(&mut self, state: &QuarantineState, stage: AnswerStage, now: ClockTime) {
-        let mut skipped = BTreeSet::new();
-        let min_crashes = min_crashes(&state.settings, stage);
+        let settings = &state.settings;
+        let min_crashes = min_crashes(settings, stage);
+        let candidate_of = |suspect, reported, explained: &BTreeSet<ServerCrash>| {
+            verdict_candidate(settings, suspect, reported, explained)
+                .filter(|candidate| candidate.ends_at > now)
+        };
         let reported = state.reported.iter();
         let reported = reported.filter(|(_, reported)| {
             reported.reports.len() >= min_crashes && reported.stage() == stage
         });
-        let reported: Vec<_> = reported.collect();
-        loop {
-            let reported = reported.iter().copied();
-            let reported = reported.filter(|(suspect, _)| !skipped.contains(*suspect));
-            let candidates: Vec<_> = reported
-                .filter_map(|(suspect, reported)| {
-                    verdict_candidate(&state.settings, *suspect, reported, &self.explained)
-                })
-                .filter(|candidate| candidate.ends_at > now)
-                .collect();
-            let Some(most) = most_crashes(candidates.iter()) else {
-                return;
-            };
+        let mut candidates: Vec<_> = reported
+            .filter_map(|(suspect, reported)| candidate_of(*suspect, reported, &self.explained))
+            .collect();
+        while let Some(most) = most_crashes(candidates.iter()) {
             let same = candidates
                 .iter()
                 .filter(|other| is_nearly_same(&other.crashes, &most.crashes));
@@ -145,22 +140,33 @@
             };
             // One request alone proves nothing about the parts that others share with it.
             let is_proven = request.is_some()
-                || same.map(|candidate| candidate.requests).max()
-                    >= Some(state.settings.min_requests);
+                || same.map(|candidate| candidate.requests).max() >= Some(settings.min_requests);
             if !is_proven {
-                skipped.extend(suspects);
+                candidates.retain(|candidate| !suspects.contains(&candidate.suspect));
                 continue;
             }
-            self.explained.extend(best.crashes.iter().copied());
+            let explained = best.crashes.clone();
+            self.explained.extend(explained.iter().copied());
             if best.settled_at > now {
                 let due = self.verdict_due.unwrap_or(best.settled_at);
                 self.verdict_due = Some(due.min(best.settled_at));
-                continue;
+            } else {
+                self.verdicts.push(CrashVerdict {
+                    suspects,
+                    crashes: best.crashes.len(),
+                    until: best.ends_at,
+                });
             }
-            self.verdicts.push(CrashVerdict {
-                suspects,
-                crashes: best.crashes.len(),
-                until: best.ends_at,
+            // Only suspects of these crashes change; fewer crashes never make a new candidate.
+            candidates.retain_mut(|candidate| {
+                if candidate.crashes.is_disjoint(&explained) {
+                    return true;
+                }
+                let reported = state.reported.get(&candidate.suspect);
+                let remaining = reported.and_then(|reported| {
+                    candidate_of(candidate.suspect, reported, &self.explained)
+                });
+                remaining.map(|remaining| *candidate = remaining).is_some()
             });
         }
     }
@@ -183,7 +189,9 @@
 ///
 /// Either may have been a bystander of one more crash.
 fn is_nearly_same(one: &BTreeSet<ServerCrash>, other: &BTreeSet<ServerCrash>) -> bool {
-    one.difference(other).count() <= 1 && other.difference(one).count() <= 1
+    one.len().abs_diff(other.len()) <= 1
+        && one.difference(other).count() <= 1
+        && other.difference(one).count() <= 1
 }
 
 /// Crashes before a stage from which a part or request is quarantined.
