Fix: digests had no bound in bytes

What servers announce was sent whole, in each digest of each node for 60 s (limits) and 120 s (leaving), and departures in each for 15 s; the interval followed from the number of nodes and targets only. The same class as crash reports: sent again and again, to all, with no bound that follows from the link.

Ruled out: a fixed interval by the number of reports (a small node that becomes a hub has a tenth of the link); sending changes only (a lost digest would then lose an announcement).

Change: the next digest is due when a twelfth of the link has carried the last ones, 400 ms at most; the lists of limits, leaving servers and departures have as many entries as that leaves room for, 8 to 160 each, those told least often first. Also: each server that leaves made the receiver compute all targets anew, now once for a digest.

--- a/crates/edge/src/byte_budget.rs
+++ b/crates/edge/src/byte_budget.rs
@@ -2,6 +2,8 @@
 
 use base::prelude::*;
 
+/// Part of the link that a node uses for digests, as a divisor.
+const DIGEST_DIVISOR: u64 = 12;
 /// Part of the link that a node uses to tell others what all must know of crashes, as a divisor.
 const WATCHED_DIVISOR: u64 = 20;
 /// The same for its own reports.
@@ -28,6 +30,13 @@
 }
 
 impl ByteRate {
+    /// Rate of digests.
+    pub fn of_digests(link_rate: u64) -> Self {
+        let per_second = (link_rate / DIGEST_DIVISOR).max(1);
+        let burst = per_second / BURST_DIVISOR;
+        Self { per_second, burst }
+    }
+
     /// Rate of what all nodes must know of crashes.
     pub fn of_watched_evidence(link_rate: u64) -> Self {
         let per_second = (link_rate / WATCHED_DIVISOR).max(1);
@@ -45,6 +54,12 @@
         Self { per_second, burst }
     }
 
+    /// Bytes that may be sent in this time, without a burst.
+    pub fn bytes_in(self, time: Duration) -> usize {
+        let byte_count = u128::from(self.per_second) * time.as_micros() / 1_000_000;
+        usize::try_from(byte_count).unwrap_or(usize::MAX)
+    }
+
     /// Time in which this many bytes may be sent.
     pub fn time_for(self, byte_count: usize) -> Duration {
         let micros = byte_count as u128 * 1_000_000 / u128::from(self.per_second);
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -1,10 +1,13 @@
 //! Digests to other nodes, and the hubs that they go through.
 
 use base::prelude::*;
+use notices::ReportScope;
+use notices::commands::take_reports;
 
 use super::distribution::send_targets;
 use super::notices::update_share;
 use super::quarantine::quarantine_hash;
+use crate::byte_budget::ByteRate;
 use crate::peer::Digest;
 use crate::queries::{
     ConfigAge, awaits_list, can_own, choose_summing_hub, config_age, has_able_hub, is_hub,
@@ -19,6 +22,10 @@
 /// Time for which a hub that timed out can't be a hub.
 const HUB_EXCLUSION: Duration = Duration::from_secs(5);
 
+/// Least and largest number of a kind of report in a digest, whatever the link carries.
+const MIN_REPORTS: usize = 8;
+const MAX_REPORTS: usize = 160;
+
 /// Lag of the event loop from which it is logged.
 const LOGGED_LAG: Duration = Duration::from_millis(200);
 
@@ -45,13 +52,14 @@
     state.relay.set_unreported_nodes(unreported);
     state.relay.set_counts_age(Some(counts_age(state)));
     let receivers = digest_receivers(state, now);
-    let with_sums = receivers
-        .iter()
-        .filter(|(_, kind)| *kind == DigestKind::Sums);
-    state.digest_due = now + digest_interval(state, with_sums.count());
+    let count_of = |wanted| receivers.iter().filter(|(_, kind)| *kind == wanted).count();
+    let (with_sums, local) = (count_of(DigestKind::Sums), count_of(DigestKind::Local));
     state.departures.expire(now);
-    let digest = local_digest(state, now);
-    let summed_digest = summed_digest(state, &digest, now);
+    let limit = report_limit(state, receivers.len());
+    let digest = local_digest(state, limit, now);
+    let summed_digest = summed_digest(state, &digest, limit, now);
+    let byte_count = with_sums * summed_digest.estimated_size() + local * digest.estimated_size();
+    state.digest_due = now + digest_interval(state, with_sums, byte_count);
     let mut effects = update_share(state, now);
     for (node, kind) in receivers {
         let Some(peer) = state.peers.get_mut(&node) else {
@@ -129,11 +137,25 @@
     receivers.collect()
 }
 
+/// Largest number of reports of each kind in a digest to this many receivers.
+fn report_limit(state: &EdgeState, receivers: usize) -> usize {
+    let rate = ByteRate::of_digests(state.settings.link_rate);
+    let byte_count = rate.bytes_in(state.times.max_digest_interval) / receivers.max(1);
+    let limit = Digest::report_limit(byte_count, state.targets.len());
+    limit.clamp(MIN_REPORTS, MAX_REPORTS)
+}
+
 /// Digest with the counts of this node.
-fn local_digest(state: &mut EdgeState, now: ClockTime) -> Digest {
+fn local_digest(state: &mut EdgeState, limit: usize, now: ClockTime) -> Digest {
     if state.is_prober {
         report_lost_groups(state, now);
     }
+    let reports = take_reports(state.relay.notices_mut(), ReportScope::Own, limit);
+    let scope = if is_hub(state) {
+        ReportScope::All
+    } else {
+        ReportScope::Own
+    };
     let slow_groups = state.slow_groups.iter();
     let received_version = (state.received_targets.as_ref()).map(|(_, version)| *version);
     Digest {
@@ -164,9 +186,9 @@
         },
         quarantine_hash: quarantine_hash(state),
         weight: local_weight(state, now),
-        limits: notices::queries::own_reports(state.relay.notices()),
-        leaving: notices::queries::own_leaving(state.relay.notices()),
-        departures: state.departures.reported(is_hub(state), now),
+        limits: reports.limits,
+        leaving: reports.leaving,
+        departures: state.departures.reported(scope, limit, now),
     }
 }
 
@@ -180,16 +202,17 @@
 }
 
 /// Digest with the sums of all nodes and the silent heads that they have reported.
-fn summed_digest(state: &mut EdgeState, digest: &Digest, now: ClockTime) -> Digest {
+fn summed_digest(state: &mut EdgeState, digest: &Digest, limit: usize, now: ClockTime) -> Digest {
     let mut silent_heads = std::mem::take(&mut state.reported_silent_heads);
     silent_heads.extend(digest.silent_heads.iter().cloned());
+    let reports = take_reports(state.relay.notices_mut(), ReportScope::All, limit);
     Digest {
         has_sums: true,
         counts: relay::queries::total_counts(&state.relay, now),
         silent_heads: silent_heads.into_iter().collect(),
         weight: total_weight(state, now).unwrap_or(digest.weight),
-        limits: notices::queries::all_reports(state.relay.notices()),
-        leaving: notices::queries::all_leaving(state.relay.notices()),
+        limits: reports.limits,
+        leaving: reports.leaving,
         ..digest.clone()
     }
 }
@@ -280,15 +303,18 @@
     state.peers.len() - alive.count()
 }
 
-/// Interval until the next digest, which grows with the number of nodes.
-fn digest_interval(state: &EdgeState, receivers_of_sums: usize) -> Duration {
-    if !is_hub(state) {
+/// Interval until the next digest, which grows with the number of nodes and with the bytes that
+/// were sent.
+fn digest_interval(state: &EdgeState, receivers_of_sums: usize, byte_count: usize) -> Duration {
+    let by_nodes = if !is_hub(state) {
         spoke_interval(state)
     } else if uses_hubs(state) {
         hub_interval(state, u32::try_from(receivers_of_sums).unwrap_or(u32::MAX))
     } else {
         mesh_interval(state)
-    }
+    };
+    let rate = ByteRate::of_digests(state.settings.link_rate);
+    clamp_interval(state, by_nodes.max(rate.time_for(byte_count)))
 }
 
 /// Interval between two digests of a node of a small deployment.
--- a/crates/edge/src/commands/notices.rs
+++ b/crates/edge/src/commands/notices.rs
@@ -29,7 +29,7 @@
             }
             NoticeChange::Leaving => {
                 log::info!(request:% = id, place:% = server; "server announces that it leaves");
-                stop_using(state, run);
+                stop_using(state, [run]);
             }
             NoticeChange::Paused(until) => {
                 let pause_ms = until.since(now).as_millis() as u64;
@@ -62,19 +62,26 @@
         }
         changes.push(NoticeChange::Limit(change));
     }
+    let mut left = Vec::new();
     for report in &digest.leaving {
         if merge_leaving(state.relay.notices_mut(), report) {
             log::info!(place:% = report.run.server, node:% = from; "server announces to another node that it leaves");
-            stop_using(state, &report.run);
+            left.push(&report.run);
             changes.push(NoticeChange::Leaving);
         }
     }
+    stop_using(state, left);
     changes.into_iter().map(count_notice).collect()
 }
 
-/// Treats a server that leaves as if the list of endpoints said so, whatever it says.
-fn stop_using(state: &mut EdgeState, run: &ServerRun) {
-    if replicas::commands::record_leaving(&mut state.planner, &run.server, run.incarnation) {
+/// Treats servers that leave as if the list of endpoints said so, whatever it says.
+fn stop_using<'a>(state: &mut EdgeState, runs: impl IntoIterator<Item = &'a ServerRun>) {
+    let mut is_changed = false;
+    for run in runs {
+        is_changed |=
+            replicas::commands::record_leaving(&mut state.planner, &run.server, run.incarnation);
+    }
+    if is_changed {
         refresh_targets(state);
         state.needs_plan = true;
     }
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -124,6 +124,29 @@
 }
 
 impl Digest {
+    /// Bytes of the fields of a single value, and of one entry of the other ones, when encoded.
+    const FIXED_BYTES: usize = 100;
+    const COUNT_BYTES: usize = 20;
+    const NAME_BYTES: usize = 16;
+    const REPORT_BYTES: usize = 32;
+
+    /// About the size of its encoded form.
+    pub fn estimated_size(&self) -> usize {
+        let names = self.silent_heads.len() + self.slow_groups.len();
+        let reports = self.limits.len() + self.leaving.len() + self.departures.len();
+        Self::FIXED_BYTES
+            + self.counts.len() * Self::COUNT_BYTES
+            + names * Self::NAME_BYTES
+            + reports * Self::REPORT_BYTES
+    }
+
+    /// Number of reports of each of the three kinds for which this many bytes are enough, beside
+    /// this many counts.
+    pub fn report_limit(byte_count: usize, counts: usize) -> usize {
+        let left = byte_count.saturating_sub(Self::FIXED_BYTES + counts * Self::COUNT_BYTES);
+        left / (3 * Self::REPORT_BYTES)
+    }
+
     /// Adds what an older digest reports once, because this one is sent in its place.
     pub fn add_reports(&mut self, older: &Self) {
         // Receivers disregard the reports of a node that is cut off.
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -5,7 +5,7 @@
 use edge::{Digest, PeerMessage, SlowPace, TargetsVersion};
 
 use crate::support::at;
-use notices::{Departure, ServerRun};
+use notices::{Departure, LeavingReport, LimitReport, RequestRate, ServerRun};
 use quarantine::{
     AnswerStage, CrashEvidence, CrashReport, CrashSuspect, PromptPart, RequestDigest, ServerCrash,
     SuspectClearance,
@@ -222,3 +222,47 @@
         assert!(encoded <= counted, "{encoded} bytes, counted {counted}");
     }
 }
+
+#[test]
+fn digests_take_no_more_bytes_than_they_are_counted_for() {
+    // Runs are numbered by instants of their starts; a store restored once, and two hours of age.
+    let heard_at = at(1_000);
+    let now = at(7_200_000);
+    let run = |index: usize| ServerRun {
+        server: HostName::new(&format!("i-{index:010x}")).unwrap(),
+        incarnation: HostIncarnation(1_796_000_000_000),
+    };
+    for count in [0, 1, 20, 160] {
+        let limits = (0..count).map(|index| LimitReport {
+            server: run(index).server,
+            limit: RequestRate::new(12.5),
+            heard_at,
+        });
+        let leaving = (0..count).map(|index| LeavingReport {
+            run: run(index),
+            heard_at,
+        });
+        let departures = (0..count).map(|index| Departure {
+            run: run(index),
+            revision: ObjectVersion::in_era(1, 70_000),
+            read_at: heard_at,
+        });
+        let counts = (0..count).map(|index| (run(index).server, LaneCounts { fast: 200, slow: 9 }));
+        let heads = (0..count).map(|index| run(index).server);
+        let digest = Digest {
+            limits: limits.collect(),
+            leaving: leaving.collect(),
+            departures: departures.collect(),
+            counts: counts.collect(),
+            silent_heads: heads.collect(),
+            ..digest()
+        };
+        let estimated = digest.estimated_size();
+        let message = PeerMessage::Digest(Box::new(digest));
+        let encoded = encode_message(&message, now).len();
+        assert!(
+            encoded <= estimated && estimated <= encoded * 3 / 2 + 100,
+            "{count}: {encoded} bytes, counted as {estimated}"
+        );
+    }
+}
--- a/crates/notices/src/commands/limits.rs
+++ b/crates/notices/src/commands/limits.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 
 use crate::allowance::SendAllowance;
-use crate::state::LimitEntry;
+use crate::state::{LimitEntry, ToldCount};
 use crate::{LimitChange, LimitReport, NoticeState, RequestRate};
 
 /// Time after which an announcement that no node has heard again is dropped. Even the lowest
@@ -60,6 +60,9 @@
             Some(before) => entry.allowance.advance(before.per_second() * fraction, now),
             None => entry.allowance = SendAllowance::new(progress, now),
         }
+        if before != limit {
+            entry.told = ToldCount::default();
+        }
         entry.limit = limit;
         entry.heard_at = heard_at;
         entry.is_own = is_own;
@@ -77,6 +80,7 @@
         limit: Some(limit),
         heard_at,
         is_own,
+        told: ToldCount::default(),
         allowance: SendAllowance::new(progress, now),
     };
     state.limits.insert(server.clone(), entry);
--- a/crates/notices/src/commands/presence.rs
+++ b/crates/notices/src/commands/presence.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 
 use super::limits::{MAX_ENTRIES, record_limit};
-use crate::state::{LeavingEntry, PauseEntry};
+use crate::state::{LeavingEntry, PauseEntry, ToldCount};
 use crate::{LeavingReport, NoticeChange, NoticeState, ServerNotice, ServerRun};
 
 /// Time for which a server that leaves is remembered; it ends within that time.
@@ -38,15 +38,17 @@
     heard_at: ClockTime,
     is_own: bool,
 ) -> bool {
-    let entry = LeavingEntry {
+    let mut entry = LeavingEntry {
         incarnation: run.incarnation,
         heard_at,
         is_own,
+        told: ToldCount::default(),
     };
     let is_full = state.leaving.len() >= MAX_ENTRIES;
     match state.leaving.get_mut(&run.server) {
         Some(known) if known.incarnation == run.incarnation => {
             if is_own || (!known.is_own && known.heard_at < heard_at) {
+                entry.told = known.told;
                 *known = entry;
             }
             false
--- a/crates/notices/src/departures.rs
+++ b/crates/notices/src/departures.rs
@@ -10,12 +10,10 @@
 
 use base::prelude::*;
 
-use crate::ServerRun;
+use crate::{ReportScope, ServerRun};
 
 /// Time in which a departure is sent to other nodes, longer than any of them may be late.
 const REPORTED_TIME: Duration = Duration::from_secs(15);
-/// Largest number of departures in a message, about a kilobyte.
-const MAX_REPORTED: usize = 32;
 /// Time after which a departure is dropped; the server ends within that time.
 const VALIDITY: Duration = Duration::from_secs(120);
 /// Largest number of servers whose departures are kept.
@@ -91,17 +89,17 @@
         })
     }
 
-    /// Recent departures for the next message to other nodes, those told least often first and of
-    /// these the last ones; only those that this node has read itself unless it passes on what it
-    /// hears.
-    pub fn reported(&mut self, passes_on: bool, now: ClockTime) -> Vec<Departure> {
+    /// Recent departures for the next message to other nodes, at most this many, those told least
+    /// often first and of these the last ones.
+    pub fn reported(&mut self, scope: ReportScope, limit: usize, now: ClockTime) -> Vec<Departure> {
         let entries = self.entries.values_mut();
         let recent = entries.filter(|entry| {
-            (entry.is_own || passes_on) && now.since(entry.departure.read_at) < REPORTED_TIME
+            (entry.is_own || scope == ReportScope::All)
+                && now.since(entry.departure.read_at) < REPORTED_TIME
         });
         let mut recent: Vec<_> = recent.collect();
         recent.sort_by_key(|entry| (entry.told, Reverse(entry.departure.read_at)));
-        let reported = recent.into_iter().take(MAX_REPORTED).map(|entry| {
+        let reported = recent.into_iter().take(limit).map(|entry| {
             entry.told += 1;
             entry.departure.clone()
         });
--- a/crates/notices/src/lib.rs
+++ b/crates/notices/src/lib.rs
@@ -14,6 +14,9 @@
 //! So the turns of hundreds of nodes, each of which has far less than one a second, never add up
 //! to more than the limit allows in a second.
 //!
+//! However many servers announce something, a message to other nodes has a bounded number of
+//! announcements: those that were told least often go first.
+//!
 //! Beside these, what the platform's store says of servers that have left: [`DepartureState`].
 //!
 //! [`commands`] change a [`NoticeState`]; [`queries`] only read it.
@@ -28,6 +31,7 @@
 
 pub use departures::{Departure, DepartureState};
 pub use notice::{
-    LeavingReport, LimitChange, LimitReport, NoticeChange, RequestRate, ServerNotice, ServerRun,
+    LeavingReport, LimitChange, LimitReport, NoticeChange, NoticeReports, ReportScope, RequestRate,
+    ServerNotice, ServerRun,
 };
 pub use state::{NodeShare, NoticeState};
--- a/crates/notices/src/notice.rs
+++ b/crates/notices/src/notice.rs
@@ -64,6 +64,24 @@
     pub heard_at: ClockTime,
 }
 
+/// Which announcements a message to other nodes is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportScope {
+    /// Those that this node has heard from servers itself.
+    Own,
+    /// Those that other nodes have reported, too.
+    All,
+}
+
+/// Announcements for a message to other nodes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct NoticeReports {
+    /// Limits.
+    pub limits: Vec<LimitReport>,
+    /// Servers that leave.
+    pub leaving: Vec<LeavingReport>,
+}
+
 /// Change of a server's limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitChange {
--- a/crates/notices/src/state.rs
+++ b/crates/notices/src/state.rs
@@ -5,8 +5,8 @@
 
 use base::prelude::*;
 
-use crate::RequestRate;
 use crate::allowance::SendAllowance;
+use crate::{ReportScope, RequestRate};
 
 /// This node's part of what all nodes may send.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -26,6 +26,31 @@
     }
 }
 
+/// How often an announcement was in messages to other nodes.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ToldCount {
+    own: u32,
+    all: u32,
+}
+
+impl ToldCount {
+    /// Number of messages of this scope.
+    pub fn of(&self, scope: ReportScope) -> u32 {
+        match scope {
+            ReportScope::Own => self.own,
+            ReportScope::All => self.all,
+        }
+    }
+
+    pub fn increment(&mut self, scope: ReportScope) {
+        let count = match scope {
+            ReportScope::Own => &mut self.own,
+            ReportScope::All => &mut self.all,
+        };
+        *count = count.saturating_add(1);
+    }
+}
+
 /// Latest announcement of one server.
 #[derive(Clone, Debug)]
 pub(crate) struct LimitEntry {
@@ -34,6 +59,8 @@
     pub heard_at: ClockTime,
     /// Whether this node heard it from the server itself.
     pub is_own: bool,
+    /// Since the limit has changed.
+    pub told: ToldCount,
     pub allowance: SendAllowance,
 }
 
@@ -44,6 +71,7 @@
     pub heard_at: ClockTime,
     /// Whether this node heard it from the server itself.
     pub is_own: bool,
+    pub told: ToldCount,
 }
 
 /// Time in which a server wants nothing from this node.
