Fix: gateways took calls by a document that they knew to be too old

Cause: only refusals depended on what peers announce, and a node named a version only once it had the body, so at nodes far from the store number and body came together.

After 1.5 s a gateway answers every call with 503 document_behind and isn't ready. It ends with the version, a read of the store 5 s later that lacks it, or after a minute.

The tests of changes now judge a node also after it was ready once.

--- a/crates/gateway/src/commands/peers.rs
+++ b/crates/gateway/src/commands/peers.rs
@@ -9,7 +9,7 @@
 use members::{Item, PeerEffect, PeerFrame, PeerMessage, StoreListing};
 
 use super::watch;
-use crate::items::{ItemContent, decode_item, document_item, fabric_item};
+use crate::items::{ItemContent, decode_item, document_item, document_key, fabric_item};
 use crate::peers::{PeerEvent, PeerLayer};
 use crate::{GatewayEffect, GatewayState};
 
@@ -80,6 +80,10 @@
             layer.document = Some(item.entry());
             layer.peers.apply_store_item(item, now)
         }
+        WatchEvent::DocumentUnchanged => {
+            layer.peers.record_unchanged(&document_key(), now);
+            Vec::new()
+        }
         WatchEvent::FabricsRead(Some(records)) => publish_fabrics(layer, records, now),
         WatchEvent::DocumentRead(None) | WatchEvent::FabricsRead(None) => {
             record_listing_failure(layer, now)
--- a/crates/gateway/src/queries/authorize.rs
+++ b/crates/gateway/src/queries/authorize.rs
@@ -12,6 +12,11 @@
 /// Time after which a caller retries that the document in force refuses while a newer one is known.
 const BEHIND_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Time after which calls are refused by a gateway that knows of a newer document and lacks it: the
+/// bound for changes, 3 s, less the time in which the number of a version reaches every gateway over
+/// full links.
+const OUTDATED_AGE: Duration = Duration::from_millis(1_500);
+
 /// Result of a successful authorization.
 #[derive(Clone, Debug)]
 pub(crate) struct Entitlement {
@@ -30,10 +35,34 @@
     arrival: &CallArrival,
     now: ClockTime,
 ) -> Result<Entitlement, CallRefusal> {
+    if is_outdated(state, now) {
+        return Err(refuse_behind(now));
+    }
     let entitlement = find_entitlement(state, arrival);
     entitlement.map_err(|cause| refuse_by_document(state, cause, now))
 }
 
+/// Whether the document in force has been known to be superseded for too long.
+///
+/// One peer alone can't bring this about, as only versions count that are proven or that several
+/// peers have announced.
+pub(crate) fn is_outdated(state: &GatewayState, now: ClockTime) -> bool {
+    let version = state.watch.config.in_force.version;
+    let behind_since = state
+        .peers
+        .as_ref()
+        .and_then(|layer| layer.peers.behind_since(&document_key(), version));
+    behind_since.is_some_and(|since| now.since(since) >= OUTDATED_AGE)
+}
+
+fn refuse_behind(now: ClockTime) -> CallRefusal {
+    CallRefusal {
+        cause: RefusalCause::DocumentBehind,
+        run: RunState::NotRun,
+        retry_at: Some(now + BEHIND_RETRY_DELAY),
+    }
+}
+
 /// Refusal for a reason that the document in force gives; not a final one while a peer has
 /// announced a newer document.
 pub(crate) fn refuse_by_document(
@@ -41,17 +70,12 @@
     cause: RefusalCause,
     now: ClockTime,
 ) -> CallRefusal {
-    let run = RunState::NotRun;
     if knows_newer_document(state) {
-        CallRefusal {
-            cause: RefusalCause::DocumentBehind,
-            run,
-            retry_at: Some(now + BEHIND_RETRY_DELAY),
-        }
+        refuse_behind(now)
     } else {
         CallRefusal {
             cause,
-            run,
+            run: RunState::NotRun,
             retry_at: None,
         }
     }
--- a/crates/gateway/src/queries/reply.rs
+++ b/crates/gateway/src/queries/reply.rs
@@ -5,7 +5,7 @@
 use document::{KeyDigest, ServiceKind};
 use members::ReadinessProof;
 
-use super::authorize::refuse_by_document;
+use super::authorize::{is_outdated, refuse_by_document};
 use super::status::gateway_status;
 use crate::state::ShutdownPhase;
 use crate::{GatewayQuery, GatewayReply, GatewayState, RefusalCause};
@@ -13,7 +13,7 @@
 /// Reply to a query.
 pub fn reply_to_query(state: &GatewayState, query: GatewayQuery, now: ClockTime) -> GatewayReply {
     match query {
-        GatewayQuery::Ready => GatewayReply::Ready(is_ready(state)),
+        GatewayQuery::Ready => GatewayReply::Ready(is_ready(state, now)),
         GatewayQuery::Services(digest) => {
             let services = list_services(state, digest);
             GatewayReply::Services(services.map_err(|cause| refuse_by_document(state, cause, now)))
@@ -24,10 +24,11 @@
 
 /// Whether the gateway is ready: a complete configuration and the hosts are known
 /// and no shutdown has begun.
-pub(super) fn is_ready(state: &GatewayState) -> bool {
+pub(super) fn is_ready(state: &GatewayState, now: ClockTime) -> bool {
     was_ever_resolved(&state.watch.config)
         && knows_hosts(state)
         && state.shutdown == ShutdownPhase::Running
+        && !is_outdated(state, now)
 }
 
 /// Whether the hosts are known well enough to serve. The list of hosts comes from
--- a/crates/gateway/src/queries/status.rs
+++ b/crates/gateway/src/queries/status.rs
@@ -53,7 +53,7 @@
     GatewayStatus {
         node: state.node.clone(),
         domain: state.domain.clone(),
-        ready: is_ready(state),
+        ready: is_ready(state, now),
         config: state.watch.config.clone(),
         calls: state.calls.len(),
         queues: limits::queries::queue_depths(&state.admission),
--- a/crates/gateway/tests/changes/network.rs
+++ b/crates/gateway/tests/changes/network.rs
@@ -65,6 +65,17 @@
     Silent,
 }
 
+/// Foreign bytes that fill links.
+#[derive(Clone, Copy)]
+pub struct LinkFilling {
+    /// Interval at which they arrive.
+    pub interval: Duration,
+    /// How long others wait behind them.
+    pub delay: Duration,
+    /// Nodes whose links they fill.
+    pub is_filled: fn(usize) -> bool,
+}
+
 /// Direction of a link, busy until the last byte queued has passed.
 #[derive(Clone, Copy, Default)]
 pub struct LinkQueue {
@@ -117,9 +128,8 @@
     /// Nodes that frames with documents don't reach.
     pub without_documents: BTreeSet<usize>,
     next_call: u64,
-    /// Interval at which foreign bytes arrive on the links to some nodes, how long others wait
-    /// behind them, and the nodes.
-    pub filling: Option<(Duration, Duration, fn(usize) -> bool)>,
+    /// Foreign bytes on the links to some nodes.
+    pub filling: Option<LinkFilling>,
     filled_at: ClockTime,
     kinds: BTreeMap<&'static str, (usize, usize)>,
     first_look_at: ClockTime,
@@ -185,6 +195,7 @@
         PeerMessage::Announce(_) => "announce",
         PeerMessage::Fetch(_) => "fetch",
         PeerMessage::Heartbeat(_) => "heartbeat",
+        PeerMessage::Notice { .. } => "notice",
         PeerMessage::Nodes(_) => "nodes",
         _ => "other",
     }
@@ -319,16 +330,16 @@
 
     /// Lets foreign bytes arrive if they are due.
     fn fill_links(&mut self) {
-        let Some((interval, delay, is_filled)) = self.filling else {
+        let Some(filling) = self.filling else {
             return;
         };
-        if self.now < self.filled_at + interval {
+        if self.now < self.filled_at + filling.interval {
             return;
         }
         self.filled_at = self.now;
-        let busy_until = self.now + delay;
+        let busy_until = self.now + filling.delay;
         for (index, node) in self.nodes.iter_mut().enumerate() {
-            if is_filled(index) {
+            if (filling.is_filled)(index) {
                 node.incoming.free_at = node.incoming.free_at.max(busy_until);
             }
         }
@@ -446,6 +457,8 @@
     fn look_at_all(&mut self) {
         for index in 0..self.nodes.len() {
             let (in_force, is_ready) = self.look_at(index);
+            // A node that is no longer ready still gets calls.
+            let is_ready = is_ready || self.nodes[index].is_ready;
             self.nodes[index].in_force = in_force;
             self.nodes[index].is_ready = is_ready;
             let superseded_by = usize::try_from(in_force).unwrap();
--- a/crates/gateway/tests/changes/outdated.rs
+++ b/crates/gateway/tests/changes/outdated.rs
@@ -5,7 +5,7 @@
 
 use base::prelude::*;
 
-use crate::network::{CHANGE_BOUND, Network, StoreAccess};
+use crate::network::{CHANGE_BOUND, LinkFilling, Network, StoreAccess};
 use crate::play;
 
 /// Time for which bytes wait on a full link.
@@ -35,7 +35,11 @@
         network.nodes[index].access = StoreAccess::TurnedAway;
     }
     network.restart(round * 3 % count);
-    network.filling = Some((FILLING_INTERVAL, FULL_LINK_DELAY, is_concerned));
+    network.filling = Some(LinkFilling {
+        interval: FILLING_INTERVAL,
+        delay: FULL_LINK_DELAY,
+        is_filled: is_concerned,
+    });
 }
 
 fn check(count: usize, case: &str, disturb: fn(&mut Network, usize)) {
--- a/crates/members/src/commands/announce.rs
+++ b/crates/members/src/commands/announce.rs
@@ -56,10 +56,15 @@
         let witnesses = self
             .catalog
             .add_witness(entry, from, confirm_at, expires_at);
-        if !self.is_proven(from, witnesses.len()) {
-            return Vec::new();
+        let is_proven = self.is_proven(from, witnesses.len());
+        let mut effects = Vec::new();
+        if is_proven || witnesses.len() >= self.required_witnesses() {
+            effects.extend(self.note_version(entry, now));
         }
-        self.adopt_version(entry.clone(), witnesses, now)
+        if is_proven {
+            effects.extend(self.adopt_version(entry.clone(), witnesses, now));
+        }
+        effects
     }
 
     /// Whether a version is proven by this many peers, the last of which is `from`.
@@ -77,7 +82,7 @@
     }
 
     /// Number of witnesses that prove a version; fewer if there are fewer links.
-    fn required_witnesses(&self) -> usize {
+    pub(crate) fn required_witnesses(&self) -> usize {
         self.settings.witness_count.min(self.links.len()).max(1)
     }
 
@@ -129,6 +134,7 @@
         {
             return Vec::new();
         }
+        self.notices.drop_applied(&entry.key, entry.version);
         self.synced_peers.clear();
         let mut effects = vec![PeerEffect::Deliver(item)];
         let is_ready = self.readiness.is_some();
--- a/crates/members/src/commands/mod.rs
+++ b/crates/members/src/commands/mod.rs
@@ -12,6 +12,7 @@
 mod confirm;
 mod gossip;
 mod join;
+mod notice;
 mod observe;
 mod receive;
 mod refresh;
--- a/crates/members/src/commands/receive.rs
+++ b/crates/members/src/commands/receive.rs
@@ -61,6 +61,11 @@
             PeerMessage::Join(record) => self.handle_join(record, now),
             PeerMessage::Nodes(records) => self.handle_nodes(from, records, now),
             PeerMessage::Heartbeat(summary) => self.handle_heartbeat(from, summary, now),
+            PeerMessage::Notice { summary, known } => {
+                let mut effects = self.handle_notice(from, &known, now);
+                effects.extend(self.handle_heartbeat(from, summary, now));
+                effects
+            }
             PeerMessage::Buckets(report) => self.handle_buckets(from, &report),
             PeerMessage::Announce(entries) => self.handle_announcement(from, entries, now),
             PeerMessage::Confirm(keys) => self.answer_confirm(from, &keys),
--- a/crates/members/src/commands/store.rs
+++ b/crates/members/src/commands/store.rs
@@ -11,7 +11,11 @@
     /// An older version than the one in force is reported and not applied.
     pub fn apply_store_item(&mut self, item: Item, now: ClockTime) -> Vec<PeerEffect> {
         self.store.failures = 0;
-        if self.catalog.compare(&item.entry()) == VersionOrder::Older {
+        let order = self.catalog.compare(&item.entry());
+        if order != VersionOrder::Newer {
+            self.record_unchanged(&item.key, now);
+        }
+        if order == VersionOrder::Older {
             return vec![PeerEffect::StoreBehind(item.key)];
         }
         self.install_item(item, &[], now)
--- a/crates/members/src/commands/tick.rs
+++ b/crates/members/src/commands/tick.rs
@@ -13,6 +13,7 @@
             effects.extend(self.contact_seeds(now));
         }
         self.expire_nodes(now);
+        self.notices.expire(now);
         self.refresh_due(now);
         effects.extend(self.detect_silent_links(now));
         effects.extend(self.send_rumors(now));
@@ -83,12 +84,16 @@
     }
 
     fn heartbeat(&self, is_link: bool) -> PeerMessage {
-        PeerMessage::Heartbeat(PeerSummary {
+        PeerMessage::Heartbeat(self.summary(is_link))
+    }
+
+    pub(crate) fn summary(&self, is_link: bool) -> PeerSummary {
+        PeerSummary {
             items: self.catalog.summary().total(),
             nodes: self.directory.summary().total(),
             is_ready: self.readiness.is_some(),
             is_link,
-        })
+        }
     }
 
     /// Probes one dead node, so that both sides of a partition find each other
--- a/crates/members/src/fake/meter.rs
+++ b/crates/members/src/fake/meter.rs
@@ -47,6 +47,7 @@
         PeerMessage::Join(_) => "join",
         PeerMessage::Nodes(_) => "nodes",
         PeerMessage::Heartbeat(_) => "heartbeat",
+        PeerMessage::Notice { .. } => "notice",
         PeerMessage::Buckets(_) => "buckets",
         PeerMessage::Announce(_) => "announce",
         PeerMessage::Confirm(_) => "confirm",
--- a/crates/members/src/frame.rs
+++ b/crates/members/src/frame.rs
@@ -26,6 +26,13 @@
     Nodes(Vec<NodeRecord>),
     /// Periodic sign of life with hashes of the sender's state.
     Heartbeat(PeerSummary),
+    /// Sign of life that also names versions that the sender knows to be proven and doesn't have.
+    Notice {
+        /// Hashes of the sender's state.
+        summary: PeerSummary,
+        /// The versions.
+        known: Vec<ItemEntry>,
+    },
     /// Hashes of buckets, to find the differing ones.
     Buckets(BucketReport),
     /// Announces versions in force at the sender.
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -38,6 +38,10 @@
 //! raise a version by itself. A store that was reset to older versions is
 //! reported, and its versions are refused.
 //!
+//! A version that is proven is named to the linked peers at once, before its body is there, so
+//! its number reaches every node ahead of it ([`PeerState::behind_since`]). Such a notice proves
+//! nothing: no body is fetched because of it.
+//!
 //! # Readiness
 //!
 //! A starting node is ready once it holds every item of a listing of the store.
@@ -64,6 +68,7 @@
 mod error;
 mod frame;
 mod item;
+mod notice;
 mod observation;
 mod overlay;
 mod record;
--- a/crates/members/src/queries/versions.rs
+++ b/crates/members/src/queries/versions.rs
@@ -33,6 +33,14 @@
         announced.chain(proven).map(|entry| entry.version).max()
     }
 
+    /// When the first version of an item newer than this one became known that is still missing;
+    /// `None` if none is known.
+    ///
+    /// One peer alone can't make a version known unless it is a watcher.
+    pub fn behind_since(&self, key: &ItemKey, version: ObjectVersion) -> Option<ClockTime> {
+        self.notices.behind_since(key, version)
+    }
+
     /// Item in force; `None` if it is unknown.
     pub fn item(&self, key: &ItemKey) -> Option<Item> {
         let held = self.catalog.get(key)?;
--- a/crates/members/src/state.rs
+++ b/crates/members/src/state.rs
@@ -9,6 +9,7 @@
 
 use crate::catalog::ItemCatalog;
 use crate::directory::NodeDirectory;
+use crate::notice::VersionNotices;
 use crate::observation::ObservationTable;
 use crate::overlay::hash_text;
 use crate::{NodeRecord, PeerEffect, PeerFrame, PeerMessage, PeerSettings, ReadinessProof};
@@ -25,6 +26,7 @@
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) directory: NodeDirectory,
     pub(crate) catalog: ItemCatalog,
+    pub(crate) notices: VersionNotices,
     pub(crate) observations: ObservationTable,
     pub(crate) links: BTreeMap<NodeName, PeerLink>,
     pub(crate) watchers: BTreeMap<DomainName, Vec<NodeName>>,
@@ -104,6 +106,7 @@
             seeds: Vec::new(),
             directory: NodeDirectory::default(),
             catalog: ItemCatalog::default(),
+            notices: VersionNotices::default(),
             observations: ObservationTable::default(),
             links: BTreeMap::new(),
             watchers: BTreeMap::new(),
--- a/crates/members/src/wire/convert.rs
+++ b/crates/members/src/wire/convert.rs
@@ -80,6 +80,10 @@
                 records: into_wires(records),
             }),
             PeerMessage::Heartbeat(summary) => Self::Heartbeat(summary.into()),
+            PeerMessage::Notice { summary, known } => Self::Heartbeat(SummaryWire {
+                known: into_wires(known),
+                ..summary.into()
+            }),
             PeerMessage::Buckets(report) => Self::Buckets(report.into()),
             PeerMessage::Announce(entries) => Self::Announce(EntriesWire {
                 entries: into_wires(entries),
@@ -109,7 +113,13 @@
         Ok(match wire {
             MessageWire::Join(record) => Self::Join(record.try_into()?),
             MessageWire::Nodes(wire) => Self::Nodes(into_models(wire.records)?),
-            MessageWire::Heartbeat(summary) => Self::Heartbeat(summary.into()),
+            MessageWire::Heartbeat(wire) if wire.known.is_empty() => {
+                Self::Heartbeat((&wire).into())
+            }
+            MessageWire::Heartbeat(wire) => Self::Notice {
+                summary: (&wire).into(),
+                known: into_models(wire.known)?,
+            },
             MessageWire::Buckets(report) => Self::Buckets(report.try_into()?),
             MessageWire::Announce(wire) => Self::Announce(into_models(wire.entries)?),
             MessageWire::Confirm(wire) => Self::Confirm(into_models(wire.keys)?),
@@ -185,12 +195,13 @@
             nodes: summary.nodes,
             is_ready: summary.is_ready,
             is_link: summary.is_link,
+            known: Vec::new(),
         }
     }
 }
 
-impl From<SummaryWire> for PeerSummary {
-    fn from(wire: SummaryWire) -> Self {
+impl From<&SummaryWire> for PeerSummary {
+    fn from(wire: &SummaryWire) -> Self {
         Self {
             items: wire.items,
             nodes: wire.nodes,
--- a/crates/members/src/wire/message.rs
+++ b/crates/members/src/wire/message.rs
@@ -76,6 +76,9 @@
     pub is_ready: bool,
     #[prost(bool, tag = "4")]
     pub is_link: bool,
+    /// Versions that the sender knows to be proven; earlier builds ignore them.
+    #[prost(message, repeated, tag = "5")]
+    pub known: Vec<EntryWire>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/members/tests/wire.rs
+++ b/crates/members/tests/wire.rs
@@ -38,6 +38,15 @@
             is_ready: true,
             is_link: false,
         }),
+        PeerMessage::Notice {
+            summary: PeerSummary {
+                items: 3,
+                nodes: 1,
+                is_ready: true,
+                is_link: true,
+            },
+            known: vec![item(6, "six").entry()],
+        },
         PeerMessage::Buckets(BucketReport {
             items: vec![1, 2],
             nodes: Vec::new(),
