--- a/crates/cli/src/queries/lateness.rs
+++ b/crates/cli/src/queries/lateness.rs
@@ -121,7 +121,9 @@
         let event = match wire.message.as_ref() {
             "started" => Some(Self::Started),
             "configuration applied" => number(wire.version).map(Self::Applied),
-            "endpoint is listed as leaving" => text(wire.endpoint).map(Self::Leaving),
+            "endpoint is listed as leaving" | "endpoint has left as another node has read" => {
+                text(wire.endpoint).map(Self::Leaving)
+            }
             "server announces that it leaves"
             | "server announces to another node that it leaves" => {
                 text(wire.place).map(Self::Leaving)
--- a/crates/cli/tests/suite/lateness.rs
+++ b/crates/cli/tests/suite/lateness.rs
@@ -71,6 +71,17 @@
     assert!(names("configuration", "13").contains(&"edge-e-2".to_owned()));
 }
 
+#[test]
+fn a_node_knows_of_a_leaving_server_from_what_another_node_has_read() {
+    let line = r#"14.1000 edge-b-3 {"unix_ms":14100,"up_ms":14100,"level":"INFO","message":"endpoint has left as another node has read","endpoint":"i-f453ca3bba","node":"edge-a-1","revision":"9"}"#;
+    let lines: Vec<_> = LINES.lines().collect();
+    let until = lines.iter().take_while(|other| **other < line).count();
+    let lines = [&lines[..until], &[line], &lines[until..]].concat();
+    let rows = worst_values(&lines.join("\n"), 0);
+    let late = rows.iter().find(|row| row.0 == "leaving server");
+    assert_eq!(late.map(|row| row.2), Some(100));
+}
+
 #[test]
 fn the_limit_leaves_out_delays_and_calls_but_no_bytes() {
     let abouts = |over_ms| {
