Fix: endpoints whose probe was under way as a common silence ended counted as lost

Cause, from the outcome of each probe in the failing test (engines silent for 2.4 s): whether a silence is common was asked only once an endpoint had missed two probes. Of endpoints spared at 10.08 s four were due earlier than the others; their second probe, sent at 10.36 s, ended at 10.50 s, when the others, sent at 10.40 s, had answered.

Ruled out: asking at the first miss too, without a common silence before.

Change: a common silence that was found goes on while each further miss within 500 ms confirms it, and a probe that was sent in it shows nothing. The limit of 3 s since the first miss stays.

--- a/crates/replicas/src/commands/probes.rs
+++ b/crates/replicas/src/commands/probes.rs
@@ -5,13 +5,16 @@
 use base::prelude::*;
 
 use super::list::update_resident_model;
-use crate::queries::{is_member, is_silence_common, witnesses};
+use crate::queries::{ANSWER_TIMEOUT, is_member, is_silence_common, witnesses};
 use crate::state::ProbeState;
 use crate::{EndpointView, GroupPhase, PlanEffect, PlannerState, ProbeOutcome};
 
 /// Least interval between probes of an endpoint under suspicion.
 const SUSPECT_PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which a common silence may go on between two misses that show it.
+const COMMON_SILENCE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Records the outcome of a probe.
 pub fn record_probe_outcome(
     state: &mut PlannerState,
@@ -75,7 +78,15 @@
     let (missed, was_lost) = (view.probe.missed, view.is_lost);
     let has_missed_all = missed >= state.settings.max_missed_probes;
     let has_grace = now.since(since) < state.settings.common_silence_grace;
-    let is_spared = has_missed_all && has_grace && is_silence_common(state, since, now);
+    let last_common = state.common_silence_at;
+    let may_continue = last_common.is_some_and(|at| now.since(at) < COMMON_SILENCE_INTERVAL);
+    let is_common = (has_missed_all || may_continue) && is_silence_common(state, since, now);
+    if is_common {
+        state.common_silence_at = Some(now);
+    }
+    // A probe that was sent in a common silence shows nothing, though others have answered since.
+    let was_common = last_common.is_some_and(|at| sent_at <= at + ANSWER_TIMEOUT);
+    let is_spared = has_missed_all && has_grace && (is_common || was_common);
     let is_lost = was_lost || has_missed_all && !is_spared;
     let interval = match (is_lost, is_spared) {
         (true, _) => state.settings.unresponsive_probe_interval,
--- a/crates/replicas/src/queries/mod.rs
+++ b/crates/replicas/src/queries/mod.rs
@@ -19,5 +19,6 @@
 pub use home_models::{FabricInventory, HomeModels, fabric_inventories, home_models};
 pub use selection::{GroupSelection, select_group};
 pub use serving::{ServingGroup, lost_heads, serving_groups};
+pub(crate) use silence::ANSWER_TIMEOUT;
 pub use silence::{is_silence_common, witnesses};
 pub use staging::plan_staging;
--- a/crates/replicas/src/queries/silence.rs
+++ b/crates/replicas/src/queries/silence.rs
@@ -12,7 +12,7 @@
 const FRESH_ANSWER_AGE: Duration = Duration::from_millis(250);
 /// Time without an answer from which a probe in flight counts as missed; answers take a few
 /// milliseconds.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Fewest endpoints that are asked before some count as lost.
 const MIN_ASKED: usize = 16;
 /// Endpoints that are asked for each silent one.
--- a/crates/replicas/src/state.rs
+++ b/crates/replicas/src/state.rs
@@ -135,6 +135,8 @@
     pub(crate) homes: BTreeMap<FabricName, ModelName>,
     /// Instant until which heads are probed often.
     pub(crate) frequent_head_probes_until: ClockTime,
+    /// When most endpoints were last found silent together.
+    pub(crate) common_silence_at: Option<ClockTime>,
     /// When each closing group was first seen closing.
     pub(crate) closing: BTreeMap<GroupEpoch, ClockTime>,
 }
@@ -162,6 +164,7 @@
             loads: LoadTracker::default(),
             homes: BTreeMap::new(),
             frequent_head_probes_until: ClockTime::default(),
+            common_silence_at: None,
             closing: BTreeMap::new(),
         }
     }
