Edge tests: changes while the links of all hubs are full (three fail)

What callers would see: requests run and refused by a configuration 10.9 s old, in touch, at nodes whose own reads don't end.

The case: full_links with the links of all hubs full, so that none of them reads the store, while most other nodes do.

Figures, on the logic of: accepted by a configuration 10,920, 10,980 and 10,960 ms after a newer one at 12, 70 and 195 nodes (the end of the test; bound 2,000); servers that left are in time (at most 200 ms).

--- a/crates/edge/tests/suite/full_links.rs
+++ b/crates/edge/tests/suite/full_links.rs
@@ -60,8 +60,18 @@
     }
 }
 
+/// Hubs whose links are full.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FullHubs {
+    /// Two of them.
+    Some,
+    /// All but those that take over from lost ones.
+    All,
+}
+
 /// Nodes, the store, and what is wrong.
 struct Deployment {
+    full_hubs: FullHubs,
     network: NodeNetwork,
     clients: LossyClients,
     /// Instants at which configurations were acknowledged, by version.
@@ -78,7 +88,7 @@
 }
 
 impl Deployment {
-    fn new(count: usize) -> Self {
+    fn new(count: usize, full_hubs: FullHubs) -> Self {
         let mut network = NodeNetwork::new(count);
         for state in &mut network.nodes {
             let servers = (1..=SERVERS).map(|index| endpoint(&format!("p-{index}")));
@@ -91,6 +101,7 @@
         let rates = (0..count).map(rate).chain([OUTER_RATE]);
         network.outboxes = Some(OutboxLinks::new(rates.collect()));
         Self {
+            full_hubs,
             network,
             clients: LossyClients::new(TROUBLE_FROM_MS),
             versions: vec![0, 0],
@@ -109,8 +120,11 @@
 
     /// Whether the node's link is one of those that are full from some time on.
     fn has_full_link(&self, index: usize) -> bool {
-        let is_hub = self.count() > MESH_LIMIT && (index == 1 || index == 2);
-        is_hub || index % 3 == 2
+        let is_full_hub = match self.full_hubs {
+            FullHubs::Some => index == 1 || index == 2,
+            FullHubs::All => index < 4,
+        };
+        self.count() > MESH_LIMIT && is_full_hub || index % 3 == 2
     }
 
     fn run(&mut self) {
@@ -287,8 +301,8 @@
     }
 }
 
-fn check(count: usize) {
-    let mut deployment = Deployment::new(count);
+fn check(count: usize, full_hubs: FullHubs) {
+    let mut deployment = Deployment::new(count, full_hubs);
     deployment.run();
     let (config_age, config_node) = deployment.worst_config;
     let (departure_age, departure_node) = deployment.worst_departure;
@@ -309,15 +323,34 @@
 
 #[test]
 fn changes_are_in_time_at_few_nodes_while_links_are_full_and_roles_change() {
-    [3, 6, 12, 24].into_iter().for_each(check);
+    for count in [3, 6, 12, 24] {
+        check(count, FullHubs::Some);
+    }
 }
 
 #[test]
 fn changes_are_in_time_at_70_nodes_while_links_are_full_and_roles_change() {
-    check(70);
+    check(70, FullHubs::Some);
 }
 
 #[test]
 fn changes_are_in_time_at_195_nodes_while_links_are_full_and_roles_change() {
-    check(195);
+    check(195, FullHubs::Some);
+}
+
+#[test]
+fn changes_are_in_time_at_few_nodes_while_the_links_of_all_hubs_are_full() {
+    for count in [12, 24] {
+        check(count, FullHubs::All);
+    }
+}
+
+#[test]
+fn changes_are_in_time_at_70_nodes_while_the_links_of_all_hubs_are_full() {
+    check(70, FullHubs::All);
+}
+
+#[test]
+fn changes_are_in_time_at_195_nodes_while_the_links_of_all_hubs_are_full() {
+    check(195, FullHubs::All);
 }
