Fix: hubs whose links are full counted as a store that is away

What callers saw in the record, and would see: 404 by an old configuration, and requests run by it, at nodes in touch whose reads don't end, for as long as that lasts (10.9 s in the test).

Cause: a node takes the store for away, and then goes on without a bound, if its own reads fail and no hub reaches the store. In the incident the links of the hubs fill one after the other; then no hub reads, while most other nodes do and name each new version.

Ruled out: a version named later than 2.5 s after the own last response as the sign (with one change there is no second version, and at 2 s of bound it comes too late); the age that a hub has itself heard from others passed on by everyone (an instant would grow younger with each message).

The store is not away while it has responded to another node within 3 s, the longest wait of a watch and two digests.

--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -97,6 +97,11 @@
     received_endpoints: u64,
     #[prost(uint64, tag = "21")]
     received_record: u64,
+    /// Age; absent from earlier builds, as the next one.
+    #[prost(uint64, optional, tag = "22")]
+    store_contact_ms: Option<u64>,
+    #[prost(uint64, optional, tag = "23")]
+    heard_contact_ms: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -341,6 +346,8 @@
             from: digest.from.as_str().to_owned(),
             intent_version: digest.config_version,
             known_config: digest.known_config,
+            store_contact_ms: age_ms(digest.store_contact, now),
+            heard_contact_ms: age_ms(digest.heard_contact, now),
             record_version: digest.record_version.0,
             can_own: digest.can_own,
             is_cut_off: digest.is_cut_off,
@@ -402,6 +409,8 @@
             config_version: wire.intent_version,
             // Older builds don't send it.
             known_config: wire.known_config.max(wire.intent_version),
+            store_contact: instant_before(wire.store_contact_ms, now),
+            heard_contact: instant_before(wire.heard_contact_ms, now),
             record_version: ObjectVersion(wire.record_version),
             can_own: wire.can_own,
             is_cut_off: wire.is_cut_off,
@@ -418,6 +427,14 @@
     }
 }
 
+fn age_ms(instant: Option<ClockTime>, now: ClockTime) -> Option<u64> {
+    instant.map(|at| now.since(at).as_millis() as u64)
+}
+
+fn instant_before(age_ms: Option<u64>, now: ClockTime) -> Option<ClockTime> {
+    age_ms.map(|age_ms| now.before(Duration::from_millis(age_ms)))
+}
+
 impl LimitWire {
     /// Report as received at an instant; a number that is no rate counts as no limit.
     fn into_report(self, now: ClockTime) -> Result<LimitReport, NameError> {
--- a/crates/edge/src/commands/digests.rs
+++ b/crates/edge/src/commands/digests.rs
@@ -10,9 +10,9 @@
 use crate::byte_budget::ByteRate;
 use crate::peer::Digest;
 use crate::queries::{
-    ConfigAge, awaits_list, can_own, choose_summing_hub, config_age, has_able_hub, is_hub,
-    is_peer_alive, lists_endpoints, local_weight, receives_targets, select_hubs, sends_sums_to,
-    total_weight, uses_hubs,
+    ConfigAge, awaits_list, can_own, choose_summing_hub, config_age, has_able_hub, heard_contact,
+    is_hub, is_peer_alive, lists_endpoints, local_weight, receives_targets, select_hubs,
+    sends_sums_to, store_contact, total_weight, uses_hubs,
 };
 use crate::state::{PeerState, SummingHub};
 use crate::{EdgeEffect, EdgeState, EdgeTimes, WatchMode};
@@ -162,6 +162,12 @@
         from: state.settings.node.clone(),
         config_version: state.config.version().unwrap_or(0),
         known_config: known_config(state),
+        store_contact: store_contact(state),
+        heard_contact: if is_hub(state) {
+            heard_contact(state)
+        } else {
+            None
+        },
         record_version: state.planner.version().unwrap_or_default(),
         targets_version: state.targets_version.latest,
         forwarded_version: received_version
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -87,6 +87,10 @@
     pub config_version: u64,
     /// Newest version of the configuration that it knows to exist; zero for none.
     pub known_config: u64,
+    /// Instant at which the store last responded to it; `None` for never, and from earlier builds.
+    pub store_contact: Option<ClockTime>,
+    /// The same of all nodes whose digests it hears, from a hub.
+    pub heard_contact: Option<ClockTime>,
     /// Version of its record of groups; zero for none.
     pub record_version: ObjectVersion,
     /// Version of the send targets that it uses; zero for none.
--- a/crates/edge/src/queries/config_age.rs
+++ b/crates/edge/src/queries/config_age.rs
@@ -13,6 +13,7 @@
 use intent::{Route, RoutingConfig, Workspace};
 
 use super::hubs::has_able_hub;
+use super::owner::{others_contact, store_contact};
 use crate::border::ports::StoreCollection;
 use crate::{Arrival, EdgeState, RejectReason};
 
@@ -27,6 +28,10 @@
 /// Time without a response of the store after which a node that hears no hub takes it for away.
 const STORE_SILENCE: Duration = Duration::from_millis(1_500);
 
+/// Time without a response to any other node from which the store may be away: the longest wait of a
+/// watch of the configuration, and two digests.
+const OTHERS_SILENCE: Duration = Duration::from_millis(3_000);
+
 /// What this node knows of newer versions of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum ConfigAge {
@@ -61,20 +66,20 @@
 
 /// Whether the store responds neither to this node nor to any hub.
 ///
-/// A full link can keep one collection, or the digests of all hubs, from arriving, so neither alone
-/// says that the store is away.
+/// A full link can keep one collection, or the digests of all hubs, from arriving, and hubs with full
+/// links can't read, so none of these alone says that the store is away. It isn't while it responds
+/// to some node.
 fn is_store_away(state: &EdgeState, now: ClockTime) -> bool {
     let is_unavailable =
         |collection| matches!(state.collection(collection), Some(entry) if entry.is_unavailable);
-    if !is_unavailable(StoreCollection::RoutingConfig) {
+    let responds_to_others = others_contact(state).is_some_and(|at| now.since(at) < OTHERS_SILENCE);
+    if !is_unavailable(StoreCollection::RoutingConfig) || responds_to_others {
         return false;
     }
     match has_able_hub(state, now) {
         Some(is_able) => !is_able,
         None => {
-            let entries = StoreCollection::ALL.map(|collection| state.collection(collection));
-            let responses = entries.into_iter().flatten();
-            let last_response = responses.filter_map(|entry| entry.last_response_at).max();
+            let last_response = store_contact(state);
             StoreCollection::ALL.into_iter().all(is_unavailable)
                 && last_response.is_none_or(|at| now.since(at) >= STORE_SILENCE)
         }
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -17,7 +17,10 @@
     choose_summing_hub, complete_targets_version, has_able_hub, is_hub, lists_endpoints,
     receives_targets, select_hubs, sends_sums_to, uses_hubs,
 };
-pub(crate) use owner::{awaits_list, can_own, is_cut_off_alone, is_peer_alive, is_prober, owner};
+pub(crate) use owner::{
+    awaits_list, can_own, heard_contact, is_cut_off_alone, is_peer_alive, is_prober, owner,
+    store_contact,
+};
 pub(crate) use pass::pass_candidates;
 pub(crate) use share::{local_weight, node_share, total_weight};
 pub(crate) use status::startup_wait;
--- a/crates/edge/src/queries/owner.rs
+++ b/crates/edge/src/queries/owner.rs
@@ -40,6 +40,27 @@
         && !is_cut_off_alone(state, now)
 }
 
+/// Instant at which the store last responded to this node.
+pub(crate) fn store_contact(state: &EdgeState) -> Option<ClockTime> {
+    let entries = StoreCollection::ALL.map(|collection| state.collection(collection));
+    let responses = entries.into_iter().flatten();
+    responses.filter_map(|entry| entry.last_response_at).max()
+}
+
+/// The same of the nodes whose digests this node hears. What these have heard from others is left
+/// out, as an instant would grow younger with each message.
+pub(crate) fn heard_contact(state: &EdgeState) -> Option<ClockTime> {
+    let digests = state.peers.values().filter_map(|peer| peer.digest.as_ref());
+    digests.filter_map(|digest| digest.store_contact).max()
+}
+
+/// Instant at which the store last responded to any other node, as this one has heard.
+pub(crate) fn others_contact(state: &EdgeState) -> Option<ClockTime> {
+    let digests = state.peers.values().filter_map(|peer| peer.digest.as_ref());
+    let passed_on = digests.filter_map(|digest| digest.heard_contact).max();
+    heard_contact(state).max(passed_on)
+}
+
 /// Whether this node's list of the endpoints is older than its claim of the groups.
 pub(crate) fn awaits_list(state: &EdgeState) -> bool {
     let listed = state.collection(StoreCollection::Endpoints);
--- a/crates/edge/tests/suite/hubs.rs
+++ b/crates/edge/tests/suite/hubs.rs
@@ -72,6 +72,8 @@
         from: node(from),
         config_version: 1,
         known_config: 1,
+        store_contact: None,
+        heard_contact: None,
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(targets_version),
         forwarded_version: ObjectVersion(0),
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -22,6 +22,8 @@
         from: NodeName::new("edge-1").unwrap(),
         config_version: 7,
         known_config: 7,
+        store_contact: Some(at(0)),
+        heard_contact: Some(at(0)),
         record_version: ObjectVersion(12),
         targets_version: ObjectVersion(11),
         forwarded_version: ObjectVersion(8),
--- a/crates/edge/tests/suite/node.rs
+++ b/crates/edge/tests/suite/node.rs
@@ -325,6 +325,8 @@
         from: crate::support::node("n2"),
         config_version: 1,
         known_config: 1,
+        store_contact: None,
+        heard_contact: None,
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(0),
         forwarded_version: ObjectVersion(0),
--- a/crates/edge/tests/suite/owner_loss.rs
+++ b/crates/edge/tests/suite/owner_loss.rs
@@ -61,6 +61,8 @@
         from: node(from),
         config_version: 1,
         known_config: 1,
+        store_contact: None,
+        heard_contact: None,
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(0),
         forwarded_version: ObjectVersion(0),
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -187,6 +187,8 @@
         from: node(from),
         config_version,
         known_config: config_version,
+        store_contact: None,
+        heard_contact: None,
         record_version: ObjectVersion(0),
         targets_version: ObjectVersion(0),
         forwarded_version: ObjectVersion(0),
