Soak: a run prints how late the emulated platform was

Change: each run measures by how much its own waits were exceeded, and prints the largest in the run and in the evaluation window, beside the violations. No check depends on it.

--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -79,6 +79,9 @@
     pub last: Tally,
     /// First tries while daemons were partitioned from all servers.
     pub cut: CutTries,
+    /// Longest time that this process, which emulates all else, was late: in the whole run and in
+    /// the evaluation window.
+    pub own_lag: (Duration, Duration),
     /// Invariant violations.
     pub violations: Vec<String>,
     /// Directory of the daemons' logs.
@@ -100,6 +103,13 @@
             self.last.served,
             self.last.served + self.last.refused + self.last.failed,
         )?;
+        let (all, last) = self.own_lag;
+        write!(
+            f,
+            "; the emulation was late by {} ms at most, {} ms in that window",
+            all.as_millis(),
+            last.as_millis()
+        )?;
         for violation in &self.violations {
             write!(f, "\n  violation: {violation}")?;
         }
@@ -168,6 +178,8 @@
     daemon_server_links: Vec<Vec<LinkProxy>>,
     /// Links to open again.
     link_repairs: Vec<(Instant, Rc<Cell<LinkMode>>)>,
+    /// How late this process was, at each moment at which it was.
+    own_lags: Vec<(Instant, Duration)>,
     /// End of the store's silence.
     store_returns_at: Option<Instant>,
     // Servers to stop and to replace.
@@ -272,6 +284,7 @@
             server_links,
             daemon_server_links,
             link_repairs: Vec::new(),
+            own_lags: Vec::new(),
             store_returns_at: None,
             server_stops: Vec::new(),
             server_replacements: Vec::new(),
@@ -363,7 +376,12 @@
             if now >= end {
                 return Ok(());
             }
-            monoio::time::sleep(POLL_INTERVAL.min(end - now)).await;
+            let delay = POLL_INTERVAL.min(end - now);
+            monoio::time::sleep(delay).await;
+            let lag = now.elapsed().saturating_sub(delay);
+            if lag >= POLL_INTERVAL {
+                self.own_lags.push((now, lag));
+            }
         }
     }
 
@@ -449,7 +467,13 @@
             }
         }
         checker.check_cuts();
+        let longest_lag = |since: Instant| {
+            let lags = self.own_lags.iter().filter(|(at, _)| *at >= since);
+            lags.map(|(_, lag)| *lag).max().unwrap_or_default()
+        };
+        let started_at = self.client_context.started_at;
         SoakReport {
+            own_lag: (longest_lag(started_at), longest_lag(window_start)),
             seed: self.seed,
             faults,
             cut: checker.cut_tries(),
