--- a/crates/gateway/src/queries/authorize.rs
+++ b/crates/gateway/src/queries/authorize.rs
@@ -44,8 +44,8 @@
 
 /// Whether the document in force has been known to be superseded for too long.
 ///
-/// One peer alone can't bring this about, as only versions count that are proven or that several
-/// peers have announced.
+/// Only versions count that are proven or that several peers have announced, so one faulty peer brings
+/// this about only if it is a watcher or the only linked one.
 pub(crate) fn is_outdated(state: &GatewayState, now: ClockTime) -> bool {
     let version = state.watch.config.in_force.version;
     let behind_since = state
--- a/crates/members/src/queries/versions.rs
+++ b/crates/members/src/queries/versions.rs
@@ -36,7 +36,7 @@
     /// When the first version of an item newer than this one became known that is still missing;
     /// `None` if none is known.
     ///
-    /// One peer alone can't make a version known unless it is a watcher.
+    /// One peer alone can't make a version known unless it is a watcher or the only linked one.
     pub fn behind_since(&self, key: &ItemKey, version: ObjectVersion) -> Option<ClockTime> {
         self.notices.behind_since(key, version)
     }
