Edge tests: requests that ran and are called unrun

Callers saw 503 for requests that run once at most and had run. Two ways are tested against the daemon with raw servers:

- A client repeats an id that was refused; it meets the connection of the refusal, and the server writes the refusal once more before the response.

That a server's 500, and any status of an idempotent request, is handed on unchanged holds before and is kept by a test.

--- a/crates/bronzerun/tests/edge/main.rs
+++ b/crates/bronzerun/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod endless;
 mod faulty;
 mod raw;
+mod refused;
 mod silent;
 mod stopping;
 
--- /dev/null
+++ b/crates/bronzerun/tests/edge/refused.rs
@@ -0,0 +1,138 @@
+//! Servers that run a request and answer with a status that says it was not run.
+
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use crate::Node;
+use crate::raw::{RawRequest, raw_response, spawn_raw_server};
+
+/// Statuses that promise the client that its request was not run and never will be.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+/// Time after which a client repeats a refused request.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+/// Refused requests that a client repeats, for each number of servers.
+const REPEATED_IDS: usize = 10;
+
+const SERVICE_UNAVAILABLE: &str = "503 Service Unavailable";
+const TOO_MANY_REQUESTS: &str = "429 Too Many Requests";
+const MISDIRECTED_REQUEST: &str = "421 Misdirected Request";
+const REQUEST_TIMEOUT: &str = "408 Request Timeout";
+
+/// Number of runs of each request by its id.
+type RunCounts = Arc<Mutex<HashMap<String, usize>>>;
+
+fn count_run(runs: &RunCounts, id: &str) {
+    *runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
+}
+
+fn runs_of(runs: &RunCounts, id: &str) -> usize {
+    runs.lock().unwrap().get(id).copied().unwrap_or_default()
+}
+
+/// Server that refuses each id once. It runs it when it comes again, and writes the refusal once
+/// more before the response if it comes on the connection of the refusal.
+fn server_that_repeats_refusals(status: &'static str, runs: RunCounts) -> SocketAddr {
+    let refused: Mutex<HashMap<String, SocketAddr>> = Mutex::default();
+    spawn_raw_server(move |RawRequest { id, .. }, stream: &mut TcpStream| {
+        let peer = stream.peer_addr()?;
+        let headers = format!("x-bronzerun-not-executed: 1\r\nx-bronzerun-request-id: {id}\r\n");
+        let refusal = raw_response(status, &headers, "");
+        let before = refused.lock().unwrap().insert(id.clone(), peer);
+        let Some(before) = before else {
+            return stream.write_all(refusal.as_bytes());
+        };
+        count_run(&runs, id);
+        if before == peer {
+            stream.write_all(refusal.as_bytes())?;
+        }
+        let headers = format!("x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n");
+        stream.write_all(raw_response("200 OK", &headers, "done").as_bytes())
+    })
+}
+
+/// Sends ids that one, two or three servers refuse, and each of them once more.
+fn check_repeated_ids(name: &str, status: &'static str) {
+    let mut broken = Vec::new();
+    for server_count in 1..=3 {
+        let runs = RunCounts::default();
+        let servers = (0..server_count).map(|_| server_that_repeats_refusals(status, runs.clone()));
+        let node = Node::start_before(&format!("{name}-{server_count}"), servers.collect());
+        for index in 0..REPEATED_IDS {
+            let id = format!("r-{server_count}-{index}");
+            node.request_as(&id, "/o/run", "key-1");
+            std::thread::sleep(REPEAT_PAUSE);
+            let (status, _, _) = node.request_as(&id, "/o/run", "key-1");
+            let run_count = runs_of(&runs, &id);
+            if run_count > 1 || run_count == 1 && NOT_RUN_STATUSES.contains(&status) {
+                broken.push((id, status, run_count));
+            }
+        }
+        assert!(!runs.lock().unwrap().is_empty(), "no request was run");
+    }
+    assert!(broken.is_empty(), "id, status, runs: {broken:?}");
+}
+
+#[test]
+fn an_id_sent_again_after_a_503_that_is_written_twice_is_not_called_unrun_once_it_runs() {
+    check_repeated_ids("again-503", SERVICE_UNAVAILABLE);
+}
+
+#[test]
+fn an_id_sent_again_after_a_429_that_is_written_twice_is_not_called_unrun_once_it_runs() {
+    check_repeated_ids("again-429", TOO_MANY_REQUESTS);
+}
+
+#[test]
+fn an_id_sent_again_after_a_421_that_is_written_twice_is_not_called_unrun_once_it_runs() {
+    check_repeated_ids("again-421", MISDIRECTED_REQUEST);
+}
+
+/// Server that runs each request and answers with this status, without a report that it didn't.
+fn server_that_answers(status: &'static str, runs: RunCounts) -> SocketAddr {
+    spawn_raw_server(move |RawRequest { id, .. }, stream: &mut TcpStream| {
+        count_run(&runs, id);
+        let headers = format!("x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n");
+        stream.write_all(raw_response(status, &headers, "").as_bytes())
+    })
+}
+
+/// Status that a client gets and number of runs, before two servers that answer with this status.
+fn outcome_of(name: &str, status: &'static str, path: &str) -> (u16, usize) {
+    let runs = RunCounts::default();
+    let servers = (0..2).map(|_| server_that_answers(status, runs.clone()));
+    let node = Node::start_before(name, servers.collect());
+    let (status, _, _) = node.request_as("r-own", path, "key-1");
+    (status, runs_of(&runs, "r-own"))
+}
+
+#[test]
+fn a_status_of_a_request_that_ran_once_at_most_does_not_promise_that_it_did_not_run() {
+    let mut broken = Vec::new();
+    for status in [SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS, REQUEST_TIMEOUT] {
+        for path in ["/o/run", "/s/run"] {
+            let name = format!("own-{}{}", &status[..3], path.replace('/', "-"));
+            let (received, run_count) = outcome_of(&name, status, path);
+            assert_eq!(run_count, 1, "'{status}' on {path}");
+            if NOT_RUN_STATUSES.contains(&received) {
+                broken.push((status, path, received));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+#[test]
+fn a_server_error_of_a_request_that_ran_keeps_its_status() {
+    assert_eq!(
+        outcome_of("own-error", "500 Internal Server Error", "/o/run"),
+        (500, 1)
+    );
+    for status in [SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS, REQUEST_TIMEOUT] {
+        let name = format!("own-idempotent-{}", &status[..3]);
+        let (received, run_count) = outcome_of(&name, status, "/i/run");
+        assert_eq!(received.to_string(), status[..3], "{run_count} runs");
+    }
+}
