Edge test: the node that passes an attempt on takes a copy of its refusal

The pool is that of the passing node, which compares no ids at all: an id that is passed on again meets the connection of its refusal, and the copy is handed back as the answer. The test sends the attempts to the daemon's port for other nodes itself, so no second daemon is needed.

--- a/crates/bronzerun/tests/edge/main.rs
+++ b/crates/bronzerun/tests/edge/main.rs
@@ -184,12 +184,17 @@
 
     /// Starts a node before these servers.
     fn start_before(name: &str, servers: Vec<SocketAddr>) -> Self {
+        Self::start_at(name, servers, Ipv4Addr::LOCALHOST, (0, 0))
+    }
+
+    /// Starts a node before these servers, with this address and these ports for other nodes.
+    fn start_at(name: &str, servers: Vec<SocketAddr>, ip: Ipv4Addr, ports: (u16, u16)) -> Self {
         let store = spawn_service(move || Store {
             servers,
             revision: Rc::new(RefCell::new(10)),
         });
         let settings_value = json!({
-            "node": name, "ip": "127.0.0.1", "zone": "z1", "internalPorts": [0, 0], "bootstrap": true,
+            "node": name, "ip": ip, "zone": "z1", "internalPorts": ports, "bootstrap": true,
             "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
             "limits": {"cpuShare": 0.25},
             "bounds": {"graceS": 8, "retryBudgetRatio": 0.2, "retryBudgetSlack": 100, "budgetWindowS": 10},
--- a/crates/bronzerun/tests/edge/refused.rs
+++ b/crates/bronzerun/tests/edge/refused.rs
@@ -2,12 +2,12 @@
 
 use std::collections::HashMap;
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use crate::Node;
 use crate::raw::{RawRequest, raw_response, spawn_raw_server};
+use crate::{Node, get};
 
 /// Statuses that promise the client that its request was not run and never will be.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -15,6 +15,8 @@
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 /// Refused requests that a client repeats, for each number of servers.
 const REPEATED_IDS: usize = 10;
+/// Ports for other nodes: for links, and for attempts that they pass on.
+const INTERNAL_PORTS: (u16, u16) = (20_001, 20_002);
 
 const SERVICE_UNAVAILABLE: &str = "503 Service Unavailable";
 const TOO_MANY_REQUESTS: &str = "429 Too Many Requests";
@@ -90,6 +92,48 @@
     check_repeated_ids("again-421", MISDIRECTED_REQUEST);
 }
 
+/// Sends an attempt to a node as another node that reaches no server does; returns the status.
+fn pass_on(passing: SocketAddr, id: &str) -> u16 {
+    let headers = [
+        ("host", "a.example"),
+        ("x-bronzerun-request-id", id),
+        ("x-bronzerun-deadline-ms", "4000"),
+        ("x-pass-target", "i-1"),
+        ("x-pass-incarnation", "5"),
+        ("x-pass-time-left", "4000"),
+        ("x-pass-request-id", id),
+    ];
+    get(&format!("http://{passing}/o/run"), &headers).0
+}
+
+#[test]
+fn an_attempt_passed_on_for_another_node_does_not_end_with_the_copy_of_its_refusal() {
+    let statuses = [SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS, MISDIRECTED_REQUEST];
+    let mut broken = Vec::new();
+    for (index, status) in statuses.into_iter().enumerate() {
+        let runs = RunCounts::default();
+        let servers = vec![server_that_repeats_refusals(status, runs.clone())];
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let ip = Ipv4Addr::new(127, 48 + index as u8, high, low.clamp(1, 254));
+        let name = format!("passing-{}", &status[..3]);
+        let _node = Node::start_at(&name, servers, ip, INTERNAL_PORTS);
+        let passing = SocketAddr::from((ip, INTERNAL_PORTS.1));
+        for index in 0..REPEATED_IDS {
+            let id = format!("r-{index}");
+            let refused = pass_on(passing, &id);
+            assert_eq!(refused.to_string(), status[..3]);
+            std::thread::sleep(REPEAT_PAUSE);
+            let received = pass_on(passing, &id);
+            let run_count = runs_of(&runs, &id);
+            assert_eq!(run_count, 1, "runs of {id}");
+            if NOT_RUN_STATUSES.contains(&received) {
+                broken.push((id, received));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{} of 30: {broken:?}", broken.len());
+}
+
 /// Server that runs each request and answers with this status, without a report that it didn't.
 fn server_that_answers(status: &'static str, runs: RunCounts) -> SocketAddr {
     spawn_raw_server(move |RawRequest { id, .. }, stream: &mut TcpStream| {
