--- a/crates/bronzerun/src/daemon.rs
+++ b/crates/bronzerun/src/daemon.rs
@@ -64,14 +64,17 @@
     net::init_stdout_logs(log::LevelFilter::Info)?;
     let settings = platform::load_settings()?;
     let clock: Rc<dyn ClockSource> = Rc::new(SystemClock::default());
-    let client = WebClient::new(clock.clone()).with_connect_timeout(PLATFORM_CONNECT_TIMEOUT);
-    let store = HttpPlatformStore::new(client.clone(), clock.clone(), settings.store);
+    let new_client =
+        || WebClient::new(clock.clone()).with_connect_timeout(PLATFORM_CONNECT_TIMEOUT);
+    let store_client = new_client().with_strict_order();
+    let store = HttpPlatformStore::new(store_client, clock.clone(), settings.store);
+    let endpoints = HttpEndpointClient::new(new_client());
     edge::border::run_edge(EdgeParts {
         settings,
         source: Rc::new(SettingsFile),
         clock,
         store: Rc::new(store),
-        endpoints: Rc::new(HttpEndpointClient::new(client)),
+        endpoints: Rc::new(endpoints),
         header_codec: Rc::new(PlatformHeaders),
     })?;
     Ok(())
--- a/crates/controller/src/border/mod.rs
+++ b/crates/controller/src/border/mod.rs
@@ -76,7 +76,7 @@
 }
 
 fn connect_ports(settings: &HostSettings, clock: &Rc<SystemClock>) -> WatchPorts {
-    let client = WebClient::new(clock.clone());
+    let client = WebClient::new(clock.clone()).with_strict_order();
     let server = settings.platform;
     let store = HttpObjectStore::new(client.clone(), clock.clone(), server);
     let directory = HttpHostDirectory::new(client.clone(), clock.clone(), server);
--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -4,8 +4,9 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use exchange::{NotRunProof, UnsentExchange};
 use futures_channel::mpsc::UnboundedSender;
-use http::{HeaderMap, Method, StatusCode, Uri};
+use http::{HeaderMap, Method, Uri};
 use net::MetricSink;
 use net::web::{CallOutcome, IncomingResponse, WebClient, WebRequest, full_body};
 use notices::{ServerNotice, ServerRun};
@@ -44,7 +45,10 @@
 /// Context of an attempt.
 #[derive(Clone)]
 pub(super) struct AttemptContext {
+    /// Client for servers.
     pub client: WebClient,
+    /// Client for nodes that pass requests on.
+    pub nodes: WebClient,
     pub clock: Rc<dyn ClockSource>,
     pub replies: EdgeReplies,
     pub header_codec: Rc<dyn HeaderCodec>,
@@ -63,25 +67,28 @@
         let remaining_ms = order.deadline.since(self.clock.now()).as_millis() as u64;
         log::info!(id:% = request.id, place:% = order.target, attempt = order.attempt.number, rank = order.rank, load = order.load, passed_over = order.passed_over, left = remaining_ms, last_event:? = last_event, via:? = order.via; "attempt started");
         let Some(forwarded) = self.build_request(&request, &order, last_event) else {
-            return AttemptOutcome::Ended(AttemptEnd::NotSent);
+            let proof = UnsentExchange::new(None).give_up();
+            return AttemptOutcome::Ended(AttemptEnd::NotSent(proof));
         };
-        let address = order.via.unwrap_or(order.address);
-        let outcome = self.client.call(address, forwarded, order.deadline).await;
+        let (client, address) = match order.via {
+            Some(node) => (&self.nodes, node),
+            None => (&self.client, order.address),
+        };
+        let outcome = client.call(address, forwarded, order.deadline).await;
         match outcome {
             CallOutcome::Response(response) => {
-                let end = order
-                    .via
-                    .and_then(|_| pass_outcome(&response.parts.headers));
-                if let Some(end) = end {
+                if order.via.is_some()
+                    && let Some(end) = pass_outcome(&response)
+                {
                     drain_response(*response, self.clock.as_ref());
                     return AttemptOutcome::Ended(end);
                 }
                 self.check_response(&request, &order, *response)
             }
-            CallOutcome::NotSent if order.via.is_some() => {
-                AttemptOutcome::Ended(AttemptEnd::NotPassedOn)
+            CallOutcome::NotSent(proof) if order.via.is_some() => {
+                AttemptOutcome::Ended(AttemptEnd::NotPassedOn(proof))
             }
-            CallOutcome::NotSent => AttemptOutcome::Ended(AttemptEnd::NotSent),
+            CallOutcome::NotSent(proof) => AttemptOutcome::Ended(AttemptEnd::NotSent(proof)),
             CallOutcome::Lost if self.clock.now() >= order.deadline => {
                 AttemptOutcome::DeadlinePassed
             }
@@ -178,15 +185,17 @@
         let metadata = self
             .header_codec
             .read_response(response.parts.status, &response.parts.headers);
-        if let Some(defect) = find_defect(request, response.parts.status, &metadata) {
-            log::warn!(id:% = request.id, status = response.parts.status.as_u16(); "response discarded: {defect}");
+        let status = response.parts.status;
+        let (connection, exchange) = (response.connection_number(), response.exchange_number());
+        if let Some(defect) = find_defect(request, &response, &metadata) {
+            log::warn!(id:% = request.id, status = status.as_u16(), connection, exchange; "response discarded: {defect}");
             response.abandon();
             return AttemptOutcome::Ended(AttemptEnd::Lost);
         }
         self.report_notice(request, order, &metadata);
-        if metadata.is_not_run {
-            log::info!(id:% = request.id, status = response.parts.status.as_u16(), culprit:? = metadata.faulty_endpoint; "request not run by the server");
-            let end = end_of_rejection(&metadata, order);
+        if let Some(proof) = response.not_run(metadata.is_not_run) {
+            log::info!(id:% = request.id, status = status.as_u16(), connection, exchange, culprit:? = metadata.faulty_endpoint; "request not run by the server");
+            let end = end_of_rejection(&metadata, order, proof);
             drain_response(response, self.clock.as_ref());
             return AttemptOutcome::Ended(end);
         }
@@ -197,27 +206,28 @@
 /// Why a server did not run a request.
 ///
 /// A head that has lost a member names that member's address.
-fn end_of_rejection(metadata: &ResponseMetadata, order: &SendOrder) -> AttemptEnd {
+fn end_of_rejection(
+    metadata: &ResponseMetadata,
+    order: &SendOrder,
+    proof: NotRunProof,
+) -> AttemptEnd {
     let faulty = metadata.faulty_endpoint.as_deref();
     let is_other = faulty.is_some_and(|address| address != order.address.to_string());
     match (metadata.is_misdirected, is_other) {
-        (true, _) => AttemptEnd::Misdirected,
-        (false, true) => AttemptEnd::GroupBroken,
-        (false, false) => AttemptEnd::NotRun,
+        (true, _) => AttemptEnd::Misdirected(proof),
+        (false, true) => AttemptEnd::GroupBroken(proof),
+        (false, false) => AttemptEnd::NotRun(proof),
     }
 }
 
 /// Reason for which a response has to be discarded, if there is one.
 fn find_defect(
     request: &ClientRequest,
-    status: StatusCode,
+    response: &IncomingResponse,
     metadata: &ResponseMetadata,
 ) -> Option<&'static str> {
-    if metadata.id.as_ref().is_some_and(|id| *id != request.id) {
-        return Some("it belongs to another request");
-    }
-    if metadata.id.is_none() && !request.id.is_empty() {
-        // It may be an earlier response that the server has written once more.
+    let status = response.parts.status;
+    if !response.is_named() && !request.id.is_empty() {
         return Some("it doesn't name the request");
     }
     if status.is_success() && !metadata.is_sealed {
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use exchange::UnsentExchange;
 use futures_util::future::LocalBoxFuture;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
@@ -23,7 +24,7 @@
 use super::events::EventBuffer;
 use super::labels::RequestLabels;
 use super::responses::{
-    no_memory_response, refusal_response, rejection_response, timeout_response,
+    no_memory_response, refusal_response, rejection_response, stopped_response, timeout_response,
 };
 use super::stream::{CallGuard, PauseMeter, RelayedStream, ResponseKind};
 use crate::{Arrival, ArrivalOutcome, EdgeEvent, EdgeQuestion, EdgeReply};
@@ -68,13 +69,14 @@
 impl ClientService {
     async fn serve(&self, request: Request<RequestBody>) -> WebResponse {
         let now = self.context.clock.now();
+        let unsent = UnsentExchange::new(None);
         let (parts, body) = request.into_parts();
         let body = match receive_body(body, &self.limits).await {
             Ok(body) => body,
             Err(error) => {
                 log::info!("request body not received: {error}");
                 if error == ReceiveError::NoMemory {
-                    return no_memory_response();
+                    return no_memory_response(unsent.give_up());
                 }
                 return text_response(StatusCode::BAD_REQUEST, &error.to_string());
             }
@@ -100,7 +102,7 @@
             events: self.context.events.clone(),
         };
         let Some(outcome) = self.arrive(arrival).await else {
-            return text_response(StatusCode::SERVICE_UNAVAILABLE, "this node is about to end");
+            return stopped_response(unsent.give_up());
         };
         match outcome {
             ArrivalOutcome::Rejected(reason) => {
@@ -108,7 +110,7 @@
                 self.context
                     .metrics
                     .count("rejected_requests", &[("reason", reason.as_str())], 1);
-                rejection_response(reason)
+                rejection_response(reason, unsent.give_up())
             }
             ArrivalOutcome::Accepted {
                 version,
@@ -175,7 +177,7 @@
                 CallStep::Send(order) => attempts.send(order, None),
                 CallStep::Wait => {}
                 CallStep::Refuse(refusal) => {
-                    log::info!(id:% = accepted.request.id, route:% = accepted.route.name, reason = refusal.reason.as_str(), may_have_run = refusal.may_have_run, has_answer = failure.is_some(); "request failed");
+                    log::info!(id:% = accepted.request.id, route:% = accepted.route.name, reason = refusal.reason.as_str(), may_have_run = refusal.may_have_run(), has_answer = failure.is_some(); "request failed");
                     return failure.unwrap_or_else(|| refusal_response(&refusal));
                 }
             }
@@ -270,7 +272,7 @@
                     self.context.header_codec.response_headers(&parts.headers);
                 Some(response)
             }
-            CollectOutcome::NotSent | CollectOutcome::Lost | CollectOutcome::Incomplete => None,
+            CollectOutcome::NotSent(_) | CollectOutcome::Lost | CollectOutcome::Incomplete => None,
         }
     }
 
--- a/crates/edge/src/border/pass.rs
+++ b/crates/edge/src/border/pass.rs
@@ -36,12 +36,10 @@
 /// Header that concerns one connection only and has no constant.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
-/// Outcomes without a response of the server.
-const ENDS: [(AttemptEnd, &str); 3] = [
-    (AttemptEnd::NotPassedOn, "not-passed-on"),
-    (AttemptEnd::NotSent, "not-sent"),
-    (AttemptEnd::Lost, "lost"),
-];
+/// Values of [`OUTCOME`].
+const NOT_PASSED_ON: &str = "not-passed-on";
+const NOT_SENT: &str = "not-sent";
+const LOST: &str = "lost";
 
 /// Adds what the node that passes a request on has to know.
 pub(super) fn add_pass_headers(
@@ -60,10 +58,15 @@
 }
 
 /// How an attempt ended, if the other node got no response from the server.
-pub(super) fn pass_outcome(headers: &HeaderMap) -> Option<AttemptEnd> {
-    let text = headers.get(OUTCOME)?.to_str().ok()?;
-    let end = ENDS.iter().find(|(_, name)| *name == text);
-    end.map(|(end, _)| *end)
+pub(super) fn pass_outcome(response: &IncomingResponse) -> Option<AttemptEnd> {
+    let text = response.parts.headers.get(OUTCOME)?.to_str().ok()?;
+    let proof = response.not_run([NOT_PASSED_ON, NOT_SENT].contains(&text));
+    match (text, proof) {
+        (NOT_PASSED_ON, Some(proof)) => Some(AttemptEnd::NotPassedOn(proof)),
+        (NOT_SENT, Some(proof)) => Some(AttemptEnd::NotSent(proof)),
+        (NOT_PASSED_ON | NOT_SENT | LOST, _) => Some(AttemptEnd::Lost),
+        _ => None,
+    }
 }
 
 /// Request that another node wants to be passed on.
@@ -113,19 +116,19 @@
 }
 
 impl PassService {
-    async fn pass_on(&self, request: Request<RequestBody>) -> Result<WebResponse, AttemptEnd> {
+    async fn pass_on(&self, request: Request<RequestBody>) -> Result<WebResponse, &'static str> {
         let context = &self.context;
         let (mut parts, body) = request.into_parts();
         let Some(order) = PassOrder::take(&mut parts.headers, context.clock.now()) else {
-            return Err(AttemptEnd::NotPassedOn);
+            return Err(NOT_PASSED_ON);
         };
         let Ok(body) = receive_body(body, &self.limits).await else {
-            return Err(AttemptEnd::NotPassedOn);
+            return Err(NOT_PASSED_ON);
         };
         let question = EdgeQuestion::PassOn(order.run.clone());
         let Some(EdgeReply::PassTarget(Some(address))) = context.replies.request(question).await
         else {
-            return Err(AttemptEnd::NotPassedOn);
+            return Err(NOT_PASSED_ON);
         };
         log::info!(id:% = order.id, place:% = order.run.server; "request passed on for another node");
         context.metrics.count("passed_requests", &[], 1);
@@ -140,17 +143,17 @@
             .await
         {
             CallOutcome::Response(response) => Ok(self.relay_response(*response, order)),
-            CallOutcome::NotSent => Err(self.fail(&order, AttemptEnd::NotSent)),
-            CallOutcome::Lost => Err(self.fail(&order, AttemptEnd::Lost)),
+            CallOutcome::NotSent(_) => Err(self.fail(&order, NOT_SENT)),
+            CallOutcome::Lost => Err(self.fail(&order, LOST)),
         }
     }
 
-    fn fail(&self, order: &PassOrder, end: AttemptEnd) -> AttemptEnd {
-        log::info!(id:% = order.id, place:% = order.run.server, end = end.as_str(); "passed request failed");
+    fn fail(&self, order: &PassOrder, outcome: &'static str) -> &'static str {
+        log::info!(id:% = order.id, place:% = order.run.server, end = outcome; "passed request failed");
         let failed = EdgeEvent::PassFailed(order.run.server.clone());
         // The event loop ends only when the process is about to exit.
         let _ = self.context.events.unbounded_send(failed);
-        end
+        outcome
     }
 
     /// Starts to stream a response back, and notes what the server announces in it.
@@ -214,14 +217,12 @@
     }
 }
 
-fn ended_response(end: AttemptEnd) -> WebResponse {
+fn ended_response(outcome: &'static str) -> WebResponse {
     let mut response = Response::new(empty_body());
     *response.status_mut() = StatusCode::BAD_GATEWAY;
-    let name = ENDS.iter().find(|(other, _)| *other == end);
-    let name = name.map_or("lost", |(_, name)| name);
     response
         .headers_mut()
-        .insert(OUTCOME, HeaderValue::from_static(name));
+        .insert(OUTCOME, HeaderValue::from_static(outcome));
     response
 }
 
--- a/crates/edge/src/border/ports.rs
+++ b/crates/edge/src/border/ports.rs
@@ -8,7 +8,7 @@
 use crate::EdgeSettings;
 use base::prelude::*;
 use futures_util::future::LocalBoxFuture;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 use intent::RoutingConfig;
 use net::web::ReadProgress;
 use notices::ServerNotice;
@@ -190,8 +190,6 @@
 /// Metadata of a server's response, parsed from its status and headers.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseMetadata {
-    /// ID of the request that it answers, if given.
-    pub id: Option<Arc<str>>,
     /// Whether it carries the seal that proves that the server wrote it.
     pub is_sealed: bool,
     /// Whether the server reports that it did not run the request.
@@ -208,6 +206,9 @@
 
 /// Translation between headers and metadata.
 pub trait HeaderCodec {
+    /// Header with the ID of a request, which servers repeat in their responses.
+    fn tag_header(&self) -> HeaderName;
+
     /// Parses the headers of a client request.
     fn read_request(&self, headers: &HeaderMap) -> RequestMetadata;
 
--- a/crates/edge/src/border/responses.rs
+++ b/crates/edge/src/border/responses.rs
@@ -1,6 +1,7 @@
 //! Responses that the node itself makes.
 
 use base::prelude::*;
+use exchange::{NotRunProof, RunCertainty};
 use http::header::RETRY_AFTER;
 use http::{HeaderValue, StatusCode};
 use net::web::{WebResponse, text_response};
@@ -16,32 +17,26 @@
 const CONFIG_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Response to a request that is rejected before it is sent to any server.
-pub(super) fn rejection_response(reason: RejectReason) -> WebResponse {
+pub(super) fn rejection_response(reason: RejectReason, proof: NotRunProof) -> WebResponse {
     match reason {
-        RejectReason::NoIntent => {
-            let response = text_response(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "this node has no configuration yet; try again",
-            );
-            with_retry_after(response, STARTUP_RETRY_DELAY)
-        }
-        RejectReason::OutdatedConfig => {
-            let response = text_response(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "this node waits for a newer configuration; the request was not run, try again",
-            );
-            with_retry_after(response, CONFIG_RETRY_DELAY)
-        }
+        RejectReason::NoIntent => not_run_response(
+            "this node has no configuration yet; try again",
+            Some(STARTUP_RETRY_DELAY),
+            proof,
+        ),
+        RejectReason::OutdatedConfig => not_run_response(
+            "this node waits for a newer configuration; the request was not run, try again",
+            Some(CONFIG_RETRY_DELAY),
+            proof,
+        ),
         RejectReason::NoRoute => {
             text_response(StatusCode::NOT_FOUND, "no route for this host and path")
         }
-        RejectReason::Quarantined { retry_after } => {
-            let response = text_response(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "the request or a part of its prompt has crashed several servers; it was not run",
-            );
-            with_retry_after(response, retry_after)
-        }
+        RejectReason::Quarantined { retry_after } => not_run_response(
+            "the request or a part of its prompt has crashed several servers; it was not run",
+            Some(retry_after),
+            proof,
+        ),
         RejectReason::Denied => {
             text_response(StatusCode::UNAUTHORIZED, "the key is missing or unknown")
         }
@@ -49,29 +44,40 @@
 }
 
 /// Response to a request whose body this node has no memory for.
-pub(super) fn no_memory_response() -> WebResponse {
-    let response = text_response(
-        StatusCode::SERVICE_UNAVAILABLE,
+pub(super) fn no_memory_response(proof: NotRunProof) -> WebResponse {
+    not_run_response(
         "this node has no memory for the request; it was not run",
-    );
-    with_retry_after(response, NO_MEMORY_RETRY_DELAY)
+        Some(NO_MEMORY_RETRY_DELAY),
+        proof,
+    )
+}
+
+/// Response to a request that the event loop didn't accept before it ended.
+pub(super) fn stopped_response(proof: NotRunProof) -> WebResponse {
+    not_run_response("this node is about to end", None, proof)
 }
 
 /// Response to a request that is refused another attempt.
 pub(super) fn refusal_response(refusal: &Refusal) -> WebResponse {
-    match (refusal.may_have_run, refusal.reason) {
-        (true, RefusalReason::DeadlinePassed) => timeout_response(),
-        (true, _) => text_response(StatusCode::BAD_GATEWAY, "the server's answer was lost"),
-        (false, _) => {
-            let response = text_response(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no server could take the request; it was not run",
-            );
-            match refusal.retry_after {
-                Some(delay) => with_retry_after(response, delay),
-                None => response,
-            }
+    match (refusal.run, refusal.reason) {
+        (RunCertainty::MayHaveRun, RefusalReason::DeadlinePassed) => timeout_response(),
+        (RunCertainty::MayHaveRun, _) => {
+            text_response(StatusCode::BAD_GATEWAY, "the server's answer was lost")
         }
+        (RunCertainty::NotRun(proof), _) => not_run_response(
+            "no server could take the request; it was not run",
+            refusal.retry_after,
+            proof,
+        ),
+    }
+}
+
+/// Response to a request that was not run; no other function here makes one that says so.
+fn not_run_response(text: &str, retry_after: Option<Duration>, _: NotRunProof) -> WebResponse {
+    let response = text_response(StatusCode::SERVICE_UNAVAILABLE, text);
+    match retry_after {
+        Some(delay) => with_retry_after(response, delay),
+        None => response,
     }
 }
 
--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -139,11 +139,21 @@
     );
 
     serve_metrics(settings.metrics, metrics.clone());
-    let client = WebClient::new(clock.clone()).with_connect_timeout(CONNECT_TIMEOUT);
+    let client = WebClient::new(clock.clone())
+        .with_connect_timeout(CONNECT_TIMEOUT)
+        .with_metrics(metrics.clone(), "servers")
+        .with_tag(header_codec.tag_header());
+    // Nodes write one response to each request, which bears the server's tag.
+    let nodes = WebClient::new(clock.clone())
+        .with_connect_timeout(CONNECT_TIMEOUT)
+        .with_metrics(metrics.clone(), "nodes")
+        .with_tag(header_codec.tag_header())
+        .with_strict_order();
     let limits = WebLimits::default();
     let service = Rc::new(ClientService {
         context: AttemptContext {
             client,
+            nodes,
             clock: clock.clone(),
             replies: replies.clone(),
             header_codec,
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -81,7 +81,7 @@
     end: AttemptEnd,
     now: ClockTime,
 ) -> CallStep {
-    if end == AttemptEnd::NotPassedOn
+    if matches!(end, AttemptEnd::NotPassedOn(_))
         && let Some(step) = pass_elsewhere(state, attempt, now)
     {
         return step;
@@ -91,7 +91,7 @@
     if let Some(server) = target.as_ref().filter(|_| is_direct && is_unanswered(end)) {
         record_trouble(state, server, now);
     }
-    let is_group_lost = matches!(end, AttemptEnd::Misdirected | AttemptEnd::GroupBroken);
+    let is_group_lost = matches!(end, AttemptEnd::Misdirected(_) | AttemptEnd::GroupBroken(_));
     if let Some(head) = target.filter(|_| is_group_lost) {
         report_silent_head(state, head, now);
     }
@@ -110,7 +110,7 @@
 fn is_unanswered(end: AttemptEnd) -> bool {
     matches!(
         end,
-        AttemptEnd::NotSent | AttemptEnd::Lost | AttemptEnd::Cut | AttemptEnd::Stalled
+        AttemptEnd::NotSent(_) | AttemptEnd::Lost | AttemptEnd::Cut | AttemptEnd::Stalled
     )
 }
 
--- a/crates/edge/tests/suite/cut_off.rs
+++ b/crates/edge/tests/suite/cut_off.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::network::{FIRST_PASSING_PORT, NodeNetwork};
-use crate::support::{apply_event, arrival, at, endpoint, list};
+use crate::support::{apply_event, arrival, at, endpoint, list, not_run};
 use base::prelude::ObjectVersion;
 use edge::border::ports::{CollectionItem, StoreCollection};
 use edge::{ArrivalOutcome, CollectionEvent, EdgeEvent, EdgeQuestion, EdgeReply, EdgeStatus};
@@ -71,7 +71,9 @@
     fn play_attempt(&mut self, node: usize, order: &SendOrder) -> Option<AttemptEnd> {
         let partitioned = &self.network.partitioned;
         let Some(via) = order.via else {
-            return partitioned.contains(&node).then_some(AttemptEnd::NotSent);
+            return partitioned
+                .contains(&node)
+                .then_some(AttemptEnd::NotSent(not_run()));
         };
         let other = usize::from(via.port() - FIRST_PASSING_PORT);
         let question = EdgeQuestion::PassOn(ServerRun {
@@ -82,10 +84,10 @@
             EdgeReply::PassTarget(Some(_)) if self.network.partitioned.contains(&other) => {
                 let failed = EdgeEvent::PassFailed(order.target.clone());
                 self.network.handle(other, failed);
-                Some(AttemptEnd::NotSent)
+                Some(AttemptEnd::NotSent(not_run()))
             }
             EdgeReply::PassTarget(Some(_)) => None,
-            EdgeReply::PassTarget(None) => Some(AttemptEnd::NotPassedOn),
+            EdgeReply::PassTarget(None) => Some(AttemptEnd::NotPassedOn(not_run())),
             reply => panic!("another reply: {reply:?}"),
         }
     }
--- a/crates/edge/tests/suite/owner_loss.rs
+++ b/crates/edge/tests/suite/owner_loss.rs
@@ -3,7 +3,7 @@
 
 use crate::support::{
     apply_event, arrival, arrive, ask, at, config, config_item, endpoint, first_attempt, list,
-    node, settings,
+    node, not_run, settings,
 };
 use base::prelude::*;
 use edge::border::ports::{CollectionItem, StoreCollection};
@@ -402,7 +402,8 @@
         if chosen_target(&arrive(&mut state, call, "/x/a", now)).is_none() {
             continue;
         }
-        let question = EdgeQuestion::Ended(first_attempt(CallId(call)), AttemptEnd::NotRun);
+        let question =
+            EdgeQuestion::Ended(first_attempt(CallId(call)), AttemptEnd::NotRun(not_run()));
         if let EdgeReply::Step(CallStep::Send(_)) = ask(&mut state, question, now) {
             retries += 1;
         }
--- a/crates/edge/tests/suite/silent_servers.rs
+++ b/crates/edge/tests/suite/silent_servers.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use crate::network::{FIRST_PASSING_PORT, NodeNetwork, TICK_MS};
-use crate::support::{apply_event, arrival, at, config, endpoint, list};
+use crate::support::{apply_event, arrival, at, config, endpoint, list, not_run};
 use base::prelude::*;
 use edge::border::ports::{CollectionItem, StoreCollection};
 use edge::{ArrivalOutcome, CollectionEvent, EdgeEvent, EdgeQuestion, EdgeReply};
@@ -388,7 +388,7 @@
         });
         match network.ask(other, question) {
             EdgeReply::PassTarget(Some(_)) => {}
-            EdgeReply::PassTarget(None) => return Some(AttemptEnd::NotPassedOn),
+            EdgeReply::PassTarget(None) => return Some(AttemptEnd::NotPassedOn(not_run())),
             reply => panic!("another reply: {reply:?}"),
         }
     }
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -6,6 +6,7 @@
     Arrival, ArrivalOutcome, CollectionEvent, Digest, EdgeBounds, EdgeEffect, EdgeEvent,
     EdgeQuestion, EdgeReply, EdgeSettings, EdgeState, EdgeStatus, EdgeTimes, PeerMessage,
 };
+use exchange::{NotRunProof, UnsentExchange};
 use intent::{CallKind, ClientLimits, Route, RoutingConfig, Service, WeightedService};
 use quarantine::{PromptParts, RequestDigest};
 use relay::AttemptId;
@@ -213,3 +214,8 @@
 pub fn first_attempt(call: CallId) -> AttemptId {
     AttemptId { call, number: 1 }
 }
+
+/// Proof that a request was not run.
+pub fn not_run() -> NotRunProof {
+    UnsentExchange::new(None).give_up()
+}
--- /dev/null
+++ b/crates/exchange/src/answer.rs
@@ -0,0 +1,46 @@
+//! Answers that belong to their requests.
+
+use crate::NotRunProof;
+
+/// Answer that belongs to its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnAnswer {
+    /// Whether it bears the tag of the request.
+    pub(crate) is_named: bool,
+    /// Whether only an answer with the tag is relied on for a report that nothing was run.
+    pub(crate) must_be_named: bool,
+}
+
+impl OwnAnswer {
+    /// Whether it bears the tag of the request.
+    pub fn is_named(self) -> bool {
+        self.is_named
+    }
+
+    /// Proof that the request was not run, if the answer reports that.
+    ///
+    /// Servers repeat tags. The report of one that leaves it out is not relied on.
+    pub fn not_run(self, is_reported: bool) -> Option<NotRunProof> {
+        let is_reliable = self.is_named || !self.must_be_named;
+        (is_reported && is_reliable).then(NotRunProof::new)
+    }
+}
+
+/// Why an answer doesn't belong to the request under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerFault {
+    /// It bears another request's tag.
+    OtherTag,
+    /// It bears no tag, and the connection has carried other requests.
+    Untagged,
+}
+
+impl AnswerFault {
+    /// Name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::OtherTag => "other-request",
+            Self::Untagged => "unnamed",
+        }
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/commands/carry.rs
@@ -0,0 +1,31 @@
+//! Exchanges on a connection.
+
+use crate::{AnswerFault, ConnectionHistory, ExchangeTag, OwnAnswer, SentExchange, UnsentExchange};
+
+/// Records that a connection carries an exchange from now on.
+pub fn send(history: &mut ConnectionHistory, exchange: UnsentExchange) -> SentExchange {
+    let UnsentExchange { tag } = exchange;
+    let number = history.record(tag.as_ref().map(ExchangeTag::hash));
+    SentExchange { tag, number }
+}
+
+/// Decides whether an answer with this tag belongs to the exchange that the connection carries.
+pub fn accept(
+    history: &mut ConnectionHistory,
+    exchange: &SentExchange,
+    answer_tag: Option<&str>,
+) -> Result<OwnAnswer, AnswerFault> {
+    // Nothing else was sent here that it could answer.
+    let is_only = exchange.number == 1 || history.is_strict();
+    let is_named = match (&exchange.tag, answer_tag) {
+        (Some(tag), Some(answer_tag)) if tag.as_str() == answer_tag => true,
+        (Some(_), Some(_)) => return Err(AnswerFault::OtherTag),
+        (Some(_), None) | (None, _) if is_only => false,
+        (Some(_), None) | (None, _) => return Err(AnswerFault::Untagged),
+    };
+    history.set_proven(is_named);
+    Ok(OwnAnswer {
+        is_named,
+        must_be_named: exchange.tag.is_some() && !history.is_strict(),
+    })
+}
--- a/crates/gateway/src/border/exchange.rs
+++ b/crates/gateway/src/border/exchange.rs
@@ -193,7 +193,7 @@
                 self.report_end(&order, AttemptEnd::Lost);
                 return ExchangeProgress::Open;
             }
-            CallOutcome::NotSent => {
+            CallOutcome::NotSent(_) => {
                 self.report_end(&order, AttemptEnd::NotSent);
                 return ExchangeProgress::Open;
             }
--- a/crates/gateway/src/border/mod.rs
+++ b/crates/gateway/src/border/mod.rs
@@ -20,6 +20,7 @@
 use std::rc::Rc;
 
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use http::HeaderName;
 use interface::{HttpEngineClient, HttpHostDirectory, HttpObjectStore, NodeEntry, NodeRole};
 use monoio::net::TcpListener;
 use net::web::{WebClient, WebLimits, serve};
@@ -35,6 +36,7 @@
 use executor::GatewayExecutor;
 use ingress::{IngressOptions, IngressService};
 use peers::{accept_connections, new_peer_state};
+use response::REQUEST_HEADER;
 
 /// Largest number of connections of operators and the load balancer.
 const MAX_ADMIN_CONNECTIONS: usize = 256;
@@ -101,9 +103,11 @@
         events: UnboundedSender<GatewayEvent>,
     ) -> Self {
         let clock = Rc::new(SystemClock::default());
-        let client = WebClient::new(clock.clone());
+        let client =
+            WebClient::new(clock.clone()).with_tag(HeaderName::from_static(REQUEST_HEADER));
+        let platform_client = WebClient::new(clock.clone()).with_strict_order();
         let (drain_signal, drain) = drain_channel();
-        let ports = connect_ports(settings, &client, &clock);
+        let ports = connect_ports(settings, &platform_client, &clock);
         let entry = NodeEntry {
             node: settings.node.clone(),
             role: NodeRole::Gateway,
--- a/crates/interface/src/objects.rs
+++ b/crates/interface/src/objects.rs
@@ -68,7 +68,7 @@
                 }
                 JsonOutcome::Response(parts.status, body)
             }
-            CollectOutcome::NotSent => JsonOutcome::NotSent,
+            CollectOutcome::NotSent(_) => JsonOutcome::NotSent,
             CollectOutcome::Lost | CollectOutcome::Incomplete => JsonOutcome::Lost,
         }
     }
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -1,4 +1,7 @@
 //! HTTP client that reuses connections.
+//!
+//! The pool decides which connection a request may take and whether an answer belongs to it, by the
+//! rules of the crate `exchange`. An answer that belongs to another request counts as a lost one.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -9,9 +12,15 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use exchange::commands::{accept, send};
+use exchange::queries::{is_reusable, may_carry};
+use exchange::{
+    AnswerFault, AnswerOrder, ConnectionHistory, ExchangeTag, NotRunProof, OwnAnswer, SentExchange,
+    UnsentExchange,
+};
 use http::header::HOST;
 use http::response::Parts;
-use http::{HeaderValue, Request};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -20,6 +29,7 @@
 
 use super::body::{MeteredBody, WebBody, collect_body};
 use super::limits::MAX_PENDING_BYTES;
+use crate::metrics::{MetricSink, NullMetrics};
 use crate::paced::{PacedStream, ReadMeter};
 use crate::runtime::with_deadline;
 
@@ -31,20 +41,23 @@
 /// Request to another server.
 pub type WebRequest = Request<WebBody>;
 
-/// Connection to a server, and the meter of what it receives.
+/// Connection to a server, the meter of what it receives, and what it has carried.
 struct Connection {
+    /// Number among the client's connections, for logs.
+    number: u64,
     requests: http1::SendRequest<WebBody>,
     meter: ReadMeter,
+    history: ConnectionHistory,
 }
 
 /// Outcome of sending a request and waiting for the response headers.
 #[derive(Debug)]
 pub enum CallOutcome {
-    /// The response headers were received; the body is still to be read.
+    /// The headers of the request's own response were received; the body is still to be read.
     Response(Box<IncomingResponse>),
     /// No byte of the request was sent.
-    NotSent,
-    /// The request may have been sent, but no response was received.
+    NotSent(NotRunProof),
+    /// The request may have been sent, but no response of its own was received.
     Lost,
 }
 
@@ -54,7 +67,7 @@
     /// The complete response.
     Response(Parts, Bytes),
     /// No byte of the request was sent.
-    NotSent,
+    NotSent(NotRunProof),
     /// The request may have been sent, but no complete response was received.
     Lost,
     /// The response began, but its body did not arrive in time.
@@ -89,11 +102,22 @@
 }
 
 /// HTTP client with a connection pool; clones share the pool.
+///
+/// Unless [`Self::with_tag`] or [`Self::with_strict_order`] says otherwise, each request has a
+/// connection of its own.
 #[derive(Clone)]
 pub struct WebClient {
     clock: Rc<dyn ClockSource>,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>,
+    /// Number of connections that were opened.
+    opened: Rc<Cell<u64>>,
     connect_timeout: Option<Duration>,
+    metrics: Rc<dyn MetricSink>,
+    /// Kind of the peers, for metrics.
+    peers: &'static str,
+    /// Header that servers repeat in their responses.
+    tag_header: Option<HeaderName>,
+    answer_order: AnswerOrder,
 }
 
 impl WebClient {
@@ -102,15 +126,39 @@
         Self {
             clock,
             idle: Rc::default(),
+            opened: Rc::default(),
             connect_timeout: None,
+            metrics: Rc::new(NullMetrics),
+            peers: "",
+            tag_header: None,
+            answer_order: AnswerOrder::default(),
+        }
+    }
+
+    /// Reuses connections for requests with this header, which servers repeat in their responses.
+    pub fn with_tag(self, header: HeaderName) -> Self {
+        Self {
+            idle: Rc::default(),
+            tag_header: Some(header),
+            ..self
         }
     }
 
-    /// Client with the same limits whose first request opens a new connection.
-    pub fn without_connections(&self) -> Self {
+    /// Reuses connections for all requests, as the peer writes one response to each and no other.
+    pub fn with_strict_order(self) -> Self {
         Self {
             idle: Rc::default(),
-            ..self.clone()
+            answer_order: AnswerOrder::Strict,
+            ..self
+        }
+    }
+
+    /// Counts connections and discarded responses of peers of this kind.
+    pub fn with_metrics(self, metrics: Rc<dyn MetricSink>, peers: &'static str) -> Self {
+        Self {
+            metrics,
+            peers,
+            ..self
         }
     }
 
@@ -130,24 +178,51 @@
         deadline: ClockTime,
     ) -> CallOutcome {
         let mut request = with_host(server, request);
+        let mut exchange = UnsentExchange::new(self.tag(request.headers()));
         loop {
-            let (connection, is_reused) = match self.take_idle(server) {
+            let (connection, is_reused) = match self.take_idle(server, &exchange) {
                 Some(connection) => (connection, true),
                 None => match self.connect(server, deadline).await {
                     Some(connection) => (connection, false),
-                    None => return CallOutcome::NotSent,
+                    None => return CallOutcome::NotSent(exchange.give_up()),
                 },
             };
-            match self.send(server, connection, request, deadline).await {
+            match self
+                .send(server, connection, request, exchange, deadline)
+                .await
+            {
                 SendOutcome::Response(response) => return CallOutcome::Response(response),
                 SendOutcome::Lost => return CallOutcome::Lost,
-                // The server may have closed an idle connection in the meantime.
-                SendOutcome::Unsent(unsent) if is_reused => request = *unsent,
-                SendOutcome::Unsent(_) => return CallOutcome::NotSent,
+                SendOutcome::Unsent(unsent) => {
+                    let (unsent_request, unsent_exchange) = *unsent;
+                    // The server may have closed an idle connection in the meantime.
+                    if !is_reused {
+                        return CallOutcome::NotSent(unsent_exchange.give_up());
+                    }
+                    (request, exchange) = (unsent_request, unsent_exchange);
+                }
             }
         }
     }
 
+    /// Tag of a request or response; `None` if it has none or this client uses none.
+    fn tag(&self, headers: &HeaderMap) -> Option<ExchangeTag> {
+        let value = headers.get(self.tag_header.as_ref()?)?;
+        ExchangeTag::new(value.to_str().ok()?)
+    }
+
+    /// Checks that a response belongs to the exchange that its connection carries.
+    fn check(
+        &self,
+        connection: &mut Connection,
+        exchange: &SentExchange,
+        parts: &Parts,
+    ) -> Result<OwnAnswer, AnswerFault> {
+        let tag = self.tag(&parts.headers);
+        let tag = tag.as_ref().map(ExchangeTag::as_str);
+        accept(&mut connection.history, exchange, tag)
+    }
+
     /// Sends a request and reads the response, whose body must not exceed `limit` bytes.
     pub async fn collect(
         &self,
@@ -157,7 +232,7 @@
         deadline: ClockTime,
     ) -> CollectOutcome {
         match self.call(server, request, deadline).await {
-            CallOutcome::NotSent => CollectOutcome::NotSent,
+            CallOutcome::NotSent(proof) => CollectOutcome::NotSent(proof),
             CallOutcome::Lost => CollectOutcome::Lost,
             CallOutcome::Response(response) => response.collect(limit, deadline).await,
         }
@@ -174,7 +249,7 @@
         allowance: BodyAllowance,
     ) -> CollectOutcome {
         match self.call(server, request, deadline).await {
-            CallOutcome::NotSent => CollectOutcome::NotSent,
+            CallOutcome::NotSent(proof) => CollectOutcome::NotSent(proof),
             CallOutcome::Lost => CollectOutcome::Lost,
             CallOutcome::Response(response) => {
                 let collected = response.collect_while_arriving(limit, deadline, allowance);
@@ -183,15 +258,13 @@
         }
     }
 
-    fn take_idle(&self, server: SocketAddr) -> Option<Connection> {
+    fn take_idle(&self, server: SocketAddr, exchange: &UnsentExchange) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&server)?;
-        while let Some(connection) = connections.pop() {
-            if connection.requests.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        connections.retain(|connection| connection.requests.is_ready());
+        let is_suitable = |connection: &Connection| may_carry(&connection.history, exchange);
+        let position = connections.iter().rposition(is_suitable)?;
+        Some(connections.remove(position))
     }
 
     async fn connect(&self, server: SocketAddr, deadline: ClockTime) -> Option<Connection> {
@@ -208,11 +281,25 @@
             .handshake(io)
             .await
             .ok()?;
+        let number = self.opened.get() + 1;
+        self.opened.set(number);
         monoio::spawn(async move {
-            // The error is also returned by the request on this connection.
-            let _ = driver.await;
+            // Other errors are also returned by the request on this connection.
+            if let Err(error) = driver.await
+                && error.source().is_none()
+                && !error.is_incomplete_message()
+            {
+                log::info!(server:% = server, connection = number; "connection closed: {error}");
+            }
         });
-        Some(Connection { requests, meter })
+        self.metrics
+            .count("opened_connections", &[("peers", self.peers)], 1);
+        Some(Connection {
+            number,
+            requests,
+            meter,
+            history: ConnectionHistory::new(self.answer_order),
+        })
     }
 
     async fn send(
@@ -220,9 +307,11 @@
         server: SocketAddr,
         mut connection: Connection,
         request: WebRequest,
+        exchange: UnsentExchange,
         deadline: ClockTime,
     ) -> SendOutcome {
         connection.meter.record_progress();
+        let exchange = send(&mut connection.history, exchange);
         let sent = connection.requests.try_send_request(request);
         match with_deadline(self.clock.as_ref(), deadline, sent).await {
             None => {
@@ -232,16 +321,27 @@
             Some(Ok(response)) => {
                 connection.meter.record_progress();
                 let (parts, body) = response.into_parts();
-                SendOutcome::Response(Box::new(IncomingResponse {
-                    parts,
-                    body,
-                    server,
-                    connection,
-                    client: self.clone(),
-                }))
+                match self.check(&mut connection, &exchange, &parts) {
+                    Ok(answer) => SendOutcome::Response(Box::new(IncomingResponse {
+                        parts,
+                        body,
+                        server,
+                        connection,
+                        exchange_number: exchange.number(),
+                        answer,
+                        client: self.clone(),
+                    })),
+                    Err(fault) => {
+                        log_discarded(server, &connection, &exchange, parts.status, fault);
+                        let labels = [("peers", self.peers), ("reason", fault.as_str())];
+                        self.metrics.count("discarded_responses", &labels, 1);
+                        self.drop_idle(server);
+                        SendOutcome::Lost
+                    }
+                }
             }
             Some(Err(mut error)) => match error.take_message() {
-                Some(unsent) => SendOutcome::Unsent(Box::new(unsent)),
+                Some(unsent) => SendOutcome::Unsent(Box::new((unsent, exchange.take_back()))),
                 None => {
                     log_failure(server, error.error());
                     SendOutcome::Lost
@@ -275,9 +375,21 @@
     }
 }
 
+/// Logs a response that doesn't belong to the request under way.
+fn log_discarded(
+    server: SocketAddr,
+    connection: &Connection,
+    exchange: &SentExchange,
+    status: StatusCode,
+    fault: AnswerFault,
+) {
+    let id = exchange.tag().map_or("", ExchangeTag::as_str);
+    log::warn!(id, server:% = server, status = status.as_u16(), connection = connection.number, exchange = exchange.number(), reason = fault.as_str(); "response discarded: it doesn't belong to the request");
+}
+
 enum SendOutcome {
     Response(Box<IncomingResponse>),
-    Unsent(Box<WebRequest>),
+    Unsent(Box<(WebRequest, UnsentExchange)>),
     Lost,
 }
 
@@ -298,6 +410,8 @@
     body: Incoming,
     server: SocketAddr,
     connection: Connection,
+    exchange_number: u32,
+    answer: OwnAnswer,
     client: WebClient,
 }
 
@@ -323,6 +437,26 @@
 }
 
 impl IncomingResponse {
+    /// Whether it bears the tag of the request.
+    pub fn is_named(&self) -> bool {
+        self.answer.is_named()
+    }
+
+    /// Proof that the request was not run, if the response reports that.
+    pub fn not_run(&self, is_reported: bool) -> Option<NotRunProof> {
+        self.answer.not_run(is_reported)
+    }
+
+    /// Number of its connection among those of its client, for logs.
+    pub fn connection_number(&self) -> u64 {
+        self.connection.number
+    }
+
+    /// Number of its request on its connection, from one, for logs.
+    pub fn exchange_number(&self) -> u32 {
+        self.exchange_number
+    }
+
     /// Waits for the next bytes; a passed deadline counts as a lost connection.
     pub async fn next_chunk(&mut self, deadline: ClockTime) -> ChunkOutcome {
         // A chunk that is there already would be returned before the deadline is looked at, and a
@@ -378,7 +512,8 @@
         self.client.drop_idle(self.server);
     }
 
-    /// Returns the connection to the pool after the end of the body.
+    /// Returns the connection to the pool after the end of the body, if it may carry another
+    /// exchange.
     pub fn finish(self) {
         let Self {
             server,
@@ -386,6 +521,9 @@
             client,
             ..
         } = self;
+        if !is_reusable(&connection.history) {
+            return;
+        }
         monoio::spawn(async move {
             if connection.requests.ready().await.is_ok() {
                 client.put_idle(server, connection);
--- a/crates/net/src/web/json.rs
+++ b/crates/net/src/web/json.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use exchange::UnsentExchange;
 use http::header::CONTENT_TYPE;
 use http::{Method, Request, StatusCode};
 
@@ -49,7 +50,7 @@
     ) -> JsonOutcome {
         match self.collect(method, path, body, deadline).await {
             CollectOutcome::Response(parts, body) => JsonOutcome::Response(parts.status, body),
-            CollectOutcome::NotSent => JsonOutcome::NotSent,
+            CollectOutcome::NotSent(_) => JsonOutcome::NotSent,
             CollectOutcome::Lost | CollectOutcome::Incomplete => JsonOutcome::Lost,
         }
     }
@@ -63,7 +64,7 @@
         deadline: ClockTime,
     ) -> CollectOutcome {
         let Some(request) = json_request(method, path, body) else {
-            return CollectOutcome::NotSent;
+            return CollectOutcome::NotSent(UnsentExchange::new(None).give_up());
         };
         self.client
             .collect(self.server, request, self.response_limit, deadline)
@@ -81,7 +82,7 @@
         allowance: BodyAllowance,
     ) -> CollectOutcome {
         let Some(request) = json_request(method, path, body) else {
-            return CollectOutcome::NotSent;
+            return CollectOutcome::NotSent(UnsentExchange::new(None).give_up());
         };
         let (server, limit) = (self.server, self.response_limit);
         self.client
--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -64,7 +64,7 @@
     let server = start_server();
     let outcomes = net::block_on(async move {
         let clock = Rc::new(SystemClock::default());
-        let client = WebClient::new(clock.clone());
+        let client = WebClient::new(clock.clone()).with_strict_order();
         let first = join(
             call(&client, &clock, server, RESPONSE_TIMEOUT),
             call(&client, &clock, server, RESPONSE_TIMEOUT),
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use exchange::{NotRunProof, RunCertainty};
 use intent::Route;
 
 /// Request that was accepted and is to be sent.
@@ -37,15 +38,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
     /// No byte was sent.
-    NotSent,
+    NotSent(NotRunProof),
     /// The node that was to pass the request on did not; nothing was sent to the target.
-    NotPassedOn,
+    NotPassedOn(NotRunProof),
     /// The target reported that it did not run the request.
-    NotRun,
+    NotRun(NotRunProof),
     /// The target did not run the request, as its group has lost a member.
-    GroupBroken,
+    GroupBroken(NotRunProof),
     /// The address belongs to another server, or the server is in no group; nothing was run.
-    Misdirected,
+    Misdirected(NotRunProof),
     /// The request may have run, and no usable response arrived.
     Lost,
     /// The target stopped sending.
@@ -57,26 +58,26 @@
 }
 
 impl AttemptEnd {
-    /// Whether the request was certainly not run.
-    pub fn is_not_run(self) -> bool {
-        matches!(
-            self,
-            Self::NotSent
-                | Self::NotPassedOn
-                | Self::NotRun
-                | Self::GroupBroken
-                | Self::Misdirected
-        )
+    /// Proof that the request was not run, if there is one.
+    pub fn not_run(self) -> Option<NotRunProof> {
+        match self {
+            Self::NotSent(proof)
+            | Self::NotPassedOn(proof)
+            | Self::NotRun(proof)
+            | Self::GroupBroken(proof)
+            | Self::Misdirected(proof) => Some(proof),
+            Self::Lost | Self::Stalled | Self::Cut | Self::Failed => None,
+        }
     }
 
     /// Name in logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::NotSent => "not-sent",
-            Self::NotPassedOn => "not-passed-on",
-            Self::NotRun => "not-run",
-            Self::GroupBroken => "group-broken",
-            Self::Misdirected => "not-here",
+            Self::NotSent(_) => "not-sent",
+            Self::NotPassedOn(_) => "not-passed-on",
+            Self::NotRun(_) => "not-run",
+            Self::GroupBroken(_) => "group-broken",
+            Self::Misdirected(_) => "not-here",
             Self::Lost => "lost",
             Self::Stalled => "stalled",
             Self::Cut => "cut",
@@ -162,12 +163,19 @@
 pub struct Refusal {
     /// Why the request is refused.
     pub reason: RefusalReason,
-    /// Whether a target may have run the request.
-    pub may_have_run: bool,
+    /// Whether it is certain that no target has run the request.
+    pub run: RunCertainty,
     /// Delay after which the client may retry; `None` if the request may have run.
     pub retry_after: Option<Duration>,
 }
 
+impl Refusal {
+    /// Whether a target may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.run == RunCertainty::MayHaveRun
+    }
+}
+
 /// Next step of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallStep {
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -1,6 +1,9 @@
 //! Ends of attempts and retries.
 
 use base::prelude::*;
+use exchange::RunCertainty;
+use exchange::commands::{record_not_run, record_start};
+use exchange::queries::certainty;
 use intent::CallKind;
 use limits::commands::claim_retry;
 use limits::queries::has_retry;
@@ -32,13 +35,17 @@
         record_failure(state, &id, end, now);
     }
     let Some(entry) = state.calls.get_mut(&call) else {
-        return refuse(RefusalReason::DeadlinePassed, true, None);
+        return refuse(
+            RefusalReason::DeadlinePassed,
+            RunCertainty::MayHaveRun,
+            None,
+        );
     };
-    if end.is_not_run() {
-        entry.runs = entry.runs.saturating_sub(1);
+    if let Some(proof) = end.not_run() {
+        record_not_run(&mut entry.runs, attempt.number, proof);
         entry.rejections += 1;
     }
-    entry.misdirections += u32::from(end == AttemptEnd::Misdirected);
+    entry.misdirections += u32::from(matches!(end, AttemptEnd::Misdirected(_)));
     let latest = entry.open.last().map(|open| open.number);
     if latest.is_some_and(|latest| latest > attempt.number) {
         return CallStep::Wait;
@@ -54,28 +61,32 @@
 /// claims nothing.
 fn retry(state: &mut RelayState, call: CallId, now: ClockTime) -> CallStep {
     let Some(entry) = state.calls.get(&call) else {
-        return refuse(RefusalReason::DeadlinePassed, true, None);
+        return refuse(
+            RefusalReason::DeadlinePassed,
+            RunCertainty::MayHaveRun,
+            None,
+        );
     };
     let may_retry = entry.has_attempts_left()
         && entry.rejections <= state.settings.max_rejections
         && entry.misdirections <= state.settings.max_misdirections;
-    let has_run = entry.runs > 0;
+    let run = certainty(&entry.runs);
     if !may_retry {
         return refuse(
             RefusalReason::Exhausted,
-            has_run,
+            run,
             Some(state.settings.retry_after),
         );
     }
     // Safe for once-only calls too: they get here only if no target can have run them.
     let Some(proof) = IdempotentCall::new(call, CallIdempotency::Idempotent) else {
-        return refuse(RefusalReason::Exhausted, has_run, None);
+        return refuse(RefusalReason::Exhausted, run, None);
     };
     let service = entry.arrival.service.clone();
     if !has_retry(&state.budget, &service, now) {
         return refuse(
             RefusalReason::NoBudget,
-            has_run,
+            run,
             Some(state.settings.retry_after),
         );
     }
@@ -114,19 +125,18 @@
         record_failure(state, &id, end, now);
     }
     let Some(entry) = state.calls.get_mut(&attempt.call) else {
-        return refuse(RefusalReason::Exhausted, true, None);
+        return refuse(RefusalReason::Exhausted, RunCertainty::MayHaveRun, None);
     };
     entry.is_crash_suspect = true;
-    if end.is_not_run() {
-        entry.runs = entry.runs.saturating_sub(1);
+    if let Some(proof) = end.not_run() {
+        record_not_run(&mut entry.runs, attempt.number, proof);
     }
     if !entry.open.is_empty() {
         return CallStep::Wait;
     }
-    let may_have_run = entry.runs > 0;
     refuse(
         RefusalReason::Exhausted,
-        may_have_run,
+        certainty(&entry.runs),
         Some(state.settings.retry_after),
     )
 }
@@ -152,7 +162,7 @@
         return;
     };
     let duration = match end {
-        AttemptEnd::NotRun => settings.full_avoid_duration,
+        AttemptEnd::NotRun(_) => settings.full_avoid_duration,
         _ => {
             let duration = settings.min_avoid_duration * 2_u32.pow(load.failures.min(4));
             load.failures += 1;
@@ -172,20 +182,24 @@
 
 fn send_to_best(state: &mut RelayState, call: CallId, now: ClockTime) -> CallStep {
     let Some(entry) = state.calls.get(&call) else {
-        return refuse(RefusalReason::DeadlinePassed, true, None);
+        return refuse(
+            RefusalReason::DeadlinePassed,
+            RunCertainty::MayHaveRun,
+            None,
+        );
     };
-    let has_run = entry.runs > 0;
+    let run = certainty(&entry.runs);
     if entry.arrival.deadline <= now + state.settings.min_attempt_time {
-        return refuse(RefusalReason::DeadlinePassed, has_run, None);
+        return refuse(RefusalReason::DeadlinePassed, run, None);
     }
-    let is_retry = entry.runs + entry.rejections > 0;
+    let is_retry = entry.is_retry();
     let (target, lane) = match choose_target(state, entry, now) {
         Ok((target, lane)) => (target.clone(), lane),
         Err(RefusalReason::Limited) => {
             let delay = limited_retry_delay(state, entry, now);
-            return refuse(RefusalReason::Limited, has_run, Some(delay));
+            return refuse(RefusalReason::Limited, run, Some(delay));
         }
-        Err(reason) => return refuse(reason, has_run, Some(state.settings.retry_after)),
+        Err(reason) => return refuse(reason, run, Some(state.settings.retry_after)),
     };
     let check_delay = match entry.arrival.route.kind {
         CallKind::Stream { .. } => state.settings.first_event_suspect_timeout,
@@ -205,10 +219,14 @@
     notices::commands::take_turn(&mut state.notices, &target.id, now);
     record_attempt_start(state, &target.id, lane);
     let Some(entry) = state.calls.get_mut(&call) else {
-        return refuse(RefusalReason::DeadlinePassed, true, None);
+        return refuse(
+            RefusalReason::DeadlinePassed,
+            RunCertainty::MayHaveRun,
+            None,
+        );
     };
     entry.last_number += 1;
-    entry.runs += 1;
+    record_start(&mut entry.runs, entry.last_number);
     entry.tried.push(target.id.clone());
     entry.open.push(OpenAttempt {
         number: entry.last_number,
@@ -239,10 +257,10 @@
     })
 }
 
-fn refuse(reason: RefusalReason, may_have_run: bool, retry_after: Option<Duration>) -> CallStep {
+fn refuse(reason: RefusalReason, run: RunCertainty, retry_after: Option<Duration>) -> CallStep {
     CallStep::Refuse(Refusal {
         reason,
-        may_have_run,
-        retry_after: retry_after.filter(|_| !may_have_run),
+        run,
+        retry_after: retry_after.filter(|_| run != RunCertainty::MayHaveRun),
     })
 }
--- a/crates/relay/src/commands/calls.rs
+++ b/crates/relay/src/commands/calls.rs
@@ -1,6 +1,7 @@
 //! Arrival and end of requests.
 
 use base::prelude::*;
+use exchange::RunRecord;
 use limits::commands::record_request;
 
 use super::attempts::dispatch;
@@ -31,7 +32,7 @@
         last_number: 0,
         tried: Vec::new(),
         excluded: Vec::new(),
-        runs: 0,
+        runs: RunRecord::default(),
         rejections: 0,
         misdirections: 0,
         is_crash_suspect: false,
--- a/crates/relay/src/queries/choose.rs
+++ b/crates/relay/src/queries/choose.rs
@@ -59,7 +59,7 @@
     let candidates = without_avoided(candidates.collect());
     let settings = &state.settings;
     let is_engine = arrival.model.is_some();
-    let is_retry = call.runs + call.rejections > 0;
+    let is_retry = call.is_retry();
     let max_utilization = if is_engine {
         settings.max_engine_utilization
     } else {
--- a/crates/relay/src/queries/limited.rs
+++ b/crates/relay/src/queries/limited.rs
@@ -27,7 +27,7 @@
     targets: &[&SendTarget],
     now: ClockTime,
 ) -> bool {
-    let is_retry = call.runs + call.rejections > 0;
+    let is_retry = call.is_retry();
     let (more_urgent, equal) = competing_rates(state, call, now);
     if is_retry || more_urgent < MIN_RATE {
         return true;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 
 use base::prelude::*;
+use exchange::RunRecord;
+use exchange::queries::unproven_count;
 use limits::{BudgetSettings, RetryBudget};
 use notices::NoticeState;
 
@@ -41,8 +43,8 @@
     pub tried: Vec<HostName>,
     /// Targets that the next choice leaves out besides.
     pub excluded: Vec<HostName>,
-    /// Number of attempts that may have run or still may, the open ones included.
-    pub runs: u32,
+    /// Attempts that may have run or still may, the open ones included.
+    pub runs: RunRecord,
     /// Number of attempts that certainly did not run.
     pub rejections: u32,
     /// Number of those whose target turned out to be another server.
@@ -57,11 +59,17 @@
         self.open.iter().find(|attempt| attempt.number == number)
     }
 
+    /// Whether it was sent before.
+    pub fn is_retry(&self) -> bool {
+        unproven_count(&self.runs) + self.rejections > 0
+    }
+
     /// Whether another target may run it, too.
     pub fn has_attempts_left(&self) -> bool {
         let route = &self.arrival.route;
+        let runs = unproven_count(&self.runs);
         !self.is_crash_suspect
-            && (self.runs == 0 || (route.kind.is_repeatable() && self.runs < route.attempts))
+            && (runs == 0 || (route.kind.is_repeatable() && runs < route.attempts))
     }
 }
 
--- a/crates/relay/tests/suite/attempts.rs
+++ b/crates/relay/tests/suite/attempts.rs
@@ -1,9 +1,10 @@
 //! Next step after the end of an attempt, by kind of request.
 
 use crate::support::{
-    STREAM, at, end_attempt, head, plain, relay, relay_with, request, send, sent,
+    STREAM, at, end_attempt, head, not_run, plain, relay, relay_with, request, send, sent,
 };
 use base::prelude::*;
+use exchange::RunCertainty;
 use intent::CallKind;
 use relay::commands::{arrive, finish};
 use relay::{AttemptEnd, CallStep, Refusal, RefusalReason};
@@ -24,7 +25,7 @@
     match step {
         CallStep::Send(_) => Next::Sent,
         CallStep::Wait => panic!("no attempt is open"),
-        CallStep::Refuse(refusal) if refusal.may_have_run => Next::MayHaveRun,
+        CallStep::Refuse(refusal) if refusal.may_have_run() => Next::MayHaveRun,
         CallStep::Refuse(_) => Next::NotRun,
     }
 }
@@ -33,9 +34,9 @@
 fn an_attempt_that_may_have_run_is_retried_only_if_the_route_allows_it() {
     use AttemptEnd::{Cut, Failed, GroupBroken, Lost, NotRun, NotSent, Stalled};
     let cases = [
-        (ONCE_ONLY, 1, NotSent, Next::Sent),
-        (ONCE_ONLY, 1, NotRun, Next::Sent),
-        (ONCE_ONLY, 1, GroupBroken, Next::Sent),
+        (ONCE_ONLY, 1, NotSent(not_run()), Next::Sent),
+        (ONCE_ONLY, 1, NotRun(not_run()), Next::Sent),
+        (ONCE_ONLY, 1, GroupBroken(not_run()), Next::Sent),
         (ONCE_ONLY, 1, Lost, Next::MayHaveRun),
         (ONCE_ONLY, 2, Lost, Next::MayHaveRun),
         (ONCE_ONLY, 2, Failed, Next::MayHaveRun),
@@ -47,7 +48,7 @@
         (STREAM, 1, Cut, Next::MayHaveRun),
         (NOT_RESUMABLE, 2, Cut, Next::MayHaveRun),
         (NOT_RESUMABLE, 2, Lost, Next::MayHaveRun),
-        (NOT_RESUMABLE, 2, NotRun, Next::Sent),
+        (NOT_RESUMABLE, 2, NotRun(not_run()), Next::Sent),
     ];
     for (kind, attempts, end, expected) in cases {
         let targets = vec![head("h1", 1), head("h2", 2), plain("p1"), plain("p2")];
@@ -67,7 +68,7 @@
     let mut state = relay(vec![plain("p1"), plain("p2")]);
     send(&mut state, request(1, IDEMPOTENT, 3), at(0));
     sent(end_attempt(&mut state, CallId(1), AttemptEnd::Lost, at(5)));
-    let step = end_attempt(&mut state, CallId(1), AttemptEnd::NotRun, at(9));
+    let step = end_attempt(&mut state, CallId(1), AttemptEnd::NotRun(not_run()), at(9));
     assert_eq!(next(step), Next::MayHaveRun);
 }
 
@@ -80,7 +81,7 @@
     let step = end_attempt(&mut state, CallId(1), AttemptEnd::Lost, at(9));
     let expected = Refusal {
         reason: RefusalReason::NoTarget,
-        may_have_run: true,
+        run: RunCertainty::MayHaveRun,
         retry_after: None,
     };
     assert_eq!(step, CallStep::Refuse(expected));
@@ -108,7 +109,7 @@
         panic!("sent: {step:?}");
     };
     assert_eq!(refusal.reason, RefusalReason::DeadlinePassed);
-    assert!(!refusal.may_have_run);
+    assert!(!refusal.may_have_run());
 }
 
 #[test]
@@ -137,8 +138,11 @@
 
 #[test]
 fn two_targets_that_are_other_servers_show_that_the_list_is_outdated() {
-    assert_eq!(attempts_until_refusal(AttemptEnd::Misdirected), 2);
-    assert_eq!(attempts_until_refusal(AttemptEnd::NotRun), 4);
+    assert_eq!(
+        attempts_until_refusal(AttemptEnd::Misdirected(not_run())),
+        2
+    );
+    assert_eq!(attempts_until_refusal(AttemptEnd::NotRun(not_run())), 4);
 }
 
 #[test]
@@ -150,8 +154,8 @@
         finish(&mut state, CallId(1));
         send(&mut state, request(2, STREAM, 2), at(millis)).target == first
     };
-    assert!(target_after(AttemptEnd::NotRun, 200));
-    assert!(!target_after(AttemptEnd::GroupBroken, 200));
-    assert!(!target_after(AttemptEnd::GroupBroken, 450));
-    assert!(target_after(AttemptEnd::GroupBroken, 1_000));
+    assert!(target_after(AttemptEnd::NotRun(not_run()), 200));
+    assert!(!target_after(AttemptEnd::GroupBroken(not_run()), 200));
+    assert!(!target_after(AttemptEnd::GroupBroken(not_run()), 450));
+    assert!(target_after(AttemptEnd::GroupBroken(not_run()), 1_000));
 }
--- a/crates/relay/tests/suite/choice.rs
+++ b/crates/relay/tests/suite/choice.rs
@@ -1,8 +1,8 @@
 //! Choice of target and lane, and detection of silent targets.
 
 use crate::support::{
-    STREAM, at, check_stall, end_attempt, head, host, record_progress, relay, request, send,
-    silent_target,
+    STREAM, at, check_stall, end_attempt, head, host, not_run, record_progress, relay, request,
+    send, silent_target,
 };
 use base::prelude::*;
 use relay::commands::{
@@ -86,7 +86,7 @@
 fn a_target_that_turned_out_to_be_another_server_is_avoided_for_longer() {
     let mut state = relay(vec![head("h1", 1), head("h2", 2)]);
     let first = send(&mut state, request(1, STREAM, 2), at(0));
-    let end = relay::AttemptEnd::Misdirected;
+    let end = relay::AttemptEnd::Misdirected(not_run());
     end_attempt(&mut state, CallId(1), end, at(5));
     finish(&mut state, CallId(1));
     for call in 2..8 {
--- a/crates/relay/tests/suite/limited.rs
+++ b/crates/relay/tests/suite/limited.rs
@@ -67,7 +67,7 @@
     assert!((70..=84).contains(&sent.len()), "{} sent", sent.len());
     for (_, refusal) in refused {
         assert_eq!(refusal.reason, RefusalReason::Limited);
-        assert!(!refusal.may_have_run);
+        assert!(!refusal.may_have_run());
         let delay = refusal.retry_after.unwrap();
         assert!(delay >= Duration::from_millis(500) && delay <= Duration::from_secs(4));
     }
@@ -133,7 +133,7 @@
     limit(&mut state, other, 1.0, at(0));
     let refused = refusal(end_attempt(&mut state, CallId(1), AttemptEnd::Cut, at(10)));
     assert_eq!(refused.reason, RefusalReason::Limited);
-    assert!(refused.may_have_run);
+    assert!(refused.may_have_run());
 }
 
 #[test]
@@ -223,7 +223,7 @@
         at(500),
     ));
     assert_eq!(refused.reason, RefusalReason::Limited);
-    assert!(!refused.may_have_run);
+    assert!(!refused.may_have_run());
     assert_eq!(refused.retry_after, Some(Duration::from_millis(1_500)));
 }
 
--- a/crates/relay/tests/suite/silence.rs
+++ b/crates/relay/tests/suite/silence.rs
@@ -2,8 +2,8 @@
 //! two attempts.
 
 use crate::support::{
-    STREAM, at, check_stall, end_attempt, first, head, host, latest, plain, record_progress, relay,
-    relay_with, request, send,
+    STREAM, at, check_stall, end_attempt, first, head, host, latest, not_run, plain,
+    record_progress, relay, relay_with, request, send,
 };
 use base::prelude::*;
 use intent::CallKind;
@@ -92,7 +92,12 @@
             ..request(call, kind, 2)
         };
         send(&mut state, arrival, at(now));
-        match end_attempt(&mut state, CallId(call), AttemptEnd::NotSent, at(now)) {
+        match end_attempt(
+            &mut state,
+            CallId(call),
+            AttemptEnd::NotSent(not_run()),
+            at(now),
+        ) {
             CallStep::Send(_) => count += 1,
             CallStep::Refuse(refusal) => {
                 assert_eq!(refusal.reason, RefusalReason::NoBudget);
@@ -117,7 +122,7 @@
         let step = end_attempt(
             &mut state,
             CallId(*call),
-            AttemptEnd::NotRun,
+            AttemptEnd::NotRun(not_run()),
             at(SILENT_AT + 5),
         );
         assert_eq!(step, CallStep::Wait, "request {call}");
@@ -207,10 +212,10 @@
 #[test]
 fn a_second_target_that_does_not_take_the_request_costs_nothing() {
     let ends = [
-        (AttemptEnd::NotSent, true),
-        (AttemptEnd::NotRun, true),
-        (AttemptEnd::GroupBroken, true),
-        (AttemptEnd::Misdirected, true),
+        (AttemptEnd::NotSent(not_run()), true),
+        (AttemptEnd::NotRun(not_run()), true),
+        (AttemptEnd::GroupBroken(not_run()), true),
+        (AttemptEnd::Misdirected(not_run()), true),
         (AttemptEnd::Lost, false),
         (AttemptEnd::Cut, false),
         (AttemptEnd::Failed, false),
@@ -246,7 +251,12 @@
     let mut state = begun_streams(1, others, RETRIES);
     let (_, second) = moved(check_stall(&mut state, CallId(0), at(SILENT_AT)));
     let now = at(SILENT_AT + 5);
-    let step = relay::commands::end_attempt(&mut state, second.attempt, AttemptEnd::NotRun, now);
+    let step = relay::commands::end_attempt(
+        &mut state,
+        second.attempt,
+        AttemptEnd::NotRun(not_run()),
+        now,
+    );
     let CallStep::Send(third) = step else {
         panic!("not sent: {step:?}");
     };
@@ -292,7 +302,11 @@
 
 #[test]
 fn the_second_attempt_goes_on_alone_if_the_first_is_lost() {
-    for end in [AttemptEnd::Lost, AttemptEnd::Cut, AttemptEnd::NotRun] {
+    for end in [
+        AttemptEnd::Lost,
+        AttemptEnd::Cut,
+        AttemptEnd::NotRun(not_run()),
+    ] {
         let mut state = begun_streams(1, vec![head("h2", 2)], RETRIES);
         let (_, order) = moved(check_stall(&mut state, CallId(0), at(SILENT_AT)));
         let now = SILENT_AT + 5;
@@ -316,7 +330,7 @@
     else {
         panic!("no attempts are left");
     };
-    assert!(refusal.may_have_run);
+    assert!(refusal.may_have_run());
     assert_eq!(local_counts(&state, now), []);
 }
 
@@ -332,7 +346,12 @@
     assert_eq!(retries_left(&state, IDEMPOTENT, 211), RETRIES - 1);
     assert_eq!(count_at(&state, "p1", 211), 1);
     assert_eq!(count_at(&state, "p2", 211), 1);
-    let step = end_attempt(&mut state, CallId(1), AttemptEnd::NotRun, at(220));
+    let step = end_attempt(
+        &mut state,
+        CallId(1),
+        AttemptEnd::NotRun(not_run()),
+        at(220),
+    );
     assert_eq!(step, CallStep::Wait);
     assert_eq!(count_at(&state, "p1", 220), 1);
 }
@@ -384,7 +403,7 @@
     assert_eq!(count_at(&state, "h1", SILENT_AT + 5), 2);
     assert_eq!(count_at(&state, "h2", SILENT_AT + 5), 0);
     let step = give_up(&mut state, first(1), AttemptEnd::Lost, now);
-    assert!(matches!(step, CallStep::Refuse(refusal) if refusal.may_have_run));
+    assert!(matches!(step, CallStep::Refuse(refusal) if refusal.may_have_run()));
     assert_eq!(retries_left(&state, STREAM, SILENT_AT + 5), RETRIES - 1);
 }
 
--- a/crates/relay/tests/suite/support.rs
+++ b/crates/relay/tests/suite/support.rs
@@ -1,6 +1,7 @@
 //! Helpers to set up a relay with some targets and requests.
 
 use base::prelude::*;
+use exchange::{NotRunProof, UnsentExchange};
 use intent::{CallKind, Route, WeightedService};
 use limits::BudgetSettings;
 use relay::commands::{arrive, set_targets};
@@ -138,3 +139,8 @@
 pub fn silent_target(state: &RelayState, call: CallId, now: ClockTime) -> Option<HostName> {
     relay::commands::silent_target(state, latest(state, call.0), now)
 }
+
+/// Proof that a request was not run.
+pub fn not_run() -> NotRunProof {
+    UnsentExchange::new(None).give_up()
+}
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -80,7 +80,9 @@
         let clock: Rc<dyn ClockSource> = Rc::new(SystemClock::default());
         Self {
             context,
-            web: WebClient::new(clock.clone()).with_connect_timeout(CONNECT_TIMEOUT),
+            web: WebClient::new(clock.clone())
+                .with_connect_timeout(CONNECT_TIMEOUT)
+                .with_strict_order(),
             clock,
             rng: StdRng::seed_from_u64(seed ^ (name << 32)),
             name,
@@ -237,7 +239,7 @@
             .expect("the request is well formed");
         let response = match web.call(self.host.client_address, request, deadline).await {
             CallOutcome::Response(response) => response,
-            CallOutcome::NotSent | CallOutcome::Lost => return RequestOutcome::Failed,
+            CallOutcome::NotSent(_) | CallOutcome::Lost => return RequestOutcome::Failed,
         };
         let status = response.parts.status;
         let seal = header_text(&response.parts.headers, "x-bronzerun-response-seal");
