Fix: a server's own 503, 429 or 408 was handed on for a request that had run

The rule's text decides it: REFUSED is broken by a request that isn't idempotent, is answered 429, 503, 408 or 421 and has run, whoever made the answer. MIXED forbids another status only on a failure that bears the server's seal, so an answer of the node's own, without a seal, may take the place. PROTOCOL.md's "returned unchanged" can't go first where it breaks a rule, and holds for idempotent requests, for which these statuses promise nothing that matters.

Change: for a request that may run once only, such a status without the report of the server is replaced by the node's own 502, which promises nothing, with a log line. A 421 counts as the server's report, as before.

--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -25,6 +25,7 @@
 use super::labels::RequestLabels;
 use super::responses::{
     no_memory_response, refusal_response, rejection_response, stopped_response, timeout_response,
+    unproven_response,
 };
 use super::stream::{CallGuard, PauseMeter, RelayedStream, ResponseKind};
 use crate::{Arrival, ArrivalOutcome, EdgeEvent, EdgeQuestion, EdgeReply};
@@ -205,6 +206,10 @@
                     // The event loop ends only when the process is about to exit.
                     let answered = EdgeEvent::Completed(accepted.request.call);
                     let _ = self.context.events.unbounded_send(answered);
+                    if self.is_false_promise(&accepted, response.status()) {
+                        log::warn!(id:% = accepted.request.id, place:% = order.target, status = response.status().as_u16(); "response replaced: its status says that the request was not run, which the server doesn't report");
+                        return unproven_response();
+                    }
                     let is_failure = response.status().is_server_error();
                     if !is_failure || !accepted.route.kind.is_repeatable() {
                         return response;
@@ -262,6 +267,13 @@
         }
     }
 
+    /// Whether a status promises a client something about its request that the server doesn't report.
+    ///
+    /// Reports end an attempt before its response is read.
+    fn is_false_promise(&self, accepted: &AcceptedRequest, status: StatusCode) -> bool {
+        !accepted.route.kind.is_repeatable() && self.context.header_codec.promises_not_run(status)
+    }
+
     /// Buffers a response; nothing of an incomplete one reaches the client.
     async fn collect(self, incoming: IncomingResponse, deadline: ClockTime) -> Option<WebResponse> {
         match incoming.collect(MAX_BUFFERED_BYTES, deadline).await {
--- a/crates/edge/src/border/ports.rs
+++ b/crates/edge/src/border/ports.rs
@@ -209,6 +209,9 @@
     /// Header with the ID of a request, which servers repeat in their responses.
     fn tag_header(&self) -> HeaderName;
 
+    /// Whether a response with this status tells a client that its request was not run.
+    fn promises_not_run(&self, status: StatusCode) -> bool;
+
     /// Parses the headers of a client request.
     fn read_request(&self, headers: &HeaderMap) -> RequestMetadata;
 
--- a/crates/edge/src/border/responses.rs
+++ b/crates/edge/src/border/responses.rs
@@ -81,6 +81,15 @@
     }
 }
 
+/// Response in place of a server's own, which has a status that tells clients that the request was
+/// not run, though the server doesn't report that.
+pub(super) fn unproven_response() -> WebResponse {
+    text_response(
+        StatusCode::BAD_GATEWAY,
+        "the server failed without saying whether it ran the request",
+    )
+}
+
 /// Response to a request whose deadline passed at a server.
 pub(super) fn timeout_response() -> WebResponse {
     text_response(StatusCode::GATEWAY_TIMEOUT, "no answer came in time")
