Soak: servers that refuse requests and write refusals once more

A fault makes one server or all refuse one request in three (503, 429, 421 in turn, marked and with the id) and write three quarters of these refusals once more, late before the next response on the connection or at once, and half of the responses to /report and /order. The copies are written by a tap on the proxies from each daemon to each server, which also records all exchanges by connection. Two of six clients send a refused request again after 0.4 s under the same id, at the same daemon or another one.

The checker judges a repeated id by the attempt under way: no run between its sending and a refusal, none after a refusal while no attempt is under way, one run over all attempts. For each request that breaks this, its history on the connections is printed.

All refusals of the servers bear the id of the request, as PROTOCOL.md says of real servers. Other faults of a seed are drawn as before.

--- a/crates/bronzerun/tests/silence.rs
+++ b/crates/bronzerun/tests/silence.rs
@@ -19,6 +19,7 @@
         seconds: SECONDS,
         nodes: 3,
         rate: RATE,
+        repeating_clients: 2,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
     }
 }
--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -19,6 +19,7 @@
         seconds,
         nodes: 3,
         rate: 30,
+        repeating_clients: 2,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
     }
 }
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -4,6 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
+use crate::exchanges::{CopyEvidence, ExchangeLog, ExchangeStep};
+
 /// Time after the revocation of a key during which daemons may still accept it.
 const REVOCATION_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -54,7 +56,9 @@
     pub tenant: String,
     pub path: String,
     runs: u32,
-    /// Whether its client received a response that reports the request as not run.
+    /// Runs since its client sent it last.
+    runs_of_attempt: u32,
+    /// Whether the last response that its client received reports the request as not run.
     is_reported_not_run: bool,
 }
 
@@ -122,6 +126,10 @@
     limits_checked_from: Option<Instant>,
     tallies: BTreeMap<u64, Tally>,
     violations: Vec<String>,
+    /// Ids of requests that ran twice, or though they were reported as not run.
+    broken_requests: BTreeSet<String>,
+    /// Exchanges of servers and clients.
+    pub(crate) exchanges: ExchangeLog,
 }
 
 impl InvariantChecker {
@@ -180,20 +188,39 @@
             tenant: tenant.to_owned(),
             path: path.to_owned(),
             runs: 0,
+            runs_of_attempt: 0,
             is_reported_not_run: false,
         };
         self.requests.insert(id.to_owned(), entry);
     }
 
+    /// Records that a client sends a request again under the same id, once it was refused.
+    pub fn record_repeat(&mut self, id: &str) {
+        if let Some(entry) = self.requests.get_mut(id) {
+            entry.runs_of_attempt = 0;
+            entry.is_reported_not_run = false;
+        }
+    }
+
+    /// Ids of requests that ran twice, or though they were reported as not run, and what was
+    /// written once more on their connections.
+    pub fn broken_requests(&self) -> Vec<(&str, CopyEvidence)> {
+        let ids = self.broken_requests.iter();
+        ids.map(|id| (id.as_str(), self.exchanges.evidence(id)))
+            .collect()
+    }
+
     /// Records that a server starts to run a request, and checks what it received;
     /// `has_key` is set if it contained the client's API key.
     pub fn record_run(&mut self, id: &str, tenant: &str, path: &str, has_key: bool) {
+        self.exchanges.record(id, ExchangeStep::Run);
         let Some(entry) = self.requests.get_mut(id) else {
             self.violations
                 .push(format!("request {id} was run, but no client has sent it"));
             return;
         };
         entry.runs += 1;
+        entry.runs_of_attempt += 1;
         let mut violations_found = Vec::new();
         if entry.tenant != tenant || has_key {
             violations_found.push(format!(
@@ -204,9 +231,11 @@
             violations_found.push(format!("request {id} arrived with path {path}"));
         }
         if entry.kind == RequestKind::OnceOnly && entry.runs > 1 {
+            self.broken_requests.insert(id.to_owned());
             violations_found.push(format!("request {id} was run {} times", entry.runs));
         }
         if entry.kind == RequestKind::OnceOnly && entry.is_reported_not_run {
+            self.broken_requests.insert(id.to_owned());
             violations_found.push(format!(
                 "request {id} was run after its client got a response that reports it as not run"
             ));
@@ -220,7 +249,8 @@
             return;
         };
         entry.is_reported_not_run = true;
-        if entry.kind == RequestKind::OnceOnly && entry.runs > 0 {
+        if entry.kind == RequestKind::OnceOnly && entry.runs_of_attempt > 0 {
+            self.broken_requests.insert(id.to_owned());
             self.violations.push(format!(
                 "request {id} was run, but its client got status {status}, which reports it as not run"
             ));
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -18,6 +18,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::checker::{InvariantChecker, RequestKind, Tally};
+use crate::exchanges::ExchangeStep;
 use crate::platform::STREAM_EVENTS;
 
 /// Time that a client waits for a complete response.
@@ -30,12 +31,17 @@
 const MAX_BODY_BYTES: usize = 64 * 1_024;
 /// Time from a partition until callers of the partitioned daemon are served as others.
 const CUT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after a refusal after which some clients send the request again under the same id.
+const REPEAT_DELAY: Duration = Duration::from_millis(400);
+/// Times that such clients send a request.
+const MAX_ATTEMPTS: u32 = 3;
 /// One request in this many, on average, uses a revoked key, if there is one.
 const REVOKED_KEY_ONE_IN: u32 = 12;
 
 /// Entry host as clients see it.
 #[derive(Clone)]
 pub(crate) struct EntryHost {
+    pub index: usize,
     pub client_address: SocketAddr,
     /// Whether clients send new requests to it.
     pub is_in_rotation: Rc<Cell<bool>>,
@@ -62,6 +68,8 @@
     /// checked strictly.
     pub strict_from: Rc<Cell<Instant>>,
     pub started_at: Instant,
+    /// Number of clients that send a refused request again under the same id.
+    pub repeating_clients: u64,
     pub is_finished: Rc<Cell<bool>>,
 }
 
@@ -95,7 +103,7 @@
             let request = self.next_request();
             let (context, web, clock) =
                 (self.context.clone(), self.web.clone(), self.clock.clone());
-            monoio::spawn(async move { request.run(&context, &web, clock.as_ref()).await });
+            monoio::spawn(async move { request.run_all(&context, &web, clock.as_ref()).await });
         }
     }
 
@@ -112,6 +120,11 @@
             usable
         };
         let host = usable[self.rng.random_range(0..usable.len())].clone();
+        // The same daemon again, or the next one in rotation.
+        let next = usable[self.sent as usize % usable.len()].clone();
+        let is_repeated = self.name < self.context.repeating_clients;
+        let is_same_daemon = self.sent.is_multiple_of(2);
+        let repeats_at = is_repeated.then(|| if is_same_daemon { host.clone() } else { next });
         let keys = self.context.keys.borrow();
         let checker = self.context.checker.borrow();
         let wants_revoked = self.rng.random_range(0..REVOKED_KEY_ONE_IN) == 0;
@@ -132,6 +145,7 @@
             id: format!("c{}-{}", self.name, self.sent),
             path: format!("/{path}/{}/{}", self.name, self.sent),
             host,
+            repeats_at,
             key,
             kind,
             model,
@@ -144,6 +158,8 @@
     id: String,
     path: String,
     host: EntryHost,
+    /// Daemon to which it is sent again after a refusal.
+    repeats_at: Option<EntryHost>,
     key: String,
     kind: RequestKind,
     model: &'static str,
@@ -158,12 +174,26 @@
 }
 
 impl ClientRequest {
-    async fn run(self, context: &ClientContext, web: &WebClient, clock: &dyn ClockSource) {
-        let sent_at = Instant::now();
+    /// Sends the request, some also again after a refusal.
+    async fn run_all(mut self, context: &ClientContext, web: &WebClient, clock: &dyn ClockSource) {
         context
             .checker
             .borrow_mut()
             .record_request(&self.id, self.kind, "depot", &self.path);
+        for _ in 0..MAX_ATTEMPTS {
+            let is_refused = self.run(context, web, clock).await;
+            let Some(host) = self.repeats_at.as_ref().filter(|_| is_refused) else {
+                return;
+            };
+            self.host = host.clone();
+            monoio::time::sleep(REPEAT_DELAY).await;
+            context.checker.borrow_mut().record_repeat(&self.id);
+        }
+    }
+
+    /// Sends the request once; returns whether it was refused as not run.
+    async fn run(&self, context: &ClientContext, web: &WebClient, clock: &dyn ClockSource) -> bool {
+        let sent_at = Instant::now();
         let was_revoked = context
             .checker
             .borrow()
@@ -174,6 +204,7 @@
             .iter()
             .any(|host| host.is_known_cut(sent_at));
         let outcome = self.send(context, web, clock.now() + CLIENT_TIMEOUT).await;
+        let is_refused = matches!(outcome, RequestOutcome::NotRun(_));
         let mut checker = context.checker.borrow_mut();
         let is_calm = sent_at > context.strict_from.get();
         if has_cut && is_calm && !matches!(outcome, RequestOutcome::Denied(_)) {
@@ -214,6 +245,12 @@
                 }
             }
         }
+        is_refused
+    }
+
+    fn record(&self, context: &ClientContext, step: ExchangeStep) {
+        let mut checker = context.checker.borrow_mut();
+        checker.exchanges.record(&self.id, step);
     }
 
     async fn send(
@@ -235,11 +272,17 @@
             .header("x-bronzerun-tenant", "forged")
             .body(empty_body())
             .expect("the request is well formed");
+        let daemon = self.host.index;
+        self.record(context, ExchangeStep::Sent { daemon });
         let response = match web.call(self.host.client_address, request, deadline).await {
             CallOutcome::Response(response) => response,
-            CallOutcome::NotSent | CallOutcome::Lost => return RequestOutcome::Failed,
+            CallOutcome::NotSent | CallOutcome::Lost => {
+                self.record(context, ExchangeStep::Received(None));
+                return RequestOutcome::Failed;
+            }
         };
         let status = response.parts.status;
+        self.record(context, ExchangeStep::Received(Some(status.as_u16())));
         let seal = header_text(&response.parts.headers, "x-bronzerun-response-seal");
         let is_seal_valid = seal.ends_with(&format!(".{}", self.id));
         match status {
--- /dev/null
+++ b/crates/soak/src/exchanges.rs
@@ -0,0 +1,240 @@
+//! Record of the exchanges between daemons and servers, by connection, and of what clients sent
+//! and received for the same ids.
+//!
+//! For a request that ran though its client was told otherwise, the record shows whether a
+//! repeated refusal was written on one of its connections.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Instant;
+
+use http::StatusCode;
+
+/// Events shown of a connection before the first one of a request.
+const SHOWN_BEFORE: usize = 6;
+
+/// Connection from a daemon to a server.
+#[derive(Clone, Debug)]
+pub(crate) struct ConnectionName {
+    /// Number in the run.
+    pub number: u32,
+    /// Index of the daemon.
+    pub daemon: usize,
+    /// Port of the daemon.
+    pub port: u16,
+}
+
+/// Exchange on a connection.
+#[derive(Clone, Debug)]
+pub(crate) struct ExchangePlace {
+    pub connection: ConnectionName,
+    /// Id of the server that has the address now.
+    pub server: Arc<str>,
+    /// Number of the exchange on the connection, from 1 on.
+    pub exchange: u32,
+}
+
+/// What happened to a request.
+#[derive(Clone, Debug)]
+pub(crate) enum ExchangeStep {
+    /// A client sent it to the daemon with this index.
+    Sent { daemon: usize },
+    /// The client got a response, or none.
+    Received(Option<u16>),
+    /// It arrived at a server with this path.
+    Arrived {
+        path: Arc<str>,
+        place: ExchangePlace,
+    },
+    /// A server began to run it.
+    Run,
+    /// A server wrote a response, or wrote it once more.
+    Written {
+        status: StatusCode,
+        is_copy: bool,
+        place: ExchangePlace,
+    },
+}
+
+impl ExchangeStep {
+    fn place(&self) -> Option<&ExchangePlace> {
+        match self {
+            Self::Arrived { place, .. } | Self::Written { place, .. } => Some(place),
+            Self::Sent { .. } | Self::Received(_) | Self::Run => None,
+        }
+    }
+}
+
+impl fmt::Display for ExchangeStep {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Sent { daemon } => write!(f, "client sent it to edge-{daemon}"),
+            Self::Received(Some(status)) => write!(f, "client got {status}"),
+            Self::Received(None) => f.write_str("client got no response"),
+            Self::Arrived { path, .. } => write!(f, "{path} arrived"),
+            Self::Run => f.write_str("began to run"),
+            Self::Written {
+                status, is_copy, ..
+            } => {
+                let copy = if *is_copy { " once more" } else { "" };
+                write!(f, "{} written{copy}", status.as_u16())
+            }
+        }?;
+        let Some(place) = self.place() else {
+            return Ok(());
+        };
+        let connection = &place.connection;
+        write!(
+            f,
+            " ({} to {}, connection {}, port {}, exchange {})",
+            format_args!("edge-{}", connection.daemon),
+            place.server,
+            connection.number,
+            connection.port,
+            place.exchange
+        )
+    }
+}
+
+/// Repeated responses on the connections of a request that ran twice, or though its client was
+/// told otherwise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CopyEvidence {
+    /// The request's own refusal was written once more where it was under way again.
+    SameId,
+    /// Another response was written once more on one of its connections.
+    OtherResponse,
+    /// Nothing was written once more.
+    NoCopy,
+}
+
+impl fmt::Display for CopyEvidence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::SameId => {
+                "its refusal was written again on a connection that it was sent on twice"
+            }
+            Self::OtherResponse => "another response was written again on one of its connections",
+            Self::NoCopy => "nothing was written again on its connections",
+        })
+    }
+}
+
+/// Numbers of responses that were written once more.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CopyTally {
+    /// All.
+    pub written: u32,
+    /// Where the request that it names was under way again on the same connection.
+    pub of_same_id: u32,
+}
+
+#[derive(Debug)]
+struct ExchangeEvent {
+    at: Instant,
+    /// Id of the request; empty if it has none.
+    id: Arc<str>,
+    step: ExchangeStep,
+}
+
+/// All events of a run, in their order.
+#[derive(Debug, Default)]
+pub(crate) struct ExchangeLog {
+    events: Vec<ExchangeEvent>,
+    connections: u32,
+    copies: CopyTally,
+}
+
+impl ExchangeLog {
+    /// Number of the next connection.
+    pub fn next_connection(&mut self) -> u32 {
+        self.connections += 1;
+        self.connections
+    }
+
+    /// Counts a response that was written once more.
+    pub fn count_copy(&mut self, is_same_id: bool) {
+        self.copies.written += 1;
+        self.copies.of_same_id += u32::from(is_same_id);
+    }
+
+    /// Responses written once more so far.
+    pub fn copies(&self) -> CopyTally {
+        self.copies
+    }
+
+    /// Records an event; the id is empty for a request without one.
+    pub fn record(&mut self, id: &str, step: ExchangeStep) {
+        let event = ExchangeEvent {
+            at: Instant::now(),
+            id: Arc::from(id),
+            step,
+        };
+        self.events.push(event);
+    }
+
+    fn connections_of(&self, id: &str) -> BTreeSet<u32> {
+        let events = self.events.iter().filter(|event| *event.id == *id);
+        let places = events.filter_map(|event| event.step.place());
+        places.map(|place| place.connection.number).collect()
+    }
+
+    /// Events on a connection, up to the last one of an id.
+    fn events_on(&self, connection: u32, id: &str) -> Vec<usize> {
+        let is_on = |event: &ExchangeEvent| {
+            let place = event.step.place();
+            place.is_some_and(|place| place.connection.number == connection)
+        };
+        let events = self.events.iter().enumerate();
+        let indices = events.filter(|(_, event)| is_on(event));
+        let mut indices: Vec<_> = indices.map(|(index, _)| index).collect();
+        let last = indices.iter().rposition(|&at| *self.events[at].id == *id);
+        indices.truncate(last.map_or(0, |last| last + 1));
+        indices
+    }
+
+    /// What was written once more on the connections of a request.
+    pub fn evidence(&self, id: &str) -> CopyEvidence {
+        let mut evidence = CopyEvidence::NoCopy;
+        for connection in self.connections_of(id) {
+            let mut arrivals = 0;
+            for index in self.events_on(connection, id) {
+                let event = &self.events[index];
+                let is_own = *event.id == *id;
+                match event.step {
+                    ExchangeStep::Arrived { .. } if is_own => arrivals += 1,
+                    ExchangeStep::Written { is_copy: true, .. } if is_own && arrivals > 1 => {
+                        return CopyEvidence::SameId;
+                    }
+                    ExchangeStep::Written { is_copy: true, .. } => {
+                        evidence = CopyEvidence::OtherResponse;
+                    }
+                    _ => {}
+                }
+            }
+        }
+        evidence
+    }
+
+    /// All events of a request and the last ones before them on its connections, one a line.
+    pub fn history(&self, id: &str, start: Instant) -> String {
+        let mut shown: BTreeSet<usize> = BTreeSet::new();
+        for connection in self.connections_of(id) {
+            let indices = self.events_on(connection, id);
+            let first = indices.iter().position(|&at| *self.events[at].id == *id);
+            let from = first.unwrap_or_default().saturating_sub(SHOWN_BEFORE);
+            shown.extend(&indices[from..]);
+        }
+        let events = self.events.iter().enumerate();
+        let own = events.filter(|(_, event)| *event.id == *id);
+        shown.extend(own.map(|(index, _)| index));
+        let lines = shown.into_iter().map(|index| {
+            let ExchangeEvent { at, id, step } = &self.events[index];
+            let id = if id.is_empty() { "no id" } else { &**id };
+            let elapsed = at.duration_since(start).as_secs_f64();
+            format!("\n    {elapsed:8.3} s  {id:10} {step}")
+        });
+        lines.collect()
+    }
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,7 +13,9 @@
 mod addresses;
 mod checker;
 mod clients;
+mod copies;
 mod deadly;
+mod exchanges;
 mod nodes;
 pub mod options;
 mod plan;
@@ -22,6 +24,7 @@
 mod run;
 
 pub use checker::{CutTries, InvariantChecker, RequestKind, Tally};
+pub use exchanges::{CopyEvidence, CopyTally};
 pub use options::SoakOptions;
 pub use plan::{EndlessForm, Fault, FaultPlan, FaultStep, Link, LinkMode, PlanSize};
 pub use run::{SoakError, SoakReport, run_plan, run_seed};
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -27,6 +27,9 @@
     /// Requests per second, over all clients.
     #[arg(long, default_value_t = 60)]
     pub rate: u64,
+    /// Number of clients, of six, that send a refused request again under the same id.
+    #[arg(long, default_value_t = 2)]
+    pub repeating_clients: u64,
     /// Directory for the daemons' logs; the logs of a run without violations are removed.
     #[arg(long, default_value = "target/soak")]
     pub logs: PathBuf,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -18,6 +18,8 @@
 const SILENCE_DURATION_MS: std::ops::Range<u64> = 1_000..8_000;
 /// Range of the duration of a silence of sound servers.
 const SERVER_SILENCE_MS: std::ops::Range<u64> = 600..2_000;
+/// Range of the time for which refusals are written again.
+const REPEATED_REFUSALS_MS: std::ops::Range<u64> = 3_000..8_000;
 /// Silences of sound servers in a series, and the time from the start of one to the next.
 const SERVER_SILENCES: u32 = 3;
 const SERVER_SILENCE_INTERVAL: Duration = Duration::from_secs(3);
@@ -127,6 +129,9 @@
     /// The servers from this slot on, this many, fall silent and go on where they were after this
     /// long, as suspended processes do.
     PauseServers(usize, usize, Duration),
+    /// The servers from this slot on, this many, refuse one request in three and write some of
+    /// these refusals, and of their answers to orders and reports, once more for this long.
+    RepeatRefusals(usize, usize, Duration),
     /// A server crashes; another one replaces it.
     Crash(usize),
     /// A request comes again and again, at any daemon, and crashes every server that begins to
@@ -239,6 +244,8 @@
                 insert_step(&mut steps, step);
             }
             steps.extend(silent_store(&mut rng, Duration::from_millis(hang_ms)));
+            // Drawn last, so that the other faults of a seed stay as they were.
+            insert_step(&mut steps, repeated_refusals(&mut rng, size, hang_ms));
         }
         Self { steps }
     }
@@ -285,6 +292,18 @@
     ]
 }
 
+/// Refusals written again, by one server or all.
+fn repeated_refusals(rng: &mut StdRng, size: PlanSize, duration_ms: u64) -> FaultStep {
+    let at = Duration::from_millis(rng.random_range(0..duration_ms));
+    let duration = Duration::from_millis(rng.random_range(REPEATED_REFUSALS_MS));
+    let fault = if rng.random_bool(0.5) {
+        Fault::RepeatRefusals(rng.random_range(0..PLAIN_SERVER_COUNT), 1, duration)
+    } else {
+        Fault::RepeatRefusals(0, size.servers, duration)
+    };
+    FaultStep { at, fault }
+}
+
 /// Silences of sound servers, of one, some or all, each with a change of the configuration.
 fn silent_servers(rng: &mut StdRng, size: PlanSize, duration_ms: u64) -> Vec<FaultStep> {
     let mut at = Duration::from_millis(rng.random_range(0..duration_ms));
--- a/crates/soak/src/platform/fleet.rs
+++ b/crates/soak/src/platform/fleet.rs
@@ -21,6 +21,15 @@
 /// Time from an order to open until the head serves.
 const OPEN_DURATION: Duration = Duration::from_millis(100);
 
+/// One request in this many is refused by a server that refuses some.
+const REFUSED_ONE_IN: usize = 3;
+/// Statuses of these refusals, one after the other.
+const REFUSALS: [StatusCode; 3] = [
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::MISDIRECTED_REQUEST,
+];
+
 /// Time after a crash in which streams may find no other server.
 const CRASH_SETTLING_TIME: Duration = Duration::from_secs(3);
 
@@ -54,6 +63,10 @@
     busy_until: Option<Instant>,
     /// Until when it is suspended.
     paused_until: Option<Instant>,
+    /// Until when it refuses some requests and writes refusals once more.
+    repeats_until: Option<Instant>,
+    /// Requests that arrived meanwhile.
+    refusable: usize,
     slot: usize,
     incarnation: u64,
     fabric: Option<String>,
@@ -78,6 +91,8 @@
             limit: None,
             busy_until: None,
             paused_until: None,
+            repeats_until: None,
+            refusable: 0,
             slot,
             incarnation,
             fabric,
@@ -105,6 +120,11 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
+    /// Whether it refuses some requests and writes refusals once more.
+    pub fn repeats_refusals(&self, now: Instant) -> bool {
+        self.repeats_until.is_some_and(|until| now < until)
+    }
+
     /// Limit that it names now, in requests a second.
     pub fn limit(&self, now: Instant) -> Option<f64> {
         self.limit
@@ -253,6 +273,33 @@
         }
     }
 
+    /// Makes servers refuse some requests and write refusals once more until an instant: those
+    /// from a slot on, around the end of the slots.
+    pub fn repeat_refusals(&mut self, first: usize, count: usize, until: Instant) {
+        let slots = self.servers.len();
+        for index in 0..count.min(slots) {
+            self.servers[(first + index) % slots].repeats_until = Some(until);
+        }
+    }
+
+    /// Ends the refusals of all servers.
+    pub fn end_refusals(&mut self) {
+        let servers = self.servers.iter_mut();
+        servers.for_each(|server| server.repeats_until = None);
+    }
+
+    /// Status with which a server refuses the next request, if it does.
+    pub fn next_refusal(&mut self, slot: usize, now: Instant) -> Option<StatusCode> {
+        let server = &mut self.servers[slot];
+        if !server.repeats_refusals(now) {
+            return None;
+        }
+        server.refusable += 1;
+        let number = server.refusable / REFUSED_ONE_IN;
+        let is_refused = server.refusable.is_multiple_of(REFUSED_ONE_IN);
+        is_refused.then(|| REFUSALS[number % REFUSALS.len()])
+    }
+
     /// Whether a member of a group is suspended, for which its head waits.
     pub fn is_group_paused(&self, membership: &GroupMembership, now: Instant) -> bool {
         membership.members.iter().any(|id| {
@@ -295,8 +342,9 @@
     pub fn replace(&mut self, slot: usize) {
         let old = &self.servers[slot];
         self.store.borrow_mut().remove("servers", &old.id);
-        let replacement =
+        let mut replacement =
             SoakServer::new(slot, old.incarnation + 1, old.address, old.fabric.clone());
+        replacement.repeats_until = old.repeats_until;
         self.servers[slot] = replacement;
     }
 
--- a/crates/soak/src/platform/server.rs
+++ b/crates/soak/src/platform/server.rs
@@ -89,16 +89,19 @@
         checker.record_turned_away(&server.id, server.busy_time(now).is_some(), now);
     }
 
+    fn next_refusal(&self) -> Option<StatusCode> {
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.next_refusal(self.slot, Instant::now())
+    }
+
     /// Rejects a request and says until when the server wants none.
     fn turn_away(&self, headers: &HeaderMap, server: &SoakServer) -> WebResponse {
-        let mut response = not_executed(StatusCode::SERVICE_UNAVAILABLE);
+        let mut response = not_executed(StatusCode::SERVICE_UNAVAILABLE, headers);
         let left = server.busy_time(Instant::now()).unwrap_or_default();
-        let id = headers.get("x-bronzerun-request-id").cloned();
         let seconds = HeaderValue::from_str(&format!("{:.3}", left.as_secs_f64()));
         let seconds = seconds.expect("numbers are valid header values");
         let headers = response.headers_mut();
         headers.insert("retry-after", seconds);
-        headers.extend(id.map(|id| (HeaderName::from_static("x-bronzerun-request-id"), id)));
         response
     }
 
@@ -154,7 +157,7 @@
         let Some(membership) =
             membership.filter(|membership| membership.state == "open" && membership.model == model)
         else {
-            return not_executed(StatusCode::SERVICE_UNAVAILABLE);
+            return not_executed(StatusCode::SERVICE_UNAVAILABLE, headers);
         };
         let group_size = SoakServer::size_of(model);
         let fleet = self.fleet.borrow();
@@ -234,11 +237,13 @@
     response
 }
 
-/// Response that marks the request as not run.
-fn not_executed(status: StatusCode) -> WebResponse {
+/// Response that marks the request with these headers as not run.
+fn not_executed(status: StatusCode, request: &HeaderMap) -> WebResponse {
     let mut response = text_response(status, "");
     let headers = response.headers_mut();
     headers.insert("x-bronzerun-not-executed", HeaderValue::from_static("1"));
+    let id = request.get("x-bronzerun-request-id").cloned();
+    headers.extend(id.map(|id| (HeaderName::from_static("x-bronzerun-request-id"), id)));
     response
 }
 
@@ -255,7 +260,7 @@
             let server = this.current_server();
             let expected = header_text(&parts.headers, "x-bronzerun-expect-instance");
             if !expected.is_empty() && expected != server.id {
-                return not_executed(StatusCode::MISDIRECTED_REQUEST);
+                return not_executed(StatusCode::MISDIRECTED_REQUEST, &parts.headers);
             }
             if !server.is_alive {
                 return truncated_response();
@@ -274,6 +279,10 @@
                     this.record_arrival(&server);
                     this.turn_away(&parts.headers, &server)
                 }
+                _ if let Some(status) = this.next_refusal() => {
+                    this.record_arrival(&server);
+                    not_executed(status, &parts.headers)
+                }
                 _ if server.service == "app" => {
                     this.record_arrival(&server);
                     this.serve_plain(&parts.headers, path, &server).await
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -16,6 +16,21 @@
 /// Interval between two checks of the mode of a link.
 const MODE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Observer of the connections through a proxy.
+pub(crate) trait LinkTap {
+    /// A connection of a client with this address was forwarded.
+    fn open(&self, peer: SocketAddr) -> Box<dyn ConnectionTap>;
+}
+
+/// Observer of one connection.
+pub(crate) trait ConnectionTap {
+    /// Bytes of the client are about to be forwarded.
+    fn forwarded(&self, bytes: &[u8]);
+
+    /// Bytes of the target have arrived; returns those to send to the client.
+    fn answered(&self, bytes: Vec<u8>) -> Vec<u8>;
+}
+
 /// Proxy whose mode can be changed while connections are open.
 pub(crate) struct LinkProxy {
     /// Address on which the proxy accepts connections.
@@ -31,6 +46,15 @@
 impl LinkProxy {
     /// Listens on an address and forwards connections to the target.
     pub fn listen(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        Self::listen_with_tap(address, target, None)
+    }
+
+    /// The same with an observer of its connections.
+    pub fn listen_with_tap(
+        address: SocketAddr,
+        target: SocketAddr,
+        tap: Option<Rc<dyn LinkTap>>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let proxy = Self {
             address: listener.local_addr()?,
@@ -41,11 +65,12 @@
         let (mode, target) = (proxy.mode.clone(), proxy.target.clone());
         let hangs = proxy.hangs.clone();
         monoio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
+            while let Ok((client, peer)) = listener.accept().await {
                 let state = LinkState {
                     mode: mode.clone(),
                     hangs: hangs.clone(),
                     accepted_at: hangs.get(),
+                    tap: tap.as_ref().map(|tap| Rc::from(tap.open(peer))),
                 };
                 monoio::spawn(forward(client, target.get(), state));
             }
@@ -66,6 +91,7 @@
     hangs: Rc<Cell<u64>>,
     /// Value of `hangs` when the connection was accepted.
     accepted_at: u64,
+    tap: Option<Rc<dyn ConnectionTap>>,
 }
 
 impl LinkState {
@@ -140,6 +166,14 @@
             buffer = bytes;
             continue;
         }
+        let bytes = match &state.tap {
+            Some(tap) if is_forward => {
+                tap.forwarded(&bytes);
+                bytes
+            }
+            Some(tap) => tap.answered(bytes),
+            None => bytes,
+        };
         let (written, bytes) = to.write_all(bytes).await;
         if written.is_err() {
             return;
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -87,6 +87,10 @@
             Fault::PauseServers(first, count, duration) => {
                 self.fleet.borrow_mut().pause(first, count, now + duration);
             }
+            Fault::RepeatRefusals(first, count, duration) => {
+                let mut fleet = self.fleet.borrow_mut();
+                fleet.repeat_refusals(first, count, now + duration);
+            }
             Fault::Crash(slot) => self.stop_server(slot, now),
             Fault::Leave(slot) => {
                 self.fleet.borrow_mut().servers[slot].is_leaving = true;
@@ -148,6 +152,7 @@
                 | Fault::TurnAway(..)
                 | Fault::CutFromServers(..)
                 | Fault::PauseServers(..)
+                | Fault::RepeatRefusals(..)
         );
         if is_disturbance {
             let strict_from =
@@ -199,6 +204,8 @@
         store.unavailable_until = None;
         store.loses_responses_until = None;
         store.deafens_watches_until = None;
-        self.fleet.borrow_mut().orders_delayed_until = None;
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.orders_delayed_until = None;
+        fleet.end_refusals();
     }
 }
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -19,6 +19,8 @@
 use crate::addresses::{free_port, loopback, next_run};
 use crate::checker::{CutTries, InvariantChecker, Tally};
 use crate::clients::{ClientContext, EntryHost, SoakClient};
+use crate::copies::CopyTap;
+use crate::exchanges::{CopyEvidence, CopyTally};
 use crate::nodes::SoakNode;
 use crate::options::SoakOptions;
 use crate::plan::{Fault, FaultPlan, LinkMode, PlanSize};
@@ -84,6 +86,10 @@
     pub own_lag: (Duration, Duration),
     /// Invariant violations.
     pub violations: Vec<String>,
+    /// Responses that servers wrote once more.
+    pub copies: CopyTally,
+    /// Requests that ran twice, or though they were reported as not run, with their histories.
+    pub broken_requests: Vec<(CopyEvidence, String)>,
     /// Directory of the daemons' logs.
     pub logs: PathBuf,
 }
@@ -110,9 +116,20 @@
             all.as_millis(),
             last.as_millis()
         )?;
+        let CopyTally {
+            written,
+            of_same_id,
+        } = self.copies;
+        write!(
+            f,
+            "; {written} responses written again, {of_same_id} to their own request"
+        )?;
         for violation in &self.violations {
             write!(f, "\n  violation: {violation}")?;
         }
+        for (evidence, history) in &self.broken_requests {
+            write!(f, "\n  history, {evidence}:{history}")?;
+        }
         if !self.violations.is_empty() {
             write!(f, "\n  logs: {}", self.logs.display())?;
         }
@@ -231,8 +248,17 @@
             let reader = format!("edge-{index}");
             let (state, proxies) = (store.clone(), proxies.clone());
             let mut links = Vec::new();
-            for address in &addresses {
-                links.push(LinkProxy::listen(free_port(), *address)?);
+            for (slot, address) in addresses.iter().enumerate() {
+                let tap = Rc::new(CopyTap {
+                    fleet: fleet.clone(),
+                    daemon: index,
+                    slot,
+                });
+                links.push(LinkProxy::listen_with_tap(
+                    free_port(),
+                    *address,
+                    Some(tap),
+                )?);
             }
             let own_addresses = links.iter().map(|link| link.address);
             let address = open_service(StoreService {
@@ -257,17 +283,22 @@
                 paused_until: None,
             });
         }
-        let entry_hosts = nodes.iter().map(|supervised| EntryHost {
-            client_address: supervised.node.client_address,
-            is_in_rotation: Rc::new(Cell::new(true)),
-            cut: Rc::default(),
-        });
+        let entry_hosts = nodes
+            .iter()
+            .enumerate()
+            .map(|(index, supervised)| EntryHost {
+                index,
+                client_address: supervised.node.client_address,
+                is_in_rotation: Rc::new(Cell::new(true)),
+                cut: Rc::default(),
+            });
         let client_context = ClientContext {
             checker: Rc::clone(&checker),
             entry_hosts: entry_hosts.collect(),
             keys: Rc::default(),
             strict_from: Rc::new(Cell::new(now)),
             started_at: now,
+            repeating_clients: options.repeating_clients,
             is_finished: Rc::new(Cell::new(false)),
         };
         let mut run = Self {
@@ -472,7 +503,14 @@
             lags.map(|(_, lag)| *lag).max().unwrap_or_default()
         };
         let started_at = self.client_context.started_at;
+        let broken_requests = checker.broken_requests().into_iter();
+        let broken_requests = broken_requests.map(|(id, evidence)| {
+            let history = checker.exchanges.history(id, started_at);
+            (evidence, format!(" {id}{history}"))
+        });
         SoakReport {
+            copies: checker.exchanges.copies(),
+            broken_requests: broken_requests.collect(),
             own_lag: (longest_lag(started_at), longest_lag(window_start)),
             seed: self.seed,
             faults,
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use soak::{FaultPlan, InvariantChecker, PlanSize, RequestKind};
+use soak::{CopyEvidence, FaultPlan, InvariantChecker, PlanSize, RequestKind};
 
 const DURATION: Duration = Duration::from_secs(60);
 const SIZE: PlanSize = PlanSize {
@@ -41,6 +41,33 @@
     assert_eq!(run_before_response.violations().len(), 1);
 }
 
+#[test]
+fn a_repeated_id_counts_for_the_attempt_under_way() {
+    let run = |checker: &mut InvariantChecker| checker.record_run("once", "depot", "/o/1", false);
+    let mut served_at_last = checker();
+    served_at_last.record_not_run("once", 503);
+    served_at_last.record_repeat("once");
+    run(&mut served_at_last);
+    assert_eq!(served_at_last.violations().len(), 0);
+    let mut run_between = checker();
+    run_between.record_not_run("once", 503);
+    run(&mut run_between);
+    run_between.record_repeat("once");
+    assert_eq!(run_between.violations().len(), 1);
+    let mut refused_at_last = checker();
+    refused_at_last.record_not_run("once", 503);
+    refused_at_last.record_repeat("once");
+    run(&mut refused_at_last);
+    refused_at_last.record_not_run("once", 429);
+    assert_eq!(refused_at_last.violations().len(), 1);
+    let ids = refused_at_last.broken_requests();
+    assert_eq!(ids, [("once", CopyEvidence::NoCopy)]);
+    // The run is the second one of the id, whichever attempt it belongs to.
+    refused_at_last.record_repeat("once");
+    run(&mut refused_at_last);
+    assert_eq!(refused_at_last.violations().len(), 2);
+}
+
 #[test]
 fn requests_must_reach_servers_unchanged_and_without_their_keys() {
     let mut checker = checker();
