Test: a copied refusal on a connection that its request came back to

One server of two refuses one request in three and writes refusals again, the other one turns all away; clients send refused requests again under the same id, at one of eight daemons.

--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -227,3 +227,23 @@
 fn a_server_that_leaves_after_the_store_was_silent_gets_no_request_at_twelve_daemons() {
     check_silent_store(117, 12, Duration::from_millis(7_000));
 }
+
+#[test]
+fn a_request_that_is_sent_again_is_not_refused_with_the_copy_of_its_earlier_refusal() {
+    // Few requests a connection, so that one comes back to that on which it was refused.
+    let faults = [
+        (100, Fault::TurnAway(1, Duration::from_secs(9))),
+        (100, Fault::RepeatRefusals(0, 1, Duration::from_secs(9))),
+    ];
+    let options = SoakOptions {
+        nodes: 8,
+        repeating_clients: 6,
+        ..options(9)
+    };
+    let report = run_plan(&options, 120, &plan_of(&faults)).unwrap();
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(
+        report.all.served > 0 && report.copies.written > 0,
+        "{report}"
+    );
+}
