Edge test: a replaced status bears no seal of the server's, also as a stream

A failure that bears the server's seal is to keep the server's status, so a status of the node's own must come without one. The test also covers a bare 503 with the content type of a stream.

--- a/crates/bronzerun/tests/edge/refused.rs
+++ b/crates/bronzerun/tests/edge/refused.rs
@@ -146,40 +146,47 @@
     })
 }
 
-/// Status that a client gets and number of runs, before two servers that answer with this status.
-fn outcome_of(name: &str, status: &'static str, path: &str) -> (u16, usize) {
+/// Status and seal that a client gets, and number of runs, before two servers that answer with this
+/// status.
+fn outcome_of(name: &str, status: &'static str, path: &str) -> (u16, Option<String>, usize) {
     let runs = RunCounts::default();
     let servers = (0..2).map(|_| server_that_answers(status, runs.clone()));
     let node = Node::start_before(name, servers.collect());
-    let (status, _, _) = node.request_as("r-own", path, "key-1");
-    (status, runs_of(&runs, "r-own"))
+    let (status, _, seal) = node.request_as("r-own", path, "key-1");
+    (status, seal, runs_of(&runs, "r-own"))
 }
 
 #[test]
 fn a_status_of_a_request_that_ran_once_at_most_does_not_promise_that_it_did_not_run() {
+    let statuses = [
+        SERVICE_UNAVAILABLE,
+        TOO_MANY_REQUESTS,
+        REQUEST_TIMEOUT,
+        "503 Service Unavailable\r\ncontent-type: text/event-stream",
+    ];
     let mut broken = Vec::new();
-    for status in [SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS, REQUEST_TIMEOUT] {
+    for (index, status) in statuses.into_iter().enumerate() {
         for path in ["/o/run", "/s/run"] {
-            let name = format!("own-{}{}", &status[..3], path.replace('/', "-"));
-            let (received, run_count) = outcome_of(&name, status, path);
+            let name = format!("own-{index}{}", path.replace('/', "-"));
+            let (received, seal, run_count) = outcome_of(&name, status, path);
             assert_eq!(run_count, 1, "'{status}' on {path}");
-            if NOT_RUN_STATUSES.contains(&received) {
-                broken.push((status, path, received));
+            if NOT_RUN_STATUSES.contains(&received) || seal.is_some() {
+                broken.push((status, path, received, seal));
             }
         }
     }
-    assert!(broken.is_empty(), "{broken:?}");
+    assert!(broken.is_empty(), "{} of 8: {broken:?}", broken.len());
 }
 
 #[test]
 fn a_server_error_of_a_request_that_ran_keeps_its_status() {
-    assert_eq!(
-        outcome_of("own-error", "500 Internal Server Error", "/o/run"),
-        (500, 1)
-    );
+    let seal = Some("s".to_owned());
+    let outcome = outcome_of("own-error", "500 Internal Server Error", "/o/run");
+    assert_eq!(outcome, (500, seal.clone(), 1));
     for status in [SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS, REQUEST_TIMEOUT] {
         let name = format!("own-idempotent-{}", &status[..3]);
-        let (received, run_count) = outcome_of(&name, status, "/i/run");
+        let (received, received_seal, run_count) = outcome_of(&name, status, "/i/run");
         assert_eq!(received.to_string(), status[..3], "{run_count} runs");
+        assert_eq!(received_seal, seal, "'{status}'");
     }
 }
