Exchange: an answer ends its exchange

accept() took the exchange by reference, so that take_back() could be called for one that was answered, and a proof had from it. It takes it by value now. Seen in a review of the types; no caller did so.

--- a/crates/exchange/src/commands/carry.rs
+++ b/crates/exchange/src/commands/carry.rs
@@ -12,7 +12,7 @@
 /// Decides whether an answer with this tag belongs to the exchange that the connection carries.
 pub fn accept(
     history: &mut ConnectionHistory,
-    exchange: &SentExchange,
+    exchange: SentExchange,
     answer_tag: Option<&str>,
 ) -> Result<OwnAnswer, AnswerFault> {
     // Nothing else was sent here that it could answer.
--- a/crates/exchange/src/history.rs
+++ b/crates/exchange/src/history.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Number of exchanges, the one under way included.
+    pub fn exchange_count(&self) -> u32 {
+        self.count
+    }
+
     pub(crate) fn is_strict(&self) -> bool {
         self.order == AnswerOrder::Strict
     }
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -33,11 +33,6 @@
         self.tag.as_ref()
     }
 
-    /// Number of the exchange on its connection, from one.
-    pub fn number(&self) -> u32 {
-        self.number
-    }
-
     /// Exchange whose connection has handed the whole request back.
     pub fn take_back(self) -> UnsentExchange {
         UnsentExchange { tag: self.tag }
--- a/crates/exchange/tests/connections.rs
+++ b/crates/exchange/tests/connections.rs
@@ -17,7 +17,7 @@
     for (tag, answer_tag) in exchanges {
         let sent = send(&mut history, unsent(tag));
         let answer_tag = Some(*answer_tag).filter(|tag| !tag.is_empty());
-        accept(&mut history, &sent, answer_tag).expect("the answer belongs to the request");
+        accept(&mut history, sent, answer_tag).expect("the answer belongs to the request");
     }
     history
 }
@@ -81,7 +81,7 @@
         let exchanges: Vec<_> = earlier.into_iter().map(|tag| (tag, tag)).collect();
         let mut history = carried(AnswerOrder::Unproven, &exchanges);
         let sent = send(&mut history, unsent(tag));
-        let received = accept(&mut history, &sent, answer_tag).map(|answer| answer.is_named());
+        let received = accept(&mut history, sent, answer_tag).map(|answer| answer.is_named());
         assert_eq!(
             received, expected,
             "{answer_tag:?} to '{tag}' after {earlier:?}"
@@ -101,7 +101,7 @@
     for (order, tag, answer_tag, expected) in cases {
         let mut history = ConnectionHistory::new(order);
         let sent = send(&mut history, unsent(tag));
-        let answer = accept(&mut history, &sent, answer_tag).unwrap();
+        let answer = accept(&mut history, sent, answer_tag).unwrap();
         let is_proven = answer.not_run(true).is_some();
         assert_eq!(is_proven, expected, "{order:?}: {answer_tag:?} to '{tag}'");
         assert_eq!(answer.not_run(false), None);
@@ -115,7 +115,7 @@
     assert!(is_reusable(&history));
     assert!(may_carry(&history, &unsent("a")));
     let sent = send(&mut history, unsent("a"));
-    let received = accept(&mut history, &sent, Some("b"));
+    let received = accept(&mut history, sent, Some("b"));
     assert_eq!(received, Err(AnswerFault::OtherTag));
 }
 
@@ -126,7 +126,7 @@
     while may_carry(&history, &unsent(&format!("r-{count}"))) {
         let tag = format!("r-{count}");
         let sent = send(&mut history, unsent(&tag));
-        accept(&mut history, &sent, Some(&tag)).unwrap();
+        accept(&mut history, sent, Some(&tag)).unwrap();
         count += 1;
         assert!(count <= 10_000, "the history has no bound");
     }
@@ -139,7 +139,7 @@
     let mut first = carried(AnswerOrder::Unproven, &[("a", "a")]);
     let sent = send(&mut first, unsent("b"));
     assert_eq!(
-        (sent.number(), sent.tag().map(ExchangeTag::as_str)),
+        (first.exchange_count(), sent.tag().map(ExchangeTag::as_str)),
         (2, Some("b"))
     );
     let unsent = sent.take_back();
@@ -148,7 +148,7 @@
     assert!(may_carry(&second, &unsent));
     let sent = send(&mut second, unsent);
     assert_eq!(
-        (sent.number(), sent.tag().map(ExchangeTag::as_str)),
+        (second.exchange_count(), sent.tag().map(ExchangeTag::as_str)),
         (1, Some("b"))
     );
 }
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -215,7 +215,7 @@
     fn check(
         &self,
         connection: &mut Connection,
-        exchange: &SentExchange,
+        exchange: SentExchange,
         parts: &Parts,
     ) -> Result<OwnAnswer, AnswerFault> {
         let tag = self.tag(&parts.headers);
@@ -321,18 +321,18 @@
             Some(Ok(response)) => {
                 connection.meter.record_progress();
                 let (parts, body) = response.into_parts();
-                match self.check(&mut connection, &exchange, &parts) {
+                let tag = exchange.tag().cloned();
+                match self.check(&mut connection, exchange, &parts) {
                     Ok(answer) => SendOutcome::Response(Box::new(IncomingResponse {
                         parts,
                         body,
                         server,
                         connection,
-                        exchange_number: exchange.number(),
                         answer,
                         client: self.clone(),
                     })),
                     Err(fault) => {
-                        log_discarded(server, &connection, &exchange, parts.status, fault);
+                        log_discarded(server, &connection, tag.as_ref(), parts.status, fault);
                         let labels = [("peers", self.peers), ("reason", fault.as_str())];
                         self.metrics.count("discarded_responses", &labels, 1);
                         self.drop_idle(server);
@@ -379,12 +379,13 @@
 fn log_discarded(
     server: SocketAddr,
     connection: &Connection,
-    exchange: &SentExchange,
+    tag: Option<&ExchangeTag>,
     status: StatusCode,
     fault: AnswerFault,
 ) {
-    let id = exchange.tag().map_or("", ExchangeTag::as_str);
-    log::warn!(id, server:% = server, status = status.as_u16(), connection = connection.number, exchange = exchange.number(), reason = fault.as_str(); "response discarded: it doesn't belong to the request");
+    let id = tag.map_or("", ExchangeTag::as_str);
+    let exchange = connection.history.exchange_count();
+    log::warn!(id, server:% = server, status = status.as_u16(), connection = connection.number, exchange, reason = fault.as_str(); "response discarded: it doesn't belong to the request");
 }
 
 enum SendOutcome {
@@ -410,7 +411,6 @@
     body: Incoming,
     server: SocketAddr,
     connection: Connection,
-    exchange_number: u32,
     answer: OwnAnswer,
     client: WebClient,
 }
@@ -454,7 +454,7 @@
 
     /// Number of its request on its connection, from one, for logs.
     pub fn exchange_number(&self) -> u32 {
-        self.exchange_number
+        self.connection.history.exchange_count()
     }
 
     /// Waits for the next bytes; a passed deadline counts as a lost connection.
