Gateway: a run state that an endpoint states is not forwarded

A caller was told x-bronzerun-run: not_run for a call that the endpoint had run, if the endpoint's response carried that header: the gateway forwarded all end-to-end headers of a response as they came. It kept its own headers back in requests only.

The headers of the gateway are now kept back in both directions, in forwarded_headers, which whole responses and streams pass through.

--- a/crates/gateway/src/border/ingress.rs
+++ b/crates/gateway/src/border/ingress.rs
@@ -31,9 +31,6 @@
 use super::task::CallTask;
 use crate::{CallArrival, GatewayEvent, GatewayQuery, GatewayReply};
 
-/// Prefix of the headers that the gateway reads or sets itself.
-const INTERNAL_HEADER_PREFIX: &str = "x-bronzerun-";
-
 /// Options of the callers' interface.
 #[derive(Clone, Copy, Debug)]
 pub struct IngressOptions {
@@ -201,14 +198,6 @@
     let mut headers = forwarded_headers(headers);
     headers.remove(AUTHORIZATION);
     headers.remove(REQUEST_HEADER);
-    let internal: Vec<_> = headers
-        .keys()
-        .filter(|name| name.as_str().starts_with(INTERNAL_HEADER_PREFIX))
-        .cloned()
-        .collect();
-    for name in internal {
-        headers.remove(name);
-    }
     headers
 }
 
--- a/crates/gateway/src/border/response.rs
+++ b/crates/gateway/src/border/response.rs
@@ -22,6 +22,8 @@
 /// Header with the length of a recorded response whose body was omitted, in bytes.
 const OMITTED_HEADER: &str = "x-bronzerun-omitted-bytes";
 
+/// Prefix of the headers that the gateway reads or sets itself.
+const INTERNAL_HEADER_PREFIX: &str = "x-bronzerun-";
 /// Headers that apply to a single connection and are never forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 11] = [
     CONNECTION,
@@ -216,7 +218,7 @@
     }
 }
 
-/// End-to-end headers, which are forwarded in either direction.
+/// End-to-end headers, which are forwarded in either direction, without those of the gateway.
 pub fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
     let connection_headers = headers.get_all(CONNECTION).into_iter();
     let connection_headers = connection_headers.filter_map(|value| value.to_str().ok());
@@ -224,14 +226,15 @@
         .flat_map(|value| value.split(','))
         .map(str::trim)
         .collect();
-    let is_hop_by_hop = |name: &HeaderName| {
-        HOP_BY_HOP_HEADERS.contains(name)
+    let is_kept_back = |name: &HeaderName| {
+        name.as_str().starts_with(INTERNAL_HEADER_PREFIX)
+            || HOP_BY_HOP_HEADERS.contains(name)
             || connection_headers
                 .iter()
                 .any(|header| header.eq_ignore_ascii_case(name.as_str()))
     };
-    let end_to_end = headers.iter().filter(|(name, _)| !is_hop_by_hop(name));
-    end_to_end
+    let forwarded = headers.iter().filter(|(name, _)| !is_kept_back(name));
+    forwarded
         .map(|(name, value)| (name.clone(), value.clone()))
         .collect()
 }
