--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use exchange::UnsentExchange;
 use futures_util::future::LocalBoxFuture;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
@@ -23,7 +24,8 @@
 use super::events::EventBuffer;
 use super::labels::RequestLabels;
 use super::responses::{
-    no_memory_response, refusal_response, rejection_response, timeout_response,
+    no_memory_response, refusal_response, rejection_response, stopped_response, timeout_response,
+    unproven_response,
 };
 use super::stream::{CallGuard, PauseMeter, RelayedStream, ResponseKind};
 use crate::{Arrival, ArrivalOutcome, EdgeEvent, EdgeQuestion, EdgeReply};
@@ -68,13 +70,14 @@
 impl ClientService {
     async fn serve(&self, request: Request<RequestBody>) -> WebResponse {
         let now = self.context.clock.now();
+        let unsent = UnsentExchange::new(None);
         let (parts, body) = request.into_parts();
         let body = match receive_body(body, &self.limits).await {
             Ok(body) => body,
             Err(error) => {
                 log::info!("request body not received: {error}");
                 if error == ReceiveError::NoMemory {
-                    return no_memory_response();
+                    return no_memory_response(unsent.give_up());
                 }
                 return text_response(StatusCode::BAD_REQUEST, &error.to_string());
             }
@@ -100,7 +103,7 @@
             events: self.context.events.clone(),
         };
         let Some(outcome) = self.arrive(arrival).await else {
-            return text_response(StatusCode::SERVICE_UNAVAILABLE, "this node is about to end");
+            return stopped_response(unsent.give_up());
         };
         match outcome {
             ArrivalOutcome::Rejected(reason) => {
@@ -108,7 +111,7 @@
                 self.context
                     .metrics
                     .count("rejected_requests", &[("reason", reason.as_str())], 1);
-                rejection_response(reason)
+                rejection_response(reason, unsent.give_up())
             }
             ArrivalOutcome::Accepted {
                 version,
@@ -175,7 +178,7 @@
                 CallStep::Send(order) => attempts.send(order, None),
                 CallStep::Wait => {}
                 CallStep::Refuse(refusal) => {
-                    log::info!(id:% = accepted.request.id, route:% = accepted.route.name, reason = refusal.reason.as_str(), may_have_run = refusal.may_have_run, has_answer = failure.is_some(); "request failed");
+                    log::info!(id:% = accepted.request.id, route:% = accepted.route.name, reason = refusal.reason.as_str(), may_have_run = refusal.may_have_run(), has_answer = failure.is_some(); "request failed");
                     return failure.unwrap_or_else(|| refusal_response(&refusal));
                 }
             }
@@ -203,6 +206,10 @@
                     // The event loop ends only when the process is about to exit.
                     let answered = EdgeEvent::Completed(accepted.request.call);
                     let _ = self.context.events.unbounded_send(answered);
+                    if self.is_false_promise(&accepted, response.status()) {
+                        log::warn!(id:% = accepted.request.id, place:% = order.target, status = response.status().as_u16(); "response replaced: its status says that the request was not run, which the server doesn't report");
+                        return unproven_response();
+                    }
                     let is_failure = response.status().is_server_error();
                     if !is_failure || !accepted.route.kind.is_repeatable() {
                         return response;
@@ -260,6 +267,13 @@
         }
     }
 
+    /// Whether a status promises a client something about its request that the server doesn't report.
+    ///
+    /// Reports end an attempt before its response is read.
+    fn is_false_promise(&self, accepted: &AcceptedRequest, status: StatusCode) -> bool {
+        !accepted.route.kind.is_repeatable() && self.context.header_codec.promises_not_run(status)
+    }
+
     /// Buffers a response; nothing of an incomplete one reaches the client.
     async fn collect(self, incoming: IncomingResponse, deadline: ClockTime) -> Option<WebResponse> {
         match incoming.collect(MAX_BUFFERED_BYTES, deadline).await {
@@ -270,7 +284,7 @@
                     self.context.header_codec.response_headers(&parts.headers);
                 Some(response)
             }
-            CollectOutcome::NotSent | CollectOutcome::Lost | CollectOutcome::Incomplete => None,
+            CollectOutcome::NotSent(_) | CollectOutcome::Lost | CollectOutcome::Incomplete => None,
         }
     }
 
