Fix: an engine's report written again was taken for another answer

What callers saw: an engine's report with 200 as the answer to a chat, or 502 and 503; a refusal of another call as the recorded outcome of a once-only call that ran. At the daemons, reports that were those of the poll before, and orders that were read as refused though accepted.

At the own interface is_answered_by compared ids and took an answer without one, and the gateway had one pool for calls, orders, reports and the store. The pool's rule now decides for calls.

Change: is_answered_by is gone. HttpEngineClient has a client of its own without a tag, so no caller can give it kept connections; each order and report has a connection of its own. A 421 of a group is believed only if it bears the call's id, as before, by OwnAnswer::not_run. The clients of the platform, the operators' command line and the load tool say why they rely on the order.

Price: a connection for each poll of an engine.

--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -53,6 +53,7 @@
     /// Creates a session with the platform at an address.
     pub fn connect(platform: SocketAddr) -> Self {
         let clock: Rc<dyn ClockSource> = Rc::new(SystemClock::default());
+        // The platform and the daemons write one answer to each request.
         let client = WebClient::new(Rc::clone(&clock)).with_strict_order();
         let store = HttpObjectStore::new(client.clone(), Rc::clone(&clock), platform);
         let hosts = HttpHostDirectory::new(client.clone(), Rc::clone(&clock), platform);
--- a/crates/controller/src/border/mod.rs
+++ b/crates/controller/src/border/mod.rs
@@ -76,11 +76,12 @@
 }
 
 fn connect_ports(settings: &HostSettings, clock: &Rc<SystemClock>) -> WatchPorts {
+    // The platform writes one answer to each request.
     let client = WebClient::new(clock.clone()).with_strict_order();
     let server = settings.platform;
     let store = HttpObjectStore::new(client.clone(), clock.clone(), server);
-    let directory = HttpHostDirectory::new(client.clone(), clock.clone(), server);
-    let engines = HttpEngineClient::new(client, clock.clone());
+    let directory = HttpHostDirectory::new(client, clock.clone(), server);
+    let engines = HttpEngineClient::new(clock.clone());
     WatchPorts {
         store: Rc::new(store),
         directory: Rc::new(directory),
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -73,6 +73,7 @@
 /// Makes all calls of a plan and returns their results.
 pub async fn run_load(plan: &LoadPlan, clock: Rc<dyn ClockSource>) -> LoadResult {
     let result = RefCell::new(LoadResult::new());
+    // Gateways write one answer to each request.
     let client = WebClient::new(clock.clone()).with_strict_order();
     let streams = (0..plan.streams).map(|index| {
         let stream = LoadStream {
--- a/crates/gateway/src/border/exchange.rs
+++ b/crates/gateway/src/border/exchange.rs
@@ -188,8 +188,8 @@
 
     fn accept_response(&mut self, order: SendOrder, outcome: CallOutcome) -> ExchangeProgress {
         let response = match outcome {
-            CallOutcome::Response(response) if self.request.is_answered_by(&response) => response,
-            CallOutcome::Response(_) | CallOutcome::Lost => {
+            CallOutcome::Response(response) => response,
+            CallOutcome::Lost => {
                 self.report_end(&order, AttemptEnd::Lost);
                 return ExchangeProgress::Open;
             }
@@ -200,7 +200,9 @@
         };
         match response.parts.status {
             StatusCode::MISDIRECTED_REQUEST if order.generation.is_some() => {
-                self.report_end(&order, AttemptEnd::NotSent);
+                let proof = response.not_run(true);
+                let end = proof.map_or(AttemptEnd::Lost, |_| AttemptEnd::NotSent);
+                self.report_end(&order, end);
             }
             status if order.generation.is_some() && status.is_server_error() => {
                 self.report_end(&order, AttemptEnd::Lost);
--- a/crates/gateway/src/border/mod.rs
+++ b/crates/gateway/src/border/mod.rs
@@ -105,9 +105,8 @@
         let clock = Rc::new(SystemClock::default());
         let client =
             WebClient::new(clock.clone()).with_tag(HeaderName::from_static(REQUEST_HEADER));
-        let platform_client = WebClient::new(clock.clone()).with_strict_order();
         let (drain_signal, drain) = drain_channel();
-        let ports = connect_ports(settings, &platform_client, &clock);
+        let ports = connect_ports(settings, &clock);
         let entry = NodeEntry {
             node: settings.node.clone(),
             role: NodeRole::Gateway,
@@ -197,15 +196,13 @@
     }
 }
 
-fn connect_ports(
-    settings: &HostSettings,
-    client: &WebClient,
-    clock: &Rc<SystemClock>,
-) -> WatchPorts {
+fn connect_ports(settings: &HostSettings, clock: &Rc<SystemClock>) -> WatchPorts {
+    // The platform writes one answer to each request.
+    let client = WebClient::new(clock.clone()).with_strict_order();
     let server = settings.platform;
     let store = HttpObjectStore::new(client.clone(), clock.clone(), server);
-    let directory = HttpHostDirectory::new(client.clone(), clock.clone(), server);
-    let engines = HttpEngineClient::new(client.clone(), clock.clone());
+    let directory = HttpHostDirectory::new(client, clock.clone(), server);
+    let engines = HttpEngineClient::new(clock.clone());
     WatchPorts {
         store: Rc::new(store),
         directory: Rc::new(directory),
--- a/crates/gateway/src/border/request.rs
+++ b/crates/gateway/src/border/request.rs
@@ -3,8 +3,8 @@
 use base::prelude::*;
 use bytes::Bytes;
 use http::request::Builder;
-use http::{HeaderMap, HeaderValue, Method, StatusCode};
-use net::web::{IncomingResponse, WebRequest, full_body};
+use http::{HeaderMap, HeaderValue, Method};
+use net::web::{WebRequest, full_body};
 
 use super::response::REQUEST_HEADER;
 use crate::SendOrder;
@@ -42,16 +42,6 @@
         builder = add_group_headers(builder, order, sent_tokens);
         builder.body(full_body(self.body.clone())).ok()
     }
-
-    /// Whether a response belongs to this request: it must not carry another request's
-    /// identifier, and one that reports the request as not run must carry this one's.
-    pub fn is_answered_by(&self, response: &IncomingResponse) -> bool {
-        let id = response.parts.headers.get(REQUEST_HEADER);
-        match response.parts.status {
-            StatusCode::MISDIRECTED_REQUEST => id.is_some_and(|id| *id == self.id),
-            _ => id.is_none_or(|id| *id == self.id),
-        }
-    }
 }
 
 fn add_group_headers(builder: Builder, order: &SendOrder, sent_tokens: usize) -> Builder {
--- a/crates/interface/src/engine.rs
+++ b/crates/interface/src/engine.rs
@@ -53,6 +53,9 @@
 }
 
 /// HTTP client of model engines.
+///
+/// Their answers to orders and requests for reports name no request, so each of these has a
+/// connection of its own.
 #[derive(Clone)]
 pub struct HttpEngineClient {
     client: WebClient,
@@ -60,8 +63,9 @@
 }
 
 impl HttpEngineClient {
-    /// Creates a client that uses the connections of `client`.
-    pub fn new(client: WebClient, clock: Rc<dyn ClockSource>) -> Self {
+    /// Creates a client.
+    pub fn new(clock: Rc<dyn ClockSource>) -> Self {
+        let client = WebClient::new(clock.clone());
         Self { client, clock }
     }
 
--- a/crates/interface/tests/engine.rs
+++ b/crates/interface/tests/engine.rs
@@ -15,7 +15,6 @@
 use groups::HostOrder;
 use interface::{EngineClient, HttpEngineClient, OrderOutcome, ReportOutcome};
 use net::SystemClock;
-use net::web::WebClient;
 
 /// Timeout of a request, all of which get an answer.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -64,7 +63,7 @@
 
 fn new_client() -> (Rc<SystemClock>, HttpEngineClient) {
     let clock = Rc::new(SystemClock::default());
-    let client = HttpEngineClient::new(WebClient::new(clock.clone()), clock.clone());
+    let client = HttpEngineClient::new(clock.clone());
     (clock, client)
 }
 
