--- a/crates/soak/src/deadly.rs
+++ b/crates/soak/src/deadly.rs
@@ -85,7 +85,7 @@
             .body(empty_body())
             .expect("the request is well formed");
         let (web, clock, address) = (
-            WebClient::new(clock.clone()),
+            WebClient::new(clock.clone()).with_strict_order(),
             clock.clone(),
             host.client_address,
         );
