Gateway: a refusal that says "not run" needs a proof

RunState::NotRun, AttemptEnd::NotSent and the ledger's withdraw carry or take a NotRunProof. Until now a bool, may_have_run, was set at two places, and the ledger believed whoever called withdraw. That no caller was told "not run" for a call that may have run followed from the order of events: an attempt given up for another one set nothing, and a once-only call in an unforeseen stage would have been refused as not run.

CallState::runs records each attempt as it is sent and forgets only those with a proof. Refusals before the loop has a call get theirs from the request of which nothing was sent. Texts and headers for callers stay; in the logs the run state and an attempt's end have the names that callers and the edge's logs have (not_run, not-sent).

--- a/crates/gateway/src/border/exchange.rs
+++ b/crates/gateway/src/border/exchange.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use exchange::UnsentExchange;
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
@@ -20,7 +21,7 @@
 use super::request::EndpointRequest;
 use super::response::{
     REQUEST_HEADER, endpoint_response, forwarded_headers, recorded_response, refusal_event,
-    refusal_response, to_recorded,
+    refusal_response, run_text, to_recorded,
 };
 use crate::{AttemptEnd, AttemptNumber, CallRefusal, GatewayEvent, SendOrder};
 
@@ -105,7 +106,8 @@
     pub fn send(&mut self, order: SendOrder) {
         let request = self.request.to_web_request(&order, self.sent_tokens);
         let Some(request) = request.filter(|_| !self.attempts.has_active()) else {
-            return self.report_end(&order, AttemptEnd::NotSent);
+            let proof = UnsentExchange::new(None).give_up();
+            return self.report_end(&order, AttemptEnd::NotSent(proof));
         };
         let client = self.context.client.clone();
         let (address, deadline) = (order.address, order.deadline);
@@ -193,15 +195,15 @@
                 self.report_end(&order, AttemptEnd::Lost);
                 return ExchangeProgress::Open;
             }
-            CallOutcome::NotSent(_) => {
-                self.report_end(&order, AttemptEnd::NotSent);
+            CallOutcome::NotSent(proof) => {
+                self.report_end(&order, AttemptEnd::NotSent(proof));
                 return ExchangeProgress::Open;
             }
         };
         match response.parts.status {
             StatusCode::MISDIRECTED_REQUEST if order.generation.is_some() => {
                 let proof = response.not_run(true);
-                let end = proof.map_or(AttemptEnd::Lost, |_| AttemptEnd::NotSent);
+                let end = proof.map_or(AttemptEnd::Lost, AttemptEnd::NotSent);
                 self.report_end(&order, end);
             }
             status if order.generation.is_some() && status.is_server_error() => {
@@ -239,7 +241,7 @@
     /// response.
     pub async fn refuse(&mut self, refusal: &CallRefusal) {
         log::info!(
-            request:? = self.request.id, cause:? = refusal.cause, run:? = refusal.run;
+            request:? = self.request.id, cause:? = refusal.cause, run = run_text(refusal.run);
             "call refused"
         );
         if let Some(mut stream) = self.stream.take() {
@@ -391,9 +393,9 @@
 
     /// Reports the end of an attempt, and logs one that failed.
     fn report_end(&self, order: &SendOrder, end: AttemptEnd) {
-        if matches!(end, AttemptEnd::Lost | AttemptEnd::NotSent) {
+        if matches!(end, AttemptEnd::Lost | AttemptEnd::NotSent(_)) {
             log::warn!(
-                request:? = self.request.id, endpoint:% = order.address, end:? = end;
+                request:? = self.request.id, endpoint:% = order.address, end = end.as_str();
                 "attempt failed"
             );
         }
--- a/crates/gateway/src/border/ingress.rs
+++ b/crates/gateway/src/border/ingress.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use exchange::UnsentExchange;
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
 use futures_util::future::LocalBoxFuture;
@@ -107,12 +108,14 @@
     }
 
     async fn list_models(&self, method: &Method, headers: &HeaderMap) -> WebResponse {
+        let unsent = UnsentExchange::new(None);
         if method != Method::GET {
-            return parse_error_response(&ParseError::Method { allowed: "GET" });
+            let error = ParseError::Method { allowed: "GET" };
+            return parse_error_response(&error, unsent.give_up());
         }
         let digest = match parse_digest(headers) {
             Ok(digest) => digest,
-            Err(error) => return parse_error_response(&error),
+            Err(error) => return parse_error_response(&error, unsent.give_up()),
         };
         match self.replies.request(GatewayQuery::Services(digest)).await {
             Some(GatewayReply::Services(Ok(services))) => {
@@ -121,28 +124,33 @@
             Some(GatewayReply::Services(Err(refusal))) => {
                 refusal_response(&refusal, self.context.clock.now())
             }
-            Some(_) | None => stopped_response(),
+            Some(_) | None => stopped_response(unsent.give_up()),
         }
     }
 
     async fn call(&self, request: Request<RequestBody>) -> WebResponse {
+        let unsent = UnsentExchange::new(None);
         let (parts, body) = request.into_parts();
         let call_headers = match parse_headers(&parts.headers) {
             Ok(call_headers) => call_headers,
-            Err(error) => return parse_error_response(&error),
+            Err(error) => return parse_error_response(&error, unsent.give_up()),
         };
         let body = match receive_body(body, &self.limits).await {
             Ok(body) => body,
-            Err(error) => return receive_error_response(&error),
+            Err(error) => return receive_error_response(&error, unsent.give_up()),
         };
         match parse_call(&parts, &body) {
-            Ok(parsed) => self.run_call(call_headers, parsed, parts, body).await,
-            Err(error) => parse_error_response(&error),
+            Ok(parsed) => {
+                let call = self.run_call(unsent, call_headers, parsed, parts, body);
+                call.await
+            }
+            Err(error) => parse_error_response(&error, unsent.give_up()),
         }
     }
 
     async fn run_call(
         &self,
+        unsent: UnsentExchange,
         call_headers: CallHeaders,
         parsed: ParsedCall,
         parts: Parts,
@@ -172,7 +180,7 @@
         };
         let sent = events.unbounded_send(GatewayEvent::CallArrived(arrival));
         if sent.is_err() {
-            return stopped_response();
+            return stopped_response(unsent.give_up());
         }
         // The task is spawned so that it outlives a caller that disconnects: the
         // outcome of a non-idempotent call must still be recorded.
--- a/crates/gateway/src/border/response.rs
+++ b/crates/gateway/src/border/response.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use exchange::NotRunProof;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
     RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -57,7 +58,7 @@
 /// JSON of an error, in the form that client libraries expect.
 fn error_wire<'a>(message: &'a str, code: &'a str, run: RunState) -> ErrorWire<'a> {
     let kind = match run {
-        RunState::NotRun => "not_run",
+        RunState::NotRun(_) => "not_run",
         RunState::Running | RunState::Unknown => "outcome_unknown",
     };
     ErrorWire {
@@ -71,9 +72,10 @@
     }
 }
 
-fn run_text(run: RunState) -> &'static str {
+/// Text of a run state, for callers and logs.
+pub fn run_text(run: RunState) -> &'static str {
     match run {
-        RunState::NotRun => "not_run",
+        RunState::NotRun(_) => "not_run",
         RunState::Running => "running",
         RunState::Unknown => "unknown",
     }
@@ -87,7 +89,7 @@
 }
 
 /// Response to a request that is not a valid call.
-pub fn parse_error_response(error: &ParseError) -> WebResponse {
+pub fn parse_error_response(error: &ParseError, proof: NotRunProof) -> WebResponse {
     let (status, code) = match error {
         ParseError::KeyMissing => (StatusCode::UNAUTHORIZED, "invalid_api_key"),
         ParseError::Path => (StatusCode::NOT_FOUND, "unknown_path"),
@@ -97,27 +99,27 @@
             (StatusCode::BAD_REQUEST, "invalid_request")
         }
     };
-    error_response(status, &error.to_string(), code, RunState::NotRun)
+    error_response(status, &error.to_string(), code, RunState::NotRun(proof))
 }
 
 /// Response to a request whose body could not be read.
-pub fn receive_error_response(error: &ReceiveError) -> WebResponse {
+pub fn receive_error_response(error: &ReceiveError, proof: NotRunProof) -> WebResponse {
     let (status, code) = match error {
         ReceiveError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
         ReceiveError::TooSlow { .. } => (StatusCode::REQUEST_TIMEOUT, "body_too_slow"),
         ReceiveError::NoMemory => (StatusCode::SERVICE_UNAVAILABLE, "no_memory"),
         ReceiveError::Broken => (StatusCode::BAD_REQUEST, "body_broken"),
     };
-    error_response(status, &error.to_string(), code, RunState::NotRun)
+    error_response(status, &error.to_string(), code, RunState::NotRun(proof))
 }
 
 /// Response to a request that arrived after the event loop ended.
-pub fn stopped_response() -> WebResponse {
+pub fn stopped_response(proof: NotRunProof) -> WebResponse {
     error_response(
         StatusCode::SERVICE_UNAVAILABLE,
         "this gateway has stopped: send the request again",
         "stopping",
-        RunState::NotRun,
+        RunState::NotRun(proof),
     )
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,6 +4,9 @@
 
 use base::prelude::*;
 use document::KeyDigest;
+use exchange::commands::{record_not_run, record_start};
+use exchange::queries::certainty;
+use exchange::{NotRunProof, RunCertainty, RunRecord, UnsentExchange};
 use ledger::{RecordedResponse, RequestDigest};
 use limits::CallPriority;
 use routing::{BlockHash, TargetId};
@@ -53,13 +56,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunState {
     /// Was not run and will not be.
-    NotRun,
+    NotRun(NotRunProof),
     /// Another request with the same idempotency key is being processed.
     Running,
     /// May or may not have been run.
     Unknown,
 }
 
+impl From<RunCertainty> for RunState {
+    fn from(certainty: RunCertainty) -> Self {
+        match certainty {
+            RunCertainty::NotRun(proof) => Self::NotRun(proof),
+            RunCertainty::MayHaveRun => Self::Unknown,
+        }
+    }
+}
+
 /// Error response to a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallRefusal {
@@ -71,6 +83,17 @@
     pub retry_at: Option<ClockTime>,
 }
 
+impl CallRefusal {
+    /// Refusal of a call that is not accepted.
+    pub(crate) fn on_arrival(cause: RefusalCause, retry_at: Option<ClockTime>) -> Self {
+        Self {
+            cause,
+            run: RunState::NotRun(UnsentExchange::new(None).give_up()),
+            retry_at,
+        }
+    }
+}
+
 /// Why a call is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalCause {
@@ -164,11 +187,23 @@
     /// gets it.
     Recorded(RecordedResponse),
     /// The request was not sent, or the endpoint refused to run it.
-    NotSent,
+    NotSent(NotRunProof),
     /// The request was sent, but the response is missing or incomplete.
     Lost,
 }
 
+impl AttemptEnd {
+    /// Name in logs.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Recorded(_) => "recorded",
+            Self::NotSent(_) => "not-sent",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 /// State of a call that has not ended.
 #[derive(Clone, Debug)]
 pub(crate) struct CallState {
@@ -182,7 +217,7 @@
     pub progress: CallProgress,
     pub last_attempt: AttemptNumber,
     pub response_started: bool,
-    pub may_have_run: bool,
+    pub runs: RunRecord,
 }
 
 impl CallState {
@@ -208,8 +243,19 @@
         attempts.find(|attempt| attempt.number == number)
     }
 
-    /// Adds the latest attempt.
+    /// What is certain about whether the call was run.
+    pub fn run_state(&self) -> RunState {
+        certainty(&self.runs).into()
+    }
+
+    /// Records that an attempt was not run.
+    pub fn record_not_run(&mut self, attempt: AttemptNumber, proof: NotRunProof) {
+        record_not_run(&mut self.runs, attempt.0, proof);
+    }
+
+    /// Adds the latest attempt, which may run from now on.
     pub fn add_attempt(&mut self, attempt: OpenAttempt) {
+        record_start(&mut self.runs, attempt.number.0);
         match &mut self.progress {
             CallProgress::InFlight(attempts) => attempts.push(attempt),
             progress => *progress = CallProgress::InFlight(vec![attempt]),
--- a/crates/gateway/src/commands/attempts.rs
+++ b/crates/gateway/src/commands/attempts.rs
@@ -17,8 +17,7 @@
 /// Attempts of a started stream after which the retry budget limits its failovers.
 const UNBUDGETED_ATTEMPTS: AttemptNumber = AttemptNumber(1);
 
-/// Records that the response has started, for the histograms and for the run
-/// state of a later refusal.
+/// Records that the response has started.
 pub fn record_response_start(
     state: &mut GatewayState,
     call: CallId,
@@ -31,7 +30,6 @@
         return Vec::new();
     }
     call_state.response_started = true;
-    call_state.may_have_run = true;
     vec![measure(call_state, "first_byte", now)]
 }
 
@@ -60,7 +58,8 @@
             release_attempt(state, call, attempt, true);
             record_outcome(state, call, FinishedCall::Answered(response), now)
         }
-        AttemptEnd::NotSent => {
+        AttemptEnd::NotSent(proof) => {
+            call_state.record_not_run(attempt, proof);
             release_attempt(state, call, attempt, true);
             try_next_target(state, call, now)
         }
@@ -107,7 +106,8 @@
             state.ledger.finish(call, finished, now)
         }
         AttemptEnd::Lost => state.ledger.finish(call, FinishedCall::Unknown, now),
-        AttemptEnd::NotSent => state.ledger.withdraw(call, now),
+        // A once-only call has one attempt at a time, and one that may have run is its last.
+        AttemptEnd::NotSent(proof) => state.ledger.withdraw(call, proof, now),
         AttemptEnd::Answered => Vec::new(),
     };
     ledger_effects::apply(state, effects, now)
@@ -145,10 +145,9 @@
 /// Retries an idempotent call whose response was lost, within the retry budget, unless
 /// another of its attempts is open.
 fn retry(state: &mut GatewayState, call: CallId, now: ClockTime) -> Vec<GatewayEffect> {
-    let Some(call_state) = state.calls.get_mut(&call) else {
+    let Some(call_state) = state.calls.get(&call) else {
         return Vec::new();
     };
-    call_state.may_have_run = true;
     if !call_state.open_attempts().is_empty() {
         holds::update_hold(state, call, now);
         return Vec::new();
--- a/crates/gateway/src/commands/calls.rs
+++ b/crates/gateway/src/commands/calls.rs
@@ -1,6 +1,7 @@
 //! Calls from their arrival until the request is sent to an endpoint.
 
 use base::prelude::*;
+use exchange::RunRecord;
 use ledger::{CallKey, StartRequest};
 use limits::{AdmissionOutcome, AdmissionRequest, CallIdempotency};
 use routing::TargetId;
@@ -50,7 +51,7 @@
             progress: CallProgress::Queued,
             last_attempt: AttemptNumber::default(),
             response_started: false,
-            may_have_run: false,
+            runs: RunRecord::default(),
             arrival,
         },
     );
@@ -198,7 +199,7 @@
     choose(route, now, &query).map(|choice| choice.target)
 }
 
-/// Refuses a call for which no target is left. The current attempt was not sent.
+/// Refuses a call for which no target is left.
 pub(super) fn refuse_without_target(
     state: &mut GatewayState,
     call: CallId,
@@ -207,17 +208,14 @@
     let Some(call_state) = state.calls.get(&call) else {
         return Vec::new();
     };
+    let run = call_state.run_state();
     if call_state.idempotency == CallIdempotency::NonIdempotent
         && call_state.progress == CallProgress::Starting
+        && let RunState::NotRun(proof) = run
     {
-        let effects = state.ledger.withdraw(call, now);
+        let effects = state.ledger.withdraw(call, proof, now);
         return ledger_effects::apply(state, effects, now);
     }
-    let run = if call_state.may_have_run {
-        RunState::Unknown
-    } else {
-        RunState::NotRun
-    };
     let mut effects = vec![refuse(call, RefusalCause::NoEndpoint, run, None)];
     effects.extend(remove_call(state, call, now));
     effects
--- a/crates/gateway/src/commands/ledger.rs
+++ b/crates/gateway/src/commands/ledger.rs
@@ -5,6 +5,7 @@
 
 use super::attempts::measure;
 use super::calls::{dispatch, refuse, remove_call};
+use crate::call::CallState;
 use crate::state::GatewayState;
 use crate::{CallStep, GatewayEffect, RefusalCause, RunState};
 
@@ -38,7 +39,11 @@
             let step = CallStep::Respond(recorded);
             GatewayEffect::Step { call, step }
         }
-        CallVerdict::NotRun(reason) => refuse(call, not_run_cause(reason), RunState::NotRun, None),
+        CallVerdict::NotRun(reason) => {
+            let call_state = state.calls.get(&call);
+            let run = call_state.map_or(RunState::Unknown, CallState::run_state);
+            refuse(call, not_run_cause(reason), run, None)
+        }
         CallVerdict::StillRunning => {
             refuse(call, RefusalCause::StillRunning, RunState::Running, None)
         }
--- a/crates/gateway/src/commands/queue.rs
+++ b/crates/gateway/src/commands/queue.rs
@@ -43,7 +43,8 @@
     state: &mut GatewayState,
     refused: limits::CallRefusal,
 ) -> Vec<GatewayEffect> {
-    state.calls.remove(&refused.call);
+    let call_state = state.calls.remove(&refused.call);
+    let run = call_state.map_or(RunState::Unknown, |call_state| call_state.run_state());
     let cause = match refused.reason {
         AdmissionRefusalReason::UnknownWorkspace => RefusalCause::UnknownKey,
         AdmissionRefusalReason::NoCapacity => RefusalCause::NoEndpoint,
@@ -51,5 +52,5 @@
         AdmissionRefusalReason::Deadline => RefusalCause::Deadline,
     };
     let retry_at = Some(refused.retry_at);
-    vec![refuse(refused.call, cause, RunState::NotRun, retry_at)]
+    vec![refuse(refused.call, cause, run, retry_at)]
 }
--- a/crates/gateway/src/queries/authorize.rs
+++ b/crates/gateway/src/queries/authorize.rs
@@ -7,7 +7,7 @@
 use limits::{CallIdempotency, WorkspaceLimits};
 
 use crate::items::document_key;
-use crate::{CallArrival, CallKind, CallRefusal, GatewayState, RefusalCause, RunState};
+use crate::{CallArrival, CallKind, CallRefusal, GatewayState, RefusalCause};
 
 /// Time after which a caller retries that the document in force refuses while a newer one is known.
 const BEHIND_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -56,11 +56,7 @@
 }
 
 fn refuse_behind(now: ClockTime) -> CallRefusal {
-    CallRefusal {
-        cause: RefusalCause::DocumentBehind,
-        run: RunState::NotRun,
-        retry_at: Some(now + BEHIND_RETRY_DELAY),
-    }
+    CallRefusal::on_arrival(RefusalCause::DocumentBehind, Some(now + BEHIND_RETRY_DELAY))
 }
 
 /// Refusal for a reason that the document in force gives; not a final one while a peer has
@@ -73,11 +69,7 @@
     if knows_newer_document(state) {
         refuse_behind(now)
     } else {
-        CallRefusal {
-            cause,
-            run: RunState::NotRun,
-            retry_at: None,
-        }
+        CallRefusal::on_arrival(cause, None)
     }
 }
 
--- a/crates/gateway/tests/suite/attempts.rs
+++ b/crates/gateway/tests/suite/attempts.rs
@@ -4,7 +4,7 @@
 use gateway::{AttemptEnd, CallStep, GatewayEvent, RefusalCause, RunState};
 
 use crate::fleet::{BOOKING_SERVICE, DESK_KEY, ENGINES, Fleet};
-use crate::harness::{Harness, model_call, plain_call, refusal};
+use crate::harness::{Harness, model_call, not_run, plain_call, refusal};
 
 fn idempotent_call() -> gateway::CallArrival {
     plain_call(DESK_KEY, BOOKING_SERVICE, "GET /bookings", None)
@@ -15,10 +15,10 @@
     let mut harness = Harness::serving(&Fleet::healthy());
     let call = harness.call(idempotent_call());
     let first = harness.last_address(call);
-    harness.end_attempt(call, AttemptEnd::NotSent);
+    harness.end_attempt(call, AttemptEnd::NotSent(not_run()));
     assert_ne!(harness.last_address(call), first);
-    harness.end_attempt(call, AttemptEnd::NotSent);
-    let step = refusal(RefusalCause::NoEndpoint, RunState::NotRun);
+    harness.end_attempt(call, AttemptEnd::NotSent(not_run()));
+    let step = refusal(RefusalCause::NoEndpoint, RunState::NotRun(not_run()));
     assert_eq!(harness.last_step(call), Some(&step));
     assert_eq!(harness.status().calls, 0);
 }
@@ -39,9 +39,9 @@
 #[test]
 fn a_call_that_may_have_run_is_never_refused_as_not_run() {
     let cases: [&[AttemptEnd]; 3] = [
-        &[AttemptEnd::Lost, AttemptEnd::NotSent],
+        &[AttemptEnd::Lost, AttemptEnd::NotSent(not_run())],
         &[AttemptEnd::Lost, AttemptEnd::Lost],
-        &[AttemptEnd::NotSent, AttemptEnd::Lost],
+        &[AttemptEnd::NotSent(not_run()), AttemptEnd::Lost],
     ];
     for ends in cases {
         let mut harness = Harness::serving(&Fleet::healthy());
--- a/crates/gateway/tests/suite/authorization.rs
+++ b/crates/gateway/tests/suite/authorization.rs
@@ -6,7 +6,7 @@
 use crate::fleet::{
     BOOKING_SERVICE, CLINIC_KEY, DESK_KEY, Fleet, MODEL_SERVICE, ORDERS_SERVICE, TABLET_KEY,
 };
-use crate::harness::{Harness, model_call, plain_call};
+use crate::harness::{Harness, model_call, not_run, plain_call};
 
 #[test]
 fn unauthorized_calls_are_refused_as_not_run() {
@@ -95,7 +95,7 @@
         let call = harness.call(arrival);
         assert_eq!(
             harness.refused(call),
-            Some((cause, RunState::NotRun)),
+            Some((cause, RunState::NotRun(not_run()))),
             "{case}"
         );
         assert!(
@@ -112,7 +112,10 @@
     harness.read_fleet(&Fleet::healthy());
     let call = harness.call(model_call());
     let refused = harness.refused(call);
-    assert_eq!(refused, Some((RefusalCause::UnknownKey, RunState::NotRun)));
+    assert_eq!(
+        refused,
+        Some((RefusalCause::UnknownKey, RunState::NotRun(not_run())))
+    );
 }
 
 #[test]
--- a/crates/gateway/tests/suite/groups.rs
+++ b/crates/gateway/tests/suite/groups.rs
@@ -5,7 +5,7 @@
 use groups::{GroupPhase, MemberPhase};
 
 use crate::fleet::{Fleet, report_of};
-use crate::harness::{Harness, REPORT_VALIDITY, model_call};
+use crate::harness::{Harness, REPORT_VALIDITY, model_call, not_run};
 
 const MOMENT: Duration = Duration::from_millis(500);
 const FIRST: AttemptNumber = AttemptNumber(1);
@@ -52,7 +52,7 @@
         );
         let late = harness.call(model_call());
         let refused = harness.refused(late);
-        let expected = Some((RefusalCause::NoEndpoint, RunState::NotRun));
+        let expected = Some((RefusalCause::NoEndpoint, RunState::NotRun(not_run())));
         assert_eq!(refused, expected, "{case}");
     }
 }
--- a/crates/gateway/tests/suite/harness.rs
+++ b/crates/gateway/tests/suite/harness.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use document::KeyDigest;
+use exchange::{NotRunProof, UnsentExchange};
 use futures_util::FutureExt;
 use gateway::{
     AttemptEnd, AttemptNumber, CallArrival, CallKind, CallRefusal, CallStep, GatewayEffect,
@@ -376,3 +377,8 @@
         LedgerEffect::Verdict { .. } => unreachable!("verdicts are applied within the loop"),
     }
 }
+
+/// Proof that a request was not run.
+pub fn not_run() -> NotRunProof {
+    UnsentExchange::new(None).give_up()
+}
--- a/crates/gateway/tests/suite/non_idempotent.rs
+++ b/crates/gateway/tests/suite/non_idempotent.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::fleet::{BOOKING_SERVICE, DESK_KEY, Fleet, TABLET_KEY};
-use crate::harness::{Harness, plain_call, recorded};
+use crate::harness::{Harness, not_run, plain_call, recorded};
 
 const MOMENT: Duration = Duration::from_millis(200);
 
@@ -42,7 +42,7 @@
     harness.advance_with_store(Duration::from_secs(40));
     assert_eq!(harness.send_count(call), 0);
     let (_, run) = harness.refused(call).expect("it is refused");
-    assert_eq!(run, RunState::NotRun);
+    assert_eq!(run, RunState::NotRun(not_run()));
     let idempotent = harness.call(plain_call(DESK_KEY, BOOKING_SERVICE, "GET /bookings", None));
     assert_eq!(
         harness.send_count(idempotent),
@@ -73,12 +73,15 @@
     let call = harness.call(non_idempotent_call("k1"));
     harness.advance_with_store(MOMENT);
     let first = harness.last_address(call);
-    harness.end_attempt(call, AttemptEnd::NotSent);
+    harness.end_attempt(call, AttemptEnd::NotSent(not_run()));
     assert_ne!(harness.last_address(call), first);
-    harness.end_attempt(call, AttemptEnd::NotSent);
+    harness.end_attempt(call, AttemptEnd::NotSent(not_run()));
     harness.advance_with_store(MOMENT);
     let refused = harness.refused(call);
-    assert_eq!(refused, Some((RefusalCause::NoEndpoint, RunState::NotRun)));
+    assert_eq!(
+        refused,
+        Some((RefusalCause::NoEndpoint, RunState::NotRun(not_run())))
+    );
     let again = harness.call(non_idempotent_call("k1"));
     harness.advance_with_store(MOMENT);
     assert_eq!(
@@ -138,7 +141,10 @@
     ));
     harness.advance_with_store(MOMENT);
     let refused = harness.refused(other);
-    assert_eq!(refused, Some((RefusalCause::KeyReused, RunState::NotRun)));
+    assert_eq!(
+        refused,
+        Some((RefusalCause::KeyReused, RunState::NotRun(not_run())))
+    );
     assert_eq!(harness.send_count(call), 1);
 }
 
@@ -222,7 +228,7 @@
     harness.handle(GatewayEvent::AttemptEnded {
         call,
         attempt: AttemptNumber(1),
-        end: AttemptEnd::NotSent,
+        end: AttemptEnd::NotSent(not_run()),
     });
     assert_eq!(harness.send_count(call), 1);
 }
--- a/crates/gateway/tests/suite/queues.rs
+++ b/crates/gateway/tests/suite/queues.rs
@@ -5,7 +5,7 @@
 use limits::CallPriority;
 
 use crate::fleet::Fleet;
-use crate::harness::{Harness, model_call};
+use crate::harness::{Harness, model_call, not_run};
 
 /// Streams that the group runs at once.
 const SLOTS: usize = 2;
@@ -38,7 +38,10 @@
         harness.receive_reports(&fleet);
     }
     let refused = harness.refused(waiting);
-    assert_eq!(refused, Some((RefusalCause::Deadline, RunState::NotRun)));
+    assert_eq!(
+        refused,
+        Some((RefusalCause::Deadline, RunState::NotRun(not_run())))
+    );
     assert_eq!(harness.status().calls, SLOTS);
 }
 
@@ -50,7 +53,10 @@
     arrival.timeout = Some(Duration::from_millis(1));
     let call = harness.call(arrival);
     let refused = harness.refused(call);
-    assert_eq!(refused, Some((RefusalCause::Deadline, RunState::NotRun)));
+    assert_eq!(
+        refused,
+        Some((RefusalCause::Deadline, RunState::NotRun(not_run())))
+    );
 }
 
 #[test]
@@ -68,7 +74,10 @@
             refused => break refused,
         }
     };
-    assert_eq!(refused, Some((RefusalCause::Overloaded, RunState::NotRun)));
+    assert_eq!(
+        refused,
+        Some((RefusalCause::Overloaded, RunState::NotRun(not_run())))
+    );
     let mut arrival = model_call();
     arrival.timeout = Some(TIMEOUT);
     arrival.priority = CallPriority::High;
@@ -83,7 +92,10 @@
     let displaced: Vec<_> = displaced.collect();
     assert_eq!(displaced.len(), 1);
     let refused = harness.refused(*displaced[0]);
-    assert_eq!(refused, Some((RefusalCause::Overloaded, RunState::NotRun)));
+    assert_eq!(
+        refused,
+        Some((RefusalCause::Overloaded, RunState::NotRun(not_run())))
+    );
 }
 
 #[test]
@@ -103,5 +115,8 @@
     harness.read_document(1);
     let call = harness.call(model_call());
     let refused = harness.refused(call);
-    assert_eq!(refused, Some((RefusalCause::NoEndpoint, RunState::NotRun)));
+    assert_eq!(
+        refused,
+        Some((RefusalCause::NoEndpoint, RunState::NotRun(not_run())))
+    );
 }
--- a/crates/gateway/tests/suite/silence.rs
+++ b/crates/gateway/tests/suite/silence.rs
@@ -8,7 +8,7 @@
 use watch::WatchEvent;
 
 use crate::fleet::{BOOKING_SERVICE, DESK_KEY, Fleet};
-use crate::harness::{Harness, REPORT_VALIDITY, model_call, plain_call};
+use crate::harness::{Harness, REPORT_VALIDITY, model_call, not_run, plain_call};
 
 /// Longest time for which a call waits for silent endpoints only.
 const MAX_HOLD: Duration = Duration::from_secs(5);
@@ -127,7 +127,7 @@
 
 #[test]
 fn a_next_attempt_that_fails_costs_a_silent_stream_nothing() {
-    for end in [AttemptEnd::Lost, AttemptEnd::NotSent] {
+    for end in [AttemptEnd::Lost, AttemptEnd::NotSent(not_run())] {
         let (mut harness, streams) = serving_streams(1);
         let call = streams[0];
         harness.silence(call, FIRST);
--- a/crates/gateway/tests/suite/world/mod.rs
+++ b/crates/gateway/tests/suite/world/mod.rs
@@ -17,7 +17,7 @@
 use watch::{WatchEffect, WatchEvent};
 
 use crate::fleet::{BOOKING_SERVICE, DESK_KEY, ENGINES, Fleet, SERVERS, TABLET_KEY, document};
-use crate::harness::{DRAIN_LIMIT, Harness, execute, model_call, plain_call, recorded};
+use crate::harness::{DRAIN_LIMIT, Harness, execute, model_call, not_run, plain_call, recorded};
 
 /// Step of the simulated time.
 const TICK: Duration = Duration::from_millis(50);
@@ -242,7 +242,7 @@
             CallStep::Suspend(number) => self.suspend(id, number, true),
             CallStep::Resume(number) => self.suspend(id, number, false),
             CallStep::Refuse(refusal) => {
-                if refusal.run == RunState::NotRun {
+                if matches!(refusal.run, RunState::NotRun(_)) {
                     self.check_not_run(id);
                 }
                 self.end(id);
@@ -288,7 +288,7 @@
         }
         // As in the gateway's task, which may have forwarded an event since the order.
         if open.any(|other| !other.is_silent && !other.is_suspended) {
-            return self.report(id, order.attempt, AttemptEnd::NotSent);
+            return self.report(id, order.attempt, AttemptEnd::NotSent(not_run()));
         }
         self.attempts.push(Attempt {
             id,
@@ -443,7 +443,7 @@
             if !is_current || !self.responsive_engines[0] {
                 let is_orphaned = self.attempts.remove(at).is_orphaned;
                 if !is_orphaned {
-                    self.report(id, number, AttemptEnd::NotSent);
+                    self.report(id, number, AttemptEnd::NotSent(not_run()));
                 }
                 return;
             }
@@ -483,7 +483,7 @@
             None if !answered => self.abort_attempt(id, number),
             None => {
                 self.attempts.remove(at);
-                self.report(id, number, AttemptEnd::NotSent);
+                self.report(id, number, AttemptEnd::NotSent(not_run()));
             }
             Some(_) if !answered => {
                 self.attempts.remove(at);
--- a/crates/ledger/src/commands/finish.rs
+++ b/crates/ledger/src/commands/finish.rs
@@ -1,6 +1,7 @@
 //! End of a sent call, and withdrawal of a call that was not sent.
 
 use base::prelude::*;
+use exchange::NotRunProof;
 
 use crate::state::{CallStage, CallState, Effects};
 use crate::{CallVerdict, FinishedCall, LedgerEffect, LedgerState, NotRunReason, ShardId};
@@ -23,10 +24,8 @@
         })
     }
 
-    /// Withdraws a call that has sent nothing and never will.
-    ///
-    /// Only for calls whose first byte has not been sent.
-    pub fn withdraw(&mut self, call: CallId, now: ClockTime) -> Vec<LedgerEffect> {
+    /// Withdraws a call that was not run and never will be.
+    pub fn withdraw(&mut self, call: CallId, _: NotRunProof, now: ClockTime) -> Vec<LedgerEffect> {
         let reason = NotRunReason::Withdrawn;
         if !self.is_unrecorded(call) && !self.is_joined(call) {
             return self.update_call(call, now, |state| {
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use base::prelude::*;
+use exchange::UnsentExchange;
 use futures_util::FutureExt;
 use ledger::*;
 use store::*;
@@ -291,7 +292,8 @@
     pub fn withdraw_at(&mut self, at: usize) {
         let ((node, process, call), _) = self.sends.remove(at);
         if self.nodes[node].process == process {
-            let effects = self.nodes[node].state.withdraw(call, self.now);
+            let proof = UnsentExchange::new(None).give_up();
+            let effects = self.nodes[node].state.withdraw(call, proof, self.now);
             self.apply_effects(node, effects);
         }
     }
