Test: a copied refusal by a server that is back under another id

A new fault, Rename: a server is back under another id at once, and the connections to its address live on. Each client sends each id once.

The record shows one call that meets a 421 for the old id, tries the new id at the same address, goes on the same connection, and takes the copy of the 421 for the answer of the second attempt.

Generated plans rename both plain servers while refusals are written again.

--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -247,3 +247,24 @@
         "{report}"
     );
 }
+
+#[test]
+fn a_request_is_not_refused_with_the_copy_of_its_refusal_by_a_server_under_another_id() {
+    // The servers come back while requests are on their way to them.
+    let (duration, delay) = (Duration::from_secs(9), Duration::from_millis(60));
+    let delayed = |slot| Fault::Link(Link::Server(slot), LinkMode::Delayed(delay), duration);
+    let repeated = Fault::RepeatRefusals(0, 2, duration);
+    let renames = (2..90).map(|step| (step * 100, Fault::Rename(step as usize % 2)));
+    let first = [(100, repeated), (100, delayed(0)), (100, delayed(1))];
+    let faults: Vec<_> = first.into_iter().chain(renames).collect();
+    let options = SoakOptions {
+        repeating_clients: 0,
+        ..options(9)
+    };
+    let report = run_plan(&options, 121, &plan_of(&faults)).unwrap();
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(
+        report.all.served > 0 && report.copies.written > 0,
+        "{report}"
+    );
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -20,6 +20,9 @@
 const SERVER_SILENCE_MS: std::ops::Range<u64> = 600..2_000;
 /// Range of the time for which refusals are written again.
 const REPEATED_REFUSALS_MS: std::ops::Range<u64> = 3_000..8_000;
+/// Times from then until the plain servers come back under other ids.
+const RENAME_DELAYS: [Duration; PLAIN_SERVER_COUNT] =
+    [Duration::from_millis(700), Duration::from_millis(1_400)];
 /// Silences of sound servers in a series, and the time from the start of one to the next.
 const SERVER_SILENCES: u32 = 3;
 const SERVER_SILENCE_INTERVAL: Duration = Duration::from_secs(3);
@@ -139,6 +142,8 @@
     DeadlyRequest(RequestKind, Duration),
     /// The same with a stream that crashes servers after its first event.
     DeadlyStream(Duration),
+    /// A server comes back under another id at once; connections to its address live on.
+    Rename(usize),
     /// A server announces that it is leaving, and stops.
     Leave(usize),
     /// A plain server announces in the store only that it is leaving, and serves on for a while.
@@ -245,7 +250,15 @@
             }
             steps.extend(silent_store(&mut rng, Duration::from_millis(hang_ms)));
             // Drawn last, so that the other faults of a seed stay as they were.
-            insert_step(&mut steps, repeated_refusals(&mut rng, size, hang_ms));
+            let step = repeated_refusals(&mut rng, size, hang_ms);
+            let first_at = step.at;
+            insert_step(&mut steps, step);
+            for (slot, delay) in (0..PLAIN_SERVER_COUNT).zip(RENAME_DELAYS) {
+                let (at, fault) = (first_at + delay, Fault::Rename(slot));
+                if at < Duration::from_millis(hang_ms) {
+                    insert_step(&mut steps, FaultStep { at, fault });
+                }
+            }
         }
         Self { steps }
     }
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -92,6 +92,12 @@
                 fleet.repeat_refusals(first, count, now + duration);
             }
             Fault::Crash(slot) => self.stop_server(slot, now),
+            Fault::Rename(slot) => {
+                let mut fleet = self.fleet.borrow_mut();
+                if fleet.servers[slot].is_alive {
+                    fleet.replace(slot);
+                }
+            }
             Fault::Leave(slot) => {
                 self.fleet.borrow_mut().servers[slot].is_leaving = true;
                 self.server_stops.push((now + LEAVE_DURATION, slot));
