--- a/crates/soak/src/copies.rs
+++ b/crates/soak/src/copies.rs
@@ -15,6 +15,8 @@
 
 /// Header with the id of a request, in requests and responses.
 const ID_HEADER: &str = "x-bronzerun-request-id";
+/// Header with the id of the server that a request is meant for.
+const EXPECTED_HEADER: &str = "x-bronzerun-expect-instance";
 /// Header of a response to a request that was not run.
 const REFUSAL_HEADER: &str = "x-bronzerun-not-executed";
 
@@ -144,7 +146,13 @@
         state.exchange += 1;
         state.request = Some((id.clone(), path.clone()));
         let place = self.place(state.exchange);
-        self.record(&id, ExchangeStep::Arrived { path, place });
+        let meant_for = Arc::from(header(head, EXPECTED_HEADER).unwrap_or_default());
+        let step = ExchangeStep::Arrived {
+            path,
+            meant_for,
+            place,
+        };
+        self.record(&id, step);
     }
 
     fn answered(&self, bytes: Vec<u8>) -> Vec<u8> {
--- a/crates/soak/src/exchanges.rs
+++ b/crates/soak/src/exchanges.rs
@@ -42,9 +42,11 @@
     Sent { daemon: usize },
     /// The client got a response, or none.
     Received(Option<u16>),
-    /// It arrived at a server with this path.
+    /// It arrived at a server.
     Arrived {
         path: Arc<str>,
+        /// Id of the server that it is meant for; empty if none is named.
+        meant_for: Arc<str>,
         place: ExchangePlace,
     },
     /// A server began to run it.
@@ -72,7 +74,12 @@
             Self::Sent { daemon } => write!(f, "client sent it to edge-{daemon}"),
             Self::Received(Some(status)) => write!(f, "client got {status}"),
             Self::Received(None) => f.write_str("client got no response"),
-            Self::Arrived { path, .. } => write!(f, "{path} arrived"),
+            Self::Arrived {
+                path, meant_for, ..
+            } if meant_for.is_empty() => write!(f, "{path} arrived"),
+            Self::Arrived {
+                path, meant_for, ..
+            } => write!(f, "{path} for {meant_for} arrived"),
             Self::Run => f.write_str("began to run"),
             Self::Written {
                 status, is_copy, ..
