--- a/crates/soak/src/copies.rs
+++ b/crates/soak/src/copies.rs
@@ -104,10 +104,10 @@
         self.record(id, step);
     }
 
-    fn count_copy(&self, is_same_id: bool) {
+    fn count_copy(&self, copy_id: &str, request_id: Option<&str>) {
         let fleet = self.fleet.borrow();
         let mut checker = fleet.checker.borrow_mut();
-        checker.exchanges.count_copy(is_same_id);
+        checker.exchanges.count_copy(copy_id, request_id);
     }
 
     /// When a response is written once more, if it is.
@@ -166,7 +166,7 @@
             (self.fleet.borrow().servers[self.slot]).repeats_refusals(Instant::now());
         if let Some(copy) = state.pending.take_if(|_| is_repeating) {
             self.record_written(&copy.id, copy.status, true, exchange);
-            self.count_copy(!id.is_empty() && copy.id == id);
+            self.count_copy(&copy.id, Some(&id));
             written = copy.bytes;
         }
         written.extend_from_slice(&bytes);
@@ -181,7 +181,7 @@
             None => {}
             Some(CopyMoment::AtOnce) => {
                 self.record_written(&id, status, true, exchange);
-                self.count_copy(false);
+                self.count_copy(&id, None);
                 written.extend_from_slice(&bytes);
             }
             Some(CopyMoment::Late) => state.pending = Some(AnswerCopy { id, status, bytes }),
--- a/crates/soak/src/exchanges.rs
+++ b/crates/soak/src/exchanges.rs
@@ -133,6 +133,8 @@
 pub struct CopyTally {
     /// All.
     pub written: u32,
+    /// Of responses to orders and reports, which name no request.
+    pub without_id: u32,
     /// Where the request that it names was under way again on the same connection.
     pub of_same_id: u32,
 }
@@ -160,10 +162,13 @@
         self.connections
     }
 
-    /// Counts a response that was written once more.
-    pub fn count_copy(&mut self, is_same_id: bool) {
+    /// Counts the copy of a response, and the request that was under way where it was written;
+    /// the ids are empty for messages without one.
+    pub fn count_copy(&mut self, copy_id: &str, request_id: Option<&str>) {
+        let is_named = !copy_id.is_empty();
         self.copies.written += 1;
-        self.copies.of_same_id += u32::from(is_same_id);
+        self.copies.without_id += u32::from(!is_named);
+        self.copies.of_same_id += u32::from(is_named && request_id == Some(copy_id));
     }
 
     /// Responses written once more so far.
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -118,11 +118,12 @@
         )?;
         let CopyTally {
             written,
+            without_id,
             of_same_id,
         } = self.copies;
         write!(
             f,
-            "; {written} responses written again, {of_same_id} to their own request"
+            "; {written} responses written again, {without_id} of them to orders and reports, {of_same_id} to their own request"
         )?;
         for violation in &self.violations {
             write!(f, "\n  violation: {violation}")?;
