--- a/crates/soak/src/copies.rs
+++ b/crates/soak/src/copies.rs
@@ -15,6 +15,8 @@
 
 /// Header with the id of a request, in requests and responses.
 const ID_HEADER: &str = "x-bronzerun-request-id";
+/// Header with the id of the server that a request is meant for.
+const EXPECTED_HEADER: &str = "x-bronzerun-expect-instance";
 /// Header of a response to a request that was not run.
 const REFUSAL_HEADER: &str = "x-bronzerun-not-executed";
 
@@ -102,10 +104,10 @@
         self.record(id, step);
     }
 
-    fn count_copy(&self, is_same_id: bool) {
+    fn count_copy(&self, copy_id: &str, request_id: Option<&str>) {
         let fleet = self.fleet.borrow();
         let mut checker = fleet.checker.borrow_mut();
-        checker.exchanges.count_copy(is_same_id);
+        checker.exchanges.count_copy(copy_id, request_id);
     }
 
     /// When a response is written once more, if it is.
@@ -144,7 +146,13 @@
         state.exchange += 1;
         state.request = Some((id.clone(), path.clone()));
         let place = self.place(state.exchange);
-        self.record(&id, ExchangeStep::Arrived { path, place });
+        let meant_for = Arc::from(header(head, EXPECTED_HEADER).unwrap_or_default());
+        let step = ExchangeStep::Arrived {
+            path,
+            meant_for,
+            place,
+        };
+        self.record(&id, step);
     }
 
     fn answered(&self, bytes: Vec<u8>) -> Vec<u8> {
@@ -158,7 +166,7 @@
             (self.fleet.borrow().servers[self.slot]).repeats_refusals(Instant::now());
         if let Some(copy) = state.pending.take_if(|_| is_repeating) {
             self.record_written(&copy.id, copy.status, true, exchange);
-            self.count_copy(!id.is_empty() && copy.id == id);
+            self.count_copy(&copy.id, Some(&id));
             written = copy.bytes;
         }
         written.extend_from_slice(&bytes);
@@ -173,7 +181,7 @@
             None => {}
             Some(CopyMoment::AtOnce) => {
                 self.record_written(&id, status, true, exchange);
-                self.count_copy(false);
+                self.count_copy(&id, None);
                 written.extend_from_slice(&bytes);
             }
             Some(CopyMoment::Late) => state.pending = Some(AnswerCopy { id, status, bytes }),
--- a/crates/soak/src/exchanges.rs
+++ b/crates/soak/src/exchanges.rs
@@ -42,9 +42,11 @@
     Sent { daemon: usize },
     /// The client got a response, or none.
     Received(Option<u16>),
-    /// It arrived at a server with this path.
+    /// It arrived at a server.
     Arrived {
         path: Arc<str>,
+        /// Id of the server that it is meant for; empty if none is named.
+        meant_for: Arc<str>,
         place: ExchangePlace,
     },
     /// A server began to run it.
@@ -72,7 +74,12 @@
             Self::Sent { daemon } => write!(f, "client sent it to edge-{daemon}"),
             Self::Received(Some(status)) => write!(f, "client got {status}"),
             Self::Received(None) => f.write_str("client got no response"),
-            Self::Arrived { path, .. } => write!(f, "{path} arrived"),
+            Self::Arrived {
+                path, meant_for, ..
+            } if meant_for.is_empty() => write!(f, "{path} arrived"),
+            Self::Arrived {
+                path, meant_for, ..
+            } => write!(f, "{path} for {meant_for} arrived"),
             Self::Run => f.write_str("began to run"),
             Self::Written {
                 status, is_copy, ..
@@ -126,6 +133,8 @@
 pub struct CopyTally {
     /// All.
     pub written: u32,
+    /// Of responses to orders and reports, which name no request.
+    pub without_id: u32,
     /// Where the request that it names was under way again on the same connection.
     pub of_same_id: u32,
 }
@@ -153,10 +162,13 @@
         self.connections
     }
 
-    /// Counts a response that was written once more.
-    pub fn count_copy(&mut self, is_same_id: bool) {
+    /// Counts the copy of a response, and the request that was under way where it was written;
+    /// the ids are empty for messages without one.
+    pub fn count_copy(&mut self, copy_id: &str, request_id: Option<&str>) {
+        let is_named = !copy_id.is_empty();
         self.copies.written += 1;
-        self.copies.of_same_id += u32::from(is_same_id);
+        self.copies.without_id += u32::from(!is_named);
+        self.copies.of_same_id += u32::from(is_named && request_id == Some(copy_id));
     }
 
     /// Responses written once more so far.
