Quarantine: forgets clearances that nobody needs first

Cause: a node keeps 2,048 clearances, and forgot the oldest if there were more. In a wave of crashes most are of single requests that no other node has reports of.

Change: those that no other node is known to need are forgotten first. The test failed before.

--- a/crates/quarantine/src/commands/merge.rs
+++ b/crates/quarantine/src/commands/merge.rs
@@ -213,7 +213,10 @@
 ) {
     if state.cleared.len() >= state.settings.max_reported_suspects {
         let cleared = state.cleared.iter();
-        let keys = cleared.map(|(suspect, cleared)| (cleared.cleared_at, *suspect));
+        let keys = cleared.map(|(suspect, cleared)| {
+            let key = (cleared.is_needed, cleared.cleared_at);
+            (key, *suspect)
+        });
         for suspect in smallest(keys.collect()) {
             state.cleared.remove(&suspect);
         }
--- a/crates/quarantine/tests/suite/differences.rs
+++ b/crates/quarantine/tests/suite/differences.rs
@@ -296,3 +296,28 @@
     );
     assert!(cursor.is_current(&state));
 }
+
+#[test]
+fn a_clearance_that_other_nodes_need_is_not_forgotten_for_others() {
+    let (mut hub, mut node) = (new_state(), new_state());
+    crash(&mut hub, &[1], 7, 1, 0);
+    crash(&mut hub, &[1], 8, 2, 500);
+    crash(&mut hub, &[1], 9, 3, SECOND);
+    let mut cursor = EvidenceCursor::default();
+    let now = at(SECOND);
+    converge(&mut hub, &mut node, &mut cursor, MAX_BYTES, now);
+    answer(&mut hub, &[1], 10, SECOND + 100);
+    let clearances = (1_000..4_000).map(|own| SuspectClearance {
+        suspect: request(own),
+        cleared_at: at(SECOND + own),
+    });
+    let clearances = CrashEvidence {
+        reports: Vec::new(),
+        clearances: clearances.collect(),
+    };
+    merge_evidence(&mut hub, &clearances, at(5 * SECOND));
+    let (evidence, _) = next_evidence(&hub, &cursor, PeerEvidence::Other, MAX_BYTES);
+    merge_evidence(&mut node, &evidence, at(5 * SECOND));
+    expire(&mut node, at(6 * SECOND));
+    assert!(node.verdicts().is_empty(), "{:?}", node.verdicts());
+}
