Quarantine: a clearance of what several crashes have in common is needed by others

Cause: a hub passes a clearance on at once only if it had told another node of the crashes itself. Nodes also have reports from their own attempts and from the hub that they had before.

Change: a clearance of reports that every node must know (two crashes) counts as needed. The test failed before. Messages are unchanged.

--- a/crates/quarantine/src/commands/merge.rs
+++ b/crates/quarantine/src/commands/merge.rs
@@ -4,7 +4,7 @@
 
 use super::changes::{forget_suspect, record_change};
 use super::news::{add_news, clear_for_all};
-use crate::queries::find_verdicts;
+use crate::queries::{find_verdicts, is_watched};
 use crate::state::{ChangeNumber, ClearedSuspect, ReportedSuspect};
 use crate::{CrashEvidence, CrashReport, CrashSuspect, QuarantineState};
 
@@ -221,7 +221,8 @@
             state.cleared.remove(&suspect);
         }
     }
-    let is_told = (state.reported.get(&suspect)).is_some_and(|reported| reported.is_told);
+    let reported = state.reported.get(&suspect);
+    let is_known = reported.is_some_and(|reported| reported.is_told || is_watched(reported));
     state.last_change.0 += 1;
     let expires_at = cleared_at + state.settings.retention;
     state.expiry_due = state.expiry_due.min(expires_at);
@@ -232,7 +233,7 @@
     });
     entry.cleared_at = entry.cleared_at.max(cleared_at);
     entry.changed = state.last_change;
-    entry.is_needed |= is_told;
+    entry.is_needed |= is_known;
     if let Some(reported) = state.reported.get_mut(&suspect) {
         reported
             .reports
--- a/crates/quarantine/src/queries/share.rs
+++ b/crates/quarantine/src/queries/share.rs
@@ -337,7 +337,8 @@
     })
 }
 
-fn is_watched(reported: &ReportedSuspect) -> bool {
+/// Whether every node must know the reports of a part or request.
+pub(crate) fn is_watched(reported: &ReportedSuspect) -> bool {
     are_watched(&reported.reports)
 }
 
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -65,7 +65,7 @@
     pub cleared_at: ClockTime,
     /// Last change of it.
     pub changed: ChangeNumber,
-    /// Whether other nodes are known to have reports that it voids.
+    /// Whether other nodes have reports that it voids, or are told them by a hub.
     pub is_needed: bool,
 }
 
--- a/crates/quarantine/tests/suite/differences.rs
+++ b/crates/quarantine/tests/suite/differences.rs
@@ -297,6 +297,37 @@
     assert!(cursor.is_current(&state));
 }
 
+#[test]
+fn a_clearance_reaches_nodes_that_were_told_of_the_crashes_by_others() {
+    let (mut hub, mut node, mut reporter) = (new_state(), new_state(), new_state());
+    for number in 0..3 {
+        crash(&mut reporter, &[9_000], 7 + number, number, number * 500);
+    }
+    let reports = fresh_evidence(&reporter, at(SECOND));
+    merge_evidence(&mut hub, &reports, at(SECOND));
+    merge_evidence(&mut node, &reports, at(SECOND));
+    let start = EvidenceCursor::default();
+    let (_, mut cursor) = next_evidence(&hub, &start, PeerEvidence::Same, MAX_BYTES);
+    let cleared_at = at(SECOND + 100);
+    let suspects = (1_000..2_000).map(part).chain([part(9_000)]);
+    let clearances = suspects.map(|suspect| SuspectClearance {
+        suspect,
+        cleared_at,
+    });
+    let clearances = CrashEvidence {
+        reports: Vec::new(),
+        clearances: clearances.collect(),
+    };
+    merge_evidence(&mut hub, &clearances, cleared_at);
+    for peer in [PeerEvidence::Other, PeerEvidence::StillOther] {
+        let (evidence, next) = next_evidence(&hub, &cursor, peer, 1_000);
+        cursor = next;
+        merge_evidence(&mut node, &evidence, at(SECOND + 300));
+    }
+    expire(&mut node, at(2 * SECOND));
+    assert!(node.verdicts().is_empty(), "{:?}", node.verdicts());
+}
+
 #[test]
 fn a_clearance_that_other_nodes_need_is_not_forgotten_for_others() {
     let (mut hub, mut node) = (new_state(), new_state());
