Quarantine: a node's clearances that others need are sent first

Cause: a node with a link of 20 Mbit/s sends each hub 640 bytes a second of its own reports and clearances. Clearances went newest first, those of single requests that nobody else knows like those of parts that all nodes suspect.

Change: clearances that other nodes need come before the others, also those of an answer that is older than a report that a hub tells. The test failed before. Messages and their bounds in bytes are unchanged.

--- a/crates/quarantine/src/commands/merge.rs
+++ b/crates/quarantine/src/commands/merge.rs
@@ -25,13 +25,11 @@
     }
     for report in &evidence.reports {
         let answered_at = state.answered.get(&report.suspect).copied();
-        match answered_at.filter(|at| *at > report.seen_at) {
+        if let Some(at) = answered_at.filter(|at| *at > report.seen_at) {
             // Other nodes need the clearance too.
-            Some(at) => clear_for_all(state, report.suspect, at, now),
-            None => {
-                add_report(state, *report, now);
-            }
+            clear_for_all(state, report.suspect, at, now);
         }
+        add_report(state, *report, now);
     }
     expire(state, now);
     update_verdicts_soon(state, now);
--- a/crates/quarantine/src/queries/share.rs
+++ b/crates/quarantine/src/queries/share.rs
@@ -31,7 +31,11 @@
         (news.sends, !is_watched, news.item.stage, Reverse(news.due))
     });
     let mut clearances: Vec<_> = due_news(&state.own_clearances, now).collect();
-    clearances.sort_by_key(|news| (news.sends, Reverse(news.due)));
+    clearances.sort_by_key(|news| {
+        let cleared = state.cleared.get(&news.item.suspect);
+        let is_needed = cleared.is_some_and(|cleared| cleared.is_needed);
+        (news.sends, !is_needed, Reverse(news.due))
+    });
     CrashEvidence {
         reports: reports.into_iter().map(|news| news.item).collect(),
         clearances: clearances.into_iter().map(|news| news.item).collect(),
--- a/crates/quarantine/tests/suite/differences.rs
+++ b/crates/quarantine/tests/suite/differences.rs
@@ -328,6 +328,26 @@
     assert!(node.verdicts().is_empty(), "{:?}", node.verdicts());
 }
 
+#[test]
+fn a_clearance_that_all_nodes_need_is_sent_before_those_of_single_requests() {
+    let mut state = new_state();
+    let mut reporter = new_state();
+    for number in 0..3 {
+        crash(&mut reporter, &[1], 7 + number, number, number * 500);
+    }
+    let reports = fresh_evidence(&reporter, at(SECOND));
+    merge_evidence(&mut state, &reports, at(SECOND));
+    answer(&mut state, &[1], 50, SECOND + 100);
+    for own in 100..300 {
+        let millis = SECOND + 200 + own;
+        crash(&mut state, &[], own, own, millis);
+        answer(&mut state, &[], own, millis + 1);
+    }
+    let evidence = fresh_evidence(&state, at(2 * SECOND)).within(600);
+    let mut cleared = evidence.clearances.iter().map(|item| item.suspect);
+    assert!(cleared.any(|suspect| suspect == part(1)), "{evidence:?}");
+}
+
 #[test]
 fn a_clearance_that_other_nodes_need_is_not_forgotten_for_others() {
     let (mut hub, mut node) = (new_state(), new_state());
