--- a/crates/quarantine/src/commands/merge.rs
+++ b/crates/quarantine/src/commands/merge.rs
@@ -4,7 +4,7 @@
 
 use super::changes::{forget_suspect, record_change};
 use super::news::{add_news, clear_for_all};
-use crate::queries::find_verdicts;
+use crate::queries::{find_verdicts, is_watched};
 use crate::state::{ChangeNumber, ClearedSuspect, ReportedSuspect};
 use crate::{CrashEvidence, CrashReport, CrashSuspect, QuarantineState};
 
@@ -25,13 +25,11 @@
     }
     for report in &evidence.reports {
         let answered_at = state.answered.get(&report.suspect).copied();
-        match answered_at.filter(|at| *at > report.seen_at) {
+        if let Some(at) = answered_at.filter(|at| *at > report.seen_at) {
             // Other nodes need the clearance too.
-            Some(at) => clear_for_all(state, report.suspect, at, now),
-            None => {
-                add_report(state, *report, now);
-            }
+            clear_for_all(state, report.suspect, at, now);
         }
+        add_report(state, *report, now);
     }
     expire(state, now);
     update_verdicts_soon(state, now);
@@ -213,12 +211,16 @@
 ) {
     if state.cleared.len() >= state.settings.max_reported_suspects {
         let cleared = state.cleared.iter();
-        let keys = cleared.map(|(suspect, cleared)| (cleared.cleared_at, *suspect));
+        let keys = cleared.map(|(suspect, cleared)| {
+            let key = (cleared.is_needed, cleared.cleared_at);
+            (key, *suspect)
+        });
         for suspect in smallest(keys.collect()) {
             state.cleared.remove(&suspect);
         }
     }
-    let is_told = (state.reported.get(&suspect)).is_some_and(|reported| reported.is_told);
+    let reported = state.reported.get(&suspect);
+    let is_known = reported.is_some_and(|reported| reported.is_told || is_watched(reported));
     state.last_change.0 += 1;
     let expires_at = cleared_at + state.settings.retention;
     state.expiry_due = state.expiry_due.min(expires_at);
@@ -229,7 +231,7 @@
     });
     entry.cleared_at = entry.cleared_at.max(cleared_at);
     entry.changed = state.last_change;
-    entry.is_needed |= is_told;
+    entry.is_needed |= is_known;
     if let Some(reported) = state.reported.get_mut(&suspect) {
         reported
             .reports
--- a/crates/quarantine/tests/suite/differences.rs
+++ b/crates/quarantine/tests/suite/differences.rs
@@ -296,3 +296,79 @@
     );
     assert!(cursor.is_current(&state));
 }
+
+#[test]
+fn a_clearance_reaches_nodes_that_were_told_of_the_crashes_by_others() {
+    let (mut hub, mut node, mut reporter) = (new_state(), new_state(), new_state());
+    for number in 0..3 {
+        crash(&mut reporter, &[9_000], 7 + number, number, number * 500);
+    }
+    let reports = fresh_evidence(&reporter, at(SECOND));
+    merge_evidence(&mut hub, &reports, at(SECOND));
+    merge_evidence(&mut node, &reports, at(SECOND));
+    let start = EvidenceCursor::default();
+    let (_, mut cursor) = next_evidence(&hub, &start, PeerEvidence::Same, MAX_BYTES);
+    let cleared_at = at(SECOND + 100);
+    let suspects = (1_000..2_000).map(part).chain([part(9_000)]);
+    let clearances = suspects.map(|suspect| SuspectClearance {
+        suspect,
+        cleared_at,
+    });
+    let clearances = CrashEvidence {
+        reports: Vec::new(),
+        clearances: clearances.collect(),
+    };
+    merge_evidence(&mut hub, &clearances, cleared_at);
+    for peer in [PeerEvidence::Other, PeerEvidence::StillOther] {
+        let (evidence, next) = next_evidence(&hub, &cursor, peer, 1_000);
+        cursor = next;
+        merge_evidence(&mut node, &evidence, at(SECOND + 300));
+    }
+    expire(&mut node, at(2 * SECOND));
+    assert!(node.verdicts().is_empty(), "{:?}", node.verdicts());
+}
+
+#[test]
+fn a_clearance_that_all_nodes_need_is_sent_before_those_of_single_requests() {
+    let mut state = new_state();
+    let mut reporter = new_state();
+    for number in 0..3 {
+        crash(&mut reporter, &[1], 7 + number, number, number * 500);
+    }
+    let reports = fresh_evidence(&reporter, at(SECOND));
+    merge_evidence(&mut state, &reports, at(SECOND));
+    answer(&mut state, &[1], 50, SECOND + 100);
+    for own in 100..300 {
+        let millis = SECOND + 200 + own;
+        crash(&mut state, &[], own, own, millis);
+        answer(&mut state, &[], own, millis + 1);
+    }
+    let evidence = fresh_evidence(&state, at(2 * SECOND)).within(600);
+    let mut cleared = evidence.clearances.iter().map(|item| item.suspect);
+    assert!(cleared.any(|suspect| suspect == part(1)), "{evidence:?}");
+}
+
+#[test]
+fn a_clearance_that_other_nodes_need_is_not_forgotten_for_others() {
+    let (mut hub, mut node) = (new_state(), new_state());
+    crash(&mut hub, &[1], 7, 1, 0);
+    crash(&mut hub, &[1], 8, 2, 500);
+    crash(&mut hub, &[1], 9, 3, SECOND);
+    let mut cursor = EvidenceCursor::default();
+    let now = at(SECOND);
+    converge(&mut hub, &mut node, &mut cursor, MAX_BYTES, now);
+    answer(&mut hub, &[1], 10, SECOND + 100);
+    let clearances = (1_000..4_000).map(|own| SuspectClearance {
+        suspect: request(own),
+        cleared_at: at(SECOND + own),
+    });
+    let clearances = CrashEvidence {
+        reports: Vec::new(),
+        clearances: clearances.collect(),
+    };
+    merge_evidence(&mut hub, &clearances, at(5 * SECOND));
+    let (evidence, _) = next_evidence(&hub, &cursor, PeerEvidence::Other, MAX_BYTES);
+    merge_evidence(&mut node, &evidence, at(5 * SECOND));
+    expire(&mut node, at(6 * SECOND));
+    assert!(node.verdicts().is_empty(), "{:?}", node.verdicts());
+}
