Fix: a read of the configuration could outlast what nodes take for its longest time

What callers could see: requests by a version of the configuration that a node had known for seven seconds to be superseded.

Cause: a node drops a version that was named 7 s before a response of the store is whole, as a read that began later would have brought it (commands/collections.rs, MAX_READ_DURATION). The end of a body was bounded from the wait of the call only. A node that is sent the targets watches for 20 s, so a body that began early could arrive for 23.6 s, and a version named meanwhile was taken for one that the store doesn't have.

Change: the body may take 5.6 s from its head, which is what a watch of 2 s could take before, so nothing changes for watches of 2 s and less.

--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -68,6 +68,8 @@
     pub pause: Duration,
     /// End of the body at the latest.
     pub latest: ClockTime,
+    /// Longest time from the head to that end.
+    pub longest: Duration,
     /// Where the arrival of bytes is recorded.
     pub progress: ReadProgress,
 }
@@ -404,8 +406,10 @@
         let BodyAllowance {
             pause,
             latest,
+            longest,
             progress,
         } = allowance;
+        let latest = latest.min(clock.now() + longest);
         let result = {
             let body = MeteredBody::new(&mut self.body, self.connection.meter.clone());
             let arrivals = (progress.clone(), clock.clone());
@@ -414,7 +418,7 @@
                 frame
             });
             let mut collected = pin!(collect_body(&mut body, limit));
-            let mut until = deadline;
+            let mut until = deadline.min(latest);
             loop {
                 if let Some(result) = with_deadline(clock.as_ref(), until, collected.as_mut()).await
                 {
