--- a/crates/edge/tests/suite/changing_roles.rs
+++ b/crates/edge/tests/suite/changing_roles.rs
@@ -7,6 +7,9 @@
 
 use crate::platform::{Departure, Platform, Trouble};
 
+/// Instant at which a server is added, so that the owner sends targets and all nodes but the hubs
+/// rely on it.
+const ADDED_AT_MS: u64 = 3_000;
 /// Instant at which nodes are cut off.
 const CUT_AT_MS: u64 = 6_000;
 /// Instant at which other nodes are hubs instead of them.
@@ -101,6 +104,8 @@
     platform.trouble = Some((Trouble::Endless, change.changes_at - READ_LEAD_MS, until));
     platform.is_troubled = Box::new(move |index| reading.contains(&index));
     let mut late = vec![0; count];
+    platform.run(ADDED_AT_MS);
+    platform.add_server();
     while platform.network.now < until {
         let now = platform.network.now;
         if now == CUT_AT_MS {
--- a/crates/edge/tests/suite/outbox_links.rs
+++ b/crates/edge/tests/suite/outbox_links.rs
@@ -40,6 +40,8 @@
     pub lost: usize,
     /// Bytes of digests that each node has begun to send, by node and second.
     pub digest_bytes: BTreeMap<(usize, u64), usize>,
+    /// Bytes of digests that others have begun to send to each node, by node and second.
+    pub received_digest_bytes: BTreeMap<(usize, u64), usize>,
 }
 
 impl OutboxLinks {
@@ -54,6 +56,7 @@
             others: Vec::new(),
             lost: 0,
             digest_bytes: BTreeMap::new(),
+            received_digest_bytes: BTreeMap::new(),
         }
     }
 
@@ -139,6 +142,8 @@
             if kind == MessageKind::Digest {
                 let second = (sender, now / 1_000);
                 *self.digest_bytes.entry(second).or_default() += byte_count;
+                let second = (receiver, now / 1_000);
+                *self.received_digest_bytes.entry(second).or_default() += byte_count;
             }
             asking.extend(next_receivers(outbox).map(node_index));
             self.sending.insert((sender, receiver), sent);
--- a/crates/edge/tests/suite/platform.rs
+++ b/crates/edge/tests/suite/platform.rs
@@ -62,6 +62,8 @@
     revisions: [u64; 2],
     config_version: u64,
     is_leaving: bool,
+    /// Whether `p-4` has been added.
+    is_extended: bool,
     pub departure: Departure,
 }
 
@@ -86,6 +88,7 @@
             revisions: [1, 2],
             config_version: 1,
             is_leaving: false,
+            is_extended: false,
             departure: Departure::Announced,
         };
         for index in 0..count {
@@ -101,6 +104,18 @@
             .map(|(trouble, ..)| trouble)
     }
 
+    /// Adds a server, so that the owner sends targets and nodes that are no hubs rely on it.
+    pub fn add_server(&mut self) {
+        self.revisions[1] = self.revisions[0].max(self.revisions[1]) + 1;
+        self.is_extended = true;
+    }
+
+    /// Lets the server leave while the configuration stays as it is.
+    pub fn leave(&mut self) {
+        self.revisions[1] = self.revisions[0].max(self.revisions[1]) + 1;
+        self.is_leaving = true;
+    }
+
     pub fn change(&mut self) {
         let last = self.revisions[0].max(self.revisions[1]);
         self.revisions = [last + 1, last + 2];
@@ -139,6 +154,10 @@
                 });
             }
         }
+        if is_news && collection == StoreCollection::Endpoints && self.is_extended {
+            let server = CollectionItem::Endpoint(endpoint("p-4"));
+            changes.push(CollectionChange::Put(server));
+        }
         let has_changes = !changes.is_empty();
         let event = CollectionEvent::Changed(changes, ObjectVersion(last));
         let event = EdgeEvent::Collection(collection, event);
