Fix: nodes took two seconds to see that the store answers them while it turns all hubs away

What callers saw: in event loops, requests to a server that had left 3.6 s before, at 12 to 195 nodes, while the store turns all hubs away (bound 3 s up to 100 nodes).

Cause: a node that relies on hubs reads the endpoints itself once no hub could own the groups for 1.5 s and the store has responded to it meanwhile. That response came from its watch of the configuration, which waits 2 s then and brings nothing earlier if the configuration stays as it is. So the bound was the sum of both.

Change: that watch waits a second while no hub can own the groups, less than the 1.5 s.

Evidence: stalled_hubs, 3,600 ms before, 1,600 ms now at each size; if the hubs get no response 4,200 and 3,500 ms, if reads don't end 4,600 and 3,900 ms, which stay listed as failing. The other tests of edge pass (163, and the 8 of changing_roles).

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -14,8 +14,9 @@
 use crate::WatchMode;
 use crate::border::ports::StoreCollection;
 
-/// Wait of a watch without peers that would send changes, and of one that has missed a change. It
-/// bounds the time until a hung connection is noticed.
+/// Wait of a watch without peers that would send changes, of one that has missed a change, and of one
+/// whose response shows that the store reaches this node while no hub can own the groups. It bounds
+/// the time until a hung connection is noticed.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Wait of a watch of the endpoints or the configuration. A connection may hang without a reset,
 /// and a watch may hear nothing while the store drops its history. Both can happen to all nodes
@@ -225,10 +226,8 @@
             return RECOVERY_WATCH_TIMEOUT;
         }
         match self.collection {
-            StoreCollection::RoutingConfig if mode.lacks_config => WATCH_TIMEOUT,
-            StoreCollection::RoutingConfig if mode.receives_targets && !mode.lacks_hubs => {
-                CONFIG_WATCH_TIMEOUT
-            }
+            StoreCollection::RoutingConfig if mode.lacks_config || mode.lacks_hubs => WATCH_TIMEOUT,
+            StoreCollection::RoutingConfig if mode.receives_targets => CONFIG_WATCH_TIMEOUT,
             _ if !mode.has_peers => WATCH_TIMEOUT,
             StoreCollection::Endpoints | StoreCollection::RoutingConfig => BOUNDED_WATCH_TIMEOUT,
             StoreCollection::Shared => PEERED_WATCH_TIMEOUT,
