--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -135,8 +135,8 @@
         metadata: &ResponseMetadata,
     ) {
         // A misdirected request was answered by another server than the one meant.
-        let is_news = metadata.notice != ServerNotice::default() || order.has_notice;
-        if metadata.is_misdirected || !is_news {
+        let is_announcement = metadata.notice != ServerNotice::default() || order.has_notice;
+        if metadata.is_misdirected || !is_announcement {
             return;
         }
         // The event loop ends only when the process is about to exit.
