Quarantine: own evidence instead of news

Wording only: OwnNews and the functions and constants about it are called OwnEvidence, as what is sent are reports and clearances of this node.

--- a/crates/edge/src/byte_budget.rs
+++ b/crates/edge/src/byte_budget.rs
@@ -7,16 +7,16 @@
 /// Part of the link that a node uses to tell others what all must know of crashes, as a divisor.
 const WATCHED_DIVISOR: u64 = 20;
 /// The same for its own reports.
-const NEWS_DIVISOR: u64 = 40;
+const OWN_EVIDENCE_DIVISOR: u64 = 40;
 /// Most bytes of such reports that a receiver gets a second if all nodes send them.
-const MAX_RECEIVED_NEWS_RATE: u64 = 400_000;
+const MAX_RECEIVED_EVIDENCE_RATE: u64 = 400_000;
 /// The same as a part of the link of a receiver with a link like the sender's, as a divisor.
-const RECEIVED_NEWS_DIVISOR: u64 = 20;
+const RECEIVED_EVIDENCE_DIVISOR: u64 = 20;
 /// Part of a second's bytes that may be sent at once, as a divisor.
 const BURST_DIVISOR: u64 = 4;
 /// Bytes of own reports that may be sent to a receiver at once: the crash of a server with several
 /// requests.
-const NEWS_BURST_BYTES: u64 = 2_000;
+const OWN_EVIDENCE_BURST_BYTES: u64 = 2_000;
 /// Bytes that may be sent at once on the slowest links.
 const MIN_BURST_BYTES: u64 = 8_000;
 
@@ -47,10 +47,10 @@
     /// Rate of a node's own reports, which all nodes send to the same receivers.
     pub fn of_own_evidence(link_rate: u64, nodes: usize, receivers: usize) -> Self {
         let (nodes, receivers) = (nodes.max(1) as u64, receivers as u64);
-        let received = (link_rate / RECEIVED_NEWS_DIVISOR).min(MAX_RECEIVED_NEWS_RATE);
+        let received = (link_rate / RECEIVED_EVIDENCE_DIVISOR).min(MAX_RECEIVED_EVIDENCE_RATE);
         let received = received * receivers / nodes;
-        let per_second = (link_rate / NEWS_DIVISOR).min(received).max(1);
-        let burst = (per_second / BURST_DIVISOR).max(receivers * NEWS_BURST_BYTES);
+        let per_second = (link_rate / OWN_EVIDENCE_DIVISOR).min(received).max(1);
+        let burst = (per_second / BURST_DIVISOR).max(receivers * OWN_EVIDENCE_BURST_BYTES);
         Self { per_second, burst }
     }
 
--- a/crates/quarantine/src/commands/calls.rs
+++ b/crates/quarantine/src/commands/calls.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 
 use super::merge::{add_report, update_verdicts};
-use super::news::{add_news, clear_for_all};
+use super::own::{add_evidence, clear_for_all};
 use crate::state::RunningCall;
 use crate::{AnswerStage, CallSuspects, CrashReport, QuarantineState, RequestDigest, ServerCrash};
 
@@ -126,7 +126,7 @@
             };
             if add_report(state, report, now) {
                 state.expiry_due = state.expiry_due.min(now + state.settings.resend_duration);
-                add_news(&state.settings, &mut state.own_reports, report, now);
+                add_evidence(&state.settings, &mut state.own_reports, report, now);
             }
         }
     }
--- a/crates/quarantine/src/commands/merge.rs
+++ b/crates/quarantine/src/commands/merge.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 
 use super::changes::{forget_suspect, record_change};
-use super::news::{add_news, clear_for_all};
+use super::own::{add_evidence, clear_for_all};
 use crate::queries::{find_verdicts, is_watched};
 use crate::state::{ChangeNumber, ClearedSuspect, ReportedSuspect};
 use crate::{CrashEvidence, CrashReport, CrashSuspect, QuarantineState};
@@ -62,13 +62,13 @@
     state
         .cleared
         .retain(|_, cleared| now.since(cleared.cleared_at) < retention);
-    state.own_reports.retain(|news| news.expires_at > now);
-    state.own_clearances.retain(|news| news.expires_at > now);
+    state.own_reports.retain(|own| own.expires_at > now);
+    state.own_clearances.retain(|own| own.expires_at > now);
     let reported = state.reported.values().map(|reported| reported.expires_at);
     let cleared = state.cleared.values();
     let cleared = cleared.map(|cleared| cleared.cleared_at + retention);
-    let reports = state.own_reports.iter().map(|news| news.expires_at);
-    let clearances = state.own_clearances.iter().map(|news| news.expires_at);
+    let reports = state.own_reports.iter().map(|own| own.expires_at);
+    let clearances = state.own_clearances.iter().map(|own| own.expires_at);
     let expiries = reported.chain(cleared).chain(reports).chain(clearances);
     state.expiry_due = expiries.min().unwrap_or(now + retention);
     state.next_expiry_at = now + EXPIRY_INTERVAL;
@@ -96,7 +96,7 @@
         return;
     }
     for report in renewals {
-        add_news(&state.settings, &mut state.own_reports, report, now);
+        add_evidence(&state.settings, &mut state.own_reports, report, now);
     }
     update_verdicts(state, now);
 }
@@ -247,7 +247,7 @@
         let mut reports = reported.into_iter().flat_map(|reported| &reported.reports);
         report.suspect != suspect || reports.any(|other| other.crash == report.crash)
     };
-    state.own_reports.retain(|news| is_valid(&news.item));
+    state.own_reports.retain(|own| is_valid(&own.item));
 }
 
 /// Searches for verdicts if reports have changed that can matter.
--- a/crates/quarantine/src/commands/mod.rs
+++ b/crates/quarantine/src/commands/mod.rs
@@ -3,7 +3,7 @@
 mod calls;
 mod changes;
 mod merge;
-mod news;
+mod own;
 
 pub use calls::{
     finish_call, record_answer, record_crash, record_progress, record_sustained_answer,
@@ -11,4 +11,4 @@
 };
 pub use changes::record_told;
 pub use merge::{expire, merge_evidence, renew_suspects};
-pub use news::record_sent;
+pub use own::record_sent;
--- a/crates/quarantine/src/commands/news.rs
+++ b/crates/quarantine/src/commands/own.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 
 use super::merge::clear_suspect;
-use crate::state::OwnNews;
+use crate::state::OwnEvidence;
 use crate::{CrashEvidence, CrashSuspect, QuarantineSettings, QuarantineState, SuspectClearance};
 
 /// Time after each time that a report or clearance is sent until it is sent again: a message may be
@@ -11,14 +11,14 @@
 const RESEND_DELAYS: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(2_000)];
 
 /// Has a report or clearance sent, if there aren't too many.
-pub(super) fn add_news<T>(
+pub(super) fn add_evidence<T>(
     settings: &QuarantineSettings,
-    news: &mut Vec<OwnNews<T>>,
+    entries: &mut Vec<OwnEvidence<T>>,
     item: T,
     now: ClockTime,
 ) {
-    if news.len() < settings.max_reported_suspects {
-        news.push(OwnNews {
+    if entries.len() < settings.max_reported_suspects {
+        entries.push(OwnEvidence {
             item,
             sends: 0,
             due: now,
@@ -41,30 +41,30 @@
         cleared_at,
     };
     let clearances = &mut state.own_clearances;
-    clearances.retain(|news| news.item.suspect != suspect);
-    add_news(&state.settings, clearances, clearance, now);
+    clearances.retain(|own| own.item.suspect != suspect);
+    add_evidence(&state.settings, clearances, clearance, now);
 }
 
 /// Records that this node's reports and clearances were sent to all that must hear of them at once.
 pub fn record_sent(state: &mut QuarantineState, evidence: &CrashEvidence, now: ClockTime) {
-    let is_sent = |news: &OwnNews<_>| evidence.reports.contains(&news.item);
-    advance_news(&mut state.own_reports, is_sent, now);
-    let is_sent = |news: &OwnNews<_>| evidence.clearances.contains(&news.item);
-    advance_news(&mut state.own_clearances, is_sent, now);
+    let is_sent = |own: &OwnEvidence<_>| evidence.reports.contains(&own.item);
+    advance_evidence(&mut state.own_reports, is_sent, now);
+    let is_sent = |own: &OwnEvidence<_>| evidence.clearances.contains(&own.item);
+    advance_evidence(&mut state.own_clearances, is_sent, now);
 }
 
-fn advance_news<T>(
-    news: &mut Vec<OwnNews<T>>,
-    is_sent: impl Fn(&OwnNews<T>) -> bool,
+fn advance_evidence<T>(
+    entries: &mut Vec<OwnEvidence<T>>,
+    is_sent: impl Fn(&OwnEvidence<T>) -> bool,
     now: ClockTime,
 ) {
-    news.retain_mut(|news| {
-        if news.due > now || !is_sent(news) {
+    entries.retain_mut(|own| {
+        if own.due > now || !is_sent(own) {
             return true;
         }
-        let delay = RESEND_DELAYS.get(news.sends);
-        news.sends += 1;
-        news.due = now + delay.copied().unwrap_or_default();
+        let delay = RESEND_DELAYS.get(own.sends);
+        own.sends += 1;
+        own.due = now + delay.copied().unwrap_or_default();
         delay.is_some()
     });
 }
--- a/crates/quarantine/src/queries/share.rs
+++ b/crates/quarantine/src/queries/share.rs
@@ -13,7 +13,7 @@
 use twox_hash::XxHash64;
 
 use super::verdict::min_crashes;
-use crate::state::{ChangeNumber, ClearedSuspect, OwnNews, ReportedSuspect};
+use crate::state::{ChangeNumber, ClearedSuspect, OwnEvidence, ReportedSuspect};
 use crate::{CrashEvidence, CrashReport, CrashSuspect, QuarantineState, SuspectClearance};
 
 /// Separate crashes from which all nodes hear of a part or request.
@@ -24,21 +24,21 @@
 /// This node's own reports and clearances that are due to be sent; other nodes must hear of them at
 /// once. Those come first that others lack most.
 pub fn fresh_evidence(state: &QuarantineState, now: ClockTime) -> CrashEvidence {
-    let mut reports: Vec<_> = due_news(&state.own_reports, now).collect();
-    reports.sort_by_key(|news| {
-        let reported = state.reported.get(&news.item.suspect);
+    let mut reports: Vec<_> = due_evidence(&state.own_reports, now).collect();
+    reports.sort_by_key(|own| {
+        let reported = state.reported.get(&own.item.suspect);
         let is_watched = reported.is_some_and(is_watched);
-        (news.sends, !is_watched, news.item.stage, Reverse(news.due))
+        (own.sends, !is_watched, own.item.stage, Reverse(own.due))
     });
-    let mut clearances: Vec<_> = due_news(&state.own_clearances, now).collect();
-    clearances.sort_by_key(|news| {
-        let cleared = state.cleared.get(&news.item.suspect);
+    let mut clearances: Vec<_> = due_evidence(&state.own_clearances, now).collect();
+    clearances.sort_by_key(|own| {
+        let cleared = state.cleared.get(&own.item.suspect);
         let is_needed = cleared.is_some_and(|cleared| cleared.is_needed);
-        (news.sends, !is_needed, Reverse(news.due))
+        (own.sends, !is_needed, Reverse(own.due))
     });
     CrashEvidence {
-        reports: reports.into_iter().map(|news| news.item).collect(),
-        clearances: clearances.into_iter().map(|news| news.item).collect(),
+        reports: reports.into_iter().map(|own| own.item).collect(),
+        clearances: clearances.into_iter().map(|own| own.item).collect(),
     }
 }
 
@@ -47,8 +47,11 @@
     !state.own_reports.is_empty() || !state.own_clearances.is_empty()
 }
 
-fn due_news<T>(news: &[OwnNews<T>], now: ClockTime) -> impl Iterator<Item = &OwnNews<T>> {
-    news.iter().filter(move |news| news.due <= now)
+fn due_evidence<T>(
+    own: &[OwnEvidence<T>],
+    now: ClockTime,
+) -> impl Iterator<Item = &OwnEvidence<T>> {
+    own.iter().filter(move |own| own.due <= now)
 }
 
 /// What every node must know: reports that several crashes have in common, and
--- a/crates/quarantine/src/state.rs
+++ b/crates/quarantine/src/state.rs
@@ -71,7 +71,7 @@
 
 /// Report or clearance of this node that it sends to others.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct OwnNews<T> {
+pub(crate) struct OwnEvidence<T> {
     pub item: T,
     /// Number of times that it was sent.
     pub sends: usize,
@@ -115,9 +115,9 @@
     /// Last answers that servers have begun for this node's requests.
     pub(crate) answered: HashMap<CrashSuspect, ClockTime>,
     /// Reports of this node that are sent to others.
-    pub(crate) own_reports: Vec<OwnNews<CrashReport>>,
+    pub(crate) own_reports: Vec<OwnEvidence<CrashReport>>,
     /// Clearances of this node that are sent to others.
-    pub(crate) own_clearances: Vec<OwnNews<SuspectClearance>>,
+    pub(crate) own_clearances: Vec<OwnEvidence<SuspectClearance>>,
     /// Last change of the evidence.
     pub(crate) last_change: ChangeNumber,
     /// Hash of the reports that all nodes must know.
