Test: an id refused under a server's old name and run under its new one

A server that starts again has a new name, and until its old entry is gone the store lists two names at one address. A call whose first attempt is refused under one name goes on under the other, at the same address and on the connection that it has just returned, so an id that comes once meets the connection that refused it.

The test's raw server writes the refusal once more before its answer.

--- a/crates/bronzerun/tests/edge/refused.rs
+++ b/crates/bronzerun/tests/edge/refused.rs
@@ -15,6 +15,8 @@
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 /// Refused requests that a client repeats, for each number of servers.
 const REPEATED_IDS: usize = 10;
+/// Requests to a server that is listed under two names.
+const RENAMED_IDS: usize = 20;
 /// Ports for other nodes: for links, and for attempts that they pass on.
 const INTERNAL_PORTS: (u16, u16) = (20_001, 20_002);
 
@@ -190,3 +192,43 @@
         assert_eq!(received_seal, seal, "'{status}'");
     }
 }
+
+/// Sends ids that come once to a server that is listed under two names, beside others that run
+/// every request; returns the ids that ran twice, or ran and were called unrun.
+fn broken_ids_of_renamed_server(
+    name: &str,
+    status: &'static str,
+    other_count: usize,
+) -> Vec<(String, u16, usize)> {
+    let runs = RunCounts::default();
+    let renamed = server_that_repeats_refusals(status, runs.clone());
+    let others = (0..other_count).map(|_| server_that_answers("200 OK", runs.clone()));
+    let servers = [renamed, renamed].into_iter().chain(others).collect();
+    let node = Node::start_before(name, servers);
+    let mut broken = Vec::new();
+    for index in 0..RENAMED_IDS {
+        let id = format!("r-{index}");
+        let (received, _, _) = node.request_as(&id, "/o/run", "key-1");
+        let run_count = runs_of(&runs, &id);
+        if run_count > 1 || run_count == 1 && NOT_RUN_STATUSES.contains(&received) {
+            broken.push((id, received, run_count));
+        }
+    }
+    assert!(!runs.lock().unwrap().is_empty(), "no request was run");
+    broken
+}
+
+#[test]
+fn an_id_refused_under_a_servers_old_name_is_not_called_unrun_once_it_runs_under_its_new_one() {
+    let mut broken = Vec::new();
+    for status in [MISDIRECTED_REQUEST, SERVICE_UNAVAILABLE] {
+        for other_count in [0, 1, 4] {
+            let name = format!("renamed-{}-{other_count}", &status[..3]);
+            let ids = broken_ids_of_renamed_server(&name, status, other_count);
+            if !ids.is_empty() {
+                broken.push((name, ids));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "id, status, runs: {broken:?}");
+}
