Test: discarded responses of sound servers are taken for crashes, failing

Callers of a sound request before servers that write responses twice are told 502, and after a few of these 503 "the request or a part of its prompt has crashed several servers", although no server has ended or broken off.

Cause: a response that belongs to another request ends its attempt as Lost, as a connection that breaks does, and edge/commands/quarantine.rs (record_crash) reports each Lost as a crash; the discarded response shows the opposite, that the server lives.

--- a/crates/bronzerun/tests/edge/refused.rs
+++ b/crates/bronzerun/tests/edge/refused.rs
@@ -232,3 +232,35 @@
     }
     assert!(broken.is_empty(), "id, status, runs: {broken:?}");
 }
+
+/// Server that writes the previous response of a connection once more before that to `/o/run`.
+fn server_that_repeats_responses() -> SocketAddr {
+    let previous: Mutex<HashMap<SocketAddr, String>> = Mutex::default();
+    spawn_raw_server(move |RawRequest { id, path, .. }, stream: &mut TcpStream| {
+        let peer = stream.peer_addr()?;
+        let headers = format!("x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n");
+        let response = raw_response("200 OK", &headers, "done");
+        let copy = previous.lock().unwrap().insert(peer, response.clone());
+        if let Some(copy) = copy.filter(|_| path == "/o/run") {
+            stream.write_all(copy.as_bytes())?;
+        }
+        stream.write_all(response.as_bytes())
+    })
+}
+
+#[test]
+fn a_request_before_servers_that_write_responses_twice_is_not_rejected_as_one_that_crashes_them() {
+    let servers = (0..4).map(|_| server_that_repeats_responses()).collect();
+    let node = Node::start_before("copies-no-crash", servers);
+    let mut statuses = Vec::new();
+    for round in 0..12 {
+        for index in 0..8 {
+            node.request_as(&format!("w-{round}-{index}"), "/o/other", "key-1");
+        }
+        let (status, body, _) = node.request_as(&format!("r-{round}"), "/o/run", "key-1");
+        statuses.push((status, body));
+        std::thread::sleep(REPEAT_PAUSE * 3);
+    }
+    let is_rejected = |(status, _): &(u16, String)| *status == 503;
+    assert!(!statuses.iter().any(is_rejected), "{statuses:?}");
+}
