Fix: a discarded response counted as a crash of its server

Cause: an attempt whose response belongs to another request ended as lost, like one whose connection broke. Evidence of crashes and of unreachable servers is taken from lost attempts.

Change: such an attempt ends as discarded. It may have run and is retried only where a lost one is, but the server lives, so it is neither a crash nor a sign that the node reaches no servers, and the idle connections to the server stay.

--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -89,6 +89,7 @@
                 AttemptOutcome::Ended(AttemptEnd::NotPassedOn(proof))
             }
             CallOutcome::NotSent(proof) => AttemptOutcome::Ended(AttemptEnd::NotSent(proof)),
+            CallOutcome::Discarded => AttemptOutcome::Ended(AttemptEnd::Discarded),
             CallOutcome::Lost if self.clock.now() >= order.deadline => {
                 AttemptOutcome::DeadlinePassed
             }
@@ -189,8 +190,9 @@
         let (connection, exchange) = (response.connection_number(), response.exchange_number());
         if let Some(defect) = find_defect(request, &response, &metadata) {
             log::warn!(id:% = request.id, status = status.as_u16(), connection, exchange; "response discarded: {defect}");
-            response.abandon();
-            return AttemptOutcome::Ended(AttemptEnd::Lost);
+            let labels = [("peers", "servers"), ("reason", "unusable")];
+            self.metrics.count("discarded_responses", &labels, 1);
+            return AttemptOutcome::Ended(AttemptEnd::Discarded);
         }
         self.report_notice(request, order, &metadata);
         if let Some(proof) = response.not_run(metadata.is_not_run) {
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -208,6 +208,7 @@
                     let _ = self.context.events.unbounded_send(answered);
                     if self.is_false_promise(&accepted, response.status()) {
                         log::warn!(id:% = accepted.request.id, place:% = order.target, status = response.status().as_u16(); "response replaced: its status says that the request was not run, which the server doesn't report");
+                        self.context.metrics.count("replaced_responses", &[], 1);
                         return unproven_response();
                     }
                     let is_failure = response.status().is_server_error();
--- a/crates/edge/src/border/pass.rs
+++ b/crates/edge/src/border/pass.rs
@@ -145,6 +145,8 @@
             CallOutcome::Response(response) => Ok(self.relay_response(*response, order)),
             CallOutcome::NotSent(_) => Err(self.fail(&order, NOT_SENT)),
             CallOutcome::Lost => Err(self.fail(&order, LOST)),
+            // The server lives, so the attempt says nothing against it.
+            CallOutcome::Discarded => Err(LOST),
         }
     }
 
--- a/crates/exchange/src/answer.rs
+++ b/crates/exchange/src/answer.rs
@@ -39,8 +39,8 @@
     /// Name in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::OtherTag => "other-request",
-            Self::Untagged => "unnamed",
+            Self::OtherTag => "other-tag",
+            Self::Untagged => "untagged",
         }
     }
 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -13,9 +13,9 @@
 //!
 //! Peers that are known to write one answer to each request are exempt ([`AnswerOrder::Strict`]).
 //!
-//! A request passes through three states, each a type that only this crate creates:
-//! [`UnsentExchange`], [`SentExchange`], [`OwnAnswer`]. A [`NotRunProof`] comes from the first or
-//! the last of them and from nothing else; [`RunRecord`] sums up the attempts of a request.
+//! A request passes through three states, [`UnsentExchange`], [`SentExchange`] and [`OwnAnswer`]. A
+//! [`NotRunProof`] comes from the first or the last of them and from nothing else; [`RunRecord`] sums
+//! up the attempts of a request. Whoever creates an [`UnsentExchange`] states that nothing was sent.
 //!
 //! [`commands`] change a [`ConnectionHistory`] or a [`RunRecord`]; [`queries`] only read them.
 
--- a/crates/gateway/src/border/exchange.rs
+++ b/crates/gateway/src/border/exchange.rs
@@ -191,7 +191,7 @@
     fn accept_response(&mut self, order: SendOrder, outcome: CallOutcome) -> ExchangeProgress {
         let response = match outcome {
             CallOutcome::Response(response) => response,
-            CallOutcome::Lost => {
+            CallOutcome::Lost | CallOutcome::Discarded => {
                 self.report_end(&order, AttemptEnd::Lost);
                 return ExchangeProgress::Open;
             }
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -1,7 +1,7 @@
 //! HTTP client that reuses connections.
 //!
 //! The pool decides which connection a request may take and whether an answer belongs to it, by the
-//! rules of the crate `exchange`. An answer that belongs to another request counts as a lost one.
+//! rules of the crate `exchange`.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -57,8 +57,10 @@
     Response(Box<IncomingResponse>),
     /// No byte of the request was sent.
     NotSent(NotRunProof),
-    /// The request may have been sent, but no response of its own was received.
+    /// The request may have been sent, but no response was received.
     Lost,
+    /// The request may have been sent, and a response was received that isn't its own.
+    Discarded,
 }
 
 /// Outcome of a request whose response is read to its end.
@@ -195,6 +197,7 @@
             {
                 SendOutcome::Response(response) => return CallOutcome::Response(response),
                 SendOutcome::Lost => return CallOutcome::Lost,
+                SendOutcome::Discarded => return CallOutcome::Discarded,
                 SendOutcome::Unsent(unsent) => {
                     let (unsent_request, unsent_exchange) = *unsent;
                     // The server may have closed an idle connection in the meantime.
@@ -235,7 +238,7 @@
     ) -> CollectOutcome {
         match self.call(server, request, deadline).await {
             CallOutcome::NotSent(proof) => CollectOutcome::NotSent(proof),
-            CallOutcome::Lost => CollectOutcome::Lost,
+            CallOutcome::Lost | CallOutcome::Discarded => CollectOutcome::Lost,
             CallOutcome::Response(response) => response.collect(limit, deadline).await,
         }
     }
@@ -252,7 +255,7 @@
     ) -> CollectOutcome {
         match self.call(server, request, deadline).await {
             CallOutcome::NotSent(proof) => CollectOutcome::NotSent(proof),
-            CallOutcome::Lost => CollectOutcome::Lost,
+            CallOutcome::Lost | CallOutcome::Discarded => CollectOutcome::Lost,
             CallOutcome::Response(response) => {
                 let collected = response.collect_while_arriving(limit, deadline, allowance);
                 collected.await
@@ -337,8 +340,7 @@
                         log_discarded(server, &connection, tag.as_ref(), parts.status, fault);
                         let labels = [("peers", self.peers), ("reason", fault.as_str())];
                         self.metrics.count("discarded_responses", &labels, 1);
-                        self.drop_idle(server);
-                        SendOutcome::Lost
+                        SendOutcome::Discarded
                     }
                 }
             }
@@ -394,6 +396,7 @@
     Response(Box<IncomingResponse>),
     Unsent(Box<(WebRequest, UnsentExchange)>),
     Lost,
+    Discarded,
 }
 
 fn with_host(server: SocketAddr, mut request: WebRequest) -> WebRequest {
@@ -504,11 +507,6 @@
         }
     }
 
-    /// Drops the response and all idle connections to its server.
-    pub fn abandon(self) {
-        self.drop_idle();
-    }
-
     /// Drops the idle connections to the server, but not this one.
     pub fn drop_idle(&self) {
         self.client.drop_idle(self.server);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -49,6 +49,8 @@
     Misdirected(NotRunProof),
     /// The request may have run, and no usable response arrived.
     Lost,
+    /// The request may have run; the target sent a response that isn't its own, or isn't usable.
+    Discarded,
     /// The target stopped sending.
     Stalled,
     /// The stream was interrupted after some events.
@@ -66,7 +68,7 @@
             | Self::NotRun(proof)
             | Self::GroupBroken(proof)
             | Self::Misdirected(proof) => Some(proof),
-            Self::Lost | Self::Stalled | Self::Cut | Self::Failed => None,
+            Self::Lost | Self::Discarded | Self::Stalled | Self::Cut | Self::Failed => None,
         }
     }
 
@@ -79,6 +81,7 @@
             Self::GroupBroken(_) => "group-broken",
             Self::Misdirected(_) => "not-here",
             Self::Lost => "lost",
+            Self::Discarded => "discarded",
             Self::Stalled => "stalled",
             Self::Cut => "cut",
             Self::Failed => "failed",
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -278,7 +278,7 @@
         self.record(context, ExchangeStep::Sent { daemon });
         let response = match web.call(self.host.client_address, request, deadline).await {
             CallOutcome::Response(response) => response,
-            CallOutcome::NotSent(_) | CallOutcome::Lost => {
+            CallOutcome::NotSent(_) | CallOutcome::Lost | CallOutcome::Discarded => {
                 self.record(context, ExchangeStep::Received(None));
                 return RequestOutcome::Failed;
             }
