--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -143,7 +143,7 @@
         .with_connect_timeout(CONNECT_TIMEOUT)
         .with_metrics(metrics.clone(), "servers")
         .with_tag(header_codec.tag_header());
-    // Nodes write one response to each request, which bears the server's tag.
+    // Nodes write one response to each request, which carries the server's tag.
     let nodes = WebClient::new(clock.clone())
         .with_connect_timeout(CONNECT_TIMEOUT)
         .with_metrics(metrics.clone(), "nodes")
--- a/crates/exchange/src/answer.rs
+++ b/crates/exchange/src/answer.rs
@@ -5,14 +5,14 @@
 /// Answer that belongs to its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OwnAnswer {
-    /// Whether it bears the tag of the request.
+    /// Whether it carries the tag of the request.
     pub(crate) is_named: bool,
     /// Whether only an answer with the tag is relied on for a report that nothing was run.
     pub(crate) must_be_named: bool,
 }
 
 impl OwnAnswer {
-    /// Whether it bears the tag of the request.
+    /// Whether it carries the tag of the request.
     pub fn is_named(self) -> bool {
         self.is_named
     }
@@ -29,9 +29,9 @@
 /// Why an answer doesn't belong to the request under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerFault {
-    /// It bears another request's tag.
+    /// It carries another request's tag.
     OtherTag,
-    /// It bears no tag, and the connection has carried other requests.
+    /// It carries no tag, and the connection has carried other requests.
     Untagged,
 }
 
--- a/crates/exchange/src/history.rs
+++ b/crates/exchange/src/history.rs
@@ -3,13 +3,13 @@
 /// Exchanges that a connection carries before it is replaced, which bounds its memory.
 const MAX_EXCHANGES: usize = 256;
 
-/// Answers that the peer of a connection writes.
+/// Answers that the peer of a connection sends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum AnswerOrder {
-    /// There may be answers too many.
+    /// It may send duplicate answers.
     #[default]
     Unproven,
-    /// One to each request, in order, and no other.
+    /// It sends one answer to each request, in order, and no other.
     Strict,
 }
 
@@ -21,7 +21,7 @@
     tags: Vec<u64>,
     /// Number of exchanges.
     count: u32,
-    /// Whether the last answer bore the tag of its request.
+    /// Whether the last answer carried the tag of its request.
     is_proven: bool,
 }
 
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -1,17 +1,17 @@
 //! Which answer belongs to a request, and when it is certain that a request was not run.
 //!
-//! A server may write an answer too many on a connection, at the point where the next one is due,
+//! A server may send a duplicate answer on a connection, at the point where the next one is due,
 //! also the copy of a refusal. If the request that it refused is under way again there, the copy
-//! bears the right identifier, so comparing identifiers is not enough. Two rules make an answer the
+//! carries the right identifier, so comparing identifiers is not enough. Two rules make an answer the
 //! request's own by construction:
 //!
-//! - A connection carries a tag (the identifier that a request bears and its answer repeats) once
-//!   at most. An answer that bears the tag of the request under way can then not be a copy of an
+//! - A connection carries a tag (the identifier that a request carries and its answer repeats)
+//!   once at most. An answer with the tag of the request under way can then not be a copy of an
 //!   earlier one.
-//! - A connection is used again only if its last answer bore the tag of its request. A request
+//! - A connection is used again only if its last answer carried the tag of its request. A request
 //!   without a tag, and one whose server repeats none, so has a connection of its own.
 //!
-//! Peers that are known to write one answer to each request are exempt ([`AnswerOrder::Strict`]).
+//! Peers that are known to send one answer to each request are exempt ([`AnswerOrder::Strict`]).
 //!
 //! A request passes through three states, [`UnsentExchange`], [`SentExchange`] and [`OwnAnswer`]. A
 //! [`NotRunProof`] comes from the first or the last of them and from nothing else; [`RunRecord`] sums
--- a/crates/exchange/src/tag.rs
+++ b/crates/exchange/src/tag.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 
-/// Identifier that a request bears and its answer repeats.
+/// Identifier that a request carries and its answer repeats.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ExchangeTag(Arc<str>);
 
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -442,7 +442,7 @@
 }
 
 impl IncomingResponse {
-    /// Whether it bears the tag of the request.
+    /// Whether it carries the tag of the request.
     pub fn is_named(&self) -> bool {
         self.answer.is_named()
     }
