Fix: a refusal that an older node believed was passed on as a promise

A node now states in each response that it passes back that it checked the response to be the server's own (x-pass-checked). Without that a refusal is no proof: a request that may run once ends as 502, others are sent elsewhere. Ruled out: a version in the node's entry in the store, which may be older than the process that answers.

--- a/crates/bronzerun/tests/edge/main.rs
+++ b/crates/bronzerun/tests/edge/main.rs
@@ -3,6 +3,7 @@
 
 mod endless;
 mod faulty;
+mod passing;
 mod raw;
 mod refused;
 mod silent;
@@ -49,6 +50,8 @@
 struct Store {
     servers: Vec<SocketAddr>,
     revision: Rc<RefCell<u64>>,
+    /// Objects that no node has written.
+    shared: Vec<Value>,
 }
 
 impl Store {
@@ -106,7 +109,7 @@
                 json!({"items": self.server_objects(), "hasMore": false, "storeRevision": revision})
             }
             _ if request.method() == http::Method::GET => {
-                json!({"items": [], "hasMore": false, "storeRevision": revision})
+                json!({"items": self.shared, "hasMore": false, "storeRevision": revision})
             }
             _ => json!({"metadata": {"name": "any", "revision": revision}}),
         };
@@ -189,9 +192,21 @@
 
     /// Starts a node before these servers, with this address and these ports for other nodes.
     fn start_at(name: &str, servers: Vec<SocketAddr>, ip: Ipv4Addr, ports: (u16, u16)) -> Self {
+        Self::start_beside(name, servers, ip, ports, Vec::new())
+    }
+
+    /// Starts a node that finds these shared objects in the store.
+    fn start_beside(
+        name: &str,
+        servers: Vec<SocketAddr>,
+        ip: Ipv4Addr,
+        ports: (u16, u16),
+        shared: Vec<Value>,
+    ) -> Self {
         let store = spawn_service(move || Store {
             servers,
             revision: Rc::new(RefCell::new(10)),
+            shared,
         });
         let settings_value = json!({
             "node": name, "ip": ip, "zone": "z1", "internalPorts": ports, "bootstrap": true,
--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -13,7 +13,7 @@
 use relay::{AttemptEnd, AttemptId, SendOrder, StallCause, StallStep};
 
 use super::EdgeReplies;
-use super::pass::{add_pass_headers, pass_outcome};
+use super::pass::{add_pass_headers, pass_outcome, take_checked};
 use super::ports::{ForwardMetadata, HeaderCodec, ResponseMetadata};
 use crate::{EdgeEvent, EdgeQuestion, EdgeReply};
 
@@ -76,14 +76,16 @@
         };
         let outcome = client.call(address, forwarded, order.deadline).await;
         match outcome {
-            CallOutcome::Response(response) => {
-                if order.via.is_some()
-                    && let Some(end) = pass_outcome(&response)
-                {
-                    drain_response(*response, self.clock.as_ref());
-                    return AttemptOutcome::Ended(end);
+            CallOutcome::Response(mut response) => {
+                let mut is_checked = true;
+                if order.via.is_some() {
+                    if let Some(end) = pass_outcome(&response) {
+                        drain_response(*response, self.clock.as_ref());
+                        return AttemptOutcome::Ended(end);
+                    }
+                    is_checked = take_checked(&mut response);
                 }
-                self.check_response(&request, &order, *response)
+                self.check_response(&request, &order, *response, is_checked)
             }
             CallOutcome::NotSent(proof) if order.via.is_some() => {
                 AttemptOutcome::Ended(AttemptEnd::NotPassedOn(proof))
@@ -176,12 +178,14 @@
         Some(forwarded)
     }
 
-    /// Checks that a response is the server's own response to this request.
+    /// Checks that a response is the server's own response to this request; `is_checked` if its
+    /// connection was checked by the node that received it from the server.
     fn check_response(
         &self,
         request: &ClientRequest,
         order: &SendOrder,
         response: IncomingResponse,
+        is_checked: bool,
     ) -> AttemptOutcome {
         let metadata = self
             .header_codec
@@ -195,6 +199,12 @@
             return AttemptOutcome::Ended(AttemptEnd::Discarded);
         }
         self.report_notice(request, order, &metadata);
+        if metadata.is_not_run && !is_checked {
+            log::warn!(id:% = request.id, status = status.as_u16(), via:? = order.via; "refusal not relied on: the node that passed the request on doesn't check responses");
+            self.metrics.count("unchecked_refusals", &[], 1);
+            drain_response(response, self.clock.as_ref());
+            return AttemptOutcome::Ended(AttemptEnd::Discarded);
+        }
         if let Some(proof) = response.not_run(metadata.is_not_run) {
             log::info!(id:% = request.id, status = status.as_u16(), connection, exchange, culprit:? = metadata.faulty_endpoint; "request not run by the server");
             let end = end_of_rejection(&metadata, order, proof);
--- a/crates/edge/src/border/pass.rs
+++ b/crates/edge/src/border/pass.rs
@@ -33,6 +33,8 @@
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-pass-request-id");
 /// How an attempt ended without a response of the server.
 const OUTCOME: HeaderName = HeaderName::from_static("x-pass-outcome");
+/// States that the response was checked to be the server's own response to this attempt.
+const CHECKED: HeaderName = HeaderName::from_static("x-pass-checked");
 /// Header that concerns one connection only and has no constant.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -69,6 +71,12 @@
     }
 }
 
+/// Whether the other node checks which response is the server's own; older builds don't, and may
+/// return the copy of an earlier one.
+pub(super) fn take_checked(response: &mut IncomingResponse) -> bool {
+    response.parts.headers.remove(CHECKED).is_some()
+}
+
 /// Request that another node wants to be passed on.
 struct PassOrder {
     run: ServerRun,
@@ -179,6 +187,9 @@
         *response.headers_mut() = parts.headers.clone();
         remove_connection_headers(response.headers_mut());
         response.headers_mut().remove(OUTCOME);
+        response
+            .headers_mut()
+            .insert(CHECKED, HeaderValue::from_static("1"));
         monoio::spawn(copy_body(incoming, sender, order.deadline));
         response
     }
