Fix: content after a 204 or 304 was read as the next response

A 204 that announces content was a success without it for a caller, or an accepted order of the own interface's engine client.

Cause: both statuses end a response with its head, whatever it announces (RFC 9112, 6.3), which the HTTP library follows. The connection was used again although its peer may think otherwise.

Change: in `exchange`, a 204 that announces content is no answer (RFC 9110 forbids it, and nobody can tell which of the two is meant), and a connection is not used again after such a 304, which may describe content. The length of content that isn't there is removed from the head, so that no one who hands it on announces it.

--- a/crates/bronzerun/tests/edge/statuses.rs
+++ b/crates/bronzerun/tests/edge/statuses.rs
@@ -12,7 +12,7 @@
 use crate::{Node, spawn_service};
 
 /// Status lines that no final response has, without the protocol version.
-const INVALID_STATUSES: [&str; 19] = [
+const INVALID_STATUSES: [&str; 20] = [
     "000 Any",
     "0 Any",
     "00 Any",
@@ -32,6 +32,7 @@
     "+200 OK",
     "0x200 OK",
     "200OK",
+    "204 No Content\r\ncontent-length: 4",
 ];
 /// Paths of routes by how often their requests may run: once, or at two servers.
 const RUN_LIMITS: [(&str, usize); 4] = [("/o/run", 1), ("/s/run", 1), ("/i/run", 2), ("/r/run", 2)];
@@ -47,6 +48,9 @@
 fn sealed_response(status: &str, id: &str, headers: &str) -> String {
     let headers =
         format!("x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n{headers}");
+    if status.contains("content-length") {
+        return format!("HTTP/1.1 {status}\r\n{headers}\r\ndone");
+    }
     raw_response(status, &headers, "done")
 }
 
@@ -82,13 +86,13 @@
 #[test]
 fn a_response_whose_status_is_none_does_not_reach_the_client() {
     let wrong = wrong_outcomes("invalid", "");
-    assert!(wrong.is_empty(), "{} of 76: {wrong:#?}", wrong.len());
+    assert!(wrong.is_empty(), "{} of 80: {wrong:#?}", wrong.len());
 }
 
 #[test]
 fn a_response_whose_status_is_none_does_not_prove_that_a_request_was_not_run() {
     let wrong = wrong_outcomes("invalid-marked", "x-bronzerun-not-executed: 1\r\n");
-    assert!(wrong.is_empty(), "{} of 76: {wrong:#?}", wrong.len());
+    assert!(wrong.is_empty(), "{} of 80: {wrong:#?}", wrong.len());
 }
 
 #[test]
@@ -106,7 +110,7 @@
             }
         }
     }
-    assert!(wrong.is_empty(), "{} of 76: {wrong:#?}", wrong.len());
+    assert!(wrong.is_empty(), "{} of 80: {wrong:#?}", wrong.len());
 }
 
 #[test]
@@ -162,6 +166,34 @@
     }
 }
 
+#[test]
+fn bytes_after_a_response_without_content_are_not_the_next_response() {
+    let mut wrong = Vec::new();
+    for status in ["204 No Content", "304 Not Modified"] {
+        // The content is a response itself, which bears the id of the next request.
+        let server = spawn_raw_server(move |RawRequest { id, path, .. }, stream| {
+            if path == "/o/next" {
+                return stream.write_all(sealed_response("200 OK", id, "").as_bytes());
+            }
+            let content = sealed_response("200 Forged", "r-2", "");
+            let length = content.len();
+            let headers = format!(
+                "x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\ncontent-length: {length}\r\n"
+            );
+            stream.write_all(format!("HTTP/1.1 {status}\r\n{headers}\r\n").as_bytes())?;
+            std::thread::sleep(Duration::from_millis(100));
+            stream.write_all(content.replace("done", "fake").as_bytes())
+        });
+        let node = Node::start_before(&format!("contentless-{}", &status[..3]), vec![server]);
+        node.request_as("r-1", "/o/first", "key-1");
+        let (received, body, _) = node.request_as("r-2", "/o/next", "key-1");
+        if (received, body.as_str()) != (200, "done") {
+            wrong.push((status, received, body));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
 #[test]
 fn a_status_that_is_none_does_not_pass_from_a_server_to_another_node() {
     let mut wrong = Vec::new();
@@ -179,7 +211,7 @@
             wrong.push(format!("'{status}': {received}, {run_count} runs"));
         }
     }
-    assert!(wrong.is_empty(), "{} of 19: {wrong:#?}", wrong.len());
+    assert!(wrong.is_empty(), "{} of 20: {wrong:#?}", wrong.len());
 }
 
 #[test]
--- a/crates/bronzerun/tests/processes/responses.rs
+++ b/crates/bronzerun/tests/processes/responses.rs
@@ -70,7 +70,13 @@
 }
 
 /// Status lines that no final response has, without the protocol version.
-const INVALID_STATUSES: [&str; 4] = ["000 Any", "101 Switching Protocols", "600 Any", "999 Any"];
+const INVALID_STATUSES: [&str; 5] = [
+    "000 Any",
+    "101 Switching Protocols",
+    "600 Any",
+    "999 Any",
+    "204 No Content\r\ncontent-length: 4",
+];
 
 #[test]
 fn a_response_whose_status_is_none_is_no_outcome_of_a_call() {
--- a/crates/exchange/src/answer.rs
+++ b/crates/exchange/src/answer.rs
@@ -9,6 +9,8 @@
     pub status: u16,
     /// Tag that it carries.
     pub tag: Option<&'a str>,
+    /// Whether it announces content.
+    pub announces_content: bool,
 }
 
 /// Answer that belongs to its request.
@@ -42,6 +44,8 @@
     Malformed,
     /// Its status is none of a final response.
     InvalidStatus,
+    /// It announces content, which its status rules out.
+    UnexpectedContent,
     /// It carries another request's tag.
     OtherTag,
     /// It carries no tag, and the connection has carried other requests.
@@ -54,6 +58,7 @@
         match self {
             Self::Malformed => "malformed",
             Self::InvalidStatus => "invalid-status",
+            Self::UnexpectedContent => "unexpected-content",
             Self::OtherTag => "other-tag",
             Self::Untagged => "untagged",
         }
--- a/crates/exchange/src/commands/carry.rs
+++ b/crates/exchange/src/commands/carry.rs
@@ -18,7 +18,10 @@
     exchange: SentExchange,
     head: AnswerHead<'_>,
 ) -> Result<OwnAnswer, AnswerFault> {
-    FinalStatus::try_from(head.status)?;
+    let status = FinalStatus::try_from(head.status)?;
+    if status == FinalStatus::NO_CONTENT && head.announces_content {
+        return Err(AnswerFault::UnexpectedContent);
+    }
     // Nothing else was sent here that it could answer.
     let is_only = exchange.number == 1 || history.is_strict();
     let is_named = match (&exchange.tag, head.tag) {
@@ -28,6 +31,9 @@
         (Some(_), None) | (None, _) => return Err(AnswerFault::Untagged),
     };
     history.set_proven(is_named);
+    if status.is_contentless() && head.announces_content {
+        history.spoil();
+    }
     Ok(OwnAnswer {
         is_named,
         must_be_named: exchange.tag.is_some() && !history.is_strict(),
--- a/crates/exchange/src/history.rs
+++ b/crates/exchange/src/history.rs
@@ -23,6 +23,8 @@
     count: u32,
     /// Whether the last answer carried the tag of its request.
     is_proven: bool,
+    /// Whether bytes that belong to no answer may follow the last one.
+    is_spoiled: bool,
 }
 
 impl ConnectionHistory {
@@ -55,6 +57,10 @@
         self.is_proven
     }
 
+    pub(crate) fn is_spoiled(&self) -> bool {
+        self.is_spoiled
+    }
+
     pub(crate) fn contains(&self, hash: u64) -> bool {
         self.tags.contains(&hash)
     }
@@ -72,4 +78,8 @@
     pub(crate) fn set_proven(&mut self, is_proven: bool) {
         self.is_proven = is_proven;
     }
+
+    pub(crate) fn spoil(&mut self) {
+        self.is_spoiled = true;
+    }
 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -11,7 +11,10 @@
 //! - A connection is used again only if its last answer carried the tag of its request. A request
 //!   without a tag, and one whose server repeats none, so has a connection of its own.
 //!
-//! Whatever its tag, an answer needs the status of a final response ([`FinalStatus`]).
+//! Whatever its tag, an answer needs the status of a final response ([`FinalStatus`]). Where the
+//! status ends an answer with its head, content that follows all the same must not be taken for the
+//! next one: a success that announces content is no answer, and after another one the connection is
+//! closed.
 //!
 //! Peers that are known to send one answer to each request are exempt ([`AnswerOrder::Strict`]).
 //!
--- a/crates/exchange/src/queries/reuse.rs
+++ b/crates/exchange/src/queries/reuse.rs
@@ -5,14 +5,16 @@
 /// Whether a connection may carry an exchange: an unused one any, another one only a tag that it
 /// has not carried.
 pub fn may_carry(history: &ConnectionHistory, exchange: &UnsentExchange) -> bool {
-    if history.is_empty() || history.is_strict() {
+    if history.is_empty() {
         return true;
     }
     let is_new = |hash| !history.contains(hash);
-    is_reusable(history) && exchange.tag.as_ref().is_some_and(|tag| is_new(tag.hash()))
+    let has_new_tag = exchange.tag.as_ref().is_some_and(|tag| is_new(tag.hash()));
+    is_reusable(history) && (history.is_strict() || has_new_tag)
 }
 
 /// Whether a connection whose last answer was read may carry another exchange.
 pub fn is_reusable(history: &ConnectionHistory) -> bool {
-    history.is_strict() || (history.is_proven() && !history.is_full())
+    let is_trusted = history.is_strict() || (history.is_proven() && !history.is_full());
+    is_trusted && !history.is_spoiled()
 }
--- a/crates/exchange/src/status.rs
+++ b/crates/exchange/src/status.rs
@@ -10,10 +10,20 @@
 pub struct FinalStatus(u16);
 
 impl FinalStatus {
+    /// Success without content.
+    pub const NO_CONTENT: Self = Self(204);
+    /// Answer to a condition; its headers describe content that it doesn't have.
+    pub const NOT_MODIFIED: Self = Self(304);
+
     /// Code of the status.
     pub fn code(self) -> u16 {
         self.0
     }
+
+    /// Whether its responses end with their head, whatever the head announces.
+    pub fn is_contentless(self) -> bool {
+        matches!(self, Self::NO_CONTENT | Self::NOT_MODIFIED)
+    }
 }
 
 impl TryFrom<u16> for FinalStatus {
--- a/crates/exchange/tests/connections.rs
+++ b/crates/exchange/tests/connections.rs
@@ -15,7 +15,11 @@
 
 /// Head of an answer with this tag.
 fn tagged(tag: Option<&str>) -> AnswerHead<'_> {
-    AnswerHead { status: 200, tag }
+    AnswerHead {
+        status: 200,
+        tag,
+        announces_content: true,
+    }
 }
 
 /// History of a connection that has carried these exchanges, whose answers must be accepted.
--- a/crates/exchange/tests/statuses.rs
+++ b/crates/exchange/tests/statuses.rs
@@ -1,7 +1,7 @@
-//! Which statuses an answer may have.
+//! Which statuses an answer may have, and what follows on its connection.
 
 use exchange::commands::{accept, send};
-use exchange::queries::is_reusable;
+use exchange::queries::{is_reusable, may_carry};
 use exchange::{
     AnswerFault, AnswerHead, AnswerOrder, ConnectionHistory, ExchangeTag, FinalStatus,
     UnsentExchange,
@@ -13,10 +13,11 @@
     UnsentExchange::new(ExchangeTag::new("a"))
 }
 
-fn head(status: u16) -> AnswerHead<'static> {
+fn head(status: u16, announces_content: bool) -> AnswerHead<'static> {
     AnswerHead {
         status,
         tag: Some("a"),
+        announces_content,
     }
 }
 
@@ -37,9 +38,47 @@
         for status in [0, 20, 99, 100, 101, 102, 103, 199, 600, 777, 999, 1_000] {
             let mut history = ConnectionHistory::new(order);
             let sent = send(&mut history, unsent());
-            let received = accept(&mut history, sent, head(status));
+            let received = accept(&mut history, sent, head(status, true));
             assert_eq!(received, Err(AnswerFault::InvalidStatus), "{status}");
             assert!(!is_reusable(&history) || order == AnswerOrder::Strict);
         }
     }
 }
+
+#[test]
+fn a_success_without_content_that_announces_some_is_not_accepted() {
+    for order in ORDERS {
+        for (announces_content, expected) in [
+            (false, Ok(true)),
+            (true, Err(AnswerFault::UnexpectedContent)),
+        ] {
+            let mut history = ConnectionHistory::new(order);
+            let sent = send(&mut history, unsent());
+            let received = accept(&mut history, sent, head(204, announces_content));
+            let received = received.map(|answer| answer.is_named());
+            assert_eq!(received, expected, "{order:?}, {announces_content}");
+        }
+    }
+}
+
+#[test]
+fn a_connection_is_closed_after_an_answer_whose_content_may_follow_although_it_has_none() {
+    let cases = [
+        (200, true, true),
+        (205, true, true),
+        (304, false, true),
+        (304, true, false),
+        (399, true, true),
+        (599, true, true),
+    ];
+    for order in ORDERS {
+        for (status, announces_content, expected) in cases {
+            let mut history = ConnectionHistory::new(order);
+            let sent = send(&mut history, unsent());
+            accept(&mut history, sent, head(status, announces_content)).unwrap();
+            assert_eq!(is_reusable(&history), expected, "{order:?}, {status}");
+            let next = UnsentExchange::new(ExchangeTag::new("b"));
+            assert_eq!(may_carry(&history, &next), expected, "{order:?}, {status}");
+        }
+    }
+}
--- a/crates/interface/tests/statuses.rs
+++ b/crates/interface/tests/statuses.rs
@@ -20,7 +20,13 @@
 /// Timeout of a request, all of which get an answer.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Status lines that no final response has, without the protocol version.
-const INVALID_STATUSES: [&str; 4] = ["000 Any", "101 Switching Protocols", "600 Any", "999 Any"];
+const INVALID_STATUSES: [&str; 5] = [
+    "000 Any",
+    "101 Switching Protocols",
+    "600 Any",
+    "999 Any",
+    "204 No Content\r\ncontent-length: 2",
+];
 const OBJECT: &str = r#"{"key":"a","version":3,"value":"{}"}"#;
 
 /// Server that gives these responses in order, whichever connections requests come on.
@@ -49,7 +55,11 @@
 }
 
 fn response(status: &str, headers: &str, body: &str) -> String {
-    let length = format!("content-length: {}\r\n", body.len());
+    let length = if status.contains("content-length") {
+        String::new()
+    } else {
+        format!("content-length: {}\r\n", body.len())
+    };
     format!("HTTP/1.1 {status}\r\n{headers}{length}\r\n{body}")
 }
 
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -15,10 +15,10 @@
 use exchange::commands::{accept, send};
 use exchange::queries::{is_reusable, may_carry};
 use exchange::{
-    AnswerFault, AnswerHead, AnswerOrder, ConnectionHistory, ExchangeTag, NotRunProof, OwnAnswer,
-    SentExchange, UnsentExchange,
+    AnswerFault, AnswerHead, AnswerOrder, ConnectionHistory, ExchangeTag, FinalStatus, NotRunProof,
+    OwnAnswer, SentExchange, UnsentExchange,
 };
-use http::header::HOST;
+use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request};
 use http_body_util::BodyExt;
@@ -229,6 +229,7 @@
         let head = AnswerHead {
             status: parts.status.as_u16(),
             tag: tag.as_ref().map(ExchangeTag::as_str),
+            announces_content: announces_content(&parts.headers),
         };
         accept(&mut connection.history, exchange, head)
     }
@@ -332,17 +333,20 @@
             }
             Some(Ok(response)) => {
                 connection.meter.record_progress();
-                let (parts, body) = response.into_parts();
+                let (mut parts, body) = response.into_parts();
                 let tag = exchange.tag().cloned();
                 match self.check(&mut connection, exchange, &parts) {
-                    Ok(answer) => SendOutcome::Response(Box::new(IncomingResponse {
-                        parts,
-                        body,
-                        server,
-                        connection,
-                        answer,
-                        client: self.clone(),
-                    })),
+                    Ok(answer) => {
+                        remove_false_length(&mut parts);
+                        SendOutcome::Response(Box::new(IncomingResponse {
+                            parts,
+                            body,
+                            server,
+                            connection,
+                            answer,
+                            client: self.clone(),
+                        }))
+                    }
                     Err(fault) => {
                         let status = parts.status.as_u16();
                         self.discard(server, &connection, tag.as_ref(), Some(status), fault)
@@ -412,6 +416,22 @@
     error.is_parse() && !error.is_parse_too_large()
 }
 
+/// Whether a response announces content.
+fn announces_content(headers: &HeaderMap) -> bool {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    headers.contains_key(TRANSFER_ENCODING) || lengths.any(|length| length.as_bytes() != b"0")
+}
+
+/// Removes the length of content that a response describes but doesn't have, so that nobody who
+/// forwards the response announces it.
+fn remove_false_length(parts: &mut Parts) {
+    let status = FinalStatus::try_from(parts.status.as_u16());
+    if status.is_ok_and(FinalStatus::is_contentless) {
+        parts.headers.remove(CONTENT_LENGTH);
+        parts.headers.remove(TRANSFER_ENCODING);
+    }
+}
+
 enum SendOutcome {
     Response(Box<IncomingResponse>),
     Unsent(Box<(WebRequest, UnsentExchange)>),
