Fix: a run of the soak left its sockets and tasks open

Cause: block_on never drops its runtime, as a process was to use one. The soak uses one a run, so all listeners, services, proxied connections and connections that hang for good outlived their run with the tasks that hold them.

Ruled out: dropping the runtime with tasks left. They wake one another after the runtime's context is gone, which monoio takes for a wake from another thread and panics.

Change: tasks are started with net::spawn, which keeps a handle to each; block_on_closing ends them inside the runtime, waits until their futures are dropped, and then drops the runtime. The daemons keep block_on.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -20,6 +20,7 @@
 mod random;
 mod runtime;
 mod signal;
+mod tasks;
 pub mod web;
 
 pub use budget::HeldBytes;
@@ -34,5 +35,6 @@
 pub use pending::{PendingReplies, ReplyId};
 pub use prometheus::{MetricsPage, PrometheusMetrics};
 pub use random::seed_from_system;
-pub use runtime::{block_on, run_loop, sleep_until, with_deadline};
+pub use runtime::{block_on, block_on_closing, run_loop, sleep_until, with_deadline};
 pub use signal::{SignalWatch, watch_reload, watch_shutdown};
+pub use tasks::{end_tasks, spawn};
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -8,23 +8,40 @@
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
-use monoio::{LegacyDriver, RuntimeBuilder};
+use monoio::time::TimeDriver;
+use monoio::{LegacyDriver, Runtime, RuntimeBuilder};
+
+use crate::tasks::end_tasks;
 
 /// Runs a future and every task it spawns on the current thread.
 ///
 /// Selects the epoll driver explicitly, because the default driver uses
 /// io_uring where the kernel supports it.
 pub fn block_on<F: Future>(future: F) -> std::io::Result<F::Output> {
-    let runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()?;
     // Dropping the runtime drops its unfinished tasks. These wake one another,
     // which monoio mistakes for a wake from another thread and panics. A process
     // uses one runtime until it exits, so the runtime is never dropped.
-    let mut runtime = ManuallyDrop::new(runtime);
+    let mut runtime = ManuallyDrop::new(new_runtime()?);
     Ok(runtime.block_on(future))
 }
 
+/// Runs a future on a runtime that is closed before this function returns.
+///
+/// All tasks must be started with [`spawn`](crate::spawn); they end with the future, and their
+/// sockets are closed.
+pub fn block_on_closing<F: Future>(future: F) -> std::io::Result<F::Output> {
+    let mut runtime = new_runtime()?;
+    Ok(runtime.block_on(async {
+        let output = future.await;
+        end_tasks().await;
+        output
+    }))
+}
+
+fn new_runtime() -> std::io::Result<Runtime<TimeDriver<LegacyDriver>>> {
+    RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()
+}
+
 /// Passes events to a handler and the resulting effects to an executor.
 ///
 /// Wakes the handler at its deadlines. Returns once the channel is closed or
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -288,7 +288,7 @@
             .ok()?;
         let number = self.opened.get() + 1;
         self.opened.set(number);
-        monoio::spawn(async move {
+        crate::spawn(async move {
             // Other errors are also returned by the request on this connection.
             if let Err(error) = driver.await
                 && error.source().is_none()
@@ -524,7 +524,7 @@
         if !is_reusable(&connection.history) {
             return;
         }
-        monoio::spawn(async move {
+        crate::spawn(async move {
             if connection.requests.ready().await.is_ok() {
                 client.put_idle(server, connection);
             }
--- a/crates/net/src/web/server.rs
+++ b/crates/net/src/web/server.rs
@@ -49,7 +49,7 @@
     let open = Rc::new(Cell::new(0_usize));
     let mut connections = Vec::new();
     while let Some(accepted) = accept(&listener, &drain).await {
-        connections.retain(|task: &monoio::task::JoinHandle<()>| !task.is_finished());
+        connections.retain(|task: &monoio::task::JoinHandle<Option<()>>| !task.is_finished());
         let Ok(stream) = accepted else {
             monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
@@ -60,11 +60,11 @@
         }
         let slot = ConnectionSlot::new(open.clone());
         let connection = serve_connection(stream, service.clone(), limits, drain.clone(), slot);
-        connections.push(monoio::spawn(connection));
+        connections.push(crate::spawn(connection));
     }
     drop(listener);
     for connection in connections {
-        connection.await;
+        let _ = connection.await;
     }
 }
 
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -105,7 +105,7 @@
             let request = self.next_request();
             let (context, web, clock) =
                 (self.context.clone(), self.web.clone(), self.clock.clone());
-            monoio::spawn(async move { request.run_all(&context, &web, clock.as_ref()).await });
+            net::spawn(async move { request.run_all(&context, &web, clock.as_ref()).await });
         }
     }
 
--- a/crates/soak/src/deadly.rs
+++ b/crates/soak/src/deadly.rs
@@ -89,7 +89,7 @@
             clock.clone(),
             host.client_address,
         );
-        monoio::spawn(async move {
+        net::spawn(async move {
             let deadline = clock.now() + CLIENT_TIMEOUT;
             if let CallOutcome::Response(response) = web.call(address, request, deadline).await {
                 // The request earns nothing, whatever the response.
--- a/crates/soak/src/platform/server.rs
+++ b/crates/soak/src/platform/server.rs
@@ -65,7 +65,7 @@
         if orders_delayed_until.is_some_and(|until| now < until) {
             let this = self.clone();
             let server_id = self.current_server().id;
-            monoio::spawn(async move {
+            net::spawn(async move {
                 monoio::time::sleep(ORDER_DELAY).await;
                 if this.current_server().id == server_id {
                     this.fleet
@@ -180,7 +180,7 @@
         let this = self.clone();
         let (membership, server_id) = (membership.clone(), server.id.clone());
         let response = sealed_response(body, &id, &server.id);
-        monoio::spawn(async move {
+        net::spawn(async move {
             this.write_events(sender, id, first, membership, server_id, crash_moment)
                 .await
         });
--- a/crates/soak/src/platform/store.rs
+++ b/crates/soak/src/platform/store.rs
@@ -291,7 +291,7 @@
 /// Response whose body is aborted, as if the connection were lost.
 pub(super) fn truncated_response() -> WebResponse {
     let (sender, body) = body_channel();
-    monoio::spawn(sender.abort());
+    net::spawn(sender.abort());
     WebResponse::new(body)
 }
 
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -64,7 +64,7 @@
         };
         let (mode, target) = (proxy.mode.clone(), proxy.target.clone());
         let hangs = proxy.hangs.clone();
-        monoio::spawn(async move {
+        net::spawn(async move {
             while let Ok((client, peer)) = listener.accept().await {
                 let state = LinkState {
                     mode: mode.clone(),
@@ -72,7 +72,7 @@
                     accepted_at: hangs.get(),
                     tap: tap.as_ref().map(|tap| Rc::from(tap.open(peer))),
                 };
-                monoio::spawn(forward(client, target.get(), state));
+                net::spawn(forward(client, target.get(), state));
             }
         });
         Ok(proxy)
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -109,13 +109,13 @@
             Fault::DeadlyRequest(kind, duration) => {
                 let context = self.client_context.clone();
                 let sent = send_deadly(context, kind, CrashMoment::Start, now + duration);
-                monoio::spawn(sent);
+                net::spawn(sent);
                 disturbed_until = now + duration;
             }
             Fault::DeadlyStream(duration) => {
                 let context = self.client_context.clone();
                 let (kind, moment) = (RequestKind::Stream, CrashMoment::FirstEvent);
-                monoio::spawn(send_deadly(context, kind, moment, now + duration));
+                net::spawn(send_deadly(context, kind, moment, now + duration));
                 disturbed_until = now + duration;
             }
             Fault::Limit(slot, per_minute, duration) => {
@@ -143,7 +143,7 @@
                 drop(checker);
                 // Clients use the new key only once all daemons have it.
                 let keys = self.client_context.keys.clone();
-                monoio::spawn(async move {
+                net::spawn(async move {
                     monoio::time::sleep(PROPAGATION_TIMEOUT).await;
                     keys.borrow_mut().push(issued);
                 });
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -13,7 +13,7 @@
 
 use base::prelude::ClockSource;
 use net::web::{CollectOutcome, WebClient, WebLimits, WebService, bind, empty_body, serve};
-use net::{SystemClock, block_on, drain_channel};
+use net::{SystemClock, block_on_closing, drain_channel};
 use rustix::process::Signal;
 
 use crate::addresses::{free_port, loopback, next_run};
@@ -158,7 +158,7 @@
         .logs
         .join(format!("seed-{seed}-{}", std::process::id()));
     std::fs::create_dir_all(&logs)?;
-    let report = block_on(async {
+    let report = block_on_closing(async {
         let run = SoakRun::start(options, seed, logs)?;
         run.execute(options, plan).await
     })??;
@@ -211,7 +211,7 @@
     let listener = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
     let address = listener.local_addr()?;
     let (signal, watch) = drain_channel();
-    monoio::spawn(async move {
+    net::spawn(async move {
         // The service ends when the signal is dropped, so it is kept until the end of the run.
         let _signal = signal;
         serve(listener, Rc::new(service), WebLimits::default(), watch).await;
@@ -361,7 +361,7 @@
         let period = Duration::from_millis(1_000 * CLIENT_COUNT / options.rate.max(1));
         for name in 0..CLIENT_COUNT {
             let client = SoakClient::new(self.client_context.clone(), self.seed, name);
-            monoio::spawn(client.send_all(period));
+            net::spawn(client.send_all(period));
         }
         let faults_start = Instant::now();
         for step in &plan.steps {
@@ -459,7 +459,7 @@
         for (supervised, host) in self.nodes.iter().zip(&self.client_context.entry_hosts) {
             let (ready, host) = (supervised.node.ready_address, host.clone());
             let is_finished = self.client_context.is_finished.clone();
-            monoio::spawn(async move {
+            net::spawn(async move {
                 let clock = Rc::new(SystemClock::default());
                 let mut failures = 0;
                 while !is_finished.get() {
