Soak: plans of restarts, and counts of what was judged

The report counts once-only requests, refusals of them, runs, each way of breaking the promise, and arrivals passed on; after a violation it lists the process ids of each daemon, so that a record of which build was started tells which build answered and which one sent the request.

--- a/crates/bronzerun/tests/descriptors.rs
+++ b/crates/bronzerun/tests/descriptors.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use soak::{Fault, FaultPlan, FaultStep, SoakOptions, run_plan};
+use soak::{Fault, FaultPlan, FaultStep, PlanKind, SoakOptions, run_plan};
 
 fn open_descriptors() -> usize {
     std::fs::read_dir("/proc/self/fd").unwrap().count()
@@ -20,6 +20,7 @@
         nodes: 3,
         rate: 30,
         repeating_clients: 0,
+        plan: PlanKind::Generated,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
     };
     let steps = [
--- a/crates/bronzerun/tests/silence.rs
+++ b/crates/bronzerun/tests/silence.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use soak::{Fault, FaultPlan, FaultStep, SoakOptions, run_plan};
+use soak::{Fault, FaultPlan, FaultStep, PlanKind, SoakOptions, run_plan};
 
 /// Seconds of fault injection.
 const SECONDS: u64 = 6;
@@ -20,6 +20,7 @@
         nodes: 3,
         rate: RATE,
         repeating_clients: 2,
+        plan: PlanKind::Generated,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
     }
 }
--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use soak::{
-    EndlessForm, Fault, FaultPlan, FaultStep, Link, LinkMode, RequestKind, SoakOptions, SoakReport,
-    run_plan, run_seed,
+    EndlessForm, Fault, FaultPlan, FaultStep, Link, LinkMode, PlanKind, RequestKind, SoakOptions,
+    SoakReport, run_plan, run_seed,
 };
 
 /// Seconds of fault injection.
@@ -20,6 +20,7 @@
         nodes: 3,
         rate: 30,
         repeating_clients: 2,
+        plan: PlanKind::Generated,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
     }
 }
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -83,6 +83,23 @@
     pub elsewhere: (u32, u32),
 }
 
+/// Observations of requests that may run once only.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PromiseTally {
+    /// Requests that clients sent, each counted once.
+    pub requests: u32,
+    /// Responses that report one as not run.
+    pub refusals: u32,
+    /// Runs at servers.
+    pub runs: u32,
+    /// Refusals after a run in the same attempt.
+    pub refused_after_run: u32,
+    /// Runs after a refusal, before the next attempt.
+    pub run_after_refusal: u32,
+    /// Runs after the first one of a request.
+    pub repeated_runs: u32,
+}
+
 /// Arrivals at a server since it first named a limit.
 #[derive(Debug)]
 struct LimitedServer {
@@ -125,6 +142,7 @@
     /// Limits are checked over windows that begin after this instant.
     limits_checked_from: Option<Instant>,
     tallies: BTreeMap<u64, Tally>,
+    promises: PromiseTally,
     violations: Vec<String>,
     /// Ids of requests that ran twice, or though they were reported as not run.
     broken_requests: BTreeSet<String>,
@@ -183,6 +201,7 @@
 
     /// Records a request before it is sent.
     pub fn record_request(&mut self, id: &str, kind: RequestKind, tenant: &str, path: &str) {
+        self.promises.requests += u32::from(kind == RequestKind::OnceOnly);
         let entry = RequestEntry {
             kind,
             tenant: tenant.to_owned(),
@@ -221,6 +240,7 @@
         };
         entry.runs += 1;
         entry.runs_of_attempt += 1;
+        self.promises.runs += u32::from(entry.kind == RequestKind::OnceOnly);
         let mut violations_found = Vec::new();
         if entry.tenant != tenant || has_key {
             violations_found.push(format!(
@@ -231,10 +251,12 @@
             violations_found.push(format!("request {id} arrived with path {path}"));
         }
         if entry.kind == RequestKind::OnceOnly && entry.runs > 1 {
+            self.promises.repeated_runs += 1;
             self.broken_requests.insert(id.to_owned());
             violations_found.push(format!("request {id} was run {} times", entry.runs));
         }
         if entry.kind == RequestKind::OnceOnly && entry.is_reported_not_run {
+            self.promises.run_after_refusal += 1;
             self.broken_requests.insert(id.to_owned());
             violations_found.push(format!(
                 "request {id} was run after its client got a response that reports it as not run"
@@ -249,7 +271,9 @@
             return;
         };
         entry.is_reported_not_run = true;
+        self.promises.refusals += u32::from(entry.kind == RequestKind::OnceOnly);
         if entry.kind == RequestKind::OnceOnly && entry.runs_of_attempt > 0 {
+            self.promises.refused_after_run += 1;
             self.broken_requests.insert(id.to_owned());
             self.violations.push(format!(
                 "request {id} was run, but its client got status {status}, which reports it as not run"
@@ -257,6 +281,11 @@
         }
     }
 
+    /// What was observed of requests that may run once only.
+    pub fn promises(&self) -> PromiseTally {
+        self.promises
+    }
+
     /// Counts the outcome of a request under its second since the start.
     pub(crate) fn count_outcome(&mut self, second: u64, increment: impl FnOnce(&mut Tally)) {
         increment(self.tallies.entry(second).or_default());
--- a/crates/soak/src/exchanges.rs
+++ b/crates/soak/src/exchanges.rs
@@ -4,7 +4,7 @@
 //! For a request that ran though its client was told otherwise, the record shows whether a
 //! repeated refusal was written on one of its connections.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::fmt;
 use std::sync::Arc;
 use std::time::Instant;
@@ -153,6 +153,9 @@
     events: Vec<ExchangeEvent>,
     connections: u32,
     copies: CopyTally,
+    /// Index of the daemon that a client sent each request to last.
+    entry_daemons: HashMap<Arc<str>, usize>,
+    passed_on: u32,
 }
 
 impl ExchangeLog {
@@ -176,11 +179,28 @@
         self.copies
     }
 
+    /// Arrivals of requests by way of another daemon than the one that their client used.
+    pub fn passed_on(&self) -> u32 {
+        self.passed_on
+    }
+
     /// Records an event; the id is empty for a request without one.
     pub fn record(&mut self, id: &str, step: ExchangeStep) {
+        let id = Arc::<str>::from(id);
+        match &step {
+            ExchangeStep::Sent { daemon } => {
+                self.entry_daemons.insert(id.clone(), *daemon);
+            }
+            ExchangeStep::Arrived { place, .. } => {
+                let entry = self.entry_daemons.get(&id);
+                let is_passed = entry.is_some_and(|entry| *entry != place.connection.daemon);
+                self.passed_on += u32::from(is_passed);
+            }
+            _ => {}
+        }
         let event = ExchangeEvent {
             at: Instant::now(),
-            id: Arc::from(id),
+            id,
             step,
         };
         self.events.push(event);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -23,8 +23,8 @@
 mod proxy;
 mod run;
 
-pub use checker::{CutTries, InvariantChecker, RequestKind, Tally};
+pub use checker::{CutTries, InvariantChecker, PromiseTally, RequestKind, Tally};
 pub use exchanges::{CopyEvidence, CopyTally};
 pub use options::SoakOptions;
-pub use plan::{EndlessForm, Fault, FaultPlan, FaultStep, Link, LinkMode, PlanSize};
+pub use plan::{EndlessForm, Fault, FaultPlan, FaultStep, Link, LinkMode, PlanKind, PlanSize};
 pub use run::{SoakError, SoakReport, run_plan, run_seed};
--- a/crates/soak/src/nodes.rs
+++ b/crates/soak/src/nodes.rs
@@ -23,6 +23,8 @@
     pub client_address: SocketAddr,
     pub ready_address: SocketAddr,
     pub peer_address: SocketAddr,
+    /// Ids of all processes started so far.
+    pub process_ids: Vec<u32>,
     executable: PathBuf,
     settings: PathBuf,
     log: PathBuf,
@@ -47,6 +49,7 @@
             executable: executable.to_owned(),
             settings: directory.join(format!("{name}.json")),
             log: directory.join(format!("{name}.log")),
+            process_ids: Vec::new(),
             child: None,
             name,
         };
@@ -75,6 +78,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        self.process_ids.push(child.id());
         self.child = Some(child);
         Ok(())
     }
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -5,6 +5,8 @@
 
 use clap::Parser;
 
+use crate::plan::PlanKind;
+
 /// Runs the entry hosts' daemon under random faults and checks its invariants.
 #[derive(Clone, Debug, Parser)]
 #[command(name = "bronzerun-soak", version)]
@@ -30,6 +32,9 @@
     /// Number of clients, of six, that send a refused request again under the same id.
     #[arg(long, default_value_t = 2)]
     pub repeating_clients: u64,
+    /// Faults of the runs.
+    #[arg(long, value_enum, default_value_t = PlanKind::Generated)]
+    pub plan: PlanKind,
     /// Directory for the daemons' logs; the logs of a run without violations are removed.
     #[arg(long, default_value = "target/soak")]
     pub logs: PathBuf,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use clap::ValueEnum;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -32,6 +33,10 @@
 const CONTACT_DELAY: Duration = Duration::from_millis(3_300);
 /// Time for which a stream comes that crashes servers after its first event.
 const DEADLY_STREAM_DURATION: Duration = Duration::from_secs(5);
+/// Range of the interval between two restarts of plain servers under other ids.
+const RESTART_INTERVAL_MS: std::ops::Range<u64> = 60..240;
+/// Delay on the way to servers that restart.
+const RESTART_LINK_DELAY: Duration = Duration::from_millis(60);
 /// Number of daemons from which they use hubs.
 const HUB_NODES: usize = 11;
 /// Range of the limit of a plain server, in requests a minute.
@@ -176,6 +181,18 @@
     pub servers: usize,
 }
 
+/// Kind of a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum PlanKind {
+    /// All kinds of faults.
+    Generated,
+    /// Plain servers refuse requests, write refusals again, and come back under other ids while
+    /// requests are on their way to them.
+    Restarts,
+    /// The same while half of the daemons are partitioned from all servers and pass requests on.
+    PassedOn,
+}
+
 /// Faults of one run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FaultPlan {
@@ -184,6 +201,50 @@
 }
 
 impl FaultPlan {
+    /// Plan of a kind for a duration; the same seed gives the same plan.
+    pub fn of_kind(kind: PlanKind, seed: u64, duration: Duration, size: PlanSize) -> Self {
+        match kind {
+            PlanKind::Generated => Self::generate(seed, duration, size),
+            PlanKind::Restarts => Self::restarts(seed, duration),
+            PlanKind::PassedOn => {
+                let mut plan = Self::restarts(seed, duration);
+                let cut = Fault::CutFromServers(size.nodes / 2, LinkMode::Reset, duration);
+                plan.steps.insert(
+                    0,
+                    FaultStep {
+                        at: Duration::ZERO,
+                        fault: cut,
+                    },
+                );
+                plan
+            }
+        }
+    }
+
+    /// Restarts of the plain servers under other ids.
+    fn restarts(seed: u64, duration: Duration) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let step = |at, fault| FaultStep { at, fault };
+        let repeated = Fault::RepeatRefusals(0, PLAIN_SERVER_COUNT, duration);
+        let mut steps = vec![step(Duration::ZERO, repeated)];
+        for slot in 0..PLAIN_SERVER_COUNT {
+            let delay = LinkMode::Delayed(RESTART_LINK_DELAY);
+            steps.push(step(
+                Duration::ZERO,
+                Fault::Link(Link::Server(slot), delay, duration),
+            ));
+        }
+        let mut at = Duration::ZERO;
+        for slot in (0..PLAIN_SERVER_COUNT).cycle() {
+            at += Duration::from_millis(rng.random_range(RESTART_INTERVAL_MS));
+            if at >= duration {
+                break;
+            }
+            steps.push(step(at, Fault::Rename(slot)));
+        }
+        Self { steps }
+    }
+
     /// Generates a plan for a duration; the same seed gives the same plan.
     pub fn generate(seed: u64, duration: Duration, size: PlanSize) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -9,6 +9,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use base::prelude::ClockSource;
@@ -17,7 +18,7 @@
 use rustix::process::Signal;
 
 use crate::addresses::{free_port, loopback, next_run};
-use crate::checker::{CutTries, InvariantChecker, Tally};
+use crate::checker::{CutTries, InvariantChecker, PromiseTally, Tally};
 use crate::clients::{ClientContext, EntryHost, SoakClient};
 use crate::copies::CopyTap;
 use crate::exchanges::{CopyEvidence, CopyTally};
@@ -86,10 +87,17 @@
     pub own_lag: (Duration, Duration),
     /// Invariant violations.
     pub violations: Vec<String>,
+    /// Requests that may run once only.
+    pub promises: PromiseTally,
+    /// Arrivals of requests at servers by way of another daemon than the one that their client
+    /// used.
+    pub passed_on: u32,
     /// Responses that servers wrote once more.
     pub copies: CopyTally,
     /// Requests that ran twice, or though they were reported as not run, with their histories.
     pub broken_requests: Vec<(CopyEvidence, String)>,
+    /// Daemons with the ids of the processes that were started for them.
+    pub processes: Vec<(Arc<str>, Vec<u32>)>,
     /// Directory of the daemons' logs.
     pub logs: PathBuf,
 }
@@ -125,6 +133,18 @@
             f,
             "; {written} responses written again, {without_id} of them to orders and reports, {of_same_id} to their own request"
         )?;
+        let promises = self.promises;
+        write!(
+            f,
+            "; {} once-only requests, {} refusals of them, {} runs, {} refused after a run, {} run after a refusal, {} run again; {} arrivals passed on",
+            promises.requests,
+            promises.refusals,
+            promises.runs,
+            promises.refused_after_run,
+            promises.run_after_refusal,
+            promises.repeated_runs,
+            self.passed_on,
+        )?;
         for violation in &self.violations {
             write!(f, "\n  violation: {violation}")?;
         }
@@ -132,6 +152,9 @@
             write!(f, "\n  history, {evidence}:{history}")?;
         }
         if !self.violations.is_empty() {
+            for (name, ids) in &self.processes {
+                write!(f, "\n  processes of {name}: {ids:?}")?;
+            }
             write!(f, "\n  logs: {}", self.logs.display())?;
         }
         Ok(())
@@ -144,7 +167,7 @@
         nodes: options.nodes,
         servers: SERVER_COUNT,
     };
-    let plan = FaultPlan::generate(seed, options.fault_duration(), size);
+    let plan = FaultPlan::of_kind(options.plan, seed, options.fault_duration(), size);
     run_plan(options, seed, &plan)
 }
 
@@ -509,8 +532,15 @@
             let history = checker.exchanges.history(id, started_at);
             (evidence, format!(" {id}{history}"))
         });
+        let processes = self.nodes.iter().map(|supervised| {
+            let node = &supervised.node;
+            (Arc::from(&*node.name), node.process_ids.clone())
+        });
         SoakReport {
+            promises: checker.promises(),
+            passed_on: checker.exchanges.passed_on(),
             copies: checker.exchanges.copies(),
+            processes: processes.collect(),
             broken_requests: broken_requests.collect(),
             own_lag: (longest_lag(started_at), longest_lag(window_start)),
             seed: self.seed,
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use soak::{CopyEvidence, FaultPlan, InvariantChecker, PlanSize, RequestKind};
+use soak::{
+    CopyEvidence, Fault, FaultPlan, InvariantChecker, LinkMode, PlanKind, PlanSize, PromiseTally,
+    RequestKind,
+};
 
 const DURATION: Duration = Duration::from_secs(60);
 const SIZE: PlanSize = PlanSize {
@@ -159,3 +162,37 @@
     checker.record_drained_arrival("left", now + Duration::from_millis(2_200));
     assert_eq!(checker.violations().len(), 1);
 }
+
+#[test]
+fn only_requests_that_may_run_once_are_counted_as_promises() {
+    let mut checker = checker();
+    checker.record_run("once", "depot", "/o/1", false);
+    checker.record_not_run("once", 503);
+    checker.record_run("once", "depot", "/o/1", false);
+    checker.record_run("stream", "depot", "/s/1", false);
+    checker.record_not_run("stream", 503);
+    let counted = PromiseTally {
+        requests: 1,
+        refusals: 1,
+        runs: 2,
+        refused_after_run: 1,
+        run_after_refusal: 1,
+        repeated_runs: 1,
+    };
+    assert_eq!(checker.promises(), counted);
+}
+
+#[test]
+fn plans_of_restarts_rename_both_plain_servers_and_cut_daemons_off_only_where_they_pass_on() {
+    let plan = |kind, seed| FaultPlan::of_kind(kind, seed, DURATION, SIZE);
+    let restarts = plan(PlanKind::Restarts, 5);
+    assert_eq!(restarts, plan(PlanKind::Restarts, 5));
+    assert_ne!(restarts, plan(PlanKind::Restarts, 6));
+    assert!(restarts.steps.is_sorted_by_key(|step| step.at));
+    let faults: Vec<_> = restarts.steps.iter().map(|step| step.fault).collect();
+    assert!(faults.contains(&Fault::Rename(0)) && faults.contains(&Fault::Rename(1)));
+    let mut passed_on = plan(PlanKind::PassedOn, 5);
+    let cut = passed_on.steps.remove(0).fault;
+    assert_eq!(cut, Fault::CutFromServers(2, LinkMode::Reset, DURATION));
+    assert_eq!(passed_on, restarts);
+}
