Fix: a store call could end with the copy of an earlier call's response

What callers saw: nothing known yet. On a raw store that writes a response once more, a renewal of a lease that had failed with 409 was read as applied, so two nodes could take themselves for the owner of the groups and both send orders. The reverse, a list that is empty or lacks objects, and a watch that misses changes, were possible too.

Cause: the store's client took responses in order on connections that any call could use; responses name no call.

Ruled out: checking a write's response against what was written. A duplicate of an earlier success and that of a renewal with the same content don't differ, 404, 413, 429 and 503 hold nothing to check, and a duplicate of the last page of a list at the same revision looks like a whole list.

Change: writes and lists have a connection each.

--- a/crates/bronzerun/src/daemon.rs
+++ b/crates/bronzerun/src/daemon.rs
@@ -66,8 +66,7 @@
     let clock: Rc<dyn ClockSource> = Rc::new(SystemClock::default());
     let new_client =
         || WebClient::new(clock.clone()).with_connect_timeout(PLATFORM_CONNECT_TIMEOUT);
-    let store_client = new_client().with_strict_order();
-    let store = HttpPlatformStore::new(store_client, clock.clone(), settings.store);
+    let store = HttpPlatformStore::new(new_client(), clock.clone(), settings.store);
     let endpoints = HttpEndpointClient::new(new_client());
     edge::border::run_edge(EdgeParts {
         settings,
--- a/crates/net/src/web/json.rs
+++ b/crates/net/src/web/json.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Drops the idle connections to the server.
+    pub fn drop_idle(&self) {
+        self.client.drop_idle(self.server);
+    }
+
     /// Sends one request; the body, if any, must be JSON.
     pub async fn call(
         &self,
