--- a/crates/bronzerun/tests/silence.rs
+++ b/crates/bronzerun/tests/silence.rs
@@ -20,6 +20,8 @@
         nodes: 3,
         rate: RATE,
         repeating_clients: 2,
+        site: None,
+        without_copies: false,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
     }
 }
--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -20,6 +20,8 @@
         nodes: 3,
         rate: 30,
         repeating_clients: 2,
+        site: None,
+        without_copies: false,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
     }
 }
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -2,6 +2,7 @@
 //! groups that clients and servers observe.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
 use std::time::{Duration, Instant};
 
 use crate::exchanges::{CopyEvidence, ExchangeLog, ExchangeStep};
@@ -47,6 +48,44 @@
     OnceOnly,
     /// Stream that may be resumed at another server.
     Stream,
+    /// Executed any number of times.
+    Idempotent,
+}
+
+/// Rule about the answer to a request and its runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum AnswerRule {
+    /// A refusal means that the request has not run and never will.
+    Refused,
+    /// A request that may run once runs once.
+    Twice,
+    /// A client gets the whole answer of its own request, or a failure of the node's own.
+    Mixed,
+}
+
+impl fmt::Display for AnswerRule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Refused => "REFUSED",
+            Self::Twice => "TWICE",
+            Self::Mixed => "MIXED",
+        })
+    }
+}
+
+/// What was judged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct JudgedTally {
+    /// Requests that may run once.
+    pub once_only: u32,
+    /// Those of them that aren't judged, as their route changed its kind.
+    pub changing: u32,
+    /// Runs of the judged ones.
+    pub runs: u32,
+    /// Refusals that their clients got.
+    pub refusals: u32,
+    /// Refusals and other failures that servers wrote to them.
+    pub server_refusals: u32,
 }
 
 /// Request that a client has sent.
@@ -60,6 +99,17 @@
     runs_of_attempt: u32,
     /// Whether the last response that its client received reports the request as not run.
     is_reported_not_run: bool,
+    /// Whether its client got an answer or none, and waits no more.
+    is_ended: bool,
+    /// Whether the kind of its route changes while it is under way.
+    is_excused: bool,
+}
+
+impl RequestEntry {
+    /// Whether its runs are judged.
+    fn is_judged(&self) -> bool {
+        self.kind == RequestKind::OnceOnly && !self.is_excused
+    }
 }
 
 /// Numbers of requests by outcome.
@@ -128,6 +178,8 @@
     violations: Vec<String>,
     /// Ids of requests that ran twice, or though they were reported as not run.
     broken_requests: BTreeSet<String>,
+    /// Rules that were broken, with the requests.
+    broken_rules: BTreeSet<(AnswerRule, String)>,
     /// Exchanges of servers and clients.
     pub(crate) exchanges: ExchangeLog,
 }
@@ -190,6 +242,8 @@
             runs: 0,
             runs_of_attempt: 0,
             is_reported_not_run: false,
+            is_ended: false,
+            is_excused: false,
         };
         self.requests.insert(id.to_owned(), entry);
     }
@@ -230,12 +284,15 @@
         if entry.path != path {
             violations_found.push(format!("request {id} arrived with path {path}"));
         }
-        if entry.kind == RequestKind::OnceOnly && entry.runs > 1 {
+        if entry.is_judged() && entry.runs > 1 {
             self.broken_requests.insert(id.to_owned());
+            self.broken_rules.insert((AnswerRule::Twice, id.to_owned()));
             violations_found.push(format!("request {id} was run {} times", entry.runs));
         }
-        if entry.kind == RequestKind::OnceOnly && entry.is_reported_not_run {
+        if entry.is_judged() && entry.is_reported_not_run {
             self.broken_requests.insert(id.to_owned());
+            self.broken_rules
+                .insert((AnswerRule::Refused, id.to_owned()));
             violations_found.push(format!(
                 "request {id} was run after its client got a response that reports it as not run"
             ));
@@ -249,14 +306,69 @@
             return;
         };
         entry.is_reported_not_run = true;
-        if entry.kind == RequestKind::OnceOnly && entry.runs_of_attempt > 0 {
+        if entry.is_judged() && entry.runs_of_attempt > 0 {
             self.broken_requests.insert(id.to_owned());
+            self.broken_rules
+                .insert((AnswerRule::Refused, id.to_owned()));
             self.violations.push(format!(
                 "request {id} was run, but its client got status {status}, which reports it as not run"
             ));
         }
     }
 
+    /// Records that the client of a request waits for it no more.
+    pub(crate) fn record_end(&mut self, id: &str) {
+        if let Some(entry) = self.requests.get_mut(id) {
+            entry.is_ended = true;
+        }
+    }
+
+    /// Excuses a request whose route changes its kind.
+    pub fn excuse(&mut self, id: &str) {
+        if let Some(entry) = self.requests.get_mut(id) {
+            entry.is_excused = true;
+        }
+    }
+
+    /// Excuses the requests under way whose paths begin like this.
+    pub fn excuse_under_way(&mut self, prefix: &str) {
+        for entry in self.requests.values_mut() {
+            entry.is_excused |= !entry.is_ended && entry.path.starts_with(prefix);
+        }
+    }
+
+    /// Records that a client got an answer that isn't its own, or not what its server wrote.
+    pub(crate) fn record_mixed(&mut self, id: &str, text: &str) {
+        self.broken_requests.insert(id.to_owned());
+        self.broken_rules.insert((AnswerRule::Mixed, id.to_owned()));
+        self.violations.push(format!("request {id} {text}"));
+    }
+
+    /// Rules about answers that were broken, and the requests.
+    pub fn broken_rules(&self) -> &BTreeSet<(AnswerRule, String)> {
+        &self.broken_rules
+    }
+
+    /// Numbers of what was judged.
+    pub fn judged(&self) -> JudgedTally {
+        let mut tally = JudgedTally::default();
+        for entry in self.requests.values() {
+            if entry.kind != RequestKind::OnceOnly {
+                continue;
+            }
+            tally.once_only += 1;
+            if entry.is_excused {
+                tally.changing += 1;
+                continue;
+            }
+            tally.runs += entry.runs;
+            tally.refusals += u32::from(entry.is_reported_not_run);
+        }
+        let is_judged = |id: &str| (self.requests.get(id)).is_some_and(RequestEntry::is_judged);
+        tally.server_refusals = self.exchanges.failures_written(is_judged);
+        tally
+    }
+
     /// Counts the outcome of a request under its second since the start.
     pub(crate) fn count_outcome(&mut self, second: u64, increment: impl FnOnce(&mut Tally)) {
         increment(self.tallies.entry(second).or_default());
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -17,10 +17,13 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::callers::RouteKind;
 use crate::checker::{InvariantChecker, RequestKind, Tally};
 use crate::exchanges::ExchangeStep;
-use crate::platform::STREAM_EVENTS;
+use crate::platform::{STREAM_EVENTS, whole_body};
 
+/// Number of clients of the built-in deployment.
+const CLIENT_COUNT: u64 = 6;
 /// Time that a client waits for a complete response.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time before its client's deadline from which a stream may be cut for want of time.
@@ -42,6 +45,7 @@
 #[derive(Clone)]
 pub(crate) struct EntryHost {
     pub index: usize,
+    pub domain: Arc<str>,
     pub client_address: SocketAddr,
     /// Whether clients send new requests to it.
     pub is_in_rotation: Rc<Cell<bool>>,
@@ -70,9 +74,33 @@
     pub started_at: Instant,
     /// Number of clients that send a refused request again under the same id.
     pub repeating_clients: u64,
+    /// Kinds of the routes.
+    pub route_kinds: Rc<RefCell<Vec<RouteKind>>>,
     pub is_finished: Rc<Cell<bool>>,
 }
 
+/// Clients of a run.
+pub(crate) trait ClientLoad {
+    /// Starts all of them.
+    fn start(&self, context: &ClientContext, seed: u64);
+}
+
+/// Clients of the built-in deployment, at a fixed rate.
+pub(crate) struct SteadyClients {
+    /// Requests a second, over all of them.
+    pub rate: u64,
+}
+
+impl ClientLoad for SteadyClients {
+    fn start(&self, context: &ClientContext, seed: u64) {
+        let period = Duration::from_millis(1_000 * CLIENT_COUNT / self.rate.max(1));
+        for name in 0..CLIENT_COUNT {
+            let client = SoakClient::new(context.clone(), seed, name);
+            monoio::spawn(client.send_all(period));
+        }
+    }
+}
+
 /// One client; it keeps its connections open between requests.
 pub(crate) struct SoakClient {
     context: ClientContext,
@@ -323,7 +351,7 @@
         else {
             return RequestOutcome::Failed;
         };
-        if body != format!("whole:{}", self.id) {
+        if body != whole_body(&self.id) {
             let text = format!("request {} got an unexpected body", self.id);
             context.checker.borrow_mut().record_violation(text);
         }
@@ -354,10 +382,7 @@
             }
         }
         response.finish();
-        let expected: String = (1..=STREAM_EVENTS)
-            .map(|event| format!("id: {event}\ndata: {}:{event}\n\n", self.id))
-            .collect();
-        if text != expected.as_bytes() {
+        if text != expected_stream(&self.id).as_bytes() {
             let got = String::from_utf8_lossy(&text).replace('\n', " ");
             let text = format!(
                 "stream {} ended normally, but with these events: {got}",
@@ -369,3 +394,11 @@
         RequestOutcome::Served
     }
 }
+
+/// Text of a complete stream.
+pub(crate) fn expected_stream(id: &str) -> String {
+    let events = 1..=STREAM_EVENTS;
+    events
+        .map(|event| format!("id: {event}\ndata: {id}:{event}\n\n"))
+        .collect()
+}
--- a/crates/soak/src/copies.rs
+++ b/crates/soak/src/copies.rs
@@ -1,5 +1,5 @@
-//! Records the exchanges on the connections from a daemon to a server, and writes responses of
-//! a server once more.
+//! Records the exchanges on the connections from a daemon to a server, and changes the responses
+//! of a server in trouble.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -11,14 +11,13 @@
 
 use crate::exchanges::{ConnectionName, ExchangePlace, ExchangeStep};
 use crate::platform::Fleet;
-use crate::proxy::{ConnectionTap, LinkTap};
+use crate::proxy::{ConnectionTap, LinkStep, LinkTap};
+use crate::trouble::{
+    AnswerForm, CopyMoment, CutPlace, ID_HEADER, REFUSAL_HEADER, copy_pause, pieces,
+};
 
-/// Header with the id of a request, in requests and responses.
-const ID_HEADER: &str = "x-bronzerun-request-id";
 /// Header with the id of the server that a request is meant for.
 const EXPECTED_HEADER: &str = "x-bronzerun-expect-instance";
-/// Header of a response to a request that was not run.
-const REFUSAL_HEADER: &str = "x-bronzerun-not-executed";
 
 /// Tap on the connections from one daemon to the server in one slot.
 pub(crate) struct CopyTap {
@@ -52,6 +51,8 @@
     head: Vec<u8>,
     /// Id and path of the request under way.
     request: Option<(Arc<str>, Arc<str>)>,
+    /// Form of its response.
+    form: Option<AnswerForm>,
     /// Beginning of its response.
     answer: Vec<u8>,
     pending: Option<AnswerCopy>,
@@ -60,16 +61,9 @@
 /// Response to be written once more.
 struct AnswerCopy {
     id: Arc<str>,
-    status: StatusCode,
+    status: u16,
     bytes: Vec<u8>,
-}
-
-/// When a response is written once more.
-enum CopyMoment {
-    /// Right after it.
-    AtOnce,
-    /// Before the next response on the connection.
-    Late,
+    is_in_pieces: bool,
 }
 
 struct TappedConnection {
@@ -94,11 +88,11 @@
         }
     }
 
-    fn record_written(&self, id: &str, status: StatusCode, is_copy: bool, exchange: u32) {
+    fn record_written(&self, id: &str, status: u16, form: Option<AnswerForm>, exchange: u32) {
         let place = self.place(exchange);
         let step = ExchangeStep::Written {
             status,
-            is_copy,
+            form,
             place,
         };
         self.record(id, step);
@@ -114,7 +108,8 @@
     fn copy_moment(&self, is_refusal: bool, path: &str, exchange: u32) -> Option<CopyMoment> {
         let is_nameless = matches!(path, "/report" | "/order");
         let fleet = self.fleet.borrow();
-        if !fleet.servers[self.slot].repeats_refusals(Instant::now()) {
+        let is_repeating = fleet.servers[self.slot].repeats_refusals(Instant::now());
+        if !is_repeating || !fleet.writes_copies() {
             return None;
         }
         match (self.name.number + exchange) % 4 {
@@ -128,23 +123,24 @@
 }
 
 impl ConnectionTap for TappedConnection {
-    fn forwarded(&self, bytes: &[u8]) {
+    fn forwarded(&self, bytes: Vec<u8>) -> Vec<LinkStep> {
         let mut state = self.state.borrow_mut();
         if state.request.is_some() {
             // The body of the request follows its head.
-            return;
+            return vec![LinkStep::Send(bytes)];
         }
-        state.head.extend_from_slice(bytes);
-        let bytes = std::mem::take(&mut state.head);
-        let text = String::from_utf8_lossy(&bytes);
+        state.head.extend_from_slice(&bytes);
+        let head_bytes = std::mem::take(&mut state.head);
+        let text = String::from_utf8_lossy(&head_bytes);
         let Some((head, _)) = text.split_once("\r\n\r\n") else {
-            state.head = bytes;
-            return;
+            state.head = head_bytes;
+            return vec![LinkStep::Send(bytes)];
         };
         let path: Arc<str> = Arc::from(head.split(' ').nth(1).unwrap_or_default());
         let id = Arc::<str>::from(header(head, ID_HEADER).unwrap_or_default());
         state.exchange += 1;
         state.request = Some((id.clone(), path.clone()));
+        state.form = (self.fleet.borrow_mut()).next_form(self.slot, &path, Instant::now());
         let place = self.place(state.exchange);
         let meant_for = Arc::from(header(head, EXPECTED_HEADER).unwrap_or_default());
         let step = ExchangeStep::Arrived {
@@ -153,47 +149,106 @@
             place,
         };
         self.record(&id, step);
+        if let Some(AnswerForm::Cut(CutPlace::Request, part)) = state.form {
+            let end = (bytes.len() as f64 * part) as usize;
+            self.record(&id, ExchangeStep::Cut);
+            return vec![LinkStep::Send(bytes[..end].to_vec()), LinkStep::Close];
+        }
+        vec![LinkStep::Send(bytes)]
     }
 
-    fn answered(&self, bytes: Vec<u8>) -> Vec<u8> {
+    fn answered(&self, bytes: Vec<u8>) -> Vec<LinkStep> {
         let mut state = self.state.borrow_mut();
         let Some((id, path)) = state.request.clone() else {
-            return bytes;
+            return vec![LinkStep::Send(bytes)];
         };
         let exchange = state.exchange;
-        let mut written = Vec::new();
+        let mut steps = Vec::new();
         let is_repeating =
             (self.fleet.borrow().servers[self.slot]).repeats_refusals(Instant::now());
         if let Some(copy) = state.pending.take_if(|_| is_repeating) {
-            self.record_written(&copy.id, copy.status, true, exchange);
+            let form = if copy.is_in_pieces {
+                CopyMoment::LateInPieces
+            } else {
+                CopyMoment::Late
+            };
+            self.record_written(
+                &copy.id,
+                copy.status,
+                Some(AnswerForm::Copied(form)),
+                exchange,
+            );
             self.count_copy(&copy.id, Some(&id));
-            written = copy.bytes;
+            if copy.is_in_pieces {
+                steps = pieces(&copy.bytes);
+            } else {
+                steps.push(LinkStep::Send(copy.bytes));
+            }
         }
-        written.extend_from_slice(&bytes);
+        let form = state.form;
         state.answer.extend_from_slice(&bytes);
         let Some(answer) = CompleteAnswer::take_from(&mut state.answer) else {
-            return written;
+            if form.is_none() {
+                steps.push(LinkStep::Send(bytes));
+            }
+            return steps;
         };
         state.request = None;
-        let (status, bytes) = (answer.status, answer.bytes);
-        self.record_written(&id, status, false, exchange);
-        match self.copy_moment(answer.is_refusal, &path, exchange) {
+        let (status, answer_bytes) = (answer.status.as_u16(), answer.bytes);
+        let is_copied = matches!(form, Some(AnswerForm::Copied(_)));
+        self.record_written(&id, status, form.filter(|_| !is_copied), exchange);
+        let moment = match form {
+            Some(AnswerForm::Copied(moment)) if answer.has_length => Some(moment),
+            Some(_) => None,
+            None => self.copy_moment(answer.is_refusal, &path, exchange),
+        };
+        match form {
+            // The bytes were kept back until the answer was complete.
+            Some(form) => steps.extend(form.apply(answer_bytes.clone())),
+            None => steps.push(LinkStep::Send(bytes)),
+        }
+        match moment {
             None => {}
-            Some(CopyMoment::AtOnce) => {
-                self.record_written(&id, status, true, exchange);
+            Some(CopyMoment::AtOnce | CopyMoment::BehindBody) => {
+                let copied = moment.map(AnswerForm::Copied);
+                self.record_written(&id, status, copied, exchange);
                 self.count_copy(&id, None);
-                written.extend_from_slice(&bytes);
+                if moment == Some(CopyMoment::AtOnce) && form.is_some() {
+                    steps.push(copy_pause());
+                }
+                steps.push(LinkStep::Send(answer_bytes));
+            }
+            Some(CopyMoment::Late | CopyMoment::LateInPieces) => {
+                state.pending = Some(AnswerCopy {
+                    id,
+                    status,
+                    bytes: answer_bytes,
+                    is_in_pieces: moment == Some(CopyMoment::LateInPieces),
+                });
             }
-            Some(CopyMoment::Late) => state.pending = Some(AnswerCopy { id, status, bytes }),
         }
-        written
+        merge_sends(steps)
+    }
+}
+
+/// Joins neighbouring bytes, so that they go out together.
+fn merge_sends(steps: Vec<LinkStep>) -> Vec<LinkStep> {
+    let mut merged: Vec<LinkStep> = Vec::new();
+    for step in steps {
+        match (merged.last_mut(), step) {
+            (Some(LinkStep::Send(earlier)), LinkStep::Send(bytes)) => earlier.extend(bytes),
+            (_, step) => merged.push(step),
+        }
     }
+    merged
 }
 
 /// Response that has arrived up to its end, or the head of one without a length.
 struct CompleteAnswer {
     status: StatusCode,
     is_refusal: bool,
+    /// Whether the end of its body is known.
+    has_length: bool,
     bytes: Vec<u8>,
 }
 
@@ -216,6 +271,7 @@
         Some(Self {
             status,
             is_refusal,
+            has_length: length.is_some(),
             bytes: std::mem::take(bytes),
         })
     }
--- a/crates/soak/src/deadly.rs
+++ b/crates/soak/src/deadly.rs
@@ -58,7 +58,7 @@
 ) {
     let clock: Rc<dyn ClockSource> = Rc::new(SystemClock::default());
     let (prefix, model) = match kind {
-        RequestKind::OnceOnly => ("/o", ""),
+        RequestKind::OnceOnly | RequestKind::Idempotent => ("/o", ""),
         RequestKind::Stream => ("/s", "small"),
     };
     let hosts = context.entry_hosts.iter().cycle();
--- a/crates/soak/src/exchanges.rs
+++ b/crates/soak/src/exchanges.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use http::StatusCode;
+use crate::trouble::AnswerForm;
 
 /// Events shown of a connection before the first one of a request.
 const SHOWN_BEFORE: usize = 6;
@@ -51,21 +51,34 @@
     },
     /// A server began to run it.
     Run,
-    /// A server wrote a response, or wrote it once more.
+    /// A server wrote a response, in this form, or wrote it once more.
     Written {
-        status: StatusCode,
-        is_copy: bool,
+        status: u16,
+        form: Option<AnswerForm>,
         place: ExchangePlace,
     },
+    /// The client left.
+    Left,
+    /// Its connection was closed before all of it had arrived.
+    Cut,
 }
 
 impl ExchangeStep {
     fn place(&self) -> Option<&ExchangePlace> {
         match self {
             Self::Arrived { place, .. } | Self::Written { place, .. } => Some(place),
-            Self::Sent { .. } | Self::Received(_) | Self::Run => None,
+            Self::Sent { .. } | Self::Received(_) | Self::Run | Self::Left | Self::Cut => None,
         }
     }
+
+    /// Whether a response was written once more.
+    fn is_copy(&self) -> bool {
+        let form = match self {
+            Self::Written { form, .. } => *form,
+            _ => None,
+        };
+        matches!(form, Some(AnswerForm::Copied(_)))
+    }
 }
 
 impl fmt::Display for ExchangeStep {
@@ -81,12 +94,16 @@
                 path, meant_for, ..
             } => write!(f, "{path} for {meant_for} arrived"),
             Self::Run => f.write_str("began to run"),
+            Self::Left => f.write_str("client left"),
+            Self::Cut => f.write_str("connection closed before all of it had arrived"),
             Self::Written {
-                status, is_copy, ..
-            } => {
-                let copy = if *is_copy { " once more" } else { "" };
-                write!(f, "{} written{copy}", status.as_u16())
-            }
+                status, form: None, ..
+            } => write!(f, "{status} written"),
+            Self::Written {
+                status,
+                form: Some(form),
+                ..
+            } => write!(f, "{status} written, {form}"),
         }?;
         let Some(place) = self.place() else {
             return Ok(());
@@ -171,6 +188,35 @@
         self.copies.of_same_id += u32::from(is_named && request_id == Some(copy_id));
     }
 
+    /// Failures that servers wrote to requests, the copies left out.
+    pub fn failures_written(&self, is_counted: impl Fn(&str) -> bool) -> u32 {
+        let events = self.events.iter().filter(|event| {
+            let is_failure = matches!(event.step, ExchangeStep::Written { status, .. } if !(200..300).contains(&status));
+            is_failure && !event.step.is_copy() && is_counted(&event.id)
+        });
+        events.count() as u32
+    }
+
+    /// Whether a server wrote this status to a request.
+    pub fn was_written(&self, id: &str, status: u16) -> bool {
+        let mut events = self.events.iter().rev().filter(|event| *event.id == *id);
+        events.any(|event| matches!(event.step, ExchangeStep::Written { status: written, form, .. } if form.map_or(written, |form| form.status(written)) == status))
+    }
+
+    /// Whether a request reached a server by way of another daemon than its client's.
+    pub fn was_passed_on(&self, id: &str) -> bool {
+        let events = || self.events.iter().filter(|event| *event.id == *id);
+        let mut sent = events().filter_map(|event| match event.step {
+            ExchangeStep::Sent { daemon } => Some(daemon),
+            _ => None,
+        });
+        let Some(daemon) = sent.next() else {
+            return false;
+        };
+        let mut places = events().filter_map(|event| event.step.place());
+        places.any(|place| place.connection.daemon != daemon)
+    }
+
     /// Responses written once more so far.
     pub fn copies(&self) -> CopyTally {
         self.copies
@@ -216,12 +262,10 @@
                 let is_own = *event.id == *id;
                 match event.step {
                     ExchangeStep::Arrived { .. } if is_own => arrivals += 1,
-                    ExchangeStep::Written { is_copy: true, .. } if is_own && arrivals > 1 => {
+                    ref step if step.is_copy() && is_own && arrivals > 1 => {
                         return CopyEvidence::SameId;
                     }
-                    ExchangeStep::Written { is_copy: true, .. } => {
-                        evidence = CopyEvidence::OtherResponse;
-                    }
+                    ref step if step.is_copy() => evidence = CopyEvidence::OtherResponse,
                     _ => {}
                 }
             }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 //! The crate implements the platform's side of the wire protocol.
 
 mod addresses;
+mod callers;
 mod checker;
 mod clients;
 mod copies;
@@ -22,9 +23,11 @@
 mod platform;
 mod proxy;
 mod run;
+mod shape;
+mod trouble;
 
-pub use checker::{CutTries, InvariantChecker, RequestKind, Tally};
+pub use checker::{AnswerRule, CutTries, InvariantChecker, JudgedTally, RequestKind, Tally};
 pub use exchanges::{CopyEvidence, CopyTally};
 pub use options::SoakOptions;
-pub use plan::{EndlessForm, Fault, FaultPlan, FaultStep, Link, LinkMode, PlanSize};
-pub use run::{SoakError, SoakReport, run_plan, run_seed};
+pub use plan::{EndlessForm, Fault, FaultPlan, FaultStep, Link, LinkMode, PlanSize, SitePlanSize};
+pub use run::{SoakError, SoakReport, run_plan, run_seed, run_site};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,13 +3,25 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use soak::{SoakOptions, run_seed};
+use platform::load_site;
+use soak::{SoakOptions, run_seed, run_site};
 
 fn main() -> ExitCode {
     let options = SoakOptions::parse();
+    let site = match options.site.as_deref().map(load_site).transpose() {
+        Ok(site) => site,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(2);
+        }
+    };
     let mut failed_seeds = 0;
     for seed in options.seed..options.seed + options.seeds {
-        match run_seed(&options, seed) {
+        let report = match &site {
+            Some(site) => run_site(&options, site, seed),
+            None => run_seed(&options, seed),
+        };
+        match report {
             Ok(report) => {
                 println!("{report}");
                 failed_seeds += usize::from(!report.violations.is_empty());
--- a/crates/soak/src/nodes.rs
+++ b/crates/soak/src/nodes.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
+use platform::{NodeShape, SiteBounds, SiteShape};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
@@ -13,13 +14,10 @@
 const CLIENT_PORT: u16 = 18_001;
 const READY_PORT: u16 = 18_002;
 const PEER_PORT: u16 = 18_003;
-/// Seconds between SIGTERM and SIGKILL; also `graceS` in the daemon's settings.
-pub(crate) const GRACE_SECONDS: u64 = 6;
-
 /// One daemon; its process is killed when the value is dropped.
 pub(crate) struct SoakNode {
     pub name: String,
-    pub failure_domain: &'static str,
+    pub shape: NodeShape,
     pub client_address: SocketAddr,
     pub ready_address: SocketAddr,
     pub peer_address: SocketAddr,
@@ -37,10 +35,11 @@
         index: usize,
         ip: IpAddr,
         store: SocketAddr,
+        site: &SiteShape,
     ) -> io::Result<Self> {
         let name = format!("edge-{index}");
         let node = Self {
-            failure_domain: ["zone-a", "zone-b"][index % 2],
+            shape: site.nodes[index].clone(),
             client_address: SocketAddr::new(ip, CLIENT_PORT),
             ready_address: SocketAddr::new(ip, READY_PORT),
             peer_address: SocketAddr::new(ip, PEER_PORT),
@@ -50,18 +49,26 @@
             child: None,
             name,
         };
-        std::fs::write(&node.settings, node.settings_text(store).to_string())?;
+        std::fs::write(
+            &node.settings,
+            node.settings_text(store, &site.bounds).to_string(),
+        )?;
         Ok(node)
     }
 
-    fn settings_text(&self, store: SocketAddr) -> Value {
+    fn settings_text(&self, store: SocketAddr, bounds: &SiteBounds) -> Value {
         json!({
-            "node": self.name, "ip": self.client_address.ip().to_string(), "zone": self.failure_domain,
+            "node": self.name, "ip": self.client_address.ip().to_string(), "zone": self.shape.domain,
             "internalPorts": [PEER_PORT, PEER_PORT + 10], "bootstrap": true,
             "listen": {"front": self.client_address.to_string(), "ready": self.ready_address.to_string()},
-            "limits": {"cpuShare": 0.25},
-            "bounds": {"graceS": GRACE_SECONDS, "retryBudgetRatio": 0.2, "retryBudgetSlack": 100,
-                "budgetWindowS": 10},
+            "limits": {"cpuShare": self.shape.cpu_share, "memoryMb": self.shape.memory_mb,
+                "linkMbps": self.shape.link_mbps},
+            "bounds": {"graceS": bounds.grace.as_secs_f64(), "retryBudgetRatio": bounds.retry_share,
+                "retryBudgetSlack": bounds.retry_slack,
+                "budgetWindowS": bounds.retry_window.as_secs_f64(),
+                "configApplyMs": bounds.config_apply.as_millis() as u64,
+                "drainMs": bounds.drain.as_millis() as u64,
+                "contactMs": bounds.contact.as_millis() as u64},
             "provider": {"address": store.to_string()},
         })
     }
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -30,6 +30,12 @@
     /// Number of clients, of six, that send a refused request again under the same id.
     #[arg(long, default_value_t = 2)]
     pub repeating_clients: u64,
+    /// Site file: runs a deployment of its shape and load in place of the built-in one.
+    #[arg(long)]
+    pub site: Option<PathBuf>,
+    /// With a site file: servers in trouble write no answer twice.
+    #[arg(long, requires = "site")]
+    pub without_copies: bool,
     /// Directory for the daemons' logs; the logs of a run without violations are removed.
     #[arg(long, default_value = "target/soak")]
     pub logs: PathBuf,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan/mod.rs
@@ -1,5 +1,9 @@
 //! Fault plan of one run, generated from its seed.
 
+mod site;
+
+pub use site::SitePlanSize;
+
 use std::time::Duration;
 
 use rand::rngs::StdRng;
@@ -144,6 +148,13 @@
     DeadlyStream(Duration),
     /// A server comes back under another id at once; connections to its address live on.
     Rename(usize),
+    /// A server starts again at its address under the id that it had; connections live on.
+    Restart(usize),
+    /// Servers of each other's services start at the addresses of two servers.
+    Swap(usize, usize),
+    /// A route whose requests may run any number of times becomes one whose requests run once, or
+    /// the reverse.
+    ChangeKind(usize),
     /// A server announces that it is leaving, and stops.
     Leave(usize),
     /// A plain server announces in the store only that it is leaving, and serves on for a while.
--- a/crates/soak/src/platform/fleet.rs
+++ b/crates/soak/src/platform/fleet.rs
@@ -1,25 +1,31 @@
 //! Emulated plain servers and engines, their groups, and the orders that change them.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
+use platform::{ModelShape, SiteShape};
+use rand::RngExt;
+use rand::rngs::StdRng;
 use serde_json::{Value, json};
 
 use super::store::StoreState;
 use crate::checker::InvariantChecker;
-use crate::plan::PLAIN_SERVER_COUNT;
+use crate::shape::{SlotShape, slots};
+use crate::trouble::AnswerForm;
 
-/// Time to load weights from the weight store; a tenth of it before clients send requests.
-const LOAD_DURATION: Duration = Duration::from_millis(2_000);
-/// Time of a join whose weights are staged on the host.
-const STAGED_JOIN_DURATION: Duration = Duration::from_millis(300);
 /// Time of a join whose model is already in memory.
 const REJOIN_DURATION: Duration = Duration::from_millis(100);
-/// Time from an order to open until the head serves.
-const OPEN_DURATION: Duration = Duration::from_millis(100);
+/// Longest time of a load, so that a run sees several.
+const MAX_LOAD_DURATION: Duration = Duration::from_secs(4);
+
+/// Part of the answers of a server in trouble that have another form.
+const TROUBLED_SHARE: f64 = 0.5;
+/// Part of the requests that a server runs though their connections have closed.
+const PERSISTING_SHARE: f64 = 0.3;
 
 /// One request in this many is refused by a server that refuses some.
 const REFUSED_ONE_IN: usize = 3;
@@ -49,7 +55,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct SoakServer {
     pub id: String,
-    pub service: &'static str,
+    pub shape: SlotShape,
     pub address: SocketAddr,
     pub is_alive: bool,
     pub is_leaving: bool,
@@ -67,9 +73,9 @@
     repeats_until: Option<Instant>,
     /// Requests that arrived meanwhile.
     refusable: usize,
-    slot: usize,
+    /// Number of the server in its slot, and of its start.
     incarnation: u64,
-    fabric: Option<String>,
+    born: u64,
     sequence: u64,
     staged: Option<String>,
     staging: Option<(Instant, String)>,
@@ -78,10 +84,10 @@
 }
 
 impl SoakServer {
-    fn new(slot: usize, incarnation: u64, address: SocketAddr, fabric: Option<String>) -> Self {
+    fn new(slot: usize, incarnation: u64, address: SocketAddr, shape: SlotShape) -> Self {
         Self {
             id: format!("i-{slot}-{incarnation}"),
-            service: if fabric.is_some() { "models" } else { "app" },
+            shape,
             address,
             is_alive: true,
             is_leaving: false,
@@ -93,9 +99,8 @@
             paused_until: None,
             repeats_until: None,
             refusable: 0,
-            slot,
             incarnation,
-            fabric,
+            born: incarnation,
             sequence: 0,
             staged: None,
             staging: None,
@@ -104,11 +109,6 @@
         }
     }
 
-    /// Number of members of a model's groups.
-    pub fn size_of(model: &str) -> usize {
-        if model == "large" { 3 } else { 2 }
-    }
-
     /// Time for which it still turns all requests away.
     pub fn busy_time(&self, now: Instant) -> Option<Duration> {
         let left = self.busy_until?.checked_duration_since(now)?;
@@ -143,25 +143,32 @@
     }
 
     fn store_entry(&self) -> Value {
-        let failure_domain = ["zone-a", "zone-b"][self.slot % 2];
-        json!({"service": self.service, "address": self.address.to_string(),
-            "zone": failure_domain, "version": "v1", "slots": 8,
-            "state": if self.is_leaving { "draining" } else { "ready" }, "born": self.incarnation,
-            "domain": self.fabric, "sequence": self.sequence, "staged": self.staged(),
+        json!({"service": self.shape.service, "address": self.address.to_string(),
+            "zone": self.shape.domain, "version": "v1", "slots": self.shape.slots,
+            "state": if self.is_leaving { "draining" } else { "ready" }, "born": self.born,
+            "domain": self.shape.fabric, "sequence": self.sequence, "staged": self.staged(),
             "group": self.group_json()})
     }
 
     /// Body of the response to a status request.
     pub fn report(&self) -> Value {
-        json!({"stage": "unified", "models": [], "busy": false, "born": self.incarnation,
+        json!({"stage": "unified", "models": [], "busy": false, "born": self.born,
             "sequence": self.sequence, "staged": self.staged(), "group": self.group_json(),
             "queued": 0, "running": self.running, "pace": 1.0})
     }
 }
 
+/// Draws what servers in trouble make of their answers.
+pub(crate) struct TroubleSource {
+    pub rng: StdRng,
+    /// Whether answers are written once more.
+    pub with_copies: bool,
+}
+
 /// All servers, by slot.
 pub(crate) struct Fleet {
     pub servers: Vec<SoakServer>,
+    pub site: Rc<SiteShape>,
     pub checker: Rc<RefCell<InvariantChecker>>,
     store: Rc<RefCell<StoreState>>,
     /// Until when loads take a tenth of their time.
@@ -172,32 +179,66 @@
     pub orders_delayed_until: Option<Instant>,
     /// Slots of servers that have crashed and whose connections are still open.
     crashed: Vec<usize>,
+    /// Source of the forms of answers; without one, refusals are only written once more.
+    pub trouble: Option<TroubleSource>,
+    /// Answers of servers in trouble, by the kind of their form.
+    pub forms: BTreeMap<&'static str, u32>,
 }
 
 impl Fleet {
-    /// Creates the servers behind the proxies at these addresses: two plain ones, and
-    /// engines in two fabric domains.
+    /// Creates the servers of a deployment behind the proxies at these addresses.
     pub fn new(
+        site: Rc<SiteShape>,
         addresses: &[SocketAddr],
         store: Rc<RefCell<StoreState>>,
         checker: Rc<RefCell<InvariantChecker>>,
         fast_loads_until: Instant,
     ) -> Self {
-        let servers = addresses.iter().enumerate().map(|(slot, address)| {
-            let fabric = (slot >= PLAIN_SERVER_COUNT).then(|| format!("d{}", slot % 2));
-            SoakServer::new(slot, 1, *address, fabric)
-        });
+        let slots = slots(&site).into_iter().zip(addresses).enumerate();
+        let servers =
+            slots.map(|(slot, (shape, address))| SoakServer::new(slot, 1, *address, shape));
         Self {
             servers: servers.collect(),
+            site,
             checker,
             store,
             fast_loads_until,
             silent_until: None,
             orders_delayed_until: None,
             crashed: Vec::new(),
+            trouble: None,
+            forms: BTreeMap::new(),
         }
     }
 
+    /// Form of the next answer of a server, if it is in trouble; orders and reports have none.
+    pub fn next_form(&mut self, slot: usize, path: &str, now: Instant) -> Option<AnswerForm> {
+        let is_repeating = self.servers[slot].repeats_refusals(now);
+        let source = self.trouble.as_mut()?;
+        if !is_repeating || matches!(path, "/report" | "/order" | "/health") {
+            return None;
+        }
+        let form = if source.rng.random_bool(TROUBLED_SHARE) {
+            AnswerForm::draw(&mut source.rng, source.with_copies)
+        } else {
+            AnswerForm::Sound
+        };
+        *self.forms.entry(form.kind()).or_default() += 1;
+        Some(form)
+    }
+
+    /// Whether answers are written once more.
+    pub fn writes_copies(&self) -> bool {
+        let source = self.trouble.as_ref();
+        source.is_none_or(|source| source.with_copies)
+    }
+
+    /// Whether a server runs a request to its end though its connection has closed.
+    pub fn next_persists(&mut self) -> bool {
+        let source = self.trouble.as_mut();
+        source.is_some_and(|source| source.rng.random_bool(PERSISTING_SHARE))
+    }
+
     /// Completes the joins, openings and loads that are due, and updates the servers' store entries.
     pub fn advance(&mut self, now: Instant) {
         let is_silent = self.silent_until.is_some_and(|until| now < until);
@@ -343,11 +384,30 @@
         let old = &self.servers[slot];
         self.store.borrow_mut().remove("servers", &old.id);
         let mut replacement =
-            SoakServer::new(slot, old.incarnation + 1, old.address, old.fabric.clone());
+            SoakServer::new(slot, old.incarnation + 1, old.address, old.shape.clone());
         replacement.repeats_until = old.repeats_until;
         self.servers[slot] = replacement;
     }
 
+    /// Starts a server in a slot again under the id that it had.
+    pub fn restart(&mut self, slot: usize) {
+        let old = &self.servers[slot];
+        let mut restarted = SoakServer::new(slot, old.incarnation, old.address, old.shape.clone());
+        restarted.born = old.born + 1;
+        restarted.repeats_until = old.repeats_until;
+        self.servers[slot] = restarted;
+    }
+
+    /// Starts servers of each other's services at the addresses of two slots.
+    pub fn swap(&mut self, slot: usize, other: usize) {
+        for slot in [slot, other] {
+            self.replace(slot);
+        }
+        let shape = self.servers[slot].shape.clone();
+        let shape = std::mem::replace(&mut self.servers[other].shape, shape);
+        self.servers[slot].shape = shape;
+    }
+
     /// Whether every member of a group is alive and has joined this epoch of the group.
     pub fn is_group_intact(&self, membership: &GroupMembership) -> bool {
         membership.members.iter().all(|id| {
@@ -382,11 +442,31 @@
         status
     }
 
-    fn load_duration(&self, now: Instant) -> Duration {
+    /// Time that a plain server takes for a request with this path.
+    pub fn work_of(&self, path: &str) -> Duration {
+        let name = path.split('/').nth(1).unwrap_or_default();
+        self.site
+            .route(name)
+            .map_or(Duration::ZERO, |route| route.work)
+    }
+
+    fn model(&self, name: &str) -> Option<&ModelShape> {
+        self.site.models.iter().find(|model| *model.name == *name)
+    }
+
+    /// Number of members of a model's groups.
+    pub fn group_size(&self, model: &str) -> usize {
+        self.model(model).map_or(0, |model| model.size)
+    }
+
+    /// Time to load a model's weights; a tenth before clients send requests.
+    fn load_duration(&self, model: &str, now: Instant) -> Duration {
+        let load = self.model(model).map_or(Duration::ZERO, |model| model.load);
+        let load = load.min(MAX_LOAD_DURATION);
         if now < self.fast_loads_until {
-            LOAD_DURATION / 10
+            load / 10
         } else {
-            LOAD_DURATION
+            load
         }
     }
 
@@ -418,15 +498,18 @@
                 self.checker.borrow_mut().record_violation(text);
             }
         }
-        let load = self.load_duration(now);
+        let load = self.load_duration(&model, now);
+        let warm = self
+            .model(&model)
+            .map_or(Duration::ZERO, |model| model.warm);
         let server = &mut self.servers[slot];
         server.highest_epoch = epoch;
         let duration = if server.loaded_model.as_ref() == Some(&model) {
             REJOIN_DURATION
         } else if server.staged.as_ref() == Some(&model) {
-            STAGED_JOIN_DURATION
+            warm
         } else {
-            load + STAGED_JOIN_DURATION
+            load + warm
         };
         server.membership = Some(GroupMembership {
             group,
@@ -456,7 +539,7 @@
 
     fn stage(&mut self, slot: usize, order: &Value, now: Instant) -> StatusCode {
         let model = order["model"].as_str().unwrap_or_default().to_owned();
-        let at = now + self.load_duration(now);
+        let at = now + self.load_duration(&model, now);
         let server = &mut self.servers[slot];
         let is_loading = matches!(&server.staging, Some((_, loading)) if *loading == model);
         if server.staged.as_ref() == Some(&model) || is_loading {
@@ -467,6 +550,8 @@
     }
 
     fn open(&mut self, slot: usize, order: &Value, now: Instant) -> StatusCode {
+        let service = self.site.service(&self.servers[slot].shape.service);
+        let form = service.map_or(Duration::ZERO, |service| service.form);
         let Some(membership) = named_membership(&mut self.servers[slot], order) else {
             return StatusCode::CONFLICT;
         };
@@ -480,7 +565,7 @@
         if membership.state != "ready" {
             return StatusCode::CONFLICT;
         }
-        membership.transition_at = Some(now + OPEN_DURATION);
+        membership.transition_at = Some(now + form);
         StatusCode::ACCEPTED
     }
 
--- a/crates/soak/src/platform/mod.rs
+++ b/crates/soak/src/platform/mod.rs
@@ -5,7 +5,7 @@
 mod server;
 mod store;
 
-pub(crate) use config::{ConfigPublisher, STREAM_EVENTS};
-pub(crate) use fleet::Fleet;
-pub(crate) use server::ServerService;
+pub(crate) use config::{ConfigPublisher, ROUTE_HOST, STREAM_EVENTS, tenant_of};
+pub(crate) use fleet::{Fleet, TroubleSource};
+pub(crate) use server::{ServerService, whole_body};
 pub(crate) use store::{StoreService, StoreState};
--- a/crates/soak/src/platform/server.rs
+++ b/crates/soak/src/platform/server.rs
@@ -17,8 +17,6 @@
 use super::store::truncated_response;
 use crate::deadly::CrashMoment;
 
-/// Time that a plain server takes for a request.
-const PLAIN_DURATION: Duration = Duration::from_millis(120);
 /// Interval between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(25);
 /// Time for which the streams of a group that has lost a member stall before they break.
@@ -30,6 +28,9 @@
 /// Delay of an order that got no response.
 const ORDER_DELAY: Duration = Duration::from_millis(1_700);
 
+/// Bytes that make the body of an answer longer than its shortest pieces.
+const FILLER: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
+
 /// Serves requests for the server that currently holds a slot.
 #[derive(Clone)]
 pub(crate) struct ServerService {
@@ -134,21 +135,56 @@
         );
     }
 
+    /// Runs a request, some also when its connection has closed meanwhile.
     async fn serve_plain(
         &self,
         headers: &HeaderMap,
         path: &str,
         server: &SoakServer,
     ) -> WebResponse {
+        let persists = self.fleet.borrow_mut().next_persists();
+        if !persists {
+            return self.run_plain(headers, path, server).await;
+        }
+        let (this, headers, path, server) = (
+            self.clone(),
+            headers.clone(),
+            path.to_owned(),
+            server.clone(),
+        );
+        monoio::spawn(async move { this.run_plain(&headers, &path, &server).await }).await
+    }
+
+    /// Takes a place among the running and waiting requests; `None` if there is none.
+    fn take_place(&self, server: &SoakServer) -> Option<ServerPlace> {
+        let mut fleet = self.fleet.borrow_mut();
+        let places = server.shape.slots.saturating_add(server.shape.queue);
+        let current = &mut fleet.servers[self.slot];
+        if current.running as usize >= places {
+            return None;
+        }
+        current.running += 1;
+        Some(ServerPlace {
+            fleet: self.fleet.clone(),
+            slot: self.slot,
+            server: server.id.clone(),
+        })
+    }
+
+    async fn run_plain(&self, headers: &HeaderMap, path: &str, server: &SoakServer) -> WebResponse {
+        let Some(_place) = self.take_place(server) else {
+            return not_executed(StatusCode::SERVICE_UNAVAILABLE, headers);
+        };
         self.record_run(headers, path);
-        monoio::time::sleep(PLAIN_DURATION).await;
+        let work = (self.fleet.borrow()).work_of(path);
+        monoio::time::sleep(work).await;
         self.resumed().await;
         if CrashMoment::of_path(path).is_some() {
             self.fleet.borrow_mut().crash(self.slot);
             return truncated_response();
         }
         let id = header_text(headers, "x-bronzerun-request-id");
-        sealed_response(full_body(format!("whole:{id}")), id, &server.id)
+        sealed_response(full_body(whole_body(id)), id, &server.id)
     }
 
     fn serve_stream(&self, headers: &HeaderMap, path: &str, server: &SoakServer) -> WebResponse {
@@ -159,8 +195,8 @@
         else {
             return not_executed(StatusCode::SERVICE_UNAVAILABLE, headers);
         };
-        let group_size = SoakServer::size_of(model);
         let fleet = self.fleet.borrow();
+        let group_size = fleet.group_size(model);
         fleet.checker.borrow_mut().check_group(
             &membership.group,
             membership.epoch,
@@ -227,6 +263,28 @@
     }
 }
 
+/// Place of a request at a server, freed when it is dropped.
+struct ServerPlace {
+    fleet: Rc<RefCell<Fleet>>,
+    slot: usize,
+    server: String,
+}
+
+impl Drop for ServerPlace {
+    fn drop(&mut self) {
+        let mut fleet = self.fleet.borrow_mut();
+        let current = &mut fleet.servers[self.slot];
+        if current.id == self.server {
+            current.running = current.running.saturating_sub(1);
+        }
+    }
+}
+
+/// Body of a complete answer that isn't a stream.
+pub(crate) fn whole_body(id: &str) -> String {
+    format!("whole:{id}:{FILLER}:end")
+}
+
 /// Response with the seal by which clients recognize that it belongs to their request.
 fn sealed_response(body: net::web::WebBody, id: &str, server: &str) -> WebResponse {
     let mut response = WebResponse::new(body);
@@ -283,7 +341,7 @@
                     this.record_arrival(&server);
                     not_executed(status, &parts.headers)
                 }
-                _ if server.service == "app" => {
+                _ if !server.shape.is_engine => {
                     this.record_arrival(&server);
                     this.serve_plain(&parts.headers, path, &server).await
                 }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -22,13 +22,24 @@
     fn open(&self, peer: SocketAddr) -> Box<dyn ConnectionTap>;
 }
 
+/// What to do with a connection next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum LinkStep {
+    /// Bytes are sent on.
+    Send(Vec<u8>),
+    /// Nothing is sent for this long.
+    Wait(Duration),
+    /// Both sides are closed.
+    Close,
+}
+
 /// Observer of one connection.
 pub(crate) trait ConnectionTap {
-    /// Bytes of the client are about to be forwarded.
-    fn forwarded(&self, bytes: &[u8]);
+    /// Bytes of the client have arrived; returns what to do towards the target.
+    fn forwarded(&self, bytes: Vec<u8>) -> Vec<LinkStep>;
 
-    /// Bytes of the target have arrived; returns those to send to the client.
-    fn answered(&self, bytes: Vec<u8>) -> Vec<u8>;
+    /// Bytes of the target have arrived; returns what to do towards the client.
+    fn answered(&self, bytes: Vec<u8>) -> Vec<LinkStep>;
 }
 
 /// Proxy whose mode can be changed while connections are open.
@@ -166,19 +177,26 @@
             buffer = bytes;
             continue;
         }
-        let bytes = match &state.tap {
-            Some(tap) if is_forward => {
-                tap.forwarded(&bytes);
-                bytes
-            }
+        let steps = match &state.tap {
+            Some(tap) if is_forward => tap.forwarded(bytes),
             Some(tap) => tap.answered(bytes),
-            None => bytes,
+            None => vec![LinkStep::Send(bytes)],
         };
-        let (written, bytes) = to.write_all(bytes).await;
-        if written.is_err() {
-            return;
+        buffer = Vec::new();
+        for step in steps {
+            match step {
+                LinkStep::Send(bytes) => {
+                    let (written, bytes) = to.write_all(bytes).await;
+                    if written.is_err() {
+                        return;
+                    }
+                    buffer = bytes;
+                }
+                LinkStep::Wait(duration) => monoio::time::sleep(duration).await,
+                LinkStep::Close => return,
+            }
         }
-        buffer = bytes;
+        buffer.reserve(BUFFER_BYTES);
     }
 }
 
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -7,12 +7,16 @@
 use super::{
     DRAIN_DURATION, LEAVE_DURATION, PROPAGATION_TIMEOUT, REPLACEMENT_DELAY, SoakError, SoakRun,
 };
+use crate::callers::RouteKind;
 use crate::checker::RequestKind;
 use crate::deadly::{CrashMoment, send_deadly};
-use crate::nodes::GRACE_SECONDS;
 use crate::plan::{Fault, Link, LinkMode};
 use crate::proxy::LinkProxy;
 
+/// Time for which either kind of a route may be in force after a change: daemons may be suspended,
+/// and the store unavailable meanwhile.
+const KIND_CHANGE_DURATION: Duration = Duration::from_secs(10);
+
 impl SoakRun {
     /// Injects one fault.
     pub(super) fn inject(&mut self, fault: Fault) -> Result<(), SoakError> {
@@ -25,7 +29,7 @@
             }
             Fault::Stop(node) => {
                 self.stop_node(node, Signal::TERM);
-                self.nodes[node].kill_at = Some(now + Duration::from_secs(GRACE_SECONDS));
+                self.nodes[node].kill_at = Some(now + self.site.bounds.grace);
             }
             Fault::Pause(node, duration) => {
                 self.nodes[node].node.signal(Signal::STOP);
@@ -98,6 +102,14 @@
                     fleet.replace(slot);
                 }
             }
+            Fault::Restart(slot) => {
+                let mut fleet = self.fleet.borrow_mut();
+                if fleet.servers[slot].is_alive {
+                    fleet.restart(slot);
+                }
+            }
+            Fault::Swap(slot, other) => self.fleet.borrow_mut().swap(slot, other),
+            Fault::ChangeKind(route) => self.change_kind(route, now),
             Fault::Leave(slot) => {
                 self.fleet.borrow_mut().servers[slot].is_leaving = true;
                 self.server_stops.push((now + LEAVE_DURATION, slot));
@@ -175,6 +187,19 @@
         Ok(())
     }
 
+    /// Changes how often requests on a route may run; those of the time in which either kind may
+    /// be in force are not judged.
+    fn change_kind(&mut self, route: usize, now: Instant) {
+        let kind = self.config.change_kind(route);
+        self.publish_config();
+        self.client_context.route_kinds.borrow_mut()[route] = RouteKind {
+            kind,
+            changing_until: Some(now + KIND_CHANGE_DURATION),
+        };
+        let prefix = format!("/{}/", self.site.routes[route].name);
+        self.checker.borrow_mut().excuse_under_way(&prefix);
+    }
+
     fn stop_node(&mut self, node: usize, signal: Signal) {
         let supervised = &mut self.nodes[node];
         supervised.is_stopping = true;
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -4,7 +4,7 @@
 mod inject;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -12,27 +12,35 @@
 use std::time::{Duration, Instant};
 
 use base::prelude::ClockSource;
+use intent::CallKind;
 use net::web::{CollectOutcome, WebClient, WebLimits, WebService, bind, empty_body, serve};
 use net::{SystemClock, block_on, drain_channel};
+use platform::SiteShape;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use rustix::process::Signal;
 
 use crate::addresses::{free_port, loopback, next_run};
-use crate::checker::{CutTries, InvariantChecker, Tally};
-use crate::clients::{ClientContext, EntryHost, SoakClient};
+use crate::callers::{RouteKind, SiteCallers};
+use crate::checker::{AnswerRule, CutTries, InvariantChecker, JudgedTally, Tally};
+use crate::clients::{ClientContext, ClientLoad, EntryHost, SteadyClients};
 use crate::copies::CopyTap;
 use crate::exchanges::{CopyEvidence, CopyTally};
 use crate::nodes::SoakNode;
 use crate::options::SoakOptions;
-use crate::plan::{Fault, FaultPlan, LinkMode, PlanSize};
-use crate::platform::{ConfigPublisher, Fleet, ServerService, StoreService, StoreState};
+use crate::plan::{Fault, FaultPlan, LinkMode, PlanSize, SitePlanSize};
+use crate::platform::{
+    ConfigPublisher, Fleet, ServerService, StoreService, StoreState, TroubleSource,
+};
 use crate::proxy::LinkProxy;
+use crate::shape::{built_in, slots};
 
-/// Number of servers: two plain ones, the others engines.
-const SERVER_COUNT: usize = 14;
-/// Number of clients.
-const CLIENT_COUNT: u64 = 6;
 /// Time for everything to serve before clients send requests; weights load faster during it.
 const STARTUP_DURATION: Duration = Duration::from_secs(5);
+/// The same in a site's shape, with more engines.
+const SITE_STARTUP_DURATION: Duration = Duration::from_secs(9);
+/// Time from the start for which streams of a site's run may be cut: all of it.
+const SITE_RUN_DURATION: Duration = Duration::from_secs(3_600);
 /// Time without faults at the end of a run, for the system to recover.
 const RECOVERY_DURATION: Duration = Duration::from_secs(9);
 /// Last part of the recovery time, in which enough requests must be served.
@@ -90,6 +98,12 @@
     pub copies: CopyTally,
     /// Requests that ran twice, or though they were reported as not run, with their histories.
     pub broken_requests: Vec<(CopyEvidence, String)>,
+    /// Rules about answers that were broken, and the requests.
+    pub broken_rules: Vec<(AnswerRule, String)>,
+    /// What was judged.
+    pub judged: JudgedTally,
+    /// Answers of servers in trouble by their form, in a site's shape.
+    pub forms: BTreeMap<&'static str, u32>,
     /// Directory of the daemons' logs.
     pub logs: PathBuf,
 }
@@ -125,6 +139,9 @@
             f,
             "; {written} responses written again, {without_id} of them to orders and reports, {of_same_id} to their own request"
         )?;
+        if !self.forms.is_empty() {
+            self.write_judged(f)?;
+        }
         for violation in &self.violations {
             write!(f, "\n  violation: {violation}")?;
         }
@@ -138,28 +155,115 @@
     }
 }
 
+impl SoakReport {
+    /// Number of requests for which a rule about answers was broken.
+    pub fn broken(&self, rule: AnswerRule) -> usize {
+        let rules = self.broken_rules.iter();
+        rules.filter(|(broken, _)| *broken == rule).count()
+    }
+
+    fn write_judged(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let JudgedTally {
+            once_only,
+            changing,
+            runs,
+            refusals,
+            server_refusals,
+        } = self.judged;
+        write!(
+            f,
+            "\n  judged: {once_only} once-only requests ({changing} of them not, as their route changed), {runs} runs, {refusals} refusals to clients, {server_refusals} failures of servers;"
+        )?;
+        for rule in [AnswerRule::Refused, AnswerRule::Twice, AnswerRule::Mixed] {
+            write!(f, " {rule} {}", self.broken(rule))?;
+        }
+        f.write_str("\n  answers of servers in trouble:")?;
+        for (form, count) in &self.forms {
+            write!(f, " {form} {count};")?;
+        }
+        Ok(())
+    }
+}
+
 /// Runs the soak with the fault plan of a seed.
 pub fn run_seed(options: &SoakOptions, seed: u64) -> Result<SoakReport, SoakError> {
     let size = PlanSize {
         nodes: options.nodes,
-        servers: SERVER_COUNT,
+        servers: slots(&built_in(options.nodes)).len(),
     };
     let plan = FaultPlan::generate(seed, options.fault_duration(), size);
     run_plan(options, seed, &plan)
 }
 
+/// Runs the soak in the shape and load of a site, with the fault plan of a seed.
+pub fn run_site(
+    options: &SoakOptions,
+    site: &SiteShape,
+    seed: u64,
+) -> Result<SoakReport, SoakError> {
+    let slots = slots(site);
+    let routes_of = |kind: CallKind| {
+        let routes = site.routes.iter().enumerate();
+        let routes = routes.filter(|(_, route)| route.kind == kind);
+        routes.map(|(index, _)| index).collect()
+    };
+    let size = SitePlanSize {
+        nodes: site.nodes.len(),
+        plain: slots.iter().filter(|slot| !slot.is_engine).count(),
+        servers: slots.len(),
+        idempotent: routes_of(CallKind::Idempotent),
+        once_only: routes_of(CallKind::OnceOnly),
+    };
+    let plan = FaultPlan::for_site(seed, options.fault_duration(), &size);
+    let site = Rc::new(site.clone());
+    let setup = RunSetup {
+        clients: Box::new(SiteCallers { site: site.clone() }),
+        site,
+        startup: SITE_STARTUP_DURATION,
+        trouble: Some(TroubleSource {
+            rng: StdRng::seed_from_u64(seed),
+            with_copies: !options.without_copies,
+        }),
+    };
+    run(options, setup, seed, &plan)
+}
+
 /// Runs the soak with a given fault plan; the seed is that of the clients' requests.
 pub fn run_plan(
     options: &SoakOptions,
     seed: u64,
     plan: &FaultPlan,
+) -> Result<SoakReport, SoakError> {
+    let setup = RunSetup {
+        site: Rc::new(built_in(options.nodes)),
+        clients: Box::new(SteadyClients { rate: options.rate }),
+        startup: STARTUP_DURATION,
+        trouble: None,
+    };
+    run(options, setup, seed, plan)
+}
+
+/// Deployment to run and its clients.
+struct RunSetup {
+    site: Rc<SiteShape>,
+    clients: Box<dyn ClientLoad>,
+    startup: Duration,
+    /// Source of the answers of servers in trouble, in a site's shape.
+    trouble: Option<TroubleSource>,
+}
+
+fn run(
+    options: &SoakOptions,
+    setup: RunSetup,
+    seed: u64,
+    plan: &FaultPlan,
 ) -> Result<SoakReport, SoakError> {
     let logs = options
         .logs
         .join(format!("seed-{seed}-{}", std::process::id()));
     std::fs::create_dir_all(&logs)?;
     let report = block_on(async {
-        let run = SoakRun::start(options, seed, logs)?;
+        let run = SoakRun::start(options, setup, seed, logs)?;
         run.execute(options, plan).await
     })??;
     if report.violations.is_empty() {
@@ -181,6 +285,9 @@
 /// Daemons under test and their emulated environment.
 struct SoakRun {
     seed: u64,
+    site: Rc<SiteShape>,
+    clients: Box<dyn ClientLoad>,
+    startup: Duration,
     logs: PathBuf,
     nodes: Vec<SupervisedNode>,
     store: Rc<RefCell<StoreState>>,
@@ -220,21 +327,36 @@
 }
 
 impl SoakRun {
-    fn start(options: &SoakOptions, seed: u64, logs: PathBuf) -> Result<Self, SoakError> {
+    fn start(
+        options: &SoakOptions,
+        setup: RunSetup,
+        seed: u64,
+        logs: PathBuf,
+    ) -> Result<Self, SoakError> {
         let now = Instant::now();
-        let checker = Rc::new(RefCell::new(InvariantChecker::for_daemons(options.nodes)));
+        let RunSetup {
+            site,
+            clients,
+            startup,
+            trouble,
+        } = setup;
+        let checker = InvariantChecker::for_daemons(site.nodes.len());
+        let checker = Rc::new(RefCell::new(checker));
         let store = Rc::<RefCell<StoreState>>::default();
         let mut server_links = Vec::new();
-        for _ in 0..SERVER_COUNT {
+        for _ in slots(&site) {
             server_links.push(LinkProxy::listen(free_port(), free_port())?);
         }
         let addresses: Vec<_> = server_links.iter().map(|link| link.address).collect();
-        let fleet = Fleet::new(
+        let mut fleet = Fleet::new(
+            site.clone(),
             &addresses,
             store.clone(),
             Rc::clone(&checker),
-            now + STARTUP_DURATION,
+            now + startup,
         );
+        fleet.trouble = trouble;
+        let is_judged_only = fleet.trouble.is_some();
         let fleet = Rc::new(RefCell::new(fleet));
         for (slot, link) in server_links.iter().enumerate() {
             let fleet = fleet.clone();
@@ -245,7 +367,7 @@
         let run = next_run();
         let (mut nodes, mut store_links, mut node_links) = (Vec::new(), Vec::new(), Vec::new());
         let mut daemon_server_links = Vec::new();
-        for index in 0..options.nodes {
+        for index in 0..site.nodes.len() {
             let reader = format!("edge-{index}");
             let (state, proxies) = (store.clone(), proxies.clone());
             let mut links = Vec::new();
@@ -271,7 +393,7 @@
             daemon_server_links.push(links);
             let link = LinkProxy::listen(free_port(), address)?;
             let ip = loopback(std::process::id(), run, index);
-            let node = SoakNode::new(&options.edge, &logs, index, ip, link.address)?;
+            let node = SoakNode::new(&options.edge, &logs, index, ip, link.address, &site)?;
             store_links.push(link);
             let link = LinkProxy::listen(free_port(), node.peer_address)?;
             proxies.borrow_mut().insert(reader, link.address);
@@ -289,10 +411,12 @@
             .enumerate()
             .map(|(index, supervised)| EntryHost {
                 index,
+                domain: supervised.node.shape.domain.clone(),
                 client_address: supervised.node.client_address,
                 is_in_rotation: Rc::new(Cell::new(true)),
                 cut: Rc::default(),
             });
+        let kinds = site.routes.iter().map(|route| RouteKind::new(route.kind));
         let client_context = ClientContext {
             checker: Rc::clone(&checker),
             entry_hosts: entry_hosts.collect(),
@@ -300,16 +424,25 @@
             strict_from: Rc::new(Cell::new(now)),
             started_at: now,
             repeating_clients: options.repeating_clients,
+            route_kinds: Rc::new(RefCell::new(kinds.collect())),
             is_finished: Rc::new(Cell::new(false)),
         };
+        if is_judged_only {
+            let mut checker = checker.borrow_mut();
+            checker.pause_cut_checks(now + SITE_RUN_DURATION);
+            checker.pause_drain_checks(now + SITE_RUN_DURATION);
+        }
         let mut run = Self {
             seed,
+            site: site.clone(),
+            clients,
+            startup,
             logs,
             nodes,
             store,
             fleet,
             checker,
-            config: ConfigPublisher::new(),
+            config: ConfigPublisher::new(site),
             config_text: serde_json::Value::Null,
             store_links,
             node_links,
@@ -330,6 +463,11 @@
         Ok(run)
     }
 
+    /// Whether only the answers and runs of requests are judged, as in a site's shape.
+    fn is_judged_only(&self) -> bool {
+        self.fleet.borrow().trouble.is_some()
+    }
+
     fn publish_config(&mut self) {
         self.config_text = self.config.next_version();
         self.write_config();
@@ -357,12 +495,8 @@
     ) -> Result<SoakReport, SoakError> {
         let started = Instant::now();
         self.probe_readiness();
-        self.run_until(started + STARTUP_DURATION).await?;
-        let period = Duration::from_millis(1_000 * CLIENT_COUNT / options.rate.max(1));
-        for name in 0..CLIENT_COUNT {
-            let client = SoakClient::new(self.client_context.clone(), self.seed, name);
-            monoio::spawn(client.send_all(period));
-        }
+        self.run_until(started + self.startup).await?;
+        self.clients.start(&self.client_context, self.seed);
         let faults_start = Instant::now();
         for step in &plan.steps {
             self.run_until(faults_start + step.at).await?;
@@ -371,7 +505,9 @@
         self.run_until(faults_start + options.fault_duration())
             .await?;
         self.end_faults();
-        self.inject(Fault::RevokeKey)?;
+        if !self.is_judged_only() {
+            self.inject(Fault::RevokeKey)?;
+        }
         let end = Instant::now() + RECOVERY_DURATION;
         self.run_until(end).await?;
         self.client_context.is_finished.set(true);
@@ -485,7 +621,7 @@
         let mut checker = self.checker.borrow_mut();
         let last = checker.tally_from(second);
         let all = last.served + last.refused + last.failed;
-        if f64::from(last.served) < f64::from(all.max(1)) * MIN_SERVED_RATIO {
+        if !self.is_judged_only() && f64::from(last.served) < f64::from(all.max(1)) * MIN_SERVED_RATIO {
             checker.record_violation(format!(
                 "only {} of {all} requests were served in the evaluation window",
                 last.served
@@ -507,11 +643,19 @@
         let broken_requests = checker.broken_requests().into_iter();
         let broken_requests = broken_requests.map(|(id, evidence)| {
             let history = checker.exchanges.history(id, started_at);
-            (evidence, format!(" {id}{history}"))
+            let way = if checker.exchanges.was_passed_on(id) {
+                ", passed on by another daemon"
+            } else {
+                ""
+            };
+            (evidence, format!(" {id}{way}{history}"))
         });
         SoakReport {
             copies: checker.exchanges.copies(),
             broken_requests: broken_requests.collect(),
+            broken_rules: checker.broken_rules().iter().cloned().collect(),
+            judged: checker.judged(),
+            forms: self.fleet.borrow().forms.clone(),
             own_lag: (longest_lag(started_at), longest_lag(window_start)),
             seed: self.seed,
             faults,
