--- a/crates/soak/src/platform/fleet.rs
+++ b/crates/soak/src/platform/fleet.rs
@@ -15,7 +15,7 @@
 use super::store::StoreState;
 use crate::checker::InvariantChecker;
 use crate::shape::{SlotShape, slots};
-use crate::trouble::AnswerForm;
+use crate::trouble::{AnswerForm, FormKind, draw_kind};
 
 /// Time of a join whose model is already in memory.
 const REJOIN_DURATION: Duration = Duration::from_millis(100);
@@ -24,6 +24,8 @@
 
 /// Part of the answers of a server in trouble that have another form.
 const TROUBLED_SHARE: f64 = 0.5;
+/// Part of the spans of trouble in which all answers of another form are of one kind.
+const ONE_KIND_SHARE: f64 = 0.5;
 /// Part of the requests that a server runs though their connections have closed.
 const PERSISTING_SHARE: f64 = 0.3;
 
@@ -71,6 +73,8 @@
     paused_until: Option<Instant>,
     /// Until when it refuses some requests and writes refusals once more.
     repeats_until: Option<Instant>,
+    /// Kind of the forms of its answers meanwhile, if they are of one kind.
+    form_kind: Option<FormKind>,
     /// Requests that arrived meanwhile.
     refusable: usize,
     /// Number of the server in its slot, and of its start.
@@ -98,6 +102,7 @@
             busy_until: None,
             paused_until: None,
             repeats_until: None,
+            form_kind: None,
             refusable: 0,
             incarnation,
             born: incarnation,
@@ -219,7 +224,9 @@
             return None;
         }
         let form = if source.rng.random_bool(TROUBLED_SHARE) {
-            AnswerForm::draw(&mut source.rng, source.with_copies)
+            let kind = self.servers[slot].form_kind;
+            let kind = kind.unwrap_or_else(|| draw_kind(&mut source.rng, source.with_copies));
+            AnswerForm::draw(&mut source.rng, kind)
         } else {
             AnswerForm::Sound
         };
@@ -318,8 +325,15 @@
     /// from a slot on, around the end of the slots.
     pub fn repeat_refusals(&mut self, first: usize, count: usize, until: Instant) {
         let slots = self.servers.len();
+        let source = self.trouble.as_mut();
+        let form_kind = source.and_then(|source| {
+            let is_of_one_kind = source.rng.random_bool(ONE_KIND_SHARE);
+            is_of_one_kind.then(|| draw_kind(&mut source.rng, source.with_copies))
+        });
         for index in 0..count.min(slots) {
-            self.servers[(first + index) % slots].repeats_until = Some(until);
+            let server = &mut self.servers[(first + index) % slots];
+            server.repeats_until = Some(until);
+            server.form_kind = form_kind;
         }
     }
 
@@ -386,6 +400,7 @@
         let mut replacement =
             SoakServer::new(slot, old.incarnation + 1, old.address, old.shape.clone());
         replacement.repeats_until = old.repeats_until;
+        replacement.form_kind = old.form_kind;
         self.servers[slot] = replacement;
     }
 
@@ -395,6 +410,7 @@
         let mut restarted = SoakServer::new(slot, old.incarnation, old.address, old.shape.clone());
         restarted.born = old.born + 1;
         restarted.repeats_until = old.repeats_until;
+        restarted.form_kind = old.form_kind;
         self.servers[slot] = restarted;
     }
 
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -621,7 +621,9 @@
         let mut checker = self.checker.borrow_mut();
         let last = checker.tally_from(second);
         let all = last.served + last.refused + last.failed;
-        if !self.is_judged_only() && f64::from(last.served) < f64::from(all.max(1)) * MIN_SERVED_RATIO {
+        if !self.is_judged_only()
+            && f64::from(last.served) < f64::from(all.max(1)) * MIN_SERVED_RATIO
+        {
             checker.record_violation(format!(
                 "only {} of {all} requests were served in the evaluation window",
                 last.served
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -19,9 +19,10 @@
 const PIECE_INTERVAL: Duration = Duration::from_millis(15);
 /// Number of pieces of an answer that comes in pieces.
 const PIECES: usize = 4;
-/// Statuses that an answer gets in place of its own: those that say that nothing has run, and
-/// those that are none.
-const STATUSES: [&str; 8] = ["503", "429", "421", "408", "000", "101", "600", "999"];
+/// Statuses that say that nothing has run.
+const REFUSAL_STATUSES: [&str; 4] = ["503", "429", "421", "408"];
+/// Statuses that no answer has.
+const NO_STATUSES: [&str; 4] = ["000", "101", "600", "999"];
 /// Id of a request that nobody has sent.
 const OTHER_ID: &str = "c999-1";
 
@@ -101,26 +102,37 @@
     RetryAfter,
 }
 
-/// Number of kinds of forms that are drawn.
-const FORM_KINDS: usize = 10;
+/// Kind of the forms that are drawn: a number below [`FORM_KINDS`].
+pub(crate) type FormKind = usize;
+/// Number of kinds.
+const FORM_KINDS: FormKind = 15;
+/// Number of kinds that are copies, which come first.
+const COPY_KINDS: FormKind = CopyMoment::ALL.len();
+
+/// Draws a kind of forms; none that are copies if there are to be none.
+pub(crate) fn draw_kind(rng: &mut StdRng, with_copies: bool) -> FormKind {
+    let first = if with_copies { 0 } else { COPY_KINDS };
+    rng.random_range(first..FORM_KINDS)
+}
 
 impl AnswerForm {
-    /// Draws a form; none that is a copy if there are to be none.
-    pub fn draw(rng: &mut StdRng, with_copies: bool) -> Self {
-        match rng.random_range(if with_copies { 0 } else { 1 }..FORM_KINDS) {
-            0 => Self::Copied(CopyMoment::ALL[rng.random_range(0..CopyMoment::ALL.len())]),
-            1 => Self::Unmarked,
-            2 => Self::WithoutId,
-            3 => Self::OtherId,
-            4 => Self::TwoIds,
-            5 => Self::Status(STATUSES[rng.random_range(0..STATUSES.len())]),
-            6 => {
+    /// Draws a form of a kind.
+    pub fn draw(rng: &mut StdRng, kind: FormKind) -> Self {
+        match kind {
+            0..COPY_KINDS => Self::Copied(CopyMoment::ALL[kind]),
+            4 => Self::Unmarked,
+            5 => Self::WithoutId,
+            6 => Self::OtherId,
+            7 => Self::TwoIds,
+            8 => Self::Status(REFUSAL_STATUSES[rng.random_range(0..REFUSAL_STATUSES.len())]),
+            9 => Self::Status(NO_STATUSES[rng.random_range(0..NO_STATUSES.len())]),
+            10 => {
                 let place = CutPlace::ALL[rng.random_range(0..CutPlace::ALL.len())];
                 Self::Cut(place, rng.random_range(0.0..1.0))
             }
-            7 => Self::InPieces,
-            8 if rng.random_bool(0.5) => Self::Chunked,
-            8 => Self::Unlimited,
+            11 => Self::InPieces,
+            12 => Self::Chunked,
+            13 => Self::Unlimited,
             _ => Self::RetryAfter,
         }
     }
@@ -137,6 +149,7 @@
             Self::WithoutId => "without id",
             Self::OtherId => "other id",
             Self::TwoIds => "two ids",
+            Self::Status(status) if NO_STATUSES.contains(&status) => "no status",
             Self::Status(_) => "other status",
             Self::Cut(..) => "cut",
             Self::InPieces => "in pieces",
