--- a/crates/bronzerun/tests/descriptors.rs
+++ b/crates/bronzerun/tests/descriptors.rs
@@ -21,6 +21,8 @@
         rate: 30,
         repeating_clients: 0,
         plan: PlanKind::Generated,
+        site: None,
+        without_copies: false,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
     };
     let steps = [
--- a/crates/bronzerun/tests/silence.rs
+++ b/crates/bronzerun/tests/silence.rs
@@ -21,6 +21,8 @@
         rate: RATE,
         repeating_clients: 2,
         plan: PlanKind::Generated,
+        site: None,
+        without_copies: false,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
     }
 }
--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -21,6 +21,8 @@
         rate: 30,
         repeating_clients: 2,
         plan: PlanKind::Generated,
+        site: None,
+        without_copies: false,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
     }
 }
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -35,6 +35,12 @@
     /// Faults of the runs.
     #[arg(long, value_enum, default_value_t = PlanKind::Generated)]
     pub plan: PlanKind,
+    /// Site file: runs a deployment of its shape and load in place of the built-in one.
+    #[arg(long)]
+    pub site: Option<PathBuf>,
+    /// With a site file: servers in trouble write no answer twice.
+    #[arg(long, requires = "site")]
+    pub without_copies: bool,
     /// Directory for the daemons' logs; the logs of a run without violations are removed.
     #[arg(long, default_value = "target/soak")]
     pub logs: PathBuf,
