--- a/crates/bronzerun/tests/edge/refused.rs
+++ b/crates/bronzerun/tests/edge/refused.rs
@@ -180,6 +180,14 @@
     assert!(broken.is_empty(), "{} of 8: {broken:?}", broken.len());
 }
 
+#[test]
+fn a_421_without_the_mark_of_a_request_that_ran_does_not_promise_that_it_did_not_run() {
+    let (received, seal, run_count) = outcome_of("own-421", MISDIRECTED_REQUEST, "/o/run");
+    assert_eq!(run_count, 1, "got {received}");
+    let is_promise = NOT_RUN_STATUSES.contains(&received);
+    assert!(!is_promise && seal.is_none(), "got {received}, {seal:?}");
+}
+
 #[test]
 fn a_server_error_of_a_request_that_ran_keeps_its_status() {
     let seal = Some("s".to_owned());
