--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use soak::{CopyEvidence, FaultPlan, InvariantChecker, PlanSize, RequestKind};
+use soak::{
+    AnswerRule, CopyEvidence, Fault, FaultPlan, InvariantChecker, PlanSize, RequestKind,
+    SitePlanSize,
+};
 
 const DURATION: Duration = Duration::from_secs(60);
 const SIZE: PlanSize = PlanSize {
@@ -159,3 +162,51 @@
     checker.record_drained_arrival("left", now + Duration::from_millis(2_200));
     assert_eq!(checker.violations().len(), 1);
 }
+
+#[test]
+fn requests_whose_route_changes_its_kind_are_not_judged() {
+    let mut checker = checker();
+    checker.excuse_under_way("/o/");
+    checker.record_run("once", "depot", "/o/1", false);
+    checker.record_run("once", "depot", "/o/1", false);
+    checker.record_not_run("once", 503);
+    assert!(checker.violations().is_empty() && checker.broken_rules().is_empty());
+    let judged = checker.judged();
+    assert_eq!((judged.once_only, judged.changing, judged.runs), (1, 1, 0));
+}
+
+#[test]
+fn broken_rules_name_the_request() {
+    let mut checker = checker();
+    checker.record_run("once", "depot", "/o/1", false);
+    checker.record_not_run("once", 421);
+    checker.record_run("once", "depot", "/o/1", false);
+    let broken: Vec<_> = checker.broken_rules().iter().cloned().collect();
+    let once = "once".to_owned();
+    assert_eq!(
+        broken,
+        [
+            (AnswerRule::Refused, once.clone()),
+            (AnswerRule::Twice, once)
+        ]
+    );
+    let judged = checker.judged();
+    assert_eq!((judged.runs, judged.refusals), (2, 1));
+}
+
+#[test]
+fn the_same_seed_gives_the_same_faults_of_a_site() {
+    let size = SitePlanSize {
+        nodes: 7,
+        plain: 3,
+        servers: 63,
+        idempotent: vec![4],
+        once_only: vec![3],
+    };
+    let plan = FaultPlan::for_site(5, DURATION, &size);
+    assert_eq!(plan, FaultPlan::for_site(5, DURATION, &size));
+    assert_ne!(plan, FaultPlan::for_site(6, DURATION, &size));
+    assert!(plan.steps.is_sorted_by_key(|step| step.at));
+    let changes = |fault: &Fault| matches!(fault, Fault::ChangeKind(_));
+    assert!(plan.steps.iter().any(|step| changes(&step.fault)));
+}
