--- a/crates/bronzerun/tests/site.rs
+++ b/crates/bronzerun/tests/site.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 use platform::load_site;
-use soak::{SoakOptions, run_site};
+use soak::{PlanKind, SoakOptions, run_site};
 
 /// Seconds of fault injection.
 const SECONDS: u64 = 12;
@@ -20,6 +20,7 @@
         nodes: site.nodes.len(),
         rate: 0,
         repeating_clients: 0,
+        plan: PlanKind::Generated,
         site: Some(path),
         without_copies: false,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -77,7 +77,7 @@
             for _ in 0..traffic.clients {
                 let caller = SiteCaller::new(context.clone(), &self.site, traffic, seed, number);
                 let period = Duration::from_secs_f64(traffic.clients as f64 / traffic.rate);
-                monoio::spawn(caller.send_all(period));
+                net::spawn(caller.send_all(period));
                 number += 1;
             }
         }
@@ -127,7 +127,7 @@
                 return;
             }
             let call = self.next_call();
-            monoio::spawn(call.run_all());
+            net::spawn(call.run_all());
         }
     }
 
@@ -239,14 +239,15 @@
         let kind = self.context.route_kinds.borrow()[self.route];
         let path = format!("/{}/{id}", self.route().name);
         let tenant = tenant_of(&self.key, self.site.tenants);
-        let mut checker = self.context.checker.borrow_mut();
-        checker.record_request(id, kind.request_kind(), &tenant, &path);
-        if kind.is_changing(now) {
-            checker.excuse(id);
+        {
+            let mut checker = self.context.checker.borrow_mut();
+            checker.record_request(id, kind.request_kind(), &tenant, &path);
+            if kind.is_changing(now) {
+                checker.excuse(id);
+            }
+            let daemon = host.index;
+            checker.exchanges.record(id, ExchangeStep::Sent { daemon });
         }
-        let daemon = host.index;
-        checker.exchanges.record(id, ExchangeStep::Sent { daemon });
-        drop(checker);
         let sent = self.send(id, &path, host, deadline);
         let end = match self.stay {
             None => sent.await,
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -133,6 +133,23 @@
     pub elsewhere: (u32, u32),
 }
 
+/// Observations of requests that may run once only.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PromiseTally {
+    /// Requests that clients sent, each counted once.
+    pub requests: u32,
+    /// Responses that report one as not run.
+    pub refusals: u32,
+    /// Runs at servers.
+    pub runs: u32,
+    /// Refusals after a run in the same attempt.
+    pub refused_after_run: u32,
+    /// Runs after a refusal, before the next attempt.
+    pub run_after_refusal: u32,
+    /// Runs after the first one of a request.
+    pub repeated_runs: u32,
+}
+
 /// Arrivals at a server since it first named a limit.
 #[derive(Debug)]
 struct LimitedServer {
@@ -175,6 +192,7 @@
     /// Limits are checked over windows that begin after this instant.
     limits_checked_from: Option<Instant>,
     tallies: BTreeMap<u64, Tally>,
+    promises: PromiseTally,
     violations: Vec<String>,
     /// Ids of requests that ran twice, or though they were reported as not run.
     broken_requests: BTreeSet<String>,
@@ -235,6 +253,7 @@
 
     /// Records a request before it is sent.
     pub fn record_request(&mut self, id: &str, kind: RequestKind, tenant: &str, path: &str) {
+        self.promises.requests += u32::from(kind == RequestKind::OnceOnly);
         let entry = RequestEntry {
             kind,
             tenant: tenant.to_owned(),
@@ -275,6 +294,7 @@
         };
         entry.runs += 1;
         entry.runs_of_attempt += 1;
+        self.promises.runs += u32::from(entry.kind == RequestKind::OnceOnly);
         let mut violations_found = Vec::new();
         if entry.tenant != tenant || has_key {
             violations_found.push(format!(
@@ -285,11 +305,13 @@
             violations_found.push(format!("request {id} arrived with path {path}"));
         }
         if entry.is_judged() && entry.runs > 1 {
+            self.promises.repeated_runs += 1;
             self.broken_requests.insert(id.to_owned());
             self.broken_rules.insert((AnswerRule::Twice, id.to_owned()));
             violations_found.push(format!("request {id} was run {} times", entry.runs));
         }
         if entry.is_judged() && entry.is_reported_not_run {
+            self.promises.run_after_refusal += 1;
             self.broken_requests.insert(id.to_owned());
             self.broken_rules
                 .insert((AnswerRule::Refused, id.to_owned()));
@@ -306,7 +328,9 @@
             return;
         };
         entry.is_reported_not_run = true;
+        self.promises.refusals += u32::from(entry.kind == RequestKind::OnceOnly);
         if entry.is_judged() && entry.runs_of_attempt > 0 {
+            self.promises.refused_after_run += 1;
             self.broken_requests.insert(id.to_owned());
             self.broken_rules
                 .insert((AnswerRule::Refused, id.to_owned()));
@@ -316,6 +340,11 @@
         }
     }
 
+    /// What was observed of requests that may run once only.
+    pub fn promises(&self) -> PromiseTally {
+        self.promises
+    }
+
     /// Records that the client of a request waits for it no more.
     pub(crate) fn record_end(&mut self, id: &str) {
         if let Some(entry) = self.requests.get_mut(id) {
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -96,7 +96,7 @@
         let period = Duration::from_millis(1_000 * CLIENT_COUNT / self.rate.max(1));
         for name in 0..CLIENT_COUNT {
             let client = SoakClient::new(context.clone(), seed, name);
-            monoio::spawn(client.send_all(period));
+            net::spawn(client.send_all(period));
         }
     }
 }
@@ -133,7 +133,7 @@
             let request = self.next_request();
             let (context, web, clock) =
                 (self.context.clone(), self.web.clone(), self.clock.clone());
-            monoio::spawn(async move { request.run_all(&context, &web, clock.as_ref()).await });
+            net::spawn(async move { request.run_all(&context, &web, clock.as_ref()).await });
         }
     }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -26,8 +26,12 @@
 mod shape;
 mod trouble;
 
-pub use checker::{AnswerRule, CutTries, InvariantChecker, JudgedTally, RequestKind, Tally};
+pub use checker::{
+    AnswerRule, CutTries, InvariantChecker, JudgedTally, PromiseTally, RequestKind, Tally,
+};
 pub use exchanges::{CopyEvidence, CopyTally};
 pub use options::SoakOptions;
-pub use plan::{EndlessForm, Fault, FaultPlan, FaultStep, Link, LinkMode, PlanSize, SitePlanSize};
+pub use plan::{
+    EndlessForm, Fault, FaultPlan, FaultStep, Link, LinkMode, PlanKind, PlanSize, SitePlanSize,
+};
 pub use run::{SoakError, SoakReport, run_plan, run_seed, run_site};
--- a/crates/soak/src/platform/server.rs
+++ b/crates/soak/src/platform/server.rs
@@ -66,7 +66,7 @@
         if orders_delayed_until.is_some_and(|until| now < until) {
             let this = self.clone();
             let server_id = self.current_server().id;
-            monoio::spawn(async move {
+            net::spawn(async move {
                 monoio::time::sleep(ORDER_DELAY).await;
                 if this.current_server().id == server_id {
                     this.fleet
@@ -152,7 +152,12 @@
             path.to_owned(),
             server.clone(),
         );
-        monoio::spawn(async move { this.run_plain(&headers, &path, &server).await }).await
+        let run = net::spawn(async move { this.run_plain(&headers, &path, &server).await });
+        match run.await {
+            Some(response) => response,
+            // The soak's run ends, and this task with it.
+            None => std::future::pending().await,
+        }
     }
 
     /// Takes a place among the running and waiting requests; `None` if there is none.
@@ -216,7 +221,7 @@
         let this = self.clone();
         let (membership, server_id) = (membership.clone(), server.id.clone());
         let response = sealed_response(body, &id, &server.id);
-        monoio::spawn(async move {
+        net::spawn(async move {
             this.write_events(sender, id, first, membership, server_id, crash_moment)
                 .await
         });
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -9,12 +9,13 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use base::prelude::ClockSource;
 use intent::CallKind;
 use net::web::{CollectOutcome, WebClient, WebLimits, WebService, bind, empty_body, serve};
-use net::{SystemClock, block_on, drain_channel};
+use net::{SystemClock, block_on_closing, drain_channel};
 use platform::SiteShape;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -22,7 +23,7 @@
 
 use crate::addresses::{free_port, loopback, next_run};
 use crate::callers::{RouteKind, SiteCallers};
-use crate::checker::{AnswerRule, CutTries, InvariantChecker, JudgedTally, Tally};
+use crate::checker::{AnswerRule, CutTries, InvariantChecker, JudgedTally, PromiseTally, Tally};
 use crate::clients::{ClientContext, ClientLoad, EntryHost, SteadyClients};
 use crate::copies::CopyTap;
 use crate::exchanges::{CopyEvidence, CopyTally};
@@ -94,10 +95,17 @@
     pub own_lag: (Duration, Duration),
     /// Invariant violations.
     pub violations: Vec<String>,
+    /// Requests that may run once only.
+    pub promises: PromiseTally,
+    /// Arrivals of requests at servers by way of another daemon than the one that their client
+    /// used.
+    pub passed_on: u32,
     /// Responses that servers wrote once more.
     pub copies: CopyTally,
     /// Requests that ran twice, or though they were reported as not run, with their histories.
     pub broken_requests: Vec<(CopyEvidence, String)>,
+    /// Daemons with the ids of the processes that were started for them.
+    pub processes: Vec<(Arc<str>, Vec<u32>)>,
     /// Rules about answers that were broken, and the requests.
     pub broken_rules: Vec<(AnswerRule, String)>,
     /// What was judged.
@@ -139,6 +147,18 @@
             f,
             "; {written} responses written again, {without_id} of them to orders and reports, {of_same_id} to their own request"
         )?;
+        let promises = self.promises;
+        write!(
+            f,
+            "; {} once-only requests, {} refusals of them, {} runs, {} refused after a run, {} run after a refusal, {} run again; {} arrivals passed on",
+            promises.requests,
+            promises.refusals,
+            promises.runs,
+            promises.refused_after_run,
+            promises.run_after_refusal,
+            promises.repeated_runs,
+            self.passed_on,
+        )?;
         if !self.forms.is_empty() {
             self.write_judged(f)?;
         }
@@ -149,6 +169,9 @@
             write!(f, "\n  history, {evidence}:{history}")?;
         }
         if !self.violations.is_empty() {
+            for (name, ids) in &self.processes {
+                write!(f, "\n  processes of {name}: {ids:?}")?;
+            }
             write!(f, "\n  logs: {}", self.logs.display())?;
         }
         Ok(())
@@ -191,7 +214,7 @@
         nodes: options.nodes,
         servers: slots(&built_in(options.nodes)).len(),
     };
-    let plan = FaultPlan::generate(seed, options.fault_duration(), size);
+    let plan = FaultPlan::of_kind(options.plan, seed, options.fault_duration(), size);
     run_plan(options, seed, &plan)
 }
 
@@ -262,7 +285,7 @@
         .logs
         .join(format!("seed-{seed}-{}", std::process::id()));
     std::fs::create_dir_all(&logs)?;
-    let report = block_on(async {
+    let report = block_on_closing(async {
         let run = SoakRun::start(options, setup, seed, logs)?;
         run.execute(options, plan).await
     })??;
@@ -318,7 +341,7 @@
     let listener = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
     let address = listener.local_addr()?;
     let (signal, watch) = drain_channel();
-    monoio::spawn(async move {
+    net::spawn(async move {
         // The service ends when the signal is dropped, so it is kept until the end of the run.
         let _signal = signal;
         serve(listener, Rc::new(service), WebLimits::default(), watch).await;
@@ -595,7 +618,7 @@
         for (supervised, host) in self.nodes.iter().zip(&self.client_context.entry_hosts) {
             let (ready, host) = (supervised.node.ready_address, host.clone());
             let is_finished = self.client_context.is_finished.clone();
-            monoio::spawn(async move {
+            net::spawn(async move {
                 let clock = Rc::new(SystemClock::default());
                 let mut failures = 0;
                 while !is_finished.get() {
@@ -652,8 +675,15 @@
             };
             (evidence, format!(" {id}{way}{history}"))
         });
+        let processes = self.nodes.iter().map(|supervised| {
+            let node = &supervised.node;
+            (Arc::from(&*node.name), node.process_ids.clone())
+        });
         SoakReport {
+            promises: checker.promises(),
+            passed_on: checker.exchanges.passed_on(),
             copies: checker.exchanges.copies(),
+            processes: processes.collect(),
             broken_requests: broken_requests.collect(),
             broken_rules: checker.broken_rules().iter().cloned().collect(),
             judged: checker.judged(),
