Fix: a claim that a request was not run needed no request

Cause: `UnsentExchange::new(None).give_up()` gave a proof to whoever wrote it, also beside a request that a connection had carried: seven places in edge, gateway and net, none of which held what it spoke of.

What callers saw: nothing that is known; each of the places was right. A wrong one would have been a 503 after a run.

Change: a proof is had from a `HeldRequest`, which holds the request and drops it for the proof. `send` takes the request out of it as it records the exchange on the connection, and only a connection that hands the request back makes one again. What may be held implements `RequestMessage`, in net only: requests that no connection has taken, and requests of clients that were read to their end. `receive_request` returns the request held, or the proof with the reason why it was not read, so that no memory, an unknown route and a refusal before the first attempt need no claim; `drop_request` gives up a request that could not be completed. The gateway refuses a call on arrival by the record of its attempts, which is empty.

Ruled out: a proof bound to the number of its attempt; orders are cloned and compared, so that no linear token can go with them. Still possible: a type of one's own that implements `RequestMessage`, and an empty `RunRecord`.

--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -4,11 +4,11 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use exchange::{NotRunProof, UnsentExchange};
+use exchange::NotRunProof;
 use futures_channel::mpsc::UnboundedSender;
 use http::{HeaderMap, Method, Uri};
 use net::MetricSink;
-use net::web::{CallOutcome, IncomingResponse, WebClient, WebRequest, full_body};
+use net::web::{CallOutcome, IncomingResponse, WebClient, WebRequest, drop_request, full_body};
 use notices::{ServerNotice, ServerRun};
 use relay::{AttemptEnd, AttemptId, SendOrder, StallCause, StallStep};
 
@@ -66,9 +66,9 @@
     ) -> AttemptOutcome {
         let remaining_ms = order.deadline.since(self.clock.now()).as_millis() as u64;
         log::info!(id:% = request.id, place:% = order.target, attempt = order.attempt.number, rank = order.rank, load = order.load, passed_over = order.passed_over, left = remaining_ms, last_event:? = last_event, via:? = order.via; "attempt started");
-        let Some(forwarded) = self.build_request(&request, &order, last_event) else {
-            let proof = UnsentExchange::new(None).give_up();
-            return AttemptOutcome::Ended(AttemptEnd::NotSent(proof));
+        let forwarded = match self.build_request(&request, &order, last_event) {
+            Ok(forwarded) => forwarded,
+            Err(proof) => return AttemptOutcome::Ended(AttemptEnd::NotSent(proof)),
         };
         let (client, address) = match order.via {
             Some(node) => (&self.nodes, node),
@@ -158,7 +158,7 @@
         request: &ClientRequest,
         order: &SendOrder,
         last_event: Option<u64>,
-    ) -> Option<WebRequest> {
+    ) -> Result<WebRequest, NotRunProof> {
         let metadata = ForwardMetadata {
             target: order.target.clone(),
             time_left: order.deadline.since(self.clock.now()),
@@ -173,9 +173,12 @@
             .header_codec
             .forward_headers(&request.headers, &metadata);
         if order.via.is_some() {
-            add_pass_headers(&mut forwarded, order, &request.id, self.clock.now())?;
+            let now = self.clock.now();
+            if add_pass_headers(&mut forwarded, order, &request.id, now).is_none() {
+                return Err(drop_request(forwarded));
+            }
         }
-        Some(forwarded)
+        Ok(forwarded)
     }
 
     /// Checks that a response is the server's own response to this request; `is_checked` if its
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -5,7 +5,6 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use exchange::UnsentExchange;
 use futures_util::future::LocalBoxFuture;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
@@ -13,8 +12,8 @@
 use intent::Route;
 use net::sleep_until;
 use net::web::{
-    ChunkOutcome, CollectOutcome, IncomingResponse, ReceiveError, RequestBody, WebLimits,
-    WebResponse, WebService, body_channel, full_body, receive_body, text_response,
+    ChunkOutcome, CollectOutcome, IncomingResponse, ReceiveError, RequestBody, UnreadRequest,
+    WebLimits, WebResponse, WebService, body_channel, full_body, receive_request, text_response,
 };
 use relay::{AttemptEnd, AttemptId, CallStep};
 
@@ -70,18 +69,17 @@
 impl ClientService {
     async fn serve(&self, request: Request<RequestBody>) -> WebResponse {
         let now = self.context.clock.now();
-        let unsent = UnsentExchange::new(None);
-        let (parts, body) = request.into_parts();
-        let body = match receive_body(body, &self.limits).await {
-            Ok(body) => body,
-            Err(error) => {
+        let held = match receive_request(request, &self.limits).await {
+            Ok(held) => held,
+            Err(UnreadRequest { error, proof }) => {
                 log::info!("request body not received: {error}");
                 if error == ReceiveError::NoMemory {
-                    return no_memory_response(unsent.give_up());
+                    return no_memory_response(proof);
                 }
                 return text_response(StatusCode::BAD_REQUEST, &error.to_string());
             }
         };
+        let parts = held.request().parts();
         let metadata = self.context.header_codec.read_request(&parts.headers);
         let call = CallId(self.next_call.get());
         self.next_call.set(call.0 + 1);
@@ -90,12 +88,12 @@
             call,
             arrived_at: now,
             id: id.clone(),
-            host: host_of(&parts).into(),
+            host: host_of(parts).into(),
             path: parts.uri.path().into(),
             key: metadata.key.clone(),
             model: metadata.model.clone(),
             prompt: metadata.prompt.clone(),
-            digest: request_digest(&parts, &body),
+            digest: request_digest(parts, held.request().body()),
             client_deadline: metadata.client_timeout.map(|timeout| now + timeout),
         };
         let guard = CallGuard {
@@ -103,7 +101,7 @@
             events: self.context.events.clone(),
         };
         let Some(outcome) = self.arrive(arrival).await else {
-            return stopped_response(unsent.give_up());
+            return stopped_response(held.give_up());
         };
         match outcome {
             ArrivalOutcome::Rejected(reason) => {
@@ -111,7 +109,7 @@
                 self.context
                     .metrics
                     .count("rejected_requests", &[("reason", reason.as_str())], 1);
-                rejection_response(reason, unsent.give_up())
+                rejection_response(reason, held.give_up())
             }
             ArrivalOutcome::Accepted {
                 version,
@@ -123,6 +121,7 @@
                 let remaining_ms = deadline.since(now).as_millis() as u64;
                 let workspace_name = workspace.as_ref().map_or("", WorkspaceName::as_str);
                 log::info!(id:% = id, route:% = route.name, workspace = workspace_name, intent = version, left = remaining_ms, prompt = metadata.prompt_tokens, answer = metadata.answer_tokens; "request accepted");
+                let (parts, body) = held.release().split();
                 let request = ClientRequest {
                     call,
                     id,
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -6,7 +6,7 @@
     Arrival, ArrivalOutcome, CollectionEvent, Digest, EdgeBounds, EdgeEffect, EdgeEvent,
     EdgeQuestion, EdgeReply, EdgeSettings, EdgeState, EdgeStatus, EdgeTimes, PeerMessage,
 };
-use exchange::{NotRunProof, UnsentExchange};
+use exchange::{HeldRequest, NotRunProof, RequestMessage};
 use intent::{CallKind, ClientLimits, Route, RoutingConfig, Service, WeightedService};
 use quarantine::{PromptParts, RequestDigest};
 use relay::AttemptId;
@@ -215,7 +215,12 @@
     AttemptId { call, number: 1 }
 }
 
+/// Request that is never sent.
+struct UnsentRequest;
+
+impl RequestMessage for UnsentRequest {}
+
 /// Proof that a request was not run.
 pub fn not_run() -> NotRunProof {
-    UnsentExchange::new(None).give_up()
+    HeldRequest::new(UnsentRequest).give_up()
 }
--- a/crates/exchange/src/commands/carry.rs
+++ b/crates/exchange/src/commands/carry.rs
@@ -1,12 +1,12 @@
 //! Exchanges on a connection.
 
-use crate::{AnswerFault, ConnectionHistory, ExchangeTag, OwnAnswer, SentExchange, UnsentExchange};
+use crate::{AnswerFault, ConnectionHistory, ExchangeTag, HeldRequest, OwnAnswer, SentExchange};
 
-/// Records that a connection carries an exchange from now on.
-pub fn send(history: &mut ConnectionHistory, exchange: UnsentExchange) -> SentExchange {
-    let UnsentExchange { tag } = exchange;
+/// Records that a connection carries a request from now on, and hands it out for that.
+pub fn send<T>(history: &mut ConnectionHistory, held: HeldRequest<T>) -> (SentExchange, T) {
+    let HeldRequest { request, tag } = held;
     let number = history.record(tag.as_ref().map(ExchangeTag::hash));
-    SentExchange { tag, number }
+    (SentExchange { tag, number }, request)
 }
 
 /// Decides whether an answer with this tag belongs to the exchange that the connection carries.
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -13,9 +13,11 @@
 //!
 //! Peers that are known to send one answer to each request are exempt ([`AnswerOrder::Strict`]).
 //!
-//! A request passes through three states, [`UnsentExchange`], [`SentExchange`] and [`OwnAnswer`]. A
-//! [`NotRunProof`] comes from the first or the last of them and from nothing else; [`RunRecord`] sums
-//! up the attempts of a request. Whoever creates an [`UnsentExchange`] states that nothing was sent.
+//! A request passes through three states, [`HeldRequest`], [`SentExchange`] and [`OwnAnswer`]. A
+//! [`NotRunProof`] comes from the first, which drops the request for it, or from the last;
+//! [`RunRecord`] sums up the attempts of a request. What a [`HeldRequest`] holds is a
+//! [`RequestMessage`], so that the claim that nothing was sent can only be made by what has the
+//! request, and no more once a connection has it.
 //!
 //! [`commands`] change a [`ConnectionHistory`] or a [`RunRecord`]; [`queries`] only read them.
 
@@ -33,5 +35,5 @@
 pub use history::{AnswerOrder, ConnectionHistory};
 pub use proof::{NotRunProof, RunCertainty};
 pub use runs::RunRecord;
-pub use state::{SentExchange, UnsentExchange};
+pub use state::{HeldRequest, RequestMessage, SentExchange};
 pub use tag::ExchangeTag;
--- a/crates/exchange/src/queries/reuse.rs
+++ b/crates/exchange/src/queries/reuse.rs
@@ -1,15 +1,15 @@
-//! Which connections may carry which exchanges.
+//! Which connections may carry which requests.
 
-use crate::{ConnectionHistory, UnsentExchange};
+use crate::{ConnectionHistory, HeldRequest};
 
-/// Whether a connection may carry an exchange: an unused one any, another one only a tag that it
+/// Whether a connection may carry a request: an unused one any, another one only a tag that it
 /// has not carried.
-pub fn may_carry(history: &ConnectionHistory, exchange: &UnsentExchange) -> bool {
+pub fn may_carry<T>(history: &ConnectionHistory, held: &HeldRequest<T>) -> bool {
     if history.is_empty() || history.is_strict() {
         return true;
     }
     let is_new = |hash| !history.contains(hash);
-    is_reusable(history) && exchange.tag.as_ref().is_some_and(|tag| is_new(tag.hash()))
+    is_reusable(history) && held.tag.as_ref().is_some_and(|tag| is_new(tag.hash()))
 }
 
 /// Whether a connection whose last answer was read may carry another exchange.
--- a/crates/exchange/tests/connections.rs
+++ b/crates/exchange/tests/connections.rs
@@ -2,20 +2,27 @@
 
 use exchange::commands::{accept, send};
 use exchange::queries::{is_reusable, may_carry};
-use exchange::{AnswerFault, AnswerOrder, ConnectionHistory, ExchangeTag, UnsentExchange};
+use exchange::{
+    AnswerFault, AnswerOrder, ConnectionHistory, ExchangeTag, HeldRequest, RequestMessage,
+};
 
 /// Tags of a request and of its answer; empty if there is none.
 type TagPair = (&'static str, &'static str);
 
-fn unsent(tag: &str) -> UnsentExchange {
-    UnsentExchange::new(ExchangeTag::new(tag))
+/// Request of a test.
+struct TestRequest;
+
+impl RequestMessage for TestRequest {}
+
+fn unsent(tag: &str) -> HeldRequest<TestRequest> {
+    HeldRequest::with_tag(TestRequest, ExchangeTag::new(tag))
 }
 
 /// History of a connection that has carried these exchanges, whose answers must be accepted.
 fn carried(order: AnswerOrder, exchanges: &[TagPair]) -> ConnectionHistory {
     let mut history = ConnectionHistory::new(order);
     for (tag, answer_tag) in exchanges {
-        let sent = send(&mut history, unsent(tag));
+        let (sent, _) = send(&mut history, unsent(tag));
         let answer_tag = Some(*answer_tag).filter(|tag| !tag.is_empty());
         accept(&mut history, sent, answer_tag).expect("the answer belongs to the request");
     }
@@ -80,7 +87,7 @@
     for (earlier, tag, answer_tag, expected) in cases {
         let exchanges: Vec<_> = earlier.into_iter().map(|tag| (tag, tag)).collect();
         let mut history = carried(AnswerOrder::Unproven, &exchanges);
-        let sent = send(&mut history, unsent(tag));
+        let (sent, _) = send(&mut history, unsent(tag));
         let received = accept(&mut history, sent, answer_tag).map(|answer| answer.is_named());
         assert_eq!(
             received, expected,
@@ -100,7 +107,7 @@
     ];
     for (order, tag, answer_tag, expected) in cases {
         let mut history = ConnectionHistory::new(order);
-        let sent = send(&mut history, unsent(tag));
+        let (sent, _) = send(&mut history, unsent(tag));
         let answer = accept(&mut history, sent, answer_tag).unwrap();
         let is_proven = answer.not_run(true).is_some();
         assert_eq!(is_proven, expected, "{order:?}: {answer_tag:?} to '{tag}'");
@@ -114,7 +121,7 @@
     let mut history = carried(AnswerOrder::Strict, &exchanges);
     assert!(is_reusable(&history));
     assert!(may_carry(&history, &unsent("a")));
-    let sent = send(&mut history, unsent("a"));
+    let (sent, _) = send(&mut history, unsent("a"));
     let received = accept(&mut history, sent, Some("b"));
     assert_eq!(received, Err(AnswerFault::OtherTag));
 }
@@ -125,7 +132,7 @@
     let mut count = 0;
     while may_carry(&history, &unsent(&format!("r-{count}"))) {
         let tag = format!("r-{count}");
-        let sent = send(&mut history, unsent(&tag));
+        let (sent, _) = send(&mut history, unsent(&tag));
         accept(&mut history, sent, Some(&tag)).unwrap();
         count += 1;
         assert!(count <= 10_000, "the history has no bound");
@@ -137,16 +144,16 @@
 #[test]
 fn an_exchange_whose_connection_hands_it_back_keeps_its_tag_and_goes_elsewhere() {
     let mut first = carried(AnswerOrder::Unproven, &[("a", "a")]);
-    let sent = send(&mut first, unsent("b"));
+    let (sent, request) = send(&mut first, unsent("b"));
     assert_eq!(
         (first.exchange_count(), sent.tag().map(ExchangeTag::as_str)),
         (2, Some("b"))
     );
-    let unsent = sent.take_back();
+    let unsent = sent.take_back(request);
     assert!(!may_carry(&first, &unsent));
     let mut second = ConnectionHistory::new(AnswerOrder::Unproven);
     assert!(may_carry(&second, &unsent));
-    let sent = send(&mut second, unsent);
+    let (sent, _) = send(&mut second, unsent);
     assert_eq!(
         (second.exchange_count(), sent.tag().map(ExchangeTag::as_str)),
         (1, Some("b"))
--- a/crates/exchange/tests/runs.rs
+++ b/crates/exchange/tests/runs.rs
@@ -2,7 +2,7 @@
 
 use exchange::commands::{record_not_run, record_start};
 use exchange::queries::{certainty, unproven_count};
-use exchange::{NotRunProof, RunCertainty, RunRecord, UnsentExchange};
+use exchange::{HeldRequest, NotRunProof, RequestMessage, RunCertainty, RunRecord};
 
 /// Step of a request's attempts.
 #[derive(Clone, Copy, Debug)]
@@ -11,8 +11,13 @@
     NotRun(u32),
 }
 
+/// Request that is never sent.
+struct UnsentRequest;
+
+impl RequestMessage for UnsentRequest {}
+
 fn proof() -> NotRunProof {
-    UnsentExchange::new(None).give_up()
+    HeldRequest::new(UnsentRequest).give_up()
 }
 
 #[test]
--- a/crates/gateway/src/border/exchange.rs
+++ b/crates/gateway/src/border/exchange.rs
@@ -5,14 +5,14 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use exchange::UnsentExchange;
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
 use http::response::Parts;
 use http::{Response, StatusCode};
 use net::web::{
-    BodySender, CallOutcome, CollectOutcome, IncomingResponse, WebClient, WebResponse, body_channel,
+    BodySender, CallOutcome, CollectOutcome, IncomingResponse, WebClient, WebResponse,
+    body_channel, drop_request,
 };
 use net::with_deadline;
 
@@ -105,9 +105,13 @@
     /// Sends the request to an endpoint, unless an earlier attempt goes on again.
     pub fn send(&mut self, order: SendOrder) {
         let request = self.request.to_web_request(&order, self.sent_tokens);
-        let Some(request) = request.filter(|_| !self.attempts.has_active()) else {
-            let proof = UnsentExchange::new(None).give_up();
-            return self.report_end(&order, AttemptEnd::NotSent(proof));
+        let request = match request {
+            Ok(request) if !self.attempts.has_active() => request,
+            Ok(request) => {
+                let proof = drop_request(request);
+                return self.report_end(&order, AttemptEnd::NotSent(proof));
+            }
+            Err(proof) => return self.report_end(&order, AttemptEnd::NotSent(proof)),
         };
         let client = self.context.client.clone();
         let (address, deadline) = (order.address, order.deadline);
--- a/crates/gateway/src/border/ingress.rs
+++ b/crates/gateway/src/border/ingress.rs
@@ -4,18 +4,17 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use bytes::Bytes;
-use exchange::UnsentExchange;
+use exchange::HeldRequest;
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
 use futures_util::future::LocalBoxFuture;
 use http::header::AUTHORIZATION;
-use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use net::seed_from_system;
 use net::web::RequestBody;
 use net::web::{
-    WebClient, WebLimits, WebResponse, WebService, json_response, receive_body, text_response,
+    UnreadRequest, WebClient, WebLimits, WebResponse, WebService, WholeRequest, drop_request,
+    json_response, receive_request, text_response,
 };
 use serde::Serialize;
 
@@ -102,20 +101,19 @@
         match request.uri().path() {
             "/healthz" => text_response(StatusCode::OK, "alive"),
             "/readyz" => readiness_response(&self.replies).await,
-            "/v1/models" => self.list_models(request.method(), request.headers()).await,
+            "/v1/models" => self.list_models(request).await,
             _ => self.call(request).await,
         }
     }
 
-    async fn list_models(&self, method: &Method, headers: &HeaderMap) -> WebResponse {
-        let unsent = UnsentExchange::new(None);
-        if method != Method::GET {
+    async fn list_models(&self, request: Request<RequestBody>) -> WebResponse {
+        if request.method() != Method::GET {
             let error = ParseError::Method { allowed: "GET" };
-            return parse_error_response(&error, unsent.give_up());
+            return parse_error_response(&error, drop_request(request));
         }
-        let digest = match parse_digest(headers) {
+        let digest = match parse_digest(request.headers()) {
             Ok(digest) => digest,
-            Err(error) => return parse_error_response(&error, unsent.give_up()),
+            Err(error) => return parse_error_response(&error, drop_request(request)),
         };
         match self.replies.request(GatewayQuery::Services(digest)).await {
             Some(GatewayReply::Services(Ok(services))) => {
@@ -124,51 +122,32 @@
             Some(GatewayReply::Services(Err(refusal))) => {
                 refusal_response(&refusal, self.context.clock.now())
             }
-            Some(_) | None => stopped_response(unsent.give_up()),
+            Some(_) | None => stopped_response(drop_request(request)),
         }
     }
 
     async fn call(&self, request: Request<RequestBody>) -> WebResponse {
-        let unsent = UnsentExchange::new(None);
-        let (parts, body) = request.into_parts();
-        let call_headers = match parse_headers(&parts.headers) {
+        let call_headers = match parse_headers(request.headers()) {
             Ok(call_headers) => call_headers,
-            Err(error) => return parse_error_response(&error, unsent.give_up()),
+            Err(error) => return parse_error_response(&error, drop_request(request)),
         };
-        let body = match receive_body(body, &self.limits).await {
-            Ok(body) => body,
-            Err(error) => return receive_error_response(&error, unsent.give_up()),
+        let held = match receive_request(request, &self.limits).await {
+            Ok(held) => held,
+            Err(UnreadRequest { error, proof }) => return receive_error_response(&error, proof),
         };
-        match parse_call(&parts, &body) {
-            Ok(parsed) => {
-                let call = self.run_call(unsent, call_headers, parsed, parts, body);
-                call.await
-            }
-            Err(error) => parse_error_response(&error, unsent.give_up()),
+        match parse_call(held.request().parts(), held.request().body()) {
+            Ok(parsed) => self.run_call(held, call_headers, parsed).await,
+            Err(error) => parse_error_response(&error, held.give_up()),
         }
     }
 
     async fn run_call(
         &self,
-        unsent: UnsentExchange,
+        held: HeldRequest<WholeRequest>,
         call_headers: CallHeaders,
         parsed: ParsedCall,
-        parts: Parts,
-        body: Bytes,
     ) -> WebResponse {
         let call = self.next_call();
-        let (sender, response) = oneshot::channel();
-        let request = EndpointRequest {
-            method: parts.method,
-            path: parsed.path,
-            headers: endpoint_headers(&parts.headers),
-            body,
-            streams: parsed.streams,
-            id: self.request_id(call),
-        };
-        let exchange = CallExchange::new(call, request, self.context.clone(), sender);
-        let events = self.context.events.clone();
-        let task = CallTask::new(call, self.executor.clone(), exchange);
         let arrival = CallArrival {
             call,
             digest: call_headers.digest,
@@ -178,10 +157,23 @@
             priority: call_headers.priority,
             timeout: call_headers.timeout,
         };
+        let events = &self.context.events;
         let sent = events.unbounded_send(GatewayEvent::CallArrived(arrival));
         if sent.is_err() {
-            return stopped_response(unsent.give_up());
+            return stopped_response(held.give_up());
         }
+        let (parts, body) = held.release().split();
+        let (sender, response) = oneshot::channel();
+        let request = EndpointRequest {
+            method: parts.method,
+            path: parsed.path,
+            headers: endpoint_headers(&parts.headers),
+            body,
+            streams: parsed.streams,
+            id: self.request_id(call),
+        };
+        let exchange = CallExchange::new(call, request, self.context.clone(), sender);
+        let task = CallTask::new(call, self.executor.clone(), exchange);
         // The task is spawned so that it outlives a caller that disconnects: the
         // outcome of a non-idempotent call must still be recorded.
         monoio::spawn(task.run());
--- a/crates/gateway/src/border/request.rs
+++ b/crates/gateway/src/border/request.rs
@@ -2,9 +2,9 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use http::request::Builder;
+use exchange::NotRunProof;
 use http::{HeaderMap, HeaderValue, Method};
-use net::web::{WebRequest, full_body};
+use net::web::{WebRequest, drop_request, full_body};
 
 use super::response::REQUEST_HEADER;
 use crate::SendOrder;
@@ -32,24 +32,46 @@
 }
 
 impl EndpointRequest {
-    /// Request as an endpoint gets it; `sent_tokens` were forwarded to the caller.
-    pub fn to_web_request(&self, order: &SendOrder, sent_tokens: usize) -> Option<WebRequest> {
-        let mut builder = http::Request::builder()
-            .method(self.method.clone())
-            .uri(self.path.as_ref());
-        *builder.headers_mut()? = self.headers.clone();
-        builder = builder.header(REQUEST_HEADER, self.id.clone());
-        builder = add_group_headers(builder, order, sent_tokens);
-        builder.body(full_body(self.body.clone())).ok()
+    /// Request as an endpoint gets it, which is dropped if its path or group can't be sent;
+    /// `sent_tokens` were forwarded to the caller.
+    pub fn to_web_request(
+        &self,
+        order: &SendOrder,
+        sent_tokens: usize,
+    ) -> Result<WebRequest, NotRunProof> {
+        let mut request = WebRequest::new(full_body(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.headers_mut() = self.headers.clone();
+        request
+            .headers_mut()
+            .insert(REQUEST_HEADER, self.id.clone());
+        let is_complete = set_path(&mut request, &self.path).is_some()
+            && add_group_headers(&mut request, order, sent_tokens).is_some();
+        if is_complete {
+            Ok(request)
+        } else {
+            Err(drop_request(request))
+        }
     }
 }
 
-fn add_group_headers(builder: Builder, order: &SendOrder, sent_tokens: usize) -> Builder {
+fn set_path(request: &mut WebRequest, path: &str) -> Option<()> {
+    *request.uri_mut() = path.parse().ok()?;
+    Some(())
+}
+
+fn add_group_headers(
+    request: &mut WebRequest,
+    order: &SendOrder,
+    sent_tokens: usize,
+) -> Option<()> {
     let Some(generation) = &order.generation else {
-        return builder;
+        return Some(());
     };
-    builder
-        .header(GROUP_HEADER, generation.group.as_str())
-        .header(EPOCH_HEADER, generation.epoch.0)
-        .header(RESUME_HEADER, sent_tokens)
+    let group = HeaderValue::from_str(generation.group.as_str()).ok()?;
+    let headers = request.headers_mut();
+    headers.insert(GROUP_HEADER, group);
+    headers.insert(EPOCH_HEADER, HeaderValue::from(generation.epoch.0));
+    headers.insert(RESUME_HEADER, HeaderValue::from(sent_tokens));
+    Some(())
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -6,7 +6,7 @@
 use document::KeyDigest;
 use exchange::commands::{record_not_run, record_start};
 use exchange::queries::certainty;
-use exchange::{NotRunProof, RunCertainty, RunRecord, UnsentExchange};
+use exchange::{NotRunProof, RunCertainty, RunRecord};
 use ledger::{RecordedResponse, RequestDigest};
 use limits::CallPriority;
 use routing::{BlockHash, TargetId};
@@ -88,7 +88,7 @@
     pub(crate) fn on_arrival(cause: RefusalCause, retry_at: Option<ClockTime>) -> Self {
         Self {
             cause,
-            run: RunState::NotRun(UnsentExchange::new(None).give_up()),
+            run: certainty(&RunRecord::default()).into(),
             retry_at,
         }
     }
--- a/crates/gateway/tests/suite/harness.rs
+++ b/crates/gateway/tests/suite/harness.rs
@@ -5,7 +5,7 @@
 
 use base::prelude::*;
 use document::KeyDigest;
-use exchange::{NotRunProof, UnsentExchange};
+use exchange::{HeldRequest, NotRunProof, RequestMessage};
 use futures_util::FutureExt;
 use gateway::{
     AttemptEnd, AttemptNumber, CallArrival, CallKind, CallRefusal, CallStep, GatewayEffect,
@@ -378,7 +378,12 @@
     }
 }
 
+/// Request that is never sent.
+struct UnsentRequest;
+
+impl RequestMessage for UnsentRequest {}
+
 /// Proof that a request was not run.
 pub fn not_run() -> NotRunProof {
-    UnsentExchange::new(None).give_up()
+    HeldRequest::new(UnsentRequest).give_up()
 }
--- a/crates/ledger/tests/basic.rs
+++ b/crates/ledger/tests/basic.rs
@@ -1,10 +1,15 @@
 //! A single ledger state with inputs given one by one.
 
 use base::prelude::*;
-use exchange::UnsentExchange;
+use exchange::{HeldRequest, RequestMessage};
 use ledger::*;
 use store::UpdateOutcome;
 
+/// Request that is never sent.
+struct UnsentRequest;
+
+impl RequestMessage for UnsentRequest {}
+
 fn request(call: u64) -> StartRequest {
     StartRequest {
         call: CallId(call),
@@ -100,7 +105,7 @@
     let start = ClockTime::from_millis(1);
     state.begin(request(1), start);
     state.complete_epoch_read(epoch(5, 9), start);
-    state.withdraw(CallId(1), UnsentExchange::new(None).give_up(), start);
+    state.withdraw(CallId(1), HeldRequest::new(UnsentRequest).give_up(), start);
     let due = state.next_deadline().unwrap();
     assert_eq!(state.expire(due), vec![LedgerEffect::ReadEpoch]);
     state.complete_epoch_read(epoch(4, 2), due);
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -2,11 +2,16 @@
 #![allow(dead_code)]
 
 use base::prelude::*;
-use exchange::UnsentExchange;
+use exchange::{HeldRequest, RequestMessage};
 use futures_util::FutureExt;
 use ledger::*;
 use store::*;
 
+/// Request that is never sent.
+struct UnsentRequest;
+
+impl RequestMessage for UnsentRequest {}
+
 /// Attempt at a call: node, process and call.
 pub type Attempt = (usize, u64, CallId);
 
@@ -292,7 +297,7 @@
     pub fn withdraw_at(&mut self, at: usize) {
         let ((node, process, call), _) = self.sends.remove(at);
         if self.nodes[node].process == process {
-            let proof = UnsentExchange::new(None).give_up();
+            let proof = HeldRequest::new(UnsentRequest).give_up();
             let effects = self.nodes[node].state.withdraw(call, proof, self.now);
             self.apply_effects(node, effects);
         }
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -15,8 +15,8 @@
 use exchange::commands::{accept, send};
 use exchange::queries::{is_reusable, may_carry};
 use exchange::{
-    AnswerFault, AnswerOrder, ConnectionHistory, ExchangeTag, NotRunProof, OwnAnswer, SentExchange,
-    UnsentExchange,
+    AnswerFault, AnswerOrder, ConnectionHistory, ExchangeTag, HeldRequest, NotRunProof, OwnAnswer,
+    SentExchange,
 };
 use http::header::HOST;
 use http::response::Parts;
@@ -28,6 +28,7 @@
 use monoio_compat::hyper::MonoioIo;
 
 use super::body::{MeteredBody, WebBody, collect_body};
+use super::held::UnsentRequest;
 use super::limits::MAX_PENDING_BYTES;
 use crate::metrics::{MetricSink, NullMetrics};
 use crate::paced::{PacedStream, ReadMeter};
@@ -181,31 +182,24 @@
         request: WebRequest,
         deadline: ClockTime,
     ) -> CallOutcome {
-        let mut request = with_host(server, request);
-        let mut exchange = UnsentExchange::new(self.tag(request.headers()));
+        let request = with_host(server, request);
+        let tag = self.tag(request.headers());
+        let mut held = HeldRequest::with_tag(UnsentRequest(request), tag);
         loop {
-            let (connection, is_reused) = match self.take_idle(server, &exchange) {
+            let (connection, is_reused) = match self.take_idle(server, &held) {
                 Some(connection) => (connection, true),
                 None => match self.connect(server, deadline).await {
                     Some(connection) => (connection, false),
-                    None => return CallOutcome::NotSent(exchange.give_up()),
+                    None => return CallOutcome::NotSent(held.give_up()),
                 },
             };
-            match self
-                .send(server, connection, request, exchange, deadline)
-                .await
-            {
+            match self.send(server, connection, held, deadline).await {
                 SendOutcome::Response(response) => return CallOutcome::Response(response),
                 SendOutcome::Lost => return CallOutcome::Lost,
                 SendOutcome::Discarded => return CallOutcome::Discarded,
-                SendOutcome::Unsent(unsent) => {
-                    let (unsent_request, unsent_exchange) = *unsent;
-                    // The server may have closed an idle connection in the meantime.
-                    if !is_reused {
-                        return CallOutcome::NotSent(unsent_exchange.give_up());
-                    }
-                    (request, exchange) = (unsent_request, unsent_exchange);
-                }
+                // The server may have closed an idle connection in the meantime.
+                SendOutcome::Unsent(unsent) if is_reused => held = *unsent,
+                SendOutcome::Unsent(unsent) => return CallOutcome::NotSent(unsent.give_up()),
             }
         }
     }
@@ -263,11 +257,15 @@
         }
     }
 
-    fn take_idle(&self, server: SocketAddr, exchange: &UnsentExchange) -> Option<Connection> {
+    fn take_idle(
+        &self,
+        server: SocketAddr,
+        held: &HeldRequest<UnsentRequest<WebBody>>,
+    ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&server)?;
         connections.retain(|connection| connection.requests.is_ready());
-        let is_suitable = |connection: &Connection| may_carry(&connection.history, exchange);
+        let is_suitable = |connection: &Connection| may_carry(&connection.history, held);
         let position = connections.iter().rposition(is_suitable)?;
         Some(connections.remove(position))
     }
@@ -311,12 +309,11 @@
         &self,
         server: SocketAddr,
         mut connection: Connection,
-        request: WebRequest,
-        exchange: UnsentExchange,
+        held: HeldRequest<UnsentRequest<WebBody>>,
         deadline: ClockTime,
     ) -> SendOutcome {
         connection.meter.record_progress();
-        let exchange = send(&mut connection.history, exchange);
+        let (exchange, UnsentRequest(request)) = send(&mut connection.history, held);
         let sent = connection.requests.try_send_request(request);
         match with_deadline(self.clock.as_ref(), deadline, sent).await {
             None => {
@@ -345,7 +342,9 @@
                 }
             }
             Some(Err(mut error)) => match error.take_message() {
-                Some(unsent) => SendOutcome::Unsent(Box::new((unsent, exchange.take_back()))),
+                Some(unsent) => {
+                    SendOutcome::Unsent(Box::new(exchange.take_back(UnsentRequest(unsent))))
+                }
                 None => {
                     log_failure(server, error.error());
                     SendOutcome::Lost
@@ -394,7 +393,7 @@
 
 enum SendOutcome {
     Response(Box<IncomingResponse>),
-    Unsent(Box<(WebRequest, UnsentExchange)>),
+    Unsent(Box<HeldRequest<UnsentRequest<WebBody>>>),
     Lost,
     Discarded,
 }
--- a/crates/net/src/web/json.rs
+++ b/crates/net/src/web/json.rs
@@ -4,12 +4,13 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use exchange::UnsentExchange;
+use exchange::NotRunProof;
 use http::header::CONTENT_TYPE;
-use http::{Method, Request, StatusCode};
+use http::{HeaderValue, Method, StatusCode};
 
 use super::body::{empty_body, full_body};
 use super::client::{BodyAllowance, CollectOutcome, WebClient, WebRequest};
+use super::held::drop_request;
 
 /// Outcome of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -63,8 +64,9 @@
         body: Option<Bytes>,
         deadline: ClockTime,
     ) -> CollectOutcome {
-        let Some(request) = json_request(method, path, body) else {
-            return CollectOutcome::NotSent(UnsentExchange::new(None).give_up());
+        let request = match json_request(method, path, body) {
+            Ok(request) => request,
+            Err(proof) => return CollectOutcome::NotSent(proof),
         };
         self.client
             .collect(self.server, request, self.response_limit, deadline)
@@ -81,8 +83,9 @@
         deadline: ClockTime,
         allowance: BodyAllowance,
     ) -> CollectOutcome {
-        let Some(request) = json_request(method, path, body) else {
-            return CollectOutcome::NotSent(UnsentExchange::new(None).give_up());
+        let request = match json_request(method, path, body) {
+            Ok(request) => request,
+            Err(proof) => return CollectOutcome::NotSent(proof),
         };
         let (server, limit) = (self.server, self.response_limit);
         self.client
@@ -91,20 +94,25 @@
     }
 }
 
-/// Request with a body of JSON; `None` if the path is none.
-fn json_request(method: Method, path: &str, body: Option<Bytes>) -> Option<WebRequest> {
-    let request = Request::builder().method(method).uri(path);
-    let request = match body {
-        Some(body) => request
-            .header(CONTENT_TYPE, "application/json")
-            .body(full_body(body)),
-        None => request.body(empty_body()),
-    };
-    match request {
-        Ok(request) => Some(request),
+/// Request with a body of JSON, which is dropped if the path is none.
+fn json_request(
+    method: Method,
+    path: &str,
+    body: Option<Bytes>,
+) -> Result<WebRequest, NotRunProof> {
+    let has_body = body.is_some();
+    let mut request = WebRequest::new(body.map_or_else(empty_body, full_body));
+    *request.method_mut() = method;
+    if has_body {
+        let json = HeaderValue::from_static("application/json");
+        request.headers_mut().insert(CONTENT_TYPE, json);
+    }
+    match path.parse() {
+        Ok(uri) => *request.uri_mut() = uri,
         Err(error) => {
             log::error!(path; "request could not be built: {error}");
-            None
+            return Err(drop_request(request));
         }
     }
+    Ok(request)
 }
--- a/crates/net/src/web/mod.rs
+++ b/crates/net/src/web/mod.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod client;
+mod held;
 mod json;
 mod limits;
 mod response;
@@ -16,7 +17,8 @@
     BodyAllowance, CallOutcome, ChunkOutcome, CollectOutcome, IncomingResponse, ReadProgress,
     WebClient, WebRequest,
 };
+pub use held::{UnreadRequest, WholeRequest, drop_request};
 pub use json::{JsonClient, JsonOutcome};
 pub use limits::WebLimits;
 pub use response::{WebResponse, json_response, text_response};
-pub use server::{ReceiveError, WebService, bind, receive_body, serve};
+pub use server::{ReceiveError, WebService, bind, receive_body, receive_request, serve};
--- a/crates/net/src/web/server.rs
+++ b/crates/net/src/web/server.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use exchange::HeldRequest;
 use futures_util::future::{Either, LocalBoxFuture, select};
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderValue, Request};
@@ -18,6 +19,7 @@
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 
 use super::body::{CollectError, RequestBody, collect_body};
+use super::held::{UnreadRequest, WholeRequest, drop_request};
 use super::limits::MAX_PENDING_BYTES;
 use super::{WebLimits, WebResponse};
 use crate::DrainWatch;
@@ -172,6 +174,21 @@
     Broken,
 }
 
+/// Reads a client's request to its end, and holds it.
+pub async fn receive_request(
+    request: Request<RequestBody>,
+    limits: &WebLimits,
+) -> Result<HeldRequest<WholeRequest>, UnreadRequest> {
+    let (parts, body) = request.into_parts();
+    match receive_body(body, limits).await {
+        Ok(body) => Ok(HeldRequest::new(WholeRequest { parts, body })),
+        Err(error) => Err(UnreadRequest {
+            error,
+            proof: drop_request(Request::from_parts(parts, ())),
+        }),
+    }
+}
+
 /// Reads a request's complete body, within the limits for size and time.
 pub async fn receive_body(
     mut body: RequestBody,
--- a/crates/relay/tests/suite/support.rs
+++ b/crates/relay/tests/suite/support.rs
@@ -1,7 +1,7 @@
 //! Helpers to set up a relay with some targets and requests.
 
 use base::prelude::*;
-use exchange::{NotRunProof, UnsentExchange};
+use exchange::{HeldRequest, NotRunProof, RequestMessage};
 use intent::{CallKind, Route, WeightedService};
 use limits::BudgetSettings;
 use relay::commands::{arrive, set_targets};
@@ -140,7 +140,12 @@
     relay::commands::silent_target(state, latest(state, call.0), now)
 }
 
+/// Request that is never sent.
+struct UnsentRequest;
+
+impl RequestMessage for UnsentRequest {}
+
 /// Proof that a request was not run.
 pub fn not_run() -> NotRunProof {
-    UnsentExchange::new(None).give_up()
+    HeldRequest::new(UnsentRequest).give_up()
 }
