--- a/crates/exchange/tests/statuses.rs
+++ b/crates/exchange/tests/statuses.rs
@@ -3,14 +3,19 @@
 use exchange::commands::{accept, send};
 use exchange::queries::{is_reusable, may_carry};
 use exchange::{
-    AnswerFault, AnswerHead, AnswerOrder, ConnectionHistory, ExchangeTag, FinalStatus,
-    UnsentExchange,
+    AnswerFault, AnswerHead, AnswerOrder, ConnectionHistory, ExchangeTag, FinalStatus, HeldRequest,
+    RequestMessage,
 };
 
 const ORDERS: [AnswerOrder; 2] = [AnswerOrder::Unproven, AnswerOrder::Strict];
 
-fn unsent() -> UnsentExchange {
-    UnsentExchange::new(ExchangeTag::new("a"))
+/// Request of a test.
+struct TestRequest;
+
+impl RequestMessage for TestRequest {}
+
+fn unsent(tag: &str) -> HeldRequest<TestRequest> {
+    HeldRequest::with_tag(TestRequest, ExchangeTag::new(tag))
 }
 
 fn head(status: u16, announces_content: bool) -> AnswerHead<'static> {
@@ -37,7 +42,7 @@
     for order in ORDERS {
         for status in [0, 20, 99, 100, 101, 102, 103, 199, 600, 777, 999, 1_000] {
             let mut history = ConnectionHistory::new(order);
-            let sent = send(&mut history, unsent());
+            let (sent, _) = send(&mut history, unsent("a"));
             let received = accept(&mut history, sent, head(status, true));
             assert_eq!(received, Err(AnswerFault::InvalidStatus), "{status}");
             assert!(!is_reusable(&history) || order == AnswerOrder::Strict);
@@ -53,7 +58,7 @@
             (true, Err(AnswerFault::UnexpectedContent)),
         ] {
             let mut history = ConnectionHistory::new(order);
-            let sent = send(&mut history, unsent());
+            let (sent, _) = send(&mut history, unsent("a"));
             let received = accept(&mut history, sent, head(204, announces_content));
             let received = received.map(|answer| answer.is_named());
             assert_eq!(received, expected, "{order:?}, {announces_content}");
@@ -74,11 +79,11 @@
     for order in ORDERS {
         for (status, announces_content, expected) in cases {
             let mut history = ConnectionHistory::new(order);
-            let sent = send(&mut history, unsent());
+            let (sent, _) = send(&mut history, unsent("a"));
             accept(&mut history, sent, head(status, announces_content)).unwrap();
             assert_eq!(is_reusable(&history), expected, "{order:?}, {status}");
-            let next = UnsentExchange::new(ExchangeTag::new("b"));
-            assert_eq!(may_carry(&history, &next), expected, "{order:?}, {status}");
+            let may_carry_next = may_carry(&history, &unsent("b"));
+            assert_eq!(may_carry_next, expected, "{order:?}, {status}");
         }
     }
 }
