Fix: a request whose route became once-only was sent once more

Cause: a request kept the type that its route had when it arrived. With the version that makes the route `non_idempotent` in force, its next attempt, a second server beside a silent one, and a server's bare 503 handed on were still decided by the old type.

What callers saw: a request that may run once only by the newer version runs twice, or is answered 503 after it ran.

Change: a version that is applied marks the requests in flight whose route it allows to run once only; nothing takes the mark away, so the strictest of all versions since the arrival holds, also where the type goes back. The server's own 408, 421, 429 or 503 is handed on only if the request may still be repeated and no newer version is known whose content is missing; the event loop is asked at the moment at which the status goes out.

Ruled out: all requests as once-only while a newer version is known. It ends retries at every change for a type that changes seldom; a node may go by the older version until `configApplyMs`. Left: a newer route with a longer prefix covers only some requests of the old one and isn't looked up by path; a node that has not heard of the newer version.

--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -171,14 +171,15 @@
         let mut attempts = OpenAttempts::new(self.context.clone(), request, deadline);
         let mut step = first;
         // Error response of a server, which is returned if no other server does better.
-        let mut failure: Option<WebResponse> = None;
+        let mut failure: Option<(HostName, WebResponse)> = None;
         loop {
             match step {
                 CallStep::Send(order) => attempts.send(order, None),
                 CallStep::Wait => {}
                 CallStep::Refuse(refusal) => {
                     log::info!(id:% = accepted.request.id, route:% = accepted.route.name, reason = refusal.reason.as_str(), may_have_run = refusal.may_have_run(), has_answer = failure.is_some(); "request failed");
-                    return failure.unwrap_or_else(|| refusal_response(&refusal));
+                    let own = refusal_response(&refusal);
+                    return self.settle(&accepted, failure, own).await;
                 }
             }
             let (order, end) = match attempts.next(None).await {
@@ -202,23 +203,22 @@
                     continue;
                 }
                 AttemptSignal::Collected(order, Some(response)) => {
+                    let is_false = self.is_false_promise(&accepted, response.status()).await;
                     // The event loop ends only when the process is about to exit.
                     let answered = EdgeEvent::Completed(accepted.request.call);
                     let _ = self.context.events.unbounded_send(answered);
-                    if self.is_false_promise(&accepted, response.status()) {
-                        log::warn!(id:% = accepted.request.id, place:% = order.target, status = response.status().as_u16(); "response replaced: its status says that the request was not run, which the server doesn't report");
-                        self.context.metrics.count("replaced_responses", &[], 1);
-                        return unproven_response();
+                    if is_false {
+                        return self.replace_response(&accepted, &order.target, &response);
                     }
                     let is_failure = response.status().is_server_error();
                     if !is_failure || !accepted.route.kind.is_repeatable() {
                         return response;
                     }
-                    failure = Some(response);
+                    failure = Some((order.target.clone(), response));
                     (order, AttemptEnd::Failed)
                 }
                 AttemptSignal::Collected(..) if self.context.clock.now() >= accepted.deadline => {
-                    return failure.unwrap_or_else(timeout_response);
+                    return self.settle(&accepted, failure, timeout_response()).await;
                 }
                 AttemptSignal::Collected(order, None) => (order, AttemptEnd::Lost),
                 AttemptSignal::Ended(order, end) => (order, end),
@@ -252,7 +252,7 @@
                 }
                 AttemptSignal::DeadlinePassed => {
                     log::info!(id:% = accepted.request.id, route:% = accepted.route.name; "request timed out at the server");
-                    return failure.unwrap_or_else(timeout_response);
+                    return self.settle(&accepted, failure, timeout_response()).await;
                 }
             };
             log::info!(id:% = accepted.request.id, place:% = order.target, attempt = order.attempt.number, end = end.as_str(); "attempt failed");
@@ -270,8 +270,42 @@
     /// Whether a status promises a client something about its request that the server doesn't report.
     ///
     /// Reports end an attempt before its response is read.
-    fn is_false_promise(&self, accepted: &AcceptedRequest, status: StatusCode) -> bool {
-        !accepted.route.kind.is_repeatable() && self.context.header_codec.promises_not_run(status)
+    async fn is_false_promise(&self, accepted: &AcceptedRequest, status: StatusCode) -> bool {
+        if !self.context.header_codec.promises_not_run(status) {
+            return false;
+        }
+        let question = EdgeQuestion::MayRepeat(accepted.request.call);
+        let reply = self.context.replies.request(question).await;
+        !matches!(reply, Some(EdgeReply::MayRepeat(true)))
+    }
+
+    /// Response in place of a server's, whose status is a false promise.
+    fn replace_response(
+        &self,
+        accepted: &AcceptedRequest,
+        place: &HostName,
+        response: &WebResponse,
+    ) -> WebResponse {
+        log::warn!(id:% = accepted.request.id, place:% = place, status = response.status().as_u16(); "response replaced: its status says that the request was not run, which the server doesn't report");
+        self.context.metrics.count("replaced_responses", &[], 1);
+        unproven_response()
+    }
+
+    /// Final response: a server's error, unless its status has become a false promise meanwhile, or
+    /// the node's own if there is none.
+    async fn settle(
+        &self,
+        accepted: &AcceptedRequest,
+        failure: Option<(HostName, WebResponse)>,
+        own: WebResponse,
+    ) -> WebResponse {
+        match failure {
+            None => own,
+            Some((place, failure)) if self.is_false_promise(accepted, failure.status()).await => {
+                self.replace_response(accepted, &place, &failure)
+            }
+            Some((_, failure)) => failure,
+        }
     }
 
     /// Buffers a response; nothing of an incomplete one reaches the client.
--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -1,6 +1,7 @@
 //! Changes of the collections in the platform's store.
 
 use base::prelude::*;
+use intent::queries::find_route;
 use intent::{AdoptOutcome, ConfigNotices};
 use replicas::commands::{
     ListChange, RestoreTimes, change_list, replace_list, replace_restored_list,
@@ -153,8 +154,12 @@
 ) -> bool {
     let version = config.version;
     let before = state.config.version();
-    match state.config.adopt(config) {
+    match state.config.adopt(config.clone()) {
         AdoptOutcome::Adopted => {
+            relay::commands::restrict_calls(&mut state.relay, |route| {
+                let newer = find_route(&config, &route.host, &route.prefix);
+                newer.is_some_and(|newer| !newer.kind.is_repeatable())
+            });
             let bytes = text.len();
             let known_since = state.config_notices.apply(version);
             let known_ms = known_since.map(|since| now.since(since).as_millis() as u64);
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -115,6 +115,9 @@
         /// Whether the client has got the head of the response, so that a refusal would cut it.
         is_answering: bool,
     },
+    /// The server's status of a request tells clients that it was not run, which the server doesn't
+    /// report.
+    MayRepeat(CallId),
     /// Another node asks to pass a request on to a start of a server.
     PassOn(ServerRun),
     /// The status of the node is requested.
@@ -155,6 +158,8 @@
     Step(CallStep),
     /// What to do about a stalled attempt.
     Stall(StallStep),
+    /// Whether the request may run more than once.
+    MayRepeat(bool),
     /// Address of the server; `None` if this node can't pass the request on.
     PassTarget(Option<SocketAddr>),
     /// Status of the node.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -91,6 +91,9 @@
             attempt,
             is_answering,
         } => EdgeReply::Stall(commands::check_stall(state, attempt, is_answering, now)),
+        EdgeQuestion::MayRepeat(call) => {
+            EdgeReply::MayRepeat(queries::may_repeat(state, call, now))
+        }
         EdgeQuestion::PassOn(run) => {
             EdgeReply::PassTarget(commands::find_pass_target(state, &run, now))
         }
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -5,6 +5,7 @@
 mod hubs;
 mod owner;
 mod pass;
+mod repeat;
 mod share;
 mod status;
 mod supply;
@@ -22,6 +23,7 @@
     store_contact,
 };
 pub(crate) use pass::pass_candidates;
+pub(crate) use repeat::may_repeat;
 pub(crate) use share::{local_weight, node_share, total_weight};
 pub(crate) use status::startup_wait;
 pub use status::status;
--- /dev/null
+++ b/crates/edge/tests/suite/changed_types.rs
@@ -0,0 +1,124 @@
+//! Routes whose type changes while their requests are under way.
+//!
+//! Guards against a request that is sent once more, or called unrun by its server's bare status,
+//! though one of the versions in force allows it to run once only.
+
+use base::prelude::*;
+use edge::border::ports::{CollectionChange, CollectionItem, StoreCollection};
+use edge::{ArrivalOutcome, CollectionEvent, EdgeQuestion, EdgeReply, EdgeState};
+use intent::CallKind;
+use relay::{AttemptEnd, AttemptId, CallStep, RefusalReason};
+
+use crate::support::{
+    apply_event, arrive, ask, at, config, digest, endpoint, first_attempt, list, not_run, start,
+};
+
+const CALL: CallId = CallId(1);
+
+/// Configuration whose route has this type.
+fn typed_config(version: u64, kind: CallKind) -> CollectionItem {
+    let mut config = config(version, "/x/");
+    for route in config.routes.values_mut().flatten() {
+        let route = Arc::make_mut(route);
+        (route.kind, route.attempts) = (kind, 3);
+    }
+    CollectionItem::RoutingConfig(Arc::new(config), "text".into())
+}
+
+fn change_type(state: &mut EdgeState, version: u64, kind: CallKind, now: u64) {
+    let changes = vec![CollectionChange::Put(typed_config(version, kind))];
+    let event = CollectionEvent::Changed(changes, ObjectVersion(version));
+    apply_event(state, StoreCollection::RoutingConfig, event, at(now));
+}
+
+/// Node with three servers that has sent a request of a route of this type.
+fn sent(kind: CallKind) -> EdgeState {
+    let mut state = start("n1");
+    let items = vec![typed_config(1, kind)];
+    list(&mut state, StoreCollection::RoutingConfig, items, at(1));
+    let ids = ["p-1", "p-2", "p-3"];
+    let items = ids.map(|id| CollectionItem::Endpoint(endpoint(id)));
+    list(&mut state, StoreCollection::Endpoints, items.into(), at(1));
+    list(&mut state, StoreCollection::Shared, Vec::new(), at(1));
+    let outcome = arrive(&mut state, CALL.0, "/x/a", at(2_000));
+    let ArrivalOutcome::Accepted { step, .. } = outcome else {
+        panic!("not accepted: {outcome:?}");
+    };
+    assert!(matches!(step, CallStep::Send(_)), "{step:?}");
+    state
+}
+
+/// Next step after an attempt has ended.
+fn end(state: &mut EdgeState, number: u32, end: AttemptEnd, now: u64) -> CallStep {
+    let attempt = AttemptId { call: CALL, number };
+    match ask(state, EdgeQuestion::Ended(attempt, end), at(now)) {
+        EdgeReply::Step(step) => step,
+        other => panic!("no step: {other:?}"),
+    }
+}
+
+fn may_repeat(state: &mut EdgeState, now: u64) -> bool {
+    match ask(state, EdgeQuestion::MayRepeat(CALL), at(now)) {
+        EdgeReply::MayRepeat(may_repeat) => may_repeat,
+        other => panic!("no reply: {other:?}"),
+    }
+}
+
+const TYPES: [(CallKind, bool); 4] = [
+    (CallKind::Idempotent, true),
+    (CallKind::OnceOnly, false),
+    (CallKind::Stream { resumable: true }, true),
+    (CallKind::Stream { resumable: false }, false),
+];
+
+#[test]
+fn a_request_is_sent_again_only_if_each_version_since_its_arrival_allows_it() {
+    for (old, allowed_before) in TYPES {
+        for (new, allowed_after) in TYPES {
+            let mut state = sent(old);
+            change_type(&mut state, 2, new, 2_010);
+            // Back to a type that allows more.
+            change_type(&mut state, 3, CallKind::Idempotent, 2_020);
+            let is_allowed = allowed_before && allowed_after;
+            assert_eq!(
+                may_repeat(&mut state, 2_025),
+                is_allowed,
+                "{old:?}, {new:?}"
+            );
+            match end(&mut state, 1, AttemptEnd::Lost, 2_030) {
+                CallStep::Send(_) => assert!(is_allowed, "{old:?}, then {new:?}: sent again"),
+                CallStep::Refuse(refusal) => {
+                    assert!(!is_allowed, "{old:?}, then {new:?}: {refusal:?}");
+                    assert!(refusal.may_have_run(), "{old:?}, then {new:?}");
+                }
+                CallStep::Wait => panic!("nothing is open"),
+            }
+        }
+    }
+}
+
+#[test]
+fn a_request_that_was_refused_is_still_sent_on_after_its_type_changed() {
+    let mut state = sent(CallKind::Idempotent);
+    change_type(&mut state, 2, CallKind::OnceOnly, 2_010);
+    let refused = AttemptEnd::NotRun(not_run());
+    let step = end(&mut state, first_attempt(CALL).number, refused, 2_020);
+    assert!(matches!(step, CallStep::Send(_)), "{step:?}");
+    match end(&mut state, 2, AttemptEnd::Lost, 2_030) {
+        CallStep::Refuse(refusal) => {
+            assert_eq!(refusal.reason, RefusalReason::Exhausted);
+            assert!(refusal.may_have_run());
+        }
+        step => panic!("{step:?}"),
+    }
+}
+
+#[test]
+fn a_bare_status_is_not_passed_on_while_a_newer_version_is_known_but_not_its_content() {
+    let mut state = sent(CallKind::Idempotent);
+    assert!(may_repeat(&mut state, 2_010));
+    state.handle(digest("n2", true, 3), at(2_020));
+    assert!(!may_repeat(&mut state, 2_030));
+    change_type(&mut state, 3, CallKind::Idempotent, 2_040);
+    assert!(may_repeat(&mut state, 2_050));
+}
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod bandwidth;
 mod byte_budget;
+mod changed_types;
 mod changing_roles;
 mod config_notices;
 mod cut_off;
--- a/crates/relay/src/commands/calls.rs
+++ b/crates/relay/src/commands/calls.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use exchange::RunRecord;
+use intent::Route;
 use limits::commands::record_request;
 
 use super::attempts::dispatch;
@@ -36,11 +37,20 @@
         rejections: 0,
         misdirections: 0,
         is_crash_suspect: false,
+        is_once_only: false,
     };
     state.calls.insert(call, entry);
     dispatch(state, call, now)
 }
 
+/// Records which requests in flight a newer version of the configuration allows to run once only;
+/// none allows them more again.
+pub fn restrict_calls(state: &mut RelayState, is_once_only: impl Fn(&Route) -> bool) {
+    for entry in state.calls.values_mut() {
+        entry.is_once_only |= is_once_only(&entry.arrival.route);
+    }
+}
+
 /// Estimated time that the client has waited before this request arrived.
 fn elapsed_client_time(state: &mut RelayState, arrival: &CallArrival, now: ClockTime) -> Duration {
     let Some(deadline) = arrival.client_deadline else {
--- a/crates/relay/src/commands/stalls.rs
+++ b/crates/relay/src/commands/stalls.rs
@@ -60,7 +60,7 @@
 fn may_be_moved(call: &CallState, attempt: AttemptId) -> bool {
     let latest = call.open.last();
     let is_latest = latest.is_some_and(|open| open.number == attempt.number);
-    is_latest && call.arrival.route.kind.is_repeatable() && call.has_attempts_left()
+    is_latest && call.is_repeatable() && call.has_attempts_left()
 }
 
 /// Why a request should leave its target; the error is the instant of the next check.
--- a/crates/relay/src/queries/counts.rs
+++ b/crates/relay/src/queries/counts.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 
 use super::limited::is_open;
+use crate::state::CallState;
 use crate::{AttemptId, LaneCounts, RelayState, SentAttempt, TargetLoad};
 
 /// Target of an open attempt.
@@ -45,7 +46,7 @@
 /// Whether a request may be sent to another target after one that may have run it.
 pub fn is_repeatable(state: &RelayState, call: CallId) -> bool {
     let entry = state.calls.get(&call);
-    entry.is_some_and(|entry| entry.arrival.route.kind.is_repeatable())
+    entry.is_some_and(CallState::is_repeatable)
 }
 
 /// Requests of all nodes by target, from the latest counts.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -51,6 +51,8 @@
     pub misdirections: u32,
     /// Whether it must not be sent again, as it may have crashed a server.
     pub is_crash_suspect: bool,
+    /// Whether a newer version of the configuration allows its requests to run once only.
+    pub is_once_only: bool,
 }
 
 impl CallState {
@@ -64,12 +66,16 @@
         unproven_count(&self.runs) + self.rejections > 0
     }
 
+    /// Whether all versions of the configuration since its arrival allow it to run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        self.arrival.route.kind.is_repeatable() && !self.is_once_only
+    }
+
     /// Whether another target may run it, too.
     pub fn has_attempts_left(&self) -> bool {
-        let route = &self.arrival.route;
         let runs = unproven_count(&self.runs);
         !self.is_crash_suspect
-            && (runs == 0 || (route.kind.is_repeatable() && runs < route.attempts))
+            && (runs == 0 || (self.is_repeatable() && runs < self.arrival.route.attempts))
     }
 }
 
