--- a/crates/bronzerun/tests/edge/main.rs
+++ b/crates/bronzerun/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod endless;
 mod faulty;
 mod passing;
+mod promises;
 mod raw;
 mod refused;
 mod silent;
