--- a/crates/bronzerun/tests/edge/raw.rs
+++ b/crates/bronzerun/tests/edge/raw.rs
@@ -6,6 +6,9 @@
 
 use crate::CONDITION_TIMEOUT;
 
+/// Prefixes of the routes that nodes have.
+const ROUTE_PREFIXES: [&str; 5] = ["/o/", "/s/", "/r/", "/l/", "/i/"];
+
 /// Request as a raw server reads it.
 pub struct RawRequest {
     pub path: String,
@@ -61,10 +64,20 @@
             id,
             last_event,
         };
+        if !is_routed(&request.path) {
+            stream.write_all(raw_response("404 Not Found", "", "").as_bytes())?;
+            continue;
+        }
         answer(&request, &mut stream)?;
     }
 }
 
+/// Whether a request is one of a client. Reports are not, and neither is what another process
+/// sends to a port that it has released.
+fn is_routed(path: &str) -> bool {
+    ROUTE_PREFIXES.iter().any(|prefix| path.starts_with(prefix))
+}
+
 pub fn raw_response(status: &str, headers: &str, body: &str) -> String {
     let length = body.len();
     format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n{headers}\r\n{body}")
