Fix: a head that had left was used again after a change of owners

What callers saw: requests sent to a head after it had left (DRAIN), where a new owner has a newer record but had read less of the endpoints, until its next list.

Cause: a node merges the groups of the newer record with the plain servers of the newer endpoints and keeps the newer revision for both. A departure between the two revisions then counts as older than the groups' list, and is forgotten.

Ruled out: keeping the older revision for both; a message with endpoints in between would then replace the newer plain servers.

Change: a node remembers the revision that its groups were read at, and holds departures of heads against that one. Departed heads are left out when targets are merged, so a hub doesn't pass them on. Messages are unchanged.

Left: a hub that hears of the departure only after it has passed merged targets on; nodes that take those whole use the head until the owner's next list.

--- a/crates/edge/src/commands/peers.rs
+++ b/crates/edge/src/commands/peers.rs
@@ -13,7 +13,7 @@
 use super::shared::adopt_record;
 use super::supply::{supply_config, supply_record};
 use crate::peer::{Digest, PeerMessage, TargetsVersion};
-use crate::queries::{choose_summing_hub, is_hub, merge_targets, uses_hubs};
+use crate::queries::{NewerPart, choose_summing_hub, is_hub, merge_targets, newer_part, uses_hubs};
 use crate::{EdgeEffect, EdgeState};
 
 /// Handles a message of another node.
@@ -71,14 +71,35 @@
     received: (Arc<[SendTarget]>, TargetsVersion),
     now: ClockTime,
 ) -> Vec<EdgeEffect> {
-    let newest = match &state.received_targets {
-        Some(known) => merge_targets(known, received),
-        None => Some(received),
+    let endpoints = received.1.endpoints;
+    let (newest, part) = match &state.received_targets {
+        Some(known) => {
+            let part = newer_part(known.1, received.1);
+            (merge_targets(known, received), part)
+        }
+        None => (Some(received), Some(NewerPart::All)),
     };
     let Some((targets, version)) = newest else {
         return Vec::new();
     };
+    // Other nodes would take the heads for as new as the endpoints that they are merged with.
+    let has_departed = |target: &SendTarget| {
+        part == Some(NewerPart::Groups)
+            && target.model.is_some()
+            && (state.departures).has_departed(&target.id, target.incarnation, endpoints)
+    };
+    let targets = match targets.iter().any(has_departed) {
+        true => targets
+            .iter()
+            .filter(|target| !has_departed(target))
+            .cloned()
+            .collect(),
+        false => targets,
+    };
     state.received_targets = Some((targets, version));
+    if part != Some(NewerPart::Plain) {
+        state.received_groups_read = endpoints;
+    }
     refresh_targets(state);
     if is_hub(state) {
         return pass_on_targets(state, now);
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -26,5 +26,5 @@
 pub(crate) use status::startup_wait;
 pub use status::status;
 pub(crate) use supply::supply_delay;
+pub(crate) use targets::{NewerPart, current_targets, lacks_targets, newer_part};
 pub use targets::{TargetsSource, choose_source, merge_targets};
-pub(crate) use targets::{current_targets, lacks_targets};
--- a/crates/edge/src/queries/targets.rs
+++ b/crates/edge/src/queries/targets.rs
@@ -80,6 +80,29 @@
     }
 }
 
+/// What of a message with targets replaces what a node has of the owner's targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NewerPart {
+    /// All of it.
+    All,
+    /// The groups, which are of a newer record and of older endpoints.
+    Groups,
+    /// The plain servers, which are of newer endpoints and of an older record.
+    Plain,
+}
+
+/// Part of a message that is newer than what a node has; `None` if nothing is.
+pub(crate) fn newer_part(known: TargetsVersion, received: TargetsVersion) -> Option<NewerPart> {
+    let has_newer_record = received.record > known.record;
+    let has_newer_endpoints = received.endpoints > known.endpoints;
+    match (has_newer_record, has_newer_endpoints) {
+        (false, false) => None,
+        (true, false) if received.endpoints < known.endpoints => Some(NewerPart::Groups),
+        (false, true) if received.record < known.record => Some(NewerPart::Plain),
+        _ => Some(NewerPart::All),
+    }
+}
+
 /// Owner's targets that a node has after another message with targets: the groups of the newer
 /// record and the plain servers of the newer endpoints; `None` if nothing of it is newer.
 pub fn merge_targets(
@@ -88,15 +111,10 @@
 ) -> Option<(Arc<[SendTarget]>, TargetsVersion)> {
     let (known_targets, known_version) = known;
     let (targets, version) = &received;
-    let has_newer_endpoints = version.endpoints > known_version.endpoints;
-    let has_newer_record = version.record > known_version.record;
-    let has_older_endpoints = version.endpoints < known_version.endpoints;
-    let has_older_record = version.record < known_version.record;
-    let (groups, plain) = match (has_newer_record, has_newer_endpoints) {
-        (false, false) => return None,
-        (true, _) if has_older_endpoints => (targets, known_targets),
-        (_, true) if has_older_record => (known_targets, targets),
-        _ => return Some(received),
+    let (groups, plain) = match newer_part(*known_version, *version)? {
+        NewerPart::All => return Some(received),
+        NewerPart::Groups => (targets, known_targets),
+        NewerPart::Plain => (known_targets, targets),
     };
     let groups = groups.iter().filter(|target| target.model.is_some());
     let plain = plain.iter().filter(|target| target.model.is_none());
@@ -117,9 +135,13 @@
 /// Targets that this node should use now, and their version: those of its newest view, without
 /// servers that have left since.
 pub(crate) fn current_targets(state: &EdgeState) -> (Arc<[SendTarget]>, TargetsVersion) {
-    let (targets, version) = newest_targets(state);
+    let (targets, version, groups_read) = newest_targets(state);
     let has_departed = |target: &SendTarget| {
-        (state.departures).has_departed(&target.id, target.incarnation, version.endpoints)
+        let read = match target.model {
+            Some(_) => groups_read,
+            None => version.endpoints,
+        };
+        (state.departures).has_departed(&target.id, target.incarnation, read)
     };
     if !targets.iter().any(has_departed) {
         return (targets, version);
@@ -128,22 +150,24 @@
     (present.cloned().collect(), version)
 }
 
-/// Targets of this node's own view or of the owner's message, whichever is newer.
-fn newest_targets(state: &EdgeState) -> (Arc<[SendTarget]>, TargetsVersion) {
+/// Targets of this node's own view or of the owner's message, whichever is newer, and the revision
+/// up to which the endpoints were read that its groups are of.
+fn newest_targets(state: &EdgeState) -> (Arc<[SendTarget]>, TargetsVersion, ObjectVersion) {
     let local = local_targets_version(state);
-    let own = || (ready_targets(state).into(), local);
+    let own = || (ready_targets(state).into(), local, local.endpoints);
     let Some((received, version)) = &state.received_targets else {
         return own();
     };
     match choose_source(read_targets_version(state), *version) {
         TargetsSource::Own => own(),
-        TargetsSource::Owner => (received.clone(), *version),
+        TargetsSource::Owner => (received.clone(), *version, state.received_groups_read),
         TargetsSource::OwnerGroups => {
             let version = TargetsVersion {
                 endpoints: local.endpoints,
                 ..*version
             };
-            (correct_targets(state, received), version)
+            let targets = correct_targets(state, received);
+            (targets, version, local.endpoints)
         }
     }
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -346,6 +346,8 @@
     /// Newest targets that owners have sent, and their version. A hub passes them on to the nodes
     /// that it sends the sums to.
     pub(crate) received_targets: Option<(Arc<[SendTarget]>, TargetsVersion)>,
+    /// Revision up to which the endpoints were read that the groups among them are of.
+    pub(crate) received_groups_read: ObjectVersion,
     /// Servers that have left, as this node or others have read in the store.
     pub(crate) departures: DepartureState,
     /// Targets that this node uses.
@@ -437,6 +439,7 @@
             received_weight: None,
             owner_seen_at: None,
             received_targets: None,
+            received_groups_read: ObjectVersion::default(),
             departures: DepartureState::new(),
             targets: Arc::new([]),
             targets_version: TargetsVersion::default(),
