--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -5,7 +5,6 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use exchange::UnsentExchange;
 use futures_util::future::LocalBoxFuture;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
@@ -13,8 +12,8 @@
 use intent::Route;
 use net::sleep_until;
 use net::web::{
-    ChunkOutcome, CollectOutcome, IncomingResponse, ReceiveError, RequestBody, WebLimits,
-    WebResponse, WebService, body_channel, full_body, receive_body, text_response,
+    ChunkOutcome, CollectOutcome, IncomingResponse, ReceiveError, RequestBody, UnreadRequest,
+    WebLimits, WebResponse, WebService, body_channel, full_body, receive_request, text_response,
 };
 use relay::{AttemptEnd, AttemptId, CallStep};
 
@@ -70,18 +69,17 @@
 impl ClientService {
     async fn serve(&self, request: Request<RequestBody>) -> WebResponse {
         let now = self.context.clock.now();
-        let unsent = UnsentExchange::new(None);
-        let (parts, body) = request.into_parts();
-        let body = match receive_body(body, &self.limits).await {
-            Ok(body) => body,
-            Err(error) => {
+        let held = match receive_request(request, &self.limits).await {
+            Ok(held) => held,
+            Err(UnreadRequest { error, proof }) => {
                 log::info!("request body not received: {error}");
                 if error == ReceiveError::NoMemory {
-                    return no_memory_response(unsent.give_up());
+                    return no_memory_response(proof);
                 }
                 return text_response(StatusCode::BAD_REQUEST, &error.to_string());
             }
         };
+        let parts = held.request().parts();
         let metadata = self.context.header_codec.read_request(&parts.headers);
         let call = CallId(self.next_call.get());
         self.next_call.set(call.0 + 1);
@@ -90,12 +88,12 @@
             call,
             arrived_at: now,
             id: id.clone(),
-            host: host_of(&parts).into(),
+            host: host_of(parts).into(),
             path: parts.uri.path().into(),
             key: metadata.key.clone(),
             model: metadata.model.clone(),
             prompt: metadata.prompt.clone(),
-            digest: request_digest(&parts, &body),
+            digest: request_digest(parts, held.request().body()),
             client_deadline: metadata.client_timeout.map(|timeout| now + timeout),
         };
         let guard = CallGuard {
@@ -103,7 +101,7 @@
             events: self.context.events.clone(),
         };
         let Some(outcome) = self.arrive(arrival).await else {
-            return stopped_response(unsent.give_up());
+            return stopped_response(held.give_up());
         };
         match outcome {
             ArrivalOutcome::Rejected(reason) => {
@@ -111,7 +109,7 @@
                 self.context
                     .metrics
                     .count("rejected_requests", &[("reason", reason.as_str())], 1);
-                rejection_response(reason, unsent.give_up())
+                rejection_response(reason, held.give_up())
             }
             ArrivalOutcome::Accepted {
                 version,
@@ -123,6 +121,7 @@
                 let remaining_ms = deadline.since(now).as_millis() as u64;
                 let workspace_name = workspace.as_ref().map_or("", WorkspaceName::as_str);
                 log::info!(id:% = id, route:% = route.name, workspace = workspace_name, intent = version, left = remaining_ms, prompt = metadata.prompt_tokens, answer = metadata.answer_tokens; "request accepted");
+                let (parts, body) = held.release().split();
                 let request = ClientRequest {
                     call,
                     id,
@@ -172,14 +171,15 @@
         let mut attempts = OpenAttempts::new(self.context.clone(), request, deadline);
         let mut step = first;
         // Error response of a server, which is returned if no other server does better.
-        let mut failure: Option<WebResponse> = None;
+        let mut failure: Option<(HostName, WebResponse)> = None;
         loop {
             match step {
                 CallStep::Send(order) => attempts.send(order, None),
                 CallStep::Wait => {}
                 CallStep::Refuse(refusal) => {
                     log::info!(id:% = accepted.request.id, route:% = accepted.route.name, reason = refusal.reason.as_str(), may_have_run = refusal.may_have_run(), has_answer = failure.is_some(); "request failed");
-                    return failure.unwrap_or_else(|| refusal_response(&refusal));
+                    let own = refusal_response(&refusal);
+                    return self.settle(&accepted, failure, own).await;
                 }
             }
             let (order, end) = match attempts.next(None).await {
@@ -203,23 +203,22 @@
                     continue;
                 }
                 AttemptSignal::Collected(order, Some(response)) => {
+                    let is_false = self.is_false_promise(&accepted, response.status()).await;
                     // The event loop ends only when the process is about to exit.
                     let answered = EdgeEvent::Completed(accepted.request.call);
                     let _ = self.context.events.unbounded_send(answered);
-                    if self.is_false_promise(&accepted, response.status()) {
-                        log::warn!(id:% = accepted.request.id, place:% = order.target, status = response.status().as_u16(); "response replaced: its status says that the request was not run, which the server doesn't report");
-                        self.context.metrics.count("replaced_responses", &[], 1);
-                        return unproven_response();
+                    if is_false {
+                        return self.replace_response(&accepted, &order.target, &response);
                     }
                     let is_failure = response.status().is_server_error();
                     if !is_failure || !accepted.route.kind.is_repeatable() {
                         return response;
                     }
-                    failure = Some(response);
+                    failure = Some((order.target.clone(), response));
                     (order, AttemptEnd::Failed)
                 }
                 AttemptSignal::Collected(..) if self.context.clock.now() >= accepted.deadline => {
-                    return failure.unwrap_or_else(timeout_response);
+                    return self.settle(&accepted, failure, timeout_response()).await;
                 }
                 AttemptSignal::Collected(order, None) => (order, AttemptEnd::Lost),
                 AttemptSignal::Ended(order, end) => (order, end),
@@ -253,7 +252,7 @@
                 }
                 AttemptSignal::DeadlinePassed => {
                     log::info!(id:% = accepted.request.id, route:% = accepted.route.name; "request timed out at the server");
-                    return failure.unwrap_or_else(timeout_response);
+                    return self.settle(&accepted, failure, timeout_response()).await;
                 }
             };
             log::info!(id:% = accepted.request.id, place:% = order.target, attempt = order.attempt.number, end = end.as_str(); "attempt failed");
@@ -271,8 +270,42 @@
     /// Whether a status promises a client something about its request that the server doesn't report.
     ///
     /// Reports end an attempt before its response is read.
-    fn is_false_promise(&self, accepted: &AcceptedRequest, status: StatusCode) -> bool {
-        !accepted.route.kind.is_repeatable() && self.context.header_codec.promises_not_run(status)
+    async fn is_false_promise(&self, accepted: &AcceptedRequest, status: StatusCode) -> bool {
+        if !self.context.header_codec.promises_not_run(status) {
+            return false;
+        }
+        let question = EdgeQuestion::MayRepeat(accepted.request.call);
+        let reply = self.context.replies.request(question).await;
+        !matches!(reply, Some(EdgeReply::MayRepeat(true)))
+    }
+
+    /// Response in place of a server's, whose status is a false promise.
+    fn replace_response(
+        &self,
+        accepted: &AcceptedRequest,
+        place: &HostName,
+        response: &WebResponse,
+    ) -> WebResponse {
+        log::warn!(id:% = accepted.request.id, place:% = place, status = response.status().as_u16(); "response replaced: its status says that the request was not run, which the server doesn't report");
+        self.context.metrics.count("replaced_responses", &[], 1);
+        unproven_response()
+    }
+
+    /// Final response: a server's error, unless its status has become a false promise meanwhile, or
+    /// the node's own if there is none.
+    async fn settle(
+        &self,
+        accepted: &AcceptedRequest,
+        failure: Option<(HostName, WebResponse)>,
+        own: WebResponse,
+    ) -> WebResponse {
+        match failure {
+            None => own,
+            Some((place, failure)) if self.is_false_promise(accepted, failure.status()).await => {
+                self.replace_response(accepted, &place, &failure)
+            }
+            Some((_, failure)) => failure,
+        }
     }
 
     /// Buffers a response; nothing of an incomplete one reaches the client.
@@ -285,7 +318,10 @@
                     self.context.header_codec.response_headers(&parts.headers);
                 Some(response)
             }
-            CollectOutcome::NotSent(_) | CollectOutcome::Lost | CollectOutcome::Incomplete => None,
+            CollectOutcome::NotSent(_)
+            | CollectOutcome::Lost
+            | CollectOutcome::Discarded
+            | CollectOutcome::Incomplete => None,
         }
     }
 
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -11,11 +11,18 @@
 //! - A connection is used again only if its last answer carried the tag of its request. A request
 //!   without a tag, and one whose server repeats none, so has a connection of its own.
 //!
+//! Whatever its tag, an answer needs the status of a final response ([`FinalStatus`]). Where the
+//! status ends an answer with its head, content that follows all the same must not be taken for the
+//! next one: a success that announces content is no answer, and after another one the connection is
+//! closed.
+//!
 //! Peers that are known to send one answer to each request are exempt ([`AnswerOrder::Strict`]).
 //!
-//! A request passes through three states, [`UnsentExchange`], [`SentExchange`] and [`OwnAnswer`]. A
-//! [`NotRunProof`] comes from the first or the last of them and from nothing else; [`RunRecord`] sums
-//! up the attempts of a request. Whoever creates an [`UnsentExchange`] states that nothing was sent.
+//! A request passes through three states, [`HeldRequest`], [`SentExchange`] and [`OwnAnswer`]. A
+//! [`NotRunProof`] comes from the first, which drops the request for it, or from the last;
+//! [`RunRecord`] sums up the attempts of a request. What a [`HeldRequest`] holds is a
+//! [`RequestMessage`], so that the claim that nothing was sent can only be made by what has the
+//! request, and no more once a connection has it.
 //!
 //! [`commands`] change a [`ConnectionHistory`] or a [`RunRecord`]; [`queries`] only read them.
 
@@ -24,14 +31,16 @@
 mod proof;
 mod runs;
 mod state;
+mod status;
 mod tag;
 
 pub mod commands;
 pub mod queries;
 
-pub use answer::{AnswerFault, OwnAnswer};
+pub use answer::{AnswerFault, AnswerHead, OwnAnswer};
 pub use history::{AnswerOrder, ConnectionHistory};
 pub use proof::{NotRunProof, RunCertainty};
 pub use runs::RunRecord;
-pub use state::{SentExchange, UnsentExchange};
+pub use state::{HeldRequest, RequestMessage, SentExchange};
+pub use status::FinalStatus;
 pub use tag::ExchangeTag;
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -15,12 +15,12 @@
 use exchange::commands::{accept, send};
 use exchange::queries::{is_reusable, may_carry};
 use exchange::{
-    AnswerFault, AnswerOrder, ConnectionHistory, ExchangeTag, NotRunProof, OwnAnswer, SentExchange,
-    UnsentExchange,
+    AnswerFault, AnswerHead, AnswerOrder, ConnectionHistory, ExchangeTag, FinalStatus, HeldRequest,
+    NotRunProof, OwnAnswer, SentExchange,
 };
-use http::header::HOST;
+use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::response::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -28,6 +28,7 @@
 use monoio_compat::hyper::MonoioIo;
 
 use super::body::{MeteredBody, WebBody, collect_body};
+use super::held::UnsentRequest;
 use super::limits::MAX_PENDING_BYTES;
 use crate::metrics::{MetricSink, NullMetrics};
 use crate::paced::{PacedStream, ReadMeter};
@@ -59,7 +60,7 @@
     NotSent(NotRunProof),
     /// The request may have been sent, but no response was received.
     Lost,
-    /// The request may have been sent, and a response was received that isn't its own.
+    /// The request may have been sent, and bytes were received that aren't a response of its own.
     Discarded,
 }
 
@@ -72,6 +73,8 @@
     NotSent(NotRunProof),
     /// The request may have been sent, but no complete response was received.
     Lost,
+    /// The request may have been sent, and bytes were received that aren't a response of its own.
+    Discarded,
     /// The response began, but its body did not arrive in time.
     Incomplete,
 }
@@ -181,31 +184,24 @@
         request: WebRequest,
         deadline: ClockTime,
     ) -> CallOutcome {
-        let mut request = with_host(server, request);
-        let mut exchange = UnsentExchange::new(self.tag(request.headers()));
+        let request = with_host(server, request);
+        let tag = self.tag(request.headers());
+        let mut held = HeldRequest::with_tag(UnsentRequest(request), tag);
         loop {
-            let (connection, is_reused) = match self.take_idle(server, &exchange) {
+            let (connection, is_reused) = match self.take_idle(server, &held) {
                 Some(connection) => (connection, true),
                 None => match self.connect(server, deadline).await {
                     Some(connection) => (connection, false),
-                    None => return CallOutcome::NotSent(exchange.give_up()),
+                    None => return CallOutcome::NotSent(held.give_up()),
                 },
             };
-            match self
-                .send(server, connection, request, exchange, deadline)
-                .await
-            {
+            match self.send(server, connection, held, deadline).await {
                 SendOutcome::Response(response) => return CallOutcome::Response(response),
                 SendOutcome::Lost => return CallOutcome::Lost,
                 SendOutcome::Discarded => return CallOutcome::Discarded,
-                SendOutcome::Unsent(unsent) => {
-                    let (unsent_request, unsent_exchange) = *unsent;
-                    // The server may have closed an idle connection in the meantime.
-                    if !is_reused {
-                        return CallOutcome::NotSent(unsent_exchange.give_up());
-                    }
-                    (request, exchange) = (unsent_request, unsent_exchange);
-                }
+                // The server may have closed an idle connection in the meantime.
+                SendOutcome::Unsent(unsent) if is_reused => held = *unsent,
+                SendOutcome::Unsent(unsent) => return CallOutcome::NotSent(unsent.give_up()),
             }
         }
     }
@@ -216,7 +212,7 @@
         ExchangeTag::new(value.to_str().ok()?)
     }
 
-    /// Checks that a response belongs to the exchange that its connection carries.
+    /// Checks that a response is the one to the exchange that its connection carries.
     fn check(
         &self,
         connection: &mut Connection,
@@ -224,8 +220,12 @@
         parts: &Parts,
     ) -> Result<OwnAnswer, AnswerFault> {
         let tag = self.tag(&parts.headers);
-        let tag = tag.as_ref().map(ExchangeTag::as_str);
-        accept(&mut connection.history, exchange, tag)
+        let head = AnswerHead {
+            status: parts.status.as_u16(),
+            tag: tag.as_ref().map(ExchangeTag::as_str),
+            announces_content: announces_content(&parts.headers),
+        };
+        accept(&mut connection.history, exchange, head)
     }
 
     /// Sends a request and reads the response, whose body must not exceed `limit` bytes.
@@ -238,7 +238,8 @@
     ) -> CollectOutcome {
         match self.call(server, request, deadline).await {
             CallOutcome::NotSent(proof) => CollectOutcome::NotSent(proof),
-            CallOutcome::Lost | CallOutcome::Discarded => CollectOutcome::Lost,
+            CallOutcome::Lost => CollectOutcome::Lost,
+            CallOutcome::Discarded => CollectOutcome::Discarded,
             CallOutcome::Response(response) => response.collect(limit, deadline).await,
         }
     }
@@ -255,7 +256,8 @@
     ) -> CollectOutcome {
         match self.call(server, request, deadline).await {
             CallOutcome::NotSent(proof) => CollectOutcome::NotSent(proof),
-            CallOutcome::Lost | CallOutcome::Discarded => CollectOutcome::Lost,
+            CallOutcome::Lost => CollectOutcome::Lost,
+            CallOutcome::Discarded => CollectOutcome::Discarded,
             CallOutcome::Response(response) => {
                 let collected = response.collect_while_arriving(limit, deadline, allowance);
                 collected.await
@@ -263,11 +265,15 @@
         }
     }
 
-    fn take_idle(&self, server: SocketAddr, exchange: &UnsentExchange) -> Option<Connection> {
+    fn take_idle(
+        &self,
+        server: SocketAddr,
+        held: &HeldRequest<UnsentRequest<WebBody>>,
+    ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&server)?;
         connections.retain(|connection| connection.requests.is_ready());
-        let is_suitable = |connection: &Connection| may_carry(&connection.history, exchange);
+        let is_suitable = |connection: &Connection| may_carry(&connection.history, held);
         let position = connections.iter().rposition(is_suitable)?;
         Some(connections.remove(position))
     }
@@ -288,7 +294,7 @@
             .ok()?;
         let number = self.opened.get() + 1;
         self.opened.set(number);
-        monoio::spawn(async move {
+        crate::spawn(async move {
             // Other errors are also returned by the request on this connection.
             if let Err(error) = driver.await
                 && error.source().is_none()
@@ -311,12 +317,11 @@
         &self,
         server: SocketAddr,
         mut connection: Connection,
-        request: WebRequest,
-        exchange: UnsentExchange,
+        held: HeldRequest<UnsentRequest<WebBody>>,
         deadline: ClockTime,
     ) -> SendOutcome {
         connection.meter.record_progress();
-        let exchange = send(&mut connection.history, exchange);
+        let (exchange, UnsentRequest(request)) = send(&mut connection.history, held);
         let sent = connection.requests.try_send_request(request);
         match with_deadline(self.clock.as_ref(), deadline, sent).await {
             None => {
@@ -325,27 +330,35 @@
             }
             Some(Ok(response)) => {
                 connection.meter.record_progress();
-                let (parts, body) = response.into_parts();
+                let (mut parts, body) = response.into_parts();
                 let tag = exchange.tag().cloned();
                 match self.check(&mut connection, exchange, &parts) {
-                    Ok(answer) => SendOutcome::Response(Box::new(IncomingResponse {
-                        parts,
-                        body,
-                        server,
-                        connection,
-                        answer,
-                        client: self.clone(),
-                    })),
+                    Ok(answer) => {
+                        remove_false_length(&mut parts);
+                        SendOutcome::Response(Box::new(IncomingResponse {
+                            parts,
+                            body,
+                            server,
+                            connection,
+                            answer,
+                            client: self.clone(),
+                        }))
+                    }
                     Err(fault) => {
-                        log_discarded(server, &connection, tag.as_ref(), parts.status, fault);
-                        let labels = [("peers", self.peers), ("reason", fault.as_str())];
-                        self.metrics.count("discarded_responses", &labels, 1);
-                        SendOutcome::Discarded
+                        let status = parts.status.as_u16();
+                        self.discard(server, &connection, tag.as_ref(), Some(status), fault)
                     }
                 }
             }
             Some(Err(mut error)) => match error.take_message() {
-                Some(unsent) => SendOutcome::Unsent(Box::new((unsent, exchange.take_back()))),
+                Some(unsent) => {
+                    SendOutcome::Unsent(Box::new(exchange.take_back(UnsentRequest(unsent))))
+                }
+                None if is_malformed(error.error()) => {
+                    log_failure(server, error.error());
+                    let fault = AnswerFault::Malformed;
+                    self.discard(server, &connection, exchange.tag(), None, fault)
+                }
                 None => {
                     log_failure(server, error.error());
                     SendOutcome::Lost
@@ -354,6 +367,23 @@
         }
     }
 
+    /// Logs and counts a response that is not the one to the request under way.
+    fn discard(
+        &self,
+        server: SocketAddr,
+        connection: &Connection,
+        tag: Option<&ExchangeTag>,
+        status: Option<u16>,
+        fault: AnswerFault,
+    ) -> SendOutcome {
+        let id = tag.map_or("", ExchangeTag::as_str);
+        let exchange = connection.history.exchange_count();
+        log::warn!(id, server:% = server, status:? = status, connection = connection.number, exchange, reason = fault.as_str(); "response discarded: it is not the one to the request");
+        let labels = [("peers", self.peers), ("reason", fault.as_str())];
+        self.metrics.count("discarded_responses", &labels, 1);
+        SendOutcome::Discarded
+    }
+
     /// Drops the idle connections to a server that did not respond in time.
     ///
     /// Whatever made one connection stop responding may have affected all that
@@ -379,22 +409,31 @@
     }
 }
 
-/// Logs a response that doesn't belong to the request under way.
-fn log_discarded(
-    server: SocketAddr,
-    connection: &Connection,
-    tag: Option<&ExchangeTag>,
-    status: StatusCode,
-    fault: AnswerFault,
-) {
-    let id = tag.map_or("", ExchangeTag::as_str);
-    let exchange = connection.history.exchange_count();
-    log::warn!(id, server:% = server, status = status.as_u16(), connection = connection.number, exchange, reason = fault.as_str(); "response discarded: it doesn't belong to the request");
+/// Whether a connection failed because of bytes that are no response; a head that is larger than
+/// the limit may be one.
+fn is_malformed(error: &hyper::Error) -> bool {
+    error.is_parse() && !error.is_parse_too_large()
+}
+
+/// Whether a response announces content.
+fn announces_content(headers: &HeaderMap) -> bool {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    headers.contains_key(TRANSFER_ENCODING) || lengths.any(|length| length.as_bytes() != b"0")
+}
+
+/// Removes the length of content that a response describes but doesn't have, so that nobody who
+/// forwards the response announces it.
+fn remove_false_length(parts: &mut Parts) {
+    let status = FinalStatus::try_from(parts.status.as_u16());
+    if status.is_ok_and(FinalStatus::is_contentless) {
+        parts.headers.remove(CONTENT_LENGTH);
+        parts.headers.remove(TRANSFER_ENCODING);
+    }
 }
 
 enum SendOutcome {
     Response(Box<IncomingResponse>),
-    Unsent(Box<(WebRequest, UnsentExchange)>),
+    Unsent(Box<HeldRequest<UnsentRequest<WebBody>>>),
     Lost,
     Discarded,
 }
@@ -524,7 +563,7 @@
         if !is_reusable(&connection.history) {
             return;
         }
-        monoio::spawn(async move {
+        crate::spawn(async move {
             if connection.requests.ready().await.is_ok() {
                 client.put_idle(server, connection);
             }
--- a/crates/net/src/web/server.rs
+++ b/crates/net/src/web/server.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use exchange::HeldRequest;
 use futures_util::future::{Either, LocalBoxFuture, select};
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderValue, Request};
@@ -18,6 +19,7 @@
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 
 use super::body::{CollectError, RequestBody, collect_body};
+use super::held::{UnreadRequest, WholeRequest, drop_request};
 use super::limits::MAX_PENDING_BYTES;
 use super::{WebLimits, WebResponse};
 use crate::DrainWatch;
@@ -49,7 +51,7 @@
     let open = Rc::new(Cell::new(0_usize));
     let mut connections = Vec::new();
     while let Some(accepted) = accept(&listener, &drain).await {
-        connections.retain(|task: &monoio::task::JoinHandle<()>| !task.is_finished());
+        connections.retain(|task: &monoio::task::JoinHandle<Option<()>>| !task.is_finished());
         let Ok(stream) = accepted else {
             monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
@@ -60,11 +62,11 @@
         }
         let slot = ConnectionSlot::new(open.clone());
         let connection = serve_connection(stream, service.clone(), limits, drain.clone(), slot);
-        connections.push(monoio::spawn(connection));
+        connections.push(crate::spawn(connection));
     }
     drop(listener);
     for connection in connections {
-        connection.await;
+        let _ = connection.await;
     }
 }
 
@@ -172,6 +174,21 @@
     Broken,
 }
 
+/// Reads a client's request to its end, and holds it.
+pub async fn receive_request(
+    request: Request<RequestBody>,
+    limits: &WebLimits,
+) -> Result<HeldRequest<WholeRequest>, UnreadRequest> {
+    let (parts, body) = request.into_parts();
+    match receive_body(body, limits).await {
+        Ok(body) => Ok(HeldRequest::new(WholeRequest { parts, body })),
+        Err(error) => Err(UnreadRequest {
+            error,
+            proof: drop_request(Request::from_parts(parts, ())),
+        }),
+    }
+}
+
 /// Reads a request's complete body, within the limits for size and time.
 pub async fn receive_body(
     mut body: RequestBody,
