Fix: a 421 without the mark was taken for a proof that a request did not run

Cause: the codec read a 421 as the server's report by its status alone.

What callers saw: a server that runs a once-only request and answers 421 without the mark, in place of its own answer or in trouble: the node sends the request to the next server, which runs it too, and answers 503.

Change: only the mark is a proof. A 421 without it ends the attempt as discarded, wherever it comes from: what may be repeated is tried elsewhere, what may run once only gets 502, also by way of a node that passes it on, as that node returns the mark with the answer.

--- a/crates/bronzerun/tests/edge/passing.rs
+++ b/crates/bronzerun/tests/edge/passing.rs
@@ -104,6 +104,23 @@
     );
 }
 
+#[test]
+fn a_421_without_the_mark_of_a_refusal_that_a_node_passes_back_is_no_promise() {
+    let passed = PassedIds::default();
+    let runs = passed.clone();
+    let server = spawn_raw_server(move |RawRequest { id, .. }, stream: &mut TcpStream| {
+        runs.lock().unwrap().push(id.clone());
+        let headers = format!("x-bronzerun-request-id: {id}\r\n");
+        stream.write_all(raw_response("421 Misdirected Request", &headers, "").as_bytes())
+    });
+    let [cut, _other] = start_cut_off("bare", 75, None, vec![server]);
+    let statuses = statuses_of_passed(&cut, &passed);
+    assert!(
+        statuses.iter().all(|(_, status)| *status == 502),
+        "{statuses:?}"
+    );
+}
+
 #[test]
 fn a_refusal_that_a_node_of_this_build_passes_back_is_answered_as_not_run() {
     let refused = PassedIds::default();
--- a/crates/bronzerun/tests/edge/refused.rs
+++ b/crates/bronzerun/tests/edge/refused.rs
@@ -188,6 +188,18 @@
     assert!(!is_promise && seal.is_none(), "got {received}, {seal:?}");
 }
 
+#[test]
+fn a_421_without_the_mark_of_a_refusal_is_tried_elsewhere_if_the_request_may_run_again() {
+    let mut outcomes = Vec::new();
+    for path in ["/s/run", "/i/run"] {
+        let name = format!("own-421{}", path.replace('/', "-"));
+        let (status, seal, run_count) = outcome_of(&name, MISDIRECTED_REQUEST, path);
+        outcomes.push((path, status, seal, run_count));
+    }
+    let expected = [("/s/run", 502, None, 1), ("/i/run", 502, None, 2)];
+    assert_eq!(outcomes, expected);
+}
+
 #[test]
 fn a_server_error_of_a_request_that_ran_keeps_its_status() {
     let seal = Some("s".to_owned());
--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -245,6 +245,9 @@
     if !response.is_named() && !request.id.is_empty() {
         return Some("it doesn't name the request");
     }
+    if metadata.is_misdirected && !metadata.is_not_run {
+        return Some("it doesn't report that the request was not run, as a 421 should");
+    }
     if status.is_success() && !metadata.is_sealed {
         return Some("it lacks the server's seal");
     }
