--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -246,7 +246,7 @@
         return Some("it doesn't name the request");
     }
     if metadata.is_misdirected && !metadata.is_not_run {
-        return Some("it doesn't report that the request was not run, as a 421 should");
+        return Some("it is a 421 without the mark of a request that was not run");
     }
     if status.is_success() && !metadata.is_sealed {
         return Some("it lacks the server's seal");
