--- a/crates/bronzerun/tests/edge/promises.rs
+++ b/crates/bronzerun/tests/edge/promises.rs
@@ -9,6 +9,7 @@
 use rustix::process::Signal;
 use serde_json::json;
 
+use crate::passing::start_cut_off;
 use crate::raw::{RawRequest, raw_response, spawn_raw_server};
 use crate::{CONDITION_TIMEOUT, Node, POLL_INTERVAL, wait_line};
 
@@ -371,3 +372,48 @@
     assert!(!statuses[..2].iter().any(is_promise), "{statuses:?}");
     assert_eq!((runs.of("o"), runs.of("s")), (1, 1));
 }
+
+#[test]
+fn a_run_by_way_of_a_node_that_was_suspended_meanwhile_is_not_called_unrun() {
+    let runs = RunCounts::default();
+    let servers = (0..2).map(|_| spawn_slow(runs.clone())).collect();
+    let [cut, other] = start_cut_off("frozen", 91, None, servers);
+    let end = Instant::now() + CONDITION_TIMEOUT;
+    for index in 0.. {
+        let id = format!("first-{index}");
+        cut.request_as(&id, "/o/done", "key-1");
+        if runs.of(&id) == 1 {
+            break;
+        }
+        assert!(Instant::now() < end, "no request was passed on");
+        std::thread::sleep(RELAY_TIME);
+    }
+    let mut outcomes = Vec::new();
+    for is_sent_before in [true, false] {
+        for name in ["done", "full"] {
+            let id = format!("{name}-{is_sent_before}");
+            let (ingress, path) = (cut.ingress, format!("/o/{name}"));
+            if !is_sent_before {
+                other.signal(Signal::STOP);
+            }
+            let client = {
+                let id = id.clone();
+                std::thread::spawn(move || crate::request_at(ingress, &id, &path, "key-1").0)
+            };
+            if is_sent_before {
+                runs.wait_for(&id);
+                other.signal(Signal::STOP);
+            }
+            std::thread::sleep(SUSPENSION);
+            other.signal(Signal::CONT);
+            let status = client.join().unwrap();
+            // What the node had not sent on may run now.
+            std::thread::sleep(SERVER_TIME);
+            outcomes.push((id.clone(), status, runs.of(&id)));
+        }
+    }
+    let is_broken = |(_, status, count): &(String, u16, usize)| {
+        *count > 1 || *count == 1 && NOT_RUN_STATUSES.contains(status)
+    };
+    assert!(!outcomes.iter().any(is_broken), "{outcomes:?}");
+}
