--- a/crates/edge/tests/suite/changed_types.rs
+++ b/crates/edge/tests/suite/changed_types.rs
@@ -6,7 +6,7 @@
 use base::prelude::*;
 use edge::border::ports::{CollectionChange, CollectionItem, StoreCollection};
 use edge::{ArrivalOutcome, CollectionEvent, EdgeQuestion, EdgeReply, EdgeState};
-use intent::CallKind;
+use intent::{CallKind, Route};
 use relay::{AttemptEnd, AttemptId, CallStep, RefusalReason};
 
 use crate::support::{
@@ -25,8 +25,27 @@
     CollectionItem::RoutingConfig(Arc::new(config), "text".into())
 }
 
+/// Idempotent route, below which another one has requests that may run once only.
+fn split_config(version: u64) -> CollectionItem {
+    let mut config = config(version, "/x/");
+    let routes = config.routes.values_mut().next().expect("a host");
+    let mut wider = Route::clone(&routes[0]);
+    (wider.kind, wider.attempts) = (CallKind::Idempotent, 3);
+    let narrower = Route {
+        prefix: "/x/a/".into(),
+        kind: CallKind::OnceOnly,
+        ..wider.clone()
+    };
+    *routes = vec![narrower.into(), wider.into()];
+    CollectionItem::RoutingConfig(Arc::new(config), "text".into())
+}
+
 fn change_type(state: &mut EdgeState, version: u64, kind: CallKind, now: u64) {
-    let changes = vec![CollectionChange::Put(typed_config(version, kind))];
+    change_config(state, version, typed_config(version, kind), now);
+}
+
+fn change_config(state: &mut EdgeState, version: u64, item: CollectionItem, now: u64) {
+    let changes = vec![CollectionChange::Put(item)];
     let event = CollectionEvent::Changed(changes, ObjectVersion(version));
     apply_event(state, StoreCollection::RoutingConfig, event, at(now));
 }
@@ -40,7 +59,7 @@
     let items = ids.map(|id| CollectionItem::Endpoint(endpoint(id)));
     list(&mut state, StoreCollection::Endpoints, items.into(), at(1));
     list(&mut state, StoreCollection::Shared, Vec::new(), at(1));
-    let outcome = arrive(&mut state, CALL.0, "/x/a", at(2_000));
+    let outcome = arrive(&mut state, CALL.0, "/x/a/1", at(2_000));
     let ArrivalOutcome::Accepted { step, .. } = outcome else {
         panic!("not accepted: {outcome:?}");
     };
@@ -122,3 +141,13 @@
     change_type(&mut state, 3, CallKind::Idempotent, 2_040);
     assert!(may_repeat(&mut state, 2_050));
 }
+
+#[test]
+fn a_request_that_a_newer_route_with_a_longer_prefix_lets_run_once_only_is_not_sent_again() {
+    let mut state = sent(CallKind::Idempotent);
+    change_config(&mut state, 2, split_config(2), 2_010);
+    let is_allowed = may_repeat(&mut state, 2_020);
+    let step = end(&mut state, 1, AttemptEnd::Lost, 2_030);
+    let is_sent = matches!(step, CallStep::Send(_));
+    assert_eq!((is_allowed, is_sent), (false, false), "{step:?}");
+}
