Fix: the soak overflowed its stack at interim responses without end

Interim responses are now skipped in a loop. The test aborted before and passes now; with a stack of 3 MB or more it had passed.

--- a/crates/soak/src/copies.rs
+++ b/crates/soak/src/copies.rs
@@ -243,6 +243,9 @@
     merged
 }
 
+/// End of the head of a response.
+const HEAD_END: &str = "\r\n\r\n";
+
 /// Response that has arrived up to its end, or the head of one without a length.
 struct CompleteAnswer {
     status: StatusCode,
@@ -255,14 +258,10 @@
 impl CompleteAnswer {
     /// Takes the response from the bytes that have arrived, if they are complete.
     fn take_from(bytes: &mut Vec<u8>) -> Option<Self> {
+        skip_interim(bytes);
         let text = String::from_utf8_lossy(bytes);
-        let (head, body) = text.split_once("\r\n\r\n")?;
-        let status: StatusCode = head.get(9..12)?.parse().ok()?;
-        if status.is_informational() {
-            let end = head.len() + "\r\n\r\n".len();
-            bytes.drain(..end);
-            return Self::take_from(bytes);
-        }
+        let (head, body) = text.split_once(HEAD_END)?;
+        let status = status_of(head)?;
         let length = header(head, "content-length").and_then(|length| length.parse().ok());
         if length.is_some_and(|length: usize| body.len() < length) {
             return None;
@@ -277,6 +276,27 @@
     }
 }
 
+/// Removes complete interim responses from the beginning.
+fn skip_interim(bytes: &mut Vec<u8>) {
+    let mut start = 0;
+    while let Some(length) = interim_length(&bytes[start..]) {
+        start += length;
+    }
+    bytes.drain(..start);
+}
+
+/// Length of the complete interim response at the beginning, if there is one.
+fn interim_length(bytes: &[u8]) -> Option<usize> {
+    let end = HEAD_END.as_bytes();
+    let head = bytes.windows(end.len()).position(|window| window == end)?;
+    let status = status_of(&String::from_utf8_lossy(&bytes[..head]))?;
+    status.is_informational().then_some(head + end.len())
+}
+
+fn status_of(head: &str) -> Option<StatusCode> {
+    head.get(9..12)?.parse().ok()
+}
+
 /// Value of a header in a head.
 fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     let mut fields = head.lines().filter_map(|line| line.split_once(": "));
