Fix: daemons of a soak that was aborted disturbed other processes' tests

Links and services of the soak now have a loopback address of their process, so what still sends there reaches nobody else. Ruled out: a request of the daemon under test, as its logs have none without an id.

--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -6,7 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -338,7 +338,7 @@
 
 /// Serves on a free loopback port; returns its address.
 fn open_service<S: WebService + 'static>(service: S) -> std::io::Result<SocketAddr> {
-    let listener = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+    let listener = bind(free_port())?;
     let address = listener.local_addr()?;
     let (signal, watch) = drain_channel();
     net::spawn(async move {
