--- a/review/standin-2/lab.py
+++ b/review/standin-2/lab.py
@@ -4,6 +4,7 @@
 each run, so that several runs don't meet.
 """
 import asyncio
+import ctypes
 import functools
 import json
 import os
@@ -26,6 +27,7 @@
            410: "Gone", 421: "Misdirected Request", 429: "Too Many Requests",
            503: "Service Unavailable"}
 MAX_FDS = 4200
+PR_SET_PDEATHSIG = 1
 ZONES = ["zone-a", "zone-b"]
 SERVER_PORT = 8080
 STORE_PORT = 7000
@@ -414,8 +416,10 @@
             "tls": False}
 
 
-def limit_files():
+def prepare_daemon():
+    """Runs in a daemon's process before it: limits its files, and ends it with this process."""
     resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 class Lab:
@@ -475,7 +479,7 @@
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment["BRONZERUN_SETTINGS"] = str(path)
         self.processes[name] = subprocess.Popen(
-            [str(DAEMON)], cwd=ROOT, env=environment, stdout=log, stderr=log, preexec_fn=limit_files)
+            [str(DAEMON)], cwd=ROOT, env=environment, stdout=log, stderr=log, preexec_fn=prepare_daemon)
         self.record.add("node started", node=name)
 
     async def start(self):
