Let the stand-ins of the store page and decode queries

Lists of the soak's and the tests' stores were never longer than a page, and their queries and paths were taken as they came, so no run met what happens after the first page.

emulator::pages cuts lists as the platform does (500 objects or 1 MB) and writes bytes that are not UTF-8 where a test wants them. The emulators decode paths and queries by percent-encoding and form_urlencoded. The soak has a new fault, entries that another writer leaves among the objects of each kind; no plan draws it yet, as the daemons don't bear it. net::web::RequestTarget builds paths and queries from encoded parts; the clients don't use it yet.

--- a/crates/bronzerun/tests/edge/main.rs
+++ b/crates/bronzerun/tests/edge/main.rs
@@ -21,9 +21,11 @@
 use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 
+use emulator::pages::{list_page, objects_response};
+use emulator::web::{query_number, query_value};
 use futures_util::future::LocalBoxFuture;
-use http::{HeaderValue, Request, Response, StatusCode};
-use net::web::{WebLimits, WebResponse, WebService, bind, full_body, serve, text_response};
+use http::{HeaderValue, Request, Response};
+use net::web::{WebLimits, WebResponse, WebService, bind, full_body, serve};
 use net::{block_on, drain_channel};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -104,10 +106,8 @@
         request: Request<net::web::RequestBody>,
     ) -> LocalBoxFuture<'static, WebResponse> {
         let path = request.uri().path().to_owned();
-        let is_watch = request
-            .uri()
-            .query()
-            .is_some_and(|query| query.contains("watch="));
+        let is_watch = query_value(&request, "watch").is_some();
+        let after = query_value(&request, "after");
         let revision = {
             let mut revision = self.revision.borrow_mut();
             *revision += u64::from(request.method() != http::Method::GET);
@@ -115,17 +115,13 @@
         };
         let body = match path.as_str() {
             "/objects/evacuations" if is_watch => {
-                let since = format!("watch={revision}&");
-                let is_current = request
-                    .uri()
-                    .query()
-                    .is_some_and(|query| query.starts_with(&since));
+                let is_current = query_number(&request, "watch") == Some(revision);
                 let events = if is_current {
                     json!([])
                 } else {
                     self.evacuation_events()
                 };
-                json!({"events": events, "storeRevision": revision})
+                json!({"events": events, "storeRevision": revision}).to_string()
             }
             "/objects/evacuations" => {
                 let is_evacuated = !self.evacuations.load(Ordering::Relaxed).is_multiple_of(2);
@@ -135,29 +131,36 @@
                 } else {
                     Vec::new()
                 };
-                json!({"items": items, "hasMore": false, "storeRevision": revision})
-            }
-            _ if is_watch => json!({"events": [], "storeRevision": revision}),
-            "/objects/config" => {
-                json!({"items": [self.config_object()], "hasMore": false, "storeRevision": revision})
-            }
-            "/objects/servers" => {
-                json!({"items": self.server_objects(), "hasMore": false, "storeRevision": revision})
+                list(&items, after.as_deref(), revision)
             }
+            _ if is_watch => json!({"events": [], "storeRevision": revision}).to_string(),
+            "/objects/config" => list(&[self.config_object()], after.as_deref(), revision),
+            "/objects/servers" => list(&self.server_objects(), after.as_deref(), revision),
             _ if request.method() == http::Method::GET => {
-                json!({"items": self.shared, "hasMore": false, "storeRevision": revision})
+                list(&self.shared, after.as_deref(), revision)
             }
-            _ => json!({"metadata": {"name": "any", "revision": revision}}),
+            _ => json!({"metadata": {"name": "any", "revision": revision}}).to_string(),
         };
         Box::pin(async move {
             if is_watch {
                 monoio::time::sleep(Duration::from_millis(300)).await;
             }
-            text_response(StatusCode::OK, &body.to_string())
+            objects_response(&body)
         })
     }
 }
 
+/// Page of a list of objects.
+fn list(objects: &[Value], after: Option<&str>, revision: u64) -> String {
+    let objects = objects.iter().map(|object| {
+        let name = object["metadata"]["name"].as_str().unwrap();
+        (name.to_owned(), object.to_string())
+    });
+    let mut objects: Vec<_> = objects.collect();
+    objects.sort();
+    list_page(objects, after, revision)
+}
+
 /// Server that returns the path and some headers of the request as JSON; on a path of streams it
 /// sends one event, and the beginning of another one if the path asks for it.
 struct Server;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 mod fleet;
 mod load;
+pub mod pages;
 pub mod plain;
 pub mod platform;
 pub mod web;
--- a/crates/emulator/src/platform/service.rs
+++ b/crates/emulator/src/platform/service.rs
@@ -10,7 +10,9 @@
 use interface::STORE_ERA;
 use interface::wire::{ChangeWire, HostWire, HostsWire, ObjectWire, ObjectsWire, VersionWire};
 use net::web::RequestBody;
-use net::web::{WebResponse, WebService, body_channel, empty_body, json_response, text_response};
+use net::web::{
+    WebResponse, WebService, body_channel, decode_segment, empty_body, json_response, text_response,
+};
 use store::{ObjectChange, ObjectKey, UpdateOutcome};
 
 use super::objects::ObjectCopy;
@@ -105,7 +107,10 @@
             (Method::GET, "/v1/hosts") => json_response(StatusCode::OK, &self.list_hosts()),
             (Method::GET, "/v1/objects") => self.list_objects(&request),
             (method, path) => match path.strip_prefix(OBJECT_PATH) {
-                Some(key) => self.object(method, ObjectKey::new(key), request).await,
+                Some(key) => {
+                    let key = ObjectKey::new(&decode_segment(key));
+                    self.object(method, key, request).await
+                }
                 None => unknown_path(),
             },
         }
@@ -158,8 +163,8 @@
     }
 
     fn list_objects(&self, request: &Request<RequestBody>) -> WebResponse {
-        let prefix = query_value(request, "prefix").unwrap_or("");
-        let objects = self.0.objects.borrow().list(prefix);
+        let prefix = query_value(request, "prefix").unwrap_or_default();
+        let objects = self.0.objects.borrow().list(&prefix);
         let objects = objects.into_iter().map(ObjectWire::from).collect();
         json_response(StatusCode::OK, &ObjectsWire { objects })
     }
--- a/crates/emulator/src/web.rs
+++ b/crates/emulator/src/web.rs
@@ -1,5 +1,7 @@
 //! HTTP helpers shared by the emulators.
 
+use std::borrow::Cow;
+
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use net::web::RequestBody;
@@ -14,12 +16,10 @@
         .unwrap_or("")
 }
 
-/// Value of a key in the query string of a request.
-pub fn query_value<'a>(request: &'a Request<RequestBody>, key: &str) -> Option<&'a str> {
+/// Decoded value of a key in the query string of a request.
+pub fn query_value<'a>(request: &'a Request<RequestBody>, key: &str) -> Option<Cow<'a, str>> {
     let query = request.uri().query()?;
-    query
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
+    form_urlencoded::parse(query.as_bytes())
         .find_map(|(name, value)| (name == key).then_some(value))
 }
 
--- a/crates/net/src/web/mod.rs
+++ b/crates/net/src/web/mod.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod response;
 mod server;
+mod target;
 
 pub use body::{BodyError, BodySender, RequestBody, WebBody, body_channel, empty_body, full_body};
 pub use client::{
@@ -22,3 +23,4 @@
 pub use limits::WebLimits;
 pub use response::{WebResponse, json_response, text_response};
 pub use server::{ReceiveError, WebService, bind, receive_body, receive_request, serve};
+pub use target::{RequestTarget, decode_segment};
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -32,6 +32,7 @@
 pub use exchanges::{CopyEvidence, CopyTally};
 pub use options::SoakOptions;
 pub use plan::{
-    EndlessForm, Fault, FaultPlan, FaultStep, Link, LinkMode, PlanKind, PlanSize, SitePlanSize,
+    EndlessForm, Fault, FaultPlan, FaultStep, ForeignForm, ForeignName, Link, LinkMode, PlanKind,
+    PlanSize, SitePlanSize,
 };
 pub use run::{SoakError, SoakReport, run_plan, run_seed, run_site};
--- a/crates/soak/src/plan/mod.rs
+++ b/crates/soak/src/plan/mod.rs
@@ -1,7 +1,9 @@
 //! Fault plan of one run, generated from its seed.
 
+mod foreign;
 mod site;
 
+pub use foreign::{ForeignForm, ForeignName};
 pub use site::SitePlanSize;
 
 use std::time::Duration;
@@ -135,6 +137,8 @@
     StoreRestores(Duration, Duration),
     /// A server turns all requests away for this long, and says until when.
     TurnAway(usize, Duration),
+    /// Another writer leaves entries among the objects of each kind, until the end of the run.
+    ForeignEntry(ForeignForm, ForeignName),
     /// Watches that are waiting, or begin within this time, hear of no change until their wait
     /// is over.
     StoreDeafensWatches(Duration),
--- a/crates/soak/src/platform/store.rs
+++ b/crates/soak/src/platform/store.rs
@@ -1,18 +1,22 @@
 //! Emulated store of the platform, with fault injection.
 
+use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use emulator::web::{query_number, read_bytes};
+use emulator::pages::{PAGE_BYTES, UNREADABLE, list_page, objects_response};
+use emulator::web::{query_number, query_value, read_bytes};
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderValue, Method, Request, StatusCode};
 use net::web::RequestBody;
-use net::web::{WebResponse, WebService, body_channel, text_response};
+use net::web::{WebResponse, WebService, body_channel, decode_segment, text_response};
 use serde_json::{Value, json};
 
+use crate::plan::{ForeignForm, ForeignName};
+
 /// Delay of every response.
 const RESPONSE_DELAY: Duration = Duration::from_millis(4);
 /// Interval between two checks for changes by a watch.
@@ -23,8 +27,13 @@
 /// Prefix of the names of the daemons' entries.
 const NODE_PREFIX: &str = "node.";
 
+/// Kinds of objects, in each of which another writer may leave entries.
+const KINDS: [&str; 4] = ["config", "evacuations", "bronzerun", "servers"];
+/// Number of small entries that another writer leaves; a page holds fewer.
+const FOREIGN_COUNT: usize = 600;
+
 /// Revision of the last change of an object, and its spec.
-type StoredObject = (u64, Value);
+type StoredObject = (u64, Rc<Value>);
 
 /// Entry of the change history.
 #[derive(Clone)]
@@ -32,7 +41,7 @@
     revision: u64,
     kind: String,
     name: String,
-    spec: Value,
+    spec: Rc<Value>,
     is_removed: bool,
 }
 
@@ -54,6 +63,8 @@
     revision: u64,
     history: Vec<ChangeEntry>,
     compacted_revision: u64,
+    /// Forms of the entries of another writer, by name.
+    foreign: BTreeMap<String, ForeignForm>,
     /// Number of times that it was restored from a copy.
     era: u64,
     copies: VecDeque<StoreCopy>,
@@ -72,16 +83,49 @@
     pub fn put(&mut self, kind: &str, name: &str, spec: Value) -> u64 {
         let key = (kind.to_owned(), name.to_owned());
         if let Some((revision, current)) = self.objects.get(&key)
-            && *current == spec
+            && **current == spec
         {
             return *revision;
         }
+        let spec = Rc::new(spec);
         self.revision += 1;
         self.objects.insert(key, (self.revision, spec.clone()));
         self.record_change(kind, name, spec, false);
         self.revision
     }
 
+    /// Writes entries of another writer among the objects of each kind.
+    pub fn put_foreign(&mut self, form: ForeignForm, ForeignName(name): ForeignName) {
+        let names = match form {
+            ForeignForm::Many => (0..FOREIGN_COUNT)
+                .map(|index| format!("{name}{index:03}"))
+                .collect(),
+            _ => vec![name.to_owned()],
+        };
+        let dump = match form {
+            ForeignForm::Large => "x".repeat(PAGE_BYTES),
+            ForeignForm::Unreadable => UNREADABLE.to_string(),
+            ForeignForm::Many | ForeignForm::WithoutRevision | ForeignForm::WithoutName => {
+                String::new()
+            }
+        };
+        for kind in KINDS {
+            for name in &names {
+                self.foreign.insert(name.clone(), form);
+                self.put(kind, name, json!({"service": null, "dump": dump}));
+            }
+        }
+    }
+
+    /// Metadata of an object as lists and watches show them.
+    fn metadata(&self, name: &str, revision: u64) -> Value {
+        match self.foreign.get(name) {
+            Some(ForeignForm::WithoutRevision) => json!({"name": name}),
+            Some(ForeignForm::WithoutName) => json!({"revision": revision}),
+            _ => json!({"name": name, "revision": revision}),
+        }
+    }
+
     /// Removes an object.
     pub fn remove(&mut self, kind: &str, name: &str) {
         let key = (kind.to_owned(), name.to_owned());
@@ -144,7 +188,7 @@
         keys.map(|(_, name)| name.clone()).collect()
     }
 
-    fn record_change(&mut self, kind: &str, name: &str, spec: Value, is_removed: bool) {
+    fn record_change(&mut self, kind: &str, name: &str, spec: Rc<Value>, is_removed: bool) {
         self.history.push(ChangeEntry {
             revision: self.revision,
             kind: kind.to_owned(),
@@ -172,6 +216,8 @@
     method: Method,
     kind: String,
     name: Option<String>,
+    /// Name after which a list continues.
+    after: Option<String>,
     /// Revision after which changes are watched; `None` without a watch.
     watch: Option<u64>,
     /// Longest wait of a watch.
@@ -182,6 +228,10 @@
 impl StoreService {
     /// Object as shown to this daemon, with the proxies' addresses in the entries of other daemons.
     fn object_for_reader(&self, name: &str, revision: u64, spec: &Value) -> Value {
+        let metadata = self.state.borrow().metadata(name, revision);
+        if self.state.borrow().foreign.contains_key(name) {
+            return json!({"metadata": metadata, "spec": spec});
+        }
         let mut spec = spec.clone();
         if let Some(node) = name.strip_prefix(NODE_PREFIX)
             && node != self.reader
@@ -195,19 +245,20 @@
         if let Some(proxy) = address.and_then(|address| self.server_proxies.get(&address)) {
             spec["address"] = json!(proxy.to_string());
         }
-        json!({"metadata": {"name": name, "revision": revision}, "spec": spec})
+        json!({"metadata": metadata, "spec": spec})
     }
 
-    fn list(&self, kind: &str) -> Value {
+    fn list(&self, kind: &str, after: Option<&str>) -> String {
         let state = self.state.borrow();
-        let items = state
+        let objects = state
             .objects
             .iter()
             .filter(|((object_kind, _), _)| object_kind == kind);
-        let items: Vec<_> = items
-            .map(|((_, name), (revision, spec))| self.object_for_reader(name, *revision, spec))
-            .collect();
-        json!({"items": items, "hasMore": false, "storeRevision": state.revision})
+        let objects = objects.map(|((_, name), (revision, spec))| {
+            let object = self.object_for_reader(name, *revision, spec);
+            (name.clone(), object.to_string())
+        });
+        list_page(objects, after, state.revision)
     }
 
     /// Changes after a revision; `None` if they were compacted.
@@ -262,7 +313,7 @@
             return text_response(status, &body.to_string());
         }
         let Some(since) = call.watch else {
-            return text_response(StatusCode::OK, &self.list(&call.kind).to_string());
+            return objects_response(&self.list(&call.kind, call.after.as_deref()));
         };
         let end = Instant::now() + call.wait;
         let mut is_deaf = false;
@@ -281,7 +332,7 @@
                 || Instant::now() >= end
                 || is_in_effect(self.state.borrow().unavailable_until)
             {
-                return text_response(StatusCode::OK, &changes.to_string());
+                return objects_response(&changes.to_string());
             }
             monoio::time::sleep(POLL_INTERVAL).await;
         }
@@ -300,16 +351,19 @@
         let this = self.clone();
         Box::pin(async move {
             let watch = query_number(&request, "watch");
+            let after = query_value(&request, "after").map(Cow::into_owned);
             let wait = Duration::from_millis(query_number(&request, "waitMs").unwrap_or(0));
             let (parts, body) = request.into_parts();
             let body = match read_bytes(body).await {
                 Ok(body) => body,
                 Err(response) => return response,
             };
-            let mut segments = parts.uri.path().split('/').skip(2).map(str::to_owned);
+            let segments = parts.uri.path().split('/').skip(2);
+            let mut segments = segments.map(|segment| decode_segment(segment).into_owned());
             let call = StoreCall {
                 kind: segments.next().unwrap_or_default(),
                 name: segments.next(),
+                after,
                 watch,
                 wait,
                 body: serde_json::from_slice(&body).unwrap_or_default(),
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -87,6 +87,9 @@
                 store.restore_at(now + away, now - age);
                 disturbed_until = now + away;
             }
+            Fault::ForeignEntry(form, name) => {
+                self.store.borrow_mut().put_foreign(form, name);
+            }
             Fault::StoreCompacts => self.store.borrow_mut().compact(),
             Fault::PauseServers(first, count, duration) => {
                 self.fleet.borrow_mut().pause(first, count, now + duration);
@@ -165,6 +168,7 @@
             fault,
             Fault::ChangeConfig
                 | Fault::RevokeKey
+                | Fault::ForeignEntry(..)
                 | Fault::Drain(_)
                 | Fault::Limit(..)
                 | Fault::TurnAway(..)
