Encode names in the paths and queries of calls to the store

The name of a page's last item went into the next page's query as it was. A blank or a quotation mark made that no URI, so the list never ended well; with &, + or # the store read another position and returned the same page.

RequestTarget builds paths and queries from parts and encodes each with the percent-encoding crate; JsonClient takes nothing else. Fixed paths (reports, orders, status, hosts) hold no names.

--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use soak::{
-    EndlessForm, Fault, FaultPlan, FaultStep, Link, LinkMode, PlanKind, RequestKind, SoakOptions,
-    SoakReport, run_plan, run_seed,
+    EndlessForm, Fault, FaultPlan, FaultStep, ForeignForm, ForeignName, Link, LinkMode, PlanKind,
+    RequestKind, SoakOptions, SoakReport, run_plan, run_seed,
 };
 
 /// Seconds of fault injection.
@@ -271,3 +271,34 @@
         "{report}"
     );
 }
+
+/// Runs the soak with entries of another writer in the store, which are there when all daemons are
+/// started again.
+fn check_foreign_entries(seed: u64, entries: &[(ForeignForm, &'static str)]) {
+    let entries = entries.iter().map(|(form, name)| {
+        let fault = Fault::ForeignEntry(*form, ForeignName(name));
+        (500, fault)
+    });
+    let faults: Vec<_> = entries.chain([(2_000, Fault::KillAll)]).collect();
+    let report = run_faults(seed, &faults);
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.all.served > 0, "{report}");
+}
+
+#[test]
+fn daemons_that_start_beside_entries_that_fill_pages_serve() {
+    let entries = [
+        (ForeignForm::Large, "backup of 12 May"),
+        (ForeignForm::Large, "i-0-&#+"),
+    ];
+    check_foreign_entries(130, &entries);
+}
+
+#[test]
+fn daemons_that_start_beside_many_entries_serve() {
+    let entries = [
+        (ForeignForm::Many, "backup of 12 May"),
+        (ForeignForm::Many, "i-0-&#+"),
+    ];
+    check_foreign_entries(131, &entries);
+}
--- a/crates/emulator/tests/contract.rs
+++ b/crates/emulator/tests/contract.rs
@@ -45,6 +45,38 @@
     assert_eq!(violations.unwrap(), []);
 }
 
+#[test]
+fn the_object_api_satisfies_the_store_contract_whatever_the_keys() {
+    let scopes = [
+        "backup of 12 May/",
+        "a&after=1&b/",
+        "a+b/",
+        "a#b/",
+        "a?after=1/",
+        "a%2Fb/%zz/",
+        "a\"b<c>/",
+        "a\\b|^`{}/",
+        "\u{1}\t\r\n\u{7f}/",
+        "\u{e9}\u{1f4be}/",
+    ];
+    let violations = net::block_on(async {
+        let (_signal, drain) = drain_channel();
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let (address, _platform) = start_fleet(any_port, &empty_plan(), &drain).unwrap();
+        let clock = Rc::new(SystemClock::default());
+        let client = WebClient::new(clock.clone());
+        let store = HttpObjectStore::new(client, clock.clone(), address);
+        let mut violations = Vec::new();
+        for scope in scopes {
+            let future = clock.now() + LONG_WAIT;
+            let found = check_contract(&store, scope, ClockTime::default(), future).await;
+            violations.extend(found.into_iter().map(|found| (scope, found)));
+        }
+        violations
+    });
+    assert_eq!(violations.unwrap(), []);
+}
+
 fn change(expected: base::ObjectVersion, value: &str) -> ObjectChange {
     ObjectChange {
         key: ObjectKey::new("document"),
--- a/crates/interface/src/objects.rs
+++ b/crates/interface/src/objects.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, HeaderName, Method, StatusCode};
-use net::web::{CollectOutcome, JsonClient, JsonOutcome, WebClient};
+use net::web::{CollectOutcome, JsonClient, JsonOutcome, RequestTarget, WebClient};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use store::{
@@ -52,11 +52,11 @@
     async fn call(
         &self,
         method: Method,
-        path: &str,
+        target: &RequestTarget,
         body: Option<Bytes>,
         deadline: ClockTime,
     ) -> JsonOutcome {
-        match self.client.collect(method, path, body, deadline).await {
+        match self.client.collect(method, target, body, deadline).await {
             CollectOutcome::Response(parts, body) => {
                 let (era, newest) = (read_era(&parts.headers), self.era.get());
                 if era > newest {
@@ -93,8 +93,8 @@
         version.exists() && version.era() < self.era.get()
     }
 
-    async fn fetch(&self, path: &str, deadline: ClockTime) -> ReadOutcome {
-        match self.call(Method::GET, path, None, deadline).await {
+    async fn fetch(&self, target: &RequestTarget, deadline: ClockTime) -> ReadOutcome {
+        match self.call(Method::GET, target, None, deadline).await {
             JsonOutcome::Response(StatusCode::OK, body) => match decode::<ObjectWire>(&body) {
                 Some(wire) => ReadOutcome::Found(self.object(wire)),
                 None => ReadOutcome::Unavailable,
@@ -104,8 +104,8 @@
         }
     }
 
-    async fn fetch_change(&self, path: &str, deadline: ClockTime) -> WatchOutcome {
-        match self.call(Method::GET, path, None, deadline).await {
+    async fn fetch_change(&self, target: &RequestTarget, deadline: ClockTime) -> WatchOutcome {
+        match self.call(Method::GET, target, None, deadline).await {
             JsonOutcome::Response(StatusCode::OK, body) => match decode::<ObjectWire>(&body) {
                 Some(wire) => WatchOutcome::Changed(self.object(wire)),
                 None => WatchOutcome::Unavailable,
@@ -117,9 +117,9 @@
     }
 
     async fn fetch_list(&self, prefix: &str) -> ListOutcome {
-        let path = format!("/v1/objects?prefix={prefix}");
+        let target = objects_target().parameter("prefix", prefix);
         let deadline = self.clock.now() + CALL_TIMEOUT;
-        match self.call(Method::GET, &path, None, deadline).await {
+        match self.call(Method::GET, &target, None, deadline).await {
             JsonOutcome::Response(StatusCode::OK, body) => match decode::<ObjectsWire>(&body) {
                 Some(wire) => {
                     let objects = wire.objects.into_iter();
@@ -135,13 +135,13 @@
         if self.is_superseded(change.expected) {
             return UpdateOutcome::Conflict;
         }
-        let path = object_path(&change.key);
+        let target = object_target(&change.key);
         let body = encode(&ChangeWire {
             expected: ObjectVersion(change.expected.revision()),
             value: change.value.as_ref().to_owned(),
         });
         let deadline = self.clock.now() + CALL_TIMEOUT;
-        match self.call(Method::PUT, &path, Some(body), deadline).await {
+        match self.call(Method::PUT, &target, Some(body), deadline).await {
             JsonOutcome::Response(StatusCode::OK, body) => match decode::<VersionWire>(&body) {
                 Some(wire) => UpdateOutcome::Applied(self.version(wire.version)),
                 None => UpdateOutcome::Unknown,
@@ -157,9 +157,9 @@
         if self.is_superseded(expected) {
             return RemoveOutcome::Conflict;
         }
-        let path = format!("{}?expected={}", object_path(key), expected.revision());
+        let target = object_target(key).parameter("expected", expected.revision().to_string());
         let deadline = self.clock.now() + CALL_TIMEOUT;
-        match self.call(Method::DELETE, &path, None, deadline).await {
+        match self.call(Method::DELETE, &target, None, deadline).await {
             JsonOutcome::Response(StatusCode::NO_CONTENT, _) => RemoveOutcome::Removed,
             JsonOutcome::Response(StatusCode::CONFLICT, _) => RemoveOutcome::Conflict,
             JsonOutcome::NotSent => RemoveOutcome::Unavailable,
@@ -174,8 +174,14 @@
     text.and_then(|text| text.trim().parse().ok()).unwrap_or(0)
 }
 
-fn object_path(key: &ObjectKey) -> String {
-    format!("/v1/objects/{key}")
+fn objects_target() -> RequestTarget {
+    RequestTarget::new("/v1/objects")
+}
+
+/// Target of an object; the slashes of its key separate segments.
+fn object_target(key: &ObjectKey) -> RequestTarget {
+    let segments = key.as_str().split('/');
+    segments.fold(objects_target(), RequestTarget::segment)
 }
 
 fn encode(value: &impl Serialize) -> Bytes {
@@ -190,10 +196,10 @@
 impl ObjectStore for HttpObjectStore {
     fn read(&self, key: &ObjectKey) -> LocalBoxFuture<'static, ReadOutcome> {
         let this = self.clone();
-        let path = object_path(key);
+        let target = object_target(key);
         Box::pin(async move {
             let deadline = this.clock.now() + CALL_TIMEOUT;
-            this.fetch(&path, deadline).await
+            this.fetch(&target, deadline).await
         })
     }
 
@@ -229,7 +235,7 @@
         deadline: ClockTime,
     ) -> LocalBoxFuture<'static, WatchOutcome> {
         let this = self.clone();
-        let path = object_path(key);
+        let target = object_target(key);
         Box::pin(async move {
             let now = this.clock.now();
             let wait = deadline.since(now);
@@ -237,14 +243,17 @@
             let deadline = now + wait + WATCH_GRACE;
             if !this.is_superseded(after) {
                 let revision = after.revision();
-                let path = format!("{path}?after={revision}&wait_ms={}", wait.as_millis());
-                let outcome = this.fetch_change(&path, deadline).await;
+                let watch = target
+                    .clone()
+                    .parameter("after", revision.to_string())
+                    .parameter("wait_ms", wait.as_millis().to_string());
+                let outcome = this.fetch_change(&watch, deadline).await;
                 if outcome != WatchOutcome::Unchanged || !this.is_superseded(after) {
                     return outcome;
                 }
             }
             // The version was given in an earlier era, so the object counts as changed.
-            this.fetch_change(&path, deadline).await
+            this.fetch_change(&target, deadline).await
         })
     }
 }
--- a/crates/net/src/web/json.rs
+++ b/crates/net/src/web/json.rs
@@ -6,11 +6,12 @@
 use bytes::Bytes;
 use exchange::NotRunProof;
 use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode, Uri};
 
 use super::body::{empty_body, full_body};
 use super::client::{BodyAllowance, CollectOutcome, WebClient, WebRequest};
 use super::held::drop_request;
+use super::target::RequestTarget;
 
 /// Outcome of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,11 +51,11 @@
     pub async fn call(
         &self,
         method: Method,
-        path: &str,
+        target: &RequestTarget,
         body: Option<Bytes>,
         deadline: ClockTime,
     ) -> JsonOutcome {
-        match self.collect(method, path, body, deadline).await {
+        match self.collect(method, target, body, deadline).await {
             CollectOutcome::Response(parts, body) => JsonOutcome::Response(parts.status, body),
             CollectOutcome::NotSent(_) => JsonOutcome::NotSent,
             CollectOutcome::Lost | CollectOutcome::Discarded | CollectOutcome::Incomplete => {
@@ -67,11 +68,11 @@
     pub async fn collect(
         &self,
         method: Method,
-        path: &str,
+        target: &RequestTarget,
         body: Option<Bytes>,
         deadline: ClockTime,
     ) -> CollectOutcome {
-        let request = match json_request(method, path, body) {
+        let request = match json_request(method, target, body) {
             Ok(request) => request,
             Err(proof) => return CollectOutcome::NotSent(proof),
         };
@@ -85,12 +86,12 @@
     pub async fn collect_while_arriving(
         &self,
         method: Method,
-        path: &str,
+        target: &RequestTarget,
         body: Option<Bytes>,
         deadline: ClockTime,
         allowance: BodyAllowance,
     ) -> CollectOutcome {
-        let request = match json_request(method, path, body) {
+        let request = match json_request(method, target, body) {
             Ok(request) => request,
             Err(proof) => return CollectOutcome::NotSent(proof),
         };
@@ -101,10 +102,10 @@
     }
 }
 
-/// Request with a body of JSON, which is dropped if the path is none.
+/// Request with a body of JSON, which is dropped if the target is too long.
 fn json_request(
     method: Method,
-    path: &str,
+    target: &RequestTarget,
     body: Option<Bytes>,
 ) -> Result<WebRequest, NotRunProof> {
     let has_body = body.is_some();
@@ -114,10 +115,10 @@
         let json = HeaderValue::from_static("application/json");
         request.headers_mut().insert(CONTENT_TYPE, json);
     }
-    match path.parse() {
+    match Uri::try_from(target) {
         Ok(uri) => *request.uri_mut() = uri,
         Err(error) => {
-            log::error!(path; "request could not be built: {error}");
+            log::error!(path:% = target; "request could not be built: {error}");
             return Err(drop_request(request));
         }
     }
