Decode lists and watches beside bytes that are not UTF-8

serde_json checks a raw value for UTF-8 while it reads the whole response, so one byte made a list or a watch undecodable, each time it was asked for.

BodyText decodes the body with the standard library's lossy decoder and knows which parts of the text have replaced bytes. An entry with some can't be used, so that no name is made up from them; the others are decoded as before, also one that holds the replacement character itself. The bytes of a name are kept for the position of the next page. A valid body is not copied.

Reports of servers were sound: each is decoded by itself.

--- a/crates/bronzerun/tests/soak.rs
+++ b/crates/bronzerun/tests/soak.rs
@@ -302,3 +302,32 @@
     ];
     check_foreign_entries(131, &entries);
 }
+
+#[test]
+fn daemons_that_start_beside_entries_that_cannot_be_read_serve() {
+    // The entry without a name ends a page.
+    let entries = [
+        (ForeignForm::Many, "a"),
+        (ForeignForm::WithoutName, "a498x"),
+        (ForeignForm::WithoutRevision, "i-0-"),
+        (ForeignForm::Unreadable, "i-0-1 "),
+    ];
+    check_foreign_entries(132, &entries);
+}
+
+#[test]
+fn servers_that_come_after_entries_that_cannot_be_read_are_used() {
+    let entry = |form, name| Fault::ForeignEntry(form, ForeignName(name));
+    // All plain servers are replaced, so that none of the known ones is left.
+    let faults = [
+        (500, entry(ForeignForm::Unreadable, "backup of 12 May")),
+        (500, entry(ForeignForm::WithoutRevision, "i-0-")),
+        (500, entry(ForeignForm::WithoutName, "i-1-")),
+        (1_500, Fault::Rename(0)),
+        (1_500, Fault::Rename(1)),
+        (2_500, Fault::RevokeKey),
+    ];
+    let report = run_faults(133, &faults);
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.all.served > 0, "{report}");
+}
--- a/crates/net/src/web/mod.rs
+++ b/crates/net/src/web/mod.rs
@@ -12,6 +12,7 @@
 mod response;
 mod server;
 mod target;
+mod text;
 
 pub use body::{BodyError, BodySender, RequestBody, WebBody, body_channel, empty_body, full_body};
 pub use client::{
@@ -24,3 +25,4 @@
 pub use response::{WebResponse, json_response, text_response};
 pub use server::{ReceiveError, WebService, bind, receive_body, receive_request, serve};
 pub use target::{RequestTarget, decode_segment};
+pub use text::BodyText;
