Decode each host and each object of the interface's lists on its own

The lists were decoded as a whole, so a name outside the alphabet, a field of another type or a byte that is not UTF-8 in one entry failed all.

Failed before, hold now (crates/interface/tests/entries.rs): eight odd hosts and six odd objects between sound ones.

--- a/crates/interface/src/hosts.rs
+++ b/crates/interface/src/hosts.rs
@@ -5,9 +5,10 @@
 
 use base::prelude::*;
 use futures_util::future::LocalBoxFuture;
-use net::web::{CollectOutcome, WebClient, empty_body};
+use net::web::{BodyText, CollectOutcome, WebClient, empty_body};
 
-use crate::wire::HostsWire;
+use crate::entries::decode_entries;
+use crate::wire::{HostWire, RawHostsWire};
 
 /// Maximum size of the list.
 const MAX_LIST_BYTES: usize = 4_000_000;
@@ -97,8 +98,10 @@
         if !parts.status.is_success() {
             return None;
         }
-        let wire: HostsWire = serde_json::from_slice(&body).ok()?;
-        let hosts = wire.hosts.into_iter().map(HostEntry::from).collect();
-        Some(HostsOutcome::Listed(hosts))
+        let text = BodyText::new(&body);
+        let wire: RawHostsWire = serde_json::from_str(text.as_str()).ok()?;
+        let hosts = decode_entries::<HostWire>(&text, &wire.hosts, "host");
+        let hosts = hosts.into_iter().map(HostEntry::from);
+        Some(HostsOutcome::Listed(hosts.collect()))
     }
 }
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod drains;
 mod engine;
+mod entries;
 mod hosts;
 pub mod keys;
 mod nodes;
--- a/crates/interface/src/objects.rs
+++ b/crates/interface/src/objects.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, HeaderName, Method, StatusCode};
-use net::web::{CollectOutcome, JsonClient, JsonOutcome, RequestTarget, WebClient};
+use net::web::{BodyText, CollectOutcome, JsonClient, JsonOutcome, RequestTarget, WebClient};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use store::{
@@ -16,7 +16,8 @@
     UpdateOutcome, WatchOutcome,
 };
 
-use crate::wire::{ChangeWire, ObjectWire, ObjectsWire, VersionWire};
+use crate::entries::decode_entries;
+use crate::wire::{ChangeWire, ObjectWire, RawObjectsWire, VersionWire};
 
 /// Maximum size of a response.
 const MAX_RESPONSE_BYTES: usize = 16_000_000;
@@ -120,13 +121,15 @@
         let target = objects_target().parameter("prefix", prefix);
         let deadline = self.clock.now() + CALL_TIMEOUT;
         match self.call(Method::GET, &target, None, deadline).await {
-            JsonOutcome::Response(StatusCode::OK, body) => match decode::<ObjectsWire>(&body) {
-                Some(wire) => {
-                    let objects = wire.objects.into_iter();
-                    ListOutcome::Found(objects.map(|wire| self.object(wire)).collect())
-                }
-                None => ListOutcome::Unavailable,
-            },
+            JsonOutcome::Response(StatusCode::OK, body) => {
+                let text = BodyText::new(&body);
+                let Ok(wire) = serde_json::from_str::<RawObjectsWire>(text.as_str()) else {
+                    return ListOutcome::Unavailable;
+                };
+                let objects = decode_entries::<ObjectWire>(&text, &wire.objects, "object");
+                let objects = objects.into_iter().map(|wire| self.object(wire));
+                ListOutcome::Found(objects.collect())
+            }
             _ => ListOutcome::Unavailable,
         }
     }
--- a/crates/interface/src/wire.rs
+++ b/crates/interface/src/wire.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use groups::{HostAssignment, HostOrder, HostReport, LoadReport, MemberPhase};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use store::{ObjectKey, StoredObject};
 
 use crate::{HostEntry, Presence};
@@ -47,6 +48,13 @@
     pub objects: Vec<ObjectWire>,
 }
 
+/// Objects of which each is still to be decoded.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RawObjectsWire<'a> {
+    #[serde(borrow)]
+    pub objects: Vec<&'a RawValue>,
+}
+
 /// Body of a conditional update.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ChangeWire {
@@ -70,6 +78,13 @@
     pub hosts: Vec<HostWire>,
 }
 
+/// Hosts of which each is still to be decoded.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RawHostsWire<'a> {
+    #[serde(borrow)]
+    pub hosts: Vec<&'a RawValue>,
+}
+
 /// Host in the platform's list.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct HostWire {
--- a/crates/net/src/web/mod.rs
+++ b/crates/net/src/web/mod.rs
@@ -25,4 +25,4 @@
 pub use response::{WebResponse, json_response, text_response};
 pub use server::{ReceiveError, WebService, bind, receive_body, receive_request, serve};
 pub use target::{RequestTarget, decode_segment};
-pub use text::BodyText;
+pub use text::{BodyText, TextError};
--- a/crates/net/src/web/text.rs
+++ b/crates/net/src/web/text.rs
@@ -6,6 +6,19 @@
 
 use std::borrow::Cow;
 
+use serde::Deserialize;
+
+/// Why a part of a body can't be decoded.
+#[derive(Debug, thiserror::Error)]
+pub enum TextError {
+    /// It has bytes that are not UTF-8.
+    #[error("it has bytes that are not UTF-8")]
+    Bytes,
+    /// It is no JSON, or not of the type.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+}
+
 /// Body in which runs of bytes that are not UTF-8 are replaced by one character each.
 #[derive(Clone, Debug)]
 pub struct BodyText<'a> {
@@ -64,6 +77,14 @@
         !self.replacements.is_empty() && std::str::from_utf8(self.bytes_of(part)).is_err()
     }
 
+    /// Decodes the JSON of a part of the text; bytes that were replaced make it undecodable.
+    pub fn decode<'p, T: Deserialize<'p>>(&self, part: &'p str) -> Result<T, TextError> {
+        if self.has_replacements(part) {
+            return Err(TextError::Bytes);
+        }
+        Ok(serde_json::from_str(part)?)
+    }
+
     fn byte_offset(&self, offset: usize) -> usize {
         let count = self.replacements.partition_point(|(end, _)| *end <= offset);
         match count.checked_sub(1).map(|last| self.replacements[last]) {
