Use the document's sections beside an entry with an odd name

A section under a name that no section can have, written by other means than the command line, made the whole document undecodable: no gateway brought a newer version into force. The same in the list of last good sections lost them all, and in the list of draining hosts none was drained.

The names were checked where the JSON object was decoded. Now each is checked with its entry. The document keeps such an entry unchanged, so that an edit doesn't remove it, and names it in the log; the two lists leave it out.

--- a/crates/document/src/document.rs
+++ b/crates/document/src/document.rs
@@ -18,6 +18,8 @@
     ///
     /// Kept unchanged, so that an edit of another section doesn't remove them.
     pub unreadable: BTreeMap<SectionName, UnreadableSection>,
+    /// JSON of entries under names that no section can have; kept unchanged too.
+    pub unnamed: BTreeMap<Arc<str>, Arc<str>>,
 }
 
 /// Entry of the document that can't be decoded as a section.
--- a/crates/document/src/document_wire.rs
+++ b/crates/document/src/document_wire.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DocumentWire {
-    sections: BTreeMap<SectionName, Box<RawValue>>,
+    sections: BTreeMap<Arc<str>, Box<RawValue>>,
 }
 
 /// JSON form of a [`Section`].
@@ -35,7 +35,8 @@
 impl Document {
     /// Decodes a stored document; fails only if the JSON as a whole is malformed.
     ///
-    /// An entry that can't be decoded ends up in [`Document::unreadable`].
+    /// An entry that can't be decoded ends up in [`Document::unreadable`], and one whose name no
+    /// section can have in [`Document::unnamed`].
     pub fn decode(value: &str) -> Result<Self, DecodeError> {
         let wire: DocumentWire = serde_json::from_str(value).map_err(|error| DecodeError {
             reason: error.to_string(),
@@ -54,7 +55,11 @@
 impl From<DocumentWire> for Document {
     fn from(wire: DocumentWire) -> Self {
         let mut document = Self::default();
-        for (name, entry) in wire.sections {
+        for (key, entry) in wire.sections {
+            let Ok(name) = SectionName::new(&key) else {
+                document.unnamed.insert(key, Arc::from(entry.get()));
+                continue;
+            };
             match serde_json::from_str::<SectionEntryWire>(entry.get()) {
                 Ok(section) => {
                     document.sections.insert(name, section.into());
@@ -77,13 +82,17 @@
         let decoded = document
             .sections
             .iter()
-            .map(|(name, section)| (name.clone(), encode_section(section)));
+            .map(|(name, section)| (Arc::from(name.as_str()), encode_section(section)));
         let unreadable = document
             .unreadable
             .iter()
-            .map(|(name, entry)| (name.clone(), encode_raw(&entry.encoded)));
+            .map(|(name, entry)| (Arc::from(name.as_str()), encode_raw(&entry.encoded)));
+        let unnamed = document
+            .unnamed
+            .iter()
+            .map(|(key, encoded)| (key.clone(), encode_raw(encoded)));
         Self {
-            sections: decoded.chain(unreadable).collect(),
+            sections: decoded.chain(unreadable).chain(unnamed).collect(),
         }
     }
 }
--- a/crates/document/src/good_wire.rs
+++ b/crates/document/src/good_wire.rs
@@ -4,13 +4,14 @@
 
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
+use serde_json::value::{RawValue, to_raw_value};
 
 use crate::{DecodeError, GoodSection, GoodSections, parse_section};
 
 /// JSON form of [`GoodSections`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct GoodSectionsWire {
-    sections: BTreeMap<SectionName, GoodSectionWire>,
+    sections: BTreeMap<Arc<str>, Box<RawValue>>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -20,8 +21,8 @@
 }
 
 impl GoodSections {
-    /// Decodes stored sections; one that this version of the program rejects is
-    /// left out.
+    /// Decodes stored sections; one that can't be decoded, or that this version of the program
+    /// rejects, is left out.
     pub fn decode(value: &str) -> Result<Self, DecodeError> {
         let wire: GoodSectionsWire = serde_json::from_str(value).map_err(|error| DecodeError {
             reason: error.to_string(),
@@ -40,6 +41,8 @@
 impl From<GoodSectionsWire> for GoodSections {
     fn from(wire: GoodSectionsWire) -> Self {
         let sections = wire.sections.into_iter().filter_map(|(name, section)| {
+            let name = SectionName::new(&name).ok()?;
+            let section: GoodSectionWire = serde_json::from_str(section.get()).ok()?;
             let parsed = Arc::new(parse_section(&section.text).ok()?);
             let revision = section.revision;
             Some((name, GoodSection { revision, parsed }))
@@ -55,7 +58,8 @@
                 revision: section.revision,
                 text: Arc::clone(&section.parsed.text),
             };
-            (name.clone(), wire)
+            let wire = to_raw_value(&wire).expect("names, numbers and texts are plain JSON");
+            (Arc::from(name.as_str()), wire)
         });
         Self {
             sections: sections.collect(),
--- a/crates/document/tests/effective.rs
+++ b/crates/document/tests/effective.rs
@@ -186,3 +186,37 @@
     let good = effective_config(&initial_document(), &GoodSections::default()).good;
     assert_eq!(GoodSections::decode(&good.encode()), Ok(good));
 }
+
+/// JSON of an object with sections, and one more entry under a name that no section can have.
+fn with_odd_name(encoded: &str, name: &str) -> String {
+    let name = serde_json::to_string(name).unwrap();
+    let entry = format!("{{\"sections\":{{{name}:{{\"note\":1}},");
+    encoded.replacen("{\"sections\":{", &entry, 1)
+}
+
+const ODD_NAMES: [&str; 5] = ["", "backup of 12 May", "a/b", "\u{e9}", "\u{1}"];
+
+#[test]
+fn an_entry_whose_name_no_section_can_have_does_not_affect_the_sections() {
+    let initial = initial_document();
+    for name in ODD_NAMES {
+        let document = Document::decode(&with_odd_name(&initial.encode(), name)).unwrap();
+        assert_eq!(document.sections, initial.sections, "{name:?}");
+        let encoded = document.encode();
+        assert_eq!(Document::decode(&encoded).unwrap(), document, "{name:?}");
+        assert!(encoded.contains("{\"note\":1}"), "{encoded}");
+    }
+}
+
+#[test]
+fn an_odd_entry_among_the_last_good_sections_does_not_affect_the_others() {
+    let good = effective_config(&initial_document(), &GoodSections::default()).good;
+    for name in ODD_NAMES.into_iter().chain(["sound-name"]) {
+        let encoded = with_odd_name(&good.encode(), name);
+        assert_eq!(
+            GoodSections::decode(&encoded).as_ref(),
+            Ok(&good),
+            "{name:?}"
+        );
+    }
+}
--- a/crates/interface/src/drains.rs
+++ b/crates/interface/src/drains.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 /// Draining hosts, whose endpoints receive no new work.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -16,11 +17,11 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DrainsWire {
-    hosts: BTreeSet<HostName>,
+    hosts: Vec<Value>,
 }
 
 impl DrainList {
-    /// Decodes a stored list; `None` if it is malformed.
+    /// Decodes a stored list; `None` if it is malformed. An entry that names no host is left out.
     pub fn decode(value: &str) -> Option<Self> {
         let wire: DrainsWire = serde_json::from_str(value).ok()?;
         Some(wire.into())
@@ -36,12 +37,24 @@
 
 impl From<DrainsWire> for DrainList {
     fn from(wire: DrainsWire) -> Self {
-        Self { hosts: wire.hosts }
+        let hosts = wire.hosts.into_iter().filter_map(|host| {
+            let name = HostName::new(host.as_str().unwrap_or_default());
+            if let Err(error) = &name {
+                log::warn!(host:% = host; "draining host ignored: {error}");
+            }
+            name.ok()
+        });
+        Self {
+            hosts: hosts.collect(),
+        }
     }
 }
 
 impl From<DrainList> for DrainsWire {
     fn from(list: DrainList) -> Self {
-        Self { hosts: list.hosts }
+        let hosts = list.hosts.into_iter();
+        Self {
+            hosts: hosts.map(|host| Value::String(host.into())).collect(),
+        }
     }
 }
--- a/crates/interface/src/reads.rs
+++ b/crates/interface/src/reads.rs
@@ -36,7 +36,12 @@
         WatchOutcome::Missing | WatchOutcome::Unavailable => return DocumentOutcome::Failed,
     };
     match Document::decode(&object.value) {
-        Ok(document) => DocumentOutcome::Changed(object.version, Arc::new(document)),
+        Ok(document) => {
+            for name in document.unnamed.keys() {
+                log::warn!(version = object.version.0, section:% = name; "section not used: its name is invalid");
+            }
+            DocumentOutcome::Changed(object.version, Arc::new(document))
+        }
         Err(error) => {
             log::error!(version = object.version.0; "{error}");
             DocumentOutcome::Failed
