Take the names of the platform as they are

The names were checked for the alphabet of the project's own interface, which the platform's pages don't set, and one that failed made the configuration, the settings or a message between nodes invalid as a whole.

Names of nodes, failure domains, fabric domains, services, models and workspaces that come from the platform are taken by `external`, which refuses an empty one only; so they are in the stored record and in messages. Ids of servers keep the alphabet: an entry under another id costs that entry, as before. Digests carry evacuated domains with such names in the new field 27, as an earlier build would discard a digest with one in field 24.

That an earlier build reads such a digest was not run.

--- a/crates/base/src/name.rs
+++ b/crates/base/src/name.rs
@@ -1,8 +1,11 @@
 //! Names as shared immutable strings, with one type for each kind of name.
 //!
 //! Cloning a name copies a pointer, so state, events and effects can share names
-//! without copying text. Constructors check the length and the characters, so
-//! that code which has a name need not check it again.
+//! without copying text.
+//!
+//! Names that are chosen in the project's own interface are checked for their
+//! length and characters. Other systems have rules of their own for the names
+//! that they give; such a name is taken as it is.
 
 use std::fmt;
 use std::str::FromStr;
@@ -61,6 +64,14 @@
                 Ok(Self(Arc::from(text)))
             }
 
+            /// Creates a name that another system gave; it may hold any characters.
+            pub fn external(text: &str) -> Result<Self, NameError> {
+                if text.is_empty() {
+                    return Err(NameError::Empty);
+                }
+                Ok(Self(Arc::from(text)))
+            }
+
             /// Returns the name as text.
             pub fn as_str(&self) -> &str {
                 &self.0
--- a/crates/edge/src/border/responses.rs
+++ b/crates/edge/src/border/responses.rs
@@ -42,6 +42,11 @@
             Some(retry_after),
             proof,
         ),
+        RejectReason::UnsendableWorkspace => not_run_response(
+            "servers can't be sent the name of the key's workspace; the request was not run",
+            None,
+            proof,
+        ),
         RejectReason::Denied => {
             text_response(StatusCode::UNAUTHORIZED, "the key is missing or unknown")
         }
--- a/crates/edge/src/border/wire.rs
+++ b/crates/edge/src/border/wire.rs
@@ -112,6 +112,9 @@
     /// Absent from earlier builds.
     #[prost(message, repeated, tag = "26")]
     demand: Vec<DemandWire>,
+    /// Evacuated failure domains whose names earlier builds take for invalid, with the whole digest.
+    #[prost(string, repeated, tag = "27")]
+    evacuated_external: Vec<String>,
 }
 
 /// Rates in thousandths of a request a second.
@@ -344,8 +347,11 @@
     /// Target as received at an instant.
     fn into_target(self, now: ClockTime) -> Result<SendTarget, MessageError> {
         let wire = self;
-        let model = wire.model.as_deref().map(ModelName::new);
-        let senders = wire.cold_senders.iter().map(|node| NodeName::new(node));
+        let model = wire.model.as_deref().map(ModelName::external);
+        let senders = wire
+            .cold_senders
+            .iter()
+            .map(|node| NodeName::external(node));
         let senders: Arc<[NodeName]> = senders.collect::<Result<_, _>>()?;
         let cold = wire.cold_ms.map(|remaining| ColdWindow {
             until: now + Duration::from_millis(remaining),
@@ -355,8 +361,8 @@
             cold,
             id: HostName::new(&wire.id)?,
             address: wire.address.parse()?,
-            domain: DomainName::new(&wire.zone)?,
-            service: ServiceName::new(&wire.service)?,
+            domain: DomainName::external(&wire.zone)?,
+            service: ServiceName::external(&wire.service)?,
             model: model.transpose()?,
             epoch: GroupEpoch(wire.epoch),
             slots: wire.slots as usize,
@@ -395,9 +401,13 @@
         });
         let evacuations = digest.evacuations.iter();
         let evacuated = evacuations.flat_map(|set| set.domains.iter());
+        let evacuated = evacuated.map(|domain| domain.as_str().to_owned());
+        let (evacuated, evacuated_external) =
+            evacuated.partition(|domain| DomainName::new(domain).is_ok());
         let demand = digest.demand.iter().take(DemandReport::MAX_COUNT);
         Self {
-            evacuated: evacuated.map(|domain| domain.as_str().to_owned()).collect(),
+            evacuated,
+            evacuated_external,
             evacuated_as_of: (digest.evacuations.as_ref()).map_or(0, |set| set.as_of.0),
             demand: demand.map(DemandWire::from).collect(),
             from: digest.from.as_str().to_owned(),
@@ -441,14 +451,15 @@
         let slow_groups = wire.paces.iter();
         let slow_groups =
             slow_groups.map(|pace| Ok((HostName::new(&pace.head)?, SlowPace(pace.percent))));
-        let summing_hub = wire.summing_hub.as_deref().map(NodeName::new);
+        let summing_hub = wire.summing_hub.as_deref().map(NodeName::external);
         let limits = wire.limits.into_iter();
         let limits = limits.map(|wire| wire.into_report(now));
         let leaving = wire.leaving.into_iter();
         let leaving = leaving.map(|wire| wire.into_report(now));
         let departures = wire.departures.into_iter();
         let departures = departures.map(|wire| wire.into_departure(now));
-        let evacuated = wire.evacuated.iter().map(|domain| DomainName::new(domain));
+        let evacuated = wire.evacuated.iter().chain(&wire.evacuated_external);
+        let evacuated = evacuated.map(|domain| DomainName::external(domain));
         let evacuated = evacuated.collect::<Result<_, NameError>>()?;
         let evacuations = EvacuationSet {
             domains: Arc::new(evacuated),
@@ -459,7 +470,7 @@
         Ok(Digest {
             evacuations: evacuations.as_of.exists().then_some(evacuations),
             demand: demand.collect::<Result<_, NameError>>()?,
-            from: NodeName::new(&wire.from)?,
+            from: NodeName::external(&wire.from)?,
             summing_hub: summing_hub.transpose()?,
             has_sums: wire.has_sums,
             forwarded_version: ObjectVersion(wire.forwarded_version),
@@ -512,8 +523,8 @@
 
     fn try_from(wire: DemandWire) -> Result<Self, NameError> {
         Ok(Self {
-            service: ServiceName::new(&wire.service)?,
-            model: ModelName::new(&wire.model)?,
+            service: ServiceName::external(&wire.service)?,
+            model: ModelName::external(&wire.model)?,
             arrivals: wire.arrivals,
             returns: wire.returns,
             refusals: wire.refusals,
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -32,6 +32,9 @@
         }
         Err(reason) => return ArrivalOutcome::Rejected(reason),
     };
+    if workspace.is_some_and(|workspace| !workspace.can_be_sent) {
+        return ArrivalOutcome::Rejected(RejectReason::UnsendableWorkspace);
+    }
     state.random_state = state
         .random_state
         .wrapping_mul(6_364_136_223_846_793_005)
--- a/crates/edge/src/commands/evacuations.rs
+++ b/crates/edge/src/commands/evacuations.rs
@@ -28,7 +28,7 @@
         CollectionEvent::Changed(changes, as_of) => {
             let changes = changes.into_iter().filter_map(|change| match change {
                 CollectionChange::Put(item) => Some((evacuated_domain(item)?, true)),
-                CollectionChange::Removed(name) => Some((DomainName::new(&name).ok()?, false)),
+                CollectionChange::Removed(name) => Some((DomainName::external(&name).ok()?, false)),
             });
             apply_changes(&mut state.evacuations, changes, as_of, now)
         }
--- a/crates/edge/src/commands/shared.rs
+++ b/crates/edge/src/commands/shared.rs
@@ -115,7 +115,7 @@
 }
 
 fn apply_node_entry(state: &mut EdgeState, node: &str, object: &StoredObject) {
-    let Ok(node) = NodeName::new(node) else {
+    let Ok(node) = NodeName::external(node) else {
         return;
     };
     let wire: NodeWire = match serde_json::from_str(&object.value) {
@@ -133,7 +133,7 @@
         return;
     }
     let address = wire.address;
-    let domain = DomainName::new(&wire.domain).ok();
+    let domain = DomainName::external(&wire.domain).ok();
     let peer = state.peers.entry(node.clone()).or_insert_with(|| {
         log::debug!(node:% = node, address:% = address; "node discovered");
         PeerState::new(address, wire.rank, domain.clone())
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -68,6 +68,8 @@
     NoRoute,
     /// The API key is missing or unknown.
     Denied,
+    /// Servers can't be sent the name of its workspace.
+    UnsendableWorkspace,
     /// It, or a part of its prompt, has crashed several servers.
     Quarantined {
         /// Time until the quarantine ends.
@@ -84,6 +86,7 @@
             Self::UnknownEvacuations => "UnknownEvacuations",
             Self::NoRoute => "NoRoute",
             Self::Denied => "Denied",
+            Self::UnsendableWorkspace => "UnsendableWorkspace",
             Self::Quarantined { .. } => "Quarantined",
         }
     }
--- a/crates/edge/tests/suite/messages.rs
+++ b/crates/edge/tests/suite/messages.rs
@@ -12,7 +12,7 @@
     SuspectClearance,
 };
 use relay::{LaneCounts, SendTarget};
-use replicas::GroupRecord;
+use replicas::{GroupEntry, GroupPhase, GroupRecord, MemberRef};
 
 fn no_config(_text: &str) -> Result<intent::RoutingConfig, String> {
     Err("no configuration expected".to_owned())
@@ -103,6 +103,84 @@
     assert_eq!(*decoded, digest());
 }
 
+/// Guards against a name in a message that other nodes take for invalid, with the whole message.
+#[test]
+fn messages_are_unchanged_after_a_round_trip_whatever_the_names() {
+    for name in [
+        "Kalinga Tactile Services Office",
+        "a/b?c#d",
+        "\u{e9}\u{1f4be}",
+        "\n",
+    ] {
+        let node = NodeName::external(name).unwrap();
+        let domain = DomainName::external(name).unwrap();
+        let service = ServiceName::external(name).unwrap();
+        let model = ModelName::external(name).unwrap();
+        let mut sent = digest();
+        sent.from = node.clone();
+        sent.summing_hub = Some(node.clone());
+        sent.demand[0].service = service.clone();
+        sent.demand[0].model = model.clone();
+        let domains = [domain.clone(), DomainName::new("zone-b").unwrap()];
+        sent.evacuations.as_mut().unwrap().domains = Arc::new(domains.into());
+        let message = PeerMessage::Digest(Box::new(sent.clone()));
+        let decoded = decode_message(&encode_message(&message, at(0)), at(0), &no_config);
+        let Ok(PeerMessage::Digest(received)) = decoded else {
+            panic!("{name:?}: {decoded:?}");
+        };
+        assert_eq!(*received, sent);
+
+        let record = GroupRecord {
+            owner: Some(node.clone()),
+            next_epoch: GroupEpoch(5),
+            groups: vec![GroupEntry {
+                name: GroupName::new("g4").unwrap(),
+                service: service.clone(),
+                model: model.clone(),
+                epoch: GroupEpoch(4),
+                members: vec![MemberRef {
+                    id: HostName::new("i-1").unwrap(),
+                    incarnation: HostIncarnation(1),
+                }],
+                head_address: "10.0.0.1:80".parse().unwrap(),
+                phase: GroupPhase::Serving,
+            }],
+        };
+        let message = PeerMessage::Record(Arc::new(record.clone()), ObjectVersion(5));
+        let decoded = decode_message(&encode_message(&message, at(0)), at(0), &no_config);
+        let Ok(PeerMessage::Record(received, _)) = decoded else {
+            panic!("{name:?}: {decoded:?}");
+        };
+        assert_eq!(*received, record);
+
+        let target = SendTarget {
+            id: HostName::new("i-1").unwrap(),
+            incarnation: HostIncarnation(1),
+            address: "10.0.0.1:80".parse().unwrap(),
+            domain,
+            service,
+            model: Some(model),
+            epoch: GroupEpoch(4),
+            slots: 17,
+            cold: Some(ColdWindow {
+                until: at(9_000),
+                senders: [node].into(),
+            }),
+        };
+        let version = ObjectVersion(5).into();
+        let message = PeerMessage::Targets(Arc::new([target.clone()]), version);
+        let decoded = decode_message(&encode_message(&message, at(0)), at(0), &no_config);
+        let Ok(PeerMessage::Targets(received, _)) = decoded else {
+            panic!("{name:?}: {decoded:?}");
+        };
+        assert_eq!(received[0].domain, target.domain);
+        assert_eq!(received[0].service, target.service);
+        assert_eq!(received[0].model, target.model);
+        let senders = received[0].cold.as_ref().map(|cold| &cold.senders);
+        assert_eq!(senders, target.cold.as_ref().map(|cold| &cold.senders));
+    }
+}
+
 #[test]
 fn a_record_keeps_its_version() {
     let record = Arc::new(GroupRecord {
--- a/crates/edge/tests/suite/odd_entries.rs
+++ b/crates/edge/tests/suite/odd_entries.rs
@@ -1,10 +1,14 @@
-//! Entries and reports of servers whose values are odd but can be decoded, and entries that turn
-//! unreadable.
+//! Entries and reports of servers whose values are odd but can be decoded, entries that turn
+//! unreadable, and workspaces whose names can't be sent.
 
-use crate::support::{apply_event, arrive, at, endpoint, list, ready};
+use crate::support::{apply_event, arrival, arrive, ask, at, config, endpoint, list, ready};
 use base::prelude::*;
 use edge::border::ports::{CollectionChange, CollectionItem, StoreCollection};
-use edge::{ArrivalOutcome, CollectionEvent, EdgeEvent, EdgeState};
+use edge::{
+    Arrival, ArrivalOutcome, CollectionEvent, EdgeEvent, EdgeQuestion, EdgeReply, EdgeState,
+    RejectReason,
+};
+use intent::{RoutingConfig, Workspace};
 use relay::CallStep;
 use replicas::{Endpoint, EndpointReport, ProbeOutcome};
 
@@ -73,3 +77,39 @@
     apply_event(&mut state, StoreCollection::Endpoints, event, at(20));
     assert!(!is_sent(&mut state, 2, at(30)));
 }
+
+#[test]
+fn requests_of_a_workspace_whose_name_cannot_be_sent_are_rejected_and_no_others() {
+    let mut state = ready("n1", "n2");
+    let workspaces = [("key-1", true), ("key-2", false)].map(|(key, can_be_sent)| {
+        let workspace = Workspace {
+            name: WorkspaceName::external("a\nb").unwrap(),
+            can_be_sent,
+            priority: None,
+        };
+        (Arc::from(key), workspace)
+    });
+    let config = RoutingConfig {
+        workspaces: Some(workspaces.into()),
+        ..config(5, "/x/")
+    };
+    let item = CollectionItem::RoutingConfig(Arc::new(config), "text".into());
+    let event = CollectionEvent::Changed(vec![CollectionChange::Put(item)], ObjectVersion(5));
+    apply_event(&mut state, StoreCollection::RoutingConfig, event, at(10));
+    for (call, key, is_rejected) in [(1, "key-1", false), (2, "key-2", true)] {
+        let arrival = Arrival {
+            key: Some(key.into()),
+            ..arrival(call, "/x/1", at(20))
+        };
+        let reply = ask(&mut state, EdgeQuestion::Arrive(Box::new(arrival)), at(20));
+        let EdgeReply::Arrival(outcome) = reply else {
+            panic!("no arrival: {reply:?}");
+        };
+        let reason = match *outcome {
+            ArrivalOutcome::Rejected(reason) => Some(reason),
+            ArrivalOutcome::Accepted { .. } => None,
+        };
+        let expected = is_rejected.then_some(RejectReason::UnsendableWorkspace);
+        assert_eq!(reason, expected, "{key}");
+    }
+}
--- a/crates/intent/src/config.rs
+++ b/crates/intent/src/config.rs
@@ -95,6 +95,8 @@
 pub struct Workspace {
     /// Name, as sent to servers.
     pub name: WorkspaceName,
+    /// Whether its name can be sent to servers; its requests are rejected otherwise.
+    pub can_be_sent: bool,
     /// Priority that overrides the route's; `None` for no override.
     pub priority: Option<u8>,
 }
--- a/crates/intent/tests/queries.rs
+++ b/crates/intent/tests/queries.rs
@@ -33,6 +33,7 @@
         let entry = |(key, name): &(&str, &str)| {
             let workspace = Workspace {
                 name: WorkspaceName::new(name).unwrap(),
+                can_be_sent: true,
                 priority: None,
             };
             (Arc::from(*key), workspace)
--- a/crates/replicas/src/wire.rs
+++ b/crates/replicas/src/wire.rs
@@ -14,12 +14,15 @@
     /// The head's address can't be parsed.
     #[error("group {0} has an invalid head address {1:?}: expected ip:port")]
     Address(GroupName, String),
+    /// A name is empty.
+    #[error(transparent)]
+    Name(#[from] NameError),
 }
 
 /// Stored form of a [`GroupRecord`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RecordWire {
-    owner: Option<NodeName>,
+    owner: Option<String>,
     next_epoch: GroupEpoch,
     groups: Vec<GroupWire>,
 }
@@ -27,8 +30,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct GroupWire {
     name: GroupName,
-    service: ServiceName,
-    model: ModelName,
+    service: String,
+    model: String,
     epoch: GroupEpoch,
     members: Vec<(HostName, HostIncarnation)>,
     head_address: String,
@@ -66,7 +69,7 @@
 impl From<&GroupRecord> for RecordWire {
     fn from(record: &GroupRecord) -> Self {
         Self {
-            owner: record.owner.clone(),
+            owner: record.owner.as_ref().map(NodeName::to_string),
             next_epoch: record.next_epoch,
             groups: record.groups.iter().map(GroupWire::from).collect(),
         }
@@ -78,8 +81,8 @@
         let members = group.members.iter();
         Self {
             name: group.name.clone(),
-            service: group.service.clone(),
-            model: group.model.clone(),
+            service: group.service.to_string(),
+            model: group.model.to_string(),
             epoch: group.epoch,
             members: members
                 .map(|member| (member.id.clone(), member.incarnation))
@@ -94,9 +97,10 @@
     type Error = RecordError;
 
     fn try_from(wire: RecordWire) -> Result<Self, RecordError> {
+        let owner = wire.owner.as_deref().map(NodeName::external);
         let groups = wire.groups.into_iter().map(GroupEntry::try_from);
         Ok(Self {
-            owner: wire.owner,
+            owner: owner.transpose()?,
             next_epoch: wire.next_epoch,
             groups: groups.collect::<Result<_, _>>()?,
         })
@@ -116,8 +120,8 @@
         let members = wire.members.into_iter();
         Ok(Self {
             name: wire.name,
-            service: wire.service,
-            model: wire.model,
+            service: ServiceName::external(&wire.service)?,
+            model: ModelName::external(&wire.model)?,
             epoch: wire.epoch,
             members: members
                 .map(|(id, incarnation)| MemberRef { id, incarnation })
