--- a/crates/soak/src/plan/foreign.rs
+++ b/crates/soak/src/plan/foreign.rs
@@ -1,5 +1,8 @@
 //! Entries that another writer leaves in the store.
 
+use rand::RngExt;
+use rand::rngs::StdRng;
+
 /// Form of such an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ForeignForm {
@@ -60,3 +63,10 @@
         Self("zz\u{2028}"),
     ];
 }
+
+/// Form and name of an entry.
+pub(super) fn random_entry(rng: &mut StdRng) -> (ForeignForm, ForeignName) {
+    let form = ForeignForm::ALL[rng.random_range(0..ForeignForm::ALL.len())];
+    let name = ForeignName::ALL[rng.random_range(0..ForeignName::ALL.len())];
+    (form, name)
+}
--- a/crates/soak/src/plan/mod.rs
+++ b/crates/soak/src/plan/mod.rs
@@ -43,6 +43,8 @@
 const RESTART_INTERVAL_MS: std::ops::Range<u64> = 60..240;
 /// Delay on the way to servers that restart.
 const RESTART_LINK_DELAY: Duration = Duration::from_millis(60);
+/// Number of times that another writer leaves entries.
+const FOREIGN_ENTRIES: usize = 2;
 /// Number of daemons from which they use hubs.
 const HUB_NODES: usize = 11;
 /// Range of the limit of a plain server, in requests a minute.
@@ -335,6 +337,12 @@
                     insert_step(&mut steps, FaultStep { at, fault });
                 }
             }
+            for _ in 0..FOREIGN_ENTRIES {
+                let at = Duration::from_millis(rng.random_range(0..hang_ms));
+                let (form, name) = foreign::random_entry(&mut rng);
+                let fault = Fault::ForeignEntry(form, name);
+                insert_step(&mut steps, FaultStep { at, fault });
+            }
         }
         Self { steps }
     }
