Bound the names and log lines of other writers' entries

Since names of the platform are taken as they are, an entry with a zone of 900 KB and valid otherwise would have counted as a server, and an evacuation of such a name as one, and nodes would have sent it to one another in each digest or list of targets. Names were limited to 128 bytes with the alphabet before.

`external` refuses more than 1,024 bytes; such an entry is no server. Names and reasons in the log line about an entry that can't be decoded end after 200 characters.

--- a/crates/base/src/name.rs
+++ b/crates/base/src/name.rs
@@ -15,6 +15,8 @@
 
 /// Maximum length of a name.
 const MAX_NAME_BYTES: usize = 128;
+/// Maximum length of a name that another system gave; nodes name many of them to one another.
+const MAX_EXTERNAL_BYTES: usize = 1_024;
 
 /// Error for a text that is not a valid name.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -23,10 +25,12 @@
     #[error("a name is empty: give it at least one character")]
     Empty,
     /// The text exceeds the maximum length.
-    #[error("the name is {length} bytes long: shorten it to {MAX_NAME_BYTES} or fewer")]
+    #[error("the name is {length} bytes long: shorten it to {limit} or fewer")]
     Long {
         /// Length in bytes.
         length: usize,
+        /// Maximum length.
+        limit: usize,
     },
     /// The text contains a character that is not allowed.
     #[error("the name has {found:?} in it: use letters, digits, '.', '_', ':' and '-' only")]
@@ -36,13 +40,16 @@
     },
 }
 
-fn check_name(text: &str) -> Result<(), NameError> {
-    if text.is_empty() {
-        return Err(NameError::Empty);
-    }
-    if text.len() > MAX_NAME_BYTES {
-        return Err(NameError::Long { length: text.len() });
+fn check_length(text: &str, limit: usize) -> Result<(), NameError> {
+    match text.len() {
+        0 => Err(NameError::Empty),
+        length if length > limit => Err(NameError::Long { length, limit }),
+        _ => Ok(()),
     }
+}
+
+fn check_name(text: &str) -> Result<(), NameError> {
+    check_length(text, MAX_NAME_BYTES)?;
     let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | ':' | '-');
     match text.chars().find(|&c| !is_allowed(c)) {
         Some(found) => Err(NameError::Character { found }),
@@ -66,9 +73,7 @@
 
             /// Creates a name that another system gave; it may hold any characters.
             pub fn external(text: &str) -> Result<Self, NameError> {
-                if text.is_empty() {
-                    return Err(NameError::Empty);
-                }
+                check_length(text, MAX_EXTERNAL_BYTES)?;
                 Ok(Self(Arc::from(text)))
             }
 
--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -17,6 +17,8 @@
 use crate::border::ports::{CollectionChange, CollectionItem, StoreCollection};
 use crate::{CollectionEvent, EdgeEffect, EdgeState};
 
+/// Longest part of a text of another writer that is logged.
+const MAX_LOGGED_CHARS: usize = 200;
 /// Longest time from the beginning of a read of the configuration to its response.
 const MAX_READ_DURATION: Duration = Duration::from_secs(7);
 
@@ -327,6 +329,7 @@
 
 pub(super) fn log_unreadable(item: &CollectionItem, effect: &str) {
     if let CollectionItem::Unreadable { name, reason } = item {
-        log::warn!(name:% = name; "object in the store can't be decoded, {effect}: {reason}");
+        let name = format_args!("{name:.MAX_LOGGED_CHARS$}");
+        log::warn!(name:% = name; "object in the store can't be decoded, {effect}: {reason:.MAX_LOGGED_CHARS$}");
     }
 }
