--- a/crates/document/src/document.rs
+++ b/crates/document/src/document.rs
@@ -19,7 +19,7 @@
     /// Kept unchanged, so that an edit of another section doesn't remove them.
     pub unreadable: BTreeMap<SectionName, UnreadableSection>,
     /// JSON of entries under names that no section can have; kept unchanged too.
-    pub unnamed: BTreeMap<Arc<str>, Arc<str>>,
+    pub misnamed: BTreeMap<Arc<str>, Arc<str>>,
 }
 
 /// Entry of the document that can't be decoded as a section.
--- a/crates/document/src/document_wire.rs
+++ b/crates/document/src/document_wire.rs
@@ -36,7 +36,7 @@
     /// Decodes a stored document; fails only if the JSON as a whole is malformed.
     ///
     /// An entry that can't be decoded ends up in [`Document::unreadable`], and one whose name no
-    /// section can have in [`Document::unnamed`].
+    /// section can have in [`Document::misnamed`].
     pub fn decode(value: &str) -> Result<Self, DecodeError> {
         let wire: DocumentWire = serde_json::from_str(value).map_err(|error| DecodeError {
             reason: error.to_string(),
@@ -57,7 +57,7 @@
         let mut document = Self::default();
         for (key, entry) in wire.sections {
             let Ok(name) = SectionName::new(&key) else {
-                document.unnamed.insert(key, Arc::from(entry.get()));
+                document.misnamed.insert(key, Arc::from(entry.get()));
                 continue;
             };
             match serde_json::from_str::<SectionEntryWire>(entry.get()) {
@@ -87,12 +87,12 @@
             .unreadable
             .iter()
             .map(|(name, entry)| (Arc::from(name.as_str()), encode_raw(&entry.encoded)));
-        let unnamed = document
-            .unnamed
+        let misnamed = document
+            .misnamed
             .iter()
             .map(|(key, encoded)| (key.clone(), encode_raw(encoded)));
         Self {
-            sections: decoded.chain(unreadable).chain(unnamed).collect(),
+            sections: decoded.chain(unreadable).chain(misnamed).collect(),
         }
     }
 }
--- a/crates/interface/src/reads.rs
+++ b/crates/interface/src/reads.rs
@@ -37,7 +37,7 @@
     };
     match Document::decode(&object.value) {
         Ok(document) => {
-            for name in document.unnamed.keys() {
+            for name in document.misnamed.keys() {
                 log::warn!(version = object.version.0, section:% = name; "section not used: its name is invalid");
             }
             DocumentOutcome::Changed(object.version, Arc::new(document))
