Look a newer route up by the request's own host and path

Cause: when a version arrives, `adopt_config` marks the requests under way that it allows once only. It looked the newer route up by the host and prefix of the route that had accepted the request. A newer route with a longer prefix below that one is not found in this way, so the request stayed repeatable, and the check of a silent server sent it to a second one.

A request now keeps its host and path, and each newer version is asked for the route of these.

--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -59,6 +59,8 @@
         &mut state.relay,
         CallArrival {
             call: arrival.call,
+            host: arrival.host,
+            path: arrival.path,
             route: route.clone(),
             service: service.clone(),
             model: arrival.model,
--- a/crates/edge/src/commands/collections.rs
+++ b/crates/edge/src/commands/collections.rs
@@ -183,9 +183,8 @@
     let before = state.config.version();
     match state.config.adopt(config.clone()) {
         AdoptOutcome::Adopted => {
-            relay::commands::restrict_calls(&mut state.relay, |route| {
-                let newer = find_route(&config, &route.host, &route.prefix);
-                newer.is_some_and(|newer| !newer.kind.is_repeatable())
+            relay::commands::restrict_calls(&mut state.relay, |host, path| {
+                find_route(&config, host, path)
             });
             relay::commands::set_engines(&mut state.relay, &config);
             let bytes = text.len();
--- a/crates/edge/tests/suite/changed_types.rs
+++ b/crates/edge/tests/suite/changed_types.rs
@@ -7,7 +7,7 @@
 use edge::border::ports::{CollectionChange, CollectionItem, StoreCollection};
 use edge::{ArrivalOutcome, CollectionEvent, EdgeQuestion, EdgeReply, EdgeState};
 use intent::{CallKind, Route};
-use relay::{AttemptEnd, AttemptId, CallStep, RefusalReason};
+use relay::{AttemptEnd, AttemptId, CallStep, RefusalReason, StallStep};
 
 use crate::support::{
     apply_event, arrive, ask, at, config, digest, endpoint, first_attempt, list, not_run, start,
@@ -151,3 +151,23 @@
     let is_sent = matches!(step, CallStep::Send(_));
     assert_eq!((is_allowed, is_sent), (false, false), "{step:?}");
 }
+
+#[test]
+fn a_request_that_a_newer_route_with_a_longer_prefix_lets_run_once_only_does_not_leave_a_silent_server()
+ {
+    for (config, is_moved) in [
+        (split_config(2), false),
+        (typed_config(2, CallKind::Idempotent), true),
+    ] {
+        let mut state = sent(CallKind::Idempotent);
+        change_config(&mut state, 2, config, 2_010);
+        let check = EdgeQuestion::Check {
+            attempt: first_attempt(CALL),
+            is_answering: false,
+        };
+        let EdgeReply::Stall(step) = ask(&mut state, check, at(2_500)) else {
+            panic!("a check gets a step");
+        };
+        assert_eq!(matches!(step, StallStep::Move(..)), is_moved, "{step:?}");
+    }
+}
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -11,6 +11,10 @@
 pub struct CallArrival {
     /// Identity within this process.
     pub call: CallId,
+    /// Requested host name.
+    pub host: Arc<str>,
+    /// Path of the URL.
+    pub path: Arc<str>,
     /// Route that it matched.
     pub route: Arc<Route>,
     /// Service chosen from the route's services.
--- a/crates/relay/src/commands/calls.rs
+++ b/crates/relay/src/commands/calls.rs
@@ -83,10 +83,14 @@
 }
 
 /// Records which requests in flight a newer version of the configuration allows to run once only;
-/// none allows them more again.
-pub fn restrict_calls(state: &mut RelayState, is_once_only: impl Fn(&Route) -> bool) {
+/// none allows them more again. `find_route` finds the route of a host and path in that version.
+pub fn restrict_calls<'a>(
+    state: &mut RelayState,
+    find_route: impl Fn(&str, &str) -> Option<&'a Arc<Route>>,
+) {
     for entry in state.calls.values_mut() {
-        entry.is_once_only |= is_once_only(&entry.arrival.route);
+        let newer = find_route(&entry.arrival.host, &entry.arrival.path);
+        entry.is_once_only |= newer.is_some_and(|newer| !newer.kind.is_repeatable());
     }
 }
 
--- a/crates/relay/tests/suite/support.rs
+++ b/crates/relay/tests/suite/support.rs
@@ -79,6 +79,8 @@
     };
     CallArrival {
         call: CallId(call),
+        host: "a.example".into(),
+        path: "/".into(),
         route: Arc::new(route),
         service,
         model: is_stream.then(|| ModelName::new("large").unwrap()),
