Check a repetition against newer versions until it is sent

What callers could see: a request that a version in force lets run once only was sent to a second server all the same (TWICE), where the second sending had been decided on by the version before and was not sent yet.

Cause: the event loop decides once whether a request is sent again. Between that decision and the first byte a connection is opened (up to 250 ms), or other nodes are asked to pass the attempt on, up to ten one after the other. A version that arrived meanwhile was not looked at, and a node that passed an attempt on never looked at its own version, which may be newer than that of the node that took the request.

- `WebClient::call_gated` asks a `SendGate` once the connection is open; a repetition's gate asks the event loop.
First attempts have no gate.
- An attempt that a node did not pass on is not passed elsewhere once the request may run once only.
- A node that asks another one to carry an attempt says which version accepted the request and whether another attempt may have run.
The other one withholds a repetition that its newer version lets run once only, and says with every response that it does, so that the request isn't sent again by another way.
- Nodes of older builds send and understand none of this; for them everything is as before.

Evidence: four tests in edge/tests/suite/changed_types.rs.

--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -8,12 +8,15 @@
 use futures_channel::mpsc::UnboundedSender;
 use http::{HeaderMap, Method, Uri};
 use net::MetricSink;
-use net::web::{CallOutcome, IncomingResponse, WebClient, WebRequest, drop_request, full_body};
+use net::web::{
+    CallOutcome, IncomingResponse, SendGate, WebClient, WebRequest, drop_request, full_body,
+};
 use notices::{ServerNotice, ServerRun};
 use relay::{AttemptEnd, AttemptId, SendOrder, StallCause, StallStep};
 
 use super::EdgeReplies;
-use super::pass::{add_pass_headers, pass_outcome, take_checked};
+use super::gate::RepeatGate;
+use super::pass_wire::{PassWire, PassedHead, pass_outcome};
 use super::ports::{ForwardMetadata, HeaderCodec, ResponseMetadata};
 use crate::{EdgeEvent, EdgeQuestion, EdgeReply};
 
@@ -28,6 +31,8 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub workspace: Option<WorkspaceName>,
+    /// Version of the configuration by which it was accepted.
+    pub version: u64,
     /// Whether it is sent with a rank for the server's queue.
     pub is_ranked: bool,
 }
@@ -74,19 +79,31 @@
             Some(node) => (&self.nodes, node),
             None => (&self.client, order.address),
         };
-        let outcome = client.call(address, forwarded, order.deadline).await;
-        match outcome {
+        let gate = order.is_repeat.then(|| RepeatGate {
+            replies: self.replies.clone(),
+            attempt: order.attempt,
+        });
+        let gate = gate.as_ref().map(|gate| gate as &dyn SendGate);
+        let outcome = client.call_gated(address, forwarded, order.deadline, gate);
+        match outcome.await {
             CallOutcome::Response(mut response) => {
                 let mut is_checked = true;
                 if order.via.is_some() {
+                    let head = PassedHead::take(&mut response.parts.headers);
+                    if head.is_once_only {
+                        // The event loop ends only when the process is about to exit.
+                        let once_only = EdgeEvent::OnceOnly(request.call);
+                        let _ = self.events.unbounded_send(once_only);
+                    }
                     if let Some(end) = pass_outcome(&response) {
                         drain_response(*response, self.clock.as_ref());
                         return AttemptOutcome::Ended(end);
                     }
-                    is_checked = take_checked(&mut response);
+                    is_checked = head.is_checked;
                 }
                 self.check_response(&request, &order, *response, is_checked)
             }
+            CallOutcome::Withheld(proof) => AttemptOutcome::Ended(AttemptEnd::Withheld(proof)),
             CallOutcome::NotSent(proof) if order.via.is_some() => {
                 AttemptOutcome::Ended(AttemptEnd::NotPassedOn(proof))
             }
@@ -173,10 +190,20 @@
             .header_codec
             .forward_headers(&request.headers, &metadata);
         if order.via.is_some() {
-            let now = self.clock.now();
-            if add_pass_headers(&mut forwarded, order, &request.id, now).is_none() {
+            let wire = PassWire {
+                run: ServerRun {
+                    server: order.target.clone(),
+                    incarnation: order.incarnation,
+                },
+                time_left_ms: metadata.time_left.as_millis() as u64,
+                id: request.id.clone(),
+                config_version: Some(request.version),
+                is_repeat: order.is_repeat,
+            };
+            let Ok(headers) = HeaderMap::try_from(wire) else {
                 return Err(drop_request(forwarded));
-            }
+            };
+            forwarded.headers_mut().extend(headers);
         }
         Ok(forwarded)
     }
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -81,8 +81,7 @@
         };
         let parts = held.request().parts();
         let metadata = self.context.header_codec.read_request(&parts.headers);
-        let call = CallId(self.next_call.get());
-        self.next_call.set(call.0 + 1);
+        let call = take_call(&self.next_call);
         let id = metadata.id.clone().unwrap_or_else(|| Arc::from(""));
         let arrival = Arrival {
             call,
@@ -135,6 +134,7 @@
                     headers: parts.headers,
                     body,
                     workspace,
+                    version,
                     is_ranked: metadata.model.is_some(),
                 };
                 let accepted = AcceptedRequest {
@@ -389,7 +389,15 @@
     }
 }
 
-fn host_of(parts: &Parts) -> &str {
+/// Next number of a request within this process.
+pub(super) fn take_call(next_call: &Cell<u64>) -> CallId {
+    let call = CallId(next_call.get());
+    next_call.set(call.0 + 1);
+    call
+}
+
+/// Requested host name.
+pub(super) fn host_of(parts: &Parts) -> &str {
     let header = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     header.or_else(|| parts.uri.host()).unwrap_or_default()
 }
--- a/crates/edge/src/border/pass.rs
+++ b/crates/edge/src/border/pass.rs
@@ -5,105 +5,40 @@
 //! the request to the server as it came and streams the response back. A body that breaks off is
 //! aborted, so that it never looks complete, and a client's disconnect closes both connections.
 
+use std::cell::Cell;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 
 use base::prelude::*;
 use futures_util::future::{Either, LocalBoxFuture, select};
 use http::header::{CONNECTION, TRANSFER_ENCODING};
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
-use net::web::RequestBody;
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
 use net::web::{
-    BodySender, CallOutcome, ChunkOutcome, IncomingResponse, WebLimits, WebRequest, WebResponse,
-    WebService, body_channel, empty_body, full_body, receive_body,
+    BodySender, CallOutcome, ChunkOutcome, IncomingResponse, RequestBody, SendGate, WebLimits,
+    WebRequest, WebResponse, WebService, body_channel, empty_body, full_body, receive_body,
 };
-use notices::{ServerNotice, ServerRun};
-use relay::{AttemptEnd, SendOrder};
+use notices::ServerNotice;
+use relay::AttemptId;
 
 use super::attempt::AttemptContext;
-use crate::{EdgeEvent, EdgeQuestion, EdgeReply};
+use super::gate::RepeatGate;
+use super::ingress::{host_of, take_call};
+use super::pass_wire::{PassEnd, PassWire, PassedHead};
+use super::stream::CallGuard;
+use crate::{EdgeEvent, EdgeQuestion, EdgeReply, PassDecision, PassRequest};
 
-/// Server that the request is for.
-const TARGET: HeaderName = HeaderName::from_static("x-pass-target");
-/// Start of the server.
-const INCARNATION: HeaderName = HeaderName::from_static("x-pass-incarnation");
-/// Milliseconds until the deadline.
-const TIME_LEFT: HeaderName = HeaderName::from_static("x-pass-time-left");
-/// ID of the request, for logs.
-const REQUEST_ID: HeaderName = HeaderName::from_static("x-pass-request-id");
-/// How an attempt ended without a response of the server.
-const OUTCOME: HeaderName = HeaderName::from_static("x-pass-outcome");
-/// States that the response was checked to be the server's own response to this attempt.
-const CHECKED: HeaderName = HeaderName::from_static("x-pass-checked");
 /// Header that concerns one connection only and has no constant.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
-/// Values of [`OUTCOME`].
-const NOT_PASSED_ON: &str = "not-passed-on";
-const NOT_SENT: &str = "not-sent";
-const LOST: &str = "lost";
-const DISCARDED: &str = "discarded";
-
-/// Adds what the node that passes a request on has to know.
-pub(super) fn add_pass_headers(
-    request: &mut WebRequest,
-    order: &SendOrder,
-    id: &str,
-    now: ClockTime,
-) -> Option<()> {
-    let time_left = order.deadline.since(now).as_millis() as u64;
-    let headers = request.headers_mut();
-    headers.insert(TARGET, HeaderValue::from_str(order.target.as_str()).ok()?);
-    headers.insert(INCARNATION, HeaderValue::from(order.incarnation.0));
-    headers.insert(TIME_LEFT, HeaderValue::from(time_left));
-    headers.insert(REQUEST_ID, HeaderValue::from_str(id).ok()?);
-    Some(())
-}
-
-/// How an attempt ended, if the other node got no response from the server.
-pub(super) fn pass_outcome(response: &IncomingResponse) -> Option<AttemptEnd> {
-    let text = response.parts.headers.get(OUTCOME)?.to_str().ok()?;
-    let proof = response.not_run([NOT_PASSED_ON, NOT_SENT].contains(&text));
-    match (text, proof) {
-        (NOT_PASSED_ON, Some(proof)) => Some(AttemptEnd::NotPassedOn(proof)),
-        (NOT_SENT, Some(proof)) => Some(AttemptEnd::NotSent(proof)),
-        (NOT_PASSED_ON | NOT_SENT | LOST, _) => Some(AttemptEnd::Lost),
-        (DISCARDED, _) => Some(AttemptEnd::Discarded),
-        _ => None,
-    }
-}
-
-/// Whether the other node checks which response is the server's own; older builds don't, and may
-/// return the copy of an earlier one.
-pub(super) fn take_checked(response: &mut IncomingResponse) -> bool {
-    response.parts.headers.remove(CHECKED).is_some()
-}
-
-/// Request that another node wants to be passed on.
+/// Attempt that this node carries for another one.
 struct PassOrder {
-    run: ServerRun,
+    request: PassRequest,
+    id: Arc<str>,
     deadline: ClockTime,
-    id: String,
-}
-
-impl PassOrder {
-    /// Takes the order out of a request's headers; `None` if it is incomplete.
-    fn take(headers: &mut HeaderMap, now: ClockTime) -> Option<Self> {
-        let mut text = |name| {
-            let value = headers.remove(name)?;
-            value.to_str().ok().map(str::to_owned)
-        };
-        let (target, incarnation) = (text(TARGET)?, text(INCARNATION)?);
-        let (time_left, id) = (text(TIME_LEFT)?, text(REQUEST_ID)?);
-        Some(Self {
-            run: ServerRun {
-                server: HostName::new(&target).ok()?,
-                incarnation: HostIncarnation(incarnation.parse().ok()?),
-            },
-            deadline: now + Duration::from_millis(time_left.parse().ok()?),
-            id,
-        })
-    }
+    guard: CallGuard,
+    /// Whether this node's newer version of the configuration lets the request run once only.
+    is_once_only: bool,
 }
 
 /// Service for requests of other nodes.
@@ -111,61 +46,107 @@
 pub(super) struct PassService {
     pub context: AttemptContext,
     pub limits: WebLimits,
+    pub next_call: Rc<Cell<u64>>,
 }
 
 impl WebService for PassService {
     fn answer(&self, request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let service = self.clone();
-        Box::pin(async move {
-            service
-                .pass_on(request)
-                .await
-                .unwrap_or_else(ended_response)
-        })
+        Box::pin(async move { service.pass_on(request).await })
     }
 }
 
 impl PassService {
-    async fn pass_on(&self, request: Request<RequestBody>) -> Result<WebResponse, &'static str> {
+    async fn pass_on(&self, request: Request<RequestBody>) -> WebResponse {
         let context = &self.context;
         let (mut parts, body) = request.into_parts();
-        let Some(order) = PassOrder::take(&mut parts.headers, context.clock.now()) else {
-            return Err(NOT_PASSED_ON);
+        let Ok(wire) = PassWire::try_from(&parts.headers) else {
+            return ended_response(PassEnd::NotPassedOn, false);
         };
+        PassWire::remove(&mut parts.headers);
+        let deadline = context.clock.now() + Duration::from_millis(wire.time_left_ms);
         let Ok(body) = receive_body(body, &self.limits).await else {
-            return Err(NOT_PASSED_ON);
+            return ended_response(PassEnd::NotPassedOn, false);
         };
-        let question = EdgeQuestion::PassOn(order.run.clone());
-        let Some(EdgeReply::PassTarget(Some(address))) = context.replies.request(question).await
-        else {
-            return Err(NOT_PASSED_ON);
+        let call = take_call(&self.next_call);
+        let request = PassRequest {
+            call,
+            run: wire.run,
+            host: host_of(&parts).into(),
+            path: parts.uri.path().into(),
+            version: wire.config_version,
+            is_repeat: wire.is_repeat,
         };
-        log::info!(id:% = order.id, place:% = order.run.server; "request passed on for another node");
+        let guard = CallGuard {
+            call,
+            events: context.events.clone(),
+        };
+        let question = EdgeQuestion::PassOn(Box::new(request.clone()));
+        let (address, is_once_only) = match context.replies.request(question).await {
+            Some(EdgeReply::Pass(PassDecision::Send {
+                address,
+                is_once_only,
+            })) => (address, is_once_only),
+            Some(EdgeReply::Pass(PassDecision::Withhold)) => {
+                log::info!(id:% = wire.id, place:% = request.run.server; "request not passed on: it may run once only");
+                return ended_response(PassEnd::Withheld, true);
+            }
+            _ => return ended_response(PassEnd::NotPassedOn, false),
+        };
+        log::info!(id:% = wire.id, place:% = request.run.server; "request passed on for another node");
         context.metrics.count("passed_requests", &[], 1);
+        let order = PassOrder {
+            request,
+            id: wire.id,
+            deadline,
+            guard,
+            is_once_only,
+        };
         let mut forwarded = WebRequest::new(full_body(body));
         *forwarded.method_mut() = parts.method;
         *forwarded.uri_mut() = parts.uri;
         remove_connection_headers(&mut parts.headers);
         *forwarded.headers_mut() = parts.headers;
-        match context
+        self.send(order, address, forwarded).await
+    }
+
+    /// Sends the request to the server, and starts to stream the response back.
+    async fn send(
+        &self,
+        order: PassOrder,
+        address: SocketAddr,
+        request: WebRequest,
+    ) -> WebResponse {
+        let (context, is_once_only) = (&self.context, order.is_once_only);
+        let attempt = AttemptId {
+            call: order.request.call,
+            number: 1,
+        };
+        let gate = order.request.is_repeat.then(|| RepeatGate {
+            replies: context.replies.clone(),
+            attempt,
+        });
+        let gate = gate.as_ref().map(|gate| gate as &dyn SendGate);
+        let outcome = context
             .client
-            .call(address, forwarded, order.deadline)
-            .await
-        {
-            CallOutcome::Response(response) => Ok(self.relay_response(*response, order)),
-            CallOutcome::NotSent(_) => Err(self.fail(&order, NOT_SENT)),
-            CallOutcome::Lost => Err(self.fail(&order, LOST)),
+            .call_gated(address, request, order.deadline, gate);
+        match outcome.await {
+            CallOutcome::Response(response) => self.relay_response(*response, order),
+            CallOutcome::NotSent(_) => self.fail(&order, PassEnd::NotSent),
+            CallOutcome::Withheld(_) => ended_response(PassEnd::Withheld, true),
+            CallOutcome::Lost => self.fail(&order, PassEnd::Lost),
             // The server lives, so the attempt says nothing against it.
-            CallOutcome::Discarded => Err(DISCARDED),
+            CallOutcome::Discarded => ended_response(PassEnd::Discarded, is_once_only),
         }
     }
 
-    fn fail(&self, order: &PassOrder, outcome: &'static str) -> &'static str {
-        log::info!(id:% = order.id, place:% = order.run.server, end = outcome; "passed request failed");
-        let failed = EdgeEvent::PassFailed(order.run.server.clone());
+    fn fail(&self, order: &PassOrder, end: PassEnd) -> WebResponse {
+        let server = &order.request.run.server;
+        log::info!(id:% = order.id, place:% = server, end = end.as_str(); "passed request failed");
+        let failed = EdgeEvent::PassFailed(server.clone());
         // The event loop ends only when the process is about to exit.
         let _ = self.context.events.unbounded_send(failed);
-        outcome
+        ended_response(end, order.is_once_only)
     }
 
     /// Starts to stream a response back, and notes what the server announces in it.
@@ -178,8 +159,8 @@
         if !metadata.is_misdirected && metadata.notice != ServerNotice::default() {
             // The event loop ends only when the process is about to exit.
             let _ = self.context.events.unbounded_send(EdgeEvent::Announced {
-                run: order.run,
-                id: order.id.into(),
+                run: order.request.run.clone(),
+                id: order.id.clone(),
                 notice: metadata.notice,
             });
         }
@@ -188,20 +169,23 @@
         *response.status_mut() = parts.status;
         *response.headers_mut() = parts.headers.clone();
         remove_connection_headers(response.headers_mut());
-        response.headers_mut().remove(OUTCOME);
-        response
-            .headers_mut()
-            .insert(CHECKED, HeaderValue::from_static("1"));
-        monoio::spawn(copy_body(incoming, sender, order.deadline));
+        let head = PassedHead {
+            is_checked: true,
+            is_once_only: order.is_once_only,
+        };
+        head.replace(response.headers_mut());
+        monoio::spawn(copy_body(incoming, sender, order));
         response
     }
 }
 
 /// Streams a body until its end, until it breaks off or until the other node disconnects.
-async fn copy_body(mut incoming: IncomingResponse, mut sender: BodySender, deadline: ClockTime) {
+async fn copy_body(mut incoming: IncomingResponse, mut sender: BodySender, order: PassOrder) {
+    // Ends the attempt in the event loop when it is dropped.
+    let _guard = order.guard;
     loop {
         let chunk = {
-            let next = pin!(incoming.next_chunk(deadline));
+            let next = pin!(incoming.next_chunk(order.deadline));
             let disconnected = pin!(sender.closed());
             match select(next, disconnected).await {
                 Either::Left((chunk, _)) => chunk,
@@ -232,16 +216,15 @@
     }
 }
 
-fn ended_response(outcome: &'static str) -> WebResponse {
+/// Response to the other node about an attempt without a response of the server.
+fn ended_response(end: PassEnd, is_once_only: bool) -> WebResponse {
     let mut response = Response::new(empty_body());
     *response.status_mut() = StatusCode::BAD_GATEWAY;
+    let head = PassedHead {
+        is_checked: false,
+        is_once_only,
+    };
+    head.replace(response.headers_mut());
+    end.insert(response.headers_mut());
     response
-        .headers_mut()
-        .insert(OUTCOME, HeaderValue::from_static(outcome));
-    response
-}
-
-/// Shared handle of the service.
-pub(super) fn pass_service(context: AttemptContext, limits: WebLimits) -> Rc<dyn WebService> {
-    Rc::new(PassService { context, limits })
 }
--- a/crates/edge/src/border/run.rs
+++ b/crates/edge/src/border/run.rs
@@ -19,7 +19,7 @@
 use super::executor::EdgeExecutor;
 use super::ingress::ClientService;
 use super::links::{PeerLinks, accept_links};
-use super::pass::pass_service;
+use super::pass::PassService;
 use super::ports::{EndpointClient, HeaderCodec, PlatformStore, SettingsSource, StoreCollection};
 use super::readiness::ReadinessService;
 use super::reload::watch_settings;
@@ -169,12 +169,13 @@
         is_closing: is_closing.clone(),
         next_call: Rc::default(),
     });
-    let passing = serve_passed_requests(
-        settings.passing,
-        pass_service(service.context.clone(), limits),
+    let pass_service = Rc::new(PassService {
+        context: service.context.clone(),
         limits,
-        drain_watch.clone(),
-    );
+        next_call: service.next_call.clone(),
+    });
+    let passing =
+        serve_passed_requests(settings.passing, pass_service, limits, drain_watch.clone());
     monoio::spawn(async move {
         join(serve(ingress, service, limits, drain_watch), passing).await;
         log::info!("stopped: all connections closed");
--- a/crates/edge/src/commands/reach.rs
+++ b/crates/edge/src/commands/reach.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use notices::ServerRun;
 use reach::ReachChange;
 use reach::commands::{exclude_node, record_response, repeat_trial, start_trial};
 use reach::queries::{choose_node, is_cut_off, is_doubtful};
@@ -12,7 +11,7 @@
 use replicas::{Presence, ProbeOutcome};
 
 use super::plan::handle_report_outcome;
-use crate::queries::{is_cut_off_alone, may_send, pass_candidates};
+use crate::queries::{is_cut_off_alone, pass_candidates};
 use crate::state::PassedAttempt;
 use crate::{EdgeEffect, EdgeState};
 
@@ -27,16 +26,6 @@
     reach::commands::record_trouble(&mut state.reach, server, known, now);
 }
 
-/// Records that a request that this node passed on got no response.
-pub(crate) fn record_pass_failure(
-    state: &mut EdgeState,
-    server: &HostName,
-    now: ClockTime,
-) -> Vec<EdgeEffect> {
-    record_trouble(state, server, now);
-    Vec::new()
-}
-
 /// Has another node pass an attempt on if this node is cut off.
 pub(super) fn route_attempt(state: &mut EdgeState, step: CallStep, now: ClockTime) -> CallStep {
     match step {
@@ -61,7 +50,9 @@
     exclude_node(&mut state.reach, passed.node, now);
     let refusals = passed.refusals + 1;
     let target = &passed.order.target;
-    if refusals >= MAX_REFUSALS || relay::queries::is_evacuated(&state.relay, target) {
+    let is_withheld = !relay::queries::may_send(&state.relay, attempt);
+    if refusals >= MAX_REFUSALS || is_withheld || relay::queries::is_evacuated(&state.relay, target)
+    {
         return None;
     }
     let order = pass_on(state, passed.order, refusals, now);
@@ -102,19 +93,6 @@
     Some((node, via))
 }
 
-/// Address of a server that another node wants a request to be passed on to; `None` if this node
-/// doesn't reach servers, is stopping, or would not send a request there itself.
-pub(crate) fn find_pass_target(
-    state: &EdgeState,
-    run: &ServerRun,
-    now: ClockTime,
-) -> Option<SocketAddr> {
-    if is_cut_off(&state.reach) || state.stopping.is_some() || !may_send(state, now) {
-        return None;
-    }
-    relay::queries::open_address(&state.relay, &run.server, run.incarnation, now)
-}
-
 /// Starts the trial that is due.
 pub(crate) fn start_trials(state: &mut EdgeState, now: ClockTime) -> Vec<EdgeEffect> {
     if reach::queries::next_trial(&state.reach).is_none_or(|due| due > now) {
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -11,9 +11,9 @@
 use replicas::{GroupRecord, MemberOrder, OrderOutcome, ProbeOutcome};
 use store::{ObjectChange, UpdateOutcome};
 
-use crate::EdgeSettings;
 use crate::border::ports::{CollectionChange, CollectionItem, StoreCollection};
 use crate::peer::{Digest, PeerMessage, TargetsVersion};
+use crate::{EdgeSettings, PassDecision, PassRequest};
 
 /// Result of listing or watching a collection.
 #[derive(Clone, Debug)]
@@ -129,8 +129,10 @@
     /// The server's status of a request tells clients that it was not run, which the server doesn't
     /// report.
     MayRepeat(CallId),
-    /// Another node asks to pass a request on to a start of a server.
-    PassOn(ServerRun),
+    /// Another node asks to pass an attempt on to a server.
+    PassOn(Box<PassRequest>),
+    /// The connection for an attempt beside or after another one is open.
+    MaySend(AttemptId),
     /// The status of the node is requested.
     Status,
 }
@@ -171,8 +173,10 @@
     Stall(StallStep),
     /// Whether the request may run more than once.
     MayRepeat(bool),
-    /// Address of the server; `None` if this node can't pass the request on.
-    PassTarget(Option<SocketAddr>),
+    /// Whether this node passes the attempt on.
+    Pass(PassDecision),
+    /// Whether the attempt may still be sent.
+    MaySend(bool),
     /// Status of the node.
     Status(EdgeStatus),
 }
@@ -199,6 +203,8 @@
         /// What it announced.
         notice: ServerNotice,
     },
+    /// Another node's newer version of the configuration lets a request run once only.
+    OnceOnly(CallId),
     /// A request was answered, or its client disconnected.
     Finished(CallId),
     /// A collection was listed, has changed or could not be read.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -25,10 +25,15 @@
             EdgeEvent::Announced { run, id, notice } => {
                 commands::record_notice(self, &run, &id, notice, now)
             }
+            EdgeEvent::OnceOnly(call) => {
+                relay::commands::restrict_call(&mut self.relay, call);
+                Vec::new()
+            }
             EdgeEvent::Finished(call) => {
                 relay::commands::finish(&mut self.relay, call);
                 quarantine::commands::finish_call(&mut self.quarantine, call);
                 self.passed.retain(|attempt, _| attempt.call != call);
+                self.carried.remove(&call);
                 Vec::new()
             }
             EdgeEvent::Collection(collection, event) => {
@@ -93,8 +98,11 @@
         EdgeQuestion::MayRepeat(call) => {
             EdgeReply::MayRepeat(queries::may_repeat(state, call, now))
         }
-        EdgeQuestion::PassOn(run) => {
-            EdgeReply::PassTarget(commands::find_pass_target(state, &run, now))
+        EdgeQuestion::PassOn(request) => {
+            EdgeReply::Pass(commands::carry_attempt(state, *request, now))
+        }
+        EdgeQuestion::MaySend(attempt) => {
+            EdgeReply::MaySend(queries::may_send_attempt(state, attempt))
         }
         EdgeQuestion::Status => EdgeReply::Status(queries::status(state, now)),
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod event;
 mod feed;
 mod handler;
+mod pass;
 mod peer;
 mod settings;
 mod state;
@@ -24,6 +25,7 @@
     EdgeStatus, RejectReason, WatchMode,
 };
 pub use feed::{FeedResult, FeedSchedule, FeedStep, READ_PAUSE, StoreContact};
+pub use pass::{PassDecision, PassRequest};
 pub use peer::{
     DemandReport, Digest, NodeWeight, PeerAddress, PeerMessage, SlowPace, TargetsVersion,
     transfer_timeout,
--- a/crates/edge/src/queries/mod.rs
+++ b/crates/edge/src/queries/mod.rs
@@ -31,7 +31,7 @@
     store_contact,
 };
 pub(crate) use pass::pass_candidates;
-pub(crate) use repeat::may_repeat;
+pub(crate) use repeat::{is_once_only, may_repeat, may_send_attempt};
 pub(crate) use share::{local_weight, node_share, total_weight};
 pub(crate) use status::startup_wait;
 pub use status::status;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -16,7 +16,7 @@
 
 use crate::border::ports::StoreCollection;
 use crate::peer::{Digest, NodeWeight, SlowPace, TargetsVersion};
-use crate::{ByteBudget, EdgeBounds, EdgeEffect, EdgeSettings, WatchMode};
+use crate::{ByteBudget, EdgeBounds, EdgeEffect, EdgeSettings, PassRequest, WatchMode};
 
 /// Buckets in a retry window.
 const RETRY_BUCKET_COUNT: u32 = 10;
@@ -319,6 +319,8 @@
     pub(crate) reach_compared_at: ClockTime,
     /// Requests that another node passes on.
     pub(crate) passed: HashMap<AttemptId, PassedAttempt>,
+    /// Attempts that this node carries for others.
+    pub(crate) carried: HashMap<CallId, PassRequest>,
     /// Endpoints whose probes got no response while this node may have been cut off.
     pub(crate) held_probes: BTreeSet<HostName>,
     /// Instant at which this node's crash reports are sent next; `None` if there are none.
@@ -434,6 +436,7 @@
             quarantine: QuarantineState::new(QuarantineSettings::default()),
             reach: ReachState::new(ReachSettings::default()),
             passed: HashMap::new(),
+            carried: HashMap::new(),
             held_probes: BTreeSet::new(),
             evidence_due: None,
             logged_verdicts: Vec::new(),
--- a/crates/edge/tests/suite/changed_types.rs
+++ b/crates/edge/tests/suite/changed_types.rs
@@ -5,12 +5,17 @@
 
 use base::prelude::*;
 use edge::border::ports::{CollectionChange, CollectionItem, StoreCollection};
-use edge::{ArrivalOutcome, CollectionEvent, EdgeQuestion, EdgeReply, EdgeState};
+use edge::{
+    ArrivalOutcome, CollectionEvent, EdgeEvent, EdgeQuestion, EdgeReply, EdgeState, PassDecision,
+    PassRequest,
+};
 use intent::{CallKind, Route};
-use relay::{AttemptEnd, AttemptId, CallStep, RefusalReason, StallStep};
+use relay::{AttemptEnd, AttemptId, CallStep, RefusalReason, SendOrder, StallStep};
 
+use crate::network::NodeNetwork;
 use crate::support::{
-    apply_event, arrive, ask, at, config, digest, endpoint, first_attempt, list, not_run, start,
+    apply_event, arrive, ask, at, config, digest, endpoint, first_attempt, list, not_run,
+    pass_request, start,
 };
 
 const CALL: CallId = CallId(1);
@@ -171,3 +176,116 @@
         assert_eq!(matches!(step, StallStep::Move(..)), is_moved, "{step:?}");
     }
 }
+
+/// Repetition of a request whose first attempt was lost.
+fn repetition(state: &mut EdgeState, now: u64) -> AttemptId {
+    match end(state, 1, AttemptEnd::Lost, now) {
+        CallStep::Send(order) => order.attempt,
+        step => panic!("not sent again: {step:?}"),
+    }
+}
+
+#[test]
+fn a_repetition_is_not_sent_if_its_route_becomes_once_only_while_its_connection_opens() {
+    for (kind, is_allowed) in TYPES {
+        let mut state = sent(CallKind::Idempotent);
+        let attempt = repetition(&mut state, 2_010);
+        change_type(&mut state, 2, kind, 2_020);
+        let may_send = ask(&mut state, EdgeQuestion::MaySend(attempt), at(2_030));
+        let is_sent = matches!(may_send, EdgeReply::MaySend(true));
+        assert_eq!(is_sent, is_allowed, "{kind:?}");
+        if is_sent {
+            continue;
+        }
+        match end(&mut state, 2, AttemptEnd::Withheld(not_run()), 2_030) {
+            CallStep::Refuse(refusal) => assert!(refusal.may_have_run(), "{kind:?}"),
+            step => panic!("{kind:?}: {step:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_repetition_that_a_node_does_not_pass_on_is_not_passed_elsewhere_once_it_may_run_once_only() {
+    for (kind, is_allowed) in TYPES {
+        let mut network = NodeNetwork::new(4);
+        let servers = ["p-1", "p-2", "p-3"].map(|id| CollectionItem::Endpoint(endpoint(id)));
+        for node in &mut network.nodes {
+            change_type(node, 2, CallKind::Idempotent, 0);
+            list(node, StoreCollection::Endpoints, servers.to_vec(), at(0));
+        }
+        network.run(2_000);
+        network.partitioned.insert(0);
+        while network.reach_changes[0] != Some("cut-off") {
+            assert!(network.now < 10_000, "never cut off");
+            // Attempts that are not sent raise the suspicion.
+            let call = 100 + network.now;
+            arrive(&mut network.nodes[0], call, "/x/", at(network.now));
+            let attempt = first_attempt(CallId(call));
+            network.ask(
+                0,
+                EdgeQuestion::Ended(attempt, AttemptEnd::NotSent(not_run())),
+            );
+            network.run(network.now + 20);
+        }
+        let now = network.now;
+        let state = &mut network.nodes[0];
+        arrive(state, CALL.0, "/x/", at(now));
+        let attempt = repetition(state, now);
+        change_type(state, 3, kind, now);
+        let refused = AttemptEnd::NotPassedOn(not_run());
+        let step = end(state, attempt.number, refused, now);
+        let is_sent = matches!(step, CallStep::Send(_));
+        assert_eq!(is_sent, is_allowed, "{kind:?}: {step:?}");
+    }
+}
+
+#[test]
+fn a_node_with_a_newer_version_carries_no_repetition_that_may_run_once_only() {
+    let order = |is_repeat| {
+        let mut state = sent(CallKind::Idempotent);
+        let CallStep::Send(order) = end(&mut state, 1, AttemptEnd::Lost, 2_010) else {
+            panic!("not sent again");
+        };
+        assert!(order.is_repeat);
+        SendOrder { is_repeat, ..order }
+    };
+    // Version that accepted the request, whether it is a repetition, and the decision: whether it is
+    // sent, and the other node is told that it may run once only.
+    for (version, is_repeat, expected) in [
+        (Some(1), false, Some(true)),
+        (Some(1), true, None),
+        // As new as this node's.
+        (Some(2), true, Some(false)),
+        // An older build.
+        (None, true, Some(false)),
+    ] {
+        let mut state = sent(CallKind::Idempotent);
+        change_config(&mut state, 2, split_config(2), 2_010);
+        let request = PassRequest {
+            path: "/x/a/1".into(),
+            version,
+            ..pass_request(9, &order(is_repeat))
+        };
+        let reply = ask(
+            &mut state,
+            EdgeQuestion::PassOn(Box::new(request)),
+            at(2_020),
+        );
+        let decision = match reply {
+            EdgeReply::Pass(PassDecision::Send { is_once_only, .. }) => Some(is_once_only),
+            EdgeReply::Pass(PassDecision::Withhold) => None,
+            reply => panic!("{version:?}, {is_repeat}: {reply:?}"),
+        };
+        assert_eq!(decision, expected, "{version:?}, {is_repeat}");
+    }
+}
+
+#[test]
+fn a_node_that_is_told_of_a_newer_version_sends_a_request_again_no_more() {
+    let mut state = sent(CallKind::Idempotent);
+    state.handle(EdgeEvent::OnceOnly(CALL), at(2_010));
+    match end(&mut state, 1, AttemptEnd::Lost, 2_020) {
+        CallStep::Refuse(refusal) => assert!(refusal.may_have_run()),
+        step => panic!("{step:?}"),
+    }
+}
--- a/crates/edge/tests/suite/cut_off.rs
+++ b/crates/edge/tests/suite/cut_off.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeSet;
 
 use crate::network::{FIRST_PASSING_PORT, NodeNetwork};
-use crate::support::{apply_event, arrival, at, endpoint, list, not_run};
+use crate::support::{apply_event, arrival, at, endpoint, list, not_run, pass_request};
 use base::prelude::ObjectVersion;
 use edge::border::ports::{CollectionItem, StoreCollection};
-use edge::{ArrivalOutcome, CollectionEvent, EdgeEvent, EdgeQuestion, EdgeReply, EdgeStatus};
-use notices::ServerRun;
+use edge::{
+    ArrivalOutcome, CollectionEvent, EdgeEvent, EdgeQuestion, EdgeReply, EdgeStatus, PassDecision,
+};
 use relay::{AttemptEnd, CallStep, SendOrder};
 
 /// Numbers of nodes, and `contactMs` there.
@@ -76,18 +77,19 @@
                 .then_some(AttemptEnd::NotSent(not_run()));
         };
         let other = usize::from(via.port() - FIRST_PASSING_PORT);
-        let question = EdgeQuestion::PassOn(ServerRun {
-            server: order.target.clone(),
-            incarnation: order.incarnation,
-        });
+        // Numbers of the other node's own requests are below these.
+        let request = pass_request(1_000_000 + self.calls, order);
+        let question = EdgeQuestion::PassOn(Box::new(request));
         match self.network.ask(other, question) {
-            EdgeReply::PassTarget(Some(_)) if self.network.partitioned.contains(&other) => {
+            EdgeReply::Pass(PassDecision::Send { .. })
+                if self.network.partitioned.contains(&other) =>
+            {
                 let failed = EdgeEvent::PassFailed(order.target.clone());
                 self.network.handle(other, failed);
                 Some(AttemptEnd::NotSent(not_run()))
             }
-            EdgeReply::PassTarget(Some(_)) => None,
-            EdgeReply::PassTarget(None) => Some(AttemptEnd::NotPassedOn(not_run())),
+            EdgeReply::Pass(PassDecision::Send { .. }) => None,
+            EdgeReply::Pass(PassDecision::Refuse) => Some(AttemptEnd::NotPassedOn(not_run())),
             reply => panic!("another reply: {reply:?}"),
         }
     }
--- a/crates/edge/tests/suite/silent_servers.rs
+++ b/crates/edge/tests/suite/silent_servers.rs
@@ -4,17 +4,20 @@
 use std::collections::BTreeMap;
 
 use crate::network::{FIRST_PASSING_PORT, NodeNetwork, TICK_MS};
-use crate::support::{apply_event, arrival, at, config, endpoint, list, not_run};
+use crate::support::{apply_event, arrival, at, config, endpoint, list, not_run, pass_request};
 use base::prelude::*;
 use edge::border::ports::{CollectionItem, StoreCollection};
-use edge::{ArrivalOutcome, CollectionEvent, EdgeEvent, EdgeQuestion, EdgeReply};
+use edge::{
+    ArrivalOutcome, CollectionEvent, EdgeEvent, EdgeQuestion, EdgeReply, PassDecision, PassRequest,
+};
 use intent::{CallKind, Route, RoutingConfig};
-use notices::ServerRun;
 use relay::{AttemptEnd, AttemptId, CallStep, SendOrder, StallStep};
 use replicas::Endpoint;
 
 const SIZES: [usize; 6] = [3, 6, 12, 24, 70, 195];
 const SERVERS: usize = 12;
+/// Version of the configuration at all nodes.
+const CONFIG_VERSION: u64 = 2;
 /// Time at which the servers fall silent.
 const SILENT_AT: u64 = 2_600;
 /// Time for which a server that goes on is silent.
@@ -120,7 +123,7 @@
 }
 
 fn stream_config() -> RoutingConfig {
-    let config = config(2, "/x/");
+    let config = config(CONFIG_VERSION, "/x/");
     let once_only = config.routes["a.example"][0].as_ref().clone();
     let stream = Route {
         name: "stream".into(),
@@ -382,13 +385,16 @@
         .via
         .map(|via| usize::from(via.port() - FIRST_PASSING_PORT));
     if let Some(other) = via {
-        let question = EdgeQuestion::PassOn(ServerRun {
-            server: order.target.clone(),
-            incarnation: order.incarnation,
-        });
+        let request = PassRequest {
+            version: Some(CONFIG_VERSION),
+            ..pass_request(1_000_000 + call.id.0, order)
+        };
+        let question = EdgeQuestion::PassOn(Box::new(request));
         match network.ask(other, question) {
-            EdgeReply::PassTarget(Some(_)) => {}
-            EdgeReply::PassTarget(None) => return Some(AttemptEnd::NotPassedOn(not_run())),
+            EdgeReply::Pass(PassDecision::Send { .. }) => {}
+            EdgeReply::Pass(PassDecision::Refuse) => {
+                return Some(AttemptEnd::NotPassedOn(not_run()));
+            }
             reply => panic!("another reply: {reply:?}"),
         }
     }
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -4,12 +4,14 @@
 use edge::border::ports::{CollectionItem, StoreCollection};
 use edge::{
     Arrival, ArrivalOutcome, CollectionEvent, Digest, EdgeBounds, EdgeEffect, EdgeEvent,
-    EdgeQuestion, EdgeReply, EdgeSettings, EdgeState, EdgeStatus, EdgeTimes, PeerMessage,
+    EdgeQuestion, EdgeReply, EdgeSettings, EdgeState, EdgeStatus, EdgeTimes, PassRequest,
+    PeerMessage,
 };
 use exchange::{HeldRequest, NotRunProof, RequestMessage};
 use intent::{CallKind, ClientLimits, Route, RoutingConfig, Service, TokenCounts, WeightedService};
+use notices::ServerRun;
 use quarantine::{PromptParts, RequestDigest};
-use relay::AttemptId;
+use relay::{AttemptId, SendOrder};
 use replicas::{Endpoint, Presence};
 use store::{ObjectKey, StoredObject};
 
@@ -181,6 +183,21 @@
     }
 }
 
+/// Request to carry an attempt of [`arrival`] that was accepted by version 1.
+pub fn pass_request(call: u64, order: &SendOrder) -> PassRequest {
+    PassRequest {
+        call: CallId(call),
+        run: ServerRun {
+            server: order.target.clone(),
+            incarnation: order.incarnation,
+        },
+        host: "a.example".into(),
+        path: "/x/".into(),
+        version: Some(1),
+        is_repeat: order.is_repeat,
+    }
+}
+
 pub fn arrive(state: &mut EdgeState, call: u64, path: &str, now: ClockTime) -> ArrivalOutcome {
     let arrival = arrival(call, path, now);
     match ask(state, EdgeQuestion::Arrive(Box::new(arrival)), now) {
--- a/crates/gateway/src/border/exchange.rs
+++ b/crates/gateway/src/border/exchange.rs
@@ -199,7 +199,7 @@
                 self.report_end(&order, AttemptEnd::Lost);
                 return ExchangeProgress::Open;
             }
-            CallOutcome::NotSent(proof) => {
+            CallOutcome::NotSent(proof) | CallOutcome::Withheld(proof) => {
                 self.report_end(&order, AttemptEnd::NotSent(proof));
                 return ExchangeProgress::Open;
             }
--- a/crates/net/src/web/client.rs
+++ b/crates/net/src/web/client.rs
@@ -28,6 +28,7 @@
 use monoio_compat::hyper::MonoioIo;
 
 use super::body::{MeteredBody, WebBody, collect_body};
+use super::gate::SendGate;
 use super::held::UnsentRequest;
 use super::limits::MAX_PENDING_BYTES;
 use crate::metrics::{MetricSink, NullMetrics};
@@ -58,6 +59,8 @@
     Response(Box<IncomingResponse>),
     /// No byte of the request was sent.
     NotSent(NotRunProof),
+    /// No byte of the request was sent, as its gate was closed.
+    Withheld(NotRunProof),
     /// The request may have been sent, but no response was received.
     Lost,
     /// The request may have been sent, and bytes were received that aren't a response of its own.
@@ -183,6 +186,17 @@
         server: SocketAddr,
         request: WebRequest,
         deadline: ClockTime,
+    ) -> CallOutcome {
+        self.call_gated(server, request, deadline, None).await
+    }
+
+    /// The same, but sends the request only if its gate is open once a connection is there.
+    pub async fn call_gated(
+        &self,
+        server: SocketAddr,
+        request: WebRequest,
+        deadline: ClockTime,
+        gate: Option<&dyn SendGate>,
     ) -> CallOutcome {
         let request = with_host(server, request);
         let tag = self.tag(request.headers());
@@ -195,6 +209,12 @@
                     None => return CallOutcome::NotSent(held.give_up()),
                 },
             };
+            if let Some(gate) = gate
+                && !gate.may_send().await
+            {
+                self.put_idle(server, connection);
+                return CallOutcome::Withheld(held.give_up());
+            }
             match self.send(server, connection, held, deadline).await {
                 SendOutcome::Response(response) => return CallOutcome::Response(response),
                 SendOutcome::Lost => return CallOutcome::Lost,
@@ -237,7 +257,9 @@
         deadline: ClockTime,
     ) -> CollectOutcome {
         match self.call(server, request, deadline).await {
-            CallOutcome::NotSent(proof) => CollectOutcome::NotSent(proof),
+            CallOutcome::NotSent(proof) | CallOutcome::Withheld(proof) => {
+                CollectOutcome::NotSent(proof)
+            }
             CallOutcome::Lost => CollectOutcome::Lost,
             CallOutcome::Discarded => CollectOutcome::Discarded,
             CallOutcome::Response(response) => response.collect(limit, deadline).await,
@@ -255,7 +277,9 @@
         allowance: BodyAllowance,
     ) -> CollectOutcome {
         match self.call(server, request, deadline).await {
-            CallOutcome::NotSent(proof) => CollectOutcome::NotSent(proof),
+            CallOutcome::NotSent(proof) | CallOutcome::Withheld(proof) => {
+                CollectOutcome::NotSent(proof)
+            }
             CallOutcome::Lost => CollectOutcome::Lost,
             CallOutcome::Discarded => CollectOutcome::Discarded,
             CallOutcome::Response(response) => {
--- a/crates/net/src/web/mod.rs
+++ b/crates/net/src/web/mod.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod client;
+mod gate;
 mod held;
 mod json;
 mod limits;
@@ -19,6 +20,7 @@
     BodyAllowance, CallOutcome, ChunkOutcome, CollectOutcome, IncomingResponse, ReadProgress,
     WebClient, WebRequest,
 };
+pub use gate::SendGate;
 pub use held::{UnreadRequest, WholeRequest, drop_request};
 pub use json::{JsonClient, JsonOutcome};
 pub use limits::WebLimits;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -51,6 +51,9 @@
     NotSent(NotRunProof),
     /// The node that was to pass the request on did not; nothing was sent to the target.
     NotPassedOn(NotRunProof),
+    /// Nothing was sent, as a version of the configuration that came into force meanwhile lets
+    /// the request run once only.
+    Withheld(NotRunProof),
     /// The target reported that it did not run the request.
     NotRun(NotRunProof),
     /// The target did not run the request, as its group has lost a member.
@@ -75,6 +78,7 @@
         match self {
             Self::NotSent(proof)
             | Self::NotPassedOn(proof)
+            | Self::Withheld(proof)
             | Self::NotRun(proof)
             | Self::GroupBroken(proof)
             | Self::Misdirected(proof) => Some(proof),
@@ -87,6 +91,7 @@
         match self {
             Self::NotSent(_) => "not-sent",
             Self::NotPassedOn(_) => "not-passed-on",
+            Self::Withheld(_) => "withheld",
             Self::NotRun(_) => "not-run",
             Self::GroupBroken(_) => "group-broken",
             Self::Misdirected(_) => "not-here",
@@ -120,6 +125,8 @@
     pub rank: u8,
     /// Requests of all nodes at the target before this one, from the latest counts.
     pub load: u32,
+    /// Whether another attempt of the request may have run.
+    pub is_repeat: bool,
     /// Servers that were passed over because of what they have announced.
     pub passed_over: u32,
     /// Whether the target has announced something that its next response may end.
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -167,6 +167,7 @@
         return;
     };
     let duration = match end {
+        AttemptEnd::Withheld(_) => return,
         AttemptEnd::NotRun(_) => settings.full_avoid_duration,
         _ => {
             let duration = settings.min_avoid_duration * 2_u32.pow(load.failures.min(4));
@@ -273,6 +274,7 @@
             Lane::Slow => SLOW_RANK,
         },
         load,
+        is_repeat: run == RunCertainty::MayHaveRun,
         passed_over,
         has_notice,
     })
--- a/crates/relay/src/commands/calls.rs
+++ b/crates/relay/src/commands/calls.rs
@@ -94,6 +94,13 @@
     }
 }
 
+/// Records that a version of the configuration allows a request to run once only.
+pub fn restrict_call(state: &mut RelayState, call: CallId) {
+    if let Some(entry) = state.calls.get_mut(&call) {
+        entry.is_once_only = true;
+    }
+}
+
 /// Estimated time that the client has waited before this request arrived.
 fn elapsed_client_time(state: &mut RelayState, arrival: &CallArrival, now: ClockTime) -> Duration {
     let Some(deadline) = arrival.client_deadline else {
--- a/crates/relay/src/commands/mod.rs
+++ b/crates/relay/src/commands/mod.rs
@@ -7,7 +7,7 @@
 mod targets;
 
 pub use attempts::{abort_call, end_attempt, give_up};
-pub use calls::{arrive, finish, record_refusal, restrict_calls};
+pub use calls::{arrive, finish, record_refusal, restrict_call, restrict_calls};
 pub use evacuated::{set_evacuated, take_evacuation_skips};
 pub use stalls::{check_stall, move_call, silent_target};
 pub use targets::{
--- a/crates/relay/src/queries/counts.rs
+++ b/crates/relay/src/queries/counts.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use exchange::queries::unproven_count;
 
 use super::limited::{is_in_evacuated_domain, is_open};
 use crate::state::CallState;
@@ -57,6 +58,13 @@
     entry.is_some_and(CallState::is_repeatable)
 }
 
+/// Whether an attempt that was decided on, and not sent yet, may still be sent: no version of the
+/// configuration since then lets the request run once only, or no other attempt can have run.
+pub fn may_send(state: &RelayState, attempt: AttemptId) -> bool {
+    let entry = state.calls.get(&attempt.call);
+    entry.is_some_and(|entry| entry.is_repeatable() || unproven_count(&entry.runs) <= 1)
+}
+
 /// Requests of all nodes by target, from the latest counts.
 pub fn total_counts(state: &RelayState, now: ClockTime) -> Vec<(HostName, LaneCounts)> {
     nonzero_counts(state, |load| load.total(now))
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -302,7 +302,7 @@
         };
         let response = match self.web.call(host.client_address, request, deadline).await {
             CallOutcome::Response(response) => response,
-            CallOutcome::NotSent(_) | CallOutcome::Lost => {
+            CallOutcome::NotSent(_) | CallOutcome::Withheld(_) | CallOutcome::Lost => {
                 record(None);
                 return CallEnd::Failed;
             }
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -306,7 +306,10 @@
         self.record(context, ExchangeStep::Sent { daemon });
         let response = match web.call(self.host.client_address, request, deadline).await {
             CallOutcome::Response(response) => response,
-            CallOutcome::NotSent(_) | CallOutcome::Lost | CallOutcome::Discarded => {
+            CallOutcome::NotSent(_)
+            | CallOutcome::Withheld(_)
+            | CallOutcome::Lost
+            | CallOutcome::Discarded => {
                 self.record(context, ExchangeStep::Received(None));
                 return RequestOutcome::Failed;
             }
