Report crashes of servers from the node that carries the attempt

Cause: a node that is cut off keeps no crash reports, as what it sees of servers says nothing about them. But its attempts are carried by nodes that reach servers, and these told their own event loop the server only: no request, no parts, no group. So such a crash was counted nowhere, for whole requests, parts of prompts and groups alike, and nobody looked at verdicts on the way.

Who reports now: the node whose own connection to the server broke, unless it is cut off itself. It is told the digest, the parts, the epoch of the group and whether the client has an event, so the report has the identity (server start, epoch, request) that the taking node's would have. It follows the answer in the same stages, refuses quarantined requests, and says in its response that it has reported. The taking node then keeps the same report: if either of the two ends, the other one still tells everybody, and a crash that both tell counts once. That the connection to the carrying node breaks, or a deadline passes, is no crash, also once the taking node reaches servers again, where it was counted as one before. A node that is cut off believes nothing of its own broken connections. Older builds send no digest; nothing is reported for them, as before.

--- a/crates/bronzerun/tests/edge/passing.rs
+++ b/crates/bronzerun/tests/edge/passing.rs
@@ -53,8 +53,8 @@
         node_entry(&names[0], ips[0], SocketAddr::from((ips[0], port))),
         node_entry(&names[1], ips[1], other),
     ];
+    let unreachable = servers.iter().map(|_| closed_address()).collect();
     let other = Node::start_beside(&names[1], servers, ips[1], INTERNAL_PORTS, shared.clone());
-    let unreachable = vec![closed_address()];
     let cut = Node::start_beside(&names[0], unreachable, ips[0], INTERNAL_PORTS, shared);
     [cut, other]
 }
@@ -131,3 +131,104 @@
         "{statuses:?}"
     );
 }
+
+/// Path of the requests that crash servers, below the prefix of a route.
+const DEADLY_PATH: &str = "deadly";
+/// Servers of a test; more than it takes to quarantine a request.
+const DEADLY_SERVERS: usize = 6;
+
+/// Servers that count the deadly requests that they get, and how each of these ends.
+fn spawn_deadly(
+    arrivals: &Arc<Mutex<usize>>,
+    crash: fn(&str, &mut TcpStream) -> std::io::Result<()>,
+) -> Vec<SocketAddr> {
+    let servers = (0..DEADLY_SERVERS).map(|_| {
+        let arrivals = arrivals.clone();
+        spawn_raw_server(move |RawRequest { id, path, .. }, stream: &mut TcpStream| {
+            if path.ends_with(DEADLY_PATH) {
+                *arrivals.lock().unwrap() += 1;
+                crash(id, stream)?;
+                return Err(std::io::Error::other("the server crashes"));
+            }
+            let headers =
+                format!("x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n");
+            stream.write_all(raw_response("200 OK", &headers, "sound").as_bytes())
+        })
+    });
+    servers.collect()
+}
+
+/// Whether a node rejects a request as quarantined, by its log.
+fn is_quarantined(node: &Node, id: &str, path: &str) -> bool {
+    let (status, _, _) = node.request_as(id, path, "key-1");
+    if status != 503 {
+        return false;
+    }
+    let end = Instant::now() + CONDITION_TIMEOUT;
+    loop {
+        let remaining = end.saturating_duration_since(Instant::now());
+        let line = node
+            .lines
+            .recv_timeout(remaining)
+            .expect("a refusal is logged");
+        let is_refusal =
+            ["request rejected", "request failed"].contains(&line["message"].as_str().unwrap());
+        if is_refusal && line["id"] == id {
+            return line["reason"] == "Quarantined";
+        }
+    }
+}
+
+/// Sends requests that crash servers by way of another node until they are quarantined, and checks
+/// that both nodes know it, and that sound ones are served.
+fn check_quarantine(
+    name: &str,
+    network: u8,
+    prefix: &str,
+    crash: fn(&str, &mut TcpStream) -> std::io::Result<()>,
+) {
+    let arrivals = Arc::default();
+    let servers = spawn_deadly(&arrivals, crash);
+    let [cut, other] = start_cut_off(name, network, None, servers);
+    let path = format!("{prefix}{DEADLY_PATH}");
+    let end = Instant::now() + CONDITION_TIMEOUT;
+    for index in 0.. {
+        if is_quarantined(&cut, &format!("d-{index}"), &path) {
+            break;
+        }
+        assert!(
+            Instant::now() < end,
+            "never quarantined, {} arrivals",
+            arrivals.lock().unwrap()
+        );
+        std::thread::sleep(REQUEST_PAUSE);
+    }
+    let before = *arrivals.lock().unwrap();
+    assert!(
+        is_quarantined(&other, "d-other", &path),
+        "{before} arrivals"
+    );
+    assert_eq!(*arrivals.lock().unwrap(), before);
+    for node in [&cut, &other] {
+        let (status, body, _) = node.request_as("sound", "/o/sound", "key-1");
+        assert_eq!((status, body.as_str()), (200, "sound"));
+    }
+}
+
+#[test]
+fn a_request_that_crashes_servers_by_way_of_another_node_is_quarantined_at_both() {
+    check_quarantine("deadly", 79, "/o/", |_, _| Ok(()));
+}
+
+#[test]
+fn a_stream_that_crashes_servers_by_way_of_another_node_after_an_event_is_quarantined_at_both() {
+    check_quarantine("deadly-stream", 81, "/s/", |id, stream| {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\
+             x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n\r\n"
+        );
+        let event = "id: 1\ndata: a\n\n";
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        stream.write_all(format!("{head}{chunk}").as_bytes())
+    });
+}
--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -12,13 +12,14 @@
     CallOutcome, IncomingResponse, SendGate, WebClient, WebRequest, drop_request, full_body,
 };
 use notices::{ServerNotice, ServerRun};
+use quarantine::CallSuspects;
 use relay::{AttemptEnd, AttemptId, SendOrder, StallCause, StallStep};
 
 use super::EdgeReplies;
 use super::gate::RepeatGate;
 use super::pass_wire::{PassWire, PassedHead, pass_outcome};
 use super::ports::{ForwardMetadata, HeaderCodec, ResponseMetadata};
-use crate::{EdgeEvent, EdgeQuestion, EdgeReply};
+use crate::{CarriedSuspects, EdgeEvent, EdgeQuestion, EdgeReply};
 
 /// Request of a client, kept for further attempts.
 #[derive(Debug)]
@@ -31,6 +32,10 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub workspace: Option<WorkspaceName>,
+    /// The request and the parts of its prompt, in case that they crash servers.
+    pub suspects: CallSuspects,
+    /// Whether it is answered by a stream of events.
+    pub is_stream: bool,
     /// Version of the configuration by which it was accepted.
     pub version: u64,
     /// Whether it is sent with a rank for the server's queue.
@@ -95,7 +100,7 @@
                         let once_only = EdgeEvent::OnceOnly(request.call);
                         let _ = self.events.unbounded_send(once_only);
                     }
-                    if let Some(end) = pass_outcome(&response) {
+                    if let Some(end) = pass_outcome(&response, head) {
                         drain_response(*response, self.clock.as_ref());
                         return AttemptOutcome::Ended(end);
                     }
@@ -199,6 +204,12 @@
                 id: request.id.clone(),
                 config_version: Some(request.version),
                 is_repeat: order.is_repeat,
+                suspects: Some(CarriedSuspects {
+                    suspects: request.suspects.clone(),
+                    epoch: order.epoch,
+                    has_begun: last_event.is_some(),
+                }),
+                is_stream: request.is_stream,
             };
             let Ok(headers) = HeaderMap::try_from(wire) else {
                 return Err(drop_request(forwarded));
--- a/crates/edge/src/border/ingress.rs
+++ b/crates/edge/src/border/ingress.rs
@@ -15,6 +15,7 @@
     ChunkOutcome, CollectOutcome, IncomingResponse, ReceiveError, RequestBody, UnreadRequest,
     WebLimits, WebResponse, WebService, body_channel, full_body, receive_request, text_response,
 };
+use quarantine::CallSuspects;
 use relay::{AttemptEnd, AttemptId, CallStep, Refusal};
 
 use super::attempt::{AttemptContext, ClientRequest};
@@ -83,6 +84,7 @@
         let metadata = self.context.header_codec.read_request(&parts.headers);
         let call = take_call(&self.next_call);
         let id = metadata.id.clone().unwrap_or_else(|| Arc::from(""));
+        let digest = request_digest(parts, held.request().body());
         let arrival = Arrival {
             call,
             arrived_at: now,
@@ -97,7 +99,7 @@
                 answer: metadata.answer_tokens,
             },
             is_resumed: metadata.last_event.is_some(),
-            digest: request_digest(parts, held.request().body()),
+            digest,
             client_deadline: metadata.client_timeout.map(|timeout| now + timeout),
         };
         let guard = CallGuard {
@@ -133,6 +135,11 @@
                     uri: origin_form(&parts.uri),
                     headers: parts.headers,
                     body,
+                    suspects: CallSuspects {
+                        parts: metadata.prompt,
+                        digest: digest.of_workspace(workspace.as_ref()),
+                    },
+                    is_stream: route.kind.is_stream(),
                     workspace,
                     version,
                     is_ranked: metadata.model.is_some(),
--- a/crates/edge/src/border/pass.rs
+++ b/crates/edge/src/border/pass.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use bytes::Bytes;
 use futures_util::future::{Either, LocalBoxFuture, select};
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
@@ -22,10 +23,11 @@
 use relay::AttemptId;
 
 use super::attempt::AttemptContext;
+use super::events::EventBuffer;
 use super::gate::RepeatGate;
 use super::ingress::{host_of, take_call};
 use super::pass_wire::{PassEnd, PassWire, PassedHead};
-use super::stream::CallGuard;
+use super::stream::{CallGuard, PROGRESS_INTERVAL};
 use crate::{EdgeEvent, EdgeQuestion, EdgeReply, PassDecision, PassRequest};
 
 /// Header that concerns one connection only and has no constant.
@@ -34,8 +36,9 @@
 /// Attempt that this node carries for another one.
 struct PassOrder {
     request: PassRequest,
-    id: Arc<str>,
     deadline: ClockTime,
+    /// Whether it is answered by a stream of events.
+    is_stream: bool,
     guard: CallGuard,
     /// Whether this node's newer version of the configuration lets the request run once only.
     is_once_only: bool,
@@ -49,6 +52,16 @@
     pub next_call: Rc<Cell<u64>>,
 }
 
+impl PassOrder {
+    /// What this node states about the response.
+    fn head(&self) -> PassedHead {
+        PassedHead {
+            is_once_only: self.is_once_only,
+            ..PassedHead::default()
+        }
+    }
+}
+
 impl WebService for PassService {
     fn answer(&self, request: Request<RequestBody>) -> LocalBoxFuture<'static, WebResponse> {
         let service = self.clone();
@@ -61,21 +74,23 @@
         let context = &self.context;
         let (mut parts, body) = request.into_parts();
         let Ok(wire) = PassWire::try_from(&parts.headers) else {
-            return ended_response(PassEnd::NotPassedOn, false);
+            return ended_response(PassEnd::NotPassedOn, PassedHead::default());
         };
         PassWire::remove(&mut parts.headers);
         let deadline = context.clock.now() + Duration::from_millis(wire.time_left_ms);
         let Ok(body) = receive_body(body, &self.limits).await else {
-            return ended_response(PassEnd::NotPassedOn, false);
+            return ended_response(PassEnd::NotPassedOn, PassedHead::default());
         };
         let call = take_call(&self.next_call);
         let request = PassRequest {
             call,
+            id: wire.id,
             run: wire.run,
             host: host_of(&parts).into(),
             path: parts.uri.path().into(),
             version: wire.config_version,
             is_repeat: wire.is_repeat,
+            suspects: wire.suspects,
         };
         let guard = CallGuard {
             call,
@@ -87,18 +102,21 @@
                 address,
                 is_once_only,
             })) => (address, is_once_only),
+            Some(EdgeReply::Pass(PassDecision::Quarantined)) => {
+                return ended_response(PassEnd::Quarantined, PassedHead::default());
+            }
             Some(EdgeReply::Pass(PassDecision::Withhold)) => {
-                log::info!(id:% = wire.id, place:% = request.run.server; "request not passed on: it may run once only");
-                return ended_response(PassEnd::Withheld, true);
+                log::info!(id:% = request.id, place:% = request.run.server; "request not passed on: it may run once only");
+                return withheld_response();
             }
-            _ => return ended_response(PassEnd::NotPassedOn, false),
+            _ => return ended_response(PassEnd::NotPassedOn, PassedHead::default()),
         };
-        log::info!(id:% = wire.id, place:% = request.run.server; "request passed on for another node");
+        log::info!(id:% = request.id, place:% = request.run.server; "request passed on for another node");
         context.metrics.count("passed_requests", &[], 1);
         let order = PassOrder {
             request,
-            id: wire.id,
             deadline,
+            is_stream: wire.is_stream,
             guard,
             is_once_only,
         };
@@ -117,7 +135,7 @@
         address: SocketAddr,
         request: WebRequest,
     ) -> WebResponse {
-        let (context, is_once_only) = (&self.context, order.is_once_only);
+        let context = &self.context;
         let attempt = AttemptId {
             call: order.request.call,
             number: 1,
@@ -133,20 +151,36 @@
         match outcome.await {
             CallOutcome::Response(response) => self.relay_response(*response, order),
             CallOutcome::NotSent(_) => self.fail(&order, PassEnd::NotSent),
-            CallOutcome::Withheld(_) => ended_response(PassEnd::Withheld, true),
-            CallOutcome::Lost => self.fail(&order, PassEnd::Lost),
+            CallOutcome::Withheld(_) => withheld_response(),
+            CallOutcome::Lost if self.context.clock.now() >= order.deadline => {
+                self.fail(&order, PassEnd::Lost)
+            }
+            CallOutcome::Lost => self.report_crash(&order).await,
             // The server lives, so the attempt says nothing against it.
-            CallOutcome::Discarded => ended_response(PassEnd::Discarded, is_once_only),
+            CallOutcome::Discarded => ended_response(PassEnd::Discarded, order.head()),
         }
     }
 
     fn fail(&self, order: &PassOrder, end: PassEnd) -> WebResponse {
         let server = &order.request.run.server;
-        log::info!(id:% = order.id, place:% = server, end = end.as_str(); "passed request failed");
+        log::info!(id:% = order.request.id, place:% = server, end = end.as_str(); "passed request failed");
         let failed = EdgeEvent::PassFailed(server.clone());
         // The event loop ends only when the process is about to exit.
         let _ = self.context.events.unbounded_send(failed);
-        ended_response(end, order.is_once_only)
+        ended_response(end, order.head())
+    }
+
+    /// Reports that the server broke its connection before a response.
+    async fn report_crash(&self, order: &PassOrder) -> WebResponse {
+        log::info!(id:% = order.request.id, place:% = order.request.run.server; "server broke the connection of a passed request");
+        let question = EdgeQuestion::PassLost(order.request.call);
+        let reply = self.context.replies.request(question).await;
+        let is_crash_reported = matches!(reply, Some(EdgeReply::PassLost { is_reported: true }));
+        let head = PassedHead {
+            is_crash_reported,
+            ..order.head()
+        };
+        ended_response(PassEnd::Lost, head)
     }
 
     /// Starts to stream a response back, and notes what the server announces in it.
@@ -160,7 +194,7 @@
             // The event loop ends only when the process is about to exit.
             let _ = self.context.events.unbounded_send(EdgeEvent::Announced {
                 run: order.request.run.clone(),
-                id: order.id.clone(),
+                id: order.request.id.clone(),
                 notice: metadata.notice,
             });
         }
@@ -171,21 +205,91 @@
         remove_connection_headers(response.headers_mut());
         let head = PassedHead {
             is_checked: true,
-            is_once_only: order.is_once_only,
+            ..order.head()
         };
         head.replace(response.headers_mut());
-        monoio::spawn(copy_body(incoming, sender, order));
+        let is_stream = order.is_stream && incoming.parts.status.is_success();
+        let answer = CarriedAnswer {
+            clock: self.context.clock.clone(),
+            deadline: order.deadline,
+            buffer: is_stream.then(|| EventBuffer::after(None)),
+            is_answered: false,
+            progress_sent_at: None,
+            guard: order.guard,
+        };
+        monoio::spawn(copy_body(incoming, sender, answer));
         response
     }
 }
 
+/// Response of a server that is streamed back, and how far it has come.
+struct CarriedAnswer {
+    clock: Rc<dyn ClockSource>,
+    deadline: ClockTime,
+    /// Events that are not complete yet; `None` if the response is no stream, or can't be read.
+    buffer: Option<EventBuffer>,
+    /// Whether its first complete event was reported.
+    is_answered: bool,
+    /// Instant at which progress was last reported.
+    progress_sent_at: Option<ClockTime>,
+    /// Ends the attempt in the event loop when it is dropped.
+    guard: CallGuard,
+}
+
+impl CarriedAnswer {
+    /// Reports complete events.
+    fn record_chunk(&mut self, bytes: &Bytes) {
+        let Some(buffer) = &mut self.buffer else {
+            return;
+        };
+        let Ok(events) = buffer.push(bytes) else {
+            self.buffer = None;
+            return;
+        };
+        if events.is_empty() {
+            return;
+        }
+        let call = self.guard.call;
+        if !std::mem::replace(&mut self.is_answered, true) {
+            self.report(EdgeEvent::Answered(call));
+        }
+        let now = self.clock.now();
+        let is_due = |at: ClockTime| now.since(at) >= PROGRESS_INTERVAL;
+        if self.progress_sent_at.is_none_or(is_due) {
+            self.progress_sent_at = Some(now);
+            self.report(EdgeEvent::Progress(AttemptId { call, number: 1 }));
+        }
+    }
+
+    /// Reports that the response is complete; one that ends within an event was broken off.
+    fn record_end(&self) {
+        let call = self.guard.call;
+        let is_broken = (self.buffer.as_ref()).is_some_and(EventBuffer::is_within_event);
+        self.report(match is_broken {
+            true => EdgeEvent::PassBroken(call),
+            false => EdgeEvent::Completed(call),
+        });
+    }
+
+    /// Reports that the server broke off, unless the deadline has passed.
+    fn record_break(&self) {
+        if self.clock.now() < self.deadline {
+            self.report(EdgeEvent::PassBroken(self.guard.call));
+        }
+    }
+
+    fn report(&self, event: EdgeEvent) {
+        // The event loop ends only when the process is about to exit.
+        let _ = self.guard.events.unbounded_send(event);
+    }
+}
+
 /// Streams a body until its end, until it breaks off or until the other node disconnects.
-async fn copy_body(mut incoming: IncomingResponse, mut sender: BodySender, order: PassOrder) {
-    // Ends the attempt in the event loop when it is dropped.
-    let _guard = order.guard;
+async fn copy_body(mut incoming: IncomingResponse, mut sender: BodySender, answer: CarriedAnswer) {
+    let mut answer = answer;
     loop {
         let chunk = {
-            let next = pin!(incoming.next_chunk(order.deadline));
+            let next = pin!(incoming.next_chunk(answer.deadline));
             let disconnected = pin!(sender.closed());
             match select(next, disconnected).await {
                 Either::Left((chunk, _)) => chunk,
@@ -194,15 +298,18 @@
         };
         match chunk {
             ChunkOutcome::Chunk(bytes) => {
+                answer.record_chunk(&bytes);
                 if sender.send(bytes).await.is_err() {
                     return;
                 }
             }
             ChunkOutcome::End => {
+                answer.record_end();
                 incoming.finish();
                 return;
             }
             ChunkOutcome::Lost => {
+                answer.record_break();
                 sender.abort().await;
                 return;
             }
@@ -217,14 +324,19 @@
 }
 
 /// Response to the other node about an attempt without a response of the server.
-fn ended_response(end: PassEnd, is_once_only: bool) -> WebResponse {
+fn ended_response(end: PassEnd, head: PassedHead) -> WebResponse {
     let mut response = Response::new(empty_body());
     *response.status_mut() = StatusCode::BAD_GATEWAY;
-    let head = PassedHead {
-        is_checked: false,
-        is_once_only,
-    };
     head.replace(response.headers_mut());
     end.insert(response.headers_mut());
     response
 }
+
+/// Response to the other node about a repetition that may run once only.
+fn withheld_response() -> WebResponse {
+    let head = PassedHead {
+        is_once_only: true,
+        ..PassedHead::default()
+    };
+    ended_response(PassEnd::Withheld, head)
+}
--- a/crates/edge/src/border/stream.rs
+++ b/crates/edge/src/border/stream.rs
@@ -22,7 +22,7 @@
 
 /// Shortest interval between two progress events of a stream; the event loop needs no
 /// more.
-const PROGRESS_INTERVAL: Duration = Duration::from_millis(50);
+pub(super) const PROGRESS_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Guard that sends [`EdgeEvent::Finished`] when it is dropped, however a request's task
 /// ends.
--- a/crates/edge/src/commands/calls.rs
+++ b/crates/edge/src/commands/calls.rs
@@ -111,7 +111,7 @@
     if quarantine::queries::is_call_blocked(&state.quarantine, attempt.call) {
         return relay::commands::abort_call(&mut state.relay, attempt, end, now);
     }
-    if is_crash_suspect {
+    if is_crash_suspect || matches!(end, AttemptEnd::Quarantined(_)) {
         return relay::commands::give_up(&mut state.relay, attempt, end, now);
     }
     let step = relay::commands::end_attempt(&mut state.relay, attempt, end, now);
--- a/crates/edge/src/commands/mod.rs
+++ b/crates/edge/src/commands/mod.rs
@@ -21,7 +21,7 @@
 mod targets;
 
 pub(crate) use calls::{arrive, check_stall, end_attempt, record_broken_attempt, record_progress};
-pub(crate) use carry::{carry_attempt, record_pass_failure};
+pub(crate) use carry::{carry_attempt, record_carried_crash, record_pass_failure};
 pub(crate) use cold::update_cold;
 pub(crate) use collections::{apply_collection_event, expire_endpoints};
 pub(crate) use digests::send_digests;
--- a/crates/edge/src/commands/quarantine.rs
+++ b/crates/edge/src/commands/quarantine.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use quarantine::commands::{
     expire, record_answer as clear_suspects, record_crash as report_crash, record_sent,
-    record_told, renew_suspects, start_call,
+    record_told, renew_suspects, start_begun_call, start_call,
 };
 use quarantine::queries::{
     EvidenceCursor, PeerEvidence, blocking_verdict, evidence_hash, fresh_evidence,
@@ -11,11 +11,11 @@
 };
 use quarantine::{CallSuspects, CrashEvidence, CrashSuspect, CrashVerdict, ServerCrash};
 use reach::queries::is_cut_off;
-use relay::{AttemptEnd, AttemptId};
+use relay::{AttemptEnd, AttemptId, SentAttempt};
 
 use crate::peer::{Digest, PeerMessage};
 use crate::queries::{is_hub, sends_sums_to, uses_hubs};
-use crate::{ByteRate, EdgeEffect, EdgeState};
+use crate::{ByteRate, CarriedSuspects, EdgeEffect, EdgeState};
 
 /// Interval between two messages with this node's latest crash reports.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(300);
@@ -34,22 +34,54 @@
     suspects: CallSuspects,
     now: ClockTime,
 ) -> Option<Duration> {
+    if let Some(until) = find_quarantine(state, id, &suspects, now) {
+        return Some(until.since(now));
+    }
+    start_call(&mut state.quarantine, call, suspects);
+    None
+}
+
+/// Whether an attempt that another node asks this one to carry is quarantined; otherwise remembers
+/// it.
+pub(super) fn block_carried(
+    state: &mut EdgeState,
+    call: CallId,
+    id: &str,
+    carried: &CarriedSuspects,
+    now: ClockTime,
+) -> bool {
+    let suspects = &carried.suspects;
+    if find_quarantine(state, id, suspects, now).is_some() {
+        return true;
+    }
+    let start = match carried.has_begun {
+        true => start_begun_call,
+        false => start_call,
+    };
+    start(&mut state.quarantine, call, suspects.clone());
+    false
+}
+
+/// End of the quarantine of a request or of parts of its prompt, which this rejection renews.
+fn find_quarantine(
+    state: &mut EdgeState,
+    id: &str,
+    suspects: &CallSuspects,
+    now: ClockTime,
+) -> Option<ClockTime> {
     let effects = update_verdicts(state, now);
     if !effects.is_empty() {
         state.unsent_effects.extend(effects);
         state.evidence_due.get_or_insert(now);
     }
-    let blocking = blocking_verdict(&state.quarantine, &suspects);
+    let blocking = blocking_verdict(&state.quarantine, suspects);
     if let Some(blocked) = blocking.map(|verdict| verdict.suspects.clone()) {
         renew_suspects(&mut state.quarantine, &blocked, now);
         schedule_evidence(state, now);
     }
-    if let Some(verdict) = blocking_verdict(&state.quarantine, &suspects) {
-        log::info!(id:% = id, digest:% = suspects.digest, suspects = suspect_names(verdict), crashes = verdict.crashes; "request is quarantined");
-        return Some(verdict.until.since(now));
-    }
-    start_call(&mut state.quarantine, call, suspects);
-    None
+    let verdict = blocking_verdict(&state.quarantine, suspects)?;
+    log::info!(id:% = id, digest:% = suspects.digest, suspects = suspect_names(verdict), crashes = verdict.crashes; "request is quarantined");
+    Some(verdict.until)
 }
 
 /// Records that a server has begun to answer a request.
@@ -96,6 +128,10 @@
 
 /// Reports a request and its parts whose connection broke before its answer was whole;
 /// returns whether the request must not be sent to another server.
+///
+/// A node judges servers by its own connections to them, unless it reaches none, and by what nodes
+/// that carry its attempts say of theirs. That the connection to such a node breaks says nothing
+/// about the server; what that node has seen of it, it reports itself.
 pub(super) fn record_crash(
     state: &mut EdgeState,
     attempt: AttemptId,
@@ -104,13 +140,29 @@
 ) -> bool {
     let call = attempt.call;
     let is_given_up = quarantine::queries::is_call_blocked(&state.quarantine, call);
-    let is_crash = matches!(end, AttemptEnd::Lost | AttemptEnd::Cut);
-    if !is_crash || is_cut_off(&state.reach) {
+    let is_direct = !state.passed.contains_key(&attempt);
+    let is_crash = match end {
+        AttemptEnd::Crashed => true,
+        AttemptEnd::Lost | AttemptEnd::Cut => is_direct && !is_cut_off(&state.reach),
+        _ => false,
+    };
+    if !is_crash {
         return is_given_up;
     }
     let Some(attempt) = relay::queries::attempt_of(&state.relay, attempt) else {
         return is_given_up;
     };
+    let crash = report_broken_connection(state, call, &attempt, now);
+    !may_resend(&state.quarantine, call, crash, now)
+}
+
+/// Reports a request of this node, or one that it carries, whose server broke its connection.
+pub(super) fn report_broken_connection(
+    state: &mut EdgeState,
+    call: CallId,
+    attempt: &SentAttempt,
+    now: ClockTime,
+) -> ServerCrash {
     let crash = ServerCrash::of(&attempt.target, attempt.incarnation, attempt.epoch);
     let effects = log_new_verdicts(state, |state| {
         let sent_at = attempt.sent_at;
@@ -121,7 +173,7 @@
     });
     state.unsent_effects.extend(effects);
     schedule_evidence(state, now);
-    !may_resend(&state.quarantine, call, crash, now)
+    crash
 }
 
 /// Adds another node's evidence.
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -131,6 +131,8 @@
     MayRepeat(CallId),
     /// Another node asks to pass an attempt on to a server.
     PassOn(Box<PassRequest>),
+    /// The server of an attempt that this node carries broke its connection before a response.
+    PassLost(CallId),
     /// The connection for an attempt beside or after another one is open.
     MaySend(AttemptId),
     /// The status of the node is requested.
@@ -175,6 +177,11 @@
     MayRepeat(bool),
     /// Whether this node passes the attempt on.
     Pass(PassDecision),
+    /// Whether this node reports a crash of the server of an attempt that it carried.
+    PassLost {
+        /// Whether it does.
+        is_reported: bool,
+    },
     /// Whether the attempt may still be sent.
     MaySend(bool),
     /// Status of the node.
@@ -217,6 +224,8 @@
     Reported(HostName, ProbeOutcome),
     /// A request that this node passed on got no response from a server.
     PassFailed(HostName),
+    /// The server of an attempt that this node carries broke its connection within the response.
+    PassBroken(CallId),
     /// A server has responded on a new connection on trial, or has not.
     Tried(HostName, bool),
     /// A message of another node arrived.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -49,6 +49,10 @@
                 commands::handle_report_outcome(self, &of, outcome, now)
             }
             EdgeEvent::PassFailed(server) => commands::record_pass_failure(self, &server, now),
+            EdgeEvent::PassBroken(call) => {
+                commands::record_carried_crash(self, call, now);
+                Vec::new()
+            }
             EdgeEvent::Tried(server, is_reached) => {
                 commands::handle_trial_outcome(self, &server, is_reached, now)
             }
@@ -101,6 +105,9 @@
         EdgeQuestion::PassOn(request) => {
             EdgeReply::Pass(commands::carry_attempt(state, *request, now))
         }
+        EdgeQuestion::PassLost(call) => EdgeReply::PassLost {
+            is_reported: commands::record_carried_crash(state, call, now),
+        },
         EdgeQuestion::MaySend(attempt) => {
             EdgeReply::MaySend(queries::may_send_attempt(state, attempt))
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,7 +25,7 @@
     EdgeStatus, RejectReason, WatchMode,
 };
 pub use feed::{FeedResult, FeedSchedule, FeedStep, READ_PAUSE, StoreContact};
-pub use pass::{PassDecision, PassRequest};
+pub use pass::{CarriedSuspects, PassDecision, PassRequest};
 pub use peer::{
     DemandReport, Digest, NodeWeight, PeerAddress, PeerMessage, SlowPace, TargetsVersion,
     transfer_timeout,
--- a/crates/edge/src/queries/repeat.rs
+++ b/crates/edge/src/queries/repeat.rs
@@ -5,6 +5,7 @@
 use relay::AttemptId;
 
 use super::config_age::{ConfigAge, config_age};
+use crate::state::CarriedAttempt;
 use crate::{EdgeState, PassRequest};
 
 /// Whether a request may run more than once by all versions of the configuration since its arrival.
@@ -18,7 +19,9 @@
 /// to open a connection.
 pub(crate) fn may_send_attempt(state: &EdgeState, attempt: AttemptId) -> bool {
     match state.carried.get(&attempt.call) {
-        Some(request) => !(request.is_repeat && is_once_only(state, request)),
+        Some(CarriedAttempt { request, .. }) => {
+            !(request.is_repeat && is_once_only(state, request))
+        }
         None => relay::queries::may_send(&state.relay, attempt),
     }
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -285,6 +285,13 @@
     pub refusals: u32,
 }
 
+/// Attempt that this node carries for another one.
+#[derive(Clone, Debug)]
+pub(crate) struct CarriedAttempt {
+    pub request: PassRequest,
+    pub sent_at: ClockTime,
+}
+
 /// Hub from which a node gets the sums.
 #[derive(Clone, Debug)]
 pub(crate) struct SummingHub {
@@ -320,7 +327,7 @@
     /// Requests that another node passes on.
     pub(crate) passed: HashMap<AttemptId, PassedAttempt>,
     /// Attempts that this node carries for others.
-    pub(crate) carried: HashMap<CallId, PassRequest>,
+    pub(crate) carried: HashMap<CallId, CarriedAttempt>,
     /// Endpoints whose probes got no response while this node may have been cut off.
     pub(crate) held_probes: BTreeSet<HostName>,
     /// Instant at which this node's crash reports are sent next; `None` if there are none.
--- a/crates/edge/tests/suite/main.rs
+++ b/crates/edge/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod bandwidth;
 mod byte_budget;
+mod carried_crashes;
 mod changed_types;
 mod changing_roles;
 mod cold;
--- a/crates/edge/tests/suite/support.rs
+++ b/crates/edge/tests/suite/support.rs
@@ -187,6 +187,7 @@
 pub fn pass_request(call: u64, order: &SendOrder) -> PassRequest {
     PassRequest {
         call: CallId(call),
+        id: format!("request-{call}").into(),
         run: ServerRun {
             server: order.target.clone(),
             incarnation: order.incarnation,
@@ -195,6 +196,7 @@
         path: "/x/".into(),
         version: Some(1),
         is_repeat: order.is_repeat,
+        suspects: None,
     }
 }
 
--- a/crates/quarantine/src/commands/calls.rs
+++ b/crates/quarantine/src/commands/calls.rs
@@ -9,9 +9,18 @@
 
 /// Remembers a request until it is finished.
 pub fn start_call(state: &mut QuarantineState, call: CallId, suspects: CallSuspects) {
+    insert_call(state, call, suspects, false);
+}
+
+/// Remembers a request whose client got the beginning of an answer from an earlier attempt.
+pub fn start_begun_call(state: &mut QuarantineState, call: CallId, suspects: CallSuspects) {
+    insert_call(state, call, suspects, true);
+}
+
+fn insert_call(state: &mut QuarantineState, call: CallId, suspects: CallSuspects, has_begun: bool) {
     let running = RunningCall {
         suspects,
-        has_begun: false,
+        has_begun,
         attempt_begun_at: None,
         is_sustained: false,
     };
--- a/crates/quarantine/src/commands/mod.rs
+++ b/crates/quarantine/src/commands/mod.rs
@@ -7,7 +7,7 @@
 
 pub use calls::{
     finish_call, record_answer, record_crash, record_progress, record_sustained_answer,
-    record_whole_answer, start_call,
+    record_whole_answer, start_begun_call, start_call,
 };
 pub use changes::record_told;
 pub use merge::{expire, merge_evidence, renew_suspects};
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -54,6 +54,8 @@
     /// Nothing was sent, as a version of the configuration that came into force meanwhile lets
     /// the request run once only.
     Withheld(NotRunProof),
+    /// Nothing was sent, as the node that was to pass the request on knows it to be quarantined.
+    Quarantined(NotRunProof),
     /// The target reported that it did not run the request.
     NotRun(NotRunProof),
     /// The target did not run the request, as its group has lost a member.
@@ -62,6 +64,8 @@
     Misdirected(NotRunProof),
     /// The request may have run, and no usable response arrived.
     Lost,
+    /// The request may have run; the node that carried it has seen the target break the connection.
+    Crashed,
     /// The request may have run; the target sent a response that isn't its own, or isn't usable.
     Discarded,
     /// The target stopped sending.
@@ -79,10 +83,16 @@
             Self::NotSent(proof)
             | Self::NotPassedOn(proof)
             | Self::Withheld(proof)
+            | Self::Quarantined(proof)
             | Self::NotRun(proof)
             | Self::GroupBroken(proof)
             | Self::Misdirected(proof) => Some(proof),
-            Self::Lost | Self::Discarded | Self::Stalled | Self::Cut | Self::Failed => None,
+            Self::Lost
+            | Self::Crashed
+            | Self::Discarded
+            | Self::Stalled
+            | Self::Cut
+            | Self::Failed => None,
         }
     }
 
@@ -92,10 +102,12 @@
             Self::NotSent(_) => "not-sent",
             Self::NotPassedOn(_) => "not-passed-on",
             Self::Withheld(_) => "withheld",
+            Self::Quarantined(_) => "quarantined",
             Self::NotRun(_) => "not-run",
             Self::GroupBroken(_) => "group-broken",
             Self::Misdirected(_) => "not-here",
             Self::Lost => "lost",
+            Self::Crashed => "crashed",
             Self::Discarded => "discarded",
             Self::Stalled => "stalled",
             Self::Cut => "cut",
@@ -113,6 +125,8 @@
     pub target: HostName,
     /// Start of the target.
     pub incarnation: HostIncarnation,
+    /// Epoch of its group.
+    pub epoch: GroupEpoch,
     /// Address of the target.
     pub address: SocketAddr,
     /// Address of the node that passes the request on; `None` if it is sent to the target itself.
--- a/crates/relay/src/commands/attempts.rs
+++ b/crates/relay/src/commands/attempts.rs
@@ -167,7 +167,7 @@
         return;
     };
     let duration = match end {
-        AttemptEnd::Withheld(_) => return,
+        AttemptEnd::Withheld(_) | AttemptEnd::Quarantined(_) => return,
         AttemptEnd::NotRun(_) => settings.full_avoid_duration,
         _ => {
             let duration = settings.min_avoid_duration * 2_u32.pow(load.failures.min(4));
@@ -264,6 +264,7 @@
         attempt: AttemptId { call, number },
         target: target.id,
         incarnation: target.incarnation,
+        epoch: target.epoch,
         address: target.address,
         via: None,
         deadline,
