Allow for the error of times in other nodes' crash reports

Cause: crashes of a request are successive if the server of the second one got the request after the first crash; copies of a sound request at servers that fail together are not. Nodes send these instants as ages in whole milliseconds, and the age leaves out how long the message is under way. A request that crashes one server is sent to the next within 0.2 ms, in a later message; where the first message took a moment longer, the receiver dated the crash after the next attempt and counted two crashes as one. The logs show it: the other nodes have no verdict 3.3 s after the third report, and have one with six crashes after two more. It holds for crashes of a node's own connections too.

Successive crashes now allow for 20 ms, more than a message takes by way of two nodes. Copies of a sound request would have to arrive within that before each of three crashes, without an answer anywhere in the next second.

--- a/crates/quarantine/src/queries/verdict.rs
+++ b/crates/quarantine/src/queries/verdict.rs
@@ -220,7 +220,7 @@
         .collect();
     let separate = match suspect {
         CrashSuspect::Part(_) => separate_crashes(settings, &reports),
-        CrashSuspect::Request(_) => successive_crashes(&reports),
+        CrashSuspect::Request(_) => successive_crashes(settings, &reports),
     };
     let first_at = *separate.first()?;
     let last_needed_at = *separate.get(min_crashes - 1)?;
@@ -268,11 +268,13 @@
 /// Instants of crashes of which each server got the request after the crash before.
 ///
 /// A request that many callers send is at several servers at a time, which may fail together; a
-/// request that crashes one server after the other may do so within milliseconds.
-fn successive_crashes(reports: &[&CrashReport]) -> Vec<ClockTime> {
+/// request that crashes one server after the other may do so within milliseconds, and then the
+/// errors of reported times are larger than the time between a crash and the next attempt.
+fn successive_crashes(settings: &QuarantineSettings, reports: &[&CrashReport]) -> Vec<ClockTime> {
     let mut instants: Vec<ClockTime> = Vec::new();
     for report in reports {
-        if instants.last().is_none_or(|at| report.sent_at >= *at) {
+        let latest_sent_at = report.sent_at + settings.report_time_error;
+        if instants.last().is_none_or(|at| latest_sent_at >= *at) {
             instants.push(report.seen_at);
         }
     }
--- a/crates/quarantine/src/settings.rs
+++ b/crates/quarantine/src/settings.rs
@@ -21,6 +21,9 @@
 /// Time from the first event of an answer after which it is sustained. A server that crashes as it
 /// begins to answer has crashed by then.
 const SUSTAINED_ANSWER: Duration = Duration::from_millis(1_000);
+/// Largest error of the times in other nodes' reports: ages in whole milliseconds, without the time
+/// for which the message was under way.
+const REPORT_TIME_ERROR: Duration = Duration::from_millis(20);
 /// Crashes after sustained answers from which a part or request is quarantined. Long answers are
 /// cut by unrelated crashes more often than short ones.
 const MIN_LATE_CRASHES: usize = 5;
@@ -55,6 +58,8 @@
     pub settling_time: Duration,
     /// The same for a verdict about a request; after `certain_crashes` it runs from the first.
     pub request_settling_time: Duration,
+    /// Largest error of the times in other nodes' reports.
+    pub report_time_error: Duration,
     /// Time after the last crash that a verdict needs if the answers had begun.
     pub late_settling_time: Duration,
     /// Time from the first event of an answer after which it is sustained.
@@ -87,6 +92,7 @@
             simultaneous_crashes: SIMULTANEOUS_CRASHES,
             settling_time: SETTLING_TIME,
             request_settling_time: REQUEST_SETTLING_TIME,
+            report_time_error: REPORT_TIME_ERROR,
             late_settling_time: LATE_SETTLING_TIME,
             sustained_answer: SUSTAINED_ANSWER,
             min_late_crashes: MIN_LATE_CRASHES,
--- a/crates/quarantine/tests/suite/requests.rs
+++ b/crates/quarantine/tests/suite/requests.rs
@@ -242,3 +242,34 @@
     assert!(digests[0] != digests[1] && digests[1] != digests[2] && digests[0] != digests[2]);
     assert_eq!(digests[1], content.of_workspace(Some(&workspaces[0])));
 }
+
+/// Whether a node rejects a request after it has received the reports of three crashes, each of
+/// which the request met so long after the crash before, in messages that took so long.
+fn is_rejected_elsewhere(sent_after: i64, delays: [u64; 3]) -> bool {
+    let mut other = new_state();
+    for (index, delay) in (0_u64..).zip(delays) {
+        let crashed = 1_000 + 50 * index;
+        let sent = (crashed - 50).saturating_add_signed(sent_after);
+        let mut state = new_state();
+        crash_later(&mut state, &[], 10, index, (sent + delay, crashed + delay));
+        let reports = fresh_evidence(&state, at(2_000)).reports;
+        let clearances = Vec::new();
+        let evidence = CrashEvidence {
+            reports,
+            clearances,
+        };
+        merge_evidence(&mut other, &evidence, at(crashed + delay));
+    }
+    expire(&mut other, at(3_000));
+    is_request_rejected(&other, &[], 10)
+}
+
+/// A node that takes two successive crashes for simultaneous ones sends the request on.
+#[test]
+fn successive_crashes_are_recognised_by_reports_that_arrive_after_different_times() {
+    for delays in [[0, 0, 0], [3, 0, 0], [0, 5, 0], [9, 4, 0], [0, 9, 0]] {
+        assert!(is_rejected_elsewhere(0, delays), "{delays:?}");
+    }
+    // Copies of a sound request at servers that fail one after the other.
+    assert!(!is_rejected_elsewhere(-40, [0, 0, 0]));
+}
