Carry answers in a module of their own, without a client's pass headers

The streaming of a carried answer moves out of pass.rs. A node that has an attempt passed on also removes the headers of that name which its client sent: those that it doesn't set itself, as the mark of a repetition or the parts of a prompt, would have gone to the carrying node as its own word.

--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -214,6 +214,8 @@
             let Ok(headers) = HeaderMap::try_from(wire) else {
                 return Err(drop_request(forwarded));
             };
+            // The client may have sent some of these names.
+            PassWire::remove(forwarded.headers_mut());
             forwarded.headers_mut().extend(headers);
         }
         Ok(forwarded)
--- a/crates/edge/src/border/mod.rs
+++ b/crates/edge/src/border/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod attempts;
+mod carried_answer;
 mod crashes;
 mod digest;
 pub mod events;
--- a/crates/edge/src/border/pass.rs
+++ b/crates/edge/src/border/pass.rs
@@ -7,27 +7,25 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 
 use base::prelude::*;
-use bytes::Bytes;
-use futures_util::future::{Either, LocalBoxFuture, select};
+use futures_util::future::LocalBoxFuture;
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
 use net::web::{
-    BodySender, CallOutcome, ChunkOutcome, IncomingResponse, RequestBody, SendGate, WebLimits,
-    WebRequest, WebResponse, WebService, body_channel, empty_body, full_body, receive_body,
+    CallOutcome, IncomingResponse, RequestBody, SendGate, WebLimits, WebRequest, WebResponse,
+    WebService, body_channel, empty_body, full_body, receive_body,
 };
 use notices::ServerNotice;
 use relay::AttemptId;
 
 use super::attempt::AttemptContext;
-use super::events::EventBuffer;
+use super::carried_answer::CarriedAnswer;
 use super::gate::RepeatGate;
 use super::ingress::{host_of, take_call};
 use super::pass_wire::{PassEnd, PassWire, PassedHead};
-use super::stream::{CallGuard, PROGRESS_INTERVAL};
+use super::stream::CallGuard;
 use crate::{EdgeEvent, EdgeQuestion, EdgeReply, PassDecision, PassRequest};
 
 /// Header that concerns one connection only and has no constant.
@@ -209,114 +207,13 @@
         };
         head.replace(response.headers_mut());
         let is_stream = order.is_stream && incoming.parts.status.is_success();
-        let answer = CarriedAnswer {
-            clock: self.context.clock.clone(),
-            deadline: order.deadline,
-            buffer: is_stream.then(|| EventBuffer::after(None)),
-            is_answered: false,
-            progress_sent_at: None,
-            guard: order.guard,
-        };
-        monoio::spawn(copy_body(incoming, sender, answer));
+        let clock = self.context.clock.clone();
+        let answer = CarriedAnswer::new(clock, order.deadline, is_stream, order.guard);
+        monoio::spawn(answer.copy_body(incoming, sender));
         response
     }
 }
 
-/// Response of a server that is streamed back, and how far it has come.
-struct CarriedAnswer {
-    clock: Rc<dyn ClockSource>,
-    deadline: ClockTime,
-    /// Events that are not complete yet; `None` if the response is no stream, or can't be read.
-    buffer: Option<EventBuffer>,
-    /// Whether its first complete event was reported.
-    is_answered: bool,
-    /// Instant at which progress was last reported.
-    progress_sent_at: Option<ClockTime>,
-    /// Ends the attempt in the event loop when it is dropped.
-    guard: CallGuard,
-}
-
-impl CarriedAnswer {
-    /// Reports complete events.
-    fn record_chunk(&mut self, bytes: &Bytes) {
-        let Some(buffer) = &mut self.buffer else {
-            return;
-        };
-        let Ok(events) = buffer.push(bytes) else {
-            self.buffer = None;
-            return;
-        };
-        if events.is_empty() {
-            return;
-        }
-        let call = self.guard.call;
-        if !std::mem::replace(&mut self.is_answered, true) {
-            self.report(EdgeEvent::Answered(call));
-        }
-        let now = self.clock.now();
-        let is_due = |at: ClockTime| now.since(at) >= PROGRESS_INTERVAL;
-        if self.progress_sent_at.is_none_or(is_due) {
-            self.progress_sent_at = Some(now);
-            self.report(EdgeEvent::Progress(AttemptId { call, number: 1 }));
-        }
-    }
-
-    /// Reports that the response is complete; one that ends within an event was broken off.
-    fn record_end(&self) {
-        let call = self.guard.call;
-        let is_broken = (self.buffer.as_ref()).is_some_and(EventBuffer::is_within_event);
-        self.report(match is_broken {
-            true => EdgeEvent::PassBroken(call),
-            false => EdgeEvent::Completed(call),
-        });
-    }
-
-    /// Reports that the server broke off, unless the deadline has passed.
-    fn record_break(&self) {
-        if self.clock.now() < self.deadline {
-            self.report(EdgeEvent::PassBroken(self.guard.call));
-        }
-    }
-
-    fn report(&self, event: EdgeEvent) {
-        // The event loop ends only when the process is about to exit.
-        let _ = self.guard.events.unbounded_send(event);
-    }
-}
-
-/// Streams a body until its end, until it breaks off or until the other node disconnects.
-async fn copy_body(mut incoming: IncomingResponse, mut sender: BodySender, answer: CarriedAnswer) {
-    let mut answer = answer;
-    loop {
-        let chunk = {
-            let next = pin!(incoming.next_chunk(answer.deadline));
-            let disconnected = pin!(sender.closed());
-            match select(next, disconnected).await {
-                Either::Left((chunk, _)) => chunk,
-                Either::Right(_) => return,
-            }
-        };
-        match chunk {
-            ChunkOutcome::Chunk(bytes) => {
-                answer.record_chunk(&bytes);
-                if sender.send(bytes).await.is_err() {
-                    return;
-                }
-            }
-            ChunkOutcome::End => {
-                answer.record_end();
-                incoming.finish();
-                return;
-            }
-            ChunkOutcome::Lost => {
-                answer.record_break();
-                sender.abort().await;
-                return;
-            }
-        }
-    }
-}
-
 fn remove_connection_headers(headers: &mut HeaderMap) {
     for name in [CONNECTION, TRANSFER_ENCODING, KEEP_ALIVE] {
         headers.remove(name);
