Send no suspected request again after its carrying node breaks off

A request that had been in a crash is not sent to another server after one more. Where its attempt was carried by another node and the connection to that node breaks, the server may have crashed, too; the node that took the request can't tell, and sent it on. It now asks the same question, and still reports no crash of its own. A request that was in no crash is sent again as before.

--- a/crates/edge/src/commands/quarantine.rs
+++ b/crates/edge/src/commands/quarantine.rs
@@ -146,14 +146,16 @@
         AttemptEnd::Lost | AttemptEnd::Cut => is_direct && !is_cut_off(&state.reach),
         _ => false,
     };
-    if !is_crash {
-        return is_given_up;
-    }
-    let Some(attempt) = relay::queries::attempt_of(&state.relay, attempt) else {
+    // The server of an attempt that another node carried may have crashed.
+    let may_be_crash = !is_direct && matches!(end, AttemptEnd::Lost | AttemptEnd::Cut);
+    let sent = relay::queries::attempt_of(&state.relay, attempt);
+    let Some(sent) = sent.filter(|_| is_crash || may_be_crash) else {
         return is_given_up;
     };
-    let crash = report_broken_connection(state, call, &attempt, now);
-    !may_resend(&state.quarantine, call, crash, now)
+    if is_crash {
+        report_broken_connection(state, call, &sent, now);
+    }
+    !may_resend(&state.quarantine, call, crash_of(&sent), now)
 }
 
 /// Reports a request of this node, or one that it carries, whose server broke its connection.
@@ -162,8 +164,8 @@
     call: CallId,
     attempt: &SentAttempt,
     now: ClockTime,
-) -> ServerCrash {
-    let crash = ServerCrash::of(&attempt.target, attempt.incarnation, attempt.epoch);
+) {
+    let crash = crash_of(attempt);
     let effects = log_new_verdicts(state, |state| {
         let sent_at = attempt.sent_at;
         let reported = report_crash(&mut state.quarantine, call, crash, sent_at, now);
@@ -173,7 +175,10 @@
     });
     state.unsent_effects.extend(effects);
     schedule_evidence(state, now);
-    crash
+}
+
+fn crash_of(attempt: &SentAttempt) -> ServerCrash {
+    ServerCrash::of(&attempt.target, attempt.incarnation, attempt.epoch)
 }
 
 /// Adds another node's evidence.
--- a/crates/edge/tests/suite/carried_crashes.rs
+++ b/crates/edge/tests/suite/carried_crashes.rs
@@ -5,13 +5,16 @@
 //! the connection between the nodes breaks.
 
 use crate::network::{FIRST_PASSING_PORT, NodeNetwork};
-use crate::support::{arrival, at, endpoint, first_attempt, list, not_run, pass_request};
+use crate::support::{
+    apply_event, arrival, at, config, endpoint, first_attempt, list, not_run, pass_request,
+};
 use base::prelude::*;
-use edge::border::ports::{CollectionItem, StoreCollection};
+use edge::border::ports::{CollectionChange, CollectionItem, StoreCollection};
 use edge::{
-    Arrival, ArrivalOutcome, CarriedSuspects, EdgeEvent, EdgeQuestion, EdgeReply, PassDecision,
-    PassRequest, RejectReason,
+    Arrival, ArrivalOutcome, CarriedSuspects, CollectionEvent, EdgeEvent, EdgeQuestion, EdgeReply,
+    EdgeState, PassDecision, PassRequest, RejectReason,
 };
+use intent::CallKind;
 use quarantine::{CallSuspects, PromptPart, PromptParts, RequestDigest};
 use relay::{AttemptEnd, AttemptId, CallStep, SendOrder};
 
@@ -229,6 +232,18 @@
     }
 }
 
+/// Brings a version into force that lets requests run more than once.
+fn repeatable(node: &mut EdgeState, now: ClockTime) {
+    let mut config = config(2, "/x/");
+    for route in config.routes.values_mut().flatten() {
+        let route = Arc::make_mut(route);
+        (route.kind, route.attempts) = (CallKind::Idempotent, 2);
+    }
+    let item = CollectionItem::RoutingConfig(Arc::new(config), "text".into());
+    let event = CollectionEvent::Changed(vec![CollectionChange::Put(item)], ObjectVersion(2));
+    apply_event(node, StoreCollection::RoutingConfig, event, now);
+}
+
 #[test]
 fn every_node_rejects_a_request_that_crashed_servers_by_way_of_other_nodes() {
     for (nodes, contact_ms) in DEPLOYMENTS {
@@ -347,6 +362,30 @@
     }
 }
 
+#[test]
+fn a_request_that_crashed_a_server_is_not_sent_again_after_its_carrying_node_breaks_off() {
+    // Whether the request was in a crash before, which no answer has cleared.
+    for was_in_crash in [false, true] {
+        let mut deployment = Deployment::new(7, 1);
+        // The configuration lets requests run more than once.
+        for node in &mut deployment.network.nodes {
+            repeatable(node, at(deployment.network.now));
+        }
+        if was_in_crash {
+            let deadly = deployment.carry(6, DEADLY, &[]);
+            deployment.crash(&[deadly], Loss::None);
+        }
+        let carried = deployment.carry(6, DEADLY, &[]);
+        deployment.replace_server();
+        let ended = EdgeQuestion::Ended(carried.attempt, AttemptEnd::Cut);
+        let EdgeReply::Step(step) = deployment.network.ask(6, ended) else {
+            panic!("an attempt's end gets a step");
+        };
+        let is_sent = matches!(step, CallStep::Send(_));
+        assert_eq!(is_sent, !was_in_crash, "{step:?}");
+    }
+}
+
 #[test]
 fn a_node_that_reaches_no_server_reports_no_crash_of_an_attempt_that_it_carries() {
     let mut deployment = Deployment::new(7, 1);
