Clear no request by a refusal that a node passes back

A response now says something about its request only if the server ran it, and only where the node that took the request would not discard it (no seal, an encoded body, a 421 without its mark).

--- a/crates/bronzerun/tests/edge/passing.rs
+++ b/crates/bronzerun/tests/edge/passing.rs
@@ -137,18 +137,22 @@
 /// Servers of a test; more than it takes to quarantine a request.
 const DEADLY_SERVERS: usize = 6;
 
-/// Servers that count the deadly requests that they get, and how each of these ends.
-fn spawn_deadly(
-    arrivals: &Arc<Mutex<usize>>,
-    crash: fn(&str, &mut TcpStream) -> std::io::Result<()>,
-) -> Vec<SocketAddr> {
+/// What a server does with a deadly request, by the number of such requests before and its ID; it
+/// crashes if this is an error.
+type DeadlyAnswer = fn(usize, &str, &mut TcpStream) -> std::io::Result<()>;
+
+/// Servers that count the deadly requests that they get.
+fn spawn_deadly(arrivals: &Arc<Mutex<usize>>, answer: DeadlyAnswer) -> Vec<SocketAddr> {
     let servers = (0..DEADLY_SERVERS).map(|_| {
         let arrivals = arrivals.clone();
         spawn_raw_server(move |RawRequest { id, path, .. }, stream: &mut TcpStream| {
             if path.ends_with(DEADLY_PATH) {
-                *arrivals.lock().unwrap() += 1;
-                crash(id, stream)?;
-                return Err(std::io::Error::other("the server crashes"));
+                let before = {
+                    let mut count = arrivals.lock().unwrap();
+                    *count += 1;
+                    *count - 1
+                };
+                return answer(before, id, stream);
             }
             let headers =
                 format!("x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n");
@@ -158,6 +162,10 @@
     servers.collect()
 }
 
+fn crash() -> std::io::Error {
+    std::io::Error::other("the server crashes")
+}
+
 /// Whether a node rejects a request as quarantined, by its log.
 fn is_quarantined(node: &Node, id: &str, path: &str) -> bool {
     let (status, _, _) = node.request_as(id, path, "key-1");
@@ -181,14 +189,9 @@
 
 /// Sends requests that crash servers by way of another node until they are quarantined, and checks
 /// that both nodes know it, and that sound ones are served.
-fn check_quarantine(
-    name: &str,
-    network: u8,
-    prefix: &str,
-    crash: fn(&str, &mut TcpStream) -> std::io::Result<()>,
-) {
+fn check_quarantine(name: &str, network: u8, prefix: &str, answer: DeadlyAnswer) {
     let arrivals = Arc::default();
-    let servers = spawn_deadly(&arrivals, crash);
+    let servers = spawn_deadly(&arrivals, answer);
     let [cut, other] = start_cut_off(name, network, None, servers);
     let path = format!("{prefix}{DEADLY_PATH}");
     let end = Instant::now() + CONDITION_TIMEOUT;
@@ -217,18 +220,30 @@
 
 #[test]
 fn a_request_that_crashes_servers_by_way_of_another_node_is_quarantined_at_both() {
-    check_quarantine("deadly", 79, "/o/", |_, _| Ok(()));
+    check_quarantine("deadly", 79, "/o/", |_, _, _| Err(crash()));
 }
 
 #[test]
 fn a_stream_that_crashes_servers_by_way_of_another_node_after_an_event_is_quarantined_at_both() {
-    check_quarantine("deadly-stream", 81, "/s/", |id, stream| {
+    check_quarantine("deadly-stream", 81, "/s/", |_, id, stream| {
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\
              x-bronzerun-response-seal: s\r\nx-bronzerun-request-id: {id}\r\n\r\n"
         );
         let event = "id: 1\ndata: a\n\n";
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        stream.write_all(format!("{head}{chunk}").as_bytes())
+        stream.write_all(format!("{head}{chunk}").as_bytes())?;
+        Err(crash())
+    });
+}
+
+#[test]
+fn a_refusal_that_is_passed_back_does_not_clear_a_request_that_crashes_servers() {
+    check_quarantine("deadly-refused", 83, "/o/", |before, id, stream| {
+        if before % 2 == 0 {
+            return Err(crash());
+        }
+        let headers = format!("x-bronzerun-not-executed: 1\r\nx-bronzerun-request-id: {id}\r\n");
+        stream.write_all(raw_response("503 Service Unavailable", &headers, "").as_bytes())
     });
 }
--- a/crates/edge/src/border/attempt.rs
+++ b/crates/edge/src/border/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use exchange::NotRunProof;
 use futures_channel::mpsc::UnboundedSender;
-use http::{HeaderMap, Method, Uri};
+use http::{HeaderMap, Method, StatusCode, Uri};
 use net::MetricSink;
 use net::web::{
     CallOutcome, IncomingResponse, SendGate, WebClient, WebRequest, drop_request, full_body,
@@ -281,10 +281,14 @@
     response: &IncomingResponse,
     metadata: &ResponseMetadata,
 ) -> Option<&'static str> {
-    let status = response.parts.status;
     if !response.is_named() && !request.id.is_empty() {
         return Some("it doesn't name the request");
     }
+    find_head_defect(response.parts.status, metadata)
+}
+
+/// Reason in a response's head for which it has to be discarded, if there is one.
+fn find_head_defect(status: StatusCode, metadata: &ResponseMetadata) -> Option<&'static str> {
     if metadata.is_misdirected && !metadata.is_not_run {
         return Some("it is a 421 without the mark of a request that was not run");
     }
@@ -297,6 +301,12 @@
     None
 }
 
+/// Whether a response is an answer of the server that ran the request, so that its arrival or its
+/// end says something about the request.
+pub(super) fn is_answer(status: StatusCode, metadata: &ResponseMetadata) -> bool {
+    !metadata.is_not_run && find_head_defect(status, metadata).is_none()
+}
+
 /// Time limit for reading the rest of an unused response.
 const UNUSED_BODY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Largest unused response that is read to keep its connection.
--- a/crates/edge/src/border/carried_answer.rs
+++ b/crates/edge/src/border/carried_answer.rs
@@ -16,10 +16,22 @@
 use super::stream::{CallGuard, PROGRESS_INTERVAL};
 use crate::EdgeEvent;
 
+/// What a response says about its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AnswerKind {
+    /// Nothing: the request was not run, or the other node discards the response.
+    NotRun,
+    /// The server is done with the request at its end.
+    Plain,
+    /// The server has come as far as its events show.
+    Stream,
+}
+
 /// Response of a server that is streamed back, and how far it has come.
 pub(super) struct CarriedAnswer {
     clock: Rc<dyn ClockSource>,
     deadline: ClockTime,
+    kind: AnswerKind,
     /// Events that are not complete yet; `None` if the response is no stream, or can't be read.
     buffer: Option<EventBuffer>,
     /// Whether its first complete event was reported.
@@ -35,13 +47,14 @@
     pub fn new(
         clock: Rc<dyn ClockSource>,
         deadline: ClockTime,
-        is_stream: bool,
+        kind: AnswerKind,
         guard: CallGuard,
     ) -> Self {
         Self {
             clock,
             deadline,
-            buffer: is_stream.then(|| EventBuffer::after(None)),
+            kind,
+            buffer: (kind == AnswerKind::Stream).then(|| EventBuffer::after(None)),
             is_answered: false,
             progress_sent_at: None,
             guard,
@@ -122,6 +135,9 @@
     }
 
     fn report(&self, event: EdgeEvent) {
+        if self.kind == AnswerKind::NotRun {
+            return;
+        }
         // The event loop ends only when the process is about to exit.
         let _ = self.guard.events.unbounded_send(event);
     }
--- a/crates/edge/src/border/pass.rs
+++ b/crates/edge/src/border/pass.rs
@@ -20,8 +20,8 @@
 use notices::ServerNotice;
 use relay::AttemptId;
 
-use super::attempt::AttemptContext;
-use super::carried_answer::CarriedAnswer;
+use super::attempt::{AttemptContext, is_answer};
+use super::carried_answer::{AnswerKind, CarriedAnswer};
 use super::gate::RepeatGate;
 use super::ingress::{host_of, take_call};
 use super::pass_wire::{PassEnd, PassWire, PassedHead};
@@ -206,9 +206,14 @@
             ..order.head()
         };
         head.replace(response.headers_mut());
-        let is_stream = order.is_stream && incoming.parts.status.is_success();
+        let status = incoming.parts.status;
+        let kind = match (order.is_stream, is_answer(status, &metadata)) {
+            (_, false) => AnswerKind::NotRun,
+            (true, true) if status.is_success() => AnswerKind::Stream,
+            _ => AnswerKind::Plain,
+        };
         let clock = self.context.clock.clone();
-        let answer = CarriedAnswer::new(clock, order.deadline, is_stream, order.guard);
+        let answer = CarriedAnswer::new(clock, order.deadline, kind, order.guard);
         monoio::spawn(answer.copy_body(incoming, sender));
         response
     }
