--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,6 +5,7 @@
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -351,7 +352,6 @@
 struct Change {
     revision: u64,
     kind: String,
-    name: String,
     object: Json,
     removed: bool,
 }
@@ -492,7 +492,6 @@
         data.history.push(Change {
             revision,
             kind: kind.to_owned(),
-            name: name.to_owned(),
             object,
             removed: false,
         });
@@ -509,7 +508,6 @@
             data.history.push(Change {
                 revision,
                 kind: kind.to_owned(),
-                name: name.to_owned(),
                 object,
                 removed: true,
             });
@@ -689,6 +687,34 @@
 
 // ---------------------------------------------------------------- plain servers
 
+unsafe extern "C" {
+    fn listen(descriptor: i32, backlog: i32) -> i32;
+}
+
+/// Link of one daemon to one server.
+pub struct Link {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    cut: Arc<AtomicBool>,
+    held: Vec<TcpStream>,
+}
+
+impl Link {
+    /// Cuts the link as a partition does: open connections hang, and handshakes of new ones get no
+    /// answer, as the queue of connections that wait to be accepted is full.
+    pub fn partition(&mut self) {
+        self.cut.store(true, Ordering::Relaxed);
+        // Safe: the descriptor is open as long as the listener.
+        unsafe { listen(self.listener.as_raw_fd(), 0) };
+        for _ in 0..8 {
+            match TcpStream::connect_timeout(&self.address, Duration::from_millis(40)) {
+                Ok(stream) => self.held.push(stream),
+                Err(_) => break,
+            }
+        }
+    }
+}
+
 /// A run of a request.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -733,19 +759,28 @@
     }
 
     /// Listens at a further address, the link of one daemon, until that is cut.
-    pub fn listen_link(&self, address: SocketAddr, cut: &Arc<AtomicBool>) -> std::io::Result<()> {
-        Self {
+    pub fn listen_link(&self, address: SocketAddr, cut: &Arc<AtomicBool>) -> std::io::Result<Link> {
+        let listener = Self {
             cut: cut.clone(),
             ..self.clone()
         }
-        .listen(address)
+        .listen(address)?;
+        Ok(Link {
+            address,
+            listener,
+            cut: cut.clone(),
+            held: Vec::new(),
+        })
     }
 
-    fn listen(&self, address: SocketAddr) -> std::io::Result<()> {
+    fn listen(&self, address: SocketAddr) -> std::io::Result<TcpListener> {
         let listener = TcpListener::bind(address)?;
-        let this = self.clone();
+        let (this, own) = (self.clone(), listener.try_clone()?);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                while this.cut.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(20));
+                }
                 if this.down.load(Ordering::Relaxed) {
                     continue;
                 }
@@ -756,7 +791,7 @@
                 thread::spawn(move || this.serve(stream));
             }
         });
-        Ok(())
+        Ok(own)
     }
 
     /// Waits while the link is cut; what was sent over it meanwhile is lost.
@@ -1051,8 +1086,20 @@
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub daemons: Vec<Daemon>,
     pub folder: std::path::PathBuf,
-    /// For each daemon whether its links to all servers are cut.
-    pub cuts: Vec<Arc<AtomicBool>>,
+    /// Links to the servers, for each daemon.
+    pub links: Vec<Vec<Link>>,
+}
+
+impl Bed {
+    /// Partitions a daemon from all servers.
+    pub fn partition(&mut self, daemon: usize) {
+        let name = &self.daemons[daemon].name;
+        self.record
+            .note(format!("{name} is partitioned from all servers"));
+        for link in &mut self.links[daemon] {
+            link.partition();
+        }
+    }
 }
 
 /// Starts a store, plain servers and daemons, and waits until the daemons are ready.
@@ -1078,18 +1125,18 @@
         list.push(server);
     }
     store.put("config", "main", first_config);
-    let (mut nodes, mut cuts) = (Vec::new(), Vec::new());
+    let (mut nodes, mut links) = (Vec::new(), Vec::new());
     for index in 0..daemons {
         let cut: Arc<AtomicBool> = Arc::default();
-        let mut seen = BTreeMap::new();
+        let (mut seen, mut own) = (BTreeMap::new(), Vec::new());
         for server in &list {
             let link: SocketAddr = format!("{}:{}", server.address.ip(), 18_100 + index)
                 .parse()
                 .unwrap();
-            server.listen_link(link, &cut)?;
+            own.push(server.listen_link(link, &cut)?);
             seen.insert(server.address.to_string(), link.to_string());
         }
-        cuts.push(cut);
+        links.push(own);
         let store_address = format!("{net}.1:{}", 18_100 + index).parse().unwrap();
         store.listen_for(store_address, seen)?;
         let mut daemon = Daemon::new(
@@ -1117,7 +1164,7 @@
         runs,
         daemons: nodes,
         folder,
-        cuts,
+        links,
     })
 }
 
