--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -6,6 +6,8 @@
     match name {
         "kept-connections" => kept_connections(trouble),
         "large-heads" => large_heads(trouble),
+        "nameless-entry" => nameless_entry(trouble),
+        "lost-verdict" => lost_verdict(trouble),
         _ => {
             eprintln!("no such case: {name}");
             Ok(2)
@@ -169,3 +171,178 @@
     }
     partition_one(bed, &load, Duration::from_secs(2), trouble)
 }
+
+/// Another writer's entry without a name fills the page before the servers; all daemons are killed
+/// right after a configuration was acknowledged.
+fn nameless_entry(trouble: bool) -> std::io::Result<i32> {
+    let routes = [("a", "/a/", "idempotent", 2000)];
+    let mut bed = bed(10, 6, 4, config(3, &routes, &["app"]))?;
+    if !bed.daemons.iter().all(Daemon::is_ready) {
+        return finish(bed, 2);
+    }
+    let started = Instant::now();
+    let mut threads = Vec::new();
+    for node in 0..bed.daemons.len() {
+        let (address, record) = (bed.daemons[node].front, bed.record.clone());
+        threads.push(thread::spawn(move || {
+            let mut seen = Vec::new();
+            for n in 0.. {
+                let at = started.elapsed();
+                if at > Duration::from_secs(29) {
+                    break;
+                }
+                let id = format!("{node}-{n:04}");
+                let path = format!("/a/w20/{n:04}");
+                seen.push((at, send(address, "GET", &path, &id, &[], b"", &record)));
+                thread::sleep(Duration::from_millis(150));
+            }
+            seen
+        }));
+    }
+    thread::sleep(Duration::from_secs(2));
+    if trouble {
+        bed.store
+            .put_nameless("servers", &format!("{SERVER_PREFIX}-"));
+        bed.record
+            .note("another writer leaves an entry without a name".to_owned());
+    }
+    thread::sleep(Duration::from_secs(4));
+    let routes = [("a", "/a/", "idempotent", 2500)];
+    bed.store
+        .put("config", "main", config(5, &routes, &["app"]));
+    let killed_at = started.elapsed();
+    bed.record.note("all daemons are killed".to_owned());
+    for daemon in &mut bed.daemons {
+        daemon.kill();
+    }
+    thread::sleep(Duration::from_secs(1));
+    for daemon in &mut bed.daemons {
+        daemon.start()?;
+    }
+    let back_at = started.elapsed();
+    bed.record.note("all daemons are started".to_owned());
+    // `recoveryS`.
+    let from = back_at + Duration::from_secs(12);
+    let (mut before, mut after) = ((0_usize, 0_usize), (0_usize, 0_usize));
+    for thread in threads {
+        for (at, seen) in thread.join().unwrap_or_default() {
+            let count = match at {
+                at if at < killed_at => &mut before,
+                at if at > from => &mut after,
+                _ => continue,
+            };
+            count.0 += usize::from(matches!(seen, Seen::Answer { status: 200, .. }));
+            count.1 += 1;
+        }
+    }
+    let text = format!(
+        "served {} of {} before the final fault, {} of {} later than 12 s after it",
+        before.0, before.1, after.0, after.1
+    );
+    println!("{text}");
+    bed.record.note(text);
+    if before.0 * 4 < before.1 || after.1 == 0 {
+        return finish(bed, 2);
+    }
+    finish(bed, i32::from(after.0 * 4 < after.1))
+}
+
+/// A request that crashes servers comes again after all daemons were killed at the same moment.
+fn lost_verdict(trouble: bool) -> std::io::Result<i32> {
+    let routes = [("a", "/a/", "idempotent", 2000)];
+    let mut bed = bed(10, 12, 4, config(3, &routes, &["app"]))?;
+    if !bed.daemons.iter().all(Daemon::is_ready) {
+        return finish(bed, 2);
+    }
+    let started = Instant::now();
+    let fronts: Vec<_> = bed.daemons.iter().map(|daemon| daemon.front).collect();
+    let is_over = Arc::new(AtomicBool::new(false));
+    // Sound requests beside it.
+    for node in 0..fronts.len() {
+        let (address, record, is_over) = (fronts[node], bed.record.clone(), is_over.clone());
+        thread::spawn(move || {
+            for n in 0.. {
+                if is_over.load(Ordering::Relaxed) {
+                    break;
+                }
+                let (id, path) = (format!("{node}-{n:04}"), format!("/a/w20/{n:04}"));
+                send(address, "GET", &path, &id, &[], b"", &record);
+                thread::sleep(Duration::from_millis(60));
+            }
+        });
+    }
+    let mut back: Vec<(Duration, Option<String>)> = Vec::new();
+    let (mut killed_at, mut back_at) = (None, None);
+    let (mut sent, mut next, mut is_down) = (0, Duration::from_secs(3), false);
+    let mut servers = bed.servers.clone();
+    let kill_at = Duration::from_secs(13);
+    let again_at = kill_at + Duration::from_millis(1000 + 4500);
+    while started.elapsed() < again_at + Duration::from_secs(8) {
+        let now = started.elapsed();
+        // A crashed server is back under another id 3 s later; its entry goes after three
+        // heartbeats.
+        let crashed = |server: &PlainServer| server.down.load(Ordering::Relaxed);
+        for server in servers.extract_if(.., |server| crashed(server)) {
+            back.push((now + Duration::from_millis(3000), None));
+            back.push((now + Duration::from_millis(3600), Some(server.id)));
+        }
+        for (_, gone) in back.extract_if(.., |(at, _)| *at <= now) {
+            match gone {
+                Some(id) => bed.store.remove("servers", &id),
+                None => servers.push(bed.add_server()?),
+            }
+        }
+        let is_first = now < Duration::from_secs(11);
+        if now >= next && (is_first || now >= again_at) {
+            next = now + Duration::from_millis(150);
+            let (address, record) = (fronts[sent % fronts.len()], bed.record.clone());
+            let id = format!("deadly-{sent:04}");
+            sent += 1;
+            thread::spawn(move || send(address, "GET", "/a/deadly", &id, &[], b"", &record));
+        }
+        if trouble && killed_at.is_none() && now >= kill_at {
+            killed_at = Some(Instant::now());
+            is_down = true;
+            bed.record.note("all daemons are killed".to_owned());
+            for daemon in &mut bed.daemons {
+                daemon.kill();
+            }
+        }
+        if is_down && now >= kill_at + Duration::from_secs(1) {
+            is_down = false;
+            for daemon in &mut bed.daemons {
+                daemon.start()?;
+            }
+            back_at = Some(Instant::now());
+            bed.record.note("all daemons are started".to_owned());
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    is_over.store(true, Ordering::Relaxed);
+    thread::sleep(Duration::from_millis(500));
+    let runs = bed.runs.lock().unwrap().clone();
+    let deadly: Vec<_> = runs
+        .iter()
+        .filter(|run| run.path == "/a/deadly")
+        .map(|run| run.at)
+        .collect();
+    let Some(third) = deadly.get(2) else {
+        return finish(bed, 2);
+    };
+    // From the kill until a second after `contactMs` from the start no machine is in touch.
+    let is_in_touch = |at: Instant| {
+        killed_at.is_none_or(|killed| at < killed)
+            || back_at.is_some_and(|back| at > back + CONTACT + Duration::from_secs(1))
+    };
+    let late = deadly
+        .iter()
+        .filter(|at| **at > *third + CONTACT && is_in_touch(**at))
+        .count();
+    let text = format!(
+        "the request reached servers {} times, {late} of them later than 3 s after the third crash and from machines in touch (3 allowed)",
+        deadly.len()
+    );
+    println!("{text}");
+    bed.record.note(text);
+    finish(bed, i32::from(late > 3))
+}
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -346,6 +346,8 @@
     revision: u64,
     spec: Json,
     status: Json,
+    /// Whether its metadata hold its name; those of another writer's entry may lack it.
+    named: bool,
 }
 
 #[derive(Clone)]
@@ -356,6 +358,10 @@
     removed: bool,
 }
 
+/// Most objects on a page of a list, and the size from which on it is full.
+const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1_000_000;
+
 #[derive(Default)]
 struct StoreData {
     revision: u64,
@@ -375,14 +381,16 @@
 }
 
 fn object_json(name: &str, stored: &Stored) -> Json {
-    let metadata = BTreeMap::from([
-        ("name".to_owned(), Json::Text(name.to_owned())),
+    let mut metadata = BTreeMap::from([
         (
             "revision".to_owned(),
             Json::Number(stored.revision.to_string()),
         ),
         ("finalizers".to_owned(), Json::List(Vec::new())),
     ]);
+    if stored.named {
+        metadata.insert("name".to_owned(), Json::Text(name.to_owned()));
+    }
     Json::Table(BTreeMap::from([
         ("metadata".to_owned(), Json::Table(metadata)),
         ("spec".to_owned(), stored.spec.clone()),
@@ -446,6 +454,29 @@
         revision
     }
 
+    /// Writes an entry of another writer, which shows no name and fills a page of a list.
+    pub fn put_nameless(&self, kind: &str, name: &str) {
+        let (lock, changed) = &*self.data;
+        let mut data = lock.lock().unwrap();
+        let spec = BTreeMap::from([("dump".to_owned(), Json::Text("x".repeat(PAGE_BYTES)))]);
+        data.revision += 1;
+        let stored = Stored {
+            revision: data.revision,
+            spec: Json::Table(spec),
+            status: Json::Null,
+            named: false,
+        };
+        data.history.push(Change {
+            revision: stored.revision,
+            kind: kind.to_owned(),
+            object: object_json(name, &stored),
+            removed: false,
+        });
+        data.objects
+            .insert((kind.to_owned(), name.to_owned()), stored);
+        changed.notify_all();
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         let (lock, changed) = &*self.data;
         let mut data = lock.lock().unwrap();
@@ -475,11 +506,13 @@
             revision: 0,
             spec: Json::Null,
             status: Json::Null,
+            named: true,
         });
         let mut new = Stored {
             revision: 0,
             spec: spec.unwrap_or(old.spec.clone()),
             status: status.unwrap_or(old.status.clone()),
+            named: old.named,
         };
         if current.is_some() && new.spec == old.spec && new.status == old.status {
             return old.revision;
@@ -570,11 +603,15 @@
                 let mut rest = data.objects.iter().filter(|((other, name), _)| {
                     *other == kind && after.as_ref().is_none_or(|after| name > after)
                 });
-                let items: Vec<_> = rest
-                    .by_ref()
-                    .take(500)
-                    .map(|((_, name), stored)| object_json(name, stored).dump())
-                    .collect();
+                let (mut items, mut size) = (Vec::new(), 0);
+                while items.len() < PAGE_ITEMS && size < PAGE_BYTES {
+                    let Some(((_, name), stored)) = rest.next() else {
+                        break;
+                    };
+                    let item = object_json(name, stored).dump();
+                    size += item.len();
+                    items.push(item);
+                }
                 let more = rest.next().is_some();
                 return (
                     200,
@@ -874,6 +911,11 @@
                 });
                 runs.len() - 1
             };
+            if path.ends_with("/deadly") {
+                self.record.note(format!("{} crashes under {id}", self.id));
+                self.crash();
+                return;
+            }
             let words: Vec<&str> = path.split('/').collect();
             let number = |mark: char| {
                 words.iter().find_map(|word| {
@@ -945,6 +987,15 @@
         })
     }
 
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.child = None;
+    }
+
     pub fn start(&mut self) -> std::io::Result<()> {
         let log = std::fs::File::options()
             .create(true)
@@ -1088,9 +1139,25 @@
     pub folder: std::path::PathBuf,
     /// Links to the servers, for each daemon.
     pub links: Vec<Vec<Link>>,
+    /// Servers started so far.
+    started: usize,
 }
 
 impl Bed {
+    /// Starts a further server of the service.
+    pub fn add_server(&mut self) -> std::io::Result<PlainServer> {
+        self.started += 1;
+        let ip = self.servers[0].address.ip().to_string();
+        let net = ip.rsplit_once('.').map_or("", |(net, _)| net);
+        let address = format!("{net}.{}:18011", 101 + self.started % 150)
+            .parse()
+            .unwrap();
+        let id = format!("{SERVER_PREFIX}{}", self.started);
+        let server = PlainServer::start(&id, address, &self.runs, &self.record)?;
+        self.store.put("servers", &id, server.entry("app", "za"));
+        Ok(server)
+    }
+
     /// Partitions a daemon from all servers.
     pub fn partition(&mut self, daemon: usize) {
         let name = &self.daemons[daemon].name;
@@ -1103,6 +1170,9 @@
 }
 
 /// Starts a store, plain servers and daemons, and waits until the daemons are ready.
+/// Beginning of the ids of the servers.
+pub const SERVER_PREFIX: &str = "orders-";
+
 pub fn bed(
     first_revision: u64,
     servers: usize,
@@ -1120,7 +1190,8 @@
     let mut list = Vec::new();
     for index in 0..servers {
         let address = format!("{net}.{}:18011", 101 + index).parse().unwrap();
-        let server = PlainServer::start(&format!("i-{index}"), address, &runs, &record)?;
+        let server =
+            PlainServer::start(&format!("{SERVER_PREFIX}{index}"), address, &runs, &record)?;
         store.put("servers", &server.id, server.entry("app", "za"));
         list.push(server);
     }
@@ -1165,6 +1236,7 @@
         daemons: nodes,
         folder,
         links,
+        started: servers,
     })
 }
 
