--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -4,6 +4,7 @@
 
 pub fn run(name: &str, trouble: bool) -> std::io::Result<i32> {
     match name {
+        "unreadable-entry" => unreadable_entry(trouble),
         "kept-connections" => kept_connections(trouble),
         "large-heads" => large_heads(trouble),
         "nameless-entry" => nameless_entry(trouble),
@@ -346,3 +347,78 @@
     bed.record.note(text);
     finish(bed, i32::from(late > 3))
 }
+
+/// Another writer leaves an entry with a byte that can't be read. Two seconds later a server drains,
+/// and 3.5 s after that it is gone.
+fn unreadable_entry(trouble: bool) -> std::io::Result<i32> {
+    let routes = [("a", "/a/", "non_idempotent", 2000)];
+    let bed = bed(10, 4, 4, config(3, &routes, &["app"]))?;
+    if !bed.daemons.iter().all(Daemon::is_ready) {
+        return finish(bed, 2);
+    }
+    thread::sleep(Duration::from_millis(1500));
+    let started = Instant::now();
+    let mut threads = Vec::new();
+    for node in 0..bed.daemons.len() {
+        let (address, record) = (bed.daemons[node].front, bed.record.clone());
+        threads.push(thread::spawn(move || {
+            let mut calls = Vec::new();
+            for n in 0..240_u64 {
+                let at = started + Duration::from_millis(50 * n);
+                thread::sleep(at.saturating_duration_since(Instant::now()));
+                let record = record.clone();
+                calls.push(thread::spawn(move || {
+                    let (id, path) = (format!("{node}-{n:04}"), format!("/a/w20/{n:04}"));
+                    send(address, "POST", &path, &id, &[], b"", &record)
+                }));
+            }
+            let seen = calls.into_iter().filter_map(|call| call.join().ok());
+            seen.collect::<Vec<_>>()
+        }));
+    }
+    thread::sleep(Duration::from_secs(2));
+    if trouble {
+        // A raw control character within a text.
+        let spec = "{\"service\":\"app\",\"note\":\"a\u{1}b\"}";
+        bed.store
+            .put("servers", "a-note", Json::Number(spec.to_owned()));
+        bed.record
+            .note("another writer leaves an entry with a byte that can't be read".to_owned());
+    }
+    thread::sleep(Duration::from_secs(2));
+    let server = bed.servers[0].clone();
+    let mut entry = server.entry("app", "za");
+    if let Json::Table(entry) = &mut entry {
+        entry.insert("state".to_owned(), Json::Text("draining".to_owned()));
+    }
+    bed.store.put("servers", &server.id, entry);
+    let drained_at = Instant::now();
+    bed.record
+        .note(format!("the store has that {} is draining", server.id));
+    thread::sleep(Duration::from_millis(3500));
+    bed.store.remove("servers", &server.id);
+    server.crash();
+    bed.record.note(format!("{} has left", server.id));
+    let mut answers: BTreeMap<String, usize> = BTreeMap::new();
+    for thread in threads {
+        for seen in thread.join().unwrap_or_default() {
+            let kind = match seen {
+                Seen::Answer { status, .. } => status.to_string(),
+                Seen::Closed(_) => "closed".to_owned(),
+            };
+            *answers.entry(kind).or_default() += 1;
+        }
+    }
+    // `drainMs`.
+    let bound = drained_at + Duration::from_millis(2000);
+    let runs = bed.runs.lock().unwrap().clone();
+    let own = runs.iter().filter(|run| run.server == server.id);
+    let late = own.filter(|run| run.at > bound).count();
+    let text = format!(
+        "{late} requests reached {} later than 2 s after it was draining; answers {answers:?}",
+        server.id
+    );
+    println!("{text}");
+    bed.record.note(text);
+    finish(bed, i32::from(late > 0))
+}
