--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,6 +6,7 @@
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -726,8 +727,13 @@
 
 unsafe extern "C" {
     fn listen(descriptor: i32, backlog: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// Link of one daemon to one server.
 pub struct Link {
     pub address: SocketAddr,
@@ -1003,7 +1009,15 @@
             .open(&self.log)?;
         let program =
             std::env::var("EDGE").unwrap_or_else(|_| "target/release/bronzerun-edge".to_owned());
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        // Safe: the call takes no locks and no memory. A daemon doesn't outlive a case that is stopped.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .env("BRONZERUN_SETTINGS", &self.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
